--- /dev/null
+++ b/src/savoryshelf/clock.py
@@ -0,0 +1,33 @@
+"""The seam for time.
+
+Leases are measured on the monotonic clock only: a step of the wall clock must
+neither lengthen nor shorten them.  The wall clock is for records and expiry.
+"""
+
+import time
+from typing import Protocol
+
+CLOCK_DRIFT_ALLOWANCE = 0.02
+"""How much faster or slower one host's monotonic clock may run (a ratio)."""
+
+
+class Clock(Protocol):
+    """Where a shell reads the time; cores are handed the time as a number."""
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never steps."""
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch; may step."""
+
+
+class SystemClock:
+    """The clocks of this host."""
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never steps."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch; may step."""
+        return int(time.time() * 1000)
--- /dev/null
+++ b/src/savoryshelf/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' declarations: their files, their checks, and the version in force."""
--- /dev/null
+++ b/src/savoryshelf/configuration/declarations.py
@@ -0,0 +1,188 @@
+"""What operators declare, as immutable classes that are checked when made."""
+
+import json
+
+import attrs
+import cattrs
+from cattrs.preconf.json import make_converter
+
+from ..errors import InvalidDeclaration, InvalidDeclarations
+
+MAX_BODY_BYTES_LIMIT = 1024 * 1024
+
+
+def _between(low: float, high: float):
+    """Return an attrs validator for numbers from ``low`` to ``high``."""
+
+    def check(instance, attribute, value):
+        if not low <= value <= high:
+            raise InvalidDeclaration(
+                type(instance).__name__, attribute.name, value, f"use {low} to {high}"
+            )
+
+    return check
+
+
+@attrs.frozen(kw_only=True)
+class Weights:
+    """How much each measure counts for this customer; only their ratios matter."""
+
+    tail_latency: float = attrs.field(default=1.0, validator=_between(0, 1000))
+    throughput: float = attrs.field(default=1.0, validator=_between(0, 1000))
+    evictions: float = attrs.field(default=1.0, validator=_between(0, 1000))
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A latency-critical service: repeatable requests, answered inline."""
+
+    target_ms: int = attrs.field(default=250, validator=_between(1, 60_000))
+    """Wanted 99th percentile."""
+
+    timeout_ms: int = attrs.field(default=2000, validator=_between(10, 60_000))
+    """After this a caller hears a refusal rather than an answer."""
+
+    max_attempts: int = attrs.field(default=2, validator=_between(1, 5))
+    cores: float = attrs.field(default=1.0, validator=_between(0, 1024))
+    memory_mb: int = attrs.field(default=256, validator=_between(0, 4_194_304))
+    repeatable: bool = attrs.field(default=True)
+
+    @repeatable.validator
+    def _check_repeatable(self, attribute, value):
+        if not value:
+            raise InvalidDeclaration(
+                "Service",
+                "repeatable",
+                value,
+                "a request that may not be repeated is a batch class; "
+                "declare it there and submit it as urgent",
+            )
+
+
+@attrs.frozen(kw_only=True)
+class BatchClass:
+    """A kind of batch job; sizes are hints."""
+
+    repeatable: bool = True
+    """Whether a task whose outcome is lost may be started again."""
+
+    cores: float = attrs.field(default=1.0, validator=_between(0, 1024))
+    memory_mb: int = attrs.field(default=1024, validator=_between(0, 4_194_304))
+    accelerators: int = attrs.field(default=0, validator=_between(0, 64))
+    expected_s: float = attrs.field(default=60.0, validator=_between(0, 604_800))
+    max_failures: int = attrs.field(default=3, validator=_between(1, 20))
+    max_body_bytes: int = attrs.field(default=65_536, validator=_between(0, MAX_BODY_BYTES_LIMIT))
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """A team of the customer and its quota."""
+
+    max_running: int = attrs.field(default=50, validator=_between(0, 100_000))
+    max_queued: int = attrs.field(default=1000, validator=_between(0, 1_000_000))
+    token_generation: int = attrs.field(default=1, validator=_between(1, 1_000_000))
+    """Raise it to make the tokens given out so far invalid."""
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Bounds of the whole site."""
+
+    critical_reserve_slots: int = attrs.field(default=3, validator=_between(0, 64))
+    """Slots of each worker which batch tasks never take."""
+
+    max_waiting: int = attrs.field(default=64, validator=_between(0, 10_000))
+    """Critical requests of one entry host that may wait for capacity."""
+
+    max_body_bytes: int = attrs.field(default=262_144, validator=_between(1, MAX_BODY_BYTES_LIMIT))
+    result_ttl_s: int = attrs.field(default=86_400, validator=_between(60, 2_592_000))
+    """How long the record of an ended job, its result and its key are kept."""
+
+    retry_budget: float = attrs.field(default=0.1, validator=_between(0, 1))
+    """Retries per first attempt that an entry host allows itself."""
+
+    urgent_wait_s: float = attrs.field(default=2.0, validator=_between(0, 60))
+    """How long urgent work waits for room before batch work is evicted for it."""
+
+    report_interval_s: float = attrs.field(default=2.0, validator=_between(0.1, 10))
+    """How often a worker reports to its owner; the end of a task is reported at once."""
+
+    task_lease_s: float = attrs.field(default=10.0, validator=_between(0.5, 120))
+    """How long a worker runs batch tasks without an answer from its owner."""
+
+    @task_lease_s.validator
+    def _check_lease(self, attribute, value):
+        if value < 3 * self.report_interval_s:
+            raise InvalidDeclaration(
+                "Limits", "task_lease_s", value, "use at least three times report_interval_s"
+            )
+
+
+@attrs.frozen(kw_only=True)
+class Declarations:
+    """One site's whole configuration."""
+
+    customer: str
+    site: str = ""
+    weights: Weights = Weights()
+    services: dict[str, Service] = attrs.field(factory=dict)
+    batch_classes: dict[str, BatchClass] = attrs.field(factory=dict)
+    teams: dict[str, Team] = attrs.field(factory=dict)
+    limits: Limits = Limits()
+
+
+_CONVERTER = make_converter(forbid_extra_keys=True, detailed_validation=True)
+
+
+def parse(content: dict, source: str = "declarations") -> Declarations:
+    """Return the declarations which ``content`` holds.
+
+    Raises InvalidDeclarations, one InvalidDeclaration for each wrong key.
+    """
+    try:
+        return _CONVERTER.structure(content, Declarations)
+    except cattrs.BaseValidationError as error:
+        raise InvalidDeclarations("wrong declarations", _flatten(error, source, "")) from None
+
+
+def _flatten(error: BaseException, source: str, path: str) -> list[InvalidDeclaration]:
+    """Return one error per wrong key, with the path that cattrs left in its notes."""
+    path = _extended(path, error)
+    if isinstance(error, BaseExceptionGroup):
+        return [each for inner in error.exceptions for each in _flatten(inner, source, path)]
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        return [
+            InvalidDeclaration(source, _join(path, key), key, "no such key; remove it or mend it")
+            for key in sorted(error.extra_fields)
+        ]
+    if isinstance(error, KeyError):
+        key = _join(path, str(error.args[0]))
+        return [InvalidDeclaration(source, key, None, "this key is missing; add it")]
+    return [InvalidDeclaration(source, path, str(error), "use a value of the kind named")]
+
+
+def _extended(path: str, error: BaseException) -> str:
+    for note in getattr(error, "__notes__", []):
+        name = getattr(note, "name", getattr(note, "index", None))
+        if name is not None:
+            path = _join(path, str(name))
+    return path
+
+
+def _join(path: str, key: str) -> str:
+    return f"{path}.{key}" if path else key
+
+
+def to_content(declarations: Declarations) -> dict:
+    """Return the declarations as plain maps, every default filled in."""
+    return _CONVERTER.unstructure(declarations)
+
+
+def to_document(declarations: Declarations) -> str:
+    """Return the canonical JSON text that the log holds."""
+    return json.dumps(to_content(declarations), sort_keys=True, separators=(",", ":"))
+
+
+def from_document(document: str) -> Declarations:
+    """Return the declarations of a canonical JSON text."""
+    return parse(json.loads(document), "configuration in force")
--- /dev/null
+++ b/src/savoryshelf/configuration/files.py
@@ -0,0 +1,85 @@
+"""The base file and the overlay of a site, and how they are merged."""
+
+from collections.abc import Iterator
+
+import yaml
+
+from ..errors import InvalidDeclaration, InvalidDeclarations
+from .declarations import Declarations, parse, to_content
+
+
+def load(base_path: str, overlay_path: str | None = None) -> Declarations:
+    """Return the declarations of a base file and, if given, one site's overlay.
+
+    Raises InvalidDeclarations naming every wrong file and key, among them keys
+    of the overlay that only repeat what the base says.
+    """
+    merged = _read(base_path)
+    source = base_path
+    if overlay_path:
+        overlay = _read(overlay_path)
+        repeated = list(_repeated(merged, overlay, ""))
+        if repeated:
+            raise InvalidDeclarations(
+                "the overlay repeats the base",
+                [
+                    InvalidDeclaration(overlay_path, key, value, "same as the base; remove it")
+                    for key, value in repeated
+                ],
+            )
+        merged = merge(merged, overlay)
+        source = f"{base_path} + {overlay_path}"
+    return parse(merged, source)
+
+
+def merge(base: dict, overlay: dict) -> dict:
+    """Return ``base`` with the differences of ``overlay``; a null removes a key."""
+    merged = dict(base)
+    for key, value in overlay.items():
+        if value is None:
+            merged.pop(key, None)
+        elif isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = merge(merged[key], value)
+        else:
+            merged[key] = value
+    return merged
+
+
+def differences(before: Declarations, after: Declarations) -> list[tuple[str, object, object]]:
+    """Return (key, old, new) for each value that differs; None stands for absent."""
+    old, new = _leaves(to_content(before)), _leaves(to_content(after))
+    keys = sorted(old.keys() | new.keys())
+    return [(key, old.get(key), new.get(key)) for key in keys if old.get(key) != new.get(key)]
+
+
+def _read(path: str) -> dict:
+    try:
+        with open(path, encoding="utf-8") as file:
+            content = yaml.safe_load(file)
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        problem = InvalidDeclaration(path, "(file)", str(error), "give a readable YAML file")
+        raise InvalidDeclarations("unreadable file", [problem]) from None
+    if not isinstance(content, dict):
+        problem = InvalidDeclaration(path, "(file)", content, "give a map of keys at the top")
+        raise InvalidDeclarations("unreadable file", [problem])
+    return content
+
+
+def _repeated(base: dict, overlay: dict, path: str) -> Iterator[tuple[str, object]]:
+    for key, value in overlay.items():
+        where = f"{path}.{key}" if path else str(key)
+        if isinstance(value, dict) and isinstance(base.get(key), dict):
+            yield from _repeated(base[key], value, where)
+        elif key in base and base[key] == value:
+            yield where, value
+
+
+def _leaves(content: dict, path: str = "") -> dict[str, object]:
+    found: dict[str, object] = {}
+    for key, value in content.items():
+        where = f"{path}.{key}" if path else str(key)
+        if isinstance(value, dict):
+            found.update(_leaves(value, where))
+        else:
+            found[where] = value
+    return found
--- /dev/null
+++ b/src/savoryshelf/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: the replicated state of a site and the duties of its leader."""
--- /dev/null
+++ b/src/savoryshelf/control/process.py
@@ -0,0 +1,122 @@
+"""Puts a control host together: replica, peers' port, leader's duties, HTTP for scrapers."""
+
+import random
+
+import eventlet
+
+from ..clock import SystemClock
+from ..disk import FolderDisk
+from ..errors import PeerUnreachable
+from ..observability.http import serve_operations
+from ..observability.logs import log_event
+from ..replication.core import Timing
+from ..replication.formation import ControlHost, find_or_form_group, host_name
+from ..replication.links import PeerLinks
+from ..replication.membership import find
+from ..replication.service import ReplicaService
+from ..replication.storage import ReplicaStorage
+from ..wire.generated import ControlService, ttypes
+from ..wire.peers import PeerClient, PeerServer
+from .duties import LeaderDuties
+from .handler import ControlHandler
+from .repair import GroupRepair
+from .site import SiteControl
+from .state import SiteMachine
+
+JOIN_INTERVAL_SECONDS = 1.0
+
+
+class ControlHostProcess:
+    """One control host."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._hosts = [ControlHost(*each) for each in settings.control_hosts]
+        self._storage = ReplicaStorage(FolderDisk(settings.data_folder))
+        self.identity = self._storage.identity(settings.name)
+        self.replica: ReplicaService | None = None
+        self._site: SiteControl | None = None
+        self._repair: GroupRepair | None = None
+        self._links = PeerLinks(settings.cluster_key)
+
+    def run(self) -> None:
+        """Serve until the replica fails or the process is told to stop."""
+        PeerServer(
+            ControlService,
+            self._settings.listen,
+            lambda: ControlHandler(self._settings.cluster_key, self),
+        )
+        serve_operations(self._settings.http_listen, self._is_ready)
+        genesis = find_or_form_group(
+            self.identity, self._hosts, self._storage, self._settings.cluster_key
+        )
+        self._start_replica(genesis)
+        log_event("control:started", replica_id=self.identity.replica_id)
+        eventlet.spawn(self._join_until_member)
+        duties = LeaderDuties(
+            self._site, self._repair, self._settings.placement_policy, random.Random()
+        )
+        eventlet.spawn(self._run_duties, duties)
+        self.replica.wait()
+
+    def running_site(self) -> SiteControl:
+        """Return the site's duties; raises Unavailable while the group is being formed."""
+        if self._site is None:
+            raise ttypes.Unavailable("the control group is not formed yet", False)
+        return self._site
+
+    def running_repair(self) -> GroupRepair:
+        """Return the group's repair; raises Unavailable while the group is being formed."""
+        self.running_site()
+        return self._repair
+
+    def _start_replica(self, genesis: ttypes.Membership) -> None:
+        machine, clock = SiteMachine(), SystemClock()
+        replica = ReplicaService(
+            replica_id=self.identity.replica_id,
+            genesis=genesis,
+            storage=self._storage,
+            machine=machine,
+            links=self._links,
+            address_of_host={host.name: host.address for host in self._hosts},
+            clock=clock,
+            timing=Timing(self._settings.heartbeat_seconds, self._settings.election_seconds),
+            randomness=random.Random(),
+            snapshot_every=self._settings.snapshot_every,
+        )
+        self._site = SiteControl(replica, machine, clock)
+        self._repair = GroupRepair(replica)
+        self.replica = replica
+        replica.start()
+
+    def _run_duties(self, duties: LeaderDuties) -> None:
+        try:
+            duties.run()
+        except Exception as error:
+            # A leader without its duties would hold its place and do nothing.
+            self.replica.stop(error)
+
+    def _is_ready(self) -> bool:
+        return self.replica is not None and bool(self.replica.leader_address)
+
+    def _join_until_member(self) -> None:
+        """Ask the leader to take this replica in, for as long as it is not a member."""
+        own_id = self.identity.replica_id
+        while find(self.replica.core.log.membership, own_id) is None:
+            for host in self._hosts:
+                if host.name != host_name(own_id):
+                    self._ask_to_join(host)
+            eventlet.sleep(JOIN_INTERVAL_SECONDS * random.uniform(0.8, 1.2))
+
+    def _ask_to_join(self, host: ControlHost) -> None:
+        settings = self._settings
+        member = ttypes.Member(
+            self.identity.replica_id, settings.advertise, settings.failure_domain, False
+        )
+        client = PeerClient(ControlService, host.address, settings.cluster_key)
+        try:
+            client.call("join", member)
+        except (PeerUnreachable, ttypes.NotLeader, ttypes.Unavailable):
+            return
+        finally:
+            client.close()
--- /dev/null
+++ b/src/savoryshelf/control/sessions.py
@@ -0,0 +1,87 @@
+"""What the leader knows of the entry hosts, from their syncs; gone when it stops leading."""
+
+import attrs
+
+from ..leases import ENTRY_LEASE_SECONDS, granter_deadline
+from ..targets.state import EntryHost
+from ..wire.generated.ttypes import AttemptKey, SyncRequest, WorkerNote
+
+
+def attempt_id(key: AttemptKey) -> tuple[str, int]:
+    """Return an attempt key as a value that can be looked up."""
+    return key.job_id, key.attempt
+
+
+@attrs.define
+class EntrySession:
+    """One entry process as last heard."""
+
+    entry_id: str
+    incarnation: str
+    heard_at: float
+    free_slots: int = 0
+    configuration_version: int = 0
+    is_leaving: bool = False
+    acknowledged_starts: set[tuple[str, int]] = attrs.field(factory=set)
+    acknowledged_stops: set[tuple[str, int]] = attrs.field(factory=set)
+    note_by_worker: dict[str, WorkerNote] = attrs.field(factory=dict)
+
+
+class EntrySessions:
+    """All entry hosts heard from in this term of leadership."""
+
+    def __init__(self, elected_at: float):
+        self.elected_at = elected_at
+        self.by_id: dict[str, EntrySession] = {}
+        self._removing: set[str] = set()
+
+    def heard(self, request: SyncRequest, now: float) -> EntrySession | None:
+        """Note a sync; return None while the entry's removal is being committed.
+
+        Renewing its lease then would let it serve workers which the commit
+        gives to others.
+        """
+        if request.entry_id in self._removing:
+            return None
+        session = self.by_id.get(request.entry_id)
+        if session is None or session.incarnation != request.incarnation:
+            session = EntrySession(request.entry_id, request.incarnation, now)
+            self.by_id[request.entry_id] = session
+        session.heard_at = now
+        session.free_slots = request.free_slots
+        session.configuration_version = request.configuration_version
+        session.is_leaving = request.leaving
+        session.acknowledged_starts = {attempt_id(k) for k in request.acknowledged_starts}
+        session.acknowledged_stops = {attempt_id(k) for k in request.acknowledged_stops}
+        session.note_by_worker = {note.worker_id: note for note in request.notes}
+        return session
+
+    def surely_lapsed(self, entry: EntryHost, now: float) -> bool:
+        """Return whether that process cannot hold a lease any more.
+
+        A lease which another leader granted may have been asked for until this
+        one was elected, so a silent entry is waited for from that moment.
+        """
+        session = self.by_id.get(entry.entry_id)
+        heard_at = self.elected_at
+        if session is not None and session.incarnation == entry.incarnation:
+            heard_at = max(heard_at, session.heard_at)
+        return now > granter_deadline(heard_at, ENTRY_LEASE_SECONDS)
+
+    def begin_removal(self, entry_id: str) -> None:
+        """Stop renewing this entry's lease until its removal is decided."""
+        self._removing.add(entry_id)
+
+    def end_removal(self, entry_id: str) -> None:
+        """Hear the entry again; what it owned is free."""
+        self._removing.discard(entry_id)
+        self.by_id.pop(entry_id, None)
+
+    def notes(self) -> dict[str, WorkerNote]:
+        """Return the newest note on each worker, from its owner."""
+        found: dict[str, WorkerNote] = {}
+        for session in self.by_id.values():
+            for worker_id, note in session.note_by_worker.items():
+                if worker_id not in found or found[worker_id].epoch < note.epoch:
+                    found[worker_id] = note
+        return found
--- /dev/null
+++ b/src/savoryshelf/control/site.py
@@ -0,0 +1,323 @@
+"""What a control host does for entry hosts, callers and operators.
+
+Every method either speaks for the whole group or raises: a replica that does
+not lead, or cannot confirm that it does, answers nothing.
+"""
+
+import eventlet
+
+from ..clock import Clock
+from ..leases import ENTRY_LEASE_SECONDS
+from ..ledger.state import Job, JobState
+from ..outcomes import Refusal
+from ..replication.core import NotLeading
+from ..replication.service import OutcomeUnknown, ReplicaService
+from ..wire import codec
+from ..wire.generated import ttypes
+from ..wire.generated.ttypes import Command, CommandBody, WorkerStanding
+from .feasibility import why_never
+from .sessions import EntrySession, EntrySessions, attempt_id
+from .state import SiteMachine
+from .views import VIEWS
+
+MAX_SYNC_WAIT_SECONDS = 2.0
+MAX_JOB_WAIT_SECONDS = 30.0
+
+
+class SiteControl:
+    """The duties of a control host that others may call."""
+
+    def __init__(self, replica: ReplicaService, machine: SiteMachine, clock: Clock):
+        self.replica = replica
+        self.machine = machine
+        self.clock = clock
+        self.sessions = EntrySessions(clock.monotonic())
+
+    # ------------------------------------------------------------------ helpers
+
+    def commit(self, **body):
+        """Commit one command, named by its field in ``CommandBody``; return its outcome."""
+        command = Command(self.clock.wall_ms(), CommandBody(**body))
+        try:
+            return self.replica.propose(codec.encode(command))
+        except NotLeading:
+            raise self.not_leader() from None
+        except OutcomeUnknown as error:
+            raise ttypes.Unavailable(str(error), True) from None
+
+    def confirm(self) -> None:
+        """Return once this host surely leads and has applied all that was committed."""
+        try:
+            self.replica.confirm()
+        except NotLeading:
+            raise self.not_leader() from None
+
+    def not_leader(self) -> ttypes.NotLeader:
+        """Return the error which names the leader, if it is known."""
+        return ttypes.NotLeader(self.replica.leader_address)
+
+    def _require_leading(self) -> None:
+        if not self.replica.is_leader:
+            raise self.not_leader()
+
+    # -------------------------------------------------------------- entry hosts
+
+    def sync(self, request: ttypes.SyncRequest) -> ttypes.SyncReply:
+        """Take an entry host's report, renew its lease, and hand out its orders."""
+        self._require_leading()
+        session = self.sessions.heard(request, self.clock.monotonic())
+        if session is None:
+            raise ttypes.Unavailable("this entry host is being removed", False)
+        self._register_entry(request)
+        self._register_workers(request.announcements)
+        self._note_standings(request.notes)
+        if request.leaving:
+            self._release_entry(request)
+        self._wait_for_orders(request, session)
+        # Only now: the reply renews a lease, and a leader which was deposed
+        # while this waited must not renew anything.
+        self.confirm()
+        return self._sync_reply(request, session)
+
+    def _register_entry(self, request: ttypes.SyncRequest) -> None:
+        known = self.machine.state.fleet.entries_by_id.get(request.entry_id)
+        if known is not None and known.incarnation == request.incarnation:
+            return
+        self.commit(
+            register_entry=ttypes.RegisterEntry(
+                request.entry_id,
+                request.incarnation,
+                request.address,
+                request.http_url,
+                request.failure_domain,
+            )
+        )
+
+    def _register_workers(self, announcements: list[ttypes.WorkerAnnouncement]) -> None:
+        workers = self.machine.state.fleet.workers_by_id
+        changed = []
+        for announced in announcements:
+            known = workers.get(announced.worker_id)
+            settled = (WorkerStanding.ACTIVE, WorkerStanding.DRAINED)
+            if known and known.announcement() == announced and known.standing in settled:
+                continue
+            changed.append(announced)
+        if changed:
+            self.commit(register_workers=ttypes.RegisterWorkers(changed))
+
+    def settle(self, outcomes: list[ttypes.AttemptOutcome]) -> None:
+        """Settle attempts that have ended; returns once that is durable."""
+        self._require_leading()
+        self.commit(settle_attempts=ttypes.SettleAttempts(outcomes))
+
+    def _note_standings(self, notes: list[ttypes.WorkerNote]) -> None:
+        for note in notes:
+            worker = self.machine.state.fleet.workers_by_id.get(note.worker_id)
+            if worker is None or worker.epoch != note.epoch:
+                continue
+            if note.lease_lapsed:
+                self._change_worker(note, WorkerStanding.LOST)
+            elif note.leaving and worker.standing == WorkerStanding.ACTIVE:
+                self._change_worker(note, WorkerStanding.LEAVING)
+
+    def _change_worker(self, note: ttypes.WorkerNote, standing: WorkerStanding) -> None:
+        self.commit(
+            change_standing=ttypes.ChangeStanding("", note.worker_id, standing, note.incarnation)
+        )
+
+    def _release_entry(self, request: ttypes.SyncRequest) -> None:
+        self.commit(remove_entry=ttypes.RemoveEntry(request.entry_id, request.incarnation))
+
+    def _wait_for_orders(self, request: ttypes.SyncRequest, session: EntrySession) -> None:
+        wait_seconds = min(max(request.wait_seconds, 0.0), MAX_SYNC_WAIT_SECONDS)
+        deadline = self.clock.monotonic() + wait_seconds
+        while not self._has_news(request, session):
+            left = deadline - self.clock.monotonic()
+            if left <= 0 or not self._wait_for_change(left):
+                return
+
+    def _wait_for_change(self, seconds: float) -> bool:
+        """Wait until entries were applied; return whether that happened in time."""
+        watcher = self.replica.watch()
+        with eventlet.Timeout(seconds, False):
+            watcher.wait()
+            return True
+        return False
+
+    def _has_news(self, request: ttypes.SyncRequest, session: EntrySession) -> bool:
+        state = self.machine.state
+        if request.leaving:
+            return True
+        if state.configuration.version != request.configuration_version:
+            return True
+        if state.fleet.assignment_version != request.assignment_version:
+            return True
+        return bool(self._starts(session) or self._stops(session))
+
+    def _sync_reply(self, request, session: EntrySession) -> ttypes.SyncReply:
+        state = self.machine.state
+        reply = ttypes.SyncReply(
+            lease_ms=int(ENTRY_LEASE_SECONDS * 1000),
+            configuration_version=state.configuration.version,
+            assignment_version=state.fleet.assignment_version,
+            starts=self._starts(session),
+            stops=self._stops(session),
+            peers=self._peers(request.entry_id),
+            leader_term=self.replica.core.term,
+        )
+        if state.configuration.version != request.configuration_version:
+            reply.configuration = state.configuration.document
+        if state.fleet.assignment_version != request.assignment_version:
+            reply.owned = [
+                ttypes.OwnedWorker(worker.announcement(), worker.epoch, worker.standing)
+                for worker in state.fleet.owned_by(request.entry_id)
+            ]
+        return reply
+
+    def _placed_for(self, session: EntrySession) -> list[Job]:
+        state = self.machine.state
+        return [
+            job
+            for worker in state.fleet.owned_by(session.entry_id)
+            for job in state.ledger.placed_on(worker.worker_id)
+        ]
+
+    def _starts(self, session: EntrySession) -> list[ttypes.StartOrder]:
+        return [
+            self._start_order(job)
+            for job in self._placed_for(session)
+            if (job.job_id, job.attempt) not in session.acknowledged_starts
+        ]
+
+    def _start_order(self, job: Job) -> ttypes.StartOrder:
+        declared = self.machine.declarations.batch_classes.get(job.class_name)
+        return ttypes.StartOrder(
+            key=ttypes.AttemptKey(job.job_id, job.attempt, 0),
+            worker_id=job.worker_id,
+            class_name=job.class_name,
+            body=job.body,
+            checkpoint_id=job.checkpoint_id or None,
+            repeatable=job.repeatable,
+            cores=declared.cores if declared else 0.0,
+            memory_mb=declared.memory_mb if declared else 0,
+            accelerators=declared.accelerators if declared else 0,
+            worker_incarnation=job.worker_incarnation,
+            trace_id=job.trace_id,
+        )
+
+    def _stops(self, session: EntrySession) -> list[ttypes.StopOrder]:
+        stopping = (JobState.EVICTING, JobState.CANCELLING)
+        orders = []
+        for job in self._placed_for(session):
+            key = ttypes.AttemptKey(job.job_id, job.attempt, 0)
+            if job.state in stopping and attempt_id(key) not in session.acknowledged_stops:
+                checkpoint = job.state is JobState.EVICTING
+                reason = job.story[-1].detail
+                orders.append(ttypes.StopOrder(key, job.worker_id, checkpoint, reason))
+        return orders
+
+    def _peers(self, entry_id: str) -> list[ttypes.EntryPeer]:
+        entries = self.machine.state.fleet.entries_by_id
+        return [
+            ttypes.EntryPeer(s.entry_id, entries[s.entry_id].address, s.free_slots)
+            for s in self.sessions.by_id.values()
+            if s.entry_id != entry_id and s.entry_id in entries and not s.is_leaving
+        ]
+
+    # ------------------------------------------------------------------ callers
+
+    def submit(self, job: ttypes.SubmitJob) -> ttypes.SubmitReply:
+        """Accept a job once it is durable on a majority of the control replicas."""
+        self._require_leading()
+        if job.job_id not in self.machine.state.ledger.by_id:
+            self._check_submittable(job)
+        outcome = self._accepted(self.commit(submit_job=job))
+        known = self.machine.state.ledger.by_id[job.job_id]
+        return ttypes.SubmitReply(job.job_id, outcome.duplicate, known.state.value)
+
+    def _check_submittable(self, job: ttypes.SubmitJob) -> None:
+        declarations = self.machine.declarations
+        if declarations is None:
+            raise ttypes.Unavailable("no configuration is in force yet", False)
+        team = declarations.teams.get(job.team)
+        if team is None:
+            raise ttypes.Refused("no_such_team", f"no team {job.team!r} is declared")
+        queued = sum(1 for each in self.machine.state.ledger.queued() if each.team == job.team)
+        if queued >= team.max_queued:
+            raise ttypes.Refused(
+                "team_queue_full", f"{queued} jobs of {job.team} wait; its limit is that many"
+            )
+        declared = declarations.batch_classes.get(job.class_name)
+        if declared is not None:
+            never = why_never(declared, declarations.limits, self.machine.state.fleet)
+            if never:
+                raise ttypes.Refused("never_fits", never)
+
+    def cancel(self, team: str, job_id: str) -> ttypes.JobView:
+        """Cancel a job of that team; ``*`` is an operator's."""
+        self._require_leading()
+        self._owned_job(team, job_id)
+        self._accepted(self.commit(cancel_job=ttypes.CancelJob(job_id)))
+        return self._job_view(self._owned_job(team, job_id))
+
+    def job(self, team: str, job_id: str, wait_seconds: float) -> ttypes.JobView:
+        """Return a job once it has ended, or as it stands after ``wait_seconds``."""
+        self._require_leading()
+        deadline = self.clock.monotonic() + min(max(wait_seconds, 0.0), MAX_JOB_WAIT_SECONDS)
+        while True:
+            left = deadline - self.clock.monotonic()
+            job = self.machine.state.ledger.by_id.get(job_id)
+            if job is None or job.is_ended or left <= 0:
+                break
+            self._wait_for_change(left)
+        self.confirm()
+        return self._job_view(self._owned_job(team, job_id))
+
+    def _owned_job(self, team: str, job_id: str) -> Job:
+        job = self.machine.state.ledger.by_id.get(job_id)
+        if job is None or team not in ("*", job.team):
+            self.confirm()
+            raise ttypes.Refused("no_such_job", f"no job {job_id} of team {team} is known")
+        return job
+
+    @staticmethod
+    def _job_view(job: Job) -> ttypes.JobView:
+        story = "\n".join(f"{e.at_ms} {e.event} {e.detail}".rstrip() for e in job.story)
+        return ttypes.JobView(
+            job.job_id,
+            job.team,
+            job.class_name,
+            job.state.value,
+            job.attempt,
+            job.reason,
+            job.result,
+            story,
+        )
+
+    # ---------------------------------------------------------------- operators
+
+    def apply(self, change: ttypes.ApplyConfiguration) -> ttypes.ApplyReply:
+        """Put a configuration in force if it was made from the version in force."""
+        self._require_leading()
+        applied = self._accepted(self.commit(apply_configuration=change))
+        return ttypes.ApplyReply(applied.version, applied.duplicate)
+
+    def change_standing(self, change: ttypes.ChangeStanding) -> None:
+        """Drain a worker, or return it to work."""
+        self._require_leading()
+        self._accepted(self.commit(change_standing=change))
+
+    def view(self, name: str, argument: str) -> str:
+        """Return an operator's view as JSON; it holds all that was committed before the call."""
+        self._require_leading()
+        self.confirm()
+        make_view = VIEWS.get(name)
+        if make_view is None:
+            raise ttypes.Refused("no_such_view", f"no view {name!r}; there are {sorted(VIEWS)}")
+        return make_view(self, argument)
+
+    @staticmethod
+    def _accepted(outcome):
+        if isinstance(outcome, Refusal):
+            raise ttypes.Refused(outcome.reason, outcome.detail)
+        return outcome
--- /dev/null
+++ b/src/savoryshelf/control/state.py
@@ -0,0 +1,161 @@
+"""The replicated state of a site: what every control replica computes from the log.
+
+Applying a command is deterministic: no clock, no randomness, only the command
+and the state before it.  Each command has one function, registered under its
+field's name in ``CommandBody``.
+"""
+
+from collections.abc import Callable
+
+import attrs
+from cattrs.preconf.msgpack import make_converter
+
+from ..configuration.declarations import Declarations
+from ..configuration.state import ConfigurationState
+from ..ledger.state import Ledger
+from ..outcomes import Accepted, Refusal
+from ..targets.state import Fleet
+from ..wire import codec
+from ..wire.generated.ttypes import Command, WorkerStanding
+
+_CONVERTER = make_converter()
+_APPLIERS: dict[str, Callable] = {}
+
+
+def _applies(field: str):
+    """Register the function that applies the command of that name."""
+
+    def register(function):
+        _APPLIERS[field] = function
+        return function
+
+    return register
+
+
+@attrs.define
+class SiteState:
+    """All slices of one site."""
+
+    configuration: ConfigurationState = attrs.field(factory=ConfigurationState)
+    ledger: Ledger = attrs.field(factory=Ledger)
+    fleet: Fleet = attrs.field(factory=Fleet)
+
+
+class SiteMachine:
+    """The state machine behind the replicated log."""
+
+    def __init__(self):
+        self.state = SiteState()
+        self._declarations: tuple[int, Declarations | None] = (0, None)
+
+    def apply(self, payload: bytes):
+        """Apply one command and return its outcome."""
+        command = codec.decode(Command, payload)
+        name, body = codec.sole_field(command.body)
+        return _APPLIERS[name](self, body, command.at_ms)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        return _CONVERTER.dumps(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+        self.state = _CONVERTER.loads(data, SiteState)
+        self._declarations = (0, None)
+
+    @property
+    def declarations(self) -> Declarations | None:
+        """Return the declarations in force, or None before the first ones."""
+        configuration = self.state.configuration
+        if self._declarations[0] != configuration.version:
+            self._declarations = (configuration.version, configuration.declarations())
+        return self._declarations[1]
+
+
+@_applies("apply_configuration")
+def _apply_configuration(machine: SiteMachine, change, at_ms: int):
+    return machine.state.configuration.apply(change, at_ms)
+
+
+@_applies("submit_job")
+def _submit_job(machine: SiteMachine, job, at_ms: int):
+    declarations = machine.declarations
+    declared = declarations.batch_classes.get(job.class_name) if declarations else None
+    if declared is None:
+        return Refusal("no_such_class", f"no batch class {job.class_name!r} is declared")
+    ledger = machine.state.ledger
+    return ledger.submit(job, declared.repeatable, declared.max_failures, at_ms)
+
+
+@_applies("cancel_job")
+def _cancel_job(machine: SiteMachine, cancel, at_ms: int):
+    return machine.state.ledger.cancel(cancel.job_id, at_ms)
+
+
+@_applies("start_attempts")
+def _start_attempts(machine: SiteMachine, command, at_ms: int):
+    ledger, workers = machine.state.ledger, machine.state.fleet.workers_by_id
+    started = []
+    for start in command.starts:
+        worker = workers.get(start.worker_id)
+        # The scheduler chose from what it knew; the worker may have left or
+        # restarted since, and then the intent must not stand.
+        current = worker is not None and worker.incarnation == start.worker_incarnation
+        if current and worker.takes_work and ledger.start(start, at_ms):
+            started.append(start)
+    return started
+
+
+@_applies("settle_attempts")
+def _settle_attempts(machine: SiteMachine, command, at_ms: int):
+    return [machine.state.ledger.settle(outcome, at_ms) for outcome in command.outcomes]
+
+
+@_applies("request_evictions")
+def _request_evictions(machine: SiteMachine, command, at_ms: int):
+    ledger = machine.state.ledger
+    return [ledger.request_eviction(key, command.reason, at_ms) for key in command.keys]
+
+
+@_applies("register_workers")
+def _register_workers(machine: SiteMachine, command, at_ms: int):
+    fleet, ledger = machine.state.fleet, machine.state.ledger
+    for announced in command.workers:
+        known = fleet.workers_by_id.get(announced.worker_id)
+        previous = known.incarnation if known else ""
+        if fleet.register_worker(announced, at_ms) and previous:
+            # A restarted worker has nothing left of what its past life ran.
+            ledger.lose_worker(announced.worker_id, previous, at_ms)
+    return Accepted()
+
+
+@_applies("change_standing")
+def _change_standing(machine: SiteMachine, change, at_ms: int):
+    fleet = machine.state.fleet
+    outcome = fleet.change_standing(change, at_ms)
+    if change.standing == WorkerStanding.LOST and outcome == Accepted():
+        worker = fleet.workers_by_id[change.worker_id]
+        machine.state.ledger.lose_worker(worker.worker_id, worker.incarnation, at_ms)
+    return outcome
+
+
+@_applies("assign_workers")
+def _assign_workers(machine: SiteMachine, command, at_ms: int):
+    return [machine.state.fleet.assign(assignment) for assignment in command.assignments]
+
+
+@_applies("register_entry")
+def _register_entry(machine: SiteMachine, entry, at_ms: int):
+    machine.state.fleet.register_entry(entry)
+    return Accepted()
+
+
+@_applies("remove_entry")
+def _remove_entry(machine: SiteMachine, removal, at_ms: int):
+    return machine.state.fleet.remove_entry(removal)
+
+
+@_applies("expire_records")
+def _expire_records(machine: SiteMachine, command, at_ms: int):
+    machine.state.fleet.expire(command.operations_before_ms)
+    return machine.state.ledger.expire(command.results_before_ms)
--- /dev/null
+++ b/src/savoryshelf/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``savoryshelfd``."""
--- /dev/null
+++ b/src/savoryshelf/disk.py
@@ -0,0 +1,123 @@
+"""The seam for the data folder: few operations, and only what is synced lasts."""
+
+import os
+from typing import Protocol
+
+from eventlet import tpool
+
+from .errors import DiskFailed
+
+
+class Disk(Protocol):
+    """One flat folder of files."""
+
+    def names(self) -> list[str]:
+        """Return the names of the files."""
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes at the end of a file, made if missing, and sync both file and folder."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Write a whole file so that a crash leaves the old content or the new."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+
+
+class FolderDisk:
+    """A folder of this host.
+
+    Syncing goes through a native thread: a slow disk would otherwise stop
+    every green thread, heartbeats included, for as long as it takes.
+    """
+
+    def __init__(self, folder: str):
+        self._folder = folder
+        os.makedirs(folder, exist_ok=True)
+        self._open_name: str | None = None
+        self._open_fd = -1
+
+    def names(self) -> list[str]:
+        """Return the names of the files."""
+        return sorted(os.listdir(self._folder))
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+        with open(self._path(name), "rb") as file:
+            return file.read()
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes at the end of a file, made if missing, and sync both file and folder."""
+        self._run("append", self._append, name, data)
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Write a whole file so that a crash leaves the old content or the new."""
+        self._run("replace", self._replace, name, data)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._run("remove", self._remove, name)
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+        self._run("truncate", self._truncate, name, size)
+
+    def _run(self, operation: str, function, *arguments) -> None:
+        try:
+            tpool.execute(function, *arguments)
+        except OSError as error:
+            raise DiskFailed(operation, error) from error
+
+    def _path(self, name: str) -> str:
+        return os.path.join(self._folder, name)
+
+    def _append(self, name: str, data: bytes) -> None:
+        if name != self._open_name:
+            self._close()
+            is_new = not os.path.exists(self._path(name))
+            self._open_fd = os.open(self._path(name), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+            self._open_name = name
+            if is_new:
+                self._sync_folder()
+        while data:
+            data = data[os.write(self._open_fd, data) :]
+        os.fdatasync(self._open_fd)
+
+    def _replace(self, name: str, data: bytes) -> None:
+        if name == self._open_name:
+            self._close()
+        temporary = self._path(name + ".tmp")
+        with open(temporary, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, self._path(name))
+        self._sync_folder()
+
+    def _remove(self, name: str) -> None:
+        if name == self._open_name:
+            self._close()
+        os.remove(self._path(name))
+
+    def _truncate(self, name: str, size: int) -> None:
+        with open(self._path(name), "r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _close(self) -> None:
+        if self._open_fd >= 0:
+            os.close(self._open_fd)
+        self._open_fd, self._open_name = -1, None
--- /dev/null
+++ b/src/savoryshelf/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' requests, dispatch to owned workers, whole answers back."""
--- /dev/null
+++ b/src/savoryshelf/entry/attempts.py
@@ -0,0 +1,174 @@
+"""The batch attempts of this entry host's workers: a core without I/O.
+
+An attempt is known here from the start order, or from the worker's own list
+when the worker is adopted, until control has settled its outcome and the
+worker has forgotten it.
+"""
+
+import base64
+import enum
+
+import attrs
+
+from ..wire.generated.ttypes import AttemptKey, AttemptOutcome, OutcomeKind
+from .targets import OwnedTarget, Size
+
+
+class AttemptState(enum.Enum):
+    """Where an attempt stands, as this entry host knows."""
+
+    ORDERED = "ordered"
+    """Control ordered it; nothing was sent yet."""
+
+    UNCERTAIN = "uncertain"
+    """It was sent and the worker has not said whether it took it."""
+
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@attrs.define
+class Attempt:
+    """One attempt on one worker."""
+
+    job_id: str
+    attempt: int
+    worker_id: str
+    size: Size
+    state: AttemptState = AttemptState.ORDERED
+    outcome: AttemptOutcome | None = None
+    settled: bool = False
+    stop_requested: bool = False
+
+    @property
+    def attempt_id(self) -> tuple[str, int]:
+        """Return job and attempt as a value that can be looked up."""
+        return self.job_id, self.attempt
+
+    @property
+    def key(self) -> AttemptKey:
+        """Return the key that control knows it by."""
+        return AttemptKey(self.job_id, self.attempt, 0)
+
+    def end(self, kind: OutcomeKind, reason: str, **details) -> None:
+        """Note the outcome; the first one stands."""
+        if self.outcome is None:
+            self.outcome = AttemptOutcome(key=self.key, kind=kind, reason=reason, **details)
+        self.state = AttemptState.ENDED
+
+
+_KIND_BY_WORKER_STATE = {
+    "finished": OutcomeKind.FINISHED,
+    "failed": OutcomeKind.FAILED,
+    "evicted": OutcomeKind.EVICTED,
+    "stopped": OutcomeKind.STOPPED,
+    "never_started": OutcomeKind.NOT_RUN,
+}
+
+
+class AttemptTable:
+    """All attempts on the workers owned here."""
+
+    def __init__(self):
+        self.by_id: dict[tuple[str, int], Attempt] = {}
+
+    def order(self, key: AttemptKey, worker_id: str, size: Size) -> Attempt | None:
+        """Note a start order; return None if the attempt is known already."""
+        attempt_id = (key.job_id, key.attempt)
+        if attempt_id in self.by_id:
+            return None
+        attempt = Attempt(key.job_id, key.attempt, worker_id, size)
+        self.by_id[attempt_id] = attempt
+        return attempt
+
+    def take_report(self, target: OwnedTarget, tasks: list[dict]) -> list[dict]:
+        """Take in what the worker says of its tasks; return those it may forget.
+
+        Also brings the target's count of batch attempts up to date: what the
+        worker runs, and what was ordered or may be on its way.
+        """
+        listed = set()
+        for task in tasks:
+            attempt = self._noted(target, task)
+            listed.add(attempt.attempt_id)
+        self._forget_settled(target, listed)
+        self._count(target)
+        return [
+            {"job_id": attempt.job_id, "attempt": attempt.attempt}
+            for attempt in self.by_id.values()
+            if attempt.settled and attempt.worker_id == target.worker_id
+        ]
+
+    def _noted(self, target: OwnedTarget, task: dict) -> Attempt:
+        attempt_id = (str(task["job_id"]), int(task["attempt"]))
+        attempt = self.by_id.get(attempt_id)
+        if attempt is None:
+            attempt = Attempt(*attempt_id, target.worker_id, size_of_task(task))
+            self.by_id[attempt_id] = attempt
+        kind = _KIND_BY_WORKER_STATE.get(task["state"])
+        if kind is None:
+            if attempt.state is not AttemptState.ENDED:
+                attempt.state = AttemptState.RUNNING
+            return attempt
+        attempt.end(
+            kind,
+            task.get("reason", ""),
+            result=base64.b64decode(task["result"]) if task.get("result") else None,
+            checkpoint_id=task.get("checkpoint_id"),
+            run_ms=int(task.get("run_ms", 0)),
+        )
+        return attempt
+
+    def _forget_settled(self, target: OwnedTarget, listed: set[tuple[str, int]]) -> None:
+        gone = [
+            attempt.attempt_id
+            for attempt in self.by_id.values()
+            if attempt.settled
+            and attempt.worker_id == target.worker_id
+            and attempt.attempt_id not in listed
+        ]
+        for attempt_id in gone:
+            del self.by_id[attempt_id]
+
+    def _count(self, target: OwnedTarget) -> None:
+        target.batch_by_id = {
+            attempt.attempt_id: attempt.size
+            for attempt in self.by_id.values()
+            if attempt.worker_id == target.worker_id and attempt.state is not AttemptState.ENDED
+        }
+
+    def drop_worker(self, worker_id: str) -> None:
+        """Forget the attempts of a worker that is not owned here any more."""
+        kept = {k: a for k, a in self.by_id.items() if a.worker_id != worker_id}
+        self.by_id = kept
+
+    def outcomes(self) -> list[AttemptOutcome]:
+        """Return the outcomes which control has not settled yet."""
+        return [
+            attempt.outcome
+            for attempt in self.by_id.values()
+            if attempt.outcome is not None and not attempt.settled
+        ]
+
+    def settle(self, key: AttemptKey) -> None:
+        """Note that control has settled an attempt."""
+        attempt = self.by_id.get((key.job_id, key.attempt))
+        if attempt is not None:
+            attempt.settled = True
+
+    def known_keys(self) -> list[AttemptKey]:
+        """Return the keys of all attempts known: control need not order them again."""
+        return [attempt.key for attempt in self.by_id.values()]
+
+    def stopping_keys(self) -> list[AttemptKey]:
+        """Return the keys of the attempts whose worker has taken a stop order."""
+        return [attempt.key for attempt in self.by_id.values() if attempt.stop_requested]
+
+
+def size_of_task(task: dict) -> Size:
+    """Return the size which a worker states for one of its tasks."""
+    return Size(
+        float(task.get("cores", 0)),
+        float(task.get("memory_mb", 0)),
+        int(task.get("accelerators", 0)),
+    )
--- /dev/null
+++ b/src/savoryshelf/entry/control_client.py
@@ -0,0 +1,66 @@
+"""Calls to the control leader, wherever it is."""
+
+import random
+
+import eventlet
+
+from ..errors import NoControl, PeerUnreachable
+from ..observability import metrics
+from ..wire.generated import ControlService, ttypes
+from ..wire.peers import CALL_TIMEOUT_SECONDS, PeerPool
+
+PATIENCE_SECONDS = 5.0
+PAUSE_SECONDS = 0.1
+
+
+class ControlClient:
+    """Finds the leader by asking; remembers it until it says otherwise."""
+
+    def __init__(self, addresses: list[str], cluster_key: str):
+        self._addresses = addresses
+        self._cluster_key = cluster_key
+        self._pool_by_address: dict[str, PeerPool] = {}
+        self._leader = random.choice(addresses)
+
+    def call(
+        self,
+        method: str,
+        *arguments,
+        idempotent: bool = True,
+        patience: float = PATIENCE_SECONDS,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ):
+        """Call the leader, asking round for ``patience`` seconds.
+
+        A call that is not idempotent is not sent again once its outcome is in
+        doubt.  Raises NoControl, or what the leader refused with.
+        """
+        outcome_unknown = False
+        with eventlet.Timeout(patience + timeout, NoControl(self._addresses, True)):
+            deadline = eventlet.hubs.get_hub().clock() + patience
+            while True:
+                try:
+                    return self._pool(self._leader).call(method, *arguments, timeout=timeout)
+                except ttypes.NotLeader as error:
+                    self._follow(error.leader_address)
+                except PeerUnreachable as error:
+                    outcome_unknown = outcome_unknown or error.sent
+                    self._follow("")
+                except ttypes.Unavailable as error:
+                    outcome_unknown = outcome_unknown or error.outcome_unknown
+                metrics.RETRIES.labels("control").inc()
+                in_doubt = outcome_unknown and not idempotent
+                if in_doubt or eventlet.hubs.get_hub().clock() > deadline:
+                    raise NoControl(self._addresses, outcome_unknown)
+                eventlet.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
+
+    def _follow(self, leader_address: str) -> None:
+        others = [address for address in self._addresses if address != self._leader]
+        self._leader = leader_address or random.choice(others or self._addresses)
+
+    def _pool(self, address: str) -> PeerPool:
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = PeerPool(ControlService, address, self._cluster_key)
+            self._pool_by_address[address] = pool
+        return pool
--- /dev/null
+++ b/src/savoryshelf/entry/critical.py
@@ -0,0 +1,293 @@
+"""The critical path: admission, routing, dispatch, retry, and the whole answer back.
+
+No agreement is on this path.  The host spends capacity of workers it owns
+under its lease; when it has none it hands the request to an entry host that
+has, once; and when nobody has, the request waits for a bounded time in a
+bounded line.
+"""
+
+import random
+import secrets
+import time
+
+import attrs
+
+from ..clock import Clock
+from ..configuration.declarations import Service
+from ..errors import Certainty, PeerUnreachable, RequestRefused
+from ..observability import metrics
+from ..wire.generated import EntryService, ttypes
+from ..wire.peers import PeerPool
+from .budget import RetryBudget
+from .quarantine import may_quarantine
+from .routing import POLICIES
+from .state import EntryState
+from .targets import OwnedTarget, Size
+from .waiting import WaitingLine
+from .worker_client import (
+    WorkerAnswer,
+    WorkerClient,
+    WorkerRefused,
+    WorkerSilent,
+    WorkerUnreachable,
+)
+
+SERVER_ERROR_STATUS = 500
+LEAST_USEFUL_SECONDS = 0.005
+"""With less time left than this, an answer could not come back in time."""
+
+LONGEST_NAP_SECONDS = 0.25
+"""A request in line looks this often whether another entry host has room by now."""
+
+
+@attrs.define
+class CriticalCall:
+    """One critical request on its way."""
+
+    service_name: str
+    service: Service
+    team: str
+    content_type: str
+    body: bytes
+    deadline: float
+    trace_id: str
+    may_spill: bool = True
+    request_id: str = attrs.field(factory=lambda: secrets.token_hex(8))
+    attempts: int = 0
+    failed_worker_ids: set[str] = attrs.field(factory=set)
+    may_have_run: bool = False
+
+    @property
+    def size(self) -> Size:
+        """Return what it takes on a worker."""
+        return Size(self.service.cores, self.service.memory_mb)
+
+    def time_left(self, now: float) -> float:
+        """Return the seconds until its deadline."""
+        return self.deadline - now
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer, and who gave it."""
+
+    status: int
+    content_type: str
+    body: bytes
+    worker_id: str
+    attempts: int
+
+
+class CriticalPath:
+    """Serves critical requests of this entry host."""
+
+    def __init__(
+        self, state: EntryState, workers: WorkerClient, clock: Clock, policy: str, cluster_key: str
+    ):
+        self._state = state
+        self._workers = workers
+        self._clock = clock
+        self._choose = POLICIES[policy]
+        self._cluster_key = cluster_key
+        self._randomness = random.Random()
+        self._line = WaitingLine()
+        self._budget = RetryBudget(0.1)
+        self._dispatch_number = 0
+        self._pool_by_address: dict[str, PeerPool] = {}
+
+    def make_call(
+        self,
+        service_name: str,
+        team: str,
+        content_type: str,
+        body: bytes,
+        timeout_ms: int,
+        trace: str,
+    ) -> CriticalCall:
+        """Return the call for a caller's request; ``timeout_ms`` 0 means the service's own."""
+        declarations = self._state.require_declarations(self._clock.monotonic())
+        service = declarations.services.get(service_name)
+        if service is None:
+            raise RequestRefused("no_such_service", f"no service {service_name!r} is declared", 404)
+        self._budget.ratio = declarations.limits.retry_budget
+        timeout_s = min(timeout_ms or service.timeout_ms, service.timeout_ms) / 1000
+        deadline = self._clock.monotonic() + timeout_s
+        return CriticalCall(service_name, service, team, content_type, body, deadline, trace)
+
+    def serve(self, call: CriticalCall) -> Answer:
+        """Return the whole answer; raises RequestRefused."""
+        started = time.perf_counter()
+        self._budget.first_attempt()
+        while True:
+            target = self._find_room(call)
+            answer = self._spill(call) if target is None else self._dispatch(call, target)
+            if answer is not None:
+                metrics.REQUESTS.labels(call.service_name).inc()
+                metrics.LATENCIES.record(call.service_name, time.perf_counter() - started)
+                return answer
+
+    def wake_waiting(self) -> None:
+        """Tell the line that room was made by something else than an answer."""
+        self._line.wake_one()
+
+    # ---------------------------------------------------------------- admission
+
+    def _find_room(self, call: CriticalCall) -> OwnedTarget | None:
+        """Return a worker with room, None to try another entry host, or raise RequestRefused."""
+        while True:
+            now = self._clock.monotonic()
+            declarations = self._state.require_declarations(now)
+            if call.time_left(now) < LEAST_USEFUL_SECONDS:
+                raise self._refusal(call, "too_late", "the deadline passed before there was room")
+            fitting = self._fitting(call, now)
+            if fitting:
+                return self._choose(call.service_name, fitting, self._randomness)
+            if call.may_spill and self._state.peer_with_room() is not None:
+                return None
+            if len(self._line) >= declarations.limits.max_waiting:
+                raise self._refusal(call, "overloaded", "too many requests wait for capacity")
+            self._line.wait(call.request_id, min(call.time_left(now), LONGEST_NAP_SECONDS))
+
+    def _fitting(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        interval = self._state.report_interval_s
+        usable = [
+            target
+            for target in self._state.targets.by_id.values()
+            if target.takes_work(now, interval) and target.fits(call.size)
+        ]
+        quarantined = [t for t in usable if t.outcomes.is_quarantined(now)]
+        if may_quarantine(len(quarantined) - 1, len(self._state.targets.by_id)):
+            usable = [t for t in usable if not t.outcomes.is_quarantined(now)]
+        untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
+        return untried or (usable if call.attempts < 2 else [])
+
+    def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
+        certainty = Certainty.UNKNOWN if call.may_have_run else Certainty.NOT_RUN
+        return RequestRefused(reason, detail, 503, certainty)
+
+    # ----------------------------------------------------------------- dispatch
+
+    def _dispatch(self, call: CriticalCall, target: OwnedTarget) -> Answer | None:
+        """Return the answer, None to try again, or raise RequestRefused."""
+        call.attempts += 1
+        self._dispatch_number += 1
+        target.last_dispatch_number = self._dispatch_number
+        attempt_id = f"{call.request_id}-{call.attempts}"
+        sent_at = self._clock.monotonic()
+        target.outcomes.begin_probe(sent_at)
+        try:
+            with target.holding(attempt_id, call.size):
+                try:
+                    answer = self._workers.run_critical(
+                        target,
+                        call.service_name,
+                        call.size,
+                        attempt_id,
+                        call.content_type,
+                        call.body,
+                        call.time_left(sent_at),
+                        call.trace_id,
+                    )
+                except WorkerSilent:
+                    target.linger(attempt_id, self._clock.monotonic())
+                    raise
+        except WorkerRefused as error:
+            return self._retry_unrun(call, target, error.reason)
+        except WorkerUnreachable:
+            target.outcomes.failed(self._clock.monotonic())
+            return self._retry_unrun(call, target, "unreachable")
+        except WorkerSilent as error:
+            return self._retry_uncertain(call, target, "no_answer", str(error))
+        finally:
+            self._line.wake_one()
+        return self._judge(call, target, answer, self._clock.monotonic() - sent_at)
+
+    def _judge(
+        self, call: CriticalCall, target: OwnedTarget, answer: WorkerAnswer, seconds: float
+    ) -> Answer | None:
+        if answer.status >= SERVER_ERROR_STATUS:
+            detail = f"{target.worker_id} answered {answer.status}"
+            return self._retry_uncertain(call, target, "worker_failed", detail)
+        target.answered(call.service_name, seconds)
+        return Answer(
+            answer.status, answer.content_type, answer.body, target.worker_id, call.attempts
+        )
+
+    def _retry_unrun(self, call: CriticalCall, target: OwnedTarget, reason: str) -> None:
+        """Try elsewhere what surely did not run; bounded by attempts alone."""
+        call.failed_worker_ids.add(target.worker_id)
+        if call.attempts >= call.service.max_attempts + 1:
+            raise self._refusal(call, "workers_refused", f"the last one said: {reason}")
+        metrics.RETRIES.labels(reason).inc()
+
+    def _retry_uncertain(
+        self, call: CriticalCall, target: OwnedTarget, reason: str, detail: str
+    ) -> None:
+        """Try elsewhere what may have run: services are repeatable, within the budget."""
+        target.outcomes.failed(self._clock.monotonic())
+        call.may_have_run = True
+        call.failed_worker_ids.add(target.worker_id)
+        if call.attempts >= call.service.max_attempts:
+            raise RequestRefused(reason, detail, 502, Certainty.UNKNOWN)
+        if not self._budget.take():
+            raise RequestRefused("retry_budget_spent", detail, 502, Certainty.UNKNOWN)
+        metrics.RETRIES.labels(reason).inc()
+
+    # -------------------------------------------------------------------- spill
+
+    def _spill(self, call: CriticalCall) -> Answer | None:
+        """Hand the request to an entry host with room; None to go on here."""
+        call.may_spill = False
+        peer = self._state.peer_with_room()
+        if peer is None:
+            return None
+        peer.free_slots -= 1
+        left = call.time_left(self._clock.monotonic())
+        request = ttypes.CriticalRequest(
+            call.service_name,
+            call.team,
+            call.content_type,
+            call.body,
+            int(left * 1000),
+            call.request_id,
+            call.trace_id,
+        )
+        pool = self._pool_by_address.get(peer.address)
+        if pool is None:
+            pool = PeerPool(EntryService, peer.address, self._cluster_key, "critical")
+            self._pool_by_address[peer.address] = pool
+        metrics.RETRIES.labels("spilled").inc()
+        try:
+            answer = pool.call("serve", request, timeout=max(left, LEAST_USEFUL_SECONDS))
+        except ttypes.Refused:
+            return None
+        except ttypes.Unavailable as error:
+            call.may_have_run = call.may_have_run or error.outcome_unknown
+            return None
+        except PeerUnreachable as error:
+            call.may_have_run = call.may_have_run or error.sent
+            return None
+        return Answer(
+            answer.status, answer.content_type, answer.body, answer.worker_id, answer.attempts
+        )
+
+    def serve_spilled(self, request: ttypes.CriticalRequest) -> ttypes.CriticalAnswer:
+        """Serve a request that another entry host handed over; it goes no further."""
+        try:
+            call = self.make_call(
+                request.service_name,
+                request.team,
+                request.content_type,
+                request.body,
+                request.timeout_ms,
+                request.trace_id,
+            )
+            call.may_spill = False
+            answer = self.serve(call)
+        except RequestRefused as error:
+            if error.certainty is Certainty.UNKNOWN:
+                raise ttypes.Unavailable(str(error), True) from None
+            raise ttypes.Refused(error.reason, error.detail) from None
+        return ttypes.CriticalAnswer(
+            answer.status, answer.content_type, answer.body, answer.worker_id, answer.attempts
+        )
--- /dev/null
+++ b/src/savoryshelf/entry/http/app.py
@@ -0,0 +1,185 @@
+"""The WSGI application: routes, bounds on what comes in, and typed refusals out."""
+
+import contextlib
+import json
+from collections.abc import Callable
+
+import attrs
+import eventlet
+from werkzeug.exceptions import HTTPException
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from ...clock import Clock
+from ...errors import Certainty, NoControl, RequestRefused
+from ...observability import metrics
+from ...observability.http import operations_response
+from ...observability.logs import log_event
+from ...tokens import Bearer, InvalidToken, verify
+from ...wire.generated import ttypes
+from ..batch import BatchDispatch
+from ..control_client import ControlClient
+from ..critical import CriticalPath
+from ..state import EntryState
+
+BODY_SECONDS = 10.0
+"""How long a caller may take to send its body."""
+
+DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+STATUS_BY_REASON = {
+    "no_such_job": 404,
+    "no_such_worker": 404,
+    "no_such_view": 404,
+    "no_such_version": 404,
+    "no_such_class": 404,
+    "no_such_team": 403,
+    "key_reused": 409,
+    "version_conflict": 409,
+    "membership_change_refused": 409,
+    "team_queue_full": 429,
+    "never_fits": 422,
+}
+
+
+@attrs.define
+class EntryContext:
+    """What the handlers of an entry host work with."""
+
+    state: EntryState
+    critical: CriticalPath
+    batch: BatchDispatch
+    control: ControlClient
+    clock: Clock
+    token_key: str
+    in_flight: int = 0
+
+
+_RULES: list[Rule] = []
+_HANDLERS: dict[str, Callable[..., Response]] = {}
+
+
+def route(path: str, method: str):
+    """Register a handler: it gets the context, the request and the path's parameters."""
+
+    def register(function):
+        endpoint = f"{function.__module__}.{function.__qualname__}"
+        _RULES.append(Rule(path, endpoint=endpoint, methods=[method]))
+        _HANDLERS[endpoint] = function
+        return function
+
+    return register
+
+
+class EntryApplication:
+    """The WSGI callable."""
+
+    def __init__(self, context: EntryContext):
+        self._context = context
+        self._url_map = Map([rule.empty() for rule in _RULES])
+
+    def __call__(self, environ, start_response):
+        """Answer one HTTP request."""
+        request = Request(environ)
+        response = operations_response(request.path, self._is_ready)
+        if response is None:
+            with self._counted():
+                response = self._answer(request)
+        return response(environ, start_response)
+
+    def _is_ready(self) -> bool:
+        return self._context.state.is_ready(self._context.clock.monotonic())
+
+    @contextlib.contextmanager
+    def _counted(self):
+        """Count the request as in flight: a graceful stop waits for it."""
+        self._context.in_flight += 1
+        try:
+            yield
+        finally:
+            self._context.in_flight -= 1
+
+    def _answer(self, request: Request) -> Response:
+        try:
+            endpoint, parameters = self._url_map.bind_to_environ(request.environ).match()
+            return _HANDLERS[endpoint](self._context, request, **parameters)
+        except RequestRefused as error:
+            return refusal_response(error)
+        except ttypes.Refused as error:
+            status = STATUS_BY_REASON.get(error.reason, 400)
+            return refusal_response(RequestRefused(error.reason, error.detail, status))
+        except NoControl as error:
+            return refusal_response(_control_unavailable(error))
+        except HTTPException as error:
+            reason = error.name.lower().replace(" ", "_")
+            return refusal_response(RequestRefused(reason, error.description, error.code))
+
+
+def _control_unavailable(error: NoControl) -> RequestRefused:
+    certainty = Certainty.UNKNOWN if error.outcome_unknown else Certainty.NOT_RUN
+    return RequestRefused("control_unavailable", str(error), 503, certainty)
+
+
+def refusal_response(refused: RequestRefused) -> Response:
+    """Return the JSON answer to a refused request, and count its reason."""
+    metrics.REFUSALS.labels(refused.reason).inc()
+    log_event("entry:refused", reason=refused.reason, detail=refused.detail)
+    body = {
+        "reason": refused.reason,
+        "detail": refused.detail,
+        "certainty": refused.certainty.value,
+    }
+    return json_response(body, refused.status)
+
+
+def json_response(body: object, status: int = 200) -> Response:
+    """Return a JSON answer."""
+    return Response(json.dumps(body) + "\n", status=status, content_type="application/json")
+
+
+def bearer_of(context: EntryContext, request: Request) -> Bearer:
+    """Return who presents the request's token; raises RequestRefused."""
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    try:
+        if scheme != "Bearer":
+            raise InvalidToken("send the header Authorization: Bearer TOKEN")
+        return verify(context.token_key, token)
+    except InvalidToken as error:
+        raise RequestRefused("unauthenticated", str(error), 401) from None
+
+
+def require_subject(context: EntryContext, request: Request, subject: str) -> None:
+    """Raise RequestRefused unless the request presents that subject's token."""
+    if bearer_of(context, request).subject != subject:
+        raise RequestRefused("forbidden", f"only the {subject} token may do this", 403)
+
+
+def read_body(request: Request, max_bytes: int = DEFAULT_MAX_BODY_BYTES) -> bytes:
+    """Return the request's whole body; raises RequestRefused if it is too long, cut or slow."""
+    declared = request.content_length
+    if declared is not None and declared > max_bytes:
+        raise RequestRefused("body_too_large", f"at most {max_bytes} bytes are taken", 413)
+    try:
+        with eventlet.Timeout(BODY_SECONDS):
+            body = request.environ["wsgi.input"].read(
+                max_bytes + 1 if declared is None else declared
+            )
+    except eventlet.Timeout:
+        raise RequestRefused("body_too_slow", f"the body took over {BODY_SECONDS} s", 408) from None
+    except (OSError, ValueError) as error:
+        raise RequestRefused("body_truncated", str(error), 400) from None
+    if declared is not None and len(body) < declared:
+        raise RequestRefused("body_truncated", f"{len(body)} of {declared} bytes came", 400)
+    if len(body) > max_bytes:
+        raise RequestRefused("body_too_large", f"at most {max_bytes} bytes are taken", 413)
+    return body
+
+
+def read_json(request: Request) -> dict:
+    """Return the request's body as a JSON object; raises RequestRefused."""
+    try:
+        content = json.loads(read_body(request))
+    except ValueError as error:
+        raise RequestRefused("bad_json", str(error), 400) from None
+    if not isinstance(content, dict):
+        raise RequestRefused("bad_json", "send a JSON object", 400)
+    return content
--- /dev/null
+++ b/src/savoryshelf/entry/http/targets.py
@@ -0,0 +1,68 @@
+"""What targets may do: announce themselves, and report to their owner."""
+
+import ipaddress
+import urllib.parse
+
+from werkzeug.wrappers import Request, Response
+
+from ...errors import RequestRefused
+from ...tokens import TARGET
+from ...wire.generated.ttypes import WorkerAnnouncement
+from .app import EntryContext, json_response, read_json, require_subject, route
+
+_TEXTS = ("worker_id", "incarnation", "url", "failure_domain", "rack")
+_WHOLE_NUMBERS = ("slots", "connections", "memory_mb", "accelerators")
+MAX_TEXT_LENGTH = 200
+
+
+@route("/v1/targets", "POST")
+def announce(context: EntryContext, request: Request) -> Response:
+    """Take a worker's announcement; any entry host passes it on to control."""
+    require_subject(context, request, TARGET)
+    context.state.require_declarations(context.clock.monotonic())
+    context.state.announce(_announcement(read_json(request)))
+    return json_response({"accepted": True}, 202)
+
+
+@route("/v1/targets/<worker_id>/report", "POST")
+def report(context: EntryContext, request: Request, worker_id: str) -> Response:
+    """Take an owned worker's report and renew its lease; 409 if this host is not its owner."""
+    require_subject(context, request, TARGET)
+    content = read_json(request)
+    try:
+        reply = context.batch.take_report(worker_id, int(content["epoch"]), content)
+    except (KeyError, TypeError, ValueError) as error:
+        raise RequestRefused("bad_report", f"{type(error).__name__}: {error}", 400) from None
+    if reply is None:
+        raise RequestRefused("not_owner", "announce again to find the owner", 409)
+    return json_response(reply)
+
+
+def _announcement(content: dict) -> WorkerAnnouncement:
+    values: dict[str, object] = {}
+    for name in _TEXTS:
+        values[name] = _checked(content, name, str)
+    for name in _WHOLE_NUMBERS:
+        values[name] = _checked(content, name, int)
+    values["cores"] = float(_checked(content, "cores", (int, float)))
+    url = urllib.parse.urlsplit(values["url"])
+    try:
+        ipaddress.ip_address(url.hostname or "")
+        is_usable = url.scheme == "http" and url.port is not None
+    except ValueError:
+        is_usable = False
+    if not is_usable:
+        raise RequestRefused("bad_announcement", "url: use http://IP-NUMBER:PORT", 400)
+    return WorkerAnnouncement(**values)
+
+
+def _checked(content: dict, name: str, kind):
+    value = content.get(name)
+    is_right = isinstance(value, kind) and not isinstance(value, bool)
+    if is_right and isinstance(value, str):
+        is_right = 0 < len(value) <= MAX_TEXT_LENGTH
+    elif is_right:
+        is_right = value >= 0
+    if not is_right:
+        raise RequestRefused("bad_announcement", f"{name}: {value!r} cannot be used", 400)
+    return value
--- /dev/null
+++ b/src/savoryshelf/entry/lease.py
@@ -0,0 +1,26 @@
+"""Whether this entry host may still act on what control told it."""
+
+from ..leases import holder_deadline
+
+
+class ControlLease:
+    """The lease that each answered sync renews.
+
+    While it holds, the configuration here is at most one lease old and nobody
+    else owns this host's workers.  Without it the host claims nothing.
+    """
+
+    def __init__(self):
+        self._deadline = float("-inf")
+
+    def renewed(self, asked_at: float, lease_seconds: float) -> None:
+        """Note an answer to a sync sent at ``asked_at``."""
+        self._deadline = max(self._deadline, holder_deadline(asked_at, lease_seconds))
+
+    def holds(self, now: float) -> bool:
+        """Return whether the lease holds."""
+        return now < self._deadline
+
+    def give_up(self) -> None:
+        """Stop relying on the lease."""
+        self._deadline = float("-inf")
--- /dev/null
+++ b/src/savoryshelf/entry/process.py
@@ -0,0 +1,105 @@
+"""Puts an entry host together, and stops it without cutting anything off."""
+
+import signal
+
+import eventlet
+from eventlet import wsgi
+from eventlet.event import Event
+
+from ..clock import SystemClock
+from ..observability.logs import log_event
+from ..tokens import TARGET, issue
+from ..wire.generated import EntryService
+from ..wire.peers import PeerServer, split_address
+from .batch import BatchDispatch
+from .control_client import ControlClient
+from .critical import CriticalPath
+from .handler import EntryHandler
+from .http import callers, operators, targets  # noqa: F401  (they register their routes)
+from .http.app import EntryApplication, EntryContext
+from .state import EntryState
+from .sync import OutcomeTask, SyncTask
+from .worker_client import WorkerClient
+
+IDLE_CONNECTION_SECONDS = 60
+MAX_CONNECTIONS = 2000
+MAX_HEADER_LINE_BYTES = 8192
+LONGEST_FINISH_SECONDS = 60.0
+FINISH_POLL_SECONDS = 0.05
+
+
+class EntryHostProcess:
+    """One entry host."""
+
+    def __init__(self, settings):
+        self._settings = settings
+        clock = SystemClock()
+        state = EntryState(settings.name)
+        workers = WorkerClient(issue(settings.token_key, TARGET))
+        addresses = [address for _, address, _ in settings.control_hosts]
+        control = ControlClient(addresses, settings.cluster_key)
+        critical = CriticalPath(
+            state, workers, clock, settings.routing_policy, settings.cluster_key
+        )
+        own_url = f"http://{settings.http_listen}"
+        batch = BatchDispatch(state, workers, clock, own_url, critical.wake_waiting)
+        self._context = EntryContext(state, critical, batch, control, clock, settings.token_key)
+        self._sync = SyncTask(
+            state, batch, control, clock, (settings.listen, own_url), settings.failure_domain
+        )
+        self._outcomes = OutcomeTask(batch, control)
+        self._stop_requested = Event()
+
+    def run(self) -> None:
+        """Serve until told to stop, then finish what is in flight."""
+        signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
+        signal.signal(signal.SIGINT, lambda *_: self._request_stop())
+        settings = self._settings
+        PeerServer(
+            EntryService,
+            settings.listen,
+            lambda: EntryHandler(settings.cluster_key, self._context.critical),
+        )
+        listener = eventlet.listen(split_address(settings.http_listen))
+        server = eventlet.spawn(self._serve_http, listener)
+        tasks = [eventlet.spawn(self._sync.run), eventlet.spawn(self._outcomes.run)]
+        for task in tasks:
+            task.link(self._stop_if_failed)
+        log_event("entry:started", entry_id=settings.name)
+        self._stop_requested.wait()
+        self._finish(server)
+
+    def _serve_http(self, listener) -> None:
+        wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
+        wsgi.server(
+            listener,
+            EntryApplication(self._context),
+            log_output=False,
+            max_size=MAX_CONNECTIONS,
+            socket_timeout=IDLE_CONNECTION_SECONDS,
+        )
+
+    def _request_stop(self) -> None:
+        if not self._stop_requested.ready():
+            self._stop_requested.send(None)
+
+    def _stop_if_failed(self, task) -> None:
+        """Stop when a task dies: a host which cannot sync can only refuse."""
+        try:
+            task.wait()
+        except Exception as error:
+            log_event("entry:task_failed", error=repr(error))
+            self._request_stop()
+
+    def _finish(self, server) -> None:
+        """Leave in order: the balancer first, then what is in flight, then the workers."""
+        state = self._context.state
+        state.is_stopping = True
+        log_event("entry:stopping", in_flight=self._context.in_flight)
+        eventlet.sleep(self._settings.drain_seconds)
+        with eventlet.Timeout(LONGEST_FINISH_SECONDS, False):
+            while self._context.in_flight:
+                eventlet.sleep(FINISH_POLL_SECONDS)
+        self._sync.leave()
+        server.kill()
+        log_event("entry:stopped", in_flight=self._context.in_flight)
--- /dev/null
+++ b/src/savoryshelf/entry/routing.py
@@ -0,0 +1,75 @@
+"""Which of the workers with room gets a critical request; each policy by name."""
+
+import random
+from collections.abc import Callable
+
+from .targets import OwnedTarget
+
+Policy = Callable[[str, list[OwnedTarget], random.Random], OwnedTarget]
+POLICIES: dict[str, Policy] = {}
+
+UNKNOWN_LATENCY_SECONDS = 0.0
+"""A worker not tried yet looks fast, so that it is tried."""
+
+
+def policy(name: str):
+    """Register a policy; it chooses among workers which all have room."""
+
+    def register(function: Policy) -> Policy:
+        POLICIES[name] = function
+        return function
+
+    return register
+
+
+@policy("expected_latency")
+def _expected_latency(
+    service: str, targets: list[OwnedTarget], randomness: random.Random
+) -> OwnedTarget:
+    """Prefer the worker that is expected to answer first.
+
+    Its learned latency for this service already holds the slow-down by its
+    neighbours; what is outstanding there says how that is about to change.
+    """
+
+    def expected(target: OwnedTarget) -> tuple[float, float]:
+        latency = target.latency_by_service.get(service, UNKNOWN_LATENCY_SECONDS)
+        share = target.outstanding / max(1, target.worker.slots)
+        return latency * (1 + share), share
+
+    return _least(targets, expected, randomness)
+
+
+@policy("least_outstanding")
+def _least_outstanding(
+    service: str, targets: list[OwnedTarget], randomness: random.Random
+) -> OwnedTarget:
+    return _least(targets, lambda t: t.outstanding / max(1, t.worker.slots), randomness)
+
+
+@policy("two_choices")
+def _two_choices(
+    service: str, targets: list[OwnedTarget], randomness: random.Random
+) -> OwnedTarget:
+    sample = randomness.sample(targets, min(2, len(targets)))
+    return min(sample, key=lambda t: t.outstanding / max(1, t.worker.slots))
+
+
+@policy("random")
+def _random(service: str, targets: list[OwnedTarget], randomness: random.Random) -> OwnedTarget:
+    return randomness.choice(targets)
+
+
+@policy("round_robin")
+def _round_robin(
+    service: str, targets: list[OwnedTarget], randomness: random.Random
+) -> OwnedTarget:
+    """Take the worker that was dispatched to longest ago."""
+    return min(targets, key=lambda t: (t.last_dispatch_number, t.worker_id))
+
+
+def _least(targets: list[OwnedTarget], key, randomness: random.Random) -> OwnedTarget:
+    """Return the least by ``key``; equals are drawn at random, so that hosts do not herd."""
+    keys = [key(target) for target in targets]
+    lowest = min(keys)
+    return randomness.choice([t for t, k in zip(targets, keys, strict=True) if k == lowest])
--- /dev/null
+++ b/src/savoryshelf/entry/state.py
@@ -0,0 +1,65 @@
+"""What an entry host knows; all of it comes back from control and workers after a restart."""
+
+import secrets
+
+import attrs
+
+from ..configuration.declarations import Declarations, from_document
+from ..errors import RequestRefused
+from ..wire.generated.ttypes import EntryPeer, WorkerAnnouncement
+from .lease import ControlLease
+from .targets import OwnedTargets
+
+ANNOUNCEMENTS_KEPT = 2000
+
+
+@attrs.define
+class EntryState:
+    """Shared by the tasks of one entry process; each part has one task that changes it."""
+
+    entry_id: str
+    incarnation: str = attrs.field(factory=lambda: secrets.token_hex(6))
+    lease: ControlLease = attrs.field(factory=ControlLease)
+    configuration_version: int = 0
+    declarations: Declarations | None = None
+    targets: OwnedTargets = attrs.field(factory=OwnedTargets)
+    peers: list[EntryPeer] = attrs.field(factory=list)
+    announcement_by_id: dict[str, WorkerAnnouncement] = attrs.field(factory=dict)
+    is_stopping: bool = False
+    has_left: bool = False
+
+    def take_configuration(self, version: int, document: str) -> bool:
+        """Put a newer configuration in force; an older one never replaces it."""
+        if version <= self.configuration_version:
+            return False
+        self.declarations = from_document(document)
+        self.configuration_version = version
+        return True
+
+    def require_declarations(self, now: float) -> Declarations:
+        """Return the configuration in force; raises RequestRefused if this host cannot be sure."""
+        if not self.lease.holds(now):
+            raise RequestRefused("isolated", "this entry host has lost touch with control")
+        if self.declarations is None:
+            raise RequestRefused("no_configuration", "no configuration is in force yet")
+        return self.declarations
+
+    @property
+    def report_interval_s(self) -> float:
+        """Return how often workers report."""
+        return self.declarations.limits.report_interval_s if self.declarations else 2.0
+
+    def peer_with_room(self) -> EntryPeer | None:
+        """Return the entry host that last said it has most free slots."""
+        peer = max(self.peers, key=lambda each: each.free_slots, default=None)
+        return peer if peer is not None and peer.free_slots > 0 else None
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether the balancer should send callers here."""
+        return not self.is_stopping and self.lease.holds(now) and self.declarations is not None
+
+    def announce(self, announcement: WorkerAnnouncement) -> None:
+        """Keep a worker's announcement for the next sync; newest wins, the rest is bounded."""
+        self.announcement_by_id[announcement.worker_id] = announcement
+        while len(self.announcement_by_id) > ANNOUNCEMENTS_KEPT:
+            del self.announcement_by_id[next(iter(self.announcement_by_id))]
--- /dev/null
+++ b/src/savoryshelf/entry/sync.py
@@ -0,0 +1,153 @@
+"""Talks with control: renews the lease, takes configuration and orders, tells outcomes."""
+
+import random
+
+import eventlet
+from eventlet.event import Event
+
+from ..clock import Clock
+from ..errors import NoControl
+from ..observability import metrics
+from ..observability.logs import log_event
+from ..wire.generated import ttypes
+from ..wire.generated.ttypes import SyncReply, SyncRequest
+from .batch import BatchDispatch
+from .control_client import ControlClient
+from .state import EntryState
+
+HELD_SECONDS = 1.0
+"""How long control may hold a sync that has no news."""
+
+SYNC_TIMEOUT_SECONDS = 3.0
+SYNC_PATIENCE_SECONDS = 1.0
+LEAST_INTERVAL_SECONDS = 0.1
+GATHER_SECONDS = 0.03
+
+
+class SyncTask:
+    """Keeps this entry host in step with control."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        batch: BatchDispatch,
+        control: ControlClient,
+        clock: Clock,
+        addresses: tuple[str, str],
+        failure_domain: str,
+    ):
+        self._state = state
+        self._batch = batch
+        self._control = control
+        self._clock = clock
+        self._address, self._http_url = addresses
+        self._failure_domain = failure_domain
+        self._assignment_version = -1
+
+    def run(self) -> None:
+        """Sync until the process ends."""
+        while not self._state.has_left:
+            try:
+                self._sync(HELD_SECONDS)
+            except (NoControl, ttypes.Unauthenticated) as error:
+                log_event("entry:no_control", error=str(error))
+            eventlet.sleep(LEAST_INTERVAL_SECONDS * random.uniform(0.5, 1.5))
+
+    def leave(self) -> None:
+        """Hand back every worker; control gives them to others at once."""
+        self._state.has_left = True
+        self._state.lease.give_up()
+        request = self._request(0.0)
+        request.leaving = True
+        try:
+            self._control.call("sync", request, patience=SYNC_PATIENCE_SECONDS)
+        except NoControl as error:
+            # Control finds out when the lease runs out.
+            log_event("entry:left_unheard", error=str(error))
+
+    def _sync(self, wait_seconds: float) -> None:
+        request = self._request(wait_seconds)
+        asked_at = self._clock.monotonic()
+        reply = self._control.call(
+            "sync", request, patience=SYNC_PATIENCE_SECONDS, timeout=SYNC_TIMEOUT_SECONDS
+        )
+        self._take(reply, request, asked_at)
+
+    def _request(self, wait_seconds: float) -> SyncRequest:
+        state, attempts = self._state, self._batch.attempts
+        return SyncRequest(
+            entry_id=state.entry_id,
+            incarnation=state.incarnation,
+            address=self._address,
+            http_url=self._http_url,
+            failure_domain=self._failure_domain,
+            configuration_version=state.configuration_version,
+            assignment_version=self._assignment_version,
+            leaving=False,
+            announcements=list(state.announcement_by_id.values()),
+            notes=self._batch.notes(),
+            acknowledged_starts=attempts.known_keys(),
+            acknowledged_stops=attempts.stopping_keys(),
+            free_slots=state.targets.free_slots(self._clock.monotonic(), state.report_interval_s),
+            shard=0,
+            wait_seconds=wait_seconds,
+        )
+
+    def _take(self, reply: SyncReply, request: SyncRequest, asked_at: float) -> None:
+        state = self._state
+        if state.has_left:
+            return
+        if reply.configuration is not None:
+            state.take_configuration(reply.configuration_version, reply.configuration)
+            metrics.CONFIGURATION_VERSION.set(state.configuration_version)
+        if reply.configuration_version == state.configuration_version:
+            state.lease.renewed(asked_at, reply.lease_ms / 1000)
+        for announced in request.announcements:
+            if state.announcement_by_id.get(announced.worker_id) is announced:
+                del state.announcement_by_id[announced.worker_id]
+        if reply.owned is not None:
+            self._assignment_version = reply.assignment_version
+            self._batch.take_ownership(reply.owned)
+        state.peers = reply.peers
+        self._batch.take_starts(reply.starts)
+        self._batch.take_stops(reply.stops)
+
+
+class OutcomeTask:
+    """Tells control how attempts ended, without waiting for the next sync.
+
+    What ends within ``GATHER_SECONDS`` shares one call, and so one write of
+    the log.
+    """
+
+    def __init__(self, batch: BatchDispatch, control: ControlClient):
+        self._batch = batch
+        self._control = control
+        self._news = Event()
+        self._is_told = False
+        batch.wake_outcomes = self.wake
+
+    def wake(self) -> None:
+        """Send the outcomes soon."""
+        if not self._is_told:
+            self._is_told = True
+            self._news.send(None)
+
+    def run(self) -> None:
+        """Send outcomes until the process ends."""
+        while True:
+            self._news.wait()
+            eventlet.sleep(GATHER_SECONDS)
+            self._news, self._is_told = Event(), False
+            try:
+                self._send(self._batch.attempts.outcomes())
+            except (NoControl, ttypes.Unauthenticated) as error:
+                log_event("entry:outcomes_unheard", error=str(error))
+                self.wake()
+
+    def _send(self, outcomes: list[ttypes.AttemptOutcome]) -> None:
+        if not outcomes:
+            return
+        self._control.call("settle", outcomes)
+        for outcome in outcomes:
+            self._batch.attempts.settle(outcome.key)
--- /dev/null
+++ b/src/savoryshelf/entry/targets.py
@@ -0,0 +1,182 @@
+"""The workers which this entry host owns, and what of each is in use.
+
+Capacity is counted from what was sent, not from reports, which lag.  What may
+have started is counted until the worker itself says otherwise.
+"""
+
+import contextlib
+
+import attrs
+
+from ..leases import granter_deadline
+from ..wire.generated.ttypes import OwnedWorker, WorkerAnnouncement, WorkerStanding
+from .quarantine import OutcomeRecord
+
+LATENCY_SMOOTHING = 0.1
+LINGER_SECONDS = 5.0
+"""A request given up may still reach its worker this long after the connection was closed."""
+
+SILENT_REPORTS = 3
+"""Reports missed in a row after which a worker gets no new work."""
+
+
+@attrs.frozen
+class Size:
+    """What one request or attempt takes on a worker, besides a slot."""
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: int = 0
+
+
+@attrs.define
+class Lingering:
+    """A request given up on: counted until a later report does not list it."""
+
+    size: Size
+    since: float
+
+
+@attrs.define
+class OwnedTarget:
+    """One owned worker."""
+
+    worker: WorkerAnnouncement
+    epoch: int
+    standing: WorkerStanding
+    owned_since: float
+    task_lease_s: float
+    adopted: bool = False
+    leaving: bool = False
+    last_report_at: float = float("-inf")
+    renewed_at: float = float("-inf")
+    critical_by_id: dict[str, Size] = attrs.field(factory=dict)
+    lingering_by_id: dict[str, Lingering] = attrs.field(factory=dict)
+    batch_by_id: dict[tuple[str, int], Size] = attrs.field(factory=dict)
+    latency_by_service: dict[str, float] = attrs.field(factory=dict)
+    outcomes: OutcomeRecord = attrs.field(factory=OutcomeRecord)
+    slowdown: float = 1.0
+    last_dispatch_number: int = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Return the worker's id."""
+        return self.worker.worker_id
+
+    @property
+    def outstanding(self) -> int:
+        """Return how many slots are, or may be, in use."""
+        return len(self.critical_by_id) + len(self.lingering_by_id) + len(self.batch_by_id)
+
+    @property
+    def free_slots(self) -> int:
+        """Return how many slots are surely free."""
+        return max(0, self.worker.slots - self.outstanding)
+
+    def takes_work(self, now: float, report_interval_s: float) -> bool:
+        """Return whether new work may be sent here at all."""
+        silent = now - self.last_report_at > SILENT_REPORTS * report_interval_s
+        active = self.standing == WorkerStanding.ACTIVE
+        return self.adopted and active and not self.leaving and not silent
+
+    def fits(self, size: Size) -> bool:
+        """Return whether one more of this size cannot exceed what the worker holds."""
+        sizes = self._sizes_in_use()
+        worker = self.worker
+        connections = len(self.critical_by_id) + len(self.lingering_by_id)
+        return (
+            self.outstanding < worker.slots
+            and connections < worker.connections
+            and sum(s.cores for s in sizes) + size.cores <= worker.cores
+            and sum(s.memory_mb for s in sizes) + size.memory_mb <= worker.memory_mb
+            and sum(s.accelerators for s in sizes) + size.accelerators <= worker.accelerators
+        )
+
+    def fits_batch(self, size: Size, reserved_slots: int) -> bool:
+        """Return whether a batch attempt fits without touching the critical reserve."""
+        return len(self.batch_by_id) < self.worker.slots - reserved_slots and self.fits(size)
+
+    def _sizes_in_use(self) -> list[Size]:
+        lingering = [each.size for each in self.lingering_by_id.values()]
+        return [*self.critical_by_id.values(), *lingering, *self.batch_by_id.values()]
+
+    @contextlib.contextmanager
+    def holding(self, request_id: str, size: Size):
+        """Count a critical request for as long as the block runs.
+
+        A block that ends by ``linger`` leaves it counted until the worker's
+        reports say it is gone.
+        """
+        self.critical_by_id[request_id] = size
+        try:
+            yield
+        finally:
+            self.critical_by_id.pop(request_id, None)
+
+    def linger(self, request_id: str, now: float) -> None:
+        """Keep counting a request whose fate on the worker is not known."""
+        size = self.critical_by_id.get(request_id)
+        if size is not None:
+            self.lingering_by_id[request_id] = Lingering(size, now)
+
+    def answered(self, service: str, seconds: float) -> None:
+        """Learn from one answer how long this service takes here."""
+        known = self.latency_by_service.get(service, seconds)
+        self.latency_by_service[service] = known + LATENCY_SMOOTHING * (seconds - known)
+        self.outcomes.succeeded()
+
+    def reported(self, now: float, critical_ids: set[str]) -> None:
+        """Take in a report: what it does not list, and cannot be on its way, is gone."""
+        self.last_report_at = now
+        self.renewed_at = now
+        self.lingering_by_id = {
+            request_id: each
+            for request_id, each in self.lingering_by_id.items()
+            if request_id in critical_ids or now - each.since < LINGER_SECONDS
+        }
+
+    def lease_lapsed(self, now: float, entry_lease_s: float) -> bool:
+        """Return whether the worker has surely stopped its tasks for want of an answer.
+
+        A worker never adopted may have been renewed by its last owner for as
+        long as that one's own lease held.
+        """
+        heard_at, lease = self.renewed_at, self.task_lease_s
+        if not self.adopted:
+            heard_at, lease = self.owned_since, self.task_lease_s + entry_lease_s
+        return now > granter_deadline(heard_at, lease)
+
+
+class OwnedTargets:
+    """All workers this entry host owns now."""
+
+    def __init__(self):
+        self.by_id: dict[str, OwnedTarget] = {}
+
+    def replace(
+        self, owned: list[OwnedWorker], now: float, task_lease_s: float
+    ) -> list[OwnedTarget]:
+        """Take over the list that control sent; return those which need adopting."""
+        before, self.by_id = self.by_id, {}
+        to_adopt = []
+        for each in owned:
+            known = before.get(each.worker.worker_id)
+            if known is None or known.epoch != each.epoch:
+                known = OwnedTarget(each.worker, each.epoch, each.standing, now, task_lease_s)
+                to_adopt.append(known)
+            known.worker, known.standing = each.worker, each.standing
+            self.by_id[each.worker.worker_id] = known
+        return to_adopt
+
+    def current(self, worker_id: str, epoch: int) -> OwnedTarget | None:
+        """Return the worker if it is still owned under that epoch."""
+        target = self.by_id.get(worker_id)
+        return target if target is not None and target.epoch == epoch else None
+
+    def free_slots(self, now: float, report_interval_s: float) -> int:
+        """Return how many slots could be given to critical requests now."""
+        return sum(
+            target.free_slots
+            for target in self.by_id.values()
+            if target.takes_work(now, report_interval_s)
+        )
--- /dev/null
+++ b/src/savoryshelf/entry/worker_client.py
@@ -0,0 +1,173 @@
+"""Calls to workers over HTTP, with every failure sorted by what it leaves certain.
+
+The platform's side of this interface is described in docs/INTERFACES.md.
+"""
+
+import json
+
+import attrs
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from ..errors import SavoryshelfError
+from ..observability.metrics import LINK_BYTES
+from ..wire.generated.ttypes import StartOrder, StopOrder
+from .targets import OwnedTarget, Size
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+CONTROL_CALL_TIMEOUT_SECONDS = 3.0
+NOT_RUN_HEADER = "Savoryshelf-Not-Run"
+EPOCH_HEADER = "Savoryshelf-Epoch"
+REQUEST_HEADER = "Savoryshelf-Request-Id"
+SIZE_HEADER = "Savoryshelf-Size"
+TRACE_HEADER = "Savoryshelf-Trace-Id"
+
+
+class WorkerRefused(SavoryshelfError):
+    """The worker said that it did not run this and never will."""
+
+    def __init__(self, worker_id: str, reason: str):
+        super().__init__(f"{worker_id} refused: {reason}")
+        self.reason = reason
+
+
+class WorkerUnreachable(SavoryshelfError):
+    """No connection was made: nothing can have reached the worker."""
+
+
+class WorkerSilent(SavoryshelfError):
+    """Something was sent and no whole answer came back: it may have run."""
+
+
+@attrs.frozen
+class WorkerAnswer:
+    """A whole answer of a worker."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class WorkerClient:
+    """Keep-alive connections to workers, by URL."""
+
+    def __init__(self, token: str):
+        self._token = token
+        self._pool_by_url: dict[str, urllib3.HTTPConnectionPool] = {}
+
+    def run_critical(
+        self,
+        target: OwnedTarget,
+        service: str,
+        size: Size,
+        request_id: str,
+        content_type: str,
+        body: bytes,
+        timeout_s: float,
+        trace_id: str,
+    ) -> WorkerAnswer:
+        """Run one critical request; raises one of this module's errors."""
+        headers = {
+            "Content-Type": content_type,
+            REQUEST_HEADER: request_id,
+            SIZE_HEADER: f"{size.cores};{size.memory_mb}",
+            TRACE_HEADER: trace_id,
+        }
+        path = f"/v1/services/{service}"
+        return self._post(target, path, body, headers, timeout_s, "critical")
+
+    def start_attempt(self, target: OwnedTarget, order: StartOrder) -> None:
+        """Start a batch attempt; the worker knows it by job and attempt from then on."""
+        headers = {
+            "Content-Type": "application/octet-stream",
+            "Savoryshelf-Job": order.key.job_id,
+            "Savoryshelf-Attempt": str(order.key.attempt),
+            "Savoryshelf-Class": order.class_name,
+            "Savoryshelf-Checkpoint": order.checkpoint_id or "",
+            "Savoryshelf-Incarnation": order.worker_incarnation,
+            SIZE_HEADER: f"{order.cores};{order.memory_mb};{order.accelerators}",
+            TRACE_HEADER: order.trace_id or "",
+        }
+        timeout_s = CONTROL_CALL_TIMEOUT_SECONDS
+        self._expect_ok(self._post(target, "/v1/tasks", order.body, headers, timeout_s, "batch"))
+
+    def stop_attempt(self, target: OwnedTarget, order: StopOrder) -> None:
+        """Ask to checkpoint and stop, or only stop; the end comes with a report."""
+        call = {
+            "job_id": order.key.job_id,
+            "attempt": order.key.attempt,
+            "checkpoint": order.checkpoint,
+        }
+        self._post_json(target, "/v1/tasks/stop", call)
+
+    def settle_attempt(self, target: OwnedTarget, job_id: str, attempt: int) -> bool:
+        """Return whether the worker has this attempt; if not, it refuses it from now on."""
+        call = {"job_id": job_id, "attempt": attempt}
+        return self._post_json(target, "/v1/tasks/settle", call)["known"]
+
+    def adopt(self, target: OwnedTarget, owner_url: str, lease_s: float, report_s: float) -> dict:
+        """Become the worker's owner under the target's epoch; return what it is running."""
+        call = {
+            "epoch": target.epoch,
+            "owner_url": owner_url,
+            "lease_s": lease_s,
+            "report_interval_s": report_s,
+        }
+        return self._post_json(target, "/v1/adopt", call)
+
+    def _post_json(self, target: OwnedTarget, path: str, call: dict) -> dict:
+        headers = {"Content-Type": "application/json"}
+        body = json.dumps(call).encode()
+        answer = self._post(target, path, body, headers, CONTROL_CALL_TIMEOUT_SECONDS, "control")
+        self._expect_ok(answer)
+        try:
+            return json.loads(answer.body)
+        except ValueError as error:
+            raise WorkerSilent(f"{target.worker_id}: unreadable answer: {error}") from None
+
+    @staticmethod
+    def _expect_ok(answer: WorkerAnswer) -> None:
+        if answer.status not in (200, 202):
+            raise WorkerSilent(f"unexpected status {answer.status}")
+
+    def _post(
+        self,
+        target: OwnedTarget,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout_s: float,
+        kind: str,
+    ) -> WorkerAnswer:
+        headers |= {"Authorization": f"Bearer {self._token}", EPOCH_HEADER: str(target.epoch)}
+        timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_SECONDS, timeout_s), total=timeout_s)
+        try:
+            response = self._pool(target.worker.url).urlopen(
+                "POST", path, body=body, headers=headers, timeout=timeout, retries=False
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise WorkerUnreachable(f"{target.worker_id}: {error}") from None
+        except (HTTPError, OSError) as error:
+            raise WorkerSilent(f"{target.worker_id}: {error}") from None
+        LINK_BYTES.labels("sent", kind).inc(len(body))
+        LINK_BYTES.labels("received", kind).inc(len(response.data))
+        if response.headers.get(NOT_RUN_HEADER):
+            raise WorkerRefused(target.worker_id, response.headers[NOT_RUN_HEADER])
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return WorkerAnswer(response.status, content_type, response.data)
+
+    def _pool(self, url: str) -> urllib3.HTTPConnectionPool:
+        pool = self._pool_by_url.get(url)
+        if pool is None:
+            pool = urllib3.connection_from_url(url, maxsize=64, block=False)
+            self._pool_by_url[url] = pool
+        return pool
+
+    def forget(self, kept_urls: set[str]) -> None:
+        """Close the connections to workers which are not owned any more."""
+        for url in self._pool_by_url.keys() - kept_urls:
+            self._pool_by_url.pop(url).close()
--- /dev/null
+++ b/src/savoryshelf/ledger/state.py
@@ -0,0 +1,330 @@
+"""The job ledger as every control replica holds it.
+
+A job has at most one attempt that may be running.  The next attempt is
+allowed only after the one before is settled, and settling names the attempt:
+an outcome that arrives late or twice finds its attempt settled and changes
+nothing.  That is what makes an evicted job resume once.
+"""
+
+import enum
+from collections.abc import Callable, Iterator
+
+import attrs
+
+from ..errors import InvariantBroken
+from ..outcomes import Accepted, Refusal
+from ..wire.generated.ttypes import (
+    AttemptKey,
+    AttemptOutcome,
+    AttemptStart,
+    OutcomeKind,
+    SubmitJob,
+)
+
+STORY_LENGTH = 60
+
+
+class JobState(enum.Enum):
+    """Where a job stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    EVICTING = "evicting"
+    CANCELLING = "cancelling"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+    """It may not be repeated, and whether it ran cannot be told yet."""
+
+
+PLACED_STATES = frozenset({JobState.RUNNING, JobState.EVICTING, JobState.CANCELLING})
+ENDED_STATES = frozenset({JobState.DONE, JobState.FAILED, JobState.CANCELLED, JobState.UNKNOWN})
+
+
+@attrs.define
+class StoryEvent:
+    """One line of a job's story, for operators."""
+
+    at_ms: int
+    event: str
+    detail: str = ""
+
+
+@attrs.define
+class Job:
+    """One batch job and everything that happened to it."""
+
+    job_id: str
+    team: str
+    key: str
+    class_name: str
+    body: bytes
+    body_digest: str
+    urgent: bool
+    repeatable: bool
+    max_failures: int
+    submitted_ms: int
+    trace_id: str = ""
+    state: JobState = JobState.QUEUED
+    attempt: int = 0
+    worker_id: str = ""
+    worker_incarnation: str = ""
+    last_worker_id: str = ""
+    """Where the attempt before ended without a result."""
+
+    checkpoint_id: str = ""
+    failures: int = 0
+    evictions: int = 0
+    started_ms: int = 0
+    ended_ms: int = 0
+    reason: str = ""
+    result: bytes = b""
+    story: list[StoryEvent] = attrs.field(factory=list)
+
+    def note(self, at_ms: int, event: str, detail: str = "") -> None:
+        """Add a line to the story; the oldest lines of a very long one go."""
+        self.story.append(StoryEvent(at_ms, event, detail))
+        del self.story[1 : len(self.story) - STORY_LENGTH + 1]
+
+    @property
+    def is_placed(self) -> bool:
+        """Return whether an attempt may be running."""
+        return self.state in PLACED_STATES
+
+    @property
+    def is_ended(self) -> bool:
+        """Return whether nothing more will be started."""
+        return self.state in ENDED_STATES
+
+
+_SETTLERS: dict[OutcomeKind, Callable] = {}
+
+
+def _settles(kind: OutcomeKind):
+    """Register the function that settles a running attempt with that outcome."""
+
+    def register(function):
+        _SETTLERS[kind] = function
+        return function
+
+    return register
+
+
+@attrs.define
+class Ledger:
+    """All jobs of one shard, with indexes over those that are not ended."""
+
+    by_id: dict[str, Job] = attrs.field(factory=dict)
+    _queued_by_id: dict[str, Job] = attrs.field(init=False, factory=dict)
+    _placed_by_worker: dict[str, dict[str, Job]] = attrs.field(init=False, factory=dict)
+
+    def __attrs_post_init__(self):
+        """Make the indexes, which a snapshot does not hold."""
+        for job in self.by_id.values():
+            self._index(job)
+
+    def submit(
+        self, job: SubmitJob, repeatable: bool, max_failures: int, at_ms: int
+    ) -> Accepted | Refusal:
+        """Accept a job once; a resend with the same key finds the first."""
+        known = self.by_id.get(job.job_id)
+        if known is not None:
+            if known.body_digest != job.body_digest or known.class_name != job.class_name:
+                return Refusal(
+                    "key_reused", "this key names another request; use a new key for a new one"
+                )
+            return Accepted(duplicate=True)
+        accepted = Job(
+            job_id=job.job_id,
+            team=job.team,
+            key=job.key,
+            class_name=job.class_name,
+            body=job.body,
+            body_digest=job.body_digest,
+            urgent=job.urgent,
+            repeatable=repeatable,
+            max_failures=max_failures,
+            submitted_ms=at_ms,
+            trace_id=job.trace_id or "",
+        )
+        accepted.note(at_ms, "accepted", "urgent" if job.urgent else "")
+        self.by_id[job.job_id] = accepted
+        self._index(accepted)
+        return Accepted()
+
+    def start(self, start: AttemptStart, at_ms: int) -> bool:
+        """Record the intent to run an attempt; return whether it holds."""
+        job = self.by_id.get(start.job_id)
+        if job is None or job.state is not JobState.QUEUED or start.attempt != job.attempt + 1:
+            return False
+        self._unindex(job)
+        job.attempt = start.attempt
+        job.state = JobState.RUNNING
+        job.worker_id = start.worker_id
+        job.worker_incarnation = start.worker_incarnation
+        job.started_ms = at_ms
+        event = "resumed" if job.checkpoint_id else "placed"
+        job.note(at_ms, event, f"attempt {start.attempt} on {start.worker_id}")
+        self._index(job)
+        return True
+
+    def settle(self, outcome: AttemptOutcome, at_ms: int) -> bool:
+        """Record how an attempt ended; return whether this changed anything."""
+        job = self.by_id.get(outcome.key.job_id)
+        if job is None or job.attempt != outcome.key.attempt:
+            return False
+        told_late = job.state is JobState.UNKNOWN and outcome.kind in (
+            OutcomeKind.FINISHED,
+            OutcomeKind.FAILED,
+            OutcomeKind.NOT_RUN,
+        )
+        if not job.is_placed and not told_late:
+            return False
+        self._unindex(job)
+        _SETTLERS[outcome.kind](job, outcome, at_ms)
+        self._index(job)
+        return True
+
+    def request_eviction(self, key: AttemptKey, reason: str, at_ms: int) -> bool:
+        """Ask for a checkpoint and a stop; return whether the attempt was running."""
+        job = self.by_id.get(key.job_id)
+        if job is None or job.attempt != key.attempt or job.state is not JobState.RUNNING:
+            return False
+        job.state = JobState.EVICTING
+        job.note(at_ms, "evicting", reason)
+        return True
+
+    def cancel(self, job_id: str, at_ms: int) -> Accepted | Refusal:
+        """Cancel a job; one that ended keeps its end."""
+        job = self.by_id.get(job_id)
+        if job is None:
+            return Refusal("no_such_job", f"no job {job_id} is known, or its record has expired")
+        if job.state is JobState.QUEUED:
+            self._unindex(job)
+            _end(job, JobState.CANCELLED, at_ms, "cancelled before it started")
+        elif job.is_placed and job.state is not JobState.CANCELLING:
+            job.state = JobState.CANCELLING
+            job.note(at_ms, "cancelling")
+        else:
+            return Accepted(duplicate=True)
+        return Accepted()
+
+    def lose_worker(self, worker_id: str, incarnation: str, at_ms: int) -> int:
+        """Settle as lost whatever one life of a worker was running; return how many."""
+        lost = [job for job in self.placed_on(worker_id) if job.worker_incarnation == incarnation]
+        for job in lost:
+            outcome = AttemptOutcome(
+                AttemptKey(job.job_id, job.attempt, 0), OutcomeKind.LOST, f"{worker_id} was lost"
+            )
+            self.settle(outcome, at_ms)
+        return len(lost)
+
+    def expire(self, ended_before_ms: int) -> int:
+        """Forget jobs which ended before that time; return how many."""
+        expired = [
+            job.job_id
+            for job in self.by_id.values()
+            if job.is_ended and job.ended_ms < ended_before_ms
+        ]
+        for job_id in expired:
+            del self.by_id[job_id]
+        return len(expired)
+
+    def queued(self) -> list[Job]:
+        """Return the jobs which wait to be placed."""
+        return list(self._queued_by_id.values())
+
+    def placed(self) -> Iterator[Job]:
+        """Yield the jobs an attempt of which may be running."""
+        for by_id in self._placed_by_worker.values():
+            yield from by_id.values()
+
+    def placed_on(self, worker_id: str) -> list[Job]:
+        """Return the jobs an attempt of which may be running on that worker."""
+        return list(self._placed_by_worker.get(worker_id, {}).values())
+
+    def _index(self, job: Job) -> None:
+        if job.state is JobState.QUEUED:
+            self._queued_by_id[job.job_id] = job
+        elif job.is_placed:
+            self._placed_by_worker.setdefault(job.worker_id, {})[job.job_id] = job
+
+    def _unindex(self, job: Job) -> None:
+        self._queued_by_id.pop(job.job_id, None)
+        on_worker = self._placed_by_worker.get(job.worker_id)
+        if on_worker is not None:
+            on_worker.pop(job.job_id, None)
+            if not on_worker:
+                del self._placed_by_worker[job.worker_id]
+
+
+def _end(job: Job, state: JobState, at_ms: int, reason: str) -> None:
+    if state not in ENDED_STATES:
+        raise InvariantBroken(f"{state} does not end job {job.job_id}")
+    job.state = state
+    job.ended_ms = at_ms
+    job.reason = reason
+    if state is not JobState.UNKNOWN:
+        # An unknown one may still prove not to have run, and then needs it.
+        job.body = b""
+    job.note(at_ms, state.value, reason)
+
+
+def _requeue(job: Job, at_ms: int, event: str, detail: str) -> None:
+    if job.state is JobState.CANCELLING:
+        _end(job, JobState.CANCELLED, at_ms, detail or event)
+        return
+    job.state = JobState.QUEUED
+    job.last_worker_id = job.worker_id
+    job.worker_id = job.worker_incarnation = ""
+    job.note(at_ms, event, detail)
+
+
+@_settles(OutcomeKind.FINISHED)
+def _finished(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    job.result = outcome.result or b""
+    _end(job, JobState.DONE, at_ms, "")
+
+
+@_settles(OutcomeKind.FAILED)
+def _failed(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    job.failures += 1
+    if job.state is JobState.CANCELLING:
+        _end(job, JobState.CANCELLED, at_ms, outcome.reason)
+    elif not job.repeatable:
+        _end(job, JobState.FAILED, at_ms, f"{outcome.reason}; it may not be repeated")
+    elif job.failures >= job.max_failures:
+        _end(job, JobState.FAILED, at_ms, f"{outcome.reason}; failed {job.failures} times")
+    else:
+        _requeue(job, at_ms, "failed", outcome.reason)
+
+
+@_settles(OutcomeKind.NOT_RUN)
+def _not_run(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    _requeue(job, at_ms, "not run", outcome.reason)
+
+
+@_settles(OutcomeKind.EVICTED)
+def _evicted(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    job.evictions += 1
+    job.checkpoint_id = outcome.checkpoint_id or job.checkpoint_id
+    _requeue(job, at_ms, "evicted", outcome.reason)
+
+
+@_settles(OutcomeKind.STOPPED)
+def _stopped(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    if job.state is JobState.CANCELLING:
+        _end(job, JobState.CANCELLED, at_ms, "stopped")
+    else:
+        _lost(job, outcome, at_ms)
+
+
+@_settles(OutcomeKind.LOST)
+def _lost(job: Job, outcome: AttemptOutcome, at_ms: int) -> None:
+    if job.repeatable:
+        _requeue(job, at_ms, "lost", outcome.reason)
+    elif job.state is JobState.CANCELLING:
+        _end(job, JobState.CANCELLED, at_ms, f"{outcome.reason}; it may have run")
+    else:
+        _end(job, JobState.UNKNOWN, at_ms, f"{outcome.reason}; it may have run")
--- /dev/null
+++ b/src/savoryshelf/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs."""
--- /dev/null
+++ b/src/savoryshelf/observability/metrics.py
@@ -0,0 +1,85 @@
+"""Counters, gauges and latency percentiles, in the usual text format."""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client.core import SummaryMetricFamily
+
+REGISTRY = CollectorRegistry()
+
+REFUSALS = Counter(
+    "savoryshelf_refusals", "Requests refused, by reason code.", ["reason"], registry=REGISTRY
+)
+RETRIES = Counter(
+    "savoryshelf_retries", "Attempts repeated, by reason.", ["reason"], registry=REGISTRY
+)
+REQUESTS = Counter(
+    "savoryshelf_requests", "Critical requests answered.", ["service"], registry=REGISTRY
+)
+EVICTIONS = Counter(
+    "savoryshelf_evictions", "Batch attempts evicted, by reason.", ["reason"], registry=REGISTRY
+)
+LINK_BYTES = Counter(
+    "savoryshelf_link_bytes",
+    "Bytes over links, by direction and kind (control, critical, batch).",
+    ["direction", "kind"],
+    registry=REGISTRY,
+)
+LOG_COMMITS = Counter(
+    "savoryshelf_log_commits", "Log entries applied by this replica.", registry=REGISTRY
+)
+LOG_WRITES = Counter(
+    "savoryshelf_log_writes", "Synced writes of the log (group commits).", registry=REGISTRY
+)
+LEADER = Gauge("savoryshelf_leader", "1 where this replica leads.", registry=REGISTRY)
+CONFIGURATION_VERSION = Gauge(
+    "savoryshelf_configuration_version", "Version in force here.", registry=REGISTRY
+)
+
+LOWEST_LATENCY_US = 1
+HIGHEST_LATENCY_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class LatencyRecorder:
+    """Per-service latency histograms, exposed as quantiles in seconds."""
+
+    def __init__(self):
+        self._by_service: dict[str, HdrHistogram] = {}
+
+    def record(self, service: str, seconds: float) -> None:
+        """Count one answer that took ``seconds``."""
+        histogram = self._by_service.get(service)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS)
+            self._by_service[service] = histogram
+        histogram.record_value(max(LOWEST_LATENCY_US, int(seconds * 1e6)))
+
+    def collect(self):
+        """Yield the histograms as one summary family (prometheus collector protocol)."""
+        family = SummaryMetricFamily(
+            "savoryshelf_critical_latency_seconds",
+            "Latency of critical answers.",
+            labels=["service"],
+        )
+        for service, histogram in self._by_service.items():
+            for percentile in PERCENTILES:
+                seconds = histogram.get_value_at_percentile(percentile) / 1e6
+                family.add_sample(
+                    family.name,
+                    {"service": service, "quantile": str(percentile / 100)},
+                    seconds,
+                )
+            family.add_sample(
+                family.name + "_count", {"service": service}, histogram.get_total_count()
+            )
+        yield family
+
+
+LATENCIES = LatencyRecorder()
+REGISTRY.register(LATENCIES)
+
+
+def exposition() -> bytes:
+    """Return every metric in the text format that scrapers read."""
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/src/savoryshelf/replication/core.py
@@ -0,0 +1,619 @@
+"""The rules of the replicated log: an event and a time in, a ``Ready`` out.
+
+Nothing here reads a clock, a socket or a disk, and the only randomness is the
+generator handed in.  The shell must carry out each ``Ready`` in the order of
+its fields, then call ``synced``: a reply that promises something leaves only
+after the promise is on disk.
+"""
+
+import enum
+import random
+
+import attrs
+
+from ..errors import InvariantBroken, SavoryshelfError
+from ..wire import codec
+from ..wire.generated.ttypes import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    LogEntry,
+    Membership,
+    RaftMessage,
+    RaftPayload,
+    SnapshotChunk,
+    SnapshotFile,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+    WalRecord,
+)
+from .leadership import Leadership, PendingRead, Progress
+from .log import RaftLog
+from .membership import (
+    MembershipChangeRefused,
+    find,
+    is_quorum,
+    is_single_step,
+    with_learner,
+    with_voter,
+    without,
+)
+
+MAX_APPEND_BYTES = 256 * 1024
+SNAPSHOT_CHUNK_BYTES = 128 * 1024
+
+
+class Role(enum.Enum):
+    """What a replica is in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class NotLeading(SavoryshelfError):
+    """Only the leader may do this; ``leader_id`` is whom this replica follows, if any."""
+
+    def __init__(self, leader_id: str | None):
+        super().__init__(f"not the leader; it is {leader_id or 'unknown'}")
+        self.leader_id = leader_id
+
+
+@attrs.frozen
+class Timing:
+    """Intervals of the protocol, in seconds."""
+
+    heartbeat: float = 0.2
+    election: float = 1.0
+    """A follower waits between one and two of these before it campaigns."""
+
+
+@attrs.define
+class Recovered:
+    """What a replica reads back from its disk before it starts."""
+
+    term: int = 0
+    voted_for: str = ""
+    snapshot: SnapshotFile | None = None
+    entries: list[LogEntry] = attrs.field(factory=list)
+
+
+@attrs.define
+class Ready:
+    """What the shell must do, in this order."""
+
+    early_messages: list[RaftMessage]
+    """Promise nothing about this disk: they may leave before the write."""
+
+    install: SnapshotFile | None
+    record: WalRecord | None
+    messages: list[RaftMessage]
+    committed: list[LogEntry]
+    confirmed_reads: list[int]
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to do."""
+        return not (
+            self.early_messages
+            or self.install
+            or self.record
+            or self.messages
+            or self.committed
+            or self.confirmed_reads
+        )
+
+
+class Replica:
+    """One member of a control group, or one that hopes to become a member."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        genesis: Membership,
+        recovered: Recovered,
+        timing: Timing,
+        randomness: random.Random,
+        now: float,
+        shard: int = 0,
+    ):
+        self.replica_id = replica_id
+        self.shard = shard
+        self.timing = timing
+        self.role = Role.FOLLOWER
+        self.leader_id: str | None = None
+        self.term = recovered.term
+        self.voted_for = recovered.voted_for
+        self.snapshot = recovered.snapshot
+        self.log = self._recovered_log(genesis, recovered)
+        self.commit_index = self.log.base_index
+        self.leadership: Leadership | None = None
+        self._randomness = randomness
+        self._now = now
+        self._leader_heard_at = float("-inf")
+        self._votes: set[str] = set()
+        self._deadline = now
+        self._next_read_id = 1
+        self._broadcast_wanted = False
+        self._incoming: bytearray = bytearray()
+        self._incoming_index = 0
+        self._synced_index = self.log.last_index
+        self._applied_index = self.log.base_index
+        self._installing: SnapshotFile | None = None
+        self._early: list[RaftMessage] = []
+        self._messages: list[RaftMessage] = []
+        self._unsynced: list[LogEntry] = []
+        self._hard_state_changed = False
+        self._confirmed_reads: list[int] = []
+        self._reset_election_deadline()
+
+    @staticmethod
+    def _recovered_log(genesis: Membership, recovered: Recovered) -> RaftLog:
+        snapshot = recovered.snapshot
+        if snapshot is None:
+            log = RaftLog(genesis)
+        else:
+            log = RaftLog(snapshot.membership, snapshot.last_index, snapshot.last_term)
+        for entry in recovered.entries:
+            log.append(entry)
+        return log
+
+    # ------------------------------------------------------------------ inputs
+
+    def tick(self, now: float) -> None:
+        """Let time pass: heartbeats, check-quorum, elections."""
+        self._now = now
+        if self.role is Role.LEADER:
+            self._check_quorum()
+        if now < self._deadline:
+            return
+        if self.role is Role.LEADER:
+            self._broadcast_wanted = True
+        elif self._may_campaign():
+            self._campaign(pre_vote=True)
+        else:
+            self._reset_election_deadline()
+
+    def receive(self, message: RaftMessage, now: float) -> None:
+        """Handle one message of another replica."""
+        if message.recipient != self.replica_id or message.shard != self.shard:
+            # Meant for an identity which this host had before it lost its disk.
+            return
+        self._now = now
+        kind, payload = codec.sole_field(message.payload)
+        if kind == "vote_request":
+            self._on_vote_request(message, payload)
+            return
+        if message.term > self.term and not (kind == "vote_reply" and payload.pre_vote):
+            self._become_follower(message.term, None)
+        if message.term < self.term:
+            self._reject_stale(message, kind)
+            return
+        getattr(self, "_on_" + kind)(message, payload)
+
+    def propose(self, payloads: list[bytes]) -> list[int]:
+        """Append commands as leader; return their indexes in the current term."""
+        self._require_leading()
+        return [self._append(EntryKind.COMMAND, payload) for payload in payloads]
+
+    def add_learner(self, learner) -> int:
+        """Propose one more member that does not vote yet."""
+        return self._change_membership(with_learner(self.log.membership, learner))
+
+    def promote(self, replica_id: str) -> int:
+        """Propose that a learner votes; refused until it holds what is committed."""
+        self._require_leading()
+        progress = self.leadership.progress_by_id.get(replica_id)
+        # A learner counts towards quorums as soon as the entry is appended.
+        # If it lacked committed data then, the next loss of a host could take
+        # the last copy with it.
+        if progress is None or progress.match_index < self.commit_index:
+            raise MembershipChangeRefused(f"{replica_id} does not hold the committed log yet")
+        return self._change_membership(with_voter(self.log.membership, replica_id))
+
+    def remove(self, replica_id: str) -> int:
+        """Propose to remove a member."""
+        return self._change_membership(without(self.log.membership, replica_id))
+
+    def request_read(self) -> int:
+        """Ask to confirm leadership; the id comes back in ``Ready.confirmed_reads``.
+
+        What is applied when it comes back includes everything that was
+        committed anywhere when this call was made.
+        """
+        self._require_leading()
+        read_id = self._next_read_id
+        self._next_read_id += 1
+        self.leadership.reads.append(PendingRead(read_id, self.leadership.round))
+        self._broadcast_wanted = True
+        return read_id
+
+    def take_ready(self) -> Ready:
+        """Return what to do now; the shell does it, then calls ``synced``."""
+        if self._broadcast_wanted and self.role is Role.LEADER:
+            self._broadcast()
+        self._broadcast_wanted = False
+        if self._hard_state_changed:
+            # A term that is not on disk yet may be lost in a crash and be led
+            # a second time with another log: nothing of it leaves early.
+            self._messages = self._early + self._messages
+            self._early = []
+        ready = Ready(
+            early_messages=self._early,
+            install=self._installing,
+            record=self._take_record(),
+            messages=self._messages,
+            committed=self._take_committed(),
+            confirmed_reads=self._confirmed_reads,
+        )
+        self._early, self._messages, self._confirmed_reads = [], [], []
+        self._installing = None
+        return ready
+
+    def synced(self, ready: Ready) -> None:
+        """Note that ``ready`` was carried out."""
+        if ready.record and ready.record.entries:
+            self._synced_index = max(self._synced_index, ready.record.entries[-1].index)
+            self._synced_index = min(self._synced_index, self.log.last_index)
+        if self.role is Role.LEADER:
+            self._advance_commit()
+
+    def compact(self, snapshot: SnapshotFile, keep_entries: int) -> None:
+        """Note a synced snapshot; the newest ``keep_entries`` before it stay for slow members."""
+        self.snapshot = snapshot
+        self.log.compact(snapshot.last_index - keep_entries)
+
+    @property
+    def can_confirm(self) -> bool:
+        """Return whether this leader has committed in its own term, so that reads may be served."""
+        return self.role is Role.LEADER and self.commit_index >= self.leadership.first_index
+
+    @property
+    def applied_index(self) -> int:
+        """Return the index up to which entries were handed out as committed."""
+        return self._applied_index
+
+    # --------------------------------------------------------------- elections
+
+    def _may_campaign(self) -> bool:
+        member = find(self.log.membership, self.replica_id)
+        return member is not None and member.voter
+
+    def _campaign(self, pre_vote: bool) -> None:
+        if pre_vote:
+            self.role = Role.PRE_CANDIDATE
+            term = self.term + 1
+        else:
+            self.role = Role.CANDIDATE
+            self._set_hard_state(self.term + 1, self.replica_id)
+            term = self.term
+        self.leader_id = None
+        self._votes = {self.replica_id}
+        self._reset_election_deadline()
+        if is_quorum(self.log.membership, self._votes):
+            self._won_round()
+            return
+        request = VoteRequest(self.log.last_index, self.log.last_term, pre_vote)
+        for member in self.log.membership.members:
+            if member.voter and member.replica_id != self.replica_id:
+                self._send(member.replica_id, term, vote_request=request)
+
+    def _won_round(self) -> None:
+        if self.role is Role.PRE_CANDIDATE:
+            self._campaign(pre_vote=False)
+        else:
+            self._become_leader()
+
+    def _on_vote_request(self, message: RaftMessage, request: VoteRequest) -> None:
+        # A replica that hears its leader ignores campaigns: one that was cut
+        # off and returns must not depose a leader which serves a majority.
+        follows = self._now - self._leader_heard_at < self.timing.election
+        if follows or self.role is Role.LEADER:
+            return
+        if message.term > self.term and not request.pre_vote:
+            self._become_follower(message.term, None)
+        granted = self._grants(message, request)
+        if granted and not request.pre_vote:
+            self._set_hard_state(self.term, message.sender)
+            self._reset_election_deadline()
+        term = message.term if granted else self.term
+        self._send(message.sender, term, vote_reply=VoteReply(granted, request.pre_vote))
+
+    def _grants(self, message: RaftMessage, request: VoteRequest) -> bool:
+        if not self.log.membership.members:
+            # No log has reached this disk yet.  Its vote could elect a leader
+            # that lacks what the disk it replaces had acknowledged.
+            return False
+        theirs = (request.last_term, request.last_index)
+        if theirs < (self.log.last_term, self.log.last_index):
+            return False
+        if request.pre_vote:
+            return message.term > self.term
+        return message.term == self.term and self.voted_for in ("", message.sender)
+
+    def _on_vote_reply(self, message: RaftMessage, reply: VoteReply) -> None:
+        if reply.pre_vote and not reply.granted:
+            if message.term > self.term:
+                self._become_follower(message.term, None)
+            return
+        wanted = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
+        current = message.term == self.term + (1 if reply.pre_vote else 0)
+        if self.role is not wanted or not current or not reply.granted:
+            return
+        self._votes.add(message.sender)
+        if is_quorum(self.log.membership, self._votes):
+            self._won_round()
+
+    def _become_follower(self, term: int, leader_id: str | None) -> None:
+        if term > self.term:
+            self._set_hard_state(term, "")
+        if self.role is not Role.FOLLOWER:
+            self._reset_election_deadline()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+        self.leadership = None
+
+    def _become_leader(self) -> None:
+        self.role = Role.LEADER
+        self.leader_id = self.replica_id
+        self.leadership = Leadership(self._now, self.log.last_index + 1)
+        self._track_members()
+        self._append(EntryKind.NOOP, b"")
+
+    def _check_quorum(self) -> None:
+        membership = self.log.membership
+        heard_at = self.leadership.quorum_heard_at(self.replica_id, self._now, membership)
+        if self._now - heard_at > self.timing.election:
+            # Behind a cut: someone else may lead by now, so claim nothing.
+            self._become_follower(self.term, None)
+
+    # ------------------------------------------------------------- replication
+
+    def _append(self, kind: EntryKind, payload: bytes) -> int:
+        entry = LogEntry(self.log.last_index + 1, self.term, kind, payload)
+        self.log.append(entry)
+        self._unsynced.append(entry)
+        self._broadcast_wanted = True
+        return entry.index
+
+    def _change_membership(self, membership: Membership) -> int:
+        self._require_leading()
+        if not self.can_confirm:
+            # Without a commit of this term, an unseen membership of an older
+            # leader may still win: two changes at once, no common majority.
+            raise MembershipChangeRefused("nothing is committed in this term yet")
+        if self.log.membership_index > self.commit_index:
+            raise MembershipChangeRefused("another change is not committed yet")
+        if not is_single_step(self.log.membership, membership):
+            raise MembershipChangeRefused("only one vote may change at a time")
+        index = self._append(EntryKind.MEMBERSHIP, codec.encode(membership))
+        self._track_members()
+        return index
+
+    def _track_members(self) -> None:
+        known = self.leadership.progress_by_id
+        others = [m.replica_id for m in self.log.membership.members]
+        self.leadership.progress_by_id = {
+            replica_id: known.get(replica_id) or Progress(next_index=self.log.last_index + 1)
+            for replica_id in others
+            if replica_id != self.replica_id
+        }
+
+    def _broadcast(self) -> None:
+        self._deadline = self._now + self.timing.heartbeat
+        self.leadership.round += 1
+        for replica_id, progress in self.leadership.progress_by_id.items():
+            self._send_log(replica_id, progress)
+        if not self.leadership.progress_by_id:
+            self._confirm_reads()
+
+    def _send_log(self, replica_id: str, progress: Progress) -> None:
+        if progress.snapshot or progress.next_index <= self.log.base_index:
+            self._send_snapshot(replica_id, progress)
+            return
+        previous = progress.next_index - 1
+        entries = self._batch_from(progress.next_index)
+        request = AppendRequest(
+            previous, self.log.term_at(previous), entries, self.commit_index, self.leadership.round
+        )
+        if entries:
+            # Optimistic: a lost message shows as a gap at the next heartbeat.
+            progress.next_index = entries[-1].index + 1
+        self._send_early(replica_id, append_request=request)
+
+    def _batch_from(self, first: int) -> list[LogEntry]:
+        batch, size = [], 0
+        for entry in self.log.entries(first, self.log.last_index):
+            size += len(entry.payload)
+            if batch and size > MAX_APPEND_BYTES:
+                break
+            batch.append(entry)
+        return batch
+
+    def _send_snapshot(self, replica_id: str, progress: Progress) -> None:
+        if progress.snapshot is None:
+            progress.snapshot, progress.snapshot_offset = self.snapshot, 0
+        snapshot, offset = progress.snapshot, progress.snapshot_offset
+        data = snapshot.state[offset : offset + SNAPSHOT_CHUNK_BYTES]
+        chunk = SnapshotChunk(
+            snapshot.last_index,
+            snapshot.last_term,
+            snapshot.membership,
+            offset,
+            data,
+            offset + len(data) >= len(snapshot.state),
+            self.leadership.round,
+        )
+        self._send_early(replica_id, snapshot_chunk=chunk)
+
+    def _on_append_request(self, message: RaftMessage, request: AppendRequest) -> None:
+        self._follow(message)
+        held_term = self.log.term_at(request.previous_index)
+        if request.previous_index > self.commit_index and held_term != request.previous_term:
+            hint = min(request.previous_index - 1, self.log.last_index)
+            self._reply_append(message, request, False, max(hint, self.commit_index))
+            return
+        last_new = request.previous_index
+        for entry in request.entries:
+            last_new = entry.index
+            self._accept(entry)
+        self._commit_up_to(min(request.commit_index, last_new))
+        self._reply_append(message, request, True, last_new)
+
+    def _accept(self, entry: LogEntry) -> None:
+        if entry.index <= self.commit_index or self.log.term_at(entry.index) == entry.term:
+            return
+        if entry.index <= self.log.last_index:
+            self.log.truncate_from(entry.index)
+            self._synced_index = min(self._synced_index, entry.index - 1)
+            self._unsynced = [held for held in self._unsynced if held.index < entry.index]
+        self.log.append(entry)
+        self._unsynced.append(entry)
+
+    def _reply_append(self, message, request, success: bool, match_index: int) -> None:
+        reply = AppendReply(success, match_index, request.round)
+        self._send(message.sender, self.term, append_reply=reply)
+
+    def _on_append_reply(self, message: RaftMessage, reply: AppendReply) -> None:
+        progress = self._progress_of(message, reply.round)
+        if progress is None:
+            return
+        if reply.success:
+            progress.accepted(reply.match_index)
+            self._advance_commit()
+        else:
+            progress.rejected(reply.match_index)
+        if progress.next_index <= self.log.last_index and not progress.snapshot:
+            self._send_log(message.sender, progress)
+
+    def _on_snapshot_chunk(self, message: RaftMessage, chunk: SnapshotChunk) -> None:
+        self._follow(message)
+        if chunk.last_index <= self.commit_index:
+            self._reply_snapshot(message, chunk, 0, installed=True)
+            return
+        if chunk.last_index != self._incoming_index or chunk.offset == 0:
+            self._incoming, self._incoming_index = bytearray(), chunk.last_index
+        if chunk.offset == len(self._incoming):
+            self._incoming += chunk.data
+            if chunk.done:
+                self._install(chunk)
+                self._reply_snapshot(message, chunk, 0, installed=True)
+                return
+        self._reply_snapshot(message, chunk, len(self._incoming), installed=False)
+
+    def _install(self, chunk: SnapshotChunk) -> None:
+        self.snapshot = SnapshotFile(
+            chunk.last_index, chunk.last_term, chunk.membership, bytes(self._incoming)
+        )
+        self._installing = self.snapshot
+        self._incoming, self._incoming_index = bytearray(), 0
+        self.log.reset(chunk.last_index, chunk.last_term, chunk.membership)
+        self._unsynced = []
+        self._synced_index = self.commit_index = self._applied_index = chunk.last_index
+
+    def _reply_snapshot(self, message, chunk, next_offset: int, installed: bool) -> None:
+        reply = SnapshotReply(chunk.last_index, next_offset, installed, chunk.round)
+        self._send(message.sender, self.term, snapshot_reply=reply)
+
+    def _on_snapshot_reply(self, message: RaftMessage, reply: SnapshotReply) -> None:
+        progress = self._progress_of(message, reply.round)
+        if progress is None or progress.snapshot is None:
+            return
+        if reply.installed:
+            progress.accepted(reply.last_index)
+            progress.snapshot = None
+            self._send_log(message.sender, progress)
+        elif reply.last_index == progress.snapshot.last_index:
+            moved_on = reply.next_offset != progress.snapshot_offset
+            progress.snapshot_offset = reply.next_offset
+            if moved_on:
+                self._send_log(message.sender, progress)
+
+    def _progress_of(self, message: RaftMessage, acked_round: int) -> Progress | None:
+        if self.role is not Role.LEADER:
+            return None
+        progress = self.leadership.progress_by_id.get(message.sender)
+        if progress is None:
+            return None
+        progress.acked_at = self._now
+        progress.acked_round = max(progress.acked_round, acked_round)
+        self._confirm_reads()
+        return progress
+
+    def _confirm_reads(self) -> None:
+        if self.can_confirm:
+            self._confirmed_reads += self.leadership.take_confirmed_reads(
+                self.replica_id, self.log.membership
+            )
+
+    def _advance_commit(self) -> None:
+        index = self.leadership.match_index(
+            self.replica_id, self._synced_index, self.log.membership
+        )
+        # An entry of an older term may be on a majority and still be replaced
+        # by a later leader; only an entry of this term seals those before it.
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self._commit_up_to(index)
+            self._confirm_reads()
+            if find(self.log.membership_at(index), self.replica_id) is None:
+                self._become_follower(self.term, None)
+
+    def _commit_up_to(self, index: int) -> None:
+        if index > self.log.last_index:
+            raise InvariantBroken(f"commit of {index} beyond the log's end {self.log.last_index}")
+        self.commit_index = max(self.commit_index, index)
+
+    # ----------------------------------------------------------------- plumbing
+
+    def _follow(self, message: RaftMessage) -> None:
+        if self.role is Role.LEADER:
+            raise InvariantBroken(f"two leaders in term {self.term}: {message.sender} and this one")
+        self._become_follower(message.term, message.sender)
+        self._leader_heard_at = self._now
+        self._reset_election_deadline()
+
+    def _reject_stale(self, message: RaftMessage, kind: str) -> None:
+        # The sender leads an older term; answering with ours makes it step down.
+        if kind == "append_request":
+            reply = AppendReply(False, self.log.last_index, 0)
+            self._send(message.sender, self.term, append_reply=reply)
+
+    def _require_leading(self) -> None:
+        if self.role is not Role.LEADER:
+            raise NotLeading(self.leader_id)
+
+    def _set_hard_state(self, term: int, voted_for: str) -> None:
+        if (term, voted_for) != (self.term, self.voted_for):
+            self.term, self.voted_for = term, voted_for
+            self._hard_state_changed = True
+
+    def _reset_election_deadline(self) -> None:
+        spread = self._randomness.uniform(1.0, 2.0)
+        self._deadline = self._now + self.timing.election * spread
+
+    def _take_record(self) -> WalRecord | None:
+        if not self._unsynced and not self._hard_state_changed:
+            return None
+        record = WalRecord(self.term, self.voted_for, self._unsynced)
+        self._unsynced, self._hard_state_changed = [], False
+        return record
+
+    def _take_committed(self) -> list[LogEntry]:
+        # Entries are handed out only once synced here, so that what was
+        # applied is never ahead of what a restart would read back.
+        last = min(self.commit_index, self._synced_index)
+        if last <= self._applied_index:
+            return []
+        committed = self.log.entries(self._applied_index + 1, last)
+        self._applied_index = last
+        return committed
+
+    def _message(self, recipient: str, term: int, payload: dict) -> RaftMessage:
+        return RaftMessage(self.replica_id, recipient, term, RaftPayload(**payload), self.shard)
+
+    def _send(self, recipient: str, term: int, **payload) -> None:
+        self._messages.append(self._message(recipient, term, payload))
+
+    def _send_early(self, recipient: str, **payload) -> None:
+        self._early.append(self._message(recipient, self.term, payload))
--- /dev/null
+++ b/src/savoryshelf/replication/links.py
@@ -0,0 +1,61 @@
+"""Carries a replica's messages to the other members, one green thread for each."""
+
+import random
+
+import eventlet
+from eventlet.queue import Full, Queue
+
+from ..errors import PeerUnreachable
+from ..wire.generated import ControlService
+from ..wire.generated.ttypes import RaftMessage
+from ..wire.peers import PeerClient
+
+QUEUE_LENGTH = 1024
+MAX_BATCH = 64
+RECONNECT_SECONDS = 0.2
+
+
+class PeerLinks:
+    """Outgoing links by address.
+
+    The protocol bears loss, so a link that is down or full drops messages
+    rather than hold up the replica.
+    """
+
+    def __init__(self, cluster_key: str):
+        self._cluster_key = cluster_key
+        self._queue_by_address: dict[str, Queue] = {}
+        self._senders: list = []
+
+    def send(self, address: str, message: RaftMessage) -> None:
+        """Queue a message; it may be lost."""
+        queue = self._queue_by_address.get(address)
+        if queue is None:
+            queue = self._queue_by_address[address] = Queue(QUEUE_LENGTH)
+            self._senders.append(eventlet.spawn(self._run, address, queue))
+        try:
+            queue.put_nowait(message)
+        except Full:
+            return
+
+    def close(self) -> None:
+        """Stop sending."""
+        for sender in self._senders:
+            sender.kill()
+
+    def _run(self, address: str, queue: Queue) -> None:
+        client = PeerClient(ControlService, address, self._cluster_key, "replication")
+        while True:
+            batch = [queue.get()]
+            while len(batch) < MAX_BATCH and not queue.empty():
+                batch.append(queue.get_nowait())
+            try:
+                client.call("deliver", batch)
+            except PeerUnreachable:
+                self._drop_all(queue)
+                eventlet.sleep(RECONNECT_SECONDS * random.uniform(0.5, 1.5))
+
+    @staticmethod
+    def _drop_all(queue: Queue) -> None:
+        while not queue.empty():
+            queue.get_nowait()
--- /dev/null
+++ b/src/savoryshelf/replication/service.py
@@ -0,0 +1,294 @@
+"""Runs one replica: a single green thread owns the core and its disk.
+
+Everything reaches it as a message in its mailbox.  While a write is being
+synced the mailbox fills, and what is in it shares the next write: that is the
+group commit.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+import eventlet
+from eventlet.event import Event
+from eventlet.queue import Empty, Queue
+
+from ..clock import Clock
+from ..errors import SavoryshelfError
+from ..observability import metrics
+from ..wire.generated.ttypes import (
+    EntryKind,
+    LogEntry,
+    Member,
+    Membership,
+    RaftMessage,
+    SnapshotFile,
+)
+from .core import NotLeading, Ready, Replica, Role, Timing
+from .formation import host_name
+from .membership import MembershipChangeRefused, find
+from .storage import ReplicaStorage
+
+TICK_SECONDS = 0.05
+SNAPSHOT_EVERY_ENTRIES = 5000
+KEEP_ENTRIES = 1000
+MAX_MAILBOX_BATCH = 256
+
+
+class StateMachine(Protocol):
+    """What the log drives; deterministic."""
+
+    def apply(self, payload: bytes):
+        """Apply one command and return its outcome."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state."""
+
+
+class OutcomeUnknown(SavoryshelfError):
+    """Leadership was lost while a command was on its way: it may yet be committed."""
+
+    def __init__(self):
+        super().__init__("leadership was lost before the command was committed; it may yet be")
+
+
+@attrs.frozen
+class _Received:
+    message: RaftMessage
+
+
+@attrs.frozen
+class _Proposed:
+    payload: bytes
+    done: Event
+
+
+@attrs.frozen
+class _ReadRequested:
+    done: Event
+
+
+@attrs.frozen
+class _ChangeRequested:
+    change: Callable[[Replica], int]
+    done: Event
+
+
+@attrs.define
+class _Waiter:
+    term: int
+    done: Event
+
+
+class ReplicaService:
+    """One replica of a control group in this process."""
+
+    def __init__(
+        self,
+        replica_id: str,
+        genesis: Membership,
+        storage: ReplicaStorage,
+        machine: StateMachine,
+        links,
+        address_of_host: dict[str, str],
+        clock: Clock,
+        timing: Timing,
+        randomness: random.Random,
+        snapshot_every: int = SNAPSHOT_EVERY_ENTRIES,
+    ):
+        recovered = storage.recover()
+        self.core = Replica(replica_id, genesis, recovered, timing, randomness, clock.monotonic())
+        self.machine = machine
+        if recovered.snapshot:
+            machine.restore(recovered.snapshot.state)
+        self._storage = storage
+        self._links = links
+        self._address_of_host = address_of_host
+        self._clock = clock
+        self._snapshot_every = snapshot_every
+        self._mailbox: Queue = Queue()
+        self._waiter_by_index: dict[int, _Waiter] = {}
+        self._read_by_id: dict[int, Event] = {}
+        self._watchers: list[Event] = []
+        self._thread = None
+
+    # ------------------------------------------------------- for other threads
+
+    def start(self) -> None:
+        """Start the owning green thread."""
+        self._thread = eventlet.spawn(self._run)
+
+    def wait(self) -> None:
+        """Block until the replica stops; raise what stopped it."""
+        self._thread.wait()
+
+    def stop(self, error: Exception | None = None) -> None:
+        """Stop the replica as a crash would; ``wait`` raises ``error``."""
+        self._thread.kill(*([error] if error else []))
+
+    def deliver(self, messages: list[RaftMessage]) -> None:
+        """Hand in messages of other replicas."""
+        for message in messages:
+            self._mailbox.put(_Received(message))
+
+    def propose(self, payload: bytes):
+        """Commit one command and return its outcome.
+
+        Raises NotLeading if nothing was proposed, OutcomeUnknown if it may
+        or may not be committed later.
+        """
+        done = Event()
+        self._mailbox.put(_Proposed(payload, done))
+        return done.wait()
+
+    def confirm(self) -> None:
+        """Return once this replica is known to lead, and to have applied all committed before."""
+        done = Event()
+        self._mailbox.put(_ReadRequested(done))
+        done.wait()
+
+    def change_membership(self, change: Callable[[Replica], int]) -> None:
+        """Commit a change of membership; ``change`` calls one of the core's methods."""
+        done = Event()
+        self._mailbox.put(_ChangeRequested(change, done))
+        done.wait()
+
+    def watch(self) -> Event:
+        """Return an event that is sent after the next entries are applied."""
+        event = Event()
+        self._watchers.append(event)
+        return event
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica believes it leads; only ``confirm`` makes it sure."""
+        return self.core.role is Role.LEADER
+
+    @property
+    def leader_address(self) -> str:
+        """Return the address of whom this replica follows, or an empty string."""
+        return self._address_of(self.core.leader_id) if self.core.leader_id else ""
+
+    # --------------------------------------------------------- the owning thread
+
+    def _run(self) -> None:
+        while True:
+            for event in self._take_events():
+                self._handle(event)
+            self.core.tick(self._clock.monotonic())
+            while not (ready := self.core.take_ready()).is_empty():
+                self._carry_out(ready)
+            self._after_leadership_change()
+
+    def _take_events(self) -> list:
+        try:
+            events = [self._mailbox.get(timeout=TICK_SECONDS)]
+        except Empty:
+            return []
+        while len(events) < MAX_MAILBOX_BATCH and not self._mailbox.empty():
+            events.append(self._mailbox.get_nowait())
+        return events
+
+    def _handle(self, event) -> None:
+        match event:
+            case _Received(message):
+                self.core.receive(message, self._clock.monotonic())
+            case _Proposed(payload, done):
+                self._attempt(done, lambda: self.core.propose([payload])[0])
+            case _ChangeRequested(change, done):
+                self._attempt(done, lambda: change(self.core))
+            case _ReadRequested(done):
+                self._request_read(done)
+
+    def _attempt(self, done: Event, propose: Callable[[], int]) -> None:
+        try:
+            index = propose()
+        except (NotLeading, MembershipChangeRefused) as error:
+            done.send_exception(error)
+            return
+        self._waiter_by_index[index] = _Waiter(self.core.term, done)
+
+    def _request_read(self, done: Event) -> None:
+        try:
+            self._read_by_id[self.core.request_read()] = done
+        except NotLeading as error:
+            done.send_exception(error)
+
+    def _carry_out(self, ready: Ready) -> None:
+        self._send_all(ready.early_messages)
+        if ready.install:
+            self._install(ready.install)
+        if ready.record:
+            self._storage.write(ready.record)
+            metrics.LOG_WRITES.inc()
+        self.core.synced(ready)
+        self._send_all(ready.messages)
+        for entry in ready.committed:
+            self._apply(entry)
+        for read_id in ready.confirmed_reads:
+            self._read_by_id.pop(read_id).send(None)
+        if ready.committed:
+            self._wake_watchers()
+            self._compact_if_long()
+
+    def _apply(self, entry: LogEntry) -> None:
+        outcome = None
+        if entry.kind == EntryKind.COMMAND:
+            outcome = self.machine.apply(entry.payload)
+        metrics.LOG_COMMITS.inc()
+        waiter = self._waiter_by_index.pop(entry.index, None)
+        if waiter is None:
+            return
+        if waiter.term == entry.term:
+            waiter.done.send(outcome)
+        else:
+            waiter.done.send_exception(OutcomeUnknown())
+
+    def _install(self, snapshot: SnapshotFile) -> None:
+        self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, [])
+        self.machine.restore(snapshot.state)
+        self._wake_watchers()
+
+    def _compact_if_long(self) -> None:
+        applied, log = self.core.applied_index, self.core.log
+        covered = self.core.snapshot.last_index if self.core.snapshot else 0
+        if applied - covered < self._snapshot_every:
+            return
+        snapshot = SnapshotFile(
+            applied, log.term_at(applied), log.membership_at(applied), self.machine.snapshot()
+        )
+        tail = log.entries(applied + 1, log.last_index)
+        self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, tail)
+        self.core.compact(snapshot, min(KEEP_ENTRIES, self._snapshot_every))
+
+    def _after_leadership_change(self) -> None:
+        metrics.LEADER.set(1 if self.is_leader else 0)
+        if self.is_leader:
+            return
+        reads, self._read_by_id = self._read_by_id, {}
+        for done in reads.values():
+            done.send_exception(NotLeading(self.core.leader_id))
+        waiters, self._waiter_by_index = self._waiter_by_index, {}
+        for waiter in waiters.values():
+            waiter.done.send_exception(OutcomeUnknown())
+
+    def _wake_watchers(self) -> None:
+        watchers, self._watchers = self._watchers, []
+        for watcher in watchers:
+            watcher.send(None)
+
+    def _send_all(self, messages: list[RaftMessage]) -> None:
+        for message in messages:
+            address = self._address_of(message.recipient)
+            if address:
+                self._links.send(address, message)
+
+    def _address_of(self, replica_id: str) -> str:
+        member: Member | None = find(self.core.log.membership, replica_id)
+        if member is not None:
+            return member.address
+        return self._address_of_host.get(host_name(replica_id), "")
--- /dev/null
+++ b/src/savoryshelf/replication/storage.py
@@ -0,0 +1,168 @@
+"""What a replica keeps on its disk, and how it reads it back.
+
+Three kinds of file stand in the data folder: ``identity``, written once;
+``snapshot``, replaced as a whole; and ``segment-N`` files of records.  One
+record is one synced write: its length, a checksum, and a ``WalRecord``.  The
+next record is written only after the sync of the one before.  So a damaged
+record at the very end is a write that was never acknowledged and may be cut,
+while one with a sound record behind it had been acknowledged: that is damage,
+and a typed stop.
+"""
+
+import secrets
+import struct
+import zlib
+
+from ..disk import Disk
+from ..errors import CorruptLog
+from ..wire import codec
+from ..wire.generated.ttypes import (
+    DiskIdentity,
+    LogEntry,
+    Membership,
+    SnapshotFile,
+    WalRecord,
+)
+from .core import Recovered
+
+_HEADER = struct.Struct("<4sII")
+_MAGIC = b"SSW1"
+_IDENTITY = "identity"
+_SNAPSHOT = "snapshot"
+_SEGMENT_PREFIX = "segment-"
+_IDENTITY_BYTES = 4
+
+
+def frame(payload: bytes) -> bytes:
+    """Return one record as it stands in a file."""
+    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def _read_frame(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the record at ``offset``, or None if it is damaged."""
+    if len(data) - offset < _HEADER.size:
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    payload = data[offset + _HEADER.size : offset + _HEADER.size + length]
+    sound = magic == _MAGIC and len(payload) == length and zlib.crc32(payload) == checksum
+    return payload if sound else None
+
+
+def _sound_frame_behind(data: bytes, offset: int) -> bool:
+    """Return whether any sound record stands behind ``offset``."""
+    found = data.find(_MAGIC, offset + 1)
+    while found >= 0:
+        if _read_frame(data, found) is not None:
+            return True
+        found = data.find(_MAGIC, found + 1)
+    return False
+
+
+class ReplicaStorage:
+    """The files of one replica."""
+
+    def __init__(self, disk: Disk):
+        self._disk = disk
+        self._segment_number = 0
+        self.bytes_written = 0
+
+    def identity(self, host_name: str) -> DiskIdentity:
+        """Return who this disk is; an empty disk gets an identity of its own.
+
+        The identity is of the disk, not the host: a host that lost its disk
+        must not be counted as the replica which held the data.
+        """
+        if _IDENTITY in self._disk.names():
+            return self._read_whole(_IDENTITY, DiskIdentity)
+        suffix = secrets.token_hex(_IDENTITY_BYTES)
+        identity = DiskIdentity(f"{host_name}.{suffix}", None)
+        self._write_whole(_IDENTITY, identity)
+        return identity
+
+    def save_genesis(self, identity: DiskIdentity, genesis: Membership) -> None:
+        """Note the first membership of the group, once it is agreed."""
+        identity.genesis = genesis
+        self._write_whole(_IDENTITY, identity)
+
+    def recover(self) -> Recovered:
+        """Read everything back; cut a write that was never acknowledged."""
+        recovered = Recovered()
+        names = self._disk.names()
+        if _SNAPSHOT in names:
+            recovered.snapshot = self._read_whole(_SNAPSHOT, SnapshotFile)
+        segments = sorted(n for n in names if n.startswith(_SEGMENT_PREFIX) and "." not in n)
+        by_index: dict[int, LogEntry] = {}
+        for name in segments:
+            self._replay(name, name == segments[-1], recovered, by_index)
+        recovered.entries = self._contiguous(recovered.snapshot, by_index, segments)
+        if segments:
+            self._segment_number = int(segments[-1].removeprefix(_SEGMENT_PREFIX))
+        return recovered
+
+    def write(self, record: WalRecord) -> None:
+        """Sync one record: hard state and entries together."""
+        data = frame(codec.encode(record))
+        self._disk.append(self._segment_name(), data)
+        self.bytes_written += len(data)
+
+    def write_snapshot(
+        self, snapshot: SnapshotFile, term: int, voted_for: str, tail: list[LogEntry]
+    ) -> None:
+        """Replace the snapshot, then start a segment with what follows it.
+
+        The order matters: until the new segment stands, the old ones still
+        hold the hard state and the tail.
+        """
+        self._write_whole(_SNAPSHOT, snapshot)
+        old = [n for n in self._disk.names() if n.startswith(_SEGMENT_PREFIX)]
+        self._segment_number += 1
+        record = WalRecord(term, voted_for, tail)
+        self._disk.replace(self._segment_name(), frame(codec.encode(record)))
+        for name in old:
+            self._disk.remove(name)
+
+    def _segment_name(self) -> str:
+        return f"{_SEGMENT_PREFIX}{self._segment_number:012d}"
+
+    def _replay(self, name: str, is_last: bool, recovered: Recovered, by_index: dict) -> None:
+        data = self._disk.read(name)
+        offset = 0
+        while offset < len(data):
+            payload = _read_frame(data, offset)
+            if payload is None:
+                if not is_last or _sound_frame_behind(data, offset):
+                    raise CorruptLog(name, offset)
+                self._disk.truncate(name, offset)
+                return
+            self._replay_record(codec.decode(WalRecord, payload), recovered, by_index)
+            offset += _HEADER.size + len(payload)
+
+    @staticmethod
+    def _replay_record(record: WalRecord, recovered: Recovered, by_index: dict) -> None:
+        recovered.term, recovered.voted_for = record.term, record.voted_for
+        for entry in record.entries:
+            if entry.index in by_index:
+                # A leader replaced this entry, and with it all that followed.
+                for index in [i for i in by_index if i >= entry.index]:
+                    del by_index[index]
+            by_index[entry.index] = entry
+
+    @staticmethod
+    def _contiguous(snapshot, by_index: dict, segments: list[str]) -> list[LogEntry]:
+        base = snapshot.last_index if snapshot else 0
+        entries = [by_index[index] for index in sorted(by_index) if index > base]
+        for expected, entry in enumerate(entries, start=base + 1):
+            if entry.index != expected:
+                raise CorruptLog(segments[-1], 0)
+        return entries
+
+    def _read_whole(self, name: str, message_type):
+        payload = _read_frame(self._disk.read(name), 0)
+        if payload is None:
+            raise CorruptLog(name, 0)
+        return codec.decode(message_type, payload)
+
+    def _write_whole(self, name: str, message) -> None:
+        data = frame(codec.encode(message))
+        self._disk.replace(name, data)
+        self.bytes_written += len(data)
--- /dev/null
+++ b/src/savoryshelf/settings.py
@@ -0,0 +1,212 @@
+"""Settings of a daemon: each a flag and an environment variable, all checked together."""
+
+import ipaddress
+import os
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from .errors import InvalidSetting, InvalidSettings
+
+ENVIRONMENT_PREFIX = "SAVORYSHELF_"
+MIN_KEY_LENGTH = 16
+
+
+@attrs.frozen
+class Description:
+    """What a setting is for and how its text becomes a value."""
+
+    help: str
+    parse: Callable[[str], object]
+    fix: str
+
+
+def _setting(help_text: str, parse: Callable[[str], object], fix: str, **options):
+    """Return an attrs field that carries its description."""
+    return attrs.field(metadata={"description": Description(help_text, parse, fix)}, **options)
+
+
+def _word(text: str) -> str:
+    if not text or not all(c.isalnum() or c in "-_" for c in text):
+        raise ValueError
+    return text
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    if not 0 <= int(port) <= 65535:
+        raise ValueError
+    return text
+
+
+def _key(text: str) -> str:
+    if len(text) < MIN_KEY_LENGTH:
+        raise ValueError
+    return text
+
+
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 <= value <= 3600:
+        raise ValueError
+    return value
+
+
+def _count(text: str) -> int:
+    value = int(text)
+    if value < 1:
+        raise ValueError
+    return value
+
+
+def _control_hosts(text: str) -> tuple[tuple[str, str, str], ...]:
+    """Parse ``name=ip:port@failure-domain`` items separated by commas."""
+    hosts = []
+    for item in text.split(","):
+        name, _, rest = item.strip().partition("=")
+        address, _, domain = rest.partition("@")
+        hosts.append((_word(name), _address(address), domain))
+    if len({name for name, *_ in hosts}) != len(hosts):
+        raise ValueError
+    return tuple(hosts)
+
+
+def _folder(text: str) -> str:
+    os.makedirs(text, exist_ok=True)
+    if not os.access(text, os.W_OK):
+        raise ValueError
+    return text
+
+
+_ADDRESS_FIX = "give an IP number and a port, such as 10.0.0.5:7000"
+_SECONDS_FIX = "give seconds from 0 to 3600"
+_KEY_FIX = f"give at least {MIN_KEY_LENGTH} characters"
+
+
+@attrs.frozen(kw_only=True)
+class _Common:
+    """What both roles need."""
+
+    name: str = _setting(
+        "Name of this host, unique in its role.", _word, "use letters, digits, - _"
+    )
+    listen: str = _setting("Where peers connect (thrift).", _address, _ADDRESS_FIX)
+    http_listen: str = _setting("Where HTTP is served.", _address, _ADDRESS_FIX)
+    failure_domain: str = _setting(
+        "Failure domain of this host.", _word, "use letters, digits, - _", default=""
+    )
+    control_hosts: tuple = _setting(
+        "Control hosts: name=ip:port@failure-domain, separated by commas.",
+        _control_hosts,
+        "give name=ip:port@failure-domain items with different names",
+    )
+    cluster_key: str = _setting(
+        "Secret shared by the site's processes.", _key, _KEY_FIX, repr=False
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings(_Common):
+    """Settings of a control host."""
+
+    data_folder: str = _setting(
+        "Folder of the durable state, on a disk of this host.", _folder, "give a writable folder"
+    )
+    heartbeat_seconds: float = _setting(
+        "Interval of the leader's heartbeats.", _seconds, _SECONDS_FIX, default=0.2
+    )
+    election_seconds: float = _setting(
+        "Silence after which a new leader is elected.", _seconds, _SECONDS_FIX, default=1.0
+    )
+    snapshot_every: int = _setting(
+        "Log entries between snapshots.", _count, "give a whole number above 0", default=5000
+    )
+    placement_policy: str = _setting(
+        "How workers are chosen for batch work.",
+        _word,
+        "use calm, least_loaded or random",
+        default="calm",
+    )
+
+    @property
+    def advertise(self) -> str:
+        """Return the address by which other processes reach this host."""
+        return self.listen
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(_Common):
+    """Settings of an entry host."""
+
+    token_key: str = _setting(
+        "Secret from which teams', operators' and targets' tokens are derived.",
+        _key,
+        _KEY_FIX,
+        repr=False,
+    )
+    routing_policy: str = _setting(
+        "How workers are chosen for critical requests.",
+        _word,
+        "use expected_latency, least_outstanding, two_choices, round_robin or random",
+        default="expected_latency",
+    )
+    drain_seconds: float = _setting(
+        "How long a stopping entry host still serves while the balancer notices.",
+        _seconds,
+        _SECONDS_FIX,
+        default=2.0,
+    )
+
+
+SETTINGS_BY_ROLE = {"control": ControlSettings, "entry": EntrySettings}
+
+
+def fields_of_all_roles() -> dict[str, attrs.Attribute]:
+    """Return every setting by name, those of one role only included."""
+    found: dict[str, attrs.Attribute] = {}
+    for settings_class in SETTINGS_BY_ROLE.values():
+        for field in attrs.fields(settings_class):
+            found.setdefault(field.name, field)
+    return found
+
+
+def read_settings(role: str, text_by_name: Mapping[str, str | None]):
+    """Return the settings of a role from their texts.
+
+    Raises InvalidSettings with one InvalidSetting for each that is missing or wrong.
+    """
+    problems: list[InvalidSetting] = []
+    values: dict[str, object] = {}
+    settings_class = SETTINGS_BY_ROLE.get(role)
+    if settings_class is None:
+        problem = InvalidSetting("--role", role, f"use {' or '.join(SETTINGS_BY_ROLE)}")
+        raise InvalidSettings("wrong settings", [problem])
+    for field in attrs.fields(settings_class):
+        text = text_by_name.get(field.name)
+        if text is None:
+            if field.default is attrs.NOTHING:
+                problems.append(_missing(field))
+            continue
+        try:
+            values[field.name] = field.metadata["description"].parse(text)
+        except (ValueError, OSError):
+            problems.append(_wrong(field, text))
+    if problems:
+        raise InvalidSettings("wrong settings", problems)
+    return settings_class(**values)
+
+
+def flag_of(name: str) -> str:
+    """Return the flag of a setting."""
+    return "--" + name.replace("_", "-")
+
+
+def _missing(field: attrs.Attribute) -> InvalidSetting:
+    variable = ENVIRONMENT_PREFIX + field.name.upper()
+    return InvalidSetting(flag_of(field.name), None, f"set the flag or {variable}")
+
+
+def _wrong(field: attrs.Attribute, text: str) -> InvalidSetting:
+    shown = text if field.repr else "(not shown)"
+    return InvalidSetting(flag_of(field.name), shown, field.metadata["description"].fix)
--- /dev/null
+++ b/src/savoryshelf/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between savoryshelf's processes and the links that carry them."""
--- /dev/null
+++ b/src/savoryshelf/wire/codec.py
@@ -0,0 +1,33 @@
+"""Turns thrift messages into bytes and back, by the accelerated compact protocol."""
+
+from typing import TypeVar
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+
+Message = TypeVar("Message")
+
+
+def encode(message) -> bytes:
+    """Return the compact encoding of a thrift message."""
+    buffer = TMemoryBuffer()
+    message.write(_FACTORY.getProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(message_type: type[Message], data: bytes) -> Message:
+    """Return the message of that type which ``data`` holds."""
+    message = message_type()
+    message.read(_FACTORY.getProtocol(TMemoryBuffer(data)))
+    return message
+
+
+def sole_field(union) -> tuple[str, object]:
+    """Return the name and the value of the one field that a thrift union holds."""
+    for name in union.__slots__:
+        value = getattr(union, name)
+        if value is not None:
+            return name, value
+    raise TypeError(f"{union!r} holds no field")
--- /dev/null
+++ b/src/savoryshelf/wire/messages.thrift
@@ -0,0 +1,224 @@
+/*
+ * Messages between savoryshelf's own processes, and the records of its log.
+ *
+ * Regenerate with `make generate` (thrift compiler 0.17); the result is
+ * committed, so that a build needs no compiler.  Field numbers are never
+ * reused.  Times are milliseconds, sizes are bytes unless a name says else.
+ */
+namespace py generated
+
+// ---------------------------------------------------------------- replication
+
+enum EntryKind { NOOP = 0, COMMAND = 1, MEMBERSHIP = 2 }
+
+struct LogEntry { 1: i64 index, 2: i64 term, 3: EntryKind kind, 4: binary payload }
+
+/** One member of a control group. `replica_id` is host name and disk identity. */
+struct Member { 1: string replica_id, 2: string address, 3: string failure_domain, 4: bool voter }
+
+struct Membership { 1: list<Member> members }
+
+/** Asks for a vote; with `pre_vote` set nobody's term changes. */
+struct VoteRequest { 1: i64 last_index, 2: i64 last_term, 3: bool pre_vote }
+
+struct VoteReply { 1: bool granted, 2: bool pre_vote }
+
+/** Carries log entries; an empty one is a heartbeat. `round` numbers the leader's heartbeats. */
+struct AppendRequest {
+  1: i64 previous_index, 2: i64 previous_term, 3: list<LogEntry> entries,
+  4: i64 commit_index, 5: i64 round
+}
+
+/** `match_index` is what is synced here on success, else a hint where to try next. */
+struct AppendReply { 1: bool success, 2: i64 match_index, 3: i64 round }
+
+struct SnapshotChunk {
+  1: i64 last_index, 2: i64 last_term, 3: Membership membership,
+  4: i64 offset, 5: binary data, 6: bool done, 7: i64 round
+}
+
+struct SnapshotReply { 1: i64 last_index, 2: i64 next_offset, 3: bool installed, 4: i64 round }
+
+union RaftPayload {
+  1: VoteRequest vote_request, 2: VoteReply vote_reply,
+  3: AppendRequest append_request, 4: AppendReply append_reply,
+  5: SnapshotChunk snapshot_chunk, 6: SnapshotReply snapshot_reply
+}
+
+struct RaftMessage { 1: string sender, 2: string recipient, 3: i64 term, 4: RaftPayload payload, 5: i32 shard }
+
+/** One synced write of the log: hard state, entries, or both; one checksum covers it. */
+struct WalRecord { 1: optional i64 term, 2: optional string voted_for, 3: list<LogEntry> entries }
+
+struct SnapshotFile { 1: i64 last_index, 2: i64 last_term, 3: Membership membership, 4: binary state }
+
+/** What a data folder is: written once when it is first used. */
+struct DiskIdentity { 1: string replica_id, 2: optional Membership genesis }
+
+struct ProbeReply { 1: string replica_id, 2: optional Membership genesis }
+
+// -------------------------------------------------------------------- targets
+
+/** What a worker declares when it announces itself. */
+struct WorkerAnnouncement {
+  1: string worker_id, 2: string incarnation, 3: string url, 4: string failure_domain, 5: string rack,
+  6: i32 slots, 7: i32 connections, 8: double cores, 9: i64 memory_mb, 10: i32 accelerators
+}
+
+/** The owner's view of one worker, as told to the control leader. */
+struct WorkerNote {
+  1: string worker_id, 2: i64 epoch, 3: bool adopted, 4: bool leaving,
+  5: i32 critical_in_flight, 6: i32 batch_running, 7: double slowdown, 8: bool quarantined,
+  9: bool lease_lapsed, 10: string incarnation
+}
+
+// ----------------------------------------------------------------- job ledger
+
+/** Names one attempt of one job. `shard` is the control group which holds the job. */
+struct AttemptKey { 1: string job_id, 2: i32 attempt, 3: i32 shard }
+
+enum OutcomeKind { FINISHED = 1, FAILED = 2, NOT_RUN = 3, EVICTED = 4, LOST = 5, STOPPED = 6 }
+
+struct AttemptOutcome {
+  1: AttemptKey key, 2: OutcomeKind kind, 3: string reason, 4: optional binary result,
+  5: optional string checkpoint_id, 6: i64 run_ms
+}
+
+/** An order to an entry host: start this attempt on a worker it owns. */
+struct StartOrder {
+  1: AttemptKey key, 2: string worker_id, 3: string class_name, 4: binary body,
+  5: optional string checkpoint_id, 6: bool repeatable, 7: double cores, 8: i64 memory_mb,
+  9: i32 accelerators, 10: string worker_incarnation, 11: string trace_id
+}
+
+/** An order to an entry host: checkpoint and stop (evict), or stop for good (cancel). */
+struct StopOrder { 1: AttemptKey key, 2: string worker_id, 3: bool checkpoint, 4: string reason }
+
+// --------------------------------------------------------------- log commands
+
+struct ApplyConfiguration {
+  1: string operation_id, 2: i64 expected_version, 3: string document, 4: string author
+}
+
+struct SubmitJob {
+  1: string job_id, 2: string team, 3: string key, 4: string class_name, 5: binary body,
+  6: bool urgent, 7: string body_digest, 8: string trace_id
+}
+
+struct CancelJob { 1: string job_id }
+
+struct AttemptStart { 1: string job_id, 2: i32 attempt, 3: string worker_id, 4: string worker_incarnation }
+
+struct StartAttempts { 1: list<AttemptStart> starts }
+
+struct SettleAttempts { 1: list<AttemptOutcome> outcomes }
+
+struct RequestEvictions { 1: list<AttemptKey> keys, 2: string reason }
+
+struct RegisterWorkers { 1: list<WorkerAnnouncement> workers }
+
+/** Why a worker takes no new work, or is gone. */
+enum WorkerStanding { ACTIVE = 0, DRAINED = 1, LEAVING = 2, LOST = 3 }
+
+struct ChangeStanding { 1: string operation_id, 2: string worker_id, 3: WorkerStanding standing, 4: string incarnation }
+
+struct Assignment { 1: string worker_id, 2: string entry_id, 3: string entry_incarnation }
+
+struct AssignWorkers { 1: list<Assignment> assignments }
+
+struct RegisterEntry {
+  1: string entry_id, 2: string incarnation, 3: string address, 4: string http_url, 5: string failure_domain
+}
+
+/** `incarnation` guards against removing an entry which has restarted meanwhile. */
+struct RemoveEntry { 1: string entry_id, 2: string incarnation }
+
+struct ExpireRecords { 1: i64 results_before_ms, 2: i64 operations_before_ms }
+
+union CommandBody {
+  1: ApplyConfiguration apply_configuration, 2: SubmitJob submit_job, 3: CancelJob cancel_job,
+  4: StartAttempts start_attempts, 5: SettleAttempts settle_attempts,
+  6: RequestEvictions request_evictions, 7: RegisterWorkers register_workers,
+  8: ChangeStanding change_standing, 9: AssignWorkers assign_workers,
+  10: RegisterEntry register_entry, 11: RemoveEntry remove_entry, 12: ExpireRecords expire_records
+}
+
+/** `at_ms` is the proposing leader's wall clock: for records and expiry, never for leases. */
+struct Command { 1: i64 at_ms, 2: CommandBody body }
+
+// --------------------------------------------------------- entry <-> control
+
+struct EntryPeer { 1: string entry_id, 2: string address, 3: i32 free_slots }
+
+struct OwnedWorker { 1: WorkerAnnouncement worker, 2: i64 epoch, 3: WorkerStanding standing }
+
+/** An entry host's periodic report; it also renews the entry's lease. */
+struct SyncRequest {
+  1: string entry_id, 2: string incarnation, 3: string address, 4: string http_url,
+  5: string failure_domain, 6: i64 configuration_version, 7: i64 assignment_version,
+  8: bool leaving, 9: list<WorkerAnnouncement> announcements, 10: list<WorkerNote> notes,
+  11: list<AttemptKey> acknowledged_starts, 12: list<AttemptKey> acknowledged_stops,
+  13: i32 free_slots, 14: i32 shard, 15: double wait_seconds
+}
+
+struct SyncReply {
+  1: i64 lease_ms, 2: i64 configuration_version, 3: optional string configuration,
+  4: i64 assignment_version, 5: optional list<OwnedWorker> owned, 6: list<StartOrder> starts,
+  7: list<StopOrder> stops, 8: list<EntryPeer> peers, 9: i64 leader_term
+}
+
+struct SubmitReply { 1: string job_id, 2: bool duplicate, 3: string state }
+
+struct ApplyReply { 1: i64 version, 2: bool duplicate }
+
+struct JobView {
+  1: string job_id, 2: string team, 3: string class_name, 4: string state, 5: i32 attempt,
+  6: string reason, 7: optional binary result, 8: string story
+}
+
+exception NotLeader { 1: string leader_address }
+
+/** Nothing was decided, or it cannot be known whether it was (`outcome_unknown`). */
+exception Unavailable { 1: string reason, 2: bool outcome_unknown }
+
+/** The request was understood and refused for good; nothing was changed. */
+exception Refused { 1: string reason, 2: string detail }
+
+exception Unauthenticated { 1: string reason }
+
+struct CriticalRequest {
+  1: string service_name, 2: string team, 3: string content_type, 4: binary body,
+  5: i32 timeout_ms, 6: string request_id, 7: string trace_id
+}
+
+struct CriticalAnswer { 1: i32 status, 2: string content_type, 3: binary body, 4: string worker_id, 5: i32 attempts }
+
+service PeerLink {
+  /** First call on a connection: returns the server's nonce. */
+  binary hello(),
+  /** Second call: proves knowledge of the cluster key over that nonce. */
+  void authenticate(1: binary proof) throws (1: Unauthenticated unauthenticated)
+}
+
+service ControlService extends PeerLink {
+  oneway void deliver(1: list<RaftMessage> messages),
+  ProbeReply probe() throws (1: Unauthenticated unauthenticated),
+  void join(1: Member member) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
+  SyncReply sync(1: SyncRequest request) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
+  /** Settles attempts which have ended; returns once that is durable. */
+  void settle(1: list<AttemptOutcome> outcomes) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
+  /** Retires a replica for good, by host name or replica id. */
+  void remove_replica(1: string name) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  SubmitReply submit(1: SubmitJob job) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  JobView cancel(1: string team, 2: string job_id) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  JobView job(1: string team, 2: string job_id, 3: double wait_seconds) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  ApplyReply apply(1: ApplyConfiguration change) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  void change_standing(1: ChangeStanding change) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  /** Operators' views, as JSON made by the leader: `status`, `targets`, `jobs`, `history`, `configuration`. */
+  string view(1: string name, 2: string argument) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated)
+}
+
+service EntryService extends PeerLink {
+  /** Runs a critical request here for an entry host that has no capacity left. */
+  CriticalAnswer serve(1: CriticalRequest request) throws (1: Refused refused, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated)
+}
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,66 @@
+"""The demo: a whole site on loopback under mixed load, its control leader killed.
+
+Ends with status 0 only if nothing was lost, doubled, or run twice.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import sys  # noqa: E402
+import tempfile  # noqa: E402
+
+import click  # noqa: E402
+
+from .load import Load, Plan, broken_promises, table, unrepeatable_keys  # noqa: E402
+from .record import judge, read  # noqa: E402
+from .site import Site  # noqa: E402
+
+
+@click.command()
+@click.option("--seconds", default=20.0, help="How long load is sent.")
+@click.option("--critical-per-s", default=60.0)
+@click.option("--jobs-per-s", default=4.0)
+@click.option("--seed", default=1)
+def main(seconds: float, critical_per_s: float, jobs_per_s: float, seed: int) -> None:
+    """Run the demo."""
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(folder, controls=3, entries=2, workers=8)
+        click.echo("starting 3 control hosts, 2 entry hosts and 8 stand-in workers ...")
+        with site.running():
+            plan = Plan(
+                entry_urls=site.entry_urls,
+                token=site.team_token(),
+                service="quotes",
+                critical_per_s=critical_per_s,
+                jobs_per_s=jobs_per_s,
+                job_classes=["routing", "truck-dispatch"],
+                unrepeatable_classes={"truck-dispatch"},
+                seconds=seconds,
+                seed=seed,
+            )
+            eventlet.spawn_after(seconds / 2, _kill_leader, site)
+            click.echo(f"sending load for {seconds:.0f} s; the control leader dies in the middle")
+            load = Load(plan)
+            ledger = load.run()
+        verdict = judge(read(site.record_path), unrepeatable_keys(ledger))
+        click.echo(table(ledger, verdict))
+        broken = broken_promises(ledger, verdict)
+        for promise in broken:
+            click.echo(f"BROKEN {promise}")
+        click.echo("nothing lost, nothing doubled" if not broken else "promises were broken")
+    sys.exit(1 if broken else 0)
+
+
+def _kill_leader(site: Site) -> None:
+    name = site.leader()
+    click.echo(f"killing {name}, which leads")
+    site.by_name[name].kill()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/host.py
@@ -0,0 +1,208 @@
+"""Gives stand-in workers their HTTP ports, reports and announcements.
+
+``python -m standins.host`` plays many workers in one process.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+
+import json  # noqa: E402
+import random  # noqa: E402
+import signal  # noqa: E402
+import time  # noqa: E402
+
+import click  # noqa: E402
+import urllib3  # noqa: E402
+from eventlet import wsgi  # noqa: E402
+from eventlet.event import Event  # noqa: E402
+from werkzeug.wrappers import Request, Response  # noqa: E402
+
+from .record import Record  # noqa: E402
+from .worker import Behaviour, NotOwner, Refused, Shape, Worker  # noqa: E402
+
+ANNOUNCE_SECONDS = 1.0
+REPORT_TIMEOUT_SECONDS = 2.0
+GATHER_SECONDS = 0.02
+
+
+class WorkerHost:
+    """One stand-in worker on its own port."""
+
+    def __init__(self, worker: Worker, entry_urls: list[str], token: str):
+        self.worker = worker
+        self._entry_urls = entry_urls
+        self._headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        self._http = urllib3.PoolManager(retries=False, timeout=REPORT_TIMEOUT_SECONDS)
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        worker.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
+        self.threads = [
+            eventlet.spawn(wsgi.server, self._listener, self._serve, log_output=False),
+            eventlet.spawn(self._talk),
+        ]
+
+    def kill(self) -> None:
+        """Die as a host does: at once, with everything it ran."""
+        for thread in self.threads:
+            thread.kill()
+        for task in self.worker.running():
+            task.thread.kill()
+        self._listener.close()
+        worker = self.worker
+        worker.record.write("died", worker.shape.worker_id, incarnation=worker.incarnation)
+
+    # ------------------------------------------------------------ as a server
+
+    @Request.application
+    def _serve(self, request: Request) -> Response:
+        try:
+            return self._answer(request)
+        except NotOwner as error:
+            return Response(str(error), 409, {"Savoryshelf-Not-Run": str(error)})
+        except Refused as error:
+            return Response(str(error), 503, {"Savoryshelf-Not-Run": str(error)})
+        except RuntimeError as error:
+            return Response(str(error), 500)
+
+    def _answer(self, request: Request) -> Response:
+        worker = self.worker
+        body = request.get_data()
+        if request.path == "/v1/adopt":
+            call = json.loads(body)
+            return _json(
+                worker.adopt(
+                    call["epoch"], call["owner_url"], call["lease_s"], call["report_interval_s"]
+                )
+            )
+        worker.require_epoch(int(request.headers["Savoryshelf-Epoch"]))
+        if request.path.startswith("/v1/services/"):
+            size = tuple(float(each) for each in request.headers["Savoryshelf-Size"].split(";"))
+            answer = worker.run_critical(
+                request.headers["Savoryshelf-Request-Id"], body, (size[0], size[1])
+            )
+            return Response(answer, content_type=request.content_type)
+        if request.path == "/v1/tasks":
+            return self._start(request, body)
+        call = json.loads(body)
+        attempt_id = (call["job_id"], int(call["attempt"]))
+        if request.path == "/v1/tasks/stop":
+            worker.stop(attempt_id, call["checkpoint"])
+            return _json({})
+        if request.path == "/v1/tasks/settle":
+            return _json({"known": worker.settle(attempt_id)})
+        return Response("no such path", 404)
+
+    def _start(self, request: Request, body: bytes) -> Response:
+        headers = request.headers
+        cores, memory_mb, accelerators = headers["Savoryshelf-Size"].split(";")
+        self.worker.start(
+            (headers["Savoryshelf-Job"], int(headers["Savoryshelf-Attempt"])),
+            headers["Savoryshelf-Class"],
+            body,
+            (float(cores), float(memory_mb), int(accelerators)),
+            headers["Savoryshelf-Checkpoint"],
+            headers["Savoryshelf-Incarnation"],
+        )
+        return Response("", 202)
+
+    # ------------------------------------------------------------ as a client
+
+    def _talk(self) -> None:
+        """Announce until adopted, then report; when the lease runs out, stop all and start over."""
+        worker = self.worker
+        eventlet.sleep(random.uniform(0, ANNOUNCE_SECONDS / 2))
+        while True:
+            if worker.owner_url:
+                self._report()
+            else:
+                self._post(random.choice(self._entry_urls) + "/v1/targets", worker.announcement())
+            if worker.owner_url and time.monotonic() > worker.lease_deadline:
+                worker.stop_all("lease ran out")
+                worker.owner_url = ""
+            self._wait()
+
+    def _wait(self) -> None:
+        worker = self.worker
+        seconds = worker.report_interval_s if worker.owner_url else ANNOUNCE_SECONDS
+        if any(task.state != "running" for task in worker.tasks.values()):
+            # Ends that are not acknowledged yet: the owner may be telling control.
+            seconds = min(seconds, 0.2)
+        with eventlet.Timeout(seconds * random.uniform(0.9, 1.1), False):
+            worker.ended.wait()
+            eventlet.sleep(GATHER_SECONDS)
+        if worker.ended.ready():
+            worker.ended = Event()
+
+    def _report(self) -> None:
+        worker = self.worker
+        asked_at, owner_url = time.monotonic(), worker.owner_url
+        url = f"{owner_url}/v1/targets/{worker.shape.worker_id}/report"
+        status, reply = self._post(url, worker.report())
+        if status == 200:
+            worker.renewed(asked_at, reply)
+        elif status == 409 and worker.owner_url == owner_url:
+            # Not its worker any more: the next owner will come, or must be found.
+            self._post(random.choice(self._entry_urls) + "/v1/targets", worker.announcement())
+
+    def _post(self, url: str, content: dict) -> tuple[int, dict]:
+        try:
+            response = self._http.request(
+                "POST", url, body=json.dumps(content), headers=self._headers
+            )
+            return response.status, json.loads(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, ValueError):
+            return 0, {}
+
+
+def _json(content: dict) -> Response:
+    return Response(json.dumps(content), content_type="application/json")
+
+
+@click.command()
+@click.option("--count", default=4, help="How many workers.")
+@click.option("--first", default=0, help="Number of the first worker.")
+@click.option("--entries", required=True, help="URLs of entry hosts, separated by commas.")
+@click.option("--token", required=True, help="The targets' token.")
+@click.option("--record", "record_path", required=True, help="File of the record.")
+@click.option("--domains", default="fd-1,fd-2,fd-3", help="Failure domains, by commas.")
+@click.option("--per-rack", default=10)
+@click.option("--slots", default=8)
+@click.option("--cores", default=16.0)
+@click.option("--memory-mb", default=60_000)
+@click.option("--accelerators", default=0)
+@click.option("--noise", default="", help="class=factor items, separated by commas.")
+def main(
+    count, first, entries, token, record_path, domains, per_rack, slots, cores, memory_mb,
+    accelerators, noise,
+) -> None:  # fmt: skip
+    """Play workers until told to stop."""
+    record = Record(record_path)
+    domain_names = domains.split(",")
+    noise_by_class = {
+        name: float(factor) for name, factor in (n.split("=") for n in noise.split(",") if n)
+    }
+    for number in range(first, first + count):
+        rack = number // per_rack
+        shape = Shape(
+            worker_id=f"w{number:03d}",
+            failure_domain=domain_names[rack % len(domain_names)],
+            rack=f"rack-{rack}",
+            slots=slots,
+            cores=cores,
+            memory_mb=memory_mb,
+            accelerators=accelerators,
+        )
+        worker = Worker(shape, record, Behaviour(noise_by_class=noise_by_class))
+        WorkerHost(worker, entries.split(","), token)
+    stop = Event()
+    signal.signal(signal.SIGTERM, lambda *_: stop.send(None))
+    stop.wait()
+
+
+if __name__ == "__main__":
+    main()
