--- /dev/null
+++ b/standins/record.py
@@ -0,0 +1,98 @@
+"""The workers' own record of what they ran, and the verdict it gives.
+
+Each line is one JSON object with the event, the worker, the time, and the key
+which the caller put into the request.
+"""
+
+import json
+import time
+from collections import defaultdict
+
+import attrs
+
+
+class Record:
+    """Appends events to a file that every worker of a process shares."""
+
+    def __init__(self, path: str):
+        self._file = open(path, "a", encoding="utf-8", buffering=1)  # noqa: SIM115
+
+    def write(self, event: str, worker_id: str, **fields) -> None:
+        """Add one event."""
+        line = {"event": event, "worker": worker_id, "at": time.monotonic(), **fields}
+        self._file.write(json.dumps(line) + "\n")
+
+
+@attrs.define
+class Verdict:
+    """What the record shows against the promises."""
+
+    ran_once: int = 0
+    doubled: list[str] = attrs.field(factory=list)
+    overlapping: list[str] = attrs.field(factory=list)
+    over_capacity: list[str] = attrs.field(factory=list)
+    guard_refusals: int = 0
+    critical_run_keys: set[str] = attrs.field(factory=set)
+    started_keys: set[str] = attrs.field(factory=set)
+
+    @property
+    def broken(self) -> list[str]:
+        """Return every promise broken, in words."""
+        return [
+            *(f"doubled: {key}" for key in self.doubled),
+            *(f"ran in two places: {key}" for key in self.overlapping),
+            *(f"over capacity: {worker}" for worker in self.over_capacity),
+        ]
+
+
+def read(path: str) -> list[dict]:
+    """Return the events of a record; a line cut by a kill is left out."""
+    events = []
+    with open(path, encoding="utf-8") as file:
+        for line in file:
+            if line.endswith("\n"):
+                events.append(json.loads(line))
+    return sorted(events, key=lambda event: event["at"])
+
+
+def judge(events: list[dict], unrepeatable_keys: set[str]) -> Verdict:
+    """Return the verdict on a record.
+
+    A key which may not be repeated is doubled when it starts twice without a
+    checkpoint in between; any key is doubled when it finishes twice.
+    """
+    verdict = Verdict()
+    running_by_key: dict[str, set[tuple]] = defaultdict(set)
+    fresh_starts: dict[str, int] = defaultdict(int)
+    finishes: dict[str, int] = defaultdict(int)
+    for event in events:
+        key = event.get("key", "")
+        where = (event["worker"], event.get("incarnation"), event.get("attempt"))
+        match event["event"]:
+            case "start":
+                verdict.started_keys.add(key)
+                if running_by_key[key]:
+                    verdict.overlapping.append(key)
+                running_by_key[key].add(where)
+                fresh_starts[key] += 0 if event["checkpoint"] else 1
+            case "end":
+                running_by_key[key].discard(where)
+                finishes[key] += 1 if event["state"] == "finished" else 0
+            case "died":
+                for places in running_by_key.values():
+                    places -= {p for p in places if p[:2] == where[:2]}
+            case "critical":
+                verdict.critical_run_keys.add(key)
+            case "guard_refused":
+                verdict.guard_refusals += 1
+            case "over_capacity":
+                verdict.over_capacity.append(event["worker"])
+    for key, count in finishes.items():
+        if count > 1:
+            verdict.doubled.append(key)
+        elif count == 1:
+            verdict.ran_once += 1
+    for key in unrepeatable_keys:
+        if fresh_starts[key] > 1 and key not in verdict.doubled:
+            verdict.doubled.append(key)
+    return verdict
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,239 @@
+"""A whole site on loopback: real processes of the product and stand-in workers."""
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import attrs
+import urllib3
+
+from savoryshelf.tokens import OPERATOR, TARGET, TEAM_PREFIX, issue
+
+CLUSTER_KEY = "loopback-cluster-key"
+TOKEN_KEY = "loopback-tokens-key"  # noqa: S105
+DOMAINS = ("fd-1", "fd-2", "fd-3")
+READY_PATIENCE_SECONDS = 40.0
+STOP_PATIENCE_SECONDS = 20.0
+
+DECLARATIONS = {
+    "customer": "demo",
+    "site": "loopback",
+    "services": {"quotes": {"target_ms": 250, "timeout_ms": 3000, "cores": 1, "memory_mb": 512}},
+    "batch_classes": {
+        "routing": {"repeatable": True, "cores": 2, "memory_mb": 2048},
+        "truck-dispatch": {"repeatable": False, "cores": 1, "memory_mb": 512},
+    },
+    "teams": {"recife": {"max_running": 200, "max_queued": 5000}},
+    "limits": {"report_interval_s": 1.0, "task_lease_s": 4.0},
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports which nothing uses now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(("127.0.0.1", 0))
+        return [each.getsockname()[1] for each in sockets]
+
+
+@attrs.define
+class Process:
+    """One process of the site, and how to start it again."""
+
+    name: str
+    command: list[str]
+    environment: dict[str, str]
+    log_path: str
+    popen: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start it."""
+        with open(self.log_path, "a", encoding="utf-8") as log:
+            self.popen = subprocess.Popen(
+                self.command, env=os.environ | self.environment, stdout=log, stderr=log
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill it at once, as a failing host would."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def stop(self) -> int:
+        """Stop it gracefully and return its exit code."""
+        self.popen.terminate()
+        try:
+            return self.popen.wait(STOP_PATIENCE_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+
+class Site:
+    """Processes by name, and the calls that tests and the demo make."""
+
+    def __init__(
+        self,
+        folder: str,
+        controls: int = 3,
+        entries: int = 2,
+        workers: int = 6,
+        declarations: dict | None = None,
+        worker_options: list[str] | None = None,
+    ):
+        self.folder = folder
+        self.declarations = declarations or DECLARATIONS
+        self.record_path = os.path.join(folder, "record.jsonl")
+        self.by_name: dict[str, Process] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=32)
+        self._version = 0
+        self._add_controls(controls)
+        self._add_entries(entries)
+        self._add_workers(workers, worker_options or [])
+
+    # ------------------------------------------------------------------ processes
+
+    def _add_controls(self, count: int) -> None:
+        self.control_addresses = [f"127.0.0.1:{port}" for port in free_ports(count)]
+        self.control_http = [f"127.0.0.1:{port}" for port in free_ports(count)]
+        self.hosts = ",".join(
+            f"c{n}={address}@{DOMAINS[n % 3]}" for n, address in enumerate(self.control_addresses)
+        )
+        for number in range(count):
+            settings = {
+                "ROLE": "control",
+                "NAME": f"c{number}",
+                "LISTEN": self.control_addresses[number],
+                "HTTP_LISTEN": self.control_http[number],
+                "DATA_FOLDER": os.path.join(self.folder, f"c{number}-data"),
+                "FAILURE_DOMAIN": DOMAINS[number % 3],
+            }
+            self._add_daemon(f"c{number}", settings)
+
+    def _add_entries(self, count: int) -> None:
+        self.entry_urls = [f"http://127.0.0.1:{port}" for port in free_ports(count)]
+        peer_ports = free_ports(count)
+        for number in range(count):
+            settings = {
+                "ROLE": "entry",
+                "NAME": f"e{number}",
+                "LISTEN": f"127.0.0.1:{peer_ports[number]}",
+                "HTTP_LISTEN": self.entry_urls[number].removeprefix("http://"),
+                "TOKEN_KEY": TOKEN_KEY,
+                "FAILURE_DOMAIN": DOMAINS[number % 3],
+                "DRAIN_SECONDS": "0.5",
+            }
+            self._add_daemon(f"e{number}", settings)
+
+    def _add_daemon(self, name: str, settings: dict[str, str]) -> None:
+        settings |= {"CONTROL_HOSTS": self.hosts, "CLUSTER_KEY": CLUSTER_KEY}
+        environment = {f"SAVORYSHELF_{key}": value for key, value in settings.items()}
+        self._add(name, [sys.executable, "-m", "savoryshelf.daemon.main"], environment)
+
+    def _add_workers(self, count: int, options: list[str]) -> None:
+        command = [sys.executable, "-m", "standins.host", "--count", str(count)]
+        command += ["--entries", ",".join(self.entry_urls), "--record", self.record_path]
+        command += ["--token", issue(TOKEN_KEY, TARGET), *options]
+        self._add("workers", command, {})
+
+    def _add(self, name: str, command: list[str], environment: dict[str, str]) -> None:
+        log_path = os.path.join(self.folder, f"{name}.log")
+        self.by_name[name] = Process(name, command, environment, log_path)
+
+    @contextlib.contextmanager
+    def running(self):
+        """Start everything, wait until it serves, and stop it all at the end."""
+        try:
+            for process in self.by_name.values():
+                process.start()
+            self.wait_until_serving()
+            yield self
+        finally:
+            for process in self.by_name.values():
+                if process.popen is not None and process.popen.poll() is None:
+                    process.signal(signal.SIGCONT)
+                    process.kill()
+
+    # ---------------------------------------------------------------------- calls
+
+    def call(self, method: str, path: str, token: str, url: str = "", **options):
+        """Make one HTTP call to an entry host; return status and JSON content, or bytes."""
+        headers = {"Authorization": f"Bearer {token}"} | options.pop("headers", {})
+        target = (url or self.entry_urls[0]) + path
+        response = self.http.request(method, target, headers=headers, **options)
+        if "json" in response.headers.get("Content-Type", ""):
+            return response.status, json.loads(response.data)
+        return response.status, response.data
+
+    @property
+    def operator_token(self) -> str:
+        """Return the operators' token."""
+        return issue(TOKEN_KEY, OPERATOR)
+
+    def team_token(self, team: str = "recife") -> str:
+        """Return a team's token."""
+        return issue(TOKEN_KEY, TEAM_PREFIX + team)
+
+    def view(self, name: str, argument: str = "", url: str = ""):
+        """Return an operator's view, or None while it cannot be had."""
+        path = f"/v1/operator/views/{name}?argument={argument}"
+        try:
+            status, content = self.call("GET", path, self.operator_token, url)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        return content if status == 200 else None
+
+    def apply(self, declarations: dict, expected_version: int, operation_id: str, url: str = ""):
+        """Apply declarations; return status and content."""
+        change = {
+            "declarations": declarations,
+            "expected_version": expected_version,
+            "operation_id": operation_id,
+            "author": "stand-in",
+        }
+        path = "/v1/operator/configuration"
+        return self.call("PUT", path, self.operator_token, url, body=json.dumps(change))
+
+    def wait_until_serving(self) -> None:
+        """Wait for a leader, put the declarations in force, and wait for adopted workers."""
+        self.wait_for(lambda: self.view("status") is not None, "a control leader")
+        self.wait_for(lambda: self.apply(self.declarations, 0, "first")[0] == 200, "configuration")
+        self.wait_for(self._all_ready, "entry hosts to be ready")
+        self.wait_for(self._all_adopted, "workers to be adopted")
+
+    def _all_ready(self) -> bool:
+        return all(
+            self.http.request("GET", url + "/readyz").status == 200 for url in self.entry_urls
+        )
+
+    def _all_adopted(self) -> bool:
+        targets = self.view("targets") or []
+        command = self.by_name["workers"].command
+        expected = int(command[command.index("--count") + 1])
+        return len(targets) >= expected and all(t["adopted"] for t in targets)
+
+    def wait_for(self, condition, what: str, seconds: float = READY_PATIENCE_SECONDS):
+        """Wait until ``condition`` returns something true, and return it."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            try:
+                value = condition()
+            except (urllib3.exceptions.HTTPError, OSError):
+                value = None
+            if value:
+                return value
+            time.sleep(0.1)
+        raise TimeoutError(f"waited {seconds} s for {what}; logs are in {self.folder}")
+
+    def leader(self) -> str:
+        """Return the name of the control host that leads."""
+        return self.wait_for(lambda: self.view("status"), "a leader")["leader"].partition(".")[0]
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,306 @@
+"""A stand-in of one worker: the platform's side of the interface to targets.
+
+It has slots, sizes and a guard, runs tasks under a lease, can checkpoint and
+stop them, reports with a lag, and slows down by which tasks share it.
+"""
+
+import base64
+import json
+import secrets
+import time
+
+import attrs
+import eventlet
+from eventlet.event import Event
+
+from .record import Record
+
+LONGEST_REPORT_BYTES = 512 * 1024
+
+
+@attrs.define
+class Behaviour:
+    """How a stand-in misbehaves; changed while it runs."""
+
+    fails_everything: bool = False
+    hangs: bool = False
+    size_factor: float = 1.0
+    """Real use of memory over the declared one."""
+
+    noise_by_class: dict[str, float] = attrs.field(factory=dict)
+    """How much each running batch task of a class slows down its neighbours."""
+
+
+@attrs.define
+class Task:
+    """One attempt, running or ended."""
+
+    job_id: str
+    attempt: int
+    key: str
+    class_name: str
+    size: tuple[float, float, int]
+    run_s: float
+    state: str = "running"
+    done_s: float = 0.0
+    result: bytes = b""
+    reason: str = ""
+    checkpoint_id: str = ""
+    thread: object = None
+
+    def view(self) -> dict:
+        """Return the task as reports show it."""
+        cores, memory_mb, accelerators = self.size
+        return {
+            "job_id": self.job_id,
+            "attempt": self.attempt,
+            "state": self.state,
+            "cores": cores,
+            "memory_mb": memory_mb,
+            "accelerators": accelerators,
+            "reason": self.reason,
+            "result": base64.b64encode(self.result).decode(),
+            "checkpoint_id": self.checkpoint_id,
+            "run_ms": int(self.done_s * 1000),
+        }
+
+
+class Refused(Exception):
+    """The worker did not run this and never will."""
+
+
+class NotOwner(Refused):
+    """The caller's epoch is not the one this worker was adopted under."""
+
+
+@attrs.define
+class Shape:
+    """What a worker declares of itself."""
+
+    worker_id: str
+    failure_domain: str
+    rack: str
+    slots: int = 8
+    connections: int = 64
+    cores: float = 16.0
+    memory_mb: int = 60_000
+    accelerators: int = 0
+
+
+class Worker:
+    """The rules of one stand-in worker; ``host.py`` gives it an HTTP port."""
+
+    def __init__(self, shape: Shape, record: Record, behaviour: Behaviour | None = None):
+        self.shape = shape
+        self.record = record
+        self.behaviour = behaviour or Behaviour()
+        self.incarnation = secrets.token_hex(6)
+        self.url = ""
+        self.epoch = -1
+        self.owner_url = ""
+        self.lease_deadline = 0.0
+        self.lease_s = 10.0
+        self.report_interval_s = 2.0
+        self.leaving = False
+        self.tasks: dict[tuple[str, int], Task] = {}
+        self.critical: dict[str, tuple[float, float]] = {}
+        self.checkpoints: dict[str, float] = {}
+        self.ended = Event()
+        self._refused_attempts: set[tuple[str, int]] = set()
+
+    # ------------------------------------------------------------------ capacity
+
+    def running(self) -> list[Task]:
+        """Return the tasks that run now."""
+        return [task for task in self.tasks.values() if task.state == "running"]
+
+    def in_use(self) -> int:
+        """Return the slots in use."""
+        return len(self.running()) + len(self.critical)
+
+    def slowdown(self) -> float:
+        """Return how much longer work takes now, by what shares the worker."""
+        noise = self.behaviour.noise_by_class
+        return 1.0 + sum(noise.get(task.class_name, 0.0) for task in self.running())
+
+    def _guard(self, cores: float, memory_mb: float, accelerators: int = 0) -> None:
+        running, critical = self.running(), self.critical.values()
+        fits = (
+            self.in_use() < self.shape.slots
+            and sum(t.size[0] for t in running) + sum(c for c, _ in critical) + cores
+            <= self.shape.cores
+            and sum(t.size[1] for t in running) + sum(m for _, m in critical) + memory_mb
+            <= self.shape.memory_mb
+            and sum(t.size[2] for t in running) + accelerators <= self.shape.accelerators
+        )
+        if not fits:
+            self.record.write("guard_refused", self.shape.worker_id)
+            raise Refused("guard")
+
+    def require_epoch(self, epoch: int) -> None:
+        """Refuse whoever is not the owner now."""
+        if epoch != self.epoch:
+            raise NotOwner("epoch")
+
+    # ------------------------------------------------------------------ critical
+
+    def run_critical(self, request_id: str, body: bytes, size: tuple[float, float]) -> bytes:
+        """Run one critical request; the answer holds the request's own bytes."""
+        spec = read_spec(body)
+        self._guard(*size)
+        self.critical[request_id] = size
+        self.record.write("critical", self.shape.worker_id, key=spec["key"], request=request_id)
+        try:
+            while self.behaviour.hangs:
+                eventlet.sleep(0.1)
+            if self.behaviour.fails_everything:
+                raise RuntimeError("this stand-in fails everything")
+            eventlet.sleep(spec["work_ms"] / 1000 * self.slowdown())
+        finally:
+            del self.critical[request_id]
+        return b"answer to " + body
+
+    # --------------------------------------------------------------------- batch
+
+    def start(
+        self,
+        attempt_id: tuple[str, int],
+        class_name: str,
+        body: bytes,
+        size: tuple[float, float, int],
+        checkpoint_id: str,
+        incarnation: str,
+    ) -> None:
+        """Start an attempt, once."""
+        if incarnation != self.incarnation:
+            raise Refused("incarnation")
+        if attempt_id in self._refused_attempts:
+            raise Refused("settled")
+        if attempt_id in self.tasks:
+            return
+        if self.leaving:
+            raise Refused("leaving")
+        self._guard(*size)
+        spec = read_spec(body)
+        task = Task(*attempt_id, spec["key"], class_name, size, spec["run_s"])
+        task.done_s = self._checkpointed(checkpoint_id)
+        task.result = b"result of " + body
+        self.tasks[attempt_id] = task
+        self._write("start", task, checkpoint=checkpoint_id)
+        task.thread = eventlet.spawn(self._run, task)
+
+    @staticmethod
+    def _checkpointed(checkpoint_id: str) -> float:
+        """Return the seconds of work that a checkpoint holds: here its id says so."""
+        return float(checkpoint_id.partition("@")[2] or 0) if checkpoint_id else 0.0
+
+    def _run(self, task: Task) -> None:
+        step_s = 0.02
+        while task.done_s < task.run_s or self.behaviour.hangs:
+            eventlet.sleep(step_s)
+            task.done_s += step_s / self.slowdown()
+        if self.behaviour.fails_everything:
+            self._end(task, "failed", reason="this stand-in fails everything")
+        else:
+            self._end(task, "finished")
+
+    def _end(self, task: Task, state: str, reason: str = "", checkpoint_id: str = "") -> None:
+        task.state, task.reason, task.checkpoint_id = state, reason, checkpoint_id
+        if state != "finished":
+            task.result = b""
+        self._write("end", task, state=state)
+        if not self.ended.ready():
+            self.ended.send(None)
+
+    def stop(self, attempt_id: tuple[str, int], checkpoint: bool) -> None:
+        """Stop an attempt; with a checkpoint it can be resumed elsewhere."""
+        task = self.tasks.get(attempt_id)
+        if task is None or task.state != "running":
+            return
+        task.thread.kill()
+        checkpoint_id = f"{task.job_id}-{task.attempt}@{task.done_s:.3f}"
+        if checkpoint:
+            self._end(task, "evicted", checkpoint_id=checkpoint_id)
+        else:
+            self._end(task, "stopped")
+
+    def settle(self, attempt_id: tuple[str, int]) -> bool:
+        """Say whether an attempt was taken; one that was not never will be."""
+        if attempt_id in self.tasks:
+            return True
+        self._refused_attempts.add(attempt_id)
+        return False
+
+    # ----------------------------------------------------------- owner and lease
+
+    def adopt(self, epoch: int, owner_url: str, lease_s: float, report_interval_s: float) -> dict:
+        """Take a new owner; an older epoch is refused from now on."""
+        if epoch < self.epoch:
+            raise NotOwner("epoch")
+        self.epoch, self.owner_url = epoch, owner_url
+        self.lease_s, self.report_interval_s = lease_s, report_interval_s
+        self.lease_deadline = time.monotonic() + lease_s
+        return {
+            "incarnation": self.incarnation,
+            "tasks": [task.view() for task in self.tasks.values()],
+            "critical": [
+                {"request_id": request_id, "cores": cores, "memory_mb": memory_mb}
+                for request_id, (cores, memory_mb) in self.critical.items()
+            ],
+        }
+
+    def renewed(self, asked_at: float, reply: dict) -> None:
+        """Take the owner's answer to a report."""
+        self.lease_s = reply["lease_s"]
+        self.report_interval_s = reply["report_interval_s"]
+        self.lease_deadline = asked_at + self.lease_s
+        for each in reply["acknowledged"]:
+            self.tasks.pop((each["job_id"], each["attempt"]), None)
+
+    def stop_all(self, reason: str) -> None:
+        """Stop every task: the lease ran out, and the work may be given to others."""
+        for task in self.running():
+            task.thread.kill()
+            self._end(task, "stopped", reason=reason)
+
+    def report(self) -> dict:
+        """Return what the owner hears."""
+        return {
+            "epoch": self.epoch,
+            "incarnation": self.incarnation,
+            "leaving": self.leaving,
+            "critical": list(self.critical),
+            "slowdown": self.slowdown(),
+            "tasks": [task.view() for task in self.tasks.values()],
+        }
+
+    def announcement(self) -> dict:
+        """Return what any entry host hears."""
+        return {
+            **attrs.asdict(self.shape),
+            "incarnation": self.incarnation,
+            "url": self.url,
+        }
+
+    def _write(self, event: str, task: Task, **fields) -> None:
+        self.record.write(
+            event,
+            self.shape.worker_id,
+            incarnation=self.incarnation,
+            job=task.job_id,
+            attempt=task.attempt,
+            key=task.key,
+            **fields,
+        )
+        if self.in_use() > self.shape.slots:
+            self.record.write("over_capacity", self.shape.worker_id)
+
+
+def read_spec(body: bytes) -> dict:
+    """Return what a stand-in caller asks of a stand-in worker: JSON, or defaults."""
+    spec = {"key": "", "work_ms": 20, "run_s": 0.5}
+    try:
+        content = json.loads(body)
+    except ValueError:
+        return spec
+    return spec | content if isinstance(content, dict) else spec
