--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # Formatter, linter and the whole suite.
 test: lint
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n 4
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
--- /dev/null
+++ b/specification/__main__.py
@@ -0,0 +1,55 @@
+"""Checks every model, and that each of its guards is needed; exits 1 otherwise."""
+
+import os
+import sys
+import time
+
+import click
+
+from . import attempts, configuration, election, ownership, repair  # noqa: F401
+from .model import MODELS, MUTANT_MAX_STATES, SMALL_VARIABLE, Specification, check
+
+
+@click.command()
+@click.argument("names", nargs=-1)
+def main(names: tuple[str, ...]) -> None:
+    """Check the models of these NAMES, or all."""
+    if os.environ.get(SMALL_VARIABLE) == "1":
+        click.echo("small bounds: repair checks logs of 2 entries instead of 3")
+    chosen = [MODELS[name] for name in names] if names else list(MODELS.values())
+    verdicts = [_check_one(each) for each in chosen]
+    sys.exit(0 if all(verdicts) else 1)
+
+
+def _check_one(model: Specification) -> bool:
+    started = time.perf_counter()
+    is_sound = True
+    for outcome in check(model.make(frozenset(model.guards))):
+        is_proved = outcome.holds is True and outcome.exhaustive
+        is_sound = is_sound and is_proved
+        verdict = "holds" if is_proved else "REFUTED" if outcome.holds is False else "UNDETERMINED"
+        click.echo(
+            f"{model.name}: {outcome.prop}: {outcome.states} states, "
+            f"exhaustive {outcome.exhaustive}, {verdict}"
+        )
+    for guard in model.guards:
+        is_sound = _check_mutant(model, guard) and is_sound
+    click.echo(f"{model.name}: {time.perf_counter() - started:.1f} s")
+    return is_sound
+
+
+def _check_mutant(model: Specification, guard: str) -> bool:
+    mutant = model.make(frozenset(model.guards) - {guard})
+    refuted = [outcome for outcome in check(mutant, MUTANT_MAX_STATES) if outcome.holds is False]
+    for outcome in refuted:
+        click.echo(
+            f"{model.name}: without '{guard}': refuted, {outcome.trace_length} states: "
+            f"{outcome.prop}"
+        )
+    if not refuted:
+        click.echo(f"{model.name}: without '{guard}': NOT REFUTED")
+    return bool(refuted)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/specification/attempts.py
@@ -0,0 +1,171 @@
+"""One job: intent, dispatch, settling, loss, eviction and resume.
+
+Two workers; each attempt is sent to the one it was placed on, and its start
+may arrive late or never.  A worker's task lease may run out: it stops what it
+runs, and takes nothing until it is adopted again.  The job may or may not be
+repeatable.  ``fresh`` counts starts without a checkpoint.
+"""
+
+from minicheck import Protocol
+
+from .model import specification
+
+WORKERS = (0, 1)
+MAX_ATTEMPT = 3
+QUEUED, PLACED, DONE, UNKNOWN = range(4)
+NOT_SENT, SENT, TAKEN, STOPPED, FENCED = range(5)
+
+NO_REPEAT = "what may have run and may not be repeated is not placed again"
+FENCE_BEFORE_NOT_RUN = "not run is said only after the worker refuses the attempt"
+MATCH_ATTEMPT = "an outcome settles only the attempt it names"
+WAIT_FOR_TASK_LEASE = "a silent worker is given up only when its task lease has run out"
+LAPSED_REFUSES = "a worker whose lease ran out takes nothing until it is adopted again"
+ADOPT_NEW_EPOCH = "a worker adopted again refuses what was sent before"
+ONE_RESUME = "a resume needs the eviction of the attempt before"
+GUARDS = (
+    NO_REPEAT,
+    FENCE_BEFORE_NOT_RUN,
+    MATCH_ATTEMPT,
+    WAIT_FOR_TASK_LEASE,
+    LAPSED_REFUSES,
+    ADOPT_NEW_EPOCH,
+    ONE_RESUME,
+)
+
+# State: whether it is repeatable; job state; attempt; whether it has a
+# checkpoint; per attempt (message state, worker); per worker (attempt that
+# runs there or 0, lease has run out); reports under way; fresh starts; results.
+_UNSENT = ((NOT_SENT, -1),) * MAX_ATTEMPT
+_IDLE = ((0, False),) * 2
+
+
+def _set(values, index, value):
+    return tuple(value if i == index else each for i, each in enumerate(values))
+
+
+@specification("attempts", GUARDS)
+def make(guards: frozenset[str]) -> Protocol:
+    """Return the model with these guards in place."""
+
+    def transitions(state):
+        if state[0] is None:
+            return [(f"repeatable {choice}", (choice, *state[1:])) for choice in (True, False)]
+        return [*_control(state), *_network(state), *_workers(state), *_settle(state)]
+
+    def _control(state):
+        repeatable, job, attempt, checkpoint, sent, workers, reports, fresh, results = state
+        rest = (workers, reports, fresh, results)
+        if job == QUEUED and attempt < MAX_ATTEMPT:
+            for w in WORKERS:
+                if not workers[w][1]:
+                    placed = _set(sent, attempt, (NOT_SENT, w))
+                    step = (repeatable, PLACED, attempt + 1, checkpoint, placed, *rest)
+                    yield f"place on {w}", step
+        if job != PLACED:
+            return
+        message, worker = sent[attempt - 1]
+        if message == NOT_SENT:
+            flying = _set(sent, attempt - 1, (SENT, worker))
+            yield "send", (repeatable, PLACED, attempt, checkpoint, flying, *rest)
+        if message == SENT:
+            # No answer came: ask the worker, which fences an attempt it does not know.
+            fenced = _set(sent, attempt - 1, (FENCED, worker))
+            after = fenced if FENCE_BEFORE_NOT_RUN in guards else sent
+            yield "settle as not run", (repeatable, QUEUED, attempt, checkpoint, after, *rest)
+        if workers[worker][1] or WAIT_FOR_TASK_LEASE not in guards:
+            again = repeatable or NO_REPEAT not in guards
+            after = QUEUED if again else UNKNOWN
+            yield "worker lost", (repeatable, after, attempt, checkpoint, sent, *rest)
+        if ONE_RESUME not in guards and checkpoint and attempt < MAX_ATTEMPT:
+            yield "resume again", (repeatable, QUEUED, attempt, checkpoint, sent, *rest)
+
+    def _network(state):
+        repeatable, job, attempt, checkpoint, sent, workers, reports, fresh, results = state
+        for number, (message, w) in enumerate(sent, start=1):
+            if message != SENT:
+                continue
+            running, lapsed = workers[w]
+            if running or (lapsed and LAPSED_REFUSES in guards):
+                continue
+            taken = _set(sent, number - 1, (TAKEN, w))
+            busy = _set(workers, w, (number, lapsed))
+            starts = fresh if checkpoint else min(fresh + 1, 2)
+            rest = (taken, busy, reports, starts, results)
+            yield f"start {number} arrives at {w}", (repeatable, job, attempt, checkpoint, *rest)
+
+    def _workers(state):
+        repeatable, job, attempt, checkpoint, sent, workers, reports, fresh, results = state
+        front = (repeatable, job, attempt, checkpoint)
+        for w in WORKERS:
+            running, lapsed = workers[w]
+            stopped = _set(sent, running - 1, (STOPPED, w)) if running else sent
+            if running:
+                idle = _set(workers, w, (0, lapsed))
+                for kind in ("finished", "evicted"):
+                    told = reports | {(kind, running)}
+                    step = (*front, stopped, idle, told, fresh, results)
+                    yield f"{w}: {running} {kind}", step
+            if not lapsed:
+                silent = _set(workers, w, (0, True))
+                step = (*front, stopped, silent, reports, fresh, results)
+                yield f"lease of {w} runs out", step
+            else:
+                # Adopted under a new epoch: what was sent under the old one is refused.
+                fenced = tuple(
+                    (FENCED, at) if message == SENT and at == w else (message, at)
+                    for message, at in sent
+                )
+                after = fenced if ADOPT_NEW_EPOCH in guards else sent
+                back = _set(workers, w, (running, False))
+                if job != PLACED or sent[attempt - 1][1] != w:
+                    step = (*front, after, back, reports, fresh, results)
+                    yield f"{w} is adopted again", step
+
+    def _settle(state):
+        repeatable, job, attempt, checkpoint, sent, workers, reports, fresh, results = state
+        # A report may come late and twice: it stays under way.
+        for kind, number in sorted(reports):
+            matches = number == attempt or MATCH_ATTEMPT not in guards
+            if not matches or not (job == PLACED or (job == UNKNOWN and kind == "finished")):
+                continue
+            rest = (sent, workers, reports, fresh)
+            if kind == "finished":
+                done = (repeatable, DONE, attempt, checkpoint, *rest, min(results + 1, 2))
+                yield f"settle {number} as finished", done
+            else:
+                queued = (repeatable, QUEUED, attempt, True, *rest, results)
+                yield f"settle {number} as evicted", queued
+
+    def not_run_means_not_run(state):
+        """Say that a job queued without a checkpoint, and not repeatable, started nowhere."""
+        if state["repeatable"] or state["job"] != QUEUED or state["checkpoint"]:
+            return True
+        return state["fresh"] == 0
+
+    return Protocol(
+        name="attempts",
+        candidate=False,
+        fields=(
+            "repeatable",
+            "job",
+            "attempt",
+            "checkpoint",
+            "sent",
+            "workers",
+            "reports",
+            "fresh",
+            "results",
+        ),
+        initial=(None, QUEUED, 0, False, _UNSENT, _IDLE, frozenset(), 0, 0),
+        transitions=transitions,
+        invariants={
+            "what may not be repeated starts at most once": lambda s: (
+                bool(s["repeatable"]) or s["fresh"] <= 1
+            ),
+            "it never runs in two places": lambda s: (
+                sum(1 for running, _ in s["workers"] if running) <= 1
+            ),
+            "it has one result": lambda s: s["results"] <= 1,
+            "not run means that it did not run": not_run_means_not_run,
+        },
+    )
--- /dev/null
+++ b/specification/election.py
@@ -0,0 +1,145 @@
+"""Election and commit of the replicated log.
+
+Three replicas, terms up to ``MAX_TERM``, logs up to ``MAX_LOG`` entries.  A
+message is one atomic step between two replicas; that it may be lost, late or
+repeated is that the step may not, later, or again be taken.  A restart keeps
+what is synced: term, vote and log.
+"""
+
+from minicheck import Protocol
+
+from .model import specification
+
+REPLICAS = range(3)
+MAX_TERM = 4
+MAX_LOG = 1
+FOLLOWER, CANDIDATE, LEADER = 0, 1, 2
+
+VOTE_ONCE = "a vote is given once a term"
+VOTE_UP_TO_DATE = "a vote goes only to a log at least as new"
+COMMIT_OWN_TERM = "only an entry of the leader's own term is counted"
+SYNC_BEFORE_REPLY = "a vote is synced before it is told"
+QUORUM = "a commit needs a majority"
+GUARDS = (VOTE_ONCE, VOTE_UP_TO_DATE, COMMIT_OWN_TERM, SYNC_BEFORE_REPLY, QUORUM)
+
+# State: per replica (term, voted_for or -1, log as tuple of terms, role,
+# votes as bit set, match as tuple of lengths), and the committed log.
+_START = ((0, -1, (), FOLLOWER, 0, (0, 0, 0)),) * 3
+
+
+def _newer(log) -> tuple[int, int]:
+    return (log[-1] if log else 0, len(log))
+
+
+def _is_majority(bits: int) -> bool:
+    return bits.bit_count() >= 2
+
+
+def _with(replicas, index, replica):
+    return tuple(replica if i == index else each for i, each in enumerate(replicas))
+
+
+@specification("election", GUARDS)
+def make(guards: frozenset[str]) -> Protocol:
+    """Return the model with these guards in place."""
+
+    def transitions(state):
+        replicas, committed = state
+        steps = []
+        for i in REPLICAS:
+            steps += _alone(replicas, committed, i)
+            for j in REPLICAS:
+                if i != j:
+                    steps += _between(replicas, committed, i, j)
+        return steps
+
+    def _alone(replicas, committed, i):
+        term, voted, log, role, votes, match = replicas[i]
+        steps = []
+        if term < MAX_TERM and role != LEADER:
+            campaign = (term + 1, i, log, CANDIDATE, 1 << i, (0, 0, 0))
+            steps.append((f"campaign {i}", (_with(replicas, i, campaign), committed)))
+        if role == CANDIDATE and _is_majority(votes):
+            own = tuple(len(log) if k == i else 0 for k in REPLICAS)
+            steps.append(
+                (f"lead {i}", (_with(replicas, i, (term, voted, log, LEADER, 0, own)), committed))
+            )
+        if role == LEADER and len(log) < MAX_LOG:
+            grown = (*log, term)
+            own = tuple(len(grown) if k == i else m for k, m in enumerate(match))
+            led = (term, voted, grown, LEADER, 0, own)
+            steps.append((f"append {i}", (_with(replicas, i, led), committed)))
+        if role == LEADER:
+            steps += _commit(replicas, committed, i)
+        if role != FOLLOWER or SYNC_BEFORE_REPLY not in guards:
+            kept = voted if SYNC_BEFORE_REPLY in guards else -1
+            reborn = (term, kept, log, FOLLOWER, 0, (0, 0, 0))
+            steps.append((f"restart {i}", (_with(replicas, i, reborn), committed)))
+        return steps
+
+    def _commit(replicas, committed, i):
+        term, _, log, _, _, match = replicas[i]
+        needed = 2 if QUORUM in guards else 1
+        for length in range(len(committed) + 1, len(log) + 1):
+            reached = sum(1 for m in match if m >= length)
+            own_term = COMMIT_OWN_TERM not in guards or log[length - 1] == term
+            if reached >= needed and own_term:
+                yield f"commit {i}", (replicas, log[:length])
+
+    def _between(replicas, committed, i, j):
+        term, voted, log, role, votes, match = replicas[i]
+        other = replicas[j]
+        if role == CANDIDATE and not votes & (1 << j):
+            granted = _vote(other, term, log, i)
+            if granted is not None:
+                asking = (term, voted, log, CANDIDATE, votes | (1 << j), match)
+                both = _with(_with(replicas, i, asking), j, granted)
+                yield f"vote {j} for {i}", (both, committed)
+        if role == LEADER and other[0] <= term and (other[0] < term or other[3] != LEADER):
+            vote = other[1] if other[0] == term else -1
+            copy = (term, vote, log, FOLLOWER, 0, (0, 0, 0))
+            known = tuple(len(log) if k == j else m for k, m in enumerate(match))
+            leading = (term, voted, log, LEADER, 0, known)
+            both = _with(_with(replicas, i, leading), j, copy)
+            yield f"replicate {i} to {j}", (both, committed)
+
+    def _vote(voter, term, log, candidate):
+        voter_term, voted, voter_log, *_ = voter
+        if voter_term > term:
+            return None
+        if voter_term == term and VOTE_ONCE in guards and voted not in (-1, candidate):
+            return None
+        if VOTE_UP_TO_DATE in guards and _newer(log) < _newer(voter_log):
+            return None
+        return (term, candidate, voter_log, FOLLOWER, 0, (0, 0, 0))
+
+    def one_leader_a_term(state):
+        terms = [replica[0] for replica in state["replicas"] if replica[3] == LEADER]
+        return len(terms) == len(set(terms))
+
+    def a_leader_holds_what_was_committed(state):
+        committed = state["committed"]
+        newest = max(replica[0] for replica in state["replicas"])
+        return all(
+            log[: len(committed)] == committed
+            for term, _, log, role, *_ in state["replicas"]
+            if role == LEADER and term == newest
+        )
+
+    def what_was_committed_is_on_a_majority(state):
+        committed = state["committed"]
+        holders = sum(1 for r in state["replicas"] if r[2][: len(committed)] == committed)
+        return holders >= 2
+
+    return Protocol(
+        name="election",
+        candidate=False,
+        fields=("replicas", "committed"),
+        initial=(_START, ()),
+        transitions=transitions,
+        invariants={
+            "one leader a term": one_leader_a_term,
+            "a leader holds what was committed": a_leader_holds_what_was_committed,
+            "what was committed stays on a majority": what_was_committed_is_on_a_majority,
+        },
+    )
--- /dev/null
+++ b/specification/model.py
@@ -0,0 +1,65 @@
+"""What every model here is: transitions, invariants, and guards that can be taken away."""
+
+import os
+from collections.abc import Callable
+
+import attrs
+from minicheck import Protocol, check_safety
+
+MAX_STATES = 3_000_000
+MUTANT_MAX_STATES = 500_000
+"""A counterexample counts even if the search for more was cut short."""
+
+SMALL_VARIABLE = "SPECIFICATION_SMALL"
+MODELS: dict[str, "Specification"] = {}
+
+
+def bound(full: int, small: int) -> int:
+    """Return a bound of a model: the full one, or the small one of quick runs."""
+    return small if os.environ.get(SMALL_VARIABLE) == "1" else full
+
+
+@attrs.frozen
+class Specification:
+    """One part of the protocol."""
+
+    name: str
+    guards: tuple[str, ...]
+    make: Callable[[frozenset[str]], Protocol]
+    """Returns the model with the named guards in place."""
+
+
+def specification(name: str, guards: tuple[str, ...]):
+    """Register a function that makes a model from the guards in place."""
+
+    def register(make):
+        MODELS[name] = Specification(name, guards, make)
+        return make
+
+    return register
+
+
+@attrs.frozen
+class Outcome:
+    """What the checker found for one property."""
+
+    prop: str
+    holds: bool | None
+    states: int
+    exhaustive: bool
+    trace_length: int
+
+
+def check(protocol: Protocol, max_states: int = MAX_STATES) -> list[Outcome]:
+    """Return the outcome of each property of a model."""
+    result = check_safety(protocol, max_states=max_states)
+    return [
+        Outcome(
+            prop=name,
+            holds=found["holds"],
+            states=result["reachable_states"],
+            exhaustive=result["exhaustive"],
+            trace_length=len(found["counterexample"] or []),
+        )
+        for name, found in result["properties"].items()
+    ]
--- /dev/null
+++ b/specification/ownership.py
@@ -0,0 +1,114 @@
+"""Ownership of a worker: leases, epochs, adoption, and a freeze at the worst moment.
+
+Two entry hosts and one worker that holds one request.  Control gives the
+worker to one host under an epoch and a lease.  A host may freeze between its
+look at the lease and its write; the write then arrives at any later time.
+"""
+
+from minicheck import Protocol
+
+from .model import specification
+
+HOSTS = (0, 1)
+LEASE = 2
+MAX_EPOCH = 3
+NOBODY = -1
+
+WAIT_FOR_LEASE = "ownership moves only when the old lease has surely run out"
+FENCE = "a worker refuses every epoch but the newest it was adopted under"
+COUNT_RUNNING = "a new owner counts what the worker says is running"
+STOP_AT_LEASE = "a host without a lease decides nothing"
+COUNT_UNTIL_TOLD = "a request given up on is counted until the worker says otherwise"
+GUARDS = (WAIT_FOR_LEASE, FENCE, COUNT_RUNNING, STOP_AT_LEASE, COUNT_UNTIL_TOLD)
+
+# State: owner and epoch in the log; per host (epoch known, lease time left,
+# counted in use, adopted, epoch of a write under way or 0); the worker's
+# epoch; requests running; time left on the granter's count; whether a host
+# ever decided something after its worker had been given away.
+_HOST = (0, 0, 0, False, 0)
+_START = (NOBODY, 0, (_HOST, _HOST), 0, 0, 0, False)
+
+
+def _with(hosts, index, host):
+    return tuple(host if i == index else each for i, each in enumerate(hosts))
+
+
+@specification("ownership", GUARDS)
+def make(guards: frozenset[str]) -> Protocol:
+    """Return the model with these guards in place."""
+
+    def transitions(state):
+        owner, epoch, hosts, worker_epoch, running, granted, late = state
+        steps = []
+        may_move = owner == NOBODY or granted == 0 or WAIT_FOR_LEASE not in guards
+        for h in HOSTS:
+            if epoch < MAX_EPOCH and may_move and h != owner:
+                moved = (h, epoch + 1, hosts, worker_epoch, running, 0, late)
+                steps.append((f"assign to {h}", moved))
+            steps += _host(state, h)
+        if granted or any(host[1] for host in hosts):
+            # The granter's count never ends before the holder's does.
+            older = tuple((e, max(0, left - 1), u, a, w) for e, left, u, a, w in hosts)
+            left = max(0, granted - 1)
+            steps.append(("time", (owner, epoch, older, worker_epoch, running, left, late)))
+        if running:
+            done = (owner, epoch, hosts, worker_epoch, running - 1, granted, late)
+            steps.append(("finish", done))
+        return steps
+
+    def _host(state, h):
+        owner, epoch, hosts, worker_epoch, running, granted, late = state
+        known, left, used, adopted, write = hosts[h]
+        holds = left > 0 or STOP_AT_LEASE not in guards
+
+        def to(host, **changes):
+            after = {"worker_epoch": worker_epoch, "granted": granted, "late": late} | changes
+            return (
+                owner,
+                epoch,
+                _with(hosts, h, host),
+                after["worker_epoch"],
+                running,
+                after["granted"],
+                after["late"],
+            )
+
+        if owner == h and (left < LEASE or known != epoch):
+            kept = (used, adopted) if known == epoch else (0, False)
+            yield f"renew {h}", to((epoch, LEASE, *kept, write), granted=LEASE)
+        if known and not adopted and holds and (known >= worker_epoch or FENCE not in guards):
+            counted = running if COUNT_RUNNING in guards else 0
+            host = (known, left, counted, True, write)
+            yield f"adopt by {h}", to(host, worker_epoch=max(worker_epoch, known))
+        if adopted and used == 0 and not write and holds:
+            too_late = late or owner != h
+            yield f"decide to dispatch {h}", to((known, left, 1, adopted, known), late=too_late)
+        if write:
+            yield from _arrives(state, h)
+        told = running == 0 and not write
+        if adopted and used and (told or COUNT_UNTIL_TOLD not in guards) and holds:
+            yield f"count less {h}", to((known, left, 0, adopted, write))
+
+    def _arrives(state, h):
+        owner, epoch, hosts, worker_epoch, running, granted, late = state
+        known, left, used, adopted, write = hosts[h]
+        after = _with(hosts, h, (known, left, used, adopted, 0))
+        is_current = write == worker_epoch or FENCE not in guards
+        now_running = min(running + 1, 2) if is_current else running
+        step = (owner, epoch, after, worker_epoch, now_running, granted, late)
+        yield f"write of {h} arrives", step
+
+    return Protocol(
+        name="ownership",
+        candidate=False,
+        fields=("owner", "epoch", "hosts", "worker_epoch", "running", "granted", "late"),
+        initial=_START,
+        transitions=transitions,
+        invariants={
+            "a worker never runs more than it holds": lambda s: s["running"] <= 1,
+            "at most one host holds the worker's lease": lambda s: (
+                sum(1 for host in s["hosts"] if host[1] > 0) <= 1
+            ),
+            "nobody decides over a worker that was given away": lambda s: not s["late"],
+        },
+    )
--- /dev/null
+++ b/src/savoryshelf/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line ``savoryshelf``, for operators and callers."""
--- /dev/null
+++ b/src/savoryshelf/cli/declarations.py
@@ -0,0 +1,125 @@
+"""Commands about declarations: check, show, diff, apply, history."""
+
+import getpass
+import json
+import secrets
+
+import click
+import yaml
+
+from ..configuration.declarations import Declarations, from_document, to_content
+from ..configuration.files import differences, load
+from .client import CallFailed, ExitCode
+from .main import main
+from .output import show_object, show_rows
+
+APPLY_TRIES = 3
+
+
+def _file_arguments(command):
+    command = click.argument("overlay", required=False, type=click.Path())(command)
+    return click.argument("base", type=click.Path())(command)
+
+
+@main.command()
+@_file_arguments
+def check(base: str, overlay: str | None) -> None:
+    """Check a BASE file and a site's OVERLAY; names every wrong file and key."""
+    declarations = load(base, overlay)
+    click.echo(
+        f"correct: {declarations.customer} {declarations.site}, "
+        f"{len(declarations.services)} services, {len(declarations.batch_classes)} batch classes, "
+        f"{len(declarations.teams)} teams"
+    )
+
+
+@main.command()
+@_file_arguments
+@click.pass_obj
+def show(context, base: str, overlay: str | None) -> None:
+    """Print the merged result of BASE and OVERLAY, defaults filled in."""
+    content = to_content(load(base, overlay))
+    if context.as_json:
+        click.echo(json.dumps(content, indent=2))
+    else:
+        click.echo(yaml.safe_dump(content, sort_keys=False), nl=False)
+
+
+@main.command()
+@_file_arguments
+@click.pass_obj
+def diff(context, base: str, overlay: str | None) -> None:
+    """Print how BASE and OVERLAY differ from what is in force."""
+    _, in_force = _in_force(context)
+    _show_differences(context, in_force, load(base, overlay))
+
+
+@main.command()
+@_file_arguments
+@click.option("--expect", type=int, help="Apply only if this version is in force.")
+@click.option("--operation-id", help="Repeat it to resend a change whose answer was lost.")
+@click.option("--author", default="", help="Who changes it; your user name by default.")
+@click.pass_obj
+def apply(
+    context, base: str, overlay: str | None, expect: int | None, operation_id: str | None, author
+) -> None:
+    """Put BASE and OVERLAY in force.
+
+    If somebody else changed the version in force meanwhile, nothing is
+    applied and the exit status is 4.
+    """
+    wanted = load(base, overlay)
+    version, in_force = _in_force(context)
+    change = {
+        "declarations": to_content(wanted),
+        "expected_version": version if expect is None else expect,
+        "operation_id": operation_id or secrets.token_hex(12),
+        "author": author or getpass.getuser(),
+    }
+    if not context.as_json:
+        _show_differences(context, in_force, wanted)
+    show_object(_send_change(context, change), context.as_json)
+
+
+def _send_change(context, change: dict) -> dict:
+    """Send a change until its outcome is certain: the operation id makes that safe."""
+    body = json.dumps(change).encode()
+    for attempt in range(APPLY_TRIES):
+        try:
+            reply = context.client.call("PUT", "/v1/operator/configuration", body)
+            return reply.json() | {"operation_id": change["operation_id"]}
+        except CallFailed as error:
+            unsure = error.exit_code in (ExitCode.OUTCOME_UNKNOWN, ExitCode.UNREACHABLE)
+            if not unsure or attempt == APPLY_TRIES - 1:
+                click.echo(f"operation id: {change['operation_id']}", err=True)
+                raise
+    raise AssertionError("the loop returns or raises")
+
+
+@main.command()
+@click.argument("version", required=False)
+@click.pass_obj
+def history(context, version: str | None) -> None:
+    """List the changes of the configuration, or print one VERSION of it."""
+    if version:
+        argument = f"?argument={version}"
+        content = context.client.call("GET", f"/v1/operator/views/configuration{argument}").json()
+        show_object(json.loads(content["document"]), True)
+        return
+    rows = context.client.call("GET", "/v1/operator/views/history").json()
+    show_rows(rows, ["version", "author", "at_ms", "operation_id"], context.as_json)
+
+
+def _in_force(context) -> tuple[int, Declarations]:
+    content = context.client.call("GET", "/v1/operator/views/configuration").json()
+    document = content["document"]
+    declarations = from_document(document) if document else Declarations(customer="")
+    return content["version"], declarations
+
+
+def _show_differences(context, before: Declarations, after: Declarations) -> None:
+    rows = [
+        {"key": key, "in force": old, "declared": new}
+        for key, old, new in differences(before, after)
+    ]
+    show_rows(rows, ["key", "in force", "declared"], context.as_json)
--- /dev/null
+++ b/src/savoryshelf/cli/jobs.py
@@ -0,0 +1,110 @@
+"""Commands about requests: call, submit, wait, cancel, jobs, explain."""
+
+import datetime
+import secrets
+import sys
+import time
+
+import click
+
+from .client import CallFailed, ExitCode
+from .main import main
+from .output import show_object, show_rows
+
+WAIT_STEP_SECONDS = 20.0
+_ENDED = ("done", "failed", "cancelled", "unknown")
+
+
+@main.command()
+@click.argument("service")
+@click.argument("body", type=click.File("rb"), default="-")
+@click.pass_obj
+def call(context, service: str, body) -> None:
+    """Send a critical request to SERVICE and print the answer's bytes."""
+    reply = context.client.call("POST", f"/v1/services/{service}", body.read())
+    sys.stdout.buffer.write(reply.body)
+
+
+@main.command()
+@click.argument("class_name")
+@click.argument("body", type=click.File("rb"), default="-")
+@click.option("--key", help="Idempotency key; the same key never makes a second job.")
+@click.option("--urgent", is_flag=True, help="Place it before ordinary work.")
+@click.option("--wait", "wait_s", type=float, help="Wait this many seconds for its end.")
+@click.pass_obj
+def submit(context, class_name: str, body, key: str | None, urgent: bool, wait_s) -> None:
+    """Submit a batch job of CLASS_NAME; prints its id once it is durable."""
+    key = key or secrets.token_hex(12)
+    headers = {"Idempotency-Key": key} | ({"Savoryshelf-Urgent": "1"} if urgent else {})
+    try:
+        reply = context.client.call("POST", f"/v1/jobs/{class_name}", body.read(), headers)
+    except CallFailed:
+        click.echo(f"key: {key}  (send it again under this key)", err=True)
+        raise
+    accepted = reply.json() | {"key": key}
+    show_object(accepted, context.as_json)
+    if wait_s:
+        _wait(context, accepted["job_id"], wait_s)
+
+
+@main.command()
+@click.argument("job_id")
+@click.option("--seconds", default=60.0, help="How long to wait.")
+@click.pass_obj
+def wait(context, job_id: str, seconds: float) -> None:
+    """Wait for a job's end and print its result's bytes."""
+    _wait(context, job_id, seconds)
+
+
+def _wait(context, job_id: str, seconds: float) -> None:
+    deadline = time.monotonic() + seconds
+    while True:
+        left = max(0.0, deadline - time.monotonic())
+        step = min(left, WAIT_STEP_SECONDS)
+        path = f"/v1/jobs/{job_id}?wait={step:.1f}"
+        content = context.client.call("GET", path, timeout=step + 10.0).json()
+        if content["state"] in _ENDED or left <= 0:
+            break
+    if content["state"] == "done":
+        reply = context.client.call("GET", f"/v1/jobs/{job_id}/result")
+        sys.stdout.buffer.write(reply.body)
+        return
+    message = f"job {job_id} is {content['state']}: {content['reason'] or 'no end yet'}"
+    ended = content["state"] in _ENDED
+    raise CallFailed(message, ExitCode.JOB_FAILED if ended else ExitCode.NOT_ENDED)
+
+
+@main.command()
+@click.argument("job_id")
+@click.pass_obj
+def cancel(context, job_id: str) -> None:
+    """Cancel a job; one that has ended keeps its end."""
+    show_object(context.client.call("DELETE", f"/v1/jobs/{job_id}").json(), context.as_json)
+
+
+@main.command()
+@click.argument("only", required=False)
+@click.pass_obj
+def jobs(context, only: str | None) -> None:
+    """List the newest jobs; ONLY one state, team or class if named."""
+    path = f"/v1/operator/views/jobs?argument={only or ''}"
+    rows = context.client.call("GET", path).json()
+    columns = ["job_id", "team", "class", "state", "attempt", "worker", "evictions", "reason"]
+    show_rows(rows, columns, context.as_json)
+
+
+@main.command()
+@click.argument("job_id")
+@click.pass_obj
+def explain(context, job_id: str) -> None:
+    """Tell the whole story of one job: accepted, placed, refused, evicted, resumed, ended."""
+    content = context.client.call("GET", f"/v1/operator/views/explain?argument={job_id}").json()
+    if context.as_json:
+        show_object(content, True)
+        return
+    story = content.pop("story")
+    show_object(content, False)
+    click.echo("story:")
+    for event in story:
+        at = datetime.datetime.fromtimestamp(event["at_ms"] / 1000, datetime.UTC)
+        click.echo(f"  {at:%Y-%m-%d %H:%M:%S.%f}  {event['event']}  {event['detail']}".rstrip())
--- a/src/savoryshelf/clock.py
+++ b/src/savoryshelf/clock.py
@@ -7,6 +7,8 @@
 import time
 from typing import Protocol
 
+import eventlet
+
 CLOCK_DRIFT_ALLOWANCE = 0.02
 """How much faster or slower one host's monotonic clock may run (a ratio)."""
 
@@ -20,6 +22,9 @@
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch; may step."""
 
+    def sleep(self, seconds: float) -> None:
+        """Let other green threads run for that long."""
+
 
 class SystemClock:
     """The clocks of this host."""
@@ -31,3 +36,7 @@
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch; may step."""
         return int(time.time() * 1000)
+
+    def sleep(self, seconds: float) -> None:
+        """Let other green threads run for that long."""
+        eventlet.sleep(seconds)
--- a/src/savoryshelf/configuration/declarations.py
+++ b/src/savoryshelf/configuration/declarations.py
@@ -1,6 +1,7 @@
 """What operators declare, as immutable classes that are checked when made."""
 
 import json
+from collections.abc import Callable, Iterator
 
 import attrs
 import cattrs
@@ -134,31 +135,59 @@
 _CONVERTER = make_converter(forbid_extra_keys=True, detailed_validation=True)
 
 
-def parse(content: dict, source: str = "declarations") -> Declarations:
+def parse(content: dict, source_of: Callable[[str], str] | None = None) -> Declarations:
     """Return the declarations which ``content`` holds.
 
-    Raises InvalidDeclarations, one InvalidDeclaration for each wrong key.
+    Raises InvalidDeclarations, one InvalidDeclaration for each wrong key;
+    ``source_of`` tells which file a key came from.
     """
+    source_of = source_of or (lambda key: "declarations")
     try:
-        return _CONVERTER.structure(content, Declarations)
+        # Checked one by one below, so that all wrong values are reported.
+        with attrs.validators.disabled():
+            declarations = _CONVERTER.structure(content, Declarations)
     except cattrs.BaseValidationError as error:
-        raise InvalidDeclarations("wrong declarations", _flatten(error, source, "")) from None
-
-
-def _flatten(error: BaseException, source: str, path: str) -> list[InvalidDeclaration]:
-    """Return one error per wrong key, with the path that cattrs left in its notes."""
+        found = list(_misfits(error, "", source_of))
+        raise InvalidDeclarations("wrong declarations", found) from None
+    found = list(_wrong_values(declarations, "", source_of))
+    if found:
+        raise InvalidDeclarations("wrong declarations", found)
+    return declarations
+
+
+def _wrong_values(instance, path: str, source_of) -> Iterator[InvalidDeclaration]:
+    """Yield an error for each value that its class does not allow."""
+    if isinstance(instance, dict):
+        for key, value in instance.items():
+            yield from _wrong_values(value, _join(path, key), source_of)
+        return
+    if not attrs.has(type(instance)):
+        return
+    for field in attrs.fields(type(instance)):
+        value = getattr(instance, field.name)
+        key = _join(path, field.name)
+        yield from _wrong_values(value, key, source_of)
+        try:
+            if field.validator is not None:
+                field.validator(instance, field, value)
+        except InvalidDeclaration as error:
+            yield InvalidDeclaration(source_of(key), key, value, error.fix)
+
+
+def _misfits(error: BaseException, path: str, source_of) -> Iterator[InvalidDeclaration]:
+    """Yield an error for each key that does not fit; its path is in cattrs' notes."""
     path = _extended(path, error)
     if isinstance(error, BaseExceptionGroup):
-        return [each for inner in error.exceptions for each in _flatten(inner, source, path)]
-    if isinstance(error, cattrs.ForbiddenExtraKeysError):
-        return [
-            InvalidDeclaration(source, _join(path, key), key, "no such key; remove it or mend it")
-            for key in sorted(error.extra_fields)
-        ]
-    if isinstance(error, KeyError):
-        key = _join(path, str(error.args[0]))
-        return [InvalidDeclaration(source, key, None, "this key is missing; add it")]
-    return [InvalidDeclaration(source, path, str(error), "use a value of the kind named")]
+        for inner in error.exceptions:
+            yield from _misfits(inner, path, source_of)
+    elif isinstance(error, cattrs.ForbiddenExtraKeysError):
+        for key in sorted(_join(path, extra) for extra in error.extra_fields):
+            fix = "there is no such key; remove it or mend its name"
+            yield InvalidDeclaration(source_of(key), key, key.rpartition(".")[2], fix)
+    elif isinstance(error, KeyError):
+        yield InvalidDeclaration(source_of(path), path, None, "this key is missing; add it")
+    else:
+        yield InvalidDeclaration(source_of(path), path, str(error), "use a value of its kind")
 
 
 def _extended(path: str, error: BaseException) -> str:
@@ -185,4 +214,4 @@
 
 def from_document(document: str) -> Declarations:
     """Return the declarations of a canonical JSON text."""
-    return parse(json.loads(document), "configuration in force")
+    return parse(json.loads(document), lambda key: "configuration in force")
--- a/src/savoryshelf/configuration/files.py
+++ b/src/savoryshelf/configuration/files.py
@@ -14,22 +14,19 @@
     Raises InvalidDeclarations naming every wrong file and key, among them keys
     of the overlay that only repeat what the base says.
     """
-    merged = _read(base_path)
-    source = base_path
-    if overlay_path:
-        overlay = _read(overlay_path)
-        repeated = list(_repeated(merged, overlay, ""))
-        if repeated:
-            raise InvalidDeclarations(
-                "the overlay repeats the base",
-                [
-                    InvalidDeclaration(overlay_path, key, value, "same as the base; remove it")
-                    for key, value in repeated
-                ],
-            )
-        merged = merge(merged, overlay)
-        source = f"{base_path} + {overlay_path}"
-    return parse(merged, source)
+    base = _read(base_path)
+    if not overlay_path:
+        return parse(base, lambda key: base_path)
+    overlay = _read(overlay_path)
+    repeated = [
+        InvalidDeclaration(overlay_path, key, value, "the base says the same; remove it")
+        for key, value in _repeated(base, overlay, "")
+    ]
+    if repeated:
+        raise InvalidDeclarations("the overlay repeats the base", repeated)
+    return parse(
+        merge(base, overlay), lambda key: overlay_path if _states(overlay, key) else base_path
+    )
 
 
 def merge(base: dict, overlay: dict) -> dict:
@@ -65,6 +62,15 @@
     return content
 
 
+def _states(content: dict, key: str) -> bool:
+    """Return whether these declarations themselves hold that key."""
+    for part in key.split("."):
+        if not isinstance(content, dict) or part not in content:
+            return False
+        content = content[part]
+    return True
+
+
 def _repeated(base: dict, overlay: dict, path: str) -> Iterator[tuple[str, object]]:
     for key, value in overlay.items():
         where = f"{path}.{key}" if path else str(key)
--- a/src/savoryshelf/control/duties.py
+++ b/src/savoryshelf/control/duties.py
@@ -2,8 +2,6 @@
 
 import random
 
-import eventlet
-
 from ..ledger.state import Job, JobState
 from ..observability import metrics
 from ..scheduling import eviction, ownership, placement
@@ -36,7 +34,7 @@
     def run(self) -> None:
         """Run rounds for ever."""
         while True:
-            eventlet.sleep(ROUND_SECONDS * self._randomness.uniform(0.8, 1.2))
+            self._site.clock.sleep(ROUND_SECONDS * self._randomness.uniform(0.8, 1.2))
             if not self._site.replica.is_leader:
                 continue
             try:
@@ -94,16 +92,20 @@
         if now - self._site.sessions.elected_at < SETTLING_SECONDS:
             return
         present = self._present_entries()
-        assignments = ownership.assign_unowned(fleet, present)
-        if not assignments and self._is_due("rebalance", REBALANCE_SECONDS, now):
-            notes = self._site.sessions.notes()
-            load = {
-                worker_id: note.critical_in_flight + note.batch_running
-                for worker_id, note in notes.items()
-            }
-            assignments = ownership.rebalance(fleet, present, load)
+        assignments = ownership.assign_unowned(fleet, present, self._site.sessions.has_let_go)
         if assignments:
             self._site.commit(assign_workers=ttypes.AssignWorkers(assignments))
+        elif self._is_due("rebalance", REBALANCE_SECONDS, now):
+            self._rebalance(present)
+
+    def _rebalance(self, present: list[EntryHost]) -> None:
+        load = {
+            worker_id: note.critical_in_flight + note.batch_running
+            for worker_id, note in self._site.sessions.notes().items()
+        }
+        release = ownership.rebalance(self._site.machine.state.fleet, present, load)
+        if release is not None:
+            self._site.commit(release_worker=release)
 
     # ---------------------------------------------------------------- placement
 
--- a/src/savoryshelf/control/sessions.py
+++ b/src/savoryshelf/control/sessions.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..leases import ENTRY_LEASE_SECONDS, granter_deadline
-from ..targets.state import EntryHost
+from ..targets.state import EntryHost, Worker
 from ..wire.generated.ttypes import AttemptKey, SyncRequest, WorkerNote
 
 
@@ -21,6 +21,7 @@
     heard_at: float
     free_slots: int = 0
     configuration_version: int = 0
+    assignment_version: int = -1
     is_leaving: bool = False
     acknowledged_starts: set[tuple[str, int]] = attrs.field(factory=set)
     acknowledged_stops: set[tuple[str, int]] = attrs.field(factory=set)
@@ -50,6 +51,7 @@
         session.heard_at = now
         session.free_slots = request.free_slots
         session.configuration_version = request.configuration_version
+        session.assignment_version = request.assignment_version
         session.is_leaving = request.leaving
         session.acknowledged_starts = {attempt_id(k) for k in request.acknowledged_starts}
         session.acknowledged_stops = {attempt_id(k) for k in request.acknowledged_stops}
@@ -68,6 +70,13 @@
             heard_at = max(heard_at, session.heard_at)
         return now > granter_deadline(heard_at, ENTRY_LEASE_SECONDS)
 
+    def has_let_go(self, worker: Worker) -> bool:
+        """Return whether nobody can still be acting as the worker's last owner."""
+        if not worker.released_by_id:
+            return True
+        session = self.by_id.get(worker.released_by_id)
+        return session is not None and session.assignment_version >= worker.released_version
+
     def begin_removal(self, entry_id: str) -> None:
         """Stop renewing this entry's lease until its removal is decided."""
         self._removing.add(entry_id)
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -144,6 +144,11 @@
     return [machine.state.fleet.assign(assignment) for assignment in command.assignments]
 
 
+@_applies("release_worker")
+def _release_worker(machine: SiteMachine, release, at_ms: int):
+    return machine.state.fleet.release(release.worker_id, release.entry_id)
+
+
 @_applies("register_entry")
 def _register_entry(machine: SiteMachine, entry, at_ms: int):
     machine.state.fleet.register_entry(entry)
--- a/src/savoryshelf/entry/batch.py
+++ b/src/savoryshelf/entry/batch.py
@@ -66,7 +66,7 @@
                 except (WorkerRefused, WorkerSilent, WorkerUnreachable) as error:
                     metrics.RETRIES.labels("adoption").inc()
                     log_event("entry:adoption_failed", worker=target.worker_id, error=str(error))
-            eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+            self._clock.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def _adopt(self, target: OwnedTarget) -> None:
         interval = self._state.report_interval_s
@@ -215,7 +215,7 @@
                 else:
                     attempt.end(OutcomeKind.NOT_RUN, "never reached the worker")
             except (WorkerRefused, WorkerSilent, WorkerUnreachable):
-                eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+                self._clock.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def take_stops(self, orders: list[StopOrder]) -> None:
         """Stop what control ordered; the end comes with a report."""
@@ -237,4 +237,4 @@
                 except (WorkerRefused, WorkerSilent, WorkerUnreachable) as error:
                     metrics.RETRIES.labels("stop").inc()
                     log_event("entry:stop_failed", worker=order.worker_id, error=str(error))
-            eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
+            self._clock.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -185,7 +185,7 @@
                         attempt_id,
                         call.content_type,
                         call.body,
-                        call.time_left(sent_at),
+                        self._attempt_seconds(call, sent_at),
                         call.trace_id,
                     )
                 except WorkerSilent:
@@ -202,6 +202,13 @@
             self._line.wake_one()
         return self._judge(call, target, answer, self._clock.monotonic() - sent_at)
 
+    def _attempt_seconds(self, call: CriticalCall, now: float) -> float:
+        """Return how long one attempt may take: a hung worker must leave time for another."""
+        left = call.time_left(now)
+        if call.attempts >= call.service.max_attempts:
+            return left
+        return min(left, max(2 * call.service.target_ms / 1000, left / 3))
+
     def _judge(
         self, call: CriticalCall, target: OwnedTarget, answer: WorkerAnswer, seconds: float
     ) -> Answer | None:
--- a/src/savoryshelf/entry/http/app.py
+++ b/src/savoryshelf/entry/http/app.py
@@ -1,7 +1,7 @@
 """The WSGI application: routes, bounds on what comes in, and typed refusals out."""
 
-import contextlib
 import json
+import traceback
 from collections.abc import Callable
 
 import attrs
@@ -82,21 +82,30 @@
         request = Request(environ)
         response = operations_response(request.path, self._is_ready)
         if response is None:
-            with self._counted():
-                response = self._answer(request)
+            response = self._counted_answer(request)
+        if self._context.state.is_stopping:
+            # Callers must not reuse a connection which is about to go.
+            response.headers["Connection"] = "close"
         return response(environ, start_response)
 
     def _is_ready(self) -> bool:
         return self._context.state.is_ready(self._context.clock.monotonic())
 
-    @contextlib.contextmanager
-    def _counted(self):
-        """Count the request as in flight: a graceful stop waits for it."""
+    def _counted_answer(self, request: Request) -> Response:
+        """Answer, and count as in flight until the last byte is written."""
         self._context.in_flight += 1
         try:
-            yield
-        finally:
-            self._context.in_flight -= 1
+            response = self._answer(request)
+        except Exception as error:
+            # A fault of ours must not leave the caller without a typed answer.
+            log_event("entry:fault", error=repr(error), traceback=traceback.format_exc())
+            fault = RequestRefused("internal_error", type(error).__name__, 500, Certainty.UNKNOWN)
+            response = refusal_response(fault)
+        response.call_on_close(self._finished)
+        return response
+
+    def _finished(self) -> None:
+        self._context.in_flight -= 1
 
     def _answer(self, request: Request) -> Response:
         try:
--- a/src/savoryshelf/entry/process.py
+++ b/src/savoryshelf/entry/process.py
@@ -47,7 +47,7 @@
         self._sync = SyncTask(
             state, batch, control, clock, (settings.listen, own_url), settings.failure_domain
         )
-        self._outcomes = OutcomeTask(batch, control)
+        self._outcomes = OutcomeTask(batch, control, clock)
         self._stop_requested = Event()
 
     def run(self) -> None:
--- a/src/savoryshelf/entry/sync.py
+++ b/src/savoryshelf/entry/sync.py
@@ -2,7 +2,6 @@
 
 import random
 
-import eventlet
 from eventlet.event import Event
 
 from ..clock import Clock
@@ -51,7 +50,7 @@
                 self._sync(HELD_SECONDS)
             except (NoControl, ttypes.Unauthenticated) as error:
                 log_event("entry:no_control", error=str(error))
-            eventlet.sleep(LEAST_INTERVAL_SECONDS * random.uniform(0.5, 1.5))
+            self._clock.sleep(LEAST_INTERVAL_SECONDS * random.uniform(0.5, 1.5))
 
     def leave(self) -> None:
         """Hand back every worker; control gives them to others at once."""
@@ -120,9 +119,10 @@
     the log.
     """
 
-    def __init__(self, batch: BatchDispatch, control: ControlClient):
+    def __init__(self, batch: BatchDispatch, control: ControlClient, clock: Clock):
         self._batch = batch
         self._control = control
+        self._clock = clock
         self._news = Event()
         self._is_told = False
         batch.wake_outcomes = self.wake
@@ -137,7 +137,7 @@
         """Send outcomes until the process ends."""
         while True:
             self._news.wait()
-            eventlet.sleep(GATHER_SECONDS)
+            self._clock.sleep(GATHER_SECONDS)
             self._news, self._is_told = Event(), False
             try:
                 self._send(self._batch.attempts.outcomes())
--- a/src/savoryshelf/errors.py
+++ b/src/savoryshelf/errors.py
@@ -37,6 +37,9 @@
 
     def __init__(self, source: str, key: str, value: object, fix: str):
         super().__init__(f"{source}: {key}: {value!r} cannot be used; {fix}")
+        self.key = key
+        self.value = value
+        self.fix = fix
 
 
 class InvalidDeclarations(ExceptionGroup, SavoryshelfError):
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -288,7 +288,10 @@
                 self._links.send(address, message)
 
     def _address_of(self, replica_id: str) -> str:
+        # This host's own settings first: its operator may reach others by
+        # another way than the one which the group was formed with.
+        configured = self._address_of_host.get(host_name(replica_id))
+        if configured:
+            return configured
         member: Member | None = find(self.core.log.membership, replica_id)
-        if member is not None:
-            return member.address
-        return self._address_of_host.get(host_name(replica_id), "")
+        return member.address if member is not None else ""
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -1,8 +1,11 @@
 """Workers, entry hosts and ownership, as every control replica holds them.
 
-Each worker has at most one owner.  Every change of owner raises the worker's
-epoch, and the worker refuses dispatches of any epoch but the newest it was
-adopted under.  So two entry hosts never spend the same worker's capacity.
+Each worker has at most one owner.  It is given to another only after the owner
+has acknowledged the release, or has been removed because its lease ran out.
+Every change of owner raises the worker's epoch, and the worker refuses
+dispatches of any epoch but the newest it was adopted under.  So two entry
+hosts never spend the same worker's capacity, not even when one of them wakes
+from a freeze with a dispatch in its hands.
 """
 
 import attrs
@@ -38,6 +41,12 @@
     standing: WorkerStanding = WorkerStanding.ACTIVE
     owner_id: str = ""
     epoch: int = 0
+    released_by_id: str = ""
+    """The entry host that owned it last and may not have heard of its release."""
+
+    released_version: int = 0
+    """The assignment version that tells it."""
+
     changed_ms: int = 0
 
     @property
@@ -112,11 +121,20 @@
         self._remember(change.operation_id, at_ms)
         worker.standing = WorkerStanding(change.standing)
         worker.changed_ms = at_ms
-        if worker.standing == WorkerStanding.LOST:
-            worker.owner_id = ""
         self.assignment_version += 1
+        if worker.standing == WorkerStanding.LOST:
+            self._take_away(worker)
         return Accepted()
 
+    def release(self, worker_id: str, entry_id: str) -> bool:
+        """Take a worker away from its owner; return whether it was the owner."""
+        worker = self.workers_by_id.get(worker_id)
+        if worker is None or not entry_id or worker.owner_id != entry_id:
+            return False
+        self.assignment_version += 1
+        self._take_away(worker)
+        return True
+
     def assign(self, assignment: Assignment) -> bool:
         """Give a worker to an entry host under a new epoch; return whether it holds."""
         worker = self.workers_by_id.get(assignment.worker_id)
@@ -125,7 +143,10 @@
             return False
         if entry is None or entry.incarnation != assignment.entry_incarnation:
             return False
+        if worker.owner_id:
+            return False
         worker.owner_id = entry.entry_id
+        worker.released_by_id = ""
         worker.epoch += 1
         self.assignment_version += 1
         return True
@@ -134,7 +155,7 @@
         """Note an entry process; a new life of it owns nothing."""
         known = self.entries_by_id.get(entry.entry_id)
         if known is not None and known.incarnation != entry.incarnation:
-            self._release(entry.entry_id)
+            self._forget_owner(entry.entry_id)
         self.entries_by_id[entry.entry_id] = EntryHost(
             entry.entry_id, entry.incarnation, entry.address, entry.http_url, entry.failure_domain
         )
@@ -145,7 +166,7 @@
         if known is None or known.incarnation != removal.incarnation:
             return False
         del self.entries_by_id[removal.entry_id]
-        self._release(removal.entry_id)
+        self._forget_owner(removal.entry_id)
         return True
 
     def expire(self, before_ms: int) -> None:
@@ -160,9 +181,19 @@
         """Return the workers which that entry host owns."""
         return [w for w in self.workers_by_id.values() if w.owner_id == entry_id]
 
-    def _release(self, entry_id: str) -> None:
-        for worker in self.owned_by(entry_id):
-            worker.owner_id = ""
+    def _take_away(self, worker: Worker) -> None:
+        if worker.owner_id:
+            worker.released_by_id = worker.owner_id
+            worker.released_version = self.assignment_version
+        worker.owner_id = ""
+
+    def _forget_owner(self, entry_id: str) -> None:
+        """Free the workers of an entry process which surely acts no more."""
+        for worker in self.workers_by_id.values():
+            if worker.owner_id == entry_id:
+                worker.owner_id = ""
+            if worker.released_by_id == entry_id:
+                worker.released_by_id = ""
         self.assignment_version += 1
 
     def _remember(self, operation_id: str, at_ms: int) -> None:
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -126,6 +126,9 @@
 
 struct AssignWorkers { 1: list<Assignment> assignments }
 
+/** Takes a worker from its owner, so that another may have it once the owner has heard. */
+struct ReleaseWorker { 1: string worker_id, 2: string entry_id }
+
 struct RegisterEntry {
   1: string entry_id, 2: string incarnation, 3: string address, 4: string http_url, 5: string failure_domain
 }
@@ -140,7 +143,8 @@
   4: StartAttempts start_attempts, 5: SettleAttempts settle_attempts,
   6: RequestEvictions request_evictions, 7: RegisterWorkers register_workers,
   8: ChangeStanding change_standing, 9: AssignWorkers assign_workers,
-  10: RegisterEntry register_entry, 11: RemoveEntry remove_entry, 12: ExpireRecords expire_records
+  10: RegisterEntry register_entry, 11: RemoveEntry remove_entry, 12: ExpireRecords expire_records,
+  13: ReleaseWorker release_worker
 }
 
 /** `at_ms` is the proposing leader's wall clock: for records and expiry, never for leases. */
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,22 +3,14 @@
 Ends with status 0 only if nothing was lost, doubled, or run twice.
 """
 
-import warnings
+import sys
+import tempfile
+import time
 
-warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+import click
 
-import eventlet  # noqa: E402
-
-eventlet.monkey_patch()
-
-import sys  # noqa: E402
-import tempfile  # noqa: E402
-
-import click  # noqa: E402
-
-from .load import Load, Plan, broken_promises, table, unrepeatable_keys  # noqa: E402
-from .record import judge, read  # noqa: E402
-from .site import Site  # noqa: E402
+from .load import Plan, broken_promises, table
+from .site import Site
 
 
 @click.command()
@@ -43,11 +35,12 @@
                 seconds=seconds,
                 seed=seed,
             )
-            eventlet.spawn_after(seconds / 2, _kill_leader, site)
             click.echo(f"sending load for {seconds:.0f} s; the control leader dies in the middle")
-            load = Load(plan)
-            ledger = load.run()
-        verdict = judge(read(site.record_path), unrepeatable_keys(ledger))
+            with site.under_load(plan) as ledgers:
+                time.sleep(seconds / 2)
+                _kill_leader(site)
+            ledger = ledgers[0]
+        verdict = site.verdict(ledger)
         click.echo(table(ledger, verdict))
         broken = broken_promises(ledger, verdict)
         for promise in broken:
--- a/standins/host.py
+++ b/standins/host.py
@@ -175,10 +175,11 @@
 @click.option("--cores", default=16.0)
 @click.option("--memory-mb", default=60_000)
 @click.option("--accelerators", default=0)
+@click.option("--bad-worker", default="", help="How the first worker misbehaves: a Behaviour.")
 @click.option("--noise", default="", help="class=factor items, separated by commas.")
 def main(
     count, first, entries, token, record_path, domains, per_rack, slots, cores, memory_mb,
-    accelerators, noise,
+    accelerators, bad_worker, noise,
 ) -> None:  # fmt: skip
     """Play workers until told to stop."""
     record = Record(record_path)
@@ -197,7 +198,10 @@
             memory_mb=memory_mb,
             accelerators=accelerators,
         )
-        worker = Worker(shape, record, Behaviour(noise_by_class=noise_by_class))
+        behaviour = Behaviour(noise_by_class=noise_by_class)
+        if bad_worker and number == first:
+            setattr(behaviour, bad_worker, True)
+        worker = Worker(shape, record, behaviour)
         WorkerHost(worker, entries.split(","), token)
     stop = Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.send(None))
--- a/standins/load.py
+++ b/standins/load.py
@@ -2,24 +2,40 @@
 
 Arrivals do not wait for answers, and latency counts from the intended start,
 so a stalled system shows as slow answers rather than as fewer requests.
+
+``python -m standins.load PLAN LEDGER`` sends the plan of one JSON file and
+writes the ledger to another.
 """
 
-import json
-import random
-import time
+import warnings
+
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
 
-import attrs
-import eventlet
-import urllib3
-from hdrh.histogram import HdrHistogram
+import json  # noqa: E402
+import random  # noqa: E402
+import time  # noqa: E402
 
-from .record import Verdict
+import attrs  # noqa: E402
+import click  # noqa: E402
+import urllib3  # noqa: E402
+from cattrs.preconf.json import make_converter  # noqa: E402
+from hdrh.histogram import HdrHistogram  # noqa: E402
+
+from .record import Verdict  # noqa: E402
 
 HTTP_TIMEOUT_SECONDS = 8.0
+READINESS_POLL_SECONDS = 0.2
+READINESS_TIMEOUT_SECONDS = 0.5
 RESENDS = 20
 RESEND_PAUSE_SECONDS = 0.3
 RESULT_PATIENCE_SECONDS = 60.0
 MAX_LATENCY_US = 600_000_000
+CONVERTER = make_converter()
 
 
 @attrs.define
@@ -58,10 +74,17 @@
     """Everything that was sent and what came back."""
 
     lines: list[Sent] = attrs.field(factory=list)
-    latency_us: HdrHistogram = attrs.field(factory=lambda: HdrHistogram(1, MAX_LATENCY_US, 3))
+    encoded_latency_us: str = ""
+    """The latency histogram of critical answers, in hdrhistogram's own encoding."""
+
     wrong_answers: list[str] = attrs.field(factory=list)
     reasons: dict[str, int] = attrs.field(factory=dict)
 
+    def latency_ms(self, percentile: float) -> float:
+        """Return that percentile of the critical latency."""
+        histogram = HdrHistogram.decode(self.encoded_latency_us)
+        return histogram.get_value_at_percentile(percentile) / 1000
+
     def count(self, kind: str, outcome: str) -> int:
         """Return how many lines of a kind ended like that."""
         return sum(1 for line in self.lines if (line.kind, line.outcome) == (kind, outcome))
@@ -73,7 +96,9 @@
     def __init__(self, plan: Plan):
         self.plan = plan
         self.ledger = Ledger()
+        self._latency_us = HdrHistogram(1, MAX_LATENCY_US, 3)
         self._randomness = random.Random(plan.seed)
+        self._ready_urls: list[str] = []
         self._pool = eventlet.GreenPool(4000)
         self._http = urllib3.PoolManager(
             num_pools=32, maxsize=256, retries=False, timeout=HTTP_TIMEOUT_SECONDS
@@ -82,6 +107,7 @@
 
     def run(self) -> Ledger:
         """Send everything, wait for what was accepted, and return the ledger."""
+        eventlet.spawn_n(self._watch_readiness)
         started = time.monotonic()
         arrivals = sorted([*self._arrivals("critical"), *self._arrivals("job")])
         for number, (at, kind) in enumerate(arrivals):
@@ -91,6 +117,7 @@
             send = self._send_critical if kind == "critical" else self._send_job
             self._pool.spawn_n(send, line, started + at)
         self._pool.waitall()
+        self.ledger.encoded_latency_us = self._latency_us.encode().decode()
         return self.ledger
 
     def _arrivals(self, kind: str):
@@ -103,8 +130,20 @@
             yield at, kind
 
     def _entry(self) -> str:
-        """Choose as the platform's balancer does, knowing nothing."""
-        return self._randomness.choice(self.plan.entry_urls)
+        """Choose as the platform's balancer does: any entry host that said it is ready."""
+        return self._randomness.choice(self._ready_urls or self.plan.entry_urls)
+
+    def _watch_readiness(self) -> None:
+        while True:
+            self._ready_urls = [url for url in self.plan.entry_urls if self._is_ready(url)]
+            eventlet.sleep(READINESS_POLL_SECONDS)
+
+    def _is_ready(self, url: str) -> bool:
+        try:
+            answer = self._http.request("GET", url + "/readyz", timeout=READINESS_TIMEOUT_SECONDS)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return False
+        return answer.status == 200
 
     def _body(self, line: Sent) -> bytes:
         plan = self.plan
@@ -129,7 +168,7 @@
             return
         if response.status == 200:
             self._note(line, "answered")
-            self.ledger.latency_us.record_value(int((time.monotonic() - intended) * 1e6))
+            self._latency_us.record_value(int((time.monotonic() - intended) * 1e6))
             if response.data != b"answer to " + body:
                 self.ledger.wrong_answers.append(line.key)
             return
@@ -249,7 +288,7 @@
             )
         )
     lines = ["".join(f"{cell!s:>18}" for cell in row) for row in rows]
-    p50, p99 = (ledger.latency_us.get_value_at_percentile(p) / 1000 for p in (50, 99))
+    p50, p99 = ledger.latency_ms(50), ledger.latency_ms(99)
     lines.append(f"critical latency: p50 {p50:.1f} ms, p99 {p99:.1f} ms")
     lines.append(
         f"doubled {len(verdict.doubled)}, in two places {len(verdict.overlapping)}, "
@@ -258,3 +297,19 @@
     )
     lines.append(f"refusal reasons: {ledger.reasons or 'none'}")
     return "\n".join(lines)
+
+
+@click.command()
+@click.argument("plan_path")
+@click.argument("ledger_path")
+def main(plan_path: str, ledger_path: str) -> None:
+    """Send a plan and write the ledger."""
+    with open(plan_path, encoding="utf-8") as file:
+        plan = CONVERTER.loads(file.read(), Plan)
+    ledger = Load(plan).run()
+    with open(ledger_path, "w", encoding="utf-8") as file:
+        file.write(CONVERTER.dumps(ledger))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/site.py
+++ b/standins/site.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -14,11 +15,15 @@
 
 from savoryshelf.tokens import OPERATOR, TARGET, TEAM_PREFIX, issue
 
+from .load import CONVERTER, Ledger, Plan, unrepeatable_keys
+from .record import Record, Verdict, judge, read
+
 CLUSTER_KEY = "loopback-cluster-key"
 TOKEN_KEY = "loopback-tokens-key"  # noqa: S105
 DOMAINS = ("fd-1", "fd-2", "fd-3")
 READY_PATIENCE_SECONDS = 40.0
 STOP_PATIENCE_SECONDS = 20.0
+LOAD_PATIENCE_SECONDS = 120.0
 
 DECLARATIONS = {
     "customer": "demo",
@@ -63,6 +68,11 @@
         """Send a signal to this process alone."""
         self.popen.send_signal(number)
 
+    def limit_file_size(self, max_bytes: int) -> None:
+        """Let its disk be full once a file reaches this size."""
+        hard = resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE)[1]
+        resource.prlimit(self.popen.pid, resource.RLIMIT_FSIZE, (max_bytes, hard))
+
     def kill(self) -> None:
         """Kill it at once, as a failing host would."""
         self.popen.kill()
@@ -163,6 +173,26 @@
                     process.signal(signal.SIGCONT)
                     process.kill()
 
+    @contextlib.contextmanager
+    def under_load(self, plan: Plan):
+        """Send a plan from another process while the block runs; yields a list for the ledger."""
+        plan_path = os.path.join(self.folder, "plan.json")
+        ledger_path = os.path.join(self.folder, "ledger.json")
+        with open(plan_path, "w", encoding="utf-8") as file:
+            file.write(CONVERTER.dumps(plan))
+        command = [sys.executable, "-m", "standins.load", plan_path, ledger_path]
+        self._add("load", command, {})
+        self.by_name["load"].start()
+        ledgers: list[Ledger] = []
+        yield ledgers
+        self.by_name["load"].popen.wait(plan.seconds + LOAD_PATIENCE_SECONDS)
+        with open(ledger_path, encoding="utf-8") as file:
+            ledgers.append(CONVERTER.loads(file.read(), Ledger))
+
+    def verdict(self, ledger: Ledger) -> Verdict:
+        """Return what the workers' record shows."""
+        return judge(read(self.record_path), unrepeatable_keys(ledger))
+
     # ---------------------------------------------------------------------- calls
 
     def call(self, method: str, path: str, token: str, url: str = "", **options):
@@ -234,6 +264,13 @@
             time.sleep(0.1)
         raise TimeoutError(f"waited {seconds} s for {what}; logs are in {self.folder}")
 
+    def note_death_of_all_workers(self) -> None:
+        """Add to the record that every worker's host died, which none of them could write."""
+        record = Record(self.record_path)
+        for event in read(self.record_path):
+            if event["event"] == "start":
+                record.write("died", event["worker"], incarnation=event["incarnation"])
+
     def leader(self) -> str:
         """Return the name of the control host that leads."""
         return self.wait_for(lambda: self.view("status"), "a leader")["leader"].partition(".")[0]
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -180,6 +180,9 @@
             return
         if self.leaving:
             raise Refused("leaving")
+        if not self.owner_url or time.monotonic() > self.lease_deadline:
+            # Its work may have been given to others: nothing until adopted again.
+            raise Refused("lease")
         self._guard(*size)
         spec = read_spec(body)
         task = Task(*attempt_id, spec["key"], class_name, size, spec["run_s"])
--- /dev/null
+++ b/tests/process/drill.py
@@ -0,0 +1,34 @@
+"""Runs load against a site while a test breaks something, and judges the ledgers."""
+
+import contextlib
+
+from standins.load import Plan, broken_promises, table
+from standins.site import Site
+
+
+def plan_for(site, seconds, seed=1, **changes):
+    values = {
+        "entry_urls": site.entry_urls,
+        "token": site.team_token(),
+        "service": "quotes",
+        "critical_per_s": 25.0,
+        "jobs_per_s": 4.0,
+        "job_classes": ["routing", "truck-dispatch"],
+        "unrepeatable_classes": {"truck-dispatch"},
+        "seconds": seconds,
+        "seed": seed,
+    }
+    return Plan(**values | changes)
+
+
+@contextlib.contextmanager
+def site_under_load(tmp_path, seconds=8.0, load=None, **options):
+    """Yield a site with load running; at the end, assert that no promise was broken."""
+    site = Site(str(tmp_path), **options)
+    with site.running():
+        with site.under_load(plan_for(site, seconds, **(load or {}))) as ledgers:
+            yield site
+        site.ledger = ledgers[0]
+    verdict = site.verdict(site.ledger)
+    broken = broken_promises(site.ledger, verdict)
+    assert broken == [], table(site.ledger, verdict)
--- /dev/null
+++ b/tests/process/test_failures.py
@@ -0,0 +1,173 @@
+"""Real processes on loopback, broken in the middle of load."""
+
+import shutil
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from .drill import site_under_load
+
+
+def follower_of(site):
+    leader = site.leader()
+    return next(n for n in site.by_name if n.startswith("c") and n != leader)
+
+
+def replica_id_of(site, name):
+    """Return the identity of the one member on that host, or None."""
+    replicas = (site.view("status") or {"replicas": []})["replicas"]
+    ids = [r["replica_id"] for r in replicas if r["replica_id"].startswith(name + ".")]
+    return ids[0] if len(ids) == 1 else None
+
+
+def settled_membership(site, count=3):
+    """Return whether the group has that many voters, all near the log's end."""
+    status = site.view("status") or {"replicas": []}
+    replicas = status["replicas"]
+    return len(replicas) == count and all(r["votes"] and r["behind"] < 50 for r in replicas)
+
+
+def test_nothing_is_lost_or_doubled_when_the_control_leader_is_killed(tmp_path):
+    with site_under_load(tmp_path) as site:
+        time.sleep(2)
+        site.by_name[site.leader()].kill()
+
+
+def test_nothing_is_lost_or_doubled_when_a_control_follower_is_killed_and_returns(tmp_path):
+    with site_under_load(tmp_path) as site:
+        time.sleep(2)
+        follower = site.by_name[follower_of(site)]
+        follower.kill()
+        time.sleep(2)
+        follower.start()
+
+
+def test_nothing_is_lost_or_doubled_when_an_entry_host_is_killed(tmp_path):
+    with site_under_load(tmp_path, seconds=12.0) as site:
+        time.sleep(2)
+        site.by_name["e1"].kill()
+        site.wait_for(
+            lambda: all(t["owner"] == "e0" and t["adopted"] for t in site.view("targets")),
+            "its workers to be taken over",
+        )
+
+
+def test_nothing_is_lost_or_doubled_when_workers_die_and_come_back(tmp_path):
+    with site_under_load(tmp_path, seconds=12.0) as site:
+        time.sleep(2)
+        workers = site.by_name["workers"]
+        workers.kill()
+        site.note_death_of_all_workers()
+        workers.start()
+
+
+def test_a_frozen_leader_does_no_harm_when_it_wakes(tmp_path):
+    with site_under_load(tmp_path, seconds=10.0) as site:
+        time.sleep(2)
+        frozen = site.by_name[site.leader()]
+        frozen.signal(signal.SIGSTOP)
+        time.sleep(4)
+        frozen.signal(signal.SIGCONT)
+
+
+def test_a_frozen_entry_host_does_no_harm_when_it_wakes(tmp_path):
+    with site_under_load(tmp_path, seconds=18.0) as site:
+        time.sleep(2)
+        frozen = site.by_name["e1"]
+        frozen.signal(signal.SIGSTOP)
+        time.sleep(11)
+        frozen.signal(signal.SIGCONT)
+
+
+def test_an_entry_host_that_stops_gracefully_cuts_off_nothing(tmp_path):
+    with site_under_load(tmp_path, seconds=8.0) as site:
+        time.sleep(2)
+        assert site.by_name["e1"].stop() == 0
+    unknown = [line for line in site.ledger.lines if line.outcome == "unknown"]
+    assert unknown == []
+
+
+def test_a_restart_of_everything_loses_no_accepted_job(tmp_path):
+    with site_under_load(tmp_path, seconds=5.0, load={"critical_per_s": 0.0}) as site:
+        time.sleep(3)
+        daemons = [p for name, p in site.by_name.items() if name != "workers"]
+        for process in daemons:
+            process.kill()
+        for process in daemons:
+            process.start()
+
+
+def test_a_rolling_restart_loses_nothing(tmp_path):
+    with site_under_load(tmp_path, seconds=15.0) as site:
+        for name in ("c0", "c1", "c2", "e0", "e1"):
+            process = site.by_name[name]
+            process.stop()
+            process.start()
+            if name.startswith("c"):
+                site.wait_for(lambda: settled_membership(site), "the group to be whole")
+            else:
+                site.wait_for(site._all_ready, "the entry host to be ready")
+
+
+def test_a_lost_data_folder_is_replaced_and_a_second_loss_loses_nothing(tmp_path):
+    with site_under_load(tmp_path, seconds=15.0) as site:
+        time.sleep(1)
+        name = follower_of(site)
+        old_id = replica_id_of(site, name)
+        site.by_name[name].kill()
+        shutil.rmtree(tmp_path / f"{name}-data")
+        site.by_name[name].start()
+        site.wait_for(
+            lambda: replica_id_of(site, name) not in (old_id, None) and settled_membership(site),
+            "the replica to vote under a new identity",
+        )
+        second = next(n for n in ("c0", "c1", "c2") if n not in (name, site.leader()))
+        site.by_name[second].kill()
+        site.wait_for(lambda: site.view("status"), "a leader after the second loss")
+        assert site.view("status")["commit_index"] > 0
+
+
+def test_racing_operators_with_equal_versions_get_one_winner(tmp_path):
+    with site_under_load(tmp_path, seconds=3.0) as site:
+        changes = [site.declarations | {"site": f"site-{number}"} for number in range(4)]
+        with ThreadPoolExecutor() as pool:
+            racing = [
+                pool.submit(site.apply, change, 1, f"operation-{n}", site.entry_urls[n % 2])
+                for n, change in enumerate(changes)
+            ]
+        outcomes = [each.result() for each in racing]
+        winners = [n for n, (status, _) in enumerate(outcomes) if status == 200]
+        assert len(winners) == 1
+        conflicts = [content["reason"] for status, content in outcomes if status == 409]
+        assert conflicts == ["version_conflict"] * 3
+        winner = winners[0]
+        # A resend after a lost answer, and after the leader is gone too.
+        site.by_name[site.leader()].kill()
+        again = site.wait_for(
+            lambda: site.apply(changes[winner], 1, f"operation-{winner}"), "an answer"
+        )
+        while again[0] == 503:
+            again = site.apply(changes[winner], 1, f"operation-{winner}")
+        assert again == (200, {"version": 2, "duplicate": True})
+
+
+def test_a_full_disk_stops_the_replica_with_a_typed_failure(tmp_path):
+    with site_under_load(tmp_path, seconds=6.0) as site:
+        time.sleep(1)
+        name = follower_of(site)
+        site.by_name[name].limit_file_size(4096)
+        site.wait_for(lambda: site.by_name[name].popen.poll() is not None, "it to stop")
+        assert site.by_name[name].popen.returncode == 1
+        assert "free or replace the disk" in (tmp_path / f"{name}.log").read_text()
+
+
+@pytest.mark.parametrize("fault", ["fails_everything", "hangs"])
+def test_a_worker_that_misbehaves_is_kept_away_from(tmp_path, fault):
+    options = ["--bad-worker", fault]
+    load = {"critical_per_s": 20.0, "jobs_per_s": 0.0}
+    with site_under_load(tmp_path, seconds=10.0, load=load, worker_options=options) as site:
+        time.sleep(6)
+    answered = site.ledger.count("critical", "answered")
+    assert answered >= 0.9 * len(site.ledger.lines)
--- /dev/null
+++ b/tests/promises/fakes.py
@@ -0,0 +1,342 @@
+"""Fakes at the interfaces: a clock that tests advance, workers, and a control leader."""
+
+import random
+
+import eventlet
+from eventlet.event import Event
+
+from savoryshelf.control.duties import LeaderDuties
+from savoryshelf.control.sessions import EntrySessions
+from savoryshelf.control.site import SiteControl
+from savoryshelf.control.state import SiteMachine
+from savoryshelf.entry.batch import BatchDispatch
+from savoryshelf.entry.state import EntryState
+from savoryshelf.entry.sync import SyncTask
+from savoryshelf.entry.worker_client import WorkerRefused, WorkerSilent, WorkerUnreachable
+from savoryshelf.errors import NoControl
+from savoryshelf.replication.core import NotLeading
+from savoryshelf.wire.generated import ttypes
+from savoryshelf.wire.generated.ttypes import WorkerAnnouncement
+
+SETTLING_TURNS = 6
+
+
+def let_green_threads_run():
+    for _ in range(SETTLING_TURNS):
+        eventlet.sleep(0)
+
+
+class ManualClock:
+    """Time passes only when a test says so; sleepers wake when it has."""
+
+    def __init__(self):
+        self.now = 1000.0
+        self._sleepers = []
+
+    def monotonic(self):
+        return self.now
+
+    def wall_ms(self):
+        return int(self.now * 1000)
+
+    def sleep(self, seconds):
+        event = Event()
+        self._sleepers.append((self.now + seconds, event))
+        event.wait()
+
+    def advance(self, seconds):
+        self.now += seconds
+        due = [event for at, event in self._sleepers if at <= self.now]
+        self._sleepers = [(at, event) for at, event in self._sleepers if at > self.now]
+        for event in due:
+            event.send(None)
+        let_green_threads_run()
+
+
+class FakeReplica:
+    """A replicated log that commits at once, for whoever leads."""
+
+    class _Core:
+        term = 1
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.is_leader = True
+        self.leader_address = ""
+        self.core = self._Core()
+
+    def propose(self, payload):
+        self.confirm()
+        return self.machine.apply(payload)
+
+    def confirm(self):
+        if not self.is_leader:
+            raise NotLeading(None)
+
+    def watch(self):
+        return Event()
+
+
+class FakeRepair:
+    def step(self):
+        pass
+
+
+class FakeControl:
+    """The leader of the moment, and the link to it from one entry host."""
+
+    def __init__(self, cluster):
+        self._cluster = cluster
+        self.is_cut = False
+        self.loses_answers = False
+
+    def call(self, method, *arguments, **options):
+        if self.is_cut:
+            raise NoControl(["control"])
+        try:
+            answer = getattr(self._cluster.site, method)(*arguments)
+        except (ttypes.NotLeader, ttypes.Unavailable):
+            raise NoControl(["control"]) from None
+        if self.loses_answers:
+            raise NoControl(["control"], True)
+        return answer
+
+
+class FakeTask:
+    def __init__(self, order, started_at):
+        self.order = order
+        self.state = "running"
+        self.started_at = started_at
+        self.checkpoint_id = ""
+
+    def view(self):
+        order = self.order
+        return {
+            "job_id": order.key.job_id,
+            "attempt": order.key.attempt,
+            "state": self.state,
+            "cores": order.cores,
+            "memory_mb": order.memory_mb,
+            "accelerators": order.accelerators,
+            "checkpoint_id": self.checkpoint_id,
+            "result": "cg==" if self.state == "finished" else "",
+        }
+
+
+class FakeWorker:
+    """One worker without guards: what keeps it within its size is the system alone."""
+
+    def __init__(self, cluster, worker_id, slots=3):
+        self.cluster = cluster
+        self.worker_id = worker_id
+        self.slots = slots
+        self.lives = 0
+        self.is_leaving = False
+        self.restart()
+
+    def restart(self):
+        self.lives += 1
+        self.incarnation = f"life-{self.lives}"
+        self.epoch = -1
+        self.owner = None
+        self.lease_deadline = 0.0
+        self.tasks = {}
+        self.refused = set()
+
+    @property
+    def running(self):
+        return [task for task in self.tasks.values() if task.state == "running"]
+
+    def announcement(self):
+        return WorkerAnnouncement(
+            self.worker_id,
+            self.incarnation,
+            f"http://127.0.0.1/{self.worker_id}",
+            "fd",
+            "rack",
+            self.slots,
+            64,
+            16.0,
+            60_000,
+            0,
+        )
+
+    def adopt(self, epoch, owner, lease_s):
+        if epoch < self.epoch:
+            raise WorkerRefused(self.worker_id, "epoch")
+        self.epoch, self.owner = epoch, owner
+        self.lease_deadline = self.cluster.clock.now + lease_s
+        tasks = [task.view() for task in self.tasks.values()]
+        return {"incarnation": self.incarnation, "tasks": tasks, "critical": []}
+
+    def start(self, epoch, order):
+        attempt_id = (order.key.job_id, order.key.attempt)
+        lapsed = self.cluster.clock.now > self.lease_deadline
+        stale = epoch != self.epoch or order.worker_incarnation != self.incarnation
+        if stale or lapsed or attempt_id in self.refused:
+            raise WorkerRefused(self.worker_id, "stale")
+        if attempt_id not in self.tasks:
+            self.tasks[attempt_id] = FakeTask(order, self.cluster.clock.now)
+            self.cluster.note_start(self, order)
+
+    def stop(self, epoch, order):
+        if epoch != self.epoch:
+            raise WorkerRefused(self.worker_id, "epoch")
+        task = self.tasks.get((order.key.job_id, order.key.attempt))
+        if task is not None and task.state == "running":
+            task.state = "evicted" if order.checkpoint else "stopped"
+            task.checkpoint_id = f"{order.key.job_id}/{order.key.attempt}"
+
+    def settle(self, epoch, attempt_id):
+        if epoch != self.epoch:
+            raise WorkerRefused(self.worker_id, "epoch")
+        if attempt_id in self.tasks:
+            return True
+        self.refused.add(attempt_id)
+        return False
+
+    def pass_time(self):
+        if self.owner is not None and self.cluster.clock.now > self.lease_deadline:
+            for task in self.running:
+                task.state = "stopped"
+            self.owner = None
+
+    def report(self):
+        """Report to the owner; a lost answer renews nothing here."""
+        entry, asked_at = self.owner, self.cluster.clock.now
+        if entry is None or (entry.name, self.worker_id) in self.cluster.cut_links:
+            return
+        reply = entry.batch.take_report(
+            self.worker_id,
+            self.epoch,
+            {
+                "epoch": self.epoch,
+                "incarnation": self.incarnation,
+                "leaving": self.is_leaving,
+                "critical": [],
+                "tasks": [task.view() for task in self.tasks.values()],
+            },
+        )
+        if reply is not None:
+            self.lease_deadline = asked_at + reply["lease_s"]
+            for each in reply["acknowledged"]:
+                self.tasks.pop((each["job_id"], each["attempt"]), None)
+
+
+class FakeWorkerClient:
+    """An entry host's link to the workers; starts may be lost on either way, or late."""
+
+    def __init__(self, cluster, entry_name):
+        self._cluster = cluster
+        self._entry_name = entry_name
+        self.fault = "none"
+
+    def _worker(self, target):
+        if (self._entry_name, target.worker_id) in self._cluster.cut_links:
+            raise WorkerUnreachable("cut")
+        return self._cluster.worker_by_id[target.worker_id]
+
+    def adopt(self, target, owner_url, lease_s, report_s):
+        entry = self._cluster.entry_by_name[self._entry_name]
+        return self._worker(target).adopt(target.epoch, entry, lease_s)
+
+    def start_attempt(self, target, order):
+        worker = self._worker(target)
+        if self.fault == "lost":
+            raise WorkerSilent("lost on the way")
+        if self.fault == "late":
+            self._cluster.late_starts.append((worker, target.epoch, order))
+            raise WorkerSilent("late")
+        worker.start(target.epoch, order)
+        if self.fault == "answer lost":
+            raise WorkerSilent("answer lost")
+
+    def stop_attempt(self, target, order):
+        self._worker(target).stop(target.epoch, order)
+
+    def settle_attempt(self, target, job_id, attempt):
+        return self._worker(target).settle(target.epoch, (job_id, attempt))
+
+    def forget(self, kept_urls):
+        pass
+
+
+class FakeEntry:
+    """One entry process: the real state, batch side and sync, without sockets."""
+
+    def __init__(self, cluster, name):
+        self.name = name
+        self.lives = 0
+        self._cluster = cluster
+        self.start()
+
+    def start(self):
+        self.lives += 1
+        cluster = self._cluster
+        self.state = EntryState(self.name, incarnation=f"life-{self.lives}")
+        self.workers = FakeWorkerClient(cluster, self.name)
+        self.control = FakeControl(cluster)
+        self.batch = BatchDispatch(
+            self.state, self.workers, cluster.clock, f"http://{self.name}", lambda: None
+        )
+        self._sync = SyncTask(
+            self.state, self.batch, self.control, cluster.clock, (self.name, self.name), "fd"
+        )
+        self.is_frozen = False
+
+    def sync(self):
+        try:
+            self._sync._sync(0.0)
+        except NoControl:
+            return
+        finally:
+            let_green_threads_run()
+
+    def tell_outcomes(self):
+        outcomes = self.batch.attempts.outcomes()
+        try:
+            self.control.call("settle", outcomes)
+        except NoControl:
+            return
+        for outcome in outcomes:
+            self.batch.attempts.settle(outcome.key)
+
+
+class Cluster:
+    """A site in memory: control, two entry hosts, workers, and what the workers ran."""
+
+    def __init__(self, entries=2, workers=2, slots=3):
+        self.clock = ManualClock()
+        self.machine = SiteMachine()
+        self.cut_links = set()
+        self.late_starts = []
+        self.starts = []
+        self.entry_by_name = {}
+        self.worker_by_id = {f"w{n}": FakeWorker(self, f"w{n}", slots) for n in range(workers)}
+        self.lead()
+        for number in range(entries):
+            self.entry_by_name[f"e{number}"] = FakeEntry(self, f"e{number}")
+
+    def lead(self):
+        """A new leader takes over from what was committed; the old one is deposed."""
+        machine = SiteMachine()
+        machine.restore(self.machine.snapshot())
+        self.machine = machine
+        old = getattr(self, "site", None)
+        if old is not None:
+            old.replica.is_leader = False
+        self.site = SiteControl(FakeReplica(machine), machine, self.clock)
+        self.site.sessions = EntrySessions(self.clock.now)
+        self.duties = LeaderDuties(self.site, FakeRepair(), "calm", random.Random(0))
+        self.duties._led_term = 1
+
+    def note_start(self, worker, order):
+        self.starts.append((order.key.job_id, order.key.attempt, order.checkpoint_id))
+
+    def places_of(self, job_id):
+        return [
+            (worker.worker_id, attempt)
+            for worker in self.worker_by_id.values()
+            for (job, attempt), task in worker.tasks.items()
+            if job == job_id and task.state == "running"
+        ]
