State machines over the real cores, unit tests of the entry host, mutants

The promises had process tests only, which see few interleavings. Two Hypothesis machines now drive the real cores: the log group (losses, reordering, cuts both ways, torn writes, lost disks with repair) and the site (entry hosts, batch dispatch, leases, workers, racing operators). proofs/ removes each guard of the product in a scratch copy and runs the tests that must see it.

Cause of the two faults found while writing them: with both workers of a host failed, a third attempt waited in line until its deadline, since no worker counted as untried; it now may try one again.

--- /dev/null
+++ b/proofs/__main__.py
@@ -0,0 +1,71 @@
+"""Runs every mutant in a scratch copy of the tree; exits 1 if a guard can go unseen."""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import click
+
+from .mutants import MUTANTS, Mutant
+
+ROOT = Path(__file__).parent.parent
+COPIED = ("src", "tests", "standins", "specification", "pyproject.toml")
+PARALLEL = 4
+LONGEST_RUN_SECONDS = 300
+
+
+@click.command()
+@click.option("--only", default="", help="Only the guards whose text holds this.")
+def main(only: str) -> None:
+    """Remove each guard in turn and see its tests fail."""
+    chosen = [mutant for mutant in MUTANTS if only in mutant.guard]
+    with ThreadPoolExecutor(PARALLEL) as pool:
+        verdicts = list(pool.map(_seen, chosen))
+    for mutant, verdict in zip(chosen, verdicts, strict=True):
+        click.echo(f"{verdict}: without '{mutant.guard}' ({mutant.file}, {mutant.tests})")
+    seen = verdicts.count("seen")
+    click.echo(f"{seen} of {len(chosen)} removed guards were seen")
+    sys.exit(0 if seen == len(chosen) else 1)
+
+
+def _seen(mutant: Mutant) -> str:
+    with tempfile.TemporaryDirectory() as folder:
+        for name in COPIED:
+            source = ROOT / name
+            copy = shutil.copytree if source.is_dir() else shutil.copy
+            copy(source, Path(folder) / name)
+        path = Path(folder) / "src" / "savoryshelf" / mutant.file
+        text = path.read_text()
+        if text.count(mutant.old) != 1:
+            return "STALE, its text stands not once in the file"
+        path.write_text(text.replace(mutant.old, mutant.new))
+        return _run_tests(mutant, folder)
+
+
+def _run_tests(mutant: Mutant, folder: str) -> str:
+    command = [sys.executable, "-m", "pytest", "-q", "-x", *mutant.tests.split()]
+    environment = os.environ | {
+        "PYTHONPATH": f"{folder}/src:{folder}",
+        "SHRINK_FAILURES": "0",
+    }
+    try:
+        done = subprocess.run(
+            command,
+            cwd=folder,
+            env=environment,
+            capture_output=True,
+            timeout=LONGEST_RUN_SECONDS,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return "seen"
+    # 1 is pytest's own code for failed tests; anything else is a broken run.
+    return {0: "NOT SEEN", 1: "seen"}.get(done.returncode, f"BROKEN RUN {done.returncode}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/proofs/mutants.py
@@ -0,0 +1,281 @@
+"""The guards of the product, each with the change that removes it and the tests that see it."""
+
+import attrs
+
+PROMISES = "tests/promises"
+REPLICATION = "tests/replication"
+LEDGER = "tests/ledger"
+
+
+@attrs.frozen
+class Mutant:
+    """One guard taken out of the code."""
+
+    guard: str
+    file: str
+    old: str
+    new: str
+    tests: str
+
+
+_CORE = "replication/core.py"
+_STORAGE = "replication/storage.py"
+_LEDGER = "ledger/state.py"
+_FLEET = "targets/state.py"
+_BATCH = "entry/batch.py"
+
+MUTANTS = [
+    Mutant(
+        "a vote goes only to a log at least as new",
+        _CORE,
+        "if theirs < (self.log.last_term, self.log.last_index):",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a vote is given once a term",
+        _CORE,
+        'return message.term == self.term and self.voted_for in ("", message.sender)',
+        "return message.term == self.term",
+        REPLICATION,
+    ),
+    Mutant(
+        "only an entry of the leader's own term is counted",
+        _CORE,
+        "if index > self.commit_index and self.log.term_at(index) == self.term:",
+        "if index > self.commit_index:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a replica that hears its leader ignores campaigns",
+        _CORE,
+        "if follows or self.role is Role.LEADER:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a campaign asks before it raises the term",
+        _CORE,
+        "self._campaign(pre_vote=True)",
+        "self._campaign(pre_vote=False)",
+        REPLICATION,
+    ),
+    Mutant(
+        "a leader without a quorum steps down",
+        _CORE,
+        "if self._now - heard_at > self.timing.election:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a replica without its disk never votes",
+        _CORE,
+        "if not self.log.membership.members:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a message for a lost disk's identity is ignored",
+        _CORE,
+        "if message.recipient != self.replica_id or message.shard != self.shard:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a change of membership waits for the one before",
+        _CORE,
+        "if self.log.membership_index > self.commit_index:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "no change of membership before a commit in the leader's term",
+        _CORE,
+        "if not self.can_confirm:\n            # Without",
+        "if False:\n            # Without",
+        REPLICATION,
+    ),
+    Mutant(
+        "a learner votes only when it holds what is committed",
+        _CORE,
+        "if progress is None or progress.match_index < self.commit_index:",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a read is confirmed by a round that began after it",
+        "replication/leadership.py",
+        "if confirmed > read.after_round]",
+        "if confirmed >= read.after_round]",
+        REPLICATION,
+    ),
+    Mutant(
+        "a reply leaves only after the write is synced",
+        _CORE,
+        "self._messages.append(self._message(recipient, term, payload))",
+        "self._early.append(self._message(recipient, term, payload))",
+        REPLICATION,
+    ),
+    Mutant(
+        "damage before the end of the log stops the replica",
+        _STORAGE,
+        "if not is_last or _sound_frame_behind(data, offset):",
+        "if False:",
+        REPLICATION,
+    ),
+    Mutant(
+        "a torn last write is cut off",
+        _STORAGE,
+        "self._disk.truncate(name, offset)\n                return",
+        "return",
+        REPLICATION,
+    ),
+    Mutant(
+        "an entry that was replaced takes those behind it along",
+        _STORAGE,
+        "for index in [i for i in by_index if i >= entry.index]:",
+        "for index in []:",
+        REPLICATION,
+    ),
+    Mutant(
+        "an outcome settles only the attempt it names",
+        _LEDGER,
+        "if job is None or job.attempt != outcome.key.attempt:\n            return False\n"
+        "        told",
+        "if job is None:\n            return False\n        told",
+        LEDGER,
+    ),
+    Mutant(
+        "an attempt starts only after the one before is settled",
+        _LEDGER,
+        "if job is None or job.state is not JobState.QUEUED or start.attempt != job.attempt + 1:",
+        "if job is None:",
+        LEDGER,
+    ),
+    Mutant(
+        "what may have run and may not be repeated is not placed again",
+        _LEDGER,
+        "if job.repeatable:\n        _requeue",
+        "if True:\n        _requeue",
+        f"{LEDGER} {PROMISES}",
+    ),
+    Mutant(
+        "a key names one request",
+        _LEDGER,
+        "if known.body_digest != job.body_digest or known.class_name != job.class_name:",
+        "if False:",
+        LEDGER,
+    ),
+    Mutant(
+        "a restarted worker's tasks are settled as lost",
+        "control/state.py",
+        "if fleet.register_worker(announced, at_ms) and previous:",
+        "if fleet.register_worker(announced, at_ms) and False:",
+        PROMISES,
+    ),
+    Mutant(
+        "a change is accepted only from the version in force",
+        "configuration/state.py",
+        "if change.expected_version != self.version:",
+        "if False:",
+        PROMISES,
+    ),
+    Mutant(
+        "a resend finds the outcome of the first sending",
+        "configuration/state.py",
+        "if past.operation_id == change.operation_id:",
+        "if False:",
+        PROMISES,
+    ),
+    Mutant(
+        "an entry host never takes an older configuration",
+        "entry/state.py",
+        "if version <= self.configuration_version:\n            return False",
+        "pass",
+        "tests/entry",
+    ),
+    Mutant(
+        "a worker is given away only when its owner has let go",
+        "control/sessions.py",
+        "return session is not None and session.assignment_version >= worker.released_version",
+        "return True",
+        PROMISES,
+    ),
+    Mutant(
+        "an entry host is given up only when its lease has surely run out",
+        "control/sessions.py",
+        "return now > granter_deadline(heard_at, ENTRY_LEASE_SECONDS)",
+        "return now > heard_at + 0.1",
+        PROMISES,
+    ),
+    Mutant(
+        "a new leader waits for the leases of the one before",
+        "control/sessions.py",
+        "heard_at = self.elected_at\n",
+        'heard_at = float("-inf")\n',
+        PROMISES,
+    ),
+    Mutant(
+        "a host without a lease starts nothing",
+        _BATCH,
+        "if declarations is None or not self._state.lease.holds(now):\n            return False",
+        "if declarations is None:\n            return False",
+        "tests/entry",
+    ),
+    Mutant(
+        "a start that does not fit is not sent",
+        _BATCH,
+        "if not target.fits_batch(attempt.size, declarations.limits.critical_reserve_slots):",
+        "if False:",
+        "tests/entry",
+    ),
+    Mutant(
+        "not run is said only after the worker refuses the attempt",
+        _BATCH,
+        "if self._workers.settle_attempt(target, attempt.job_id, attempt.attempt):",
+        "if False:",
+        PROMISES,
+    ),
+    Mutant(
+        "a silent worker is given up only when its task lease has run out",
+        "entry/targets.py",
+        "return now > granter_deadline(heard_at, lease)",
+        "return now > heard_at + 1.5",
+        PROMISES,
+    ),
+    Mutant(
+        "a leaving worker gets no new work",
+        "entry/targets.py",
+        "return self.adopted and active and not self.leaving and not silent",
+        "return self.adopted and not silent",
+        "tests/entry",
+    ),
+    Mutant(
+        "a request given up on is counted until the worker says otherwise",
+        "entry/critical.py",
+        "target.linger(attempt_id, self._clock.monotonic())",
+        "pass",
+        "tests/entry",
+    ),
+    Mutant(
+        "a critical request never exceeds what its worker holds",
+        "entry/critical.py",
+        "if target.takes_work(now, interval) and target.fits(call.size)",
+        "if target.takes_work(now, interval)",
+        "tests/entry",
+    ),
+    Mutant(
+        "a refused request that may have run is not called not run",
+        "entry/critical.py",
+        "certainty = Certainty.UNKNOWN if call.may_have_run else Certainty.NOT_RUN",
+        "certainty = Certainty.NOT_RUN",
+        "tests/entry",
+    ),
+    Mutant(
+        "retries stay within their budget",
+        "entry/critical.py",
+        "if not self._budget.take():",
+        "if False:",
+        "tests/entry",
+    ),
+]
--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -1,21 +1,25 @@
 """Checks every model, and that each of its guards is needed; exits 1 otherwise."""
 
-import os
 import sys
 import time
 
 import click
 
 from . import attempts, configuration, election, ownership, repair  # noqa: F401
-from .model import MODELS, MUTANT_MAX_STATES, SMALL_VARIABLE, Specification, check
+from .model import MODELS, MUTANT_MAX_STATES, Specification, check, is_small
+
+SMALL_BOUNDS = (
+    "small bounds: election to term 3 of 4, repair logs of 2 entries of 3, "
+    "membership logs of 1 entry of 2"
+)
 
 
 @click.command()
 @click.argument("names", nargs=-1)
 def main(names: tuple[str, ...]) -> None:
     """Check the models of these NAMES, or all."""
-    if os.environ.get(SMALL_VARIABLE) == "1":
-        click.echo("small bounds: repair checks logs of 2 entries instead of 3")
+    if is_small():
+        click.echo(SMALL_BOUNDS)
     chosen = [MODELS[name] for name in names] if names else list(MODELS.values())
     verdicts = [_check_one(each) for each in chosen]
     sys.exit(0 if all(verdicts) else 1)
@@ -32,7 +36,7 @@
             f"{model.name}: {outcome.prop}: {outcome.states} states, "
             f"exhaustive {outcome.exhaustive}, {verdict}"
         )
-    for guard in model.guards:
+    for guard in model.checkable_guards:
         is_sound = _check_mutant(model, guard) and is_sound
     click.echo(f"{model.name}: {time.perf_counter() - started:.1f} s")
     return is_sound
--- a/specification/election.py
+++ b/specification/election.py
@@ -8,10 +8,10 @@
 
 from minicheck import Protocol
 
-from .model import specification
+from .model import bound, specification
 
 REPLICAS = range(3)
-MAX_TERM = 4
+MAX_TERM = bound(4, small=3)
 MAX_LOG = 1
 FOLLOWER, CANDIDATE, LEADER = 0, 1, 2
 
@@ -39,7 +39,7 @@
     return tuple(replica if i == index else each for i, each in enumerate(replicas))
 
 
-@specification("election", GUARDS)
+@specification("election", GUARDS, seen_at_full_bounds=(COMMIT_OWN_TERM,))
 def make(guards: frozenset[str]) -> Protocol:
     """Return the model with these guards in place."""
 
--- a/specification/model.py
+++ b/specification/model.py
@@ -14,9 +14,14 @@
 MODELS: dict[str, "Specification"] = {}
 
 
+def is_small() -> bool:
+    """Return whether the small bounds of quick runs are in use."""
+    return os.environ.get(SMALL_VARIABLE) == "1"
+
+
 def bound(full: int, small: int) -> int:
     """Return a bound of a model: the full one, or the small one of quick runs."""
-    return small if os.environ.get(SMALL_VARIABLE) == "1" else full
+    return small if is_small() else full
 
 
 @attrs.frozen
@@ -28,12 +33,22 @@
     make: Callable[[frozenset[str]], Protocol]
     """Returns the model with the named guards in place."""
 
+    seen_at_full_bounds: tuple[str, ...] = ()
+    """Guards whose need shows only at full bounds."""
+
+    @property
+    def checkable_guards(self) -> tuple[str, ...]:
+        """Return the guards whose mutants must be refuted at the bounds in use."""
+        if not is_small():
+            return self.guards
+        return tuple(guard for guard in self.guards if guard not in self.seen_at_full_bounds)
+
 
-def specification(name: str, guards: tuple[str, ...]):
+def specification(name: str, guards: tuple[str, ...], seen_at_full_bounds: tuple[str, ...] = ()):
     """Register a function that makes a model from the guards in place."""
 
     def register(make):
-        MODELS[name] = Specification(name, guards, make)
+        MODELS[name] = Specification(name, guards, make, seen_at_full_bounds)
         return make
 
     return register
--- a/specification/repair.py
+++ b/specification/repair.py
@@ -1,6 +1,6 @@
 """Membership: a lost disk, its repair, a second loss, and changes which race elections.
 
-Replicas 0 to 2 vote at first; 3 is a fresh disk.  An election and an
+The last replica is a fresh disk.  An election and an
 acknowledgement are one step each: what is asked here is which logs and
 memberships can meet, not which messages cross (``election`` asks that).  An
 entry is a term and the membership it sets, or none for a command.
@@ -10,30 +10,53 @@
 availability after a second loss, not safety.
 """
 
+import attrs
 from minicheck import Protocol
 
 from .model import bound, specification
 
-REPLICAS = range(4)
-FRESH = 3
 MAX_TERM = 3
-MAX_LOG = bound(3, small=2)
-MAX_LOSSES = 2
 COMMAND = frozenset()
-FIRST_VOTERS = frozenset({0, 1, 2})
 
 NEW_IDENTITY = "a lost disk comes back under a new identity"
 ONE_CHANGE = "a change of membership waits for the one before"
 OWN_TERM = "no change of membership before a commit in the leader's term"
-GUARDS = (NEW_IDENTITY, ONE_CHANGE, OWN_TERM)
 
-# State: per replica None (its disk is gone for good) or (term, log, leads);
-# the committed log; how many disks were lost.
-_START = (((0, (), False),) * 4, (), 0)
 
+@attrs.frozen
+class Bounds:
+    """How large a group and its history are."""
 
-def _voters(log) -> frozenset:
-    return next((voters for _, voters in reversed(log) if voters), FIRST_VOTERS)
+    first_voters: frozenset[int]
+    fresh: int
+    max_log: int
+    max_losses: int
+    removable: frozenset[int]
+
+    @property
+    def replicas(self) -> range:
+        """Return every replica, the fresh disk last."""
+        return range(self.fresh + 1)
+
+
+@specification("repair", (NEW_IDENTITY, ONE_CHANGE), seen_at_full_bounds=(ONE_CHANGE,))
+def make_repair(guards: frozenset[str]) -> Protocol:
+    """Return three voters and a fresh disk, with up to two disks lost."""
+    voters = frozenset({0, 1, 2})
+    return _make(guards | {OWN_TERM}, Bounds(voters, 3, bound(3, small=2), 2, voters))
+
+
+@specification("membership", (OWN_TERM,), seen_at_full_bounds=(OWN_TERM,))
+def make_membership(guards: frozenset[str]) -> Protocol:
+    """Return four voters, the even size at which changes race elections, and a fifth."""
+    voters = frozenset({0, 1, 2, 3})
+    return _make(
+        guards | {NEW_IDENTITY, ONE_CHANGE}, Bounds(voters, 4, bound(2, small=1), 0, frozenset({0}))
+    )
+
+
+def _voters(log, first: frozenset) -> frozenset:
+    return next((voters for _, voters in reversed(log) if voters), first)
 
 
 def _age(log) -> tuple[int, int]:
@@ -54,14 +77,18 @@
     return 2 * len(voters & set(found)) > len(voters)
 
 
-@specification("repair", GUARDS)
-def make(guards: frozenset[str]) -> Protocol:
-    """Return the model with these guards in place."""
+def _make(guards: frozenset[str], bounds: Bounds) -> Protocol:
+    """Return the model with these guards in place.
+
+    State: per replica None (its disk is gone for good) or (term, log, leads);
+    the committed log; how many disks were lost.
+    """
+    first = bounds.first_voters
 
     def transitions(state):
         replicas, committed, losses = state
         steps = []
-        for i in REPLICAS:
+        for i in bounds.replicas:
             if replicas[i] is None:
                 continue
             steps += _elect(state, i)
@@ -73,10 +100,16 @@
     def _elect(state, i):
         replicas, committed, losses = state
         term, log, leads = replicas[i]
-        voters = _voters(log)
-        if leads or i not in voters or term >= MAX_TERM:
+        voters = _voters(log, first)
+        if leads or i not in voters:
             return
-        new_term = term + 1
+        for new_term in range(term + 1, MAX_TERM + 1):
+            yield from _elected(state, i, new_term)
+
+    def _elected(state, i, new_term):
+        replicas, committed, losses = state
+        _, log, _ = replicas[i]
+        voters = _voters(log, first)
         granting = [
             j
             for j in voters
@@ -94,14 +127,14 @@
     def _lead(state, i):
         replicas, committed, losses = state
         term, log, _ = replicas[i]
-        if len(log) < MAX_LOG:
+        if len(log) < bounds.max_log:
             grown = (term, (*log, (term, COMMAND)), True)
             yield f"append {i}", (_set(replicas, i, grown), committed, losses)
             for voters in _changes(state, i):
                 changed = (term, (*log, (term, voters)), True)
                 name = f"{i} sets voters {sorted(voters)}"
                 yield name, (_set(replicas, i, changed), committed, losses)
-        for j in REPLICAS:
+        for j in bounds.replicas:
             other = replicas[j]
             if j == i or other is None or other[0] > term or (other[0] == term and other[2]):
                 continue
@@ -111,34 +144,34 @@
         for length in range(len(committed) + 1, len(log) + 1):
             holding = [
                 j
-                for j in REPLICAS
+                for j in bounds.replicas
                 if replicas[j] is not None
                 and replicas[j][0] == term
                 and replicas[j][1][:length] == log[:length]
             ]
-            if log[length - 1][0] == term and _is_majority(holding, _voters(log)):
+            if log[length - 1][0] == term and _is_majority(holding, _voters(log, first)):
                 yield f"{i} commits {length}", (replicas, log[:length], losses)
 
     def _changes(state, i):
         replicas, committed, losses = state
         term, log, _ = replicas[i]
-        voters = _voters(log)
+        voters = _voters(log, first)
         if OWN_TERM in guards and not any(entry[0] == term for entry in committed):
             return
         known = _common_length(log, committed)
         if ONE_CHANGE in guards and any(set_ for _, set_ in log[known:]):
             return
-        for j in voters:
+        for j in voters & bounds.removable:
             if len(voters) > 1:
                 yield voters - {j}
-        if FRESH not in voters:
-            yield voters | {FRESH}
+        if bounds.fresh not in voters:
+            yield voters | {bounds.fresh}
 
     def _lose(state, i):
         replicas, committed, losses = state
-        voters = _voters(committed)
+        voters = _voters(committed, first)
         whole = len(voters) >= 3 and all(replicas[v] is not None for v in voters)
-        if losses >= MAX_LOSSES or i not in voters or not whole:
+        if losses >= bounds.max_losses or i not in voters or not whole:
             return
         after = None if NEW_IDENTITY in guards else (0, (), False)
         yield f"lose disk {i}", (_set(replicas, i, after), committed, losses + 1)
@@ -158,7 +191,7 @@
         return len(terms) == len(set(terms))
 
     def nobody_without_a_commit_can_be_elected(state):
-        committed, voters = state["committed"], _voters(state["committed"])
+        committed, voters = state["committed"], _voters(state["committed"], first)
         lacking = [
             j
             for j, r in enumerate(state["replicas"])
@@ -167,10 +200,10 @@
         return not _is_majority(lacking, voters)
 
     return Protocol(
-        name="repair",
+        name="membership",
         candidate=False,
         fields=("replicas", "committed", "losses"),
-        initial=_START,
+        initial=(((0, (), False),) * len(bounds.replicas), (), 0),
         transitions=transitions,
         invariants={
             "one leader a term": one_leader_a_term,
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -159,7 +159,7 @@
         if may_quarantine(len(quarantined) - 1, len(self._state.targets.by_id)):
             usable = [t for t in usable if not t.outcomes.is_quarantined(now)]
         untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
-        return untried or (usable if call.attempts < 2 else [])
+        return untried or usable
 
     def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
         certainty = Certainty.UNKNOWN if call.may_have_run else Certainty.NOT_RUN
--- /dev/null
+++ b/tests/entry/test_batch.py
@@ -0,0 +1,120 @@
+import pytest
+
+from savoryshelf.entry.attempts import AttemptState
+from savoryshelf.entry.batch import BatchDispatch
+from savoryshelf.wire.generated.ttypes import AttemptKey, OutcomeKind, StartOrder, StopOrder
+from tests.promises.fakes import ManualClock, let_green_threads_run
+
+from .fakes import entry_state, owned
+
+
+class RecordingClient:
+    def __init__(self):
+        self.started = []
+        self.stopped = []
+
+    def start_attempt(self, target, order):
+        self.started.append((order.key.job_id, order.key.attempt))
+
+    def stop_attempt(self, target, order):
+        self.stopped.append(order.key.job_id)
+
+    def forget(self, kept_urls):
+        pass
+
+
+@pytest.fixture
+def host():
+    clock = ManualClock()
+    state = entry_state(clock, owned("w0", slots=3))
+    client = RecordingClient()
+    batch = BatchDispatch(state, client, clock, "http://e0", lambda: None)
+    batch.client, batch.clock, batch.state = client, clock, state
+    return batch
+
+
+def order(job_id, incarnation="life-1", worker_id="w0"):
+    key = AttemptKey(job_id, 1, 0)
+    return StartOrder(key, worker_id, "plans", b"", None, True, 1.0, 1, 0, incarnation, "")
+
+
+def start(host, *orders):
+    host.take_starts(list(orders))
+    let_green_threads_run()
+
+
+def kinds(host):
+    return {outcome.key.job_id: outcome.kind for outcome in host.attempts.outcomes()}
+
+
+def test_an_order_given_twice_starts_once(host):
+    start(host, order("a"), order("a"))
+    start(host, order("a"))
+    assert host.client.started == [("a", 1)]
+
+
+def test_a_start_that_does_not_fit_is_settled_as_not_run(host):
+    start(host, order("a"), order("b"), order("c"))
+    assert host.client.started == [("a", 1), ("b", 1)], "one slot is kept for critical requests"
+    assert kinds(host) == {"c": OutcomeKind.NOT_RUN}
+
+
+def test_a_host_without_a_lease_starts_nothing(host):
+    host.state.lease.give_up()
+    start(host, order("a"))
+    assert host.client.started == []
+    assert kinds(host) == {"a": OutcomeKind.NOT_RUN}
+
+
+def test_a_start_for_another_life_of_the_worker_is_left_alone(host):
+    start(host, order("a", incarnation="life-0"))
+    assert host.client.started == []
+    assert host.attempts.known_keys() == []
+
+
+def test_a_leaving_worker_gets_no_start(host):
+    host.state.targets.by_id["w0"].leaving = True
+    start(host, order("a"))
+    assert host.client.started == []
+
+
+def test_an_attempt_stays_known_until_the_worker_has_forgotten_it(host):
+    start(host, order("a"))
+    target = host.state.targets.by_id["w0"]
+    ended = {"job_id": "a", "attempt": 1, "state": "finished", "result": "cg=="}
+    assert host.attempts.take_report(target, [ended]) == []
+    assert host.attempts.outcomes()[0].result == b"r"
+    host.attempts.settle(AttemptKey("a", 1, 0))
+    assert host.attempts.take_report(target, [ended]) == [{"job_id": "a", "attempt": 1}]
+    host.attempts.take_report(target, [])
+    assert host.attempts.known_keys() == []
+
+
+def test_the_first_outcome_of_an_attempt_stands(host):
+    start(host, order("a"))
+    attempt = host.attempts.by_id["a", 1]
+    attempt.end(OutcomeKind.FINISHED, "")
+    attempt.end(OutcomeKind.LOST, "")
+    assert attempt.outcome.kind == OutcomeKind.FINISHED
+    assert attempt.state is AttemptState.ENDED
+
+
+def test_a_stop_is_sent_once(host):
+    start(host, order("a"))
+    stop = StopOrder(AttemptKey("a", 1, 0), "w0", True, "test")
+    host.take_stops([stop])
+    host.take_stops([stop])
+    let_green_threads_run()
+    assert host.client.stopped == ["a"]
+
+
+def test_a_report_to_a_host_that_lost_its_lease_renews_nothing(host):
+    report = {"incarnation": "life-1", "critical": [], "tasks": []}
+    assert host.take_report("w0", 1, report) is not None
+    host.state.lease.give_up()
+    assert host.take_report("w0", 1, report) is None
+
+
+def test_a_report_under_another_epoch_is_not_taken(host):
+    report = {"incarnation": "life-1", "critical": [], "tasks": []}
+    assert host.take_report("w0", 2, report) is None
--- /dev/null
+++ b/tests/entry/test_critical.py
@@ -0,0 +1,143 @@
+import pytest
+
+from savoryshelf.entry.targets import Size
+from savoryshelf.entry.worker_client import WorkerRefused, WorkerSilent, WorkerUnreachable
+from savoryshelf.errors import Certainty, RequestRefused
+from savoryshelf.wire.generated.ttypes import WorkerStanding
+
+from .fakes import call_of, critical_path, owned
+
+TWO_WORKERS = (owned("w0"), owned("w1"))
+
+
+def refused(path, reason):
+    with pytest.raises(RequestRefused) as caught:
+        path.serve(call_of(path))
+    assert caught.value.reason == reason
+    return caught.value
+
+
+def test_an_answer_comes_back_whole():
+    path, *_ = critical_path()
+    answer = path.serve(call_of(path, b"\x00\xff"))
+    assert (answer.status, answer.body, answer.attempts) == (200, b"answer to \x00\xff", 1)
+
+
+def test_a_host_without_a_lease_refuses_as_not_run():
+    path, clock, state, client = critical_path()
+    clock.now += 7.0
+    with pytest.raises(RequestRefused) as caught:
+        call_of(path)
+    assert (caught.value.reason, caught.value.certainty) == ("isolated", Certainty.NOT_RUN)
+
+
+def test_a_request_that_waited_past_the_lease_is_not_dispatched():
+    path, clock, state, client = critical_path()
+    call = call_of(path)
+    state.lease.give_up()
+    with pytest.raises(RequestRefused, match="isolated"):
+        path.serve(call)
+    assert client.worker_ids == []
+
+
+def test_a_worker_that_refused_is_not_asked_again():
+    path, _, _, client = critical_path(WorkerRefused("w0", "guard"), workers=TWO_WORKERS)
+    assert path.serve(call_of(path)).attempts == 2
+    assert len(set(client.worker_ids)) == 2
+
+
+def test_what_surely_did_not_run_needs_no_retry_budget():
+    path, *_ = critical_path(WorkerUnreachable("w0"), workers=TWO_WORKERS)
+    assert path.serve(call_of(path)).attempts == 2
+
+
+def test_what_may_have_run_is_retried_only_within_the_budget():
+    steps = [WorkerSilent("w0")] * 30
+    path, *_ = critical_path(*steps, workers=TWO_WORKERS, retry_budget=0.0)
+    assert refused(path, "retry_budget_spent").certainty is Certainty.UNKNOWN
+
+
+def test_a_refusal_after_an_attempt_that_may_have_run_says_unknown():
+    path, clock, state, _ = critical_path(
+        WorkerSilent("w0"), WorkerRefused("w1", "guard"), workers=TWO_WORKERS, retry_budget=1.0
+    )
+    original = path._retry_unrun
+
+    def too_late(*arguments):
+        clock.now += 5.0
+        state.lease.renewed(clock.now, 6.0)
+        return original(*arguments)
+
+    path._retry_unrun = too_late
+    assert refused(path, "too_late").certainty is Certainty.UNKNOWN
+
+
+def test_a_failing_answer_is_not_passed_on_as_an_answer():
+    path, *_ = critical_path(500, 500, 500, workers=TWO_WORKERS, retry_budget=1.0)
+    assert refused(path, "worker_failed").certainty is Certainty.UNKNOWN
+
+
+def test_a_request_never_exceeds_the_slots_of_its_worker():
+    path, clock, state, client = critical_path(workers=(owned("w0", slots=1),), max_waiting=0)
+    target = state.targets.by_id["w0"]
+    with target.holding("other", Size(1, 1)):
+        assert refused(path, "overloaded").certainty is Certainty.NOT_RUN
+    assert client.worker_ids == []
+
+
+def test_a_request_never_exceeds_the_cores_of_its_worker():
+    path, *_ = critical_path(workers=(owned("w0", cores=0.5),), max_waiting=0)
+    refused(path, "overloaded")
+
+
+def test_a_request_given_up_on_is_counted_until_the_worker_says_otherwise():
+    path, clock, state, _ = critical_path(WorkerSilent("w0"), workers=(owned("w0", slots=1),))
+    refused(path, "retry_budget_spent")
+    target = state.targets.by_id["w0"]
+    assert target.outstanding == 1
+    target.reported(clock.now + 1.0, set())
+    assert target.outstanding == 1, "it may still be on its way"
+    request_id = next(iter(target.lingering_by_id))
+    target.reported(clock.now + 6.0, {request_id})
+    assert target.outstanding == 1, "the worker says that it runs"
+    target.reported(clock.now + 7.0, set())
+    assert target.outstanding == 0
+
+
+@pytest.mark.parametrize("standing", [WorkerStanding.DRAINED, WorkerStanding.LEAVING])
+def test_a_worker_that_is_leaving_gets_no_request(standing):
+    path, *_ = critical_path(workers=(owned("w0", standing=standing),), max_waiting=0)
+    refused(path, "overloaded")
+
+
+def test_a_worker_that_says_it_leaves_gets_no_request():
+    path, _, state, _ = critical_path(max_waiting=0)
+    state.targets.by_id["w0"].leaving = True
+    refused(path, "overloaded")
+
+
+def test_a_worker_that_stopped_reporting_gets_no_request():
+    path, clock, state, _ = critical_path(max_waiting=0, report_interval_s=0.5)
+    clock.now += 2.0
+    refused(path, "overloaded")
+
+
+def test_an_unknown_service_is_refused():
+    path, *_ = critical_path()
+    with pytest.raises(RequestRefused, match="no_such_service"):
+        path.make_call("nothing", "team", "text/plain", b"", 0, "")
+
+
+def test_a_caller_cannot_ask_for_more_time_than_the_service_has():
+    path, clock, *_ = critical_path()
+    call = path.make_call("quotes", "team", "text/plain", b"", 60_000, "")
+    assert call.time_left(clock.now) == 1.0
+
+
+def test_an_attempt_leaves_time_for_the_next():
+    path, clock, *_ = critical_path()
+    call = call_of(path)
+    call.attempts = 1
+    assert path._attempt_seconds(call, clock.now) < call.time_left(clock.now)
+    call.attempts = 3
+    assert path._attempt_seconds(call, clock.now) == call.time_left(clock.now)
--- /dev/null
+++ b/tests/entry/test_state.py
@@ -0,0 +1,80 @@
+import pytest
+
+from savoryshelf.configuration.declarations import parse, to_document
+from savoryshelf.entry.budget import RetryBudget
+from savoryshelf.entry.lease import ControlLease
+from savoryshelf.entry.quarantine import FAILURES_IN_A_ROW, OutcomeRecord, may_quarantine
+from savoryshelf.entry.state import ANNOUNCEMENTS_KEPT, EntryState
+from savoryshelf.leases import ENTRY_LEASE_SECONDS, granter_deadline, holder_deadline
+
+from .fakes import owned
+
+
+def document(site):
+    return to_document(parse({"customer": "c", "site": site}))
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    state = EntryState("e0")
+    assert state.take_configuration(5, document("new"))
+    assert not state.take_configuration(4, document("old"))
+    assert state.declarations.site == "new"
+
+
+def test_the_holder_of_a_lease_stops_before_its_granter_may_give_it_away():
+    # The holder asked at 10; the granter heard that at once, on a clock of its own.
+    assert holder_deadline(10.0, ENTRY_LEASE_SECONDS) < granter_deadline(10.0, ENTRY_LEASE_SECONDS)
+
+
+def test_an_older_answer_never_shortens_a_lease():
+    lease = ControlLease()
+    lease.renewed(10.0, 6.0)
+    lease.renewed(5.0, 6.0)
+    assert lease.holds(15.0)
+
+
+def test_a_worker_is_quarantined_after_failures_in_a_row_and_probed_once():
+    record = OutcomeRecord()
+    for _ in range(FAILURES_IN_A_ROW):
+        assert not record.is_quarantined(0.0)
+        record.failed(0.0)
+    assert record.is_quarantined(1.0)
+    assert not record.is_quarantined(3.0)
+    record.begin_probe(3.0)
+    assert record.is_quarantined(3.0), "one probe at a time"
+    record.failed(3.0)
+    assert record.is_quarantined(6.0), "a failed probe doubles the time"
+    record.begin_probe(8.0)
+    record.succeeded()
+    assert not record.is_quarantined(8.0)
+
+
+def test_a_success_between_failures_keeps_a_worker_in_use():
+    record = OutcomeRecord()
+    for _ in range(10):
+        record.failed(0.0)
+        record.succeeded()
+    assert not record.is_quarantined(0.0)
+
+
+@pytest.mark.parametrize(("quarantined", "total", "allowed"), [(0, 1, True), (2, 4, False)])
+def test_never_so_many_are_quarantined_that_the_fleet_is_gone(quarantined, total, allowed):
+    assert may_quarantine(quarantined, total) is allowed
+
+
+def test_a_retry_budget_is_a_share_of_first_attempts():
+    budget = RetryBudget(0.5)
+    while budget.take():
+        pass
+    budget.first_attempt()
+    assert not budget.take()
+    budget.first_attempt()
+    assert budget.take()
+
+
+def test_announcements_that_control_has_not_heard_are_bounded():
+    state = EntryState("e0")
+    for number in range(ANNOUNCEMENTS_KEPT + 10):
+        state.announce(owned(f"w{number}").worker)
+    assert len(state.announcement_by_id) == ANNOUNCEMENTS_KEPT
+    assert f"w{ANNOUNCEMENTS_KEPT + 9}" in state.announcement_by_id
--- a/tests/promises/test_promises.py
+++ b/tests/promises/test_promises.py
@@ -56,6 +56,8 @@
         self.apply(0, "first")
         for _ in range(8):
             self.calm_round()
+        for number, order in enumerate([False, True, True]):
+            self.submit_and_start(number, order, "none")
 
     def calm_round(self):
         """Let everyone who can do so take a turn, and a second pass."""
@@ -91,6 +93,19 @@
         if self.job_id(number) in self.accepted:
             self.cluster.site.cancel("team", self.job_id(number))
 
+    @rule(number=job_numbers)
+    def the_scheduler_evicts(self, number):
+        job = self.cluster.machine.state.ledger.by_id.get(self.job_id(number))
+        if job is not None and job.is_placed:
+            key = ttypes.AttemptKey(job.job_id, job.attempt, 0)
+            command = ttypes.RequestEvictions([key], "a test")
+            self.cluster.site.commit(request_evictions=command)
+
+    @rule(number=job_numbers, rounds=st.integers(1, 4))
+    def an_eviction_takes_its_course(self, number, rounds):
+        self.the_scheduler_evicts(number)
+        self.everything_takes_a_turn(rounds)
+
     # ----------------------------------------------------------------- operators
 
     @rule(stale=st.booleans(), number=st.integers(0, 3))
@@ -305,5 +320,5 @@
         assert unfinished == []
 
 
-Promises.TestCase.settings = settings(max_examples=60, stateful_step_count=50)
+Promises.TestCase.settings = settings(max_examples=100, stateful_step_count=60)
 TestPromises = Promises.TestCase
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -1,5 +1,6 @@
 """A control group in memory: real cores and storage, a fake network, clock and disks."""
 
+import json
 import random
 
 from savoryshelf.replication.core import Recovered, Replica, Role, Timing
@@ -54,7 +55,7 @@
         recovered = self.storage.recover()
         self.applied = []
         if recovered.snapshot:
-            self.applied = recovered.snapshot.state.decode().split(",")
+            self.applied = json.loads(recovered.snapshot.state)
         self.core = Replica(
             identity.replica_id,
             identity.genesis or Membership([]),
@@ -83,7 +84,7 @@
             if ready.install:
                 term, vote = self.core.term, self.core.voted_for
                 self.storage.write_snapshot(ready.install, term, vote, [])
-                self.applied = ready.install.state.decode().split(",")
+                self.applied = json.loads(ready.install.state)
             if ready.record:
                 self.storage.write(ready.record)
             self.core.synced(ready)
@@ -109,7 +110,7 @@
         index = core.applied_index
         if index <= core.log.base_index:
             return
-        state = ",".join(self.applied).encode()
+        state = json.dumps(self.applied).encode()
         snapshot = SnapshotFile(
             index, core.log.term_at(index), core.log.membership_at(index), state
         )
--- /dev/null
+++ b/tests/replication/test_group_machine.py
@@ -0,0 +1,221 @@
+"""The real log through losses, reordering, cuts, crashes, torn writes and lost disks."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from savoryshelf.replication.core import NotLeading
+from savoryshelf.replication.formation import host_name
+from savoryshelf.replication.membership import MembershipChangeRefused, voters
+from savoryshelf.wire.generated.ttypes import Member
+
+from .group import STEP, Group
+
+NAMES = ["c0", "c1", "c2"]
+names = st.sampled_from(NAMES)
+
+
+class LogGroup(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.proposed = 0
+        self.acknowledged = []
+        self.leader_by_term = {}
+        self.changes_asked = 0
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed):
+        self.group = Group(3, seed)
+        self.group.settle(3.0)
+
+    def host(self, name):
+        return self.group.host_by_name[name]
+
+    # ------------------------------------------------------------------- network
+
+    @rule(index=st.integers(0, 50), repeat=st.booleans())
+    def deliver_some_message(self, index, repeat):
+        messages = self.group.messages
+        if messages:
+            position = index % len(messages)
+            message = messages[position] if repeat else messages.pop(position)
+            self.group.deliver(message)
+
+    @rule(index=st.integers(0, 50))
+    def lose_some_message(self, index):
+        if self.group.messages:
+            self.group.messages.pop(index % len(self.group.messages))
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 3.0]))
+    def deliver_all_for_a_while(self, seconds):
+        self.group.settle(seconds)
+
+    @rule(name=names, ticks=st.integers(1, 25))
+    def let_one_clock_run(self, name, ticks):
+        host = self.host(name)
+        for _ in range(ticks):
+            self.group.now += STEP
+            if host.core is not None:
+                host.core.tick(self.group.now)
+                host.carry_out()
+
+    @rule(name=names)
+    def isolate(self, name):
+        self.group.isolate(name)
+
+    @rule(sender=names, recipient=names)
+    def cut_one_way(self, sender, recipient):
+        self.group.cut.add((sender, recipient))
+
+    @rule()
+    def heal(self):
+        self.group.heal()
+
+    # ------------------------------------------------------------------- commands
+
+    @rule(count=st.integers(1, 3))
+    def propose(self, count):
+        for _ in range(count):
+            leader = self.group.leader()
+            if leader is None:
+                return
+            self.proposed += 1
+            leader.core.propose([f"command-{self.proposed}".encode()])
+            leader.carry_out()
+        self.acknowledge(leader)
+
+    def acknowledge(self, leader):
+        """Note what a leader has applied: that much was told to somebody."""
+        if len(leader.applied) > len(self.acknowledged):
+            self.acknowledged = list(leader.applied)
+
+    @rule(name=names)
+    def compact(self, name):
+        if self.host(name).core is not None:
+            self.host(name).compact()
+
+    # -------------------------------------------------------------------- failures
+
+    @rule(name=names, tear=st.sampled_from([None, 0.3, 0.9]))
+    def crash_in_the_middle_of_a_write(self, name, tear):
+        host = self.host(name)
+        if host.core is None:
+            return
+        if host.leads:
+            self.proposed += 1
+            host.core.propose([f"command-{self.proposed}".encode()])
+        host.carry_out(crash_before_sync=True, tear=tear)
+        host.core = None
+
+    @rule(name=names)
+    def restart(self, name):
+        if self.host(name).core is None:
+            self.host(name).boot()
+
+    def is_whole(self):
+        """Return whether every voter is up, on its own disk, and holds what is committed."""
+        leader = self.group.leader()
+        if leader is None or leader.core.log.membership_index > leader.core.commit_index:
+            return False
+        identities = {h.replica_id: h for h in self.group.host_by_name.values()}
+        members = voters(leader.core.log.membership)
+        if len(members) < 3 or any(m not in identities for m in members):
+            return False
+        up = [identities[m] for m in members]
+        return all(h.core and h.core.commit_index == leader.core.commit_index for h in up)
+
+    @precondition(lambda self: self.is_whole())
+    @rule(name=names)
+    def lose_a_disk(self, name):
+        host = self.host(name)
+        host.core = None
+        host.disk.content_by_name.clear()
+        host.boot()
+
+    @rule()
+    def repair_one_step(self):
+        """Do what the product's repair does: learn, retire the old, vote."""
+        leader = self.group.leader()
+        if leader is None:
+            return
+        core = leader.core
+        try:
+            for host in self.group.host_by_name.values():
+                known = [m.replica_id for m in core.log.membership.members]
+                if host.core is None or host.replica_id in known:
+                    continue
+                core.add_learner(Member(host.replica_id, host.name, "", False))
+                return
+            for member in core.log.membership.members:
+                if not member.voter:
+                    self.promote_or_retire(core, member)
+                    return
+        except (MembershipChangeRefused, NotLeading):
+            return
+        finally:
+            leader.carry_out()
+
+    def promote_or_retire(self, core, learner):
+        progress = core.leadership.progress_by_id[learner.replica_id]
+        if progress.match_index < core.commit_index:
+            return
+        for member in core.log.membership.members:
+            same = host_name(member.replica_id) == host_name(learner.replica_id)
+            if same and member.replica_id != learner.replica_id:
+                core.remove(member.replica_id)
+                return
+        core.promote(learner.replica_id)
+
+    @rule()
+    def repair_to_the_end(self):
+        self.group.heal()
+        for name in NAMES:
+            self.restart(name)
+        for _ in range(6):
+            self.group.settle(2.0)
+            self.repair_one_step()
+
+    # ------------------------------------------------------------------ invariants
+
+    @invariant()
+    def one_leader_a_term(self):
+        for host in self.group.host_by_name.values():
+            if host.leads:
+                known = self.leader_by_term.setdefault(host.core.term, host.replica_id)
+                assert known == host.replica_id
+
+    @invariant()
+    def every_replica_applied_the_same_commands(self):
+        applied = [h.applied for h in self.group.host_by_name.values() if h.core is not None]
+        longest = max(applied, key=len, default=[])
+        for each in applied:
+            assert each == longest[: len(each)]
+
+    @invariant()
+    def a_leader_that_can_answer_has_all_that_was_acknowledged(self):
+        for host in self.group.host_by_name.values():
+            if host.leads:
+                self.acknowledge(host)
+        newest = self.group.leader()
+        if newest is not None and newest.core.can_confirm and newest.core.applied_index:
+            length = min(len(newest.applied), len(self.acknowledged))
+            assert newest.applied[:length] == self.acknowledged[:length]
+
+    def teardown(self):
+        """When all is whole again, the group serves, and holds all that was acknowledged."""
+        self.repair_to_the_end()
+        self.repair_to_the_end()
+        self.proposed += 1
+        leader = self.group.leader()
+        assert leader is not None
+        leader.core.propose([b"last"])
+        leader.carry_out()
+        self.group.settle(2.0)
+        for host in self.group.host_by_name.values():
+            assert host.applied[: len(self.acknowledged)] == self.acknowledged
+            assert host.applied[-1] == "last"
+            assert len(host.applied) == len(set(host.applied)), "a command was applied twice"
+
+
+LogGroup.TestCase.settings = settings(max_examples=100, stateful_step_count=60)
+TestLogGroup = LogGroup.TestCase
