--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -189,7 +189,7 @@
     """What the site needs of a replica to measure its reads."""
 
     is_leader = True
-    leader_address = ""
+    leader_address = leader_name = ""
 
     def __init__(self, machine):
         self.machine = machine
--- /dev/null
+++ b/benchmarks/policies.py
@@ -0,0 +1,105 @@
+"""Policies compared on real processes, with the baselines in the same run.
+
+Each line is one run of a site on loopback: a scenario, a policy, a seed.  The
+order of policies changes with the seed, so that a drift of the machine does
+not favour one.
+"""
+
+import random
+import tempfile
+
+import attrs
+import click
+
+from savoryshelf.entry.routing import POLICIES as ROUTING
+from standins.load import Plan
+from standins.site import DECLARATIONS, Site
+
+TARGET_MS = 250
+JOB_RUN_S = 2.0
+
+
+@attrs.frozen
+class Scenario:
+    """What happens during a run."""
+
+    name: str
+    worker_options: tuple[str, ...]
+    critical_per_s: float
+    jobs_per_s: float
+    work_ms: float = 40.0
+
+
+SCENARIOS = [
+    Scenario("no batch", (), 60.0, 0.0),
+    Scenario("noisy pairs", ("--noise", "routing=0.8"), 60.0, 6.0),
+    Scenario("one worker fails all", ("--bad-worker", "fails_everything"), 60.0, 2.0),
+]
+
+
+def _run(scenario: Scenario, routing: str, seed: int, seconds: float) -> str:
+    with tempfile.TemporaryDirectory() as folder:
+        site = Site(
+            folder,
+            controls=3,
+            entries=2,
+            workers=8,
+            declarations=DECLARATIONS,
+            worker_options=list(scenario.worker_options),
+        )
+        for name in ("e0", "e1"):
+            site.by_name[name].environment["SAVORYSHELF_ROUTING_POLICY"] = routing
+        with site.running():
+            plan = Plan(
+                entry_urls=site.entry_urls,
+                token=site.team_token(),
+                service="quotes",
+                critical_per_s=scenario.critical_per_s,
+                jobs_per_s=scenario.jobs_per_s,
+                job_classes=["routing"],
+                unrepeatable_classes=set(),
+                seconds=seconds,
+                seed=seed,
+                work_ms=scenario.work_ms,
+                run_s=JOB_RUN_S,
+                urgent_share=0.0,
+            )
+            with site.under_load(plan) as ledgers:
+                pass
+            ledger = ledgers[0]
+            evictions = sum(job["evictions"] for job in site.view("jobs"))
+    percentiles = [ledger.latency_ms(p) for p in (50, 99, 99.9)]
+    sent = sum(1 for line in ledger.lines if line.kind == "critical")
+    row = [
+        scenario.name,
+        routing,
+        seed,
+        *(f"{value:.0f}" for value in percentiles),
+        f"{ledger.share_within(TARGET_MS) * ledger.count('critical', 'answered') / sent:.3f}",
+        ledger.count("job", "done"),
+        evictions,
+        ledger.reasons or "none",
+    ]
+    return "| " + " | ".join(str(cell) for cell in row) + " |"
+
+
+@click.command()
+@click.option("--seconds", default=10.0)
+@click.option("--seeds", default=2)
+def main(seconds: float, seeds: int) -> None:
+    """Compare routing policies."""
+    click.echo(
+        "| scenario | routing | seed | p50 ms | p99 ms | p99.9 ms | "
+        f"within {TARGET_MS} ms | jobs done | evictions | refusals |"
+    )
+    click.echo("|---" * 10 + "|")
+    for scenario in SCENARIOS:
+        for seed in range(1, seeds + 1):
+            names = sorted(ROUTING)
+            random.Random(seed).shuffle(names)
+            for routing in names:
+                click.echo(_run(scenario, routing, seed, seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/savoryshelf/control/site.py
+++ b/src/savoryshelf/control/site.py
@@ -54,7 +54,7 @@
 
     def not_leader(self) -> ttypes.NotLeader:
         """Return the error which names the leader, if it is known."""
-        return ttypes.NotLeader(self.replica.leader_address)
+        return ttypes.NotLeader(self.replica.leader_address, self.replica.leader_name)
 
     def _require_leading(self) -> None:
         if not self.replica.is_leader:
--- a/src/savoryshelf/entry/control_client.py
+++ b/src/savoryshelf/entry/control_client.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from ..errors import NoControl, PeerUnreachable
+from ..errors import NoControl, PeerUnreachable, RefusedByControl
 from ..observability import metrics
 from ..wire.generated import ControlService, ttypes
 from ..wire.peers import CALL_TIMEOUT_SECONDS, PeerPool
@@ -16,8 +16,9 @@
 class ControlClient:
     """Finds the leader by asking; remembers it until it says otherwise."""
 
-    def __init__(self, addresses: list[str], cluster_key: str):
-        self._addresses = addresses
+    def __init__(self, address_by_name: dict[str, str], cluster_key: str):
+        self._address_by_name = address_by_name
+        self._addresses = addresses = list(address_by_name.values())
         self._cluster_key = cluster_key
         self._pool_by_address: dict[str, PeerPool] = {}
         self._leader = random.choice(addresses)
@@ -33,7 +34,7 @@
         """Call the leader, asking round for ``patience`` seconds.
 
         A call that is not idempotent is not sent again once its outcome is in
-        doubt.  Raises NoControl, or what the leader refused with.
+        doubt.  Raises NoControl, or RefusedByControl.
         """
         outcome_unknown = False
         with eventlet.Timeout(patience + timeout, NoControl(self._addresses, True)):
@@ -41,8 +42,10 @@
             while True:
                 try:
                     return self._pool(self._leader).call(method, *arguments, timeout=timeout)
+                except ttypes.Refused as error:
+                    raise RefusedByControl(error.reason, error.detail) from None
                 except ttypes.NotLeader as error:
-                    self._follow(error.leader_address)
+                    self._follow(self._address_of(error))
                 except PeerUnreachable as error:
                     outcome_unknown = outcome_unknown or error.sent
                     self._follow("")
@@ -54,6 +57,10 @@
                     raise NoControl(self._addresses, outcome_unknown)
                 eventlet.sleep(PAUSE_SECONDS * random.uniform(0.5, 1.5))
 
+    def _address_of(self, error: ttypes.NotLeader) -> str:
+        """Return where this host reaches the leader: its own settings go first."""
+        return self._address_by_name.get(error.leader_name) or error.leader_address
+
     def _follow(self, leader_address: str) -> None:
         others = [address for address in self._addresses if address != self._leader]
         self._leader = leader_address or random.choice(others or self._addresses)
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -16,6 +16,7 @@
 from ..configuration.declarations import Service
 from ..errors import Certainty, PeerUnreachable, RequestRefused
 from ..observability import metrics
+from ..observability.logs import request_action
 from ..wire.generated import EntryService, ttypes
 from ..wire.peers import PeerPool
 from .budget import RetryBudget
@@ -290,7 +291,8 @@
                 request.trace_id,
             )
             call.may_spill = False
-            answer = self.serve(call)
+            with request_action("entry:spilled", request.trace_id, service=call.service_name):
+                answer = self.serve(call)
         except RequestRefused as error:
             if error.certainty is Certainty.UNKNOWN:
                 raise ttypes.Unavailable(str(error), True) from None
--- a/src/savoryshelf/entry/http/app.py
+++ b/src/savoryshelf/entry/http/app.py
@@ -11,12 +11,11 @@
 from werkzeug.wrappers import Request, Response
 
 from ...clock import Clock
-from ...errors import Certainty, NoControl, RequestRefused
+from ...errors import Certainty, NoControl, RefusedByControl, RequestRefused
 from ...observability import metrics
 from ...observability.http import operations_response
 from ...observability.logs import log_event
 from ...tokens import Bearer, InvalidToken, verify
-from ...wire.generated import ttypes
 from ..batch import BatchDispatch
 from ..control_client import ControlClient
 from ..critical import CriticalPath
@@ -113,7 +112,7 @@
             return _HANDLERS[endpoint](self._context, request, **parameters)
         except RequestRefused as error:
             return refusal_response(error)
-        except ttypes.Refused as error:
+        except RefusedByControl as error:
             status = STATUS_BY_REASON.get(error.reason, 400)
             return refusal_response(RequestRefused(error.reason, error.detail, status))
         except NoControl as error:
--- a/src/savoryshelf/entry/process.py
+++ b/src/savoryshelf/entry/process.py
@@ -36,8 +36,8 @@
         clock = SystemClock()
         state = EntryState(settings.name)
         workers = WorkerClient(issue(settings.token_key, TARGET))
-        addresses = [address for _, address, _ in settings.control_hosts]
-        control = ControlClient(addresses, settings.cluster_key)
+        address_by_name = {name: address for name, address, _ in settings.control_hosts}
+        control = ControlClient(address_by_name, settings.cluster_key)
         critical = CriticalPath(
             state, workers, clock, settings.routing_policy, settings.cluster_key
         )
--- a/src/savoryshelf/errors.py
+++ b/src/savoryshelf/errors.py
@@ -87,6 +87,19 @@
         self.outcome_unknown = outcome_unknown
 
 
+class RefusedByControl(SavoryshelfError):
+    """The control leader refused for good; nothing was changed.
+
+    Thrift's own exceptions are immutable and cannot pass through a context
+    manager, which sets their traceback; so they stop at the client.
+    """
+
+    def __init__(self, reason: str, detail: str):
+        super().__init__(f"{reason}: {detail}")
+        self.reason = reason
+        self.detail = detail
+
+
 class InvariantBroken(SavoryshelfError):
     """A state that must not exist was seen; the process stops rather than go on."""
 
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -173,6 +173,11 @@
         """Return the address of whom this replica follows, or an empty string."""
         return self._address_of(self.core.leader_id) if self.core.leader_id else ""
 
+    @property
+    def leader_name(self) -> str:
+        """Return the host name of whom this replica follows, or an empty string."""
+        return host_name(self.core.leader_id) if self.core.leader_id else ""
+
     # --------------------------------------------------------- the owning thread
 
     def _run(self) -> None:
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -187,7 +187,8 @@
   6: string reason, 7: optional binary result, 8: string story
 }
 
-exception NotLeader { 1: string leader_address }
+/** Names the leader by host, since each host may reach it by an address of its own. */
+exception NotLeader { 1: string leader_address, 2: string leader_name }
 
 /** Nothing was decided, or it cannot be known whether it was (`outcome_unknown`). */
 exception Unavailable { 1: string reason, 2: bool outcome_unknown }
--- a/standins/load.py
+++ b/standins/load.py
@@ -85,6 +85,17 @@
         histogram = HdrHistogram.decode(self.encoded_latency_us)
         return histogram.get_value_at_percentile(percentile) / 1000
 
+    def share_within(self, target_ms: float) -> float:
+        """Return which share of the answers came within that time."""
+        histogram = HdrHistogram.decode(self.encoded_latency_us)
+        total = histogram.get_total_count()
+        counted = sum(
+            item.count_at_value_iterated_to
+            for item in histogram.get_recorded_iterator()
+            if item.value_iterated_to <= target_ms * 1000
+        )
+        return counted / total if total else 0.0
+
     def count(self, kind: str, outcome: str) -> int:
         """Return how many lines of a kind ended like that."""
         return sum(1 for line in self.lines if (line.kind, line.outcome) == (kind, outcome))
--- /dev/null
+++ b/tests/wire/test_peers.py
@@ -0,0 +1,70 @@
+import threading
+
+import eventlet
+import pytest
+
+from savoryshelf.errors import PeerUnreachable
+from savoryshelf.wire.generated import ControlService, ttypes
+from savoryshelf.wire.peers import PeerClient, PeerHandler, PeerServer, prove
+
+KEY = "the-cluster-key-of-tests"
+
+
+class Handler(PeerHandler):
+    def probe(self):
+        self.require_authenticated()
+        return ttypes.ProbeReply("c0.disk", None)
+
+
+@pytest.fixture
+def server():
+    """Yield a server that runs in a native thread with a hub of its own."""
+    started, stopping, servers = threading.Event(), threading.Event(), []
+
+    def run():
+        servers.append(PeerServer(ControlService, "127.0.0.1:0", lambda: Handler(KEY)))
+        started.set()
+        while not stopping.is_set():
+            eventlet.sleep(0.01)
+        servers[0].close()
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    started.wait()
+    yield servers[0]
+    stopping.set()
+    thread.join()
+
+
+def test_a_peer_with_the_cluster_key_is_served(server):
+    client = PeerClient(ControlService, server.address, KEY)
+    assert client.call("probe").replica_id == "c0.disk"
+    client.close()
+
+
+def test_a_peer_with_another_key_is_turned_away(server):
+    client = PeerClient(ControlService, server.address, "another-key-of-16-chars")
+    with pytest.raises(PeerUnreachable) as caught:
+        client.call("probe")
+    assert not caught.value.sent
+
+
+def test_a_peer_that_skips_the_challenge_is_turned_away():
+    handler = Handler(KEY)
+    with pytest.raises(ttypes.Unauthenticated):
+        handler.probe()
+
+
+def test_a_proof_for_one_connection_is_worth_nothing_on_another():
+    first, second = Handler(KEY), Handler(KEY)
+    proof = prove(KEY, first.hello())
+    first.authenticate(proof)
+    with pytest.raises(ttypes.Unauthenticated):
+        second.authenticate(proof)
+
+
+def test_a_host_where_nobody_listens_was_not_reached():
+    client = PeerClient(ControlService, "127.0.0.1:1", KEY)
+    with pytest.raises(PeerUnreachable) as caught:
+        client.call("probe")
+    assert not caught.value.sent
