Interference: spare disturbed workers, then one eviction at a time; doubt old latency

Cause: batch work that slows critical requests on its worker was met by routing alone, and routing never came back to a worker it had once learned to be slow, since only an answer renews a learned latency.

A learned latency fades by half in 5 s without answers.

Ruled out: evicting at the first sign (a wave raises every worker's pressure at once, and the lag would empty the site).

--- a/src/savoryshelf/control/duties.py
+++ b/src/savoryshelf/control/duties.py
@@ -5,6 +5,7 @@
 from ..ledger.state import Job, JobState
 from ..observability import metrics
 from ..scheduling import eviction, ownership, placement
+from ..scheduling.interference import InterferenceWatch
 from ..targets.state import EntryHost, Worker
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import WorkerStanding
@@ -16,6 +17,7 @@
 REPAIR_SECONDS = 1.0
 EXPIRY_SECONDS = 60.0
 REBALANCE_SECONDS = 2.0
+MIN_WEIGHT = 1e-6
 SETTLING_SECONDS = 2.0
 """A new leader waits this long for entry hosts to report before it moves workers."""
 
@@ -28,6 +30,7 @@
         self._repair = repair
         self._choose = placement.POLICIES[policy]
         self._randomness: random.Random = randomness
+        self._interference = InterferenceWatch()
         self._led_term = 0
         self._next_by_duty: dict[str, float] = {}
 
@@ -57,6 +60,7 @@
         self._remove_lapsed_entries(now)
         self._assign_workers(now)
         self._evict_from_leaving_workers()
+        self._relieve_disturbed_workers(now)
         self._place()
 
     def _is_due(self, duty: str, interval: float, now: float) -> bool:
@@ -147,7 +151,8 @@
         for worker in self._site.machine.state.fleet.workers_by_id.values():
             note = notes.get(worker.worker_id)
             usable = note is not None and note.adopted and note.epoch == worker.epoch
-            if worker.takes_work and usable and not note.quarantined:
+            calm = self._interference.takes_batch(worker.worker_id)
+            if worker.takes_work and usable and calm and not note.quarantined:
                 rooms.append(self._room(worker, note))
         return rooms
 
@@ -199,6 +204,26 @@
         ]
         self._request_evictions(keys, "worker is leaving")
 
+    def _relieve_disturbed_workers(self, now: float) -> None:
+        declarations = self._site.machine.declarations
+        if declarations is None:
+            return
+        notes = self._site.sessions.notes()
+        pressures = {w: (note.pressure_tenths or 0) / 10 for w, note in notes.items()}
+        self._interference.observe(pressures, now)
+        weights = declarations.weights
+        weight = weights.evictions / max(weights.tail_latency, MIN_WEIGHT)
+        worker_id = self._interference.must_yield(weight, now)
+        if worker_id is None:
+            return
+        candidates = [c for c in self._candidates() if c.worker_id == worker_id]
+        if not candidates:
+            return
+        victim = min(candidates, key=lambda c: eviction.cost(c, weights.evictions))
+        self._interference.yielded(worker_id, now)
+        key = ttypes.AttemptKey(victim.job_id, victim.attempt, 0)
+        self._request_evictions([key], "disturbs critical requests")
+
     def _make_room_for_urgent(self, waiting: list[placement.Demand]) -> None:
         limits = self._site.machine.declarations.limits
         patience_ms = limits.urgent_wait_s * 1000
--- a/src/savoryshelf/entry/batch.py
+++ b/src/savoryshelf/entry/batch.py
@@ -113,6 +113,9 @@
     def notes(self) -> list[WorkerNote]:
         """Return this host's view of each of its workers, for control."""
         now = self._clock.monotonic()
+        declarations = self._state.declarations
+        services = declarations.services if declarations else {}
+        target_s_by_service = {name: each.target_ms / 1000 for name, each in services.items()}
         return [
             WorkerNote(
                 worker_id=target.worker_id,
@@ -125,6 +128,7 @@
                 quarantined=target.outcomes.is_quarantined(now),
                 lease_lapsed=target.lease_lapsed(now, ENTRY_LEASE_SECONDS),
                 incarnation=target.worker.incarnation,
+                pressure_tenths=round(target.pressure(target_s_by_service, now) * 10),
             )
             for target in self._state.targets.by_id.values()
         ]
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -142,7 +142,7 @@
                 raise self._refusal(call, "too_late", "the deadline passed before there was room")
             fitting = self._fitting(call, now)
             if fitting:
-                return self._choose(call.service_name, fitting, self._randomness)
+                return self._choose(call.service_name, fitting, self._randomness, now)
             if call.may_spill and self._state.peer_with_room() is not None:
                 return None
             if len(self._line) >= declarations.limits.max_waiting:
@@ -201,7 +201,7 @@
             return self._retry_uncertain(call, target, "no_answer", str(error))
         finally:
             self._line.wake_one()
-        return self._judge(call, target, answer, self._clock.monotonic() - sent_at)
+        return self._judge(call, target, answer, sent_at)
 
     def _attempt_seconds(self, call: CriticalCall, now: float) -> float:
         """Return how long one attempt may take: a hung worker must leave time for another."""
@@ -211,12 +211,13 @@
         return min(left, max(2 * call.service.target_ms / 1000, left / 3))
 
     def _judge(
-        self, call: CriticalCall, target: OwnedTarget, answer: WorkerAnswer, seconds: float
+        self, call: CriticalCall, target: OwnedTarget, answer: WorkerAnswer, sent_at: float
     ) -> Answer | None:
         if answer.status >= SERVER_ERROR_STATUS:
             detail = f"{target.worker_id} answered {answer.status}"
             return self._retry_uncertain(call, target, "worker_failed", detail)
-        target.answered(call.service_name, seconds)
+        now = self._clock.monotonic()
+        target.answered(call.service_name, now - sent_at, now)
         return Answer(
             answer.status, answer.content_type, answer.body, target.worker_id, call.attempts
         )
--- a/src/savoryshelf/entry/routing.py
+++ b/src/savoryshelf/entry/routing.py
@@ -5,15 +5,12 @@
 
 from .targets import OwnedTarget
 
-Policy = Callable[[str, list[OwnedTarget], random.Random], OwnedTarget]
+Policy = Callable[[str, list[OwnedTarget], random.Random, float], OwnedTarget]
 POLICIES: dict[str, Policy] = {}
 
-UNKNOWN_LATENCY_SECONDS = 0.0
-"""A worker not tried yet looks fast, so that it is tried."""
-
 
 def policy(name: str):
-    """Register a policy; it chooses among workers which all have room."""
+    """Register a policy; it chooses, at a time, among workers which all have room."""
 
     def register(function: Policy) -> Policy:
         POLICIES[name] = function
@@ -24,16 +21,17 @@
 
 @policy("expected_latency")
 def _expected_latency(
-    service: str, targets: list[OwnedTarget], randomness: random.Random
+    service: str, targets: list[OwnedTarget], randomness: random.Random, now: float
 ) -> OwnedTarget:
     """Prefer the worker that is expected to answer first.
 
     Its learned latency for this service already holds the slow-down by its
-    neighbours; what is outstanding there says how that is about to change.
+    neighbours; what is outstanding there says how that is about to change.  A
+    worker not tried yet counts as fast, so that it is tried.
     """
 
     def expected(target: OwnedTarget) -> tuple[float, float]:
-        latency = target.latency_by_service.get(service, UNKNOWN_LATENCY_SECONDS)
+        latency = target.latency(service, now)
         share = target.outstanding / max(1, target.worker.slots)
         return latency * (1 + share), share
 
@@ -42,27 +40,29 @@
 
 @policy("least_outstanding")
 def _least_outstanding(
-    service: str, targets: list[OwnedTarget], randomness: random.Random
+    service: str, targets: list[OwnedTarget], randomness: random.Random, now: float
 ) -> OwnedTarget:
     return _least(targets, lambda t: t.outstanding / max(1, t.worker.slots), randomness)
 
 
 @policy("two_choices")
 def _two_choices(
-    service: str, targets: list[OwnedTarget], randomness: random.Random
+    service: str, targets: list[OwnedTarget], randomness: random.Random, now: float
 ) -> OwnedTarget:
     sample = randomness.sample(targets, min(2, len(targets)))
     return min(sample, key=lambda t: t.outstanding / max(1, t.worker.slots))
 
 
 @policy("random")
-def _random(service: str, targets: list[OwnedTarget], randomness: random.Random) -> OwnedTarget:
+def _random(
+    service: str, targets: list[OwnedTarget], randomness: random.Random, now: float
+) -> OwnedTarget:
     return randomness.choice(targets)
 
 
 @policy("round_robin")
 def _round_robin(
-    service: str, targets: list[OwnedTarget], randomness: random.Random
+    service: str, targets: list[OwnedTarget], randomness: random.Random, now: float
 ) -> OwnedTarget:
     """Take the worker that was dispatched to longest ago."""
     return min(targets, key=lambda t: (t.last_dispatch_number, t.worker_id))
--- a/src/savoryshelf/entry/targets.py
+++ b/src/savoryshelf/entry/targets.py
@@ -13,6 +13,9 @@
 from .quarantine import OutcomeRecord
 
 LATENCY_SMOOTHING = 0.1
+LATENCY_HALF_LIFE_SECONDS = 5.0
+"""How fast a learned latency is doubted while no answer confirms it."""
+
 LINGER_SECONDS = 5.0
 """A request given up may still reach its worker this long after the connection was closed."""
 
@@ -54,6 +57,7 @@
     lingering_by_id: dict[str, Lingering] = attrs.field(factory=dict)
     batch_by_id: dict[tuple[str, int], Size] = attrs.field(factory=dict)
     latency_by_service: dict[str, float] = attrs.field(factory=dict)
+    answered_at_by_service: dict[str, float] = attrs.field(factory=dict)
     outcomes: OutcomeRecord = attrs.field(factory=OutcomeRecord)
     slowdown: float = 1.0
     last_dispatch_number: int = 0
@@ -119,12 +123,32 @@
         if size is not None:
             self.lingering_by_id[request_id] = Lingering(size, now)
 
-    def answered(self, service: str, seconds: float) -> None:
+    def answered(self, service: str, seconds: float, now: float) -> None:
         """Learn from one answer how long this service takes here."""
+        self.answered_at_by_service[service] = now
         known = self.latency_by_service.get(service, seconds)
         self.latency_by_service[service] = known + LATENCY_SMOOTHING * (seconds - known)
         self.outcomes.succeeded()
 
+    def latency(self, service: str, now: float) -> float:
+        """Return how long this service takes here; 0 where nothing is known.
+
+        What was learned fades while no answer comes: a worker that was slow
+        and is avoided for it would otherwise never be tried again.
+        """
+        known = self.latency_by_service.get(service, 0.0)
+        age = now - self.answered_at_by_service.get(service, now)
+        return known * 0.5 ** (age / LATENCY_HALF_LIFE_SECONDS)
+
+    def pressure(self, target_s_by_service: dict[str, float], now: float) -> float:
+        """Return how long critical answers lately took here over their target, at worst."""
+        shares = [
+            self.latency(service, now) / target_s_by_service[service]
+            for service in self.latency_by_service
+            if service in target_s_by_service
+        ]
+        return max(shares, default=0.0)
+
     def reported(self, now: float, critical_ids: set[str]) -> None:
         """Take in a report: what it does not list, and cannot be on its way, is gone."""
         self.last_report_at = now
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -69,7 +69,9 @@
 struct WorkerNote {
   1: string worker_id, 2: i64 epoch, 3: bool adopted, 4: bool leaving,
   5: i32 critical_in_flight, 6: i32 batch_running, 7: double slowdown, 8: bool quarantined,
-  9: bool lease_lapsed, 10: string incarnation
+  9: bool lease_lapsed, 10: string incarnation,
+  /** How long critical answers lately took there, as a share of their target; in tenths. */
+  11: i32 pressure_tenths
 }
 
 // ----------------------------------------------------------------- job ledger
--- /dev/null
+++ b/tests/entry/test_routing.py
@@ -0,0 +1,52 @@
+import random
+
+import pytest
+
+from savoryshelf.entry.routing import POLICIES
+from savoryshelf.entry.targets import Size
+from tests.promises.fakes import ManualClock
+
+from .fakes import entry_state, owned
+
+
+@pytest.fixture
+def targets():
+    state = entry_state(ManualClock(), owned("w0", slots=8), owned("w1", slots=8))
+    return list(state.targets.by_id.values())
+
+
+def choose(policy, targets, now=0.0):
+    return POLICIES[policy]("quotes", targets, random.Random(0), now).worker_id
+
+
+def test_the_worker_expected_to_answer_first_is_chosen(targets):
+    targets[0].answered("quotes", 0.5, 0.0)
+    targets[1].answered("quotes", 0.1, 0.0)
+    assert choose("expected_latency", targets) == "w1"
+
+
+def test_a_worker_that_was_slow_is_tried_again_after_a_while(targets):
+    targets[0].answered("quotes", 0.5, 0.0)
+    targets[1].answered("quotes", 0.1, 60.0)
+    assert choose("expected_latency", targets, now=60.0) == "w0"
+
+
+def test_what_is_outstanding_counts(targets):
+    for target in targets:
+        target.answered("quotes", 0.1, 0.0)
+    with targets[0].holding("r1", Size()), targets[0].holding("r2", Size()):
+        assert choose("expected_latency", targets) == "w1"
+        assert choose("least_outstanding", targets) == "w1"
+        assert choose("two_choices", targets) == "w1"
+
+
+def test_round_robin_takes_the_one_dispatched_to_longest_ago(targets):
+    targets[0].last_dispatch_number = 7
+    assert choose("round_robin", targets) == "w1"
+
+
+def test_pressure_is_the_latency_over_its_target_and_fades(targets):
+    targets[0].answered("quotes", 0.5, 0.0)
+    assert targets[0].pressure({"quotes": 0.25}, now=0.0) == 2.0
+    assert targets[0].pressure({"quotes": 0.25}, now=10.0) == 0.5
+    assert targets[0].pressure({}, now=0.0) == 0.0
