--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,11 @@
 mutants: $(VENV)/.ready
 	$(BIN)/python -m proofs
 
-# Speed of the critical path against a direct call, then the cost of a commit.
+# Speed of the critical path, the cost of a commit, and how long recoveries take.
 bench: $(VENV)/.ready
 	$(BIN)/python -m benchmarks.speed
 	$(BIN)/python -m benchmarks.commits
+	$(BIN)/python -m benchmarks.failover
 
 # The slopes behind docs/CAPACITY.md.
 capacity: $(VENV)/.ready
