--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	$(BIN)/python -m benchmarks.speed
 	$(BIN)/python -m benchmarks.commits
 	$(BIN)/python -m benchmarks.failover
+	$(BIN)/python -m benchmarks.recovery
 
 # The slopes behind docs/CAPACITY.md.
 capacity: $(VENV)/.ready
--- /dev/null
+++ b/benchmarks/group.py
@@ -0,0 +1,107 @@
+"""A control group for measurements: real replicas, sockets and files in one process.
+
+The program that imports this must have made the standard library cooperative.
+"""
+
+import os
+import random
+
+import attrs
+import eventlet
+
+from savoryshelf.clock import SystemClock
+from savoryshelf.control.handler import ControlHandler
+from savoryshelf.disk import FolderDisk
+from savoryshelf.replication.core import Timing
+from savoryshelf.replication.links import PeerLinks
+from savoryshelf.replication.service import ReplicaService, StateMachine
+from savoryshelf.replication.storage import ReplicaStorage
+from savoryshelf.wire.generated import ControlService
+from savoryshelf.wire.generated.ttypes import Member, Membership
+from savoryshelf.wire.peers import PeerServer
+from standins.relay import Relay
+
+CLUSTER_KEY = "benchmark-cluster-key"
+BITS_PER_BYTE = 8
+
+
+@attrs.frozen
+class Link:
+    """What lies between a far replica and the others; both ways alike."""
+
+    delay_s: float = 0.020
+    bytes_per_s: float = 15e6 / BITS_PER_BYTE
+
+
+class Host:
+    """One replica's host, as the peers' handler knows it."""
+
+    def __init__(self, number: int, folder: str):
+        self.name = f"c{number}"
+        self.replica: ReplicaService | None = None
+        self.server = PeerServer(
+            ControlService, "127.0.0.1:0", lambda: ControlHandler(CLUSTER_KEY, self)
+        )
+        self.folder = os.path.join(folder, self.name)
+        self.storage = ReplicaStorage(FolderDisk(self.folder))
+        self.replica_id = self.storage.identity(self.name).replica_id
+
+
+class Group:
+    """Hosts of one group; some of them may be far from the others."""
+
+    def __init__(
+        self,
+        folder: str,
+        count: int,
+        make_machine,
+        snapshot_every: int = 5000,
+        far: frozenset[int] = frozenset(),
+        link: Link | None = None,
+    ):
+        self.hosts = [Host(number, folder) for number in range(count)]
+        self._make_machine = make_machine
+        self._snapshot_every = snapshot_every
+        self._far_names = {f"c{number}" for number in far}
+        self._link = link or Link()
+        members = [Member(h.replica_id, h.server.address, "", True) for h in self.hosts]
+        self._genesis = Membership(members)
+        for host in self.hosts:
+            self.start(host)
+
+    def start(self, host: Host) -> ReplicaService:
+        """Start a host's replica from what its disk holds."""
+        machine: StateMachine = self._make_machine()
+        host.replica = ReplicaService(
+            replica_id=host.replica_id,
+            genesis=self._genesis,
+            storage=host.storage,
+            machine=machine,
+            links=PeerLinks(CLUSTER_KEY),
+            address_of_host={each.name: self._way(host, each) for each in self.hosts},
+            clock=SystemClock(),
+            timing=Timing(),
+            randomness=random.Random(host.name),
+            snapshot_every=self._snapshot_every,
+        )
+        host.replica.start()
+        return host.replica
+
+    def _way(self, sender: Host, recipient: Host) -> str:
+        address = recipient.server.address
+        if sender is not recipient and self._far_names & {sender.name, recipient.name}:
+            return Relay(address, self._link.delay_s, self._link.bytes_per_s).address
+        return address
+
+    def leader(self) -> Host:
+        """Wait for a leader that has committed in its term."""
+        while True:
+            for host in self.hosts:
+                if host.replica.is_leader and host.replica.core.can_confirm:
+                    return host
+            eventlet.sleep(0.02)
+
+    def stop(self) -> None:
+        """Stop every replica."""
+        for host in self.hosts:
+            host.replica.stop()
