--- a/benchmarks/group.py
+++ b/benchmarks/group.py
@@ -12,10 +12,10 @@
 from savoryshelf.clock import SystemClock
 from savoryshelf.control.handler import ControlHandler
 from savoryshelf.disk import FolderDisk
-from savoryshelf.replication.core import Timing
 from savoryshelf.replication.links import PeerLinks
 from savoryshelf.replication.service import ReplicaService, StateMachine
 from savoryshelf.replication.storage import ReplicaStorage
+from savoryshelf.replication.types import Timing
 from savoryshelf.wire.generated import ControlService
 from savoryshelf.wire.generated.ttypes import Member, Membership
 from savoryshelf.wire.peers import PeerServer
--- a/src/savoryshelf/control/handler.py
+++ b/src/savoryshelf/control/handler.py
@@ -1,7 +1,7 @@
 """The peers' port of a control host: hands authenticated calls to their slice."""
 
-from ..replication.core import NotLeading
 from ..replication.membership import MembershipChangeRefused
+from ..replication.types import NotLeading
 from ..wire.generated import ttypes
 from ..wire.peers import PeerHandler
 
--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -9,12 +9,12 @@
 from ..errors import PeerUnreachable
 from ..observability.http import serve_operations
 from ..observability.logs import log_event
-from ..replication.core import Timing
 from ..replication.formation import ControlHost, find_or_form_group, host_name
 from ..replication.links import PeerLinks
 from ..replication.membership import find
 from ..replication.service import ReplicaService
 from ..replication.storage import ReplicaStorage
+from ..replication.types import Timing
 from ..wire.generated import ControlService, ttypes
 from ..wire.peers import PeerClient, PeerServer
 from .duties import LeaderDuties
--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -6,10 +6,11 @@
 group never has more votes than hosts.
 """
 
-from ..replication.core import NotLeading, Replica
+from ..replication.core import Replica
 from ..replication.formation import host_name
 from ..replication.membership import MembershipChangeRefused, find
 from ..replication.service import OutcomeUnknown, ReplicaService
+from ..replication.types import NotLeading
 from ..wire.generated.ttypes import Member
 
 
--- a/src/savoryshelf/control/site.py
+++ b/src/savoryshelf/control/site.py
@@ -10,8 +10,8 @@
 from ..leases import ENTRY_LEASE_SECONDS
 from ..ledger.state import Job, JobState
 from ..outcomes import Refusal
-from ..replication.core import NotLeading
 from ..replication.service import OutcomeUnknown, ReplicaService
+from ..replication.types import NotLeading
 from ..wire import codec
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import Command, CommandBody, WorkerStanding
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -14,6 +14,7 @@
 from ..configuration.state import ConfigurationState
 from ..ledger.state import Ledger
 from ..outcomes import Accepted, Refusal
+from ..registry import registering
 from ..targets.state import Fleet
 from ..wire import codec
 from ..wire.generated.ttypes import Command, WorkerStanding
@@ -22,14 +23,7 @@
 _APPLIERS: dict[str, Callable] = {}
 
 
-def _applies(field: str):
-    """Register the function that applies the command of that name."""
-
-    def register(function):
-        _APPLIERS[field] = function
-        return function
-
-    return register
+_applies = registering(_APPLIERS)
 
 
 @attrs.define
--- a/src/savoryshelf/control/views.py
+++ b/src/savoryshelf/control/views.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..ledger.state import Job
+from ..registry import registering
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import WorkerStanding
 
@@ -12,14 +13,7 @@
 MAX_JOBS_LISTED = 500
 
 
-def _view(name: str):
-    """Register the function that makes the view of that name."""
-
-    def register(function):
-        VIEWS[name] = function
-        return function
-
-    return register
+_view = registering(VIEWS)
 
 
 @_view("status")
--- a/src/savoryshelf/entry/routing.py
+++ b/src/savoryshelf/entry/routing.py
@@ -3,20 +3,15 @@
 import random
 from collections.abc import Callable
 
+from ..registry import registering
 from .targets import OwnedTarget
 
 Policy = Callable[[str, list[OwnedTarget], random.Random, float], OwnedTarget]
 POLICIES: dict[str, Policy] = {}
 
 
-def policy(name: str):
-    """Register a policy; it chooses, at a time, among workers which all have room."""
-
-    def register(function: Policy) -> Policy:
-        POLICIES[name] = function
-        return function
-
-    return register
+policy = registering(POLICIES)
+"""Registers a policy; it chooses, at a time, among workers which all have room."""
 
 
 @policy("expected_latency")
--- a/src/savoryshelf/ledger/state.py
+++ b/src/savoryshelf/ledger/state.py
@@ -13,6 +13,7 @@
 
 from ..errors import InvariantBroken
 from ..outcomes import Accepted, Refusal
+from ..registry import registering
 from ..wire.generated.ttypes import (
     AttemptKey,
     AttemptOutcome,
@@ -101,14 +102,8 @@
 _SETTLERS: dict[OutcomeKind, Callable] = {}
 
 
-def _settles(kind: OutcomeKind):
-    """Register the function that settles a running attempt with that outcome."""
-
-    def register(function):
-        _SETTLERS[kind] = function
-        return function
-
-    return register
+_settles = registering(_SETTLERS)
+"""Registers the function that settles a running attempt with that outcome."""
 
 
 @attrs.define
--- /dev/null
+++ b/src/savoryshelf/registry.py
@@ -0,0 +1,19 @@
+"""Tables of functions by name or kind, which a decorator fills."""
+
+from collections.abc import Callable, Hashable
+from typing import TypeVar
+
+Function = TypeVar("Function", bound=Callable)
+
+
+def registering(function_by_key: dict) -> Callable[[Hashable], Callable[[Function], Function]]:
+    """Return a decorator maker: ``@register(key)`` puts a function into that table."""
+
+    def register(key: Hashable) -> Callable[[Function], Function]:
+        def add(function: Function) -> Function:
+            function_by_key[key] = function
+            return function
+
+        return add
+
+    return register
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -6,12 +6,9 @@
 after the promise is on disk.
 """
 
-import enum
 import random
 
-import attrs
-
-from ..errors import InvariantBroken, SavoryshelfError
+from ..errors import InvariantBroken
 from ..wire import codec
 from ..wire.generated.ttypes import (
     AppendReply,
@@ -39,70 +36,10 @@
     with_voter,
     without,
 )
+from .transfer import IncomingSnapshot, next_chunk
+from .types import NotLeading, Ready, Recovered, Role, Timing
 
 MAX_APPEND_BYTES = 256 * 1024
-SNAPSHOT_CHUNK_BYTES = 128 * 1024
-
-
-class Role(enum.Enum):
-    """What a replica is in its term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-class NotLeading(SavoryshelfError):
-    """Only the leader may do this; ``leader_id`` is whom this replica follows, if any."""
-
-    def __init__(self, leader_id: str | None):
-        super().__init__(f"not the leader; it is {leader_id or 'unknown'}")
-        self.leader_id = leader_id
-
-
-@attrs.frozen
-class Timing:
-    """Intervals of the protocol, in seconds."""
-
-    heartbeat: float = 0.2
-    election: float = 1.0
-    """A follower waits between one and two of these before it campaigns."""
-
-
-@attrs.define
-class Recovered:
-    """What a replica reads back from its disk before it starts."""
-
-    term: int = 0
-    voted_for: str = ""
-    snapshot: SnapshotFile | None = None
-    entries: list[LogEntry] = attrs.field(factory=list)
-
-
-@attrs.define
-class Ready:
-    """What the shell must do, in this order."""
-
-    early_messages: list[RaftMessage]
-    """Promise nothing about this disk: they may leave before the write."""
-
-    install: SnapshotFile | None
-    record: WalRecord | None
-    messages: list[RaftMessage]
-    committed: list[LogEntry]
-    confirmed_reads: list[int]
-
-    def is_empty(self) -> bool:
-        """Return whether there is nothing to do."""
-        return not (
-            self.early_messages
-            or self.install
-            or self.record
-            or self.messages
-            or self.committed
-            or self.confirmed_reads
-        )
 
 
 class Replica:
@@ -136,8 +73,7 @@
         self._deadline = now
         self._next_read_id = 1
         self._broadcast_wanted = False
-        self._incoming: bytearray = bytearray()
-        self._incoming_index = 0
+        self._incoming = IncomingSnapshot()
         self._synced_index = self.log.last_index
         self._applied_index = self.log.base_index
         self._installing: SnapshotFile | None = None
@@ -432,19 +368,7 @@
         return batch
 
     def _send_snapshot(self, replica_id: str, progress: Progress) -> None:
-        if progress.snapshot is None:
-            progress.snapshot, progress.snapshot_offset = self.snapshot, 0
-        snapshot, offset = progress.snapshot, progress.snapshot_offset
-        data = snapshot.state[offset : offset + SNAPSHOT_CHUNK_BYTES]
-        chunk = SnapshotChunk(
-            snapshot.last_index,
-            snapshot.last_term,
-            snapshot.membership,
-            offset,
-            data,
-            offset + len(data) >= len(snapshot.state),
-            self.leadership.round,
-        )
+        chunk = next_chunk(progress, self.snapshot, self.leadership.round)
         self._send_early(replica_id, snapshot_chunk=chunk)
 
     def _on_append_request(self, message: RaftMessage, request: AppendRequest) -> None:
@@ -492,25 +416,18 @@
         if chunk.last_index <= self.commit_index:
             self._reply_snapshot(message, chunk, 0, installed=True)
             return
-        if chunk.last_index != self._incoming_index or chunk.offset == 0:
-            self._incoming, self._incoming_index = bytearray(), chunk.last_index
-        if chunk.offset == len(self._incoming):
-            self._incoming += chunk.data
-            if chunk.done:
-                self._install(chunk)
-                self._reply_snapshot(message, chunk, 0, installed=True)
-                return
-        self._reply_snapshot(message, chunk, len(self._incoming), installed=False)
-
-    def _install(self, chunk: SnapshotChunk) -> None:
-        self.snapshot = SnapshotFile(
-            chunk.last_index, chunk.last_term, chunk.membership, bytes(self._incoming)
-        )
-        self._installing = self.snapshot
-        self._incoming, self._incoming_index = bytearray(), 0
-        self.log.reset(chunk.last_index, chunk.last_term, chunk.membership)
+        snapshot = self._incoming.add(chunk)
+        if snapshot is not None:
+            self._install(snapshot)
+            self._reply_snapshot(message, chunk, 0, installed=True)
+            return
+        self._reply_snapshot(message, chunk, self._incoming.next_offset, installed=False)
+
+    def _install(self, snapshot: SnapshotFile) -> None:
+        self.snapshot = self._installing = snapshot
+        self.log.reset(snapshot.last_index, snapshot.last_term, snapshot.membership)
         self._unsynced = []
-        self._synced_index = self.commit_index = self._applied_index = chunk.last_index
+        self._synced_index = self.commit_index = self._applied_index = snapshot.last_index
 
     def _reply_snapshot(self, message, chunk, next_offset: int, installed: bool) -> None:
         reply = SnapshotReply(chunk.last_index, next_offset, installed, chunk.round)
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -25,10 +25,11 @@
     RaftMessage,
     SnapshotFile,
 )
-from .core import NotLeading, Ready, Replica, Role, Timing
+from .core import Replica
 from .formation import host_name
 from .membership import MembershipChangeRefused, find
 from .storage import ReplicaStorage
+from .types import NotLeading, Ready, Role, Timing
 
 TICK_SECONDS = 0.05
 SNAPSHOT_EVERY_ENTRIES = 5000
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -23,7 +23,7 @@
     SnapshotFile,
     WalRecord,
 )
-from .core import Recovered
+from .types import Recovered
 
 _HEADER = struct.Struct("<4sII")
 _MAGIC = b"SSW1"
--- a/src/savoryshelf/scheduling/placement.py
+++ b/src/savoryshelf/scheduling/placement.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from ..registry import registering
+
 MAX_STARTS_PER_ROUND = 256
 SAMPLE_ROOMS = 64
 
@@ -76,14 +78,8 @@
 POLICIES: dict[str, Policy] = {}
 
 
-def policy(name: str):
-    """Register a function that chooses among the rooms which fit."""
-
-    def register(function: Policy) -> Policy:
-        POLICIES[name] = function
-        return function
-
-    return register
+policy = registering(POLICIES)
+"""Registers a policy; it chooses among the rooms which fit."""
 
 
 @policy("calm")
--- a/src/savoryshelf/settings.py
+++ b/src/savoryshelf/settings.py
@@ -6,7 +6,9 @@
 
 import attrs
 
+from .entry.routing import POLICIES as ROUTING
 from .errors import InvalidSetting, InvalidSettings
+from .scheduling.placement import POLICIES as PLACEMENT
 
 ENVIRONMENT_PREFIX = "SAVORYSHELF_"
 MIN_KEY_LENGTH = 16
@@ -53,6 +55,17 @@
     return value
 
 
+def _key_of(table: Mapping[str, object]) -> Callable[[str], str]:
+    """Return a parser that lets only the names of a registry through."""
+
+    def parse(text: str) -> str:
+        if text not in table:
+            raise ValueError
+        return text
+
+    return parse
+
+
 def _count(text: str) -> int:
     value = int(text)
     if value < 1:
@@ -124,8 +137,8 @@
     )
     placement_policy: str = _setting(
         "How workers are chosen for batch work.",
-        _word,
-        "use calm, least_loaded or random",
+        _key_of(PLACEMENT),
+        f"use {', '.join(sorted(PLACEMENT))}",
         default="calm",
     )
 
@@ -147,8 +160,8 @@
     )
     routing_policy: str = _setting(
         "How workers are chosen for critical requests.",
-        _word,
-        "use expected_latency, least_outstanding, two_choices, round_robin or random",
+        _key_of(ROUTING),
+        f"use {', '.join(sorted(ROUTING))}",
         default="expected_latency",
     )
     body_seconds: float = _setting(
--- a/tests/promises/fakes.py
+++ b/tests/promises/fakes.py
@@ -14,7 +14,7 @@
 from savoryshelf.entry.sync import SyncTask
 from savoryshelf.entry.worker_client import WorkerRefused, WorkerSilent, WorkerUnreachable
 from savoryshelf.errors import NoControl
-from savoryshelf.replication.core import NotLeading
+from savoryshelf.replication.types import NotLeading
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import WorkerAnnouncement
 
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -3,8 +3,9 @@
 import json
 import random
 
-from savoryshelf.replication.core import Recovered, Replica, Role, Timing
+from savoryshelf.replication.core import Replica
 from savoryshelf.replication.storage import ReplicaStorage
+from savoryshelf.replication.types import Recovered, Role, Timing
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import EntryKind, Member, Membership, SnapshotFile
 
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from savoryshelf.replication.core import NotLeading, Recovered, Replica, Role
+from savoryshelf.replication.core import Replica
 from savoryshelf.replication.membership import MembershipChangeRefused, voters
+from savoryshelf.replication.types import NotLeading, Recovered, Role
 from savoryshelf.wire.generated.ttypes import (
     AppendReply,
     EntryKind,
--- a/tests/replication/test_group_machine.py
+++ b/tests/replication/test_group_machine.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from savoryshelf.replication.core import NotLeading
 from savoryshelf.replication.formation import host_name
 from savoryshelf.replication.membership import MembershipChangeRefused, voters
+from savoryshelf.replication.types import NotLeading
 from savoryshelf.wire.generated.ttypes import Member
 
 from .group import STEP, Group
