An answer must state its length; results and reports are bounded

Cut inside the status line, with neither length nor chunks, it came back as an empty 200: by HTTP a body without a length ends with its connection, so a broken connection looked like the end. Such an answer is none now. Ruled out: the HTTP library's own check, which needs a stated length.

Also bounded: a result of an attempt (256 KiB, since every control replica keeps it), and a worker's report (32 MiB; at 1 MiB several results waiting together would have been refused for ever, and the worker lost for it). A worker's answer to an adoption is checked before it is used.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -278,6 +278,13 @@
         "elif False:",
         "tests/entry",
     ),
+    Mutant(
+        "an answer that does not state its length is no answer",
+        "entry/worker_client.py",
+        "if not _states_its_length(response):",
+        "if False:",
+        "tests/entry",
+    ),
     Mutant(
         "a second worker is asked only within the retry budget",
         "entry/critical.py",
--- a/src/savoryshelf/entry/attempts.py
+++ b/src/savoryshelf/entry/attempts.py
@@ -13,6 +13,9 @@
 from ..wire.generated.ttypes import AttemptKey, AttemptOutcome, OutcomeKind
 from .targets import OwnedTarget, Size
 
+MAX_RESULT_BYTES = 256 * 1024
+"""The ledger keeps results on every control replica, so they must be small."""
+
 
 class AttemptState(enum.Enum):
     """Where an attempt stands, as this entry host knows."""
@@ -110,10 +113,14 @@
             if attempt.state is not AttemptState.ENDED:
                 attempt.state = AttemptState.RUNNING
             return attempt
+        result = base64.b64decode(task["result"]) if task.get("result") else None
+        if result is not None and len(result) > MAX_RESULT_BYTES:
+            attempt.end(OutcomeKind.FAILED, f"its result is over {MAX_RESULT_BYTES} bytes")
+            return attempt
         attempt.end(
             kind,
             task.get("reason", ""),
-            result=base64.b64decode(task["result"]) if task.get("result") else None,
+            result=result,
             checkpoint_id=task.get("checkpoint_id"),
             run_ms=int(task.get("run_ms", 0)),
         )
--- a/src/savoryshelf/entry/http/app.py
+++ b/src/savoryshelf/entry/http/app.py
@@ -184,10 +184,12 @@
     return body
 
 
-def read_json(context: EntryContext, request: Request) -> dict:
+def read_json(
+    context: EntryContext, request: Request, max_bytes: int = DEFAULT_MAX_BODY_BYTES
+) -> dict:
     """Return the request's body as a JSON object; raises RequestRefused."""
     try:
-        content = json.loads(read_body(context, request))
+        content = json.loads(read_body(context, request, max_bytes))
     except ValueError as error:
         raise RequestRefused("bad_json", str(error), 400) from None
     if not isinstance(content, dict):
--- a/src/savoryshelf/entry/http/targets.py
+++ b/src/savoryshelf/entry/http/targets.py
@@ -13,6 +13,8 @@
 _TEXTS = ("worker_id", "incarnation", "url", "failure_domain", "rack")
 _WHOLE_NUMBERS = ("slots", "connections", "memory_mb", "accelerators")
 MAX_TEXT_LENGTH = 200
+MAX_REPORT_BYTES = 32 * 1024 * 1024
+"""A report lists every task, with the results that were not acknowledged yet."""
 
 
 @route("/v1/targets", "POST")
@@ -28,7 +30,7 @@
 def report(context: EntryContext, request: Request, worker_id: str) -> Response:
     """Take an owned worker's report and renew its lease; 409 if this host is not its owner."""
     require_subject(context, request, TARGET)
-    content = read_json(context, request)
+    content = read_json(context, request, MAX_REPORT_BYTES)
     try:
         reply = context.batch.take_report(worker_id, int(content["epoch"]), content)
     except (KeyError, TypeError, ValueError) as error:
--- a/src/savoryshelf/entry/worker_client.py
+++ b/src/savoryshelf/entry/worker_client.py
@@ -107,7 +107,7 @@
     def settle_attempt(self, target: OwnedTarget, job_id: str, attempt: int) -> bool:
         """Return whether the worker has this attempt; if not, it refuses it from now on."""
         call = {"job_id": job_id, "attempt": attempt}
-        return self._post_json(target, "/v1/tasks/settle", call)["known"]
+        return bool(self._post_json(target, "/v1/tasks/settle", call, ("known",))["known"])
 
     def adopt(self, target: OwnedTarget, owner_url: str, lease_s: float, report_s: float) -> dict:
         """Become the worker's owner under the target's epoch; return what it is running."""
@@ -117,17 +117,24 @@
             "lease_s": lease_s,
             "report_interval_s": report_s,
         }
-        return self._post_json(target, "/v1/adopt", call)
+        expected = ("incarnation", "tasks", "critical")
+        return self._post_json(target, "/v1/adopt", call, expected)
 
-    def _post_json(self, target: OwnedTarget, path: str, call: dict) -> dict:
+    def _post_json(
+        self, target: OwnedTarget, path: str, call: dict, expected: tuple[str, ...] = ()
+    ) -> dict:
+        """Return the worker's answer, which must hold the expected keys."""
         headers = {"Content-Type": "application/json"}
         body = json.dumps(call).encode()
         answer = self._post(target, path, body, headers, CONTROL_CALL_TIMEOUT_SECONDS, "control")
         self._expect_ok(answer)
         try:
-            return json.loads(answer.body)
+            said = json.loads(answer.body)
         except ValueError as error:
             raise WorkerSilent(f"{target.worker_id}: unreadable answer: {error}") from None
+        if not isinstance(said, dict) or any(key not in said for key in expected):
+            raise WorkerSilent(f"{target.worker_id}: its answer lacks one of {expected}")
+        return said
 
     @staticmethod
     def _expect_ok(answer: WorkerAnswer) -> None:
@@ -153,6 +160,9 @@
             raise WorkerUnreachable(f"{target.worker_id}: {error}") from None
         except (HTTPError, OSError) as error:
             raise WorkerSilent(f"{target.worker_id}: {error}") from None
+        if not _states_its_length(response):
+            # Its end cannot be told from a connection that broke.
+            raise WorkerSilent(f"{target.worker_id}: an answer without its length")
         LINK_BYTES.labels("sent", kind).inc(len(body))
         LINK_BYTES.labels("received", kind).inc(len(response.data))
         if response.headers.get(NOT_RUN_HEADER):
@@ -171,3 +181,9 @@
         """Close the connections to workers which are not owned any more."""
         for url in self._pool_by_url.keys() - kept_urls:
             self._pool_by_url.pop(url).close()
+
+
+def _states_its_length(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether the end of the answer can be known for certain."""
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return is_chunked or "Content-Length" in response.headers
--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -1,6 +1,8 @@
+import base64
+
 import pytest
 
-from savoryshelf.entry.attempts import AttemptState
+from savoryshelf.entry.attempts import MAX_RESULT_BYTES, AttemptState
 from savoryshelf.entry.batch import BatchDispatch
 from savoryshelf.wire.generated.ttypes import AttemptKey, OutcomeKind, StartOrder, StopOrder
 from tests.promises.fakes import ManualClock, let_green_threads_run
@@ -90,6 +92,14 @@
     assert host.attempts.known_keys() == []
 
 
+def test_a_result_that_is_too_large_fails_its_attempt(host):
+    start(host, order("a"))
+    result = base64.b64encode(b"x" * (MAX_RESULT_BYTES + 1)).decode()
+    ended = {"job_id": "a", "attempt": 1, "state": "finished", "result": result}
+    host.attempts.take_report(host.state.targets.by_id["w0"], [ended])
+    assert kinds(host) == {"a": OutcomeKind.FAILED}
+
+
 def test_the_first_outcome_of_an_attempt_stands(host):
     start(host, order("a"))
     attempt = host.attempts.by_id["a", 1]
