A peer connection is closed when a call on it is interrupted

Cause, found by reading: the control client bounds a call with a timeout that is raised in the middle of it. The connection then went back to the pool with its answer still to come, and the next call would have read that answer as its own; thrift's client does not compare sequence numbers. Declared exceptions leave the connection in step and keep it. Ruled out: the HTTP side, whose pool drops a connection on any exception.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -285,6 +285,14 @@
         "if False:",
         "tests/entry",
     ),
+    Mutant(
+        "a connection is not used again after a call was interrupted",
+        "wire/peers.py",
+        "            # the next call on this connection would take it for its own.\n"
+        "            self.close()",
+        "            # the next call on this connection would take it for its own.",
+        "tests/wire",
+    ),
     Mutant(
         "a second worker is asked only within the retry budget",
         "entry/critical.py",
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -89,6 +89,14 @@
         except (TTransportException, TApplicationException, OSError, EOFError) as error:
             self.close()
             raise PeerUnreachable(self.address, error, sent=True) from error
+        except TException:
+            # Declared by the method: the answer was read to its end.
+            raise
+        except BaseException:
+            # Interrupted, by a timeout say: the answer is still to come, and
+            # the next call on this connection would take it for its own.
+            self.close()
+            raise
 
     def _connect(self) -> None:
         self._socket.setTimeout(CONNECT_TIMEOUT_SECONDS * 1000)
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -15,6 +15,10 @@
         self.require_authenticated()
         return ttypes.ProbeReply("c0.disk", None)
 
+    def view(self, name, argument):
+        self.require_authenticated()
+        raise ttypes.Refused(name, argument)
+
 
 @pytest.fixture
 def server():
@@ -63,6 +67,33 @@
         second.authenticate(proof)
 
 
+class Interrupted:
+    """A thrift client whose call is interrupted before its answer is read."""
+
+    def probe(self):
+        raise eventlet.Timeout(1.0)
+
+
+def test_a_connection_is_not_used_again_after_a_call_was_interrupted(server):
+    client = PeerClient(ControlService, server.address, KEY)
+    client.call("probe")
+    thrift_client, client._client = client._client, Interrupted()
+    with pytest.raises(eventlet.Timeout):
+        client.call("probe")
+    client._client = thrift_client
+    assert not client._transport.isOpen()
+    assert client.call("probe").replica_id == "c0.disk"
+    client.close()
+
+
+def test_a_declared_refusal_leaves_the_connection_in_use(server):
+    client = PeerClient(ControlService, server.address, KEY)
+    with pytest.raises(ttypes.Refused):
+        client.call("view", "refused", "")
+    assert client._transport.isOpen()
+    client.close()
+
+
 def test_a_host_where_nobody_listens_was_not_reached():
     client = PeerClient(ControlService, "127.0.0.1:1", KEY)
     with pytest.raises(PeerUnreachable) as caught:
