--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -17,6 +17,8 @@
 
 TARGET_MS = 250
 JOB_RUN_S = 2.0
+WARM_UP_SHARE = 0.4
+"""Of a run, left out of the latencies: what a policy learns, it learns there."""
 
 
 @attrs.frozen
@@ -66,6 +68,7 @@
                 work_ms=scenario.work_ms,
                 run_s=JOB_RUN_S,
                 urgent_share=0.0,
+                warm_up_s=seconds * WARM_UP_SHARE,
             )
             with site.under_load(plan) as ledgers:
                 pass
--- a/standins/load.py
+++ b/standins/load.py
@@ -55,6 +55,8 @@
     run_s: float = 1.0
     body_bytes: int = 200
     urgent_share: float = 0.1
+    warm_up_s: float = 0.0
+    """Answers to what was meant to be sent before this are not in the histogram."""
 
 
 @attrs.define
@@ -110,6 +112,7 @@
         self._latency_us = HdrHistogram(1, MAX_LATENCY_US, 3)
         self._randomness = random.Random(plan.seed)
         self._ready_urls: list[str] = []
+        self._started = 0.0
         self._pool = eventlet.GreenPool(4000)
         self._http = urllib3.PoolManager(
             num_pools=32, maxsize=256, retries=False, timeout=HTTP_TIMEOUT_SECONDS
@@ -119,7 +122,7 @@
     def run(self) -> Ledger:
         """Send everything, wait for what was accepted, and return the ledger."""
         eventlet.spawn_n(self._watch_readiness)
-        started = time.monotonic()
+        started = self._started = time.monotonic()
         arrivals = sorted([*self._arrivals("critical"), *self._arrivals("job")])
         for number, (at, kind) in enumerate(arrivals):
             eventlet.sleep(max(0.0, started + at - time.monotonic()))
@@ -179,7 +182,8 @@
             return
         if response.status == 200:
             self._note(line, "answered")
-            self._latency_us.record_value(int((time.monotonic() - intended) * 1e6))
+            if intended >= self._started + self.plan.warm_up_s:
+                self._latency_us.record_value(int((time.monotonic() - intended) * 1e6))
             if response.data != b"answer to " + body:
                 self.ledger.wrong_answers.append(line.key)
             return
