Declarations say what fleet a site expects; the wall clock steps in the machine

They are declared now, and status shows how many workers are missing. The promises machine steps the wall clock by hours.

--- a/src/savoryshelf/configuration/declarations.py
+++ b/src/savoryshelf/configuration/declarations.py
@@ -119,6 +119,22 @@
             )
 
 
+@attrs.frozen(kw_only=True)
+class ExpectedFleet:
+    """What a site should consist of: ``status`` shows what is missing.
+
+    Workers announce themselves and count from then on, expected or not.
+    """
+
+    workers: int = attrs.field(default=0, validator=_between(0, 100_000))
+    cores: float = attrs.field(default=0.0, validator=_between(0, 1024))
+    memory_mb: int = attrs.field(default=0, validator=_between(0, 4_194_304))
+    slots: int = attrs.field(default=0, validator=_between(0, 1024))
+    connections: int = attrs.field(default=0, validator=_between(0, 100_000))
+    workers_per_rack: int = attrs.field(default=0, validator=_between(0, 1000))
+    region_by_failure_domain: dict[str, str] = attrs.field(factory=dict)
+
+
 @attrs.frozen(kw_only=True)
 class Declarations:
     """One site's whole configuration."""
@@ -130,6 +146,7 @@
     batch_classes: dict[str, BatchClass] = attrs.field(factory=dict)
     teams: dict[str, Team] = attrs.field(factory=dict)
     limits: Limits = Limits()
+    fleet: ExpectedFleet = ExpectedFleet()
 
 
 _CONVERTER = make_converter(forbid_extra_keys=True, detailed_validation=True)
--- a/src/savoryshelf/control/views.py
+++ b/src/savoryshelf/control/views.py
@@ -41,6 +41,7 @@
                 for entry in state.fleet.entries_by_id.values()
                 for session in [sessions.get(entry.entry_id)]
             ],
+            "workers_missing": _workers_missing(site),
             "workers_by_standing": Counter(
                 WorkerStanding(w.standing).name.lower() for w in state.fleet.workers_by_id.values()
             ),
@@ -49,6 +50,16 @@
     )
 
 
+def _workers_missing(site) -> int:
+    """Return how many workers fewer are here than the declarations expect."""
+    declarations = site.machine.declarations
+    if declarations is None:
+        return 0
+    workers = site.machine.state.fleet.workers_by_id.values()
+    present = sum(1 for worker in workers if worker.standing != WorkerStanding.LOST)
+    return max(0, declarations.fleet.workers - present)
+
+
 def _replica(core, member, now: float) -> dict:
     progress = core.leadership.progress_by_id.get(member.replica_id) if core.leadership else None
     is_self = member.replica_id == core.replica_id
--- a/tests/promises/fakes.py
+++ b/tests/promises/fakes.py
@@ -31,13 +31,14 @@
 
     def __init__(self):
         self.now = 1000.0
+        self.wall_step_s = 0.0
         self._sleepers = []
 
     def monotonic(self):
         return self.now
 
     def wall_ms(self):
-        return int(self.now * 1000)
+        return int((self.now + self.wall_step_s) * 1000)
 
     def sleep(self, seconds):
         event = Event()
--- a/tests/promises/test_promises.py
+++ b/tests/promises/test_promises.py
@@ -216,6 +216,10 @@
     def freeze_or_wake(self, name, frozen):
         self.cluster.entry_by_name[name].is_frozen = frozen
 
+    @rule(hours=st.integers(-2, 2))
+    def the_wall_clock_steps(self, hours):
+        self.cluster.clock.wall_step_s = hours * 3600.0
+
     @rule(name=entry_names)
     def an_entry_host_restarts(self, name):
         self.cluster.entry_by_name[name].start()
