A lasting lack of room moves an idle worker to the entry host that has none

Cause: ownership was evened out by the number of workers alone, so an entry host to which the balancer sends most had to spill for as long as that lasts. After 6 s without a free slot it gets an idle worker from the host with most room, once in 30 s at most; evening out by number rests meanwhile, so that the two do not undo each other. Ruled out: moving at the first lack, which the spill already answers.

--- a/src/savoryshelf/control/duties.py
+++ b/src/savoryshelf/control/duties.py
@@ -37,6 +37,7 @@
         self._choose = placement.POLICIES[placement_policy]
         self._randomness: random.Random = randomness
         self._interference = interference.POLICIES[interference_policy]()
+        self._overload = ownership.OverloadWatch()
         self._led_term = 0
         self._next_by_duty: dict[str, float] = {}
 
@@ -102,18 +103,30 @@
         if now - self._site.sessions.elected_at < SETTLING_SECONDS:
             return
         present = self._present_entries()
-        assignments = ownership.assign_unowned(fleet, present, self._site.sessions.has_let_go)
+        free = {each.entry_id: each.free_slots for each in self._site.sessions.by_id.values()}
+        self._overload.observe(free, now)
+        assignments = ownership.assign_unowned(
+            fleet, present, self._site.sessions.has_let_go, self._overload.starving(now)
+        )
         if assignments:
             self._site.commit(assign_workers=ttypes.AssignWorkers(assignments))
         elif self._is_due("rebalance", REBALANCE_SECONDS, now):
-            self._rebalance(present)
+            self._rebalance(present, free, now)
 
-    def _rebalance(self, present: list[EntryHost]) -> None:
+    def _rebalance(self, present: list[EntryHost], free: dict[str, int], now: float) -> None:
+        fleet = self._site.machine.state.fleet
         load = {
             worker_id: note.critical_in_flight + note.batch_running
             for worker_id, note in self._site.sessions.notes().items()
         }
-        release = ownership.rebalance(self._site.machine.state.fleet, present, load)
+        release = None
+        if self._overload.may_move(now):
+            if self._overload.starving(now):
+                release = ownership.relieve(fleet, present, free, load)
+            if release is not None:
+                self._overload.moved(now)
+            else:
+                release = ownership.rebalance(fleet, present, load)
         if release is not None:
             self._site.commit(release_worker=release)
 
--- a/src/savoryshelf/scheduling/ownership.py
+++ b/src/savoryshelf/scheduling/ownership.py
@@ -5,19 +5,89 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from ..targets.state import EntryHost, Fleet, Worker
 from ..wire.generated.ttypes import Assignment, ReleaseWorker, WorkerStanding
 
+OVERLOAD_HOLD_SECONDS = 6.0
+OVERLOAD_PAUSE_SECONDS = 30.0
+"""Between two moves for overload; workers are not evened out by number meanwhile."""
+
 MAX_IMBALANCE = 1
 """Difference in workers owned above which one moves; moving costs an adoption."""
 
 
+class OverloadWatch:
+    """Tells which entry hosts have had no free slot for a while.
+
+    Requests that find no room are spilled at once; only a lasting lack is
+    worth moving a worker for, and moves are spaced, so that a skew which
+    wanders does not drag the workers along.
+    """
+
+    def __init__(self):
+        self._full_since: dict[str, float] = {}
+        self._moved_at = float("-inf")
+
+    def observe(self, free_slots_by_entry: dict[str, int], now: float) -> None:
+        """Take in the free slots that each entry host last told."""
+        self._full_since = {
+            entry_id: self._full_since.get(entry_id, now)
+            for entry_id, free in free_slots_by_entry.items()
+            if free == 0
+        }
+
+    def starving(self, now: float) -> set[str]:
+        """Return the entry hosts that need a worker."""
+        return {
+            entry_id
+            for entry_id, since in self._full_since.items()
+            if now - since >= OVERLOAD_HOLD_SECONDS
+        }
+
+    def may_move(self, now: float) -> bool:
+        """Return whether the last move for overload is long enough ago."""
+        return now - self._moved_at >= OVERLOAD_PAUSE_SECONDS
+
+    def moved(self, now: float) -> None:
+        """Note a move."""
+        self._moved_at = now
+
+
+def relieve(
+    fleet: Fleet,
+    present: list[EntryHost],
+    free_slots_by_entry: dict[str, int],
+    load_by_worker: dict[str, int],
+) -> ReleaseWorker | None:
+    """Return the release of an idle worker by the entry host with most free slots.
+
+    It keeps at least as many free slots as it gives away, and one worker.
+    """
+    for donor in sorted(
+        present, key=lambda e: (-free_slots_by_entry.get(e.entry_id, 0), e.entry_id)
+    ):
+        owned = fleet.owned_by(donor.entry_id)
+        idle = [worker for worker in owned if not load_by_worker.get(worker.worker_id, 0)]
+        if not idle or len(owned) < 2:
+            continue
+        worker = min(idle, key=lambda each: (each.slots, each.worker_id))
+        if free_slots_by_entry.get(donor.entry_id, 0) >= 2 * worker.slots:
+            return ReleaseWorker(worker.worker_id, donor.entry_id)
+    return None
+
+
 def assign_unowned(
-    fleet: Fleet, present: list[EntryHost], has_let_go: Callable[[Worker], bool]
+    fleet: Fleet,
+    present: list[EntryHost],
+    has_let_go: Callable[[Worker], bool],
+    starving: Collection[str] = (),
 ) -> list[Assignment]:
-    """Return an owner for each worker that has none, evenly over the entry hosts present."""
+    """Return an owner for each worker that has none, evenly over the entry hosts present.
+
+    Those that starve come first.
+    """
     if not present:
         return []
     count_by_id = _owned_counts(fleet, present)
@@ -25,7 +95,10 @@
     for worker in fleet.workers_by_id.values():
         if worker.owner_id or worker.standing == WorkerStanding.LOST or not has_let_go(worker):
             continue
-        entry = min(present, key=lambda e: (count_by_id[e.entry_id], e.entry_id))
+        entry = min(
+            present,
+            key=lambda e: (e.entry_id not in starving, count_by_id[e.entry_id], e.entry_id),
+        )
         count_by_id[entry.entry_id] += 1
         assignments.append(Assignment(worker.worker_id, entry.entry_id, entry.incarnation))
     return assignments
--- a/tests/targets/test_state.py
+++ b/tests/targets/test_state.py
@@ -1,6 +1,13 @@
 from savoryshelf.control.sessions import EntrySessions
 from savoryshelf.leases import ENTRY_LEASE_SECONDS, granter_deadline
-from savoryshelf.scheduling.ownership import assign_unowned, rebalance
+from savoryshelf.scheduling.ownership import (
+    OVERLOAD_HOLD_SECONDS,
+    OVERLOAD_PAUSE_SECONDS,
+    OverloadWatch,
+    assign_unowned,
+    rebalance,
+    relieve,
+)
 from savoryshelf.targets.state import Fleet
 from savoryshelf.wire.generated.ttypes import (
     Assignment,
@@ -138,3 +145,39 @@
     fleet = fleet_of()
     fleet.register_entry(RegisterEntry("e0", "life-2", "e0", "http://x", "fd"))
     assert fleet.owned_by("e0") == []
+
+
+def test_an_entry_host_starves_only_after_a_lasting_lack():
+    watch = OverloadWatch()
+    watch.observe({"e0": 0, "e1": 5}, 0.0)
+    assert watch.starving(OVERLOAD_HOLD_SECONDS - 1) == set()
+    assert watch.starving(OVERLOAD_HOLD_SECONDS) == {"e0"}
+    watch.observe({"e0": 1, "e1": 5}, OVERLOAD_HOLD_SECONDS)
+    watch.observe({"e0": 0, "e1": 5}, OVERLOAD_HOLD_SECONDS + 1)
+    assert watch.starving(OVERLOAD_HOLD_SECONDS + 2) == set()
+
+
+def test_moves_for_overload_are_spaced():
+    watch = OverloadWatch()
+    assert watch.may_move(0.0)
+    watch.moved(0.0)
+    assert not watch.may_move(OVERLOAD_PAUSE_SECONDS - 1)
+    assert watch.may_move(OVERLOAD_PAUSE_SECONDS)
+
+
+def test_an_idle_worker_goes_from_who_has_most_room_to_who_starves():
+    fleet = fleet_of(3, owner="e1")
+    present = list(fleet.entries_by_id.values())
+    release = relieve(fleet, present, {"e0": 0, "e1": 20}, {"w0": 4, "w1": 0, "w2": 0})
+    assert (release.worker_id, release.entry_id) == ("w1", "e1")
+    fleet.release(release.worker_id, release.entry_id)
+    given = assign_unowned(fleet, present, lambda worker: True, {"e0"})
+    assert [(a.worker_id, a.entry_id) for a in given] == [("w1", "e0")]
+
+
+def test_nobody_gives_a_worker_away_and_starves_itself():
+    fleet = fleet_of(2, owner="e1")
+    present = list(fleet.entries_by_id.values())
+    assert relieve(fleet, present, {"e0": 0, "e1": 15}, {}) is None
+    assert relieve(fleet, present, {"e0": 0, "e1": 16}, {"w0": 1, "w1": 1}) is None
+    assert relieve(fleet_of(1, owner="e1"), present, {"e0": 0, "e1": 99}, {}) is None
