A refused probe no longer quarantines for good; placement heeds the cap too

Cause, found by reading: a probe that its worker refused neither succeeded nor failed, so the worker stayed 'being probed' and got nothing more; the test hung in line before the change. And the leader left every quarantined worker out of placement, so a service that fails everywhere stopped all batch work; the cap of half was kept by routing alone. The rule stands under scheduling now, since both roles use it. Ruled out: counting a refusal as a failure, which would punish a full worker. Both guards are seen when removed.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -314,4 +314,18 @@
         "if not fitting:",
         "tests/entry",
     ),
+    Mutant(
+        "a refused probe leaves no worker quarantined for good",
+        "entry/critical.py",
+        "            target.outcomes.refused()\n",
+        "",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "placement never heeds a quarantine of most of the fleet",
+        "control/duties.py",
+        "heeds_quarantine = may_quarantine(quarantined - 1, len(notes))",
+        "heeds_quarantine = True",
+        "tests/control/test_duties.py",
+    ),
 ]
--- a/src/savoryshelf/control/duties.py
+++ b/src/savoryshelf/control/duties.py
@@ -5,6 +5,7 @@
 from ..ledger.state import Job, JobState
 from ..observability import metrics
 from ..scheduling import eviction, interference, ownership, placement
+from ..scheduling.quarantine import may_quarantine
 from ..targets.state import EntryHost, Worker
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import WorkerStanding
@@ -166,11 +167,15 @@
 
     def _rooms(self) -> list[placement.Room]:
         notes = self._site.sessions.notes()
+        quarantined = sum(1 for note in notes.values() if note.quarantined)
+        # Where most of the fleet is kept away, the cause is common to all.
+        heeds_quarantine = may_quarantine(quarantined - 1, len(notes))
         rooms = []
         for worker in self._site.machine.state.fleet.workers_by_id.values():
             note = notes.get(worker.worker_id)
             usable = note is not None and note.adopted and note.epoch == worker.epoch
-            if worker.takes_work and usable and not note.quarantined:
+            kept_away = heeds_quarantine and usable and note.quarantined
+            if worker.takes_work and usable and not kept_away:
                 rooms.append(self._room(worker, note))
         return rooms
 
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -19,10 +19,10 @@
 from ..errors import Certainty, PeerUnreachable, RequestRefused
 from ..observability import metrics
 from ..observability.logs import request_action
+from ..scheduling.quarantine import may_quarantine
 from ..wire.generated import EntryService, ttypes
 from ..wire.peers import PeerPool
 from .budget import RetryBudget
-from .quarantine import may_quarantine
 from .routing import POLICIES
 from .state import EntryState
 from .targets import OwnedTarget, Size
@@ -253,6 +253,7 @@
                 answer = self._send(call, target, attempt_id, sent_at)
             ends.put(self._judge(call, target, answer, sent_at))
         except WorkerRefused as error:
+            target.outcomes.refused()
             ends.put(_Failure(target.worker_id, error.reason, str(error), may_have_run=False))
         except WorkerUnreachable as error:
             target.outcomes.failed(self._clock.monotonic())
--- a/src/savoryshelf/entry/targets.py
+++ b/src/savoryshelf/entry/targets.py
@@ -9,8 +9,8 @@
 import attrs
 
 from ..leases import granter_deadline
+from ..scheduling.quarantine import OutcomeRecord
 from ..wire.generated.ttypes import OwnedWorker, WorkerAnnouncement, WorkerStanding
-from .quarantine import OutcomeRecord
 
 LATENCY_SMOOTHING = 0.1
 TAIL_DEVIATIONS = 4
--- a/src/savoryshelf/entry/quarantine.py
+++ b/src/savoryshelf/scheduling/quarantine.py
@@ -38,6 +38,10 @@
             doubled = self.quarantine_seconds * 2
             self.quarantine_seconds = min(doubled, LONGEST_QUARANTINE_SECONDS)
 
+    def refused(self) -> None:
+        """Note that a dispatch was not run: it tells nothing, and a probe may be repeated."""
+        self.is_probing = False
+
     def is_quarantined(self, now: float) -> bool:
         """Return whether work is kept away; one probe may pass when the time is over."""
         return now < self.quarantined_until or self.is_probing
--- /dev/null
+++ b/tests/control/test_duties.py
@@ -0,0 +1,45 @@
+import pytest
+
+from savoryshelf.wire.generated import ttypes
+from tests.promises.fakes import Cluster
+from tests.promises.test_promises import Promises
+
+
+@pytest.fixture
+def cluster():
+    machine = Promises()
+    machine.begin()
+    return machine.cluster
+
+
+def quarantine(cluster: Cluster, *worker_ids):
+    for session in cluster.site.sessions.by_id.values():
+        for worker_id, note in session.note_by_worker.items():
+            note.quarantined = worker_id in worker_ids
+
+
+def rooms(cluster):
+    return sorted(room.worker_id for room in cluster.duties._rooms())
+
+
+def test_a_quarantined_worker_gets_no_batch_work(cluster):
+    quarantine(cluster, "w0")
+    assert rooms(cluster) == ["w1"]
+
+
+def test_when_most_workers_are_quarantined_batch_work_goes_on(cluster):
+    quarantine(cluster, "w0", "w1")
+    assert rooms(cluster) == ["w0", "w1"]
+
+
+def test_an_urgent_job_evicts_on_a_full_site(cluster):
+    site = cluster.site
+    for number in range(10, 20):
+        job = ttypes.SubmitJob(f"job-{number}", "team", str(number), "plans", b"", False, "d")
+        site.submit(job)
+    cluster.duties._round()
+    urgent = ttypes.SubmitJob("urgent", "team", "urgent", "plans", b"", True, "d")
+    site.submit(urgent)
+    cluster.duties._round()
+    states = [job.state.value for job in site.machine.state.ledger.by_id.values()]
+    assert states.count("evicting") == 1
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -3,9 +3,9 @@
 from savoryshelf.configuration.declarations import parse, to_document
 from savoryshelf.entry.budget import RetryBudget
 from savoryshelf.entry.lease import ControlLease
-from savoryshelf.entry.quarantine import FAILURES_IN_A_ROW, OutcomeRecord, may_quarantine
 from savoryshelf.entry.state import ANNOUNCEMENTS_KEPT, EntryState
 from savoryshelf.leases import ENTRY_LEASE_SECONDS, granter_deadline, holder_deadline
+from savoryshelf.scheduling.quarantine import FAILURES_IN_A_ROW, OutcomeRecord, may_quarantine
 from tests.promises.fakes import ManualClock
 
 from .fakes import entry_state, owned
@@ -96,3 +96,12 @@
     end = granter_deadline(clock.now, target.task_lease_s + ENTRY_LEASE_SECONDS)
     assert not target.lease_lapsed(end - 0.01, ENTRY_LEASE_SECONDS)
     assert target.lease_lapsed(end + 0.01, ENTRY_LEASE_SECONDS)
+
+
+def test_a_probe_that_the_worker_refused_decides_nothing_and_may_be_repeated():
+    record = OutcomeRecord()
+    for _ in range(FAILURES_IN_A_ROW):
+        record.failed(0.0)
+    record.begin_probe(3.0)
+    record.refused()
+    assert not record.is_quarantined(3.0)
