--- a/standins/site.py
+++ b/standins/site.py
@@ -119,7 +119,8 @@
         self.record_path = os.path.join(folder, "record.jsonl")
         self.by_name: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=32)
-        self._ip = loopback_address()
+        # All at once: a port let go between two calls could be drawn twice.
+        self._free_addresses = free_addresses(loopback_address(), 2 * (controls + entries))
         self._add_controls(controls)
         self._add_entries(entries)
         self._add_workers(workers, worker_options or [])
@@ -127,8 +128,8 @@
     # ------------------------------------------------------------------ processes
 
     def _add_controls(self, count: int) -> None:
-        self.control_addresses = free_addresses(self._ip, count)
-        self.control_http = free_addresses(self._ip, count)
+        self.control_addresses = self._take_addresses(count)
+        self.control_http = self._take_addresses(count)
         self.hosts = ",".join(
             f"c{n}={address}@{DOMAINS[n % 3]}" for n, address in enumerate(self.control_addresses)
         )
@@ -143,9 +144,12 @@
             }
             self._add_daemon(f"c{number}", settings)
 
+    def _take_addresses(self, count: int) -> list[str]:
+        return [self._free_addresses.pop() for _ in range(count)]
+
     def _add_entries(self, count: int) -> None:
-        self.entry_urls = [f"http://{address}" for address in free_addresses(self._ip, count)]
-        peer_addresses = free_addresses(self._ip, count)
+        self.entry_urls = [f"http://{address}" for address in self._take_addresses(count)]
+        peer_addresses = self._take_addresses(count)
         for number in range(count):
             settings = {
                 "ROLE": "entry",
