--- a/src/savoryshelf/clock.py
+++ b/src/savoryshelf/clock.py
@@ -1,7 +1,8 @@
 """The seam for time.
 
-Leases are measured on the monotonic clock only: a step of the wall clock must
-neither lengthen nor shorten them.  The wall clock is for records and expiry.
+Leases are measured on a clock that never steps and that counts the time for
+which this host was suspended: a host that wakes must find its leases lapsed.
+The wall clock is for records and expiry.
 """
 
 import time
@@ -30,8 +31,8 @@
     """The clocks of this host."""
 
     def monotonic(self) -> float:
-        """Return seconds on a clock that never steps."""
-        return time.monotonic()
+        """Return seconds on a clock that never steps, suspensions included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch; may step."""
--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -6,26 +6,43 @@
 group never has more votes than hosts.
 """
 
+from ..observability.logs import log_event
 from ..replication.core import Replica
 from ..replication.formation import host_name
-from ..replication.membership import MembershipChangeRefused, find
+from ..replication.membership import MembershipChangeRefused, find, voters
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
 from ..wire.generated.ttypes import Member
 
+SILENT_VOTER_SECONDS = 2.0
+"""A voter not heard for this long may lose its place to a learner that holds the log.
+
+Two election timeouts: shorter silences are elections and slow disks.
+"""
+
+SILENT_LEARNER_SECONDS = 10.0
+"""A learner not heard for this long is dropped; it joins again when it returns."""
+
+USUAL_VOTERS = 5
+"""Above this many voters a silent one is removed even if nobody takes its place.
+
+Five voters bear the loss of two; a silent sixth only makes the quorum larger.
+"""
+
 
 class GroupRepair:
     """The leader's duty towards its own group."""
 
-    def __init__(self, replica: ReplicaService):
+    def __init__(self, replica: ReplicaService, replaces_silent: bool = False):
         self._replica = replica
+        self._replaces_silent = replaces_silent
 
     def request_join(self, member: Member) -> None:
         """Add a replica as a learner, unless it is a member already."""
         if not self._replica.is_leader:
             raise NotLeading(self._replica.core.leader_id)
         if find(self._replica.core.log.membership, member.replica_id) is None:
-            self._change(lambda core: core.add_learner(member))
+            self._change("add", member.replica_id, lambda core: core.add_learner(member))
 
     def remove(self, name: str) -> None:
         """Retire a replica named by host or by replica id; raises MembershipChangeRefused."""
@@ -43,19 +60,45 @@
         for learner in core.log.membership.members:
             if learner.voter or not _holds_committed(core, learner.replica_id):
                 continue
-            replaced = _replaced_by(core, learner)
+            replaced = self._replaced_by(core, learner)
             if replaced:
-                self._change(lambda core, old=replaced: core.remove(old))
+                self._remove(replaced)
             else:
-                self._change(lambda core, new=learner.replica_id: core.promote(new))
+                new = learner.replica_id
+                self._change("promote", new, lambda core, new=new: core.promote(new))
             return
+        if self._replaces_silent:
+            self._drop_silent(core)
+
+    def _replaced_by(self, core: Replica, learner: Member) -> str:
+        """Return the replica whose place the learner takes, or an empty string."""
+        for member in core.log.membership.members:
+            same_host = host_name(member.replica_id) == host_name(learner.replica_id)
+            if same_host and member.replica_id != learner.replica_id:
+                return member.replica_id
+        if not self._replaces_silent or len(voters(core.log.membership)) < USUAL_VOTERS:
+            return ""
+        silent = _silent_members(core, SILENT_VOTER_SECONDS, voting=True)
+        return silent[0] if silent else ""
+
+    def _drop_silent(self, core: Replica) -> None:
+        silent = _silent_members(core, SILENT_LEARNER_SECONDS, voting=False)
+        if not silent and len(voters(core.log.membership)) > USUAL_VOTERS:
+            silent = _silent_members(core, SILENT_VOTER_SECONDS, voting=True)
+        if silent:
+            self._remove(silent[0])
+
+    def _remove(self, replica_id: str) -> None:
+        self._change("remove", replica_id, lambda core: core.remove(replica_id))
 
-    def _change(self, change) -> None:
+    def _change(self, kind: str, replica_id: str, change) -> None:
         try:
             self._replica.change_membership(change)
-        except (MembershipChangeRefused, OutcomeUnknown):
+        except (MembershipChangeRefused, OutcomeUnknown, NotLeading) as error:
             # Not now: the next step looks at the membership anew.
+            log_event("group:change_refused", change=kind, replica=replica_id, why=str(error))
             return
+        log_event("group:changed", change=kind, replica=replica_id)
 
 
 def _holds_committed(core: Replica, replica_id: str) -> bool:
@@ -63,10 +106,15 @@
     return progress is not None and progress.match_index >= core.commit_index
 
 
-def _replaced_by(core: Replica, learner: Member) -> str:
-    """Return the replica that stood on the learner's host before, or an empty string."""
+def _silent_members(core: Replica, seconds: float, voting: bool) -> list[str]:
+    """Return the members not heard for that long, the longest silent first."""
+    leadership = core.leadership
+    silent = []
     for member in core.log.membership.members:
-        same_host = host_name(member.replica_id) == host_name(learner.replica_id)
-        if same_host and member.replica_id != learner.replica_id:
-            return member.replica_id
-    return ""
+        progress = leadership.progress_by_id.get(member.replica_id)
+        if member.voter != voting or progress is None:
+            continue
+        heard_at = max(progress.acked_at, leadership.elected_at)
+        if core.now - heard_at > seconds:
+            silent.append((heard_at, member.replica_id))
+    return [replica_id for _, replica_id in sorted(silent)]
--- /dev/null
+++ b/src/savoryshelf/dispatch/desk.py
@@ -0,0 +1,243 @@
+"""What callers, workers and operators ask of the control group.
+
+Every method speaks for the whole group or raises ``ttypes.NotLeader`` or
+``ttypes.Unavailable``.
+"""
+
+import attrs
+
+from ..clock import Clock
+from ..observability import metrics
+from ..observability.logs import log_event
+from ..outcomes import Refusal
+from ..replication.service import OutcomeUnknown, ReplicaService
+from ..replication.types import NotLeading
+from ..tasks.machine import TaskMachine
+from ..tasks.manifest import find_queue
+from ..tasks.worker import life_key
+from ..wire import codec
+from ..wire.generated import ttypes
+from ..wire.generated.ttypes import (
+    AcceptTasks,
+    CancelTasks,
+    EndLives,
+    JobAnswer,
+    JobAnswerKind,
+    JobCall,
+    JobVerb,
+    Manifest,
+    NoteWorkers,
+    TaskCommand,
+    TaskCommandBody,
+    WorkerLife,
+    WorkerRecord,
+)
+
+FRESH_READ_SECONDS = 1.0
+"""A leader heard by a majority within this time may answer a caller's reads: one election."""
+
+
+@attrs.frozen
+class WorkerBeat:
+    """A worker's announcement of itself; ``sequence`` rises with each in one life."""
+
+    record: WorkerRecord
+    sequence: int
+    clock_ms: int
+
+
+class TaskDesk:
+    """The leader's answers; any replica may hold one."""
+
+    def __init__(self, replica: ReplicaService, machine: TaskMachine, clock: Clock):
+        self._replica = replica
+        self._machine = machine
+        self._clock = clock
+        self._sequence_by_life: dict[tuple[str, int], int] = {}
+        self.on_change = lambda: None
+        """Called after commands that may give the term something to do."""
+
+    # ------------------------------------------------------------------------ callers
+
+    def job_call(self, call: JobCall) -> JobAnswer:
+        """Answer a caller's request about a job or a queue."""
+        return _HANDLER_BY_VERB[call.verb](self, call)
+
+    def submit(self, call: JobCall) -> JobAnswer:
+        """Accept a job durably; a resend gets the first answer."""
+        self._require_fresh()
+        job_id = job_id_of(call.path)
+        if job_id in self._machine.ledger.job_by_id:
+            return JobAnswer(JobAnswerKind.ACCEPTED, reason="resend")
+        outcome = self._commit(accept_tasks=AcceptTasks(job_id, call.host, call.path, call.spec))
+        if isinstance(outcome, Refusal):
+            metrics.REFUSALS.labels(outcome.reason).inc()
+            return self._no_queue(call)
+        tasks = sum(step.count for step in call.spec.steps)
+        log_event(
+            "job:accepted", job=job_id, trace=call.trace_id, tasks=tasks,
+            manifest=self._machine.ledger.manifest.version,
+        )  # fmt: skip
+        self.on_change()
+        return JobAnswer(JobAnswerKind.ACCEPTED)
+
+    def read(self, call: JobCall) -> JobAnswer:
+        """Tell a job's state."""
+        self._require_fresh()
+        ledger = self._machine.ledger
+        if find_queue(ledger.manifest, call.host, call.path) is None:
+            return self._no_queue(call)
+        job = ledger.job_by_id.get(job_id_of(call.path))
+        if job is None:
+            log_event("job:unknown", job=job_id_of(call.path), trace=call.trace_id)
+            return JobAnswer(JobAnswerKind.GONE)
+        return JobAnswer(JobAnswerKind.STATE, state=job.state.value)
+
+    def cancel(self, call: JobCall) -> JobAnswer:
+        """Cancel a job durably."""
+        self._require_fresh()
+        ledger = self._machine.ledger
+        if find_queue(ledger.manifest, call.host, call.path) is None:
+            return self._no_queue(call)
+        job_id = job_id_of(call.path)
+        outcome = self._commit(cancel_tasks=CancelTasks(job_id))
+        refused = isinstance(outcome, Refusal)
+        log_event("job:cancelled", job=job_id, trace=call.trace_id, known=not refused)
+        self.on_change()
+        if refused:
+            return JobAnswer(JobAnswerKind.GONE)
+        return JobAnswer(JobAnswerKind.STATE, state=ledger.job_by_id[job_id].state.value)
+
+    def count(self, call: JobCall) -> JobAnswer:
+        """Tell how many jobs of a queue wait for their first start."""
+        self._require_fresh()
+        ledger = self._machine.ledger
+        queue = find_queue(ledger.manifest, call.host, call.path)
+        if queue is None:
+            return self._no_queue(call)
+        return JobAnswer(JobAnswerKind.COUNTED, waiting=ledger.waiting(queue.name))
+
+    def _no_queue(self, call: JobCall) -> JobAnswer:
+        version = self._machine.ledger.manifest.version
+        if version < 0:
+            raise ttypes.Unavailable("no manifest is known yet", False)
+        log_event(
+            "queue:unknown", host=call.host, path=call.path, trace=call.trace_id, manifest=version
+        )
+        return JobAnswer(JobAnswerKind.NO_QUEUE)
+
+    # ---------------------------------------------------------------------- operators
+
+    def put_manifest(self, manifest: Manifest) -> int:
+        """Put a manifest in force durably; return the version held then."""
+        held = self._machine.ledger.manifest.version
+        if not self._replica.is_leader or manifest.version > held:
+            self._commit(put_manifest=manifest)
+        else:
+            self.confirm()
+        log_event("manifest:put", version=manifest.version, held_before=held)
+        self.on_change()
+        return self._machine.ledger.manifest.version
+
+    def manifest(self) -> Manifest:
+        """Return the newest manifest; raises Unavailable where that is not sure."""
+        self.confirm()
+        return self._machine.ledger.manifest
+
+    # ------------------------------------------------------------------------ workers
+
+    def beat(self, beat: WorkerBeat) -> None:
+        """Take a worker's announcement; returns once what is new of it is durable."""
+        self._require_fresh()
+        ledger, record = self._machine.ledger, beat.record
+        key = life_key(record.life)
+        newest = self._sequence_by_life.get(key, -1)
+        if beat.sequence <= newest or self._is_earlier_life(record.life):
+            log_event("beat:late", worker=key[0], sequence=beat.sequence, newest=newest)
+            return
+        self._sequence_by_life[key] = beat.sequence
+        known = ledger.worker_by_life.get(key)
+        if known is not None and not known.is_over and _says_same(known.record, record):
+            return
+        self._commit(note_workers=NoteWorkers([record]))
+        log_event("worker:noted", worker=key[0], born=key[1], draining=record.draining)
+        self._end_earlier_lives(record.life)
+        self.on_change()
+
+    def leave(self, worker_id: str) -> None:
+        """Take a worker's farewell: it takes nothing more, and its runs end with it."""
+        self._require_fresh()
+        for key, worker in list(self._machine.ledger.worker_by_life.items()):
+            if key[0] == worker_id and worker.takes_work:
+                record = _copy_draining(worker.record)
+                self._commit(note_workers=NoteWorkers([record]))
+        log_event("worker:leaves", worker=worker_id)
+        self.on_change()
+
+    def _is_earlier_life(self, life: WorkerLife) -> bool:
+        return any(
+            key[0] == life.worker_id and key[1] > life.born_ms
+            for key in self._machine.ledger.worker_by_life
+        )
+
+    def _end_earlier_lives(self, life: WorkerLife) -> None:
+        earlier = [
+            WorkerLife(*key)
+            for key, worker in self._machine.ledger.worker_by_life.items()
+            if key[0] == life.worker_id and key[1] < life.born_ms and not worker.is_over
+        ]
+        if earlier:
+            log_event("worker:reborn", worker=life.worker_id, born=life.born_ms)
+            self._commit(end_lives=EndLives(earlier, []))
+
+    # ---------------------------------------------------------------------- certainty
+
+    def confirm(self) -> None:
+        """Return once this host surely leads and has applied all that was committed."""
+        try:
+            self._replica.confirm()
+        except NotLeading:
+            raise self._not_leader() from None
+
+    def _require_fresh(self) -> None:
+        core = self._replica.core
+        if not self._replica.is_leader:
+            raise self._not_leader()
+        if core.leads_since_heard(self._clock.monotonic()) > FRESH_READ_SECONDS:
+            raise ttypes.Unavailable("no majority confirms this leader", False)
+
+    def _not_leader(self) -> ttypes.NotLeader:
+        return ttypes.NotLeader(self._replica.leader_address, self._replica.leader_name)
+
+    def _commit(self, **body):
+        command = TaskCommand(self._clock.wall_ms(), TaskCommandBody(**body))
+        try:
+            return self._replica.propose(codec.encode(command))
+        except NotLeading:
+            raise self._not_leader() from None
+        except OutcomeUnknown as error:
+            raise ttypes.Unavailable(str(error), True) from None
+
+
+_HANDLER_BY_VERB = {
+    JobVerb.SUBMIT: TaskDesk.submit,
+    JobVerb.READ: TaskDesk.read,
+    JobVerb.CANCEL: TaskDesk.cancel,
+    JobVerb.COUNT: TaskDesk.count,
+}
+
+
+def job_id_of(path: str) -> str:
+    """Return the last part of a path, which names the job."""
+    return path.rpartition("/")[2]
+
+
+def _copy_draining(record: WorkerRecord) -> WorkerRecord:
+    copy = codec.decode(WorkerRecord, codec.encode(record))
+    copy.draining = True
+    return copy
+
+
+def _says_same(known: WorkerRecord, told: WorkerRecord) -> bool:
+    told.seen_end = known.seen_end
+    return known == told
--- /dev/null
+++ b/src/savoryshelf/dispatch/handler.py
@@ -0,0 +1,42 @@
+"""Peers' calls on a control host that runs jobs of many tasks."""
+
+from ..replication.types import NotLeading
+from ..wire.generated import ttypes
+from ..wire.peers import PeerHandler
+
+
+class TaskControlHandler(PeerHandler):
+    """Serves one connection; ``host`` is the process's ``TaskControlHost``."""
+
+    def __init__(self, cluster_key: str, host):
+        super().__init__(cluster_key)
+        self._host = host
+
+    def deliver(self, messages):
+        """Take messages of other replicas."""
+        self.require_authenticated()
+        self._host.replica.deliver(messages)
+
+    def join(self, member):
+        """Let a replica become a learner, unless it is a member already."""
+        self.require_authenticated()
+        try:
+            self._host.repair.request_join(member)
+        except NotLeading:
+            raise self._not_leader() from None
+
+    def group(self):
+        """Tell who makes up the group."""
+        self.require_authenticated()
+        members = self._host.replica.core.log.membership.members
+        addresses = [member.address for member in members]
+        return ttypes.GroupView(addresses, self._host.replica.leader_address)
+
+    def job_call(self, call):
+        """Answer a caller's request as the leader."""
+        self.require_authenticated()
+        return self._host.desk.job_call(call)
+
+    def _not_leader(self):
+        replica = self._host.replica
+        return ttypes.NotLeader(replica.leader_address, replica.leader_name)
--- /dev/null
+++ b/src/savoryshelf/dispatch/host.py
@@ -0,0 +1,174 @@
+"""Puts a control host that runs jobs of many tasks together.
+
+The platform's adapter starts it and joins its own HTTP to ``desk``.
+"""
+
+import random
+
+import attrs
+import eventlet
+
+from ..clock import SystemClock
+from ..control.repair import GroupRepair
+from ..disk import FolderDisk
+from ..errors import PeerUnreachable
+from ..observability.logs import log_event
+from ..replication.links import PeerLinks
+from ..replication.membership import find
+from ..replication.seeds import adopt_identity
+from ..replication.service import ReplicaService
+from ..replication.storage import ReplicaStorage
+from ..replication.types import Timing
+from ..tasks.machine import TaskMachine
+from ..wire.generated import ControlService, ttypes
+from ..wire.peers import PeerClient, PeerServer
+from .desk import TaskDesk
+from .handler import TaskControlHandler
+from .term import DispatchSettings, Term
+from .worker_api import WorkerCalls
+
+JOIN_SECONDS = 0.4
+"""Between attempts to join: a returning disk must be whole again within few seconds."""
+
+REPAIR_SECONDS = 0.1
+"""Between steps of a repair, of which there are three to five."""
+
+LEADER_LOOK_SECONDS = 0.05
+"""How often a host looks whether it leads; a small share of an election."""
+
+SILENCE_BEFORE_JOIN_SECONDS = 2.0
+"""A member that heard no leader for so long asks whether it still belongs to the group."""
+
+
+@attrs.frozen(kw_only=True)
+class TaskControlSettings:
+    """What a control host is told at its start."""
+
+    ip: str
+    peer_port: int
+    failure_domain: str
+    seed_ips: list[str]
+    is_first_start: bool
+    data_folder: str
+    cluster_key: str = attrs.field(repr=False)
+    dispatch: DispatchSettings
+    timing: Timing = attrs.field(factory=Timing)
+
+
+class TaskControlHost:
+    """One control host."""
+
+    def __init__(self, settings: TaskControlSettings, calls: WorkerCalls):
+        self._settings = settings
+        self._calls = calls
+        self._clock = SystemClock()
+        self._peers: set[str] = set()
+        self.update_seeds(settings.seed_ips)
+        storage = ReplicaStorage(FolderDisk(settings.data_folder))
+        self.identity = adopt_identity(
+            storage, settings.ip, settings.seed_ips, settings.peer_port, settings.is_first_start
+        )
+        self.machine = TaskMachine()
+        self.replica = ReplicaService(
+            replica_id=self.identity.replica_id,
+            genesis=self.identity.genesis,
+            storage=storage,
+            machine=self.machine,
+            links=PeerLinks(settings.cluster_key),
+            address_of_host={},
+            clock=self._clock,
+            timing=settings.timing,
+            randomness=random.Random(),
+        )
+        self.repair = GroupRepair(self.replica, replaces_silent=True)
+        self.desk = TaskDesk(self.replica, self.machine, self._clock)
+
+    @property
+    def own_address(self) -> str:
+        """Return where peers reach this host."""
+        return f"{self._settings.ip}:{self._settings.peer_port}"
+
+    def update_seeds(self, seed_ips: list[str]) -> None:
+        """Note seeds from new settings; the old ones stay known."""
+        self._peers.update(f"{ip}:{self._settings.peer_port}" for ip in seed_ips)
+
+    def start(self) -> None:
+        """Begin to serve peers and to take part in the group."""
+        PeerServer(
+            ControlService,
+            self.own_address,
+            lambda: TaskControlHandler(self._settings.cluster_key, self),
+        )
+        self.replica.start()
+        log_event("control:started", replica=self.identity.replica_id)
+        for duty in (self._keep_joined, self._keep_group_whole, self._lead):
+            eventlet.spawn(self._run_duty, duty)
+
+    def wait(self) -> None:
+        """Block until the replica fails; raise what stopped it."""
+        self.replica.wait()
+
+    def _run_duty(self, duty) -> None:
+        try:
+            duty()
+        except Exception as error:
+            # A host without its duties would hold its place and do nothing.
+            log_event("control:duty_failed", duty=duty.__name__, error=repr(error))
+            self.replica.stop(error)
+
+    # ------------------------------------------------------------------------- duties
+
+    def _lead(self) -> None:
+        while True:
+            core = self.replica.core
+            if core.leads_since_heard(self._clock.monotonic()) == float("inf"):
+                eventlet.sleep(LEADER_LOOK_SECONDS)
+                continue
+            term = Term(
+                self.replica, self.machine, self._calls, self._clock, self._settings.dispatch
+            )
+            self.desk.on_change = term.wake
+            term.run()
+
+    def _keep_group_whole(self) -> None:
+        while True:
+            eventlet.sleep(REPAIR_SECONDS)
+            self._note_members()
+            self.repair.step()
+
+    def _note_members(self) -> None:
+        for member in self.replica.core.log.membership.members:
+            self._peers.add(member.address)
+
+    def _keep_joined(self) -> None:
+        while True:
+            if self._may_be_outside():
+                for address in list(self._peers - {self.own_address}):
+                    if self._ask_to_join(address):
+                        break
+            eventlet.sleep(JOIN_SECONDS * random.uniform(0.75, 1.25))
+
+    def _may_be_outside(self) -> bool:
+        core = self.replica.core
+        if find(core.log.membership, self.identity.replica_id) is None:
+            return True
+        return core.silence(self._clock.monotonic()) > SILENCE_BEFORE_JOIN_SECONDS
+
+    def _ask_to_join(self, address: str) -> bool:
+        settings = self._settings
+        member = ttypes.Member(
+            self.identity.replica_id, self.own_address, settings.failure_domain, False
+        )
+        client = PeerClient(ControlService, address, settings.cluster_key)
+        try:
+            client.call("join", member, timeout=1.0)
+        except ttypes.NotLeader as error:
+            if error.leader_address:
+                self._peers.add(error.leader_address)
+            return False
+        except (PeerUnreachable, ttypes.Unavailable) as error:
+            log_event("group:join_unanswered", address=address, why=str(error))
+            return False
+        finally:
+            client.close()
+        return True
--- /dev/null
+++ b/src/savoryshelf/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry hosts that hand callers' requests to the control leader."""
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -30,6 +30,9 @@
 LOG_WRITES = Counter(
     "savoryshelf_log_writes", "Synced writes of the log (group commits).", registry=REGISTRY
 )
+RUN_ENDS = Counter(
+    "savoryshelf_run_ends", "Ends of runs of tasks, by outcome.", ["outcome"], registry=REGISTRY
+)
 LEADER = Gauge("savoryshelf_leader", "1 where this replica leads.", registry=REGISTRY)
 CONFIGURATION_VERSION = Gauge(
     "savoryshelf_configuration_version", "Version in force here.", registry=REGISTRY
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -205,6 +205,25 @@
         """Return whether this leader has committed in its own term, so that reads may be served."""
         return self.role is Role.LEADER and self.commit_index >= self.leadership.first_index
 
+    @property
+    def now(self) -> float:
+        """Return the time of the newest event."""
+        return self._now
+
+    def silence(self, now: float) -> float:
+        """Return for how many seconds no leader was heard; 0 for a leader itself."""
+        return 0.0 if self.role is Role.LEADER else now - self._leader_heard_at
+
+    def leads_since_heard(self, now: float) -> float:
+        """Return for how many seconds no majority has confirmed this leader; inf if none did.
+
+        Small means that nobody else can have led for long: what is applied here
+        is at most so many seconds, and a message's delay, out of date.
+        """
+        if not self.can_confirm or self._applied_index < self.leadership.first_index:
+            return float("inf")
+        return now - self.leadership.quorum_heard_at(self.replica_id, now, self.log.membership)
+
     @property
     def applied_index(self) -> int:
         """Return the index up to which entries were handed out as committed."""
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -66,15 +66,17 @@
         self._segment_number = 0
         self.bytes_written = 0
 
-    def identity(self, host_name: str) -> DiskIdentity:
+    def identity(self, host_name: str, suffix: str = "") -> DiskIdentity:
         """Return who this disk is; an empty disk gets an identity of its own.
 
+        ``suffix`` is given only where others can tell it without asking.
+
         The identity is of the disk, not the host: a host that lost its disk
         must not be counted as the replica which held the data.
         """
         if _IDENTITY in self._disk.names():
             return self._read_whole(_IDENTITY, DiskIdentity)
-        suffix = secrets.token_hex(_IDENTITY_BYTES)
+        suffix = suffix or secrets.token_hex(_IDENTITY_BYTES)
         identity = DiskIdentity(f"{host_name}.{suffix}", None)
         self._write_whole(_IDENTITY, identity)
         return identity
--- /dev/null
+++ b/src/savoryshelf/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs made of many tasks: what every control replica knows of them."""
--- /dev/null
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -0,0 +1,85 @@
+"""The whole ledger as one message, and back."""
+
+from ..wire import codec
+from ..wire.generated.ttypes import (
+    JobRecord,
+    PlacedRun,
+    TaskRecord,
+    TaskSnapshot,
+    WorkerLife,
+)
+from .job import Job, Task, new_job
+from .ledger import TaskLedger
+from .worker import Worker, life_key
+
+
+def save(ledger: TaskLedger) -> bytes:
+    """Return the ledger as bytes."""
+    workers = [w.record for w in ledger.worker_by_life.values() if not w.is_over]
+    jobs = [_job_record(job) for job in ledger.job_by_id.values()]
+    return codec.encode(TaskSnapshot(ledger.at_ms, ledger.manifest, workers, jobs))
+
+
+def load(data: bytes) -> TaskLedger:
+    """Return the ledger that ``save`` wrote."""
+    snapshot = codec.decode(TaskSnapshot, data)
+    ledger = TaskLedger(snapshot.at_ms, snapshot.manifest)
+    for record in snapshot.workers:
+        ledger.worker_by_life[life_key(record.life)] = Worker(record)
+    for record in snapshot.jobs:
+        _load_job(ledger, record)
+    return ledger
+
+
+def _job_record(job: Job) -> JobRecord:
+    return JobRecord(
+        job_id=job.job_id,
+        queue=job.queue,
+        spec=job.spec,
+        accepted_ms=job.accepted_ms,
+        ended_ms=job.ended_ms,
+        cancelled=job.cancelled,
+        failed=job.failed,
+        tasks=[_task_record(task) for task in job.tasks() if task.runs],
+        started=job.started,
+    )
+
+
+def _task_record(task: Task) -> TaskRecord:
+    placed = [PlacedRun(run, WorkerLife(*key)) for run, key in task.life_by_run.items()]
+    return TaskRecord(
+        task.name, task.runs, task.failures, task.done, task.checkpoint, placed, task.failed_on
+    )
+
+
+def _load_job(ledger: TaskLedger, record: JobRecord) -> None:
+    job = new_job(record.job_id, record.queue, record.spec, record.accepted_ms)
+    job.started = record.started
+    ledger.job_by_id[job.job_id] = job
+    for held in record.tasks:
+        _load_task(ledger, held)
+    for group in job.groups.values():
+        ledger._open_if_due(group)
+    if record.failed or record.cancelled:
+        job.failed, job.cancelled = record.failed, record.cancelled
+        ledger._close(job)
+    job.ended_ms = record.ended_ms
+
+
+def _load_task(ledger: TaskLedger, held: TaskRecord) -> None:
+    task = ledger.find_task(held.task)
+    task.runs, task.failures = held.runs, held.failures
+    task.checkpoint, task.failed_on = held.checkpoint, held.failed_on
+    for placed in held.placed:
+        key = life_key(placed.life)
+        worker = ledger.worker_by_life.get(key)
+        if worker is None:
+            continue
+        task.life_by_run[placed.run] = key
+        worker.place(task, placed.run)
+    if held.done:
+        task.step.unfinished -= 1
+        task.step.job.unfinished -= 1
+        task.done = True
+        for run, key in task.life_by_run.items():
+            ledger.unwanted[task.name, run] = key
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -180,6 +180,122 @@
   10: bool wants_all
 }
 
+// ------------------------------------------------- jobs made of many tasks
+
+/** One step of a job: `count` like tasks, run once all tasks of the steps in `after` are done. */
+struct StepSpec {
+  1: i32 count, 2: i32 millicores, 3: i64 memory_mb, 4: i32 accelerators, 5: i32 estimated_ms,
+  6: list<i32> after, 7: bool checkpointing, 8: bool gang, 9: bool same_rack,
+  10: string required_label, 11: string data_rack,
+  /** At most this many tasks of one occurrence on one worker; 0 for no limit. */
+  12: i32 max_per_worker,
+  13: bool allow_duplicates,
+  /** Runs until the job is cancelled and is restarted however it ends. */
+  14: bool lasting,
+  15: string image, 16: i32 target_ms,
+  /** Uses only the processor time that others leave; its `millicores` reserve nothing. */
+  17: bool filling,
+  /** So many lasting tasks of the step may be away at once by this system's own acts. */
+  18: i32 may_miss
+}
+
+/** `first_run_ms` is wall-clock time; with no repetitions the steps run once, at once. */
+struct JobSpec {
+  1: string body, 2: list<StepSpec> steps, 3: i32 repetitions, 4: i64 first_run_ms, 5: i64 interval_ms
+}
+
+/** A named place where jobs are handed in, and what is promised there. */
+struct QueueSpec {
+  1: string name, 2: string host, 3: string path_prefix, 4: string service_name, 5: i32 priority,
+  6: i32 max_attempts, 7: double stretch, 8: i32 target_latency_ms
+}
+
+struct ServiceSpec { 1: string name, 2: bool guards_capacity, 3: bool spare }
+
+/** A whole manifest; `document` is what the operator sent and reads back. */
+struct Manifest {
+  1: i64 version, 2: list<QueueSpec> queues, 3: list<ServiceSpec> services, 4: string document
+}
+
+struct AcceptTasks { 1: string job_id, 2: string host, 3: string path, 4: JobSpec spec }
+
+struct CancelTasks { 1: string job_id }
+
+/** One life of a worker: its id and the wall-clock millisecond at which this life began. */
+struct WorkerLife { 1: string worker_id, 2: i64 born_ms }
+
+struct WorkerRecord {
+  1: WorkerLife life, 2: string service_name, 3: string address, 4: string failure_domain, 5: string rack,
+  6: list<string> labels, 7: i32 millicores, 8: i64 memory_mb, 9: i32 accelerators, 10: bool draining,
+  /** Ends up to this number are settled; the worker numbers its ends from 1 in each life. */
+  11: i64 seen_end
+}
+
+struct NoteWorkers { 1: list<WorkerRecord> workers }
+
+struct RunIntent { 1: string task, 2: i32 run, 3: WorkerLife life }
+
+/** Intents to start runs; nothing is sent before they are committed. */
+struct IntendRuns { 1: list<RunIntent> intents }
+
+enum RunOutcome { DONE = 1, FAILED = 2, STOPPED = 3, LAPSED = 4, BROKEN = 5, ALONE = 6, LOST = 7, NEVER_RAN = 8 }
+
+struct RunEnd {
+  1: string task, 2: i32 run, 3: RunOutcome outcome, 4: string checkpoint,
+  /** The worker's number of this end; 0 if the end was inferred. */
+  5: i64 number
+}
+
+/** Ends of runs in one worker's life; they are acknowledged to it only once committed. */
+struct SettleRuns { 1: WorkerLife life, 2: i64 seen_end, 3: list<RunEnd> ends }
+
+/** A life that is surely over: whatever ran in it is lost. */
+struct EndLives { 1: list<WorkerLife> lives, 2: list<RunEnd> checkpoints }
+
+struct ForgetJobs { 1: i64 ended_before_ms }
+
+union TaskCommandBody {
+  1: Manifest put_manifest, 2: AcceptTasks accept_tasks, 3: CancelTasks cancel_tasks,
+  4: NoteWorkers note_workers, 5: IntendRuns intend_runs, 6: SettleRuns settle_runs,
+  7: EndLives end_lives, 8: ForgetJobs forget_jobs
+}
+
+struct TaskCommand { 1: i64 at_ms, 2: TaskCommandBody body }
+
+/** One run that may exist, in a snapshot. */
+struct PlacedRun { 1: i32 run, 2: WorkerLife life }
+
+struct TaskRecord {
+  1: string task, 2: i32 runs, 3: i32 failures, 4: bool done, 5: string checkpoint,
+  6: list<PlacedRun> placed, 7: string failed_on
+}
+
+struct JobRecord {
+  1: string job_id, 2: QueueSpec queue, 3: JobSpec spec, 4: i64 accepted_ms, 5: i64 ended_ms,
+  6: bool cancelled, 7: bool failed, 8: list<TaskRecord> tasks, 9: bool started
+}
+
+struct TaskSnapshot {
+  1: i64 at_ms, 2: Manifest manifest, 3: list<WorkerRecord> workers, 4: list<JobRecord> jobs
+}
+
+enum JobVerb { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
+
+/** A caller's request, as an entry host hands it to the leader. */
+struct JobCall {
+  1: JobVerb verb, 2: string host, 3: string path, 4: optional JobSpec spec, 5: string trace_id
+}
+
+enum JobAnswerKind { ACCEPTED = 1, STATE = 2, GONE = 3, NO_QUEUE = 4, COUNTED = 5, REFUSED = 6 }
+
+/** `retry_after_ms` goes with REFUSED, which says that the job was not accepted and never runs. */
+struct JobAnswer {
+  1: JobAnswerKind kind, 2: string state, 3: i64 waiting, 4: i32 retry_after_ms, 5: string reason
+}
+
+/** Who makes up the control group, as a member of it knows. */
+struct GroupView { 1: list<string> addresses, 2: string leader_address }
+
 struct SubmitReply { 1: string job_id, 2: bool duplicate, 3: string state }
 
 struct ApplyReply { 1: i64 version, 2: bool duplicate }
@@ -228,6 +344,10 @@
   JobView job(1: string team, 2: string job_id, 3: double wait_seconds) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
   ApplyReply apply(1: ApplyConfiguration change) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
   void change_standing(1: ChangeStanding change) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
+  /** A caller's request about a job of many tasks; only the leader answers it. */
+  JobAnswer job_call(1: JobCall call) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
+  /** Who makes up the group; any member answers. */
+  GroupView group() throws (1: Unavailable unavailable, 2: Unauthenticated unauthenticated),
   /** Operators' views, as JSON made by the leader: `status`, `targets`, `jobs`, `history`, `configuration`. */
   string view(1: string name, 2: string argument) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated)
 }
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -25,6 +25,12 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 10.0
+UNANSWERED_MS = 1500
+"""Bytes unacknowledged for so long end a connection: one election timeout and a half."""
+
+KEEPALIVE_IDLE_SECONDS = 2
+"""An idle connection is probed after so long, each second, and given up after two misses."""
+
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 NONCE_BYTES = 16
 IDLE_CLIENTS_PER_POOL = 8
@@ -45,6 +51,16 @@
     return host, int(port)
 
 
+def harden(connection) -> None:
+    """Make a connection send at once, and fail soon when the other side is silent."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNANSWERED_MS)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+
+
 class _CountedSocket(TSocket):
     """A thrift socket which counts the bytes that cross it."""
 
@@ -102,7 +118,7 @@
         self._socket.setTimeout(CONNECT_TIMEOUT_SECONDS * 1000)
         try:
             self._transport.open()
-            self._socket.handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            harden(self._socket.handle)
             nonce = self._client.hello()
             self._client.authenticate(prove(self._cluster_key, nonce))
         except (TException, OSError, EOFError) as error:
@@ -176,7 +192,7 @@
     def _accept(self) -> None:
         while True:
             connection, _ = self._listener.accept()
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            harden(connection)
             eventlet.spawn_n(self._serve, connection)
 
     def _serve(self, connection) -> None:
