--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -55,6 +55,19 @@
     timing: Timing = attrs.field(factory=Timing)
 
 
+@attrs.frozen
+class _AddressOfIp:
+    """Where a host is reached: hosts are named by their IP number, and share one port.
+
+    A learner must be able to answer before its log tells it who the members are.
+    """
+
+    _port: int
+
+    def get(self, ip: str) -> str:
+        return f"{ip}:{self._port}"
+
+
 class TaskControlHost:
     """One control host."""
 
@@ -75,7 +88,7 @@
             storage=storage,
             machine=self.machine,
             links=PeerLinks(settings.cluster_key),
-            address_of_host={},
+            address_of_host=_AddressOfIp(settings.peer_port),
             clock=self._clock,
             timing=settings.timing,
             randomness=random.Random(),
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -13,8 +13,17 @@
 FAR_DATA_PENALTY = 100.0
 """A task far from its data takes a multiple of its time: only if no other worker has room."""
 
-BESIDE_SERVING_PENALTY = 50.0
-"""A filling run beside a serving one disturbs it: only if no other worker has room."""
+BESIDE_FILLING_PENALTY = 50.0
+"""A filling run disturbs serving ones: these go beside it only if no other worker has room."""
+
+SHARES_WITH_SERVING = 20.0
+"""Serving runs are packed onto few workers, so that filling ones have the others."""
+
+FULLEST_FILLING = 1.0
+"""Share of a worker's processors up to which filling runs are placed.
+
+Beyond it they would only slow each other down; waiting lets the first end sooner.
+"""
 
 FAILED_HERE_PENALTY = 200.0
 """A task that failed on a worker goes back there last: attempts are few."""
@@ -70,6 +79,10 @@
         asked += worker.filling_millicores + self.added_filling + step.millicores
         return asked / max(1, worker.record.millicores)
 
+    def bears_filling(self, step: StepSpec) -> bool:
+        """Return whether one more filling run would work here and disturb nobody who serves."""
+        return not self.serves and self.load_with(step) <= FULLEST_FILLING
+
     def add(self, step: StepSpec) -> None:
         self.added.add(step, 1)
         if step.filling:
@@ -158,7 +171,7 @@
         step = task.step.spec
         best, best_score = None, 0.0
         for candidate in allowed:
-            if not candidate.fits(step):
+            if not candidate.fits(step) or (step.filling and not candidate.bears_filling(step)):
                 continue
             here = runs_here[candidate.view.life]
             if step.max_per_worker and here >= step.max_per_worker:
@@ -175,11 +188,9 @@
             score += FAR_DATA_PENALTY
         if task.failed_on == record.life.worker_id:
             score += FAILED_HERE_PENALTY
-        if step.filling and candidate.serves:
-            score += BESIDE_SERVING_PENALTY
         if step.target_ms:
-            # Serving runs share few workers, so that filling ones have the others.
-            score += BESIDE_SERVING_PENALTY * candidate.fills - 2.0 * candidate.serves
+            score += BESIDE_FILLING_PENALTY * candidate.fills
+            score -= SHARES_WITH_SERVING * candidate.serves + 2 * candidate.load_with(step)
         if step.lasting:
             score += SAME_STEP_PENALTY * here
         return score
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -33,7 +33,7 @@
 from .health import FleetHealth
 from .link import WorkerLink
 from .placement import Placement, WorkerView
-from .sharing import pace_orders
+from .sharing import departures
 from .worker_api import StartVerdict, WorkerCalls
 
 IDLE_PASS_SECONDS = 0.25
@@ -145,8 +145,8 @@
             for intent in self.commit(intend_runs=IntendRuns(intents)):
                 key = (intent.life.worker_id, intent.life.born_ms)
                 self.link_by_life[key].start(intent.task, intent.run)
-        for order in pace_orders(self._views()):
-            self.link_by_life[order.life].pace(order.task, order.run, order.percent)
+        for leaving in departures(self._views()):
+            self.link_by_life[leaving.life].stop(leaving.task, leaving.run)
 
     def _update_links(self) -> None:
         for key, worker in list(self.ledger.worker_by_life.items()):
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -350,7 +350,8 @@
         known = self.leadership.progress_by_id
         others = [m.replica_id for m in self.log.membership.members]
         self.leadership.progress_by_id = {
-            replica_id: known.get(replica_id) or Progress(next_index=self.log.last_index + 1)
+            replica_id: known.get(replica_id)
+            or Progress(next_index=self.log.last_index + 1, acked_at=self._now)
             for replica_id in others
             if replica_id != self.replica_id
         }
