Filling runs go where the serving images beside them bear them, learned by pairs

Keeping them apart starved filling work. Change: weights by pair, found by normalised least mean squares from each look; placement by predicted strain; the blamed runs leave on measured strain; serving runs of one image are packed together.

--- /dev/null
+++ b/src/savoryshelf/dispatch/disturbance.py
@@ -0,0 +1,92 @@
+"""How much filling runs slow down the serving runs beside them, learned by pairs of images.
+
+The strain of a serving run is its tail of response times over its target.  It
+is taken to be a resting strain and, for each image that fills beside it, a
+weight times the processors which that image works on.  The weights are found
+by normalised least mean squares: one reading corrects all the pairs present,
+each by its share, so that pairs which are never alone are told apart too.
+"""
+
+import attrs
+
+REST_STRAIN = 0.45
+"""Strain of a serving run that nothing disturbs, at a middling load of its own."""
+
+FIRST_WEIGHT = 0.03
+"""Strain per core assumed of a pair that was never seen: low enough to be tried out."""
+
+LEARNING_RATE = 0.5
+"""Share of an error corrected by one reading; the load of the serving run itself is noise."""
+
+HIGHEST_STRAIN = 4.0
+"""Readings above are taken for this: far beyond any decision, and they would swing the weights."""
+
+BEARABLE_STRAIN = 0.75
+"""Predicted strain up to which one more filling run is placed."""
+
+SLOW_STRAIN = 0.9
+"""Measured strain at which filling runs beside the serving one are stopped."""
+
+WINDOW_SECONDS = 0.5
+"""A worker's figure for a run covers about this time."""
+
+
+@attrs.frozen
+class FillingSpan:
+    """When one filling run worked beside others; ``ended_at`` is inf while it runs."""
+
+    image: str
+    cores: float
+    began_at: float
+    ended_at: float = float("inf")
+
+    def cores_within(self, since: float, until: float) -> float:
+        """Return the mean of the cores that it worked on in that time."""
+        overlap = min(self.ended_at, until) - max(self.began_at, since)
+        return self.cores * max(0.0, overlap) / (until - since)
+
+
+@attrs.define
+class Disturbance:
+    """Strain per core of a filling image, by pairs of images."""
+
+    _weight_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
+
+    def weight(self, filling: str, serving: str) -> float:
+        """Return the strain that one core of the one image puts on the other."""
+        return self._weight_by_pair.get((filling, serving), FIRST_WEIGHT)
+
+    def predict(self, serving: str, cores_by_image: dict[str, float]) -> float:
+        """Return the strain to be expected of a serving run beside those filling ones."""
+        return REST_STRAIN + sum(
+            self.weight(image, serving) * cores for image, cores in cores_by_image.items()
+        )
+
+    def learn(self, serving: str, strain: float, cores_by_image: dict[str, float]) -> None:
+        """Correct the weights by one reading."""
+        power = sum(cores * cores for cores in cores_by_image.values())
+        if power <= 0.0:
+            return
+        error = min(strain, HIGHEST_STRAIN) - self.predict(serving, cores_by_image)
+        for image, cores in cores_by_image.items():
+            weight = self.weight(image, serving) + LEARNING_RATE * error * cores / max(1.0, power)
+            self._weight_by_pair[image, serving] = max(0.0, weight)
+
+    def blamed(self, serving: str, cores_by_image: dict[str, float]) -> list[str]:
+        """Return the images whose leaving makes a serving run bearable, the worst first."""
+        left, leaving = dict(cores_by_image), []
+        while left and (not leaving or self.predict(serving, left) > BEARABLE_STRAIN):
+            worst = max(left, key=lambda image: self.weight(image, serving) * left[image])
+            leaving.append(worst)
+            del left[worst]
+        return leaving
+
+
+def cores_by_image(spans: list[FillingSpan], until: float) -> dict[str, float]:
+    """Return the mean cores that each filling image worked on in the window before ``until``."""
+    cores: dict[str, float] = {}
+    for span in spans:
+        worked = span.cores_within(until - WINDOW_SECONDS, until)
+        if worked > 0.0:
+            cores[span.image] = cores.get(span.image, 0.0) + worked
+    return cores
--- a/src/savoryshelf/dispatch/link.py
+++ b/src/savoryshelf/dispatch/link.py
@@ -17,6 +17,8 @@
 from ..observability.logs import log_event
 from ..tasks.worker import Worker
 from ..wire.generated.ttypes import RunEnd, RunOutcome
+from .placement import WorkerView
+from .sharing import SharingLog
 from .worker_api import (
     Life,
     LifeOver,
@@ -32,6 +34,9 @@
 LOOK_WAIT_MS = 2000
 """How long a worker holds a look back while nothing ends: the longest it allows."""
 
+SHARED_LOOK_WAIT_MS = 400
+"""The same where runs fill beside serving ones: a slow one has to show within a second."""
+
 RETRY_SECONDS = 0.25
 """Pause between calls to a worker that does not answer; jittered by half."""
 
@@ -62,6 +67,7 @@
         self.percent_by_run: dict[tuple[str, int], int] = {}
         """Pace last ordered, by run."""
 
+        self._sharing = SharingLog()
         self.answered_at = float("-inf")
         self.is_silent = False
         self.is_known = not worker.task_by_run
@@ -92,6 +98,10 @@
         if not self._wake.ready():
             self._wake.send(None)
 
+    def view(self) -> WorkerView:
+        """Return this worker as it is seen now."""
+        return WorkerView(self.worker, self.is_known and not self.is_silent, self.row_by_run)
+
     def start(self, task: str, run: int) -> None:
         """Send a committed intent."""
         self._sending.add((task, run))
@@ -131,7 +141,7 @@
                 self._rest()
                 continue
             try:
-                self._look(LOOK_WAIT_MS if self.is_known and not self.is_silent else 0)
+                self._look(self._look_wait_ms())
             except LifeOver:
                 self._term.life_over(self, "another life answers")
                 return
@@ -145,6 +155,13 @@
                     return
                 self._pause()
 
+    def _look_wait_ms(self) -> int:
+        if not self.is_known or self.is_silent:
+            return 0
+        steps = [task.step.spec for task in self.worker.task_by_run.values()]
+        is_shared = any(step.filling for step in steps) and any(step.target_ms for step in steps)
+        return SHARED_LOOK_WAIT_MS if is_shared else LOOK_WAIT_MS
+
     def _rest(self) -> None:
         if self._wake.ready():
             self._wake = Event()
@@ -189,6 +206,7 @@
             self._term.settle(self, seen_end, ends)
         self.is_known = True
         self._stop_strays(listed)
+        self._term.looked(self, self._sharing)
 
     def _vanished(self, listed: set, sent_at: float) -> list[RunEnd]:
         """Return ends for the runs which this look should list, and does not."""
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -8,6 +8,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import Room, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
+from .disturbance import BEARABLE_STRAIN, Disturbance
 from .health import FleetHealth
 
 FAR_DATA_PENALTY = 100.0
@@ -16,8 +17,13 @@
 BESIDE_FILLING_PENALTY = 50.0
 """A filling run disturbs serving ones: these go beside it only if no other worker has room."""
 
-SHARES_WITH_SERVING = 20.0
-"""Serving runs are packed onto few workers, so that filling ones have the others."""
+OTHER_IMAGE_PENALTY = 10.0
+"""For each other serving image there: the fewer a worker has, the more may fill beside them."""
+
+SAME_IMAGE_BONUS = 5.0
+
+SERVING_USE = 0.6
+"""Share of its reservation that a serving run uses at most times; the rest is for filling ones."""
 
 FULLEST_FILLING = 1.0
 """Share of a worker's processors up to which filling runs are placed.
@@ -25,6 +31,9 @@
 Beyond it they would only slow each other down; waiting lets the first end sooner.
 """
 
+STRAIN_WEIGHT = 2.0
+"""How much predicted strain counts against load when a filling run chooses its worker."""
+
 FAILED_HERE_PENALTY = 200.0
 """A task that failed on a worker goes back there last: attempts are few."""
 
@@ -57,11 +66,19 @@
     """A worker with what this pass has placed on it already."""
 
     view: WorkerView
-    added: Room = attrs.field(factory=Room)
-    added_filling: int = 0
-    serves: bool = False
-    fills: bool = False
+    disturbance: Disturbance
     penalty: float = 0.0
+    added: Room = attrs.field(factory=Room)
+    asked_millicores: float = 0.0
+    """What its runs will use, by what they reserve or, filling, ask for."""
+
+    serving_images: Counter = attrs.field(factory=Counter)
+    filling_cores: dict[str, float] = attrs.field(factory=dict)
+    _strain_by_image: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        for task in self.view.worker.task_by_run.values():
+            self._count(task.step.spec)
 
     def fits(self, step: StepSpec) -> bool:
         record, used, added = self.view.worker.record, self.view.worker.used, self.added
@@ -73,29 +90,51 @@
         )
 
     def load_with(self, step: StepSpec) -> float:
-        """Return the share of the processors asked for once one more run is here."""
-        worker = self.view.worker
-        asked = worker.used.millicores + self.added.millicores
-        asked += worker.filling_millicores + self.added_filling + step.millicores
-        return asked / max(1, worker.record.millicores)
-
-    def bears_filling(self, step: StepSpec) -> bool:
-        """Return whether one more filling run would work here and disturb nobody who serves."""
-        return not self.serves and self.load_with(step) <= FULLEST_FILLING
+        """Return the share of the processors in use once one more run is here."""
+        record = self.view.worker.record
+        return (self.asked_millicores + _use(step)) / max(1, record.millicores)
+
+    def strain_with(self, step: StepSpec) -> float:
+        """Return the worst strain to expect here once one more filling run is here; 0 for none."""
+        worst = 0.0
+        for image in self.serving_images:
+            held = self._strain_by_image.get(image)
+            if held is None:
+                held = self.disturbance.predict(image, self.filling_cores)
+                self._strain_by_image[image] = held
+            more = self.disturbance.weight(step.image, image) * step.millicores / 1000
+            worst = max(worst, held + more)
+        return worst
 
     def add(self, step: StepSpec) -> None:
+        """Count one more run in."""
         self.added.add(step, 1)
-        if step.filling:
-            self.added_filling += step.millicores
-            self.fills = True
+        self._count(step)
+
+    def _count(self, step: StepSpec) -> None:
+        self.asked_millicores += _use(step)
         if step.target_ms:
-            self.serves = True
+            self.serving_images[step.image] += 1
+        if step.filling:
+            cores = self.filling_cores.get(step.image, 0.0) + step.millicores / 1000
+            self.filling_cores[step.image] = cores
+            self._strain_by_image.clear()
+
+
+def _use(step: StepSpec) -> float:
+    return step.millicores * (SERVING_USE if step.target_ms else 1.0)
 
 
 class Placement:
     """Plans starts for one leader."""
 
-    def __init__(self, home_region: str = "", region_by_domain: dict[str, str] | None = None):
+    def __init__(
+        self,
+        disturbance: Disturbance,
+        home_region: str = "",
+        region_by_domain: dict[str, str] | None = None,
+    ):
+        self._disturbance = disturbance
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -128,13 +167,7 @@
         region = self._region_by_domain.get(record.failure_domain, "")
         if region != self._home_region:
             penalty += OTHER_REGION_PENALTY
-        steps = [task.step.spec for task in view.worker.task_by_run.values()]
-        return _Candidate(
-            view,
-            serves=any(step.target_ms for step in steps),
-            fills=any(step.filling for step in steps),
-            penalty=penalty,
-        )
+        return _Candidate(view, self._disturbance, penalty)
 
     def _plan_group(self, group: StepGroup, candidates: list[_Candidate]) -> list[RunIntent]:
         step = group.spec
@@ -156,22 +189,31 @@
         if len(group.startable) < len(group.tasks):
             return []
         run = 1 + max(task.runs for task in group.tasks)
-        saved = [(c, attrs.evolve(c.added), c.added_filling) for c in allowed]
+        trial = [self._copy(candidate) for candidate in allowed]
         intents = []
         for task in group.tasks:
-            chosen = self._choose(task, allowed, runs_here)
+            chosen = self._choose(task, trial, runs_here)
             if chosen is None:
-                for candidate, added, filling in saved:
-                    candidate.added, candidate.added_filling = added, filling
                 return []
             intents.append(self._take(task, run, chosen, runs_here))
+        by_life = {candidate.view.life: candidate for candidate in allowed}
+        for intent in intents:
+            by_life[intent.life.worker_id, intent.life.born_ms].add(group.spec)
         return intents
 
+    def _copy(self, candidate: _Candidate) -> _Candidate:
+        copy = _Candidate(candidate.view, self._disturbance, candidate.penalty)
+        copy.added = attrs.evolve(candidate.added)
+        copy.asked_millicores = candidate.asked_millicores
+        copy.filling_cores = dict(candidate.filling_cores)
+        copy.serving_images = Counter(candidate.serving_images)
+        return copy
+
     def _choose(self, task: Task, allowed, runs_here) -> _Candidate | None:
         step = task.step.spec
         best, best_score = None, 0.0
         for candidate in allowed:
-            if not candidate.fits(step) or (step.filling and not candidate.bears_filling(step)):
+            if not candidate.fits(step) or (step.filling and not _bears(candidate, step)):
                 continue
             here = runs_here[candidate.view.life]
             if step.max_per_worker and here >= step.max_per_worker:
@@ -188,13 +230,22 @@
             score += FAR_DATA_PENALTY
         if task.failed_on == record.life.worker_id:
             score += FAILED_HERE_PENALTY
+        if step.filling:
+            score += STRAIN_WEIGHT * candidate.strain_with(step)
         if step.target_ms:
-            score += BESIDE_FILLING_PENALTY * candidate.fills
-            score -= SHARES_WITH_SERVING * candidate.serves + 2 * candidate.load_with(step)
+            score += self._serving_score(step, candidate)
         if step.lasting:
             score += SAME_STEP_PENALTY * here
         return score
 
+    def _serving_score(self, step: StepSpec, candidate: _Candidate) -> float:
+        others = len(candidate.serving_images.keys() - {step.image})
+        score = OTHER_IMAGE_PENALTY * others
+        score -= SAME_IMAGE_BONUS * (step.image in candidate.serving_images)
+        if self._disturbance.predict(step.image, candidate.filling_cores) > BEARABLE_STRAIN:
+            score += BESIDE_FILLING_PENALTY
+        return score
+
     @staticmethod
     def _take(task: Task, run: int, chosen: _Candidate, runs_here: Counter) -> RunIntent:
         chosen.add(task.step.spec)
@@ -208,6 +259,13 @@
     return job.queue.priority, job.accepted_ms, job.job_id, group.occurrence, group.number
 
 
+def _bears(candidate: _Candidate, step: StepSpec) -> bool:
+    """Return whether one more filling run would work here and slow no serving one down."""
+    if candidate.load_with(step) > FULLEST_FILLING:
+        return False
+    return candidate.strain_with(step) <= BEARABLE_STRAIN
+
+
 def _is_allowed(candidate: _Candidate, group: StepGroup) -> bool:
     record, step = candidate.view.worker.record, group.spec
     if record.service_name != group.job.queue.service_name:
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -30,10 +30,11 @@
     TaskCommandBody,
     WorkerLife,
 )
+from .disturbance import Disturbance
 from .health import FleetHealth
 from .link import WorkerLink
 from .placement import Placement, WorkerView
-from .sharing import departures
+from .sharing import SharingLog, departures, learn
 from .worker_api import StartVerdict, WorkerCalls
 
 IDLE_PASS_SECONDS = 0.25
@@ -85,7 +86,10 @@
         self.fence = replica.core.term
         self.link_by_life: dict[LifeKey, WorkerLink] = {}
         self.health = FleetHealth()
-        self._placement = Placement(settings.home_region, settings.region_by_domain)
+        self.disturbance = Disturbance()
+        self._placement = Placement(
+            self.disturbance, settings.home_region, settings.region_by_domain
+        )
         self._wake = Event()
         self._is_over = False
 
@@ -145,8 +149,6 @@
             for intent in self.commit(intend_runs=IntendRuns(intents)):
                 key = (intent.life.worker_id, intent.life.born_ms)
                 self.link_by_life[key].start(intent.task, intent.run)
-        for leaving in departures(self._views()):
-            self.link_by_life[leaving.life].stop(leaving.task, leaving.run)
 
     def _update_links(self) -> None:
         for key, worker in list(self.ledger.worker_by_life.items()):
@@ -162,11 +164,7 @@
         link.close()
 
     def _views(self) -> list[WorkerView]:
-        return [
-            WorkerView(link.worker, link.is_known and not link.is_silent, link.row_by_run)
-            for link in self.link_by_life.values()
-            if not link.is_closed
-        ]
+        return [link.view() for link in self.link_by_life.values() if not link.is_closed]
 
     def _stop_unwanted(self) -> None:
         for (task, run), key in list(self.ledger.unwanted.items()):
@@ -196,6 +194,17 @@
         if outcome in (RunOutcome.DONE, RunOutcome.FAILED):
             self.health.ended(link.life.worker_id, outcome is RunOutcome.DONE, self.now())
 
+    def looked(self, link: WorkerLink, log: SharingLog) -> None:
+        """Learn from a look, and stop what slows serving runs down there."""
+        view = link.view()
+        learn(self.disturbance, view, log, self.now())
+        for leaving in departures(self.disturbance, view):
+            log_event(
+                "run:yields", task=leaving.task, run=leaving.run, worker=leaving.life[0],
+                strain=round(leaving.strain, 2),
+            )  # fmt: skip
+            link.stop(leaving.task, leaving.run)
+
     def start_rejected(self, link: WorkerLink, task: str, run: int, verdict: StartVerdict) -> None:
         """Take back an intent which the worker surely did not carry out."""
         if verdict is StartVerdict.FENCED:
