A silent worker's lease runs out; silent members get no entries again and again

Change: looks at a silent worker carry no deadline; one step back per round of rejections, and empty probes to members that miss three heartbeats.

--- a/src/savoryshelf/dispatch/link.py
+++ b/src/savoryshelf/dispatch/link.py
@@ -40,6 +40,9 @@
 RETRY_SECONDS = 0.25
 """Pause between calls to a worker that does not answer; jittered by half."""
 
+STOP_LAG_SECONDS = 1.0
+"""How long a confirmed stop may take to show in a look: a stop and one held look."""
+
 PARALLEL_ORDERS = 4
 """Orders under way to one worker: more connections cost more than they save."""
 
@@ -78,6 +81,7 @@
         self._settled_at_by_run: dict[tuple[str, int], float] = {
             run: term.now() for run in worker.task_by_run
         }
+        self._stopped_at_by_run: dict[tuple[str, int], float] = {}
         self._sending: set[tuple[str, int]] = set()
         self._stopping: set[tuple[str, int]] = set()
         self._order_slots = Semaphore(PARALLEL_ORDERS)
@@ -110,12 +114,19 @@
 
     def stop(self, task: str, run: int) -> None:
         """Stop a run, for as long as it takes."""
-        if (task, run) in self._stopping or (task, run) in self._sending:
+        if self.is_stopping(task, run) or (task, run) in self._sending:
             return
         self._stopping.add((task, run))
         self.wake()
         eventlet.spawn_n(self._send_stop, task, run)
 
+    def is_stopping(self, task: str, run: int) -> bool:
+        """Return whether a stop is under way, or was confirmed so lately that looks may lag."""
+        if (task, run) in self._stopping:
+            return True
+        stopped_at = self._stopped_at_by_run.get((task, run))
+        return stopped_at is not None and self._term.now() - stopped_at < STOP_LAG_SECONDS
+
     def pace(self, task: str, run: int, percent: int) -> None:
         """Slow a run down, or let it go again; a lost order is repeated by the next decision."""
         if self.percent_by_run.get((task, run), 100) != percent:
@@ -173,7 +184,10 @@
 
     def _look(self, wait_ms: int) -> None:
         sent_at = self._term.now()
-        deadline_ms = self.clock.deadline(sent_at, self._lease_ms) if self.clock.is_known else 0
+        # A silent worker's lease must be able to run out, so it is not extended
+        # by a call whose answer may not come either.
+        extends = self.clock.is_known and not self.is_silent
+        deadline_ms = self.clock.deadline(sent_at, self._lease_ms) if extends else 0
         seen_end = self.worker.record.seen_end
         look = self._term.calls.look(self.life, self._term.fence, seen_end, deadline_ms, wait_ms)
         now = self._term.now()
@@ -183,7 +197,7 @@
         self.is_silent = False
         self.clock.read(look.clock_ms, now)
         if deadline_ms == 0 and (look.running or self.worker.task_by_run):
-            # The first look only read the clock: the lease must be extended.
+            # This look only read the clock: the lease must be extended.
             self._extend()
         self._digest(look, sent_at)
 
@@ -227,6 +241,7 @@
                 self.stop(*key)
         for key in self._settled_at_by_run.keys() - self.worker.task_by_run.keys():
             self._settled_at_by_run.pop(key, None)
+            self._stopped_at_by_run.pop(key, None)
             self.percent_by_run.pop(key, None)
 
     def _note_silence(self, error: Exception) -> None:
@@ -302,6 +317,7 @@
         finally:
             self._stopping.discard(key)
         was_listed = key in self.row_by_run
+        self._stopped_at_by_run[key] = self._term.now()
         self._settled_at_by_run[key] = self._term.now()
         if not was_listed and key in self.worker.task_by_run:
             self._look_now()
--- a/src/savoryshelf/dispatch/sharing.py
+++ b/src/savoryshelf/dispatch/sharing.py
@@ -19,7 +19,10 @@
     life: LifeKey
     task: str
     run: int
+    image: str
+    beside: str
     strain: float
+    weight: float
 
 
 @attrs.define
@@ -66,12 +69,15 @@
         if step.filling and key in view.row_by_run:
             filling.setdefault(step.image, []).append(key)
             cores[step.image] = cores.get(step.image, 0.0) + step.millicores / 1000
-    leaving: dict[tuple[str, int], float] = {}
+    leaving: dict[tuple[str, int], Departure] = {}
     for step, strain in _serving(view):
-        if strain >= SLOW_STRAIN:
-            for image in disturbance.blamed(step.image, cores):
-                leaving.update(dict.fromkeys(filling[image], strain))
-    return [Departure(view.life, *key, strain) for key, strain in leaving.items()]
+        if strain < SLOW_STRAIN:
+            continue
+        for image in disturbance.blamed(step.image, cores):
+            weight = disturbance.weight(image, step.image)
+            for key in filling[image]:
+                leaving[key] = Departure(view.life, *key, image, step.image, strain, weight)
+    return list(leaving.values())
 
 
 def _serving(view) -> list[tuple[StepSpec, float]]:
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -199,9 +199,12 @@
         view = link.view()
         learn(self.disturbance, view, log, self.now())
         for leaving in departures(self.disturbance, view):
+            if link.is_stopping(leaving.task, leaving.run):
+                continue
             log_event(
                 "run:yields", task=leaving.task, run=leaving.run, worker=leaving.life[0],
-                strain=round(leaving.strain, 2),
+                strain=round(leaving.strain, 2), beside=leaving.beside, image=leaving.image,
+                weight=round(leaving.weight, 3),
             )  # fmt: skip
             link.stop(leaving.task, leaving.run)
 
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -41,6 +41,12 @@
 
 MAX_APPEND_BYTES = 256 * 1024
 
+MAX_IN_FLIGHT_ENTRIES = 512
+"""Entries sent to one member and not acknowledged yet: several rounds of a busy leader."""
+
+SILENT_HEARTBEATS = 3
+"""A member that missed so many answers gets no entries until it answers again."""
+
 
 class Replica:
     """One member of a control group, or one that hopes to become a member."""
@@ -369,7 +375,7 @@
             self._send_snapshot(replica_id, progress)
             return
         previous = progress.next_index - 1
-        entries = self._batch_from(progress.next_index)
+        entries = self._batch_from(progress.next_index) if self._takes_entries(progress) else []
         request = AppendRequest(
             previous, self.log.term_at(previous), entries, self.commit_index, self.leadership.round
         )
@@ -378,6 +384,15 @@
             progress.next_index = entries[-1].index + 1
         self._send_early(replica_id, append_request=request)
 
+    def _takes_entries(self, progress: Progress) -> bool:
+        """Return whether entries should be sent, rather than an empty message as a probe.
+
+        A member that is silent, or far behind what was sent, would only get the
+        same entries again and again.
+        """
+        silent = self._now - progress.acked_at > SILENT_HEARTBEATS * self.timing.heartbeat
+        return not silent and progress.next_index - progress.match_index <= MAX_IN_FLIGHT_ENTRIES
+
     def _batch_from(self, first: int) -> list[LogEntry]:
         batch, size = [], 0
         for entry in self.log.entries(first, self.log.last_index):
@@ -426,8 +441,14 @@
         if reply.success:
             progress.accepted(reply.match_index)
             self._advance_commit()
+        elif reply.round < progress.rejected_round:
+            # Sent before the last step back; that one is being answered already.
+            return
         else:
             progress.rejected(reply.match_index)
+            progress.rejected_round = self.leadership.round + 1
+            self._broadcast_wanted = True
+            return
         if progress.next_index <= self.log.last_index and not progress.snapshot:
             self._send_log(message.sender, progress)
 
--- a/src/savoryshelf/replication/leadership.py
+++ b/src/savoryshelf/replication/leadership.py
@@ -14,6 +14,9 @@
     next_index: int = 1
     acked_round: int = 0
     acked_at: float = float("-inf")
+    rejected_round: int = 0
+    """Rejections of messages sent before this round are out of date."""
+
     snapshot: SnapshotFile | None = None
     snapshot_offset: int = 0
 
