Filling runs change their pace with each look; lasting runs leave room for those that end

Cause: stopping on each slow reading started the same work again and again. Change: pace halved where a serving run is slow, raised where all are calm; placed where half speed is bearable; lasting runs up to 0.92 of a service.

--- a/src/savoryshelf/dispatch/disturbance.py
+++ b/src/savoryshelf/dispatch/disturbance.py
@@ -15,8 +15,14 @@
 FIRST_WEIGHT = 0.03
 """Strain per core assumed of a pair that was never seen: low enough to be tried out."""
 
-LEARNING_RATE = 0.5
-"""Share of an error corrected by one reading; the load of the serving run itself is noise."""
+RISING_RATE = 0.5
+"""Share of an error corrected where a reading is worse than predicted: one or two suffice."""
+
+FALLING_RATE = 0.03
+"""The same where it is better; slow, since readings lag and a disturbed pair is dear."""
+
+NOISE = 0.25
+"""A reading this much above its prediction teaches nothing: the run's own load swings so far."""
 
 HIGHEST_STRAIN = 4.0
 """Readings above are taken for this: far beyond any decision, and they would swing the weights."""
@@ -25,25 +31,16 @@
 """Predicted strain up to which one more filling run is placed."""
 
 SLOW_STRAIN = 0.9
-"""Measured strain at which filling runs beside the serving one are stopped."""
-
-WINDOW_SECONDS = 0.5
-"""A worker's figure for a run covers about this time."""
-
+"""Measured strain at which filling runs beside the serving one are slowed down."""
 
-@attrs.frozen
-class FillingSpan:
-    """When one filling run worked beside others; ``ended_at`` is inf while it runs."""
+CALM_STRAIN = 0.65
+"""Measured strain below which they may go faster again: a resting run at its highest load."""
 
-    image: str
-    cores: float
-    began_at: float
-    ended_at: float = float("inf")
+LONGEST_SLOW_SECONDS = 1.5
+"""A serving run over its target for so long has all filling runs yield, explained or not."""
 
-    def cores_within(self, since: float, until: float) -> float:
-        """Return the mean of the cores that it worked on in that time."""
-        overlap = min(self.ended_at, until) - max(self.began_at, since)
-        return self.cores * max(0.0, overlap) / (until - since)
+WINDOW_SECONDS = 0.5
+"""A worker's figure for a run covers about this time."""
 
 
 @attrs.define
@@ -65,28 +62,19 @@
     def learn(self, serving: str, strain: float, cores_by_image: dict[str, float]) -> None:
         """Correct the weights by one reading."""
         power = sum(cores * cores for cores in cores_by_image.values())
-        if power <= 0.0:
-            return
         error = min(strain, HIGHEST_STRAIN) - self.predict(serving, cores_by_image)
+        if power <= 0.0 or 0.0 <= error <= NOISE:
+            return
+        correction = RISING_RATE * (error - NOISE) if error > 0.0 else FALLING_RATE * error
         for image, cores in cores_by_image.items():
-            weight = self.weight(image, serving) + LEARNING_RATE * error * cores / max(1.0, power)
+            weight = self.weight(image, serving) + correction * cores / max(1.0, power)
             self._weight_by_pair[image, serving] = max(0.0, weight)
 
     def blamed(self, serving: str, cores_by_image: dict[str, float]) -> list[str]:
         """Return the images whose leaving makes a serving run bearable, the worst first."""
         left, leaving = dict(cores_by_image), []
-        while left and (not leaving or self.predict(serving, left) > BEARABLE_STRAIN):
+        while left and self.predict(serving, left) > BEARABLE_STRAIN:
             worst = max(left, key=lambda image: self.weight(image, serving) * left[image])
             leaving.append(worst)
             del left[worst]
         return leaving
-
-
-def cores_by_image(spans: list[FillingSpan], until: float) -> dict[str, float]:
-    """Return the mean cores that each filling image worked on in the window before ``until``."""
-    cores: dict[str, float] = {}
-    for span in spans:
-        worked = span.cores_within(until - WINDOW_SECONDS, until)
-        if worked > 0.0:
-            cores[span.image] = cores.get(span.image, 0.0) + worked
-    return cores
--- a/src/savoryshelf/dispatch/link.py
+++ b/src/savoryshelf/dispatch/link.py
@@ -153,8 +153,8 @@
                 continue
             try:
                 self._look(self._look_wait_ms())
-            except LifeOver:
-                self._term.life_over(self, "another life answers")
+            except LifeOver as error:
+                self._term.life_over(self, str(error))
                 return
             except OrderRejected as error:
                 self._term.rejected(self, str(error))
@@ -275,8 +275,11 @@
             return
         if verdict is StartVerdict.STARTED:
             self._settled_at_by_run[key] = self._term.now()
+            held = self.worker.task_by_run.get(key)
             if key in self._term.ledger.unwanted:
                 self.stop(task, run)
+            elif held is not None:
+                self._term.started(self, held, run)
             return
         metrics.RETRIES.labels(f"start {verdict.value}").inc()
         log_event("run:rejected", task=task, run=run, worker=self.life.worker_id, why=verdict.value)
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -31,6 +31,16 @@
 Beyond it they would only slow each other down; waiting lets the first end sooner.
 """
 
+SLOWEST_SHARE = 0.5
+"""A filling run is placed where it may work at this share of its speed, or faster."""
+
+LASTING_SHARE = 0.92
+"""Share of a service's processors up to which lasting runs are started.
+
+The rest is for runs that end: callers wait for those, and lasting ones never
+make room.
+"""
+
 STRAIN_WEIGHT = 2.0
 """How much predicted strain counts against load when a filling run chooses its worker."""
 
@@ -69,6 +79,7 @@
     disturbance: Disturbance
     penalty: float = 0.0
     added: Room = attrs.field(factory=Room)
+    lasting_millicores: int = 0
     asked_millicores: float = 0.0
     """What its runs will use, by what they reserve or, filling, ask for."""
 
@@ -94,15 +105,18 @@
         record = self.view.worker.record
         return (self.asked_millicores + _use(step)) / max(1, record.millicores)
 
-    def strain_with(self, step: StepSpec) -> float:
-        """Return the worst strain to expect here once one more filling run is here; 0 for none."""
+    def strain_with(self, step: StepSpec, share: float = 1.0) -> float:
+        """Return the worst strain to expect beside one more filling run; 0 if nobody serves.
+
+        ``share`` is that of its full speed at which the run would work.
+        """
         worst = 0.0
         for image in self.serving_images:
             held = self._strain_by_image.get(image)
             if held is None:
                 held = self.disturbance.predict(image, self.filling_cores)
                 self._strain_by_image[image] = held
-            more = self.disturbance.weight(step.image, image) * step.millicores / 1000
+            more = self.disturbance.weight(step.image, image) * step.millicores / 1000 * share
             worst = max(worst, held + more)
         return worst
 
@@ -113,6 +127,8 @@
 
     def _count(self, step: StepSpec) -> None:
         self.asked_millicores += _use(step)
+        if step.lasting:
+            self.lasting_millicores += step.millicores
         if step.target_ms:
             self.serving_images[step.image] += 1
         if step.filling:
@@ -158,6 +174,8 @@
         for group in sorted(ledger.startable_by_key.values(), key=_claim):
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
+            if group.spec.lasting and _lasting_share(group, candidates) > LASTING_SHARE:
+                continue
             intents += self._plan_group(group, candidates)
         return intents
 
@@ -206,6 +224,7 @@
         copy.added = attrs.evolve(candidate.added)
         copy.asked_millicores = candidate.asked_millicores
         copy.filling_cores = dict(candidate.filling_cores)
+        copy.lasting_millicores = candidate.lasting_millicores
         copy.serving_images = Counter(candidate.serving_images)
         return copy
 
@@ -254,16 +273,31 @@
 
 
 def _claim(group: StepGroup) -> tuple:
-    """Return the order of groups: priority, then who came first."""
+    """Return the order of groups: priority, those that end before those that last, age."""
     job = group.job
-    return job.queue.priority, job.accepted_ms, job.job_id, group.occurrence, group.number
+    return (
+        job.queue.priority,
+        group.spec.lasting,
+        job.accepted_ms,
+        job.job_id,
+        group.occurrence,
+        group.number,
+    )
+
+
+def _lasting_share(group: StepGroup, candidates: list[_Candidate]) -> float:
+    """Return the share of the service's processors reserved by lasting runs with this group."""
+    here = [c for c in candidates if _is_allowed(c, group)]
+    total = sum(c.view.worker.record.millicores for c in here)
+    wanted = group.spec.millicores * len(group.startable)
+    return (sum(c.lasting_millicores for c in here) + wanted) / max(1, total)
 
 
 def _bears(candidate: _Candidate, step: StepSpec) -> bool:
     """Return whether one more filling run would work here and slow no serving one down."""
     if candidate.load_with(step) > FULLEST_FILLING:
         return False
-    return candidate.strain_with(step) <= BEARABLE_STRAIN
+    return candidate.strain_with(step, SLOWEST_SHARE) <= BEARABLE_STRAIN
 
 
 def _is_allowed(candidate: _Candidate, group: StepGroup) -> bool:
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -16,7 +16,7 @@
 from ..observability.logs import log_event
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
-from ..tasks.job import LifeKey
+from ..tasks.job import LifeKey, Task
 from ..tasks.ledger import TaskLedger
 from ..tasks.machine import TaskMachine
 from ..wire import codec
@@ -34,7 +34,7 @@
 from .health import FleetHealth
 from .link import WorkerLink
 from .placement import Placement, WorkerView
-from .sharing import SharingLog, departures, learn
+from .sharing import SharingLog, first_percent, learn, pace_changes
 from .worker_api import StartVerdict, WorkerCalls
 
 IDLE_PASS_SECONDS = 0.25
@@ -198,15 +198,27 @@
         """Learn from a look, and stop what slows serving runs down there."""
         view = link.view()
         learn(self.disturbance, view, log, self.now())
-        for leaving in departures(self.disturbance, view):
-            if link.is_stopping(leaving.task, leaving.run):
+        changes = pace_changes(
+            self.disturbance, view, link.percent_by_run, log.slow_seconds(self.now())
+        )
+        for change in changes:
+            if link.is_stopping(change.task, change.run):
+                continue
+            if change.percent:
+                link.pace(change.task, change.run, change.percent)
                 continue
+            metrics.EVICTIONS.labels("slows a serving run").inc()
             log_event(
-                "run:yields", task=leaving.task, run=leaving.run, worker=leaving.life[0],
-                strain=round(leaving.strain, 2), beside=leaving.beside, image=leaving.image,
-                weight=round(leaving.weight, 3),
+                "run:yields", task=change.task, run=change.run, worker=change.life[0],
+                strain=round(change.strain, 2), image=change.image,
             )  # fmt: skip
-            link.stop(leaving.task, leaving.run)
+            link.stop(change.task, change.run)
+
+    def started(self, link: WorkerLink, task: Task, run: int) -> None:
+        """Set the pace of a filling run that has just begun."""
+        if task.step.spec.filling:
+            percent = first_percent(self.disturbance, link.view(), task.step.spec)
+            link.pace(task.name, run, percent)
 
     def start_rejected(self, link: WorkerLink, task: str, run: int, verdict: StartVerdict) -> None:
         """Take back an intent which the worker surely did not carry out."""
