--- /dev/null
+++ b/tests/tasks/builders.py
@@ -0,0 +1,78 @@
+"""Short ways to make manifests, workers and jobs for tests."""
+
+from savoryshelf.tasks.ledger import TaskLedger
+from savoryshelf.wire.generated.ttypes import (
+    AcceptTasks,
+    JobSpec,
+    Manifest,
+    QueueSpec,
+    RunEnd,
+    RunIntent,
+    ServiceSpec,
+    StepSpec,
+    WorkerLife,
+    WorkerRecord,
+)
+
+JOB = "00000000000000a1"
+HOST = "quotes.example"
+
+
+def step(count=1, **fields):
+    told = {
+        "millicores": 1000,
+        "memory_mb": 100,
+        "accelerators": 0,
+        "estimated_ms": 500,
+        "after": [],
+        "checkpointing": False,
+        "gang": False,
+        "same_rack": False,
+        "required_label": "",
+        "data_rack": "",
+        "max_per_worker": 0,
+        "allow_duplicates": False,
+        "lasting": False,
+        "image": "",
+        "target_ms": 0,
+        "filling": False,
+        "may_miss": 0,
+    }
+    return StepSpec(count=count, **(told | fields))
+
+
+def queue(name="quotes", prefix="/quotes/", priority=0, max_attempts=2):
+    return QueueSpec(name, HOST, prefix, "dispatch", priority, max_attempts, 1.5, 500)
+
+
+def manifest(version=1, queues=None):
+    return Manifest(version, queues or [queue()], [ServiceSpec("dispatch", True, False)], "{}")
+
+
+def worker(worker_id="w1", born=1, millicores=4000, memory_mb=1000, rack="r1", labels=("a",)):
+    return WorkerRecord(
+        WorkerLife(worker_id, born), "dispatch", "10.0.0.1:80", "zone-a", rack, list(labels),
+        millicores, memory_mb, 0, False, 0,
+    )  # fmt: skip
+
+
+def ledger(*workers):
+    made = TaskLedger()
+    made.put_manifest(manifest())
+    for record in workers or [worker()]:
+        made.note_worker(record)
+    return made
+
+
+def accept(held, *steps, job_id=JOB, prefix="/quotes/", repetitions=0):
+    spec = JobSpec("work", list(steps), repetitions, 0, 1000)
+    return held.accept(AcceptTasks(job_id, HOST, prefix + job_id, spec))
+
+
+def intend(held, task, run=1, life=("w1", 1)):
+    return held.intend([RunIntent(task, run, WorkerLife(*life))])
+
+
+def end(held, task, outcome, run=1, life=("w1", 1), checkpoint="", number=0):
+    ended = RunEnd(task, run, outcome, checkpoint, number)
+    held.settle(WorkerLife(*life), number, [ended])
