--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -35,10 +35,10 @@
 """A filling run is placed where it may work at this share of its speed, or faster."""
 
 LASTING_SHARE = 0.92
-"""Share of a service's processors up to which lasting runs are started.
+"""Share of a service's processors up to which new lasting work is started.
 
 The rest is for runs that end: callers wait for those, and lasting ones never
-make room.
+make room.  It also takes in lasting tasks that lost their worker.
 """
 
 STRAIN_WEIGHT = 2.0
@@ -174,7 +174,7 @@
         for group in sorted(ledger.startable_by_key.values(), key=_claim):
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
-            if group.spec.lasting and _lasting_share(group, candidates) > LASTING_SHARE:
+            if _is_new_and_lasts(group) and _lasting_share(group, candidates) > LASTING_SHARE:
                 continue
             intents += self._plan_group(group, candidates)
         return intents
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,200 @@
+"""A stand-in of the users' platform: a worker, and the settings of our processes.
+
+It speaks what the platform's pages tell, as far as tests of the adapter need
+it: leases, fencing tokens, confirmed stops, ends until they are acknowledged.
+"""
+
+import itertools
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import attrs
+import urllib3
+
+BEAT_SECONDS = 0.3
+
+
+@attrs.define
+class _Run:
+    task: str
+    number: int
+    ends_at: float
+    fails: bool = False
+
+
+class PlatformWorker:
+    """One worker; runs take the milliseconds that the first word of their text says.
+
+    A text of "fail" fails at once.  ``starts`` and ``ends`` are its own record.
+    """
+
+    def __init__(self, worker_id: str, control_addresses: list[str], address: str = "127.0.0.1:0"):
+        self.worker_id = worker_id
+        self.starts: list[tuple[str, int]] = []
+        self.ends: list[tuple[int, str, int, str, str]] = []
+        self.draining = False
+        self._control = control_addresses
+        self._born_ms = int(time.time() * 1000)
+        self._sequence = itertools.count(1)
+        self._lock = threading.RLock()
+        self._running: dict[tuple[str, int], _Run] = {}
+        self._refused_up_to: dict[str, int] = {}
+        self._fence = 0
+        self._lease_ends_ms = 0
+        self._acknowledged = 0
+        self._ended_numbers = itertools.count(1)
+        self._stopped = threading.Event()
+        host, _, port = address.rpartition(":")
+        self._server = ThreadingHTTPServer((host, int(port)), self._handler())
+        self._server.daemon_threads = True
+        self.address = f"{host}:{self._server.server_address[1]}"
+        for work in (self._server.serve_forever, self._beat):
+            threading.Thread(target=work, daemon=True).start()
+
+    def close(self) -> None:
+        """Vanish, as in a crash."""
+        self._stopped.set()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def clock_ms(self) -> int:
+        """Return this worker's own steady clock."""
+        return int(time.monotonic() * 1000)
+
+    # ------------------------------------------------------------------------- calls
+
+    def _call(self, path: str, body: dict) -> tuple[int, dict]:
+        with self._lock:
+            self._advance()
+            if body.get("fencingToken", 0) < self._fence:
+                return 409, {"reason": "fence"}
+            self._fence = body["fencingToken"]
+            kind = path.rpartition("/")[2]
+            status, told = getattr(self, "_on_" + kind.replace("-", "_"))(body)
+        if kind == "hold" and body.get("waitMs"):
+            self._wait_for_end(body)
+            status, told = self._on_hold(body)
+        return status, told | {"born": self._born_ms}
+
+    def _on_run_start(self, body: dict) -> tuple[int, dict]:
+        task, run = body["task"], body["run"]
+        self._extend(body["deadlineMs"])
+        if (task, run) in self._running:
+            return 200, {}
+        if run <= self._refused_up_to.get(task, 0):
+            return 409, {"reason": "old"}
+        if body["deadlineMs"] <= self.clock_ms():
+            return 409, {"reason": "late"}
+        word = body["taskSpec"].split()[0]
+        seconds = 0.0 if word == "fail" else int(word) / 1000
+        self._running[task, run] = _Run(task, run, time.monotonic() + seconds, word == "fail")
+        self.starts.append((task, run))
+        return 200, {}
+
+    def _on_run_stop(self, body: dict) -> tuple[int, dict]:
+        key = body["task"], body["run"]
+        if key in self._running:
+            self._end(self._running[key], "stopped")
+        self._refused_up_to[key[0]] = max(key[1], self._refused_up_to.get(key[0], 0))
+        return 200, {}
+
+    def _on_pace(self, body: dict) -> tuple[int, dict]:
+        return 200, {}
+
+    def _on_hold(self, body: dict) -> tuple[int, dict]:
+        with self._lock:
+            self._advance()
+            self._extend(body.get("deadlineMs", 0))
+            self._acknowledged = max(self._acknowledged, body["lastSeen"])
+            running = [[r.task, r.number, "", 10, 0] for r in self._running.values()]
+            ends = [list(end) for end in self.ends if end[0] > self._acknowledged]
+            return 200, {"running": running, "endedRuns": ends}
+
+    def _wait_for_end(self, body: dict) -> None:
+        deadline = time.monotonic() + body["waitMs"] / 1000
+        while time.monotonic() < deadline and not self._on_hold(body)[1]["endedRuns"]:
+            time.sleep(0.02)
+
+    # ------------------------------------------------------------------------- state
+
+    def _extend(self, deadline_ms: int) -> None:
+        self._lease_ends_ms = max(self._lease_ends_ms, deadline_ms)
+
+    def _advance(self) -> None:
+        now = time.monotonic()
+        for run in list(self._running.values()):
+            if self.clock_ms() > self._lease_ends_ms:
+                self._end(run, "lapsed")
+            elif now >= run.ends_at:
+                self._end(run, "failed" if run.fails else "done")
+
+    def _end(self, run: _Run, how: str) -> None:
+        del self._running[run.task, run.number]
+        self._refused_up_to[run.task] = run.number
+        self.ends.append((next(self._ended_numbers), run.task, run.number, how, ""))
+
+    def _beat(self) -> None:
+        pool = urllib3.PoolManager(timeout=1.0, retries=False)
+        while not self._stopped.wait(BEAT_SECONDS):
+            body = {
+                "service": "svc", "address": self.address, "zone": "z1", "version": "v1",
+                "slots": 8, "state": "draining" if self.draining else "ready",
+                "coldRemainingMs": 0, "clockMs": self.clock_ms(), "born": self._born_ms,
+                "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}, "labels": ["a", "r1"],
+                "sequence": next(self._sequence),
+            }  # fmt: skip
+            for address in self._control:
+                if self._beat_at(pool, address, json.dumps(body)):
+                    break
+
+    def _beat_at(self, pool, address: str, body: str) -> bool:
+        url = f"http://{address}/savoryshelf/instances/{self.worker_id}/heartbeat"
+        try:
+            answer = pool.request("POST", url, body=body, redirect=False)
+            if answer.status == 307:
+                url = answer.headers["Location"]
+                answer = pool.request("POST", url, body=body, redirect=False)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    def _handler(self):
+        worker = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def do_POST(self):  # noqa: N802
+                body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+                if worker._stopped.is_set():
+                    self.close_connection = True
+                    return
+                if self.headers.get("X-Expect-Instance") != worker.worker_id:
+                    status, told = 421, {}
+                else:
+                    status, told = worker._call(self.path, body)
+                data = json.dumps(told | {"clockMs": worker.clock_ms()}).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            def log_message(self, *arguments):
+                pass
+
+        return Handler
+
+
+def settings_of(role: str, ip: str, ports: dict[str, int], seeds: list[str], folder: str) -> dict:
+    """Return the settings file of one of our processes, as the platform writes it."""
+    names = ["front", "ready"] if role == "front" else ["control"]
+    return {
+        "node": f"{role}-{ip}", "role": role, "ip": ip, "zone": "z1", "region": "r1",
+        "zones": {"z1": "r1"}, "listen": {name: f"{ip}:{ports[name]}" for name in names},
+        "internalPorts": [ports["peers"], ports["peers"]],
+        "seeds": [f"{seed}:{ports['control']}" for seed in seeds],
+        "bootstrap": True, "dataDirectory": folder,
+        "bounds": {"maxHoldMs": 3000, "graceS": 6},
+    }  # fmt: skip
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,114 @@
+import orjson
+import pytest
+from savoryshelf_platform.errors import Malformed
+from savoryshelf_platform.manifests import decode_manifest
+from savoryshelf_platform.submissions import decode_submission, encode_answer, is_job_id, verb_of
+from savoryshelf_platform.workers import decode_beat
+
+from savoryshelf.wire.generated.ttypes import JobAnswer, JobAnswerKind, JobVerb
+
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "pathPrefix": "/q/",
+    "timeoutMs": 3000,
+    "targetLatencyMs": 500,
+    "priority": 2,
+    "service": "svc",
+    "maxAttempts": 3,
+    "stretch": 1.5,
+}
+SERVICE = {"name": "svc", "admissionCheck": True}
+MANIFEST = {"version": 7, "routes": [ROUTE], "services": [SERVICE], "limits": {}}
+BEAT = {
+    "service": "svc",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32000, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 5,
+    "sequence": 4,
+    "born": 99,
+}
+
+
+def encoded(body, **changes):
+    return orjson.dumps(body | changes)
+
+
+def test_a_manifest_is_decoded_and_its_text_kept():
+    body = encoded(MANIFEST)
+    manifest = decode_manifest(body)
+    assert manifest.version == 7
+    assert manifest.queues[0].max_attempts == 3
+    assert manifest.services[0].guards_capacity
+    assert manifest.document.encode() == body
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        encoded(MANIFEST)[:-9],
+        b"[]",
+        encoded(MANIFEST, version="7"),
+        encoded(MANIFEST, routes=[ROUTE | {"service": "nobody"}]),
+        encoded(MANIFEST, routes=[ROUTE, ROUTE | {"name": "other"}]),
+        encoded(MANIFEST, routes=[ROUTE | {"timeoutMs": 0}]),
+    ],
+    ids=["cut short", "no object", "mistyped", "unknown service", "same place", "no timeout"],
+)
+def test_an_invalid_manifest_is_refused(body):
+    with pytest.raises(Malformed):
+        decode_manifest(body)
+
+
+def test_a_beat_names_a_worker_with_rack_and_room():
+    record = decode_beat("i-1", encoded(BEAT, state="draining")).record
+    assert (record.rack, record.millicores, record.draining) == ("r1-3", 16000, True)
+    assert record.life.born_ms == 99
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"state": "resting"}, {"capacity": 5}, {"sequence": None}, {"address": "x"}, {"zone": 4}],
+    ids=str,
+)
+def test_a_beat_of_another_writer_names_no_worker(changes):
+    with pytest.raises(Malformed):
+        decode_beat("i-1", encoded(BEAT, **changes))
+
+
+def test_a_submission_is_decoded_with_its_defaults():
+    body = {"taskSpec": "t", "steps": [{"count": 2, "cpu": 500}, {"after": [0], "fills": True}]}
+    spec = decode_submission(orjson.dumps(body))
+    assert [step.count for step in spec.steps] == [2, 1]
+    assert spec.steps[1].after == [0] and spec.steps[1].filling
+    assert not spec.steps[0].lasting
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{}", b'{"steps":[]}', b'{"steps":[{"after":[0]}]}', b'{"steps":[{"cpu":"1"}]}'],
+)
+def test_a_submission_that_cannot_be_read_is_refused(body):
+    with pytest.raises(Malformed):
+        decode_submission(body)
+
+
+def test_what_a_caller_wants_shows_in_method_and_path():
+    assert verb_of("POST", "/q/00000000000000a1") == JobVerb.SUBMIT
+    assert verb_of("GET", "/q/") == JobVerb.COUNT
+    assert verb_of("DELETE", "/q/") is None
+    assert is_job_id("00000000000000a1") and not is_job_id("nothing")
+
+
+def test_answers_have_the_statuses_that_callers_know():
+    answers = {
+        200: JobAnswer(JobAnswerKind.STATE, state="running"),
+        410: JobAnswer(JobAnswerKind.GONE),
+        404: JobAnswer(JobAnswerKind.NO_QUEUE),
+        503: JobAnswer(JobAnswerKind.REFUSED, reason="busy"),
+    }
+    for status, answer in answers.items():
+        assert encode_answer(answer)[0] == status
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,187 @@
+"""Real processes of both roles on loopback, against the stand-in of the platform."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+import urllib3
+
+from standins.platform import PlatformWorker, settings_of
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SEEDS = ["127.0.2.1", "127.0.2.2", "127.0.2.3"]
+FRONTS = ["127.0.2.4", "127.0.2.5"]
+PORTS = {"front": 8161, "ready": 8167, "control": 8166, "peers": 7720}
+ROUTE = {
+    "name": "r", "host": "h.example", "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
+    "targetLatencyMs": 500, "priority": 0, "service": "svc", "maxAttempts": 2, "stretch": 1.5,
+}  # fmt: skip
+MANIFEST = {"version": 1, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
+PATIENCE_SECONDS = 20.0
+
+
+class Deployment:
+    """Three control hosts, two entry hosts, and the workers that a test adds."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.process_by_ip = {}
+        self.workers = []
+        self.http = urllib3.PoolManager(timeout=3.0, retries=False)
+
+    def start(self, ip):
+        role = "core" if ip in SEEDS else "front"
+        data = self.folder / ip
+        data.mkdir(exist_ok=True)
+        path = self.folder / f"{ip}.json"
+        path.write_text(json.dumps(settings_of(role, ip, PORTS, SEEDS, str(data))))
+        environment = os.environ | {"SAVORYSHELF_CONFIG": str(path)}
+        command = [sys.executable, "platform/run.py", role]
+        with open(self.folder / f"{ip}.log", "ab") as log:
+            self.process_by_ip[ip] = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def stop(self, ip, number=signal.SIGKILL):
+        process = self.process_by_ip.pop(ip)
+        process.send_signal(number)
+        process.wait(10)
+
+    def add_worker(self, name):
+        worker = PlatformWorker(name, [f"{ip}:{PORTS['control']}" for ip in SEEDS])
+        self.workers.append(worker)
+        return worker
+
+    def call(self, method, path, body=None, ip=FRONTS[0]):
+        """Return status and body of a caller's request."""
+        headers = {"Host": "h.example", "X-Deadline-Ms": "3000"}
+        data = json.dumps(body) if body is not None else None
+        url = f"http://{ip}:{PORTS['front']}{path}"
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            answer = self.http.request(method, url, body=data, headers=headers)
+            return answer.status, json.loads(answer.data)
+        return 0, {}
+
+    def operate(self, method, path, body=None):
+        """Return status and body of an operator's call, from whichever host answers."""
+        for ip in SEEDS:
+            url = f"http://{ip}:{PORTS['control']}/savoryshelf/config/{path}"
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                answer = self.http.request(method, url, body=json.dumps(body), redirect=False)
+                if answer.status == 307:
+                    url = answer.headers["Location"]
+                    answer = self.http.request(method, url, body=json.dumps(body))
+                if answer.status < 500:
+                    return answer.status, json.loads(answer.data)
+        return 0, {}
+
+    def submit(self, number, text, count=2, **step):
+        path = f"/q/{number:016x}"
+        body = {"taskSpec": text, "steps": [{"count": count, "cpu": 500} | step]}
+        until(lambda: self.call("POST", path, body)[0] == 200)
+        return path
+
+    def state(self, path, ip=FRONTS[0]):
+        return self.call("GET", path, ip=ip)[1].get("state")
+
+    def leader_ip(self):
+        beats = [(self.folder / f"{ip}.log").read_text().rfind('"term:begins"') for ip in SEEDS]
+        times = []
+        for ip, at in zip(SEEDS, beats, strict=True):
+            if at >= 0:
+                line = (self.folder / f"{ip}.log").read_text()[:at].rpartition("\n")[2]
+                times.append((json.loads(line + '"term:begins"}')["timestamp"], ip))
+        return max(times)[1]
+
+
+def until(condition):
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, "did not come true in time"
+        time.sleep(0.1)
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    made = Deployment(tmp_path)
+    try:
+        for ip in [*SEEDS, *FRONTS]:
+            made.start(ip)
+        made.add_worker("w1")
+        made.add_worker("w2")
+        until(lambda: made.operate("POST", "put", MANIFEST)[0] == 200)
+        yield made
+    finally:
+        for process in made.process_by_ip.values():
+            process.kill()
+            process.wait(10)
+        for worker in made.workers:
+            worker.close()
+
+
+def runs_done(deployment):
+    return [end[1] for worker in deployment.workers for end in worker.ends if end[3] == "done"]
+
+
+# One group: these share addresses, so they must not run beside each other.
+pytestmark = pytest.mark.xdist_group("platform")
+
+
+def test_jobs_are_done_once_and_every_entry_host_knows(deployment):
+    path = deployment.submit(1, "100 ms", count=6)
+    until(lambda: deployment.state(path) == "completed")
+    assert deployment.state(path, FRONTS[1]) == "completed"
+    assert len(runs_done(deployment)) == len(set(runs_done(deployment))) == 6
+    assert deployment.call("GET", "/q/00000000000000ff")[0] == 410
+    assert deployment.call("GET", "/nowhere/")[0] == 404
+    assert deployment.call("GET", "/q/") == (200, {"waiting": 0})
+    assert deployment.operate("GET", "get")[1] == MANIFEST
+    assert deployment.operate("POST", "put", MANIFEST | {"routes": [{}]})[0] == 400
+
+
+def test_a_job_fails_after_its_attempts_and_a_cancelled_one_stops(deployment):
+    failing = deployment.submit(2, "fail", count=1)
+    lasting = deployment.submit(3, "60000 ms", count=2, longRunning=True)
+    until(lambda: deployment.state(failing) == "failed")
+    tries = [s for w in deployment.workers for s in w.starts if s[0].startswith(failing[3:])]
+    assert [run for _, run in sorted(tries, key=lambda each: each[1])] == [1, 2]
+    until(lambda: deployment.state(lasting) == "running")
+    assert deployment.call("DELETE", lasting)[0] == 200
+    stopped = lambda: [e for w in deployment.workers for e in w.ends if e[3] == "stopped"]  # noqa: E731
+    until(lambda: len(stopped()) == 2)
+
+
+def test_a_killed_leader_costs_no_job_and_doubles_none(deployment):
+    paths = [deployment.submit(n, "1500 ms", count=2) for n in range(10, 14)]
+    until(lambda: sum(len(w.starts) for w in deployment.workers) >= 4)
+    killed = deployment.leader_ip()
+    deployment.stop(killed)
+    paths += [deployment.submit(n, "100 ms") for n in range(20, 23)]
+    until(lambda: all(deployment.state(path) == "completed" for path in paths))
+    deployment.start(killed)
+    done = runs_done(deployment)
+    assert len(done) == len(set(done)) == 14
+
+
+def test_a_lost_worker_gives_its_tasks_to_another(deployment):
+    path = deployment.submit(30, "2000 ms", count=8)
+    until(lambda: sum(len(w.starts) for w in deployment.workers) == 8)
+    deployment.workers[0].close()
+    until(lambda: deployment.state(path) == "completed")
+    done = [end[1] for end in deployment.workers[1].ends if end[3] == "done"]
+    assert len(done) == len(set(done)) == 8
+
+
+def test_an_entry_host_that_stops_answers_what_it_has(deployment):
+    path = deployment.submit(40, "100 ms")
+    deployment.process_by_ip[FRONTS[0]].send_signal(signal.SIGTERM)
+    url = f"http://{FRONTS[0]}:{PORTS['ready']}/savoryshelf/readiness"
+    until(lambda: deployment.http.request("GET", url).status == 503)
+    assert deployment.call("GET", path)[0] == 200
+    assert deployment.process_by_ip.pop(FRONTS[0]).wait(10) == 0
