--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -273,11 +273,11 @@
 
 
 def _claim(group: StepGroup) -> tuple:
-    """Return the order of groups: priority, those that end before those that last, age."""
+    """Return the order of groups: priority, new lasting ones after the others, age."""
     job = group.job
     return (
         job.queue.priority,
-        group.spec.lasting,
+        _is_new_and_lasts(group),
         job.accepted_ms,
         job.job_id,
         group.occurrence,
@@ -285,6 +285,10 @@
     )
 
 
+def _is_new_and_lasts(group: StepGroup) -> bool:
+    return group.spec.lasting and not any(group.tasks[index].runs for index in group.startable)
+
+
 def _lasting_share(group: StepGroup, candidates: list[_Candidate]) -> float:
     """Return the share of the service's processors reserved by lasting runs with this group."""
     here = [c for c in candidates if _is_allowed(c, group)]
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -3,7 +3,7 @@
 from savoryshelf.dispatch.disturbance import Disturbance
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.placement import LASTING_SHARE, Placement, WorkerView
-from savoryshelf.wire.generated.ttypes import RunOutcome
+from savoryshelf.wire.generated.ttypes import RunOutcome, WorkerLife
 
 from ..tasks.builders import JOB, accept, end, intend, ledger, manifest, queue, step, worker
 
@@ -119,3 +119,15 @@
     assert plan(held) == []
     accept(held, step(), job_id=THIRD)
     assert len(plan(held)) == 1
+
+
+def test_a_lasting_task_that_lost_its_worker_starts_though_the_rest_is_nearly_full():
+    held = ledger(worker(millicores=9000, memory_mb=9000), worker("w2", millicores=1000))
+    accept(held, step(9, lasting=True))
+    for index in range(9):
+        intend(held, f"{JOB}.0.0.{index}")
+    accept(held, step(1, lasting=True), job_id=SECOND)
+    intend(held, f"{SECOND}.0.0.0", life=("w2", 1))
+    held.end_lives([WorkerLife("w2", 1)], [])
+    held.note_worker(worker("w3", millicores=1000))
+    assert workers_of(plan(held)) == ["w3"]
