Work that can still be on time goes before work that is late

Change: queue order by priority, then chance to be on time, then age. Test: a backlog with one late and one fresh job; fails before.

--- /dev/null
+++ b/src/savoryshelf/dispatch/deadlines.py
@@ -0,0 +1,37 @@
+"""How late a job is against what its queue promises.
+
+A job that is late earns little and one that is hopeless nothing, so those that
+can still be on time go before them; the late ones take the room that is left.
+"""
+
+from ..tasks.job import Job
+
+LATE_FACTOR = 3.0
+"""Beyond so many times its objective a job earns its caller nothing (the users' figure)."""
+
+ON_TIME, LATE, HOPELESS = range(3)
+
+
+def objective_ms(job: Job) -> float:
+    """Return the time in which the queue promises the job, by its estimated longest chain."""
+    return job.queue.target_latency_ms + job.queue.stretch * longest_chain_ms(job)
+
+
+def longest_chain_ms(job: Job) -> int:
+    """Return the estimated work along the longest chain of steps."""
+    ends: list[int] = []
+    for step in job.spec.steps:
+        begins = max((ends[before] for before in step.after or []), default=0)
+        ends.append(begins + step.estimated_ms)
+    return max(ends, default=0)
+
+
+def lateness(job: Job, occurrence: int, wall_ms: int) -> int:
+    """Return ON_TIME, LATE or HOPELESS; lasting work is never late."""
+    if any(step.lasting for step in job.spec.steps):
+        return ON_TIME
+    age_ms = wall_ms - max(job.accepted_ms, job.due_ms(occurrence))
+    objective = objective_ms(job)
+    if age_ms <= objective:
+        return ON_TIME
+    return LATE if age_ms <= LATE_FACTOR * objective else HOPELESS
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -8,6 +8,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import Room, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
+from .deadlines import lateness
 from .disturbance import BEARABLE_STRAIN, Disturbance
 from .health import FleetHealth
 
@@ -171,7 +172,8 @@
             and health.takes_work(c.view.worker.record.life.worker_id, now)
         ]
         intents: list[RunIntent] = []
-        for group in sorted(ledger.startable_by_key.values(), key=_claim):
+        groups = ledger.startable_by_key.values()
+        for group in sorted(groups, key=lambda group: _claim(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
             if _is_new_and_lasts(group) and _lasting_share(group, candidates) > LASTING_SHARE:
@@ -272,11 +274,12 @@
         return RunIntent(task.name, run, WorkerLife(*chosen.view.life))
 
 
-def _claim(group: StepGroup) -> tuple:
-    """Return the order of groups: priority, new lasting ones after the others, age."""
+def _claim(group: StepGroup, wall_ms: int) -> tuple:
+    """Return the order of groups: priority, chance to be on time, what ends first, age."""
     job = group.job
     return (
         job.queue.priority,
+        lateness(job, group.occurrence, wall_ms),
         _is_new_and_lasts(group),
         job.accepted_ms,
         job.job_id,
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -35,6 +35,16 @@
     assert [intent.task for intent in plan(held)] == [f"{JOB}.0.0.0"]
 
 
+def test_in_a_backlog_work_that_can_be_on_time_goes_before_work_that_is_late():
+    held = ledger(worker(millicores=1000))
+    accept(held, step(estimated_ms=100))
+    held.at_ms = 60_000
+    accept(held, step(estimated_ms=100), job_id=SECOND)
+    views = [WorkerView(w, True, {}) for w in held.worker_by_life.values()]
+    intents = Placement(Disturbance()).plan(held, views, 60_100, FleetHealth(), 0.0)
+    assert [intent.task for intent in intents] == [f"{SECOND}.0.0.0"]
+
+
 def test_a_job_that_fits_nowhere_holds_up_nobody():
     held = ledger()
     accept(held, step(millicores=99_000))
