What a leader learned of pairs of images is in the log for the next one

Cause: weights lived in the leader's memory; after each takeover the dear pairs were tried out anew. Change: weights that moved by 0.05 are committed every 2 s.

--- a/src/savoryshelf/dispatch/disturbance.py
+++ b/src/savoryshelf/dispatch/disturbance.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..wire.generated.ttypes import PairWeight
+
 REST_STRAIN = 0.45
 """Strain of a serving run that nothing disturbs, at a middling load of its own."""
 
@@ -24,6 +26,9 @@
 NOISE = 0.25
 """A reading this much above its prediction teaches nothing: the run's own load swings so far."""
 
+TOLD_DIFFERENCE = 0.05
+"""A weight is committed for the next leader when it has changed by more than this."""
+
 HIGHEST_STRAIN = 4.0
 """Readings above are taken for this: far beyond any decision, and they would swing the weights."""
 
@@ -49,6 +54,14 @@
 
     _weight_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
 
+    def learned_beyond(self, known_by_pair: dict[tuple[str, str], float]) -> list[PairWeight]:
+        """Return the weights that differ from those known by enough to be told."""
+        return [
+            PairWeight(*pair, weight)
+            for pair, weight in self._weight_by_pair.items()
+            if abs(weight - known_by_pair.get(pair, FIRST_WEIGHT)) > TOLD_DIFFERENCE
+        ]
+
     def weight(self, filling: str, serving: str) -> float:
         """Return the strain that one core of the one image puts on the other."""
         return self._weight_by_pair.get((filling, serving), FIRST_WEIGHT)
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -23,6 +23,7 @@
 from ..wire.generated.ttypes import (
     EndLives,
     IntendRuns,
+    NoteWeights,
     RunEnd,
     RunOutcome,
     SettleRuns,
@@ -43,6 +44,9 @@
 GATHER_SECONDS = 0.004
 """Pause before a pass, so that what ends together shares a commit; under one disk sync."""
 
+TELLING_SECONDS = 2.0
+"""Between commits of what was learned of images: a new leader starts with what is this old."""
+
 SURE_OF_LEADING_SECONDS = 1.0
 """Orders are sent only while a majority was heard within this time: one election timeout."""
 
@@ -86,7 +90,8 @@
         self.fence = replica.core.term
         self.link_by_life: dict[LifeKey, WorkerLink] = {}
         self.health = FleetHealth()
-        self.disturbance = Disturbance()
+        self.disturbance = Disturbance(dict(machine.ledger.weight_by_pair))
+        self._told_at = clock.monotonic()
         self._placement = Placement(
             self.disturbance, settings.home_region, settings.region_by_domain
         )
@@ -142,6 +147,7 @@
     def _pass(self) -> None:
         self._update_links()
         self._stop_unwanted()
+        self._tell_what_was_learned()
         intents = self._placement.plan(
             self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now()
         )
@@ -150,6 +156,14 @@
                 key = (intent.life.worker_id, intent.life.born_ms)
                 self.link_by_life[key].start(intent.task, intent.run)
 
+    def _tell_what_was_learned(self) -> None:
+        if self.now() - self._told_at < TELLING_SECONDS:
+            return
+        self._told_at = self.now()
+        weights = self.disturbance.learned_beyond(self.ledger.weight_by_pair)
+        if weights:
+            self.commit(note_weights=NoteWeights(weights))
+
     def _update_links(self) -> None:
         for key, worker in list(self.ledger.worker_by_life.items()):
             link = self.link_by_life.get(key)
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -14,6 +14,7 @@
 from ..wire.generated.ttypes import (
     AcceptTasks,
     Manifest,
+    PairWeight,
     RunEnd,
     RunIntent,
     RunOutcome,
@@ -44,6 +45,9 @@
     unwanted: dict[tuple[str, int], LifeKey] = attrs.field(factory=dict)
     """Runs to be stopped, by task name and run number."""
 
+    weight_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """What leaders have learned of filling and serving images, for the next one."""
+
     # ------------------------------------------------------------------- commands
 
     def put_manifest(self, manifest: Manifest) -> Accepted:
@@ -130,6 +134,11 @@
             del self.job_by_id[job.job_id]
         return len(old)
 
+    def note_weights(self, weights: list[PairWeight]) -> None:
+        """Keep what a leader has learned of pairs of images."""
+        for each in weights:
+            self.weight_by_pair[each.filling_image, each.serving_image] = each.weight
+
     # -------------------------------------------------------------------- queries
 
     def find_task(self, name: str) -> Task | None:
--- a/src/savoryshelf/tasks/machine.py
+++ b/src/savoryshelf/tasks/machine.py
@@ -78,3 +78,9 @@
 @_applies("forget_jobs")
 def _forget_jobs(ledger: TaskLedger, command):
     return ledger.forget(command.ended_before_ms)
+
+
+@_applies("note_weights")
+def _note_weights(ledger: TaskLedger, command):
+    ledger.note_weights(command.weights)
+    return Accepted()
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -3,6 +3,7 @@
 from ..wire import codec
 from ..wire.generated.ttypes import (
     JobRecord,
+    PairWeight,
     PlacedRun,
     TaskRecord,
     TaskSnapshot,
@@ -17,13 +18,15 @@
     """Return the ledger as bytes."""
     workers = [w.record for w in ledger.worker_by_life.values() if not w.is_over]
     jobs = [_job_record(job) for job in ledger.job_by_id.values()]
-    return codec.encode(TaskSnapshot(ledger.at_ms, ledger.manifest, workers, jobs))
+    weights = [PairWeight(*pair, weight) for pair, weight in ledger.weight_by_pair.items()]
+    return codec.encode(TaskSnapshot(ledger.at_ms, ledger.manifest, workers, jobs, weights))
 
 
 def load(data: bytes) -> TaskLedger:
     """Return the ledger that ``save`` wrote."""
     snapshot = codec.decode(TaskSnapshot, data)
     ledger = TaskLedger(snapshot.at_ms, snapshot.manifest)
+    ledger.note_weights(snapshot.weights)
     for record in snapshot.workers:
         ledger.worker_by_life[life_key(record.life)] = Worker(record)
     for record in snapshot.jobs:
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -252,12 +252,17 @@
 /** A life that is surely over: whatever ran in it is lost. */
 struct EndLives { 1: list<WorkerLife> lives, 2: list<RunEnd> checkpoints }
 
+/** Strain that one core of a filling image puts on a serving image, as the leader has learned it. */
+struct PairWeight { 1: string filling_image, 2: string serving_image, 3: double weight }
+
+struct NoteWeights { 1: list<PairWeight> weights }
+
 struct ForgetJobs { 1: i64 ended_before_ms }
 
 union TaskCommandBody {
   1: Manifest put_manifest, 2: AcceptTasks accept_tasks, 3: CancelTasks cancel_tasks,
   4: NoteWorkers note_workers, 5: IntendRuns intend_runs, 6: SettleRuns settle_runs,
-  7: EndLives end_lives, 8: ForgetJobs forget_jobs
+  7: EndLives end_lives, 8: ForgetJobs forget_jobs, 9: NoteWeights note_weights
 }
 
 struct TaskCommand { 1: i64 at_ms, 2: TaskCommandBody body }
@@ -276,7 +281,8 @@
 }
 
 struct TaskSnapshot {
-  1: i64 at_ms, 2: Manifest manifest, 3: list<WorkerRecord> workers, 4: list<JobRecord> jobs
+  1: i64 at_ms, 2: Manifest manifest, 3: list<WorkerRecord> workers, 4: list<JobRecord> jobs,
+  5: list<PairWeight> weights
 }
 
 enum JobVerb { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
--- a/tests/dispatch/test_disturbance.py
+++ b/tests/dispatch/test_disturbance.py
@@ -5,6 +5,9 @@
     REST_STRAIN,
     Disturbance,
 )
+from savoryshelf.tasks import snapshot
+
+from ..tasks.builders import ledger
 
 
 def test_a_pair_that_was_never_seen_is_tried():
@@ -42,3 +45,14 @@
     disturbance = Disturbance()
     disturbance.learn("serving", 3.0, {"heavy": 2.0})
     assert disturbance.blamed("serving", {"heavy": 2.0, "light": 2.0}) == ["heavy"]
+
+
+def test_a_new_leader_starts_with_what_the_last_one_told():
+    first = Disturbance()
+    first.learn("serving", 3.0, {"filling": 2.0})
+    held = ledger()
+    held.note_weights(first.learned_beyond(held.weight_by_pair))
+    held = snapshot.load(snapshot.save(held))
+    second = Disturbance(dict(held.weight_by_pair))
+    assert second.weight("filling", "serving") == first.weight("filling", "serving")
+    assert first.learned_beyond(held.weight_by_pair) == []
