--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -5,6 +5,8 @@
 PROMISES = "tests/promises"
 REPLICATION = "tests/replication"
 LEDGER = "tests/ledger"
+TASKS = "tests/tasks"
+DISPATCH = "tests/dispatch"
 
 
 @attrs.frozen
@@ -23,6 +25,8 @@
 _LEDGER = "ledger/state.py"
 _FLEET = "targets/state.py"
 _BATCH = "entry/batch.py"
+_TASKS = "tasks/ledger.py"
+_LINK = "dispatch/link.py"
 
 MUTANTS = [
     Mutant(
@@ -328,4 +332,72 @@
         "heeds_quarantine = True",
         "tests/control/test_duties.py",
     ),
+    Mutant(
+        "a task has one run unless copies are allowed",
+        _TASKS,
+        "if is_copy and not group.spec.allow_duplicates:",
+        "if False:",
+        TASKS,
+    ),
+    Mutant(
+        "a step opens only when those before it are done",
+        _TASKS,
+        "if group.is_open or group.job.is_ended or any(step.unfinished for step in before):",
+        "if group.is_open or group.job.is_ended:",
+        TASKS,
+    ),
+    Mutant(
+        "an end that is listed twice counts once",
+        _TASKS,
+        "if not 0 < end.number <= seen_before:",
+        "if True:",
+        TASKS,
+    ),
+    Mutant(
+        "a silent worker's lease is not extended",
+        _LINK,
+        "extends = self.clock.is_known and not self.is_silent",
+        "extends = self.clock.is_known",
+        DISPATCH,
+    ),
+    Mutant(
+        "a start without an answer is stopped",
+        _LINK,
+        """            self._sending.discard(key)
+            self.stop(task, run)
+            return
+        except LifeOver""",
+        """            self._sending.discard(key)
+            return
+        except LifeOver""",
+        DISPATCH,
+    ),
+    Mutant(
+        "a run under way is not taken for vanished",
+        _LINK,
+        'if self._settled_at_by_run.get(key, float("inf")) < sent_at:',
+        "if True:",
+        DISPATCH,
+    ),
+    Mutant(
+        "silent members get no entries",
+        _CORE,
+        "if self._takes_entries(progress) else []",
+        "",
+        REPLICATION,
+    ),
+    Mutant(
+        "a lost seed's disk is somebody new",
+        "replication/seeds.py",
+        "is_first_member = is_first_start and own_ip in seed_ips",
+        "is_first_member = own_ip in seed_ips",
+        REPLICATION,
+    ),
+    Mutant(
+        "a silent voter is replaced",
+        "control/repair.py",
+        'return silent[0] if silent else ""',
+        'return ""',
+        "tests/control",
+    ),
 ]
