--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -35,13 +35,15 @@
 
 
 def repair(group, seconds=4.0):
-    """Take steps of the repair for that long."""
-    end = group.now + seconds
+    """Take steps of the repair for that long; return the most votes there were."""
+    end, most = group.now + seconds, 0
     while group.now < end:
         leader = group.leader()
         if leader.core.can_confirm:
             GroupRepair(ReplicaOf(leader), replaces_silent=True).step()
         group.settle(0.2)
+        most = max(most, len(voters(membership(group))))
+    return most
 
 
 def join(group, host):
@@ -72,7 +74,7 @@
     lose(group, gone.name)
     host = add_empty_host(group, "d0")
     join(group, host)
-    repair(group)
+    assert repair(group) == 5
     assert find(membership(group), gone_id) is None
     assert host.core.replica_id in voters(membership(group))
     assert len(voters(membership(group))) == 5
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -30,6 +30,8 @@
         self.deadlines = []
         self.calls = []
         self.is_over = False
+        self.lists_at_once = False
+        """Whether a look lists what runs when it comes, though it waits for an end."""
 
     def clock_ms(self):
         return int(time.monotonic() * 1000)
@@ -70,12 +72,14 @@
             raise WorkerUnanswered("no answer")
         if deadline_ms:
             self.deadlines.append(deadline_ms)
+        listed = list(self.running.values()) if self.lists_at_once else None
         for _ in range(wait_ms // 20):
             if any(end.number > seen_end for end in self.ends) or "look" in self.lost:
                 break
             eventlet.sleep(0.02)
         ends = [end for end in self.ends if end.number > seen_end]
-        return Look(self.clock_ms(), list(self.running.values()), ends)
+        running = list(self.running.values()) if listed is None else listed
+        return Look(self.clock_ms(), running, ends)
 
     def pace(self, life, task, run, percent, fence):
         self._enter("pace")
--- a/tests/dispatch/test_link.py
+++ b/tests/dispatch/test_link.py
@@ -96,3 +96,22 @@
     eventlet.sleep(0.2)
     assert "start" not in worker.calls
     assert held.find_task(TASK).life_by_run
+
+
+def test_a_run_that_began_while_a_look_was_open_is_not_taken_for_vanished(started):
+    held, worker, link, _ = started
+    accept(held, step(), job_id="00000000000000b2")
+    second = "00000000000000b2.0.0.0"
+    link.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in link.row_by_run)
+    worker.lists_at_once = True
+    looks = worker.calls.count("look")
+    worker.end("other.0.0.0", 1, RunOutcome.DONE)
+    wait_until(lambda: worker.calls.count("look") >= looks + 2)
+    intend(held, second)
+    link.start(second, 1)
+    wait_until(lambda: (second, 1) in worker.running)
+    eventlet.sleep(0.1)
+    worker.end(TASK, 1, RunOutcome.DONE)
+    wait_until(lambda: held.find_task(TASK).done)
+    assert held.find_task(second).life_by_run == {1: ("w1", 1)}
