--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 # Formatter, linter, the specification at small bounds, and the whole suite.
 test: lint model-small
-	$(BIN)/python -m pytest -q -n 4 --dist loadgroup
+	$(BIN)/python -m pytest -q -n 4
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff format --check .
--- a/src/savoryshelf/dispatch/desk.py
+++ b/src/savoryshelf/dispatch/desk.py
@@ -57,6 +57,9 @@
         self.on_change = lambda: None
         """Called after commands that may give the term something to do."""
 
+        self.on_leave = lambda worker_id: None
+        """Called when a worker has said that it ends now."""
+
     # ------------------------------------------------------------------------ callers
 
     def job_call(self, call: JobCall) -> JobAnswer:
@@ -172,7 +175,7 @@
                 record = _copy_draining(worker.record)
                 self._commit(note_workers=NoteWorkers([record]))
         log_event("worker:leaves", worker=worker_id)
-        self.on_change()
+        self.on_leave(worker_id)
 
     def _is_earlier_life(self, life: WorkerLife) -> bool:
         return any(
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -141,6 +141,7 @@
                 self.replica, self.machine, self._calls, self._clock, self._settings.dispatch
             )
             self.desk.on_change = term.wake
+            self.desk.on_leave = term.worker_left
             term.run()
 
     def _keep_group_whole(self) -> None:
--- a/src/savoryshelf/dispatch/link.py
+++ b/src/savoryshelf/dispatch/link.py
@@ -73,6 +73,9 @@
         self._sharing = SharingLog()
         self.answered_at = float("-inf")
         self.is_silent = False
+        self.has_left = False
+        """Whether the worker said that it ends: its next silence is its end."""
+
         self.is_known = not worker.task_by_run
         """Whether what runs here is known: at a takeover, only after the first look."""
 
@@ -161,8 +164,9 @@
                 self._pause()
             except WorkerUnanswered as error:
                 self._note_silence(error)
-                if self.lease_has_ended():
-                    self._term.life_over(self, "silent beyond its lease")
+                if self.has_left or self.lease_has_ended():
+                    why = "it left" if self.has_left else "silent beyond its lease"
+                    self._term.life_over(self, why)
                     return
                 self._pause()
 
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -42,6 +42,15 @@
 make room.  It also takes in lasting tasks that lost their worker.
 """
 
+STARVING_SECONDS = 2.0
+"""A filling step of which nothing has run for so long goes where it disturbs least.
+
+Only while less than ``BUSY_SHARE`` of the service is in use: then something
+must run of every job whose turn has come.
+"""
+
+BUSY_SHARE = 0.55
+
 STRAIN_WEIGHT = 2.0
 """How much predicted strain counts against load when a filling run chooses its worker."""
 
@@ -152,6 +161,7 @@
         region_by_domain: dict[str, str] | None = None,
     ):
         self._disturbance = disturbance
+        self._waiting_since: dict[tuple, float] = {}
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -172,13 +182,17 @@
             and health.takes_work(c.view.worker.record.life.worker_id, now)
         ]
         intents: list[RunIntent] = []
+        self._note_waiting(ledger, now)
         groups = ledger.startable_by_key.values()
         for group in sorted(groups, key=lambda group: _claim(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
             if _is_new_and_lasts(group) and _lasting_share(group, candidates) > LASTING_SHARE:
                 continue
-            intents += self._plan_group(group, candidates)
+            planned = self._plan_group(group, candidates)
+            if not planned and self._starves(group, candidates, now):
+                planned = self._plan_least_disturbing(group, candidates)
+            intents += planned
         return intents
 
     def _candidate(self, view: WorkerView, health: FleetHealth) -> _Candidate:
@@ -204,6 +218,32 @@
             intents.append(self._take(task, task.runs + 1, chosen, runs_here))
         return intents
 
+    def _note_waiting(self, ledger: TaskLedger, now: float) -> None:
+        waiting = {
+            key
+            for key, group in ledger.startable_by_key.items()
+            if group.spec.filling and not any(task.life_by_run for task in group.tasks)
+        }
+        self._waiting_since = {key: self._waiting_since.get(key, now) for key in waiting}
+
+    def _starves(self, group: StepGroup, candidates: list[_Candidate], now: float) -> bool:
+        if now - self._waiting_since.get(group.key, now) < STARVING_SECONDS:
+            return False
+        here = [c for c in candidates if _is_allowed(c, group)]
+        total = sum(c.view.worker.record.millicores for c in here)
+        asked = sum(c.asked_millicores for c in here)
+        return asked < BUSY_SHARE * total
+
+    def _plan_least_disturbing(self, group, candidates) -> list[RunIntent]:
+        """Place one task where it disturbs least, though nobody bears it well."""
+        step = group.spec
+        able = [c for c in candidates if _is_allowed(c, group) and c.fits(step)]
+        if not able:
+            return []
+        chosen = min(able, key=lambda candidate: candidate.strain_with(step))
+        task = group.tasks[min(group.startable)]
+        return [self._take(task, task.runs + 1, chosen, Counter())]
+
     def _plan_gang(self, group, allowed, runs_here) -> list[RunIntent]:
         """Place all members or none: they work only together, and wait at a cost."""
         if len(group.startable) < len(group.tasks):
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -63,7 +63,7 @@
     """What the platform states of its workers; times in ms."""
 
     lease_ms: int
-    """The longest lease a worker grants to what it runs."""
+    """The lease of what runs; the same for all leaders, who wait it out after a takeover."""
 
     home_region: str = ""
     region_by_domain: dict[str, str] = attrs.field(factory=dict)
@@ -253,6 +253,13 @@
         """Note that a worker refuses even a look."""
         log_event("worker:rejects", worker=link.life.worker_id, why=why)
 
+    def worker_left(self, worker_id: str) -> None:
+        """Note that a worker said that it ends now."""
+        for link in self.link_by_life.values():
+            if link.life.worker_id == worker_id:
+                link.has_left = True
+        self.wake()
+
     def life_over(self, link: WorkerLink, why: str) -> None:
         """Commit that a life is surely over; its runs may then be started elsewhere."""
         if link.worker.is_over or self._is_over:
--- a/tests/dispatch/test_link.py
+++ b/tests/dispatch/test_link.py
@@ -115,3 +115,14 @@
     worker.end(TASK, 1, RunOutcome.DONE)
     wait_until(lambda: held.find_task(TASK).done)
     assert held.find_task(second).life_by_run == {1: ("w1", 1)}
+
+
+def test_a_worker_that_said_it_leaves_is_over_at_its_first_silence(started):
+    held, worker, link, term = started
+    link.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    link.has_left = True
+    worker.lost = {"look", "start", "stop"}
+    wait_until(lambda: term.over == ["it left"])
+    assert worker.clock_ms() < max(worker.deadlines) + 200
+    assert not held.find_task(TASK).life_by_run
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -141,3 +141,20 @@
     held.end_lives([WorkerLife("w2", 1)], [])
     held.note_worker(worker("w3", millicores=1000))
     assert workers_of(plan(held)) == ["w3"]
+
+
+def test_filling_work_that_nobody_bears_still_runs_where_it_disturbs_least():
+    held = ledger(worker(millicores=9000), worker("w2", millicores=9000))
+    disturbance = Disturbance()
+    for job_id, life, image, strain in (
+        (JOB, ("w1", 1), "shy", 4.0),
+        (SECOND, ("w2", 1), "calmer", 2.0),
+    ):
+        accept(held, step(lasting=True, target_ms=50, image=image), job_id=job_id)
+        intend(held, f"{job_id}.0.0.0", life=life)
+        disturbance.learn(image, strain, {"noisy": 1.0})
+    accept(held, step(2, filling=True, image="noisy", millicores=4000), job_id=THIRD)
+    views = [WorkerView(w, True, {}) for w in held.worker_by_life.values()]
+    placement = Placement(disturbance)
+    plans = [placement.plan(held, views, 0, FleetHealth(), now) for now in (0.0, 1.0, 2.5)]
+    assert [workers_of(planned) for planned in plans] == [[], [], ["w2"]]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -15,8 +15,10 @@
 from standins.platform import PlatformWorker, settings_of
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-SEEDS = ["127.0.2.1", "127.0.2.2", "127.0.2.3"]
-FRONTS = ["127.0.2.4", "127.0.2.5"]
+# All hosts share their ports, so tests that run side by side need networks of their own.
+NETWORK = f"127.0.{2 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
+SEEDS = [f"{NETWORK}.{host}" for host in (1, 2, 3)]
+FRONTS = [f"{NETWORK}.{host}" for host in (4, 5)]
 PORTS = {"front": 8161, "ready": 8167, "control": 8166, "peers": 7720}
 ROUTE = {
     "name": "r", "host": "h.example", "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
@@ -129,10 +131,6 @@
     return [end[1] for worker in deployment.workers for end in worker.ends if end[3] == "done"]
 
 
-# One group: these share addresses, so they must not run beside each other.
-pytestmark = pytest.mark.xdist_group("platform")
-
-
 def test_jobs_are_done_once_and_every_entry_host_knows(deployment):
     path = deployment.submit(1, "100 ms", count=6)
     until(lambda: deployment.state(path) == "completed")
