Disturbance is fitted in occupancy, from steps against each run's own average

Every look logged in a trial shows why: a serving run's tail goes as 0.2 / (1 - load), its own load swings by half over 14 s, each run by itself, and the model took those swings for the work beside it.

Change: occupancy instead of strain, deviations from a run's average of 2 s, least squares by pair, pace at once to what is borne, room by a run's own load, and an image that had to yield stays away from that worker for 3 s.

--- a/src/savoryshelf/dispatch/disturbance.py
+++ b/src/savoryshelf/dispatch/disturbance.py
@@ -1,93 +1,181 @@
 """How much filling runs slow down the serving runs beside them, learned by pairs of images.
 
-The strain of a serving run is its tail of response times over its target.  It
-is taken to be a resting strain and, for each image that fills beside it, a
-weight times the processors which that image works on.  The weights are found
-by normalised least mean squares: one reading corrects all the pairs present,
-each by its share, so that pairs which are never alone are told apart too.
+A serving run's tail of response times grows as that of a queue does: with the
+inverse of what is left of its capacity.  So its strain, the tail over the
+target, is turned into an occupancy, in which its own load and what the filling
+runs beside it take simply add up.  Own loads swing over seconds, each run by
+itself, so occupancies are compared with their own average of late: what is left
+are steps that come with the starts and ends of filling runs.  A least-squares
+fit of those steps gives a weight to each pair of images, none below zero.
 """
 
 import attrs
 
 from ..wire.generated.ttypes import PairWeight
 
-REST_STRAIN = 0.45
-"""Strain of a serving run that nothing disturbs, at a middling load of its own."""
+IDLE_STRAIN = 0.2
+"""Strain of a serving run without any load: targets are usually set at five times that tail."""
 
-FIRST_WEIGHT = 0.03
-"""Strain per core assumed of a pair that was never seen: low enough to be tried out."""
+HIGHEST_OCCUPANCY = 0.97
+"""Occupancies are cut off here: far beyond any decision, and readings are rough up there."""
 
-RISING_RATE = 0.5
-"""Share of an error corrected where a reading is worse than predicted: one or two suffice."""
+FIRST_WEIGHT = 0.018
+"""Occupancy per core assumed of a pair that was never seen: low enough to be tried out."""
 
-FALLING_RATE = 0.03
-"""The same where it is better; slow, since readings lag and a disturbed pair is dear."""
+FIRST_WEIGHT_COUNTS = 2.0
+"""In squared cores, how much the assumption counts against readings: one step of 1.4 cores."""
 
-NOISE = 0.25
-"""A reading this much above its prediction teaches nothing: the run's own load swings so far."""
+KEPT_BY_READING = 0.998
+"""Share of the earlier readings' say that is left after another: some 25 s at 20 a second."""
 
-TOLD_DIFFERENCE = 0.05
+TOLD_DIFFERENCE = 0.02
 """A weight is committed for the next leader when it has changed by more than this."""
 
-HIGHEST_STRAIN = 4.0
-"""Readings above are taken for this: far beyond any decision, and they would swing the weights."""
+BEARABLE_OCCUPANCY = 0.76
+"""Occupancy up to which filling runs may bring a serving one: a strain of 0.83."""
 
-BEARABLE_STRAIN = 0.75
-"""Predicted strain up to which one more filling run is placed."""
+HIGHEST_OWN_OCCUPANCY = 0.68
+"""What a serving run takes by itself at its highest usual load: a strain of 0.62."""
 
-SLOW_STRAIN = 0.9
-"""Measured strain at which filling runs beside the serving one are slowed down."""
+OWN_RISE = 0.2
+"""How far its own load may rise while a filling run beside it works: two to three seconds."""
 
-CALM_STRAIN = 0.65
-"""Measured strain below which they may go faster again: a resting run at its highest load."""
+STRAINED_OCCUPANCY = 0.7
+"""Above this, a strain of 0.67, the filling runs beside a serving one give way."""
 
-LONGEST_SLOW_SECONDS = 1.5
-"""A serving run over its target for so long has all filling runs yield, explained or not."""
+HARMLESS_EXCESS = 0.02
+"""What an image adds below this is within the error of its weight and never held against it."""
 
-WINDOW_SECONDS = 0.5
-"""A worker's figure for a run covers about this time."""
+MOST_IMAGES = 64
+"""Images remembered on either side; callers name them, so their number has to be bounded."""
+
+_RESCALE = 1e9
+"""Sums are scaled back when the say of one reading has grown to this."""
+
+
+def occupancy(strain: float) -> float:
+    """Return the share of its capacity that a serving run of that strain has in use."""
+    return min(HIGHEST_OCCUPANCY, max(0.0, 1.0 - IDLE_STRAIN / max(strain, IDLE_STRAIN)))
+
+
+def room_beside(own: float) -> float:
+    """Return what filling runs may add to a run that takes ``own`` by itself now."""
+    expected = max(own, min(HIGHEST_OWN_OCCUPANCY, own + OWN_RISE))
+    return max(0.0, BEARABLE_OCCUPANCY - expected)
 
 
 @attrs.define
+class _Fit:
+    """Weighted sums over the readings of one serving image, and the weights that fit them.
+
+    Earlier readings fade by letting the say of new ones grow.
+    """
+
+    weight_by_image: dict[str, float] = attrs.field(factory=dict)
+    _say: float = 1.0
+    _response_by_image: dict[str, float] = attrs.field(factory=dict)
+    """Sum of deviations in cores times deviations in occupancy."""
+
+    _product_by_images: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    """Sum of deviations in cores times deviations in cores."""
+
+    def add(self, response: float, cores_by_image: dict[str, float]) -> None:
+        """Take one reading in and fit the weights of the images present."""
+        self._say /= KEPT_BY_READING
+        responses, products = self._response_by_image, self._product_by_images
+        for image, cores in cores_by_image.items():
+            responses[image] = responses.get(image, 0.0) + self._say * cores * response
+            for other, more in cores_by_image.items():
+                key = image, other
+                products[key] = products.get(key, 0.0) + self._say * cores * more
+        for image in cores_by_image:
+            self._fit(image)
+        if self._say > _RESCALE:
+            self._rescale()
+        self._forget_beyond(MOST_IMAGES)
+
+    def _fit(self, image: str) -> None:
+        explained = sum(
+            self._product_by_images.get((image, other), 0.0) * self.weight_by_image.get(other, 0.0)
+            for other in self._response_by_image
+            if other != image
+        )
+        assumed = FIRST_WEIGHT_COUNTS * self._say
+        left = self._response_by_image[image] + assumed * FIRST_WEIGHT - explained
+        self.weight_by_image[image] = max(
+            0.0, left / (self._product_by_images[image, image] + assumed)
+        )
+
+    def _rescale(self) -> None:
+        for sums in (self._response_by_image, self._product_by_images):
+            for key in sums:
+                sums[key] /= self._say
+        self._say = 1.0
+
+    def _forget_beyond(self, most: int) -> None:
+        while len(self._response_by_image) > most:
+            least = min(self._response_by_image, key=lambda i: self._product_by_images[i, i])
+            del self._response_by_image[least]
+            self.weight_by_image.pop(least, None)
+            for pair in [pair for pair in self._product_by_images if least in pair]:
+                del self._product_by_images[pair]
+
+
 class Disturbance:
-    """Strain per core of a filling image, by pairs of images."""
+    """Occupancy per core of a filling image, by pairs of images (filling, serving)."""
 
-    _weight_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    def __init__(self, weight_by_pair: dict[tuple[str, str], float] | None = None):
+        self._fit_by_serving: dict[str, _Fit] = {}
+        for (filling, serving), weight in (weight_by_pair or {}).items():
+            self._fit(serving).weight_by_image[filling] = weight
 
     def learned_beyond(self, known_by_pair: dict[tuple[str, str], float]) -> list[PairWeight]:
         """Return the weights that differ from those known by enough to be told."""
         return [
-            PairWeight(*pair, weight)
-            for pair, weight in self._weight_by_pair.items()
-            if abs(weight - known_by_pair.get(pair, FIRST_WEIGHT)) > TOLD_DIFFERENCE
+            PairWeight(filling, serving, weight)
+            for serving, fit in self._fit_by_serving.items()
+            for filling, weight in fit.weight_by_image.items()
+            if abs(weight - known_by_pair.get((filling, serving), FIRST_WEIGHT)) > TOLD_DIFFERENCE
         ]
 
     def weight(self, filling: str, serving: str) -> float:
-        """Return the strain that one core of the one image puts on the other."""
-        return self._weight_by_pair.get((filling, serving), FIRST_WEIGHT)
-
-    def predict(self, serving: str, cores_by_image: dict[str, float]) -> float:
-        """Return the strain to be expected of a serving run beside those filling ones."""
-        return REST_STRAIN + sum(
-            self.weight(image, serving) * cores for image, cores in cores_by_image.items()
-        )
-
-    def learn(self, serving: str, strain: float, cores_by_image: dict[str, float]) -> None:
-        """Correct the weights by one reading."""
-        power = sum(cores * cores for cores in cores_by_image.values())
-        error = min(strain, HIGHEST_STRAIN) - self.predict(serving, cores_by_image)
-        if power <= 0.0 or 0.0 <= error <= NOISE:
-            return
-        correction = RISING_RATE * (error - NOISE) if error > 0.0 else FALLING_RATE * error
-        for image, cores in cores_by_image.items():
-            weight = self.weight(image, serving) + correction * cores / max(1.0, power)
-            self._weight_by_pair[image, serving] = max(0.0, weight)
-
-    def blamed(self, serving: str, cores_by_image: dict[str, float]) -> list[str]:
-        """Return the images whose leaving makes a serving run bearable, the worst first."""
-        left, leaving = dict(cores_by_image), []
-        while left and self.predict(serving, left) > BEARABLE_STRAIN:
+        """Return the occupancy that one core of the one image adds to the other."""
+        fit = self._fit_by_serving.get(serving)
+        return fit.weight_by_image.get(filling, FIRST_WEIGHT) if fit else FIRST_WEIGHT
+
+    def excess(self, serving: str, cores_by_image: dict[str, float]) -> float:
+        """Return the occupancy that those filling images add to a serving run."""
+        return sum(self.weight(image, serving) * cores for image, cores in cores_by_image.items())
+
+    def learn(self, serving: str, response: float, cores_by_image: dict[str, float]) -> None:
+        """Correct the weights by one reading of one run.
+
+        ``response`` is by how much its occupancy differs from its average of late,
+        ``cores_by_image`` the same of the processors on which each image works beside it.
+        """
+        if cores_by_image:
+            self._fit(serving).add(response, cores_by_image)
+
+    def blamed(
+        self, serving: str, cores_by_image: dict[str, float], room: float
+    ) -> dict[str, float]:
+        """Return the images to slow down so that they add no more than ``room``, worst first.
+
+        Each comes with the share of its cores, from 0 to 1, at which it may stay.
+        """
+        left, share_by_image = dict(cores_by_image), {}
+        while left and (added := self.excess(serving, left)) > room:
             worst = max(left, key=lambda image: self.weight(image, serving) * left[image])
-            leaving.append(worst)
-            del left[worst]
-        return leaving
+            excess = self.weight(worst, serving) * left.pop(worst)
+            if excess < HARMLESS_EXCESS:
+                break
+            share_by_image[worst] = min(1.0, max(0.0, room - added + excess) / excess)
+        return share_by_image
+
+    def _fit(self, serving: str) -> _Fit:
+        fit = self._fit_by_serving.get(serving)
+        if fit is None:
+            if len(self._fit_by_serving) >= MOST_IMAGES:
+                del self._fit_by_serving[next(iter(self._fit_by_serving))]
+            fit = self._fit_by_serving[serving] = _Fit()
+        return fit
--- a/src/savoryshelf/dispatch/link.py
+++ b/src/savoryshelf/dispatch/link.py
@@ -43,6 +43,9 @@
 STOP_LAG_SECONDS = 1.0
 """How long a confirmed stop may take to show in a look: a stop and one held look."""
 
+BARRED_SECONDS = 3.0
+"""How long an image that had to yield stays away: a serving run's own load peaks that long."""
+
 PARALLEL_ORDERS = 4
 """Orders under way to one worker: more connections cost more than they save."""
 
@@ -70,6 +73,10 @@
         self.percent_by_run: dict[tuple[str, int], int] = {}
         """Pace last ordered, by run."""
 
+        self.own_by_image: dict[str, float] = {}
+        """Occupancy that serving runs take by themselves, as of the last look."""
+
+        self._barred_until_by_image: dict[str, float] = {}
         self._sharing = SharingLog()
         self.answered_at = float("-inf")
         self.is_silent = False
@@ -107,7 +114,14 @@
 
     def view(self) -> WorkerView:
         """Return this worker as it is seen now."""
-        return WorkerView(self.worker, self.is_known and not self.is_silent, self.row_by_run)
+        is_answering = self.is_known and not self.is_silent
+        now = self._term.now()
+        barred = frozenset(i for i, until in self._barred_until_by_image.items() if now < until)
+        return WorkerView(self.worker, is_answering, self.row_by_run, self.own_by_image, barred)
+
+    def bar(self, image: str) -> None:
+        """Keep a filling image away for a while: one run of it had to yield here."""
+        self._barred_until_by_image[image] = self._term.now() + BARRED_SECONDS
 
     def start(self, task: str, run: int) -> None:
         """Send a committed intent."""
@@ -224,8 +238,14 @@
             self._term.settle(self, seen_end, ends)
         self.is_known = True
         self._stop_strays(listed)
+        self._forget_bars()
         self._term.looked(self, self._sharing)
 
+    def _forget_bars(self) -> None:
+        now = self._term.now()
+        for image in [i for i, until in self._barred_until_by_image.items() if until <= now]:
+            del self._barred_until_by_image[image]
+
     def _vanished(self, listed: set, sent_at: float) -> list[RunEnd]:
         """Return ends for the runs which this look should list, and does not."""
         vanished = []
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -9,7 +9,7 @@
 from ..tasks.worker import Room, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
 from .deadlines import lateness
-from .disturbance import BEARABLE_STRAIN, Disturbance
+from .disturbance import HARMLESS_EXCESS, HIGHEST_OWN_OCCUPANCY, Disturbance, room_beside
 from .health import FleetHealth
 
 FAR_DATA_PENALTY = 100.0
@@ -32,9 +32,6 @@
 Beyond it they would only slow each other down; waiting lets the first end sooner.
 """
 
-SLOWEST_SHARE = 0.5
-"""A filling run is placed where it may work at this share of its speed, or faster."""
-
 LASTING_SHARE = 0.92
 """Share of a service's processors up to which new lasting work is started.
 
@@ -51,8 +48,11 @@
 
 BUSY_SHARE = 0.55
 
-STRAIN_WEIGHT = 2.0
-"""How much predicted strain counts against load when a filling run chooses its worker."""
+DISTURBANCE_WEIGHT = 3.0
+"""How much predicted disturbance counts against load when a filling run chooses its worker.
+
+Images that are known not to touch each other are put together before others are tried.
+"""
 
 FAILED_HERE_PENALTY = 200.0
 """A task that failed on a worker goes back there last: attempts are few."""
@@ -74,6 +74,11 @@
     worker: Worker
     is_answering: bool
     row_by_run: dict
+    own_by_image: dict[str, float] = attrs.field(factory=dict)
+    """Occupancy that the serving runs of an image take by themselves, at most."""
+
+    barred_images: frozenset[str] = frozenset()
+    """Filling images that had to yield here a moment ago."""
 
     @property
     def life(self) -> LifeKey:
@@ -95,7 +100,7 @@
 
     serving_images: Counter = attrs.field(factory=Counter)
     filling_cores: dict[str, float] = attrs.field(factory=dict)
-    _strain_by_image: dict[str, float] = attrs.field(factory=dict)
+    _excess_by_image: dict[str, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
         for task in self.view.worker.task_by_run.values():
@@ -115,19 +120,20 @@
         record = self.view.worker.record
         return (self.asked_millicores + _use(step)) / max(1, record.millicores)
 
-    def strain_with(self, step: StepSpec, share: float = 1.0) -> float:
-        """Return the worst strain to expect beside one more filling run; 0 if nobody serves.
-
-        ``share`` is that of its full speed at which the run would work.
-        """
+    def disturbance_with(self, step: StepSpec) -> float:
+        """Return how much one more filling run disturbs: 0 if nobody, above 1 if unbearably."""
         worst = 0.0
         for image in self.serving_images:
-            held = self._strain_by_image.get(image)
+            more = self.disturbance.weight(step.image, image) * step.millicores / 1000
+            if more < HARMLESS_EXCESS:
+                worst = max(worst, more)
+                continue
+            held = self._excess_by_image.get(image)
             if held is None:
-                held = self.disturbance.predict(image, self.filling_cores)
-                self._strain_by_image[image] = held
-            more = self.disturbance.weight(step.image, image) * step.millicores / 1000 * share
-            worst = max(worst, held + more)
+                held = self.disturbance.excess(image, self.filling_cores)
+                self._excess_by_image[image] = held
+            own = self.view.own_by_image.get(image, HIGHEST_OWN_OCCUPANCY)
+            worst = max(worst, (held + more) / max(room_beside(own), HARMLESS_EXCESS))
         return worst
 
     def add(self, step: StepSpec) -> None:
@@ -144,7 +150,7 @@
         if step.filling:
             cores = self.filling_cores.get(step.image, 0.0) + step.millicores / 1000
             self.filling_cores[step.image] = cores
-            self._strain_by_image.clear()
+            self._excess_by_image.clear()
 
 
 def _use(step: StepSpec) -> float:
@@ -174,6 +180,7 @@
         now: float,
     ) -> list[RunIntent]:
         """Return the runs to intend now, in the order of their claim."""
+        self._note_waiting(ledger, now)
         candidates = [self._candidate(view, health) for view in views if view.is_answering]
         candidates = [
             c
@@ -182,7 +189,6 @@
             and health.takes_work(c.view.worker.record.life.worker_id, now)
         ]
         intents: list[RunIntent] = []
-        self._note_waiting(ledger, now)
         groups = ledger.startable_by_key.values()
         for group in sorted(groups, key=lambda group: _claim(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
@@ -240,7 +246,7 @@
         able = [c for c in candidates if _is_allowed(c, group) and c.fits(step)]
         if not able:
             return []
-        chosen = min(able, key=lambda candidate: candidate.strain_with(step))
+        chosen = min(able, key=lambda candidate: candidate.disturbance_with(step))
         task = group.tasks[min(group.startable)]
         return [self._take(task, task.runs + 1, chosen, Counter())]
 
@@ -292,7 +298,7 @@
         if task.failed_on == record.life.worker_id:
             score += FAILED_HERE_PENALTY
         if step.filling:
-            score += STRAIN_WEIGHT * candidate.strain_with(step)
+            score += DISTURBANCE_WEIGHT * candidate.disturbance_with(step)
         if step.target_ms:
             score += self._serving_score(step, candidate)
         if step.lasting:
@@ -303,7 +309,8 @@
         others = len(candidate.serving_images.keys() - {step.image})
         score = OTHER_IMAGE_PENALTY * others
         score -= SAME_IMAGE_BONUS * (step.image in candidate.serving_images)
-        if self._disturbance.predict(step.image, candidate.filling_cores) > BEARABLE_STRAIN:
+        added = self._disturbance.excess(step.image, candidate.filling_cores)
+        if added > room_beside(HIGHEST_OWN_OCCUPANCY):
             score += BESIDE_FILLING_PENALTY
         return score
 
@@ -342,9 +349,11 @@
 
 def _bears(candidate: _Candidate, step: StepSpec) -> bool:
     """Return whether one more filling run would work here and slow no serving one down."""
+    if step.image in candidate.view.barred_images:
+        return False
     if candidate.load_with(step) > FULLEST_FILLING:
         return False
-    return candidate.strain_with(step, SLOWEST_SHARE) <= BEARABLE_STRAIN
+    return candidate.disturbance_with(step) <= 1.0
 
 
 def _is_allowed(candidate: _Candidate, group: StepGroup) -> bool:
--- a/src/savoryshelf/dispatch/sharing.py
+++ b/src/savoryshelf/dispatch/sharing.py
@@ -1,21 +1,23 @@
 """Filling runs slow down, and at last leave, where they slow a serving run down.
 
-Their pace follows each look: halved where a serving run beside them is slow,
-raised where all are calm.  A run that would have to crawl is stopped instead
-and resumes elsewhere, from its checkpoint if it makes any.
+Their pace follows each look: lowered to what a strained serving run beside them
+bears, raised where all are calm.  A run that would have to crawl is stopped
+instead and resumes elsewhere, from its checkpoint if it makes any.
 """
 
+import math
+
 import attrs
 
 from ..tasks.job import LifeKey
 from ..wire.generated.ttypes import StepSpec
 from .disturbance import (
-    BEARABLE_STRAIN,
-    CALM_STRAIN,
-    LONGEST_SLOW_SECONDS,
-    SLOW_STRAIN,
-    WINDOW_SECONDS,
+    BEARABLE_OCCUPANCY,
+    HIGHEST_OWN_OCCUPANCY,
+    STRAINED_OCCUPANCY,
     Disturbance,
+    occupancy,
+    room_beside,
 )
 
 SLOWER = 0.5
@@ -30,6 +32,18 @@
 
 FULL_PERCENT = 100
 
+LONGEST_SLOW_SECONDS = 2.0
+"""After so long all filling runs yield, whatever is known of them: the platform bears 4 s."""
+
+WINDOW_SECONDS = 0.5
+"""A worker's figure for a run covers about this time."""
+
+AVERAGE_SECONDS = 2.0
+"""Time constant of a run's average: long against a step, short against a swing of its load."""
+
+SHORTEST_READING_SECONDS = 0.1
+"""A look that follows another sooner than this lists the same figures."""
+
 
 @attrs.frozen
 class PaceChange:
@@ -50,12 +64,38 @@
     listed_at: float
 
 
+@attrs.define
+class _Trace:
+    """Averages of late of one serving run: its occupancy and the cores beside it."""
+
+    read_at: float
+    occupancy: float
+    cores_by_image: dict[str, float]
+
+    def deviate(
+        self, occupied: float, cores_by_image: dict[str, float], now: float
+    ) -> tuple[float, dict[str, float]]:
+        """Return how a reading deviates from the averages, and take it in."""
+        share = 1.0 - math.exp((self.read_at - now) / AVERAGE_SECONDS)
+        response = occupied - self.occupancy
+        steps = {
+            image: cores_by_image.get(image, 0.0) - self.cores_by_image.get(image, 0.0)
+            for image in cores_by_image.keys() | self.cores_by_image.keys()
+        }
+        self.read_at = now
+        self.occupancy += share * response
+        for image, step in steps.items():
+            self.cores_by_image[image] = self.cores_by_image.get(image, 0.0) + share * step
+        return response, steps
+
+
 @attrs.define
 class SharingLog:
     """What one worker listed lately of its filling and serving runs."""
 
     _filling_by_run: dict[tuple[str, int], _Filling] = attrs.field(factory=dict)
     _slow_since_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    _trace_by_run: dict[tuple[str, int], _Trace] = attrs.field(factory=dict)
 
     def note(self, view, now: float) -> None:
         """Take in one look."""
@@ -81,6 +121,27 @@
             cores[each.image] = cores.get(each.image, 0.0) + each.cores * share
         return cores
 
+    def deviations(self, view, now: float) -> list[tuple[str, float, dict[str, float]]]:
+        """Return how each serving run's figures deviate from their averages of late.
+
+        Each comes as the run's image, the deviation of its occupancy and those of the
+        cores on which each image fills beside it.
+        """
+        cores = self.cores_by_image(now)
+        deviations = []
+        for key, step, row in _listed(view):
+            if not step.target_ms:
+                continue
+            occupied = occupancy(row.gauge / step.target_ms)
+            trace = self._trace_by_run.get(key)
+            if trace is None:
+                self._trace_by_run[key] = _Trace(now, occupied, dict(cores))
+            elif now - trace.read_at >= SHORTEST_READING_SECONDS:
+                deviations.append((step.image, *trace.deviate(occupied, cores, now)))
+        for key in self._trace_by_run.keys() - view.row_by_run.keys():
+            del self._trace_by_run[key]
+        return deviations
+
     def slow_seconds(self, now: float) -> float:
         """Return for how long some serving run has been over its target."""
         return max((now - since for since in self._slow_since_by_run.values()), default=0.0)
@@ -89,9 +150,18 @@
 def learn(disturbance: Disturbance, view, log: SharingLog, now: float) -> None:
     """Take one look's figures in."""
     log.note(view, now)
-    cores = log.cores_by_image(now)
+    for image, response, steps in log.deviations(view, now):
+        disturbance.learn(image, response, steps)
+
+
+def own_occupancies(disturbance: Disturbance, view) -> dict[str, float]:
+    """Return by serving image what its most occupied run takes by itself, as last listed."""
+    working = _cores_used(view)
+    own_by_image: dict[str, float] = {}
     for step, strain in _serving(view):
-        disturbance.learn(step.image, strain, cores)
+        own = max(0.0, occupancy(strain) - disturbance.excess(step.image, working))
+        own_by_image[step.image] = max(own, own_by_image.get(step.image, 0.0))
+    return own_by_image
 
 
 def first_percent(disturbance: Disturbance, view, step: StepSpec) -> int:
@@ -103,7 +173,8 @@
     cores[step.image] = max(0.0, cores.get(step.image, 0.0) - own)
     for serving, _ in _serving(view):
         added = disturbance.weight(step.image, serving.image) * own
-        left = max(0.0, BEARABLE_STRAIN - disturbance.predict(serving.image, cores))
+        room = room_beside(view.own_by_image.get(serving.image, HIGHEST_OWN_OCCUPANCY))
+        left = max(0.0, room - disturbance.excess(serving.image, cores))
         if added > left:
             percent = min(percent, int(FULL_PERCENT * left / added))
     return max(SLOWEST_PERCENT, percent)
@@ -117,13 +188,19 @@
     if not rows:
         return []
     changes = []
-    factor_by_image = _factors(disturbance, view, rows, slow_seconds)
+    limit_by_image = _limits(disturbance, view, rows)
     strain = max(strain for _, strain in rows)
+    # Above the target occupancy saturates, and with it the estimate of what is bearable.
+    is_over = strain > 1.0
     for key, step, row in _listed(view):
         if not step.filling:
             continue
         held = percent_by_run.get(key, FULL_PERCENT)
-        percent = min(FULL_PERCENT, round(held * factor_by_image[step.image]))
+        limit = limit_by_image.get(step.image, FULL_PERCENT)
+        percent = round(min(FULL_PERCENT, held * FASTER, limit))
+        is_blamed = is_over and step.image in limit_by_image
+        if is_blamed or slow_seconds >= LONGEST_SLOW_SECONDS:
+            percent = min(percent, round(held * SLOWER))
         if percent < SLOWEST_PERCENT:
             keeps = not step.checkpointing and row.percent > WORTH_KEEPING_PERCENT
             percent = SLOWEST_PERCENT // 2 if keeps else 0
@@ -132,19 +209,29 @@
     return changes
 
 
-def _factors(disturbance, view, rows, slow_seconds: float) -> dict[str, float]:
-    """Return by how much each filling image should change its pace."""
+def _limits(disturbance, view, rows) -> dict[str, float]:
+    """Return the highest pace in percent of each image that should not go on as it does."""
     cores = _cores_asked(view)
-    factors = dict.fromkeys(cores, FASTER)
+    working = _cores_used(view)
+    limits: dict[str, float] = {}
     for serving, strain in rows:
-        if strain >= SLOW_STRAIN:
-            is_urgent = slow_seconds >= LONGEST_SLOW_SECONDS
-            blamed = list(cores) if is_urgent else disturbance.blamed(serving.image, cores)
-            factors.update(dict.fromkeys(blamed, SLOWER))
-        elif strain > CALM_STRAIN:
-            for image in disturbance.blamed(serving.image, cores):
-                factors[image] = min(factors[image], 1.0)
-    return factors
+        occupied = occupancy(strain)
+        if occupied <= STRAINED_OCCUPANCY:
+            continue
+        own = occupied - disturbance.excess(serving.image, working)
+        room = max(0.0, BEARABLE_OCCUPANCY - own)
+        for image, share in disturbance.blamed(serving.image, cores, room).items():
+            limits[image] = min(limits.get(image, FULL_PERCENT), FULL_PERCENT * share)
+    return limits
+
+
+def _cores_used(view) -> dict[str, float]:
+    """Return the cores on which each image was working, as the worker listed them."""
+    cores: dict[str, float] = {}
+    for _, step, row in _listed(view):
+        if step.filling:
+            cores[step.image] = cores.get(step.image, 0.0) + row.gauge / 1000
+    return cores
 
 
 def _cores_asked(view) -> dict[str, float]:
--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -35,7 +35,7 @@
 from .health import FleetHealth
 from .link import WorkerLink
 from .placement import Placement, WorkerView
-from .sharing import SharingLog, first_percent, learn, pace_changes
+from .sharing import SharingLog, first_percent, learn, own_occupancies, pace_changes
 from .worker_api import StartVerdict, WorkerCalls
 
 IDLE_PASS_SECONDS = 0.25
@@ -212,6 +212,7 @@
         """Learn from a look, and stop what slows serving runs down there."""
         view = link.view()
         learn(self.disturbance, view, log, self.now())
+        link.own_by_image = own_occupancies(self.disturbance, view)
         changes = pace_changes(
             self.disturbance, view, link.percent_by_run, log.slow_seconds(self.now())
         )
@@ -226,6 +227,7 @@
                 "run:yields", task=change.task, run=change.run, worker=change.life[0],
                 strain=round(change.strain, 2), image=change.image,
             )  # fmt: skip
+            link.bar(change.image)
             link.stop(change.task, change.run)
 
     def started(self, link: WorkerLink, task: Task, run: int) -> None:
