--- a/src/savoryshelf/dispatch/term.py
+++ b/src/savoryshelf/dispatch/term.py
@@ -22,6 +22,7 @@
 from ..wire import codec
 from ..wire.generated.ttypes import (
     EndLives,
+    ForgetJobs,
     IntendRuns,
     NoteWeights,
     RunEnd,
@@ -35,6 +36,7 @@
 from .health import FleetHealth
 from .link import WorkerLink
 from .placement import Placement, WorkerView
+from .retention import Retention
 from .sharing import SharingLog, first_percent, learn, own_occupancies, pace_changes
 from .worker_api import StartVerdict, WorkerCalls
 
@@ -65,6 +67,9 @@
     lease_ms: int
     """The lease of what runs; the same for all leaders, who wait it out after a takeover."""
 
+    keep_ended_seconds: float = 300.0
+    """How long a job that ended can still be asked for."""
+
     home_region: str = ""
     region_by_domain: dict[str, str] = attrs.field(factory=dict)
 
@@ -92,6 +97,7 @@
         self.health = FleetHealth()
         self.disturbance = Disturbance(dict(machine.ledger.weight_by_pair))
         self._told_at = clock.monotonic()
+        self._retention = Retention(settings.keep_ended_seconds)
         self._placement = Placement(
             self.disturbance, settings.home_region, settings.region_by_domain
         )
@@ -148,6 +154,7 @@
         self._update_links()
         self._stop_unwanted()
         self._tell_what_was_learned()
+        self._forget_old_jobs()
         intents = self._placement.plan(
             self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now()
         )
@@ -164,6 +171,13 @@
         if weights:
             self.commit(note_weights=NoteWeights(weights))
 
+    def _forget_old_jobs(self) -> None:
+        before_ms = self._retention.forget_before(self.ledger.at_ms, self.now())
+        if before_ms is None or not self.ledger.has_ended_before(before_ms):
+            return
+        forgotten = self.commit(forget_jobs=ForgetJobs(before_ms))
+        log_event("jobs:forgotten", count=forgotten, ended_before_ms=before_ms)
+
     def _update_links(self) -> None:
         for key, worker in list(self.ledger.worker_by_life.items()):
             link = self.link_by_life.get(key)
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -123,17 +123,22 @@
 
     def forget(self, ended_before_ms: int) -> int:
         """Forget jobs that ended before that time and have no run left; return how many."""
-        old = [
-            job
-            for job in self.job_by_id.values()
-            if job.is_ended
-            and job.ended_ms < ended_before_ms
-            and not any(task.life_by_run for task in job.tasks())
-        ]
+        old = list(self._ended_before(ended_before_ms))
         for job in old:
             del self.job_by_id[job.job_id]
         return len(old)
 
+    def has_ended_before(self, ended_before_ms: int) -> bool:
+        """Return whether there is a job to forget."""
+        return any(True for _ in self._ended_before(ended_before_ms))
+
+    def _ended_before(self, ended_before_ms: int):
+        for job in self.job_by_id.values():
+            if not job.is_ended or job.ended_ms >= ended_before_ms:
+                continue
+            if not any(task.life_by_run for task in job.tasks()):
+                yield job
+
     def note_weights(self, weights: list[PairWeight]) -> None:
         """Keep what a leader has learned of pairs of images."""
         for each in weights:
