--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -9,7 +9,6 @@
 from ..tasks.worker import Room, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
 from .deadlines import lateness
-from .demand import EndingDemand
 from .disturbance import HARMLESS_EXCESS, HIGHEST_OWN_OCCUPANCY, Disturbance, room_beside
 from .health import FleetHealth
 
@@ -33,6 +32,13 @@
 Beyond it they would only slow each other down; waiting lets the first end sooner.
 """
 
+LASTING_SHARE = 0.92
+"""Share of a service's processors up to which new lasting work is started.
+
+The rest is for runs that end: callers wait for those, and lasting ones never
+make room.  It also takes in lasting tasks that lost their worker.
+"""
+
 STARVING_SECONDS = 2.0
 """A filling step of which nothing has run for so long goes where it disturbs least.
 
@@ -89,7 +95,6 @@
     penalty: float = 0.0
     added: Room = attrs.field(factory=Room)
     lasting_millicores: int = 0
-    ending_millicores: int = 0
     asked_millicores: float = 0.0
     """What its runs will use, by what they reserve or, filling, ask for."""
 
@@ -140,8 +145,6 @@
         self.asked_millicores += _use(step)
         if step.lasting:
             self.lasting_millicores += step.millicores
-        elif not step.filling:
-            self.ending_millicores += step.millicores
         if step.target_ms:
             self.serving_images[step.image] += 1
         if step.filling:
@@ -165,7 +168,6 @@
     ):
         self._disturbance = disturbance
         self._waiting_since: dict[tuple, float] = {}
-        self._demand = EndingDemand()
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -187,14 +189,11 @@
             and health.takes_work(c.view.worker.record.life.worker_id, now)
         ]
         intents: list[RunIntent] = []
-        due = [
-            group
-            for group in ledger.startable_by_key.values()
-            if group.job.due_ms(group.occurrence) <= wall_ms
-        ]
-        self._demand.note(_ending_demand(due, candidates), now)
-        for group in sorted(due, key=lambda group: _claim(group, wall_ms)):
-            if _is_new_and_lasts(group) and not self._leaves_room(group, candidates):
+        groups = ledger.startable_by_key.values()
+        for group in sorted(groups, key=lambda group: _claim(group, wall_ms)):
+            if group.job.due_ms(group.occurrence) > wall_ms:
+                continue
+            if _is_new_and_lasts(group) and _lasting_share(group, candidates) > LASTING_SHARE:
                 continue
             planned = self._plan_group(group, candidates)
             if not planned and self._starves(group, candidates, now):
@@ -233,19 +232,6 @@
         }
         self._waiting_since = {key: self._waiting_since.get(key, now) for key in waiting}
 
-    def _leaves_room(self, group: StepGroup, candidates: list[_Candidate]) -> bool:
-        """Return whether a new lasting step leaves those that end the room they ask for.
-
-        Callers wait for those, and lasting runs never make room.  What is left also takes
-        in lasting tasks that lost their worker.
-        """
-        here = [c for c in candidates if _is_allowed(c, group)]
-        total = sum(c.view.worker.record.millicores for c in here)
-        lasting = sum(c.lasting_millicores for c in here)
-        lasting += group.spec.millicores * len(group.startable)
-        left = self._demand.share(group.job.queue.service_name, total)
-        return lasting <= (1.0 - left) * total
-
     def _starves(self, group: StepGroup, candidates: list[_Candidate], now: float) -> bool:
         if now - self._waiting_since.get(group.key, now) < STARVING_SECONDS:
             return False
@@ -287,7 +273,6 @@
         copy.asked_millicores = candidate.asked_millicores
         copy.filling_cores = dict(candidate.filling_cores)
         copy.lasting_millicores = candidate.lasting_millicores
-        copy.ending_millicores = candidate.ending_millicores
         copy.serving_images = Counter(candidate.serving_images)
         return copy
 
@@ -354,16 +339,12 @@
     return group.spec.lasting and not any(group.tasks[index].runs for index in group.startable)
 
 
-def _ending_demand(due: list[StepGroup], candidates: list[_Candidate]) -> dict[str, int]:
-    """Return by service the processors asked for by runs that reserve them and end."""
-    asked: Counter = Counter()
-    for candidate in candidates:
-        asked[candidate.view.worker.record.service_name] += candidate.ending_millicores
-    for group in due:
-        if not group.spec.lasting and not group.spec.filling:
-            service = group.job.queue.service_name
-            asked[service] += group.spec.millicores * len(group.startable)
-    return asked
+def _lasting_share(group: StepGroup, candidates: list[_Candidate]) -> float:
+    """Return the share of the service's processors reserved by lasting runs with this group."""
+    here = [c for c in candidates if _is_allowed(c, group)]
+    total = sum(c.view.worker.record.millicores for c in here)
+    wanted = group.spec.millicores * len(group.startable)
+    return (sum(c.lasting_millicores for c in here) + wanted) / max(1, total)
 
 
 def _bears(candidate: _Candidate, step: StepSpec) -> bool:
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -2,7 +2,7 @@
 
 from savoryshelf.dispatch.disturbance import Disturbance
 from savoryshelf.dispatch.health import FleetHealth
-from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.dispatch.placement import LASTING_SHARE, Placement, WorkerView
 from savoryshelf.wire.generated.ttypes import RunOutcome, WorkerLife
 
 from ..tasks.builders import JOB, accept, end, intend, ledger, manifest, queue, step, worker
@@ -137,28 +137,12 @@
     for intent in plan(held):
         intend(held, intent.task)
     accept(held, step(1, lasting=True), job_id=SECOND)
+    assert LASTING_SHARE < 1.0
     assert plan(held) == []
     accept(held, step(), job_id=THIRD)
     assert len(plan(held)) == 1
 
 
-def test_lasting_work_waits_where_runs_that_end_ask_for_much_though_none_runs_now():
-    held = ledger(worker(millicores=10_000, memory_mb=9000))
-    accept(held, step(7, lasting=True))
-    for index in range(7):
-        intend(held, f"{JOB}.0.0.{index}")
-    views = [WorkerView(w, True, {}) for w in held.worker_by_life.values()]
-    placement = Placement(Disturbance())
-    accept(held, step(9), job_id=SECOND)
-    for second in range(20):
-        placement.plan(held, views, 0, FleetHealth(), float(second))
-    held.cancel(SECOND)
-    accept(held, step(2, lasting=True), job_id=THIRD)
-    assert placement.plan(held, views, 0, FleetHealth(), 20.0) == []
-    later = placement.plan(held, views, 0, FleetHealth(), 60.0)
-    assert len(later) == 2
-
-
 def test_a_lasting_task_that_lost_its_worker_starts_though_the_rest_is_nearly_full():
     held = ledger(worker(millicores=9000, memory_mb=9000), worker("w2", millicores=1000))
     accept(held, step(9, lasting=True))
