--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -27,6 +27,8 @@
 _BATCH = "entry/batch.py"
 _TASKS = "tasks/ledger.py"
 _LINK = "dispatch/link.py"
+_DISTURBANCE = "dispatch/disturbance.py"
+_SHARING = "dispatch/sharing.py"
 
 MUTANTS = [
     Mutant(
@@ -400,4 +402,60 @@
         'return ""',
         "tests/control",
     ),
+    Mutant(
+        "steps of a run's own load are told from what fills beside it",
+        _DISTURBANCE,
+        "        left = self._response_by_image[image] + assumed * FIRST_WEIGHT - explained",
+        "        left = self._response_by_image[image] + assumed * FIRST_WEIGHT",
+        DISPATCH,
+    ),
+    Mutant(
+        "earlier readings fade",
+        _DISTURBANCE,
+        "        self._say /= KEPT_BY_READING\n",
+        "",
+        DISPATCH,
+    ),
+    Mutant(
+        "images remembered are bounded",
+        _DISTURBANCE,
+        "        self._forget_beyond(MOST_IMAGES)\n",
+        "",
+        DISPATCH,
+    ),
+    Mutant(
+        "harmless images are not blamed",
+        _DISTURBANCE,
+        "            if excess < HARMLESS_EXCESS:\n                break\n",
+        "",
+        DISPATCH,
+    ),
+    Mutant(
+        "all filling runs yield to a serving one that stays slow",
+        _SHARING,
+        "if is_blamed or slow_seconds >= LONGEST_SLOW_SECONDS:",
+        "if is_blamed:",
+        DISPATCH,
+    ),
+    Mutant(
+        "looks in quick succession teach once",
+        _SHARING,
+        "elif now - trace.read_at >= SHORTEST_READING_SECONDS:",
+        "else:",
+        DISPATCH,
+    ),
+    Mutant(
+        "an image that had to yield stays away for a while",
+        "dispatch/placement.py",
+        "    if step.image in candidate.view.barred_images:\n        return False\n",
+        "",
+        DISPATCH,
+    ),
+    Mutant(
+        "retention is counted on a clock that never steps",
+        "dispatch/retention.py",
+        "            passed = self._marks.popleft()[1]",
+        "            self._marks.popleft()\n            passed = ledger_ms",
+        DISPATCH,
+    ),
 ]
--- a/standins/load.py
+++ b/standins/load.py
@@ -69,6 +69,8 @@
     reason: str = ""
     job_id: str = ""
     done: bool = False
+    detail: str = ""
+    """Of an unknown outcome: where it was sent, when, when it failed and how."""
 
 
 @attrs.define
@@ -179,6 +181,9 @@
             return
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self._note(line, "unknown", type(error).__name__)
+            failed_s = time.monotonic() - self._started
+            sent_s = intended - self._started
+            line.detail = f"{url} sent at {sent_s:.2f} s, failed at {failed_s:.2f} s: {error!r}"
             return
         if response.status == 200:
             self._note(line, "answered")
