--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -403,7 +403,7 @@
         "tests/control",
     ),
     Mutant(
-        "steps of a run's own load are told from what fills beside it",
+        "images that step together are told apart",
         _DISTURBANCE,
         "        left = self._response_by_image[image] + assumed * FIRST_WEIGHT - explained",
         "        left = self._response_by_image[image] + assumed * FIRST_WEIGHT",
