Stand-in workers listen on another address than the site's own processes

Since the workers were put on the site's address they draw any free port there, also one reserved for a control host that has not begun to listen. Change: workers have a loopback address of their own, so neither can take the other's port, nor another site's.

--- a/standins/site.py
+++ b/standins/site.py
@@ -120,8 +120,7 @@
         self.by_name: dict[str, Process] = {}
         self.http = urllib3.PoolManager(retries=False, timeout=10.0, maxsize=32)
         # All at once: a port let go between two calls could be drawn twice.
-        self._ip = loopback_address()
-        self._free_addresses = free_addresses(self._ip, 2 * (controls + entries))
+        self._free_addresses = free_addresses(loopback_address(), 2 * (controls + entries))
         self._add_controls(controls)
         self._add_entries(entries)
         self._add_workers(workers, worker_options or [])
@@ -169,8 +168,9 @@
         self._add(name, [sys.executable, "-m", "savoryshelf.daemon.main"], environment)
 
     def _add_workers(self, count: int, options: list[str]) -> None:
-        # A worker that dies lets its port go; no other site's may take it over.
-        command = [sys.executable, "-m", "standins.host", "--count", str(count), "--ip", self._ip]
+        # On an address of their own: workers draw any free port, and one that dies lets its go.
+        command = [sys.executable, "-m", "standins.host", "--count", str(count)]
+        command += ["--ip", loopback_address()]
         command += ["--entries", ",".join(self.entry_urls), "--record", self.record_path]
         command += ["--token", issue(TOKEN_KEY, TARGET), *options]
         self._add("workers", command, {})
