--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import time
+from collections import Counter
 
 import attrs
 import eventlet
@@ -18,6 +20,7 @@
 from ..replication.types import NotLeading
 from ..tasks.job import IncarnationKey, Task
 from ..tasks.ledger import TaskLedger
+from ..tasks.names import parse_task_name
 from ..tasks.state_machine import TaskStateMachine
 from ..wire import codec
 from ..wire.generated.ttypes import (
@@ -26,6 +29,7 @@
     IntendRuns,
     NoteWeights,
     RunEnd,
+    RunIntent,
     RunOutcome,
     SettleRuns,
     TaskCommand,
@@ -182,14 +186,32 @@
         self._stop_runs()
         self._commit_weights()
         self._forget_old_jobs()
+        started_at = time.thread_time()
         intents = self._placement.plan(
             self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now()
         )
+        outcome = "starts" if intents else "none"
+        metrics.PASS_SECONDS.record(outcome, time.thread_time() - started_at)
         if intents:
+            self._log_first_starts(intents)
             for intent in self.commit(intend_runs=IntendRuns(intents)):
                 key = (intent.life.worker_id, intent.life.born_ms)
                 self.session_by_incarnation[key].start(intent.task, intent.run)
 
+    def _log_first_starts(self, intents: list[RunIntent]) -> None:
+        ledger, wall_ms = self.ledger, self._clock.wall_ms()
+        tasks_by_job_id = Counter(parse_task_name(intent.task).job_id for intent in intents)
+        for job_id, tasks in tasks_by_job_id.items():
+            job = ledger.job_by_id[job_id]
+            if job.started:
+                continue
+            delay = max(0, wall_ms - max(job.accepted_ms, job.due_ms(0))) / 1000
+            metrics.START_DELAY_SECONDS.record(str(job.queue.priority), delay)
+            log_event(
+                "job:first_start", job=job_id, queue=job.queue.name, seconds=delay, tasks=tasks,
+                waiting_steps=len(ledger.startable_group_by_key),
+            )  # fmt: skip
+
     def _commit_weights(self) -> None:
         if self.now() - self._weights_committed_at < WEIGHT_COMMIT_INTERVAL_SECONDS:
             return
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics: counters, gauges and latency percentiles."""
 
+import time
+
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import SummaryMetricFamily
@@ -45,42 +47,58 @@
 
 
 class LatencyRecorder:
-    """Latency histogram of each service, exposed as quantiles in seconds."""
+    """Latency histogram for each value of one label, exposed as quantiles in seconds."""
 
-    def __init__(self):
-        self._histogram_by_service: dict[str, HdrHistogram] = {}
+    def __init__(self, name: str, description: str, label: str):
+        self._name, self._description, self._label = name, description, label
+        self._histogram_by_value: dict[str, HdrHistogram] = {}
 
-    def record(self, service: str, seconds: float) -> None:
-        """Record the latency of one answered request."""
-        histogram = self._histogram_by_service.get(service)
+    def record(self, value: str, seconds: float) -> None:
+        """Record one latency under a value of the label."""
+        histogram = self._histogram_by_value.get(value)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_LATENCY_US, HIGHEST_LATENCY_US, SIGNIFICANT_DIGITS)
-            self._histogram_by_service[service] = histogram
+            self._histogram_by_value[value] = histogram
         histogram.record_value(max(LOWEST_LATENCY_US, int(seconds * 1e6)))
 
     def collect(self):
         """Yield the histograms as one summary family (collector protocol of prometheus_client)."""
-        family = SummaryMetricFamily(
-            "savoryshelf_critical_latency_seconds",
-            "Latency of critical answers.",
-            labels=["service"],
-        )
-        for service, histogram in self._histogram_by_service.items():
+        family = SummaryMetricFamily(self._name, self._description, labels=[self._label])
+        for value, histogram in self._histogram_by_value.items():
             for percentile in PERCENTILES:
                 seconds = histogram.get_value_at_percentile(percentile) / 1e6
                 family.add_sample(
                     family.name,
-                    {"service": service, "quantile": str(percentile / 100)},
+                    {self._label: value, "quantile": str(percentile / 100)},
                     seconds,
                 )
             family.add_sample(
-                family.name + "_count", {"service": service}, histogram.get_total_count()
+                family.name + "_count", {self._label: value}, histogram.get_total_count()
             )
         yield family
 
 
-LATENCIES = LatencyRecorder()
-REGISTRY.register(LATENCIES)
+LATENCIES = LatencyRecorder(
+    "savoryshelf_critical_latency_seconds", "Latency of critical answers.", "service"
+)
+JOB_CALL_SECONDS = LatencyRecorder(
+    "savoryshelf_job_call_seconds", "Time until the leader's answer to a caller.", "verb"
+)
+START_DELAY_SECONDS = LatencyRecorder(
+    "savoryshelf_start_delay_seconds",
+    "Time from a job's acceptance to its first start, by the priority of its queue.",
+    "priority",
+)
+PASS_SECONDS = LatencyRecorder(
+    "savoryshelf_placement_seconds", "Processor time of one placement.", "outcome"
+)
+for _recorder in (LATENCIES, JOB_CALL_SECONDS, START_DELAY_SECONDS, PASS_SECONDS):
+    REGISTRY.register(_recorder)
+
+PROCESSOR_SECONDS = Gauge(
+    "savoryshelf_processor_seconds", "Processor time that this process has used.", registry=REGISTRY
+)
+PROCESSOR_SECONDS.set_function(time.process_time)
 
 
 def render_metrics() -> bytes:
