Test: an entry host that stops answers the requests that it has read

The test reproduces what callers saw in the incident: SIGTERM, a request 2.2 s later, control hosts that answer 1 s after that.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
@@ -26,6 +27,8 @@
 }  # fmt: skip
 MANIFEST = {"version": 1, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
 WAIT_TIMEOUT_SECONDS = 20.0
+STOP_ANNOUNCE_SECONDS = 2.6
+"""Time for which an entry host that stops still accepts connections."""
 
 
 class Deployment:
@@ -129,6 +132,19 @@
             worker.close()
 
 
+@contextlib.contextmanager
+def paused(deployment, ips):
+    """Suspend the processes of these hosts."""
+    processes = [deployment.process_by_ip[ip] for ip in ips]
+    for process in processes:
+        process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+
+
 def completed_runs(deployment):
     """Return the task of each run that is done; a task that is done twice is listed twice."""
     return [end[1] for worker in deployment.workers for end in worker.ends if end[3] == "done"]
@@ -189,3 +205,18 @@
     wait_until(lambda: deployment.http.request("GET", url).status == 503)
     assert deployment.call("GET", path)[0] == 200
     assert deployment.process_by_ip.pop(FRONTS[0]).wait(10) == 0
+
+
+# Guards against a caller's connection that is closed without an answer while its entry host
+# stops: the leader answers after the entry host has left the load balancer's rotation.
+def test_an_entry_host_that_stops_answers_the_requests_that_it_has_read(deployment):
+    deployment.submit(50, "100 ms")
+    front = deployment.process_by_ip.pop(FRONTS[0])
+    front.send_signal(signal.SIGTERM)
+    time.sleep(STOP_ANNOUNCE_SECONDS - 0.4)
+    with ThreadPoolExecutor() as pool, paused(deployment, SEEDS):
+        body = {"taskSpec": "100 ms", "steps": [{"count": 1, "cpu": 500}]}
+        sent = pool.submit(deployment.call, "POST", "/q/0000000000000051", body)
+        time.sleep(1.0)
+    assert sent.result()[0] == 200
+    assert front.wait(10) == 0
