Stopping processes finish the requests that they have read

What callers saw: connections that closed without an answer, 2.6 s after their entry host had been asked to stop (LOST).

Cause: the entry host ended at a fixed time after SIGTERM, whatever was in progress. A request that the leader answered after that time was lost with the process. request:cut_off in the log of the failing test shows such a request.

Change: the HTTP server drains. It accepts connections for the announcement, then until the queue of the listener is empty, closes connections only while they have neither a request nor unread bytes, and waits for the others.

--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -49,6 +49,7 @@
         self._pool_by_address: dict[str, PeerPool] = {}
         self._leader = ""
         self._last_contact_at = float("-inf")
+        self._stop_at = float("inf")
 
     def start(self) -> None:
         """Start polling the members of the group in the background."""
@@ -58,6 +59,13 @@
         """Add seed addresses from new settings; the known addresses stay."""
         self._addresses.update(seed_addresses)
 
+    def stop_after(self, seconds: float) -> None:
+        """End every call, also those in progress, ``seconds`` from now at the latest.
+
+        A call attempt that has begun is finished; it takes at most CALL_TIMEOUT_SECONDS.
+        """
+        self._stop_at = self._clock.monotonic() + seconds
+
     @property
     def is_ready(self) -> bool:
         """Return whether the leader was known recently enough to serve callers."""
@@ -67,7 +75,7 @@
         """Return the leader's answer; raises LeaderUnavailable after ``seconds``."""
         deadline = self._clock.monotonic() + seconds
         outcome_is_unknown, detail = False, "no time was left to call a control host"
-        while (remaining := deadline - self._clock.monotonic()) > 0:
+        while (remaining := min(deadline, self._stop_at) - self._clock.monotonic()) > 0:
             address = self._leader or random.choice(list(self._addresses))
             try:
                 answer = self._ask(
--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -1,15 +1,22 @@
-"""An HTTP server, on eventlet's WSGI server, that knows its requests in progress."""
+"""An HTTP server, on eventlet's WSGI server, that stops without cutting off requests.
+
+When ``eventlet.wsgi.server`` stops, it closes each connection from which it has not read a
+request line.  A request that arrived there by then is still executed, but not answered.
+"""
 
 import contextlib
 import socket
 
 import attrs
 import eventlet
-from eventlet import wsgi
+from eventlet import greenio, patcher, wsgi
 
 from .clock import SystemClock
 from .observability.logs import log_event
 
+_select = patcher.original("select")
+"""The unpatched module: eventlet's version has no ``poll``."""
+
 LISTEN_BACKLOG = 512
 """Connections that the kernel holds until they are accepted."""
 
@@ -19,6 +26,9 @@
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after a failed accept, for example for want of a file descriptor."""
 
+DRAIN_POLL_SECONDS = 0.02
+"""Interval at which a draining server looks for idle connections to close."""
+
 
 @attrs.define(eq=False)
 class _Connection:
@@ -87,12 +97,28 @@
         """Return the number of requests that have begun to arrive and are not answered yet."""
         return sum(each.request_began_at is not None for each in self._connections)
 
-    def log_requests_in_progress(self) -> None:
-        """Log each request that this process cuts off if it ends now."""
+    def drain(self, announce_seconds: float, limit_seconds: float) -> int:
+        """Stop serving; return the number of requests that were cut off at the limit.
+
+        For ``announce_seconds``, connections are still accepted, so that load balancers can
+        notice failing readiness checks.  Afterwards, none is accepted, idle ones are closed,
+        and requests in progress are finished, until ``limit_seconds`` after the call.  From
+        the call on, each response closes its connection.
+        """
+        started_at = self._clock.monotonic()
+        self.is_draining = True
+        self._log("server:draining", started_at)
+        eventlet.sleep(announce_seconds)
+        self._stop_accepting(started_at + limit_seconds)
+        self._log("server:closed_to_new", started_at)
+        while self._connections and self._clock.monotonic() - started_at < limit_seconds:
+            self._close_idle_connections()
+            eventlet.sleep(DRAIN_POLL_SECONDS)
         for each in self._connections:
-            if each.request_began_at is not None:
-                age = self._clock.monotonic() - each.request_began_at
-                log_event("request:cut_off", request=each.request_line, age_s=round(age, 3))
+            self._log_cut(each)
+        cut = self.in_progress
+        self._log("server:drained", started_at, cut=cut, limit_seconds=limit_seconds)
+        return cut
 
     def _accept_connections(self) -> None:
         server = wsgi.Server(
@@ -131,3 +157,38 @@
             return start_response(status, headers, exc_info)
 
         return self._application(environ, start_final_response)
+
+    def _stop_accepting(self, latest: float) -> None:
+        # The kernel resets the connections in its queue when the listener is closed.
+        while _is_readable(self._listener) and self._clock.monotonic() < latest:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+        self._acceptor.kill()
+        self._listener.close()
+
+    def _close_idle_connections(self) -> None:
+        for each in list(self._connections):
+            # Unread bytes are a request that its green thread has not seen yet.
+            if each.request_began_at is None and not _is_readable(each.socket):
+                greenio.shutdown_safe(each.socket)
+
+    def _log(self, event: str, started_at: float, **fields) -> None:
+        log_event(
+            event,
+            address=self.address,
+            seconds=round(self._clock.monotonic() - started_at, 3),
+            connections=len(self._connections),
+            in_progress=self.in_progress,
+            **fields,
+        )
+
+    def _log_cut(self, connection: _Connection) -> None:
+        if connection.request_began_at is not None:
+            age = self._clock.monotonic() - connection.request_began_at
+            log_event("request:cut_off", request=connection.request_line, age_s=round(age, 3))
+
+
+def _is_readable(sock) -> bool:
+    """Return whether a read or an accept would return at once."""
+    poll = _select.poll()
+    poll.register(sock.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -76,3 +76,14 @@
     outcome_by_address = dict.fromkeys("ab", lambda: next(outcomes, ACCEPTED))
     script_answers(client, monkeypatch, outcome_by_address)
     assert client.call(CALL, 1.0) == ACCEPTED
+
+
+# Guards against a process that is killed while it still waits for the leader.
+def test_a_call_in_progress_ends_at_the_stop_with_an_unknown_outcome(client, monkeypatch):
+    timed_out = lambda: PeerUnreachable("a", "timed out", sent=True)  # noqa: E731
+    called_addresses = script_answers(client, monkeypatch, {"a": timed_out, "b": timed_out})
+    client.stop_after(0.35)
+    with pytest.raises(LeaderUnavailable) as caught:
+        client.call(CALL, 60.0)
+    assert caught.value.outcome_unknown
+    assert len(called_addresses) == 4
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,145 @@
+"""The server runs in this process's hub; clients are native sockets, which never yield to it."""
+
+import socket
+
+import eventlet
+import pytest
+
+from savoryshelf import http_server
+from savoryshelf.http_server import HttpServer
+
+REQUEST = b"POST /path HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
+LIMIT_SECONDS = 5.0
+
+
+class Application:
+    """Answers each request with its body after ``seconds``."""
+
+    def __init__(self):
+        self.seconds = 0.0
+        self.started = 0
+
+    def __call__(self, environ, start_response):
+        self.started += 1
+        body = environ["wsgi.input"].read(2)
+        eventlet.sleep(self.seconds)
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+
+@pytest.fixture
+def application():
+    return Application()
+
+
+@pytest.fixture
+def server(application):
+    return HttpServer("127.0.0.1:0", application, idle_seconds=30.0)
+
+
+@pytest.fixture
+def events(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        http_server, "log_event", lambda event, **fields: logged.append((event, fields))
+    )
+    return logged
+
+
+def connect(server):
+    host, _, port = server.address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=LIMIT_SECONDS)
+
+
+def let_server_run():
+    eventlet.sleep(0.05)
+
+
+def received(client):
+    """Return all bytes up to the end of the connection."""
+    data = b""
+    while chunk := client.recv(4096):
+        data += chunk
+    return data
+
+
+def is_complete_final_response(data):
+    head, _, body = data.partition(b"\r\n\r\n")
+    return head.startswith(b"HTTP/1.1 200") and b"Connection: close" in head and body == b"hi"
+
+
+def test_a_request_in_progress_is_answered_before_the_server_ends(server, application):
+    application.seconds = 0.3
+    client = connect(server)
+    client.sendall(REQUEST)
+    let_server_run()
+    assert server.in_progress == 1
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert is_complete_final_response(received(client))
+
+
+# Guards against a request that eventlet's own stop would execute without answering it.
+def test_a_request_that_arrived_unread_on_an_open_connection_is_answered(server, application):
+    client = connect(server)
+    client.sendall(REQUEST)
+    let_server_run()
+    assert client.recv(4096).endswith(b"hi")
+    client.sendall(REQUEST)
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert application.started == 2
+    assert is_complete_final_response(received(client))
+
+
+def test_a_request_on_a_connection_that_is_not_accepted_yet_is_answered(server):
+    let_server_run()
+    client = connect(server)
+    client.sendall(REQUEST)
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert is_complete_final_response(received(client))
+
+
+def test_a_request_whose_headers_are_still_arriving_is_answered(server):
+    client = connect(server)
+    client.sendall(REQUEST[:30])
+    let_server_run()
+    eventlet.spawn_after(0.2, client.sendall, REQUEST[30:])
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert is_complete_final_response(received(client))
+
+
+def test_connections_are_accepted_during_the_announcement(server):
+    clients = []
+
+    def send_request():
+        clients.append(connect(server))
+        clients[0].sendall(REQUEST)
+
+    eventlet.spawn_after(0.2, send_request)
+    assert server.drain(0.5, LIMIT_SECONDS) == 0
+    assert is_complete_final_response(received(clients[0]))
+
+
+def test_idle_connections_are_closed_when_the_announcement_ends(server, events):
+    client = connect(server)
+    let_server_run()
+    server.drain(0.0, LIMIT_SECONDS)
+    assert received(client) == b""
+    assert events[-1][0] == "server:drained"
+    assert events[-1][1]["seconds"] < 1.0
+
+
+def test_a_request_that_outlasts_the_limit_is_counted_and_logged(server, application, events):
+    application.seconds = 60.0
+    client = connect(server)
+    client.sendall(REQUEST)
+    let_server_run()
+    assert server.drain(0.0, 0.3) == 1
+    cut = dict(events)["request:cut_off"]
+    assert cut["request"] == "POST /path HTTP/1.1"
+    assert 0.3 <= cut["age_s"] < 2.0
+
+
+def test_no_connection_is_accepted_after_the_server_has_drained(server):
+    server.drain(0.0, LIMIT_SECONDS)
+    with pytest.raises(ConnectionRefusedError):
+        connect(server)
