A control host that stops answers the calls that have arrived

Cause: a control host had no handler of SIGTERM, so calls in progress, calls held open until something changes, and calls still in the kernel's queue or unread were cut off; their callers had to take the outcome for unknown. Change: PeerServer.drain closes the listening socket, serves what its queue holds, closes each connection once no call is in progress on it or unread, and those of other replicas last, since commits depend on them. Calls that outlast the limit of 5 s are cut off and logged with their age. SiteService.end_waits answers calls that are held open. close_listener attaches a socket filter before the last accept, so that no connection can enter the queue between that and the close, and be reset.

--- a/src/savoryshelf/control/handler.py
+++ b/src/savoryshelf/control/handler.py
@@ -16,6 +16,7 @@
     def deliver(self, messages):
         """Deliver messages from other replicas."""
         self.require_authenticated()
+        self.carries_replication = True
         if self._host.replica is not None:
             self._host.replica.deliver(messages)
 
--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -3,9 +3,12 @@
 Its HTTP server answers health, readiness and metrics requests only.
 """
 
+import contextlib
 import random
+import signal
 
 import eventlet
+from eventlet.support.greenlets import GreenletExit
 
 from ..clock import SystemClock
 from ..disk import LocalDisk
@@ -27,6 +30,8 @@
 from .state import SiteStateMachine
 
 JOIN_INTERVAL_SECONDS = 1.0
+MAX_DRAIN_SECONDS = 5.0
+"""Time after SIGTERM within which calls in progress must end; a commit takes less."""
 
 
 class ControlHostProcess:
@@ -41,14 +46,34 @@
         self._site: SiteService | None = None
         self._repair: GroupRepair | None = None
         self._transport = PeerTransport(settings.cluster_key)
+        self._is_stopping = False
 
     def run(self) -> None:
-        """Serve until the replica fails or the process is stopped."""
-        PeerServer(
+        """Serve until the replica fails, or a stop is requested and the calls have ended."""
+        peers = PeerServer(
             ControlService,
             self._settings.listen,
             lambda: ControlHandler(self._settings.cluster_key, self),
         )
+        running = eventlet.spawn(self._run_replica)
+        # A signal handler may interrupt eventlet's hub, which must not block.
+        signal.signal(signal.SIGTERM, lambda *_: eventlet.spawn_n(self._stop, peers, running))
+        with contextlib.suppress(GreenletExit):
+            running.wait()
+
+    def _stop(self, peers: PeerServer, running) -> None:
+        """Report not ready, answer the calls that have arrived, then end the process."""
+        if self._is_stopping:
+            return
+        self._is_stopping = True
+        log_event("control:stopping", limit_seconds=MAX_DRAIN_SECONDS)
+        if self._site is not None:
+            self._site.end_waits()
+        peers.drain(MAX_DRAIN_SECONDS)
+        log_event("control:stopped")
+        running.kill()
+
+    def _run_replica(self) -> None:
         serve_operations(self._settings.http_listen, self._is_ready)
         initial_membership = bootstrap_membership(
             self.identity, self._hosts, self._storage, self._settings.cluster_key
@@ -105,7 +130,9 @@
             self.replica.stop(error)
 
     def _is_ready(self) -> bool:
-        return self.replica is not None and bool(self.replica.leader_address)
+        if self._is_stopping or self.replica is None:
+            return False
+        return bool(self.replica.leader_address)
 
     def _join_until_member(self) -> None:
         """Ask the other control hosts to admit this replica until it is a member of the group."""
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -33,6 +33,7 @@
         self.state_machine = state_machine
         self.clock = clock
         self.sessions = EntrySessions(clock.monotonic())
+        self._is_stopping = False
 
     # ------------------------------------------------------------------ helpers
 
@@ -145,13 +146,23 @@
                 return
 
     def _wait_for_change(self, seconds: float) -> bool:
-        """Wait until log entries are applied; return whether that happened within ``seconds``."""
+        """Wait until log entries are applied; return whether that happened within ``seconds``.
+
+        Returns False at once when the process stops.
+        """
+        if self._is_stopping:
+            return False
         watcher = self.replica.next_apply_event()
         with eventlet.Timeout(seconds, False):
             watcher.wait()
-            return True
+            return not self._is_stopping
         return False
 
+    def end_waits(self) -> None:
+        """Answer the calls that wait for a change, and let no later call wait."""
+        self._is_stopping = True
+        self.replica.send_apply_events()
+
     def _has_updates(self, request: ttypes.SyncRequest, session: EntrySession) -> bool:
         state = self.state_machine.state
         if request.leaving or not session.has_full_report:
@@ -292,7 +303,8 @@
             job = self.state_machine.state.ledger.by_id.get(job_id)
             if job is None or job.is_ended or remaining <= 0:
                 break
-            self._wait_for_change(remaining)
+            if not self._wait_for_change(remaining):
+                break
         self.confirm_leadership()
         return self._job_view(self._job_of_team(team, job_id))
 
--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -15,6 +15,7 @@
     def deliver(self, messages):
         """Pass messages from other replicas to this host's replica."""
         self.require_authenticated()
+        self.carries_replication = True
         self._host.replica.deliver(messages)
 
     def join(self, member):
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -178,6 +178,12 @@
         self._apply_events.append(event)
         return event
 
+    def send_apply_events(self) -> None:
+        """Send the events returned by ``next_apply_event``, also if nothing was applied."""
+        events, self._apply_events = self._apply_events, []
+        for event in events:
+            event.send(None)
+
     @property
     def is_leader(self) -> bool:
         """Return whether this replica is leader in its own view, which may be out of date.
@@ -255,7 +261,7 @@
         for read_id in ready.confirmed_reads:
             self._pending_read_by_id.pop(read_id).send(None)
         if ready.committed:
-            self._send_apply_events()
+            self.send_apply_events()
             self._compact_if_due()
 
     def _apply(self, entry: LogEntry) -> None:
@@ -274,7 +280,7 @@
     def _install(self, snapshot: SnapshotFile) -> None:
         self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, [])
         self.state_machine.restore(snapshot.state)
-        self._send_apply_events()
+        self.send_apply_events()
 
     def _compact_if_due(self) -> None:
         applied, log = self.core.applied_index, self.core.log
@@ -299,11 +305,6 @@
         for proposal in proposals.values():
             proposal.completion.send_exception(OutcomeUnknown())
 
-    def _send_apply_events(self) -> None:
-        events, self._apply_events = self._apply_events, []
-        for event in events:
-            event.send(None)
-
     def _send_all(self, messages: list[RaftMessage]) -> None:
         for message in messages:
             address = self._address_of(message.recipient)
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -13,13 +13,18 @@
 import socket
 import struct
 
+import attrs
 import eventlet
+from eventlet.greenio import GreenSocket, shutdown_safe
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TApplicationException, TException
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
+from ..clock import SystemClock
 from ..errors import PeerUnreachable
+from ..listener import close_listener
+from ..observability.logs import log_event
 from ..observability.metrics import LINK_BYTES
 from .generated import ttypes
 
@@ -40,6 +45,9 @@
 MAX_STRING_BYTES = 64 * 1024 * 1024
 """Maximum length of one string or binary field of a message."""
 
+DRAIN_POLL_SECONDS = 0.02
+"""Interval at which a draining server looks for calls in progress."""
+
 NONCE_BYTES = 16
 IDLE_CLIENTS_PER_POOL = 8
 
@@ -176,6 +184,8 @@
         self._cluster_key = cluster_key
         self._nonce = secrets.token_bytes(NONCE_BYTES)
         self.authenticated = False
+        self.carries_replication = False
+        """Whether another replica sends its messages on this connection."""
 
     def hello(self) -> bytes:
         """Return the nonce of this connection."""
@@ -193,6 +203,28 @@
             raise ttypes.Unauthenticated(reason="the connection is not authenticated")
 
 
+@attrs.define(eq=False)
+class _ServedConnection:
+    """A connection of a server; ``call_began_at`` is None while no call is in progress.
+
+    That time, on the monotonic clock, is when the first byte of the call arrived.
+    """
+
+    socket: GreenSocket
+    handler: PeerHandler
+    call_began_at: float | None = None
+
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a call is in progress or has arrived and is unread."""
+        if self.call_began_at is not None:
+            return True
+        try:
+            return bool(self.socket.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+
 class PeerServer:
     """Accepts connections; each has a green thread and a handler of its own."""
 
@@ -202,26 +234,68 @@
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
         self._service = service
         self._make_handler = make_handler
+        self._clock = SystemClock()
+        self._connections: set[_ServedConnection] = set()
         self._acceptor = eventlet.spawn(self._accept_connections)
 
     def _accept_connections(self) -> None:
         while True:
             connection, _ = self._listener.accept()
-            set_socket_options(connection)
-            eventlet.spawn_n(self._serve_connection, connection)
+            self._start_serving(connection)
 
-    def _serve_connection(self, connection) -> None:
+    def _start_serving(self, connection) -> None:
+        set_socket_options(connection)
+        served = _ServedConnection(connection, self._make_handler())
+        self._connections.add(served)
+        eventlet.spawn_n(self._serve_connection, served)
+
+    def _serve_connection(self, served: _ServedConnection) -> None:
         socket_transport = TSocket()
-        socket_transport.setHandle(connection)
+        socket_transport.setHandle(served.socket)
         transport = TFramedTransport(socket_transport)
         protocol = _PROTOCOL_FACTORY.getProtocol(transport)
-        processor = self._service.Processor(self._make_handler())
-        # A peer may disconnect or send malformed data at any time. This ends
-        # only its own connection.
-        with contextlib.suppress(TException, OSError, EOFError, struct.error):
-            while True:
-                processor.process(protocol, protocol)
-        transport.close()
+        processor = self._service.Processor(served.handler)
+        try:
+            # A peer may disconnect or send malformed data at any time. This ends
+            # only its own connection.
+            with contextlib.suppress(TException, OSError, EOFError, struct.error):
+                while served.socket.recv(1, socket.MSG_PEEK):
+                    served.call_began_at = self._clock.monotonic()
+                    processor.process(protocol, protocol)
+                    served.call_began_at = None
+        finally:
+            self._connections.discard(served)
+            transport.close()
+
+    def drain(self, limit_seconds: float) -> None:
+        """Accept no more connections, and close each once no call is in progress on it.
+
+        The connections of other replicas are closed last: commits for the other calls depend
+        on them.  Calls that are in progress after ``limit_seconds`` are cut off and logged.
+        """
+        self._acceptor.kill()
+        for connection in close_listener(self._listener):
+            self._start_serving(connection)
+        with eventlet.Timeout(limit_seconds, False):
+            while self._close_idle_connections():
+                eventlet.sleep(DRAIN_POLL_SECONDS)
+        for served in list(self._connections):
+            if served.call_began_at is not None:
+                age = self._clock.monotonic() - served.call_began_at
+                log_event("peer:call_cut_off", seconds=age, limit_seconds=limit_seconds)
+            shutdown_safe(served.socket)
+
+    def _close_idle_connections(self) -> bool:
+        """Close idle connections but those of other replicas; return whether a call remains."""
+        is_call_left = False
+        for served in list(self._connections):
+            if served.handler.carries_replication:
+                continue
+            if served.is_in_use:
+                is_call_left = True
+            else:
+                shutdown_safe(served.socket)
+        return is_call_left
 
     def close(self) -> None:
         """Stop accepting connections."""
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,4 +1,7 @@
+import contextlib
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import eventlet
 import pytest
@@ -8,6 +11,7 @@
 from savoryshelf.wire.peers import PeerClient, PeerHandler, PeerServer, compute_proof
 
 KEY = "the-cluster-key-of-tests"
+DRAIN_LIMIT_SECONDS = 1.0
 
 
 class Handler(PeerHandler):
@@ -19,25 +23,42 @@
         self.require_authenticated()
         raise ttypes.Refused(name, argument)
 
+    def job(self, team, job_id, wait_seconds):
+        self.require_authenticated()
+        eventlet.sleep(wait_seconds)
+        return ttypes.JobView(job_id=job_id)
 
-@pytest.fixture
-def server():
-    """Yield a server that runs in a native thread with its own eventlet hub."""
+
+@contextlib.contextmanager
+def running_server(address="127.0.0.1:0"):
+    """Yield a server, and a function that drains it and returns once it has closed.
+
+    The server runs in a native thread with its own eventlet hub.
+    """
     started, stopping, servers = threading.Event(), threading.Event(), []
 
     def run():
-        servers.append(PeerServer(ControlService, "127.0.0.1:0", lambda: Handler(KEY)))
+        servers.append(PeerServer(ControlService, address, lambda: Handler(KEY)))
         started.set()
         while not stopping.is_set():
             eventlet.sleep(0.01)
-        servers[0].close()
+        servers[0].drain(DRAIN_LIMIT_SECONDS)
+
+    def drain():
+        stopping.set()
+        thread.join()
 
     thread = threading.Thread(target=run)
     thread.start()
     started.wait()
-    yield servers[0]
-    stopping.set()
-    thread.join()
+    yield servers[0], drain
+    drain()
+
+
+@pytest.fixture
+def server():
+    with running_server() as (server, _):
+        yield server
 
 
 def test_a_peer_with_the_cluster_key_is_served(server):
@@ -101,3 +122,29 @@
     with pytest.raises(PeerUnreachable) as caught:
         client.call("probe")
     assert not caught.value.sent
+
+
+def call_during_drain(call_seconds):
+    """Return the call's future, and the seconds that the drain took."""
+    with running_server() as (server, drain), ThreadPoolExecutor() as pool:
+        client = PeerClient(ControlService, server.address, KEY)
+        client.call("probe")
+        call = pool.submit(client.call, "job", "team", "job-1", call_seconds)
+        time.sleep(0.2)
+        started = time.monotonic()
+        drain()
+        seconds = time.monotonic() - started
+        call.exception()
+        client.close()
+    return call, seconds
+
+
+def test_a_drain_waits_for_calls_in_progress():
+    call, _ = call_during_drain(call_seconds=0.6)
+    assert call.result().job_id == "job-1"
+
+
+def test_a_drain_cuts_off_a_call_at_its_limit():
+    call, seconds = call_during_drain(call_seconds=10.0)
+    assert call.exception().sent
+    assert DRAIN_LIMIT_SECONDS <= seconds < 5.0
