A call on a connection that the other process has closed opens a new one

Cause: PeerClient sent its next call on a pooled connection whether or not the other process had closed it, for example at its stop. The call was lost and its outcome reported as unknown, though it could not have run. Change: an open connection is checked for its end before each call. A call that crosses the close still has an unknown outcome. Result: test_a_call_after_the_other_process_has_restarted_uses_a_new_connection failed before (PeerUnreachable, "TSocket read 0 bytes") and passes.

--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -116,6 +116,9 @@
         Raises PeerUnreachable if the connection fails.  Its ``sent`` is false
         only if the call cannot have reached the other process.
         """
+        if self._is_open and not self._socket.isOpen():
+            # Closed by the other process, perhaps at its stop: a call sent on it would be lost.
+            self.close()
         if not self._is_open:
             self._connect()
         self._socket.setTimeout(timeout * 1000)
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -148,3 +148,13 @@
     call, seconds = call_during_drain(call_seconds=10.0)
     assert call.exception().sent
     assert DRAIN_LIMIT_SECONDS <= seconds < 5.0
+
+
+def test_a_call_after_the_other_process_has_restarted_uses_a_new_connection():
+    with running_server() as (server, drain):
+        client = PeerClient(ControlService, server.address, KEY)
+        client.call("probe")
+        drain()
+        with running_server(server.address):
+            assert client.call("probe").replica_id == "c0.disk"
+            client.close()
