Tests: an interrupted call leaves no timer behind

Cause: eventlet.Timeout(1.0) starts a timer when it is made, which fired in a later test when tests/wire ran before tests/entry. Change: Timeout(None), which starts none; the exception and the checks are the same.

--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -93,7 +93,7 @@
     """A thrift client whose call is interrupted before the reply is read."""
 
     def probe(self):
-        raise eventlet.Timeout(1.0)
+        raise eventlet.Timeout(None)
 
 
 def test_a_connection_is_closed_after_an_interrupted_call(server):
