HTTP server: a stop resets no connection that the kernel has taken

Cause: between the look at the accept queue and the close of the listening socket the hub ran once more, and a connection that came then was reset. At the maximum of connections the accepting thread held one more, which the stop neither served nor closed. With a steady stream of new connections the queue was never seen empty. Change: the server waits for a free slot before it accepts, and stops accepting by close_listener, which makes the kernel ignore new connections first: their callers are refused when they try again, and know that nothing was run. The same class: PeerServer, which does so already.

--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -10,8 +10,10 @@
 import attrs
 import eventlet
 from eventlet import greenio, patcher, wsgi
+from eventlet.semaphore import Semaphore
 
 from .clock import SystemClock
+from .listener import close_listener
 from .observability.logs import log_event
 
 _select = patcher.original("select")
@@ -21,7 +23,7 @@
 """Connections that the kernel holds until they are accepted."""
 
 MAX_CONNECTIONS = 1024
-"""Connections served at once; further ones wait until they are accepted."""
+"""Connections served at once; further ones wait in the kernel, except in a drain."""
 
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after a failed accept, for example for want of a file descriptor."""
@@ -86,10 +88,17 @@
         self._application = application
         self._clock = SystemClock()
         self._connections: set[_Connection] = set()
-        self._pool = eventlet.GreenPool(max_connections)
+        self._free_slots = Semaphore(max_connections)
         self._idle_seconds = idle_seconds
         self._listener = eventlet.listen((host, int(port)), backlog=LISTEN_BACKLOG)
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
+        self._server = wsgi.Server(
+            self._listener,
+            self._listener.getsockname(),
+            self._answer,
+            log_output=False,
+            socket_timeout=idle_seconds,
+        )
         self._acceptor = eventlet.spawn(self._accept_connections)
 
     @property
@@ -109,7 +118,7 @@
         self.is_draining = True
         self._log("server:draining", started_at)
         eventlet.sleep(announce_seconds)
-        self._stop_accepting(started_at + limit_seconds)
+        self._stop_accepting()
         self._log("server:closed_to_new", started_at)
         while self._connections and self._clock.monotonic() - started_at < limit_seconds:
             self._close_idle_connections()
@@ -121,34 +130,33 @@
         return cut
 
     def _accept_connections(self) -> None:
-        server = wsgi.Server(
-            self._listener,
-            self._listener.getsockname(),
-            self._answer,
-            log_output=False,
-            socket_timeout=self._idle_seconds,
-        )
         while True:
+            self._free_slots.acquire()
             try:
                 accepted, peer = self._listener.accept()
             except OSError as error:
+                self._free_slots.release()
                 log_event("server:accept_failed", address=self.address, why=str(error))
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            accepted.settimeout(self._idle_seconds)
-            connection = _Connection(accepted)
-            self._connections.add(connection)
-            self._pool.spawn_n(self._serve, server, connection, peer)
+            self._start_serving(accepted, peer)
+
+    def _start_serving(self, accepted, peer) -> None:
+        accepted.settimeout(self._idle_seconds)
+        connection = _Connection(accepted)
+        self._connections.add(connection)
+        eventlet.spawn_n(self._serve, connection, peer)
 
-    def _serve(self, server: wsgi.Server, connection: _Connection, peer) -> None:
+    def _serve(self, connection: _Connection, peer) -> None:
         try:
             state = [peer, connection.socket, wsgi.STATE_REQUEST]
-            _Protocol(connection, self._clock, state, server)
+            _Protocol(connection, self._clock, state, self._server)
         except TimeoutError:
             log_event("request:timed_out", request=connection.request_line, peer=peer[0])
         finally:
             self._connections.discard(connection)
             connection.socket.close()
+            self._free_slots.release()
 
     def _answer(self, environ, start_response):
         def start_final_response(status, headers, exc_info=None):
@@ -158,12 +166,11 @@
 
         return self._application(environ, start_final_response)
 
-    def _stop_accepting(self, latest: float) -> None:
-        # The kernel resets the connections in its queue when the listener is closed.
-        while _is_readable(self._listener) and self._clock.monotonic() < latest:
-            eventlet.sleep(DRAIN_POLL_SECONDS)
+    def _stop_accepting(self) -> None:
         self._acceptor.kill()
-        self._listener.close()
+        # Also beyond the maximum: otherwise the kernel would reset these connections.
+        for accepted, peer in close_listener(self._listener):
+            self._start_serving(accepted, peer)
 
     def _close_idle_connections(self) -> None:
         for each in list(self._connections):
--- a/src/savoryshelf/listener.py
+++ b/src/savoryshelf/listener.py
@@ -15,8 +15,8 @@
 """A classic BPF program of one instruction, by which the kernel drops every packet."""
 
 
-def close_listener(listener: GreenSocket) -> list[GreenSocket]:
-    """Close a listening socket; return the connections that waited to be accepted.
+def close_listener(listener: GreenSocket) -> list[tuple[GreenSocket, tuple]]:
+    """Close a listening socket; return the connections that waited, with their addresses.
 
     Closing resets what is in the accept queue, and a connection may enter it between the
     last accept and the close.  So the kernel first drops new connections: their callers
@@ -29,7 +29,7 @@
     connections = []
     while True:
         try:
-            accepted, _ = listener.accept()
+            accepted, address = listener.accept()
         except BlockingIOError:
             break
         except ConnectionAbortedError:
@@ -37,6 +37,6 @@
         except OSError as error:
             log_event("listener:accept_failed", error=repr(error))
             break
-        connections.append(GreenSocket(accepted))
+        connections.append((GreenSocket(accepted), address))
     listener.close()
     return connections
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -277,7 +277,7 @@
         on them.  Calls that are in progress after ``limit_seconds`` are cut off and logged.
         """
         self._acceptor.kill()
-        for connection in close_listener(self._listener):
+        for connection, _ in close_listener(self._listener):
             self._start_serving(connection)
         with eventlet.Timeout(limit_seconds, False):
             while self._close_idle_connections():
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """The server runs in this process's hub; clients are native sockets, which never yield to it."""
 
+import errno
+import select
 import socket
 
 import eventlet
@@ -143,3 +145,32 @@
     server.drain(0.0, LIMIT_SECONDS)
     with pytest.raises(ConnectionRefusedError):
         connect(server)
+
+
+def test_a_connection_that_comes_as_the_server_stops_accepting_is_not_reset(server, monkeypatch):
+    """Its caller must learn that the request did not run."""
+    host, _, port = server.address.rpartition(":")
+    caller = socket.socket()
+    caller.setblocking(False)
+    listener_close = server._listener.close
+
+    def close_after_a_caller_came():
+        caller.connect_ex((host, int(port)))
+        listener_close()
+
+    monkeypatch.setattr(server._listener, "close", close_after_a_caller_came)
+    server.drain(0.0, LIMIT_SECONDS)
+    select.select([], [caller], [], LIMIT_SECONDS)
+    assert caller.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNREFUSED
+    caller.close()
+
+
+def test_a_connection_beyond_the_maximum_is_served_by_a_drain(application):
+    application.seconds = 0.3
+    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
+    clients = [connect(server) for _ in range(3)]
+    for client in clients:
+        client.sendall(REQUEST)
+    let_server_run()
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert all(is_complete_final_response(received(client)) for client in clients)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -18,7 +18,8 @@
 def test_connections_in_the_accept_queue_are_returned_with_their_bytes(listener):
     with socket.create_connection(listener.getsockname()) as caller:
         caller.sendall(b"request")
-        (accepted,) = close_listener(listener)
+        ((accepted, address),) = close_listener(listener)
+        assert address == caller.getsockname()
         assert accepted.recv(64) == b"request"
         accepted.sendall(b"response")
         caller.settimeout(1.0)
