Act on a signal at once, also in an idle process

Cause: the handler only spawned a green thread. Python restarts the hub's wait after the handler, so the green thread ran at the hub's next timer or file event: at the next look at the settings file, up to 1 s later.

The socket filter of close_listener is optional, since not every kernel grants it.

--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -21,6 +21,7 @@
 from ..replication.storage import ReplicaStorage
 from ..replication.transport import PeerTransport
 from ..replication.types import Timing
+from ..signals import on_first_signal
 from ..wire.generated import ControlService, ttypes
 from ..wire.peers import PeerClient, PeerServer
 from .handler import ControlHandler
@@ -56,15 +57,12 @@
             lambda: ControlHandler(self._settings.cluster_key, self),
         )
         running = eventlet.spawn(self._run_replica)
-        # A signal handler may interrupt eventlet's hub, which must not block.
-        signal.signal(signal.SIGTERM, lambda *_: eventlet.spawn_n(self._stop, peers, running))
+        on_first_signal(signal.SIGTERM, lambda: self._stop(peers, running))
         with contextlib.suppress(GreenletExit):
             running.wait()
 
     def _stop(self, peers: PeerServer, running) -> None:
         """Report not ready, answer the calls that have arrived, then end the process."""
-        if self._is_stopping:
-            return
         self._is_stopping = True
         log_event("control:stopping", limit_seconds=MAX_DRAIN_SECONDS)
         if self._site is not None:
--- a/src/savoryshelf/entry/process.py
+++ b/src/savoryshelf/entry/process.py
@@ -8,6 +8,7 @@
 
 from ..clock import SystemClock
 from ..observability.logs import log_event
+from ..signals import on_signal
 from ..tokens import TARGET, issue
 from ..wire.generated import EntryService
 from ..wire.peers import PeerServer, split_address
@@ -54,8 +55,8 @@
 
     def run(self) -> None:
         """Serve until a stop is requested, then drain the requests in flight."""
-        signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
-        signal.signal(signal.SIGINT, lambda *_: self._request_stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            on_signal(number, self._request_stop)
         settings = self._settings
         PeerServer(
             EntryService,
--- a/src/savoryshelf/listener.py
+++ b/src/savoryshelf/listener.py
@@ -24,7 +24,11 @@
     """
     program = ctypes.create_string_buffer(_RETURN_ZERO, len(_RETURN_ZERO))
     attached = struct.pack("HL", 1, ctypes.addressof(program))
-    listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, attached)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, attached)
+    except OSError as error:
+        # A connection that enters the queue before the close is then reset.
+        log_event("listener:filter_unavailable", error=repr(error))
     listener.settimeout(0.0)
     connections = []
     while True:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -14,12 +14,14 @@
 import urllib3
 
 from standins.platform import PlatformWorker, platform_settings
+from standins.site import loopback_address
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-# All hosts use the same ports, so each xdist worker needs its own addresses.
-NETWORK = f"127.0.{2 + int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])}"
-SEEDS = [f"{NETWORK}.{host}" for host in (1, 2, 3)]
-FRONTS = [f"{NETWORK}.{host}" for host in (4, 5)]
+# All hosts use the same ports, so each test process needs its own addresses.  The last numbers
+# differ from those of the sites in tests/process.
+NETWORK = loopback_address().rpartition(".")[0]
+SEEDS = [f"{NETWORK}.{host}" for host in (201, 202, 203)]
+FRONTS = [f"{NETWORK}.{host}" for host in (204, 205)]
 PORTS = {"front": 8161, "ready": 8167, "control": 8166, "peers": 7720}
 ROUTE = {
     "name": "r", "host": "h.example", "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
