An entry host that stops answers what has arrived, also in the kernel's queue

Cause: the stop waited a fixed time, then for requests that had reached the application, and left the listening socket open until the process had exited. Connections in its queue, requests that were unread or half read, calls of other entry hosts, and everything that came between the last accept and the exit were cut off. Change: the entry host and the operators' port of control hosts use HttpServer. After the announcement the entry host waits until what has arrived is answered, over HTTP (wait_until_answered) and from other entry hosts (PeerServer.drain), releases its workers, and drains the HTTP server. It still serves until the release, because the workers report over the same server and their leases would expire. All steps share the former limit of 60 s, each has 5 s at least; what is cut off is logged.

--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -13,6 +13,7 @@
 from ..clock import SystemClock
 from ..disk import LocalDisk
 from ..errors import PeerUnreachable
+from ..http_server import HttpServer
 from ..observability.http import serve_operations
 from ..observability.logs import log_event
 from ..replication.bootstrap import ControlHost, bootstrap_membership, host_name
@@ -55,13 +56,16 @@
             self._settings.listen,
             lambda: ControlHandler(self._settings.cluster_key, self),
         )
+        operations = serve_operations(self._settings.http_listen, self._is_ready)
         running = eventlet.spawn(self._run_replica)
         # A signal handler may interrupt eventlet's hub, which must not block.
-        signal.signal(signal.SIGTERM, lambda *_: eventlet.spawn_n(self._stop, peers, running))
+        signal.signal(
+            signal.SIGTERM, lambda *_: eventlet.spawn_n(self._stop, peers, operations, running)
+        )
         with contextlib.suppress(GreenletExit):
             running.wait()
 
-    def _stop(self, peers: PeerServer, running) -> None:
+    def _stop(self, peers: PeerServer, operations: HttpServer, running) -> None:
         """Report not ready, answer the calls that have arrived, then end the process."""
         if self._is_stopping:
             return
@@ -70,11 +74,11 @@
         if self._site is not None:
             self._site.end_waits()
         peers.drain(MAX_DRAIN_SECONDS)
+        operations.drain(0.0, MAX_DRAIN_SECONDS)
         log_event("control:stopped")
         running.kill()
 
     def _run_replica(self) -> None:
-        serve_operations(self._settings.http_listen, self._is_ready)
         initial_membership = bootstrap_membership(
             self.identity, self._hosts, self._storage, self._settings.cluster_key
         )
--- a/src/savoryshelf/entry/process.py
+++ b/src/savoryshelf/entry/process.py
@@ -7,10 +7,11 @@
 from eventlet.event import Event
 
 from ..clock import SystemClock
+from ..http_server import HttpServer
 from ..observability.logs import log_event
 from ..tokens import TARGET, issue
 from ..wire.generated import EntryService
-from ..wire.peers import PeerServer, split_address
+from ..wire.peers import PeerServer
 from .batch import BatchDispatch
 from .control_client import ControlClient
 from .critical import CriticalPath
@@ -25,7 +26,10 @@
 MAX_CONNECTIONS = 2000
 MAX_HEADER_LINE_BYTES = 8192
 MAX_DRAIN_SECONDS = 60.0
-DRAIN_POLL_SECONDS = 0.05
+"""Time in a stop after which the requests in progress are cut off; callers may wait for 25 s."""
+
+MIN_DRAIN_STEP_SECONDS = 5.0
+"""Time for each step of a stop, also if the steps before it have used up the whole."""
 
 
 class EntryHostProcess:
@@ -57,29 +61,24 @@
         signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
         signal.signal(signal.SIGINT, lambda *_: self._request_stop())
         settings = self._settings
-        PeerServer(
+        peers = PeerServer(
             EntryService,
             settings.listen,
             lambda: EntryHandler(settings.cluster_key, self._context.critical),
         )
-        listener = eventlet.listen(split_address(settings.http_listen))
-        server = eventlet.spawn(self._serve_http, listener)
+        wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
+        server = HttpServer(
+            settings.http_listen,
+            EntryApplication(self._context),
+            IDLE_CONNECTION_SECONDS,
+            MAX_CONNECTIONS,
+        )
         tasks = [eventlet.spawn(self._sync.run), eventlet.spawn(self._outcomes.run)]
         for task in tasks:
             task.link(self._stop_if_failed)
         log_event("entry:started", entry_id=settings.name)
         self._stop_requested.wait()
-        self._drain(server)
-
-    def _serve_http(self, listener) -> None:
-        wsgi.MAX_HEADER_LINE = MAX_HEADER_LINE_BYTES
-        wsgi.server(
-            listener,
-            EntryApplication(self._context),
-            log_output=False,
-            max_size=MAX_CONNECTIONS,
-            socket_timeout=IDLE_CONNECTION_SECONDS,
-        )
+        self._drain(server, peers)
 
     def _request_stop(self) -> None:
         if not self._stop_requested.ready():
@@ -93,15 +92,24 @@
             log_event("entry:task_failed", error=repr(error))
             self._request_stop()
 
-    def _drain(self, server) -> None:
-        """Report not ready, drain the requests in flight, then release the workers."""
-        state = self._context.state
-        state.is_stopping = True
-        log_event("entry:stopping", in_flight=self._context.in_flight)
+    def _drain(self, server: HttpServer, peers: PeerServer) -> None:
+        """Report not ready, answer what has arrived, release the workers, then stop serving.
+
+        The workers report to this host until they are released: their leases would
+        expire if the HTTP server closed earlier.  Requests that come after the release are
+        refused as not run.
+        """
+        context = self._context
+        context.state.is_stopping = True
+        log_event("entry:stopping", in_flight=context.in_flight)
         eventlet.sleep(self._settings.drain_seconds)
-        with eventlet.Timeout(MAX_DRAIN_SECONDS, False):
-            while self._context.in_flight:
-                eventlet.sleep(DRAIN_POLL_SECONDS)
+        deadline = context.clock.monotonic() + MAX_DRAIN_SECONDS
+
+        def remaining_seconds() -> float:
+            return max(MIN_DRAIN_STEP_SECONDS, deadline - context.clock.monotonic())
+
+        server.wait_until_answered(remaining_seconds())
+        peers.drain(remaining_seconds())
         self._sync.leave()
-        server.kill()
-        log_event("entry:stopped", in_flight=self._context.in_flight)
+        server.drain(0.0, remaining_seconds())
+        log_event("entry:stopped", in_flight=context.in_flight)
--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -43,6 +43,13 @@
     socket: socket.socket
     request_began_at: float | None = None
     request_line: str = ""
+    answered: int = 0
+    """Requests that were answered on this connection."""
+
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request is in progress or its bytes are unread."""
+        return self.request_began_at is not None or _is_readable(self.socket)
 
 
 class _Protocol(wsgi.HttpProtocol):
@@ -66,6 +73,7 @@
             super().handle_one_request()
         finally:
             self._connection.request_began_at = None
+            self._connection.answered += 1
 
     def parse_request(self):
         """Parse the request line and the headers; return whether they are valid."""
@@ -129,6 +137,22 @@
         self._log("server:drained", started_at, cut=cut, limit_seconds=limit_seconds)
         return cut
 
+    def wait_until_answered(self, limit_seconds: float) -> None:
+        """Wait until the requests that have arrived by now are answered; serve later ones too."""
+        latest = self._clock.monotonic() + limit_seconds
+        while _is_readable(self._listener) and self._clock.monotonic() < latest:
+            eventlet.sleep(0)
+        answered = {each: each.answered for each in self._connections if each.has_request}
+        while self._clock.monotonic() < latest:
+            answered = {
+                each: count
+                for each, count in answered.items()
+                if each in self._connections and each.answered == count
+            }
+            if not answered:
+                return
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+
     def _accept_connections(self) -> None:
         while True:
             self._free_slots.acquire()
@@ -161,7 +185,8 @@
     def _answer(self, environ, start_response):
         def start_final_response(status, headers, exc_info=None):
             if self.is_draining:
-                headers = [*headers, ("Connection", "close")]
+                headers = [each for each in headers if each[0].lower() != "connection"]
+                headers.append(("Connection", "close"))
             return start_response(status, headers, exc_info)
 
         return self._application(environ, start_final_response)
@@ -175,7 +200,7 @@
     def _close_idle_connections(self) -> None:
         for each in list(self._connections):
             # Unread bytes are a request that its green thread has not seen yet.
-            if each.request_began_at is None and not _is_readable(each.socket):
+            if not each.has_request:
                 greenio.shutdown_safe(each.socket)
 
     def _log(self, event: str, started_at: float, **fields) -> None:
--- a/src/savoryshelf/observability/http.py
+++ b/src/savoryshelf/observability/http.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable
 
-import eventlet
-from eventlet import wsgi
 from werkzeug.wrappers import Request, Response
 
-from ..wire.peers import split_address
+from ..http_server import HttpServer
 from .metrics import render_metrics
 
+IDLE_CONNECTION_SECONDS = 60.0
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
@@ -23,17 +22,12 @@
     return None
 
 
-def serve_operations(address: str, is_ready: Callable[[], bool]) -> str:
-    """Serve only health, readiness and metrics, in the background.
-
-    Returns the address that the server listens on.
-    """
+def serve_operations(address: str, is_ready: Callable[[], bool]) -> HttpServer:
+    """Serve only health, readiness and metrics, in the background."""
 
     @Request.application
     def application(request: Request) -> Response:
         response = operations_response(request.path, is_ready)
         return response or Response("no such path\n", status=404)
 
-    listener = eventlet.listen(split_address(address))
-    eventlet.spawn(wsgi.server, listener, application, log_output=False)
-    return "{}:{}".format(*listener.getsockname()[:2])
+    return HttpServer(address, application, IDLE_CONNECTION_SECONDS)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -174,3 +174,31 @@
     let_server_run()
     assert server.drain(0.0, LIMIT_SECONDS) == 0
     assert all(is_complete_final_response(received(client)) for client in clients)
+
+
+def test_waiting_until_answered_covers_what_has_arrived_and_serves_later_requests(
+    server, application
+):
+    application.seconds = 0.3
+    unaccepted, later = connect(server), []
+    unaccepted.sendall(REQUEST)
+
+    def send_later_request():
+        later.append(connect(server))
+        later[0].sendall(REQUEST)
+
+    eventlet.spawn_after(0.2, send_later_request)
+    server.wait_until_answered(LIMIT_SECONDS)
+    assert unaccepted.recv(4096).endswith(b"hi")
+    assert server.in_progress == 1
+    server.drain(0.0, LIMIT_SECONDS)
+    assert is_complete_final_response(received(later[0]))
+
+
+def test_waiting_until_answered_ends_at_its_limit(server, application):
+    application.seconds = 60.0
+    connect(server).sendall(REQUEST)
+    let_server_run()
+    with eventlet.Timeout(LIMIT_SECONDS):
+        server.wait_until_answered(0.2)
+    assert server.in_progress == 1
