Calls to peers end in time also when their connection does not open

Cause: the timeout of a call covered neither the connect nor the two calls of the challenge, 1 s each. A call to a control host that is suspended, or too busy to answer the challenge, ended up to 1 s after the caller's deadline, and after LeaderClient.stop_after. An entry host that stopped meanwhile ended before its requests were answered.

Change: PeerClient.call has a total_timeout that covers opening the connection too. LeaderClient and the forwarding between entry hosts set it to the time left of the request. The timeout of one attempt does not shrink by the time for opening. The same class: ControlClient already limits a whole call; replication and the probes of a new group have no caller that waits.

--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -359,8 +359,9 @@
             pool = PeerPool(EntryService, peer.address, self._cluster_key, "critical")
             self._pool_by_address[peer.address] = pool
         metrics.RETRIES.labels("spilled").inc()
+        timeout = max(remaining, MIN_REMAINING_SECONDS)
         try:
-            answer = pool.call("serve", request, timeout=max(remaining, MIN_REMAINING_SECONDS))
+            answer = pool.call("serve", request, timeout=timeout, total_timeout=timeout)
         except ttypes.Refused:
             return None
         except ttypes.Unavailable as error:
--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -62,7 +62,8 @@
     def stop_after(self, seconds: float) -> None:
         """End every call, also those in progress, ``seconds`` from now at the latest.
 
-        A call attempt that has begun is finished; it takes at most CALL_TIMEOUT_SECONDS.
+        A call attempt that has begun is finished.  It takes at most CALL_TIMEOUT_SECONDS,
+        and longer by the time for opening its connection.
         """
         self._stop_at = self._clock.monotonic() + seconds
 
@@ -78,9 +79,7 @@
         while (remaining := min(deadline, self._stop_at) - self._clock.monotonic()) > 0:
             address = self._leader or random.choice(list(self._addresses))
             try:
-                answer = self._ask(
-                    address, "job_call", request, min(remaining, CALL_TIMEOUT_SECONDS)
-                )
+                answer = self._ask(address, "job_call", request, remaining)
                 self._record_leader(address)
                 return answer
             except ttypes.NotLeader as error:
@@ -100,13 +99,13 @@
         raise LeaderUnavailable(outcome_is_unknown, detail)
 
     def _ask(self, address: str, method: str, *arguments):
-        """Call a method of a control host; the last argument is the timeout in seconds."""
+        """Call a method of a control host; the last argument is the time left, in seconds."""
         pool = self._pool_by_address.get(address)
         if pool is None:
             pool = PeerPool(ControlService, address, self._cluster_key)
             self._pool_by_address[address] = pool
-        *arguments, timeout = arguments
-        return pool.call(method, *arguments, timeout=timeout)
+        *arguments, seconds = arguments
+        return pool.call(method, *arguments, timeout=CALL_TIMEOUT_SECONDS, total_timeout=seconds)
 
     def _record_leader(self, address: str) -> None:
         self._leader = address
@@ -122,7 +121,7 @@
         while True:
             address = random.choice(list(self._addresses))
             try:
-                view = self._ask(address, "group", CALL_TIMEOUT_SECONDS)
+                view = self._ask(address, "group", GROUP_REFRESH_SECONDS)
                 self._addresses.update(view.addresses)
                 if view.leader_address:
                     self._last_contact_at = self._clock.monotonic()
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -9,6 +9,7 @@
 import contextlib
 import hashlib
 import hmac
+import math
 import secrets
 import socket
 import struct
@@ -108,20 +109,32 @@
         self._transport = TFramedTransport(self._socket)
         self._client = service.Client(_PROTOCOL_FACTORY.getProtocol(self._transport))
         self._cluster_key = cluster_key
+        self._clock = SystemClock()
         self._is_open = False
 
-    def call(self, method: str, *arguments, timeout: float = CALL_TIMEOUT_SECONDS):
+    def call(
+        self,
+        method: str,
+        *arguments,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+        total_timeout: float = math.inf,
+    ):
         """Call ``method`` and return its result; declared thrift exceptions pass through.
 
-        Raises PeerUnreachable if the connection fails.  Its ``sent`` is false
-        only if the call cannot have reached the other process.
+        ``timeout`` is for the call alone, in seconds, ``total_timeout`` also for opening
+        the connection.  Raises PeerUnreachable if the connection fails.  Its ``sent`` is
+        false only if the call cannot have reached the other process.
         """
+        deadline = self._clock.monotonic() + total_timeout
         if self._is_open and not self._socket.isOpen():
             # Closed by the other process, perhaps at its stop: a call sent on it would be lost.
             self.close()
         if not self._is_open:
-            self._connect()
-        self._socket.setTimeout(timeout * 1000)
+            self._connect(deadline)
+        try:
+            self._set_timeout(timeout, deadline)
+        except TTransportException as error:
+            raise PeerUnreachable(self.address, error, sent=False) from error
         try:
             return getattr(self._client, method)(*arguments)
         except (TTransportException, TApplicationException, OSError, EOFError) as error:
@@ -137,12 +150,20 @@
             self.close()
             raise
 
-    def _connect(self) -> None:
-        self._socket.setTimeout(CONNECT_TIMEOUT_SECONDS * 1000)
+    def _set_timeout(self, seconds: float, deadline: float) -> None:
+        remaining = deadline - self._clock.monotonic()
+        if remaining <= 0:
+            raise TTransportException(TTransportException.TIMED_OUT, "no time is left to call")
+        self._socket.setTimeout(min(seconds, remaining) * 1000)
+
+    def _connect(self, deadline: float) -> None:
         try:
+            self._set_timeout(CONNECT_TIMEOUT_SECONDS, deadline)
             self._transport.open()
             set_socket_options(self._socket.handle)
+            self._set_timeout(CONNECT_TIMEOUT_SECONDS, deadline)
             nonce = self._client.hello()
+            self._set_timeout(CONNECT_TIMEOUT_SECONDS, deadline)
             self._client.authenticate(compute_proof(self._cluster_key, nonce))
         except (TException, OSError, EOFError) as error:
             self.close()
@@ -165,11 +186,14 @@
         self._create_client = lambda: PeerClient(service, address, cluster_key, kind)
         self._idle_clients: list[PeerClient] = []
 
-    def call(self, method: str, *arguments, timeout: float = CALL_TIMEOUT_SECONDS):
-        """Call ``method`` over an idle connection, or over a new one if none is idle."""
+    def call(self, method: str, *arguments, **timeouts: float):
+        """Call ``method`` over an idle connection, or over a new one if none is idle.
+
+        ``timeouts`` are those of ``PeerClient.call``.
+        """
         client = self._idle_clients.pop() if self._idle_clients else self._create_client()
         try:
-            return client.call(method, *arguments, timeout=timeout)
+            return client.call(method, *arguments, **timeouts)
         finally:
             if len(self._idle_clients) < IDLE_CLIENTS_PER_POOL:
                 self._idle_clients.append(client)
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -1,5 +1,9 @@
+import socket
+import time
+
 import pytest
 
+from savoryshelf.clock import SystemClock
 from savoryshelf.errors import PeerUnreachable
 from savoryshelf.gateway import leader as module
 from savoryshelf.gateway.leader import LeaderClient, LeaderUnavailable
@@ -20,6 +24,13 @@
         return self.now
 
 
+@pytest.fixture
+def suspended_address():
+    """The address of a suspended process: the kernel accepts, and nothing answers."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        yield "{}:{}".format(*listener.getsockname())
+
+
 @pytest.fixture
 def client(monkeypatch):
     leader_client = LeaderClient(["a", "b"], "key", FakeClock())
@@ -87,3 +98,16 @@
         client.call(CALL, 60.0)
     assert caught.value.outcome_unknown
     assert len(called_addresses) == 4
+
+
+@pytest.mark.parametrize(("stop_seconds", "call_seconds"), [(60.0, 0.3), (0.3, 60.0), (1.2, 60.0)])
+def test_a_call_to_a_suspended_control_host_ends_in_time(
+    suspended_address, stop_seconds, call_seconds
+):
+    client = LeaderClient([suspended_address], "key", SystemClock())
+    client.stop_after(stop_seconds)
+    started_at = time.monotonic()
+    with pytest.raises(LeaderUnavailable) as caught:
+        client.call(CALL, call_seconds)
+    assert not caught.value.outcome_unknown
+    assert time.monotonic() - started_at < min(stop_seconds, call_seconds) + 0.2
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,4 +1,5 @@
 import contextlib
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -124,6 +125,25 @@
     assert not caught.value.sent
 
 
+def test_the_total_timeout_covers_a_connection_that_is_not_answered():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = PeerClient(ControlService, "{}:{}".format(*listener.getsockname()), KEY)
+        started = time.monotonic()
+        with pytest.raises(PeerUnreachable) as caught:
+            client.call("probe", total_timeout=0.2)
+    assert not caught.value.sent
+    assert time.monotonic() - started < 0.4
+
+
+def test_the_total_timeout_covers_the_call(server):
+    client = PeerClient(ControlService, server.address, KEY)
+    started = time.monotonic()
+    with pytest.raises(PeerUnreachable) as caught:
+        client.call("job", "team", "job-1", 2.0, total_timeout=0.3)
+    assert caught.value.sent
+    assert time.monotonic() - started < 0.5
+
+
 def call_during_drain(call_seconds):
     """Return the call's future, and the seconds that the drain took."""
     with running_server() as (server, drain), ThreadPoolExecutor() as pool:
