--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -29,6 +29,9 @@
 }  # fmt: skip
 MANIFEST = {"version": 1, "routes": [ROUTE], "services": [{"name": "svc"}], "limits": {}}
 WAIT_TIMEOUT_SECONDS = 20.0
+GRACE_SECONDS = 6.0
+"""Time between SIGTERM and the kill by the platform."""
+
 STOP_ANNOUNCE_SECONDS = 2.6
 """Time for which an entry host that stops still accepts connections."""
 
@@ -65,13 +68,13 @@
         self.workers.append(worker)
         return worker
 
-    def call(self, method, path, body=None, ip=FRONTS[0]):
+    def call(self, method, path, body=None, ip=FRONTS[0], seconds=3.0):
         """Return the status and body of a caller's request; (0, {}) if it failed."""
-        headers = {"Host": "h.example", "X-Deadline-Ms": "3000"}
+        headers = {"Host": "h.example", "X-Deadline-Ms": str(int(seconds * 1000))}
         data = json.dumps(body) if body is not None else None
         url = f"http://{ip}:{PORTS['front']}{path}"
         with contextlib.suppress(urllib3.exceptions.HTTPError):
-            answer = self.http.request(method, url, body=data, headers=headers)
+            answer = self.http.request(method, url, body=data, headers=headers, timeout=seconds)
             return answer.status, json.loads(answer.data)
         return 0, {}
 
@@ -222,3 +225,23 @@
         time.sleep(1.0)
     assert sent.result()[0] == 200
     assert front.wait(10) == 0
+
+
+# Guards against callers that are cut off by the platform's kill, since the stop began late or
+# a call to a suspended control host lasted too long.
+def test_an_entry_host_that_stops_without_a_leader_answers_within_the_grace_time(deployment):
+    deployment.submit(50, "100 ms")
+    front = deployment.process_by_ip.pop(FRONTS[0])
+    body = {"taskSpec": "100 ms", "steps": [{"count": 1, "cpu": 500}]}
+    with ThreadPoolExecutor(10) as pool, paused(deployment, SEEDS):
+        front.send_signal(signal.SIGTERM)
+        signalled_at = time.monotonic()
+        # The process is idle for a while: it must act on the signal all the same.
+        time.sleep(1.0)
+        calls = [
+            pool.submit(deployment.call, "POST", f"/q/{number:016x}", body, seconds=10.0)
+            for number in range(60, 70)
+        ]
+        assert front.wait(10) == 0
+        assert time.monotonic() - signalled_at < GRACE_SECONDS
+        assert {call.result()[0] for call in calls} <= {503, 504}
