Close connections after their final response; bound the stop of control hosts

Cause: eventlet does not follow the header Connection: close of an application, so a draining server kept connections that it had declared closed, and a caller that sent on them went on being served until the stop. A control host waited up to 5.5 s for one slow caller while it kept leading with its ports closed, and cut off the calls of entry hosts at its end.

Change: a connection ends after a response that says so.

Evidence: test_a_draining_server_closes_a_connection_after_its_response failed before (the connection stayed open) and passes.

--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -83,6 +83,7 @@
         self._worker_api = worker_api
         self._clock = SystemClock()
         self._peer_addresses: set[str] = set()
+        self._peers: PeerServer | None = None
         self.update_seeds(settings.seed_ips)
         storage = ReplicaStorage(LocalDisk(settings.data_folder))
         self.identity = bootstrap_identity(
@@ -114,7 +115,7 @@
 
     def start(self) -> None:
         """Start serving peers and taking part in the group."""
-        PeerServer(
+        self._peers = PeerServer(
             ControlService,
             self.own_address,
             lambda: TaskControlHandler(self._settings.cluster_key, self),
@@ -124,6 +125,10 @@
         for activity in (self._maintain_membership, self._repair_group, self._lead):
             eventlet.spawn(self._run_activity, activity)
 
+    def drain(self, limit_seconds: float) -> None:
+        """Answer the calls of peers that have arrived, and accept no others."""
+        self._peers.drain(limit_seconds)
+
     def wait(self) -> None:
         """Block until the replica stops; raise the error that stopped it."""
         self.replica.wait()
--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -28,6 +28,9 @@
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after a failed accept, for example for want of a file descriptor."""
 
+_CONNECTION_KEY = "savoryshelf.connection"
+"""Key of the connection in the WSGI environment."""
+
 DRAIN_POLL_SECONDS = 0.02
 """Interval at which a draining server looks for idle connections to close."""
 
@@ -46,6 +49,9 @@
     answered: int = 0
     """Requests that were answered on this connection."""
 
+    is_final_answered: bool = False
+    """Whether a response has announced that it closes the connection."""
+
     @property
     def has_request(self) -> bool:
         """Return whether a request is in progress or its bytes are unread."""
@@ -55,9 +61,9 @@
 class _Protocol(wsgi.HttpProtocol):
     """Records on its connection when a request begins and when its response is written."""
 
-    def __init__(self, connection: _Connection, clock, state, server):
+    def __init__(self, connection: _Connection, owner: "HttpServer", state, server):
         self._connection = connection
-        self._clock = clock
+        self._owner = owner
         super().__init__(state, server)
 
     def handle_one_request(self):
@@ -68,13 +74,19 @@
         if not has_request:
             self.close_connection = True
             return
-        self._connection.request_began_at = self._clock.monotonic()
+        self._connection.request_began_at = self._owner.clock.monotonic()
         try:
             super().handle_one_request()
+            # eventlet follows only the caller's own header.
+            self.close_connection = self.close_connection or self._connection.is_final_answered
         finally:
             self._connection.request_began_at = None
             self._connection.answered += 1
 
+    def get_environ(self):
+        """Return the WSGI environment, with the connection."""
+        return super().get_environ() | {_CONNECTION_KEY: self._connection}
+
     def parse_request(self):
         """Parse the request line and the headers; return whether they are valid."""
         self._connection.request_line = self.raw_requestline.decode("latin-1").strip()
@@ -94,7 +106,7 @@
         host, _, port = address.rpartition(":")
         self.is_draining = False
         self._application = application
-        self._clock = SystemClock()
+        self.clock = SystemClock()
         self._connections: set[_Connection] = set()
         self._free_slots = Semaphore(max_connections)
         self._idle_seconds = idle_seconds
@@ -122,13 +134,13 @@
         and requests in progress are finished, until ``limit_seconds`` after the call.  From
         the call on, each response closes its connection.
         """
-        started_at = self._clock.monotonic()
+        started_at = self.clock.monotonic()
         self.is_draining = True
         self._log("server:draining", started_at)
         eventlet.sleep(announce_seconds)
         self._stop_accepting()
         self._log("server:closed_to_new", started_at)
-        while self._connections and self._clock.monotonic() - started_at < limit_seconds:
+        while self._connections and self.clock.monotonic() - started_at < limit_seconds:
             self._close_idle_connections()
             eventlet.sleep(DRAIN_POLL_SECONDS)
         for each in self._connections:
@@ -139,11 +151,11 @@
 
     def wait_until_answered(self, limit_seconds: float) -> None:
         """Wait until the requests that have arrived by now are answered; serve later ones too."""
-        latest = self._clock.monotonic() + limit_seconds
-        while _is_readable(self._listener) and self._clock.monotonic() < latest:
+        latest = self.clock.monotonic() + limit_seconds
+        while _is_readable(self._listener) and self.clock.monotonic() < latest:
             eventlet.sleep(0)
         answered = {each: each.answered for each in self._connections if each.has_request}
-        while self._clock.monotonic() < latest:
+        while self.clock.monotonic() < latest:
             answered = {
                 each: count
                 for each, count in answered.items()
@@ -174,7 +186,7 @@
     def _serve(self, connection: _Connection, peer) -> None:
         try:
             state = [peer, connection.socket, wsgi.STATE_REQUEST]
-            _Protocol(connection, self._clock, state, self._server)
+            _Protocol(connection, self, state, self._server)
         except TimeoutError:
             log_event("request:timed_out", request=connection.request_line, peer=peer[0])
         finally:
@@ -187,6 +199,7 @@
             if self.is_draining:
                 headers = [each for each in headers if each[0].lower() != "connection"]
                 headers.append(("Connection", "close"))
+                environ[_CONNECTION_KEY].is_final_answered = True
             return start_response(status, headers, exc_info)
 
         return self._application(environ, start_final_response)
@@ -207,7 +220,7 @@
         log_event(
             event,
             address=self.address,
-            seconds=round(self._clock.monotonic() - started_at, 3),
+            seconds=round(self.clock.monotonic() - started_at, 3),
             connections=len(self._connections),
             in_progress=self.in_progress,
             **fields,
@@ -215,7 +228,7 @@
 
     def _log_cut(self, connection: _Connection) -> None:
         if connection.request_began_at is not None:
-            age = self._clock.monotonic() - connection.request_began_at
+            age = self.clock.monotonic() - connection.request_began_at
             log_event("request:cut_off", request=connection.request_line, age_s=round(age, 3))
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -121,6 +121,17 @@
     assert is_complete_final_response(received(clients[0]))
 
 
+def test_a_draining_server_closes_a_connection_after_its_response(server):
+    draining = eventlet.spawn(server.drain, 1.0, LIMIT_SECONDS)
+    client = connect(server)
+    client.sendall(REQUEST)
+    let_server_run()
+    client.settimeout(0.1)
+    assert is_complete_final_response(received(client))
+    assert not draining.dead
+    draining.wait()
+
+
 def test_idle_connections_are_closed_when_the_announcement_ends(server, events):
     client = connect(server)
     let_server_run()
