A change of the settings during the start is applied

Cause: the watch of the settings file compared it with what it read at its own start, not with the settings that the process had been started with. A change between the two was never applied.

--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,7 +1,15 @@
+import json
 import subprocess
 import sys
 
-from .test_whole_path import ROOT
+import eventlet
+import pytest
+from savoryshelf_platform import main as module
+from savoryshelf_platform.settings import read_settings
+
+from standins.platform import platform_settings
+
+from .test_whole_path import PORTS, ROOT, SEEDS
 
 
 # Guards against a process that SIGHUP ends before its handlers are installed.
@@ -14,3 +22,29 @@
         [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=True
     )
     assert result.stdout == "True\n"
+
+
+@pytest.fixture
+def settings_file(tmp_path, monkeypatch):
+    """Return a function that writes the settings with the given seeds."""
+    path = tmp_path / "settings.json"
+    monkeypatch.setenv("SAVORYSHELF_CONFIG", str(path))
+    monkeypatch.setattr(module, "SETTINGS_CHECK_SECONDS", 0.01)
+    monkeypatch.setattr(module, "on_signal", lambda number, action: None)
+
+    def write(seeds):
+        path.write_text(json.dumps(platform_settings("front", SEEDS[0], PORTS, seeds, "")))
+        return read_settings(str(path))
+
+    return write
+
+
+# Guards against a change of the settings that is missed because it came during the start.
+def test_a_change_of_the_settings_during_the_start_is_applied(settings_file):
+    initial = settings_file(SEEDS[:2])
+    settings_file(SEEDS)
+    applied = []
+    watching = eventlet.spawn(module._watch_settings, initial, applied.append)
+    eventlet.sleep(0.1)
+    watching.kill()
+    assert [settings.seed_ips for settings in applied] == [SEEDS]
