--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -132,6 +132,14 @@
     draining.wait()
 
 
+# Guards against a caller that has connected just before, and whose request is on its way.
+def test_the_first_request_of_a_new_connection_may_follow_its_opening(server):
+    client = connect(server)
+    eventlet.spawn_after(0.1, client.sendall, REQUEST)
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert is_complete_final_response(received(client))
+
+
 def test_idle_connections_are_closed_when_the_announcement_ends(server, events):
     client = connect(server)
     let_server_run()
