HTTP server: waiting for answers leaves the processor idle when it is full

Cause: wait_until_answered polled the queue of the listener without a pause, also while nothing could be accepted because all slots were in use. Change: it pauses for the poll interval while no slot is free.

--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -31,6 +31,9 @@
 _CONNECTION_KEY = "savoryshelf.connection"
 """Key of the connection in the WSGI environment."""
 
+FIRST_REQUEST_SECONDS = 0.25
+"""Time for the first request of a connection to arrive, before a draining server closes it."""
+
 DRAIN_POLL_SECONDS = 0.02
 """Interval at which a draining server looks for idle connections to close."""
 
@@ -44,6 +47,7 @@
     """
 
     socket: socket.socket
+    accepted_at: float
     request_began_at: float | None = None
     request_line: str = ""
     answered: int = 0
@@ -153,7 +157,8 @@
         """Wait until the requests that have arrived by now are answered; serve later ones too."""
         latest = self.clock.monotonic() + limit_seconds
         while _is_readable(self._listener) and self.clock.monotonic() < latest:
-            eventlet.sleep(0)
+            # Without a free slot, nothing is accepted until a connection ends.
+            eventlet.sleep(DRAIN_POLL_SECONDS if self._free_slots.locked() else 0)
         answered = {each: each.answered for each in self._connections if each.has_request}
         while self.clock.monotonic() < latest:
             answered = {
@@ -179,7 +184,7 @@
 
     def _start_serving(self, accepted, peer) -> None:
         accepted.settimeout(self._idle_seconds)
-        connection = _Connection(accepted)
+        connection = _Connection(accepted, self.clock.monotonic())
         self._connections.add(connection)
         eventlet.spawn_n(self._serve, connection, peer)
 
@@ -211,9 +216,11 @@
             self._start_serving(accepted, peer)
 
     def _close_idle_connections(self) -> None:
+        newest = self.clock.monotonic() - FIRST_REQUEST_SECONDS
         for each in list(self._connections):
+            is_new = not each.answered and each.accepted_at > newest
             # Unread bytes are a request that its green thread has not seen yet.
-            if not each.has_request:
+            if not each.has_request and not is_new:
                 greenio.shutdown_safe(each.socket)
 
     def _log(self, event: str, started_at: float, **fields) -> None:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import errno
 import select
 import socket
+import time
 
 import eventlet
 import pytest
@@ -221,3 +222,15 @@
     with eventlet.Timeout(LIMIT_SECONDS):
         server.wait_until_answered(0.2)
     assert server.in_progress == 1
+
+
+def test_waiting_until_answered_leaves_the_processor_idle_at_the_maximum_of_connections(
+    application,
+):
+    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
+    clients = [connect(server) for _ in range(3)]
+    let_server_run()
+    used_before = time.process_time()
+    server.wait_until_answered(1.0)
+    assert time.process_time() - used_before < 0.3
+    assert len(clients) == 3
