--- a/standins/platform.py
+++ b/standins/platform.py
@@ -27,17 +27,35 @@
     fails: bool = False
 
 
+@attrs.define
+class RunRecord:
+    """A run as its worker saw it; times are on the monotonic clock, in seconds.
+
+    ``is_acknowledged`` tells whether its end was acknowledged before the lease lapsed.
+    """
+
+    task: str
+    number: int
+    started_at: float
+    ended_at: float = float("inf")
+    outcome: str = ""
+    end_number: int = 0
+    is_acknowledged: bool = False
+
+
 class PlatformWorker:
     """One worker; the first word of a ``taskSpec`` is the duration of the run in ms.
 
     If the word is "fail", the run fails at once.  ``starts`` lists every start as
-    (task, run), ``ends`` every end as (number of the end, task, run, outcome, checkpoint).
+    (task, run), ``ends`` every end as (number of the end, task, run, outcome, checkpoint),
+    and ``records`` every run with its times.
     """
 
     def __init__(self, worker_id: str, control_addresses: list[str], address: str = "127.0.0.1:0"):
         self.worker_id = worker_id
         self.starts: list[tuple[str, int]] = []
         self.ends: list[tuple[int, str, int, str, str]] = []
+        self.records: dict[tuple[str, int], RunRecord] = {}
         self.draining = False
         self._control = control_addresses
         self._born_ms = int(time.time() * 1000)
@@ -47,12 +65,15 @@
         self._max_rejected_run_by_task: dict[str, int] = {}
         self._fencing_token = 0
         self._lease_expires_ms = 0
+        self._lapsed_at = 0.0
         self._acknowledged_end = 0
         self._end_numbers = itertools.count(1)
         self._stopped = threading.Event()
         host, _, port = address.rpartition(":")
         self._server = ThreadingHTTPServer((host, int(port)), self._handler())
         self._server.daemon_threads = True
+        # A connection that was cut is no error of the worker.
+        self._server.handle_error = lambda *_: None
         self.address = f"{host}:{self._server.server_address[1]}"
         for loop in (self._server.serve_forever, self._send_heartbeats):
             threading.Thread(target=loop, daemon=True).start()
@@ -96,12 +117,13 @@
         seconds = 0.0 if word == "fail" else int(word) / 1000
         self._running[task, run] = _Run(task, run, time.monotonic() + seconds, word == "fail")
         self.starts.append((task, run))
+        self.records[task, run] = RunRecord(task, run, time.monotonic())
         return 200, {}
 
     def _on_run_stop(self, body: dict) -> tuple[int, dict]:
         key = body["task"], body["run"]
         if key in self._running:
-            self._end(self._running[key], "stopped")
+            self._end(self._running[key], "stopped", time.monotonic())
         self._max_rejected_run_by_task[key[0]] = max(
             key[1], self._max_rejected_run_by_task.get(key[0], 0)
         )
@@ -114,7 +136,7 @@
         with self._lock:
             self._end_due_runs()
             self._extend_lease(body.get("deadlineMs", 0))
-            self._acknowledged_end = max(self._acknowledged_end, body["lastSeen"])
+            self._acknowledge(body["lastSeen"])
             # Task, run, checkpoint, progress in percent, gauge.
             running = [[r.task, r.number, "", 10, 0] for r in self._running.values()]
             ends = [list(end) for end in self.ends if end[0] > self._acknowledged_end]
@@ -130,18 +152,30 @@
     def _extend_lease(self, deadline_ms: int) -> None:
         self._lease_expires_ms = max(self._lease_expires_ms, deadline_ms)
 
+    def _acknowledge(self, end_number: int) -> None:
+        for record in self.records.values():
+            if self._acknowledged_end < record.end_number <= end_number:
+                record.is_acknowledged = record.ended_at >= self._lapsed_at
+        self._acknowledged_end = max(self._acknowledged_end, end_number)
+
     def _end_due_runs(self) -> None:
-        now = time.monotonic()
+        now, lease_ends_at = time.monotonic(), self._lease_expires_ms / 1000
+        if now > lease_ends_at:
+            self._lapsed_at = lease_ends_at
         for run in list(self._running.values()):
-            if self.clock_ms() > self._lease_expires_ms:
-                self._end(run, "lapsed")
+            if now > lease_ends_at and run.ends_at > lease_ends_at:
+                self._end(run, "lapsed", lease_ends_at)
             elif now >= run.ends_at:
-                self._end(run, "failed" if run.fails else "done")
+                self._end(run, "failed" if run.fails else "done", run.ends_at)
 
-    def _end(self, run: _Run, outcome: str) -> None:
-        del self._running[run.task, run.number]
+    def _end(self, run: _Run, outcome: str, ended_at: float) -> None:
+        key = run.task, run.number
+        del self._running[key]
         self._max_rejected_run_by_task[run.task] = run.number
-        self.ends.append((next(self._end_numbers), run.task, run.number, outcome, ""))
+        self.ends.append((next(self._end_numbers), *key, outcome, ""))
+        record = self.records[key]
+        record.ended_at, record.outcome = ended_at, outcome
+        record.end_number = self.ends[-1][0]
 
     def _send_heartbeats(self) -> None:
         pool = urllib3.PoolManager(timeout=1.0, retries=False)
