Soak: a series of faults from a seed, and the processes that it acts on

Cause: no run of our own stopped, paused, killed and cut real processes in overlapping series. Change: draw_faults is a pure function of the seed; each kind of fault is registered with how it acts. Hosts are restarted when they end, and killed when the grace time after SIGTERM is over.

--- /dev/null
+++ b/standins/soak/deployment.py
@@ -0,0 +1,268 @@
+"""The processes of a soak: they are started, signalled and restarted, as a platform does."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import attrs
+import urllib3
+
+from ..platform import PlatformWorker, platform_settings
+from ..relay import Relay
+from ..site import loopback_address
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PORTS = {"front": 8161, "ready": 8167, "control": 8166, "peers": 7720}
+SEED_COUNT = 3
+GRACE_SECONDS = 6.0
+"""Time that a process has to exit after SIGTERM, before it is killed."""
+
+RESTART_SECONDS = 0.5
+START_TIMEOUT_SECONDS = 30.0
+ROUTE = {
+    "name": "r", "host": "h.example", "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
+    "targetLatencyMs": 500, "priority": 0, "service": "svc", "maxAttempts": 2, "stretch": 1.5,
+}  # fmt: skip
+
+
+@attrs.frozen
+class Exit:
+    """The end of a process; ``after_seconds`` is the time since SIGTERM, None if none was sent.
+
+    ``was_listening`` tells whether it accepted connections at the time of SIGTERM.
+    """
+
+    at: float
+    status: int
+    after_seconds: float | None
+    was_listening: bool
+
+
+@attrs.define
+class Host:
+    """One host: its process is restarted whenever it ends."""
+
+    ip: str
+    role: str
+    folder: pathlib.Path
+    process: subprocess.Popen | None = None
+    terminated_at: float | None = None
+    was_listening: bool = False
+    signals: list[tuple[float, str]] = attrs.field(factory=list)
+    exits: list[Exit] = attrs.field(factory=list)
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    @property
+    def settings_path(self) -> pathlib.Path:
+        """Return the path of the settings file."""
+        return self.folder / f"{self.ip}.json"
+
+    def start(self) -> None:
+        """Start the process; its output is appended to a log."""
+        environment = os.environ | {"SAVORYSHELF_CONFIG": str(self.settings_path)}
+        command = [sys.executable, "platform/run.py", self.role]
+        with open(self.folder / f"{self.ip}.log", "ab") as log, self.lock:
+            self.terminated_at = None
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        with self.lock:
+            if self.process.poll() is not None:
+                return
+            if number == signal.SIGTERM and self.terminated_at is None:
+                self.was_listening = self._is_listening()
+                self.terminated_at = time.monotonic()
+            # Recorded before it is sent, as the process may end at once.
+            self.signals.append((time.monotonic(), number.name))
+            self.process.send_signal(number)
+
+    def supervise(self, stopping: threading.Event) -> None:
+        """Restart the process whenever it ends, and kill it once the grace time is over."""
+        while not stopping.wait(0.02):
+            now, since = time.monotonic(), self.terminated_at
+            status = self.process.poll()
+            if status is not None:
+                after = now - since if since else None
+                self.exits.append(Exit(now, status, after, self.was_listening))
+                stopping.wait(RESTART_SECONDS)
+                if not stopping.is_set():
+                    self.start()
+            elif since and now > since + GRACE_SECONDS:
+                self.send(signal.SIGKILL)
+                self.process.wait()
+
+    def _is_listening(self) -> bool:
+        port = PORTS["front" if self.role == "front" else "control"]
+        with socket.socket() as connection:
+            return connection.connect_ex((self.ip, port)) == 0
+
+    def kill(self) -> None:
+        """End the process at the end of a run."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+class Deployment:
+    """Control hosts, entry hosts with a relay each, and workers behind relays."""
+
+    def __init__(self, folder: pathlib.Path, entries: int, controls: int, workers: int):
+        self._folder = folder
+        self._ip = loopback_address()
+        self.controls = [Host(loopback_address(), "core", folder) for _ in range(controls)]
+        self.entries = [Host(loopback_address(), "front", folder) for _ in range(entries)]
+        self.hosts = [*self.controls, *self.entries]
+        self.relays: list[Relay] = []
+        self.workers: list[PlatformWorker] = []
+        self.acknowledged_version = 0
+        self._worker_count = workers
+        self._worker_relays: list[Relay] = []
+        self._next_version = 1
+        self._seeds = [host.ip for host in self.controls[:SEED_COUNT]]
+        self._is_first_start = True
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self.http = urllib3.PoolManager(timeout=1.0, retries=False, maxsize=8)
+
+    @contextlib.contextmanager
+    def running(self):
+        """Start everything, wait until a manifest is accepted, and end it all afterwards."""
+        supervisors = []
+        try:
+            for host in self.hosts:
+                self.write_settings(host)
+                host.start()
+                supervisors.append(
+                    threading.Thread(target=host.supervise, args=(self._stopping,), daemon=True)
+                )
+                supervisors[-1].start()
+            for host in self.entries:
+                self.relays.append(Relay(f"{host.ip}:{PORTS['front']}", ip=self._ip))
+            for number in range(self._worker_count):
+                self._add_worker(f"w{number}")
+            self.wait_for(lambda: self.change_manifest(), "a manifest to be accepted")
+            self._is_first_start = False
+            for host in self.hosts:
+                self.write_settings(host)
+            self.wait_for(self._all_ready, "entry hosts to be ready")
+            yield self
+        finally:
+            self._stopping.set()
+            for supervisor in supervisors:
+                supervisor.join()
+            for host in self.hosts:
+                host.kill()
+            for each in [*self.workers, *self.relays, *self._worker_relays]:
+                each.close()
+
+    def _add_worker(self, name: str) -> None:
+        addresses = [f"{host.ip}:{PORTS['control']}" for host in self.controls]
+        worker = PlatformWorker(name, addresses, f"{self._ip}:0")
+        self._worker_relays.append(Relay(worker.address, ip=self._ip))
+        # The address in its heartbeats, where control hosts call it.
+        worker.address = self._worker_relays[-1].address
+        self.workers.append(worker)
+
+    def write_settings(self, host: Host) -> None:
+        """Write the settings file of a host, by a rename."""
+        data = self._folder / host.ip
+        data.mkdir(exist_ok=True)
+        seeds = [*self._seeds]
+        settings = platform_settings(host.role, host.ip, PORTS, seeds, str(data))
+        settings["bootstrap"] = self._is_first_start
+        settings["bounds"]["graceS"] = GRACE_SECONDS
+        temporary = host.settings_path.with_suffix(".new")
+        temporary.write_text(json.dumps(settings))
+        temporary.rename(host.settings_path)
+
+    def rotate_seeds(self) -> None:
+        """Change the seeds in all settings files that are written from now on."""
+        ips = [host.ip for host in self.controls]
+        first = (ips.index(self._seeds[0]) + 1) % len(ips)
+        self._seeds = (ips[first:] + ips[:first])[:SEED_COUNT]
+
+    def wait_for(self, condition, description: str, seconds: float = START_TIMEOUT_SECONDS):
+        """Return the first true value of ``condition``; raises TimeoutError after ``seconds``."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            if value := condition():
+                return value
+            time.sleep(0.1)
+        raise TimeoutError(f"waited {seconds} s for {description}; logs are in {self._folder}")
+
+    # ------------------------------------------------------------------------ faults
+
+    def entry(self, number: int) -> Host:
+        """Return an entry host."""
+        return self.entries[number % len(self.entries)]
+
+    def control(self, number: int) -> Host:
+        """Return a control host."""
+        return self.controls[number % len(self.controls)]
+
+    def entry_relay(self, number: int) -> Relay:
+        """Return the relay between some callers and an entry host."""
+        return self.relays[number % len(self.relays)]
+
+    def worker_relay(self, number: int) -> Relay:
+        """Return the relay of a worker."""
+        return self._worker_relays[number % len(self._worker_relays)]
+
+    def leader(self) -> Host:
+        """Return the control host that answers reads of the manifest itself, or else the first."""
+        for host in self.controls:
+            if self._operate(host, "GET", "get")[0] == 200:
+                return host
+        return self.controls[0]
+
+    # ------------------------------------------------------------------------- calls
+
+    def change_manifest(self) -> bool:
+        """Put a manifest with the next version; return whether it was acknowledged."""
+        with self._lock:
+            version = self._next_version
+            self._next_version += 1
+        route = ROUTE | {"timeoutMs": 3000 + version}
+        manifest = {"version": version, "routes": [route], "services": [{"name": "svc"}]}
+        for host in self.controls:
+            if self._operate(host, "POST", "put", manifest | {"limits": {}})[0] == 200:
+                with self._lock:
+                    self.acknowledged_version = max(self.acknowledged_version, version)
+                return True
+        return False
+
+    def manifest_version(self) -> int:
+        """Return the version that the leader reads back, 0 if there is no answer."""
+        for host in self.controls:
+            status, body = self._operate(host, "GET", "get")
+            if status == 200:
+                return json.loads(body)["version"]
+        return 0
+
+    def _operate(self, host: Host, method: str, path: str, body=None) -> tuple[int, bytes]:
+        url = f"http://{host.ip}:{PORTS['control']}/savoryshelf/config/{path}"
+        data = json.dumps(body) if body else None
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            answer = self.http.request(method, url, body=data, redirect=False)
+            return answer.status, answer.data
+        return 0, b""
+
+    def is_ready(self, host: Host) -> bool:
+        """Return the answer of an entry host to the readiness probe."""
+        url = f"http://{host.ip}:{PORTS['ready']}/savoryshelf/readiness"
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            return self.http.request("GET", url).status == 200
+        return False
+
+    def _all_ready(self) -> bool:
+        return all(self.is_ready(host) for host in self.entries)
--- /dev/null
+++ b/standins/soak/faults.py
@@ -0,0 +1,178 @@
+"""Faults of a soak: a series is a pure function of the seed, and each kind knows how to act."""
+
+import random
+import signal
+import time
+from collections.abc import Callable
+
+import attrs
+
+from savoryshelf.registry import registry_decorator
+
+from ..relay import BOTH_WAYS, TO_CLIENT, TO_UPSTREAM
+
+QUIET_SECONDS = 2.0
+"""Time at the start and the end of a series in which no fault begins."""
+
+BURST_INTERVAL_SECONDS = 7.0
+BURST_SPREAD_SECONDS = 2.5
+FAULTS_PER_BURST = (2, 5)
+FAULT_SECONDS = (0.3, 3.0)
+DELAY_STEP_SECONDS = 0.005
+
+_KINDS: dict[str, Callable] = {}
+"""Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
+
+_kind = registry_decorator(_KINDS)
+
+
+@attrs.frozen
+class Fault:
+    """A fault that begins ``at`` seconds into a run and lasts for ``seconds``.
+
+    ``target`` selects a host, relay or worker, modulo their number; it also sets a delay.
+    """
+
+    at: float
+    kind: str
+    target: int
+    seconds: float
+
+
+def draw_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return the series of a seed: bursts of faults that overlap, each with a planned stop."""
+    rng = random.Random(seed)
+    faults, burst_at = [], QUIET_SECONDS
+    while burst_at + BURST_SPREAD_SECONDS < seconds - QUIET_SECONDS:
+        kinds = [rng.choice(["rolled", "entry_stopped"])]
+        kinds += rng.choices(list(_KINDS), k=rng.randint(*FAULTS_PER_BURST) - 1)
+        for kind in kinds:
+            at = burst_at + rng.uniform(0, BURST_SPREAD_SECONDS)
+            lasts = rng.uniform(*FAULT_SECONDS)
+            faults.append(Fault(round(at, 2), kind, rng.randrange(100), round(lasts, 2)))
+        burst_at += BURST_INTERVAL_SECONDS * rng.uniform(0.7, 1.3)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def inject(deployment, fault: Fault) -> None:
+    """Carry out a fault and wait until it is over."""
+    _KINDS[fault.kind](deployment, fault)
+
+
+@_kind("rolled")
+def _roll(deployment, fault) -> None:
+    for host in deployment.entries:
+        host.send(signal.SIGTERM)
+        time.sleep(fault.seconds / len(deployment.entries))
+
+
+@_kind("entry_stopped")
+def _stop_entry(deployment, fault) -> None:
+    deployment.entry(fault.target).send(signal.SIGTERM)
+
+
+@_kind("entry_killed")
+def _kill_entry(deployment, fault) -> None:
+    deployment.entry(fault.target).send(signal.SIGKILL)
+
+
+@_kind("entry_paused")
+def _pause_entry(deployment, fault) -> None:
+    _pause(deployment.entry(fault.target), fault)
+
+
+@_kind("control_stopped")
+def _stop_control(deployment, fault) -> None:
+    deployment.control(fault.target).send(signal.SIGTERM)
+
+
+@_kind("control_killed")
+def _kill_control(deployment, fault) -> None:
+    deployment.control(fault.target).send(signal.SIGKILL)
+
+
+@_kind("control_paused")
+def _pause_control(deployment, fault) -> None:
+    _pause(deployment.control(fault.target), fault)
+
+
+@_kind("leader_stopped")
+def _stop_leader(deployment, fault) -> None:
+    deployment.leader().send(signal.SIGTERM)
+
+
+@_kind("leader_killed")
+def _kill_leader(deployment, fault) -> None:
+    deployment.leader().send(signal.SIGKILL)
+
+
+@_kind("leader_paused")
+def _pause_leader(deployment, fault) -> None:
+    _pause(deployment.leader(), fault)
+
+
+def _pause(host, fault: Fault) -> None:
+    host.send(signal.SIGSTOP)
+    time.sleep(fault.seconds)
+    host.send(signal.SIGCONT)
+
+
+@_kind("settings_changed")
+def _change_settings(deployment, fault) -> None:
+    """Rotate the seeds of all hosts of a role, and tell half of the hosts by a signal."""
+    hosts = deployment.entries if fault.target % 2 else deployment.controls
+    deployment.rotate_seeds()
+    for number, host in enumerate(hosts):
+        deployment.write_settings(host)
+        if number % 2 == 0:
+            host.send(signal.SIGHUP)
+
+
+@_kind("manifest_changed")
+def _change_manifest(deployment, fault) -> None:
+    for _ in range(1 + fault.target % 3):
+        deployment.change_manifest()
+        time.sleep(fault.seconds / 3)
+
+
+@_kind("callers_delayed")
+def _delay_callers(deployment, fault) -> None:
+    _delay(deployment.entry_relay(fault.target), fault)
+
+
+@_kind("callers_reset")
+def _reset_callers(deployment, fault) -> None:
+    deployment.entry_relay(fault.target).reset()
+
+
+@_kind("callers_silenced")
+def _silence_callers(deployment, fault) -> None:
+    deployment.entry_relay(fault.target).silence()
+
+
+@_kind("callers_cut_one_way")
+def _cut_callers(deployment, fault) -> None:
+    way = TO_CLIENT if fault.target % 2 else TO_UPSTREAM
+    _cut(deployment.entry_relay(fault.target), fault, (way,))
+
+
+@_kind("worker_cut")
+def _cut_worker(deployment, fault) -> None:
+    _cut(deployment.worker_relay(fault.target), fault, BOTH_WAYS)
+
+
+@_kind("worker_delayed")
+def _delay_worker(deployment, fault) -> None:
+    _delay(deployment.worker_relay(fault.target), fault)
+
+
+def _delay(relay, fault: Fault) -> None:
+    relay.delay_s = fault.target * DELAY_STEP_SECONDS
+    time.sleep(fault.seconds)
+    relay.delay_s = 0.0
+
+
+def _cut(relay, fault: Fault, directions: tuple[str, ...]) -> None:
+    relay.partition(directions)
+    time.sleep(fault.seconds)
+    relay.heal()
