--- /dev/null
+++ b/standins/soak/callers.py
@@ -0,0 +1,148 @@
+"""Callers of a soak: they keep using their connections, and record what they saw."""
+
+import collections
+import http.client
+import json
+import random
+import threading
+import time
+
+import attrs
+
+from .deployment import PORTS, Deployment, Host
+
+PROBE_SECONDS = 1.0
+MISSES_UNTIL_REMOVAL = 2
+DEADLINE_SECONDS = 3.0
+PAUSE_SECONDS = (0.02, 0.25)
+TASK_MS = (20, 1500)
+MAX_TASKS = 4
+NOT_RUN = (429, 503)
+RELAYED_EVERY = 3
+"""Every third caller connects through relays."""
+
+SUBMIT, READ, CANCEL = "POST", "GET", "DELETE"
+
+
+@attrs.define
+class Call:
+    """A request as its caller saw it; times are on the monotonic clock, in seconds.
+
+    ``sent_at`` is 0 unless the whole request was sent, ``status`` is 0 without a
+    complete answer, and ``ended_by`` then tells why.
+    """
+
+    caller: int
+    verb: str
+    job_id: str
+    ip: str
+    is_relayed: bool
+    began_at: float
+    sent_at: float = 0.0
+    ended_at: float = 0.0
+    status: int = 0
+    state: str = ""
+    ended_by: str = ""
+
+
+class Balancer:
+    """Selects hosts for new connections: those whose readiness probe did not miss twice."""
+
+    def __init__(self, deployment: Deployment):
+        self._deployment = deployment
+        self._misses_by_ip: dict[str, int] = collections.Counter()
+
+    def probe(self, host: Host, stopping: threading.Event) -> None:
+        """Probe a host once per second."""
+        while not stopping.wait(PROBE_SECONDS):
+            is_ready = self._deployment.is_ready(host)
+            self._misses_by_ip[host.ip] = 0 if is_ready else self._misses_by_ip[host.ip] + 1
+
+    def select(self, rng: random.Random) -> int:
+        """Return the number of an entry host; all are used if none is ready."""
+        numbers = range(len(self._deployment.entries))
+        ips = [host.ip for host in self._deployment.entries]
+        ready = [n for n in numbers if self._misses_by_ip[ips[n]] < MISSES_UNTIL_REMOVAL]
+        return rng.choice(ready or numbers)
+
+
+class Caller:
+    """Submits, reads and cancels jobs, one request at a time; a refused job is not sent again."""
+
+    def __init__(self, number: int, seed: int, deployment: Deployment, balancer: Balancer):
+        self.calls: list[Call] = []
+        self.task_count_by_job: dict[str, int] = {}
+        self._number = number
+        self._rng = random.Random(f"{seed}-{number}")
+        self._deployment = deployment
+        self._balancer = balancer
+        self._is_relayed = number % RELAYED_EVERY == 0
+        self._connection: http.client.HTTPConnection | None = None
+        self._ip = ""
+        self._body_by_job: dict[str, str] = {}
+        self._unclear: list[str] = []
+        self._accepted: list[str] = []
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        while not stopping.wait(self._rng.uniform(*PAUSE_SECONDS)):
+            draw = self._rng.random()
+            if self._unclear and draw < 0.5:
+                # A submission without a clear answer is sent again, with the same id.
+                self._submit(self._unclear.pop(0))
+            elif draw < 0.4 or not self._accepted:
+                self._submit(self._new_job())
+            elif draw < 0.95:
+                self._call(READ, self._rng.choice(self._accepted))
+            else:
+                self._call(CANCEL, self._rng.choice(self._accepted))
+        self._disconnect()
+
+    def _new_job(self) -> str:
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        count = self._rng.randint(1, MAX_TASKS)
+        step = {"count": count, "cpu": 200, "memMb": 10}
+        body = {"taskSpec": f"{self._rng.randint(*TASK_MS)} ms", "steps": [step]}
+        self._body_by_job[job_id] = json.dumps(body)
+        self.task_count_by_job[job_id] = count
+        return job_id
+
+    def _submit(self, job_id: str) -> None:
+        call = self._call(SUBMIT, job_id, self._body_by_job[job_id])
+        if call.status == 200:
+            self._accepted.append(job_id)
+        elif call.status not in NOT_RUN:
+            self._unclear.append(job_id)
+
+    def _call(self, verb: str, job_id: str, body: str | None = None) -> Call:
+        # A connection that its host has closed is not used again.
+        if self._connection is None or self._connection.sock is None:
+            self._connect()
+        call = Call(self._number, verb, job_id, self._ip, self._is_relayed, time.monotonic())
+        self.calls.append(call)
+        headers = {"Host": "h.example", "X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000))}
+        try:
+            self._connection.request(verb, f"/q/{job_id}", body, headers)
+            call.sent_at = time.monotonic()
+            answer = self._connection.getresponse()
+            data = answer.read()
+            call.status = answer.status
+            call.state = json.loads(data).get("state", "") if answer.status == 200 else ""
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            call.ended_by = f"{type(error).__name__}: {error}"
+            self._disconnect()
+        call.ended_at = time.monotonic()
+        return call
+
+    def _connect(self) -> None:
+        number = self._balancer.select(self._rng)
+        self._ip = self._deployment.entries[number].ip
+        relay_address = self._deployment.relays[number].address
+        address = relay_address if self._is_relayed else f"{self._ip}:{PORTS['front']}"
+        host, _, port = address.rpartition(":")
+        self._connection = http.client.HTTPConnection(host, int(port), timeout=DEADLINE_SECONDS)
+
+    def _disconnect(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
