Soak: runner, python -m standins.soak

Change: callers at work, faults, recovery, verdict; findings are printed with seed, series and the caller's history, and their logs are kept.

--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,39 @@
+"""Runs seeded soaks; exits with status 1 if a promise was broken."""
+
+import pathlib
+import shutil
+import sys
+import tempfile
+
+import click
+
+from .run import SIZES, run_soak
+
+
+@click.command()
+@click.option("--seed", default=1, help="The only seed, unless --seeds is given.")
+@click.option("--seeds", default="", metavar="A-B", help="Range of seeds.")
+@click.option("--seconds", default=30.0, help="Duration of the faults of each seed.")
+@click.option("--size", type=click.Choice(list(SIZES)), default="usual")
+@click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
+def main(seed: int, seeds: str, seconds: float, size: str, logs: str) -> None:
+    """Run a series of faults for each seed, and print what was broken."""
+    first, _, last = (seeds or f"{seed}-{seed}").partition("-")
+    failed = []
+    for number in range(int(first), int(last) + 1):
+        folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
+        result = run_soak(pathlib.Path(folder), number, seconds, size)
+        click.echo(result.summary())
+        if not result.findings:
+            shutil.rmtree(folder)
+        else:
+            failed.append(number)
+            report = result.report(histories_per_kind=len(result.findings))
+            pathlib.Path(folder, "findings.txt").write_text(report, encoding="utf-8")
+            click.echo(f"{result.report(histories_per_kind=1)}\nall of it is in {folder}")
+    click.echo(f"seeds {first} to {last}: {len(failed)} with findings {failed}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/soak/run.py
@@ -0,0 +1,162 @@
+"""One run of a soak: callers at work, faults, recovery, and the verdict."""
+
+import collections
+import contextlib
+import http.client
+import json
+import pathlib
+import signal
+import threading
+import time
+
+import attrs
+
+from .callers import DEADLINE_SECONDS, READ, Balancer, Call, Caller
+from .deployment import PORTS, Deployment
+from .faults import Fault, draw_faults, inject
+from .judge import Finding, Observations, judge
+
+FINISH_SECONDS = 14.0
+"""Time after the recovery in which all accepted jobs must end."""
+
+RECOVERY_SECONDS = 12.0
+HISTORY_SECONDS = 6.0
+SIZES = {
+    "small": {"entries": 3, "controls": 3, "workers": 2, "callers": 10},
+    "usual": {"entries": 6, "controls": 3, "workers": 4, "callers": 24},
+    "large": {"entries": 24, "controls": 5, "workers": 8, "callers": 80},
+}
+
+
+@attrs.frozen
+class SoakResult:
+    """The verdict on one seed."""
+
+    seed: int
+    began_at: float
+    faults: list[Fault]
+    seen: Observations
+    findings: list[Finding]
+
+    def summary(self) -> str:
+        """Return one line of figures."""
+        calls = self.seen.calls
+        statuses = collections.Counter(call.status or "none" for call in calls)
+        counts = collections.Counter(finding.kind for finding in self.findings)
+        return (
+            f"seed {self.seed}: {len(self.faults)} faults, {len(calls)} calls {dict(statuses)}, "
+            f"{len(self.seen.state_by_job)} jobs accepted, findings {dict(counts)}"
+        )
+
+    def report(self, histories_per_kind: int) -> str:
+        """Return the series of faults and the findings, the first ones with their histories."""
+        lines = [f"seed {self.seed}, faults:"]
+        lines += [f"  {f.at:6.2f} s {f.kind} {f.target} for {f.seconds} s" for f in self.faults]
+        for host in self.seen.deployment.hosts:
+            times = " ".join(f"{name} {at - self.began_at:.2f}" for at, name in host.signals)
+            ends = " ".join(f"{end.at - self.began_at:.2f}" for end in host.exits)
+            lines.append(f"  {host.role} {host.ip}: {times}; ended at {ends}")
+        printed = collections.Counter()
+        for finding in self.findings:
+            printed[finding.kind] += 1
+            lines.append(f"{finding.kind} at {finding.at - self.began_at:.2f} s: {finding.text}")
+            if printed[finding.kind] <= histories_per_kind:
+                lines += [f"    {self._line(call)}" for call in self._history(finding)]
+        return "\n".join(lines)
+
+    def _history(self, finding: Finding) -> list[Call]:
+        since = finding.at - HISTORY_SECONDS
+        return [
+            call
+            for call in self.seen.calls
+            if call.caller == finding.caller and since < call.began_at <= finding.at
+        ]
+
+    def _line(self, call: Call) -> str:
+        sent = f"sent {call.sent_at - self.began_at:.3f}" if call.sent_at else "not sent"
+        way = "relayed" if call.is_relayed else "direct"
+        return (
+            f"{call.began_at - self.began_at:.3f} s {call.verb} {call.job_id} to {call.ip} {way}, "
+            f"{sent}, ended {call.ended_at - self.began_at:.3f}: {call.status or call.ended_by} "
+            f"{call.state}"
+        )
+
+
+def run_soak(folder: pathlib.Path, seed: int, seconds: float, size: str) -> SoakResult:
+    """Run the series of a seed and return the verdict; logs are written to the folder."""
+    shape = dict(SIZES[size])
+    caller_count = shape.pop("callers")
+    faults = draw_faults(seed, seconds)
+    with Deployment(folder, **shape).running() as deployment:
+        balancer = Balancer(deployment)
+        callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
+        began_at = time.monotonic()
+        with _in_threads([(balancer.probe, host) for host in deployment.entries]):
+            with _in_threads([(caller.run,) for caller in callers]):
+                _inject_all(deployment, faults, began_at)
+                time.sleep(max(0.0, began_at + seconds - time.monotonic()))
+            seen = Observations(
+                deployment,
+                [call for caller in callers for call in caller.calls],
+                {k: n for caller in callers for k, n in caller.task_count_by_job.items()},
+            )
+            _recover(deployment, seen)
+    return SoakResult(seed, began_at, faults, seen, judge(seen))
+
+
+@contextlib.contextmanager
+def _in_threads(actions):
+    """Run functions in threads during the block; each gets an event that is set at its end."""
+    stopping = threading.Event()
+    threads = [
+        threading.Thread(target=function, args=(*arguments, stopping), daemon=True)
+        for function, *arguments in actions
+    ]
+    for thread in threads:
+        thread.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+        for thread in threads:
+            thread.join()
+
+
+def _inject_all(deployment: Deployment, faults: list[Fault], began_at: float) -> None:
+    threads = []
+    for fault in faults:
+        time.sleep(max(0.0, began_at + fault.at - time.monotonic()))
+        threads.append(threading.Thread(target=inject, args=(deployment, fault), daemon=True))
+        threads[-1].start()
+    for thread in threads:
+        thread.join()
+
+
+def _recover(deployment: Deployment, seen: Observations) -> None:
+    """Read back the manifest, and each accepted job until it has ended."""
+    for host in deployment.hosts:
+        host.send(signal.SIGCONT)
+    with contextlib.suppress(TimeoutError):
+        seen.manifest_version = deployment.wait_for(
+            deployment.manifest_version, "a manifest", RECOVERY_SECONDS
+        )
+    deadline = time.monotonic() + RECOVERY_SECONDS + FINISH_SECONDS
+    waiting = list(seen.accepted_at_by_job())
+    while waiting and time.monotonic() < deadline:
+        for number, job_id in enumerate(waiting):
+            # Each round reads at another host, so that all hosts are asked.
+            ip = deployment.entry(number + len(waiting)).ip
+            seen.state_by_job[job_id] = _read(ip, job_id) or seen.state_by_job.get(job_id, "")
+        ended = ("completed", "cancelled", "failed")
+        waiting = [job_id for job_id in waiting if seen.state_by_job[job_id] not in ended]
+        time.sleep(0.2)
+
+
+def _read(ip: str, job_id: str) -> str:
+    connection = http.client.HTTPConnection(ip, PORTS["front"], timeout=DEADLINE_SECONDS)
+    with contextlib.closing(connection), contextlib.suppress(OSError, http.client.HTTPException):
+        connection.request(READ, f"/q/{job_id}", headers={"Host": "h.example"})
+        answer = connection.getresponse()
+        body = json.loads(answer.read() or "{}")
+        return "unknown" if answer.status == 410 else body.get("state", "")
+    return ""
