Soak: a terminated run ends its processes

Cause: a run that got SIGTERM left its hosts running. Change: SIGTERM ends the run as an exception does.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -18,6 +19,8 @@
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(seed: int, seeds: str, seconds: float, size: str, logs: str) -> None:
     """Run a series of faults for each seed, and print what was broken."""
+    # Ends the processes of a run that is terminated.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     first, _, last = (seeds or f"{seed}-{seed}").partition("-")
     failed = []
     for number in range(int(first), int(last) + 1):
