--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -23,7 +23,7 @@
 
 
 # Guards against a process that is ended by the signal for changed settings before it serves.
-@pytest.mark.parametrize("ip", [SEEDS[0], FRONTS[0]])
+@pytest.mark.parametrize("ip", [SEEDS[0], FRONTS[0]], ids=["control", "entry"])
 def test_a_signal_for_changed_settings_does_not_end_a_process_that_starts(tmp_path, ip):
     deployment = Deployment(tmp_path)
     deployment.start(ip)
