--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -3,13 +3,17 @@
 Its HTTP server answers health, readiness and metrics requests only.
 """
 
+import contextlib
 import random
+import signal
 
 import eventlet
+from eventlet.support.greenlets import GreenletExit
 
 from ..clock import SystemClock
 from ..disk import LocalDisk
 from ..errors import PeerUnreachable
+from ..http_server import HttpServer
 from ..observability.http import serve_operations
 from ..observability.logs import log_event
 from ..replication.bootstrap import ControlHost, bootstrap_membership, host_name
@@ -18,6 +22,7 @@
 from ..replication.storage import ReplicaStorage
 from ..replication.transport import PeerTransport
 from ..replication.types import Timing
+from ..signals import on_first_signal
 from ..wire.generated import ControlService, ttypes
 from ..wire.peers import PeerClient, PeerServer
 from .handler import ControlHandler
@@ -27,6 +32,8 @@
 from .state import SiteStateMachine
 
 JOIN_INTERVAL_SECONDS = 1.0
+MAX_DRAIN_SECONDS = 5.0
+"""Time after SIGTERM within which calls in progress must end; a commit takes less."""
 
 
 class ControlHostProcess:
@@ -41,15 +48,33 @@
         self._site: SiteService | None = None
         self._repair: GroupRepair | None = None
         self._transport = PeerTransport(settings.cluster_key)
+        self._is_stopping = False
 
     def run(self) -> None:
-        """Serve until the replica fails or the process is stopped."""
-        PeerServer(
+        """Serve until the replica fails, or a stop is requested and the calls have ended."""
+        peers = PeerServer(
             ControlService,
             self._settings.listen,
             lambda: ControlHandler(self._settings.cluster_key, self),
         )
-        serve_operations(self._settings.http_listen, self._is_ready)
+        operations = serve_operations(self._settings.http_listen, self._is_ready)
+        running = eventlet.spawn(self._run_replica)
+        on_first_signal(signal.SIGTERM, lambda: self._stop(peers, operations, running))
+        with contextlib.suppress(GreenletExit):
+            running.wait()
+
+    def _stop(self, peers: PeerServer, operations: HttpServer, running) -> None:
+        """Report not ready, answer the calls that have arrived, then end the process."""
+        self._is_stopping = True
+        log_event("control:stopping", limit_seconds=MAX_DRAIN_SECONDS)
+        if self._site is not None:
+            self._site.end_waits()
+        peers.drain(MAX_DRAIN_SECONDS)
+        operations.drain(0.0, MAX_DRAIN_SECONDS)
+        log_event("control:stopped")
+        running.kill()
+
+    def _run_replica(self) -> None:
         initial_membership = bootstrap_membership(
             self.identity, self._hosts, self._storage, self._settings.cluster_key
         )
@@ -105,7 +130,9 @@
             self.replica.stop(error)
 
     def _is_ready(self) -> bool:
-        return self.replica is not None and bool(self.replica.leader_address)
+        if self._is_stopping or self.replica is None:
+            return False
+        return bool(self.replica.leader_address)
 
     def _join_until_member(self) -> None:
         """Ask the other control hosts to admit this replica until it is a member of the group."""
--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -10,8 +10,10 @@
 import attrs
 import eventlet
 from eventlet import greenio, patcher, wsgi
+from eventlet.semaphore import Semaphore
 
 from .clock import SystemClock
+from .listener import close_listener
 from .observability.logs import log_event
 
 _select = patcher.original("select")
@@ -21,11 +23,14 @@
 """Connections that the kernel holds until they are accepted."""
 
 MAX_CONNECTIONS = 1024
-"""Connections served at once; further ones wait until they are accepted."""
+"""Connections served at once; further ones wait in the kernel, except in a drain."""
 
 ACCEPT_RETRY_SECONDS = 0.1
 """Pause after a failed accept, for example for want of a file descriptor."""
 
+_CONNECTION_KEY = "savoryshelf.connection"
+"""Key of the connection in the WSGI environment."""
+
 DRAIN_POLL_SECONDS = 0.02
 """Interval at which a draining server looks for idle connections to close."""
 
@@ -41,14 +46,24 @@
     socket: socket.socket
     request_began_at: float | None = None
     request_line: str = ""
+    answered: int = 0
+    """Requests that were answered on this connection."""
+
+    is_final_answered: bool = False
+    """Whether a response has announced that it closes the connection."""
+
+    @property
+    def has_request(self) -> bool:
+        """Return whether a request is in progress or its bytes are unread."""
+        return self.request_began_at is not None or _is_readable(self.socket)
 
 
 class _Protocol(wsgi.HttpProtocol):
     """Records on its connection when a request begins and when its response is written."""
 
-    def __init__(self, connection: _Connection, clock, state, server):
+    def __init__(self, connection: _Connection, owner: "HttpServer", state, server):
         self._connection = connection
-        self._clock = clock
+        self._owner = owner
         super().__init__(state, server)
 
     def handle_one_request(self):
@@ -59,11 +74,18 @@
         if not has_request:
             self.close_connection = True
             return
-        self._connection.request_began_at = self._clock.monotonic()
+        self._connection.request_began_at = self._owner.clock.monotonic()
         try:
             super().handle_one_request()
+            # eventlet follows only the caller's own header.
+            self.close_connection = self.close_connection or self._connection.is_final_answered
         finally:
             self._connection.request_began_at = None
+            self._connection.answered += 1
+
+    def get_environ(self):
+        """Return the WSGI environment, with the connection."""
+        return super().get_environ() | {_CONNECTION_KEY: self._connection}
 
     def parse_request(self):
         """Parse the request line and the headers; return whether they are valid."""
@@ -84,12 +106,19 @@
         host, _, port = address.rpartition(":")
         self.is_draining = False
         self._application = application
-        self._clock = SystemClock()
+        self.clock = SystemClock()
         self._connections: set[_Connection] = set()
-        self._pool = eventlet.GreenPool(max_connections)
+        self._free_slots = Semaphore(max_connections)
         self._idle_seconds = idle_seconds
         self._listener = eventlet.listen((host, int(port)), backlog=LISTEN_BACKLOG)
         self.address = "{}:{}".format(*self._listener.getsockname()[:2])
+        self._server = wsgi.Server(
+            self._listener,
+            self._listener.getsockname(),
+            self._answer,
+            log_output=False,
+            socket_timeout=idle_seconds,
+        )
         self._acceptor = eventlet.spawn(self._accept_connections)
 
     @property
@@ -105,13 +134,13 @@
         and requests in progress are finished, until ``limit_seconds`` after the call.  From
         the call on, each response closes its connection.
         """
-        started_at = self._clock.monotonic()
+        started_at = self.clock.monotonic()
         self.is_draining = True
         self._log("server:draining", started_at)
         eventlet.sleep(announce_seconds)
-        self._stop_accepting(started_at + limit_seconds)
+        self._stop_accepting()
         self._log("server:closed_to_new", started_at)
-        while self._connections and self._clock.monotonic() - started_at < limit_seconds:
+        while self._connections and self.clock.monotonic() - started_at < limit_seconds:
             self._close_idle_connections()
             eventlet.sleep(DRAIN_POLL_SECONDS)
         for each in self._connections:
@@ -120,62 +149,78 @@
         self._log("server:drained", started_at, cut=cut, limit_seconds=limit_seconds)
         return cut
 
+    def wait_until_answered(self, limit_seconds: float) -> None:
+        """Wait until the requests that have arrived by now are answered; serve later ones too."""
+        latest = self.clock.monotonic() + limit_seconds
+        while _is_readable(self._listener) and self.clock.monotonic() < latest:
+            eventlet.sleep(0)
+        answered = {each: each.answered for each in self._connections if each.has_request}
+        while self.clock.monotonic() < latest:
+            answered = {
+                each: count
+                for each, count in answered.items()
+                if each in self._connections and each.answered == count
+            }
+            if not answered:
+                return
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+
     def _accept_connections(self) -> None:
-        server = wsgi.Server(
-            self._listener,
-            self._listener.getsockname(),
-            self._answer,
-            log_output=False,
-            socket_timeout=self._idle_seconds,
-        )
         while True:
+            self._free_slots.acquire()
             try:
                 accepted, peer = self._listener.accept()
             except OSError as error:
+                self._free_slots.release()
                 log_event("server:accept_failed", address=self.address, why=str(error))
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
-            accepted.settimeout(self._idle_seconds)
-            connection = _Connection(accepted)
-            self._connections.add(connection)
-            self._pool.spawn_n(self._serve, server, connection, peer)
+            self._start_serving(accepted, peer)
 
-    def _serve(self, server: wsgi.Server, connection: _Connection, peer) -> None:
+    def _start_serving(self, accepted, peer) -> None:
+        accepted.settimeout(self._idle_seconds)
+        connection = _Connection(accepted)
+        self._connections.add(connection)
+        eventlet.spawn_n(self._serve, connection, peer)
+
+    def _serve(self, connection: _Connection, peer) -> None:
         try:
             state = [peer, connection.socket, wsgi.STATE_REQUEST]
-            _Protocol(connection, self._clock, state, server)
+            _Protocol(connection, self, state, self._server)
         except TimeoutError:
             log_event("request:timed_out", request=connection.request_line, peer=peer[0])
         finally:
             self._connections.discard(connection)
             connection.socket.close()
+            self._free_slots.release()
 
     def _answer(self, environ, start_response):
         def start_final_response(status, headers, exc_info=None):
             if self.is_draining:
-                headers = [*headers, ("Connection", "close")]
+                headers = [each for each in headers if each[0].lower() != "connection"]
+                headers.append(("Connection", "close"))
+                environ[_CONNECTION_KEY].is_final_answered = True
             return start_response(status, headers, exc_info)
 
         return self._application(environ, start_final_response)
 
-    def _stop_accepting(self, latest: float) -> None:
-        # The kernel resets the connections in its queue when the listener is closed.
-        while _is_readable(self._listener) and self._clock.monotonic() < latest:
-            eventlet.sleep(DRAIN_POLL_SECONDS)
+    def _stop_accepting(self) -> None:
         self._acceptor.kill()
-        self._listener.close()
+        # Also beyond the maximum: otherwise the kernel would reset these connections.
+        for accepted, peer in close_listener(self._listener):
+            self._start_serving(accepted, peer)
 
     def _close_idle_connections(self) -> None:
         for each in list(self._connections):
             # Unread bytes are a request that its green thread has not seen yet.
-            if each.request_began_at is None and not _is_readable(each.socket):
+            if not each.has_request:
                 greenio.shutdown_safe(each.socket)
 
     def _log(self, event: str, started_at: float, **fields) -> None:
         log_event(
             event,
             address=self.address,
-            seconds=round(self._clock.monotonic() - started_at, 3),
+            seconds=round(self.clock.monotonic() - started_at, 3),
             connections=len(self._connections),
             in_progress=self.in_progress,
             **fields,
@@ -183,7 +228,7 @@
 
     def _log_cut(self, connection: _Connection) -> None:
         if connection.request_began_at is not None:
-            age = self._clock.monotonic() - connection.request_began_at
+            age = self.clock.monotonic() - connection.request_began_at
             log_event("request:cut_off", request=connection.request_line, age_s=round(age, 3))
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,5 +1,7 @@
 """The server runs in this process's hub; clients are native sockets, which never yield to it."""
 
+import errno
+import select
 import socket
 
 import eventlet
@@ -119,6 +121,17 @@
     assert is_complete_final_response(received(clients[0]))
 
 
+def test_a_draining_server_closes_a_connection_after_its_response(server):
+    draining = eventlet.spawn(server.drain, 1.0, LIMIT_SECONDS)
+    client = connect(server)
+    client.sendall(REQUEST)
+    let_server_run()
+    client.settimeout(0.1)
+    assert is_complete_final_response(received(client))
+    assert not draining.dead
+    draining.wait()
+
+
 def test_idle_connections_are_closed_when_the_announcement_ends(server, events):
     client = connect(server)
     let_server_run()
@@ -143,3 +156,60 @@
     server.drain(0.0, LIMIT_SECONDS)
     with pytest.raises(ConnectionRefusedError):
         connect(server)
+
+
+def test_a_connection_that_comes_as_the_server_stops_accepting_is_not_reset(server, monkeypatch):
+    """Its caller must learn that the request did not run."""
+    host, _, port = server.address.rpartition(":")
+    caller = socket.socket()
+    caller.setblocking(False)
+    listener_close = server._listener.close
+
+    def close_after_a_caller_came():
+        caller.connect_ex((host, int(port)))
+        listener_close()
+
+    monkeypatch.setattr(server._listener, "close", close_after_a_caller_came)
+    server.drain(0.0, LIMIT_SECONDS)
+    select.select([], [caller], [], LIMIT_SECONDS)
+    assert caller.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == errno.ECONNREFUSED
+    caller.close()
+
+
+def test_a_connection_beyond_the_maximum_is_served_by_a_drain(application):
+    application.seconds = 0.3
+    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
+    clients = [connect(server) for _ in range(3)]
+    for client in clients:
+        client.sendall(REQUEST)
+    let_server_run()
+    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    assert all(is_complete_final_response(received(client)) for client in clients)
+
+
+def test_waiting_until_answered_covers_what_has_arrived_and_serves_later_requests(
+    server, application
+):
+    application.seconds = 0.3
+    unaccepted, later = connect(server), []
+    unaccepted.sendall(REQUEST)
+
+    def send_later_request():
+        later.append(connect(server))
+        later[0].sendall(REQUEST)
+
+    eventlet.spawn_after(0.2, send_later_request)
+    server.wait_until_answered(LIMIT_SECONDS)
+    assert unaccepted.recv(4096).endswith(b"hi")
+    assert server.in_progress == 1
+    server.drain(0.0, LIMIT_SECONDS)
+    assert is_complete_final_response(received(later[0]))
+
+
+def test_waiting_until_answered_ends_at_its_limit(server, application):
+    application.seconds = 60.0
+    connect(server).sendall(REQUEST)
+    let_server_run()
+    with eventlet.Timeout(LIMIT_SECONDS):
+        server.wait_until_answered(0.2)
+    assert server.in_progress == 1
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -1,4 +1,8 @@
+import contextlib
+import socket
 import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
 
 import eventlet
 import pytest
@@ -8,6 +12,7 @@
 from savoryshelf.wire.peers import PeerClient, PeerHandler, PeerServer, compute_proof
 
 KEY = "the-cluster-key-of-tests"
+DRAIN_LIMIT_SECONDS = 1.0
 
 
 class Handler(PeerHandler):
@@ -19,25 +24,42 @@
         self.require_authenticated()
         raise ttypes.Refused(name, argument)
 
+    def job(self, team, job_id, wait_seconds):
+        self.require_authenticated()
+        eventlet.sleep(wait_seconds)
+        return ttypes.JobView(job_id=job_id)
 
-@pytest.fixture
-def server():
-    """Yield a server that runs in a native thread with its own eventlet hub."""
+
+@contextlib.contextmanager
+def running_server(address="127.0.0.1:0"):
+    """Yield a server, and a function that drains it and returns once it has closed.
+
+    The server runs in a native thread with its own eventlet hub.
+    """
     started, stopping, servers = threading.Event(), threading.Event(), []
 
     def run():
-        servers.append(PeerServer(ControlService, "127.0.0.1:0", lambda: Handler(KEY)))
+        servers.append(PeerServer(ControlService, address, lambda: Handler(KEY)))
         started.set()
         while not stopping.is_set():
             eventlet.sleep(0.01)
-        servers[0].close()
+        servers[0].drain(DRAIN_LIMIT_SECONDS)
+
+    def drain():
+        stopping.set()
+        thread.join()
 
     thread = threading.Thread(target=run)
     thread.start()
     started.wait()
-    yield servers[0]
-    stopping.set()
-    thread.join()
+    yield servers[0], drain
+    drain()
+
+
+@pytest.fixture
+def server():
+    with running_server() as (server, _):
+        yield server
 
 
 def test_a_peer_with_the_cluster_key_is_served(server):
@@ -72,7 +94,7 @@
     """A thrift client whose call is interrupted before the reply is read."""
 
     def probe(self):
-        raise eventlet.Timeout(1.0)
+        raise eventlet.Timeout(None)
 
 
 def test_a_connection_is_closed_after_an_interrupted_call(server):
@@ -101,3 +123,58 @@
     with pytest.raises(PeerUnreachable) as caught:
         client.call("probe")
     assert not caught.value.sent
+
+
+def test_the_total_timeout_covers_a_connection_that_is_not_answered():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = PeerClient(ControlService, "{}:{}".format(*listener.getsockname()), KEY)
+        started = time.monotonic()
+        with pytest.raises(PeerUnreachable) as caught:
+            client.call("probe", total_timeout=0.2)
+    assert not caught.value.sent
+    assert time.monotonic() - started < 0.4
+
+
+def test_the_total_timeout_covers_the_call(server):
+    client = PeerClient(ControlService, server.address, KEY)
+    started = time.monotonic()
+    with pytest.raises(PeerUnreachable) as caught:
+        client.call("job", "team", "job-1", 2.0, total_timeout=0.3)
+    assert caught.value.sent
+    assert time.monotonic() - started < 0.5
+
+
+def call_during_drain(call_seconds):
+    """Return the call's future, and the seconds that the drain took."""
+    with running_server() as (server, drain), ThreadPoolExecutor() as pool:
+        client = PeerClient(ControlService, server.address, KEY)
+        client.call("probe")
+        call = pool.submit(client.call, "job", "team", "job-1", call_seconds)
+        time.sleep(0.2)
+        started = time.monotonic()
+        drain()
+        seconds = time.monotonic() - started
+        call.exception()
+        client.close()
+    return call, seconds
+
+
+def test_a_drain_waits_for_calls_in_progress():
+    call, _ = call_during_drain(call_seconds=0.6)
+    assert call.result().job_id == "job-1"
+
+
+def test_a_drain_cuts_off_a_call_at_its_limit():
+    call, seconds = call_during_drain(call_seconds=10.0)
+    assert call.exception().sent
+    assert DRAIN_LIMIT_SECONDS <= seconds < 5.0
+
+
+def test_a_call_after_the_other_process_has_restarted_uses_a_new_connection():
+    with running_server() as (server, drain):
+        client = PeerClient(ControlService, server.address, KEY)
+        client.call("probe")
+        drain()
+        with running_server(server.address):
+            assert client.call("probe").replica_id == "c0.disk"
+            client.close()
