Placement: a step scores each worker once, not once for each task

Cause: the control leader uses up its processor. This is one of the costs: for each task of a step all workers were scored again, tasks times workers, though a planned run changes the score of one. Change: the candidates of a step are kept in a heap by score; the one that gets a run is scored again. Ties go to the earlier worker, as before.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -8,6 +8,7 @@
 plus penalties in the same unit.
 """
 
+import heapq
 from collections import Counter
 
 import attrs
@@ -194,6 +195,75 @@
             self._added_utilisation_by_image.clear()
 
 
+class _Ranking:
+    """The candidates for the tasks of one step, by score.
+
+    Each candidate is scored once, and again after a run has been planned on it:
+    the score of no other candidate changes.
+    """
+
+    def __init__(
+        self,
+        placement: "Placement",
+        step: StepSpec,
+        candidates: list[_Candidate],
+        run_counts: Counter,
+    ):
+        self._placement = placement
+        self._step = step
+        self._run_counts = run_counts
+        self._candidates = candidates
+        self._position_by_incarnation = {
+            candidate.view.incarnation: position for position, candidate in enumerate(candidates)
+        }
+        self._entries = [
+            entry for position in range(len(candidates)) if (entry := self._entry(position))
+        ]
+        heapq.heapify(self._entries)
+
+    def best(self, task: Task) -> _Candidate | None:
+        """Return the candidate with the lowest score for the task, or None if none may run it."""
+        entries = self._entries
+        if not entries:
+            return None
+        if task.failed_on:
+            _, position = min(
+                (score + FAILED_HERE_PENALTY * self._has_failed_on(task, position), position)
+                for score, position in entries
+            )
+            return self._candidates[position]
+        return self._candidates[entries[0][1]]
+
+    def update(self, candidate: _Candidate) -> None:
+        """Score a candidate again on which a run has been planned."""
+        position = self._position_by_incarnation[candidate.view.incarnation]
+        index = next(i for i, entry in enumerate(self._entries) if entry[1] == position)
+        entry = self._entry(position)
+        if index == 0:
+            if entry:
+                heapq.heapreplace(self._entries, entry)
+            else:
+                heapq.heappop(self._entries)
+            return
+        # The candidate chosen for a task that failed elsewhere need not be the first.
+        del self._entries[index]
+        if entry:
+            self._entries.append(entry)
+        heapq.heapify(self._entries)
+
+    def _entry(self, position: int) -> tuple[float, int] | None:
+        """Return the score and position of a candidate; None if it may not run the step."""
+        candidate = self._candidates[position]
+        run_count = self._run_counts[candidate.view.incarnation]
+        if not self._placement.may_run(self._step, candidate, run_count):
+            return None
+        return self._placement.score(self._step, candidate, run_count), position
+
+    def _has_failed_on(self, task: Task, position: int) -> bool:
+        record = self._candidates[position].view.worker.record
+        return task.failed_on == record.life.worker_id
+
+
 def _expected_millicores(step: StepSpec) -> float:
     return step.millicores * (SERVING_RESERVATION_USE if step.target_ms else 1.0)
 
@@ -265,13 +335,15 @@
         run_counts = _run_count_by_incarnation(group)
         if step.gang:
             return self._plan_gang(group, allowed, run_counts)
+        ranking = _Ranking(self, step, allowed, run_counts)
         intents = []
         for index in sorted(group.startable_indexes):
             task = group.tasks[index]
-            chosen = self._best_candidate(task, allowed, run_counts)
+            chosen = ranking.best(task)
             if chosen is None:
                 break
             intents.append(self._assign(task, task.runs + 1, chosen, run_counts))
+            ranking.update(chosen)
         return intents
 
     def _update_waiting(self, ledger: TaskLedger, now: float) -> None:
@@ -308,12 +380,14 @@
             return []
         run = 1 + max(task.runs for task in group.tasks)
         trial = [self._copy(candidate) for candidate in allowed]
+        ranking = _Ranking(self, group.spec, trial, run_counts)
         intents = []
         for task in group.tasks:
-            chosen = self._best_candidate(task, trial, run_counts)
+            chosen = ranking.best(task)
             if chosen is None:
                 return []
             intents.append(self._assign(task, run, chosen, run_counts))
+            ranking.update(chosen)
         candidate_by_incarnation = {candidate.view.incarnation: candidate for candidate in allowed}
         for intent in intents:
             candidate_by_incarnation[intent.life.worker_id, intent.life.born_ms].add(group.spec)
@@ -328,29 +402,20 @@
         copy.serving_images = Counter(candidate.serving_images)
         return copy
 
-    def _best_candidate(self, task: Task, allowed, run_counts) -> _Candidate | None:
-        step = task.step.spec
-        best, best_score = None, 0.0
-        for candidate in allowed:
-            if not candidate.fits(step) or (
-                step.filling and not _may_add_best_effort(candidate, step)
-            ):
-                continue
-            run_count = run_counts[candidate.view.incarnation]
-            if step.max_per_worker and run_count >= step.max_per_worker:
-                continue
-            score = self._score(task, candidate, run_count)
-            if best is None or score < best_score:
-                best, best_score = candidate, score
-        return best
+    def may_run(self, step: StepSpec, candidate: _Candidate, run_count: int) -> bool:
+        """Return whether one more run of the step may be planned on the candidate."""
+        if not candidate.fits(step):
+            return False
+        if step.filling and not _may_add_best_effort(candidate, step):
+            return False
+        return not step.max_per_worker or run_count < step.max_per_worker
 
-    def _score(self, task: Task, candidate: _Candidate, run_count: int) -> float:
-        step, record = task.step.spec, candidate.view.worker.record
+    def score(self, step: StepSpec, candidate: _Candidate, run_count: int) -> float:
+        """Return the score of the candidate for the step; the lowest one is chosen."""
+        record = candidate.view.worker.record
         score = candidate.penalty + candidate.load_with(step)
         if step.data_rack and step.data_rack != record.rack:
             score += REMOTE_DATA_PENALTY
-        if task.failed_on == record.life.worker_id:
-            score += FAILED_HERE_PENALTY
         if step.filling:
             score += INTERFERENCE_WEIGHT * candidate.interference_with(step)
         if step.target_ms:
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -29,6 +29,18 @@
     return placement.plan(task_ledger, views, 0, health or FleetHealth(), 0.0)
 
 
+class CountingInterferenceModel(InterferenceModel):
+    """Counts the look-ups of weights, the largest part of scoring a worker."""
+
+    def __init__(self):
+        super().__init__()
+        self.look_ups = 0
+
+    def weight(self, best_effort_image, serving_image):
+        self.look_ups += 1
+        return super().weight(best_effort_image, serving_image)
+
+
 def worker_ids(intents):
     return [intent.life.worker_id for intent in intents]
 
@@ -188,3 +200,33 @@
     placement = Placement(interference)
     plans = [placement.plan(task_ledger, views, 0, FleetHealth(), now) for now in (0.0, 1.0, 2.5)]
     assert [worker_ids(intents) for intents in plans] == [[], [], ["w2"]]
+
+
+# A pass that takes long holds up all other work of the leader.
+def test_a_burst_of_wide_best_effort_steps_scores_each_worker_once_a_step():
+    look_ups_by_width = {}
+    for width in (1, 20):
+        task_ledger = ledger(*[worker(f"w{n}", memory_mb=9000) for n in range(50)])
+        for n in range(50):
+            job_id = f"{0xC000 + n:016x}"
+            accept(task_ledger, step(lasting=True, target_ms=50, image="serving"), job_id=job_id)
+            record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=(f"w{n}", 1))
+        for n in range(10):
+            job_id = f"{0xD000 + n:016x}"
+            batch = step(width, filling=True, image="batch", millicores=500)
+            accept(task_ledger, batch, job_id=job_id)
+        interference = CountingInterferenceModel()
+        assert len(plan(task_ledger, interference)) == 10 * width
+        look_ups_by_width[width] = interference.look_ups
+    # Each run planned changes the score of one worker of the 50.
+    assert look_ups_by_width[20] < 2 * look_ups_by_width[1]
+
+
+def test_a_task_that_failed_avoids_that_worker_whatever_the_order_of_its_step():
+    task_ledger = ledger(worker(millicores=9000), worker("w2", millicores=8000))
+    accept(task_ledger, step(3))
+    record_intent(task_ledger, f"{JOB}.0.0.1")
+    settle_run(task_ledger, f"{JOB}.0.0.1", RunOutcome.FAILED)
+    worker_id_by_task = {intent.task: intent.life.worker_id for intent in plan(task_ledger)}
+    assert worker_id_by_task[f"{JOB}.0.0.1"] == "w2"
+    assert "w1" in worker_id_by_task.values()
