Placement: a backlog that fits nowhere is scored once a pass

The leader plans again after each run that ends. Change: the workers of a service and label are found once a pass; a step that needs no less than one that was rejected in this pass is skipped, since capacity only shrinks during a pass. Steps with a limit for one worker are not taken as rejected. The test failed before: 1,000 look-ups of weights for 20 jobs, 50 for one.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -195,6 +195,61 @@
             self._added_utilisation_by_image.clear()
 
 
+@attrs.define
+class _Pool:
+    """The candidates of one service and label in one pass."""
+
+    candidates: list[_Candidate]
+    _rejected_steps: list[StepSpec] = attrs.field(factory=list)
+    """Steps of which no candidate may run one more task."""
+
+    def is_exhausted_for(self, step: StepSpec) -> bool:
+        """Return whether a step that needs no more than this one has been rejected.
+
+        Free capacity only shrinks during a pass, so the candidates reject this one too.
+        """
+        return any(_needs_no_less(step, rejected) for rejected in self._rejected_steps)
+
+    def record_rejected(self, step: StepSpec) -> None:
+        """Record that no candidate may run one more task of the step."""
+        if not step.max_per_worker:
+            self._rejected_steps.append(step)
+
+
+def _needs_no_less(step: StepSpec, other: StepSpec) -> bool:
+    if step.filling != other.filling or (step.filling and step.image != other.image):
+        return False
+    return (
+        step.millicores >= other.millicores
+        and step.memory_mb >= other.memory_mb
+        and step.accelerators >= other.accelerators
+    )
+
+
+class _Pools:
+    """The candidates of one pass, by service and required label."""
+
+    def __init__(self, candidates: list[_Candidate]):
+        self._candidates = candidates
+        self._pool_by_requirement: dict[tuple[str, str], _Pool] = {}
+
+    def pool_of(self, group: StepGroup) -> _Pool:
+        """Return the pool of the candidates that may run the group."""
+        requirement = group.job.queue.service_name, group.spec.required_label
+        pool = self._pool_by_requirement.get(requirement)
+        if pool is None:
+            service_name, label = requirement
+            records = ((c, c.view.worker.record) for c in self._candidates)
+            pool = self._pool_by_requirement[requirement] = _Pool(
+                [
+                    candidate
+                    for candidate, record in records
+                    if record.service_name == service_name and (not label or label in record.labels)
+                ]
+            )
+        return pool
+
+
 class _Ranking:
     """The candidates for the tasks of one step, by score.
 
@@ -306,18 +361,20 @@
             and health.is_schedulable(c.view.worker.record.life.worker_id, now)
         ]
         intents: list[RunIntent] = []
+        pools = _Pools(candidates)
         groups = ledger.startable_group_by_key.values()
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
+            pool = pools.pool_of(group)
             if (
                 _is_new_long_running(group)
-                and _long_running_share(group, candidates) > MAX_LONG_RUNNING_SHARE
+                and _long_running_share(group, pool.candidates) > MAX_LONG_RUNNING_SHARE
             ):
                 continue
-            planned = self._plan_group(group, candidates)
-            if not planned and self._is_starving(group, candidates, now):
-                planned = self._plan_least_interfering(group, candidates)
+            planned = self._plan_group(group, pool)
+            if not planned and self._is_starving(group, pool.candidates, now):
+                planned = self._plan_least_interfering(group, pool.candidates)
             intents += planned
         return intents
 
@@ -329,18 +386,20 @@
             penalty += OTHER_REGION_PENALTY
         return _Candidate(view, self._interference, penalty)
 
-    def _plan_group(self, group: StepGroup, candidates: list[_Candidate]) -> list[RunIntent]:
+    def _plan_group(self, group: StepGroup, pool: "_Pool") -> list[RunIntent]:
         step = group.spec
-        allowed = [c for c in candidates if _is_allowed(c, group)]
+        if pool.is_exhausted_for(step):
+            return []
         run_counts = _run_count_by_incarnation(group)
         if step.gang:
-            return self._plan_gang(group, allowed, run_counts)
-        ranking = _Ranking(self, step, allowed, run_counts)
+            return self._plan_gang(group, pool.candidates, run_counts)
+        ranking = _Ranking(self, step, pool.candidates, run_counts)
         intents = []
         for index in sorted(group.startable_indexes):
             task = group.tasks[index]
             chosen = ranking.best(task)
             if chosen is None:
+                pool.record_rejected(step)
                 break
             intents.append(self._assign(task, task.runs + 1, chosen, run_counts))
             ranking.update(chosen)
@@ -356,18 +415,17 @@
             key: self._waiting_since_by_group_key.get(key, now) for key in waiting_keys
         }
 
-    def _is_starving(self, group: StepGroup, candidates: list[_Candidate], now: float) -> bool:
+    def _is_starving(self, group: StepGroup, eligible: list[_Candidate], now: float) -> bool:
         if now - self._waiting_since_by_group_key.get(group.key, now) < STARVATION_SECONDS:
             return False
-        eligible = [c for c in candidates if _is_allowed(c, group)]
         total_millicores = sum(c.view.worker.record.millicores for c in eligible)
         expected_use = sum(c.expected_millicores for c in eligible)
         return expected_use < BUSY_SHARE * total_millicores
 
-    def _plan_least_interfering(self, group, candidates) -> list[RunIntent]:
+    def _plan_least_interfering(self, group, eligible) -> list[RunIntent]:
         """Place one task where it interferes least, even if it exceeds the headroom there."""
         step = group.spec
-        feasible = [c for c in candidates if _is_allowed(c, group) and c.fits(step)]
+        feasible = [candidate for candidate in eligible if candidate.fits(step)]
         if not feasible:
             return []
         chosen = min(feasible, key=lambda candidate: candidate.interference_with(step))
@@ -462,9 +520,8 @@
     )
 
 
-def _long_running_share(group: StepGroup, candidates: list[_Candidate]) -> float:
+def _long_running_share(group: StepGroup, eligible: list[_Candidate]) -> float:
     """Return the share of the service's processors reserved by long-running runs and this group."""
-    eligible = [c for c in candidates if _is_allowed(c, group)]
     total_millicores = sum(c.view.worker.record.millicores for c in eligible)
     requested_millicores = group.spec.millicores * len(group.startable_indexes)
     return (sum(c.long_running_millicores for c in eligible) + requested_millicores) / max(
@@ -481,13 +538,6 @@
     return candidate.interference_with(step) <= 1.0
 
 
-def _is_allowed(candidate: _Candidate, group: StepGroup) -> bool:
-    record, step = candidate.view.worker.record, group.spec
-    if record.service_name != group.job.queue.service_name:
-        return False
-    return not step.required_label or step.required_label in record.labels
-
-
 def _run_count_by_incarnation(group: StepGroup) -> Counter:
     return Counter(
         incarnation for task in group.tasks for incarnation in task.incarnation_by_run.values()
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -222,6 +222,34 @@
     assert look_ups_by_width[20] < 2 * look_ups_by_width[1]
 
 
+# The leader plans again after each run that ends, so a backlog must cost little.
+def test_a_backlog_of_best_effort_jobs_on_a_full_fleet_is_scored_once_a_pass():
+    look_ups_by_backlog = {}
+    for backlog in (1, 20):
+        task_ledger = ledger(*[worker(f"w{n}", memory_mb=9000) for n in range(50)])
+        for n in range(50):
+            job_id = f"{0xC000 + n:016x}"
+            accept(task_ledger, step(lasting=True, target_ms=50, image="serving"), job_id=job_id)
+            record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=(f"w{n}", 1))
+        for n in range(backlog):
+            job_id = f"{0xD000 + n:016x}"
+            batch = step(4, filling=True, image="batch", millicores=3000)
+            accept(task_ledger, batch, job_id=job_id)
+        interference = CountingInterferenceModel()
+        interference.add_sample("serving", 0.9, {"batch": 3.0})
+        assert plan(task_ledger, interference) == []
+        look_ups_by_backlog[backlog] = interference.look_ups
+    assert look_ups_by_backlog[20] < 2 * look_ups_by_backlog[1]
+
+
+def test_a_smaller_step_is_placed_behind_a_larger_one_that_fits_nowhere():
+    task_ledger = ledger(worker(millicores=2000))
+    accept(task_ledger, step(millicores=3000))
+    accept(task_ledger, step(millicores=3000, memory_mb=50), job_id=SECOND)
+    accept(task_ledger, step(), job_id=THIRD)
+    assert [intent.task for intent in plan(task_ledger)] == [f"{THIRD}.0.0.0"]
+
+
 def test_a_task_that_failed_avoids_that_worker_whatever_the_order_of_its_step():
     task_ledger = ledger(worker(millicores=9000), worker("w2", millicores=8000))
     accept(task_ledger, step(3))
