Interference fit: sums are kept in a row for each image

Most of it is the least-squares fit: each sum was found by a new pair of images, and a weight was solved over all images, also those never seen with it. Change: one row of sums for each image. The arithmetic is the same. No test: nothing that it returns has changed.

--- a/src/savoryshelf/dispatch/interference.py
+++ b/src/savoryshelf/dispatch/interference.py
@@ -91,24 +91,21 @@
     _covariance_by_image: dict[str, float] = attrs.field(factory=dict)
     """Weighted sum of deviations in cores times deviations in utilisation."""
 
-    _covariance_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    """Weighted sum of deviations in cores of one image times those of another."""
+    _covariances_by_image: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    """Weighted sums of deviations in cores of one image times those of each other."""
 
     def add(self, utilisation_deviation: float, cores_deviation_by_image: dict[str, float]) -> None:
         """Add one sample and update the weights of the images in it."""
         self._sample_weight /= FORGETTING_FACTOR
-        covariances, pair_covariances = self._covariance_by_image, self._covariance_by_pair
+        covariances = self._covariance_by_image
         for image, deviation in cores_deviation_by_image.items():
+            weighted_deviation = self._sample_weight * deviation
             covariances[image] = (
-                covariances.get(image, 0.0)
-                + self._sample_weight * deviation * utilisation_deviation
+                covariances.get(image, 0.0) + weighted_deviation * utilisation_deviation
             )
+            row = self._covariances_by_image.setdefault(image, {})
             for other, other_deviation in cores_deviation_by_image.items():
-                key = image, other
-                pair_covariances[key] = (
-                    pair_covariances.get(key, 0.0)
-                    + self._sample_weight * deviation * other_deviation
-                )
+                row[other] = row.get(other, 0.0) + weighted_deviation * other_deviation
         for image in cores_deviation_by_image:
             self._update_weight(image)
         if self._sample_weight > _MAX_SAMPLE_WEIGHT:
@@ -117,19 +114,17 @@
 
     def _update_weight(self, image: str) -> None:
         """Solve for one weight with the others fixed: a step of coordinate descent."""
+        row, weights = self._covariances_by_image[image], self.weight_by_image
+        own = row[image]
         explained = sum(
-            self._covariance_by_pair.get((image, other), 0.0) * self.weight_by_image.get(other, 0.0)
-            for other in self._covariance_by_image
-            if other != image
-        )
+            covariance * weights.get(other, 0.0) for other, covariance in row.items()
+        ) - own * weights.get(image, 0.0)
         strength = PRIOR_STRENGTH * self._sample_weight
         residual = self._covariance_by_image[image] + strength * PRIOR_WEIGHT - explained
-        self.weight_by_image[image] = max(
-            0.0, residual / (self._covariance_by_pair[image, image] + strength)
-        )
+        weights[image] = max(0.0, residual / (own + strength))
 
     def _rescale(self) -> None:
-        for sums in (self._covariance_by_image, self._covariance_by_pair):
+        for sums in (self._covariance_by_image, *self._covariances_by_image.values()):
             for key in sums:
                 sums[key] /= self._sample_weight
         self._sample_weight = 1.0
@@ -137,12 +132,13 @@
     def _drop_images_beyond(self, max_images: int) -> None:
         while len(self._covariance_by_image) > max_images:
             least_sampled = min(
-                self._covariance_by_image, key=lambda i: self._covariance_by_pair[i, i]
+                self._covariance_by_image, key=lambda i: self._covariances_by_image[i][i]
             )
             del self._covariance_by_image[least_sampled]
+            del self._covariances_by_image[least_sampled]
             self.weight_by_image.pop(least_sampled, None)
-            for pair in [pair for pair in self._covariance_by_pair if least_sampled in pair]:
-                del self._covariance_by_pair[pair]
+            for row in self._covariances_by_image.values():
+                row.pop(least_sampled, None)
 
 
 class InterferenceModel:
