Interference: images that have ended leave the averages of a serving run

Cause: a serving run's averages kept each best-effort image that had ever run beside it. Callers choose the names of images, so their number has no bound, and the fit costs the square of it at each poll. Change: an image that does not run and whose average is below 0.05 cores is dropped. The test failed before: 100 images compared after 100 had run one after the other.

--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -54,6 +54,12 @@
 Longer than the change in processor use when a run starts or ends, shorter than load variations.
 """
 
+NEGLIGIBLE_CORES = 0.05
+"""Average use, in cores, below which an image that no longer runs leaves the averages.
+
+A deviation of this size teaches far less than the prior.
+"""
+
 MIN_SAMPLE_INTERVAL_SECONDS = 0.1
 """Shortest time between two samples: an earlier poll would return the same values."""
 
@@ -104,7 +110,11 @@
         self.sampled_at = now
         self.mean_utilisation += smoothing * utilisation_deviation
         for image, deviation in cores_deviation_by_image.items():
-            self.cores_by_image[image] = self.cores_by_image.get(image, 0.0) + smoothing * deviation
+            average = self.cores_by_image.get(image, 0.0) + smoothing * deviation
+            if image in cores_by_image or average >= NEGLIGIBLE_CORES:
+                self.cores_by_image[image] = average
+            else:
+                self.cores_by_image.pop(image, None)
         return utilisation_deviation, cores_deviation_by_image
 
 
--- a/tests/dispatch/test_throttling.py
+++ b/tests/dispatch/test_throttling.py
@@ -11,7 +11,7 @@
 )
 from savoryshelf.dispatch.worker_api import RunStatus
 
-from ..tasks.builders import JOB, accept, ledger, record_intent, step
+from ..tasks.builders import JOB, accept, ledger, record_intent, step, worker
 
 SERVING_RUN, BEST_EFFORT_RUN = (f"{JOB}.0.0.0", 1), (f"{JOB}.0.1.0", 1)
 
@@ -84,6 +84,30 @@
     assert len(history.deviations(view, 1.2)) == 1
 
 
+# Every poll costs time in proportion to the square of the images it compares.
+def test_best_effort_images_that_ended_long_ago_are_not_compared_any_more():
+    history = ColocationHistory()
+    task_ledger = ledger(worker(millicores=9000, memory_mb=90_000))
+    accept(task_ledger, step(lasting=True, target_ms=50, image="shop"))
+    record_intent(task_ledger, SERVING_RUN[0])
+    view = WorkerView(task_ledger.worker_by_incarnation["w1", 1], True, {})
+    compared = []
+    for number in range(100):
+        job_id = f"{0xD000 + number:016x}"
+        accept(task_ledger, step(filling=True, image=f"batch-{number}"), job_id=job_id)
+        run = f"{job_id}.0.0.0", 1
+        record_intent(task_ledger, *run)
+        status_by_run = {
+            SERVING_RUN: RunStatus(*SERVING_RUN, "", 100, 20),
+            run: RunStatus(*run, "", 10, 1000),
+        }
+        view = WorkerView(view.worker, True, status_by_run)
+        history.add_report(view, number * 1.0)
+        compared = history.deviations(view, number * 1.0)
+    ((_, _, cores_deviation_by_image),) = compared
+    assert len(cores_deviation_by_image) < 10
+
+
 def test_baseline_utilisation_excludes_the_share_of_best_effort_runs():
     view = colocated_worker(tail_ms=40)
     baseline = baseline_utilisations(model_with_weight(0.1), view)
