--- /dev/null
+++ b/tests/wire/test_http_pool.py
@@ -0,0 +1,40 @@
+"""Reuse of connections to workers."""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+PLATFORM = pathlib.Path(__file__).resolve().parents[2] / "platform"
+
+REUSES_A_CONNECTION = """
+import eventlet
+eventlet.monkey_patch()
+import socket
+from savoryshelf_platform.workers import HttpWorkerApi
+
+pool = HttpWorkerApi()._pool("127.0.0.1:1")
+here, there = socket.socketpair()
+connection = pool.ConnectionCls("127.0.0.1")
+connection.sock = here
+others = []
+eventlet.spawn(others.append, "ran")
+assert connection.is_connected
+assert others == [], "another green thread ran during the check"
+there.close()
+assert not connection.is_connected
+"""
+
+
+# On a busy leader each yield to the hub costs a call as long as all other work takes.
+def test_a_connection_is_reused_without_waiting_for_other_green_threads():
+    # eventlet has to patch the standard library, which the test process does not do.
+    check = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", REUSES_A_CONNECTION],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+        env=os.environ | {"PYTHONPATH": str(PLATFORM)},
+    )
+    assert check.returncode == 0, check.stderr
