--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -18,6 +18,7 @@
 from ..observability.logs import log_event
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
+from ..scheduling.start_rate import MEASURE_INTERVAL_SECONDS, StartRate
 from ..tasks.job import IncarnationKey, Task
 from ..tasks.ledger import TaskLedger
 from ..tasks.names import parse_task_name
@@ -38,7 +39,7 @@
 )
 from .health import FleetHealth
 from .interference import InterferenceModel
-from .placement import Placement, WorkerView
+from .placement import Placement, WorkerView, is_limited
 from .retention import Retention
 from .throttling import (
     ColocationHistory,
@@ -132,6 +133,7 @@
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
         )
+        self._start_rate = StartRate()
         self._wake = Event()
         self._has_ended = False
 
@@ -156,6 +158,7 @@
     def run(self) -> None:
         """Place runs until the term ends."""
         log_event("term:begins", term=self.fencing_token, jobs=len(self.ledger.job_by_id))
+        eventlet.spawn(self._measure_lag)
         try:
             while self._replica.is_leader and self._replica.core.term == self.fencing_token:
                 if self.may_call_workers():
@@ -188,16 +191,31 @@
         self._forget_old_jobs()
         started_at = time.thread_time()
         intents = self._placement.plan(
-            self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now()
-        )
+            self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now(),
+            self._start_rate.allowed_starts(self.now()),
+        )  # fmt: skip
         outcome = "starts" if intents else "none"
         metrics.PASS_SECONDS.record(outcome, time.thread_time() - started_at)
         if intents:
+            self._start_rate.record_starts(sum(map(self._is_limited, intents)))
             self._log_first_starts(intents)
             for intent in self.commit(intend_runs=IntendRuns(intents)):
                 key = (intent.life.worker_id, intent.life.born_ms)
                 self.session_by_incarnation[key].start(intent.task, intent.run)
 
+    def _is_limited(self, intent: RunIntent) -> bool:
+        return is_limited(self.ledger.find_task(intent.task).step.spec)
+
+    def _measure_lag(self) -> None:
+        """Adapt the rate of best-effort starts to the lag of this process's timers."""
+        while not self._has_ended:
+            began_at = self.now()
+            eventlet.sleep(MEASURE_INTERVAL_SECONDS)
+            now = self.now()
+            self._start_rate.record_lag(now - began_at - MEASURE_INTERVAL_SECONDS, now)
+            metrics.TIMER_LAG.set(self._start_rate.mean_lag)
+            metrics.START_RATE.set(self._start_rate.rate)
+
     def _log_first_starts(self, intents: list[RunIntent]) -> None:
         ledger, wall_ms = self.ledger, self._clock.wall_ms()
         tasks_by_job_id = Counter(parse_task_name(intent.task).job_id for intent in intents)
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -9,6 +9,7 @@
 """
 
 import heapq
+import math
 from collections import Counter
 
 import attrs
@@ -347,10 +348,13 @@
         wall_ms: int,
         health: FleetHealth,
         now: float,
+        best_effort_starts: float = math.inf,
     ) -> list[RunIntent]:
         """Return the runs to start now, in scheduling order.
 
-        ``wall_ms`` is wall-clock time in ms, ``now`` monotonic time in seconds.
+        ``wall_ms`` is wall-clock time in ms, ``now`` monotonic time in seconds.  At most
+        ``best_effort_starts`` finite best-effort tasks are started, but always the first of a
+        step that has no run: no job may wait without one for long.
         """
         self._update_waiting(ledger, now)
         candidates = [self._candidate(view, health) for view in views if view.is_responsive]
@@ -372,9 +376,14 @@
                 and _long_running_share(group, pool.candidates) > MAX_LONG_RUNNING_SHARE
             ):
                 continue
-            planned = self._plan_group(group, pool)
+            limit = math.inf
+            if is_limited(group.spec):
+                limit = max(best_effort_starts, 0 if _has_run(group) else 1)
+            planned = self._plan_group(group, pool, limit) if limit else []
             if not planned and self._is_starving(group, pool.candidates, now):
                 planned = self._plan_least_interfering(group, pool.candidates)
+            if is_limited(group.spec):
+                best_effort_starts -= len(planned)
             intents += planned
         return intents
 
@@ -386,7 +395,7 @@
             penalty += OTHER_REGION_PENALTY
         return _Candidate(view, self._interference, penalty)
 
-    def _plan_group(self, group: StepGroup, pool: "_Pool") -> list[RunIntent]:
+    def _plan_group(self, group: StepGroup, pool: "_Pool", limit: float) -> list[RunIntent]:
         step = group.spec
         if pool.is_exhausted_for(step):
             return []
@@ -396,6 +405,8 @@
         ranking = _Ranking(self, step, pool.candidates, run_counts)
         intents = []
         for index in sorted(group.startable_indexes):
+            if len(intents) >= limit:
+                break
             task = group.tasks[index]
             chosen = ranking.best(task)
             if chosen is None:
@@ -514,6 +525,15 @@
     )
 
 
+def is_limited(step: StepSpec) -> bool:
+    """Return whether starts of the step are limited while the leader has no time to spare."""
+    return step.filling and not step.lasting
+
+
+def _has_run(group: StepGroup) -> bool:
+    return any(task.incarnation_by_run for task in group.tasks)
+
+
 def _is_new_long_running(group: StepGroup) -> bool:
     return group.spec.lasting and not any(
         group.tasks[index].runs for index in group.startable_indexes
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -39,6 +39,14 @@
 CONFIGURATION_VERSION = Gauge(
     "savoryshelf_configuration_version", "Version in force here.", registry=REGISTRY
 )
+TIMER_LAG = Gauge(
+    "savoryshelf_timer_lag_seconds", "Mean lag of the leader's timers.", registry=REGISTRY
+)
+START_RATE = Gauge(
+    "savoryshelf_best_effort_start_rate",
+    "Best-effort starts per second that the leader allows.",
+    registry=REGISTRY,
+)
 
 LOWEST_LATENCY_US = 1
 HIGHEST_LATENCY_US = 3_600_000_000
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -258,3 +258,32 @@
     worker_id_by_task = {intent.task: intent.life.worker_id for intent in plan(task_ledger)}
     assert worker_id_by_task[f"{JOB}.0.0.1"] == "w2"
     assert "w1" in worker_id_by_task.values()
+
+
+# Guards against a leader whose processor is used up by best-effort starts, so that all else waits.
+def test_best_effort_starts_are_limited_and_other_starts_are_not():
+    task_ledger = ledger(worker(millicores=9000, memory_mb=9000))
+    accept(task_ledger, step(6, filling=True, image="batch"))
+    accept(task_ledger, step(3), job_id=SECOND)
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    intents = Placement(InterferenceModel()).plan(task_ledger, views, 0, FleetHealth(), 0.0, 2)
+    jobs = [intent.task.partition(".")[0] for intent in intents]
+    assert (jobs.count(JOB), jobs.count(SECOND)) == (2, 3)
+
+
+def test_a_best_effort_step_without_a_run_gets_one_whatever_the_limit():
+    task_ledger = ledger(worker(millicores=9000, memory_mb=9000))
+    accept(task_ledger, step(6, filling=True, image="batch"))
+    accept(task_ledger, step(6, filling=True, image="batch"), job_id=SECOND)
+    record_intent(task_ledger, f"{SECOND}.0.0.0")
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    intents = Placement(InterferenceModel()).plan(task_ledger, views, 0, FleetHealth(), 0.0, 0)
+    assert [intent.task for intent in intents] == [f"{JOB}.0.0.0"]
+
+
+def test_long_running_best_effort_tasks_are_not_limited():
+    task_ledger = ledger(worker(millicores=9000, memory_mb=9000))
+    accept(task_ledger, step(3, filling=True, lasting=True, image="batch"))
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    intents = Placement(InterferenceModel()).plan(task_ledger, views, 0, FleetHealth(), 0.0, 0)
+    assert len(intents) == 3
