--- a/tests/process/test_failures.py
+++ b/tests/process/test_failures.py
@@ -108,7 +108,7 @@
     with site_under_load(tmp_path, seconds=15.0) as site:
         for name in ("c0", "c1", "c2", "e0", "e1"):
             process = site.process_by_name[name]
-            process.stop()
+            assert process.stop() == 0
             process.start()
             if name.startswith("c"):
                 site.wait_for(
