--- a/src/savoryshelf/scheduling/start_rate.py
+++ b/src/savoryshelf/scheduling/start_rate.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-MAX_LAG_SECONDS = 0.015
+MAX_LAG_SECONDS = 0.03
 """Mean lag of the leader's timers above which it has no processor time to spare."""
 
 MEASURE_INTERVAL_SECONDS = 0.05
