Quorum contact counts from when a round was sent, not from when its reply was read

A leader that is paused for seconds finds replies that arrived before or during the pause. They counted as contact at the time they were read, so the process answered reads and called workers for up to a second on a leadership that may have passed to another host. A reply now counts from the time at which its heartbeat round was sent.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -393,7 +393,7 @@
 
     def _broadcast(self) -> None:
         self._deadline = self._now + self.timing.heartbeat_interval
-        self.leader_state.round += 1
+        self.leader_state.start_round(self._now)
         for replica_id, progress in self.leader_state.progress_by_id.items():
             self._replicate_to(replica_id, progress)
         if not self.leader_state.progress_by_id:
@@ -534,8 +534,7 @@
         progress = self.leader_state.progress_by_id.get(message.sender)
         if progress is None:
             return None
-        progress.acked_at = self._now
-        progress.acked_round = max(progress.acked_round, acked_round)
+        self.leader_state.record_reply(progress, acked_round, self._now)
         self._confirm_reads()
         return progress
 
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -5,6 +5,9 @@
 from ..wire.generated.ttypes import Membership, SnapshotFile
 from .membership import quorum_value
 
+MAX_KEPT_ROUNDS = 4096
+"""Heartbeat rounds whose send time is kept: those of several seconds on a busy leader."""
+
 
 @attrs.define
 class Progress:
@@ -13,6 +16,7 @@
     ``acked_round`` and ``acked_at`` are the latest heartbeat round that the
     member has replied to and the time of its last reply.  Before the first
     reply ``acked_at`` is the time at which the leader began to track the member.
+    ``contact_at`` is when that round was sent: a reply may have waited unread for long.
 
     ``snapshot`` is the snapshot that is being sent to the member, if any, and
     ``snapshot_offset`` the offset in bytes of its next chunk.
@@ -22,6 +26,7 @@
     next_index: int = 1
     acked_round: int = 0
     acked_at: float = float("-inf")
+    contact_at: float = float("-inf")
     min_rejection_round: int = 0
     """Rejections of requests sent before this round are stale and ignored."""
 
@@ -59,6 +64,21 @@
     """Number of the latest heartbeat round: requests carry it and replies return it."""
 
     pending_reads: list[PendingRead] = attrs.field(factory=list)
+    _sent_at_by_round: dict[int, float] = attrs.field(factory=dict)
+
+    def start_round(self, now: float) -> None:
+        """Begin the next heartbeat round."""
+        self.round += 1
+        self._sent_at_by_round[self.round] = now
+        if len(self._sent_at_by_round) > MAX_KEPT_ROUNDS:
+            del self._sent_at_by_round[next(iter(self._sent_at_by_round))]
+
+    def record_reply(self, progress: Progress, acked_round: int, now: float) -> None:
+        """Record that a member has replied to a message of a round."""
+        progress.acked_at = now
+        if acked_round > progress.acked_round:
+            progress.acked_round = acked_round
+            progress.contact_at = self._sent_at_by_round.get(acked_round, progress.contact_at)
 
     def quorum_match_index(
         self, replica_id: str, own_synced_index: int, membership: Membership
@@ -75,9 +95,13 @@
         return quorum_value(membership, round_by_id)
 
     def quorum_contact_at(self, replica_id: str, now: float, membership: Membership) -> float:
-        """Return the latest time at or after which a majority has replied to the leader."""
+        """Return the latest time at which the leader sent what a majority has replied to.
+
+        A leader that was paused may find replies that arrived long ago; they prove nothing
+        about the time of the pause.
+        """
         contact_at_by_id = {
-            key: max(p.acked_at, self.elected_at) for key, p in self.progress_by_id.items()
+            key: max(p.contact_at, self.elected_at) for key, p in self.progress_by_id.items()
         }
         contact_at_by_id[replica_id] = now
         return quorum_value(membership, contact_at_by_id)
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -179,6 +179,25 @@
     assert read_id in core.take_ready().confirmed_reads
 
 
+# A leader that was paused for longer than an election takes finds replies that arrived before:
+# it must not take them for a sign that it still leads.
+def test_replies_that_waited_during_a_pause_of_the_leader_are_no_recent_contact():
+    group = group_with_leader()
+    leader = group.leader()
+    leader.core.propose([b"a"])
+    leader.process_ready()
+    for each in [m for m in group.messages if m.recipient != leader.replica_id]:
+        group.messages.remove(each)
+        group.deliver(each)
+    assert group.messages, "the followers have replied"
+    group.now += 10 * TIMING.election_timeout
+    for reply in [m for m in group.messages if m.recipient == leader.replica_id]:
+        leader.core.receive(reply, group.now)
+    assert leader.core.seconds_since_quorum_contact(group.now) >= 10 * TIMING.election_timeout
+    leader.core.tick(group.now)
+    assert leader.core.role is not Role.LEADER
+
+
 def test_a_replica_in_contact_with_its_leader_ignores_vote_requests():
     group = group_with_leader()
     leader = group.leader()
