Followers can be told of a commit at once

Hosts that act on what they apply need it at once. The announcement needs no reply, and is not sent while more proposals wait, since their entries carry the index.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -50,6 +50,9 @@
 that replies to each heartbeat stays below the limit.
 """
 
+NO_ROUND = 0
+"""Round of an append request that needs no reply; heartbeat rounds count from 1."""
+
 MAX_MISSED_HEARTBEATS = 3
 """A member that has not replied for this many heartbeat intervals gets no entries until it does."""
 
@@ -88,6 +91,7 @@
         self._deadline = now
         self._next_read_id = 1
         self._broadcast_pending = False
+        self._unannounced_commit = False
         self._incoming_snapshot = IncomingSnapshot()
         self._synced_index = self.log.last_index
         self._applied_index = self.log.base_index
@@ -226,6 +230,23 @@
         self.snapshot = snapshot
         self.log.compact(snapshot.last_index - trailing_entries)
 
+    def announce_commit(self) -> None:
+        """Tell the members the commit index, unless a broadcast has done so since it advanced.
+
+        Otherwise they learn of it with the next entries or the next heartbeat.
+        """
+        if self.role is not Role.LEADER or not self._unannounced_commit:
+            return
+        self._unannounced_commit = False
+        for replica_id, progress in self.leader_state.progress_by_id.items():
+            previous = progress.next_index - 1
+            if progress.snapshot or previous < self.log.base_index:
+                continue
+            request = AppendRequest(
+                previous, self.log.term_at(previous), [], self.commit_index, NO_ROUND
+            )
+            self._send_before_sync(replica_id, append_request=request)
+
     @property
     def has_committed_in_term(self) -> bool:
         """Return whether this leader has committed an entry of its term and may serve reads."""
@@ -394,6 +415,7 @@
     def _broadcast(self) -> None:
         self._deadline = self._now + self.timing.heartbeat_interval
         self.leader_state.start_round(self._now)
+        self._unannounced_commit = False
         for replica_id, progress in self.leader_state.progress_by_id.items():
             self._replicate_to(replica_id, progress)
         if not self.leader_state.progress_by_id:
@@ -470,6 +492,8 @@
         self._unsynced.append(entry)
 
     def _reply_append(self, message, request, success: bool, match_index: int) -> None:
+        if request.round == NO_ROUND:
+            return
         reply = AppendReply(success, match_index, request.round)
         self._send(message.sender, self.term, append_reply=reply)
 
@@ -553,6 +577,7 @@
         # entries before it.
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self._commit_up_to(index)
+            self._unannounced_commit = True
             self._confirm_reads()
             if find_member(self.log.membership_at(index), self.replica_id) is None:
                 self._become_follower(self.term, None)
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -105,6 +105,7 @@
         timing: Timing,
         rng: random.Random,
         snapshot_every: int = SNAPSHOT_INTERVAL_ENTRIES,
+        announces_commits: bool = False,
     ):
         recovered = storage.recover()
         self.core = Replica(
@@ -118,6 +119,7 @@
         self._address_by_host = address_by_host
         self._clock = clock
         self._snapshot_every = snapshot_every
+        self._announces_commits = announces_commits
         self._mailbox: Queue = Queue()
         self._pending_proposal_by_index: dict[int, _PendingProposal] = {}
         self._pending_read_by_id: dict[int, Event] = {}
@@ -209,10 +211,17 @@
             for event in self._take_mailbox_batch():
                 self._handle(event)
             self.core.tick(self._clock.monotonic())
-            while not (ready := self.core.take_ready()).is_empty():
-                self._process_ready(ready)
+            self._process_all_ready()
+            if self._announces_commits and self._mailbox.empty():
+                # With more proposals waiting, their entries carry the commit index.
+                self.core.announce_commit()
+                self._process_all_ready()
             self._fail_pending_unless_leader()
 
+    def _process_all_ready(self) -> None:
+        while not (ready := self.core.take_ready()).is_empty():
+            self._process_ready(ready)
+
     def _take_mailbox_batch(self) -> list:
         try:
             events = [self._mailbox.get(timeout=TICK_SECONDS)]
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -198,6 +198,24 @@
     assert leader.core.role is not Role.LEADER
 
 
+def test_a_follower_learns_of_a_commit_from_its_announcement():
+    group = group_with_leader()
+    leader = group.leader()
+    group.propose("a")
+    while group.messages:
+        group.deliver(group.messages.pop(0))
+    followers = [h for h in group.host_by_name.values() if h is not leader]
+    assert leader.applied == ["a"]
+    assert [h.applied for h in followers] == [[], []]
+    leader.core.announce_commit()
+    leader.process_ready()
+    while group.messages:
+        group.deliver(group.messages.pop(0))
+    assert [h.applied for h in followers] == [["a"], ["a"]]
+    leader.core.announce_commit()
+    assert leader.core.take_ready().is_empty(), "it was announced already"
+
+
 def test_a_replica_in_contact_with_its_leader_ignores_vote_requests():
     group = group_with_leader()
     leader = group.leader()
