Ledger: agents of workers with fencing tokens; the order of heartbeats is in the log

The log says which control host calls a worker and under which token. Each assignment has a higher token than all before; what an earlier agent settles or declares lost is ignored. Ends of several workers share a command. Workers count their runs by kind as they change, so that placement need not.

With it a fault: which heartbeats of a worker were taken was known to one leader only. After a leader change a delayed heartbeat 'ready' undid 'draining', and one that was sent before the worker announced its exit made it schedulable again. The record now holds the sequence of the heartbeat that changed it, and an announced exit is final.

--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -13,6 +13,7 @@
 from ..registry import registry_decorator
 from ..wire.generated.ttypes import (
     AcceptTasks,
+    AgentAssignment,
     Manifest,
     PairWeight,
     RunEnd,
@@ -55,6 +56,9 @@
     Each leader starts from what earlier leaders have learned.
     """
 
+    newest_token: int = 0
+    """The newest fencing token that an agent was given."""
+
     # ------------------------------------------------------------------- commands
 
     def put_manifest(self, manifest: Manifest) -> Accepted:
@@ -98,26 +102,50 @@
     def upsert_worker(self, record: WorkerRecord) -> None:
         """Add an incarnation of a worker, or update its record.
 
-        An incarnation that was recorded as ended and reports again is schedulable again.
+        An incarnation that was recorded as ended and reports again is schedulable again, but
+        not one that has announced its exit.  A record older than the known one is ignored.
         """
         existing = self.worker_by_incarnation.get(incarnation_key(record.life))
         if existing is None:
+            record.agent_id, record.fencing_token = None, 0
             self.worker_by_incarnation[incarnation_key(record.life)] = Worker(record)
             return
-        record.seen_end = existing.record.seen_end
+        known = existing.record
+        if (record.sequence or 0) < (known.sequence or 0):
+            return
+        record.seen_end = known.seen_end
+        record.agent_id, record.fencing_token = known.agent_id, known.fencing_token
+        if known.leaving:
+            record.leaving = record.draining = True
         existing.record = record
         existing.has_ended = False
 
+    def assign_agents(self, assignments: list[AgentAssignment], min_token: int) -> None:
+        """Make agents responsible for workers, each assignment under a new fencing token."""
+        for assignment in assignments:
+            worker = self.worker_by_incarnation.get(incarnation_key(assignment.life))
+            if worker is None or worker.has_ended:
+                continue
+            self.newest_token = max(self.newest_token, min_token) + 1
+            worker.record.agent_id = assignment.agent_id
+            worker.record.fencing_token = self.newest_token
+
     def record_intents(self, intents: list[RunIntent]) -> list[RunIntent]:
         """Record start intents, after which the runs may exist; return the valid ones."""
         return [intent for intent in intents if self._record_intent(intent)]
 
-    def settle(self, incarnation: WorkerLife, seen_end: int, ends: list[RunEnd]) -> None:
+    def settle(
+        self, incarnation: WorkerLife, seen_end: int, ends: list[RunEnd], fencing_token: int = 0
+    ) -> None:
         """Record ends of runs on one incarnation.
 
-        All ends up to ``seen_end`` count as settled afterwards.
+        All ends up to ``seen_end`` count as settled afterwards.  Does nothing if
+        ``fencing_token`` is set and is not the one of the worker's agent: the next agent may
+        know better what runs there.
         """
         worker = self.worker_by_incarnation.get(incarnation_key(incarnation))
+        if fencing_token and (worker is None or worker.record.fencing_token != fencing_token):
+            return
         settled_up_to = worker.record.seen_end if worker else 0
         for end in ends:
             # A worker lists an end until it is acknowledged, so the same end may arrive twice.
@@ -127,17 +155,27 @@
         if worker is not None:
             worker.record.seen_end = max(settled_up_to, seen_end)
 
-    def end_incarnations(self, incarnations: list[WorkerLife], checkpoints: list[RunEnd]) -> None:
+    def end_incarnations(
+        self,
+        incarnations: list[WorkerLife],
+        checkpoints: list[RunEnd],
+        fencing_tokens: list[int] | None = None,
+    ) -> None:
         """Record that incarnations have ended; their remaining runs are settled as lost.
 
-        ``checkpoints`` holds the last known checkpoints of these runs.
+        ``checkpoints`` holds the last known checkpoints of these runs.  With
+        ``fencing_tokens``, one for each incarnation, those that have another agent meanwhile
+        are left as they are.
         """
         checkpoint_by_run = {(end.task, end.run): end.checkpoint for end in checkpoints}
-        for incarnation in incarnations:
+        for position, incarnation in enumerate(incarnations):
             worker = self.worker_by_incarnation.get(incarnation_key(incarnation))
             if worker is None:
                 continue
+            if fencing_tokens and worker.record.fencing_token != fencing_tokens[position]:
+                continue
             worker.has_ended = True
+            worker.record.agent_id, worker.record.fencing_token = None, 0
             for name, run in list(worker.task_by_run):
                 checkpoint = checkpoint_by_run.get((name, run), "")
                 self._settle_run(RunEnd(name, run, RunOutcome.LOST, checkpoint, 0), worker.key)
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -22,13 +22,16 @@
     workers = [w.record for w in ledger.worker_by_incarnation.values() if not w.has_ended]
     jobs = [_job_record(job) for job in ledger.job_by_id.values()]
     weights = [PairWeight(*pair, weight) for pair, weight in ledger.weight_by_pair.items()]
-    return codec.encode(TaskSnapshot(ledger.at_ms, ledger.manifest, workers, jobs, weights))
+    return codec.encode(
+        TaskSnapshot(ledger.at_ms, ledger.manifest, workers, jobs, weights, ledger.newest_token)
+    )
 
 
 def load(data: bytes) -> TaskLedger:
     """Return the ledger decoded from what ``save`` returned."""
     snapshot = codec.decode(TaskSnapshot, data)
     ledger = TaskLedger(snapshot.at_ms, snapshot.manifest)
+    ledger.newest_token = snapshot.newest_token or 0
     ledger.update_weights(snapshot.weights)
     for record in snapshot.workers:
         ledger.worker_by_incarnation[incarnation_key(record.life)] = Worker(record)
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -1,6 +1,7 @@
 """State machine of the replicated log for jobs that consist of many tasks."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from ..outcomes import Accepted
 from ..registry import registry_decorator
@@ -13,6 +14,16 @@
 _handles_command = registry_decorator(_HANDLER_BY_COMMAND)
 
 
+class Observer(Protocol):
+    """Learns of each change of the ledger, in the thread that applies it; must not block."""
+
+    def command_applied(self, name: str, body, outcome) -> None:
+        """Take note of an applied command: its field in the union, its body, its outcome."""
+
+    def state_restored(self) -> None:
+        """Take note that a snapshot has replaced the ledger and all objects in it."""
+
+
 class TaskStateMachine:
     """Applies committed commands to the task ledger.
 
@@ -21,6 +32,7 @@
 
     def __init__(self):
         self.ledger = TaskLedger()
+        self.observer: Observer | None = None
 
     def apply(self, payload: bytes):
         """Apply one encoded command and return its outcome."""
@@ -28,7 +40,10 @@
         # A wall clock may step back; the times in records must not.
         self.ledger.at_ms = max(self.ledger.at_ms, command.at_ms)
         name, body = codec.sole_field(command.body)
-        return _HANDLER_BY_COMMAND[name](self.ledger, body)
+        outcome = _HANDLER_BY_COMMAND[name](self.ledger, body)
+        if self.observer is not None:
+            self.observer.command_applied(name, body, outcome)
+        return outcome
 
     def snapshot(self) -> bytes:
         """Return the encoded state."""
@@ -37,6 +52,8 @@
     def restore(self, data: bytes) -> None:
         """Replace the state by that of a snapshot."""
         self.ledger = snapshot.load(data)
+        if self.observer is not None:
+            self.observer.state_restored()
 
 
 @_handles_command("put_manifest")
@@ -68,13 +85,26 @@
 
 @_handles_command("settle_runs")
 def _settle_runs(ledger: TaskLedger, command):
-    ledger.settle(command.life, command.seen_end, command.ends)
+    ledger.settle(command.life, command.seen_end, command.ends, command.fencing_token or 0)
+    return Accepted()
+
+
+@_handles_command("settle_batch")
+def _settle_batch(ledger: TaskLedger, command):
+    for settlement in command.settlements:
+        _settle_runs(ledger, settlement)
     return Accepted()
 
 
 @_handles_command("end_lives")
 def _end_lives(ledger: TaskLedger, command):
-    ledger.end_incarnations(command.lives, command.checkpoints)
+    ledger.end_incarnations(command.lives, command.checkpoints, command.fencing_tokens)
+    return Accepted()
+
+
+@_handles_command("assign_agents")
+def _assign_agents(ledger: TaskLedger, command):
+    ledger.assign_agents(command.assignments, command.min_token)
     return Accepted()
 
 
--- a/src/savoryshelf/tasks/worker.py
+++ b/src/savoryshelf/tasks/worker.py
@@ -39,6 +39,14 @@
     best_effort_millicores: int = 0
     """Processor time that best-effort runs ask for; not part of ``used``."""
 
+    best_effort_millicores_by_image: dict[str, int] = attrs.field(factory=dict)
+    serving_millicores: int = 0
+    """Processor time that serving runs reserve; part of ``used`` unless they are best-effort."""
+
+    serving_run_count_by_image: dict[str, int] = attrs.field(factory=dict)
+    long_running_millicores: int = 0
+    """Processor time that long-running runs ask for."""
+
     task_by_run: dict[tuple[str, int], Task] = attrs.field(factory=dict)
     """Tasks of the runs that may exist here, by task name and run number."""
 
@@ -74,6 +82,11 @@
             and used.accelerators + step.accelerators <= record.accelerators
         )
 
+    @property
+    def is_shared(self) -> bool:
+        """Return whether best-effort runs may exist here beside serving ones."""
+        return bool(self.best_effort_millicores_by_image and self.serving_run_count_by_image)
+
     def unrequested_millicores(self) -> int:
         """Return the millicores that no run, best-effort runs included, asks for.
 
@@ -83,5 +96,19 @@
 
     def _count(self, step: StepSpec, sign: int) -> None:
         self.used.add(step, sign)
+        if step.lasting:
+            self.long_running_millicores += sign * step.millicores
+        if step.target_ms:
+            self.serving_millicores += sign * step.millicores
+            _add(self.serving_run_count_by_image, step.image, sign)
         if step.filling:
             self.best_effort_millicores += sign * step.millicores
+            _add(self.best_effort_millicores_by_image, step.image, sign * step.millicores)
+
+
+def _add(amount_by_image: dict[str, int], image: str, amount: int) -> None:
+    total = amount_by_image.get(image, 0) + amount
+    if total:
+        amount_by_image[image] = total
+    else:
+        amount_by_image.pop(image, None)
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -257,7 +257,13 @@
   1: WorkerLife life, 2: string service_name, 3: string address, 4: string failure_domain, 5: string rack,
   6: list<string> labels, 7: i32 millicores, 8: i64 memory_mb, 9: i32 accelerators, 10: bool draining,
   /** Ends up to this number are settled; each incarnation of a worker numbers its ends from 1. */
-  11: i64 seen_end
+  11: i64 seen_end,
+  /** Number of the newest heartbeat that changed this record; earlier ones are stale. */
+  12: i64 sequence,
+  /** The incarnation has announced its exit; `draining` is set as well, and neither is reset. */
+  13: bool leaving,
+  /** The control host that calls this worker, if any, and the fencing token of its calls. */
+  14: optional string agent_id, 15: i64 fencing_token
 }
 
 struct NoteWorkers { 1: list<WorkerRecord> workers }
@@ -279,18 +285,38 @@
   5: i64 number
 }
 
-/** Ends of runs of one worker incarnation; acknowledged to the worker only once committed. */
-struct SettleRuns { 1: WorkerLife life, 2: i64 seen_end, 3: list<RunEnd> ends }
+/**
+ * Ends of runs of one worker incarnation; acknowledged to the worker only once committed.
+ *
+ * Ignored unless `fencing_token` is that of the worker's agent, or 0 for any.
+ */
+struct SettleRuns { 1: WorkerLife life, 2: i64 seen_end, 3: list<RunEnd> ends, 4: i64 fencing_token }
+
+struct SettleBatch { 1: list<SettleRuns> settlements }
 
 /**
  * Worker incarnations that are certain to have ended: all runs on them are lost.
  *
- * `checkpoints` holds the last known checkpoints of these runs.
+ * `checkpoints` holds the last known checkpoints of these runs.  An incarnation is left as it is
+ * unless its item in `fencing_tokens`, if there is one, is the token of the worker's agent.
+ */
+struct EndLives { 1: list<WorkerLife> lives, 2: list<RunEnd> checkpoints, 3: list<i64> fencing_tokens }
+
+struct AgentAssignment { 1: WorkerLife life, 2: string agent_id }
+
+/**
+ * Makes control hosts the agents of workers: only its agent calls a worker.
+ *
+ * Each assignment gets a new fencing token, higher than all before and than `min_token`.
  */
-struct EndLives { 1: list<WorkerLife> lives, 2: list<RunEnd> checkpoints }
+struct AssignAgents { 1: list<AgentAssignment> assignments, 2: i64 min_token }
 
 /** Utilisation that one core of a best-effort image adds to a serving image, as learned by the leader. */
-struct PairWeight { 1: string filling_image, 2: string serving_image, 3: double weight }
+struct PairWeight {
+  1: string filling_image, 2: string serving_image, 3: double weight,
+  /** How much the samples behind the weight tell, in squared cores; set in reports of agents. */
+  4: double information
+}
 
 struct NoteWeights { 1: list<PairWeight> weights }
 
@@ -299,7 +325,8 @@
 union TaskCommandBody {
   1: Manifest put_manifest, 2: AcceptTasks accept_tasks, 3: CancelTasks cancel_tasks,
   4: NoteWorkers note_workers, 5: IntendRuns intend_runs, 6: SettleRuns settle_runs,
-  7: EndLives end_lives, 8: ForgetJobs forget_jobs, 9: NoteWeights note_weights
+  7: EndLives end_lives, 8: ForgetJobs forget_jobs, 9: NoteWeights note_weights,
+  10: SettleBatch settle_batch, 11: AssignAgents assign_agents
 }
 
 struct TaskCommand { 1: i64 at_ms, 2: TaskCommandBody body }
@@ -320,9 +347,44 @@
 
 struct TaskSnapshot {
   1: i64 at_ms, 2: Manifest manifest, 3: list<WorkerRecord> workers, 4: list<JobRecord> jobs,
-  5: list<PairWeight> weights
+  5: list<PairWeight> weights, 6: i64 newest_token
 }
 
+// ------------------------------------------------------ agents <-> the leader
+
+/** What an agent knows of one of its workers beyond the log. */
+struct WorkerState {
+  1: WorkerLife life, 2: i64 fencing_token,
+  /** Whether the worker answers and its runs are known. */
+  3: bool responsive,
+  /** Highest baseline utilisation among the serving runs of each image. */
+  4: map<string, double> baseline_by_image,
+  /** Best-effort images that were evicted recently, and for how many more ms to keep each away. */
+  5: map<string, i32> exclusion_ms_by_image,
+  /** The worker has seen a higher fencing token than its agent's. */
+  6: bool fenced
+}
+
+enum RejectionKind { NO_CAPACITY = 1, UNHEALTHY = 2 }
+
+/** A start that a worker rejected for a reason that concerns the worker rather than the run. */
+struct StartRejection { 1: string worker_id, 2: RejectionKind kind }
+
+/**
+ * An agent's report to the leader, which also renews its permission to call workers.
+ *
+ * `states` holds the changes since the report `number - 1`, or all if `is_full` is set.
+ */
+struct AgentReport {
+  1: string agent_id, 2: i64 number, 3: bool is_full, 4: bool leaving, 5: i64 applied_index,
+  6: double timer_lag_seconds, 7: list<WorkerState> states, 8: list<SettleRuns> settlements,
+  9: list<EndLives> ended_lives, 10: list<StartRejection> rejections, 11: list<PairWeight> weights,
+  12: string region
+}
+
+/** `newest_token` is the newest fencing token that the leader has applied. */
+struct AgentReply { 1: i64 term, 2: i64 newest_token, 3: bool wants_full }
+
 enum JobVerb { SUBMIT = 1, READ = 2, CANCEL = 3, COUNT = 4 }
 
 /** A caller's request, forwarded to the leader by an entry host. */
@@ -395,6 +457,8 @@
   void change_standing(1: ChangeStanding change) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Refused refused, 4: Unauthenticated unauthenticated),
   /** Handles a caller's request for a job of many tasks; only the leader answers it. */
   JobAnswer job_call(1: JobCall call) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
+  /** Takes what an agent has seen of its workers; only the leader answers it. */
+  AgentReply report(1: AgentReport report) throws (1: NotLeader not_leader, 2: Unavailable unavailable, 3: Unauthenticated unauthenticated),
   /** Returns the members of the group; any member answers. */
   GroupView group() throws (1: Unavailable unavailable, 2: Unauthenticated unauthenticated),
   /** Returns an operators' view as JSON, built by the leader: `status`, `targets`, `jobs`, `history`, `configuration`. */
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -1,7 +1,12 @@
 from savoryshelf.outcomes import Accepted, Refusal
 from savoryshelf.tasks import snapshot
 from savoryshelf.tasks.job import JobState
-from savoryshelf.wire.generated.ttypes import RunEnd, RunOutcome, WorkerLife
+from savoryshelf.wire.generated.ttypes import (
+    AgentAssignment,
+    RunEnd,
+    RunOutcome,
+    WorkerLife,
+)
 
 from .builders import JOB, accept, ledger, manifest, queue, record_intent, settle_run, step, worker
 
@@ -201,3 +206,88 @@
     )
     settle_run(restored, f"{JOB}.0.0.1", RunOutcome.DONE, incarnation=("w2", 1))
     assert startable_tasks(restored) == {f"{JOB}.0.1.0"}
+
+
+def assign(task_ledger, agent_id="c1.disk/1", min_token=0):
+    task_ledger.assign_agents([AgentAssignment(WorkerLife("w1", 1), agent_id)], min_token)
+    return task_ledger.worker_by_incarnation["w1", 1].record.fencing_token
+
+
+def test_each_assignment_has_a_higher_token_also_after_a_snapshot():
+    task_ledger = ledger()
+    first = assign(task_ledger, min_token=41)
+    assert first == 42
+    assert assign(task_ledger) == 43
+    restored = snapshot.load(snapshot.save(task_ledger))
+    record = restored.worker_by_incarnation["w1", 1].record
+    assert (record.agent_id, record.fencing_token) == ("c1.disk/1", 43)
+    assert assign(restored) == 44
+
+
+def test_what_an_earlier_agent_settles_is_ignored():
+    task_ledger = ledger()
+    accept(task_ledger, step())
+    record_intent(task_ledger, f"{JOB}.0.0.0")
+    earlier, current = assign(task_ledger), assign(task_ledger, "c2.disk/1")
+    ends = [RunEnd(f"{JOB}.0.0.0", 1, RunOutcome.NEVER_RAN, "", 0)]
+    task_ledger.settle(WorkerLife("w1", 1), 0, ends, earlier)
+    assert startable_tasks(task_ledger) == set()
+    task_ledger.settle(WorkerLife("w1", 1), 0, ends, current)
+    assert startable_tasks(task_ledger) == {f"{JOB}.0.0.0"}
+
+
+def test_an_incarnation_is_not_ended_by_an_earlier_agent():
+    task_ledger = ledger()
+    earlier, current = assign(task_ledger), assign(task_ledger, "c2.disk/1")
+    worker_entry = task_ledger.worker_by_incarnation["w1", 1]
+    task_ledger.end_incarnations([WorkerLife("w1", 1)], [], [earlier])
+    assert not worker_entry.has_ended
+    task_ledger.end_incarnations([WorkerLife("w1", 1)], [], [current])
+    assert worker_entry.has_ended
+    assert worker_entry.record.agent_id is None, "another agent needs another token"
+
+
+# A heartbeat that was delayed, or that a new leader hears after a later one, must not bring a
+# worker back into use that drains or has left.
+def test_an_older_record_of_a_worker_is_ignored():
+    task_ledger = ledger()
+    draining, ready = worker(), worker()
+    draining.draining, draining.sequence = True, 5
+    ready.sequence = 4
+    task_ledger.upsert_worker(draining)
+    task_ledger.upsert_worker(ready)
+    assert not task_ledger.worker_by_incarnation["w1", 1].is_schedulable
+    ready.sequence = 6
+    task_ledger.upsert_worker(ready)
+    assert task_ledger.worker_by_incarnation["w1", 1].is_schedulable
+
+
+def test_a_worker_that_has_announced_its_exit_is_not_used_again():
+    task_ledger = ledger()
+    leaving, ready = worker(), worker()
+    leaving.leaving, leaving.draining, leaving.sequence = True, True, 5
+    ready.sequence = 6
+    task_ledger.upsert_worker(leaving)
+    task_ledger.upsert_worker(ready)
+    assert not task_ledger.worker_by_incarnation["w1", 1].is_schedulable
+
+
+def test_a_worker_counts_its_runs_by_kind():
+    task_ledger = ledger(worker(millicores=9000, memory_mb=9000))
+    entry = task_ledger.worker_by_incarnation["w1", 1]
+    accept(
+        task_ledger,
+        step(2, lasting=True, target_ms=50, image="shop"),
+        step(filling=True, image="batch", millicores=2000),
+    )
+    for task in (f"{JOB}.0.0.0", f"{JOB}.0.0.1", f"{JOB}.0.1.0"):
+        record_intent(task_ledger, task)
+    assert entry.serving_run_count_by_image == {"shop": 2}
+    assert entry.best_effort_millicores_by_image == {"batch": 2000}
+    assert (entry.serving_millicores, entry.long_running_millicores) == (2000, 2000)
+    assert entry.is_shared
+    for task in (f"{JOB}.0.0.0", f"{JOB}.0.0.1", f"{JOB}.0.1.0"):
+        settle_run(task_ledger, task, RunOutcome.STOPPED)
+    assert entry.serving_run_count_by_image == entry.best_effort_millicores_by_image == {}
+    assert entry.serving_millicores == entry.long_running_millicores == 0
+    assert not entry.is_shared
