--- /dev/null
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -0,0 +1,179 @@
+"""What the leader knows of the agents and, from their reports, of the workers.
+
+This module does no I/O; times are seconds on the leader's monotonic clock.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+
+import attrs
+
+from ..tasks.job import IncarnationKey
+from ..tasks.worker import Worker, incarnation_key
+from ..wire.generated.ttypes import AgentReport, PairWeight, WorkerState
+from .interference import MAX_IMAGES
+from .placement import WorkerView
+
+AGENT_TIMEOUT_SECONDS = 1.0
+"""Time without a report after which an agent's workers are given to others.
+
+Longer than its permission: it has stopped calling them by then unless its clock is off.
+"""
+
+MAX_APPLY_LAG_SECONDS = 1.0
+"""Age of the newest commit that an agent has applied above which its workers are given to others.
+
+Its disk may be stalled: it cannot start runs then, although it reports.
+"""
+
+COMMIT_SAMPLE_SECONDS = 0.1
+"""Time between two samples of the commit index."""
+
+
+@attrs.define
+class _KnownAgent:
+    region: str
+    reported_at: float
+    number: int
+    leaving: bool
+    applied_index: int
+    timer_lag_seconds: float
+
+
+@attrs.define
+class _KnownWorker:
+    """The state that its agent reported last."""
+
+    agent_id: str
+    state: WorkerState
+    excluded_until_by_image: dict[str, float]
+
+
+@attrs.define
+class AgentFleet:
+    """The agents that report to this leader, and the states of their workers."""
+
+    _agent_by_id: dict[str, _KnownAgent] = attrs.field(factory=dict)
+    _worker_by_incarnation: dict[IncarnationKey, _KnownWorker] = attrs.field(factory=dict)
+    _weights_by_pair: dict[tuple[str, str], dict[str, PairWeight]] = attrs.field(factory=dict)
+    _commit_samples: deque[tuple[float, int]] = attrs.field(factory=deque)
+
+    def record_report(self, report: AgentReport, now: float) -> bool:
+        """Take a report into account; return whether the states of some workers are missing.
+
+        A report that is older than one that came before is ignored.
+        """
+        known = self._agent_by_id.get(report.agent_id)
+        if known is not None and report.number <= known.number:
+            return False
+        is_complete = report.is_full or (known is not None and report.number == known.number + 1)
+        self._agent_by_id[report.agent_id] = _KnownAgent(
+            report.region, now, report.number, report.leaving, report.applied_index,
+            report.timer_lag_seconds,
+        )  # fmt: skip
+        for state in report.states:
+            excluded_until = {i: now + ms / 1000 for i, ms in state.exclusion_ms_by_image.items()}
+            self._worker_by_incarnation[incarnation_key(state.life)] = _KnownWorker(
+                report.agent_id, state, excluded_until
+            )
+        return not is_complete
+
+    def record_commit_index(self, index: int, now: float) -> None:
+        """Take a sample of the commit index, if one is due."""
+        samples = self._commit_samples
+        if not samples or now - samples[-1][0] >= COMMIT_SAMPLE_SECONDS:
+            samples.append((now, index))
+        while len(samples) > 1 and now - samples[1][0] >= MAX_APPLY_LAG_SECONDS:
+            samples.popleft()
+
+    def is_live(self, agent_id: str | None, now: float) -> bool:
+        """Return whether the agent reports, keeps up with the log, and is not leaving."""
+        agent = self._agent_by_id.get(agent_id)
+        if agent is None or agent.leaving or now - agent.reported_at > AGENT_TIMEOUT_SECONDS:
+            return False
+        return agent.applied_index >= self._index_to_have_applied(now)
+
+    def _index_to_have_applied(self, now: float) -> int:
+        if not self._commit_samples:
+            return 0
+        sampled_at, index = self._commit_samples[0]
+        return index if now - sampled_at >= MAX_APPLY_LAG_SECONDS else 0
+
+    def live_agents(self, now: float) -> dict[str, str]:
+        """Return the region of each live agent, by its id."""
+        return {
+            agent_id: agent.region
+            for agent_id, agent in self._agent_by_id.items()
+            if self.is_live(agent_id, now)
+        }
+
+    def max_timer_lag(self, now: float) -> float:
+        """Return the largest timer lag among the live agents, in seconds."""
+        return max(
+            (
+                agent.timer_lag_seconds
+                for agent_id, agent in self._agent_by_id.items()
+                if self.is_live(agent_id, now)
+            ),
+            default=0.0,
+        )
+
+    def is_fenced(self, worker: Worker) -> bool:
+        """Return whether the worker rejects the fencing token of its agent."""
+        known = self._worker_by_incarnation.get(worker.key)
+        return (
+            known is not None
+            and known.state.fenced
+            and known.state.fencing_token == worker.record.fencing_token
+        )
+
+    def views(self, workers: Iterable[Worker], now: float) -> list[WorkerView]:
+        """Return the state of each worker that its present agent has reported."""
+        is_live_by_agent = {agent_id: self.is_live(agent_id, now) for agent_id in self._agent_by_id}
+        views = []
+        for worker in workers:
+            record = worker.record
+            known = self._worker_by_incarnation.get(worker.key)
+            if known is None or known.state.fencing_token != record.fencing_token:
+                continue
+            is_responsive = known.state.responsive and is_live_by_agent.get(record.agent_id, False)
+            excluded = known.excluded_until_by_image
+            views.append(
+                WorkerView(
+                    worker,
+                    is_responsive,
+                    {},
+                    known.state.baseline_by_image,
+                    frozenset(i for i, until in excluded.items() if now < until)
+                    if excluded
+                    else frozenset(),
+                )
+            )
+        return views
+
+    def forget(self, incarnations: set[IncarnationKey], now: float) -> None:
+        """Drop all workers but these, and the agents that have not reported for long."""
+        for key in self._worker_by_incarnation.keys() - incarnations:
+            del self._worker_by_incarnation[key]
+        for agent_id, agent in list(self._agent_by_id.items()):
+            if now - agent.reported_at > 60 * AGENT_TIMEOUT_SECONDS:
+                del self._agent_by_id[agent_id]
+                for weight_by_agent in self._weights_by_pair.values():
+                    weight_by_agent.pop(agent_id, None)
+
+    def merge_weights(self, report: AgentReport) -> list[PairWeight]:
+        """Return the weights of the reported pairs over all agents.
+
+        Those of one pair are averaged by the information behind them.
+        """
+        merged = []
+        for weight in report.weights:
+            pair = weight.filling_image, weight.serving_image
+            weight_by_agent = self._weights_by_pair.setdefault(pair, {})
+            if len(self._weights_by_pair) > MAX_IMAGES**2:
+                del self._weights_by_pair[next(iter(self._weights_by_pair))]
+            weight_by_agent[report.agent_id] = weight
+            information = sum(each.information for each in weight_by_agent.values())
+            mean = sum(e.weight * e.information for e in weight_by_agent.values()) / information
+            merged.append(PairWeight(*pair, mean, information))
+        return merged
--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -38,6 +38,11 @@
         self.require_authenticated()
         return self._host.task_service.job_call(call)
 
+    def report(self, report):
+        """Take an agent's report; raises NotLeader if this host does not lead."""
+        self.require_authenticated()
+        return self._host.receive_report(report)
+
     def _not_leader(self):
         replica = self._host.replica
         return ttypes.NotLeader(replica.leader_address, replica.leader_name)
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -22,6 +22,7 @@
 from ..tasks.state_machine import TaskStateMachine
 from ..wire.generated import ControlService, ttypes
 from ..wire.peers import PeerClient, PeerServer
+from .agent import Agent, NoLeader
 from .handler import TaskControlHandler
 from .leader_term import DispatchSettings, LeaderTerm
 from .task_service import TaskService
@@ -46,6 +47,15 @@
 """
 
 
+REPORT_TIMEOUT_SECONDS = 0.5
+"""Timeout of an agent's report; its permission outlasts one that is lost."""
+
+LEAVE_SHARE = 0.4
+"""Share of the time for a drain in which the workers of this host may get another agent."""
+
+LEAVE_CHECK_SECONDS = 0.02
+
+
 @attrs.frozen(kw_only=True)
 class TaskControlSettings:
     """Settings of a control host."""
@@ -76,11 +86,12 @@
 
 
 class TaskControlHost:
-    """One control host: its replica, the replacement of failed replicas, and the leader's work."""
+    """One control host: its replica, its agent, and the leader's work while it leads."""
 
     def __init__(self, settings: TaskControlSettings, worker_api: WorkerApi):
         self._settings = settings
-        self._worker_api = worker_api
+        self._term: LeaderTerm | None = None
+        self._leader_client: PeerClient | None = None
         self._clock = SystemClock()
         self._peer_addresses: set[str] = set()
         self._peers: PeerServer | None = None
@@ -100,6 +111,16 @@
             clock=self._clock,
             timing=settings.timing,
             rng=random.Random(),
+            # Agents start runs once they know that the intents are committed.
+            announces_commits=True,
+        )
+        self.agent = Agent(
+            self.replica,
+            self.state_machine,
+            worker_api,
+            self._clock,
+            settings.dispatch,
+            self._report_to_leader,
         )
         self.repair = GroupRepair(self.replica, replaces_unresponsive=True)
         self.task_service = TaskService(self.replica, self.state_machine, self._clock)
@@ -124,10 +145,38 @@
         log_event("control:started", replica=self.identity.replica_id)
         for activity in (self._maintain_membership, self._repair_group, self._lead):
             eventlet.spawn(self._run_activity, activity)
+        self.agent.start(self._run_activity)
 
     def drain(self, limit_seconds: float) -> None:
-        """Answer the calls of peers that have arrived, and accept no others."""
-        self._peers.drain(limit_seconds)
+        """Hand the workers over, answer the calls of peers that have arrived, accept no others."""
+        began_at = self._clock.monotonic()
+        self.agent.leave()
+        with eventlet.Timeout(LEAVE_SHARE * limit_seconds, False):
+            while self.agent.session_by_incarnation and not self.replica.is_leader:
+                eventlet.sleep(LEAVE_CHECK_SECONDS)
+        self._peers.drain(max(0.0, limit_seconds - (self._clock.monotonic() - began_at)))
+
+    def receive_report(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
+        """Take an agent's report; raises NotLeader if this host does not lead."""
+        if self._term is None or not self.replica.is_leader:
+            raise ttypes.NotLeader(self.replica.leader_address, self.replica.leader_name)
+        return self._term.receive_report(report)
+
+    def _report_to_leader(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
+        if self.replica.is_leader:
+            return self.receive_report(report)
+        address = self.replica.leader_address
+        if not address:
+            raise NoLeader("no leader is known")
+        if self._leader_client is None or self._leader_client.address != address:
+            if self._leader_client is not None:
+                self._leader_client.close()
+            self._leader_client = PeerClient(
+                ControlService, address, self._settings.cluster_key, "agent"
+            )
+        return self._leader_client.call(
+            "report", report, timeout=REPORT_TIMEOUT_SECONDS, total_timeout=REPORT_TIMEOUT_SECONDS
+        )
 
     def wait(self) -> None:
         """Block until the replica stops; raise the error that stopped it."""
@@ -151,15 +200,14 @@
                 eventlet.sleep(LEADER_CHECK_INTERVAL_SECONDS)
                 continue
             term = LeaderTerm(
-                self.replica,
-                self.state_machine,
-                self._worker_api,
-                self._clock,
-                self._settings.dispatch,
+                self.replica, self.state_machine, self._clock, self._settings.dispatch
             )
             self.task_service.on_change = term.wake
-            self.task_service.on_worker_leaving = term.worker_leaving
-            term.run()
+            self._term = term
+            try:
+                term.run()
+            finally:
+                self._term = None
 
     def _repair_group(self) -> None:
         while True:
--- a/src/savoryshelf/dispatch/interference.py
+++ b/src/savoryshelf/dispatch/interference.py
@@ -32,7 +32,7 @@
 """Decay of earlier samples per new sample: a time constant of about 25 s at 20 samples/s."""
 
 MIN_COMMITTED_CHANGE = 0.02
-"""Change in a weight, in utilisation per core, above which it is committed for the next leader."""
+"""Change in a weight, in utilisation per core, above which it is committed for all hosts."""
 
 UTILISATION_LIMIT = 0.76
 """Utilisation up to which best-effort runs may load a serving run: a latency ratio of 0.83."""
@@ -112,6 +112,11 @@
             self._rescale()
         self._drop_images_beyond(MAX_IMAGES)
 
+    def information(self, image: str) -> float:
+        """Return how much the samples of an image tell, in squared cores; 0 without samples."""
+        row = self._covariances_by_image.get(image)
+        return row[image] / self._sample_weight if row else 0.0
+
     def _update_weight(self, image: str) -> None:
         """Solve for one weight with the others fixed: a step of coordinate descent."""
         row, weights = self._covariances_by_image[image], self.weight_by_image
@@ -145,13 +150,42 @@
     """Utilisation that each core of a best-effort image adds to a serving image.
 
     Weights are kept by pair (best-effort image, serving image); pairs without a
-    sample have ``PRIOR_WEIGHT``.
+    sample have ``PRIOR_WEIGHT``, or the weight that other hosts have learned.
     """
 
     def __init__(self, weight_by_pair: dict[tuple[str, str], float] | None = None):
         self._fit_by_serving_image: dict[str, _LeastSquaresFit] = {}
+        self._taken_weight_by_pair: dict[tuple[str, str], float] = {}
         for (best_effort_image, serving_image), weight in (weight_by_pair or {}).items():
-            self._fit_for(serving_image).weight_by_image[best_effort_image] = weight
+            self.set_weight(best_effort_image, serving_image, weight)
+
+    def set_weight(self, best_effort_image: str, serving_image: str, weight: float) -> None:
+        """Use a weight that was learned elsewhere."""
+        weights = self._fit_for(serving_image).weight_by_image
+        if best_effort_image in weights or len(weights) < MAX_IMAGES:
+            weights[best_effort_image] = weight
+
+    def adopt_weights(self, weights: list[PairWeight]) -> None:
+        """Use weights that were learned elsewhere for the pairs that have no samples here."""
+        for pair in weights:
+            fit = self._fit_by_serving_image.get(pair.serving_image)
+            if fit is None or not fit.information(pair.filling_image):
+                self.set_weight(pair.filling_image, pair.serving_image, pair.weight)
+
+    def take_learned_weights(self) -> list[PairWeight]:
+        """Return the weights with samples that have changed since they were last returned."""
+        changed = []
+        for serving_image, fit in self._fit_by_serving_image.items():
+            for best_effort_image, weight in fit.weight_by_image.items():
+                pair = best_effort_image, serving_image
+                taken = self._taken_weight_by_pair.get(pair, PRIOR_WEIGHT)
+                if abs(weight - taken) <= MIN_COMMITTED_CHANGE / 2:
+                    continue
+                information = fit.information(best_effort_image)
+                if information:
+                    self._taken_weight_by_pair[pair] = weight
+                    changed.append(PairWeight(*pair, weight, information))
+        return changed
 
     def changed_weights(self, committed_by_pair: dict[tuple[str, str], float]) -> list[PairWeight]:
         """Return the weights that differ enough from the committed ones to be committed."""
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -1,7 +1,7 @@
-"""One term of leadership: the sessions with all workers and the loop that places runs.
+"""One term of leadership: commits what agents report, and places runs.
 
-The state here is rebuilt from the replicated log and from the workers' poll
-results, and is discarded when the term ends.
+The state here is rebuilt from the replicated log and from the reports of the agents,
+and is discarded when the term ends.
 """
 
 import contextlib
@@ -16,40 +16,43 @@
 from ..errors import SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
+from ..replication.membership import find_member
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
-from ..scheduling.start_rate import MEASURE_INTERVAL_SECONDS, StartRate
-from ..tasks.job import IncarnationKey, Task
+from ..scheduling.start_rate import StartRate
 from ..tasks.ledger import TaskLedger
 from ..tasks.names import parse_task_name
 from ..tasks.state_machine import TaskStateMachine
+from ..tasks.worker import incarnation_key
 from ..wire import codec
+from ..wire.generated import ttypes
 from ..wire.generated.ttypes import (
+    AgentAssignment,
+    AgentReply,
+    AgentReport,
+    AssignAgents,
     EndLives,
     ForgetJobs,
     IntendRuns,
     NoteWeights,
-    RunEnd,
+    RejectionKind,
     RunIntent,
     RunOutcome,
+    SettleBatch,
     SettleRuns,
+    StartRejection,
     TaskCommand,
     TaskCommandBody,
     WorkerLife,
 )
+from .agent import replica_of
+from .agent_fleet import AgentFleet
+from .assignment import AssignableAgent, AssignableWorker, plan_assignments
 from .health import FleetHealth
 from .interference import InterferenceModel
-from .placement import Placement, WorkerView, is_limited
+from .lag import measure_lag
+from .placement import Placement, is_limited
 from .retention import Retention
-from .throttling import (
-    ColocationHistory,
-    baseline_utilisations,
-    initial_speed_percent,
-    learn_interference,
-    speed_changes,
-)
-from .worker_api import StartResult, WorkerApi
-from .worker_session import WorkerSession
 
 MAX_PASS_INTERVAL_SECONDS = 0.25
 """Longest time between two passes of the loop, in seconds.
@@ -70,17 +73,23 @@
 """
 
 MAX_QUORUM_CONTACT_AGE_SECONDS = 1.0
-"""Age of the last quorum contact below which workers are called, in seconds.
+"""Age of the last quorum contact below which reports are answered, in seconds.
 
 One election timeout.
 """
 
-TAKEOVER_SLACK_MS = 300
-"""Added to the longest lease that an earlier leader may have granted, in ms.
+FIRST_REPORT_SECONDS = 0.3
+"""Time at the start of a term in which the agents of earlier terms may report, in seconds.
 
-Covers a call that an earlier leader's process makes on resuming after it was frozen.
+It takes them a heartbeat, the opening of a connection and a call, between regions too.
 """
 
+ASSIGNMENT_INTERVAL_SECONDS = 0.1
+"""Time between two looks for workers without a live agent, in seconds."""
+
+MOVE_INTERVAL_SECONDS = 2.0
+"""Time between two steps that even out the load of the agents, in seconds."""
+
 
 class LeadershipLost(SavoryshelfError):
     """Leadership was lost; a command in flight may or may not have been committed."""
@@ -93,7 +102,7 @@
     lease_ms: int
     """Length of a worker's lease, in ms.
 
-    The same for all leaders, since a new one waits for earlier leases to expire.
+    The same for all agents, since the next one waits for earlier leases to expire.
     """
 
     keep_ended_seconds: float = 300.0
@@ -107,35 +116,36 @@
 
 
 class LeaderTerm:
-    """The leader's work during one term; ``fencing_token`` is the Raft term."""
-
-    takeover_slack_ms = TAKEOVER_SLACK_MS
+    """The leader's work during one term."""
 
     def __init__(
         self,
         replica: ReplicaService,
         state_machine: TaskStateMachine,
-        worker_api: WorkerApi,
         clock: Clock,
         settings: DispatchSettings,
     ):
         self._replica = replica
         self._state_machine = state_machine
-        self.worker_api = worker_api
         self._clock = clock
         self._settings = settings
-        self.fencing_token = replica.core.term
-        self.session_by_incarnation: dict[IncarnationKey, WorkerSession] = {}
+        self._term = replica.core.term
         self.health = FleetHealth()
         self.interference = InterferenceModel(dict(state_machine.ledger.weight_by_pair))
+        self._fleet = AgentFleet()
+        self._began_at = self._assigned_at = self._moved_at = clock.monotonic()
         self._weights_committed_at = clock.monotonic()
         self._retention = Retention(settings.keep_ended_seconds)
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
         )
         self._start_rate = StartRate()
+        self._settlements: list[SettleRuns] = []
+        self._ended_lives: list[EndLives] = []
         self._wake = Event()
+        self._wake_commit = Event()
         self._has_ended = False
+        self._failure: Exception | None = None
 
     @property
     def ledger(self) -> TaskLedger:
@@ -146,10 +156,10 @@
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
 
-    def may_call_workers(self) -> bool:
-        """Return whether this host may still call workers; checked before each start and stop."""
+    def is_confirmed(self) -> bool:
+        """Return whether a majority has confirmed recently that this term has not ended."""
         core = self._replica.core
-        if self._has_ended or core.term != self.fencing_token:
+        if self._has_ended or core.term != self._term:
             return False
         return core.seconds_since_quorum_contact(self.now()) < MAX_QUORUM_CONTACT_AGE_SECONDS
 
@@ -157,41 +167,55 @@
 
     def run(self) -> None:
         """Place runs until the term ends."""
-        log_event("term:begins", term=self.fencing_token, jobs=len(self.ledger.job_by_id))
-        eventlet.spawn(self._measure_lag)
+        log_event("term:begins", term=self._term, jobs=len(self.ledger.job_by_id))
+        for activity in (self._measure_lag, self._commit_reports):
+            eventlet.spawn(self._run_activity, activity)
         try:
-            while self._replica.is_leader and self._replica.core.term == self.fencing_token:
-                if self.may_call_workers():
+            while self._replica.is_leader and self._replica.core.term == self._term:
+                if self._failure is not None:
+                    raise self._failure
+                began_at = self.now()
+                if self.is_confirmed():
                     self._run_pass()
-                self._wait_for_work()
+                self._wait_for_work(self.now() - began_at)
         except LeadershipLost:
-            log_event("term:command_lost", term=self.fencing_token)
+            log_event("term:command_lost", term=self._term)
         finally:
             self._has_ended = True
-            for session in self.session_by_incarnation.values():
-                session.close()
-            log_event("term:ends", term=self.fencing_token)
+            self._wake_up_commit()
+            log_event("term:ends", term=self._term)
+
+    def _run_activity(self, activity) -> None:
+        try:
+            activity()
+        except Exception as error:
+            # Raised by the loop: a term without this activity would place nothing.
+            self._failure = error
+            self.wake()
 
     def wake(self) -> None:
         """Request another pass as soon as possible."""
         if not self._wake.ready():
             self._wake.send(None)
 
-    def _wait_for_work(self) -> None:
+    def _wait_for_work(self, pass_seconds: float) -> None:
         with eventlet.Timeout(MAX_PASS_INTERVAL_SECONDS, False):
             self._wake.wait()
         if self._wake.ready():
             self._wake = Event()
-            eventlet.sleep(BATCH_DELAY_SECONDS)
+            # As long as the last pass at least, so that passes leave time for other work.
+            eventlet.sleep(max(BATCH_DELAY_SECONDS, min(pass_seconds, MAX_PASS_INTERVAL_SECONDS)))
 
     def _run_pass(self) -> None:
-        self._update_sessions()
-        self._stop_runs()
+        self._assign_workers()
         self._commit_weights()
         self._forget_old_jobs()
+        if not self.ledger.startable_group_by_key:
+            return
         started_at = time.thread_time()
+        views = self._fleet.views(self._live_workers(), self.now())
         intents = self._placement.plan(
-            self.ledger, self._views(), self._clock.wall_ms(), self.health, self.now(),
+            self.ledger, views, self._clock.wall_ms(), self.health, self.now(),
             self._start_rate.allowed_starts(self.now()),
         )  # fmt: skip
         outcome = "starts" if intents else "none"
@@ -199,20 +223,23 @@
         if intents:
             self._start_rate.record_starts(sum(map(self._is_limited, intents)))
             self._log_first_starts(intents)
-            for intent in self.commit(intend_runs=IntendRuns(intents)):
-                key = (intent.life.worker_id, intent.life.born_ms)
-                self.session_by_incarnation[key].start(intent.task, intent.run)
+            self.commit(intend_runs=IntendRuns(intents))
+
+    def _live_workers(self):
+        return [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
 
     def _is_limited(self, intent: RunIntent) -> bool:
         return is_limited(self.ledger.find_task(intent.task).step.spec)
 
     def _measure_lag(self) -> None:
-        """Adapt the rate of best-effort starts to the lag of this process's timers."""
-        while not self._has_ended:
-            began_at = self.now()
-            eventlet.sleep(MEASURE_INTERVAL_SECONDS)
+        """Adapt the rate of best-effort starts to the lag of timers, here and at the agents."""
+        for own_lag in measure_lag(self._clock):
+            if self._has_ended:
+                return
             now = self.now()
-            self._start_rate.record_lag(now - began_at - MEASURE_INTERVAL_SECONDS, now)
+            lag = max(own_lag, self._fleet.max_timer_lag(now))
+            self._start_rate.record_lag(lag, now)
+            self._fleet.record_commit_index(self._replica.core.commit_index, now)
             metrics.TIMER_LAG.set(self._start_rate.mean_lag)
             metrics.START_RATE.set(self._start_rate.rate)
 
@@ -245,129 +272,111 @@
         forgotten = self.commit(forget_jobs=ForgetJobs(cutoff_ms))
         log_event("jobs:forgotten", count=forgotten, ended_before_ms=cutoff_ms)
 
-    def _update_sessions(self) -> None:
-        for key, worker in list(self.ledger.worker_by_incarnation.items()):
-            session = self.session_by_incarnation.get(key)
-            if worker.has_ended and session is not None:
-                self._drop_session(key)
-            elif not worker.has_ended and session is None:
-                self.session_by_incarnation[key] = WorkerSession(
-                    self, worker, self._settings.lease_ms
-                )
-
-    def _drop_session(self, key: IncarnationKey) -> None:
-        session = self.session_by_incarnation.pop(key)
-        self.worker_api.disconnect(session.incarnation)
-        session.close()
+    # ------------------------------------------------------------------- assignments
 
-    def _views(self) -> list[WorkerView]:
-        return [
-            session.view()
-            for session in self.session_by_incarnation.values()
-            if not session.is_closed
+    def _assign_workers(self) -> None:
+        """Give workers without a live agent to another, and even out the load at times."""
+        now = self.now()
+        is_settling = now - self._began_at < FIRST_REPORT_SECONDS
+        if is_settling or now - self._assigned_at < ASSIGNMENT_INTERVAL_SECONDS:
+            return
+        self._assigned_at = now
+        may_move = now - self._moved_at >= MOVE_INTERVAL_SECONDS
+        if may_move:
+            self._moved_at = now
+        live_workers = self._live_workers()
+        self._fleet.forget({worker.key for worker in live_workers}, now)
+        agents = self._assignable_agents(now)
+        agent_ids = {agent.agent_id for agent in agents}
+        workers = [
+            AssignableWorker(
+                worker.key,
+                self._settings.region_by_domain.get(worker.record.failure_domain, ""),
+                worker.record.agent_id
+                if worker.record.agent_id in agent_ids and not self._fleet.is_fenced(worker)
+                else None,
+            )
+            for worker in live_workers
         ]
+        planned = plan_assignments(workers, agents, may_move)
+        if not planned:
+            return
+        count_by_agent = Counter(planned.values())
+        log_event("agents:assigned", term=self._term, workers_by_agent=dict(count_by_agent))
+        assignments = [AgentAssignment(WorkerLife(*key), agent) for key, agent in planned.items()]
+        self.commit(assign_agents=AssignAgents(assignments, self._term))
 
-    def _stop_runs(self) -> None:
-        for (task, run), key in list(self.ledger.runs_to_stop.items()):
-            session = self.session_by_incarnation.get(key)
-            if session is not None and session.is_state_known:
-                session.stop(task, run)
-
-    # --------------------------------------------------------- called by the sessions
-
-    def settle_ends(self, session: WorkerSession, seen_end: int, ends: list[RunEnd]) -> None:
-        """Commit the ends of runs; only committed ends may be acknowledged to the worker."""
-        incarnation = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
-        for end in ends:
-            self._record_end(session, end)
-        with self._log_lost_leadership():
-            self.commit(settle_runs=SettleRuns(incarnation, seen_end, ends))
-        self.wake()
-
-    def _record_end(self, session: WorkerSession, end: RunEnd) -> None:
-        outcome = RunOutcome(end.outcome)
-        metrics.RUN_ENDS.labels(outcome.name.lower()).inc()
-        if outcome is not RunOutcome.DONE:
-            log_event(
-                "run:ended", task=end.task, run=end.run, how=outcome.name.lower(),
-                worker=session.incarnation.worker_id, number=end.number,
-            )  # fmt: skip
-        if outcome in (RunOutcome.DONE, RunOutcome.FAILED):
-            self.health.record_outcome(
-                session.incarnation.worker_id, outcome is RunOutcome.DONE, self.now()
+    def _assignable_agents(self, now: float) -> list[AssignableAgent]:
+        core = self._replica.core
+        agents = []
+        for agent_id, region in self._fleet.live_agents(now).items():
+            member = find_member(core.log.membership, replica_of(agent_id))
+            if member is not None and member.voter:
+                is_leader = member.replica_id == core.replica_id
+                agents.append(AssignableAgent(agent_id, region, is_leader))
+        return agents
+
+    # ----------------------------------------------------------------------- reports
+
+    def receive_report(self, report: AgentReport) -> AgentReply:
+        """Take an agent's report; raises Unavailable unless a majority confirms this leader.
+
+        Returns before what was reported is committed: the agent sees that in its own log.
+        """
+        if not self.is_confirmed():
+            raise ttypes.Unavailable(
+                f"no majority has confirmed this leader within {MAX_QUORUM_CONTACT_AGE_SECONDS} s",
+                False,
             )
+        now = self.now()
+        wants_full = self._fleet.record_report(report, now)
+        for weight in self._fleet.merge_weights(report):
+            self.interference.set_weight(weight.filling_image, weight.serving_image, weight.weight)
+        for rejection in report.rejections:
+            self._record_rejection(rejection, now)
+        if report.settlements or report.ended_lives:
+            self._settlements += report.settlements
+            self._ended_lives += report.ended_lives
+            self._wake_up_commit()
+        elif report.states:
+            self.wake()
+        return AgentReply(self._term, self.ledger.newest_token, wants_full)
+
+    def _record_rejection(self, rejection: StartRejection, now: float) -> None:
+        if rejection.kind == RejectionKind.UNHEALTHY:
+            self.health.record_outcome(rejection.worker_id, False, now)
+        else:
+            self.health.record_rejection(rejection.worker_id, now)
+
+    def _commit_reports(self) -> None:
+        """Commit what agents have reported; everything that came meanwhile shares a command."""
+        while not self._has_ended:
+            self._wake_commit.wait()
+            self._wake_commit = Event()
+            settlements, self._settlements = self._settlements, []
+            ended_lives, self._ended_lives = self._ended_lives, []
+            # The agents report again whatever they do not see committed.
+            with self._log_lost_leadership():
+                for settlement in settlements:
+                    self._record_outcomes(settlement)
+                if settlements:
+                    self.commit(settle_batch=SettleBatch(settlements))
+                for ended in ended_lives:
+                    self.commit(end_lives=ended)
+            self.wake()
+
+    def _record_outcomes(self, settlement: SettleRuns) -> None:
+        worker = self.ledger.worker_by_incarnation.get(incarnation_key(settlement.life))
+        settled_up_to = worker.record.seen_end if worker else 0
+        for end in settlement.ends:
+            if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED) and end.number > settled_up_to:
+                self.health.record_outcome(
+                    settlement.life.worker_id, end.outcome == RunOutcome.DONE, self.now()
+                )
 
-    def poll_completed(self, session: WorkerSession, history: ColocationHistory) -> None:
-        """Update the interference model, and throttle or evict runs that slow serving runs down."""
-        view = session.view()
-        learn_interference(self.interference, view, history, self.now())
-        session.baseline_by_image = baseline_utilisations(self.interference, view)
-        changes = speed_changes(
-            self.interference, view, session.speed_percent_by_run, history.slow_seconds(self.now())
-        )
-        for change in changes:
-            if session.is_stopping(change.task, change.run):
-                continue
-            if change.speed_percent:
-                session.set_speed(change.task, change.run, change.speed_percent)
-                continue
-            metrics.EVICTIONS.labels("slows a serving run").inc()
-            log_event(
-                "run:yields", task=change.task, run=change.run, worker=change.incarnation[0],
-                strain=round(change.latency_ratio, 2), image=change.image,
-            )  # fmt: skip
-            session.exclude_image(change.image)
-            session.stop(change.task, change.run)
-
-    def run_started(self, session: WorkerSession, task: Task, run: int) -> None:
-        """Set the initial speed of a best-effort run."""
-        if task.step.spec.filling:
-            speed_percent = initial_speed_percent(self.interference, session.view(), task.step.spec)
-            session.set_speed(task.name, run, speed_percent)
-
-    def start_rejected(
-        self, session: WorkerSession, task: str, run: int, result: StartResult
-    ) -> None:
-        """Settle a run that the worker refused to start, so that its task can be placed again."""
-        if result is StartResult.FENCED:
-            # A newer leader has taken over and settles the run.
-            return
-        if result is StartResult.UNHEALTHY:
-            self.health.record_outcome(session.incarnation.worker_id, False, self.now())
-        if result is StartResult.NO_CAPACITY:
-            self.health.record_rejection(session.incarnation.worker_id, self.now())
-        incarnation = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
-        ends = [RunEnd(task, run, RunOutcome.NEVER_RAN, "", 0)]
-        with self._log_lost_leadership():
-            self.commit(settle_runs=SettleRuns(incarnation, 0, ends))
-        self.wake()
-
-    def poll_rejected(self, session: WorkerSession, why: str) -> None:
-        """Log that a worker rejected a poll."""
-        log_event("worker:rejects", worker=session.incarnation.worker_id, why=why)
-
-    def worker_leaving(self, worker_id: str) -> None:
-        """Record that a worker has announced its shutdown, and wake the loop."""
-        for session in self.session_by_incarnation.values():
-            if session.incarnation.worker_id == worker_id:
-                session.is_shutting_down = True
-        self.wake()
-
-    def incarnation_ended(self, session: WorkerSession, why: str) -> None:
-        """Commit that an incarnation has ended, so that its runs can be started elsewhere."""
-        if session.worker.has_ended or self._has_ended:
-            return
-        incarnation = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
-        runs = len(session.worker.task_by_run)
-        log_event("worker:life_over", worker=incarnation.worker_id, why=why, runs=runs)
-        checkpoints = [
-            RunEnd(status.task, status.run, RunOutcome.LOST, status.checkpoint, 0)
-            for status in session.status_by_run.values()
-            if status.checkpoint
-        ]
-        with self._log_lost_leadership():
-            self.commit(end_lives=EndLives([incarnation], checkpoints))
-        self.wake()
+    def _wake_up_commit(self) -> None:
+        if not self._wake_commit.ready():
+            self._wake_commit.send(None)
 
     # -------------------------------------------------------------------- committing
 
@@ -384,8 +393,8 @@
 
     @contextlib.contextmanager
     def _log_lost_leadership(self):
-        """Log a lost leadership instead of raising it in the thread of a session."""
+        """Log a lost leadership instead of raising it in a thread beside the loop."""
         try:
             yield
         except LeadershipLost as error:
-            log_event("term:command_lost", term=self.fencing_token, why=str(error))
+            log_event("term:command_lost", term=self._term, why=str(error))
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -131,13 +131,34 @@
     expected_millicores: float = 0.0
     """Expected use by its runs, based on reservations or, for best-effort runs, on requests."""
 
-    serving_images: Counter = attrs.field(factory=Counter)
-    best_effort_cores_by_image: dict[str, float] = attrs.field(factory=dict)
+    serving_run_count_by_image: dict[str, int] = attrs.field(init=False)
+    best_effort_millicores_by_image: dict[str, int] = attrs.field(init=False)
+    """Both are the worker's own until a run is planned here."""
+
+    _has_own_counts: bool = False
     _added_utilisation_by_image: dict[str, float] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self):
-        for task in self.view.worker.task_by_run.values():
-            self._count(task.step.spec)
+        worker = self.view.worker
+        self.serving_run_count_by_image = worker.serving_run_count_by_image
+        self.best_effort_millicores_by_image = worker.best_effort_millicores_by_image
+        self.long_running_millicores += worker.long_running_millicores
+        self.expected_millicores += (
+            worker.used.millicores
+            + worker.best_effort_millicores
+            - (1.0 - SERVING_RESERVATION_USE) * worker.serving_millicores
+        )
+
+    def copy(self) -> "_Candidate":
+        """Return an independent copy, for placing several runs all together or not at all."""
+        copy = _Candidate(self.view, self.interference, self.penalty)
+        copy.planned = attrs.evolve(self.planned)
+        copy.expected_millicores = self.expected_millicores
+        copy.long_running_millicores = self.long_running_millicores
+        copy.serving_run_count_by_image = dict(self.serving_run_count_by_image)
+        copy.best_effort_millicores_by_image = dict(self.best_effort_millicores_by_image)
+        copy._has_own_counts = True
+        return copy
 
     def fits(self, step: StepSpec) -> bool:
         record, used, planned = self.view.worker.record, self.view.worker.used, self.planned
@@ -160,39 +181,47 @@
         affected most: 0 for none, above 1 if the headroom is exceeded.
         """
         worst = 0.0
-        for image in self.serving_images:
+        for image in self.serving_run_count_by_image:
             run_utilisation = self.interference.weight(step.image, image) * step.millicores / 1000
             if run_utilisation < NEGLIGIBLE_UTILISATION:
                 worst = max(worst, run_utilisation)
                 continue
-            current_utilisation = self._added_utilisation_by_image.get(image)
-            if current_utilisation is None:
-                current_utilisation = self.interference.added_utilisation(
-                    image, self.best_effort_cores_by_image
-                )
-                self._added_utilisation_by_image[image] = current_utilisation
             baseline = self.view.baseline_by_image.get(image, PEAK_BASELINE_UTILISATION)
             worst = max(
                 worst,
-                (current_utilisation + run_utilisation)
+                (self.added_utilisation(image) + run_utilisation)
                 / max(interference_headroom(baseline), NEGLIGIBLE_UTILISATION),
             )
         return worst
 
+    def added_utilisation(self, serving_image: str) -> float:
+        """Return what the best-effort runs here add to the utilisation of a serving image."""
+        added = self._added_utilisation_by_image.get(serving_image)
+        if added is None:
+            cores_by_image = {
+                image: millicores / 1000
+                for image, millicores in self.best_effort_millicores_by_image.items()
+            }
+            added = self.interference.added_utilisation(serving_image, cores_by_image)
+            self._added_utilisation_by_image[serving_image] = added
+        return added
+
     def add(self, step: StepSpec) -> None:
         """Count one more run of this step as placed here."""
+        if not self._has_own_counts:
+            self.serving_run_count_by_image = dict(self.serving_run_count_by_image)
+            self.best_effort_millicores_by_image = dict(self.best_effort_millicores_by_image)
+            self._has_own_counts = True
         self.planned.add(step, 1)
-        self._count(step)
-
-    def _count(self, step: StepSpec) -> None:
         self.expected_millicores += _expected_millicores(step)
         if step.lasting:
             self.long_running_millicores += step.millicores
         if step.target_ms:
-            self.serving_images[step.image] += 1
+            counts = self.serving_run_count_by_image
+            counts[step.image] = counts.get(step.image, 0) + 1
         if step.filling:
-            cores = self.best_effort_cores_by_image.get(step.image, 0.0) + step.millicores / 1000
-            self.best_effort_cores_by_image[step.image] = cores
+            millicores = self.best_effort_millicores_by_image
+            millicores[step.image] = millicores.get(step.image, 0) + step.millicores
             self._added_utilisation_by_image.clear()
 
 
@@ -448,7 +477,7 @@
         if len(group.startable_indexes) < len(group.tasks):
             return []
         run = 1 + max(task.runs for task in group.tasks)
-        trial = [self._copy(candidate) for candidate in allowed]
+        trial = [candidate.copy() for candidate in allowed]
         ranking = _Ranking(self, group.spec, trial, run_counts)
         intents = []
         for task in group.tasks:
@@ -462,15 +491,6 @@
             candidate_by_incarnation[intent.life.worker_id, intent.life.born_ms].add(group.spec)
         return intents
 
-    def _copy(self, candidate: _Candidate) -> _Candidate:
-        copy = _Candidate(candidate.view, self._interference, candidate.penalty)
-        copy.planned = attrs.evolve(candidate.planned)
-        copy.expected_millicores = candidate.expected_millicores
-        copy.best_effort_cores_by_image = dict(candidate.best_effort_cores_by_image)
-        copy.long_running_millicores = candidate.long_running_millicores
-        copy.serving_images = Counter(candidate.serving_images)
-        return copy
-
     def may_run(self, step: StepSpec, candidate: _Candidate, run_count: int) -> bool:
         """Return whether one more run of the step may be planned on the candidate."""
         if not candidate.fits(step):
@@ -494,13 +514,12 @@
         return score
 
     def _serving_score(self, step: StepSpec, candidate: _Candidate) -> float:
-        other_image_count = len(candidate.serving_images.keys() - {step.image})
-        score = OTHER_IMAGE_PENALTY * other_image_count
-        score -= SAME_IMAGE_BONUS * (step.image in candidate.serving_images)
-        best_effort_utilisation = self._interference.added_utilisation(
-            step.image, candidate.best_effort_cores_by_image
-        )
-        if best_effort_utilisation > interference_headroom(PEAK_BASELINE_UTILISATION):
+        images = candidate.serving_run_count_by_image
+        is_same = step.image in images
+        score = OTHER_IMAGE_PENALTY * (len(images) - is_same) - SAME_IMAGE_BONUS * is_same
+        if candidate.added_utilisation(step.image) > interference_headroom(
+            PEAK_BASELINE_UTILISATION
+        ):
             score += BESIDE_BEST_EFFORT_PENALTY
         return score
 
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -10,6 +10,7 @@
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..outcomes import Refusal
+from ..replication.bootstrap import host_name
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
 from ..tasks.manifest import find_queue
@@ -32,6 +33,7 @@
     WorkerLife,
     WorkerRecord,
 )
+from .agent import replica_of
 
 MAX_QUORUM_CONTACT_AGE_SECONDS = 1.0
 """Age of the last quorum contact up to which a leader answers reads, in seconds.
@@ -42,10 +44,9 @@
 
 @attrs.frozen
 class WorkerHeartbeat:
-    """A worker's heartbeat; ``sequence`` rises with each one of an incarnation."""
+    """A worker's heartbeat; the record's ``sequence`` rises with each one of an incarnation."""
 
     record: WorkerRecord
-    sequence: int
     clock_ms: int
 
 
@@ -63,9 +64,6 @@
         self.on_change = lambda: None
         """Called after commands that may give the leader's term work to do."""
 
-        self.on_worker_leaving = lambda worker_id: None
-        """Called with the id of a worker that has announced its shutdown."""
-
     # ------------------------------------------------------------------------ callers
 
     def job_call(self, call: JobCall) -> JobAnswer:
@@ -155,30 +153,32 @@
 
     # ------------------------------------------------------------------------ workers
 
-    def heartbeat(self, heartbeat: WorkerHeartbeat) -> None:
+    def heartbeat(self, heartbeat: WorkerHeartbeat) -> str:
         """Process a worker's heartbeat; return once any change that it reports is durable.
 
-        A heartbeat that is out of order or from an earlier incarnation is ignored.
+        Returns the name of the host that calls the worker, or an empty string.  A heartbeat
+        that is out of order or from an earlier incarnation is ignored.  One without a change is
+        answered by every host that is in contact with the leader.
         """
-        self._require_recent_quorum_contact()
-        ledger, record = self._state_machine.ledger, heartbeat.record
+        record = heartbeat.record
         key = incarnation_key(record.life)
-        newest = self._sequence_by_incarnation.get(key, -1)
-        if heartbeat.sequence <= newest or self._is_earlier_incarnation(record.life):
-            log_event("heartbeat:stale", worker=key[0], sequence=heartbeat.sequence, newest=newest)
-            return
-        self._sequence_by_incarnation[key] = heartbeat.sequence
-        existing = ledger.worker_by_incarnation.get(key)
-        if (
-            existing is not None
-            and not existing.has_ended
-            and _is_unchanged(existing.record, record)
-        ):
-            return
+        known = self._state_machine.ledger.worker_by_incarnation.get(key)
+        if known is not None and not known.has_ended and _is_unchanged(known.record, record):
+            self._require_recent_leader_contact()
+            return _agent_host(known.record)
+        self._require_recent_quorum_contact()
+        newest = max(
+            self._sequence_by_incarnation.get(key, -1), known.record.sequence or 0 if known else -1
+        )
+        if record.sequence <= newest or self._is_earlier_incarnation(record.life):
+            log_event("heartbeat:stale", worker=key[0], sequence=record.sequence, newest=newest)
+            return _agent_host(known.record) if known else ""
+        self._sequence_by_incarnation[key] = record.sequence
         self._commit(note_workers=NoteWorkers([record]))
         log_event("worker:noted", worker=key[0], born=key[1], draining=record.draining)
         self._end_earlier_incarnations(record.life)
         self.on_change()
+        return _agent_host(record)
 
     def leave(self, worker_id: str) -> None:
         """Process a worker's announced shutdown.
@@ -187,11 +187,12 @@
         """
         self._require_recent_quorum_contact()
         for key, worker in list(self._state_machine.ledger.worker_by_incarnation.items()):
-            if key[0] == worker_id and worker.is_schedulable:
-                record = _draining_copy(worker.record)
+            if key[0] == worker_id and not worker.has_ended and not worker.record.leaving:
+                record = codec.decode(WorkerRecord, codec.encode(worker.record))
+                record.draining = record.leaving = True
                 self._commit(note_workers=NoteWorkers([record]))
         log_event("worker:leaves", worker=worker_id)
-        self.on_worker_leaving(worker_id)
+        self.on_change()
 
     def _is_earlier_incarnation(self, incarnation: WorkerLife) -> bool:
         return any(
@@ -236,6 +237,17 @@
                 False,
             )
 
+    def _require_recent_leader_contact(self) -> None:
+        """Raise unless the applied state is at most a moment behind that of the leader."""
+        if self._replica.is_leader:
+            self._require_recent_quorum_contact()
+            return
+        age = self._replica.core.seconds_since_leader_contact(self._clock.monotonic())
+        if age > MAX_QUORUM_CONTACT_AGE_SECONDS:
+            raise ttypes.Unavailable(
+                f"no message from a leader within {MAX_QUORUM_CONTACT_AGE_SECONDS} s", False
+            )
+
     def _not_leader(self) -> ttypes.NotLeader:
         return ttypes.NotLeader(self._replica.leader_address, self._replica.leader_name)
 
@@ -262,14 +274,17 @@
     return path.rpartition("/")[2]
 
 
-def _draining_copy(record: WorkerRecord) -> WorkerRecord:
-    copy = codec.decode(WorkerRecord, codec.encode(record))
-    copy.draining = True
-    return copy
+def _agent_host(record: WorkerRecord) -> str:
+    return host_name(replica_of(record.agent_id)) if record.agent_id else ""
+
+
+def _is_unchanged(known: WorkerRecord, announced: WorkerRecord) -> bool:
+    """Return whether a heartbeat says nothing new about a worker."""
+    return all(getattr(known, name) == getattr(announced, name) for name in _ANNOUNCED_FIELDS)
 
 
-def _is_unchanged(existing: WorkerRecord, announced: WorkerRecord) -> bool:
-    # Only the ledger counts acknowledged ends; a heartbeat always has 0 here.  The record is
-    # changed in place: if it is committed, it keeps the count.
-    announced.seen_end = existing.seen_end
-    return existing == announced
+_ANNOUNCED_FIELDS = (
+    "service_name", "address", "failure_domain", "rack", "labels", "millicores", "memory_mb",
+    "accelerators", "draining",
+)  # fmt: skip
+"""What a worker says of itself; the other fields of its record are control's own."""
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -1,4 +1,4 @@
-"""The calls that the leader makes to workers, independent of the platform's names for them."""
+"""The calls that agents make to workers, independent of the platform's names for them."""
 
 import enum
 from typing import Protocol
@@ -17,7 +17,7 @@
 
     STARTED = "started"
     FENCED = "fenced"
-    """The worker has seen a higher fencing token, so another leader has taken over."""
+    """The worker has seen a higher fencing token, so another agent has taken over."""
 
     STALE_RUN = "run too low"
     """The run's number is too low: this run or a later one of its task was stopped there."""
@@ -40,7 +40,11 @@
 
 
 class CallRejected(SavoryshelfError):
-    """The worker rejected a call without effect: it is unhealthy, or the token is too low."""
+    """The worker rejected a call without effect, for example because it is unhealthy."""
+
+
+class Fenced(CallRejected):
+    """The worker has seen a higher fencing token: another agent is responsible for it."""
 
 
 @attrs.frozen
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -1,4 +1,4 @@
-"""The leader's session with one incarnation of a worker.
+"""An agent's session with one incarnation of a worker.
 
 One green thread long-polls the worker while runs may exist there; each start,
 stop and speed call has a green thread of its own.  A run counts as ended
@@ -9,6 +9,8 @@
 - Another incarnation answers at the worker's address.
 - The worker does not answer after it announced its shutdown.
 - Every lease of the worker has expired.
+
+Each call is preceded by a check of the agent's permission, without a pause in between.
 """
 
 import random
@@ -26,6 +28,7 @@
 from .throttling import ColocationHistory
 from .worker_api import (
     CallRejected,
+    Fenced,
     IncarnationReplaced,
     PollResult,
     RunStatus,
@@ -66,9 +69,12 @@
 IDLE_CHECK_SECONDS = 0.5
 """How often an idle session checks whether it was closed, in seconds.
 
-The term closes it once the worker's incarnation has been replaced.
+The agent closes it once the worker's incarnation has been replaced.
 """
 
+PERMISSION_CHECK_SECONDS = 0.05
+"""How often a session without permission to call its worker checks for it, in seconds."""
+
 
 @attrs.define
 class CallCompletion:
@@ -81,12 +87,18 @@
 
 
 class WorkerSession:
-    """Polls and calls one incarnation of a worker during one term of leadership."""
+    """Polls and calls one incarnation of a worker for as long as this host is its agent."""
 
-    def __init__(self, term, worker: Worker, lease_ms: int):
-        self._term = term
+    def __init__(self, agent, worker: Worker, lease_ms: int):
+        self._agent = agent
         self.worker = worker
         record = worker.record
+        self.fencing_token = record.fencing_token
+        """Token of all calls of this session: another assignment makes another session."""
+
+        self.is_fenced = False
+        """Whether the worker has rejected the token; it is not called any more then."""
+
         self.incarnation = WorkerIncarnation(
             record.life.worker_id, record.life.born_ms, record.address
         )
@@ -102,16 +114,16 @@
         self._history = ColocationHistory()
         self.last_contact_at = float("-inf")
         self.is_unresponsive = False
-        self.is_shutting_down = False
-        """Whether the worker announced its shutdown: one unanswered poll then means it ended."""
-
         self.is_state_known = not worker.task_by_run
         """Whether the worker's runs are known: after a takeover, only from the first poll on."""
 
+        self.has_ended = False
+        """Whether the incarnation was reported as ended; no call may be made after that."""
+
         self._lease_ms = lease_ms
-        self._taken_over_at = term.now()
+        self._taken_over_at = agent.now()
         self._confirmed_at_by_run: dict[tuple[str, int], float] = {
-            run: term.now() for run in worker.task_by_run
+            run: agent.now() for run in worker.task_by_run
         }
         """When the last start or stop of each run was confirmed, in monotonic seconds.
 
@@ -126,7 +138,7 @@
         self.is_closed = False
         self._threads = [eventlet.spawn(self._run)]
 
-    # ------------------------------------------------- called by the leader's term
+    # ------------------------------------------------------------ called by the agent
 
     def close(self) -> None:
         """End the session: stop polling and retrying."""
@@ -139,18 +151,29 @@
         if not self._wake.ready():
             self._wake.send(None)
 
+    @property
+    def is_responsive(self) -> bool:
+        """Return whether the worker answers and its runs are known."""
+        return self.is_state_known and not self.is_unresponsive and not self.is_fenced
+
+    def excluded_images(self) -> dict[str, float]:
+        """Return the best-effort images kept off this worker, and for how many more seconds."""
+        now = self._agent.now()
+        return {i: until - now for i, until in self._excluded_until_by_image.items() if now < until}
+
     def view(self) -> WorkerView:
-        """Return the worker's state for placement and throttling."""
-        is_responsive = self.is_state_known and not self.is_unresponsive
-        now = self._term.now()
-        excluded = frozenset(i for i, until in self._excluded_until_by_image.items() if now < until)
+        """Return the worker's state for throttling."""
         return WorkerView(
-            self.worker, is_responsive, self.status_by_run, self.baseline_by_image, excluded
+            self.worker,
+            self.is_responsive,
+            self.status_by_run,
+            self.baseline_by_image,
+            frozenset(self.excluded_images()),
         )
 
     def exclude_image(self, image: str) -> None:
         """Keep a best-effort image off this worker for a while, after a run of it was evicted."""
-        self._excluded_until_by_image[image] = self._term.now() + IMAGE_EXCLUSION_SECONDS
+        self._excluded_until_by_image[image] = self._agent.now() + IMAGE_EXCLUSION_SECONDS
 
     def start(self, task: str, run: int) -> None:
         """Send the start call of a run whose intent is committed."""
@@ -175,7 +198,7 @@
         if (task, run) in self._stops_in_flight:
             return True
         stopped_at = self._stopped_at_by_run.get((task, run))
-        return stopped_at is not None and self._term.now() - stopped_at < STOP_LAG_SECONDS
+        return stopped_at is not None and self._agent.now() - stopped_at < STOP_LAG_SECONDS
 
     def set_speed(self, task: str, run: int, speed_percent: int) -> None:
         """Throttle a run or restore its speed.
@@ -188,9 +211,9 @@
 
     def lease_has_expired(self) -> bool:
         """Return whether no run started before now can still be running in this incarnation."""
-        now = self._term.now()
+        now = self._agent.now()
         elapsed = now - self._taken_over_at
-        if elapsed * 1000 * MIN_CLOCK_RATE < self._lease_ms + self._term.takeover_slack_ms:
+        if elapsed * 1000 * MIN_CLOCK_RATE < self._lease_ms + self._agent.takeover_slack_ms:
             # An earlier leader may have granted a lease of up to this length.
             return False
         if not self.clock.has_reading:
@@ -205,28 +228,44 @@
             if not self.worker.task_by_run and self.is_state_known and self.clock.has_reading:
                 self._wait_for_work()
                 continue
+            if not self._may_call():
+                eventlet.sleep(PERMISSION_CHECK_SECONDS)
+                continue
             try:
                 self._poll(self._poll_wait_ms())
             except IncarnationReplaced as error:
-                self._term.incarnation_ended(self, str(error))
+                self._end_incarnation(str(error))
                 return
+            except Fenced as error:
+                self._mark_fenced(error)
             except CallRejected as error:
-                self._term.poll_rejected(self, str(error))
+                log_event("worker:rejects", worker=self.incarnation.worker_id, why=str(error))
                 self._wait_before_retry()
             except WorkerUnresponsive as error:
                 self._mark_unresponsive(error)
-                if self.is_shutting_down or self.lease_has_expired():
-                    why = "worker shut down" if self.is_shutting_down else "lease expired"
-                    self._term.incarnation_ended(self, why)
+                if self.worker.record.leaving or self.lease_has_expired():
+                    why = "worker shut down" if self.worker.record.leaving else "lease expired"
+                    self._end_incarnation(why)
                     return
                 self._wait_before_retry()
+            except Exception as error:
+                # Without this thread the worker's runs would never end.
+                log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=repr(error))
+                self._wait_before_retry()
+
+    def _end_incarnation(self, why: str) -> None:
+        self.has_ended = True
+        self._agent.incarnation_ended(self, why)
+
+    def _may_call(self) -> bool:
+        if self.is_closed or self.has_ended or self.is_fenced:
+            return False
+        return self._agent.may_call_workers()
 
     def _poll_wait_ms(self) -> int:
         if not self.is_state_known or self.is_unresponsive:
             return 0
-        steps = [task.step.spec for task in self.worker.task_by_run.values()]
-        is_shared = any(step.filling for step in steps) and any(step.target_ms for step in steps)
-        return SHARED_POLL_WAIT_MS if is_shared else POLL_WAIT_MS
+        return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
 
     def _wait_for_work(self) -> None:
         if self._wake.ready():
@@ -238,16 +277,16 @@
         eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def _poll(self, wait_ms: int) -> None:
-        sent_at = self._term.now()
+        sent_at = self._agent.now()
         # The lease of an unresponsive worker must be able to expire, so it is not
         # renewed by a poll that may go unanswered as well.
         renews_lease = self.clock.has_reading and not self.is_unresponsive
         deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
-        result = self._term.worker_api.poll(
-            self.incarnation, self._term.fencing_token, seen_end, deadline_ms, wait_ms
+        result = self._agent.worker_api.poll(
+            self.incarnation, self.fencing_token, seen_end, deadline_ms, wait_ms
         )
-        now = self._term.now()
+        now = self._agent.now()
         self.last_contact_at = now
         if self.is_unresponsive:
             log_event("worker:answers_again", worker=self.incarnation.worker_id)
@@ -259,11 +298,11 @@
         self._process_poll(result, sent_at)
 
     def _renew_lease(self) -> None:
-        deadline_ms = self.clock.extend_deadline(self._term.now(), self._lease_ms)
+        if not self._may_call():
+            return
+        deadline_ms = self.clock.extend_deadline(self._agent.now(), self._lease_ms)
         seen_end = self.worker.record.seen_end
-        self._term.worker_api.poll(
-            self.incarnation, self._term.fencing_token, seen_end, deadline_ms, 0
-        )
+        self._agent.worker_api.poll(self.incarnation, self.fencing_token, seen_end, deadline_ms, 0)
 
     def _process_poll(self, result: PollResult, sent_at: float) -> None:
         self.status_by_run = {(status.task, status.run): status for status in result.running}
@@ -276,14 +315,14 @@
         ends += self._missing_runs(ended_runs, sent_at)
         if ends:
             seen_end = max(end.number for end in ends)
-            self._term.settle_ends(self, seen_end, ends)
+            self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
         self._stop_unexpected_runs(ended_runs)
         self._expire_exclusions()
-        self._term.poll_completed(self, self._history)
+        self._agent.poll_completed(self, self._history)
 
     def _expire_exclusions(self) -> None:
-        now = self._term.now()
+        now = self._agent.now()
         for image in [i for i, until in self._excluded_until_by_image.items() if until <= now]:
             del self._excluded_until_by_image[image]
 
@@ -300,7 +339,7 @@
 
     def _stop_unexpected_runs(self, ended_runs: set) -> None:
         """Stop listed runs that should not run here; drop the data kept on runs that are gone."""
-        runs_to_stop = self._term.ledger.runs_to_stop
+        runs_to_stop = self._agent.ledger.runs_to_stop
         for key in self.status_by_run:
             is_assigned = key in self.worker.task_by_run
             if key not in ended_runs and (not is_assigned or key in runs_to_stop):
@@ -314,7 +353,16 @@
         if not self.is_unresponsive:
             log_event("worker:silent", worker=self.incarnation.worker_id, why=str(error))
         self.is_unresponsive = True
-        self._term.wake()
+        self._agent.state_changed(self)
+
+    def _mark_fenced(self, error: Exception) -> None:
+        if not self.is_fenced:
+            log_event(
+                "worker:fenced", worker=self.incarnation.worker_id, token=self.fencing_token,
+                why=str(error),
+            )  # fmt: skip
+        self.is_fenced = True
+        self._agent.state_changed(self)
 
     # --------------------------------------------------------- calls to the worker
 
@@ -338,78 +386,93 @@
             return
         except IncarnationReplaced:
             self._starts_in_flight.discard(key)
-            self._term.incarnation_ended(self, "another incarnation answers")
+            self._end_incarnation("another incarnation answers")
             return
         self._starts_in_flight.discard(key)
         if result is None:
+            # Not sent, so a poll sent from now on that does not list the run settles it.
+            self._confirmed_at_by_run[key] = self._agent.now()
+            return
+        if result is StartResult.FENCED:
+            self._mark_fenced(Fenced("start"))
             return
         if result is StartResult.STARTED:
-            self._confirmed_at_by_run[key] = self._term.now()
+            self._confirmed_at_by_run[key] = self._agent.now()
             assigned_task = self.worker.task_by_run.get(key)
-            if key in self._term.ledger.runs_to_stop:
+            if key in self._agent.ledger.runs_to_stop:
                 self.stop(task, run)
             elif assigned_task is not None:
-                self._term.run_started(self, assigned_task, run)
+                self._agent.run_started(self, assigned_task, run)
             return
         metrics.RETRIES.labels(f"start {result.value}").inc()
         log_event(
             "run:rejected", task=task, run=run, worker=self.incarnation.worker_id, why=result.value
         )
-        self._term.start_rejected(self, task, run, result)
+        self._agent.start_rejected(self, task, run, result)
 
     def _call_start(self, task: str, run: int) -> StartResult | None:
         assigned_task = self.worker.task_by_run.get((task, run))
-        if assigned_task is None or not self._term.may_call_workers():
+        if assigned_task is None or not self._may_call():
             return None
         if not self.clock.has_reading:
             self._poll(0)
-        now = self._term.now()
+            if not self._may_call():
+                return None
+        now = self._agent.now()
         request = StartRequest(
             task=task,
             run=run,
             body=assigned_task.step.job.spec.body,
             deadline_ms=self.clock.extend_deadline(now, self._lease_ms),
-            fencing_token=self._term.fencing_token,
+            fencing_token=self.fencing_token,
             checkpoint=assigned_task.checkpoint,
         )
-        result, clock_ms = self._term.worker_api.start(self.incarnation, request)
+        result, clock_ms = self._agent.worker_api.start(self.incarnation, request)
         if clock_ms is not None:
-            self.clock.record_reading(clock_ms, self._term.now())
+            self.clock.record_reading(clock_ms, self._agent.now())
         return result
 
     def _send_stop(self, task: str, run: int) -> None:
         key = (task, run)
         try:
-            while not self.is_closed and self._term.may_call_workers():
+            while not (self.is_closed or self.has_ended or self.is_fenced):
+                if not self._may_call():
+                    eventlet.sleep(PERMISSION_CHECK_SECONDS)
+                    continue
                 try:
-                    self._term.worker_api.stop(
-                        self.incarnation, task, run, self._term.fencing_token
-                    )
+                    self._agent.worker_api.stop(self.incarnation, task, run, self.fencing_token)
                     break
                 except WorkerUnresponsive:
                     metrics.RETRIES.labels("stop unanswered").inc()
                     self._wait_before_retry()
+                except Fenced as error:
+                    self._mark_fenced(error)
                 except (CallRejected, IncarnationReplaced):
                     break
         finally:
             self._stops_in_flight.discard(key)
         was_running = key in self.status_by_run
-        self._stopped_at_by_run[key] = self._term.now()
-        self._confirmed_at_by_run[key] = self._term.now()
+        self._stopped_at_by_run[key] = self._agent.now()
+        self._confirmed_at_by_run[key] = self._agent.now()
         if not was_running and key in self.worker.task_by_run:
             self._poll_now()
 
     def _poll_now(self) -> None:
         """Poll right after a confirmed stop instead of waiting for the open poll to return."""
+        if not self._may_call():
+            return
         try:
             self._poll(0)
         except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
             log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=str(error))
 
     def _send_speed(self, task: str, run: int, speed_percent: int) -> None:
+        if not self._may_call():
+            self.speed_percent_by_run.pop((task, run), None)
+            return
         try:
-            self._term.worker_api.set_speed(
-                self.incarnation, task, run, speed_percent, self._term.fencing_token
+            self._agent.worker_api.set_speed(
+                self.incarnation, task, run, speed_percent, self.fencing_token
             )
         except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
             self.speed_percent_by_run.pop((task, run), None)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -1,4 +1,4 @@
-"""In-memory fakes of a leader's term and of a worker, for tests of worker sessions."""
+"""In-memory fakes of an agent and of a worker, for tests of worker sessions."""
 
 import time
 
@@ -6,6 +6,7 @@
 
 from savoryshelf.dispatch.worker_api import (
     EndedRun,
+    Fenced,
     IncarnationReplaced,
     PollResult,
     RunStatus,
@@ -13,15 +14,21 @@
     WorkerUnresponsive,
 )
 from savoryshelf.dispatch.worker_session import WorkerSession
-from savoryshelf.wire.generated.ttypes import RunOutcome
+from savoryshelf.wire.generated.ttypes import AgentAssignment, RunOutcome
 
 LEASE_MS = 600
 
 
 class FakeWorker:
-    """Answers all calls but those named in ``unanswered_calls``; only long polls are held open."""
+    """Answers all calls but those named in ``unanswered_calls``; only long polls are held open.
+
+    A start that is not answered is kept in ``delayed_starts`` and may be applied later.
+    """
 
     def __init__(self):
+        self.fencing_token = 0
+        self.starts = []
+        self.poll_error = None
         self.unanswered_calls = set()
         self.delayed_starts = []
         self.running = {}
@@ -48,16 +55,27 @@
             raise WorkerUnresponsive("no answer")
         return self.apply_start(request), self.clock_ms()
 
+    def _is_fenced(self, fencing_token):
+        if fencing_token < self.fencing_token:
+            return True
+        self.fencing_token = fencing_token
+        return False
+
     def apply_start(self, request):
+        if self._is_fenced(request.fencing_token):
+            return StartResult.FENCED
         if request.run <= self.stopped.get(request.task, 0):
             return StartResult.STALE_RUN
         self.running[request.task, request.run] = RunStatus(request.task, request.run, "", 0, 0)
+        self.starts.append((request.task, request.run))
         return StartResult.STARTED
 
     def stop(self, incarnation, task, run, fencing_token):
         self._record_call("stop")
         if "stop" in self.unanswered_calls:
             raise WorkerUnresponsive("no answer")
+        if self._is_fenced(fencing_token):
+            raise Fenced("stop")
         self.stopped[task] = max(run, self.stopped.get(task, 0))
         if self.running.pop((task, run), None):
             self.end(task, run, RunOutcome.STOPPED)
@@ -70,6 +88,10 @@
         self._record_call("poll")
         if "poll" in self.unanswered_calls:
             raise WorkerUnresponsive("no answer")
+        if self._is_fenced(fencing_token):
+            raise Fenced("poll")
+        if self.poll_error is not None:
+            raise self.poll_error
         if deadline_ms:
             self.deadlines.append(deadline_ms)
         running_before_wait = list(self.running.values()) if self.lists_before_waiting else None
@@ -90,10 +112,9 @@
         pass
 
 
-class FakeTerm:
+class FakeAgent:
     """Applies what a session reports to a ledger at once, without replication."""
 
-    fencing_token = 7
     takeover_slack_ms = 0
 
     def __init__(self, ledger, worker_api):
@@ -101,15 +122,15 @@
         self.worker_api = worker_api
         self.end_reasons = []
         self.rejections = []
-        self.is_leader = True
+        self.has_permission = True
 
     def now(self):
         return time.monotonic()
 
     def may_call_workers(self):
-        return self.is_leader
+        return self.has_permission
 
-    def wake(self):
+    def state_changed(self, session):
         pass
 
     def poll_completed(self, session, history):
@@ -119,23 +140,22 @@
         pass
 
     def settle_ends(self, session, seen_end, ends):
-        self.ledger.settle(session.worker.record.life, seen_end, ends)
+        self.ledger.settle(session.worker.record.life, seen_end, ends, session.fencing_token)
 
     def start_rejected(self, session, task, run, result):
         self.rejections.append(result)
 
-    def poll_rejected(self, session, why):
-        pass
-
     def incarnation_ended(self, session, why):
         self.end_reasons.append(why)
-        self.ledger.end_incarnations([session.worker.record.life], [])
+        self.ledger.end_incarnations([session.worker.record.life], [], [session.fencing_token])
 
 
 def make_session(ledger, worker_api):
     (worker,) = ledger.worker_by_incarnation.values()
-    term = FakeTerm(ledger, worker_api)
-    return WorkerSession(term, worker, LEASE_MS), term
+    life = worker.record.life
+    ledger.assign_agents([AgentAssignment(life, "c0.disk/1")], 6)
+    agent = FakeAgent(ledger, worker_api)
+    return WorkerSession(agent, worker, LEASE_MS), agent
 
 
 def wait_until(condition, seconds=5.0):
--- /dev/null
+++ b/tests/dispatch/group.py
@@ -0,0 +1,162 @@
+"""Control hosts in one process: real agents, leader and ledgers over a fake replicated log."""
+
+import types
+
+import eventlet
+
+from savoryshelf.clock import SystemClock
+from savoryshelf.dispatch.agent import Agent, NoLeader
+from savoryshelf.dispatch.leader_term import DispatchSettings, LeaderTerm
+from savoryshelf.tasks.state_machine import TaskStateMachine
+from savoryshelf.wire import codec
+from savoryshelf.wire.generated.ttypes import (
+    AcceptTasks,
+    JobSpec,
+    Member,
+    Membership,
+    NoteWorkers,
+    TaskCommand,
+    TaskCommandBody,
+)
+
+from ..tasks.builders import HOST, JOB, manifest, step, worker
+from .fakes import FakeWorker
+
+LEASE_MS = 600
+
+
+class FakeReplica:
+    """One host's end of a log that commits at once, on the hosts that are not stalled."""
+
+    def __init__(self, group, host):
+        self._group = group
+        self._host = host
+        self.core = types.SimpleNamespace(
+            replica_id=f"{host}.disk",
+            term=1,
+            applied_index=0,
+            log=types.SimpleNamespace(membership=group.membership),
+            seconds_since_quorum_contact=lambda now: group.quorum_contact_age,
+        )
+
+    @property
+    def is_leader(self):
+        return self._group.leader == self._host
+
+    @property
+    def leader_address(self):
+        return self._group.leader
+
+    leader_name = leader_address
+
+    def propose(self, payload):
+        assert self.is_leader
+        return self._group.append(payload)
+
+
+class FakeGroup:
+    """``hosts`` control hosts, the first of which leads, and fake workers by their id."""
+
+    def __init__(self, hosts, worker_ids):
+        self.leader = hosts[0]
+        self.quorum_contact_age = 0.0
+        self.membership = Membership([Member(f"{h}.disk", h, "", True) for h in hosts])
+        self.log = []
+        self.stalled_hosts = set()
+        """Hosts that apply nothing."""
+
+        self.silent_hosts = set()
+        """Hosts whose reports do not arrive."""
+
+        self.worker_by_id = {worker_id: FakeWorker() for worker_id in worker_ids}
+        self.state_machine_by_host = {}
+        self.replica_by_host = {}
+        self.agent_by_host = {}
+        self.failures = []
+        for host in hosts:
+            replica = self.replica_by_host[host] = FakeReplica(self, host)
+            state_machine = self.state_machine_by_host[host] = TaskStateMachine()
+            self.agent_by_host[host] = Agent(
+                replica, state_machine, self, SystemClock(),
+                DispatchSettings(LEASE_MS), lambda report, host=host: self._report(host, report),
+            )  # fmt: skip
+            self.agent_by_host[host].start(self._run_activity)
+        self.append_command(put_manifest=manifest())
+        records = [worker(worker_id=worker_id) for worker_id in worker_ids]
+        self.append_command(note_workers=NoteWorkers(records))
+        self.term = LeaderTerm(
+            self.replica_by_host[self.leader], self.state_machine_by_host[self.leader],
+            SystemClock(), DispatchSettings(LEASE_MS),
+        )  # fmt: skip
+        self._thread = eventlet.spawn(self._run_activity, self.term.run)
+
+    def close(self):
+        self.leader = ""
+        self.term.wake()
+        self._thread.wait()
+        for agent in self.agent_by_host.values():
+            for session in agent.session_by_incarnation.values():
+                session.close()
+
+    def _run_activity(self, activity):
+        try:
+            activity()
+        except Exception as error:
+            self.failures.append(error)
+
+    @property
+    def ledger(self):
+        return self.state_machine_by_host[self.leader].ledger
+
+    def append_command(self, **body):
+        return self.append(codec.encode(TaskCommand(1, TaskCommandBody(**body))))
+
+    def append(self, payload):
+        self.log.append(payload)
+        return {host: self.apply(host) for host in self.state_machine_by_host}[self.leader]
+
+    def apply(self, host):
+        core, outcome = self.replica_by_host[host].core, None
+        while host not in self.stalled_hosts and core.applied_index < len(self.log):
+            outcome = self.state_machine_by_host[host].apply(self.log[core.applied_index])
+            core.applied_index += 1
+        core.commit_index = len(self.log)
+        return outcome
+
+    def submit(self, *steps, job_id=JOB):
+        spec = JobSpec("work", list(steps or [step()]), 0, 0, 1000)
+        self.append_command(accept_tasks=AcceptTasks(job_id, HOST, "/quotes/" + job_id, spec))
+        self.term.wake()
+
+    def agent_host(self, worker_id="w1"):
+        agent_id = self.ledger.worker_by_incarnation[worker_id, 1].record.agent_id
+        return next((h for h, a in self.agent_by_host.items() if a.agent_id == agent_id), None)
+
+    def _report(self, host, report):
+        if not self.leader or host in self.silent_hosts:
+            raise NoLeader("the report does not arrive")
+        # As between processes: both sides have objects of their own.
+        reply = self.term.receive_report(codec.decode(type(report), codec.encode(report)))
+        if host in self.silent_hosts:
+            raise NoLeader("the reply does not arrive")
+        return reply
+
+    # ---------------------------------------------- calls of the agents to the workers
+
+    def _worker(self, incarnation):
+        return self.worker_by_id[incarnation.worker_id]
+
+    def start(self, incarnation, request):
+        return self._worker(incarnation).start(incarnation, request)
+
+    def stop(self, incarnation, *arguments):
+        return self._worker(incarnation).stop(incarnation, *arguments)
+
+    def poll(self, incarnation, *arguments):
+        return self._worker(incarnation).poll(incarnation, *arguments)
+
+    def set_speed(self, incarnation, *arguments):
+        return self._worker(incarnation).set_speed(incarnation, *arguments)
+
+    def disconnect(self, incarnation):
+        pass
--- /dev/null
+++ b/tests/dispatch/test_agent.py
@@ -0,0 +1,191 @@
+import contextlib
+
+import eventlet
+import pytest
+
+from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch.agent import TAKEOVER_SLACK_MS
+from savoryshelf.tasks import snapshot
+from savoryshelf.wire.generated.ttypes import CancelTasks, RunOutcome
+
+from ..tasks.builders import JOB, step
+from .fakes import wait_until
+from .group import LEASE_MS, FakeGroup
+
+TASK = f"{JOB}.0.0.0"
+
+
+@pytest.fixture(params=["the leader calls the workers", "the other hosts call them"])
+def group(request, monkeypatch):
+    if request.param == "the other hosts call them":
+        monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
+    with _group(["c0", "c1", "c2"]) as started:
+        yield started
+
+
+@pytest.fixture
+def large_group(monkeypatch):
+    """Yield a group in which the leader calls no worker."""
+    monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
+    with _group(["c0", "c1", "c2"]) as started:
+        yield started
+
+
+@contextlib.contextmanager
+def _group(hosts, workers=("w1",)):
+    started = FakeGroup(hosts, workers)
+    try:
+        wait_until(lambda: all(started.agent_host(worker_id) for worker_id in workers))
+        yield started
+        assert started.failures == []
+    finally:
+        started.close()
+
+
+def only_worker(group):
+    return group.worker_by_id["w1"]
+
+
+def test_a_task_is_started_and_its_end_is_committed(group):
+    group.submit()
+    wait_until(lambda: only_worker(group).running)
+    only_worker(group).end(TASK, 1, RunOutcome.DONE)
+    wait_until(lambda: group.ledger.find_task(TASK).done)
+    assert only_worker(group).starts == [(TASK, 1)]
+    # Every host has applied the same: the agent acknowledges only what it sees committed.
+    wait_until(lambda: not group.ledger.worker_by_incarnation["w1", 1].task_by_run)
+
+
+def test_a_cancelled_job_is_stopped(group):
+    group.submit(step(lasting=True))
+    wait_until(lambda: only_worker(group).running)
+    group.append_command(cancel_tasks=CancelTasks(JOB))
+    wait_until(lambda: not only_worker(group).running)
+
+
+def test_the_leader_calls_no_worker_of_a_large_fleet(large_group):
+    assert large_group.agent_host() in ("c1", "c2")
+
+
+# Around a hand-over both agents act for a moment: the start of the first arrives late.
+def test_a_late_start_of_an_earlier_agent_is_refused(large_group):
+    group, worker = large_group, only_worker(large_group)
+    earlier = group.agent_host()
+    worker.unanswered_calls = {"start", "stop"}
+    group.submit()
+    wait_until(lambda: worker.delayed_starts)
+    group.silent_hosts.add(earlier)
+    wait_until(lambda: group.agent_host() not in (earlier, None))
+    worker.unanswered_calls = set()
+    wait_until(lambda: worker.starts)
+    worker.apply_start(worker.delayed_starts[0])
+    assert worker.starts == [(TASK, 2)]
+
+
+# An agent that was cut off or paused goes on as if it were still the worker's agent.
+def test_an_agent_without_answers_of_the_leader_makes_no_calls(large_group):
+    group, worker = large_group, only_worker(large_group)
+    host = group.agent_host()
+    group.submit(step(lasting=True))
+    wait_until(lambda: worker.running)
+    group.silent_hosts |= {"c0", "c1", "c2"}
+    agent = group.agent_by_host[host]
+    wait_until(lambda: not agent.may_call_workers())
+    # A long poll may have been sent before.
+    eventlet.sleep(0.1)
+    worker.end(TASK, 1, RunOutcome.LAPSED)
+    eventlet.sleep(0.1)
+    calls = len(worker.calls)
+    eventlet.sleep(0.5)
+    assert len(worker.calls) == calls
+
+
+def test_an_agent_that_has_not_applied_the_newest_assignment_makes_no_calls(large_group):
+    group = large_group
+    host = group.agent_host()
+    agent = group.agent_by_host[host]
+    wait_until(agent.may_call_workers)
+    group.stalled_hosts.add(host)
+    agent.leave()
+    wait_until(lambda: group.agent_host() not in (host, None))
+    wait_until(lambda: not agent.may_call_workers())
+
+
+def test_the_workers_of_an_agent_that_applies_nothing_get_another_agent(large_group):
+    """Its disk stalls: it reports and could never start a run."""
+    group = large_group
+    host = group.agent_host()
+    group.stalled_hosts.add(host)
+    group.submit()
+    wait_until(lambda: group.agent_host() not in (host, None))
+    wait_until(lambda: only_worker(group).starts)
+    assert len(only_worker(group).running) == 1
+
+
+def test_an_agent_that_leaves_hands_its_workers_over(large_group):
+    group = large_group
+    host = group.agent_host()
+    group.submit(step(lasting=True))
+    wait_until(lambda: only_worker(group).running)
+    group.agent_by_host[host].leave()
+    wait_until(lambda: group.agent_host() not in (host, None))
+    wait_until(lambda: not group.agent_by_host[host].session_by_incarnation)
+    assert only_worker(group).starts == [(TASK, 1)]
+
+
+def test_a_run_goes_on_while_its_worker_gets_another_agent(large_group):
+    group, worker = large_group, only_worker(large_group)
+    earlier = group.agent_host()
+    group.submit()
+    wait_until(lambda: worker.running)
+    group.silent_hosts.add(earlier)
+    wait_until(lambda: group.agent_host() not in (earlier, None))
+    worker.end(TASK, 1, RunOutcome.DONE)
+    wait_until(lambda: group.ledger.find_task(TASK).done)
+    assert worker.starts == [(TASK, 1)]
+
+
+# After a snapshot was installed, calls of before may still be on their way: the same token
+# would let one of them through after a poll that did not list its run.
+def test_an_agent_whose_state_was_replaced_gets_a_new_token(large_group):
+    group = large_group
+    host = group.agent_host()
+    record = group.ledger.worker_by_incarnation["w1", 1].record
+    token = record.fencing_token
+    state_machine = group.state_machine_by_host[host]
+    state_machine.restore(snapshot.save(state_machine.ledger))
+    wait_until(lambda: record.fencing_token > token)
+
+
+def test_an_unresponsive_worker_of_a_new_agent_is_lost_only_after_the_earlier_permission(
+    large_group,
+):
+    group, worker = large_group, only_worker(large_group)
+    earlier = group.agent_host()
+    group.submit(step(lasting=True))
+    wait_until(lambda: worker.running and worker.deadlines)
+    worker.unanswered_calls = {"poll", "start", "stop"}
+    group.silent_hosts.add(earlier)
+    wait_until(lambda: group.agent_host() not in (earlier, None))
+    began_at = group.term.now()
+    wait_until(lambda: not group.ledger.find_task(TASK).incarnation_by_run)
+    assert (group.term.now() - began_at) * 1000 >= LEASE_MS + TAKEOVER_SLACK_MS
+
+
+def test_a_leader_without_a_majority_grants_no_permission(large_group):
+    group = large_group
+    agent = group.agent_by_host[group.agent_host()]
+    wait_until(agent.may_call_workers)
+    group.quorum_contact_age = 5.0
+    wait_until(lambda: not agent.may_call_workers())
+    group.quorum_contact_age = 0.0
+    wait_until(agent.may_call_workers)
+
+
+def test_a_worker_that_rejects_its_agents_token_gets_a_new_one(large_group):
+    group, worker = large_group, only_worker(large_group)
+    worker.fencing_token = 50
+    group.submit()
+    record = group.ledger.worker_by_incarnation["w1", 1].record
+    token = record.fencing_token
+    wait_until(lambda: record.fencing_token > token)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -14,12 +14,12 @@
 
 @pytest.fixture
 def running_session():
-    """Yield a ledger with one placed task, its worker, and the session with it and its term."""
+    """Yield a ledger with one placed task, its worker, and the session with it and its agent."""
     task_ledger, worker = ledger(), FakeWorker()
     accept(task_ledger, step())
     record_intent(task_ledger, TASK)
-    session, term = make_session(task_ledger, worker)
-    yield task_ledger, worker, session, term
+    session, agent = make_session(task_ledger, worker)
+    yield task_ledger, worker, session, agent
     session.close()
 
 
@@ -56,23 +56,23 @@
 
 
 def test_an_unresponsive_worker_is_lost_only_after_its_lease_has_expired(running_session):
-    task_ledger, worker, session, term = running_session
+    task_ledger, worker, session, agent = running_session
     session.start(TASK, 1)
     wait_until(lambda: worker.running and worker.deadlines)
     worker.unanswered_calls = {"poll", "start", "stop"}
     unresponsive_from = time.monotonic()
-    wait_until(lambda: term.end_reasons)
+    wait_until(lambda: agent.end_reasons)
     assert (time.monotonic() - unresponsive_from) * 1000 > LEASE_MS
     assert worker.clock_ms() > max(worker.deadlines)
     assert not task_ledger.find_task(TASK).incarnation_by_run
 
 
 def test_a_replaced_incarnation_ends_at_once(running_session):
-    task_ledger, worker, session, term = running_session
+    task_ledger, worker, session, agent = running_session
     session.start(TASK, 1)
     wait_until(lambda: worker.running)
     worker.is_replaced = True
-    wait_until(lambda: term.end_reasons)
+    wait_until(lambda: agent.end_reasons)
     assert task_ledger.worker_by_incarnation["w1", 1].has_ended
 
 
@@ -93,9 +93,9 @@
     wait_until(lambda: worker.stopped.get("stray.0.0.0") == 3)
 
 
-def test_no_start_is_sent_once_leadership_is_in_doubt(running_session):
-    task_ledger, worker, session, term = running_session
-    term.is_leader = False
+def test_no_start_is_sent_without_the_permission_to_call_workers(running_session):
+    task_ledger, worker, session, agent = running_session
+    agent.has_permission = False
     session.start(TASK, 1)
     eventlet.sleep(0.2)
     assert "start" not in worker.calls
@@ -127,12 +127,74 @@
 
 
 def test_a_worker_that_announced_its_shutdown_ends_at_its_first_unanswered_poll(running_session):
-    task_ledger, worker, session, term = running_session
+    task_ledger, worker, session, agent = running_session
     session.start(TASK, 1)
     wait_until(lambda: worker.running and worker.deadlines)
-    session.is_shutting_down = True
+    session.worker.record.leaving = True
     worker.unanswered_calls = {"poll", "start", "stop"}
-    wait_until(lambda: term.end_reasons == ["worker shut down"])
+    wait_until(lambda: agent.end_reasons == ["worker shut down"])
     # Too early for an expired lease, which counts only EXPIRY_SLACK_MS after its deadline.
     assert worker.clock_ms() < max(worker.deadlines) + 200
     assert not task_ledger.find_task(TASK).incarnation_by_run
+
+
+# One malformed answer ended the thread that polls a worker, and its runs never ended.
+def test_an_unexpected_error_of_a_poll_does_not_end_the_session(running_session):
+    task_ledger, worker, session, _ = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running)
+    worker.poll_error = TypeError("a reply of another type")
+    # Completes the long poll that is open.
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    wait_until(lambda: worker.ends and (TASK, 1) in session.status_by_run)
+    worker.end(TASK, 1, RunOutcome.DONE)
+    eventlet.sleep(0.1)
+    assert not task_ledger.find_task(TASK).done
+    worker.poll_error = None
+    wait_until(lambda: task_ledger.find_task(TASK).done)
+
+
+def test_a_fenced_session_makes_no_more_calls(running_session):
+    _, worker, session, _ = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running)
+    worker.fencing_token = 100
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    wait_until(lambda: session.is_fenced)
+    calls = len(worker.calls)
+    session.stop(TASK, 1)
+    session.set_speed(TASK, 1, 50)
+    eventlet.sleep(0.5)
+    assert len(worker.calls) == calls
+
+
+# The start of a run that the log counts as lost would run beside the one that replaces it.
+def test_nothing_is_started_on_a_worker_that_was_reported_as_lost(running_session):
+    task_ledger, worker, session, agent = running_session
+    worker.unanswered_calls = {"poll", "start", "stop"}
+    wait_until(lambda: agent.end_reasons)
+    worker.unanswered_calls = set()
+    accept(task_ledger, step(), job_id="00000000000000b2")
+    task_ledger.worker_by_incarnation["w1", 1].has_ended = False
+    record_intent(task_ledger, "00000000000000b2.0.0.0")
+    session.start("00000000000000b2.0.0.0", 1)
+    eventlet.sleep(0.2)
+    assert worker.starts == []
+
+
+# A host that was paused, or has lost its leader, changed the speed of runs that it does not
+# manage any more.
+def test_no_call_is_made_without_permission(running_session):
+    _, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and (TASK, 1) in session.status_by_run)
+    agent.has_permission = False
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    eventlet.sleep(0.1)
+    calls = len(worker.calls)
+    session.set_speed(TASK, 1, 50)
+    session.stop(TASK, 1)
+    eventlet.sleep(0.3)
+    assert len(worker.calls) == calls
+    agent.has_permission = True
+    wait_until(lambda: not worker.running)
