Best-effort runs that are kept are paused beside a serving run that stays slow

Such a run is paused now, for as long as the work takes that its eviction would throw away. After 2.5 s over the target nothing works beside a serving run any more.

With it two faults: a throttled run stayed so when the serving run beside it was gone, and when its worker got another agent. Each has a test that fails without the change.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -343,13 +343,14 @@
         learn_interference(self.interference, view, history, self.now())
         session.baseline_by_image = baseline_utilisations(self.interference, view)
         self._report_if_changed(session)
-        changes = speed_changes(
-            self.interference, view, session.speed_percent_by_run, history.slow_seconds(self.now())
-        )
-        for change in changes:
+        now = self.now()
+        history.record_speeds(session.speed_percent_by_run, now)
+        for change in speed_changes(
+            self.interference, view, session.speed_percent_by_run, history, now
+        ):
             if session.is_stopping(change.task, change.run):
                 continue
-            if change.speed_percent:
+            if change.speed_percent is not None:
                 session.set_speed(change.task, change.run, change.speed_percent)
                 continue
             metrics.EVICTIONS.labels("slows a serving run").inc()
--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -3,7 +3,8 @@
 Speeds are adjusted after each poll of a worker: lowered to what the affected
 serving runs tolerate, and raised again where latencies are low.  A run that
 would fall below the minimum speed is stopped instead and resumes on another
-worker, from its checkpoint if it writes any.
+worker, from its checkpoint if it writes any.  One that is nearly done and writes none
+is paused, for as long as the work takes that an eviction would throw away.
 """
 
 import math
@@ -26,16 +27,13 @@
 """Factors applied to a speed in one adjustment; a worker is polled several times a second."""
 
 MIN_SPEED_PERCENT = 25
-"""Lowest speed of a run, except as ``KEPT_PROGRESS_PERCENT`` describes.
+"""Lowest speed of a run that works: one that would be slower is faster on another worker."""
 
-A run that would be slower is evicted, since it is faster on another worker.
-"""
+PAUSED = 0
+"""Speed of a run that is paused: it keeps its memory and disturbs nobody."""
 
 KEPT_PROGRESS_PERCENT = 50
-"""Progress above which a run without checkpoints is not evicted.
-
-It is throttled to half of ``MIN_SPEED_PERCENT`` instead.
-"""
+"""Progress above which a run without checkpoints is paused rather than evicted at once."""
 
 FULL_SPEED_PERCENT = 100
 
@@ -45,6 +43,12 @@
 Their weights are ignored then.  The platform tolerates 4 s.
 """
 
+PAUSE_SLOW_SECONDS = 2.5
+"""Time over the latency target after which all best-effort runs of the worker are paused.
+
+Two more polls and the reports' window of half a second fit into the rest of the 4 s.
+"""
+
 REPORT_WINDOW_SECONDS = 0.5
 """Approximate period that a value reported by a worker covers."""
 
@@ -66,7 +70,7 @@
 
 @attrs.frozen
 class SpeedChange:
-    """A new speed for one best-effort run, in percent of full speed; 0 evicts the run.
+    """A new speed for one best-effort run, in percent of full speed; None evicts the run.
 
     ``latency_ratio`` (tail latency over latency target) is the highest of the
     serving runs on its worker.
@@ -76,7 +80,7 @@
     task: str
     run: int
     image: str
-    speed_percent: int
+    speed_percent: int | None
     latency_ratio: float
 
 
@@ -125,6 +129,7 @@
     _best_effort_sample_by_run: dict[tuple[str, int], _BestEffortSample] = attrs.field(factory=dict)
     _slow_since_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
     _averages_by_run: dict[tuple[str, int], _MovingAverages] = attrs.field(factory=dict)
+    _paused_since_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def add_report(self, view, now: float) -> None:
         """Record the result of one poll."""
@@ -178,6 +183,18 @@
             del self._averages_by_run[key]
         return deviations
 
+    def record_speeds(self, speed_percent_by_run: dict[tuple[str, int], int], now: float) -> None:
+        """Record the speeds that were requested last of the best-effort runs."""
+        self._paused_since_by_run = {
+            key: self._paused_since_by_run.get(key, now)
+            for key, speed_percent in speed_percent_by_run.items()
+            if speed_percent == PAUSED
+        }
+
+    def paused_seconds(self, key: tuple[str, int], now: float) -> float:
+        """Return for how long a run has been paused; 0 if it is not."""
+        return now - self._paused_since_by_run.get(key, now)
+
     def slow_seconds(self, now: float) -> float:
         """Return the longest time, in seconds, that a serving run has been over its target."""
         return max((now - since for since in self._slow_since_by_run.values()), default=0.0)
@@ -228,34 +245,37 @@
 
 
 def speed_changes(
-    interference: InterferenceModel, view, speed_percent_by_run: dict, slow_seconds: float
+    interference: InterferenceModel,
+    view,
+    speed_percent_by_run: dict[tuple[str, int], int],
+    history: ColocationHistory,
+    now: float,
 ) -> list[SpeedChange]:
-    """Return the speeds to change after the last poll of a worker.
-
-    ``slow_seconds`` is how long one of its serving runs has missed its target.
-    """
+    """Return the speeds to change after the last poll of a worker, which ``history`` holds."""
     latency_ratios = _serving_latency_ratios(view)
-    if not latency_ratios:
-        return []
     changes = []
+    slow_seconds = history.slow_seconds(now)
     speed_limit_by_image = _speed_limits(interference, view, latency_ratios)
-    latency_ratio = max(latency_ratio for _, latency_ratio in latency_ratios)
+    latency_ratio = max((latency_ratio for _, latency_ratio in latency_ratios), default=0.0)
     # Above the target the utilisation saturates, so the estimated headroom is unreliable there.
     misses_target = latency_ratio > 1.0
     for key, step, status in _reported_runs(view):
         if not step.filling:
             continue
         current_speed_percent = speed_percent_by_run.get(key, FULL_SPEED_PERCENT)
-        speed_limit = speed_limit_by_image.get(step.image, FULL_SPEED_PERCENT)
-        speed_percent = round(
-            min(FULL_SPEED_PERCENT, current_speed_percent * RECOVERY_FACTOR, speed_limit)
+        recovered = max(MIN_SPEED_PERCENT, round(current_speed_percent * RECOVERY_FACTOR))
+        speed_percent = min(
+            FULL_SPEED_PERCENT,
+            recovered if latency_ratios else FULL_SPEED_PERCENT,
+            round(speed_limit_by_image.get(step.image, FULL_SPEED_PERCENT)),
         )
         is_interfering = misses_target and step.image in speed_limit_by_image
         if is_interfering or slow_seconds >= MAX_SLOW_SECONDS:
             speed_percent = min(speed_percent, round(current_speed_percent * THROTTLE_FACTOR))
-        if speed_percent < MIN_SPEED_PERCENT:
-            is_kept = not step.checkpointing and status.progress_percent > KEPT_PROGRESS_PERCENT
-            speed_percent = MIN_SPEED_PERCENT // 2 if is_kept else 0
+        if speed_percent < MIN_SPEED_PERCENT or slow_seconds >= PAUSE_SLOW_SECONDS:
+            speed_percent = PAUSED
+            if history.paused_seconds(key, now) >= _max_pause_seconds(step, status):
+                speed_percent = None
         if speed_percent != current_speed_percent:
             changes.append(
                 SpeedChange(view.incarnation, *key, step.image, speed_percent, latency_ratio)
@@ -263,6 +283,13 @@
     return changes
 
 
+def _max_pause_seconds(step: StepSpec, status) -> float:
+    """Return for how long a run may be paused: the time of its work so far, if it is kept."""
+    if step.checkpointing or status.progress_percent <= KEPT_PROGRESS_PERCENT:
+        return 0.0
+    return step.estimated_ms / 1000 * status.progress_percent / 100
+
+
 def _speed_limits(interference, view, latency_ratios) -> dict[str, float]:
     """Return the highest speed, in percent, of each image that has to be throttled."""
     requested_cores = _cores_requested(view)
--- a/tests/dispatch/test_throttling.py
+++ b/tests/dispatch/test_throttling.py
@@ -3,6 +3,8 @@
 from savoryshelf.dispatch.throttling import (
     FULL_SPEED_PERCENT,
     MAX_SLOW_SECONDS,
+    PAUSE_SLOW_SECONDS,
+    PAUSED,
     ColocationHistory,
     baseline_utilisations,
     initial_speed_percent,
@@ -37,11 +39,23 @@
     return InterferenceModel({("batch", "shop"): weight})
 
 
+def changes(model, view, speed_percent_by_run=None, slow_seconds=0.0, paused_seconds=0.0):
+    """Return the changes of speeds that were requested ``paused_seconds`` ago.
+
+    A serving run over its target has been so for ``slow_seconds``.
+    """
+    now, speeds = 100.0, speed_percent_by_run or {}
+    history = ColocationHistory()
+    history.record_speeds(speeds, now - paused_seconds)
+    history.add_report(view, now - slow_seconds)
+    history.add_report(view, now)
+    return speed_changes(model, view, speeds, history, now)
+
+
 def test_best_effort_runs_are_throttled_beside_a_serving_run_over_its_target():
     view = colocated_worker(tail_ms=60)
     ((task, speed_percent),) = [
-        (change.task, change.speed_percent)
-        for change in speed_changes(model_with_weight(), view, {}, 0.0)
+        (change.task, change.speed_percent) for change in changes(model_with_weight(), view)
     ]
     assert task == BEST_EFFORT_RUN[0]
     assert 25 <= speed_percent < FULL_SPEED_PERCENT
@@ -49,19 +63,40 @@
 
 def test_a_run_that_would_fall_below_the_minimum_speed_is_evicted():
     view = colocated_worker(tail_ms=150)
-    (change,) = speed_changes(model_with_weight(0.5), view, {BEST_EFFORT_RUN: 30}, 0.0)
-    assert change.speed_percent == 0
+    (change,) = changes(model_with_weight(0.5), view, {BEST_EFFORT_RUN: 30})
+    assert change.speed_percent is None
+
+
+def test_a_run_without_checkpoints_that_is_nearly_done_is_paused():
+    view = colocated_worker(tail_ms=150, progress_percent=80, checkpointing=False)
+    (change,) = changes(model_with_weight(0.5), view, {BEST_EFFORT_RUN: 30})
+    assert change.speed_percent == PAUSED
+
+
+def test_a_run_that_is_paused_for_longer_than_its_work_took_is_evicted():
+    # Four fifths of 500 ms are done.
+    view = colocated_worker(tail_ms=150, progress_percent=80, checkpointing=False)
+    paused = {BEST_EFFORT_RUN: PAUSED}
+    assert changes(model_with_weight(0.5), view, paused, paused_seconds=0.39) == []
+    (change,) = changes(model_with_weight(0.5), view, paused, paused_seconds=0.41)
+    assert change.speed_percent is None
+
+
+def test_a_paused_run_goes_on_once_latencies_are_low():
+    view = colocated_worker(tail_ms=20)
+    (change,) = changes(model_with_weight(0.5), view, {BEST_EFFORT_RUN: PAUSED}, paused_seconds=9.0)
+    assert PAUSED < change.speed_percent < FULL_SPEED_PERCENT
 
 
 def test_an_interfering_run_halves_its_speed_beside_one_over_its_target():
     view = colocated_worker(tail_ms=150)
-    (change,) = speed_changes(model_with_weight(0.5), view, {}, 0.0)
+    (change,) = changes(model_with_weight(0.5), view)
     assert change.speed_percent == 50
 
 
 def test_a_run_with_negligible_interference_keeps_its_speed():
     view = colocated_worker(tail_ms=150)
-    assert speed_changes(model_with_weight(0.001), view, {}, 0.0) == []
+    assert changes(model_with_weight(0.001), view) == []
 
 
 def test_interference_is_learned_when_latency_rises_with_best_effort_load():
@@ -114,22 +149,33 @@
     assert abs(baseline["shop"] - (utilisation_at(0.8) - 0.1 * 2.0)) < 1e-9
 
 
-def test_a_run_without_checkpoints_that_is_nearly_done_is_not_evicted():
-    view = colocated_worker(tail_ms=150, progress_percent=80, checkpointing=False)
-    (change,) = speed_changes(model_with_weight(0.5), view, {BEST_EFFORT_RUN: 30}, 0.0)
-    assert 0 < change.speed_percent < 30
+# A nearly finished run went on at an eighth of its speed beside a serving run that was over
+# its target for more than the 4 s that the platform tolerates.
+def test_nothing_works_beside_a_run_that_misses_its_target_for_too_long():
+    view = colocated_worker(tail_ms=60, progress_percent=80, checkpointing=False)
+    (change,) = changes(model_with_weight(0.001), view, slow_seconds=PAUSE_SLOW_SECONDS)
+    assert change.speed_percent == PAUSED
 
 
 def test_a_throttled_run_speeds_up_when_latency_is_low():
     view = colocated_worker(tail_ms=20)
-    (change,) = speed_changes(InterferenceModel(), view, {BEST_EFFORT_RUN: 50}, 0.0)
+    (change,) = changes(InterferenceModel(), view, {BEST_EFFORT_RUN: 50})
     assert 50 < change.speed_percent <= FULL_SPEED_PERCENT
 
 
+# It stayed at the speed that a serving run had needed which was stopped meanwhile.
+def test_a_throttled_run_gets_full_speed_once_no_serving_run_is_left():
+    view = colocated_worker(tail_ms=20)
+    del view.status_by_run[SERVING_RUN]
+    for speed_percent in (PAUSED, 50):
+        (change,) = changes(InterferenceModel(), view, {BEST_EFFORT_RUN: speed_percent})
+        assert change.speed_percent == FULL_SPEED_PERCENT
+
+
 def test_a_target_missed_for_too_long_throttles_all_best_effort_runs():
     view = colocated_worker(tail_ms=60)
-    assert speed_changes(model_with_weight(0.001), view, {}, 0.0) == []
-    (change,) = speed_changes(model_with_weight(0.001), view, {}, MAX_SLOW_SECONDS)
+    assert changes(model_with_weight(0.001), view) == []
+    (change,) = changes(model_with_weight(0.001), view, slow_seconds=MAX_SLOW_SECONDS)
     assert change.speed_percent == 50
 
 
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -198,3 +198,14 @@
     assert len(worker.calls) == calls
     agent.has_permission = True
     wait_until(lambda: not worker.running)
+
+
+# A run that the earlier agent had paused stayed paused.
+def test_a_best_effort_run_that_was_taken_over_may_be_paused():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(filling=True))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    session.set_speed(TASK, 1, 100)
+    wait_until(lambda: "set_speed" in worker.calls)
+    session.close()
