Elections: a failed campaign is repeated sooner; the old leader's workers are taken over at once

A campaign that fails is repeated after 0.3 to 0.6 s, then after twice that, up to the usual time; the workers of the host that led before are taken over as soon as an agent is live.

--- a/src/savoryshelf/dispatch/assignment.py
+++ b/src/savoryshelf/dispatch/assignment.py
@@ -49,13 +49,14 @@
 
 
 def plan_assignments(
-    workers: list[AssignableWorker], agents: list[AssignableAgent], may_move: bool
+    workers: list[AssignableWorker], agents: list[AssignableAgent], fleet_size: int, may_move: bool
 ) -> dict[IncarnationKey, str]:
     """Return the new agent of each worker that is to get one.
 
-    With ``may_move`` some workers may be moved from an agent that could keep them.
+    ``fleet_size`` counts the workers to be left as they are too.  With ``may_move`` some
+    workers may be moved from an agent that could keep them.
     """
-    preferred = _preferred_agents(len(workers), agents)
+    preferred = _preferred_agents(fleet_size, agents)
     if not preferred:
         return {}
     known_ids = {agent.agent_id for agent in agents}
@@ -67,7 +68,7 @@
             planned[worker.key] = chosen
             load_by_agent[chosen] += 1
     if may_move and not planned:
-        planned = _plan_moves(workers, preferred, load_by_agent)
+        planned = _plan_moves(workers, preferred, fleet_size, load_by_agent)
     return planned
 
 
@@ -90,11 +91,14 @@
 
 
 def _plan_moves(
-    workers: list[AssignableWorker], preferred: list[AssignableAgent], load_by_agent: Counter
+    workers: list[AssignableWorker],
+    preferred: list[AssignableAgent],
+    fleet_size: int,
+    load_by_agent: Counter,
 ) -> dict[IncarnationKey, str]:
     preferred_ids = {agent.agent_id for agent in preferred}
-    is_small = len(workers) <= MAX_WORKERS_OF_LEADER
-    mean_load = len(workers) / len(preferred)
+    is_small = fleet_size <= MAX_WORKERS_OF_LEADER
+    mean_load = fleet_size / len(preferred)
     planned: dict[IncarnationKey, str] = {}
     for worker in workers:
         if len(planned) == MAX_MOVES:
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -133,7 +133,8 @@
         self.health = FleetHealth()
         self.interference = InterferenceModel(dict(state_machine.ledger.weight_by_pair))
         self._fleet = AgentFleet()
-        self._began_at = self._assigned_at = self._moved_at = clock.monotonic()
+        self._began_at = self._moved_at = clock.monotonic()
+        self._assigned_at = float("-inf")
         self._weights_committed_at = clock.monotonic()
         self._retention = Retention(settings.keep_ended_seconds)
         self._placement = Placement(
@@ -277,8 +278,10 @@
     def _assign_workers(self) -> None:
         """Give workers without a live agent to another, and even out the load at times."""
         now = self.now()
-        is_settling = now - self._began_at < FIRST_REPORT_SECONDS
-        if is_settling or now - self._assigned_at < ASSIGNMENT_INTERVAL_SECONDS:
+        if now - self._assigned_at < ASSIGNMENT_INTERVAL_SECONDS:
+            return
+        agents = self._assignable_agents(now)
+        if not agents:
             return
         self._assigned_at = now
         may_move = now - self._moved_at >= MOVE_INTERVAL_SECONDS
@@ -286,7 +289,6 @@
             self._moved_at = now
         live_workers = self._live_workers()
         self._fleet.forget({worker.key for worker in live_workers}, now)
-        agents = self._assignable_agents(now)
         agent_ids = {agent.agent_id for agent in agents}
         workers = [
             AssignableWorker(
@@ -297,8 +299,9 @@
                 else None,
             )
             for worker in live_workers
+            if not self._may_still_report(worker.record.agent_id, agent_ids, now)
         ]
-        planned = plan_assignments(workers, agents, may_move)
+        planned = plan_assignments(workers, agents, len(live_workers), may_move)
         if not planned:
             return
         count_by_agent = Counter(planned.values())
@@ -306,6 +309,19 @@
         assignments = [AgentAssignment(WorkerLife(*key), agent) for key, agent in planned.items()]
         self.commit(assign_agents=AssignAgents(assignments, self._term))
 
+    def _may_still_report(self, agent_id: str | None, agent_ids: set[str], now: float) -> bool:
+        """Return whether to wait for the first reports of this term.
+
+        The host that led before is probably lost; if it is not, it only loses its workers.
+        """
+        if (
+            agent_id is None
+            or agent_id in agent_ids
+            or now - self._began_at >= FIRST_REPORT_SECONDS
+        ):
+            return False
+        return replica_of(agent_id) != self._replica.core.previous_leader_id
+
     def _assignable_agents(self, now: float) -> list[AssignableAgent]:
         core = self._replica.core
         agents = []
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -40,6 +40,12 @@
 from .snapshot_transfer import IncomingSnapshot, next_chunk
 from .types import NotLeading, Ready, RecoveredState, Role, Timing
 
+FIRST_RETRY_FACTOR = 0.3
+"""A first campaign that fails is repeated after this share of the usual time.
+
+Votes take a round trip and a disk sync.  The time doubles with each failure, up to the usual.
+"""
+
 MAX_APPEND_BYTES = 256 * 1024
 """Limit on the payload bytes of one append request; a single larger entry is sent alone."""
 
@@ -88,6 +94,12 @@
         self._now = now
         self._last_leader_contact_at = float("-inf")
         self._votes: set[str] = set()
+        self._campaigns = 0
+        """Campaigns since the last contact with a leader."""
+
+        self.previous_leader_id: str | None = None
+        """The leader that this replica heard of last, other than itself."""
+
         self._deadline = now
         self._next_read_id = 1
         self._broadcast_pending = False
@@ -297,7 +309,8 @@
             term = self.term
         self.leader_id = None
         self._votes = {self.replica_id}
-        self._reset_election_deadline()
+        self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**self._campaigns))
+        self._campaigns += pre_vote
         if is_quorum(self.log.membership, self._votes):
             self._handle_won_vote()
             return
@@ -597,6 +610,8 @@
                 f"two leaders in term {self.term}: {message.sender} and {self.replica_id}"
             )
         self._become_follower(message.term, message.sender)
+        self.previous_leader_id = message.sender
+        self._campaigns = 0
         self._last_leader_contact_at = self._now
         self._reset_election_deadline()
 
@@ -615,9 +630,9 @@
             self.term, self.voted_for = term, voted_for
             self._hard_state_changed = True
 
-    def _reset_election_deadline(self) -> None:
+    def _reset_election_deadline(self, factor: float = 1.0) -> None:
         jitter = self._rng.uniform(1.0, 2.0)
-        self._deadline = self._now + self.timing.election_timeout * jitter
+        self._deadline = self._now + self.timing.election_timeout * jitter * factor
 
     def _take_record(self) -> WalRecord | None:
         if not self._unsynced and not self._hard_state_changed:
--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -35,6 +35,7 @@
             replica_id=f"{host}.disk",
             term=1,
             applied_index=0,
+            previous_leader_id=None,
             log=types.SimpleNamespace(membership=group.membership),
             seconds_since_quorum_contact=lambda now: group.quorum_contact_age,
         )
@@ -84,16 +85,31 @@
         self.append_command(put_manifest=manifest())
         records = [worker(worker_id=worker_id) for worker_id in worker_ids]
         self.append_command(note_workers=NoteWorkers(records))
+        self._begin_term()
+
+    def _begin_term(self):
         self.term = LeaderTerm(
             self.replica_by_host[self.leader], self.state_machine_by_host[self.leader],
             SystemClock(), DispatchSettings(LEASE_MS),
         )  # fmt: skip
         self._thread = eventlet.spawn(self._run_activity, self.term.run)
 
-    def close(self):
+    def _end_term(self):
         self.leader = ""
         self.term.wake()
         self._thread.wait()
+
+    def change_leader(self, host):
+        """End the present term, and begin one of another host."""
+        previous = f"{self.leader}.disk"
+        self._end_term()
+        self.leader = host
+        core = self.replica_by_host[host].core
+        core.term, core.previous_leader_id = self.term._term + 1, previous
+        self._begin_term()
+
+    def close(self):
+        self._end_term()
         for agent in self.agent_by_host.values():
             for session in agent.session_by_incarnation.values():
                 session.close()
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -179,6 +179,29 @@
     assert read_id in core.take_ready().confirmed_reads
 
 
+# A group whose first candidate lacked the newest entry was without a leader for 3.8 s.
+def test_a_failed_campaign_is_repeated_sooner_than_an_election_timeout():
+    group = group_with_leader()
+    old_leader = group.leader()
+    behind, ahead = (h for h in group.host_by_name.values() if h is not old_leader)
+    old_leader.core.propose([b"a"])
+    old_leader.process_ready()
+    for each in [m for m in group.messages if m.recipient == ahead.replica_id]:
+        ahead.core.receive(each, group.now)
+        ahead.process_ready()
+    group.messages.clear()
+    old_leader.core = None
+    # The one that lacks the entry campaigns first, and in vain.
+    group.now += 2 * TIMING.election_timeout
+    behind.core.tick(group.now)
+    behind.process_ready()
+    began_at = group.now
+    while group.leader() is None:
+        group.run_for(0.1)
+    assert group.leader() is ahead
+    assert group.now - began_at < TIMING.election_timeout
+
+
 # A leader that was paused for longer than an election takes finds replies that arrived before:
 # it must not take them for a sign that it still leads.
 def test_replies_that_waited_during_a_pause_of_the_leader_are_no_recent_contact():
