A best-effort run that another agent takes over keeps its speed

Its speed is not known to the new agent, which took it for paused and set it to a quarter of its speed, to rise again over two seconds. It is taken for full speed now, and one is set in any case.

--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -183,7 +183,9 @@
             del self._averages_by_run[key]
         return deviations
 
-    def record_speeds(self, speed_percent_by_run: dict[tuple[str, int], int], now: float) -> None:
+    def record_speeds(
+        self, speed_percent_by_run: dict[tuple[str, int], int | None], now: float
+    ) -> None:
         """Record the speeds that were requested last of the best-effort runs."""
         self._paused_since_by_run = {
             key: self._paused_since_by_run.get(key, now)
@@ -247,11 +249,14 @@
 def speed_changes(
     interference: InterferenceModel,
     view,
-    speed_percent_by_run: dict[tuple[str, int], int],
+    speed_percent_by_run: dict[tuple[str, int], int | None],
     history: ColocationHistory,
     now: float,
 ) -> list[SpeedChange]:
-    """Return the speeds to change after the last poll of a worker, which ``history`` holds."""
+    """Return the speeds to change after the last poll of a worker, which ``history`` holds.
+
+    A run whose speed is not known is taken to have its full speed, and gets one in any case.
+    """
     latency_ratios = _serving_latency_ratios(view)
     changes = []
     slow_seconds = history.slow_seconds(now)
@@ -262,7 +267,10 @@
     for key, step, status in _reported_runs(view):
         if not step.filling:
             continue
-        current_speed_percent = speed_percent_by_run.get(key, FULL_SPEED_PERCENT)
+        known_speed_percent = speed_percent_by_run.get(key, FULL_SPEED_PERCENT)
+        current_speed_percent = (
+            FULL_SPEED_PERCENT if known_speed_percent is None else known_speed_percent
+        )
         recovered = max(MIN_SPEED_PERCENT, round(current_speed_percent * RECOVERY_FACTOR))
         speed_percent = min(
             FULL_SPEED_PERCENT,
@@ -276,7 +284,7 @@
             speed_percent = PAUSED
             if history.paused_seconds(key, now) >= _max_pause_seconds(step, status):
                 speed_percent = None
-        if speed_percent != current_speed_percent:
+        if speed_percent is None or speed_percent != known_speed_percent:
             changes.append(
                 SpeedChange(view.incarnation, *key, step.image, speed_percent, latency_ratio)
             )
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -25,7 +25,7 @@
 from ..tasks.worker import Worker
 from ..wire.generated.ttypes import RunEnd, RunOutcome
 from .placement import WorkerView
-from .throttling import PAUSED, ColocationHistory
+from .throttling import ColocationHistory
 from .worker_api import (
     CallRejected,
     Fenced,
@@ -104,12 +104,12 @@
         )
         self.clock = WorkerClock()
         self.status_by_run: dict[tuple[str, int], RunStatus] = {}
-        self.speed_percent_by_run: dict[tuple[str, int], int] = {
-            run: PAUSED for run, task in worker.task_by_run.items() if task.step.spec.filling
+        self.speed_percent_by_run: dict[tuple[str, int], int | None] = {
+            run: None for run, task in worker.task_by_run.items() if task.step.spec.filling
         }
         """Speed last requested of each run, in percent of full speed.
 
-        An earlier agent may have paused its best-effort runs.
+        None if it is not known: an earlier agent may have throttled or paused the run.
         """
 
         self.baseline_by_image: dict[str, float] = {}
--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -69,6 +69,9 @@
         self.silent_hosts = set()
         """Hosts whose reports do not arrive."""
 
+        self.reply_seconds = 0.0
+        """How long the reply to a report takes."""
+
         self.worker_by_id = {worker_id: FakeWorker() for worker_id in worker_ids}
         self.state_machine_by_host = {}
         self.replica_by_host = {}
@@ -153,6 +156,7 @@
             raise NoLeader("the report does not arrive")
         # As between processes: both sides have objects of their own.
         reply = self.term.receive_report(codec.decode(type(report), codec.encode(report)))
+        eventlet.sleep(self.reply_seconds)
         if host in self.silent_hosts:
             raise NoLeader("the reply does not arrive")
         return reply
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -6,6 +6,7 @@
 from savoryshelf.dispatch import assignment
 from savoryshelf.dispatch.agent import TAKEOVER_SLACK_MS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
+from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.tasks import snapshot
 from savoryshelf.wire.generated.ttypes import CancelTasks, RunOutcome
 
@@ -175,6 +176,19 @@
     assert (group.term.now() - began_at) * 1000 >= LEASE_MS + TAKEOVER_SLACK_MS
 
 
+# A host that was paused while it waited for the reply took it for fresh.
+def test_a_reply_that_comes_late_permits_calls_only_for_the_rest_of_the_time(large_group):
+    group = large_group
+    agent = group.agent_by_host[group.agent_host()]
+    group.reply_seconds = 0.8 * PERMISSION_SECONDS
+    wait_until(lambda: not agent.may_call_workers())
+    samples = []
+    for _ in range(200):
+        eventlet.sleep(0.01)
+        samples.append(agent.may_call_workers())
+    assert 0 < sum(samples) < len(samples) / 2
+
+
 def test_a_leader_without_a_majority_grants_no_permission(large_group):
     group = large_group
     agent = group.agent_by_host[group.agent_host()]
--- a/tests/dispatch/test_throttling.py
+++ b/tests/dispatch/test_throttling.py
@@ -172,6 +172,13 @@
         assert change.speed_percent == FULL_SPEED_PERCENT
 
 
+# A run that was at full speed must not be slowed down because another agent takes it over.
+def test_a_run_of_unknown_speed_gets_full_speed_where_latencies_are_low():
+    view = colocated_worker(tail_ms=20)
+    (change,) = changes(InterferenceModel(), view, {BEST_EFFORT_RUN: None})
+    assert change.speed_percent == FULL_SPEED_PERCENT
+
+
 def test_a_target_missed_for_too_long_throttles_all_best_effort_runs():
     view = colocated_worker(tail_ms=60)
     assert changes(model_with_weight(0.001), view) == []
