Jobs that cannot be on time any more yield to those that still can

The order of steps went by the age of their job: until its objective had passed, a job that had no chance to end in time competed with those that did, and made further ones late. Now a step counts as late once the estimated chain of work from it to the job's end does not fit into the objective any more.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -29,6 +29,7 @@
 _WORKER_SESSION = "dispatch/worker_session.py"
 _INTERFERENCE = "dispatch/interference.py"
 _THROTTLING = "dispatch/throttling.py"
+_AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
     Mutant(
@@ -479,4 +480,137 @@
         "limit = best_effort_starts",
         DISPATCH,
     ),
+    Mutant(
+        "replies that waited during a pause of the leader are no contact",
+        "replication/leader_state.py",
+        "self._sent_at_by_round.get(acked_round, progress.contact_at)",
+        "now",
+        "tests/replication/test_core.py",
+    ),
+    Mutant(
+        "permission is counted from before the report was sent",
+        "dispatch/agent.py",
+        "self._permission.renew(requested_at, reply.newest_token)",
+        "self._permission.renew(self.now(), reply.newest_token)",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "permission ends",
+        "dispatch/permission.py",
+        "return now < self._valid_until and",
+        "return",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "permission needs the newest assignment",
+        "dispatch/permission.py",
+        " and applied_token >= self._newest_token",
+        "",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "a leader without a majority grants no permission",
+        "dispatch/leader_term.py",
+        "        if not self.is_confirmed():\n            raise",
+        "        if False:\n            raise",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "an agent whose state was replaced takes another id",
+        "dispatch/agent.py",
+        "        self.agent_id = new_agent_id(self._replica.core.replica_id)\n        for",
+        "        for",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "a new agent waits for the permission of the earlier one",
+        "dispatch/agent.py",
+        "TAKEOVER_SLACK_MS = 300 + int(1000 * PERMISSION_SECONDS)",
+        "TAKEOVER_SLACK_MS = 0",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "an agent that does not apply the log loses its workers",
+        "dispatch/agent_fleet.py",
+        "return agent.applied_index >= self._index_to_have_applied(now)",
+        "return True",
+        _AGENT_TESTS,
+    ),
+    Mutant(
+        "what an earlier agent settles is ignored",
+        _TASKS,
+        "if fencing_token and (worker is None or worker.record.fencing_token != fencing_token):",
+        "if False:",
+        TASKS,
+    ),
+    Mutant(
+        "an earlier agent ends no incarnation",
+        _TASKS,
+        "if fencing_tokens and worker.record.fencing_token != fencing_tokens[position]:",
+        "if False:",
+        TASKS,
+    ),
+    Mutant(
+        "each assignment has a token of its own",
+        _TASKS,
+        "self.newest_token = max(self.newest_token, min_token) + 1",
+        "self.newest_token = max(self.newest_token, min_token)",
+        TASKS,
+    ),
+    Mutant(
+        "an older record of a worker is ignored",
+        _TASKS,
+        "if (record.sequence or 0) < (known.sequence or 0):",
+        "if False:",
+        TASKS,
+    ),
+    Mutant(
+        "a worker that has announced its exit stays out of use",
+        _TASKS,
+        "        if known.leaving:\n            record.leaving = record.draining = True\n",
+        "",
+        TASKS,
+    ),
+    Mutant(
+        "no call is made without permission",
+        _WORKER_SESSION,
+        "        return self._agent.may_call_workers()\n",
+        "        return True\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "nothing is started on a worker that was reported as lost",
+        _WORKER_SESSION,
+        "if self.is_closed or self.has_ended or self.is_fenced:",
+        "if self.is_closed or self.is_fenced:",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a fenced session makes no more calls",
+        _WORKER_SESSION,
+        "if self.is_closed or self.has_ended or self.is_fenced:",
+        "if self.is_closed or self.has_ended:",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "an unexpected error of a poll does not end the session",
+        _WORKER_SESSION,
+        "            except Exception as error:\n",
+        "            except ZeroDivisionError as error:\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "nothing works beside a run that misses its target for too long",
+        _THROTTLING,
+        "if speed_percent < MIN_SPEED_PERCENT or slow_seconds >= PAUSE_SLOW_SECONDS:",
+        "if speed_percent < MIN_SPEED_PERCENT:",
+        DISPATCH,
+    ),
+    Mutant(
+        "a job that cannot be on time yields to those that can",
+        "dispatch/lateness.py",
+        "earliest_end_ms = age_ms + remaining_ms[group.number]",
+        "earliest_end_ms = age_ms",
+        DISPATCH,
+    ),
 ]
--- a/src/savoryshelf/dispatch/lateness.py
+++ b/src/savoryshelf/dispatch/lateness.py
@@ -1,11 +1,12 @@
-"""Classifies jobs by their lateness against the latency objective of their queue.
+"""Classifies steps by how late their job will be against the latency objective of its queue.
 
-A late job is worth little to its caller and a very late one nothing, so jobs
-that can still be on time are scheduled first and late ones use the remaining
-capacity.
+A late job is worth little to its caller and a very late one nothing, so steps of jobs
+that can still be on time are scheduled first and the others use the remaining
+capacity.  What matters is when the job can end at the earliest, not its age: a job that
+cannot be on time any more would only make others late too.
 """
 
-from ..tasks.job import Job
+from ..tasks.job import Job, StepGroup
 
 VERY_LATE_FACTOR = 3.0
 """Multiple of its objective after which a job is worth nothing to its caller.
@@ -26,19 +27,34 @@
 
 def critical_path_ms(job: Job) -> int:
     """Return the estimated duration of the longest chain of dependent steps."""
-    end_ms_by_step: list[int] = []
-    for step in job.spec.steps:
-        start_ms = max((end_ms_by_step[predecessor] for predecessor in step.after or []), default=0)
-        end_ms_by_step.append(start_ms + step.estimated_ms)
-    return max(end_ms_by_step, default=0)
+    return max(_remaining_ms_by_step(job), default=0)
 
 
-def lateness_of(job: Job, occurrence: int, wall_ms: int) -> int:
-    """Return ON_TIME, LATE or VERY_LATE; a job with a long-running step is always ON_TIME."""
+def lateness_of(group: StepGroup, wall_ms: int) -> int:
+    """Return ON_TIME, LATE or VERY_LATE by the earliest end of the job after this step.
+
+    A job with a long-running step is always ON_TIME.
+    """
+    job = group.job
     if any(step.lasting for step in job.spec.steps):
         return ON_TIME
-    age_ms = wall_ms - max(job.accepted_ms, job.due_ms(occurrence))
-    objective_ms = latency_objective_ms(job)
-    if age_ms <= objective_ms:
+    age_ms = wall_ms - max(job.accepted_ms, job.due_ms(group.occurrence))
+    remaining_ms = _remaining_ms_by_step(job)
+    earliest_end_ms = age_ms + remaining_ms[group.number]
+    objective_ms = job.queue.target_latency_ms + job.queue.stretch * max(remaining_ms)
+    if earliest_end_ms <= objective_ms:
         return ON_TIME
-    return LATE if age_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
+    return LATE if earliest_end_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
+
+
+def _remaining_ms_by_step(job: Job) -> list[int]:
+    """Return the estimated duration of the longest chain from each step to the job's end."""
+    steps = job.spec.steps
+    remaining_ms = [step.estimated_ms for step in steps]
+    for number in range(len(steps) - 1, -1, -1):
+        for predecessor in steps[number].after or []:
+            remaining_ms[predecessor] = max(
+                remaining_ms[predecessor],
+                steps[predecessor].estimated_ms + remaining_ms[number],
+            )
+    return remaining_ms
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -571,7 +571,7 @@
     job = group.job
     return (
         job.queue.priority,
-        lateness_of(job, group.occurrence, wall_ms),
+        lateness_of(group, wall_ms),
         _is_new_long_running(group),
         job.accepted_ms,
         job.job_id,
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -323,3 +323,15 @@
     task_ledger = ledger(*[worker(f"w{n}") for n in range(300)], near)
     accept(task_ledger, step(data_rack="r9"))
     assert worker_ids(plan(task_ledger)) == ["near"]
+
+
+# In an overload, work for jobs that will be late in any case made further jobs late.
+def test_a_backlog_that_cannot_be_on_time_yields_to_jobs_that_still_can():
+    task_ledger = ledger(worker(millicores=1000))
+    accept(task_ledger, step(3, estimated_ms=1000), job_id=SECOND)
+    task_ledger.at_ms = 1200
+    accept(task_ledger, step(estimated_ms=1000), job_id=THIRD)
+    # The objective is 2000 ms: at 1200 ms the first job could end at 2200 ms at the earliest.
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    intents = Placement(InterferenceModel()).plan(task_ledger, views, 1200, FleetHealth(), 0.0)
+    assert [intent.task for intent in intents] == [f"{THIRD}.0.0.0"]
