--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -448,7 +448,7 @@
     Mutant(
         "an evicted image is excluded from the worker for a while",
         "dispatch/placement.py",
-        "    if step.image in candidate.view.excluded_images:\n        return False\n",
+        "        if step.image in self.view.excluded_images:\n            return False\n",
         "",
         DISPATCH,
     ),
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -120,9 +120,11 @@
     excluded_images: frozenset[str] = frozenset()
     """Best-effort images recently evicted from this worker."""
 
-    @property
-    def incarnation(self) -> IncarnationKey:
-        """Return the key of the worker's incarnation."""
+    incarnation: IncarnationKey = attrs.field(init=False)
+    """Key of the worker's incarnation."""
+
+    @incarnation.default
+    def _incarnation(self) -> IncarnationKey:
         return self.worker.key
 
 
@@ -142,6 +144,9 @@
     best_effort_millicores_by_image: dict[str, int] = attrs.field(init=False)
     """Both are the worker's own until a run is planned here."""
 
+    _rejected_millicores_by_image: dict[str, int] = attrs.field(factory=dict)
+    """The smallest best-effort step of each image that was rejected in this pass."""
+
     _has_own_counts: bool = False
     _added_utilisation_by_image: dict[str, float] = attrs.field(factory=dict)
 
@@ -181,6 +186,21 @@
         record = self.view.worker.record
         return (self.expected_millicores + _expected_millicores(step)) / max(1, record.millicores)
 
+    def may_add_best_effort(self, step: StepSpec) -> bool:
+        """Return whether one more best-effort run may be placed here without slowing others down.
+
+        Load and interference only rise during a pass, so a rejection holds for larger steps of
+        the image until its end.
+        """
+        if self._rejected_millicores_by_image.get(step.image, math.inf) <= step.millicores:
+            return False
+        if step.image in self.view.excluded_images:
+            return False
+        if self.load_with(step) > MAX_BEST_EFFORT_LOAD or self.interference_with(step) > 1.0:
+            self._rejected_millicores_by_image[step.image] = step.millicores
+            return False
+        return True
+
     def interference_with(self, step: StepSpec) -> float:
         """Return the interference that one more best-effort run causes.
 
@@ -365,7 +385,7 @@
     def _entry(self, position: int) -> tuple[float, int] | None:
         """Return the score and position of a candidate; None if it may not run the step."""
         candidate = self._candidates[position]
-        run_count = self._run_counts[candidate.view.incarnation]
+        run_count = self._run_counts.get(candidate.view.incarnation, 0)
         if not self._placement.may_run(self._step, candidate, run_count):
             return None
         return self._placement.score(self._step, candidate, run_count), position
@@ -531,7 +551,7 @@
         """Return whether one more run of the step may be planned on the candidate."""
         if not candidate.fits(step):
             return False
-        if step.filling and not _may_add_best_effort(candidate, step):
+        if step.filling and not candidate.may_add_best_effort(step):
             return False
         return not step.max_per_worker or run_count < step.max_per_worker
 
@@ -604,15 +624,6 @@
     )
 
 
-def _may_add_best_effort(candidate: _Candidate, step: StepSpec) -> bool:
-    """Return whether one more best-effort run may be placed here without slowing others down."""
-    if step.image in candidate.view.excluded_images:
-        return False
-    if candidate.load_with(step) > MAX_BEST_EFFORT_LOAD:
-        return False
-    return candidate.interference_with(step) <= 1.0
-
-
 def _run_count_by_incarnation(group: StepGroup) -> Counter:
     return Counter(
         incarnation for task in group.tasks for incarnation in task.incarnation_by_run.values()
