A slow host loses its workers and does not slow the starts of all others down

With agents the rate of best-effort starts followed the agent that lags most: one control host that turns slow would have brought the starts of the whole fleet down to ten a second. It follows the median now, and workers of an agent whose timers lag by 0.1 s are given to others, unless half of the agents lag. Found by reading; the tests fail without the change.

--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -3,6 +3,7 @@
 This module does no I/O; times are seconds on the leader's monotonic clock.
 """
 
+import statistics
 from collections import deque
 from collections.abc import Iterable
 
@@ -26,6 +27,12 @@
 Its disk may be stalled: it cannot start runs then, although it reports.
 """
 
+MAX_AGENT_LAG_SECONDS = 0.1
+"""Mean lag of an agent's timers above which its workers are given to others.
+
+Its host is slow or has too much to do: it would start runs late and notice their ends late.
+"""
+
 COMMIT_SAMPLE_SECONDS = 0.1
 """Time between two samples of the commit index."""
 
@@ -99,24 +106,28 @@
         sampled_at, index = self._commit_samples[0]
         return index if now - sampled_at >= MAX_APPLY_LAG_SECONDS else 0
 
-    def live_agents(self, now: float) -> dict[str, str]:
-        """Return the region of each live agent, by its id."""
-        return {
-            agent_id: agent.region
+    def usable_agents(self, now: float) -> dict[str, str]:
+        """Return the region of each agent that may have workers, by its id.
+
+        Those that lag are left out, unless half of the live ones do: then all have too much
+        to do, and fewer would have more.
+        """
+        live = {key: a for key, a in self._agent_by_id.items() if self.is_live(key, now)}
+        prompt = {key: a for key, a in live.items() if a.timer_lag_seconds <= MAX_AGENT_LAG_SECONDS}
+        usable = prompt if 2 * len(prompt) > len(live) else live
+        return {agent_id: agent.region for agent_id, agent in usable.items()}
+
+    def typical_timer_lag(self, now: float) -> float:
+        """Return the median timer lag of the live agents, in seconds.
+
+        One slow host says nothing about the others.
+        """
+        lags = [
+            agent.timer_lag_seconds
             for agent_id, agent in self._agent_by_id.items()
             if self.is_live(agent_id, now)
-        }
-
-    def max_timer_lag(self, now: float) -> float:
-        """Return the largest timer lag among the live agents, in seconds."""
-        return max(
-            (
-                agent.timer_lag_seconds
-                for agent_id, agent in self._agent_by_id.items()
-                if self.is_live(agent_id, now)
-            ),
-            default=0.0,
-        )
+        ]
+        return statistics.median(lags) if lags else 0.0
 
     def is_fenced(self, worker: Worker) -> bool:
         """Return whether the worker rejects the fencing token of its agent."""
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -238,7 +238,7 @@
             if self._has_ended:
                 return
             now = self.now()
-            lag = max(own_lag, self._fleet.max_timer_lag(now))
+            lag = max(own_lag, self._fleet.typical_timer_lag(now))
             self._start_rate.record_lag(lag, now)
             self._fleet.record_commit_index(self._replica.core.commit_index, now)
             metrics.TIMER_LAG.set(self._start_rate.mean_lag)
@@ -325,7 +325,7 @@
     def _assignable_agents(self, now: float) -> list[AssignableAgent]:
         core = self._replica.core
         agents = []
-        for agent_id, region in self._fleet.live_agents(now).items():
+        for agent_id, region in self._fleet.usable_agents(now).items():
             member = find_member(core.log.membership, replica_of(agent_id))
             if member is not None and member.voter:
                 is_leader = member.replica_id == core.replica_id
--- a/tests/dispatch/test_agent_fleet.py
+++ b/tests/dispatch/test_agent_fleet.py
@@ -1,5 +1,6 @@
 from savoryshelf.dispatch.agent_fleet import (
     AGENT_TIMEOUT_SECONDS,
+    MAX_AGENT_LAG_SECONDS,
     MAX_APPLY_LAG_SECONDS,
     AgentFleet,
 )
@@ -37,8 +38,8 @@
     fleet = AgentFleet()
     assert not fleet.is_live(AGENT, 0.0)
     fleet.record_report(report(), 0.0)
-    assert fleet.live_agents(AGENT_TIMEOUT_SECONDS) == {AGENT: "north"}
-    assert fleet.live_agents(AGENT_TIMEOUT_SECONDS + 0.1) == {}
+    assert fleet.usable_agents(AGENT_TIMEOUT_SECONDS) == {AGENT: "north"}
+    assert fleet.usable_agents(AGENT_TIMEOUT_SECONDS + 0.1) == {}
 
 
 def test_an_agent_that_leaves_is_not_live():
@@ -111,3 +112,22 @@
     fleet.record_report(report(states=[state(token=1, fenced=True)]), 0.0)
     assert fleet.is_fenced(worker_with_token(1))
     assert not fleet.is_fenced(worker_with_token(2))
+
+
+# One slow host among several must neither keep its workers nor slow the starts of all others down.
+def test_an_agent_on_a_slow_host_gets_no_workers():
+    fleet = AgentFleet()
+    for number in range(4):
+        lag = 5 * MAX_AGENT_LAG_SECONDS if number == 0 else 0.001
+        fleet.record_report(report(agent_id=f"c{number}.disk/1", timer_lag_seconds=lag), 0.0)
+    assert set(fleet.usable_agents(0.0)) == {"c1.disk/1", "c2.disk/1", "c3.disk/1"}
+    assert fleet.typical_timer_lag(0.0) == 0.001
+
+
+def test_agents_that_all_lag_keep_their_workers():
+    fleet = AgentFleet()
+    for number in range(4):
+        lag = 0.001 if number == 0 else 5 * MAX_AGENT_LAG_SECONDS
+        fleet.record_report(report(agent_id=f"c{number}.disk/1", timer_lag_seconds=lag), 0.0)
+    assert len(fleet.usable_agents(0.0)) == 4
+    assert fleet.typical_timer_lag(0.0) == 5 * MAX_AGENT_LAG_SECONDS
