--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -6,8 +6,6 @@
 answers renews the agent's permission to call workers.
 """
 
-import secrets
-
 import attrs
 import eventlet
 from eventlet.event import Event
@@ -36,6 +34,7 @@
     WorkerLife,
     WorkerState,
 )
+from .agent_id import new_agent_id
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .permission import PERMISSION_SECONDS, Permission
@@ -483,16 +482,6 @@
             self._wake_maintenance.send(None)
 
 
-def new_agent_id(replica_id: str) -> str:
-    """Return an id for one incarnation of the agent on a replica's host."""
-    return f"{replica_id}/{secrets.token_hex(4)}"
-
-
-def replica_of(agent_id: str) -> str:
-    """Return the id of the replica on whose host an agent is."""
-    return agent_id.partition("/")[0]
-
-
 def _log_end(session: WorkerSession, end: RunEnd) -> None:
     outcome = RunOutcome(end.outcome)
     metrics.RUN_ENDS.labels(outcome.name.lower()).inc()
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -12,6 +12,7 @@
 from ..tasks.job import IncarnationKey
 from ..tasks.worker import Worker, incarnation_key
 from ..wire.generated.ttypes import AgentReport, PairWeight, WorkerState
+from .agent_id import replica_of
 from .interference import MAX_IMAGES
 from .placement import WorkerView
 
@@ -73,6 +74,8 @@
         known = self._agent_by_id.get(report.agent_id)
         if known is not None and report.number <= known.number:
             return False
+        if known is None:
+            self._drop_earlier_incarnations(report.agent_id)
         is_complete = report.is_full or (known is not None and report.number == known.number + 1)
         self._agent_by_id[report.agent_id] = _KnownAgent(
             report.region, now, report.number, report.leaving, report.applied_index,
@@ -85,6 +88,12 @@
             )
         return not is_complete
 
+    def _drop_earlier_incarnations(self, agent_id: str) -> None:
+        """Drop the agents of earlier incarnations of the same process: they make no calls."""
+        replica_id = replica_of(agent_id)
+        for earlier in [each for each in self._agent_by_id if replica_of(each) == replica_id]:
+            del self._agent_by_id[earlier]
+
     def record_commit_index(self, index: int, now: float) -> None:
         """Take a sample of the commit index, if one is due."""
         samples = self._commit_samples
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -45,8 +45,8 @@
     TaskCommandBody,
     WorkerLife,
 )
-from .agent import replica_of
 from .agent_fleet import AgentFleet
+from .agent_id import replica_of
 from .assignment import AssignableAgent, AssignableWorker, plan_assignments
 from .health import FleetHealth
 from .interference import InterferenceModel
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -33,7 +33,7 @@
     WorkerLife,
     WorkerRecord,
 )
-from .agent import replica_of
+from .agent_id import replica_of
 
 MAX_QUORUM_CONTACT_AGE_SECONDS = 1.0
 """Age of the last quorum contact up to which a leader answers reads, in seconds.
--- a/tests/dispatch/test_agent_fleet.py
+++ b/tests/dispatch/test_agent_fleet.py
@@ -131,3 +131,11 @@
         fleet.record_report(report(agent_id=f"c{number}.disk/1", timer_lag_seconds=lag), 0.0)
     assert len(fleet.usable_agents(0.0)) == 4
     assert fleet.typical_timer_lag(0.0) == 5 * MAX_AGENT_LAG_SECONDS
+
+
+def test_a_restarted_agent_replaces_its_earlier_incarnation_at_once():
+    fleet = AgentFleet()
+    fleet.record_report(report(agent_id="c1.disk/1"), 0.0)
+    fleet.record_report(report(agent_id="c2.disk/1"), 0.0)
+    fleet.record_report(report(agent_id="c1.disk/2"), 0.1)
+    assert set(fleet.usable_agents(0.1)) == {"c1.disk/2", "c2.disk/1"}
