--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -4,7 +4,6 @@
 import pytest
 
 from savoryshelf.dispatch import assignment
-from savoryshelf.dispatch.agent import TAKEOVER_SLACK_MS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.tasks import snapshot
@@ -173,7 +172,7 @@
     wait_until(lambda: group.agent_host() not in (earlier, None))
     began_at = group.term.now()
     wait_until(lambda: not group.ledger.find_task(TASK).incarnation_by_run)
-    assert (group.term.now() - began_at) * 1000 >= LEASE_MS + TAKEOVER_SLACK_MS
+    assert (group.term.now() - began_at) * 1000 >= LEASE_MS + 1000 * PERMISSION_SECONDS
 
 
 # A host that was paused while it waited for the reply took it for fresh.
