The interference fit forgets by time instead of by the number of samples

Earlier samples lost 0.2 % of their weight with each new one: 25 s at the 20 samples a second of a small site, but about 3 s at an agent with 110 workers and half a second with one that had all of 446. They decay over 25 s now, whatever the number.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -413,8 +413,8 @@
     Mutant(
         "older samples lose weight",
         _INTERFERENCE,
-        "        self._sample_weight /= FORGETTING_FACTOR\n",
-        "",
+        "math.exp(min(elapsed, MAX_DECAY_SECONDS) / FORGETTING_SECONDS)",
+        "1.0",
         DISPATCH,
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/interference.py
+++ b/src/savoryshelf/dispatch/interference.py
@@ -12,6 +12,8 @@
 serving image.
 """
 
+import math
+
 import attrs
 
 from ..wire.generated.ttypes import PairWeight
@@ -28,8 +30,14 @@
 PRIOR_STRENGTH = 2.0
 """Weight of the prior, in squared cores: equal to one sample with a deviation of 1.4 cores."""
 
-FORGETTING_FACTOR = 0.998
-"""Decay of earlier samples per new sample: a time constant of about 25 s at 20 samples/s."""
+FORGETTING_SECONDS = 25.0
+"""Time constant of the decay of earlier samples.
+
+By time and not by number: a host with many workers gets many samples a second.
+"""
+
+MAX_DECAY_SECONDS = 10 * FORGETTING_SECONDS
+"""Longest time that is counted between two samples, so that the sums never overflow."""
 
 MIN_COMMITTED_CHANGE = 0.02
 """Change in a weight, in utilisation per core, above which it is committed for all hosts."""
@@ -88,15 +96,20 @@
 
     weight_by_image: dict[str, float] = attrs.field(factory=dict)
     _sample_weight: float = 1.0
+    _sampled_at: float | None = None
     _covariance_by_image: dict[str, float] = attrs.field(factory=dict)
     """Weighted sum of deviations in cores times deviations in utilisation."""
 
     _covariances_by_image: dict[str, dict[str, float]] = attrs.field(factory=dict)
     """Weighted sums of deviations in cores of one image times those of each other."""
 
-    def add(self, utilisation_deviation: float, cores_deviation_by_image: dict[str, float]) -> None:
+    def add(
+        self, utilisation_deviation: float, cores_deviation_by_image: dict[str, float], now: float
+    ) -> None:
         """Add one sample and update the weights of the images in it."""
-        self._sample_weight /= FORGETTING_FACTOR
+        elapsed = max(0.0, now - self._sampled_at) if self._sampled_at is not None else 0.0
+        self._sampled_at = now
+        self._sample_weight *= math.exp(min(elapsed, MAX_DECAY_SECONDS) / FORGETTING_SECONDS)
         covariances = self._covariance_by_image
         for image, deviation in cores_deviation_by_image.items():
             weighted_deviation = self._sample_weight * deviation
@@ -213,15 +226,16 @@
         serving_image: str,
         utilisation_deviation: float,
         cores_deviation_by_image: dict[str, float],
+        now: float,
     ) -> None:
-        """Update the weights with one sample of a serving run.
+        """Update the weights with one sample of a serving run, taken at ``now`` in seconds.
 
         ``utilisation_deviation`` is the difference of its utilisation from its
         moving average, and ``cores_deviation_by_image`` that of the cores in use
         by each best-effort image on the same worker.
         """
         if cores_deviation_by_image:
-            self._fit_for(serving_image).add(utilisation_deviation, cores_deviation_by_image)
+            self._fit_for(serving_image).add(utilisation_deviation, cores_deviation_by_image, now)
 
     def throttle_shares(
         self, serving_image: str, cores_by_image: dict[str, float], headroom: float
--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -208,7 +208,7 @@
     """Update the model with the result of one poll."""
     history.add_report(view, now)
     for image, utilisation_deviation, cores_deviation_by_image in history.deviations(view, now):
-        interference.add_sample(image, utilisation_deviation, cores_deviation_by_image)
+        interference.add_sample(image, utilisation_deviation, cores_deviation_by_image, now)
 
 
 def baseline_utilisations(interference: InterferenceModel, view) -> dict[str, float]:
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -138,7 +138,7 @@
         accept(task_ledger, step(lasting=True, target_ms=50, image=image), job_id=job_id)
         record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=incarnation_key)
     interference = InterferenceModel()
-    interference.add_sample("sensitive", 0.5, {"noisy": 2.0})
+    interference.add_sample("sensitive", 0.5, {"noisy": 2.0}, 0.0)
     accept(task_ledger, step(2, filling=True, image="noisy", millicores=1500), job_id=THIRD)
     assert worker_ids(plan(task_ledger, interference)) == ["w2", "w2"]
 
@@ -194,7 +194,7 @@
     ):
         accept(task_ledger, step(lasting=True, target_ms=50, image=image), job_id=job_id)
         record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=incarnation_key)
-        interference.add_sample(image, utilisation_deviation, {"noisy": 3.0})
+        interference.add_sample(image, utilisation_deviation, {"noisy": 3.0}, 0.0)
     accept(task_ledger, step(2, filling=True, image="noisy", millicores=4000), job_id=THIRD)
     views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
     placement = Placement(interference)
@@ -236,7 +236,7 @@
             batch = step(4, filling=True, image="batch", millicores=3000)
             accept(task_ledger, batch, job_id=job_id)
         interference = CountingInterferenceModel()
-        interference.add_sample("serving", 0.9, {"batch": 3.0})
+        interference.add_sample("serving", 0.9, {"batch": 3.0}, 0.0)
         assert plan(task_ledger, interference) == []
         look_ups_by_backlog[backlog] = interference.look_ups
     assert look_ups_by_backlog[20] < 2 * look_ups_by_backlog[1]
