A session makes no call once another assignment of its worker is applied

Between the application of the next assignment and the closing of the session, the agent of before could start a run under the earlier token; the worker's fence made that harmless. Each call is now preceded by a check of the token in the ledger. Found by reading; without the change the test does not end (it was stopped after ten minutes): the session polls on under the old token.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -265,6 +265,9 @@
     def _may_call(self) -> bool:
         if self.is_closed or self.has_ended or self.is_fenced:
             return False
+        # The worker may have another agent already, before this session is closed for it.
+        if self.worker.record.fencing_token != self.fencing_token:
+            return False
         return self._agent.may_call_workers()
 
     def _poll_wait_ms(self) -> int:
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -4,7 +4,7 @@
 import pytest
 
 from savoryshelf.dispatch.worker_api import StartResult
-from savoryshelf.wire.generated.ttypes import RunOutcome
+from savoryshelf.wire.generated.ttypes import AgentAssignment, RunOutcome, WorkerLife
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, step
 from .fakes import LEASE_MS, FakeWorker, make_session, wait_until
@@ -209,3 +209,19 @@
     session.set_speed(TASK, 1, 100)
     wait_until(lambda: "set_speed" in worker.calls)
     session.close()
+
+
+# Between the application of another assignment and the closing of this session, a run of the
+# next agent could be started under the earlier token.
+def test_no_call_is_made_once_another_assignment_is_applied(running_session):
+    task_ledger, worker, session, _ = running_session
+    task_ledger.assign_agents([AgentAssignment(WorkerLife("w1", 1), "c2.disk/1")], 0)
+    # Completes the long poll that is open.
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    eventlet.sleep(0.1)
+    calls = len(worker.calls)
+    session.start(TASK, 1)
+    session.stop(TASK, 1)
+    eventlet.sleep(0.3)
+    assert len(worker.calls) == calls
+    assert worker.starts == []
