--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(BIN)/python -m benchmarks.commits
 	$(BIN)/python -m benchmarks.failover
 	$(BIN)/python -m benchmarks.recovery
+	$(BIN)/python -m benchmarks.passes
 
 # The slopes behind docs/CAPACITY.md.
 capacity: $(VENV)/.ready
--- a/src/savoryshelf/dispatch/__init__.py
+++ b/src/savoryshelf/dispatch/__init__.py
@@ -1,1 +1,1 @@
-"""Dispatch by the leader: places runs, calls and polls workers, and commits how runs ended."""
+"""Dispatch: the leader places runs and commits how they ended, agents call and poll workers."""
