--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -491,6 +491,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="savoryshelf-review-"))
         network = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
         self.ip = f"{network}.100"
+        self._used_ports: set[int] = set()
         self.core_ips = [f"{network}.{1 + number}" for number in range(cores)]
         self.front_ips = [f"{network}.{51 + number}" for number in range(fronts)]
         ports = [self.free_port() for _ in range(4)]
@@ -507,12 +508,18 @@
         self.is_ending = False
         self._next_front = itertools.count()
 
-    @staticmethod
-    def free_port() -> int:
-        """Return a port that is free now."""
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
+    def free_port(self) -> int:
+        """Return a port that is free now on all addresses of the site, and used only once."""
+        while True:
+            with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+                port = 0
+                for ip in [self.ip, *self.core_ips, *self.front_ips]:
+                    probe = stack.enter_context(socket.socket())
+                    probe.bind((ip, port))
+                    port = probe.getsockname()[1]
+                if port not in self._used_ports:
+                    self._used_ports.add(port)
+                    return port
 
     def control_addresses(self) -> list[str]:
         """Return the addresses that workers and the operator call, in any order."""
@@ -725,7 +732,8 @@
     site = Site()
     try:
         found = asyncio.run(asyncio.wait_for(case(site), 115.0))
-    except (CouldNotRun, TimeoutError) as error:
+    except Exception as error:
+        # Whatever it is, it shows nothing about the rule.
         site.record.note("could not run", why=repr(error))
         site.record.write(pathlib.Path(folder) / "record.txt")
         print(f"could not run: {error!r}")
