Ends that a worker lists later are no longer taken for runs that never started

Cause: a worker lists at most 500 ends in one answer, and any answer was taken for a complete list: a run that it lists neither as running nor as ended was settled as one that never started. Evidence: 150 run:missing for each of two workers with 650 unread ends, at the first poll of the next agent; its next polls list these ends as done. The log of incomplete lists was missing.

Fix: a poll result says whether the worker may have more ends, and nothing is concluded from what such a list leaves out. Its ends are acknowledged, so the next polls list the others. The stand-ins list 500 ends at a time now, as the platform's workers do.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -766,10 +766,24 @@
     Mutant(
         "no run is missing while a row of a poll cannot be read",
         _WORKER_SESSION,
-        "        if result.unreadable_runs:\n            return missing\n",
-        "",
+        "if result.unreadable_runs or result.may_omit_ends:",
+        "if result.may_omit_ends:",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "no run is missing while a worker may have more ends than it lists",
+        _WORKER_SESSION,
+        "if result.unreadable_runs or result.may_omit_ends:",
+        "if result.unreadable_runs:",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a poll that lists as many ends as one answer holds may omit others",
+        _PLATFORM_WORKERS,
+        "may_omit_ends=len(end_rows) >= MAX_LISTED_ENDS,",
+        "",
+        "tests/platform/test_worker_calls.py",
+    ),
     Mutant(
         "a poll with a row that cannot be read is not repeated at once",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -117,6 +117,9 @@
     unreadable_ends: int = 0
     """Listed ends that could not be read; they count as acknowledged with a later end."""
 
+    may_omit_ends: bool = False
+    """Whether the worker may have more ends: a run that is not listed may have ended."""
+
 
 class WorkerApi(Protocol):
     """Calls to a worker, each made to one incarnation.
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -5,7 +5,8 @@
 only in one of these cases:
 
 - The worker reports its end.
-- A poll does not list it, and was sent after the run's last start or stop was confirmed.
+- A poll that lists all runs and ends does not list it, and was sent after the run's last start
+  or stop was confirmed.
 - Another incarnation answers at the worker's address.
 - The worker does not answer after it announced its shutdown.
 - Every lease of the worker has expired.
@@ -396,6 +397,11 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
+        if result.may_omit_ends:
+            log_event(
+                "worker:more_ends", worker=self.incarnation.worker_id, listed=len(result.ends),
+                seen_end=self.worker.record.seen_end, runs=len(self.worker.task_by_run),
+            )  # fmt: skip
         ends += self._missing_runs(result, ended_runs, sent_at)
         if ends:
             seen_end = max(end.number for end in ends)
@@ -413,7 +419,7 @@
     def _missing_runs(self, result: PollResult, ended_runs: set, sent_at: float) -> list[RunEnd]:
         """Return ends for the runs that this poll should have listed and did not."""
         missing = []
-        if result.unreadable_runs:
+        if result.unreadable_runs or result.may_omit_ends:
             return missing
         for key in self.worker.task_by_run:
             if key in self._starts_in_flight or key in self.status_by_run or key in ended_runs:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,6 +16,9 @@
 
 HEARTBEAT_SECONDS = 0.3
 
+MAX_LISTED_ENDS = 500
+"""Ends that one answer lists at most, as the platform's pages say."""
+
 
 @attrs.define
 class _Run:
@@ -140,7 +143,7 @@
             # Task, run, checkpoint, progress in percent, gauge.
             running = [[r.task, r.number, "", 10, 0] for r in self._running.values()]
             ends = [list(end) for end in self.ends if end[0] > self._acknowledged_end]
-            return 200, {"running": running, "endedRuns": ends}
+            return 200, {"running": running, "endedRuns": ends[:MAX_LISTED_ENDS]}
 
     def _wait_for_end(self, body: dict) -> None:
         deadline = time.monotonic() + body["waitMs"] / 1000
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -17,6 +17,8 @@
 from savoryshelf.wire.generated.ttypes import AgentAssignment, RunEnd, RunOutcome
 
 LEASE_MS = 600
+MAX_LISTED_ENDS = 500
+"""Ends that one poll lists at most, as the platform's pages say."""
 
 
 class FakeWorker:
@@ -109,7 +111,10 @@
         running = (
             list(self.running.values()) if running_before_wait is None else running_before_wait
         )
-        return PollResult(self.clock_ms(), running, ends, self.unreadable_runs)
+        return PollResult(
+            self.clock_ms(), running, ends[:MAX_LISTED_ENDS], self.unreadable_runs,
+            may_omit_ends=len(ends) >= MAX_LISTED_ENDS,
+        )  # fmt: skip
 
     def set_speed(self, incarnation, task, run, speed_percent, fencing_token):
         self._record_call("set_speed")
@@ -128,6 +133,7 @@
         self.worker_api = worker_api
         self.end_reasons = []
         self.rejections = []
+        self.settled_ends = []
         self.has_permission = True
 
     def now(self):
@@ -146,6 +152,7 @@
         pass
 
     def settle_ends(self, session, seen_end, ends):
+        self.settled_ends += ends
         self.ledger.settle(session.worker.record.life, seen_end, ends, session.fencing_token)
 
     def start_rejected(self, session, task, run, result):
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -12,7 +12,7 @@
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, step
 from ..tasks.builders import worker as a_worker
-from .fakes import LEASE_MS, FakeWorker, make_session, wait_until
+from .fakes import LEASE_MS, MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
 
 TASK = f"{JOB}.0.0.0"
 
@@ -88,6 +88,45 @@
     wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
 
 
+# Guards against tasks that run twice after a new agent has taken over a worker with more unread
+# ends than one poll lists: the runs behind the others counted as runs that had never started.
+def test_ends_beyond_those_that_one_poll_lists_are_no_missing_runs():
+    count = 2 * MAX_LISTED_ENDS + 150
+    task_ledger, worker = ledger(a_worker(millicores=count, memory_mb=count)), FakeWorker()
+    accept(task_ledger, step(count, millicores=1, memory_mb=1))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(count)]
+    for task in tasks:
+        record_intent(task_ledger, task)
+        worker.end(task, 1, RunOutcome.DONE)
+    session, agent = make_session(task_ledger, worker)
+    try:
+        wait_until(lambda: all(task_ledger.find_task(task).done for task in tasks))
+    finally:
+        session.close()
+    assert {end.outcome for end in agent.settled_ends} == {RunOutcome.DONE}
+    assert len(agent.settled_ends) == count
+
+
+# Guards against a task that waits for good: what one incomplete list leaves open, the next ones
+# have to settle.
+def test_a_run_that_never_started_is_settled_once_all_ends_have_been_listed():
+    count = MAX_LISTED_ENDS + 1
+    task_ledger, worker = ledger(a_worker(millicores=count, memory_mb=count)), FakeWorker()
+    accept(task_ledger, step(count, millicores=1, memory_mb=1))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(count)]
+    for task in tasks:
+        record_intent(task_ledger, task)
+    for task in tasks[1:]:
+        worker.end(task, 1, RunOutcome.DONE)
+    session, agent = make_session(task_ledger, worker)
+    try:
+        wait_until(lambda: not task_ledger.find_task(tasks[0]).incarnation_by_run)
+    finally:
+        session.close()
+    assert [e.task for e in agent.settled_ends if e.outcome == RunOutcome.NEVER_RAN] == [tasks[0]]
+    assert all(task_ledger.find_task(task).done for task in tasks[1:])
+
+
 def test_a_run_that_is_not_in_the_ledger_is_stopped(running_session):
     _, worker, session, _ = running_session
     session.start(TASK, 1)
--- a/tests/platform/test_worker_calls.py
+++ b/tests/platform/test_worker_calls.py
@@ -164,3 +164,16 @@
     replying_worker.reply = (200, b'{"clockMs":5,"running":[],"endedRuns":[],"born":2}')
     with pytest.raises(IncarnationReplaced):
         HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0)
+
+
+# Guards against tasks that run twice: of more than 500 ends a worker lists 500, and the runs
+# behind the others counted as runs that had never started.
+@pytest.mark.parametrize("count, may_omit_ends", [(499, False), (500, True)])
+def test_a_poll_that_lists_as_many_ends_as_one_answer_holds_may_omit_others(
+    replying_worker, count, may_omit_ends
+):
+    ends = [[number, TASK, number, "done", ""] for number in range(1, count + 1)]
+    replying_worker.reply = (200, orjson.dumps({"clockMs": 5, "running": [], "endedRuns": ends}))
+    result = HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0)
+    assert len(result.ends) == count
+    assert result.may_omit_ends is may_omit_ends
