Long-running work waits 2 s at most for capacity that is kept for finite runs

Cause: above 0.92 of the processors new long-running work was left out of placement for good, whether finite runs were waiting or not; and a wide step was left out as a whole. Evidence: the job is accepted and no line of a start, a rejection or a silent worker follows; 2.5 s after the first pass the plan for it is still empty in a test without processes.

Fix: the wait ends after 2 s, below the 3 s in which the users require a start; finite runs that wait are still placed first in each pass.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1050,6 +1050,13 @@
         "for record in []:",
         TASKS,
     ),
+    Mutant(
+        "long-running work is held back for finite runs only for a while",
+        "dispatch/placement.py",
+        "            and self._seconds_waiting(group, now) < MAX_RESERVATION_WAIT_SECONDS\n",
+        "",
+        DISPATCH + "/test_placement.py",
+    ),
     Mutant(
         "a crash: a worker kept for a suspect gets no other start",
         "dispatch/placement.py",
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -58,11 +58,17 @@
 MAX_LONG_RUNNING_SHARE = 0.92
 """Share of a service's processors up to which new long-running work is started.
 
-The rest is kept for finite runs, since callers wait for those and long-running
+Finite runs go first in the rest, since callers wait for those and long-running
 ones never release capacity.  Long-running tasks that lost their worker may also
 use it.
 """
 
+MAX_RESERVATION_WAIT_SECONDS = 2.0
+"""How long new long-running work waits for capacity above ``MAX_LONG_RUNNING_SHARE``.
+
+The users require an accepted long-running task to start within 3 s if it fits.
+"""
+
 STARVATION_SECONDS = 2.0
 """How long a best-effort step may wait without a run before it counts as starving.
 
@@ -403,8 +409,9 @@
 class Placement:
     """Plans the runs to start during one leader's term.
 
-    Its only state is the time since which each best-effort step has been waiting, the worker
-    from which on the next step is placed, and the workers kept for tasks that may crash them.
+    Its only state is the time since which each best-effort or long-running step has been
+    waiting, the worker from which on the next step is placed, and the workers kept for tasks that
+    may crash them.
     """
 
     def __init__(
@@ -450,10 +457,7 @@
             if group.job.due_ms(group.occurrence) > wall_ms:
                 continue
             pool = pools.pool_of(group)
-            if (
-                _is_new_long_running(group)
-                and _long_running_share(group, pool.candidates) > MAX_LONG_RUNNING_SHARE
-            ):
+            if self._must_leave_capacity(group, pool.candidates, now):
                 continue
             limit = math.inf
             if is_limited(group.spec):
@@ -549,14 +553,29 @@
         waiting_keys = {
             key
             for key, group in ledger.startable_group_by_key.items()
-            if group.spec.filling and not any(task.incarnation_by_run for task in group.tasks)
+            if group.spec.lasting or (group.spec.filling and not _has_run(group))
         }
         self._waiting_since_by_group_key = {
             key: self._waiting_since_by_group_key.get(key, now) for key in waiting_keys
         }
 
+    def _seconds_waiting(self, group: StepGroup, now: float) -> float:
+        return now - self._waiting_since_by_group_key.get(group.key, now)
+
+    def _must_leave_capacity(
+        self, group: StepGroup, eligible: list[_Candidate], now: float
+    ) -> bool:
+        """Return whether long-running work is held back for the benefit of finite runs."""
+        return (
+            _is_new_long_running(group)
+            and self._seconds_waiting(group, now) < MAX_RESERVATION_WAIT_SECONDS
+            and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
+        )
+
     def _is_starving(self, group: StepGroup, eligible: list[_Candidate], now: float) -> bool:
-        if now - self._waiting_since_by_group_key.get(group.key, now) < STARVATION_SECONDS:
+        if not group.spec.filling or _has_run(group):
+            return False
+        if self._seconds_waiting(group, now) < STARVATION_SECONDS:
             return False
         total_millicores = sum(c.view.worker.record.millicores for c in eligible)
         expected_use = sum(c.expected_millicores for c in eligible)
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -29,6 +29,11 @@
     return placement.plan(task_ledger, views, 0, health or FleetHealth(), 0.0)
 
 
+def plan_at(task_ledger, placement, now):
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    return placement.plan(task_ledger, views, 0, FleetHealth(), now)
+
+
 class CountingInterferenceModel(InterferenceModel):
     """Counts the look-ups of weights, the largest part of scoring a worker."""
 
@@ -173,6 +178,39 @@
     assert len(plan(task_ledger)) == 1
 
 
+# Guards against long-running work that is accepted and never starts: the capacity kept for
+# finite runs was kept for good, even with nothing waiting for it.
+def test_long_running_work_waits_only_for_a_while_for_capacity_kept_for_finite_runs():
+    task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
+    accept(task_ledger, step(9, lasting=True))
+    for intent in plan(task_ledger):
+        record_intent(task_ledger, intent.task)
+    accept(task_ledger, step(1, lasting=True), job_id=SECOND)
+    placement = Placement(InterferenceModel())
+    assert [len(plan_at(task_ledger, placement, now)) for now in (0.0, 1.0, 2.5)] == [0, 0, 1]
+
+
+# Guards against long-running work that takes the capacity that finite runs are waiting for.
+def test_finite_runs_are_placed_before_long_running_work_that_has_waited():
+    task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
+    accept(task_ledger, step(9, lasting=True))
+    for intent in plan(task_ledger):
+        record_intent(task_ledger, intent.task)
+    accept(task_ledger, step(1, lasting=True), job_id=SECOND)
+    placement = Placement(InterferenceModel())
+    plan_at(task_ledger, placement, 0.0)
+    accept(task_ledger, step(1), job_id=THIRD)
+    assert [i.task for i in plan_at(task_ledger, placement, 2.5)] == [f"{THIRD}.0.0.0"]
+
+
+# Guards against a wide step of which nothing starts, since all its tasks together exceed the share.
+def test_as_many_long_running_tasks_start_as_fit_after_the_wait():
+    task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
+    accept(task_ledger, step(20, lasting=True))
+    placement = Placement(InterferenceModel())
+    assert [len(plan_at(task_ledger, placement, now)) for now in (0.0, 2.5)] == [0, 10]
+
+
 def test_a_long_running_task_that_lost_its_worker_may_use_the_reserved_capacity():
     task_ledger = ledger(worker(millicores=9000, memory_mb=9000), worker("w2", millicores=1000))
     accept(task_ledger, step(9, lasting=True))
