Each long-running best-effort task starts, however busy the service is

Callers would see: of a long-running best-effort step only one task runs, or none while more than 0.55 of the service is in use, if every worker has serving runs that its image slows down. Cause: the wait for a worker without interference ended only for the first task of a step, and only while the service is not busy. That is right for steps that end; each task of a long-running one has to run. Fix: after 2 s one more of them is placed in each pass, where it interferes least, within the limit of its step on a worker; throttling protects the serving runs beside it.

Before: test_every_long_running_best_effort_task_starts_after_a_while places nothing. After: one task in each of two passes, on different workers.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1057,6 +1057,20 @@
         "",
         DISPATCH + "/test_placement.py",
     ),
+    Mutant(
+        "a long-running best-effort task starts however busy the service is",
+        "dispatch/placement.py",
+        "        if group.spec.lasting:\n            return True\n",
+        "",
+        DISPATCH + "/test_placement.py",
+    ),
+    Mutant(
+        "a starving task is not placed beyond the limit of its step on a worker",
+        "dispatch/placement.py",
+        "            and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))\n",
+        "",
+        DISPATCH + "/test_placement.py",
+    ),
     Mutant(
         "a crash: a worker kept for a suspect gets no other start",
         "dispatch/placement.py",
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -75,6 +75,8 @@
 One of its tasks is then placed where it interferes least, even if the run exceeds
 the interference headroom there.  This applies only while less than ``BUSY_SHARE``
 of the service is in use: above it, a ready job is not required to make progress.
+Each long-running task has to run, however busy the service is, so one more of them
+is placed in each pass.
 """
 
 BUSY_SHARE = 0.55
@@ -573,23 +575,28 @@
         )
 
     def _is_starving(self, group: StepGroup, eligible: list[_Candidate], now: float) -> bool:
-        if not group.spec.filling or _has_run(group):
-            return False
-        if self._seconds_waiting(group, now) < STARVATION_SECONDS:
+        if not group.spec.filling or self._seconds_waiting(group, now) < STARVATION_SECONDS:
             return False
+        if group.spec.lasting:
+            return True
         total_millicores = sum(c.view.worker.record.millicores for c in eligible)
         expected_use = sum(c.expected_millicores for c in eligible)
         return expected_use < BUSY_SHARE * total_millicores
 
     def _plan_least_interfering(self, group, eligible) -> list[RunIntent]:
         """Place one task where it interferes least, even if it exceeds the headroom there."""
-        step = group.spec
-        feasible = [candidate for candidate in eligible if candidate.fits(step)]
-        tasks = self._startable_tasks(group)
+        step, tasks = group.spec, self._startable_tasks(group)
+        run_counts = _run_count_by_incarnation(group)
+        feasible = [
+            candidate
+            for candidate in eligible
+            if candidate.fits(step)
+            and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))
+        ]
         if not feasible or not tasks:
             return []
         chosen = min(feasible, key=lambda candidate: candidate.interference_with(step))
-        return [self._assign(tasks[0], tasks[0].runs + 1, chosen, Counter())]
+        return [self._assign(tasks[0], tasks[0].runs + 1, chosen, run_counts)]
 
     def _plan_gang(self, group, allowed, run_counts) -> list[RunIntent]:
         """Place all members or none: one that waits for others holds capacity and does no work."""
@@ -616,7 +623,7 @@
             return False
         if step.filling and not candidate.may_add_best_effort(step):
             return False
-        return not step.max_per_worker or run_count < step.max_per_worker
+        return not _is_at_limit(step, run_count)
 
     def score(self, step: StepSpec, candidate: _Candidate, run_count: int) -> float:
         """Return the score of the candidate for the step; the lowest one is chosen."""
@@ -668,6 +675,11 @@
     return step.filling and not step.lasting
 
 
+def _is_at_limit(step: StepSpec, run_count: int) -> bool:
+    """Return whether a worker has as many runs of the step as it may have."""
+    return bool(step.max_per_worker) and run_count >= step.max_per_worker
+
+
 def _has_run(group: StepGroup) -> bool:
     return any(task.incarnation_by_run for task in group.tasks)
 
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -240,6 +240,29 @@
     assert [worker_ids(intents) for intents in plans] == [[], [], ["w2"]]
 
 
+# Guards against long-running best-effort tasks that never start beside sensitive serving runs:
+# only the first task of a step was placed, and none while the service was busy.
+def test_every_long_running_best_effort_task_starts_after_a_while():
+    task_ledger = ledger(worker(millicores=9000), worker("w2", millicores=9000))
+    interference = InterferenceModel()
+    for job_id, worker_id in ((JOB, "w1"), (SECOND, "w2")):
+        serving = step(lasting=True, target_ms=50, image="sensitive", millicores=9000)
+        accept(task_ledger, serving, job_id=job_id)
+        record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=(worker_id, 1))
+    interference.add_sample("sensitive", 0.6, {"noisy": 3.0}, 0.0)
+    noisy = step(4, filling=True, lasting=True, image="noisy", millicores=4000, max_per_worker=1)
+    accept(task_ledger, noisy, job_id=THIRD)
+    placement = Placement(interference)
+    started = []
+    for now in (0.0, 1.0, 2.5, 2.6, 2.7):
+        intents = plan_at(task_ledger, placement, now)
+        for intent in intents:
+            record_intent(task_ledger, intent.task, incarnation=(intent.life.worker_id, 1))
+        started.append(sorted(worker_ids(intents)))
+    # Two workers, and at most one task of the step on each.
+    assert started == [[], [], ["w1"], ["w2"], []]
+
+
 # A pass that takes long holds up all other work of the leader.
 def test_a_burst_of_wide_best_effort_steps_scores_each_worker_once_a_step():
     look_ups_by_width = {}
