All members of a gang resume from the same checkpoint

Cause: the ledger kept a checkpoint for each task. Members that were lost with their worker kept an older one, or none, than those that ended broken, and each run began with two values. Checkpoints are in run:ended from now on.

Fix: one checkpoint for the gang, the newest by the number of its run; within a run, ends that a worker reported go before what was last seen of lost runs. A start carries what was newest when its run was planned, not when it is sent.

The workers of standins/ let the members of gangs wait for each other with the same checkpoint.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -510,7 +510,7 @@
     if outcome is not RunOutcome.DONE:
         log_event(
             "run:ended", task=end.task, run=end.run, how=outcome.name.lower(),
-            worker=session.incarnation.worker_id, number=end.number,
+            worker=session.incarnation.worker_id, number=end.number, checkpoint=end.checkpoint,
         )  # fmt: skip
 
 
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -205,11 +205,17 @@
         self._excluded_until_by_image[image] = self._agent.now() + IMAGE_EXCLUSION_SECONDS
 
     def start(self, task: str, run: int) -> None:
-        """Send the start call of a run whose intent is committed."""
+        """Send the start call of a run whose intent has just been applied here.
+
+        The call carries the checkpoint as of now.  It may be sent later, when another one is
+        known, but all members of a gang have to resume from the same.
+        """
         self._starts_in_flight.add((task, run))
         self._undelivered_starts.add((task, run))
         self.wake()
-        eventlet.spawn_n(self._send_start, task, run)
+        assigned_task = self.worker.task_by_run.get((task, run))
+        checkpoint = assigned_task.checkpoint if assigned_task is not None else ""
+        eventlet.spawn_n(self._send_start, task, run, checkpoint)
 
     def stop(self, task: str, run: int) -> None:
         """Stop a run; an unanswered call is retried until the session or the term ends.
@@ -477,11 +483,11 @@
             )  # fmt: skip
             raise WorkerUnresponsive(repr(error)) from error
 
-    def _send_start(self, task: str, run: int) -> None:
+    def _send_start(self, task: str, run: int, checkpoint: str) -> None:
         key = (task, run)
         try:
             with self._start_slots:
-                result = self._call_start(task, run)
+                result = self._call_start(task, run, checkpoint)
         except WorkerUnresponsive as error:
             # The call may still arrive: only a confirmed stop rules out that the run starts.
             if isinstance(error, NotDelivered):
@@ -539,7 +545,7 @@
         )
         self._agent.start_rejected(self, task, run, result)
 
-    def _call_start(self, task: str, run: int) -> StartResult | None:
+    def _call_start(self, task: str, run: int, checkpoint: str) -> StartResult | None:
         assigned_task = self.worker.task_by_run.get((task, run))
         if assigned_task is None or not self._may_call():
             return None
@@ -561,7 +567,7 @@
             body=assigned_task.step.job.spec.body,
             deadline_ms=self.clock.extend_deadline(now, self._lease_ms),
             fencing_token=self.fencing_token,
-            checkpoint=assigned_task.checkpoint,
+            checkpoint=checkpoint,
         )
         self._undelivered_starts.discard((task, run))
         result, clock_ms = self._call("start", request)
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -49,7 +49,10 @@
     failures: int = 0
     done: bool = False
     checkpoint: str = ""
-    """Checkpoint of the run that ended last with one; the next run resumes from it."""
+    """The newest checkpoint; the next run resumes from it.  All members of a gang have the same."""
+
+    checkpoint_run: int = 0
+    """Number of the run that the checkpoint came from; 0 if there is none."""
 
     failed_on: str = ""
     """Id of the worker on which the most recent failure or crash happened; empty if none did."""
@@ -135,6 +138,13 @@
     return task.step.tasks if task.step.spec.gang else [task]
 
 
+def share_newest_checkpoint(group: StepGroup) -> None:
+    """Give all members of a gang the newest checkpoint that one of them has."""
+    newest = max(group.tasks, key=lambda task: (task.checkpoint_run, bool(task.checkpoint)))
+    for member in group.tasks:
+        member.checkpoint, member.checkpoint_run = newest.checkpoint, newest.checkpoint_run
+
+
 def new_job(job_id: str, queue: QueueSpec, spec: JobSpec, accepted_ms: int) -> Job:
     """Return a job with the tasks of all its occurrences, none of them started."""
     job = Job(job_id, queue, spec, accepted_ms)
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -290,11 +290,23 @@
         if end.run > task.runs:
             return
         self._release_run(task, end.run, key)
-        if end.checkpoint:
-            task.checkpoint = end.checkpoint
+        self._note_checkpoint(task, end)
         _HANDLER_BY_OUTCOME[end.outcome](self, task, key)
         self._make_startable_if_idle(task)
 
+    def _note_checkpoint(self, task: Task, end: RunEnd) -> None:
+        """Keep the checkpoint of an ended run, for all of its gang, unless a newer one is known.
+
+        Ends of one run come in any order.  What was last seen of a run that was lost is older
+        than what the other members of its gang saved when they ended.
+        """
+        is_reported = end.number > 0
+        if end.run > task.checkpoint_run or (end.run == task.checkpoint_run and is_reported):
+            if not end.checkpoint:
+                return
+            for member in gang_members(task):
+                member.checkpoint, member.checkpoint_run = end.checkpoint, end.run
+
     def _release_run(self, task: Task, run: int, key: IncarnationKey) -> None:
         if task.incarnation_by_run.get(run) != key:
             return
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -14,7 +14,7 @@
     TaskSnapshot,
     WorkerLife,
 )
-from .job import Crash, Job, Task, new_job
+from .job import Crash, Job, Task, new_job, share_newest_checkpoint
 from .ledger import TaskLedger
 from .worker import Worker, incarnation_key
 
@@ -86,7 +86,7 @@
     ]
     return TaskRecord(
         task.name, task.runs, task.failures, task.done, task.checkpoint, placed, task.failed_on,
-        crashes,
+        crashes, task.checkpoint_run,
     )  # fmt: skip
 
 
@@ -97,6 +97,9 @@
     for task_record in record.tasks:
         _load_task(ledger, task_record)
     for group in job.groups.values():
+        if group.spec.gang:
+            # Members without a run have no record, and in earlier versions each had its own value.
+            share_newest_checkpoint(group)
         ledger._unblock_if_ready(group)
     if record.failed or record.cancelled:
         job.failed, job.cancelled = record.failed, record.cancelled
@@ -108,6 +111,7 @@
     task = ledger.find_task(task_record.task)
     task.runs, task.failures = task_record.runs, task_record.failures
     task.checkpoint, task.failed_on = task_record.checkpoint, task_record.failed_on
+    task.checkpoint_run = task_record.checkpoint_run or 0
     for crash in task_record.crashes or []:
         key = incarnation_key(crash.life)
         task.crashes.append(Crash(crash.run, key, crash.on_start, crash.sole, crash.certain))
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -20,6 +20,51 @@
 """Ends that one answer lists at most, as the platform's pages say."""
 
 
+GANG_TIMEOUT_SECONDS = 3.0
+"""How long a member of a gang waits for the others before it ends ``alone``."""
+
+CHECKPOINT_MS = 500
+"""A run that works saves a checkpoint each so many ms, and one when it is broken off."""
+
+
+@attrs.define
+class Gang:
+    """One run of a gang: its members work from when all are there with the same checkpoint."""
+
+    size: int
+    checkpoint_by_task: dict[str, str] = attrs.field(factory=dict)
+    began_at: float | None = None
+    broken_at: float | None = None
+    lock: threading.Lock = attrs.field(factory=threading.Lock)
+
+    def join(self, task: str, checkpoint: str) -> None:
+        """Add a member; those that carry another checkpoint do not find each other."""
+        with self.lock:
+            self.checkpoint_by_task[task] = checkpoint
+            is_complete = len(self.checkpoint_by_task) == self.size
+            if is_complete and len(set(self.checkpoint_by_task.values())) == 1:
+                self.began_at = time.monotonic()
+
+    def break_off(self, at: float) -> None:
+        """End the work of all members: one of them has ended."""
+        with self.lock:
+            if self.broken_at is None:
+                self.broken_at = at
+
+
+class Gangs:
+    """The gangs on the workers of one deployment, by the name of their step and their run."""
+
+    def __init__(self):
+        self._gang_by_run: dict[tuple[str, int], Gang] = {}
+        self._lock = threading.Lock()
+
+    def of(self, task: str, run: int, size: int) -> Gang:
+        """Return the gang of a run."""
+        with self._lock:
+            return self._gang_by_run.setdefault((task.rpartition(".")[0], run), Gang(size))
+
+
 @attrs.define
 class _Run:
     """A run in progress; ``ends_at`` is on the monotonic clock, in seconds."""
@@ -28,6 +73,21 @@
     number: int
     ends_at: float
     fails: bool = False
+    gang: Gang | None = None
+    saved_ms: int = 0
+    """Work that the checkpoint of the start held."""
+
+    def checkpoint(self, now: float) -> str:
+        """Return what has been saved; only members of gangs save anything."""
+        if self.gang is None:
+            return ""
+        worked_ms = 0
+        if self.gang.began_at is not None:
+            until = min(now, self.gang.broken_at or now)
+            worked_ms = int(1000 * (until - self.gang.began_at))
+            if self.gang.broken_at is None:
+                worked_ms -= worked_ms % CHECKPOINT_MS
+        return f"{self.saved_ms + worked_ms:08d}" if self.saved_ms + worked_ms else ""
 
 
 @attrs.define
@@ -49,13 +109,21 @@
 class PlatformWorker:
     """One worker; the first word of a ``taskSpec`` is the duration of the run in ms.
 
-    If the word is "fail", the run fails at once.  ``starts`` lists every start as
+    If the word is "fail", the run fails at once.  "... gang of N" makes the task a member of a
+    gang of that many tasks, on workers that share ``gangs``.  ``starts`` lists every start as
     (task, run), ``ends`` every end as (number of the end, task, run, outcome, checkpoint),
     and ``records`` every run with its times.
     """
 
-    def __init__(self, worker_id: str, control_addresses: list[str], address: str = "127.0.0.1:0"):
+    def __init__(
+        self,
+        worker_id: str,
+        control_addresses: list[str],
+        address: str = "127.0.0.1:0",
+        gangs: Gangs | None = None,
+    ):
         self.worker_id = worker_id
+        self.gangs = gangs or Gangs()
         self.starts: list[tuple[str, int]] = []
         self.ends: list[tuple[int, str, int, str, str]] = []
         self.records: dict[tuple[str, int], RunRecord] = {}
@@ -84,6 +152,10 @@
     def close(self) -> None:
         """Stop answering, as after a crash."""
         self._stopped.set()
+        with self._lock:
+            for run in self._running.values():
+                if run.gang is not None:
+                    run.gang.break_off(time.monotonic())
         self._server.shutdown()
         self._server.server_close()
 
@@ -118,7 +190,14 @@
             return 409, {"reason": "late"}
         word = body["taskSpec"].split()[0]
         seconds = 0.0 if word == "fail" else int(word) / 1000
-        self._running[task, run] = _Run(task, run, time.monotonic() + seconds, word == "fail")
+        started = _Run(task, run, time.monotonic() + seconds, word == "fail")
+        _, is_member, size = body["taskSpec"].partition("gang of ")
+        if is_member:
+            checkpoint = body.get("checkpoint", "")
+            started.saved_ms = int(checkpoint or 0)
+            started.gang = self.gangs.of(task, run, int(size))
+            started.gang.join(task, checkpoint)
+        self._running[task, run] = started
         self.starts.append((task, run))
         self.records[task, run] = RunRecord(task, run, time.monotonic())
         return 200, {}
@@ -141,7 +220,8 @@
             self._extend_lease(body.get("deadlineMs", 0))
             self._acknowledge(body["lastSeen"])
             # Task, run, checkpoint, progress in percent, gauge.
-            running = [[r.task, r.number, "", 10, 0] for r in self._running.values()]
+            now = time.monotonic()
+            running = [[r.task, r.number, r.checkpoint(now), 10, 0] for r in self._running.values()]
             ends = [list(end) for end in self.ends if end[0] > self._acknowledged_end]
             return 200, {"running": running, "endedRuns": ends[:MAX_LISTED_ENDS]}
 
@@ -166,16 +246,34 @@
         if now > lease_ends_at:
             self._lapsed_at = lease_ends_at
         for run in list(self._running.values()):
-            if now > lease_ends_at and run.ends_at > lease_ends_at:
+            if run.gang is not None:
+                self._end_member_if_due(run, now, lease_ends_at)
+            elif now > lease_ends_at and run.ends_at > lease_ends_at:
                 self._end(run, "lapsed", lease_ends_at)
             elif now >= run.ends_at:
                 self._end(run, "failed" if run.fails else "done", run.ends_at)
 
+    def _end_member_if_due(self, run: _Run, now: float, lease_ends_at: float) -> None:
+        gang, started_at = run.gang, self.records[run.task, run.number].started_at
+        if gang.broken_at is not None:
+            self._end(run, "broken", gang.broken_at)
+        elif now > lease_ends_at:
+            self._end(run, "lapsed", lease_ends_at)
+        elif gang.began_at is None:
+            if now >= started_at + GANG_TIMEOUT_SECONDS:
+                self._end(run, "alone", started_at + GANG_TIMEOUT_SECONDS)
+        else:
+            remaining = run.ends_at - started_at - run.saved_ms / 1000
+            if now >= gang.began_at + remaining:
+                self._end(run, "done", gang.began_at + remaining)
+
     def _end(self, run: _Run, outcome: str, ended_at: float) -> None:
         key = run.task, run.number
+        if run.gang is not None and outcome not in ("done", "alone"):
+            run.gang.break_off(ended_at)
         del self._running[key]
         self._max_rejected_run_by_task[run.task] = run.number
-        self.ends.append((next(self._end_numbers), *key, outcome, ""))
+        self.ends.append((next(self._end_numbers), *key, outcome, run.checkpoint(ended_at)))
         record = self.records[key]
         record.ended_at, record.outcome = ended_at, outcome
         record.end_number = self.ends[-1][0]
@@ -220,6 +318,10 @@
                     status, reply = 421, {}
                 else:
                     status, reply = worker._call(self.path, body)
+                if worker._stopped.is_set():
+                    # A call that was in progress when the worker crashed.
+                    self.close_connection = True
+                    return
                 data = json.dumps(reply | {"clockMs": worker.clock_ms()}).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(data)))
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -30,6 +30,9 @@
     def __init__(self):
         self.fencing_token = 0
         self.starts = []
+        self.requests = []
+        """The calls to start that were answered."""
+
         self.poll_error = None
         self.unanswered_calls = set()
         self.delayed_starts = []
@@ -58,6 +61,7 @@
         if "start" in self.unanswered_calls:
             self.delayed_starts.append(request)
             raise WorkerUnresponsive("no answer")
+        self.requests.append(request)
         return self.apply_start(request), self.clock_ms()
 
     def _is_fenced(self, fencing_token):
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -8,9 +8,9 @@
 from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
-from savoryshelf.wire.generated.ttypes import AgentAssignment, RunOutcome, WorkerLife
+from savoryshelf.wire.generated.ttypes import AgentAssignment, RunIntent, RunOutcome, WorkerLife
 
-from ..tasks.builders import JOB, accept, ledger, record_intent, step
+from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step
 from ..tasks.builders import worker as a_worker
 from .fakes import LEASE_MS, MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
 
@@ -127,6 +127,32 @@
     assert all(task_ledger.find_task(task).done for task in tasks[1:])
 
 
+# Guards against members of a gang that resume from different checkpoints: an end of an earlier
+# run may be settled between their starts.
+def test_starts_of_one_run_of_a_gang_carry_the_checkpoint_that_was_newest_when_it_was_planned():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(2, gang=True, checkpointing=True))
+    tasks = [f"{JOB}.0.0.0", f"{JOB}.0.0.1"]
+
+    def plan_run(number):
+        life = WorkerLife("w1", 1)
+        assert len(task_ledger.record_intents([RunIntent(t, number, life) for t in tasks])) == 2
+
+    plan_run(1)
+    for task in tasks:
+        settle_run(task_ledger, task, RunOutcome.STOPPED, 1, checkpoint="planned", number=0)
+    session, _ = make_session(task_ledger, worker)
+    try:
+        plan_run(2)
+        session.start(tasks[0], 2)
+        session.start(tasks[1], 2)
+        settle_run(task_ledger, tasks[0], RunOutcome.BROKEN, 2, ("w0", 1), "later", 1)
+        wait_until(lambda: len(worker.requests) == 2)
+    finally:
+        session.close()
+    assert {request.checkpoint for request in worker.requests} == {"planned"}
+
+
 def test_a_run_that_is_not_in_the_ledger_is_stopped(running_session):
     _, worker, session, _ = running_session
     session.start(TASK, 1)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -14,7 +14,7 @@
 import pytest
 import urllib3
 
-from standins.platform import PlatformWorker, platform_settings
+from standins.platform import Gangs, PlatformWorker, platform_settings
 from standins.site import loopback_address
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -44,6 +44,7 @@
         self.folder = folder
         self.process_by_ip = {}
         self.workers = []
+        self.gangs = Gangs()
         self.http = urllib3.PoolManager(timeout=3.0, retries=False)
 
     def start(self, ip):
@@ -65,7 +66,8 @@
         process.wait(10)
 
     def add_worker(self, name):
-        worker = PlatformWorker(name, [f"{ip}:{PORTS['control']}" for ip in SEEDS])
+        addresses = [f"{ip}:{PORTS['control']}" for ip in SEEDS]
+        worker = PlatformWorker(name, addresses, gangs=self.gangs)
         self.workers.append(worker)
         return worker
 
@@ -210,6 +212,22 @@
     assert len(done) == len(set(done)) == 8
 
 
+# Guards against gangs that never work again after the crash of a worker: the members resumed from
+# different checkpoints, and each run of them ended alone.
+def test_a_gang_resumes_together_after_the_crash_of_a_worker(deployment):
+    deployment.add_worker("w3")
+    # Two members fit on each worker.
+    spec = {"cpu": 1500, "gang": True, "checkpointing": True}
+    path = deployment.submit(60, "4000 ms, gang of 4", count=4, **spec)
+    wait_until(lambda: sum(len(w.starts) for w in deployment.workers) == 4)
+    # Long enough for a poll to list a checkpoint, which is then older than that of the others.
+    time.sleep(2.6)
+    next(w for w in deployment.workers if w.starts).close()
+    wait_until(lambda: deployment.state(path) == "completed")
+    outcomes = [end[3] for worker in deployment.workers for end in worker.ends]
+    assert "broken" in outcomes and "alone" not in outcomes
+
+
 def test_a_draining_entry_host_still_answers_requests(deployment):
     path = deployment.submit(40, "100 ms")
     deployment.process_by_ip[FRONTS[0]].send_signal(signal.SIGTERM)
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -7,6 +7,7 @@
 from savoryshelf.wire.generated.ttypes import (
     AgentAssignment,
     RunEnd,
+    RunIntent,
     RunOutcome,
     WorkerLife,
     WorkerRecord,
@@ -133,6 +134,82 @@
     assert task_ledger.worker_by_incarnation["w1", 1].used.millicores == 0
 
 
+def gang_whose_runs_exist(members=3):
+    """Return a ledger with a gang: its first member runs on w1, the others on w2."""
+    task_ledger = ledger(worker(), worker("w2"))
+    accept(task_ledger, step(members, gang=True, checkpointing=True))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(members)]
+    intents = [
+        RunIntent(task, 1, WorkerLife("w2" if index else "w1", 1))
+        for index, task in enumerate(tasks)
+    ]
+    assert len(task_ledger.record_intents(intents)) == members
+    return task_ledger, tasks
+
+
+def checkpoints(task_ledger, tasks):
+    return {task_ledger.find_task(task).checkpoint for task in tasks}
+
+
+# Guards against gangs that never work again after a crash: the lost members resumed from another
+# checkpoint than those that ended broken, or from none, and so never found each other.
+@pytest.mark.parametrize("seen_before_the_crash", ["", "older"])
+@pytest.mark.parametrize("loss_comes_first", [True, False])
+def test_all_members_of_a_gang_resume_from_the_newest_checkpoint(
+    seen_before_the_crash, loss_comes_first
+):
+    task_ledger, tasks = gang_whose_runs_exist()
+
+    def lose_first_member():
+        seen = [RunEnd(tasks[0], 1, RunOutcome.LOST, seen_before_the_crash, 0)]
+        task_ledger.end_incarnations([WorkerLife("w1", 1)], seen)
+
+    if loss_comes_first:
+        lose_first_member()
+    for number, task in enumerate(tasks[1:], 1):
+        settle_run(task_ledger, task, RunOutcome.BROKEN, 1, ("w2", 1), "newest", number)
+    if not loss_comes_first:
+        lose_first_member()
+    assert startable_tasks(task_ledger) == set(tasks)
+    assert checkpoints(task_ledger, tasks) == {"newest"}
+
+
+# Guards against work that is done again: an earlier run's end may be listed after a later one's.
+def test_an_end_of_an_earlier_run_replaces_no_newer_checkpoint():
+    task_ledger = ledger(worker(), worker("w2"))
+    accept(task_ledger, step(checkpointing=True))
+    task = f"{JOB}.0.0.0"
+    record_intent(task_ledger, task)
+    task_ledger.end_incarnations([WorkerLife("w1", 1)], [])
+    record_intent(task_ledger, task, 2, ("w2", 1))
+    settle_run(task_ledger, task, RunOutcome.STOPPED, 2, ("w2", 1), "of run 2", 1)
+    task_ledger.upsert_worker(worker())
+    settle_run(task_ledger, task, RunOutcome.LAPSED, 1, ("w1", 1), "of run 1", 1)
+    assert task_ledger.find_task(task).checkpoint == "of run 2"
+
+
+# Guards against replicas that differ after a snapshot: hosts that start the members of one gang
+# would send different checkpoints.
+def test_a_snapshot_keeps_which_run_a_checkpoint_came_from():
+    task_ledger, tasks = gang_whose_runs_exist()
+    settle_run(task_ledger, tasks[1], RunOutcome.BROKEN, 1, ("w2", 1), "newest", 1)
+    restored = snapshot.load(snapshot.save(task_ledger))
+    for each in (task_ledger, restored):
+        seen = [RunEnd(tasks[0], 1, RunOutcome.LOST, "older", 0)]
+        each.end_incarnations([WorkerLife("w1", 1)], seen)
+        assert checkpoints(each, tasks) == {"newest"}
+
+
+# Guards against gangs that stay apart after an upgrade: earlier versions kept a checkpoint for
+# each member.
+def test_a_gang_of_a_snapshot_with_different_checkpoints_resumes_from_one():
+    task_ledger, tasks = gang_whose_runs_exist()
+    for task, checkpoint in zip(tasks[1:], ("one", "another"), strict=True):
+        task_ledger.find_task(task).checkpoint = checkpoint
+    assert len(checkpoints(snapshot.load(snapshot.save(task_ledger)), tasks)) == 1
+    assert checkpoints(snapshot.load(snapshot.save(task_ledger)), tasks) != {""}
+
+
 def test_cancelling_a_job_starts_nothing_more_and_stops_its_runs():
     task_ledger = ledger()
     accept(task_ledger, step(2))
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -16,6 +16,7 @@
     [step(1, allow_duplicates=True)],
     [step(2, lasting=True)],
     [step(1, filling=True, checkpointing=True)],
+    [step(3, gang=True, checkpointing=True)],
 ]
 
 
@@ -35,6 +36,10 @@
             for name, run in tracked_worker.task_by_run
         ]
 
+    def checkpoints(self):
+        tasks = [task for job in self.ledger.job_by_id.values() for task in job.tasks()]
+        return {task.name: (task.checkpoint, task.checkpoint_run) for task in tasks}
+
     @rule(number=st.integers(0, 3), shape=st.sampled_from(JOB_SHAPES))
     def accept(self, number, shape):
         accept(self.ledger, *shape, job_id=f"{number:016x}")
@@ -56,13 +61,21 @@
             )
 
     @precondition(lambda self: self.placed_runs())
-    @rule(data=st.data(), outcome=st.sampled_from(OUTCOMES_BUT_DONE), finishes=st.booleans())
-    def settle(self, data, outcome, finishes):
+    @rule(
+        data=st.data(),
+        outcome=st.sampled_from(OUTCOMES_BUT_DONE),
+        finishes=st.booleans(),
+        checkpoint=st.sampled_from(["", "c1", "c2"]),
+        is_reported=st.booleans(),
+    )
+    def settle(self, data, outcome, finishes, checkpoint, is_reported):
         name, run, key = data.draw(st.sampled_from(self.placed_runs()))
         outcome = RunOutcome.DONE if finishes else outcome
         if finishes and not self.ledger.find_task(name).step.spec.lasting:
             self.done.add(name)
-        self.ledger.settle(WorkerLife(*key), 0, [RunEnd(name, run, outcome, "", 0)])
+        seen_end = self.ledger.worker_by_incarnation[key].record.seen_end
+        end = RunEnd(name, run, outcome, checkpoint, seen_end + 1 if is_reported else 0)
+        self.ledger.settle(WorkerLife(*key), end.number, [end])
 
     @rule(number=st.integers(0, 3))
     def cancel(self, number):
@@ -79,9 +92,12 @@
     @rule()
     def restart_from_snapshot(self):
         before = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
+        checkpoints_before = self.checkpoints()
         self.ledger = snapshot.load(snapshot.save(self.ledger))
         after = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
         assert after == before
+        checkpoints_after = self.checkpoints()
+        assert checkpoints_after == checkpoints_before
 
     @invariant()
     def a_task_has_one_run_unless_duplicates_are_allowed(self):
@@ -117,6 +133,13 @@
             if job.state.value == "completed":
                 assert all(task.done for task in job.tasks())
 
+    @invariant()
+    def all_members_of_a_gang_have_the_same_checkpoint(self):
+        for job in self.ledger.job_by_id.values():
+            for group in job.groups.values():
+                if group.spec.gang:
+                    assert len({task.checkpoint for task in group.tasks}) == 1
+
     @invariant()
     def every_run_of_an_ended_job_is_to_be_stopped(self):
         for name, run, _ in self.placed_runs():
