A gang is started whole or not at all

Callers would see: a gang whose members wait for one that was not started, until they end alone after gangTimeoutMs, with no progress in that run. Cause: the intents of a plan were checked one by one when they were applied, so a worker that began to drain, or ended, between the plan and its commit took away one member only. Fix: if one member of a gang cannot start, the intents of the others in that command are invalid, and the gang is planned again at once.

Before: test_a_gang_is_started_whole_or_not_at_all starts two of three members.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -436,8 +436,8 @@
     Mutant(
         "a task has one run unless copies are allowed",
         _TASKS,
-        "if is_duplicate and not group.spec.allow_duplicates:",
-        "if False:",
+        "return group.spec.allow_duplicates or not task.incarnation_by_run",
+        "return True",
         TASKS,
     ),
     Mutant(
@@ -1078,6 +1078,13 @@
         "            for member in [task]:\n                member.checkpoint,",
         TASKS,
     ),
+    Mutant(
+        "a gang is started whole or not at all",
+        _TASKS,
+        "            and task.step.spec.gang\n",
+        "            and False\n",
+        TASKS,
+    ),
     Mutant(
         "what was seen of a lost member replaces no checkpoint that the others saved at their ends",
         _TASKS,
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -140,8 +140,24 @@
             worker.record.fencing_token = self.newest_token
 
     def record_intents(self, intents: list[RunIntent]) -> list[RunIntent]:
-        """Record start intents, after which the runs may exist; return the valid ones."""
-        return [intent for intent in intents if self._record_intent(intent)]
+        """Record start intents, after which the runs may exist; return the valid ones.
+
+        Members of a gang would only wait for one that cannot start, so they are valid together
+        or not at all.
+        """
+        incomplete = {
+            task.step.key
+            for intent in intents
+            if (task := self.find_task(intent.task)) is not None
+            and task.step.spec.gang
+            and not self._is_valid(intent)
+        }
+        valid = []
+        for intent in intents:
+            if self._is_valid(intent) and self.find_task(intent.task).step.key not in incomplete:
+                self._record_intent(intent)
+                valid.append(intent)
+        return valid
 
     def settle(
         self, incarnation: WorkerLife, seen_end: int, ends: list[RunEnd], fencing_token: int = 0
@@ -262,7 +278,7 @@
 
     # -------------------------------------------------------------------- helpers
 
-    def _record_intent(self, intent: RunIntent) -> bool:
+    def _is_valid(self, intent: RunIntent) -> bool:
         task, worker = (
             self.find_task(intent.task),
             self.worker_by_incarnation.get(incarnation_key(intent.life)),
@@ -272,16 +288,18 @@
         group = task.step
         if group.job.is_ended or task.done or not group.is_unblocked or intent.run <= task.runs:
             return False
-        is_duplicate = bool(task.incarnation_by_run)
-        if is_duplicate and not group.spec.allow_duplicates:
-            return False
+        return group.spec.allow_duplicates or not task.incarnation_by_run
+
+    def _record_intent(self, intent: RunIntent) -> None:
+        task = self.find_task(intent.task)
+        worker = self.worker_by_incarnation[incarnation_key(intent.life)]
+        group = task.step
         task.runs = intent.run
         task.incarnation_by_run[intent.run] = worker.key
         worker.add_run(task, intent.run)
         group.job.started = True
         group.startable_indexes.discard(task.index)
         self._update_startable_groups(group)
-        return True
 
     def _settle_run(self, end: RunEnd, key: IncarnationKey) -> None:
         task = self.find_task(end.task)
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -147,6 +147,23 @@
     return task_ledger, tasks
 
 
+# Guards against members that wait for others until they end alone: a worker may leave between the
+# plan of a gang and its commit.
+def test_a_gang_is_started_whole_or_not_at_all():
+    task_ledger = ledger(worker(), worker("w2"))
+    accept(task_ledger, step(3, gang=True), step())
+    tasks = [f"{JOB}.0.0.{index}" for index in range(3)]
+    intents = [
+        RunIntent(task, 1, WorkerLife("w2" if index else "w1", 1))
+        for index, task in enumerate([*tasks, f"{JOB}.0.1.0"])
+    ]
+    leaving = worker()
+    leaving.draining = True
+    task_ledger.upsert_worker(leaving)
+    assert [i.task for i in task_ledger.record_intents(intents)] == [f"{JOB}.0.1.0"]
+    assert startable_tasks(task_ledger) == set(tasks)
+
+
 def checkpoints(task_ledger, tasks):
     return {task_ledger.find_task(task).checkpoint for task in tasks}
 
