A worker that refuses polls has not shut down yet

Callers would see: a task started again while it still runs on a worker that has announced its shutdown and refuses calls (429 or 503) since it is unhealthy. Cause: after an announced shutdown any poll without a result ended the incarnation, a refused one too; but a worker that answers is alive, and so are its runs until their lease expires. Fix: only a call without an answer says that the worker has exited; else its lease has to expire.

Before: the new test ends the incarnation with "worker shut down". After: with "lease expired".

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1057,6 +1057,13 @@
         "",
         DISPATCH + "/test_placement.py",
     ),
+    Mutant(
+        "a worker that refuses polls has not shut down yet",
+        _WORKER_SESSION,
+        "self.worker.record.leaving and not isinstance(error, CallRejected)",
+        "self.worker.record.leaving",
+        "tests/dispatch/test_worker_session.py",
+    ),
     Mutant(
         "a long-running best-effort task starts however busy the service is",
         "dispatch/placement.py",
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -311,9 +311,11 @@
         Return whether it ended.
         """
         self._mark_unresponsive(error)
-        if not self.worker.record.leaving and not self.lease_has_expired():
+        # A worker that refuses a call has announced its shutdown and not exited yet.
+        has_shut_down = self.worker.record.leaving and not isinstance(error, CallRejected)
+        if not has_shut_down and not self.lease_has_expired():
             return False
-        self._end_incarnation("worker shut down" if self.worker.record.leaving else "lease expired")
+        self._end_incarnation("worker shut down" if has_shut_down else "lease expired")
         return True
 
     def _end_incarnation(self, why: str) -> None:
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -4,6 +4,7 @@
 import pytest
 from eventlet.event import Event
 
+from savoryshelf.dispatch import worker_session
 from savoryshelf.dispatch.worker_api import CallRejected, NotDelivered, StartResult
 from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
 from savoryshelf.tasks.crashes import SURVIVAL_MS
@@ -208,6 +209,25 @@
     assert not task_ledger.find_task(TASK).incarnation_by_run
 
 
+# Guards against two runs of a task at once: a worker that refuses polls is alive, and its runs
+# were started elsewhere as soon as it had announced its shutdown.
+def test_a_worker_that_announced_its_shutdown_and_refuses_polls_has_not_ended(
+    running_session, monkeypatch
+):
+    task_ledger, worker, session, agent = running_session
+    monkeypatch.setattr(worker_session, "MAX_REFUSED_POLL_SECONDS", 0.0)
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    session.worker.record.leaving = True
+    worker.poll_error = CallRejected("503")
+    # Completes the long poll that is open.
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    wait_until(lambda: session.is_unresponsive)
+    wait_until(lambda: agent.end_reasons)
+    assert agent.end_reasons == ["lease expired"]
+    assert worker.clock_ms() > max(worker.deadlines)
+
+
 # One malformed answer ended the thread that polls a worker, and its runs never ended.
 def test_an_unexpected_error_of_a_poll_does_not_end_the_session(running_session):
     task_ledger, worker, session, _ = running_session
