--- a/standins/site.py
+++ b/standins/site.py
@@ -39,12 +39,14 @@
 }
 
 
-_SITE_NUMBERS = itertools.count(1)
+_SITE_NUMBERS = itertools.cycle(range(1, 200))
+"""The last numbers of loopback addresses; those from 200 on are for tests with fixed addresses."""
 
 
 def loopback_address() -> str:
     """Return a loopback address that no other site uses.
 
+    It is handed out again after 198 others, when a long series of runs has left it long ago.
     On a shared address, a site could take the port of a process of another
     site that is being restarted.
     """
