--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1088,8 +1088,8 @@
     Mutant(
         "a gang is started whole or not at all",
         _TASKS,
-        "            and task.step.spec.gang\n",
-        "            and False\n",
+        "task.step.spec.gang and not self._is_valid(intent, task)",
+        "False",
         TASKS,
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -56,7 +56,7 @@
 """
 
 MAX_LONG_RUNNING_SHARE = 0.92
-"""Share of a service's processors up to which new long-running work is started.
+"""Share of a service's processors up to which new long-running work is started at once.
 
 Finite runs go first in the rest, since callers wait for those and long-running
 ones never release capacity.  Long-running tasks that lost their worker may also
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -145,17 +145,16 @@
         Members of a gang would only wait for one that cannot start, so they are valid together
         or not at all.
         """
+        planned = [(intent, self.find_task(intent.task)) for intent in intents]
         incomplete = {
             task.step.key
-            for intent in intents
-            if (task := self.find_task(intent.task)) is not None
-            and task.step.spec.gang
-            and not self._is_valid(intent)
+            for intent, task in planned
+            if task is not None and task.step.spec.gang and not self._is_valid(intent, task)
         }
         valid = []
-        for intent in intents:
-            if self._is_valid(intent) and self.find_task(intent.task).step.key not in incomplete:
-                self._record_intent(intent)
+        for intent, task in planned:
+            if self._is_valid(intent, task) and task.step.key not in incomplete:
+                self._record_intent(intent, task)
                 valid.append(intent)
         return valid
 
@@ -278,11 +277,8 @@
 
     # -------------------------------------------------------------------- helpers
 
-    def _is_valid(self, intent: RunIntent) -> bool:
-        task, worker = (
-            self.find_task(intent.task),
-            self.worker_by_incarnation.get(incarnation_key(intent.life)),
-        )
+    def _is_valid(self, intent: RunIntent, task: Task | None) -> bool:
+        worker = self.worker_by_incarnation.get(incarnation_key(intent.life))
         if task is None or worker is None or not worker.is_schedulable:
             return False
         group = task.step
@@ -290,8 +286,7 @@
             return False
         return group.spec.allow_duplicates or not task.incarnation_by_run
 
-    def _record_intent(self, intent: RunIntent) -> None:
-        task = self.find_task(intent.task)
+    def _record_intent(self, intent: RunIntent, task: Task) -> None:
         worker = self.worker_by_incarnation[incarnation_key(intent.life)]
         group = task.step
         task.runs = intent.run
@@ -318,10 +313,10 @@
         Ends of one run come in any order.  What was last seen of a run that was lost is older
         than what the other members of its gang saved when they ended.
         """
+        if not end.checkpoint:
+            return
         is_reported = end.number > 0
         if end.run > task.checkpoint_run or (end.run == task.checkpoint_run and is_reported):
-            if not end.checkpoint:
-                return
             for member in gang_members(task):
                 member.checkpoint, member.checkpoint_run = end.checkpoint, end.run
 
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -351,7 +351,8 @@
  */
 struct CrashRecord { 1: i32 run, 2: WorkerLife life, 3: bool on_start, 4: bool sole, 5: bool certain }
 
-/** `failed_on` is the id of the worker on which the task failed last, or crashed it. */
+/** `failed_on` is the id of the worker on which the task failed last, or crashed it; `checkpoint_run`
+    is the number of the run that the checkpoint came from. */
 struct TaskRecord {
   1: string task, 2: i32 runs, 3: i32 failures, 4: bool done, 5: string checkpoint,
   6: list<PlacedRun> placed, 7: string failed_on, 8: optional list<CrashRecord> crashes,
