--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -166,12 +166,18 @@
     assert len(plan(task_ledger)) == 3
 
 
-def test_long_running_work_leaves_capacity_for_finite_runs():
+def ledger_with_long_running_work_up_to_the_share():
+    """Return a ledger with 9 of 10 cores in use, and one more long-running task to start."""
     task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
     accept(task_ledger, step(9, lasting=True))
     for intent in plan(task_ledger):
         record_intent(task_ledger, intent.task)
     accept(task_ledger, step(1, lasting=True), job_id=SECOND)
+    return task_ledger
+
+
+def test_long_running_work_leaves_capacity_for_finite_runs():
+    task_ledger = ledger_with_long_running_work_up_to_the_share()
     assert MAX_LONG_RUNNING_SHARE < 1.0
     assert plan(task_ledger) == []
     accept(task_ledger, step(), job_id=THIRD)
@@ -181,22 +187,14 @@
 # Guards against long-running work that is accepted and never starts: the capacity kept for
 # finite runs was kept for good, even with nothing waiting for it.
 def test_long_running_work_waits_only_for_a_while_for_capacity_kept_for_finite_runs():
-    task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
-    accept(task_ledger, step(9, lasting=True))
-    for intent in plan(task_ledger):
-        record_intent(task_ledger, intent.task)
-    accept(task_ledger, step(1, lasting=True), job_id=SECOND)
+    task_ledger = ledger_with_long_running_work_up_to_the_share()
     placement = Placement(InterferenceModel())
     assert [len(plan_at(task_ledger, placement, now)) for now in (0.0, 1.0, 2.5)] == [0, 0, 1]
 
 
 # Guards against long-running work that takes the capacity that finite runs are waiting for.
 def test_finite_runs_are_placed_before_long_running_work_that_has_waited():
-    task_ledger = ledger(worker(millicores=10_000, memory_mb=9000))
-    accept(task_ledger, step(9, lasting=True))
-    for intent in plan(task_ledger):
-        record_intent(task_ledger, intent.task)
-    accept(task_ledger, step(1, lasting=True), job_id=SECOND)
+    task_ledger = ledger_with_long_running_work_up_to_the_share()
     placement = Placement(InterferenceModel())
     plan_at(task_ledger, placement, 0.0)
     accept(task_ledger, step(1), job_id=THIRD)
