Logs and a gauge of quarantined workers

Nothing told that a worker was quarantined, for how long and for which failure, so the hypotheses of the incident could not be told apart.

--- a/src/savoryshelf/dispatch/health.py
+++ b/src/savoryshelf/dispatch/health.py
@@ -38,29 +38,37 @@
 
     _health_by_worker_id: dict[str, _WorkerHealth] = attrs.field(factory=dict)
 
-    def record_outcome(self, worker_id: str, succeeded: bool, now: float) -> None:
-        """Record whether a run succeeded, and start or end the quarantine of its worker."""
+    def record_outcome(self, worker_id: str, succeeded: bool, now: float) -> float:
+        """Record whether a run succeeded, and start or end the quarantine of its worker.
+
+        Returns the length of the quarantine that began, in seconds; 0 if none did.
+        """
         health = self._health_by_worker_id.setdefault(worker_id, _WorkerHealth())
         if succeeded:
             health.consecutive_failures = 0
             health.next_quarantine_seconds = QUARANTINE_SECONDS
             health.quarantined_until = 0.0
-            return
+            return 0.0
         health.consecutive_failures += 1
         if (
-            health.consecutive_failures >= FAILURES_BEFORE_QUARANTINE
-            and now >= health.quarantined_until
+            health.consecutive_failures < FAILURES_BEFORE_QUARANTINE
+            or now < health.quarantined_until
         ):
-            health.quarantined_until = now + health.next_quarantine_seconds
-            health.next_quarantine_seconds = min(
-                2 * health.next_quarantine_seconds, MAX_QUARANTINE_SECONDS
-            )
+            return 0.0
+        seconds = health.next_quarantine_seconds
+        health.quarantined_until = now + seconds
+        health.next_quarantine_seconds = min(2 * seconds, MAX_QUARANTINE_SECONDS)
+        return seconds
 
     def record_rejection(self, worker_id: str, now: float) -> None:
         """Record that a worker rejected, for lack of capacity, a run that should have fitted."""
         health = self._health_by_worker_id.setdefault(worker_id, _WorkerHealth())
         health.backoff_until = now + REJECTION_BACKOFF_SECONDS
 
+    def quarantined_count(self, now: float) -> int:
+        """Return how many workers are quarantined now."""
+        return sum(now < health.quarantined_until for health in self._health_by_worker_id.values())
+
     def is_schedulable(self, worker_id: str, now: float) -> bool:
         """Return whether runs may be placed on this worker now."""
         health = self._health_by_worker_id.get(worker_id)
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -221,6 +221,7 @@
             self._start_rate.allowed_starts(self.now()),
         )  # fmt: skip
         outcome = "starts" if intents else "none"
+        metrics.QUARANTINED_WORKERS.set(self.health.quarantined_count(self.now()))
         metrics.PASS_SECONDS.record(outcome, time.thread_time() - started_at)
         if intents:
             self._start_rate.record_starts(sum(map(self._is_limited, intents)))
@@ -361,7 +362,7 @@
 
     def _record_rejection(self, rejection: StartRejection, now: float) -> None:
         if rejection.kind == RejectionKind.UNHEALTHY:
-            self.health.record_outcome(rejection.worker_id, False, now)
+            self._record_outcome(rejection.worker_id, False, "start rejected")
         else:
             self.health.record_rejection(rejection.worker_id, now)
 
@@ -387,9 +388,20 @@
         settled_up_to = worker.record.seen_end if worker else 0
         for end in settlement.ends:
             if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED) and end.number > settled_up_to:
-                self.health.record_outcome(
-                    settlement.life.worker_id, end.outcome == RunOutcome.DONE, self.now()
-                )
+                succeeded = end.outcome == RunOutcome.DONE
+                self._record_outcome(settlement.life.worker_id, succeeded, end.task)
+
+    def _record_outcome(self, worker_id: str, succeeded: bool, cause: str) -> None:
+        """Record an outcome and log a quarantine that it begins, with the task that failed."""
+        seconds = self.health.record_outcome(worker_id, succeeded, self.now())
+        if not seconds:
+            return
+        task = self.ledger.find_task(cause)
+        log_event(
+            "worker:quarantined", worker=worker_id, seconds=seconds, cause=cause,
+            failures=self.health.consecutive_failures(worker_id),
+            task_failures=task.failures if task else 0, failed_on=task.failed_on if task else "",
+        )  # fmt: skip
 
     def _wake_up_commit(self) -> None:
         if not self._wake_commit.ready():
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -42,6 +42,11 @@
 TIMER_LAG = Gauge(
     "savoryshelf_timer_lag_seconds", "Mean lag of the leader's timers.", registry=REGISTRY
 )
+QUARANTINED_WORKERS = Gauge(
+    "savoryshelf_quarantined_workers",
+    "Workers that the leader passes over since runs fail there.",
+    registry=REGISTRY,
+)
 START_RATE = Gauge(
     "savoryshelf_best_effort_start_rate",
     "Best-effort starts per second that the leader allows.",
--- a/tests/dispatch/test_health.py
+++ b/tests/dispatch/test_health.py
@@ -24,3 +24,12 @@
     health.record_outcome("w1", False, 0.0)
     health.record_outcome("w1", True, 0.5)
     assert health.is_schedulable("w1", 0.5)
+
+
+def test_the_start_of_a_quarantine_is_told_with_its_length():
+    health = FleetHealth()
+    assert health.record_outcome("w1", False, 0.0) == 0.0
+    assert health.record_outcome("w1", False, 0.1) == QUARANTINE_SECONDS
+    assert health.record_outcome("w1", False, 0.2) == 0.0
+    assert health.quarantined_count(0.2) == 1
+    assert health.quarantined_count(0.2 + QUARANTINE_SECONDS) == 0
