--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -450,3 +450,52 @@
     announce(task_ledger, 1, millicores=0, memory_mb=0)
     planned = worker_ids(plan(task_ledger))
     assert planned and set(planned) == {"w2"}
+
+
+def first_start_after(task_ledger, placement, health, soonest):
+    """Return the time of the first pass, each 0.25 s from ``soonest`` on, that starts anything."""
+    views = [WorkerView(w, True, {}) for w in task_ledger.worker_by_incarnation.values()]
+    now = soonest
+    while now < soonest + 30.0:
+        if placement.plan(task_ledger, views, 0, health, now):
+            return now
+        now += 0.25
+    return None
+
+
+# Guards against work that waits for the longest quarantine while no other worker may run it.
+def test_work_that_only_quarantined_workers_may_run_starts_within_the_users_bound():
+    labelled = worker(labels=("gpu",))
+    for workers, needs in (
+        ([worker(), worker("w2")], {}),
+        ([labelled, worker("w2", labels=())], {"required_label": "gpu"}),
+        ([worker(memory_mb=4000), worker("w2", memory_mb=100)], {"memory_mb": 2000}),
+    ):
+        for kind in ({}, {"lasting": True}, {"gang": True}, {"filling": True, "image": "a"}):
+            task_ledger, health = ledger(*workers), FleetHealth()
+            failing = workers if not needs else workers[:1]
+            for at in (0.0, 0.1, 2.2, 6.3, 14.4):
+                for record in failing:
+                    health.record_outcome(record.life.worker_id, False, at)
+            accept(task_ledger, step(2, **needs, **kind))
+            placement = Placement(InterferenceModel())
+            started_at = first_start_after(task_ledger, placement, health, 14.5)
+            assert started_at is not None and started_at <= 14.5 + 3.0, (needs, kind, started_at)
+
+
+# Guards against a gang of best-effort tasks that never starts beside runs that it disturbs: one
+# member was planned, which is not valid without the others.
+def test_a_starving_best_effort_gang_is_planned_whole():
+    task_ledger = ledger(worker(millicores=9000), worker("w2", millicores=9000))
+    interference = InterferenceModel()
+    for job_id, worker_id in ((JOB, "w1"), (SECOND, "w2")):
+        serving = step(lasting=True, target_ms=50, image="sensitive")
+        accept(task_ledger, serving, job_id=job_id)
+        record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=(worker_id, 1))
+    interference.add_sample("sensitive", 0.6, {"noisy": 3.0}, 0.0)
+    gang = step(2, gang=True, filling=True, image="noisy", millicores=2000)
+    accept(task_ledger, gang, job_id=THIRD)
+    placement = Placement(interference)
+    plans = [plan_at(task_ledger, placement, now) for now in (0.0, 1.0, 2.5)]
+    assert [len(intents) for intents in plans] == [0, 0, 2]
+    assert task_ledger.record_intents(plans[-1]) == plans[-1]
