Preferences of placement delay a start by 2 s at most

Cause: a quarantine excluded a worker from placement, whether another one could run the work or not. The class of fault is a condition that keeps startable work back without a bound of its own: workers kept for suspects of a crash had the same form, and a starving gang of best-effort tasks was placed one member at a time, which is never valid.

Fix: quarantine, back-off, workers kept for suspects, evicted images and interference are preferences. Work that has waited 2 s is overdue and is placed on any worker that accepts runs and has the room: every long-running task by itself, of a finite step without a run one task (the one with the fewest failures, since attempts are limited), of a gang all members. The waits of best-effort and long-running work, which had the same length, are this one now.

--- a/src/savoryshelf/dispatch/health.py
+++ b/src/savoryshelf/dispatch/health.py
@@ -30,6 +30,7 @@
     quarantined_until: float = 0.0
     next_quarantine_seconds: float = QUARANTINE_SECONDS
     backoff_until: float = 0.0
+    last_failure_at: float = float("-inf")
 
 
 @attrs.define
@@ -50,6 +51,7 @@
             health.quarantined_until = 0.0
             return 0.0
         health.consecutive_failures += 1
+        health.last_failure_at = now
         if (
             health.consecutive_failures < FAILURES_BEFORE_QUARANTINE
             or now < health.quarantined_until
@@ -76,6 +78,11 @@
             return True
         return now >= health.quarantined_until and now >= health.backoff_until
 
+    def last_failure_at(self, worker_id: str) -> float:
+        """Return when a run last failed on this worker; minus infinity if none did."""
+        health = self._health_by_worker_id.get(worker_id)
+        return health.last_failure_at if health else float("-inf")
+
     def consecutive_failures(self, worker_id: str) -> int:
         """Return the number of runs that failed on this worker since its last success."""
         health = self._health_by_worker_id.get(worker_id)
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -27,6 +27,7 @@
 )
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
+from .waiting import MAX_DEFERRAL_SECONDS, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
 """A task in another rack than its data runs several times longer, so this is the last resort."""
@@ -63,25 +64,13 @@
 use it.
 """
 
-MAX_RESERVATION_WAIT_SECONDS = 2.0
-"""How long new long-running work waits for capacity above ``MAX_LONG_RUNNING_SHARE``.
-
-The users require an accepted long-running task to start within 3 s if it fits.
-"""
-
-STARVATION_SECONDS = 2.0
-"""How long a best-effort step may wait without a run before it counts as starving.
+BUSY_SHARE = 0.55
+"""Share of a service's processors in use from which finite best-effort steps keep waiting.
 
-One of its tasks is then placed where it interferes least, even if the run exceeds
-the interference headroom there.  This applies only while less than ``BUSY_SHARE``
-of the service is in use: above it, a ready job is not required to make progress.
-Each long-running task has to run, however busy the service is, so one more of them
-is placed in each pass.
+Below it, an overdue one is placed where it interferes least, even if the run exceeds the
+interference headroom there.  Long-running tasks have to run however busy the service is.
 """
 
-BUSY_SHARE = 0.55
-"""Share of a service's processors in use from which starving steps keep waiting."""
-
 INTERFERENCE_WEIGHT = 3.0
 """Weight of predicted interference relative to load when a best-effort run is placed.
 
@@ -144,7 +133,12 @@
     view: WorkerView
     interference: InterferenceModel
     penalty: float = 0.0
+    is_avoided: bool = False
+    """Whether placement prefers any other worker for now; only overdue work is placed here."""
+
+    last_failure_at: float = -math.inf
     planned: ResourceUsage = attrs.field(factory=ResourceUsage)
+    planned_count: int = 0
     long_running_millicores: int = 0
     expected_millicores: float = 0.0
     """Expected use by its runs, based on reservations or, for best-effort runs, on requests."""
@@ -172,8 +166,11 @@
 
     def copy(self) -> "_Candidate":
         """Return an independent copy, for placing several runs all together or not at all."""
-        copy = _Candidate(self.view, self.interference, self.penalty)
+        copy = _Candidate(
+            self.view, self.interference, self.penalty, self.is_avoided, self.last_failure_at
+        )
         copy.planned = attrs.evolve(self.planned)
+        copy.planned_count = self.planned_count
         copy.expected_millicores = self.expected_millicores
         copy.long_running_millicores = self.long_running_millicores
         copy.serving_run_count_by_image = dict(self.serving_run_count_by_image)
@@ -249,6 +246,7 @@
             self.best_effort_millicores_by_image = dict(self.best_effort_millicores_by_image)
             self._has_own_counts = True
         self.planned.add(step, 1)
+        self.planned_count += 1
         self.expected_millicores += _expected_millicores(step)
         if step.lasting:
             self.long_running_millicores += step.millicores
@@ -411,9 +409,8 @@
 class Placement:
     """Plans the runs to start during one leader's term.
 
-    Its only state is the time since which each best-effort or long-running step has been
-    waiting, the worker from which on the next step is placed, and the workers kept for tasks that
-    may crash them.
+    Its only state is the time since which startable work has been waiting, the worker from
+    which on the next step is placed, and the workers kept for tasks that may crash them.
     """
 
     def __init__(
@@ -423,7 +420,7 @@
         region_by_domain: dict[str, str] | None = None,
     ):
         self._interference = interference
-        self._waiting_since_by_group_key: dict[tuple, float] = {}
+        self._waiting = WaitingWork()
         self._next_position = 0
         self._isolation = Isolation()
         self._home_region = home_region
@@ -444,16 +441,17 @@
         ``best_effort_starts`` finite best-effort tasks are started, but always the first of a
         step that has no run: no job may wait without one for long.
         """
-        self._update_waiting(ledger, now)
-        candidates = [self._candidate(view, health) for view in views if view.is_responsive]
+        self._waiting.begin_pass(ledger, now)
         candidates = [
-            c
-            for c in candidates
-            if c.view.worker.is_schedulable
-            and health.is_schedulable(c.view.worker.record.life.worker_id, now)
+            self._candidate(view, health, now)
+            for view in views
+            if view.is_responsive and view.worker.is_schedulable
         ]
-        intents = self._plan_suspects(ledger, _Pools(candidates), now)
-        pools = _Pools([c for c in candidates if not self._isolation.is_kept(c.view.incarnation)])
+        preferred = [c for c in candidates if not c.is_avoided]
+        intents = self._plan_suspects(ledger, _Pools(preferred), now)
+        for candidate in preferred:
+            candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
+        all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         groups = ledger.startable_group_by_key.values()
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
@@ -465,12 +463,13 @@
             if is_limited(group.spec):
                 limit = max(best_effort_starts, 0 if _has_run(group) else 1)
             planned = self._plan_group(group, pool, limit) if limit else []
-            if not planned and self._is_starving(group, pool.candidates, now):
-                planned = self._plan_least_interfering(group, pool.candidates)
+            if group.spec.lasting or not planned:
+                planned += self._plan_overdue(group, all_pools.pool_of(group), planned, now)
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
+        self._waiting.record_starts(intents, now)
         return intents
 
     def _plan_suspects(self, ledger: TaskLedger, pools: "_Pools", now: float) -> list[RunIntent]:
@@ -515,13 +514,20 @@
         tasks = (group.tasks[index] for index in sorted(group.startable_indexes))
         return [task for task in tasks if not self._isolation.is_isolated(task)]
 
-    def _candidate(self, view: WorkerView, health: FleetHealth) -> _Candidate:
+    def _candidate(self, view: WorkerView, health: FleetHealth, now: float) -> _Candidate:
         record = view.worker.record
-        penalty = RECENT_FAILURE_PENALTY * health.consecutive_failures(record.life.worker_id)
+        worker_id = record.life.worker_id
+        penalty = RECENT_FAILURE_PENALTY * health.consecutive_failures(worker_id)
         region = self._region_by_domain.get(record.failure_domain, "")
         if region != self._home_region:
             penalty += OTHER_REGION_PENALTY
-        return _Candidate(view, self._interference, penalty)
+        return _Candidate(
+            view,
+            self._interference,
+            penalty,
+            is_avoided=not health.is_schedulable(worker_id, now),
+            last_failure_at=health.last_failure_at(worker_id),
+        )
 
     def _plan_group(self, group: StepGroup, pool: "_Pool", limit: float) -> list[RunIntent]:
         step = group.spec
@@ -551,52 +557,54 @@
         self._next_position += ranking.scanned
         return intents
 
-    def _update_waiting(self, ledger: TaskLedger, now: float) -> None:
-        waiting_keys = {
-            key
-            for key, group in ledger.startable_group_by_key.items()
-            if group.spec.lasting or (group.spec.filling and not _has_run(group))
-        }
-        self._waiting_since_by_group_key = {
-            key: self._waiting_since_by_group_key.get(key, now) for key in waiting_keys
-        }
-
-    def _seconds_waiting(self, group: StepGroup, now: float) -> float:
-        return now - self._waiting_since_by_group_key.get(group.key, now)
-
     def _must_leave_capacity(
         self, group: StepGroup, eligible: list[_Candidate], now: float
     ) -> bool:
         """Return whether long-running work is held back for the benefit of finite runs."""
         return (
             _is_new_long_running(group)
-            and self._seconds_waiting(group, now) < MAX_RESERVATION_WAIT_SECONDS
+            and self._waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
             and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
         )
 
-    def _is_starving(self, group: StepGroup, eligible: list[_Candidate], now: float) -> bool:
-        if not group.spec.filling or self._seconds_waiting(group, now) < STARVATION_SECONDS:
-            return False
-        if group.spec.lasting:
-            return True
-        total_millicores = sum(c.view.worker.record.millicores for c in eligible)
-        expected_use = sum(c.expected_millicores for c in eligible)
-        return expected_use < BUSY_SHARE * total_millicores
-
-    def _plan_least_interfering(self, group, eligible) -> list[RunIntent]:
-        """Place one task where it interferes least, even if it exceeds the headroom there."""
-        step, tasks = group.spec, self._startable_tasks(group)
-        run_counts = _run_count_by_incarnation(group)
-        feasible = [
-            candidate
-            for candidate in eligible
-            if candidate.fits(step)
-            and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))
-        ]
-        if not feasible or not tasks:
+    def _plan_overdue(
+        self, group: StepGroup, pool: _Pool, planned: list[RunIntent], now: float
+    ) -> list[RunIntent]:
+        """Place overdue tasks on any worker that has the room, a gang whole or not at all.
+
+        Avoided workers come last; of those, the one that has not failed for longest comes first.
+        """
+        planned_names = {intent.task for intent in planned}
+        tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
+        tasks = self._waiting.overdue_tasks(group, tasks, now)
+        step = group.spec
+        if not tasks or pool.is_exhausted_for(step):
             return []
-        chosen = min(feasible, key=lambda candidate: candidate.interference_with(step))
-        return [self._assign(tasks[0], tasks[0].runs + 1, chosen, run_counts)]
+        may_interfere = step.lasting or not _is_busy(pool.candidates)
+        run_counts = _run_count_by_incarnation(group)
+        for intent in planned:
+            run_counts[intent.life.worker_id, intent.life.born_ms] += 1
+        eligible = [c.copy() for c in pool.candidates] if step.gang else pool.candidates
+        run = 1 + max(task.runs for task in group.tasks)
+        intents = []
+        for task in tasks:
+            feasible = [
+                candidate
+                for candidate in eligible
+                if candidate.fits(step)
+                and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))
+                and (may_interfere or not step.filling or candidate.may_add_best_effort(step))
+            ]
+            if not feasible:
+                break
+            chosen = min(feasible, key=lambda c, task=task: _overdue_order(c, task))
+            task_run = run if step.gang else task.runs + 1
+            intents.append(self._assign(task, task_run, chosen, run_counts))
+        if len(intents) < len(tasks):
+            pool.record_rejected(step)
+        if step.gang:
+            return self._assign_gang(group, pool.candidates, intents)
+        return intents
 
     def _plan_gang(self, group, allowed, run_counts) -> list[RunIntent]:
         """Place all members or none: one that waits for others holds capacity and does no work."""
@@ -609,10 +617,19 @@
         for task in group.tasks:
             chosen = ranking.best(task)
             if chosen is None:
-                return []
+                break
             intents.append(self._assign(task, run, chosen, run_counts))
             ranking.update(chosen)
-        candidate_by_incarnation = {candidate.view.incarnation: candidate for candidate in allowed}
+        return self._assign_gang(group, allowed, intents)
+
+    @staticmethod
+    def _assign_gang(
+        group: StepGroup, candidates: list[_Candidate], intents: list[RunIntent]
+    ) -> list[RunIntent]:
+        """Count the runs that were planned on copies of the candidates, unless some are missing."""
+        if len(intents) < len(group.tasks):
+            return []
+        candidate_by_incarnation = {c.view.incarnation: c for c in candidates}
         for intent in intents:
             candidate_by_incarnation[intent.life.worker_id, intent.life.born_ms].add(group.spec)
         return intents
@@ -656,6 +673,24 @@
         return RunIntent(task.name, run, WorkerLife(*chosen.view.incarnation))
 
 
+def _is_busy(candidates: list[_Candidate]) -> bool:
+    total_millicores = sum(c.view.worker.record.millicores for c in candidates)
+    return sum(c.expected_millicores for c in candidates) >= BUSY_SHARE * total_millicores
+
+
+def _overdue_order(candidate: _Candidate, task: Task) -> tuple:
+    """Return the sort key of the workers on which an overdue task may be placed."""
+    step = task.step.spec
+    return (
+        candidate.is_avoided,
+        task.failed_on == candidate.view.worker.record.life.worker_id,
+        candidate.planned_count if candidate.is_avoided else 0,
+        candidate.interference_with(step) if step.filling else 0.0,
+        candidate.last_failure_at,
+        candidate.load_with(step),
+    )
+
+
 def _scheduling_order(group: StepGroup, wall_ms: int) -> tuple:
     """Return the sort key of a group: priority, lateness, finite work first, then age."""
     job = group.job
--- /dev/null
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -0,0 +1,79 @@
+"""Bounds how long preferences keep startable work waiting.
+
+Placement passes over workers that are quarantined, kept for suspects of a crash, or where
+a run would disturb others.  Each of these preferences may delay a start, but none may
+prevent it: work that has waited ``MAX_DEFERRAL_SECONDS`` is overdue, and may be started on
+any worker that accepts runs and has the room.
+"""
+
+import attrs
+
+from ..tasks.job import StepGroup, Task
+from ..tasks.ledger import TaskLedger
+from ..tasks.names import parse_task_name
+from ..wire.generated.ttypes import RunIntent
+
+MAX_DEFERRAL_SECONDS = 2.0
+"""How long preferences may keep startable work without a run.
+
+The users require a start within 3 s where there is room; the rest is for passes and commits.
+"""
+
+
+@attrs.define
+class WaitingWork:
+    """Since when startable work has had no run, in one leader's term; in monotonic seconds.
+
+    Each long-running task has to run, so each is counted by itself.  A finite step counts
+    as a whole, from its newest start on: it makes progress as long as one of its tasks runs.
+    """
+
+    _since_by_task: dict[str, float] = attrs.field(factory=dict)
+    _since_by_group_key: dict[tuple, float] = attrs.field(factory=dict)
+
+    def begin_pass(self, ledger: TaskLedger, now: float) -> None:
+        """Take note of what is startable at the beginning of a pass."""
+        groups = ledger.startable_group_by_key
+        since = self._since_by_group_key
+        self._since_by_group_key = {key: since.get(key, now) for key in groups}
+        since = self._since_by_task
+        self._since_by_task = {
+            task.name: since.get(task.name, now)
+            for group in groups.values()
+            if group.spec.lasting
+            for task in (group.tasks[index] for index in group.startable_indexes)
+        }
+
+    def seconds(self, group: StepGroup, now: float) -> float:
+        """Return how long the step has been waiting; the longest wait of its tasks counts."""
+        if group.spec.lasting:
+            tasks = (group.tasks[index] for index in group.startable_indexes)
+            since = min((self._since_by_task.get(task.name, now) for task in tasks), default=now)
+        else:
+            since = self._since_by_group_key.get(group.key, now)
+        return now - since
+
+    def overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
+        """Return those of the startable tasks of a step that are to be started on any worker.
+
+        Of a finite step this is one task, or the whole gang, and none while the step has a run.
+        """
+        if self.seconds(group, now) < MAX_DEFERRAL_SECONDS:
+            return []
+        if group.spec.gang:
+            return tasks if len(tasks) == len(group.tasks) else []
+        if group.spec.lasting:
+            since = self._since_by_task
+            return [t for t in tasks if now - since.get(t.name, now) >= MAX_DEFERRAL_SECONDS]
+        if not tasks or any(task.incarnation_by_run for task in group.tasks):
+            return []
+        # The attempts of a finite task are limited, so its step uses them up evenly.
+        return [min(tasks, key=lambda task: (task.failures, task.index))]
+
+    def record_starts(self, intents: list[RunIntent], now: float) -> None:
+        """Count the wait of the steps anew of which runs are started."""
+        for intent in intents:
+            name = parse_task_name(intent.task)
+            key = name.job_id, name.occurrence, name.step
+            if key in self._since_by_group_key:
+                self._since_by_group_key[key] = now
