Tests of the bound on waits in placement, which fail on this code

Tests only; the fix is separate work. Each test drives Placement.plan in passes each 0.25 s, records the intents in a ledger and judges each pass: a task that lasts and fits, and a finite job with no run that fits twice over while under half of the service is in use, must be planned within 3 s (RULES.md, LOST). A gang must be planned whole.

Callers would see: LOST; accepted work with no run for up to 16 s and more on a fleet that is sound again.

--- /dev/null
+++ b/tests/dispatch/test_bounded_waits.py
@@ -0,0 +1,692 @@
+"""No preference of placement keeps work that fits waiting for longer than the users allow."""
+
+import math
+from collections import Counter
+
+import pytest
+
+from savoryshelf.dispatch.health import FleetHealth
+from savoryshelf.dispatch.interference import InterferenceModel
+from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.tasks import snapshot
+from savoryshelf.wire.generated.ttypes import RunAge, RunOutcome, WorkerLife
+
+from ..tasks.builders import (
+    JOB,
+    accept,
+    ledger,
+    manifest,
+    queue,
+    record_intent,
+    settle_run,
+    step,
+    worker,
+)
+
+MAX_START_SECONDS = 3.0
+"""RULES.md, LOST: work that could start must not have nothing running for 3 s."""
+
+PASS_SECONDS = 0.25
+"""The longest time between two passes of a leader."""
+
+LAST_RESORT_SECONDS = 2.0
+"""A finite job is tried on a quarantined worker at most once in so long: its attempts are few."""
+
+RUN_SECONDS = 0.5
+SECOND, THIRD = "00000000000000b2", "00000000000000c3"
+BATCH = {"filling": True, "image": "batch", "memory_mb": 20}
+SERVING = {"lasting": True, "target_ms": 50, "image": "shop"}
+
+WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES = "works", "fails", "rejected", "unhealthy", "lapses"
+
+END_BY_FATE = {
+    WORKS: (RunOutcome.DONE, RUN_SECONDS),
+    FAILS: (RunOutcome.FAILED, 0.0),
+    REJECTED: (RunOutcome.NEVER_RAN, 0.0),
+    UNHEALTHY: (RunOutcome.NEVER_RAN, 0.0),
+    LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
+}
+"""How a start ends, and after how many seconds; lasting runs that work go on."""
+
+FIELDS_BY_KIND = {
+    "finite": {"count": 2},
+    "lasting": {"count": 6, "lasting": True},
+    "filling finite": {"count": 2, **BATCH},
+    "filling lasting": {"count": 8, "lasting": True, **BATCH},
+    "serving": {"count": 2, **SERVING},
+    "gang": {"count": 3, "gang": True},
+    "lasting gang": {"count": 3, "gang": True, "lasting": True},
+    "filling gang": {"count": 3, "gang": True, **BATCH},
+    "labelled": {"count": 2, "required_label": "a"},
+    "spread": {"count": 3, "lasting": True, "max_per_worker": 1},
+    "with data": {"count": 1, "data_rack": "r1"},
+}
+
+
+def work(kind, **fields):
+    """Return a step of a kind of work."""
+    return step(**(FIELDS_BY_KIND[kind] | fields))
+
+
+class Site:
+    """A leader that plans in passes, workers that start what it plans, and a judge of the waits.
+
+    ``fate`` says what becomes of a start, from its task and worker id.
+    """
+
+    def __init__(self, *records, interference=None, max_attempts=100):
+        self.ledger = ledger(*records or [worker(f"w{number}") for number in range(4)])
+        queues = [
+            queue(max_attempts=max_attempts),
+            queue("urgent", "/urgent/", priority=-1, max_attempts=max_attempts),
+        ]
+        self.ledger.put_manifest(manifest(2, queues))
+        self.interference = interference or InterferenceModel()
+        self.now = 100.0
+        self.excluded_images = frozenset()
+        self.best_effort_starts = math.inf
+        self.fate = lambda task, worker_id: WORKS
+        self.is_sound = True
+        """Whether waits are judged: starts that fail are no fault of placement."""
+
+        self.starts = []
+        """When, which task and on which worker, of each start that was planned."""
+
+        self._waiting_since = {}
+        self._fate_by_run = {}
+        self.change_leader()
+
+    def change_leader(self):
+        """Start a term of another leader, which knows the ledger alone."""
+        self.placement, self.health = Placement(self.interference), FleetHealth()
+        self._waiting_since.clear()
+
+    def restore_snapshot(self):
+        """Replace the ledger by what a snapshot of it holds."""
+        self.ledger = snapshot.load(snapshot.save(self.ledger))
+
+    def quarantine(self, *worker_ids):
+        """Let runs fail on workers until now, up to the longest quarantine."""
+        for worker_id in worker_ids:
+            for seconds_ago in (14.0, 14.0, 12.0, 8.0, 0.0):
+                self.health.record_outcome(worker_id, False, self.now - seconds_ago)
+
+    def become_sound(self):
+        """Let all starts work from now on, and judge the waits from now on."""
+        self.fate = lambda task, worker_id: WORKS
+        self.is_sound = True
+        self._waiting_since.clear()
+        self._note_waits(set())
+
+    def run(self, seconds):
+        """Plan passes for some seconds; raises AssertionError if anything waits too long."""
+        until = self.now + seconds
+        while self.now < until:
+            self.run_pass()
+
+    def run_pass(self):
+        """Plan once, start what was planned, and return the planned starts of this pass."""
+        self._note_waits(set())
+        views = [
+            WorkerView(w, True, {}, excluded_images=self.excluded_images)
+            for w in self.ledger.worker_by_incarnation.values()
+            if not w.has_ended
+        ]
+        intents = self.placement.plan(
+            self.ledger, views, int(1000 * self.now), self.health, self.now,
+            self.best_effort_starts,
+        )  # fmt: skip
+        self._check_gangs(intents)
+        assert self.ledger.record_intents(intents) == intents, "a planned start is invalid"
+        started = [(intent.task, intent.life.worker_id) for intent in intents]
+        self.starts += [(self.now, *start) for start in started]
+        for intent in intents:
+            fate = self.fate(self.ledger.find_task(intent.task), intent.life.worker_id)
+            key = intent.life.worker_id, intent.life.born_ms
+            self._fate_by_run[intent.task, intent.run] = fate, self.now, key
+        self._end_runs()
+        self._note_waits({task for task, _ in started})
+        late = [key for key, since in self._waiting_since.items() if self._is_late(since)]
+        assert not late, f"wait for over {MAX_START_SECONDS} s at {self.now}: {late}"
+        self.now += PASS_SECONDS
+        self._end_runs()
+        return started
+
+    def _check_gangs(self, intents):
+        """Check that gangs are planned whole, all members with the same run."""
+        planned = [(self.ledger.find_task(intent.task), intent.run) for intent in intents]
+        for group in {task.step.key: task.step for task, _ in planned}.values():
+            runs = [run for task, run in planned if task.step is group]
+            if group.spec.gang:
+                assert len(runs) == len(group.tasks), "part of a gang is planned"
+                assert len(set(runs)) == 1, "members of a gang are planned with several runs"
+
+    def _is_late(self, since):
+        # What is not planned in this pass is planned later than now.
+        return self.is_sound and self.now - since >= MAX_START_SECONDS
+
+    def _end_runs(self):
+        """Settle the runs that end now, and tell of their ends as agents do."""
+        for (name, run), (fate, started_at, key) in list(self._fate_by_run.items()):
+            task = self.ledger.find_task(name)
+            outcome, seconds = END_BY_FATE[fate]
+            if self.now < started_at + seconds or (fate == WORKS and task.step.spec.lasting):
+                continue
+            del self._fate_by_run[name, run]
+            if task.incarnation_by_run.get(run) != key:
+                continue
+            settle_run(self.ledger, name, outcome, run, key)
+            if fate == REJECTED:
+                self.health.record_rejection(key[0], self.now)
+            elif fate != LAPSES:
+                self.health.record_outcome(key[0], fate == WORKS, self.now)
+            if task.step.spec.gang:
+                self._end_gang(task.step)
+
+    def _end_gang(self, group):
+        """Settle the runs of the members that are left alone."""
+        for member in group.tasks:
+            for run, key in list(member.incarnation_by_run.items()):
+                settle_run(self.ledger, member.name, RunOutcome.ALONE, run, key)
+
+    def crash(self, worker_id, tasks, returns=True):
+        """Crash a worker on the starts of tasks that run there."""
+        life = self.life_of(worker_id)
+        worked = [RunAge(name, self.ledger.find_task(name).runs, 0) for name in tasks]
+        self.ledger.end_incarnations([life], [], None, True, worked)
+        if returns:
+            record = self.ledger.worker_by_incarnation[worker_id, life.born_ms].record
+            self.ledger.upsert_worker(
+                worker(worker_id, life.born_ms + 1, record.millicores, record.memory_mb,
+                       labels=record.labels)
+            )  # fmt: skip
+
+    def life_of(self, worker_id):
+        """Return the newest incarnation of a worker."""
+        return WorkerLife(*max(k for k in self.ledger.worker_by_incarnation if k[0] == worker_id))
+
+    # ---------------------------------------------------------------- judgement
+
+    def _note_waits(self, started):
+        """Update since when what is owed a start waits for it."""
+        jobs = {name.partition(".")[0] for name in started}
+        self._waiting_since = {
+            key: self._waiting_since.get(key, self.now)
+            if key[0] not in started and key[0] not in jobs
+            else self.now
+            for key in self._owed()
+        }
+
+    def _owed(self):
+        """Return what is owed a start: a task that lasts, or a step of a job that has no run."""
+        owed = []
+        for group in self.ledger.startable_group_by_key.values():
+            spec, job = group.spec, group.job
+            if spec.gang and len(group.startable_indexes) < len(group.tasks):
+                continue
+            need = len(group.tasks) if spec.gang else 1
+            if not self._has_room(group, need, 1 if spec.lasting else 2):
+                continue
+            if spec.lasting:
+                owed += [(group.tasks[index].name,) for index in group.startable_indexes]
+            elif not self._is_half_used() and not any(t.incarnation_by_run for t in job.tasks()):
+                owed.append((job.job_id, group.occurrence, group.number))
+        return owed
+
+    def _has_room(self, group, need, times):
+        """Return whether so many tasks of a step fit, each of them so many times over."""
+        run_counts = Counter(
+            key for task in group.tasks for key in task.incarnation_by_run.values()
+        )
+        room = allowed = 0
+        for tracked in self._workers():
+            label = group.spec.required_label
+            if label and label not in tracked.record.labels:
+                continue
+            slots = self._slots(tracked, group.spec)
+            room += slots
+            if group.spec.max_per_worker:
+                slots = min(slots, group.spec.max_per_worker - run_counts[tracked.key])
+            allowed += max(0, slots)
+        return allowed >= need and room >= need * times
+
+    @staticmethod
+    def _slots(tracked, spec):
+        """Return how many tasks of a step fit on a worker beside its runs."""
+        record, used = tracked.record, tracked.used
+        slots = [(record.memory_mb - used.memory_mb) // spec.memory_mb]
+        if not spec.filling:
+            slots.append((record.millicores - used.millicores) // spec.millicores)
+        if spec.accelerators:
+            slots.append((record.accelerators - used.accelerators) // spec.accelerators)
+        return max(0, min(slots))
+
+    def _workers(self):
+        return [w for w in self.ledger.worker_by_incarnation.values() if w.is_schedulable]
+
+    def _is_half_used(self):
+        workers = [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
+        in_use = sum(w.used.millicores + w.best_effort_millicores for w in workers)
+        return 2 * in_use >= sum(w.record.millicores for w in workers)
+
+
+def accelerated(worker_id, count=4):
+    record = worker(worker_id, labels=("gpu",))
+    record.accelerators = count
+    return record
+
+
+def serve_everywhere(site, image="sensitive", millicores=2000):
+    """Let a serving run that best-effort work disturbs run on each worker."""
+    for number, tracked in enumerate(site._workers()):
+        serving = step(lasting=True, target_ms=50, image=image, millicores=millicores)
+        accept(site.ledger, serving, job_id=f"{0xD000 + number:016x}")
+        record_intent(site.ledger, f"{0xD000 + number:016x}.0.0.0", incarnation=tracked.key)
+
+
+def disturbing():
+    """Return a model in which the image "batch" slows the image "sensitive"."""
+    interference = InterferenceModel()
+    interference.add_sample("sensitive", 0.9, {"batch": 3.0}, 0.0)
+    return interference
+
+
+def started_jobs(site):
+    return {task.partition(".")[0] for _, task, _ in site.starts}
+
+
+each_kind = pytest.mark.parametrize("kind", FIELDS_BY_KIND)
+
+
+# Guards against a judge that sees a late start where nothing holds work back.
+@each_kind
+def test_work_of_each_kind_starts_on_a_sound_fleet(kind):
+    site = Site()
+    accept(site.ledger, work(kind))
+    site.run(2 * MAX_START_SECONDS)
+    assert site.starts
+
+
+# ------------------------------------------------------------------- quarantine
+
+
+# Guards against a last resort that is taken only where a worker is not sound, and not where the
+# sound ones are full.
+@each_kind
+def test_work_of_each_kind_starts_though_the_sound_workers_are_full(kind):
+    site = Site(*[worker(f"w{number}", millicores=9000) for number in range(4)])
+    accept(site.ledger, step(lasting=True, millicores=9000, memory_mb=1000), job_id=SECOND)
+    record_intent(site.ledger, f"{SECOND}.0.0.0", incarnation=("w0", 1))
+    site.quarantine("w1", "w2", "w3")
+    accept(site.ledger, work(kind))
+    site.run(20.0)
+    assert JOB in started_jobs(site)
+
+
+# Guards against work that waits for the end of the longest quarantine on a sound fleet.
+@each_kind
+def test_work_of_each_kind_starts_though_all_workers_are_quarantined(kind):
+    site = Site()
+    site.quarantine("w0", "w1", "w2", "w3")
+    accept(site.ledger, work(kind))
+    site.run(20.0)
+    assert site.starts
+
+
+# Guards against a quarantine that is not tied to what else could run the work.
+@pytest.mark.parametrize(
+    "need",
+    [
+        {"required_label": "gpu"},
+        {"accelerators": 1},
+        {"millicores": 4000},
+        {"memory_mb": 500},
+    ],
+    ids=["label", "accelerator", "processors", "memory"],
+)
+@pytest.mark.parametrize(
+    "kind", [{}, {"lasting": True}, SERVING], ids=["finite", "lasting", "serving"]
+)
+def test_work_starts_though_the_only_worker_that_fits_is_quarantined(kind, need):
+    able = accelerated("able")
+    able.millicores, able.memory_mb = 12_000, 2000
+    others = [worker(f"w{n}", millicores=3000, memory_mb=400) for n in range(4)]
+    site = Site(able, *others)
+    site.quarantine("able")
+    accept(site.ledger, step(**(kind | need)))
+    site.run(20.0)
+    assert {worker_id for _, _, worker_id in site.starts} == {"able"}
+
+
+# Guards against quarantines that are renewed while everything fails and outlast its cause.
+@each_kind
+@pytest.mark.parametrize("fate", [FAILS, UNHEALTHY])
+def test_work_of_each_kind_starts_after_all_its_starts_have_failed_for_a_while(kind, fate):
+    site = Site()
+    accept(site.ledger, work(kind))
+    site.is_sound, site.fate = False, lambda task, worker_id: fate
+    site.run(18.0)
+    site.become_sound()
+    site.run(20.0)
+
+
+# Guards against tasks that last and wait for a worker that quarantine alone keeps from them.
+def test_each_task_of_a_spread_step_starts_though_one_worker_is_quarantined():
+    site = Site(worker("w0"), worker("w1"), worker("w2"))
+    site.quarantine("w1")
+    accept(site.ledger, step(3, lasting=True, max_per_worker=1))
+    site.run(20.0)
+    assert sorted(worker_id for _, _, worker_id in site.starts) == ["w0", "w1", "w2"]
+
+
+# Guards against a gang that waits for the quarantined workers without which it is not whole.
+@pytest.mark.parametrize(
+    "kind", [{}, {"lasting": True}, BATCH], ids=["finite", "lasting", "filling"]
+)
+@pytest.mark.parametrize("quarantined", [1, 2, 4])
+def test_a_gang_that_needs_quarantined_workers_starts_whole(kind, quarantined):
+    site = Site()
+    site.quarantine(*[f"w{number}" for number in range(quarantined)])
+    accept(site.ledger, step(4, gang=True, max_per_worker=1, **kind))
+    site.run(20.0)
+    assert len({worker_id for _, _, worker_id in site.starts}) == 4
+
+
+# Guards against one job, or the first of a step, that is started where all of them wait.
+def test_each_of_several_jobs_starts_though_all_workers_are_quarantined():
+    site = Site(*[worker(f"w{n}", millicores=9000, memory_mb=9000) for n in range(4)])
+    site.quarantine("w0", "w1", "w2", "w3")
+    jobs = [f"{0xE000 + number:016x}" for number in range(8)]
+    for number, job_id in enumerate(jobs):
+        accept(site.ledger, work(list(FIELDS_BY_KIND)[number]), job_id=job_id)
+    site.run(20.0)
+    assert started_jobs(site) == set(jobs)
+
+
+# --------------------------------------------------------------------- back-off
+
+
+# Guards against a worker that is kept off for good by rejections that have ended.
+@each_kind
+def test_work_of_each_kind_starts_after_a_series_of_rejections(kind):
+    site = Site()
+    accept(site.ledger, work(kind))
+    site.is_sound, site.fate = False, lambda task, worker_id: REJECTED
+    site.run(5.0)
+    site.become_sound()
+    site.run(5.0)
+
+
+# Guards against a small task behind a larger one that is rejected again and again: it finds the
+# room taken in each pass with a start, and the worker backed off in all others.
+@pytest.mark.parametrize("kind", ["finite", "lasting", "filling finite", "filling lasting"])
+@pytest.mark.parametrize("needs", ["processors", "memory"])
+def test_a_small_task_starts_behind_a_larger_one_that_is_rejected_each_time(kind, needs):
+    site = Site(worker("w0", millicores=4000, memory_mb=1000))
+    large = {"processors": {"millicores": 4000}, "memory": {"memory_mb": 1000}}[needs]
+    accept(site.ledger, step(**large), job_id=SECOND, prefix="/urgent/")
+    site.fate = lambda task, worker_id: REJECTED if task.name.startswith(SECOND) else WORKS
+    accept(site.ledger, work(kind))
+    site._owed = _without_job(site._owed, SECOND)
+    site.run(10.0)
+    assert JOB in started_jobs(site)
+
+
+def _without_job(owed, job_id):
+    """Return the judge's view without a job that the worker has no room for."""
+    return lambda: [key for key in owed() if not key[0].startswith(job_id)]
+
+
+# Guards against a back-off that rejections of many tasks renew for each other.
+def test_a_task_starts_on_a_worker_that_rejects_others_each_time():
+    site = Site(worker("w0", millicores=9000, memory_mb=9000))
+    accept(site.ledger, step(40, lasting=True, millicores=100), job_id=SECOND, prefix="/urgent/")
+    site.fate = lambda task, worker_id: REJECTED if task.name.startswith(SECOND) else WORKS
+    accept(site.ledger, step())
+    site._owed = _without_job(site._owed, SECOND)
+    site.run(10.0)
+    assert JOB in started_jobs(site)
+
+
+# -------------------------------------------------------------------- isolation
+
+
+def labelled_worker(worker_id, memory_mb=9000):
+    return worker(worker_id, millicores=9000, memory_mb=memory_mb, labels=("gpu",))
+
+
+# Guards against suspects of a crash, or other work, that wait for each other on one worker.
+@pytest.mark.parametrize("suspects", [1, 3, 12])
+@pytest.mark.parametrize("lasting", [False, True], ids=["finite", "lasting"])
+def test_suspects_and_other_work_start_on_the_only_worker_with_a_label(suspects, lasting):
+    site = Site(labelled_worker("w0"), *[worker(f"w{n}") for n in range(1, 8)])
+    spec = step(suspects, millicores=100, required_label="gpu", lasting=lasting)
+    accept(site.ledger, spec, job_id=SECOND)
+    site.run_pass()
+    site.crash("w0", [f"{SECOND}.0.0.{index}" for index in range(suspects)])
+    accept(site.ledger, step(3, millicores=100, required_label="gpu", lasting=lasting))
+    site.run(10.0)
+    assert JOB in started_jobs(site)
+
+
+# Guards against a worker that is kept for one suspect after the other, and so for nothing else.
+@pytest.mark.parametrize("kind", ["finite", "lasting", "filling finite", "filling lasting"])
+def test_a_series_of_suspects_does_not_keep_other_work_off_the_only_worker_with_a_label(kind):
+    crashing = [labelled_worker(f"x{number}", memory_mb=100) for number in range(20)]
+    site = Site(labelled_worker("w0"), *crashing)
+    suspects = [f"{SECOND}.0.0.{index}" for index in range(20)]
+    spec = step(20, millicores=100, memory_mb=100, required_label="gpu", lasting=True)
+    accept(site.ledger, spec, job_id=SECOND)
+    for number, task in enumerate(suspects):
+        record_intent(site.ledger, task, 1, (f"x{number}", 1))
+    for number, task in enumerate(suspects):
+        site.crash(f"x{number}", [task], returns=False)
+        site.run_pass()
+        if number == 0:
+            accept(site.ledger, work(kind, required_label="gpu"))
+        site.run_pass()
+    site.run(4.0)
+    assert JOB in started_jobs(site)
+
+
+# Guards against a worker that is kept for one suspect which starts and ends again and again.
+def test_a_suspect_that_ends_again_and_again_does_not_keep_other_work_off():
+    site = Site(labelled_worker("w0"), *[worker(f"w{n}") for n in range(1, 8)])
+    accept(site.ledger, step(lasting=True, required_label="gpu"), job_id=SECOND)
+    site.run_pass()
+    site.crash("w0", [f"{SECOND}.0.0.0"])
+    site.fate = lambda task, worker_id: LAPSES if task.name.startswith(SECOND) else WORKS
+    accept(site.ledger, step(3, lasting=True, required_label="gpu"))
+    site.run(10.0)
+    assert JOB in started_jobs(site)
+
+
+# ------------------------------------------------- best-effort work, kept capacity
+
+
+# Guards against best-effort work that waits for an exclusion to end on all workers.
+@pytest.mark.parametrize("kind", ["filling finite", "filling lasting", "filling gang"])
+def test_best_effort_work_starts_though_its_image_is_excluded_everywhere(kind):
+    site = Site()
+    site.excluded_images = frozenset({"batch"})
+    accept(site.ledger, work(kind))
+    site.run(6.0)
+    assert site.starts
+
+
+# Guards against wide best-effort steps that start one task a pass after most of the time allowed,
+# and against a gang of which one member is planned: an intent that is never valid.
+@pytest.mark.parametrize("kind", ["filling finite", "filling lasting", "filling gang"])
+def test_best_effort_work_starts_beside_serving_runs_that_it_disturbs(kind):
+    site = Site(interference=disturbing())
+    serve_everywhere(site, millicores=1500)
+    accept(site.ledger, work(kind))
+    site.run(8.0)
+    assert site.starts
+
+
+# Guards against the same with several steps and jobs that wait: each of them is owed a start.
+def test_each_of_several_best_effort_jobs_starts_beside_serving_runs_that_it_disturbs():
+    records = [worker(f"w{number}", millicores=9000) for number in range(4)]
+    site = Site(*records, interference=disturbing())
+    serve_everywhere(site, millicores=1000)
+    accept(site.ledger, step(3, **BATCH))
+    accept(site.ledger, step(3, gang=True, **BATCH), job_id=SECOND)
+    accept(site.ledger, step(7, lasting=True, **BATCH), job_id=THIRD)
+    site.run(8.0)
+    assert started_jobs(site) == {JOB, SECOND, THIRD}
+
+
+# Guards against tasks that last and wait for a full service to empty, which it never does.
+def test_each_best_effort_task_that_lasts_starts_however_full_the_service_is():
+    site = Site(interference=disturbing())
+    serve_everywhere(site, millicores=4000)
+    accept(site.ledger, work("filling lasting"))
+    site.run(8.0)
+    assert len(site.starts) == FIELDS_BY_KIND["filling lasting"]["count"]
+
+
+# Guards against a share in use that is taken over the workers with the label, or without those in
+# quarantine, in place of the service: a step that waits for them never counts as starving.
+@pytest.mark.parametrize("held_by", ["label", "quarantine"])
+@pytest.mark.parametrize("gang", [False, True], ids=["single", "gang"])
+def test_best_effort_work_starts_on_busy_workers_of_a_service_under_half_in_use(held_by, gang):
+    idle = [worker(f"w{n}", millicores=9000, memory_mb=500) for n in range(4)]
+    site = Site(labelled_worker("busy"), *idle, interference=disturbing())
+    serving = step(3, lasting=True, target_ms=50, image="sensitive", millicores=3000)
+    accept(site.ledger, serving, job_id=SECOND)
+    for index in range(3):
+        record_intent(site.ledger, f"{SECOND}.0.0.{index}", incarnation=("busy", 1))
+    spec = step(2, required_label="gpu", gang=gang, **(BATCH | {"millicores": 500}))
+    if held_by == "quarantine":
+        site.quarantine(*[f"w{n}" for n in range(4)])
+        spec.required_label = ""
+    accept(site.ledger, spec)
+    site.run(8.0)
+    assert JOB in started_jobs(site)
+
+
+# Guards against work that lasts and waits for good for capacity kept for finite runs.
+@pytest.mark.parametrize("kind", [{}, SERVING, {"gang": True}], ids=["lasting", "serving", "gang"])
+def test_work_that_lasts_starts_in_capacity_kept_for_finite_runs(kind):
+    site = Site(worker(millicores=10_000, memory_mb=9000))
+    accept(site.ledger, step(7, lasting=True))
+    site.run_pass()
+    accept(site.ledger, step(3, **({"lasting": True} | kind)), job_id=SECOND)
+    site.run(6.0)
+    assert len(site.starts) == 10
+
+
+# Guards against jobs without a run while the leader has no time to spare.
+@pytest.mark.parametrize("kind", ["filling finite", "filling lasting", "filling gang"])
+def test_each_best_effort_job_starts_though_no_starts_are_allowed(kind):
+    site = Site()
+    site.best_effort_starts = 0
+    jobs = (JOB, SECOND, THIRD)
+    for job_id in jobs:
+        accept(site.ledger, work(kind), job_id=job_id)
+    site.run(6.0)
+    assert started_jobs(site) == set(jobs)
+
+
+# ----------------------------------------------------- new leaders and snapshots
+
+
+def hold_by_quarantine(site):
+    site.quarantine("w0", "w1", "w2", "w3")
+
+
+def hold_by_exclusion(site):
+    site.excluded_images = frozenset({"batch"})
+
+
+def hold_by_interference(site):
+    site.interference.add_sample("sensitive", 0.9, {"batch": 3.0}, 0.0)
+    serve_everywhere(site, millicores=500)
+
+
+each_hold = pytest.mark.parametrize(
+    "hold", [hold_by_quarantine, hold_by_exclusion, hold_by_interference]
+)
+
+
+# Guards against a wait that starts anew with a snapshot.
+@each_hold
+@pytest.mark.parametrize("kind", ["finite", "filling lasting", "filling gang", "gang"])
+def test_a_wait_is_bounded_through_snapshots(kind, hold):
+    site = Site()
+    hold(site)
+    accept(site.ledger, work(kind))
+    for _ in range(20):
+        site.run_pass()
+        site.restore_snapshot()
+    assert site.starts
+
+
+# Guards against a new leader that takes longer than one that knows how long work has waited.
+@each_hold
+@pytest.mark.parametrize("kind", ["finite", "filling lasting", "filling gang", "gang"])
+def test_a_wait_is_bounded_from_the_first_pass_of_a_new_leader(kind, hold):
+    site = Site()
+    hold(site)
+    accept(site.ledger, work(kind))
+    site.run(1.5)
+    site.change_leader()
+    hold(site)
+    site.restore_snapshot()
+    site.run(8.0)
+    assert site.starts
+
+
+# ------------------------------------------------ what quarantine is still good for
+
+
+# Guards against a quarantine that keeps nothing off: a sound worker may run all of it.
+@each_kind
+def test_quarantined_workers_get_no_start_while_another_may_run_the_work(kind):
+    site = Site(*[worker(f"w{n}", millicores=9000, memory_mb=9000) for n in range(6)])
+    site.quarantine("w0", "w1")
+    accept(site.ledger, work(kind))
+    site.run(8.0)
+    assert site.starts
+    assert not {worker_id for _, _, worker_id in site.starts} & {"w0", "w1"}
+
+
+# Guards against a broken worker that takes all finite work in the first pass as a last resort.
+def test_a_quarantined_worker_is_tried_with_one_finite_run_a_pass():
+    site = Site(worker(millicores=9000, memory_mb=9000))
+    site.quarantine("w1")
+    site.is_sound, site.fate = False, lambda task, worker_id: FAILS
+    for number in range(6):
+        accept(site.ledger, step(5), job_id=f"{0xE000 + number:016x}")
+    site.run(10.0)
+    tries_by_pass = Counter(at for at, _, _ in site.starts)
+    assert tries_by_pass and max(tries_by_pass.values()) == 1
+
+
+# Guards against the attempts of a finite job that are all spent on a fleet that is broken.
+@pytest.mark.parametrize("count", [1, 4])
+def test_a_finite_job_is_tried_on_quarantined_workers_at_most_each_two_seconds(count):
+    site = Site()
+    site.quarantine("w0", "w1", "w2", "w3")
+    site.is_sound, site.fate = False, lambda task, worker_id: FAILS
+    accept(site.ledger, step(count))
+    site.run(15.0)
+    tries = [at for at, _, _ in site.starts]
+    # Not from the end of the quarantine on, when its probes fail.
+    assert len(tries) >= 15.0 / MAX_START_SECONDS - 1
+    gaps = [later - earlier for earlier, later in zip(tries, tries[1:], strict=False)]
+    assert min(gaps) >= LAST_RESORT_SECONDS
+    assert max(gaps) <= MAX_START_SECONDS
+
+
+# Guards against one task of a step whose attempts are spent first, which fails the whole job.
+def test_the_task_with_the_fewest_failures_is_tried_as_a_last_resort():
+    site = Site()
+    site.quarantine("w0", "w1", "w2", "w3")
+    site.is_sound, site.fate = False, lambda task, worker_id: FAILS
+    accept(site.ledger, step(3))
+    site.run(15.0)
+    failures = [task.failures for task in site.ledger.job_by_id[JOB].tasks()]
+    assert sum(failures) >= 3
+    assert max(failures) - min(failures) <= 1
