--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -85,6 +85,10 @@
         self.now = 100.0
         self.excluded_images = frozenset()
         self.best_effort_starts = math.inf
+        self.pass_seconds = PASS_SECONDS
+        self.unresponsive = set()
+        """The ids of workers that do not answer."""
+
         self.fate = lambda task, worker_id: WORKS
         self.is_sound = True
         """Whether waits are judged: starts that fail are no fault of placement."""
@@ -128,7 +132,7 @@
         """Plan once, start what was planned, and return the planned starts of this pass."""
         self._note_waits(set())
         views = [
-            WorkerView(w, True, {}, excluded_images=self.excluded_images)
+            WorkerView(w, self._is_responsive(w), {}, excluded_images=self.excluded_images)
             for w in self.ledger.worker_by_incarnation.values()
             if not w.has_ended
         ]
@@ -148,7 +152,7 @@
         self._note_waits({task for task, _ in started})
         late = [key for key, since in self._waiting_since.items() if self._is_late(since)]
         assert not late, f"wait for over {MAX_START_SECONDS} s at {self.now}: {late}"
-        self.now += PASS_SECONDS
+        self.now += self.pass_seconds
         self._end_runs()
         return started
 
@@ -189,17 +193,21 @@
             for run, key in list(member.incarnation_by_run.items()):
                 settle_run(self.ledger, member.name, RunOutcome.ALONE, run, key)
 
-    def crash(self, worker_id, tasks, returns=True):
-        """Crash a worker on the starts of tasks that run there."""
+    def crash(self, worker_id, returns=True):
+        """Crash a worker on the starts of all that runs there."""
         life = self.life_of(worker_id)
-        worked = [RunAge(name, self.ledger.find_task(name).runs, 0) for name in tasks]
+        tracked = self.ledger.worker_by_incarnation[worker_id, life.born_ms]
+        tasks = list(tracked.task_by_run.values())
+        worked = [RunAge(task, run, 0) for task, run in tracked.task_by_run]
         self.ledger.end_incarnations([life], [], None, True, worked)
+        for task in tasks:
+            if task.step.spec.gang:
+                self._end_gang(task.step)
         if returns:
-            record = self.ledger.worker_by_incarnation[worker_id, life.born_ms].record
-            self.ledger.upsert_worker(
-                worker(worker_id, life.born_ms + 1, record.millicores, record.memory_mb,
-                       labels=record.labels)
-            )  # fmt: skip
+            record = worker(worker_id, life.born_ms + 1)
+            for name in ("millicores", "memory_mb", "accelerators", "labels"):
+                setattr(record, name, getattr(tracked.record, name))
+            self.ledger.upsert_worker(record)
 
     def life_of(self, worker_id):
         """Return the newest incarnation of a worker."""
@@ -261,8 +269,16 @@
             slots.append((record.accelerators - used.accelerators) // spec.accelerators)
         return max(0, min(slots))
 
+    def _is_responsive(self, tracked):
+        return tracked.key[0] not in self.unresponsive
+
     def _workers(self):
-        return [w for w in self.ledger.worker_by_incarnation.values() if w.is_schedulable]
+        """Return the workers on which work can be started."""
+        return [
+            w
+            for w in self.ledger.worker_by_incarnation.values()
+            if w.is_schedulable and self._is_responsive(w)
+        ]
 
     def _is_half_used(self):
         workers = [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
@@ -463,7 +479,7 @@
     spec = step(suspects, millicores=100, required_label="gpu", lasting=lasting)
     accept(site.ledger, spec, job_id=SECOND)
     site.run_pass()
-    site.crash("w0", [f"{SECOND}.0.0.{index}" for index in range(suspects)])
+    site.crash("w0")
     accept(site.ledger, step(3, millicores=100, required_label="gpu", lasting=lasting))
     site.run(10.0)
     assert JOB in started_jobs(site)
@@ -474,13 +490,12 @@
 def test_a_series_of_suspects_does_not_keep_other_work_off_the_only_worker_with_a_label(kind):
     crashing = [labelled_worker(f"x{number}", memory_mb=100) for number in range(20)]
     site = Site(labelled_worker("w0"), *crashing)
-    suspects = [f"{SECOND}.0.0.{index}" for index in range(20)]
     spec = step(20, millicores=100, memory_mb=100, required_label="gpu", lasting=True)
     accept(site.ledger, spec, job_id=SECOND)
-    for number, task in enumerate(suspects):
-        record_intent(site.ledger, task, 1, (f"x{number}", 1))
-    for number, task in enumerate(suspects):
-        site.crash(f"x{number}", [task], returns=False)
+    for number in range(20):
+        record_intent(site.ledger, f"{SECOND}.0.0.{number}", 1, (f"x{number}", 1))
+    for number in range(20):
+        site.crash(f"x{number}", returns=False)
         site.run_pass()
         if number == 0:
             accept(site.ledger, work(kind, required_label="gpu"))
@@ -494,7 +509,7 @@
     site = Site(labelled_worker("w0"), *[worker(f"w{n}") for n in range(1, 8)])
     accept(site.ledger, step(lasting=True, required_label="gpu"), job_id=SECOND)
     site.run_pass()
-    site.crash("w0", [f"{SECOND}.0.0.0"])
+    site.crash("w0")
     site.fate = lambda task, worker_id: LAPSES if task.name.startswith(SECOND) else WORKS
     accept(site.ledger, step(3, lasting=True, required_label="gpu"))
     site.run(10.0)
@@ -546,9 +561,9 @@
     assert len(site.starts) == FIELDS_BY_KIND["filling lasting"]["count"]
 
 
-# Guards against a share in use that is taken over the workers with the label, or without those in
-# quarantine, in place of the service: a step that waits for them never counts as starving.
-@pytest.mark.parametrize("held_by", ["label", "quarantine"])
+# Guards against a share in use that is taken over the workers with the label, or without those that
+# are quarantined or silent, in place of the service: a step beside them never counts as starving.
+@pytest.mark.parametrize("held_by", ["label", "quarantine", "silence"])
 @pytest.mark.parametrize("gang", [False, True], ids=["single", "gang"])
 def test_best_effort_work_starts_on_busy_workers_of_a_service_under_half_in_use(held_by, gang):
     idle = [worker(f"w{n}", millicores=9000, memory_mb=500) for n in range(4)]
@@ -558,9 +573,12 @@
     for index in range(3):
         record_intent(site.ledger, f"{SECOND}.0.0.{index}", incarnation=("busy", 1))
     spec = step(2, required_label="gpu", gang=gang, **(BATCH | {"millicores": 500}))
+    if held_by != "label":
+        spec.required_label = ""
     if held_by == "quarantine":
         site.quarantine(*[f"w{n}" for n in range(4)])
-        spec.required_label = ""
+    if held_by == "silence":
+        site.unresponsive = {f"w{n}" for n in range(4)}
     accept(site.ledger, spec)
     site.run(8.0)
     assert JOB in started_jobs(site)
