--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -3,11 +3,15 @@
 import math
 from collections import Counter
 
+import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.registry import registry_decorator
 from savoryshelf.tasks import snapshot
 from savoryshelf.wire.generated.ttypes import RunAge, RunOutcome, WorkerLife
 
@@ -300,10 +304,10 @@
         record_intent(site.ledger, f"{0xD000 + number:016x}.0.0.0", incarnation=tracked.key)
 
 
-def disturbing():
-    """Return a model in which the image "batch" slows the image "sensitive"."""
+def disturbing(image="sensitive"):
+    """Return a model in which the image "batch" slows a serving image."""
     interference = InterferenceModel()
-    interference.add_sample("sensitive", 0.9, {"batch": 3.0}, 0.0)
+    interference.add_sample(image, 0.9, {"batch": 3.0}, 0.0)
     return interference
 
 
@@ -584,6 +588,32 @@
     assert JOB in started_jobs(site)
 
 
+# Guards against a task that lasts and is taken to fit nowhere, since a finite one of the same size
+# keeps waiting while the service is busy.
+def test_a_best_effort_task_that_lasts_starts_while_a_finite_one_keeps_waiting():
+    site = Site(worker(), interference=disturbing())
+    serve_everywhere(site, millicores=4000)
+    accept(site.ledger, step(**BATCH), prefix="/urgent/")
+    accept(site.ledger, step(lasting=True, **BATCH), job_id=SECOND)
+    site.run(8.0)
+    assert started_jobs(site) == {SECOND}
+
+
+# Guards against a task that is taken to fit nowhere, since a gang of tasks like it does not.
+@pytest.mark.parametrize("kind", ["finite", "lasting", "filling finite", "filling lasting"])
+@pytest.mark.parametrize("is_quarantined", [False, True], ids=["sound", "quarantined"])
+def test_work_starts_beside_a_gang_that_never_fits(kind, is_quarantined):
+    site = Site(interference=disturbing())
+    serve_everywhere(site, millicores=500)
+    if is_quarantined:
+        site.quarantine("w0", "w1", "w2", "w3")
+    like = FIELDS_BY_KIND[kind] | {"count": 400, "gang": True}
+    accept(site.ledger, step(**like), job_id=SECOND, prefix="/urgent/")
+    accept(site.ledger, work(kind))
+    site.run(8.0)
+    assert started_jobs(site) == {JOB}
+
+
 # Guards against work that lasts and waits for good for capacity kept for finite runs.
 @pytest.mark.parametrize("kind", [{}, SERVING, {"gang": True}], ids=["lasting", "serving", "gang"])
 def test_work_that_lasts_starts_in_capacity_kept_for_finite_runs(kind):
@@ -708,3 +738,133 @@
     failures = [task.failures for task in site.ledger.job_by_id[JOB].tasks()]
     assert sum(failures) >= 3
     assert max(failures) - min(failures) <= 1
+
+
+# ------------------------------------------------------------------- combinations
+
+SETTLE_SECONDS = 5.0
+"""How long waits are judged in each example, after all that is impaired is sound again."""
+
+SEGMENT_PASSES = 4
+
+kinds_of_work = st.builds(
+    lambda kind, count, **fields: work(kind, count=count, **fields),
+    st.sampled_from(sorted(FIELDS_BY_KIND)),
+    st.sampled_from([1, 2, 7]),
+    required_label=st.sampled_from(["", "", "gpu"]),
+    millicores=st.sampled_from([500, 1000, 4000]),
+    memory_mb=st.sampled_from([20, 100, 400]),
+)
+
+
+@attrs.frozen
+class Arrival:
+    """A job and the pass before which it is accepted."""
+
+    pass_number: int
+    steps: list
+    is_urgent: bool
+
+
+arrivals = st.builds(
+    Arrival,
+    st.integers(0, 20),
+    st.lists(kinds_of_work, min_size=1, max_size=2),
+    st.booleans(),
+)
+
+worker_records = st.builds(
+    lambda millicores, labels: (millicores, labels),
+    st.sampled_from([4000, 9000]),
+    st.sampled_from([("a",), ("a", "gpu")]),
+)
+
+# What becomes of all starts on each of four workers in one second.
+segments = st.lists(
+    st.lists(st.sampled_from([WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES]), min_size=4, max_size=4),
+    max_size=8,
+)
+
+EVENT_BY_NAME = {}
+_event = registry_decorator(EVENT_BY_NAME)
+"""Registers what may happen to a site before a pass, with the number of a worker."""
+
+
+@_event("crash")
+def _crash(site, worker_id):
+    site.crash(worker_id)
+
+
+@_event("silence")
+def _silence(site, worker_id):
+    site.unresponsive ^= {worker_id}
+
+
+@_event("quarantine")
+def _quarantine(site, worker_id):
+    site.quarantine(worker_id)
+
+
+@_event("exclusion")
+def _exclude(site, worker_id):
+    site.excluded_images = frozenset({"batch"}) - site.excluded_images
+
+
+@_event("busy leader")
+def _limit_starts(site, worker_id):
+    site.best_effort_starts = 0 if site.best_effort_starts else math.inf
+
+
+@_event("snapshot")
+def _restore(site, worker_id):
+    site.restore_snapshot()
+
+
+@_event("new leader")
+def _change_leader(site, worker_id):
+    site.change_leader()
+
+
+events = st.lists(
+    st.tuples(st.integers(0, 40), st.sampled_from(sorted(EVENT_BY_NAME)), st.integers(0, 3)),
+    max_size=8,
+)
+
+
+@settings(max_examples=100)
+@given(
+    st.lists(worker_records, min_size=1, max_size=4),
+    st.lists(arrivals, min_size=1, max_size=4),
+    segments,
+    events,
+    st.booleans(),
+    st.sampled_from([PASS_SECONDS, PASS_SECONDS / 4]),
+)
+def test_whatever_held_work_back_it_starts_in_time(
+    fleet, jobs, fates, events, is_disturbing, pass_seconds
+):
+    """Guards against preferences that together hold work back for longer than each of them."""
+    records = [
+        worker(f"w{n}", millicores=millicores, labels=labels)
+        for n, (millicores, labels) in enumerate(fleet)
+    ]
+    site = Site(*records, interference=disturbing("shop") if is_disturbing else None)
+    site.pass_seconds = pass_seconds
+    impaired_passes = SEGMENT_PASSES * len(fates)
+    site.is_sound = not impaired_passes
+    for number in range(impaired_passes + round(SETTLE_SECONDS / pass_seconds)):
+        for position, job in enumerate(jobs):
+            if job.pass_number == number:
+                prefix = "/urgent/" if job.is_urgent else "/quotes/"
+                accept(site.ledger, *job.steps, job_id=f"{0xE000 + position:016x}", prefix=prefix)
+        if number < impaired_passes:
+            fate_by_worker = fates[number // SEGMENT_PASSES]
+            site.fate = lambda task, worker_id, fates=fate_by_worker: fates[int(worker_id[1:])]
+        elif number == impaired_passes:
+            site.become_sound()
+        for pass_number, name, worker_number in events:
+            is_impairing = name in ("crash", "silence", "quarantine")
+            if pass_number != number or (is_impairing and number >= impaired_passes):
+                continue
+            EVENT_BY_NAME[name](site, f"w{worker_number % len(fleet)}")
+        site.run_pass()
