--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -10,7 +10,7 @@
 
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
-from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.dispatch.placement import Placement, WorkerView, _Candidate
 from savoryshelf.registry import registry_decorator
 from savoryshelf.tasks import snapshot
 from savoryshelf.wire.generated.ttypes import RunAge, RunOutcome, WorkerLife
@@ -441,10 +441,11 @@
 # room taken in each pass with a start, and the worker backed off in all others.
 @pytest.mark.parametrize("kind", ["finite", "lasting", "filling finite", "filling lasting"])
 @pytest.mark.parametrize("needs", ["processors", "memory"])
-def test_a_small_task_starts_behind_a_larger_one_that_is_rejected_each_time(kind, needs):
+@pytest.mark.parametrize("lasting", [False, True], ids=["finite large", "lasting large"])
+def test_a_small_task_starts_behind_a_larger_one_that_is_rejected_each_time(kind, needs, lasting):
     site = Site(worker("w0", millicores=4000, memory_mb=1000))
     large = {"processors": {"millicores": 4000}, "memory": {"memory_mb": 1000}}[needs]
-    accept(site.ledger, step(**large), job_id=SECOND, prefix="/urgent/")
+    accept(site.ledger, step(lasting=lasting, **large), job_id=SECOND, prefix="/urgent/")
     site.fate = lambda task, worker_id: REJECTED if task.name.startswith(SECOND) else WORKS
     accept(site.ledger, work(kind))
     site._owed = _without_job(site._owed, SECOND)
@@ -713,12 +714,19 @@
 
 
 # Guards against the attempts of a finite job that are all spent on a fleet that is broken.
-@pytest.mark.parametrize("count", [1, 4])
-def test_a_finite_job_is_tried_on_quarantined_workers_at_most_each_two_seconds(count):
+# A task that lasts has no limit of attempts, but starting it again and again at once helps nobody.
+@pytest.mark.parametrize(
+    "steps",
+    [[step(1)], [step(4)], [step(1), step(1)], [step(1, lasting=True)]],
+    ids=["one task", "wide step", "two steps", "lasting"],
+)
+@pytest.mark.parametrize("passes_a_second", [4, 32])
+def test_a_job_is_tried_on_quarantined_workers_at_most_each_two_seconds(steps, passes_a_second):
     site = Site()
+    site.pass_seconds = 1 / passes_a_second
     site.quarantine("w0", "w1", "w2", "w3")
     site.is_sound, site.fate = False, lambda task, worker_id: FAILS
-    accept(site.ledger, step(count))
+    accept(site.ledger, *steps)
     site.run(15.0)
     tries = [at for at, _, _ in site.starts]
     # Not from the end of the quarantine on, when its probes fail.
@@ -740,6 +748,29 @@
     assert max(failures) - min(failures) <= 1
 
 
+def looks_at_workers(width, kind, monkeypatch):
+    """Return how often a worker is looked at until a step on 50 quarantined ones has started."""
+    names = [f"w{number}" for number in range(50)]
+    site = Site(*[worker(name, memory_mb=9000) for name in names], interference=disturbing())
+    serve_everywhere(site, millicores=500)
+    site.quarantine(*names)
+    accept(site.ledger, work(kind, count=width, memory_mb=20))
+    calls, fits = [], _Candidate.fits
+    with monkeypatch.context() as patch:
+        patch.setattr(_Candidate, "fits", lambda *args: calls.append(1) or fits(*args))
+        site.run(MAX_START_SECONDS)
+    assert len(site.starts) == width
+    return len(calls)
+
+
+# Guards against a leader that is busy for a second with one pass: a wide step that is overdue was
+# compared with all workers for each of its tasks.
+@pytest.mark.parametrize("kind", ["lasting", "filling lasting", "gang", "filling gang"])
+def test_a_wide_step_that_is_overdue_is_compared_with_each_worker_once(kind, monkeypatch):
+    # Each run planned changes what one worker of the 50 can take.
+    assert looks_at_workers(40, kind, monkeypatch) < 2 * looks_at_workers(1, kind, monkeypatch)
+
+
 # ------------------------------------------------------------------- combinations
 
 SETTLE_SECONDS = 5.0
