Tests of bounded waits: scheduled occurrences

The judge counts from the time at which an occurrence is due; the property draws jobs with repetitions.

--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -104,6 +104,11 @@
         self._fate_by_run = {}
         self.change_leader()
 
+    @property
+    def wall_ms(self):
+        """Return the time of the wall clock, in ms."""
+        return int(1000 * self.now)
+
     def change_leader(self):
         """Start a term of another leader, which knows the ledger alone."""
         self.placement, self.health = Placement(self.interference), FleetHealth()
@@ -141,8 +146,7 @@
             if not w.has_ended
         ]
         intents = self.placement.plan(
-            self.ledger, views, int(1000 * self.now), self.health, self.now,
-            self.best_effort_starts,
+            self.ledger, views, self.wall_ms, self.health, self.now, self.best_effort_starts,
         )  # fmt: skip
         self._check_gangs(intents)
         assert self.ledger.record_intents(intents) == intents, "a planned start is invalid"
@@ -234,6 +238,8 @@
         owed = []
         for group in self.ledger.startable_group_by_key.values():
             spec, job = group.spec, group.job
+            if job.due_ms(group.occurrence) > self.wall_ms:
+                continue
             if spec.gang and len(group.startable_indexes) < len(group.tasks):
                 continue
             need = len(group.tasks) if spec.gang else 1
@@ -687,6 +693,19 @@
     assert site.starts
 
 
+# Guards against an occurrence that waits longer after it is due than the users allow.
+@each_hold
+@pytest.mark.parametrize("kind", FIELDS_BY_KIND)
+def test_a_wait_is_bounded_from_the_time_at_which_an_occurrence_is_due(kind, hold):
+    site = Site(*[worker(f"w{number}", millicores=9000) for number in range(4)])
+    due_at = site.now + 5.0
+    accept(site.ledger, work(kind), repetitions=3, first_run_ms=int(1000 * due_at))
+    for _ in range(2):
+        site.run(4.0)
+        hold(site)
+    assert min(at for at, _, _ in site.starts) >= due_at
+
+
 # ------------------------------------------------ what quarantine is still good for
 
 
@@ -713,6 +732,20 @@
     assert tries_by_pass and max(tries_by_pass.values()) == 1
 
 
+# Guards against preferences that are ignored for scheduled work: the time until it was due counted
+# as a wait.
+@each_hold
+@pytest.mark.parametrize("kind", ["filling finite", "filling lasting", "filling gang"])
+def test_the_time_before_an_occurrence_is_due_is_no_wait(kind, hold):
+    site = Site(*[worker(f"w{number}", millicores=9000) for number in range(4)])
+    hold(site)
+    due_at = site.now + 6.0
+    accept(site.ledger, work(kind), repetitions=1, first_run_ms=int(1000 * due_at))
+    site.run(10.0)
+    first_start = min(at for at, _, _ in site.starts)
+    assert due_at < first_start < due_at + MAX_START_SECONDS
+
+
 # Guards against the attempts of a finite job that are all spent on a fleet that is broken.
 # A task that lasts has no limit of attempts, but starting it again and again at once helps nobody.
 @pytest.mark.parametrize(
@@ -795,6 +828,7 @@
     pass_number: int
     steps: list
     is_urgent: bool
+    repetitions: int
 
 
 arrivals = st.builds(
@@ -802,6 +836,7 @@
     st.integers(0, 20),
     st.lists(kinds_of_work, min_size=1, max_size=2),
     st.booleans(),
+    st.sampled_from([0, 0, 2]),
 )
 
 worker_records = st.builds(
@@ -887,7 +922,11 @@
         for position, job in enumerate(jobs):
             if job.pass_number == number:
                 prefix = "/urgent/" if job.is_urgent else "/quotes/"
-                accept(site.ledger, *job.steps, job_id=f"{0xE000 + position:016x}", prefix=prefix)
+                job_id = f"{0xE000 + position:016x}"
+                accept(
+                    site.ledger, *job.steps, job_id=job_id, prefix=prefix,
+                    repetitions=job.repetitions, first_run_ms=site.wall_ms + 2000,
+                )  # fmt: skip
         if number < impaired_passes:
             fate_by_worker = fates[number // SEGMENT_PASSES]
             site.fate = lambda task, worker_id, fates=fate_by_worker: fates[int(worker_id[1:])]
--- a/tests/tasks/builders.py
+++ b/tests/tasks/builders.py
@@ -64,8 +64,8 @@
     return task_ledger
 
 
-def accept(task_ledger, *steps, job_id=JOB, prefix="/quotes/", repetitions=0):
-    spec = JobSpec("work", list(steps), repetitions, 0, 1000)
+def accept(task_ledger, *steps, job_id=JOB, prefix="/quotes/", repetitions=0, first_run_ms=0):
+    spec = JobSpec("work", list(steps), repetitions, first_run_ms, 1000)
     return task_ledger.accept(AcceptTasks(job_id, HOST, prefix + job_id, spec))
 
 
