--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -97,6 +97,9 @@
         self.is_sound = True
         """Whether waits are judged: starts that fail are no fault of placement."""
 
+        self.unjudged_jobs = set()
+        """Jobs whose starts never work: they are owed none."""
+
         self.starts = []
         """When, which task and on which worker, of each start that was planned."""
 
@@ -125,8 +128,7 @@
                 self.health.record_outcome(worker_id, False, self.now - seconds_ago)
 
     def become_sound(self):
-        """Let all starts work from now on, and judge the waits from now on."""
-        self.fate = lambda task, worker_id: WORKS
+        """Judge the waits from now on, since starts work from now on."""
         self.is_sound = True
         self._waiting_since.clear()
         self._note_waits(set())
@@ -238,7 +240,7 @@
         owed = []
         for group in self.ledger.startable_group_by_key.values():
             spec, job = group.spec, group.job
-            if job.due_ms(group.occurrence) > self.wall_ms:
+            if job.job_id in self.unjudged_jobs or job.due_ms(group.occurrence) > self.wall_ms:
                 continue
             if spec.gang and len(group.startable_indexes) < len(group.tasks):
                 continue
@@ -392,6 +394,7 @@
     accept(site.ledger, work(kind))
     site.is_sound, site.fate = False, lambda task, worker_id: fate
     site.run(18.0)
+    site.fate = lambda task, worker_id: WORKS
     site.become_sound()
     site.run(20.0)
 
@@ -439,6 +442,7 @@
     accept(site.ledger, work(kind))
     site.is_sound, site.fate = False, lambda task, worker_id: REJECTED
     site.run(5.0)
+    site.fate = lambda task, worker_id: WORKS
     site.become_sound()
     site.run(5.0)
 
@@ -454,23 +458,18 @@
     accept(site.ledger, step(lasting=lasting, **large), job_id=SECOND, prefix="/urgent/")
     site.fate = lambda task, worker_id: REJECTED if task.name.startswith(SECOND) else WORKS
     accept(site.ledger, work(kind))
-    site._owed = _without_job(site._owed, SECOND)
+    site.unjudged_jobs = {SECOND}
     site.run(10.0)
     assert JOB in started_jobs(site)
 
 
-def _without_job(owed, job_id):
-    """Return the judge's view without a job that the worker has no room for."""
-    return lambda: [key for key in owed() if not key[0].startswith(job_id)]
-
-
 # Guards against a back-off that rejections of many tasks renew for each other.
 def test_a_task_starts_on_a_worker_that_rejects_others_each_time():
     site = Site(worker("w0", millicores=9000, memory_mb=9000))
     accept(site.ledger, step(40, lasting=True, millicores=100), job_id=SECOND, prefix="/urgent/")
     site.fate = lambda task, worker_id: REJECTED if task.name.startswith(SECOND) else WORKS
     accept(site.ledger, step())
-    site._owed = _without_job(site._owed, SECOND)
+    site.unjudged_jobs = {SECOND}
     site.run(10.0)
     assert JOB in started_jobs(site)
 
@@ -829,6 +828,8 @@
     steps: list
     is_urgent: bool
     repetitions: int
+    fate: str
+    """What becomes of its starts where others would work: most jobs work."""
 
 
 arrivals = st.builds(
@@ -837,6 +838,7 @@
     st.lists(kinds_of_work, min_size=1, max_size=2),
     st.booleans(),
     st.sampled_from([0, 0, 2]),
+    st.sampled_from([WORKS, WORKS, WORKS, FAILS, REJECTED, LAPSES]),
 )
 
 worker_records = st.builds(
@@ -900,7 +902,7 @@
 @settings(max_examples=100)
 @given(
     st.lists(worker_records, min_size=1, max_size=4),
-    st.lists(arrivals, min_size=1, max_size=4),
+    st.lists(arrivals, min_size=1, max_size=5),
     segments,
     events,
     st.booleans(),
@@ -916,25 +918,34 @@
     ]
     site = Site(*records, interference=disturbing("shop") if is_disturbing else None)
     site.pass_seconds = pass_seconds
-    impaired_passes = SEGMENT_PASSES * len(fates)
+    job_by_id = {f"{0xE000 + position:016x}": job for position, job in enumerate(jobs)}
+    site.unjudged_jobs = {job_id for job_id, job in job_by_id.items() if job.fate != WORKS}
+    fates = fates + [[WORKS] * 4]
+    site.fate = lambda task, worker_id: fate_of(job_by_id[task.step.job.job_id], worker_id)
+    impaired_passes = SEGMENT_PASSES * (len(fates) - 1)
     site.is_sound = not impaired_passes
+
+    def fate_of(job, worker_id):
+        """Return what becomes of a start: a worker that works leaves it to the job."""
+        segment = min(number // SEGMENT_PASSES, len(fates) - 1)
+        fate = fates[segment][int(worker_id[1:])]
+        return job.fate if fate == WORKS else fate
+
     for number in range(impaired_passes + round(SETTLE_SECONDS / pass_seconds)):
-        for position, job in enumerate(jobs):
+        for job_id, job in job_by_id.items():
             if job.pass_number == number:
-                prefix = "/urgent/" if job.is_urgent else "/quotes/"
-                job_id = f"{0xE000 + position:016x}"
                 accept(
-                    site.ledger, *job.steps, job_id=job_id, prefix=prefix,
-                    repetitions=job.repetitions, first_run_ms=site.wall_ms + 2000,
-                )  # fmt: skip
-        if number < impaired_passes:
-            fate_by_worker = fates[number // SEGMENT_PASSES]
-            site.fate = lambda task, worker_id, fates=fate_by_worker: fates[int(worker_id[1:])]
-        elif number == impaired_passes:
+                    site.ledger,
+                    *job.steps,
+                    job_id=job_id,
+                    prefix="/urgent/" if job.is_urgent else "/quotes/",
+                    repetitions=job.repetitions,
+                    first_run_ms=site.wall_ms + 2000,
+                )
+        if number and number == impaired_passes:
             site.become_sound()
         for pass_number, name, worker_number in events:
             is_impairing = name in ("crash", "silence", "quarantine")
-            if pass_number != number or (is_impairing and number >= impaired_passes):
-                continue
-            EVENT_BY_NAME[name](site, f"w{worker_number % len(fleet)}")
+            if pass_number == number and not (is_impairing and number >= impaired_passes):
+                EVENT_BY_NAME[name](site, f"w{worker_number % len(fleet)}")
         site.run_pass()
