Overdue work: the whole service decides whether it is busy, and a gang rejects only itself

Callers would see finite best-effort work wait for good on busy workers of a service that is mostly idle: the share in use was taken over the workers with the label that answer. It is the service's now, silent workers and the runs planned in the same pass included. A gang that fits nowhere, or a finite step that keeps waiting since the service is busy, no longer stands for smaller work of its kind in the same pass.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -158,11 +158,7 @@
         self.serving_run_count_by_image = worker.serving_run_count_by_image
         self.best_effort_millicores_by_image = worker.best_effort_millicores_by_image
         self.long_running_millicores += worker.long_running_millicores
-        self.expected_millicores += (
-            worker.used.millicores
-            + worker.best_effort_millicores
-            - (1.0 - SERVING_RESERVATION_USE) * worker.serving_millicores
-        )
+        self.expected_millicores += _expected_use(worker)
 
     def copy(self) -> "_Candidate":
         """Return an independent copy, for placing several runs all together or not at all."""
@@ -267,6 +263,14 @@
     _rejected_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps of which no candidate may run one more task."""
 
+    _avoided: list[_Candidate] | None = None
+
+    def avoided_candidates(self) -> list[_Candidate]:
+        """Return the candidates on which only overdue work is placed."""
+        if self._avoided is None:
+            self._avoided = [c for c in self.candidates if c.is_avoided]
+        return self._avoided
+
     def is_exhausted_for(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one has been rejected.
 
@@ -314,6 +318,29 @@
         return pool
 
 
+class _ServiceUsage:
+    """How much of each service is in use in one pass, that of silent workers included."""
+
+    def __init__(self, candidates: list[_Candidate], views: list[WorkerView]):
+        self._candidates = candidates
+        placeable = {candidate.view.incarnation for candidate in candidates}
+        self._others = [view.worker for view in views if view.incarnation not in placeable]
+
+    def is_busy(self, service_name: str) -> bool:
+        """Return whether ``BUSY_SHARE`` of the service is in use, with what this pass planned."""
+        total_millicores = expected_use = 0.0
+        for candidate in self._candidates:
+            record = candidate.view.worker.record
+            if record.service_name == service_name:
+                total_millicores += record.millicores
+                expected_use += candidate.expected_millicores
+        for worker in self._others:
+            if worker.record.service_name == service_name:
+                total_millicores += worker.record.millicores
+                expected_use += _expected_use(worker)
+        return expected_use >= BUSY_SHARE * total_millicores
+
+
 class _Ranking:
     """The candidates for the tasks of one step, by score.
 
@@ -402,6 +429,15 @@
         return task.failed_on == record.life.worker_id
 
 
+def _expected_use(worker: Worker) -> float:
+    """Return the millicores that the runs on a worker usually use."""
+    return (
+        worker.used.millicores
+        + worker.best_effort_millicores
+        - (1.0 - SERVING_RESERVATION_USE) * worker.serving_millicores
+    )
+
+
 def _expected_millicores(step: StepSpec) -> float:
     return step.millicores * (SERVING_RESERVATION_USE if step.target_ms else 1.0)
 
@@ -452,6 +488,7 @@
         for candidate in preferred:
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
+        usage = _ServiceUsage(candidates, views)
         groups = ledger.startable_group_by_key.values()
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
             if group.job.due_ms(group.occurrence) > wall_ms:
@@ -464,7 +501,7 @@
                 limit = max(best_effort_starts, 0 if _has_run(group) else 1)
             planned = self._plan_group(group, pool, limit) if limit else []
             if group.spec.lasting or not planned:
-                planned += self._plan_overdue(group, all_pools.pool_of(group), planned, now)
+                planned += self._plan_overdue(group, all_pools.pool_of(group), planned, usage, now)
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
             intents += planned
@@ -568,11 +605,16 @@
         )
 
     def _plan_overdue(
-        self, group: StepGroup, pool: _Pool, planned: list[RunIntent], now: float
+        self,
+        group: StepGroup,
+        pool: _Pool,
+        planned: list[RunIntent],
+        usage: "_ServiceUsage",
+        now: float,
     ) -> list[RunIntent]:
         """Place overdue tasks on any worker that has the room, a gang whole or not at all.
 
-        Avoided workers come last; of those, the one that has not failed for longest comes first.
+        ``planned`` holds the runs of the step that were placed already in this pass.
         """
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
@@ -580,11 +622,17 @@
         step = group.spec
         if not tasks or pool.is_exhausted_for(step):
             return []
-        may_interfere = step.lasting or not _is_busy(pool.candidates)
+        may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         run_counts = _run_count_by_incarnation(group)
         for intent in planned:
             run_counts[intent.life.worker_id, intent.life.born_ms] += 1
-        eligible = [c.copy() for c in pool.candidates] if step.gang else pool.candidates
+        if step.gang:
+            eligible = [candidate.copy() for candidate in pool.candidates]
+        elif step.filling:
+            eligible = pool.candidates
+        else:
+            # The others have no room, or the task would have been placed there.
+            eligible = pool.avoided_candidates()
         run = 1 + max(task.runs for task in group.tasks)
         intents = []
         for task in tasks:
@@ -600,10 +648,10 @@
             chosen = min(feasible, key=lambda c, task=task: _overdue_order(c, task))
             task_run = run if step.gang else task.runs + 1
             intents.append(self._assign(task, task_run, chosen, run_counts))
-        if len(intents) < len(tasks):
-            pool.record_rejected(step)
         if step.gang:
             return self._assign_gang(group, pool.candidates, intents)
+        if len(intents) < len(tasks) and (may_interfere or not step.filling):
+            pool.record_rejected(step)
         return intents
 
     def _plan_gang(self, group, allowed, run_counts) -> list[RunIntent]:
@@ -673,13 +721,12 @@
         return RunIntent(task.name, run, WorkerLife(*chosen.view.incarnation))
 
 
-def _is_busy(candidates: list[_Candidate]) -> bool:
-    total_millicores = sum(c.view.worker.record.millicores for c in candidates)
-    return sum(c.expected_millicores for c in candidates) >= BUSY_SHARE * total_millicores
-
-
 def _overdue_order(candidate: _Candidate, task: Task) -> tuple:
-    """Return the sort key of the workers on which an overdue task may be placed."""
+    """Return the sort key of the workers on which an overdue task may be placed.
+
+    Avoided ones come last.  Of those, each is tried before one is tried twice in a pass, the one
+    that has not failed for longest first.
+    """
     step = task.step.spec
     return (
         candidate.is_avoided,
