Worker sessions: an unresponsive worker without runs is polled until it answers

What callers saw: accepted work that could run did not start although most workers had room.

Cause: a session polls its worker while runs may exist there, and is idle otherwise. A worker that was marked as unresponsive gets no runs, and only an answered poll makes it responsive again. If its last run was settled without a poll (a start that the worker refused, or a poll of another thread), the session went idle with the mark set: no run, hence no poll, hence no run, until the worker got another agent or restarted. It needs one refused or failed poll beside a refused start, which is what a worker does that fails all calls for a while; an idle session counts its first refused poll as a silence of more than a second.

Change: a session is idle only while its worker is responsive.

Evidence: test_an_unresponsive_worker_without_runs_is_used_again_once_it_answers, both cases, failed before (not responsive 1 s after the worker answers again; it would have been so for good) and pass.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -275,7 +275,7 @@
 
     def _run(self) -> None:
         while not self.is_closed:
-            if not self.worker.task_by_run and self.is_state_known and self.clock.has_reading:
+            if self._is_idle():
                 self._wait_for_work()
                 continue
             if not self._may_call():
@@ -337,6 +337,18 @@
             return 0
         return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
 
+    def _is_idle(self) -> bool:
+        """Return whether no poll is needed until the next run is placed here.
+
+        An unresponsive worker gets no run, so only polls can tell that it answers again.
+        """
+        return (
+            not self.worker.task_by_run
+            and self.is_state_known
+            and self.clock.has_reading
+            and not self.is_unresponsive
+        )
+
     def _wait_for_work(self) -> None:
         if self._wake.ready():
             self._wake = Event()
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -570,3 +570,31 @@
     answered.send(None)
     wait_until(lambda: session.worked_ms_by_run().keys() >= {(task, 1) for task in tasks})
     assert min(session.worked_ms_by_run().values()) >= 0
+
+
+# Guards against work that never starts though a worker has room: a worker that was marked as
+# unresponsive while its last run was settled was never asked again.
+@pytest.mark.parametrize(
+    "error", [CallRejected("hold: status 503"), NotDelivered("refused")], ids=["refuses", "lost"]
+)
+def test_an_unresponsive_worker_without_runs_is_used_again_once_it_answers(error, monkeypatch):
+    task_ledger, worker = ledger(), FakeWorker()
+    session, agent = make_session(task_ledger, worker)
+    try:
+        # Completes the first poll, after which the session is idle.
+        worker.end("another.0.0.0", 1, RunOutcome.DONE)
+        wait_until(lambda: session.clock.has_reading)
+        eventlet.sleep(worker_session.MAX_REFUSED_POLL_SECONDS + 0.1)
+        worker.poll_error = error
+        with monkeypatch.context() as patch:
+            patch.setattr(worker, "start", lambda *a: (StartResult.UNHEALTHY, worker.clock_ms()))
+            accept(task_ledger, step())
+            record_intent(task_ledger, TASK)
+            session.start(TASK, 1)
+            wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
+            wait_until(lambda: session.is_unresponsive)
+        worker.poll_error = None
+        wait_until(lambda: session.is_responsive, 1.0)
+        assert not agent.end_reasons
+    finally:
+        session.close()
