Worker sessions: a task whose start was not sent can start elsewhere at once

Cause: every start without an answer counted as one that may still arrive, also where no connection could be made to carry it, or the poll before it had failed. Such a run is no run: nothing was sent.

Change: it is settled as never started like a start that the worker refused, and the worker counts as unresponsive, so that the task is not placed there again. A start that was sent and not answered is treated as before.

Evidence: test_a_task_whose_start_was_not_sent_can_start_elsewhere_at_once, both cases, failed before (not settled within half of the lease) and pass. Nothing can run twice by it: the call has not left this host.

test_a_start_that_could_not_be_sent_is_reported_as_such expected the run to stay assigned until its stop was confirmed, which was the fault. It now holds the same figure (-1: no suspect of a crash) for the time until the settlement is committed, and that the settlement is reported.

--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -10,7 +10,7 @@
 
 
 class StartResult(enum.Enum):
-    """A worker's answer to a start call.
+    """A worker's answer to a start call, or that there was no call.
 
     The values are labels of the retry metric and reasons in the log.
     """
@@ -29,6 +29,8 @@
     INVALID_TICKET = "bad ticket"
     UNHEALTHY = "unhealthy"
     MALFORMED = "malformed"
+    NOT_SENT = "not sent"
+    """The call has not been sent: the worker could not be reached, or did not answer before it."""
 
 
 class WorkerUnresponsive(SavoryshelfError):
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -503,21 +503,14 @@
             with self._start_slots:
                 result = self._call_start(task, run, checkpoint)
         except WorkerUnresponsive as error:
-            # The call may still arrive: only a confirmed stop rules out that the run starts.
             if isinstance(error, NotDelivered):
                 self._undelivered_starts.add(key)
-                self._mark_unresponsive(error)
-            metrics.RETRIES.labels("start unanswered").inc()
-            log_event(
-                "run:in_doubt",
-                task=task,
-                run=run,
-                worker=self.incarnation.worker_id,
-                why=str(error),
-            )
-            self._starts_in_flight.discard(key)
-            self.stop(task, run)
-            return
+            if key not in self._undelivered_starts:
+                self._start_unanswered(task, run, error)
+                return
+            # Either the start or the poll before it failed without the start being sent.
+            self._mark_unresponsive(error)
+            result = StartResult.NOT_SENT
         except IncarnationReplaced:
             self._starts_in_flight.discard(key)
             self._end_incarnation("another incarnation answers")
@@ -559,6 +552,15 @@
         )
         self._agent.start_rejected(self, task, run, result)
 
+    def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
+        """Stop a run whose start may still arrive: only a confirmed stop rules that out."""
+        metrics.RETRIES.labels("start unanswered").inc()
+        log_event(
+            "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
+        )
+        self._starts_in_flight.discard((task, run))
+        self.stop(task, run)
+
     def _call_start(self, task: str, run: int, checkpoint: str) -> StartResult | None:
         assigned_task = self.worker.task_by_run.get((task, run))
         if assigned_task is None or not self._may_call():
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -446,14 +446,45 @@
 
 
 def test_a_start_that_could_not_be_sent_is_reported_as_such(running_session):
-    _, worker, session, _ = running_session
+    """It is no suspect of a crash that is recorded before the run is settled as never started."""
+    _, worker, session, agent = running_session
 
     def refuse(incarnation, request):
         raise NotDelivered("connection refused")
 
+    results = []
+    agent.start_rejected = lambda session, task, run, result: results.append(result)
     worker.start, worker.unanswered_calls = refuse, {"stop"}
     session.start(TASK, 1)
-    wait_until(lambda: session.worked_ms_by_run() == {(TASK, 1): -1})
+    wait_until(lambda: results == [StartResult.NOT_SENT])
+    assert session.worked_ms_by_run() == {(TASK, 1): -1}
+
+
+# Guards against work that waits for a lease to expire: a run whose start no connection could carry
+# counted as one that may exist, until a stop was confirmed by a worker that could not be reached.
+@pytest.mark.parametrize("has_reading", [True, False], ids=["known worker", "new worker"])
+def test_a_task_whose_start_was_not_sent_can_start_elsewhere_at_once(has_reading, monkeypatch):
+    task_ledger, worker = ledger(), FakeWorker()
+    session, _ = make_session(task_ledger, worker)
+    try:
+        if has_reading:
+            worker.end("another.0.0.0", 1, RunOutcome.DONE)
+            wait_until(lambda: session.clock.has_reading)
+
+        def refuse(*arguments):
+            worker.calls.append("refused")
+            raise NotDelivered("connection refused")
+
+        for call in ("start", "stop", "poll"):
+            monkeypatch.setattr(worker, call, refuse)
+        accept(task_ledger, step())
+        record_intent(task_ledger, TASK)
+        session.start(TASK, 1)
+        wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, LEASE_MS / 2000)
+        assert not session.is_responsive, "the task would be placed here again"
+        assert not worker.starts
+    finally:
+        session.close()
 
 
 def test_a_worker_is_polled_before_and_after_the_start_of_a_suspect(running_session):
