Worker sessions: a start in doubt ends under a new token if its stop goes unanswered

What callers saw: a task whose start was not answered did not start elsewhere for as long as its worker left orders unanswered and went on to answer polls.

Cause: only a confirmed stop rules out that such a start arrives later, and it was retried without end. The polls meanwhile renewed the lease, so that did not end the run either.

Change: if the worker answers a poll sent after a stop that was not confirmed, and does not list the run, the session asks for a new fencing token, by the way in which one is asked for that the worker rejects. A start that is being sent also drops an older confirmation of its run, which a poll could have taken for one of this start.

Evidence: test_a_start_in_doubt_whose_stops_go_unanswered_is_settled_under_a_new_token (two set-ups) failed before (not within 3 s, nor ever) and passes; the delayed start is refused. test_a_start_in_doubt_that_took_effect_goes_on_under_a_new_token passed before and does now.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -477,7 +477,7 @@
             session.is_responsive,
             dict(session.baseline_by_image),
             exclusion_ms,
-            session.is_fenced,
+            session.is_fenced or session.needs_new_token,
         )
         self._reported_state_by_session[session] = state
         return state
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -139,7 +139,7 @@
         return statistics.median(lags) if lags else 0.0
 
     def is_fenced(self, worker: Worker) -> bool:
-        """Return whether the worker rejects the fencing token of its agent."""
+        """Return whether the worker rejects the fencing token of its agent, or should do so."""
         known = self._worker_by_incarnation.get(worker.key)
         return (
             known is not None
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -111,6 +111,12 @@
         self.is_fenced = False
         """Whether the worker has rejected the token; it is not called any more then."""
 
+        self.needs_new_token = False
+        """Whether the worker answers polls, but not the stop of a run that may still start.
+
+        Under another token the start is refused, so the next session's first poll settles the run.
+        """
+
         self.incarnation = WorkerIncarnation(
             record.life.worker_id, record.life.born_ms, record.address
         )
@@ -159,6 +165,9 @@
         self._undelivered_starts: set[tuple[str, int]] = set()
         """The runs whose start call has not reached the worker, or not been sent yet."""
 
+        self._starts_in_doubt: set[tuple[str, int]] = set()
+        """The runs whose start call was sent and not answered, until a stop is confirmed."""
+
         self._stopped_at_by_run: dict[tuple[str, int], float] = {}
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
@@ -212,6 +221,8 @@
         """
         self._starts_in_flight.add((task, run))
         self._undelivered_starts.add((task, run))
+        # From now on the run may exist without being listed.
+        self._confirmed_at_by_run.pop((task, run), None)
         self.wake()
         assigned_task = self.worker.task_by_run.get((task, run))
         checkpoint = assigned_task.checkpoint if assigned_task is not None else ""
@@ -558,6 +569,7 @@
         log_event(
             "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
         )
+        self._starts_in_doubt.add((task, run))
         self._starts_in_flight.discard((task, run))
         self.stop(task, run)
 
@@ -599,6 +611,7 @@
             self._stops_in_flight.discard(key)
         if not is_confirmed:
             return
+        self._starts_in_doubt.discard(key)
         was_running = key in self.status_by_run
         self._stopped_at_by_run[key] = self._agent.now()
         self._confirmed_at_by_run[key] = self._agent.now()
@@ -615,6 +628,7 @@
             if not self._may_call():
                 eventlet.sleep(PERMISSION_CHECK_SECONDS)
                 continue
+            sent_at = self._agent.now()
             try:
                 self._call("stop", task, run, self.fencing_token)
                 return True
@@ -630,9 +644,25 @@
                         "run:stop_unconfirmed", task=task, run=run,
                         worker=self.incarnation.worker_id, why=str(error),
                     )  # fmt: skip
+                self._request_token_if_in_doubt((task, run), sent_at)
                 self._wait_before_retry()
         return False
 
+    def _request_token_if_in_doubt(self, key: tuple[str, int], sent_at: float) -> None:
+        """Ask for a new token if the worker, which did not confirm a stop, answers a poll."""
+        if key not in self._starts_in_doubt or self.needs_new_token:
+            return
+        self._poll_now()
+        is_listed = key in self.status_by_run
+        if self._alive_at < sent_at or is_listed or key not in self.worker.task_by_run:
+            return
+        log_event(
+            "worker:needs_token", worker=self.incarnation.worker_id, task=key[0], run=key[1],
+            token=self.fencing_token,
+        )  # fmt: skip
+        self.needs_new_token = True
+        self._agent.state_changed(self)
+
     def _poll_now(self) -> None:
         """Poll right after a confirmed stop instead of waiting for the open poll to return."""
         if not self._may_call():
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -243,3 +243,29 @@
         agent.settle_ends(session, 1, [RunEnd(TASK, 1, RunOutcome.DONE, "", 1)])
         assert agent._ended_lives == {}
         assert agent._settlements == []
+
+
+# Guards against a task that waits for good: its start was not answered, nor was any stop, while
+# the worker went on to answer polls, so its lease never expired either.
+def test_a_start_in_doubt_whose_stops_go_unanswered_is_settled_under_a_new_token(group):
+    worker = only_worker(group)
+    worker.unanswered_calls = {"start", "stop"}
+    group.submit()
+    wait_until(lambda: worker.delayed_starts)
+    wait_until(lambda: group.ledger.find_task(TASK).runs >= 2, 3.0)
+    assert worker.apply_start(worker.delayed_starts[0]) is StartResult.FENCED
+    worker.unanswered_calls = set()
+    wait_until(lambda: worker.running)
+    assert len(worker.starts) == 1
+
+
+# Guards against a run that is settled while it works: its start was carried out late.
+def test_a_start_in_doubt_that_took_effect_goes_on_under_a_new_token(group):
+    worker = only_worker(group)
+    worker.unanswered_calls = {"start", "stop"}
+    group.submit()
+    wait_until(lambda: worker.delayed_starts)
+    worker.apply_start(worker.delayed_starts[0])
+    eventlet.sleep(0.5)
+    assert group.ledger.find_task(TASK).incarnation_by_run == {1: ("w1", 1)}
+    assert worker.starts == [(TASK, 1)]
