Agents: a start that is not answered is reported like one that was refused

What callers saw: a task was started on one worker again and again, at a second each, while that worker answered polls and stops but no start, and others had room.

Cause: placement prefers workers without recent failures, and learned of starts that a worker refused and of runs that failed, but not of starts without an answer. The task scored that worker as before and went back to it.

Change: the agent reports an unanswered start as a refused one.

Evidence: test_a_task_whose_start_goes_unanswered_starts_on_another_worker failed before (no run on the other worker within 1 s) and passes.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -323,6 +323,13 @@
         self._settlements.append(_Settlement(session, 0, ends, is_from_poll=False))
         self._wake_up_report()
 
+    def start_unanswered(self, session: WorkerSession) -> None:
+        """Report a worker that did not answer a start, so that others are preferred to it."""
+        if not session.is_closed:
+            worker_id = session.incarnation.worker_id
+            self._rejections.append(StartRejection(worker_id, RejectionKind.UNHEALTHY))
+            self._wake_up_report()
+
     def incarnation_ended(self, session: WorkerSession, why: str) -> None:
         """Report that an incarnation has ended, so that its runs can be started elsewhere."""
         if session.is_closed:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -571,6 +571,7 @@
         )
         self._starts_in_doubt.add((task, run))
         self._starts_in_flight.discard((task, run))
+        self._agent.start_unanswered(self)
         self.stop(task, run)
 
     def _call_start(self, task: str, run: int, checkpoint: str) -> StartResult | None:
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -164,6 +164,9 @@
         never_ran = RunEnd(task, run, RunOutcome.NEVER_RAN, "", 0)
         self.settle_ends(session, 0, [never_ran])
 
+    def start_unanswered(self, session):
+        pass
+
     def incarnation_ended(self, session, why):
         self.end_reasons.append(why)
         self.ledger.end_incarnations([session.worker.record.life], [], [session.fencing_token])
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -269,3 +269,14 @@
     eventlet.sleep(0.5)
     assert group.ledger.find_task(TASK).incarnation_by_run == {1: ("w1", 1)}
     assert worker.starts == [(TASK, 1)]
+
+
+# Guards against a task that is started on one worker again and again, while that worker answers
+# polls and stops but no start, and others have room.
+def test_a_task_whose_start_goes_unanswered_starts_on_another_worker():
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        bad, good = group.worker_by_id["w1"], group.worker_by_id["w2"]
+        bad.unanswered_calls = {"start"}
+        group.submit()
+        wait_until(lambda: good.running, 1.0)
+        assert len(bad.delayed_starts) <= 2
