Worker sessions: starts that wait behind an unanswered one are not sent

What callers saw: tasks placed together on a worker that answers no start waited for each other: four calls at a time, a second each, so the twelfth task could start elsewhere only after 3 s and more.

Cause: a start that waits for one of the few concurrent calls was sent whatever had become of those before it.

Change: if a start went unanswered since a start began to wait, that one is not sent, and its task can be placed again at once. It has not left this host, so nothing can run twice by it.

Evidence: test_starts_that_wait_while_another_goes_unanswered_are_not_sent failed before (8 calls within 1.5 timeouts instead of 4) and passes.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -168,6 +168,9 @@
         self._starts_in_doubt: set[tuple[str, int]] = set()
         """The runs whose start call was sent and not answered, until a stop is confirmed."""
 
+        self._start_unanswered_at = float("-inf")
+        """When the newest start call went unanswered, in monotonic seconds."""
+
         self._stopped_at_by_run: dict[tuple[str, int], float] = {}
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
@@ -509,10 +512,14 @@
             raise WorkerUnresponsive(repr(error)) from error
 
     def _send_start(self, task: str, run: int, checkpoint: str) -> None:
-        key = (task, run)
+        key, queued_at = (task, run), self._agent.now()
         try:
             with self._start_slots:
-                result = self._call_start(task, run, checkpoint)
+                if self._start_unanswered_at > queued_at:
+                    # Waiting for another timeout would cost the task more than another worker.
+                    result = StartResult.NOT_SENT
+                else:
+                    result = self._call_start(task, run, checkpoint)
         except WorkerUnresponsive as error:
             if isinstance(error, NotDelivered):
                 self._undelivered_starts.add(key)
@@ -565,6 +572,7 @@
 
     def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
         """Stop a run whose start may still arrive: only a confirmed stop rules that out."""
+        self._start_unanswered_at = self._agent.now()
         metrics.RETRIES.labels("start unanswered").inc()
         log_event(
             "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -5,7 +5,12 @@
 from eventlet.event import Event
 
 from savoryshelf.dispatch import worker_session
-from savoryshelf.dispatch.worker_api import CallRejected, NotDelivered, StartResult
+from savoryshelf.dispatch.worker_api import (
+    CallRejected,
+    NotDelivered,
+    StartResult,
+    WorkerUnresponsive,
+)
 from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
@@ -629,3 +634,29 @@
         assert not agent.end_reasons
     finally:
         session.close()
+
+
+# Guards against tasks that wait in turn for a worker that answers no start: each took one of a few
+# concurrent calls until it timed out, although others had room.
+def test_starts_that_wait_while_another_goes_unanswered_are_not_sent(running_session, monkeypatch):
+    task_ledger, worker, session, agent = running_session
+    count = 3 * MAX_CONCURRENT_STARTS
+    accept(task_ledger, step(count, millicores=1, memory_mb=1), job_id="00000000000000b2")
+    tasks = [f"00000000000000b2.0.0.{index}" for index in range(count)]
+    for task in tasks:
+        assert record_intent(task_ledger, task)
+    wait_until(lambda: session.clock.has_reading)
+    sent, timeout = [], 0.3
+
+    def time_out(incarnation, request):
+        sent.append(request.task)
+        eventlet.sleep(timeout)
+        raise WorkerUnresponsive("no answer")
+
+    monkeypatch.setattr(worker, "start", time_out)
+    for task in tasks:
+        session.start(task, 1)
+    eventlet.sleep(1.5 * timeout)
+    assert len(sent) == MAX_CONCURRENT_STARTS
+    assert agent.rejections == [StartResult.NOT_SENT] * (count - MAX_CONCURRENT_STARTS)
+    assert not any(task_ledger.find_task(t).incarnation_by_run for t in set(tasks) - set(sent))
