Worker sessions: a run that may not exist is polled for until a poll is answered

What callers saw: a task whose start was in doubt, or was not sent since the agent had lost its permission for a moment, started elsewhere up to 4 s after its worker could have said that it does not run there.

Cause: such a run is settled by a poll that was sent after its stop was confirmed, or after the decision not to start it. The open poll was sent before, and the next one is held open for 2 s as well. One poll is sent at once after a stop, but was not repeated if it failed, and none was sent after a start that was not sent.

Change: such polls are repeated until one is answered, in both cases.

Evidence: test_a_run_whose_stop_is_confirmed_is_settled_soon_though_a_poll_fails and test_a_run_that_was_not_started_for_lack_of_permission_is_settled_soon failed before (not within 1 s) and pass.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -550,6 +550,7 @@
         if result is None:
             # Not sent, so a poll sent from now on that does not list the run settles it.
             self._confirmed_at_by_run[key] = self._agent.now()
+            self._poll_until_answered(key)
             return
         if result is StartResult.FENCED:
             self._mark_fenced(Fenced("start"))
@@ -624,8 +625,8 @@
         was_running = key in self.status_by_run
         self._stopped_at_by_run[key] = self._agent.now()
         self._confirmed_at_by_run[key] = self._agent.now()
-        if not was_running and key in self.worker.task_by_run:
-            self._poll_now()
+        if not was_running:
+            self._poll_until_answered(key)
 
     def _stop_until_confirmed(self, task: str, run: int) -> bool:
         """Send a stop until the worker confirms it; return whether it did.
@@ -672,14 +673,26 @@
         self.needs_new_token = True
         self._agent.state_changed(self)
 
-    def _poll_now(self) -> None:
-        """Poll right after a confirmed stop instead of waiting for the open poll to return."""
+    def _poll_until_answered(self, key: tuple[str, int]) -> None:
+        """Settle a run that may not exist by a poll of its own.
+
+        The open poll was sent too early for that, and the next one is held open as well.
+        """
+        while not (self.is_closed or self.has_ended or self.is_fenced):
+            if key not in self.worker.task_by_run or self._poll_now():
+                return
+            self._wait_before_retry()
+
+    def _poll_now(self) -> bool:
+        """Poll instead of waiting for the open poll to return; return whether it was answered."""
         if not self._may_call():
-            return
+            return False
         try:
             self._poll(0)
-        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
-            log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=str(error))
+        except Exception as error:
+            log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=repr(error))
+            return False
+        return True
 
     def _send_speed(self, task: str, run: int, speed_percent: int) -> None:
         if not self._may_call():
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -660,3 +660,45 @@
     assert len(sent) == MAX_CONCURRENT_STARTS
     assert agent.rejections == [StartResult.NOT_SENT] * (count - MAX_CONCURRENT_STARTS)
     assert not any(task_ledger.find_task(t).incarnation_by_run for t in set(tasks) - set(sent))
+
+
+# Guards against a task that waits for two polls, each held open for 2 s: the one that was to settle
+# its run after a confirmed stop failed, and was not repeated.
+def test_a_run_whose_stop_is_confirmed_is_settled_soon_though_a_poll_fails(
+    running_session, monkeypatch
+):
+    task_ledger, worker, session, _ = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    worker.unanswered_calls = {"start"}
+    poll, failed = worker.poll, []
+
+    def fail_once(*arguments):
+        if not failed:
+            failed.append(arguments)
+            raise WorkerUnresponsive("no answer")
+        return poll(*arguments)
+
+    accept(task_ledger, step(), job_id="00000000000000b2")
+    second_task = "00000000000000b2.0.0.0"
+    record_intent(task_ledger, second_task)
+    monkeypatch.setattr(worker, "poll", fail_once)
+    session.start(second_task, 1)
+    wait_until(lambda: failed)
+    wait_until(lambda: not task_ledger.find_task(second_task).incarnation_by_run, 1.0)
+
+
+# The same after a time without permission, in which no start was sent.
+def test_a_run_that_was_not_started_for_lack_of_permission_is_settled_soon(running_session):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    accept(task_ledger, step(), job_id="00000000000000b2")
+    second_task = "00000000000000b2.0.0.0"
+    record_intent(task_ledger, second_task)
+    agent.has_permission = False
+    session.start(second_task, 1)
+    eventlet.sleep(0.1)
+    agent.has_permission = True
+    wait_until(lambda: not task_ledger.find_task(second_task).incarnation_by_run, 1.0)
+    assert worker.starts == [(TASK, 1)]
