--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -5,7 +5,12 @@
 from eventlet.event import Event
 
 from savoryshelf.dispatch import worker_session
-from savoryshelf.dispatch.worker_api import CallRejected, NotDelivered, StartResult
+from savoryshelf.dispatch.worker_api import (
+    CallRejected,
+    NotDelivered,
+    StartResult,
+    WorkerUnresponsive,
+)
 from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
@@ -446,14 +451,45 @@
 
 
 def test_a_start_that_could_not_be_sent_is_reported_as_such(running_session):
-    _, worker, session, _ = running_session
+    """It is no suspect of a crash that is recorded before the run is settled as never started."""
+    _, worker, session, agent = running_session
 
     def refuse(incarnation, request):
         raise NotDelivered("connection refused")
 
+    results = []
+    agent.start_rejected = lambda session, task, run, result: results.append(result)
     worker.start, worker.unanswered_calls = refuse, {"stop"}
     session.start(TASK, 1)
-    wait_until(lambda: session.worked_ms_by_run() == {(TASK, 1): -1})
+    wait_until(lambda: results == [StartResult.NOT_SENT])
+    assert session.worked_ms_by_run() == {(TASK, 1): -1}
+
+
+# Guards against work that waits for a lease to expire: a run whose start no connection could carry
+# counted as one that may exist, until a stop was confirmed by a worker that could not be reached.
+@pytest.mark.parametrize("has_reading", [True, False], ids=["known worker", "new worker"])
+def test_a_task_whose_start_was_not_sent_can_start_elsewhere_at_once(has_reading, monkeypatch):
+    task_ledger, worker = ledger(), FakeWorker()
+    session, _ = make_session(task_ledger, worker)
+    try:
+        if has_reading:
+            worker.end("another.0.0.0", 1, RunOutcome.DONE)
+            wait_until(lambda: session.clock.has_reading)
+
+        def refuse(*arguments):
+            worker.calls.append("refused")
+            raise NotDelivered("connection refused")
+
+        for call in ("start", "stop", "poll"):
+            monkeypatch.setattr(worker, call, refuse)
+        accept(task_ledger, step())
+        record_intent(task_ledger, TASK)
+        session.start(TASK, 1)
+        wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, LEASE_MS / 2000)
+        assert not session.is_responsive, "the task would be placed here again"
+        assert not worker.starts
+    finally:
+        session.close()
 
 
 def test_a_worker_is_polled_before_and_after_the_start_of_a_suspect(running_session):
@@ -570,3 +606,99 @@
     answered.send(None)
     wait_until(lambda: session.worked_ms_by_run().keys() >= {(task, 1) for task in tasks})
     assert min(session.worked_ms_by_run().values()) >= 0
+
+
+# Guards against work that never starts though a worker has room: a worker that was marked as
+# unresponsive while its last run was settled was never asked again.
+@pytest.mark.parametrize(
+    "error", [CallRejected("hold: status 503"), NotDelivered("refused")], ids=["refuses", "lost"]
+)
+def test_an_unresponsive_worker_without_runs_is_used_again_once_it_answers(error, monkeypatch):
+    task_ledger, worker = ledger(), FakeWorker()
+    session, agent = make_session(task_ledger, worker)
+    try:
+        # Completes the first poll, after which the session is idle.
+        worker.end("another.0.0.0", 1, RunOutcome.DONE)
+        wait_until(lambda: session.clock.has_reading)
+        eventlet.sleep(worker_session.MAX_REFUSED_POLL_SECONDS + 0.1)
+        worker.poll_error = error
+        with monkeypatch.context() as patch:
+            patch.setattr(worker, "start", lambda *a: (StartResult.UNHEALTHY, worker.clock_ms()))
+            accept(task_ledger, step())
+            record_intent(task_ledger, TASK)
+            session.start(TASK, 1)
+            wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
+            wait_until(lambda: session.is_unresponsive)
+        worker.poll_error = None
+        wait_until(lambda: session.is_responsive, 1.0)
+        assert not agent.end_reasons
+    finally:
+        session.close()
+
+
+# Guards against tasks that wait in turn for a worker that answers no start: each took one of a few
+# concurrent calls until it timed out, although others had room.
+def test_starts_that_wait_while_another_goes_unanswered_are_not_sent(running_session, monkeypatch):
+    task_ledger, worker, session, agent = running_session
+    count = 3 * MAX_CONCURRENT_STARTS
+    accept(task_ledger, step(count, millicores=1, memory_mb=1), job_id="00000000000000b2")
+    tasks = [f"00000000000000b2.0.0.{index}" for index in range(count)]
+    for task in tasks:
+        assert record_intent(task_ledger, task)
+    wait_until(lambda: session.clock.has_reading)
+    sent, timeout = [], 0.3
+
+    def time_out(incarnation, request):
+        sent.append(request.task)
+        eventlet.sleep(timeout)
+        raise WorkerUnresponsive("no answer")
+
+    monkeypatch.setattr(worker, "start", time_out)
+    for task in tasks:
+        session.start(task, 1)
+    eventlet.sleep(1.5 * timeout)
+    assert len(sent) == MAX_CONCURRENT_STARTS
+    assert agent.rejections == [StartResult.NOT_SENT] * (count - MAX_CONCURRENT_STARTS)
+    assert not any(task_ledger.find_task(t).incarnation_by_run for t in set(tasks) - set(sent))
+
+
+# Guards against a task that waits for two polls, each held open for 2 s: the one that was to settle
+# its run after a confirmed stop failed, and was not repeated.
+def test_a_run_whose_stop_is_confirmed_is_settled_soon_though_a_poll_fails(
+    running_session, monkeypatch
+):
+    task_ledger, worker, session, _ = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    worker.unanswered_calls = {"start"}
+    poll, failed = worker.poll, []
+
+    def fail_once(*arguments):
+        if not failed:
+            failed.append(arguments)
+            raise WorkerUnresponsive("no answer")
+        return poll(*arguments)
+
+    accept(task_ledger, step(), job_id="00000000000000b2")
+    second_task = "00000000000000b2.0.0.0"
+    record_intent(task_ledger, second_task)
+    monkeypatch.setattr(worker, "poll", fail_once)
+    session.start(second_task, 1)
+    wait_until(lambda: failed)
+    wait_until(lambda: not task_ledger.find_task(second_task).incarnation_by_run, 1.0)
+
+
+# The same after a time without permission, in which no start was sent.
+def test_a_run_that_was_not_started_for_lack_of_permission_is_settled_soon(running_session):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    accept(task_ledger, step(), job_id="00000000000000b2")
+    second_task = "00000000000000b2.0.0.0"
+    record_intent(task_ledger, second_task)
+    agent.has_permission = False
+    session.start(second_task, 1)
+    eventlet.sleep(0.1)
+    agent.has_permission = True
+    wait_until(lambda: not task_ledger.find_task(second_task).incarnation_by_run, 1.0)
+    assert worker.starts == [(TASK, 1)]
