--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -422,8 +422,43 @@
     Mutant(
         "a rejected probe does not quarantine a worker forever",
         "entry/critical.py",
-        "            target.quarantine.record_rejection()\n",
-        "",
+        "WorkerRefused as error:\n            target.quarantine.record_rejection()\n",
+        "WorkerRefused as error:\n",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "the quarantined share counts only workers that can run the request",
+        "entry/critical.py",
+        "if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)",
+        "if target.is_schedulable(now, interval)",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "the quarantined share counts workers that have no room now",
+        "entry/critical.py",
+        "if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)",
+        "if target.is_schedulable(now, interval) and target.fits(call.demand)",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "a probe begins before another request may choose its worker",
+        "entry/critical.py",
+        "        target.quarantine.begin_probe_if_due(self._clock.monotonic())\n",
+        "        eventlet.spawn_n(target.quarantine.begin_probe_if_due, self._clock.monotonic())\n",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "a probe that ends with an unexpected error does not quarantine a worker forever",
+        "entry/critical.py",
+        "traceback=traceback.format_exc())\n            target.quarantine.record_rejection()\n",
+        "traceback=traceback.format_exc())\n",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "an attempt that ends with an unexpected error keeps its slot until a report",
+        "entry/critical.py",
+        "except Exception:\n            target.abandon(attempt_id, self._clock.monotonic())\n",
+        "except Exception:\n",
         "tests/entry/test_critical.py",
     ),
     Mutant(
@@ -1081,8 +1116,8 @@
     Mutant(
         "a long-running best-effort task starts however busy the service is",
         "dispatch/placement.py",
-        "may_interfere = step.lasting or not _is_busy(pool.candidates)",
-        "may_interfere = not _is_busy(pool.candidates)",
+        "may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)",
+        "may_interfere = not usage.is_busy(group.job.queue.service_name)",
         DISPATCH + "/test_placement.py",
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -323,6 +323,13 @@
         self._settlements.append(_Settlement(session, 0, ends, is_from_poll=False))
         self._wake_up_report()
 
+    def start_unanswered(self, session: WorkerSession) -> None:
+        """Report a worker that did not answer a start, so that others are preferred to it."""
+        if not session.is_closed:
+            worker_id = session.incarnation.worker_id
+            self._rejections.append(StartRejection(worker_id, RejectionKind.UNHEALTHY))
+            self._wake_up_report()
+
     def incarnation_ended(self, session: WorkerSession, why: str) -> None:
         """Report that an incarnation has ended, so that its runs can be started elsewhere."""
         if session.is_closed:
@@ -477,7 +484,7 @@
             session.is_responsive,
             dict(session.baseline_by_image),
             exclusion_ms,
-            session.is_fenced,
+            session.is_fenced or session.needs_new_token,
         )
         self._reported_state_by_session[session] = state
         return state
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -111,6 +111,12 @@
         self.is_fenced = False
         """Whether the worker has rejected the token; it is not called any more then."""
 
+        self.needs_new_token = False
+        """Whether the worker answers polls, but not the stop of a run that may still start.
+
+        Under another token the start is refused, so the next session's first poll settles the run.
+        """
+
         self.incarnation = WorkerIncarnation(
             record.life.worker_id, record.life.born_ms, record.address
         )
@@ -159,6 +165,12 @@
         self._undelivered_starts: set[tuple[str, int]] = set()
         """The runs whose start call has not reached the worker, or not been sent yet."""
 
+        self._starts_in_doubt: set[tuple[str, int]] = set()
+        """The runs whose start call was sent and not answered, until a stop is confirmed."""
+
+        self._start_unanswered_at = float("-inf")
+        """When the newest start call went unanswered, in monotonic seconds."""
+
         self._stopped_at_by_run: dict[tuple[str, int], float] = {}
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
@@ -212,6 +224,8 @@
         """
         self._starts_in_flight.add((task, run))
         self._undelivered_starts.add((task, run))
+        # From now on the run may exist without being listed.
+        self._confirmed_at_by_run.pop((task, run), None)
         self.wake()
         assigned_task = self.worker.task_by_run.get((task, run))
         checkpoint = assigned_task.checkpoint if assigned_task is not None else ""
@@ -275,7 +289,7 @@
 
     def _run(self) -> None:
         while not self.is_closed:
-            if not self.worker.task_by_run and self.is_state_known and self.clock.has_reading:
+            if self._is_idle():
                 self._wait_for_work()
                 continue
             if not self._may_call():
@@ -337,6 +351,18 @@
             return 0
         return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
 
+    def _is_idle(self) -> bool:
+        """Return whether no poll is needed until the next run is placed here.
+
+        An unresponsive worker gets no run, so only polls can tell that it answers again.
+        """
+        return (
+            not self.worker.task_by_run
+            and self.is_state_known
+            and self.clock.has_reading
+            and not self.is_unresponsive
+        )
+
     def _wait_for_work(self) -> None:
         if self._wake.ready():
             self._wake = Event()
@@ -486,26 +512,23 @@
             raise WorkerUnresponsive(repr(error)) from error
 
     def _send_start(self, task: str, run: int, checkpoint: str) -> None:
-        key = (task, run)
+        key, queued_at = (task, run), self._agent.now()
         try:
             with self._start_slots:
-                result = self._call_start(task, run, checkpoint)
+                if self._start_unanswered_at > queued_at:
+                    # Waiting for another timeout would cost the task more than another worker.
+                    result = StartResult.NOT_SENT
+                else:
+                    result = self._call_start(task, run, checkpoint)
         except WorkerUnresponsive as error:
-            # The call may still arrive: only a confirmed stop rules out that the run starts.
             if isinstance(error, NotDelivered):
                 self._undelivered_starts.add(key)
-                self._mark_unresponsive(error)
-            metrics.RETRIES.labels("start unanswered").inc()
-            log_event(
-                "run:in_doubt",
-                task=task,
-                run=run,
-                worker=self.incarnation.worker_id,
-                why=str(error),
-            )
-            self._starts_in_flight.discard(key)
-            self.stop(task, run)
-            return
+            if key not in self._undelivered_starts:
+                self._start_unanswered(task, run, error)
+                return
+            # Either the start or the poll before it failed without the start being sent.
+            self._mark_unresponsive(error)
+            result = StartResult.NOT_SENT
         except IncarnationReplaced:
             self._starts_in_flight.discard(key)
             self._end_incarnation("another incarnation answers")
@@ -527,6 +550,7 @@
         if result is None:
             # Not sent, so a poll sent from now on that does not list the run settles it.
             self._confirmed_at_by_run[key] = self._agent.now()
+            self._poll_until_answered(key)
             return
         if result is StartResult.FENCED:
             self._mark_fenced(Fenced("start"))
@@ -547,6 +571,18 @@
         )
         self._agent.start_rejected(self, task, run, result)
 
+    def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
+        """Stop a run whose start may still arrive: only a confirmed stop rules that out."""
+        self._start_unanswered_at = self._agent.now()
+        metrics.RETRIES.labels("start unanswered").inc()
+        log_event(
+            "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
+        )
+        self._starts_in_doubt.add((task, run))
+        self._starts_in_flight.discard((task, run))
+        self._agent.start_unanswered(self)
+        self.stop(task, run)
+
     def _call_start(self, task: str, run: int, checkpoint: str) -> StartResult | None:
         assigned_task = self.worker.task_by_run.get((task, run))
         if assigned_task is None or not self._may_call():
@@ -585,11 +621,12 @@
             self._stops_in_flight.discard(key)
         if not is_confirmed:
             return
+        self._starts_in_doubt.discard(key)
         was_running = key in self.status_by_run
         self._stopped_at_by_run[key] = self._agent.now()
         self._confirmed_at_by_run[key] = self._agent.now()
-        if not was_running and key in self.worker.task_by_run:
-            self._poll_now()
+        if not was_running:
+            self._poll_until_answered(key)
 
     def _stop_until_confirmed(self, task: str, run: int) -> bool:
         """Send a stop until the worker confirms it; return whether it did.
@@ -601,6 +638,7 @@
             if not self._may_call():
                 eventlet.sleep(PERMISSION_CHECK_SECONDS)
                 continue
+            sent_at = self._agent.now()
             try:
                 self._call("stop", task, run, self.fencing_token)
                 return True
@@ -616,17 +654,45 @@
                         "run:stop_unconfirmed", task=task, run=run,
                         worker=self.incarnation.worker_id, why=str(error),
                     )  # fmt: skip
+                self._request_token_if_in_doubt((task, run), sent_at)
                 self._wait_before_retry()
         return False
 
-    def _poll_now(self) -> None:
-        """Poll right after a confirmed stop instead of waiting for the open poll to return."""
-        if not self._may_call():
+    def _request_token_if_in_doubt(self, key: tuple[str, int], sent_at: float) -> None:
+        """Ask for a new token if the worker, which did not confirm a stop, answers a poll."""
+        if key not in self._starts_in_doubt or self.needs_new_token:
+            return
+        self._poll_now()
+        is_listed = key in self.status_by_run
+        if self._alive_at < sent_at or is_listed or key not in self.worker.task_by_run:
             return
+        log_event(
+            "worker:needs_token", worker=self.incarnation.worker_id, task=key[0], run=key[1],
+            token=self.fencing_token,
+        )  # fmt: skip
+        self.needs_new_token = True
+        self._agent.state_changed(self)
+
+    def _poll_until_answered(self, key: tuple[str, int]) -> None:
+        """Settle a run that may not exist by a poll of its own.
+
+        The open poll was sent too early for that, and the next one is held open as well.
+        """
+        while not (self.is_closed or self.has_ended or self.is_fenced):
+            if key not in self.worker.task_by_run or self._poll_now():
+                return
+            self._wait_before_retry()
+
+    def _poll_now(self) -> bool:
+        """Poll instead of waiting for the open poll to return; return whether it was answered."""
+        if not self._may_call():
+            return False
         try:
             self._poll(0)
-        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
-            log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=str(error))
+        except Exception as error:
+            log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=repr(error))
+            return False
+        return True
 
     def _send_speed(self, task: str, run: int, speed_percent: int) -> None:
         if not self._may_call():
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 import time
+import traceback
 
 import attrs
 import eventlet
@@ -18,7 +19,7 @@
 from ..configuration.declarations import Service
 from ..errors import Certainty, PeerUnreachable, RequestRefused
 from ..observability import metrics
-from ..observability.logs import request_action
+from ..observability.logs import log_event, request_action
 from ..scheduling.quarantine import may_quarantine
 from ..wire.generated import EntryService, ttypes
 from ..wire.peers import PeerPool
@@ -176,17 +177,22 @@
             )
 
     def _find_candidates(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        suitable = self._find_suitable(call, now)
+        usable = [t for t in suitable if t.fits(call.demand)]
+        quarantined = [t for t in suitable if t.quarantine.is_quarantined(now)]
+        if may_quarantine(len(quarantined) - 1, len(suitable)):
+            usable = [t for t in usable if not t.quarantine.is_quarantined(now)]
+        untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
+        return untried or usable
+
+    def _find_suitable(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return the workers that can run the request, now or once they have room."""
         interval = self._state.report_interval_s
-        usable = [
+        return [
             target
             for target in self._state.targets.by_id.values()
-            if target.is_schedulable(now, interval) and target.fits(call.demand)
+            if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)
         ]
-        quarantined = [t for t in usable if t.quarantine.is_quarantined(now)]
-        if may_quarantine(len(quarantined) - 1, len(self._state.targets.by_id)):
-            usable = [t for t in usable if not t.quarantine.is_quarantined(now)]
-        untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
-        return untried or usable
 
     def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
         certainty = Certainty.UNKNOWN if call.outcome_is_unknown else Certainty.NOT_RUN
@@ -250,13 +256,13 @@
         target.last_dispatch_number = self._dispatch_number
         attempt_id = f"{call.request_id}-{call.attempts}"
         target.reserve(attempt_id, call.demand)
+        target.quarantine.begin_probe_if_due(self._clock.monotonic())
         eventlet.spawn_n(self._run_attempt, call, target, attempt_id, results)
 
     def _run_attempt(
         self, call: CriticalCall, target: OwnedTarget, attempt_id: str, results: Queue
     ) -> None:
         sent_at = self._clock.monotonic()
-        target.quarantine.begin_probe_if_due(sent_at)
         try:
             with target.reservation(attempt_id):
                 answer = self._send(call, target, attempt_id, sent_at)
@@ -276,6 +282,13 @@
             results.put(
                 _Failure(target.worker_id, "no_answer", str(error), outcome_is_unknown=True)
             )
+        except Exception as error:
+            # Says nothing about the worker, but a probe without an outcome would never end.
+            log_event("entry:attempt_fault", error=repr(error), traceback=traceback.format_exc())
+            target.quarantine.record_rejection()
+            results.put(
+                _Failure(target.worker_id, "internal_error", repr(error), outcome_is_unknown=True)
+            )
         finally:
             self._admission_queue.wake_one()
 
@@ -293,7 +306,9 @@
                 max(call.remaining_seconds(sent_at), MIN_REMAINING_SECONDS),
                 call.trace_id,
             )
-        except WorkerUnresponsive:
+        except (WorkerRefused, WorkerUnreachable):
+            raise
+        except Exception:
             target.abandon(attempt_id, self._clock.monotonic())
             raise
 
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -5,8 +5,12 @@
 from savoryshelf.entry.targets import ResourceDemand
 from savoryshelf.entry.worker_client import WorkerRefused, WorkerUnreachable, WorkerUnresponsive
 from savoryshelf.errors import Certainty, RequestRefused
-from savoryshelf.scheduling.quarantine import FAILURES_BEFORE_QUARANTINE
+from savoryshelf.scheduling.quarantine import (
+    FAILURES_BEFORE_QUARANTINE,
+    MAX_QUARANTINE_SECONDS,
+)
 from savoryshelf.wire.generated.ttypes import WorkerStanding
+from tests.promises.fakes import let_green_threads_run
 
 from .fakes import call_of, critical_path, owned
 
@@ -184,3 +188,65 @@
     assert path.serve(call_of(path)).attempts == 2
     assert not quarantine_state.is_probing
     assert not quarantine_state.is_quarantined(clock.now)
+
+
+def test_a_probe_that_ends_with_an_unexpected_error_does_not_quarantine_a_worker_forever():
+    """Guards against a probe without an outcome, which keeps its worker quarantined for good."""
+    path, clock, state, _ = critical_path(ValueError("odd header"), max_waiting=0)
+    target = state.targets.by_id["w0"]
+    for _ in range(FAILURES_BEFORE_QUARANTINE):
+        target.quarantine.record_failure(clock.now - 60.0)
+    with eventlet.Timeout(5.0):
+        refusal = expect_refusal(path, "retry_budget_spent")
+    assert refusal.certainty is Certainty.UNKNOWN
+    assert not target.quarantine.is_probing
+    assert target.outstanding == 1, "the request may still arrive at the worker"
+    clock.now += MAX_QUARANTINE_SECONDS
+    assert not target.quarantine.is_quarantined(clock.now)
+
+
+def test_requests_that_arrive_together_send_one_probe():
+    """Guards against several probes of a worker that fails, since each of them may fail."""
+    hung = Event()
+    path, clock, state, client = critical_path(hanging(hung))
+    for _ in range(FAILURES_BEFORE_QUARANTINE):
+        state.targets.by_id["w0"].quarantine.record_failure(clock.now - 60.0)
+    requests = [eventlet.spawn(path.serve, call_of(path)) for _ in range(2)]
+    let_green_threads_run()
+    assert len(client.worker_ids) == 1
+    hung.send(None)
+    assert [request.wait().status for request in requests] == [200, 200]
+
+
+def quarantine(state, clock, *worker_ids):
+    for worker_id in worker_ids:
+        for _ in range(FAILURES_BEFORE_QUARANTINE):
+            state.targets.by_id[worker_id].quarantine.record_failure(clock.now)
+
+
+def test_a_quarantine_of_most_workers_that_can_run_a_request_is_ignored():
+    """Guards against a share that counts workers which cannot run the request at all."""
+    small = [owned(f"small{number}", cores=0.5) for number in range(6)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *small), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    candidates = path._find_candidates(call_of(path), clock.now)
+    assert sorted(target.worker_id for target in candidates) == ["w0", "w1"]
+    assert path.serve(call_of(path)).status == 200
+
+
+def test_a_quarantine_of_most_workers_that_get_work_is_ignored():
+    """Guards against a share that counts workers which are drained or leaving."""
+    drained = [owned(f"d{number}", standing=WorkerStanding.DRAINED) for number in range(6)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *drained), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    assert path.serve(call_of(path)).status == 200
+
+
+def test_workers_without_room_count_for_the_quarantined_share():
+    """Guards against a quarantine that is ignored because the sound workers are busy."""
+    busy = [owned(f"busy{number}", slots=1) for number in range(2)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *busy), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    for number in range(2):
+        state.targets.by_id[f"busy{number}"].reserve("other", ResourceDemand(1, 1))
+    assert path._find_candidates(call_of(path), clock.now) == []
