Overdue work: one try each 2 s also of long-running tasks, and waits begin when work is due

The time before an occurrence is due counted as waiting. A wide step compared all workers anew for each of its tasks; it compares them once, and then the one that was chosen.

Its replacement holds the same bound for each step: a failed attempt counts for its task alone.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -324,10 +324,13 @@
         self._wake_up_report()
 
     def start_unanswered(self, session: WorkerSession) -> None:
-        """Report a worker that did not answer a start, so that others are preferred to it."""
+        """Report a worker that did not answer a start, so that others are preferred to it.
+
+        Only for a moment: the answer may be what was lost, so this is no failure of the worker.
+        """
         if not session.is_closed:
             worker_id = session.incarnation.worker_id
-            self._rejections.append(StartRejection(worker_id, RejectionKind.UNHEALTHY))
+            self._rejections.append(StartRejection(worker_id, RejectionKind.NO_CAPACITY))
             self._wake_up_report()
 
     def incarnation_ended(self, session: WorkerSession, why: str) -> None:
--- a/src/savoryshelf/dispatch/health.py
+++ b/src/savoryshelf/dispatch/health.py
@@ -18,7 +18,7 @@
 """Upper bound of a quarantine, so that a worker which has recovered is used again."""
 
 REJECTION_BACKOFF_SECONDS = 0.5
-"""How long a worker gets no runs after it rejected one for lack of capacity.
+"""How long other workers are preferred to one that rejected a run or did not answer a start.
 
 This leaves time for the next poll, which reports what the worker is running.
 """
@@ -63,7 +63,7 @@
         return seconds
 
     def record_rejection(self, worker_id: str, now: float) -> None:
-        """Record that a worker rejected, for lack of capacity, a run that should have fitted."""
+        """Record that a worker rejected a run that should have fitted, or left it unanswered."""
         health = self._health_by_worker_id.setdefault(worker_id, _WorkerHealth())
         health.backoff_until = now + REJECTION_BACKOFF_SECONDS
 
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -477,7 +477,12 @@
         ``best_effort_starts`` finite best-effort tasks are started, but always the first of a
         step that has no run: no job may wait without one for long.
         """
-        self._waiting.begin_pass(ledger, now)
+        groups = [
+            group
+            for group in ledger.startable_group_by_key.values()
+            if group.job.due_ms(group.occurrence) <= wall_ms
+        ]
+        self._waiting.begin_pass(groups, now)
         candidates = [
             self._candidate(view, health, now)
             for view in views
@@ -489,10 +494,7 @@
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
-        groups = ledger.startable_group_by_key.values()
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
-            if group.job.due_ms(group.occurrence) > wall_ms:
-                continue
             pool = pools.pool_of(group)
             if self._must_leave_capacity(group, pool.candidates, now):
                 continue
@@ -633,21 +635,33 @@
         else:
             # The others have no room, or the task would have been placed there.
             eligible = pool.avoided_candidates()
+
+        def is_feasible(candidate: _Candidate) -> bool:
+            if not candidate.fits(step):
+                return False
+            if _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
+                return False
+            return may_interfere or not step.filling or candidate.may_add_best_effort(step)
+
+        # Only the order of the worker that was chosen changes with each task.
+        order_by_position = {
+            position: _overdue_order(candidate, step)
+            for position, candidate in enumerate(eligible)
+            if is_feasible(candidate)
+        }
         run = 1 + max(task.runs for task in group.tasks)
         intents = []
         for task in tasks:
-            feasible = [
-                candidate
-                for candidate in eligible
-                if candidate.fits(step)
-                and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))
-                and (may_interfere or not step.filling or candidate.may_add_best_effort(step))
-            ]
-            if not feasible:
+            if not order_by_position:
                 break
-            chosen = min(feasible, key=lambda c, task=task: _overdue_order(c, task))
+            position = _first_for(task, eligible, order_by_position)
+            chosen = eligible[position]
             task_run = run if step.gang else task.runs + 1
             intents.append(self._assign(task, task_run, chosen, run_counts))
+            if is_feasible(chosen):
+                order_by_position[position] = _overdue_order(chosen, step)
+            else:
+                del order_by_position[position]
         if step.gang:
             return self._assign_gang(group, pool.candidates, intents)
         if len(intents) < len(tasks) and (may_interfere or not step.filling):
@@ -721,16 +735,14 @@
         return RunIntent(task.name, run, WorkerLife(*chosen.view.incarnation))
 
 
-def _overdue_order(candidate: _Candidate, task: Task) -> tuple:
-    """Return the sort key of the workers on which an overdue task may be placed.
+def _overdue_order(candidate: _Candidate, step: StepSpec) -> tuple:
+    """Return the sort key of the workers on which overdue tasks of a step may be placed.
 
     Avoided ones come last.  Of those, each is tried before one is tried twice in a pass, the one
     that has not failed for longest first.
     """
-    step = task.step.spec
     return (
         candidate.is_avoided,
-        task.failed_on == candidate.view.worker.record.life.worker_id,
         candidate.planned_count if candidate.is_avoided else 0,
         candidate.interference_with(step) if step.filling else 0.0,
         candidate.last_failure_at,
@@ -738,6 +750,21 @@
     )
 
 
+def _first_for(
+    task: Task, candidates: list[_Candidate], order_by_position: dict[int, tuple]
+) -> int:
+    """Return the position of the first worker by that order, one where the task failed last."""
+    if not task.failed_on:
+        return min(order_by_position, key=order_by_position.get)
+
+    def order(position: int) -> tuple:
+        worker_id = candidates[position].view.worker.record.life.worker_id
+        is_avoided, *others = order_by_position[position]
+        return is_avoided, worker_id == task.failed_on, others
+
+    return min(order_by_position, key=order)
+
+
 def _scheduling_order(group: StepGroup, wall_ms: int) -> tuple:
     """Return the sort key of a group: priority, lateness, finite work first, then age."""
     job = group.job
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -9,7 +9,6 @@
 import attrs
 
 from ..tasks.job import StepGroup, Task
-from ..tasks.ledger import TaskLedger
 from ..tasks.names import parse_task_name
 from ..wire.generated.ttypes import RunIntent
 
@@ -31,15 +30,14 @@
     _since_by_task: dict[str, float] = attrs.field(factory=dict)
     _since_by_group_key: dict[tuple, float] = attrs.field(factory=dict)
 
-    def begin_pass(self, ledger: TaskLedger, now: float) -> None:
-        """Take note of what is startable at the beginning of a pass."""
-        groups = ledger.startable_group_by_key
+    def begin_pass(self, groups: list[StepGroup], now: float) -> None:
+        """Take note of the steps that have startable tasks and are due, at the start of a pass."""
         since = self._since_by_group_key
-        self._since_by_group_key = {key: since.get(key, now) for key in groups}
+        self._since_by_group_key = {group.key: since.get(group.key, now) for group in groups}
         since = self._since_by_task
         self._since_by_task = {
             task.name: since.get(task.name, now)
-            for group in groups.values()
+            for group in groups
             if group.spec.lasting
             for task in (group.tasks[index] for index in group.startable_indexes)
         }
@@ -71,8 +69,10 @@
         return [min(tasks, key=lambda task: (task.failures, task.index))]
 
     def record_starts(self, intents: list[RunIntent], now: float) -> None:
-        """Count the wait of the steps anew of which runs are started."""
+        """Count the waits anew of what is started; it may be startable again in the next pass."""
         for intent in intents:
+            if intent.task in self._since_by_task:
+                self._since_by_task[intent.task] = now
             name = parse_task_name(intent.task)
             key = name.job_id, name.occurrence, name.step
             if key in self._since_by_group_key:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -84,6 +84,12 @@
 A refused poll renews no lease.  A few tries: unhealthy workers refuse part of their calls.
 """
 
+MAX_DOUBT_SECONDS = 2.0
+"""How long a stop may stay unconfirmed until a start in doubt is ended by a new token.
+
+A new token makes a new session, which has to learn all runs of the worker again.
+"""
+
 PERMISSION_CHECK_SECONDS = 0.05
 """How often a session without permission to call its worker checks for it, in seconds."""
 
@@ -165,8 +171,8 @@
         self._undelivered_starts: set[tuple[str, int]] = set()
         """The runs whose start call has not reached the worker, or not been sent yet."""
 
-        self._starts_in_doubt: set[tuple[str, int]] = set()
-        """The runs whose start call was sent and not answered, until a stop is confirmed."""
+        self._in_doubt_since_by_run: dict[tuple[str, int], float] = {}
+        """Since when the start call of a run is unanswered, until a stop is confirmed."""
 
         self._start_unanswered_at = float("-inf")
         """When the newest start call went unanswered, in monotonic seconds."""
@@ -578,7 +584,7 @@
         log_event(
             "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
         )
-        self._starts_in_doubt.add((task, run))
+        self._in_doubt_since_by_run[task, run] = self._agent.now()
         self._starts_in_flight.discard((task, run))
         self._agent.start_unanswered(self)
         self.stop(task, run)
@@ -621,7 +627,7 @@
             self._stops_in_flight.discard(key)
         if not is_confirmed:
             return
-        self._starts_in_doubt.discard(key)
+        self._in_doubt_since_by_run.pop(key, None)
         was_running = key in self.status_by_run
         self._stopped_at_by_run[key] = self._agent.now()
         self._confirmed_at_by_run[key] = self._agent.now()
@@ -660,7 +666,8 @@
 
     def _request_token_if_in_doubt(self, key: tuple[str, int], sent_at: float) -> None:
         """Ask for a new token if the worker, which did not confirm a stop, answers a poll."""
-        if key not in self._starts_in_doubt or self.needs_new_token:
+        since = self._in_doubt_since_by_run.get(key)
+        if since is None or self.needs_new_token or self._agent.now() - since < MAX_DOUBT_SECONDS:
             return
         self._poll_now()
         is_listed = key in self.status_by_run
