--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -67,7 +67,8 @@
         ended_ms=job.ended_ms,
         cancelled=job.cancelled,
         failed=job.failed,
-        tasks=[_task_record(task) for task in job.tasks() if task.runs],
+        # The members of a gang that is done need not all have had a run.
+        tasks=[_task_record(task) for task in job.tasks() if task.runs or task.done],
         started=job.started,
     )
 
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -416,3 +416,15 @@
     assert entry.serving_run_count_by_image == entry.best_effort_millicores_by_image == {}
     assert entry.serving_millicores == entry.long_running_millicores == 0
     assert not entry.is_shared
+
+
+# Guards against replicas that differ after a snapshot, one of which starts a task that is done.
+def test_the_members_of_a_gang_that_is_done_stay_done_through_a_snapshot():
+    task_ledger = ledger()
+    accept(task_ledger, step(2, gang=True))
+    record_intent(task_ledger, f"{JOB}.0.0.0")
+    settle_run(task_ledger, f"{JOB}.0.0.0", RunOutcome.DONE)
+    restored = snapshot.load(snapshot.save(task_ledger))
+    assert all(task.done for task in restored.job_by_id[JOB].tasks())
+    assert not restored.startable_group_by_key
+    assert restored.job_by_id[JOB].state is task_ledger.job_by_id[JOB].state
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from savoryshelf.tasks import snapshot
-from savoryshelf.wire.generated.ttypes import RunEnd, RunOutcome, WorkerLife
+from savoryshelf.wire.generated.ttypes import RunEnd, RunIntent, RunOutcome, WorkerLife
 
 from .builders import accept, ledger, record_intent, step, worker
 
@@ -40,6 +40,12 @@
         tasks = [task for job in self.ledger.job_by_id.values() for task in job.tasks()]
         return {task.name: (task.checkpoint, task.checkpoint_run) for task in tasks}
 
+    def progress(self):
+        """Return what decides which tasks are started and which runs are stopped."""
+        groups = self.ledger.startable_group_by_key
+        startable = {key: sorted(group.startable_indexes) for key, group in groups.items()}
+        return startable, sorted(self.ledger.runs_to_stop.items()), sorted(self.placed_runs())
+
     @rule(number=st.integers(0, 3), shape=st.sampled_from(JOB_SHAPES))
     def accept(self, number, shape):
         accept(self.ledger, *shape, job_id=f"{number:016x}")
@@ -85,6 +91,21 @@
     def end_incarnation(self, incarnation):
         self.ledger.end_incarnations([WorkerLife(*incarnation)], [])
 
+    @precondition(
+        lambda self: any(g.spec.gang for g in self.ledger.startable_group_by_key.values())
+    )
+    @rule(data=st.data())
+    def start_gang(self, data):
+        groups = [g for g in self.ledger.startable_group_by_key.values() if g.spec.gang]
+        group = data.draw(st.sampled_from(groups))
+        run = 1 + max(task.runs for task in group.tasks)
+        intents = [
+            RunIntent(task.name, run, WorkerLife(*data.draw(st.sampled_from(INCARNATIONS))))
+            for task in group.tasks
+        ]
+        valid = self.ledger.record_intents(intents)
+        assert valid in ([], intents)
+
     @rule(incarnation=st.sampled_from(INCARNATIONS))
     def register_again(self, incarnation):
         self.ledger.upsert_worker(worker(*incarnation))
@@ -93,7 +114,9 @@
     def restart_from_snapshot(self):
         before = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
         checkpoints_before = self.checkpoints()
+        progress_before = self.progress()
         self.ledger = snapshot.load(snapshot.save(self.ledger))
+        assert self.progress() == progress_before
         after = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
         assert after == before
         checkpoints_after = self.checkpoints()
@@ -127,6 +150,25 @@
                 task = group.tasks[index]
                 assert not task.done and not task.incarnation_by_run
 
+    # Guards against accepted work that waits for good: no command would make it startable again.
+    @invariant()
+    def an_unfinished_task_is_startable_blocked_or_has_a_run_that_may_exist(self):
+        workers = self.ledger.worker_by_incarnation
+        for job in self.ledger.job_by_id.values():
+            if job.is_ended:
+                continue
+            for task in job.tasks():
+                group = task.step
+                required = [job.groups[group.occurrence, n] for n in group.spec.after]
+                if task.done or any(step.unfinished for step in required):
+                    continue
+                if not task.incarnation_by_run:
+                    assert self.ledger.startable_group_by_key.get(group.key) is group
+                    assert task.index in group.startable_indexes
+                for run, key in task.incarnation_by_run.items():
+                    assert not workers[key].has_ended
+                    assert workers[key].task_by_run[task.name, run] is task
+
     @invariant()
     def every_task_of_a_completed_job_is_done(self):
         for job in self.ledger.job_by_id.values():
