Ledger: the runs of a gang are stopped once a member has none

Cause: the end of one member's run left the runs of the others as they were. Workers break a gang when a member that was present ends, but nobody tells them of one that never came.

Change: while a gang has runs and not one of the same number for each member, all its runs are to be stopped.

Evidence: test_a_gang_starts_again_at_once_after_the_start_of_a_member_was_refused failed before (not within 2 s; the fake worker has no time-out) and passes.

--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -156,6 +156,8 @@
             if self._is_valid(intent, task) and task.step.key not in incomplete:
                 self._record_intent(intent, task)
                 valid.append(intent)
+        for intent in valid:
+            self._stop_partial_gang(self.find_task(intent.task).step)
         return valid
 
     def settle(
@@ -306,6 +308,7 @@
         self._note_checkpoint(task, end)
         _HANDLER_BY_OUTCOME[end.outcome](self, task, key)
         self._make_startable_if_idle(task)
+        self._stop_partial_gang(task.step)
 
     def _note_checkpoint(self, task: Task, end: RunEnd) -> None:
         """Keep the checkpoint of an ended run, for all of its gang, unless a newer one is known.
@@ -329,6 +332,26 @@
         if worker is not None:
             worker.remove_run(task, run)
 
+    def _stop_partial_gang(self, group: StepGroup) -> None:
+        """Have the runs of a gang stopped unless each member has one of the same number.
+
+        They would wait for the others until they time out, and the gang can start again only
+        after that.
+        """
+        if not group.spec.gang or not group.unfinished or group.job.is_ended:
+            return
+        placed = [
+            (task.name, run, key)
+            for task in group.tasks
+            for run, key in task.incarnation_by_run.items()
+        ]
+        is_whole = len(placed) == len(group.tasks) and len({run for _, run, _ in placed}) == 1
+        for name, run, key in placed:
+            if is_whole:
+                self.runs_to_stop.pop((name, run), None)
+            else:
+                self.runs_to_stop[name, run] = key
+
     def _make_startable_if_idle(self, task: Task) -> None:
         """Make a task startable, unless it is done or blocked or a run of it may exist."""
         group = task.step
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -101,6 +101,7 @@
         if group.spec.gang:
             # Members without a run have no record, and in earlier versions each had its own value.
             share_newest_checkpoint(group)
+            ledger._stop_partial_gang(group)
         ledger._unblock_if_ready(group)
     if record.failed or record.cancelled:
         job.failed, job.cancelled = record.failed, record.cancelled
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -280,3 +280,22 @@
         group.submit()
         wait_until(lambda: good.running, 1.0)
         assert len(bad.delayed_starts) <= 2
+
+
+# Guards against a gang that waits for a member whose start was refused: the others held their
+# capacity until they timed out, and ended alone.
+def test_a_gang_starts_again_at_once_after_the_start_of_a_member_was_refused(monkeypatch):
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        full, other = group.worker_by_id["w1"], group.worker_by_id["w2"]
+        start, refused = full.start, []
+
+        def refuse_once(incarnation, request):
+            if not refused:
+                refused.append(request)
+                return StartResult.NO_CAPACITY, full.clock_ms()
+            return start(incarnation, request)
+
+        monkeypatch.setattr(full, "start", refuse_once)
+        group.submit(step(2, gang=True, max_per_worker=1))
+        wait_until(lambda: full.running and other.running, 2.0)
+        assert {run for _, run in [*full.running, *other.running]} == {2}
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -169,6 +169,16 @@
                     assert not workers[key].has_ended
                     assert workers[key].task_by_run[task.name, run] is task
 
+    # Guards against members of a gang that wait at their workers for one that does not run.
+    @invariant()
+    def every_run_of_a_gang_that_is_not_whole_is_to_be_stopped(self):
+        for job in self.ledger.job_by_id.values():
+            for group in job.groups.values():
+                placed = [(t.name, r) for t in group.tasks for r in t.incarnation_by_run]
+                is_whole = len(placed) == len(group.tasks) and len({run for _, run in placed}) == 1
+                if group.spec.gang and not is_whole:
+                    assert all(run in self.ledger.runs_to_stop for run in placed)
+
     @invariant()
     def every_task_of_a_completed_job_is_done(self):
         for job in self.ledger.job_by_id.values():
