--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -299,3 +299,33 @@
         group.submit(step(2, gang=True, max_per_worker=1))
         wait_until(lambda: full.running and other.running, 2.0)
         assert {run for _, run in [*full.running, *other.running]} == {2}
+
+
+def test_an_end_whose_report_is_lost_is_reported_again(group):
+    group.submit()
+    wait_until(lambda: only_worker(group).running)
+    host = group.agent_host()
+    group.silent_hosts.add(host)
+    only_worker(group).end(TASK, 1, RunOutcome.DONE)
+    eventlet.sleep(0.3)
+    assert not group.ledger.find_task(TASK).done
+    group.silent_hosts.discard(host)
+    wait_until(lambda: group.ledger.find_task(TASK).done, 2.0)
+
+
+# Guards against a task that waits for good when the host that started it loses what it knew of it.
+@pytest.mark.parametrize("change", ["snapshot", "leader"])
+def test_a_start_in_doubt_is_settled_after_a_change_of_agent_or_leader(large_group, change):
+    group, worker = large_group, only_worker(large_group)
+    worker.unanswered_calls = {"start", "stop", "poll"}
+    group.submit()
+    wait_until(lambda: worker.delayed_starts)
+    host = group.agent_host()
+    if change == "snapshot":
+        state_machine = group.state_machine_by_host[host]
+        state_machine.restore(state_machine.snapshot())
+    else:
+        group.change_leader("c2" if host == "c1" else "c1")
+    worker.unanswered_calls = {"start", "stop"}
+    wait_until(lambda: group.ledger.find_task(TASK).runs >= 2, 3.0)
+    assert worker.apply_start(worker.delayed_starts[0]) is StartResult.FENCED
