Worker sessions: a poll counts though the renewal of the lease after it fails

What callers saw: on a worker that leaves a part of its calls unanswered, runs stayed assigned for up to 13 s although a poll had been answered that did not list them.

Cause: the first poll of a session, and each poll of an unresponsive worker, renews no lease; a second call does that once the first has been answered. If the second call got no answer, the answer of the first was dropped with it: the worker's runs stayed unknown, and nothing was settled.

Change: what was listed is processed whether or not the renewal succeeds; the error counts after that. The renewal still comes first, since settling may wait for a commit.

test_a_poll_counts_though_the_renewal_of_the_lease_after_it_fails failed before, both cases, and passes.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -387,10 +387,17 @@
             log_event("worker:answers_again", worker=self.incarnation.worker_id)
         self.is_unresponsive = False
         self.clock.record_reading(result.clock_ms, now)
+        renewal_error = None
         if deadline_ms == 0 and (result.running or self.worker.task_by_run):
             # This poll only read the worker's clock; the lease is still to be renewed.
-            self._renew_lease()
+            try:
+                self._renew_lease()
+            except (WorkerUnresponsive, CallRejected) as error:
+                renewal_error = error
+        # What was listed holds, whether or not the next call was answered.
         self._process_poll(result, sent_at)
+        if renewal_error is not None:
+            raise renewal_error
         if result.unreadable_runs or result.unreadable_ends:
             # A worker answers at once while an end is not acknowledged.
             self._wait_before_retry()
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -8,6 +8,7 @@
 from savoryshelf.dispatch.worker_api import (
     CallRejected,
     NotDelivered,
+    RunStatus,
     StartResult,
     WorkerUnresponsive,
 )
@@ -702,3 +703,32 @@
     agent.has_permission = True
     wait_until(lambda: not task_ledger.find_task(second_task).incarnation_by_run, 1.0)
     assert worker.starts == [(TASK, 1)]
+
+
+# Guards against a run that is not settled though its worker has said that it does not run: the
+# answer was dropped when the call after it, which renews the lease, was not answered.
+@pytest.mark.parametrize(
+    "error", [WorkerUnresponsive("no answer"), CallRejected("hold: status 503")]
+)
+def test_a_poll_counts_though_the_renewal_of_the_lease_after_it_fails(error, monkeypatch):
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(2))
+    other = f"{JOB}.0.0.1"
+    for task in (TASK, other):
+        record_intent(task_ledger, task)
+    worker.running[other, 1] = RunStatus(other, 1, "", 0, 0)
+    poll = worker.poll
+
+    def poll_without_renewals(incarnation, fencing_token, seen_end, deadline_ms, wait_ms):
+        if deadline_ms:
+            raise error
+        return poll(incarnation, fencing_token, seen_end, deadline_ms, wait_ms)
+
+    monkeypatch.setattr(worker, "poll", poll_without_renewals)
+    session, agent = make_session(task_ledger, worker)
+    try:
+        wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, LEASE_MS / 2000)
+        assert task_ledger.find_task(other).incarnation_by_run
+        assert not agent.end_reasons
+    finally:
+        session.close()
