--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -393,10 +393,17 @@
             log_event("worker:answers_again", worker=self.incarnation.worker_id)
         self.is_unresponsive = False
         self.clock.record_reading(result.clock_ms, now)
+        renewal_error = None
         if deadline_ms == 0 and (result.running or self.worker.task_by_run):
             # This poll only read the worker's clock; the lease is still to be renewed.
-            self._renew_lease()
+            try:
+                self._renew_lease()
+            except (WorkerUnresponsive, CallRejected) as error:
+                renewal_error = error
+        # What was listed holds, whether or not the next call was answered.
         self._process_poll(result, sent_at)
+        if renewal_error is not None:
+            raise renewal_error
         if result.unreadable_runs or result.unreadable_ends:
             # A worker answers at once while an end is not acknowledged.
             self._wait_before_retry()
@@ -479,6 +486,7 @@
         for key in self._started_at_by_run.keys() - self.worker.task_by_run.keys():
             del self._started_at_by_run[key]
         self._undelivered_starts &= self.worker.task_by_run.keys()
+        self._starts_in_doubt &= self.worker.task_by_run.keys()
         for key in self._confirmed_at_by_run.keys() - self.worker.task_by_run.keys():
             self._confirmed_at_by_run.pop(key, None)
             self._stopped_at_by_run.pop(key, None)
@@ -549,6 +557,7 @@
         except Exception as error:
             # The run would count as being started for good, and no poll would settle it.
             log_event("run:start_failed", task=task, run=run, why=repr(error))
+            self._starts_in_doubt.add(key)
             self._starts_in_flight.discard(key)
             self.stop(task, run)
             return
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -67,7 +67,8 @@
         ended_ms=job.ended_ms,
         cancelled=job.cancelled,
         failed=job.failed,
-        tasks=[_task_record(task) for task in job.tasks() if task.runs],
+        # The members of a gang that is done need not all have had a run.
+        tasks=[_task_record(task) for task in job.tasks() if task.runs or task.done],
         started=job.started,
     )
 
@@ -100,6 +101,7 @@
         if group.spec.gang:
             # Members without a run have no record, and in earlier versions each had its own value.
             share_newest_checkpoint(group)
+            ledger._stop_partial_gang(group)
         ledger._unblock_if_ready(group)
     if record.failed or record.cancelled:
         job.failed, job.cancelled = record.failed, record.cancelled
