A control host with a new disk asks those that send to the lost one

What callers saw: no entry host served for as long as the settings stayed as they were, after a power loss of all hosts in which two control hosts lost their disks and the third address in the settings was that of a host that had been replaced.

Cause: a host looked for its group only at the members of its log, which an empty disk has not, and at the seeds of its settings. Where these name no host that knows the group, it asked other hosts that were looking as well, for good, although the leader sent a heartbeat to its lost disk each 0.2 s. Entry hosts that started at the same time know nothing but the same settings, and nobody calls them; so they found the group no more than the two did.

Fix: senders of replication messages count among the known addresses, in the attempt after their message, so those that have left are not asked for good. The hosts join within a second, and entry hosts learn the members from them.

--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -13,10 +13,10 @@
         self._host = host
 
     def deliver(self, messages):
-        """Pass messages from other replicas to this host's replica."""
+        """Pass messages from other replicas to this host."""
         self.require_authenticated()
         self.carries_replication = True
-        self._host.replica.deliver(messages)
+        self._host.deliver(messages)
 
     def join(self, member):
         """Add a replica to the group as a learner, unless it is a member already."""
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -12,6 +12,7 @@
 from ..control.repair import GroupRepair
 from ..disk import LocalDisk
 from ..observability.logs import log_event
+from ..replication.bootstrap import host_name
 from ..replication.membership import find_member
 from ..replication.seed_bootstrap import bootstrap_identity
 from ..replication.service import ReplicaService
@@ -20,6 +21,7 @@
 from ..replication.types import Timing
 from ..tasks.state_machine import TaskStateMachine
 from ..wire.generated import ControlService, ttypes
+from ..wire.generated.ttypes import RaftMessage
 from ..wire.peers import PeerClient, PeerServer
 from .agent import Agent, NoLeader
 from .handler import TaskControlHandler
@@ -95,6 +97,7 @@
         self._clock = SystemClock()
         self._started_at = self._clock.monotonic()
         self._known_addresses = KnownAddresses()
+        self._address_by_ip = _AddressByIp(settings.peer_port)
         self._peers: PeerServer | None = None
         self.update_seeds(settings.seed_ips)
         storage = ReplicaStorage(LocalDisk(settings.data_folder))
@@ -112,7 +115,7 @@
             storage=storage,
             state_machine=self.state_machine,
             transport=PeerTransport(settings.cluster_key),
-            address_by_host=_AddressByIp(settings.peer_port),
+            address_by_host=self._address_by_ip,
             clock=self._clock,
             timing=settings.timing,
             rng=random.Random(),
@@ -161,6 +164,13 @@
                 eventlet.sleep(LEAVE_CHECK_SECONDS)
         self._peers.drain(max(0.0, limit_seconds - (self._clock.monotonic() - began_at)))
 
+    def deliver(self, messages: list[RaftMessage]) -> None:
+        """Take messages from other replicas, also those for a disk that this host lost."""
+        for sender_ip in {host_name(message.sender) for message in messages}:
+            if sender_ip:
+                self._known_addresses.record_sender(self._address_by_ip.get(sender_ip))
+        self.replica.deliver(messages)
+
     def receive_report(self, report: ttypes.AgentReport) -> ttypes.AgentReply:
         """Take an agent's report; raises NotLeader if this host does not lead."""
         if self._term is None or not self.replica.is_leader:
@@ -225,7 +235,7 @@
         while True:
             if self._may_have_been_removed():
                 membership = self.replica.core.log.membership
-                self._joiner.ask_all(self._known_addresses.to_ask(membership))
+                self._joiner.ask_all(self._known_addresses.take_to_ask(membership))
             eventlet.sleep(JOIN_RETRY_SECONDS * random.uniform(0.75, 1.25))
 
     def _may_have_been_removed(self) -> bool:
--- a/src/savoryshelf/dispatch/joining.py
+++ b/src/savoryshelf/dispatch/joining.py
@@ -22,6 +22,9 @@
 MAX_EARLIER_SEEDS = 8
 """Bound on the seeds of earlier settings that are kept while no member of the group is known."""
 
+MAX_SENDERS = 8
+"""Bound on the addresses of senders that are kept between two attempts to join."""
+
 MAX_LOGGED_ADDRESSES = 64
 """Bound on the addresses whose last outcome is kept; above it some are logged once more."""
 
@@ -32,11 +35,16 @@
     Seeds of earlier settings count only while the host knows no membership: the newest
     settings may name hosts that are down or cut off, and hosts that have left are not
     asked for good.
+
+    Members go on to send to the disk that this host lost, and their addresses may be in none of
+    its settings: each sender is asked in the attempt after its message.
     """
 
     def __init__(self):
         self._seeds: list[str] = []
         self._earlier_seeds: list[str] = []
+        self._senders: dict[str, None] = {}
+        """Whose messages arrived since the last attempt, in the order of their first one."""
 
     def update_seeds(self, seeds: list[str]) -> None:
         """Replace the seeds by those of newer settings."""
@@ -45,11 +53,18 @@
         kept = dict.fromkeys(each for each in earlier if each not in self._seeds)
         self._earlier_seeds = list(kept)[:MAX_EARLIER_SEEDS]
 
-    def to_ask(self, membership: Membership) -> list[str]:
-        """Return the addresses to ask, given the membership in this host's log."""
+    def record_sender(self, address: str) -> None:
+        """Note that another replica has sent a message from this address."""
+        self._senders[address] = None
+        if len(self._senders) > MAX_SENDERS:
+            del self._senders[next(iter(self._senders))]
+
+    def take_to_ask(self, membership: Membership) -> list[str]:
+        """Return the addresses to ask now, given the membership in this host's log."""
         members = [member.address for member in membership.members]
         known = [*members, *self._seeds, *([] if members else self._earlier_seeds)]
-        return list(dict.fromkeys(known))
+        senders, self._senders = self._senders, {}
+        return list(dict.fromkeys([*known, *senders]))
 
 
 class GroupJoiner:
--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -6,12 +6,19 @@
 import pytest
 
 from savoryshelf.dispatch import joining
+from savoryshelf.dispatch.handler import TaskControlHandler
 from savoryshelf.dispatch.host import TaskControlHost, TaskControlSettings
 from savoryshelf.dispatch.leader_term import DispatchSettings
 from savoryshelf.errors import PeerUnreachable
 from savoryshelf.replication.log import RaftLog
 from savoryshelf.wire.generated import ttypes
-from savoryshelf.wire.generated.ttypes import Member, Membership
+from savoryshelf.wire.generated.ttypes import (
+    Member,
+    Membership,
+    RaftMessage,
+    RaftPayload,
+    VoteRequest,
+)
 
 from ..loop_time import counting_loop_time
 
@@ -107,6 +114,32 @@
     assert not set(peers.asked_ips) & set(GONE_IPS)
 
 
+def deliver(host, sender_ip, recipient_id):
+    """Hand over a message of a member of the group, as its process does."""
+    handler = TaskControlHandler("key", host)
+    handler.authenticated = True
+    payload = RaftPayload(vote_request=VoteRequest(9, 3, True))
+    handler.deliver([RaftMessage(f"{sender_ip}.disk", recipient_id, 4, payload, 0)])
+
+
+# Guards against a host with a new disk whose settings name only hosts that are gone, or new as
+# well: the group goes on to send to the disk that is lost, and the host never asked its members.
+@pytest.mark.parametrize("seed_ips", [GONE_IPS[:3], [OWN_IP], []])
+def test_a_host_with_a_new_disk_asks_those_that_send_to_the_lost_one(make_host, peers, seed_ips):
+    host = make_host(seed_ips)
+    eventlet.spawn_after(0.3, deliver, host, FOLLOWER_IP, f"{OWN_IP}.lost")
+    assert seconds_until_accepted(host, peers, 8.0) < 1.2
+
+
+# Guards against a host that looks for its group among members that have all been replaced.
+def test_a_host_whose_members_are_all_gone_asks_those_that_send_to_it(make_host, peers):
+    host = make_host(GONE_IPS[:3])
+    members = [Member(f"{ip}.disk", f"{ip}:{PORT}", "", True) for ip in GONE_IPS[3:]]
+    host.replica.core.log = RaftLog(Membership(members))
+    eventlet.spawn_after(0.3, deliver, host, FOLLOWER_IP, host.identity.replica_id)
+    assert seconds_until_accepted(host, peers, 8.0) < 1.2
+
+
 # Guards against lines without news for as long as a group has no leader.
 def test_an_outcome_is_logged_once_until_it_changes(make_host, peers, monkeypatch):
     lines = []
--- /dev/null
+++ b/tests/platform/test_power_loss.py
@@ -0,0 +1,78 @@
+"""All hosts lose power at once, and two of the control hosts their disks."""
+
+import shutil
+import time
+
+import pytest
+
+from .test_whole_path import FRONTS, MANIFEST, NETWORK, SEEDS, Deployment, wait_until
+
+CONTROL_IPS = [*SEEDS, f"{NETWORK}.206", f"{NETWORK}.207"]
+GONE_IP = f"{NETWORK}.208"
+"""The address of a control host that was replaced; nothing uses it any more."""
+
+RECOVERY_SECONDS = 12.0
+"""Time from the start of the last process within which callers have to be served."""
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    started = Deployment(tmp_path, CONTROL_IPS)
+    try:
+        for ip in [*CONTROL_IPS, *FRONTS]:
+            started.start(ip)
+        started.add_worker("w1")
+        wait_until(lambda: started.call_operator("POST", "put", MANIFEST)[0] == 200)
+        wait_until(lambda: log_lines(started, '"change":"promote"') == 2)
+        yield started
+    finally:
+        for process in started.process_by_ip.values():
+            process.kill()
+            process.wait(10)
+        for worker in started.workers:
+            worker.close()
+
+
+def log_lines(deployment, text):
+    """Return how many lines of all control hosts hold a text."""
+    logs = [(deployment.folder / f"{ip}.log").read_text() for ip in CONTROL_IPS]
+    return sum(text in line.replace(" ", "") for log in logs for line in log.splitlines())
+
+
+def lose_power(deployment, lost_disks, seeds):
+    """Kill all processes; they start again with these seeds, some with an empty disk."""
+    processes = dict(deployment.process_by_ip)
+    for process in processes.values():
+        process.kill()
+    for process in processes.values():
+        process.wait(10)
+    for ip in lost_disks:
+        shutil.rmtree(deployment.folder / ip)
+    deployment.seeds, deployment.is_first_start = seeds, False
+    for ip in processes:
+        deployment.start(ip)
+
+
+# Guards against entry hosts that never find the group again: their settings name the two hosts
+# that lost their disks, which did not find it either, and one that was replaced.
+@pytest.mark.parametrize("lost_disks", [SEEDS[:2], [SEEDS[0], CONTROL_IPS[4]], CONTROL_IPS[3:]])
+@pytest.mark.parametrize(
+    "names_others", [True, False], ids=["a seed that kept its disk", "a seed that is gone"]
+)
+def test_every_entry_host_serves_again_after_a_power_loss_of_all_hosts(
+    deployment, lost_disks, names_others
+):
+    path = deployment.submit(1, "50 ms")
+    others = [ip for ip in CONTROL_IPS if ip not in lost_disks]
+    lose_power(deployment, lost_disks, [*lost_disks, others[0] if names_others else GONE_IP])
+    began_at = time.monotonic()
+    body = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
+    for number, front in enumerate(FRONTS):
+        wait_until(
+            lambda n=number, ip=front: (
+                deployment.call("POST", f"/q/{n + 16:016x}", body, ip=ip)[0] == 200
+            )
+        )
+        assert deployment.state(path, front) in ("queued", "running", "completed")
+    assert time.monotonic() - began_at < RECOVERY_SECONDS
+    wait_until(lambda: log_lines(deployment, '"change":"promote"') >= 4)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -40,19 +40,23 @@
 class Deployment:
     """Three control hosts, two entry hosts, and the workers that a test adds."""
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, control_ips: list[str] = SEEDS):
         self.folder = folder
+        self.control_ips = control_ips
+        self.seeds = SEEDS
+        self.is_first_start = True
         self.process_by_ip = {}
         self.workers = []
         self.gangs = Gangs()
         self.http = urllib3.PoolManager(timeout=3.0, retries=False)
 
     def start(self, ip):
-        role = "core" if ip in SEEDS else "front"
+        role = "core" if ip in self.control_ips else "front"
         data = self.folder / ip
         data.mkdir(exist_ok=True)
         path = self.folder / f"{ip}.json"
-        path.write_text(json.dumps(platform_settings(role, ip, PORTS, SEEDS, str(data))))
+        settings = platform_settings(role, ip, PORTS, self.seeds, str(data))
+        path.write_text(json.dumps(settings | {"bootstrap": self.is_first_start}))
         environment = os.environ | {"SAVORYSHELF_CONFIG": str(path)}
         command = [sys.executable, "platform/run.py", role]
         with open(self.folder / f"{ip}.log", "ab") as log:
@@ -66,7 +70,7 @@
         process.wait(10)
 
     def add_worker(self, name):
-        addresses = [f"{ip}:{PORTS['control']}" for ip in SEEDS]
+        addresses = [f"{ip}:{PORTS['control']}" for ip in self.control_ips]
         worker = PlatformWorker(name, addresses, gangs=self.gangs)
         self.workers.append(worker)
         return worker
@@ -83,7 +87,7 @@
 
     def call_operator(self, method, path, body=None):
         """Return the status and body of an operator's call, from the first host that answers."""
-        for ip in SEEDS:
+        for ip in self.control_ips:
             url = f"http://{ip}:{PORTS['control']}/savoryshelf/config/{path}"
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 answer = self.http.request(method, url, body=json.dumps(body), redirect=False)
