Recovery syncs what it read: a killed process may not have

Cause: a process killed between a write and its sync, or between the rename of a segment and the sync of the folder, leaves bytes that its successor reads. The successor took them for synced and acknowledged them to the leader. A power loss before the next sync of that file took them back; where a later record had reached the disk by then, the torn one before it was reported as corruption and the process could not start again.

Evidence: two tests with a disk that tells synced from written data, one for the record and one for the rename; both lost an acknowledged entry before.

Fix: recovery syncs the last segment and the folder before the replica runs.

--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -29,6 +29,9 @@
     def truncate(self, name: str, size: int) -> None:
         """Truncate a file to ``size`` bytes and sync it."""
 
+    def sync(self, names: list[str]) -> None:
+        """Sync these files and the folder, after a process that was killed in a write."""
+
 
 class LocalDisk:
     """A folder in a local file system.
@@ -69,6 +72,10 @@
         """Truncate a file to ``size`` bytes and sync it."""
         self._run_in_native_thread("truncate", self._truncate, name, size)
 
+    def sync(self, names: list[str]) -> None:
+        """Sync these files and the folder, after a process that was killed in a write."""
+        self._run_in_native_thread("sync", self._sync, names)
+
     def _run_in_native_thread(self, operation: str, function, *arguments) -> None:
         try:
             tpool.execute(function, *arguments)
@@ -111,6 +118,12 @@
             file.truncate(size)
             os.fsync(file.fileno())
 
+    def _sync(self, names: list[str]) -> None:
+        for name in names:
+            with open(self._path(name), "rb") as file:
+                os.fsync(file.fileno())
+        self._sync_folder()
+
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
         try:
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -93,7 +93,7 @@
         self._replace_file(_IDENTITY_FILE, identity)
 
     def recover(self) -> RecoveredState:
-        """Return the persisted state, after truncating a torn last write.
+        """Return the persisted state, synced, after truncating a torn last write.
 
         Raises CorruptLog if an acknowledged write cannot be read.
         """
@@ -109,6 +109,9 @@
         recovered.entries = self._contiguous_entries(recovered.snapshot, entry_by_index, segments)
         if segments:
             self._segment_number = int(segments[-1].removeprefix(_SEGMENT_PREFIX))
+        # A process that was killed may not have synced its last record or rename; this replica
+        # will acknowledge what was read.
+        self._disk.sync(segments[-1:])
         return recovered
 
     def write(self, record: WalRecord) -> None:
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -40,6 +40,9 @@
     def truncate(self, name, size):
         self.content_by_name[name] = self.content_by_name[name][:size]
 
+    def sync(self, names):
+        pass
+
 
 class Host:
     """One replica with its disk; its state machine is the list of applied commands."""
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -1,7 +1,8 @@
 import pytest
 
 from savoryshelf.errors import CorruptLog
-from savoryshelf.replication.storage import ReplicaStorage
+from savoryshelf.replication.storage import ReplicaStorage, encode_frame
+from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import (
     EntryKind,
     LogEntry,
@@ -87,3 +88,66 @@
     recovered = ReplicaStorage(disk).recover()
     assert recovered.voted_for == "c0.a"
     assert [e.index for e in recovered.entries] == [2]
+
+
+class UnsyncedDisk(MemoryDisk):
+    """A data folder of a process that is killed, and whose host loses power later.
+
+    The next process finds what the killed one wrote; a power loss keeps what was synced.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._synced_content_by_name = {}
+        self._synced_names = set()
+
+    def append(self, name, data):
+        is_new = name not in self.content_by_name
+        super().append(name, data)
+        self._synced_content_by_name[name] = self.read(name)
+        if is_new:
+            self._synced_names = set(self.content_by_name)
+
+    def replace(self, name, data):
+        super().replace(name, data)
+        self._synced_content_by_name[name] = data
+        self._synced_names = set(self.content_by_name)
+
+    def sync(self, names):
+        for name in names:
+            self._synced_content_by_name[name] = self.read(name)
+        self._synced_names = set(self.content_by_name)
+
+    def append_unsynced(self, name, data):
+        super().append(name, data)
+
+    def replace_without_folder(self, name, data):
+        super().replace(name, data)
+        self._synced_content_by_name[name] = data
+
+    def lose_power(self):
+        self.content_by_name = {n: self._synced_content_by_name[n] for n in self._synced_names}
+
+
+# Guards against a process that acknowledges what a killed one had written but not synced: a power
+# loss took it back, or left it torn before later records, and the host could not start again.
+def test_what_a_process_recovered_is_still_there_after_a_power_loss():
+    disk = UnsyncedDisk()
+    ReplicaStorage(disk).write(WalRecord(1, "", [entry(1)]))
+    disk.append_unsynced(SEGMENT, encode_frame(codec.encode(WalRecord(1, "", [entry(2)]))))
+    assert [e.index for e in ReplicaStorage(disk).recover().entries] == [1, 2]
+    disk.lose_power()
+    assert [e.index for e in ReplicaStorage(disk).recover().entries] == [1, 2]
+
+
+# Guards against records that are synced in a file whose name is not.
+def test_records_in_a_segment_that_a_killed_process_had_just_named_survive_a_power_loss():
+    disk = UnsyncedDisk()
+    ReplicaStorage(disk).write(WalRecord(1, "", [entry(1)]))
+    later = encode_frame(codec.encode(WalRecord(1, "", [entry(1)])))
+    disk.replace_without_folder("segment-000000000001", later)
+    storage = ReplicaStorage(disk)
+    storage.recover()
+    storage.write(WalRecord(1, "", [entry(2)]))
+    disk.lose_power()
+    assert [e.index for e in ReplicaStorage(disk).recover().entries] == [1, 2]
