A control host that stops gives up its vote in a group with a sixth voter

What callers saw: no leader for good, so nothing served, no manifest read back and no job run on, after two disks were lost within 2 s of the end of a control host that was stopped because its successor was there.

Cause: a learner that comes before its predecessor is taken for lost becomes a sixth voter. When the predecessor is then stopped for good, its vote is kept until it has been silent for 2 s. In that time two more losses leave three of six voters, one less than a majority.

Fix: at SIGTERM a voter asks the leader to remove it, or removes itself if it leads, while the group has more than five; the leader refuses if five are left. A host that was only restarted joins again as it does after a removal. The time for this, 2 s at most, comes before that of the drain and is spent only by such a group.

--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -20,6 +20,8 @@
 
 A learner that comes before X is taken for lost becomes a sixth voter.  That bears two losses
 like five voters, X and L among them; waiting instead would save only the loss of L besides.
+A voter that is stopped meanwhile leaves the group itself: if it was stopped for good, its
+successor is there already, and two other hosts may be lost at once.
 """
 
 from ..observability.logs import log_event
@@ -88,6 +90,23 @@
             )
         self._replica.change_membership(lambda core: core.remove(matching_ids[0]))
 
+    def request_leave(self, replica_id: str) -> None:
+        """Remove a voter whose process stops if the group has more voters than its target.
+
+        The process may come back, and joins again then; if it does not, its vote would be missing
+        until it counts as unresponsive.  Raises NotLeading, MembershipChangeRefused or
+        OutcomeUnknown.
+        """
+
+        def remove_surplus(core: Replica) -> int:
+            voters = voter_ids(core.log.membership)
+            if replica_id not in voters or len(voters) <= TARGET_VOTERS:
+                raise MembershipChangeRefused(f"{replica_id} is not a voter above the target")
+            return core.remove(replica_id)
+
+        self._replica.change_membership(remove_surplus)
+        log_event("group:changed", change="leave", replica=replica_id)
+
     def step(self) -> None:
         """Commit the next membership change, if one is due."""
         core = self._replica.core
--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -1,5 +1,7 @@
 """Thrift service that a control host for jobs of many tasks offers to its peers."""
 
+from ..replication.membership import MembershipChangeRefused
+from ..replication.service import OutcomeUnknown
 from ..replication.types import NotLeading
 from ..wire.generated import ttypes
 from ..wire.peers import PeerHandler
@@ -26,6 +28,18 @@
         except NotLeading:
             raise self._not_leader() from None
 
+    def remove_replica(self, name):
+        """Remove a replica whose process stops, if the group has more voters than its target."""
+        self.require_authenticated()
+        try:
+            self._host.repair.request_leave(name)
+        except NotLeading:
+            raise self._not_leader() from None
+        except OutcomeUnknown as error:
+            raise ttypes.Unavailable(str(error), True) from None
+        except MembershipChangeRefused as error:
+            raise ttypes.Refused("membership_change_refused", str(error)) from None
+
     def group(self):
         """Return the addresses of the group's members and of its leader."""
         self.require_authenticated()
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -9,16 +9,17 @@
 import eventlet
 
 from ..clock import SystemClock
-from ..control.repair import GroupRepair
+from ..control.repair import TARGET_VOTERS, GroupRepair
 from ..disk import LocalDisk
+from ..errors import PeerUnreachable
 from ..observability.logs import log_event
 from ..replication.bootstrap import host_name
-from ..replication.membership import find_member
+from ..replication.membership import MembershipChangeRefused, find_member, voter_ids
 from ..replication.seed_bootstrap import bootstrap_identity
-from ..replication.service import ReplicaService
+from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.storage import ReplicaStorage
 from ..replication.transport import PeerTransport
-from ..replication.types import Timing
+from ..replication.types import NotLeading, Timing
 from ..tasks.state_machine import TaskStateMachine
 from ..wire.generated import ControlService, ttypes
 from ..wire.generated.ttypes import RaftMessage
@@ -57,6 +58,12 @@
 
 LEAVE_CHECK_SECONDS = 0.02
 
+MAX_LEAVE_SECONDS = 2.0
+"""Time for which a host that stops tries to leave the group, if it has to: an election at most."""
+
+LEAVE_CALL_SECONDS = 0.5
+"""Timeout of a request to leave the group: a connection and a commit across regions."""
+
 
 @attrs.frozen(kw_only=True)
 class TaskControlSettings:
@@ -96,6 +103,7 @@
         self._leader_client: PeerClient | None = None
         self._clock = SystemClock()
         self._started_at = self._clock.monotonic()
+        self._is_stopping = False
         self._known_addresses = KnownAddresses()
         self._address_by_ip = _AddressByIp(settings.peer_port)
         self._peers: PeerServer | None = None
@@ -156,14 +164,53 @@
         self.agent.start(self._run_activity)
 
     def drain(self, limit_seconds: float) -> None:
-        """Hand the workers over, answer the calls of peers that have arrived, accept no others."""
-        began_at = self._clock.monotonic()
+        """Hand the workers over, answer the calls of peers that have arrived, accept no others.
+
+        ``limit_seconds`` does not include the time for leaving a group with too many voters.
+        """
+        self._is_stopping = True
         self.agent.leave()
+        with eventlet.Timeout(MAX_LEAVE_SECONDS, False):
+            self._leave_group()
+        began_at = self._clock.monotonic()
         with eventlet.Timeout(LEAVE_SHARE * limit_seconds, False):
             while self.agent.session_by_incarnation and not self.replica.is_leader:
                 eventlet.sleep(LEAVE_CHECK_SECONDS)
         self._peers.drain(max(0.0, limit_seconds - (self._clock.monotonic() - began_at)))
 
+    def _leave_group(self) -> None:
+        """Give up this host's vote while the group has more voters than its target."""
+        own_id = self.identity.replica_id
+        while self._is_surplus_voter():
+            try:
+                if self.replica.is_leader:
+                    self.repair.request_leave(own_id)
+                else:
+                    self._call_leader("remove_replica", own_id)
+                return
+            except (
+                NoLeader, NotLeading, MembershipChangeRefused, OutcomeUnknown, PeerUnreachable,
+                ttypes.NotLeader, ttypes.Refused, ttypes.Unavailable,
+            ) as error:  # fmt: skip
+                log_event("control:leave_failed", why=repr(error))
+            eventlet.sleep(REPAIR_INTERVAL_SECONDS)
+
+    def _is_surplus_voter(self) -> bool:
+        voters = voter_ids(self.replica.core.log.membership)
+        return self.identity.replica_id in voters and len(voters) > TARGET_VOTERS
+
+    def _call_leader(self, method: str, *arguments) -> None:
+        address = self.replica.leader_address
+        if not address:
+            raise NoLeader("no leader is known")
+        client = PeerClient(ControlService, address, self._settings.cluster_key)
+        try:
+            client.call(
+                method, *arguments, timeout=LEAVE_CALL_SECONDS, total_timeout=LEAVE_CALL_SECONDS
+            )
+        finally:
+            client.close()
+
     def deliver(self, messages: list[RaftMessage]) -> None:
         """Take messages from other replicas, also those for a disk that this host lost."""
         for sender_ip in {host_name(message.sender) for message in messages}:
@@ -239,6 +286,8 @@
             eventlet.sleep(JOIN_RETRY_SECONDS * random.uniform(0.75, 1.25))
 
     def _may_have_been_removed(self) -> bool:
+        if self._is_stopping:
+            return False
         core = self.replica.core
         if find_member(core.log.membership, self.identity.replica_id) is None:
             return True
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -5,7 +5,11 @@
 from savoryshelf.control import repair, waiting_learners
 from savoryshelf.control.repair import UNRESPONSIVE_VOTER_SECONDS, GroupRepair
 from savoryshelf.replication import transport
-from savoryshelf.replication.membership import find_member, voter_ids
+from savoryshelf.replication.membership import (
+    MembershipChangeRefused,
+    find_member,
+    voter_ids,
+)
 from savoryshelf.replication.seed_bootstrap import INITIAL_DISK_SUFFIX
 from savoryshelf.replication.service import OutcomeUnknown
 from savoryshelf.replication.types import Role
@@ -130,6 +134,73 @@
     assert replica_id not in voter_ids(membership(group))
 
 
+def leave_group(group, replica_id):
+    leader = group.leader()
+    repair_of_leader = GroupRepair(ReplicaServiceAdapter(leader), replaces_unresponsive=True)
+    repair_of_leader.request_leave(replica_id)
+
+
+def group_with_six_voters():
+    group = Group(5)
+    group.run_for()
+    join_group(group, add_host_with_empty_disk(group, "d0"))
+    assert run_repair(group) == 6
+    return group
+
+
+# Guards against the vote of a host that is stopped for good: with two more hosts lost before it
+# counts as unresponsive, three of six voters would be left.
+def test_a_sixth_voter_that_stops_is_removed_at_once_and_five_bear_two_losses():
+    group = group_with_six_voters()
+    stopping = group.host_by_name[other_than_leader(group)]
+    leave_group(group, stopping.replica_id)
+    assert len(voter_ids(membership(group))) == 5
+    names = [name for name, host in group.host_by_name.items() if not host.is_leader]
+    for name in [stopping.name, *[each for each in names if each != stopping.name][:2]]:
+        group.host_by_name.pop(name).core = None
+    group.propose("kept")
+    group.run_for()
+    assert "kept" in group.leader().applied
+
+
+def test_a_leader_that_stops_as_a_sixth_voter_leaves_the_others_able_to_elect_one():
+    group = group_with_six_voters()
+    stopping = group.leader()
+    leave_group(group, stopping.replica_id)
+    stopping.core = None
+    del group.host_by_name[stopping.name]
+    group.run_for(5.0)
+    assert len(voter_ids(membership(group))) == 5
+    assert find_member(membership(group), stopping.replica_id) is None
+
+
+@pytest.mark.parametrize("voters", [5, 6])
+def test_no_voter_leaves_a_group_that_would_have_fewer_than_its_target(voters):
+    group = Group(5)
+    group.run_for()
+    if voters == 6:
+        group = group_with_six_voters()
+        leave_group(group, group.host_by_name[other_than_leader(group)].replica_id)
+    names = [name for name, host in group.host_by_name.items() if not host.is_leader]
+    with pytest.raises(MembershipChangeRefused):
+        leave_group(group, group.host_by_name[names[-1]].replica_id)
+    assert len(voter_ids(membership(group))) == 5
+
+
+def test_a_voter_that_left_and_comes_back_with_its_disk_is_a_voter_again():
+    group = group_with_six_voters()
+    stopping = group.host_by_name[other_than_leader(group)]
+    leave_group(group, stopping.replica_id)
+    stopping.core = None
+    group.propose("meanwhile")
+    group.run_for()
+    stopping.start()
+    join_group(group, stopping)
+    run_repair(group)
+    assert stopping.replica_id in voter_ids(membership(group))
+    assert "meanwhile" in stopping.applied
+
+
 def test_a_join_request_from_a_member_changes_nothing():
     group = Group(3)
     group.run_for()
--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -1,6 +1,7 @@
 """All hosts lose power at once, and two of the control hosts their disks."""
 
 import shutil
+import signal
 import time
 
 import pytest
@@ -11,13 +12,16 @@
 GONE_IP = f"{NETWORK}.208"
 """The address of a control host that was replaced; nothing uses it any more."""
 
+NEW_IP = f"{NETWORK}.209"
+"""The address of a control host that replaces another."""
+
 RECOVERY_SECONDS = 12.0
 """Time from the start of the last process within which callers have to be served."""
 
 
 @pytest.fixture
 def deployment(tmp_path):
-    started = Deployment(tmp_path, CONTROL_IPS)
+    started = Deployment(tmp_path, [*CONTROL_IPS, NEW_IP])
     try:
         for ip in [*CONTROL_IPS, *FRONTS]:
             started.start(ip)
@@ -34,9 +38,9 @@
 
 
 def log_lines(deployment, text):
-    """Return how many lines of all control hosts hold a text."""
-    logs = [(deployment.folder / f"{ip}.log").read_text() for ip in CONTROL_IPS]
-    return sum(text in line.replace(" ", "") for log in logs for line in log.splitlines())
+    """Return how many lines of all hosts hold a text."""
+    logs = [path.read_text() for path in deployment.folder.glob("*.log")]
+    return sum(text in line for log in logs for line in log.splitlines())
 
 
 def lose_power(deployment, lost_disks, seeds):
@@ -65,14 +69,34 @@
     path = deployment.submit(1, "50 ms")
     others = [ip for ip in CONTROL_IPS if ip not in lost_disks]
     lose_power(deployment, lost_disks, [*lost_disks, others[0] if names_others else GONE_IP])
+    check_service_is_back(deployment, path)
+    wait_until(lambda: log_lines(deployment, '"change":"promote"') >= 4)
+
+
+# Guards against a group that keeps the vote of a host which was stopped for good once its
+# successor was there: two lost disks left three voters of six, and no leader was elected again.
+@pytest.mark.parametrize("stops_leader", [True, False], ids=["the leader stops", "another stops"])
+def test_a_power_loss_right_after_a_planned_replacement_is_survived(deployment, stops_leader):
+    path = deployment.submit(1, "50 ms")
+    deployment.start(NEW_IP)
+    wait_until(lambda: log_lines(deployment, '"change":"promote"') == 3)
+    leader_ip = deployment.leader_ip()
+    follower_ips = [ip for ip in CONTROL_IPS if ip != leader_ip]
+    stopped_ip = leader_ip if stops_leader else follower_ips[0]
+    deployment.stop(stopped_ip, signal.SIGTERM)
+    lost_disks = [ip for ip in CONTROL_IPS if ip != stopped_ip][:2]
+    lose_power(deployment, lost_disks, [*lost_disks, NEW_IP])
+    check_service_is_back(deployment, path)
+
+
+def check_service_is_back(deployment, path):
+    """Check that each entry host accepts a job in time, and knows the one of this path."""
     began_at = time.monotonic()
     body = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
     for number, front in enumerate(FRONTS):
+        new_path = f"/q/{number + 16:016x}"
         wait_until(
-            lambda n=number, ip=front: (
-                deployment.call("POST", f"/q/{n + 16:016x}", body, ip=ip)[0] == 200
-            )
+            lambda path=new_path, ip=front: deployment.call("POST", path, body, ip=ip)[0] == 200
         )
         assert deployment.state(path, front) in ("queued", "running", "completed")
     assert time.monotonic() - began_at < RECOVERY_SECONDS
-    wait_until(lambda: log_lines(deployment, '"change":"promote"') >= 4)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -109,12 +109,13 @@
 
     def leader_ip(self):
         """Return the control host whose log holds the latest ``term:begins`` event."""
-        positions = [(self.folder / f"{ip}.log").read_text().rfind('"term:begins"') for ip in SEEDS]
         times = []
-        for ip, position in zip(SEEDS, positions, strict=True):
+        for ip in self.process_by_ip.keys() & self.control_ips:
+            text = (self.folder / f"{ip}.log").read_text()
+            position = text.rfind('"term:begins"')
             if position >= 0:
                 # The line up to the event's name, which is completed to valid JSON.
-                line = (self.folder / f"{ip}.log").read_text()[:position].rpartition("\n")[2]
+                line = text[:position].rpartition("\n")[2]
                 times.append((json.loads(line + '"term:begins"}')["timestamp"], ip))
         return max(times)[1]
 
