Entry hosts go on while their settings name no control host

What callers saw: an error instead of "not run: no leader", and an entry host that no longer looked for the group at all.

Cause: the platform's list of control hosts may be short, and empty while all of them are off. A choice from an empty list raised in each call, and in the background thread it ended the search for good if the leader was known only from a hint.

Fix: a call without any address waits and is refused as one without a leader; the search asks the leader if it knows nothing else.

--- a/src/savoryshelf/gateway/addresses.py
+++ b/src/savoryshelf/gateway/addresses.py
@@ -74,8 +74,11 @@
         return address in self._failed
 
     def choose(self) -> str:
-        """Return an address to call while no leader is known: one that answers, if there is one."""
+        """Return an address to call while no leader is known: one that answers, if there is one.
+
+        Empty if no address is known.
+        """
         addresses = self.to_search()
         answering = [each for each in addresses if each in self._answered]
         untried = [each for each in addresses if each not in self._failed]
-        return random.choice(answering or untried or addresses)
+        return random.choice(answering or untried or addresses or [""])
--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -95,6 +95,10 @@
         outcome_is_unknown, detail = False, "no time was left to call a control host"
         while (remaining := min(deadline, self._stop_at) - self._clock.monotonic()) > 0:
             address = self._leader or self._addresses.choose()
+            if not address:
+                detail = "the settings name no control host"
+                eventlet.sleep(RETRY_DELAY_SECONDS)
+                continue
             try:
                 answer = self._ask(address, "job_call", request, remaining)
                 self._record_leader(address)
@@ -179,7 +183,7 @@
         while True:
             if self._leader and self.is_ready:
                 addresses, interval = (
-                    [random.choice(self._addresses.current())],
+                    [random.choice(self._addresses.current() or [self._leader])],
                     GROUP_REFRESH_SECONDS,
                 )
             else:
--- a/tests/gateway/test_search.py
+++ b/tests/gateway/test_search.py
@@ -195,3 +195,26 @@
     eventlet.sleep(MAX_LEADER_CONTACT_AGE_SECONDS + 1.0)
     assert seconds_until_answered(client, 1.0) < 0.2
     thread.kill()
+
+
+# Guards against requests that end with an error, and a search that ends for good, when settings
+# name no control host at all: the platform's list may be empty while all of them are off.
+def test_an_entry_host_whose_settings_name_no_control_host_serves_once_they_do(group):
+    client = LeaderClient([], "key", SystemClock())
+    thread = eventlet.spawn(client._maintain_group)
+    assert seconds_until_answered(client, 0.3) == float("inf")
+    client.update_seeds(["c2"])
+    assert seconds_until_answered(client, 1.0) < 0.9
+    assert not thread.dead
+    thread.kill()
+
+
+def test_the_members_are_polled_when_settings_name_no_control_host_any_more(group):
+    client = LeaderClient(["c1"], "key", SystemClock())
+    assert seconds_until_answered(client, 1.0) < 0.2
+    client.update_seeds([])
+    thread = eventlet.spawn(client._maintain_group)
+    eventlet.sleep(0.3)
+    assert not thread.dead
+    assert client._addresses.current() == MEMBERS
+    thread.kill()
