An attempt that ends with an unexpected error ends a probe too

Callers: a critical request whose attempt ended with an error outside of the three expected types got its refusal (no_answer) only after its deadline, and if it was the probe of a quarantined worker, the worker stayed quarantined for good: no other request ends that probe, since none is sent.

Cause: _run_attempt recorded an outcome for WorkerRefused, WorkerUnreachable and WorkerUnresponsive only. The error ended the green thread.

Change: any other error ends the attempt as one whose outcome is unknown, keeps the slot until a report, and says nothing about the worker's health, as it may come from the request. It is logged with its traceback.

Evidence: the new test failed before (refused as no_answer after the real time of the deadline, probing). No input of a caller that raises such an error was found: of 30 combinations of worker URL and Content-Type only header values raised one, with line breaks or characters beyond Latin-1. Two mutants added and seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -422,8 +422,22 @@
     Mutant(
         "a rejected probe does not quarantine a worker forever",
         "entry/critical.py",
-        "            target.quarantine.record_rejection()\n",
-        "",
+        "WorkerRefused as error:\n            target.quarantine.record_rejection()\n",
+        "WorkerRefused as error:\n",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "a probe that ends with an unexpected error does not quarantine a worker forever",
+        "entry/critical.py",
+        "traceback=traceback.format_exc())\n            target.quarantine.record_rejection()\n",
+        "traceback=traceback.format_exc())\n",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "an attempt that ends with an unexpected error keeps its slot until a report",
+        "entry/critical.py",
+        "except Exception:\n            target.abandon(attempt_id, self._clock.monotonic())\n",
+        "except Exception:\n",
         "tests/entry/test_critical.py",
     ),
     Mutant(
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -9,6 +9,7 @@
 import random
 import secrets
 import time
+import traceback
 
 import attrs
 import eventlet
@@ -18,7 +19,7 @@
 from ..configuration.declarations import Service
 from ..errors import Certainty, PeerUnreachable, RequestRefused
 from ..observability import metrics
-from ..observability.logs import request_action
+from ..observability.logs import log_event, request_action
 from ..scheduling.quarantine import may_quarantine
 from ..wire.generated import EntryService, ttypes
 from ..wire.peers import PeerPool
@@ -276,6 +277,13 @@
             results.put(
                 _Failure(target.worker_id, "no_answer", str(error), outcome_is_unknown=True)
             )
+        except Exception as error:
+            # Says nothing about the worker, but a probe without an outcome would never end.
+            log_event("entry:attempt_fault", error=repr(error), traceback=traceback.format_exc())
+            target.quarantine.record_rejection()
+            results.put(
+                _Failure(target.worker_id, "no_answer", repr(error), outcome_is_unknown=True)
+            )
         finally:
             self._admission_queue.wake_one()
 
@@ -293,7 +301,9 @@
                 max(call.remaining_seconds(sent_at), MIN_REMAINING_SECONDS),
                 call.trace_id,
             )
-        except WorkerUnresponsive:
+        except (WorkerRefused, WorkerUnreachable):
+            raise
+        except Exception:
             target.abandon(attempt_id, self._clock.monotonic())
             raise
 
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -5,7 +5,10 @@
 from savoryshelf.entry.targets import ResourceDemand
 from savoryshelf.entry.worker_client import WorkerRefused, WorkerUnreachable, WorkerUnresponsive
 from savoryshelf.errors import Certainty, RequestRefused
-from savoryshelf.scheduling.quarantine import FAILURES_BEFORE_QUARANTINE
+from savoryshelf.scheduling.quarantine import (
+    FAILURES_BEFORE_QUARANTINE,
+    MAX_QUARANTINE_SECONDS,
+)
 from savoryshelf.wire.generated.ttypes import WorkerStanding
 
 from .fakes import call_of, critical_path, owned
@@ -184,3 +187,18 @@
     assert path.serve(call_of(path)).attempts == 2
     assert not quarantine_state.is_probing
     assert not quarantine_state.is_quarantined(clock.now)
+
+
+def test_a_probe_that_ends_with_an_unexpected_error_does_not_quarantine_a_worker_forever():
+    """Guards against a probe without an outcome, which keeps its worker quarantined for good."""
+    path, clock, state, _ = critical_path(ValueError("odd header"), max_waiting=0)
+    target = state.targets.by_id["w0"]
+    for _ in range(FAILURES_BEFORE_QUARANTINE):
+        target.quarantine.record_failure(clock.now - 60.0)
+    with eventlet.Timeout(5.0):
+        refusal = expect_refusal(path, "retry_budget_spent")
+    assert refusal.certainty is Certainty.UNKNOWN
+    assert not target.quarantine.is_probing
+    assert target.outstanding == 1, "the request may still arrive at the worker"
+    clock.now += MAX_QUARANTINE_SECONDS
+    assert not target.quarantine.is_quarantined(clock.now)
