Begin a probe before another request may choose its worker

Callers: when a quarantine ended, all requests that came before the next switch of green threads were sent to the worker, up to its slots, instead of one probe. Each of them fails if the worker still does.

Cause: the probe began in the green thread of the attempt, after the worker had been chosen and reserved.

Change: it begins where the capacity is reserved.

Evidence: the new test (two requests together, one worker) saw two dispatches before, and one now; the other request waits for the probe and is served. One mutant added and seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -426,6 +426,13 @@
         "WorkerRefused as error:\n",
         "tests/entry/test_critical.py",
     ),
+    Mutant(
+        "a probe begins before another request may choose its worker",
+        "entry/critical.py",
+        "        target.quarantine.begin_probe_if_due(self._clock.monotonic())\n",
+        "        eventlet.spawn_n(target.quarantine.begin_probe_if_due, self._clock.monotonic())\n",
+        "tests/entry/test_critical.py",
+    ),
     Mutant(
         "a probe that ends with an unexpected error does not quarantine a worker forever",
         "entry/critical.py",
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -251,13 +251,13 @@
         target.last_dispatch_number = self._dispatch_number
         attempt_id = f"{call.request_id}-{call.attempts}"
         target.reserve(attempt_id, call.demand)
+        target.quarantine.begin_probe_if_due(self._clock.monotonic())
         eventlet.spawn_n(self._run_attempt, call, target, attempt_id, results)
 
     def _run_attempt(
         self, call: CriticalCall, target: OwnedTarget, attempt_id: str, results: Queue
     ) -> None:
         sent_at = self._clock.monotonic()
-        target.quarantine.begin_probe_if_due(sent_at)
         try:
             with target.reservation(attempt_id):
                 answer = self._send(call, target, attempt_id, sent_at)
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -10,6 +10,7 @@
     MAX_QUARANTINE_SECONDS,
 )
 from savoryshelf.wire.generated.ttypes import WorkerStanding
+from tests.promises.fakes import let_green_threads_run
 
 from .fakes import call_of, critical_path, owned
 
@@ -202,3 +203,16 @@
     assert target.outstanding == 1, "the request may still arrive at the worker"
     clock.now += MAX_QUARANTINE_SECONDS
     assert not target.quarantine.is_quarantined(clock.now)
+
+
+def test_requests_that_arrive_together_send_one_probe():
+    """Guards against several probes of a worker that fails, since each of them may fail."""
+    hung = Event()
+    path, clock, state, client = critical_path(hanging(hung))
+    for _ in range(FAILURES_BEFORE_QUARANTINE):
+        state.targets.by_id["w0"].quarantine.record_failure(clock.now - 60.0)
+    requests = [eventlet.spawn(path.serve, call_of(path)) for _ in range(2)]
+    let_green_threads_run()
+    assert len(client.worker_ids) == 1
+    hung.send(None)
+    assert [request.wait().status for request in requests] == [200, 200]
