Count the quarantined share over the workers that can run the request

Callers: where two workers can run a service and both were quarantined, requests were refused (overloaded, too_late) for up to 60 s, although a quarantine of most workers is to be ignored: workers that cannot run the service, drained, leaving and silent ones counted as alternatives.

Cause: may_quarantine got the number of all owned workers, and of the quarantined ones only those with room.

Change: both are counted over the schedulable workers that could run the request if they ran nothing else.

Evidence: two of the new tests failed before (refused as overloaded). The third, that sound workers without room count as alternatives, held before too. Two mutants added and seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -358,8 +358,8 @@
     Mutant(
         "critical requests never exceed their worker's capacity",
         "entry/critical.py",
-        "if target.is_schedulable(now, interval) and target.fits(call.demand)",
-        "if target.is_schedulable(now, interval)",
+        "usable = [t for t in suitable if t.fits(call.demand)]",
+        "usable = list(suitable)",
         "tests/entry",
     ),
     Mutant(
@@ -426,6 +426,20 @@
         "WorkerRefused as error:\n",
         "tests/entry/test_critical.py",
     ),
+    Mutant(
+        "the quarantined share counts only workers that can run the request",
+        "entry/critical.py",
+        "if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)",
+        "if target.is_schedulable(now, interval)",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "the quarantined share counts workers that have no room now",
+        "entry/critical.py",
+        "if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)",
+        "if target.is_schedulable(now, interval) and target.fits(call.demand)",
+        "tests/entry/test_critical.py",
+    ),
     Mutant(
         "a probe begins before another request may choose its worker",
         "entry/critical.py",
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -177,17 +177,22 @@
             )
 
     def _find_candidates(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        suitable = self._find_suitable(call, now)
+        usable = [t for t in suitable if t.fits(call.demand)]
+        quarantined = [t for t in suitable if t.quarantine.is_quarantined(now)]
+        if may_quarantine(len(quarantined) - 1, len(suitable)):
+            usable = [t for t in usable if not t.quarantine.is_quarantined(now)]
+        untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
+        return untried or usable
+
+    def _find_suitable(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return the workers that can run the request, now or once they have room."""
         interval = self._state.report_interval_s
-        usable = [
+        return [
             target
             for target in self._state.targets.by_id.values()
-            if target.is_schedulable(now, interval) and target.fits(call.demand)
+            if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)
         ]
-        quarantined = [t for t in usable if t.quarantine.is_quarantined(now)]
-        if may_quarantine(len(quarantined) - 1, len(self._state.targets.by_id)):
-            usable = [t for t in usable if not t.quarantine.is_quarantined(now)]
-        untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
-        return untried or usable
 
     def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
         certainty = Certainty.UNKNOWN if call.outcome_is_unknown else Certainty.NOT_RUN
--- a/src/savoryshelf/entry/targets.py
+++ b/src/savoryshelf/entry/targets.py
@@ -87,6 +87,17 @@
         is_active = self.standing == WorkerStanding.ACTIVE
         return self.adopted and is_active and not self.leaving and not is_unresponsive
 
+    def could_ever_fit(self, demand: ResourceDemand) -> bool:
+        """Return whether the worker could run a request of this demand if it ran nothing else."""
+        worker = self.worker
+        return (
+            worker.slots >= 1
+            and worker.connections >= 1
+            and demand.cores <= worker.cores
+            and demand.memory_mb <= worker.memory_mb
+            and demand.accelerators <= worker.accelerators
+        )
+
     def fits(self, demand: ResourceDemand) -> bool:
         """Return whether the worker has capacity for one more request of this demand."""
         demands = self._demands_in_use()
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -216,3 +216,37 @@
     assert len(client.worker_ids) == 1
     hung.send(None)
     assert [request.wait().status for request in requests] == [200, 200]
+
+
+def quarantine(state, clock, *worker_ids):
+    for worker_id in worker_ids:
+        for _ in range(FAILURES_BEFORE_QUARANTINE):
+            state.targets.by_id[worker_id].quarantine.record_failure(clock.now)
+
+
+def test_a_quarantine_of_most_workers_that_can_run_a_request_is_ignored():
+    """Guards against a share that counts workers which cannot run the request at all."""
+    small = [owned(f"small{number}", cores=0.5) for number in range(6)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *small), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    candidates = path._find_candidates(call_of(path), clock.now)
+    assert sorted(target.worker_id for target in candidates) == ["w0", "w1"]
+    assert path.serve(call_of(path)).status == 200
+
+
+def test_a_quarantine_of_most_workers_that_get_work_is_ignored():
+    """Guards against a share that counts workers which are drained or leaving."""
+    drained = [owned(f"d{number}", standing=WorkerStanding.DRAINED) for number in range(6)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *drained), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    assert path.serve(call_of(path)).status == 200
+
+
+def test_workers_without_room_count_for_the_quarantined_share():
+    """Guards against a quarantine that is ignored because the sound workers are busy."""
+    busy = [owned(f"busy{number}", slots=1) for number in range(2)]
+    path, clock, state, client = critical_path(workers=(*TWO_WORKERS, *busy), max_waiting=0)
+    quarantine(state, clock, "w0", "w1")
+    for number in range(2):
+        state.targets.by_id[f"busy{number}"].reserve("other", ResourceDemand(1, 1))
+    assert path._find_candidates(call_of(path), clock.now) == []
