A request that no other worker can run probes a quarantined one

Callers: where one worker can run a service (the only one of its entry host, the only one large enough) and it was quarantined, its requests were refused for up to 60 s, while it was sound again.

Cause: a quarantine kept all requests back, whether or not another worker could run them; its share allows one worker of one (max(1, ...)).

Change: a quarantine is a preference. A request goes to a worker that is not quarantined, then to another entry host; if neither can run it, it probes a quarantined worker early: one probe at a time and worker, at most every 0.5 s, or 2 s after one that hangs. Where sound workers are merely busy it first waits for 0.25 s, and does not go back to a quarantined worker that failed it. Early probes that fail do not extend the quarantine; one that succeeds ends it.

--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -65,6 +65,8 @@
     failed_worker_ids: set[str] = attrs.field(factory=set)
     outcome_is_unknown: bool = False
     last_failure: "_Failure | None" = None
+    waiting_since: float | None = None
+    """When it first had to wait for capacity on this host, in monotonic seconds."""
 
     @property
     def demand(self) -> ResourceDemand:
@@ -165,6 +167,11 @@
                 return self._choose(call.service_name, candidates, self._rng, now)
             if call.may_spill and self._state.peer_with_free_slots() is not None:
                 return None
+            early_probes = self._find_early_probes(call, now)
+            if early_probes:
+                target = self._choose(call.service_name, early_probes, self._rng, now)
+                target.quarantine.begin_probe(now)
+                return target
             if len(self._admission_queue) >= declarations.limits.max_waiting:
                 raise self._refusal(
                     call,
@@ -172,6 +179,8 @@
                     f"{len(self._admission_queue)} requests wait for capacity; "
                     f"the maximum is {declarations.limits.max_waiting}",
                 )
+            if call.waiting_since is None:
+                call.waiting_since = now
             self._admission_queue.wait(
                 call.request_id, min(call.remaining_seconds(now), PEER_POLL_SECONDS)
             )
@@ -185,6 +194,29 @@
         untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
         return untried or usable
 
+    def _find_early_probes(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return the quarantined workers that the request may probe, since no other has room.
+
+        Workers that are merely busy may have room soon, so the request first waits for them.
+        """
+        suitable = self._find_suitable(call, now)
+        may_wait = any(not target.quarantine.is_quarantined(now) for target in suitable)
+        has_waited = (
+            call.waiting_since is not None and now - call.waiting_since >= PEER_POLL_SECONDS
+        )
+        if may_wait and not has_waited:
+            return []
+        probes = [
+            target
+            for target in suitable
+            if target.fits(call.demand)
+            and target.quarantine.is_quarantined(now)
+            and target.quarantine.may_probe_early(now)
+        ]
+        untried = [t for t in probes if t.worker_id not in call.failed_worker_ids]
+        # A worker that failed the request gets it again only if no other could run it.
+        return untried if may_wait else untried or probes
+
     def _find_suitable(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
         """Return the workers that can run the request, now or once they have room."""
         interval = self._state.report_interval_s
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -2,14 +2,16 @@
 import pytest
 from eventlet.event import Event
 
+from savoryshelf.entry.critical import PEER_POLL_SECONDS
 from savoryshelf.entry.targets import ResourceDemand
 from savoryshelf.entry.worker_client import WorkerRefused, WorkerUnreachable, WorkerUnresponsive
 from savoryshelf.errors import Certainty, RequestRefused
 from savoryshelf.scheduling.quarantine import (
+    EARLY_PROBE_INTERVAL_SECONDS,
     FAILURES_BEFORE_QUARANTINE,
     MAX_QUARANTINE_SECONDS,
 )
-from savoryshelf.wire.generated.ttypes import WorkerStanding
+from savoryshelf.wire.generated.ttypes import EntryPeer, WorkerStanding
 from tests.promises.fakes import let_green_threads_run
 
 from .fakes import call_of, critical_path, owned
@@ -250,3 +252,83 @@
     for number in range(2):
         state.targets.by_id[f"busy{number}"].reserve("other", ResourceDemand(1, 1))
     assert path._find_candidates(call_of(path), clock.now) == []
+
+
+def test_the_only_worker_is_tried_although_it_is_quarantined():
+    """Guards against refusals for up to a minute while the only worker is sound again."""
+    path, clock, state, _ = critical_path(max_waiting=0)
+    quarantine(state, clock, "w0")
+    assert path.serve(call_of(path)).status == 200
+    assert not state.targets.by_id["w0"].quarantine.is_quarantined(clock.now)
+
+
+def test_the_only_worker_that_can_run_a_request_is_tried_although_it_is_quarantined():
+    """Guards against refusals while workers that cannot run the request are sound."""
+    small = [owned(f"small{number}", cores=0.5) for number in range(6)]
+    path, clock, state, client = critical_path(workers=(owned("w0"), *small), max_waiting=0)
+    quarantine(state, clock, "w0")
+    assert path.serve(call_of(path)).status == 200
+    assert client.worker_ids == ["w0"]
+
+
+def test_a_quarantined_worker_gets_no_request_that_another_worker_can_run():
+    workers = [owned(f"w{number}", slots=4) for number in range(3)]
+    path, clock, state, client = critical_path(workers=workers, max_waiting=0)
+    quarantine(state, clock, "w0")
+    for _ in range(10):
+        path.serve(call_of(path))
+        clock.now += 0.1
+    assert "w0" not in client.worker_ids
+
+
+def test_a_request_is_spilled_rather_than_sent_to_a_quarantined_worker():
+    path, clock, state, _ = critical_path(max_waiting=0)
+    quarantine(state, clock, "w0")
+    state.peers = [EntryPeer("e1", "127.0.0.1:1", 5)]
+    call = call_of(path)
+    assert path._admit(call) is None
+    call.may_spill = False
+    assert path._admit(call).worker_id == "w0"
+
+
+def test_a_quarantined_worker_that_fails_is_tried_at_a_bounded_pace():
+    """Guards against a worker that fails getting every request that only it can run."""
+    path, clock, state, client = critical_path(500, 500, max_waiting=0)
+    quarantine(state, clock, "w0")
+    expect_refusal(path, "retry_budget_spent")
+    for _ in range(3):
+        expect_refusal(path, "overloaded")
+    clock.now += EARLY_PROBE_INTERVAL_SECONDS
+    expect_refusal(path, "retry_budget_spent")
+    assert client.worker_ids == ["w0", "w0"]
+    clock.now += EARLY_PROBE_INTERVAL_SECONDS
+    assert path.serve(call_of(path)).status == 200
+
+
+def test_a_request_waits_for_busy_workers_before_it_probes_a_quarantined_one():
+    """Guards against a request without an end of its wait, and against one wasted too soon."""
+    path, clock, state, client = critical_path(
+        workers=(*TWO_WORKERS, owned("w2", slots=2)), max_waiting=1
+    )
+    quarantine(state, clock, "w0")
+    for name in ("w1", "w2"):
+        state.targets.by_id[name].reserve("first", ResourceDemand(1, 1))
+        state.targets.by_id[name].reserve("second", ResourceDemand(1, 1))
+    request = eventlet.spawn(path.serve, call_of(path))
+    let_green_threads_run()
+    assert client.worker_ids == []
+    clock.now += PEER_POLL_SECONDS
+    path.wake_queued()
+    with eventlet.Timeout(5.0):
+        assert request.wait().worker_id == "w0"
+
+
+def test_a_call_takes_no_busy_moment_of_an_earlier_wait_for_its_own():
+    path, clock, state, _ = critical_path(workers=(*TWO_WORKERS, owned("w2")), max_waiting=0)
+    quarantine(state, clock, "w0")
+    for name in ("w1", "w2"):
+        state.targets.by_id[name].reserve("first", ResourceDemand(1, 1))
+        state.targets.by_id[name].reserve("second", ResourceDemand(1, 1))
+    expect_refusal(path, "overloaded")
+    clock.now += PEER_POLL_SECONDS
+    expect_refusal(path, "overloaded")
