A job that no other worker has room for starts on a quarantined one

Callers: an accepted job waited for as long as the only worker that can run it (the one with the accelerators, the cores, the memory) or has room for it was quarantined: up to 60 s after its last failure, and on as long as critical requests keep failing there. Batch outcomes do not even feed the quarantine.

Cause: the leader left quarantined workers out of placement for all jobs, and ignored quarantine only where it covers most of the whole fleet.

Change: what no other worker has room for is placed on quarantined ones in a second pass, at most one job per worker every 0.5 s, within the teams' quotas. While a full worker could run it, this leaves out jobs that may not be repeated, and jobs whose last attempt ended on a quarantined worker, so that a worker that fails uses up neither the only attempt of a job nor all of them.

--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -6,12 +6,16 @@
 replicated log before they take effect, so that a new leader continues from them.
 """
 
+import functools
 import random
+from collections.abc import Callable
+
+import attrs
 
 from ..ledger.state import Job, JobState
 from ..observability import metrics
 from ..scheduling import eviction, interference, ownership, placement
-from ..scheduling.quarantine import may_quarantine
+from ..scheduling.quarantine import EARLY_PROBE_INTERVAL_SECONDS, may_quarantine
 from ..targets.state import EntryHost, Worker
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import WorkerStanding
@@ -49,6 +53,7 @@
         self._overload_detector = ownership.OverloadDetector()
         self._initialised_term = 0
         self._next_run_by_activity: dict[str, float] = {}
+        self._early_start_at_by_worker: dict[str, float] = {}
 
     def run(self) -> None:
         """Run rounds forever."""
@@ -157,21 +162,90 @@
         if declarations is None or not queued:
             return
         demands = [d for d in map(self._demand, queued) if d is not None]
-        capacities = self._free_capacities()
-        quota_by_team = {name: team.max_running for name, team in declarations.teams.items()}
-        placements = placement.place(
-            demands,
-            capacities,
-            self._running_by_team(),
-            quota_by_team,
-            self._placement_policy,
-            self._rng,
-        )
+        capacities, kept_back = self._capacities()
+        running_by_team = self._running_by_team()
+        placements = self._choose_workers(demands, capacities, running_by_team)
+        placed = {each.demand.job_id for each in placements}
+        unplaced = [demand for demand in demands if demand.job_id not in placed]
+        for each in placements:
+            running_by_team[each.demand.team] = running_by_team.get(each.demand.team, 0) + 1
+        placements += self._place_early(unplaced, capacities, kept_back, running_by_team)
         if placements:
             self._commit_starts(placements)
         placed = {each.demand.job_id for each in placements}
         self._preempt_for_urgent([d for d in demands if d.urgent and d.job_id not in placed])
 
+    def _choose_workers(
+        self,
+        demands: list[placement.Demand],
+        capacities: list[placement.FreeCapacity],
+        running_by_team: dict[str, int],
+    ) -> list[placement.Placement]:
+        teams = self._site.state_machine.declarations.teams
+        quota_by_team = {name: team.max_running for name, team in teams.items()}
+        return placement.place(
+            demands, capacities, running_by_team, quota_by_team, self._placement_policy, self._rng
+        )
+
+    def _place_early(
+        self,
+        unplaced: list[placement.Demand],
+        capacities: list[placement.FreeCapacity],
+        kept_back: list[placement.FreeCapacity],
+        running_by_team: dict[str, int],
+    ) -> list[placement.Placement]:
+        """Place jobs that no other worker has room for on quarantined ones, at a bounded pace."""
+        now = self._site.clock.monotonic()
+        started_at = self._early_start_at_by_worker = {
+            worker_id: at
+            for worker_id, at in self._early_start_at_by_worker.items()
+            if now - at < EARLY_PROBE_INTERVAL_SECONDS
+        }
+        probes = [
+            attrs.evolve(capacity, slots=1)
+            for capacity in kept_back
+            if capacity.slots >= 1 and capacity.worker_id not in started_at
+        ]
+        if not probes:
+            return []
+        kept_back_ids = {capacity.worker_id for capacity in kept_back}
+        needs_early_start = self._early_start_filter(capacities, kept_back_ids)
+        demands = [demand for demand in unplaced if needs_early_start(demand)]
+        placements = self._choose_workers(demands, probes, running_by_team)
+        started_at.update((each.worker_id, now) for each in placements)
+        return placements
+
+    def _early_start_filter(
+        self, capacities: list[placement.FreeCapacity], kept_back_ids: set[str]
+    ) -> Callable[[placement.Demand], bool]:
+        """Return a predicate: whether a job may start on a quarantined worker now.
+
+        While another worker could run the job but is full, one that may not be
+        repeated waits for it, and so does one whose last attempt ended on a
+        quarantined worker.
+        """
+        by_id = self._site.state_machine.state.ledger.by_id
+
+        @functools.cache
+        def alternatives(cores: float, memory_mb: float, accelerators: int) -> tuple[bool, bool]:
+            needed = placement.Demand("", 0, "", False, 0, cores, memory_mb, accelerators)
+            return (
+                any(capacity.fits(needed) for capacity in capacities),
+                any(capacity.could_ever_fit(needed) for capacity in capacities),
+            )
+
+        def needs_early_start(demand: placement.Demand) -> bool:
+            resources = demand.cores, demand.memory_mb, demand.accelerators
+            fits_elsewhere, could_fit_elsewhere = alternatives(*resources)
+            if fits_elsewhere:
+                return False
+            may_fail = by_id[demand.job_id].repeatable
+            return not could_fit_elsewhere or (
+                may_fail and demand.avoid_worker_id not in kept_back_ids
+            )
+
+        return needs_early_start
+
     def _demand(self, job: Job) -> placement.Demand | None:
         batch_class = self._site.state_machine.declarations.batch_classes.get(job.class_name)
         if batch_class is None:
@@ -189,19 +263,25 @@
         )
 
     def _free_capacities(self) -> list[placement.FreeCapacity]:
+        capacities, _ = self._capacities()
+        return capacities
+
+    def _capacities(self) -> tuple[list[placement.FreeCapacity], list[placement.FreeCapacity]]:
+        """Return the free capacity of each worker in use, and of each kept back by a quarantine."""
         note_by_worker_id = self._site.sessions.latest_notes()
         quarantined = sum(1 for note in note_by_worker_id.values() if note.quarantined)
         # Quarantine is ignored if it covers most workers: the cause is then common to all.
         # ``may_quarantine`` asks about one more worker, so the last one is not counted.
         applies_quarantine = may_quarantine(quarantined - 1, len(note_by_worker_id))
-        capacities = []
+        capacities, kept_back = [], []
         for worker in self._site.state_machine.state.fleet.workers_by_id.values():
             note = note_by_worker_id.get(worker.worker_id)
             is_usable = note is not None and note.adopted and note.epoch == worker.epoch
-            is_excluded = applies_quarantine and is_usable and note.quarantined
-            if worker.is_schedulable and is_usable and not is_excluded:
-                capacities.append(self._free_capacity(worker, note))
-        return capacities
+            if worker.is_schedulable and is_usable:
+                is_kept_back = applies_quarantine and note.quarantined
+                group = kept_back if is_kept_back else capacities
+                group.append(self._free_capacity(worker, note))
+        return capacities, kept_back
 
     def _free_capacity(self, worker: Worker, note: ttypes.WorkerNote) -> placement.FreeCapacity:
         declarations = self._site.state_machine.declarations
@@ -217,6 +297,7 @@
             accelerators=worker.accelerators,
             total_slots=max(1, worker.slots),
             slowdown=note.slowdown or 1.0,
+            max_slots=worker.slots - reserve,
         )
         for job in self._site.state_machine.state.ledger.placed_on(worker.worker_id):
             demand = self._demand(job)
--- a/src/savoryshelf/scheduling/placement.py
+++ b/src/savoryshelf/scheduling/placement.py
@@ -33,6 +33,26 @@
     slowdown: float = 1.0
     """Recent run time of tasks on this worker, over that of their batch class on other workers."""
 
+    max_slots: int = 1
+    """Slots for batch work if none is in use and interference limits none."""
+
+    _whole: tuple[float, float, int] = attrs.field(init=False, eq=False)
+    """Cores, memory and accelerators before any allocation."""
+
+    @_whole.default
+    def _initial_resources(self) -> tuple[float, float, int]:
+        return self.cores, self.memory_mb, self.accelerators
+
+    def could_ever_fit(self, demand: "Demand") -> bool:
+        """Return whether the worker could run the demand if it ran no other batch work."""
+        cores, memory_mb, accelerators = self._whole
+        return (
+            self.max_slots >= 1
+            and cores >= demand.cores
+            and memory_mb >= demand.memory_mb
+            and accelerators >= demand.accelerators
+        )
+
     def fits(self, demand: "Demand") -> bool:
         """Return whether the free resources cover the demand."""
         return (
