A host that cannot run a spilled request returns it at once

Callers: a request whose own host had no room for a moment was forwarded to the host with most free slots, and refused as too_late there after its whole time, if that host's workers could never run it (too small) or were all quarantined, although its own host had room again meanwhile.

Cause: the choice of the host goes by free slots alone, and a forwarded request waits there like any other.

Change: a forwarded request for which the host has no worker that could run it and is not quarantined, and may not probe one now, is refused as not run; its own host then goes on with it.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -433,6 +433,20 @@
         "early_probes = []",
         "tests/entry/test_critical.py",
     ),
+    Mutant(
+        "a spilled request does not wait on a host that can never run it",
+        "entry/critical.py",
+        "if call.was_spilled and not self._find_sound(call, now):",
+        "if False:",
+        "tests/entry/test_critical.py",
+    ),
+    Mutant(
+        "a spilled request does not wait for the next probe of a quarantined worker",
+        "entry/critical.py",
+        "if call.was_spilled and not self._find_sound(call, now):",
+        "if call.was_spilled and not self._find_suitable(call, now):",
+        "tests/entry/test_critical.py",
+    ),
     Mutant(
         "early probes wait for workers that are merely busy",
         "entry/critical.py",
--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -59,6 +59,9 @@
     deadline: float
     trace_id: str
     may_spill: bool = True
+    was_spilled: bool = False
+    """Whether another entry host forwarded it here."""
+
     request_id: str = attrs.field(factory=lambda: secrets.token_hex(8))
     attempts: int = 0
     attempted_worker_ids: set[str] = attrs.field(factory=set)
@@ -172,6 +175,10 @@
                 target = self._choose(call.service_name, early_probes, self._rng, now)
                 target.quarantine.begin_probe(now)
                 return target
+            if call.was_spilled and not self._find_sound(call, now):
+                # The host that it came from may have another worker for it.
+                detail = f"no worker of {self._state.entry_id} is in use that could run it"
+                raise self._refusal(call, "no_suitable_worker", detail)
             if len(self._admission_queue) >= declarations.limits.max_waiting:
                 raise self._refusal(
                     call,
@@ -200,7 +207,7 @@
         Workers that are merely busy may have room soon, so the request first waits for them.
         """
         suitable = self._find_suitable(call, now)
-        may_wait = any(not target.quarantine.is_quarantined(now) for target in suitable)
+        may_wait = bool(self._find_sound(call, now))
         has_waited = (
             call.waiting_since is not None and now - call.waiting_since >= PEER_POLL_SECONDS
         )
@@ -226,6 +233,11 @@
             if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)
         ]
 
+    def _find_sound(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return those of the suitable workers that are not quarantined."""
+        suitable = self._find_suitable(call, now)
+        return [target for target in suitable if not target.quarantine.is_quarantined(now)]
+
     def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
         certainty = Certainty.UNKNOWN if call.outcome_is_unknown else Certainty.NOT_RUN
         return RequestRefused(reason, detail, 503, certainty)
@@ -433,6 +445,7 @@
                 request.trace_id,
             )
             call.may_spill = False
+            call.was_spilled = True
             with request_action("entry:spilled", request.trace_id, service=call.service_name):
                 answer = self.serve(call)
         except RequestRefused as error:
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -11,6 +11,7 @@
     FAILURES_BEFORE_QUARANTINE,
     MAX_QUARANTINE_SECONDS,
 )
+from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import EntryPeer, WorkerStanding
 from tests.promises.fakes import let_green_threads_run
 
@@ -332,3 +333,36 @@
     expect_refusal(path, "overloaded")
     clock.now += PEER_POLL_SECONDS
     expect_refusal(path, "overloaded")
+
+
+@pytest.mark.parametrize("workers", [(owned("small", cores=0.5),), (owned("w0", slots=0),)])
+def test_a_spilled_request_that_no_worker_could_ever_run_is_returned_at_once(workers):
+    """Guards against a request that spends its time on a host which can never run it."""
+    path, clock, *_ = critical_path(workers=workers)
+    request = ttypes.CriticalRequest("quotes", "team", "text/plain", b"", 1000, "id", "task@/1")
+    with eventlet.Timeout(1.0), pytest.raises(ttypes.Refused) as caught:
+        path.serve_spilled(request)
+    assert caught.value.reason == "no_suitable_worker"
+
+
+def test_a_request_from_a_caller_waits_for_a_worker_that_could_run_it():
+    path, clock, state, _ = critical_path(workers=(owned("w0", cores=0.5),))
+    request = eventlet.spawn(path.serve, call_of(path))
+    let_green_threads_run()
+    state.targets.by_id["w0"].worker.cores = 16.0
+    path.wake_queued()
+    with eventlet.Timeout(5.0):
+        assert request.wait().status == 200
+
+
+def test_a_spilled_request_is_returned_rather_than_wait_for_a_quarantined_worker():
+    """Guards against requests that wait on another host while their own has a worker again."""
+    path, clock, state, client = critical_path(500)
+    quarantine(state, clock, "w0")
+    request = ttypes.CriticalRequest("quotes", "team", "text/plain", b"", 1000, "id", "task@/1")
+    with pytest.raises(ttypes.Unavailable):
+        path.serve_spilled(request)
+    with eventlet.Timeout(1.0), pytest.raises(ttypes.Refused) as caught:
+        path.serve_spilled(request)
+    assert caught.value.reason == "no_suitable_worker"
+    assert client.worker_ids == ["w0"]
