An urgent job preempts on a quarantined worker if no other could run it

Callers: an urgent job whose only possible worker was full and quarantined waited behind batch work until the quarantine ended, up to 60 s at a time.

Cause: victims were looked for on workers that are not quarantined, whether or not one of them could run the job even if it were empty.

Change: where none could, the quarantined ones are considered; the freed room is then taken by an early start.

Evidence: the first new test failed before (no eviction); the second, that nothing is evicted there while another worker could run the job, held before. Two mutants added and seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -552,6 +552,20 @@
         "",
         "tests/control/test_leader_loop.py",
     ),
+    Mutant(
+        "an urgent job preempts on a quarantined worker if no other could run it",
+        "control/leader_loop.py",
+        "[c for c in capacities if c.could_ever_fit(demand)] or kept_back",
+        "capacities",
+        "tests/control/test_leader_loop.py",
+    ),
+    Mutant(
+        "an urgent job preempts on a quarantined worker only if no other could run it",
+        "control/leader_loop.py",
+        "[c for c in capacities if c.could_ever_fit(demand)] or kept_back",
+        "capacities + kept_back",
+        "tests/control/test_leader_loop.py",
+    ),
     Mutant(
         "placement ignores a quarantine of most of the fleet",
         "control/leader_loop.py",
--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -262,10 +262,6 @@
             avoid_worker_id=job.last_worker_id,
         )
 
-    def _free_capacities(self) -> list[placement.FreeCapacity]:
-        capacities, _ = self._capacities()
-        return capacities
-
     def _capacities(self) -> tuple[list[placement.FreeCapacity], list[placement.FreeCapacity]]:
         """Return the free capacity of each worker in use, and of each kept back by a quarantine."""
         note_by_worker_id = self._site.sessions.latest_notes()
@@ -385,6 +381,8 @@
         return any(job.state is JobState.EVICTING for job in placed)
 
     def _victims_for(self, demand: placement.Demand) -> list[eviction.Candidate]:
+        """Return the attempts to evict; on quarantined workers only if no other could run it."""
+        capacities, kept_back = self._capacities()
         shortfall_by_worker = {
             capacity.worker_id: eviction.Shortfall(
                 slots=1 - capacity.slots,
@@ -392,7 +390,7 @@
                 memory_mb=demand.memory_mb - capacity.memory_mb,
                 accelerators=demand.accelerators - capacity.accelerators,
             )
-            for capacity in self._free_capacities()
+            for capacity in [c for c in capacities if c.could_ever_fit(demand)] or kept_back
         }
         weight = self._site.state_machine.declarations.weights.evictions
         return eviction.choose_victims(shortfall_by_worker, self._candidates(), weight)
--- a/tests/control/test_leader_loop.py
+++ b/tests/control/test_leader_loop.py
@@ -23,7 +23,8 @@
 
 
 def workers_with_free_capacity(cluster):
-    return sorted(capacity.worker_id for capacity in cluster.leader_loop._free_capacities())
+    capacities, _ = cluster.leader_loop._capacities()
+    return sorted(capacity.worker_id for capacity in capacities)
 
 
 def test_a_quarantined_worker_is_given_no_batch_work(cluster):
@@ -169,3 +170,31 @@
 def without_resources(demand_of):
     """Return a replacement of ``demand_of`` whose demands need nothing but a slot."""
     return lambda job: attrs.evolve(demand_of(job), cores=0, memory_mb=0, accelerators=0)
+
+
+def test_an_urgent_job_preempts_on_the_only_worker_that_can_run_it_while_it_is_quarantined(cluster):
+    """Guards against an urgent job that waits behind batch work until a quarantine ends."""
+    fleet = cluster.site.state_machine.state.fleet
+    fleet.workers_by_id["w1"].cores = 0.5
+    for number in range(8):
+        submit(cluster, f"late-{number}")
+    cluster.leader_loop._run_round()
+    quarantine(cluster, "w0")
+    cluster.site.submit(ttypes.SubmitJob("urgent", "team", "urgent", "plans", b"", True, "d"))
+    cluster.leader_loop._place()
+    states = [job.state.value for job in cluster.site.state_machine.state.ledger.placed_on("w0")]
+    assert states.count("evicting") == 1
+
+
+def test_an_urgent_job_does_not_preempt_on_a_quarantined_worker_if_another_can_run_it(cluster):
+    for number in range(8):
+        submit(cluster, f"late-{number}")
+    cluster.leader_loop._run_round()
+    quarantine(cluster, "w0")
+    for job in cluster.site.state_machine.state.ledger.placed_on("w1"):
+        job.started_ms -= 3_600_000  # Costlier victims than those on the quarantined worker.
+    cluster.site.submit(ttypes.SubmitJob("urgent", "team", "urgent", "plans", b"", True, "d"))
+    cluster.leader_loop._place()
+    ledger = cluster.site.state_machine.state.ledger
+    assert [job.state.value for job in ledger.placed_on("w0")].count("evicting") == 0
+    assert [job.state.value for job in ledger.placed_on("w1")].count("evicting") == 1
