--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -447,6 +447,13 @@
         "if call.was_spilled and not self._find_suitable(call, now):",
         "tests/entry/test_critical.py",
     ),
+    Mutant(
+        "early probes never exceed their worker's capacity",
+        "entry/critical.py",
+        "            if target.fits(call.demand)\n            and target.quarantine",
+        "            if target.quarantine",
+        "tests/entry/test_critical.py",
+    ),
     Mutant(
         "early probes wait for workers that are merely busy",
         "entry/critical.py",
--- a/tests/entry/test_critical.py
+++ b/tests/entry/test_critical.py
@@ -366,3 +366,12 @@
         path.serve_spilled(request)
     assert caught.value.reason == "no_suitable_worker"
     assert client.worker_ids == ["w0"]
+
+
+def test_an_early_probe_never_exceeds_the_slots_of_its_worker():
+    path, clock, state, client = critical_path(max_waiting=0)
+    quarantine(state, clock, "w0")
+    for name in ("first", "second"):
+        state.targets.by_id["w0"].reserve(name, ResourceDemand(1, 1))
+    expect_refusal(path, "overloaded")
+    assert client.worker_ids == []
