--- a/src/savoryshelf/entry/critical.py
+++ b/src/savoryshelf/entry/critical.py
@@ -59,12 +59,17 @@
     deadline: float
     trace_id: str
     may_spill: bool = True
+    was_spilled: bool = False
+    """Whether another entry host forwarded it here."""
+
     request_id: str = attrs.field(factory=lambda: secrets.token_hex(8))
     attempts: int = 0
     attempted_worker_ids: set[str] = attrs.field(factory=set)
     failed_worker_ids: set[str] = attrs.field(factory=set)
     outcome_is_unknown: bool = False
     last_failure: "_Failure | None" = None
+    waiting_since: float | None = None
+    """When it first had to wait for capacity on this host, in monotonic seconds."""
 
     @property
     def demand(self) -> ResourceDemand:
@@ -165,6 +170,15 @@
                 return self._choose(call.service_name, candidates, self._rng, now)
             if call.may_spill and self._state.peer_with_free_slots() is not None:
                 return None
+            early_probes = self._find_early_probes(call, now)
+            if early_probes:
+                target = self._choose(call.service_name, early_probes, self._rng, now)
+                target.quarantine.begin_probe(now)
+                return target
+            if call.was_spilled and not self._find_sound(call, now):
+                # The host that it came from may have another worker for it.
+                detail = f"no worker of {self._state.entry_id} is in use that could run it"
+                raise self._refusal(call, "no_suitable_worker", detail)
             if len(self._admission_queue) >= declarations.limits.max_waiting:
                 raise self._refusal(
                     call,
@@ -172,6 +186,8 @@
                     f"{len(self._admission_queue)} requests wait for capacity; "
                     f"the maximum is {declarations.limits.max_waiting}",
                 )
+            if call.waiting_since is None:
+                call.waiting_since = now
             self._admission_queue.wait(
                 call.request_id, min(call.remaining_seconds(now), PEER_POLL_SECONDS)
             )
@@ -185,6 +201,29 @@
         untried = [t for t in usable if t.worker_id not in call.failed_worker_ids]
         return untried or usable
 
+    def _find_early_probes(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return the quarantined workers that the request may probe, since no other has room.
+
+        Workers that are merely busy may have room soon, so the request first waits for them.
+        """
+        suitable = self._find_suitable(call, now)
+        may_wait = bool(self._find_sound(call, now))
+        has_waited = (
+            call.waiting_since is not None and now - call.waiting_since >= PEER_POLL_SECONDS
+        )
+        if may_wait and not has_waited:
+            return []
+        probes = [
+            target
+            for target in suitable
+            if target.fits(call.demand)
+            and target.quarantine.is_quarantined(now)
+            and target.quarantine.may_probe_early(now)
+        ]
+        untried = [t for t in probes if t.worker_id not in call.failed_worker_ids]
+        # A worker that failed the request gets it again only if no other could run it.
+        return untried if may_wait else untried or probes
+
     def _find_suitable(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
         """Return the workers that can run the request, now or once they have room."""
         interval = self._state.report_interval_s
@@ -194,6 +233,11 @@
             if target.is_schedulable(now, interval) and target.could_ever_fit(call.demand)
         ]
 
+    def _find_sound(self, call: CriticalCall, now: float) -> list[OwnedTarget]:
+        """Return those of the suitable workers that are not quarantined."""
+        suitable = self._find_suitable(call, now)
+        return [target for target in suitable if not target.quarantine.is_quarantined(now)]
+
     def _refusal(self, call: CriticalCall, reason: str, detail: str) -> RequestRefused:
         certainty = Certainty.UNKNOWN if call.outcome_is_unknown else Certainty.NOT_RUN
         return RequestRefused(reason, detail, 503, certainty)
@@ -287,7 +331,7 @@
             log_event("entry:attempt_fault", error=repr(error), traceback=traceback.format_exc())
             target.quarantine.record_rejection()
             results.put(
-                _Failure(target.worker_id, "internal_error", repr(error), outcome_is_unknown=True)
+                _Failure(target.worker_id, "no_answer", repr(error), outcome_is_unknown=True)
             )
         finally:
             self._admission_queue.wake_one()
@@ -401,6 +445,7 @@
                 request.trace_id,
             )
             call.may_spill = False
+            call.was_spilled = True
             with request_action("entry:spilled", request.trace_id, service=call.service_name):
                 answer = self.serve(call)
         except RequestRefused as error:
