--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -486,7 +486,8 @@
         for key in self._started_at_by_run.keys() - self.worker.task_by_run.keys():
             del self._started_at_by_run[key]
         self._undelivered_starts &= self.worker.task_by_run.keys()
-        self._starts_in_doubt &= self.worker.task_by_run.keys()
+        for key in self._in_doubt_since_by_run.keys() - self.worker.task_by_run.keys():
+            del self._in_doubt_since_by_run[key]
         for key in self._confirmed_at_by_run.keys() - self.worker.task_by_run.keys():
             self._confirmed_at_by_run.pop(key, None)
             self._stopped_at_by_run.pop(key, None)
@@ -557,7 +558,7 @@
         except Exception as error:
             # The run would count as being started for good, and no poll would settle it.
             log_event("run:start_failed", task=task, run=run, why=repr(error))
-            self._starts_in_doubt.add(key)
+            self._in_doubt_since_by_run[key] = self._agent.now()
             self._starts_in_flight.discard(key)
             self.stop(task, run)
             return
