--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -611,13 +611,8 @@
     Mutant(
         "a run whose start got no response is stopped",
         _WORKER_SESSION,
-        """            self._starts_in_flight.discard(key)
-            self.stop(task, run)
-            return
-        except IncarnationReplaced""",
-        """            self._starts_in_flight.discard(key)
-            return
-        except IncarnationReplaced""",
+        "        self._agent.start_unanswered(self)\n        self.stop(task, run)\n",
+        "        self._agent.start_unanswered(self)\n",
         DISPATCH,
     ),
     Mutant(
@@ -1088,8 +1083,8 @@
     Mutant(
         "an entry host prefers addresses that answer while it looks for the leader",
         "gateway/addresses.py",
-        "return random.choice(answering or untried or addresses)",
-        "return random.choice(addresses)",
+        'return random.choice(answering or untried or addresses or [""])',
+        'return random.choice(addresses or [""])',
         _GATEWAY_TESTS,
     ),
     Mutant(
@@ -1211,6 +1206,27 @@
         "all_pools, pools = _Pools(preferred), _Pools(",
         DISPATCH + "/test_placement.py",
     ),
+    Mutant(
+        "an overdue task that fails before the next pass waits anew",
+        "dispatch/waiting.py",
+        "            if intent.task in self._since_by_task:\n",
+        "            if False:\n",
+        DISPATCH + "/test_bounded_waits.py",
+    ),
+    Mutant(
+        "the time before an occurrence is due is no wait",
+        "dispatch/placement.py",
+        "            if group.job.due_ms(group.occurrence) <= wall_ms\n",
+        "",
+        DISPATCH + "/test_bounded_waits.py",
+    ),
+    Mutant(
+        "silent workers count in the share of a service that is in use",
+        "dispatch/placement.py",
+        "[view.worker for view in views if view.incarnation not in placeable]",
+        "[]",
+        DISPATCH + "/test_bounded_waits.py",
+    ),
     Mutant(
         "an overdue gang of best-effort tasks is placed whole",
         "dispatch/waiting.py",
@@ -1235,8 +1251,8 @@
     Mutant(
         "a starving task is not placed beyond the limit of its step on a worker",
         "dispatch/placement.py",
-        "and not _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0))",
-        "",
+        "            if _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):\n",
+        "            if False:\n",
         DISPATCH + "/test_placement.py",
     ),
     Mutant(
@@ -1340,8 +1356,8 @@
     Mutant(
         "a crash: a worker that a start could not be sent to counts as unresponsive",
         _WORKER_SESSION,
-        "self._undelivered_starts.add(key)\n                self._mark_unresponsive(error)",
-        "self._undelivered_starts.add(key)",
+        "            self._mark_unresponsive(error)\n            result = StartResult.NOT_SENT\n",
+        "            result = StartResult.NOT_SENT\n",
         DISPATCH + "/test_worker_session.py",
     ),
     Mutant(
