Overdue work: like steps of a busy service look at the workers once a pass

While a service is busy, overdue best-effort steps that would slow others down stay without a run, and each of them looked at every worker in every pass: a rejection was remembered only where the service was not busy.

Such rejections are now remembered by image and need, as interference and load only rise during a pass, apart from those for want of room, which bind long-running work too. That a service is busy is found out once. The test fails without the change.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -263,6 +263,9 @@
     _rejected_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps of which no candidate may run one more task."""
 
+    _disturbing_steps: list[StepSpec] = attrs.field(factory=list)
+    """Steps of which each candidate that has the room would slow others down with one more task."""
+
     _avoided: list[_Candidate] | None = None
 
     def avoided_candidates(self) -> list[_Candidate]:
@@ -283,6 +286,18 @@
         if not step.max_per_worker:
             self._rejected_steps.append(step)
 
+    def is_disturbed_by(self, step: StepSpec) -> bool:
+        """Return whether a step that needs no more than this one slows others down everywhere.
+
+        Interference only rises during a pass.
+        """
+        return any(_needs_no_less(step, other) for other in self._disturbing_steps)
+
+    def record_disturbing(self, step: StepSpec) -> None:
+        """Record that no candidate may run one more task of the step without slowing others."""
+        if not step.max_per_worker:
+            self._disturbing_steps.append(step)
+
 
 def _needs_no_less(step: StepSpec, other: StepSpec) -> bool:
     if step.filling != other.filling or (step.filling and step.image != other.image):
@@ -323,11 +338,15 @@
 
     def __init__(self, candidates: list[_Candidate], views: list[WorkerView]):
         self._candidates = candidates
+        self._busy_services: set[str] = set()
         placeable = {candidate.view.incarnation for candidate in candidates}
         self._others = [view.worker for view in views if view.incarnation not in placeable]
 
     def is_busy(self, service_name: str) -> bool:
         """Return whether ``BUSY_SHARE`` of the service is in use, with what this pass planned."""
+        if service_name in self._busy_services:
+            # Use only rises during a pass.
+            return True
         total_millicores = expected_use = 0.0
         for candidate in self._candidates:
             record = candidate.view.worker.record
@@ -338,7 +357,10 @@
             if worker.record.service_name == service_name:
                 total_millicores += worker.record.millicores
                 expected_use += _expected_use(worker)
-        return expected_use >= BUSY_SHARE * total_millicores
+        is_busy = expected_use >= BUSY_SHARE * total_millicores
+        if is_busy:
+            self._busy_services.add(service_name)
+        return is_busy
 
 
 class _Ranking:
@@ -625,6 +647,8 @@
         if not tasks or pool.is_exhausted_for(step):
             return []
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
+        if step.filling and not may_interfere and pool.is_disturbed_by(step):
+            return []
         run_counts = _run_count_by_incarnation(group)
         for intent in planned:
             run_counts[intent.life.worker_id, intent.life.born_ms] += 1
@@ -664,8 +688,11 @@
                 del order_by_position[position]
         if step.gang:
             return self._assign_gang(group, pool.candidates, intents)
-        if len(intents) < len(tasks) and (may_interfere or not step.filling):
-            pool.record_rejected(step)
+        if len(intents) < len(tasks):
+            if may_interfere or not step.filling:
+                pool.record_rejected(step)
+            else:
+                pool.record_disturbing(step)
         return intents
 
     def _plan_gang(self, group, allowed, run_counts) -> list[RunIntent]:
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -971,3 +971,25 @@
             if pass_number == number:
                 EVENT_BY_NAME[name](site, f"w{worker_number % len(fleet)}")
         site.run_pass()
+
+
+# Guards against passes that take long on a busy service: each overdue best-effort step looked
+# at every worker, though a like step had just been found to slow others down on all of them.
+def test_like_overdue_steps_of_a_busy_service_look_at_the_workers_once(monkeypatch):
+    model = InterferenceModel({("batch", "shop"): 5.0})
+    site = Site(*[worker(f"w{number}") for number in range(20)], interference=model)
+    site.is_sound = False
+    accept(site.ledger, step(78, **(SERVING | {"millicores": 1000})))
+    site.run(3.0)
+    for number in range(30):
+        accept(site.ledger, work("filling finite"), job_id=f"{number:016x}")
+    site.run(3.0)
+    looks = []
+    may_add = _Candidate.may_add_best_effort
+    monkeypatch.setattr(
+        _Candidate,
+        "may_add_best_effort",
+        lambda candidate, step: looks.append(step) or may_add(candidate, step),
+    )
+    assert not site.run_pass()
+    assert len(looks) <= 2 * 20
