Overdue best-effort work returns last to a worker from which its image was evicted

A serving run could be disturbed by the run that was evicted for it 2 s earlier, while another worker was free of such a run: the order in which overdue work chooses a worker did not know the eviction. The new test failed before (w1) and passes.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -771,6 +771,7 @@
     return (
         candidate.is_avoided,
         candidate.planned_count if candidate.is_avoided else 0,
+        step.filling and step.image in candidate.view.excluded_images,
         candidate.interference_with(step) if step.filling else 0.0,
         candidate.last_failure_at,
         candidate.load_with(step),
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -463,6 +463,26 @@
     return None
 
 
+# Guards against a run that returns to the worker from which its image was just evicted.
+def test_an_overdue_task_goes_to_a_worker_from_which_its_image_was_not_evicted():
+    task_ledger = ledger(worker(millicores=9000), worker("w2", millicores=9000))
+    interference = InterferenceModel()
+    for job_id, worker_id, image in ((JOB, "w1", "less-sensitive"), (SECOND, "w2", "sensitive")):
+        accept(task_ledger, step(lasting=True, target_ms=50, image=image), job_id=job_id)
+        record_intent(task_ledger, f"{job_id}.0.0.0", incarnation=(worker_id, 1))
+    interference.add_sample("less-sensitive", 0.3, {"noisy": 3.0}, 0.0)
+    interference.add_sample("sensitive", 0.6, {"noisy": 3.0}, 0.0)
+    noisy = step(filling=True, image="noisy", millicores=4000)
+    accept(task_ledger, noisy, job_id=THIRD)
+    views = [
+        WorkerView(w, True, {}, excluded_images=frozenset({"noisy"} if key[0] == "w1" else ()))
+        for key, w in task_ledger.worker_by_incarnation.items()
+    ]
+    placement = Placement(interference)
+    plans = [placement.plan(task_ledger, views, 0, FleetHealth(), now) for now in (0.0, 2.5)]
+    assert [worker_ids(intents) for intents in plans] == [[], ["w2"]]
+
+
 # Guards against work that waits for the longest quarantine while no other worker may run it.
 def test_work_that_only_quarantined_workers_may_run_starts_within_the_users_bound():
     labelled = worker(labels=("gpu",))
