--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -545,7 +545,7 @@
 
 
 # Guards against wide best-effort steps that start one task a pass after most of the time allowed,
-# and against a gang of which one member is planned: an intent that is never valid.
+# and against a gang of which one member is planned: it would start alone.
 @pytest.mark.parametrize("kind", ["filling finite", "filling lasting", "filling gang"])
 def test_best_effort_work_starts_beside_serving_runs_that_it_disturbs(kind):
     site = Site(interference=disturbing())
