Logs: the leader names the runs that the end of a worker's life releases

Missing: nothing told which decision released a task's run. The agent's worker:life_over names the first eight runs; an end that the leader commits by itself named none. A session that met a run, or an end, that the ledger does not have there stopped or acknowledged it without a line.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -36,6 +36,7 @@
     WorkerState,
 )
 from .agent_id import new_agent_id
+from .crash_log import log_life_ends
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .permission import PERMISSION_SECONDS, Permission
@@ -232,6 +233,12 @@
         self._wake_up_maintenance()
 
     @_handles_command("end_lives")
+    def _note_ended_lives(self, body, ends) -> None:
+        if self._replica.is_leader:
+            # Here, and not where it was proposed: any proposer, and an earlier leader's, count.
+            log_life_ends(ends)
+        self._note_assignments(body, ends)
+
     @_handles_command("assign_agents")
     @_handles_command("note_workers")
     def _note_assignments(self, body, outcome) -> None:
--- a/src/savoryshelf/dispatch/crash_log.py
+++ b/src/savoryshelf/dispatch/crash_log.py
@@ -1,14 +1,35 @@
-"""Log lines of the crashes that the ledger has counted for tasks."""
+"""Log lines of the ends of incarnations, of the runs that they released, and of crashes."""
 
 from collections.abc import Iterable
 
 import attrs
 
 from ..observability.logs import log_event
-from ..tasks.crashes import CrashNote
+from ..tasks.ledger import LifeEnd
 
+RUNS_PER_LINE = 40
+MAX_LINES = 25
+"""Bounds of the lines that name the runs which the end of one incarnation released."""
 
-def log_crash_notes(notes: Iterable[CrashNote]) -> None:
+
+def log_crash_notes(ends: Iterable[LifeEnd]) -> None:
     """Log each task for which a crash was counted, and each that was given up for it."""
-    for note in notes:
-        log_event("task:given_up" if note.gave_up else "task:suspected", **attrs.asdict(note))
+    for end in ends:
+        for note in end.crash_notes:
+            log_event("task:given_up" if note.gave_up else "task:suspected", **attrs.asdict(note))
+
+
+def log_life_ends(ends: Iterable[LifeEnd]) -> None:
+    """Log each incarnation whose end was committed, with the runs that this released."""
+    for end in ends:
+        names = [f"{task}:{run}" for task, run in sorted(end.released_runs)]
+        lines = [
+            names[first : first + RUNS_PER_LINE] for first in range(0, len(names), RUNS_PER_LINE)
+        ][:MAX_LINES]
+        worker_id, born_ms = end.incarnation
+        for number, line in enumerate(lines or [[]], 1):
+            log_event(
+                "worker:life_ended", worker=worker_id, born=born_ms,
+                decided_by=end.agent_id or "leader", announced=end.announced, runs=len(names),
+                released=line, line=number, not_named=len(names) - sum(map(len, lines)),
+            )  # fmt: skip
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -178,6 +178,9 @@
         """When the newest start call went unanswered, in monotonic seconds."""
 
         self._stopped_at_by_run: dict[tuple[str, int], float] = {}
+        self._unknown_runs: set[tuple[str, int, str]] = set()
+        """The runs of the last poll that the ledger does not have here, and how they ended."""
+
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
         self._start_slots = Semaphore(MAX_CONCURRENT_STARTS)
@@ -444,6 +447,7 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
+        self._log_unknown_runs(ends)
         if result.may_omit_ends:
             log_event(
                 "worker:more_ends", worker=self.incarnation.worker_id, listed=len(result.ends),
@@ -458,6 +462,25 @@
         self._expire_exclusions()
         self._agent.poll_completed(self, self._history)
 
+    def _log_unknown_runs(self, ends: list[RunEnd]) -> None:
+        """Log, once each, the listed runs and ends that the ledger does not have here."""
+        how_by_run = dict.fromkeys(self.status_by_run, "running")
+        how_by_run |= {(end.task, end.run): RunOutcome(end.outcome).name.lower() for end in ends}
+        unknown = {
+            (*run, how) for run, how in how_by_run.items() if run not in self.worker.task_by_run
+        }
+        for task_name, run, how in sorted(unknown - self._unknown_runs):
+            task = self._agent.ledger.find_task(task_name)
+            if task is not None and task.done and task.step.spec.gang and run == task.runs:
+                # One end that is done completes all members of a gang.
+                continue
+            log_event(
+                "run:unknown", task=task_name, run=run, worker=self.incarnation.worker_id,
+                born=self.incarnation.born_ms, how=how, newest_run=task.runs if task else 0,
+                task_known=task is not None, task_done=task is not None and task.done,
+            )  # fmt: skip
+        self._unknown_runs = unknown
+
     def _expire_exclusions(self) -> None:
         now = self._agent.now()
         for image in [i for i, until in self._excluded_until_by_image.items() if until <= now]:
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -34,6 +34,24 @@
 """Registers the function that updates a task after a run ended with that ``RunOutcome``."""
 
 
+@attrs.frozen
+class LifeEnd:
+    """The recorded end of an incarnation."""
+
+    incarnation: IncarnationKey
+    agent_id: str | None
+    """The agent that reported the end; None if the leader decided it by itself."""
+
+    announced: bool
+    """Whether the incarnation had announced its exit."""
+
+    released_runs: list[tuple[str, int]]
+    """The runs that it settled as lost, by task name and run number."""
+
+    crash_notes: list[CrashNote]
+    """What it changed in the crashes that count for tasks."""
+
+
 @attrs.define(eq=False)
 class TaskLedger:
     """Jobs, workers, and the runs of the jobs' tasks on the workers."""
@@ -188,19 +206,18 @@
         fencing_tokens: list[int] | None = None,
         crashed: bool = False,
         worked: list[RunAge] | None = None,
-    ) -> list[CrashNote]:
+    ) -> list[LifeEnd]:
         """Record that incarnations have ended; their remaining runs are settled as lost.
 
         With ``crashed``, the crash counts for the tasks of these runs, unless the incarnation
-        was draining; ``worked`` says which runs it had outlived, and by how much.  Returns the
-        changes of these counts.
+        was draining; ``worked`` says which runs it had outlived, and by how much.
 
         ``checkpoints`` holds the last known checkpoints of these runs.  With
         ``fencing_tokens``, one for each incarnation, those that have another agent meanwhile
         are left as they are.
         """
         checkpoint_by_run = {(end.task, end.run): end.checkpoint for end in checkpoints}
-        notes = []
+        ends = []
         for position, incarnation in enumerate(incarnations):
             worker = self.worker_by_incarnation.get(incarnation_key(incarnation))
             if worker is None:
@@ -208,13 +225,18 @@
             if fencing_tokens and worker.record.fencing_token != fencing_tokens[position]:
                 continue
             worker.has_ended = True
+            agent_id = worker.record.agent_id if fencing_tokens else None
             worker.record.agent_id, worker.record.fencing_token = None, 0
+            notes = []
             if crashed and not worker.record.draining:
-                notes += self._record_crash(worker, worked or [])
-            for name, run in list(worker.task_by_run):
+                notes = self._record_crash(worker, worked or [])
+            released_runs = list(worker.task_by_run)
+            announced = bool(worker.record.leaving)
+            ends.append(LifeEnd(worker.key, agent_id, announced, released_runs, notes))
+            for name, run in released_runs:
                 checkpoint = checkpoint_by_run.get((name, run), "")
                 self._settle_run(RunEnd(name, run, RunOutcome.LOST, checkpoint, 0), worker.key)
-        return notes
+        return ends
 
     def _record_crash(self, worker: Worker, worked: list[RunAge]) -> list[CrashNote]:
         """Count a crash for the tasks whose runs it ended; fail the jobs of those to give up."""
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -3,12 +3,18 @@
 import eventlet
 import pytest
 
-from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch import assignment, crash_log
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.dispatch.worker_api import StartResult
 from savoryshelf.tasks import snapshot
-from savoryshelf.wire.generated.ttypes import CancelTasks, RunEnd, RunOutcome
+from savoryshelf.wire.generated.ttypes import (
+    CancelTasks,
+    EndLives,
+    RunEnd,
+    RunOutcome,
+    WorkerLife,
+)
 
 from ..tasks.builders import JOB, step
 from .fakes import wait_until
@@ -329,3 +335,27 @@
     worker.unanswered_calls = {"start", "stop"}
     wait_until(lambda: group.ledger.find_task(TASK).runs >= 2, 3.0)
     assert worker.apply_start(worker.delayed_starts[0]) is StartResult.FENCED
+
+
+# Guards against runs that are started again while no line tells which decision released them.
+@pytest.mark.parametrize("decided_by_agent", [True, False])
+def test_the_leader_names_the_runs_that_the_end_of_an_incarnation_releases(
+    group, decided_by_agent, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(
+        crash_log, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    group.submit(step(3, lasting=True))
+    wait_until(lambda: len(only_worker(group).running) == 3)
+    record = group.ledger.worker_by_incarnation["w1", 1].record
+    agent_id, token = record.agent_id, record.fencing_token
+    tokens = [token] if decided_by_agent else None
+    group.append_command(end_lives=EndLives([WorkerLife("w1", 1)], [], tokens))
+    ((event, fields),) = lines
+    assert event == "worker:life_ended"
+    assert fields == {
+        "worker": "w1", "born": 1, "decided_by": agent_id if decided_by_agent else "leader",
+        "announced": False, "runs": 3, "line": 1, "not_named": 0,
+        "released": [f"{JOB}.0.0.{index}:1" for index in range(3)],
+    }  # fmt: skip
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -170,6 +170,37 @@
     wait_until(lambda: worker.stopped.get("stray.0.0.0") == 3)
 
 
+# Guards against a run that was given up while it worked, and of which no line tells: each poll
+# lists the run, and its end until that is acknowledged.
+def test_a_listed_run_that_is_not_in_the_ledger_is_logged_once(running_session, monkeypatch):
+    task_ledger, worker, session, _ = running_session
+    lines = []
+    monkeypatch.setattr(
+        worker_session, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    settle_run(task_ledger, TASK, RunOutcome.LOST)
+    monkeypatch.setattr(session, "stop", lambda task, run: None)
+    monkeypatch.setattr(session._agent, "settle_ends", lambda *_: eventlet.sleep(0.02))
+    for _ in range(3):
+        session._poll_now()
+    where = {"task": TASK, "run": 1, "worker": "w1", "born": 1}
+    ledger_says = {"newest_run": 1, "task_known": True, "task_done": False}
+    running = ("run:unknown", where | ledger_says | {"how": "running"})
+    assert [line for line in lines if line[0] == "run:unknown"] == [running]
+    worker.end(TASK, 1, RunOutcome.DONE)
+    worker.end("stray.0.0.0", 3, RunOutcome.STOPPED)
+    for _ in range(3):
+        session._poll_now()
+    stray = {"task": "stray.0.0.0", "run": 3, "newest_run": 0, "task_known": False}
+    assert [line for line in lines if line[0] == "run:unknown"] == [
+        running,
+        ("run:unknown", where | ledger_says | {"how": "done"}),
+        ("run:unknown", where | ledger_says | stray | {"how": "stopped"}),
+    ]
+
+
 def test_no_start_is_sent_without_the_permission_to_call_workers(running_session):
     task_ledger, worker, session, agent = running_session
     agent.has_permission = False
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -30,7 +30,8 @@
     runs = task_ledger.worker_by_incarnation[worker_id, born_ms].task_by_run
     worked = [RunAge(*run, worked_ms) for run in runs if worked_ms is not IN_DOUBT]
     life = WorkerLife(worker_id, born_ms)
-    return task_ledger.end_incarnations([life], [], None, True, worked)
+    (end,) = task_ledger.end_incarnations([life], [], None, True, worked)
+    return end.crash_notes
 
 
 def state(task_ledger, job_id=JOB):
