--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -167,11 +167,14 @@
 
     def _add_worker(self, name: str) -> None:
         addresses = [f"{host.ip}:{PORTS['control']}" for host in self.controls]
-        worker = PlatformWorker(name, addresses, f"{self._ip}:0")
-        self._worker_relays.append(Relay(worker.address, ip=self._ip))
-        # The address in its heartbeats, where control hosts call it.
-        worker.address = self._worker_relays[-1].address
-        self.workers.append(worker)
+        self.workers.append(
+            PlatformWorker(name, addresses, f"{self._ip}:0", announce=self._relay_worker)
+        )
+
+    def _relay_worker(self, address: str) -> str:
+        """Return the address in a worker's heartbeats, where control hosts call it."""
+        self._worker_relays.append(Relay(address, ip=self._ip))
+        return self._worker_relays[-1].address
 
     def write_settings(self, host: Host) -> None:
         """Write the settings file of a host, by a rename."""
