A connection to a worker belongs to one life of it

Cause: calls were addressed by the id alone. A start, a stop or a speed for an earlier life was carried out by the next one, and a poll's acknowledgement made the next one forget ends that nobody had read; that another life had answered showed in lists only, after the harm.

Change: each new connection is asked for a list first, which acknowledges nothing and renews no lease, and carries other calls only if the life that answers is the one meant. A connection ends with the process that accepted it, so no call reaches another life. Connections are kept by life and token instead of by address, so the end of a life closes none of the next one's. A list that does not say whose it is counts as no answer.

Changed tests: stand-ins of three tests identify themselves on a connection before they give the odd answer under test. 'A null start time is read' is replaced: the users' pages say that lists always hold a whole number there, and settling runs by a list of unknown origin is the fault of this issue, so such a list is no answer now; also tested without the field.

--- a/tests/platform/test_worker_calls.py
+++ b/tests/platform/test_worker_calls.py
@@ -18,6 +18,7 @@
 
 from ..dispatch.fakes import make_session, wait_until
 from ..tasks.builders import JOB, accept, ledger, record_intent, step, worker
+from .requests import read_request
 
 TASK = f"{JOB}.0.0.0"
 ODD_ADDRESSES = [
@@ -26,6 +27,7 @@
     "\u00e9" * 80 + ":80",
 ]  # fmt: skip
 REQUEST = StartRequest(TASK, 1, "work", 1, 1)
+EMPTY_LIST = {"clockMs": 5, "running": [], "endedRuns": []}
 
 
 def odd(texts):
@@ -83,21 +85,26 @@
 
 @attrs.define
 class ReplyingWorker:
-    """A worker that gives the same reply, a status and bytes, to every call."""
+    """A worker that identifies itself, and then gives the same reply, a status and bytes."""
 
     incarnation: WorkerIncarnation
     reply: tuple[int, bytes] = (200, b"{}")
 
     def serve(self, listener):
-        """Answer one request a connection until the listener is shut down."""
+        """Answer two requests a connection until the listener is shut down."""
+        identity = orjson.dumps(EMPTY_LIST | {"born": self.incarnation.born_ms})
         with contextlib.suppress(OSError):
             while True:
                 connection, _ = listener.accept()
                 with connection:
-                    connection.recv(65536)
-                    status, body = self.reply
-                    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
-                    connection.sendall(head.encode() + b"Connection: close\r\n\r\n" + body)
+                    self._answer(connection, (200, identity), b"")
+                    self._answer(connection, self.reply, b"Connection: close\r\n")
+
+    def _answer(self, connection, reply, header):
+        read_request(connection)
+        status, body = reply
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+        connection.sendall(head.encode() + header + b"\r\n" + body)
 
 
 @pytest.fixture
@@ -149,15 +156,17 @@
 # Guards against workers that are ended, and counted as crashed, for a field that nobody can read.
 @pytest.mark.parametrize("born", ["1", 1.5, [1], True, 2**63], ids=str)
 def test_an_odd_start_time_in_the_reply_to_a_poll_is_no_other_incarnation(replying_worker, born):
-    reply = {"clockMs": 5, "running": [], "endedRuns": [], "born": born}
-    replying_worker.reply = (200, orjson.dumps(reply))
+    replying_worker.reply = (200, orjson.dumps(EMPTY_LIST | {"born": born}))
     with pytest.raises(WorkerUnresponsive):
         HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0)
 
 
-def test_a_reply_to_a_poll_with_a_null_start_time_is_read(replying_worker):
-    replying_worker.reply = (200, b'{"clockMs":5,"running":[],"endedRuns":[],"born":null}')
-    assert HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0).clock_ms == 5
+# Guards against runs that are settled by a list of which nobody knows whose it is.
+@pytest.mark.parametrize("reply", [EMPTY_LIST, EMPTY_LIST | {"born": None}], ids=["none", "null"])
+def test_a_reply_to_a_poll_without_a_start_time_is_no_answer(replying_worker, reply):
+    replying_worker.reply = (200, orjson.dumps(reply))
+    with pytest.raises(WorkerUnresponsive):
+        HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0)
 
 
 def test_another_start_time_in_the_reply_to_a_poll_is_another_incarnation(replying_worker):
@@ -173,7 +182,8 @@
     replying_worker, count, may_omit_ends
 ):
     ends = [[number, TASK, number, "done", ""] for number in range(1, count + 1)]
-    replying_worker.reply = (200, orjson.dumps({"clockMs": 5, "running": [], "endedRuns": ends}))
+    reply = EMPTY_LIST | {"endedRuns": ends, "born": replying_worker.incarnation.born_ms}
+    replying_worker.reply = (200, orjson.dumps(reply))
     result = HttpWorkerApi().poll(replying_worker.incarnation, 1, 0, 0, 0)
     assert len(result.ends) == count
     assert result.may_omit_ends is may_omit_ends
--- a/tests/wire/test_http_pool.py
+++ b/tests/wire/test_http_pool.py
@@ -12,10 +12,11 @@
 eventlet.monkey_patch()
 import socket
 from savoryshelf_platform.workers import HttpWorkerApi
+from savoryshelf.dispatch.worker_api import WorkerIncarnation
 
-pool = HttpWorkerApi()._pool("127.0.0.1:1")
+pool = HttpWorkerApi()._pool(WorkerIncarnation("w1", 1, "127.0.0.1:1"), 1)
 here, there = socket.socketpair()
-connection = pool.ConnectionCls("127.0.0.1")
+connection = pool._new_conn()
 connection.sock = here
 others = []
 eventlet.spawn(others.append, "ran")
