A life ends by what its worker answers, and gets no run before that

Cause: a session knew of another life only from polls of its own. An idle one polled nothing; a session that the next life rejected by its higher token was given a still higher one, so that the sessions of the two lives took the worker from each other; and a life of which there was only a heartbeat counted as usable at once.

Change: a worker is usable from its first answered poll on. A heartbeat of another life under its id makes the agent ask the worker at once, on a new connection. Any call that finds another life ends the earlier one. Where the agent of the earlier life learns nothing, the leader ends it 0.5 s after the later one has answered at the same address; a rejected session of it gets no new token meanwhile. A start that met another life has reached nothing, so its task is no suspect of the crash.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -232,6 +232,15 @@
         self._settlements = remaining
         self._wake_up_maintenance()
 
+    @_handles_command("note_workers")
+    def _note_workers(self, body, outcome) -> None:
+        for record in body.workers:
+            noted = incarnation_key(record.life)
+            for key, session in self.session_by_incarnation.items():
+                if key[0] == noted[0] and key != noted:
+                    session.check_incarnation()
+        self._note_assignments(body, outcome)
+
     @_handles_command("end_lives")
     def _note_ended_lives(self, body, ends) -> None:
         if self._replica.is_leader:
@@ -240,7 +249,6 @@
         self._note_assignments(body, ends)
 
     @_handles_command("assign_agents")
-    @_handles_command("note_workers")
     def _note_assignments(self, body, outcome) -> None:
         self._assignments_changed = True
         self._wake_up_maintenance()
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -147,6 +147,15 @@
             and known.state.fencing_token == worker.record.fencing_token
         )
 
+    def answers(self, worker: Worker) -> bool:
+        """Return whether the worker's present agent has reported that it answers calls."""
+        known = self._worker_by_incarnation.get(worker.key)
+        return (
+            known is not None
+            and known.state.responsive
+            and known.state.fencing_token == worker.record.fencing_token
+        )
+
     def views(self, workers: Iterable[Worker], now: float) -> list[WorkerView]:
         """Return the state of each worker that its present agent has reported."""
         is_live_by_agent = {agent_id: self.is_live(agent_id, now) for agent_id in self._agent_by_id}
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -7,6 +7,7 @@
 import contextlib
 import time
 from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 import eventlet
@@ -20,10 +21,11 @@
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
 from ..scheduling.start_rate import StartRate
+from ..tasks.job import IncarnationKey
 from ..tasks.ledger import TaskLedger
 from ..tasks.names import parse_task_name
 from ..tasks.state_machine import TaskStateMachine
-from ..tasks.worker import incarnation_key
+from ..tasks.worker import Worker, incarnation_key
 from ..wire import codec
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import (
@@ -88,6 +90,12 @@
 ASSIGNMENT_INTERVAL_SECONDS = 0.1
 """Time between two looks for workers without a live agent, in seconds."""
 
+REPLACEMENT_REPORT_SECONDS = 0.5
+"""Time in which the agent of a worker's earlier incarnation may report its end, in seconds.
+
+It knows which runs the incarnation had outlived.  Counted from when the later one has answered.
+"""
+
 MOVE_INTERVAL_SECONDS = 2.0
 """Time between two steps that even out the load of the agents, in seconds."""
 
@@ -137,6 +145,12 @@
         self._began_at = self._moved_at = clock.monotonic()
         self._assigned_at = float("-inf")
         self._weights_committed_at = clock.monotonic()
+        self._replaced_at_by_incarnation: dict[IncarnationKey, float] = {}
+        """When a later incarnation was first seen to answer at the address of a live one."""
+
+        self._have_states_changed = True
+        """Whether agents have reported states since that was last looked for."""
+
         self._retention = Retention(settings.keep_ended_seconds)
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
@@ -209,6 +223,7 @@
             eventlet.sleep(max(BATCH_DELAY_SECONDS, min(pass_seconds, MAX_PASS_INTERVAL_SECONDS)))
 
     def _run_pass(self) -> None:
+        self._end_replaced_incarnations(self.now())
         self._assign_workers()
         self._commit_weights()
         self._forget_old_jobs()
@@ -291,13 +306,15 @@
             self._moved_at = now
         live_workers = self._live_workers()
         self._fleet.forget({worker.key for worker in live_workers}, now)
+        replaceable = {worker.key for worker, _ in _with_later_incarnations(live_workers)}
         agent_ids = {agent.agent_id for agent in agents}
         workers = [
             AssignableWorker(
                 worker.key,
                 self._settings.region_by_domain.get(worker.record.failure_domain, ""),
                 worker.record.agent_id
-                if worker.record.agent_id in agent_ids and not self._fleet.is_fenced(worker)
+                if worker.record.agent_id in agent_ids
+                and (worker.key in replaceable or not self._fleet.is_fenced(worker))
                 else None,
             )
             for worker in live_workers
@@ -311,6 +328,37 @@
         assignments = [AgentAssignment(WorkerLife(*key), agent) for key, agent in planned.items()]
         self.commit(assign_agents=AssignAgents(assignments, self._term))
 
+    def _end_replaced_incarnations(self, now: float) -> None:
+        """End the incarnations of which a later one answers calls at the same address.
+
+        A heartbeat of the later one is no evidence: anybody may have sent it.  The agent of the
+        earlier one finds out by itself, unless it is gone.
+        """
+        if not self._have_states_changed and not self._replaced_at_by_incarnation:
+            return
+        self._have_states_changed = False
+        replaced = {
+            worker.key: worker
+            for worker, later in _with_later_incarnations(self._live_workers())
+            if worker.key in self._replaced_at_by_incarnation or self._fleet.answers(later)
+        }
+        for key in self._replaced_at_by_incarnation.keys() - replaced.keys():
+            del self._replaced_at_by_incarnation[key]
+        for key in replaced.keys() - self._replaced_at_by_incarnation.keys():
+            self._replaced_at_by_incarnation[key] = now
+            eventlet.spawn_after(REPLACEMENT_REPORT_SECONDS, self.wake)
+        due = [
+            WorkerLife(*key)
+            for key, worker in replaced.items()
+            if not (worker.record.agent_id and worker.task_by_run)
+            or now - self._replaced_at_by_incarnation[key] >= REPLACEMENT_REPORT_SECONDS
+        ]
+        if not due:
+            return
+        for life in due:
+            log_event("worker:replaced", worker=life.worker_id, born=life.born_ms)
+        log_crash_notes(self.commit(end_lives=EndLives(due, [], crashed=True)))
+
     def _may_still_report(self, agent_id: str | None, agent_ids: set[str], now: float) -> bool:
         """Return whether to wait for the first reports of this term.
 
@@ -358,6 +406,7 @@
             self._wake_up_commit()
         elif report.states:
             self.wake()
+        self._have_states_changed |= bool(report.states)
         return AgentReply(self._term, self.ledger.newest_token, wants_full)
 
     def _record_rejection(self, rejection: StartRejection, now: float) -> None:
@@ -429,6 +478,21 @@
             log_event("term:command_lost", term=self._term, why=str(error))
 
 
+def _with_later_incarnations(workers: Iterable[Worker]) -> list[tuple[Worker, Worker]]:
+    """Return each worker that has a later incarnation at the same address, and that one."""
+    latest_by_place: dict[tuple[str, str], Worker] = {}
+    for worker in workers:
+        place = worker.record.life.worker_id, worker.record.address
+        latest = latest_by_place.setdefault(place, worker)
+        if worker.record.life.born_ms > latest.record.life.born_ms:
+            latest_by_place[place] = worker
+    pairs = (
+        (worker, latest_by_place[worker.record.life.worker_id, worker.record.address])
+        for worker in workers
+    )
+    return [(worker, latest) for worker, latest in pairs if latest is not worker]
+
+
 def _merged(ended_lives: list[EndLives]) -> list[EndLives]:
     """Return the same ends in as few commands as possible: each costs a round trip.
 
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -124,10 +124,10 @@
 
 
 class WorkerApi(Protocol):
-    """Calls to a worker, each made to one incarnation.
+    """Calls to a worker, each made to one incarnation: it reaches that one or none.
 
-    All but ``disconnect`` raise WorkerUnresponsive if there is no complete answer,
-    and IncarnationReplaced if another incarnation answers.
+    All but ``disconnect`` raise WorkerUnresponsive if there is no complete answer, and
+    IncarnationReplaced, without any effect, if another incarnation is at the address.
     """
 
     def start(
@@ -166,4 +166,4 @@
         """Throttle a run to ``speed_percent`` of full speed; raises CallRejected."""
 
     def disconnect(self, incarnation: WorkerIncarnation) -> None:
-        """Close the connections to an incarnation that has ended."""
+        """Close the idle connections to an incarnation; calls after that open new ones."""
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -143,14 +143,14 @@
         self._history = ColocationHistory()
         self.last_contact_at = float("-inf")
         self._alive_at = float("-inf")
-        """When the newest poll that this incarnation answered was sent, in monotonic seconds.
-
-        Answers to other calls do not say which incarnation gave them.
-        """
+        """When the newest poll that this incarnation answered was sent, in monotonic seconds."""
 
         self.is_unresponsive = False
-        self.is_state_known = not worker.task_by_run
-        """Whether the worker's runs are known: after a takeover, only from the first poll on."""
+        self.is_state_known = False
+        """Whether this incarnation has answered a poll, so that its runs are known.
+
+        Until then nothing but a heartbeat says that it exists.
+        """
 
         self.has_ended = False
         """Whether the incarnation was reported as ended; no call may be made after that."""
@@ -211,6 +211,14 @@
         now = self._agent.now()
         return {i: until - now for i, until in self._excluded_until_by_image.items() if now < until}
 
+    def check_incarnation(self) -> None:
+        """Find out at once whether this incarnation still answers at its address.
+
+        A call on an open connection may have to wait for its timeout to tell.
+        """
+        self._agent.worker_api.disconnect(self.incarnation)
+        eventlet.spawn_n(self._poll_now)
+
     def view(self) -> WorkerView:
         """Return the worker's state for throttling."""
         return WorkerView(
@@ -401,7 +409,7 @@
             # This poll only read the worker's clock; the lease is still to be renewed.
             try:
                 self._renew_lease()
-            except (WorkerUnresponsive, CallRejected) as error:
+            except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
                 renewal_error = error
         # What was listed holds, whether or not the next call was answered.
         self._process_poll(result, sent_at)
@@ -429,7 +437,9 @@
             )
         except NotDelivered as error:
             self._mark_unresponsive(error)
-        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
+        except IncarnationReplaced as error:
+            self._end_incarnation(str(error))
+        except (WorkerUnresponsive, CallRejected) as error:
             log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=str(error))
         else:
             self._note_alive(result, sent_at)
@@ -567,9 +577,11 @@
             # Either the start or the poll before it failed without the start being sent.
             self._mark_unresponsive(error)
             result = StartResult.NOT_SENT
-        except IncarnationReplaced:
+        except IncarnationReplaced as error:
+            # Calls reach the incarnation that they name or none.
+            self._undelivered_starts.add(key)
             self._starts_in_flight.discard(key)
-            self._end_incarnation("another incarnation answers")
+            self._end_incarnation(str(error))
             return
         except Fenced as error:
             self._starts_in_flight.discard(key)
@@ -729,6 +741,9 @@
             return False
         try:
             self._poll(0)
+        except IncarnationReplaced as error:
+            self._end_incarnation(str(error))
+            return False
         except Exception as error:
             log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=repr(error))
             return False
@@ -740,7 +755,9 @@
             return
         try:
             self._call("set_speed", task, run, speed_percent, self.fencing_token)
-        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:
+        except IncarnationReplaced as error:
+            self._end_incarnation(str(error))
+        except (WorkerUnresponsive, CallRejected) as error:
             self.speed_percent_by_run.pop((task, run), None)
             log_event(
                 "run:set_speed_failed", task=task, worker=self.incarnation.worker_id, why=str(error)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -42,6 +42,9 @@
         self.deadlines = []
         self.calls = []
         self.is_replaced = False
+        self.has_crashed = False
+        """Whether the process has ended: open polls break, and no call is answered."""
+
         self.unreadable_runs = 0
         """Rows of each poll that cannot be read; with any, a poll is answered at once."""
 
@@ -53,6 +56,8 @@
 
     def _record_call(self, name):
         self.calls.append(name)
+        if self.has_crashed:
+            raise WorkerUnresponsive("connection reset")
         if self.is_replaced:
             raise IncarnationReplaced("another incarnation")
 
@@ -111,6 +116,8 @@
                 eventlet.sleep(0.001)
                 break
             eventlet.sleep(0.02)
+            if self.has_crashed:
+                raise WorkerUnresponsive("connection reset")
         ends = [end for end in self.ends if end.number > seen_end]
         running = (
             list(self.running.values()) if running_before_wait is None else running_before_wait
--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -7,6 +7,7 @@
 from savoryshelf.clock import SystemClock
 from savoryshelf.dispatch.agent import Agent, NoLeader
 from savoryshelf.dispatch.leader_term import DispatchSettings, LeaderTerm
+from savoryshelf.dispatch.worker_api import IncarnationReplaced
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import (
@@ -73,6 +74,12 @@
         """How long the reply to a report takes."""
 
         self.worker_by_id = {worker_id: FakeWorker() for worker_id in worker_ids}
+        self.born_by_id = dict.fromkeys(worker_ids, 1)
+        """Which life of each worker is up; calls to any other find another life there."""
+
+        self.error_by_life = {}
+        """Errors that calls to a life raise instead, by its key."""
+
         self.state_machine_by_host = {}
         self.replica_by_host = {}
         self.agent_by_host = {}
@@ -187,7 +194,26 @@
     # ---------------------------------------------- calls of the agents to the workers
 
     def _worker(self, incarnation):
-        return self.worker_by_id[incarnation.worker_id]
+        key = incarnation.worker_id, incarnation.born_ms
+        if key in self.error_by_life:
+            raise self.error_by_life[key]
+        if self.born_by_id[key[0]] != key[1]:
+            raise IncarnationReplaced("another life answers")
+        return self.worker_by_id[key[0]]
+
+    def restart_worker(self, worker_id, born_ms):
+        """End a worker's process and start it again under its id, without a heartbeat."""
+        self.worker_by_id[worker_id].has_crashed = True
+        self.worker_by_id[worker_id] = FakeWorker()
+        self.born_by_id[worker_id] = born_ms
+
+    def note_life(self, worker_id, born_ms, **fields):
+        """Commit a heartbeat, whoever sent it."""
+        record = worker(worker_id=worker_id, born_ms=born_ms)
+        for name, value in fields.items():
+            setattr(record, name, value)
+        self.append_command(note_workers=NoteWorkers([record]))
+        self.term.wake()
 
     def start(self, incarnation, request):
         return self._worker(incarnation).start(incarnation, request)
--- /dev/null
+++ b/tests/dispatch/test_worker_lives.py
@@ -0,0 +1,242 @@
+"""Two lives of a worker under one id: what ends the earlier one, and what does not."""
+
+import eventlet
+import pytest
+
+from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch.leader_term import (
+    MAX_PASS_INTERVAL_SECONDS,
+    REPLACEMENT_REPORT_SECONDS,
+)
+from savoryshelf.dispatch.worker_api import (
+    CallRejected,
+    Fenced,
+    IncarnationReplaced,
+    WorkerUnresponsive,
+)
+from savoryshelf.tasks import snapshot
+from savoryshelf.wire.generated.ttypes import RunOutcome
+
+from ..tasks.builders import JOB, step
+from .fakes import wait_until
+from .group import LEASE_MS, FakeGroup
+
+TASK = f"{JOB}.0.0.0"
+OTHER_JOB = "00000000000000b2"
+EARLIER, LATER = ("w1", 1), ("w1", 2)
+PASS_SECONDS = 2 * MAX_PASS_INTERVAL_SECONDS + 0.1
+"""Time for the leader's next two passes, and for a call, a report and a commit between them."""
+
+
+@pytest.fixture(params=["the leader calls the workers", "the other hosts call them"])
+def group(request, monkeypatch):
+    if request.param == "the other hosts call them":
+        monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
+    started = FakeGroup(["c0", "c1", "c2"], ["w1"])
+    try:
+        wait_until(lambda: started.agent_host("w1"))
+        yield started
+        assert started.failures == []
+    finally:
+        started.close()
+
+
+def life(group, key):
+    return group.ledger.worker_by_incarnation[key]
+
+
+def has_ended(group, key):
+    return life(group, key).has_ended
+
+
+def start_a_run(group):
+    group.submit(step(lasting=True))
+    wait_until(lambda: group.worker_by_id["w1"].running)
+    return group.worker_by_id["w1"]
+
+
+def change_leader(group):
+    group.change_leader("c1" if group.leader == "c0" else "c0")
+
+
+def restore_a_snapshot(group):
+    host = group.agent_host()
+    state_machine = group.state_machine_by_host[host]
+    state_machine.restore(snapshot.save(state_machine.ledger))
+
+
+def do_nothing(group):
+    pass
+
+
+@pytest.fixture(params=[do_nothing, change_leader, restore_a_snapshot])
+def event(request):
+    return request.param
+
+
+# Guards against TWICE: all that ran on a worker that lived was started again after one heartbeat
+# of another writer with a later start.
+def test_a_heartbeat_of_a_later_life_ends_nothing(group, event):
+    worker = start_a_run(group)
+    group.note_life(*LATER)
+    event(group)
+    wait_until(lambda: has_ended(group, LATER))
+    eventlet.sleep(REPLACEMENT_REPORT_SECONDS + PASS_SECONDS)
+    assert not has_ended(group, EARLIER)
+    assert worker.starts == [(TASK, 1)]
+    group.submit(job_id=OTHER_JOB)
+    wait_until(lambda: len(worker.starts) == 2)
+    worker.end(TASK, 1, RunOutcome.DONE)
+    wait_until(lambda: not group.ledger.find_task(TASK).incarnation_by_run.get(1))
+
+
+# Guards against work that is placed on a life of which there is only a heartbeat.
+def test_a_life_that_has_not_answered_gets_no_run(group):
+    group.error_by_life[LATER] = WorkerUnresponsive("no answer")
+    group.note_life(*LATER, address="10.0.0.9:80")
+    group.submit(step(count=8, lasting=True))
+    wait_until(lambda: len(life(group, EARLIER).task_by_run) == 4)
+    eventlet.sleep(PASS_SECONDS)
+    assert not group.ledger.find_task(f"{JOB}.0.0.7").runs, (
+        "more than the earlier life has room for"
+    )
+
+
+@pytest.mark.parametrize("is_noted", [True, False], ids=["noted", "not noted"])
+def test_a_life_whose_worker_has_restarted_ends_at_once(group, is_noted):
+    start_a_run(group)
+    began_at = group.term.now()
+    group.restart_worker("w1", 2)
+    if is_noted:
+        group.note_life(*LATER)
+    wait_until(lambda: has_ended(group, EARLIER))
+    assert group.term.now() - began_at < REPLACEMENT_REPORT_SECONDS
+    wait_until(lambda: bool(group.worker_by_id["w1"].starts) is is_noted)
+
+
+# Guards against TWICE: ends and runs of the next life counted for the earlier one.
+def test_the_runs_of_a_life_are_settled_by_that_life(group, event):
+    start_a_run(group)
+    group.restart_worker("w1", 2)
+    group.note_life(*LATER)
+    event(group)
+    later = group.worker_by_id["w1"]
+    wait_until(lambda: later.running)
+    assert later.starts == [(TASK, 2)]
+    assert list(life(group, LATER).task_by_run) == [(TASK, 2)]
+    assert not life(group, EARLIER).task_by_run
+    assert life(group, LATER).record.seen_end == 0
+
+
+# Guards against LOST and against two agents that take a worker from each other: the agent of the
+# earlier life learns nothing, since the later one knows a higher token.
+@pytest.mark.parametrize(
+    "error",
+    [Fenced("poll"), CallRejected("poll"), WorkerUnresponsive("no answer")],
+    ids=lambda error: type(error).__name__,
+)
+def test_a_life_whose_successor_answers_at_its_address_ends(group, event, error):
+    start_a_run(group)
+    group.restart_worker("w1", 2)
+    group.error_by_life[EARLIER] = error
+    group.note_life(*LATER)
+    event(group)
+    began_at = group.term.now()
+    wait_until(lambda: has_ended(group, EARLIER))
+    if event is do_nothing:
+        assert group.term.now() - began_at < REPLACEMENT_REPORT_SECONDS + PASS_SECONDS
+    wait_until(lambda: group.worker_by_id["w1"].running)
+    assert not has_ended(group, LATER)
+
+
+# Guards against TWICE: another process of the same id, at another address, is no evidence.
+def test_a_life_goes_on_while_another_one_answers_at_another_address(group, event):
+    worker = start_a_run(group)
+    elsewhere = FakeElsewhere(group)
+    elsewhere.answer()
+    group.note_life(*LATER, address="10.0.0.9:80")
+    event(group)
+    wait_until(lambda: elsewhere.polls)
+    eventlet.sleep(REPLACEMENT_REPORT_SECONDS + PASS_SECONDS)
+    assert not has_ended(group, EARLIER)
+    assert not has_ended(group, LATER)
+    assert worker.starts == [(TASK, 1)]
+    assert elsewhere.worker.starts == []
+
+
+class FakeElsewhere:
+    """A second process under the id of a worker, at an address of its own."""
+
+    def __init__(self, group):
+        self.worker = type(group.worker_by_id["w1"])()
+        self._group = group
+        self._original = group._worker
+
+    def answer(self):
+        self._group._worker = self._worker
+
+    def _worker(self, incarnation):
+        if incarnation.address == "10.0.0.9:80":
+            return self.worker
+        return self._original(incarnation)
+
+    @property
+    def polls(self):
+        return self.worker.calls
+
+
+# Guards against TWICE: an idle session was not told that its life had ended, and its next start
+# was run by the next life.
+def test_nothing_is_started_on_a_life_that_ended_while_it_was_idle(group):
+    eventlet.sleep(0.1)
+    group.restart_worker("w1", 2)
+    group.submit(step(lasting=True))
+    wait_until(lambda: has_ended(group, EARLIER))
+    assert group.worker_by_id["w1"].starts == []
+    group.note_life(*LATER)
+    wait_until(lambda: group.worker_by_id["w1"].running)
+    assert list(group.worker_by_id["w1"].running) == [(TASK, 2)]
+    assert not group.ledger.find_task(TASK).crashes, "the start had not reached the life that ended"
+
+
+def test_restarts_in_series_leave_the_last_life(group):
+    group.submit(step(lasting=True))
+    for born in range(2, 8):
+        wait_until(lambda: group.worker_by_id["w1"].running)
+        group.restart_worker("w1", born)
+        group.note_life("w1", born)
+    wait_until(lambda: group.worker_by_id["w1"].running)
+    wait_until(lambda: all(has_ended(group, ("w1", born)) for born in range(1, 7)))
+    assert not has_ended(group, ("w1", 7))
+
+
+def test_a_silent_life_with_a_later_one_elsewhere_ends_with_its_lease(group):
+    start_a_run(group)
+    elsewhere = FakeElsewhere(group)
+    elsewhere.answer()
+    group.error_by_life[EARLIER] = WorkerUnresponsive("no answer")
+    began_at = group.term.now()
+    group.note_life(*LATER, address="10.0.0.9:80")
+    wait_until(lambda: has_ended(group, EARLIER))
+    assert group.term.now() - began_at > LEASE_MS / 1000
+    wait_until(lambda: elsewhere.worker.running)
+
+
+@pytest.mark.parametrize("call", ["set_speed", "stop"])
+def test_any_call_that_finds_another_life_ends_the_earlier_one(group, call):
+    worker = start_a_run(group)
+    session = next(
+        session
+        for agent in group.agent_by_host.values()
+        for session in agent.session_by_incarnation.values()
+    )
+
+    def refuse(*arguments):
+        raise IncarnationReplaced("another life answers")
+
+    setattr(worker, call, refuse)
+    if call == "stop":
+        session.stop(TASK, 1)
+    else:
+        session.set_speed(TASK, 1, 50)
+    wait_until(lambda: has_ended(group, EARLIER))
