A heartbeat of a later life ends no life: it is no evidence

Cause: `TaskService._end_earlier_incarnations` recorded every earlier life of an id as ended, within 0.5 s, on one heartbeat of a later `born`, whoever had sent it and although the agent went on to reach the earlier life.

Change: a heartbeat only notes the new life. Both lives stay in the ledger until evidence of its own ends one. `worker:restarted` is logged once for each new life and names the earlier ones that have not ended.

Class: what belongs to one life is taken for another's. A life that is wrong ends as before by its own session: nobody answers until its lease is over, or another life answers at its address.

Tests: test_a_new_incarnation_ends_the_earlier_one_unless_its_agent_reports_it asserted what was wrong, namely that a heartbeat ends a life (after 0.5 s, with the crash in doubt). Two tests of IgnoredHeartbeats ended the earlier life by such a heartbeat; they now end it as an agent does, and assert the same.

--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -5,7 +5,6 @@
 """
 
 import attrs
-import eventlet
 
 from ..clock import Clock
 from ..errors import SavoryshelfError
@@ -23,7 +22,6 @@
 from ..wire.generated.ttypes import (
     AcceptTasks,
     CancelTasks,
-    EndLives,
     JobAnswer,
     JobAnswerKind,
     JobCall,
@@ -36,7 +34,6 @@
     WorkerRecord,
 )
 from .agent_id import replica_of
-from .crash_log import log_crash_notes
 from .ignored_heartbeats import IgnoredHeartbeats
 
 MAX_FUTURE_MS = 24 * 3600 * 1000
@@ -55,12 +52,8 @@
 One election timeout.
 """
 
-AGENT_CHECK_SECONDS = 0.02
-AGENT_CHECKS = 25
-"""How often, and how many times, to look whether an agent has reported the end of an incarnation.
-
-It retries its call to the worker at least this often.
-"""
+MAX_LOGGED_LIVES = 8
+"""Earlier lives of an id named in the log line of a new one: the latest."""
 
 
 class ImplausibleHeartbeat(SavoryshelfError):
@@ -220,7 +213,8 @@
         newest_here = self._sequence_by_incarnation.get(key, -1)
         self._sequence_by_incarnation[key] = max(newest_here, record.sequence)
         log_event("worker:noted", worker=key[0], born=key[1], draining=record.draining)
-        self._end_earlier_incarnations(record.life)
+        if known is None:
+            self._log_restart(record.life)
         self.on_change()
         return _agent_host(record)
 
@@ -259,37 +253,23 @@
             if key[0] == incarnation.worker_id and key[1] > incarnation.born_ms
         ]
 
-    def _end_earlier_incarnations(self, incarnation: WorkerLife) -> None:
-        earlier = [
-            WorkerLife(*key)
+    def _log_restart(self, incarnation: WorkerLife) -> None:
+        """Log a new life of an id of which others have not ended: it is no evidence of their end.
+
+        The agents of those lives look, and only what they find ends one.
+        """
+        earlier = sorted(
+            key[1]
             for key, worker in self._state_machine.ledger.worker_by_incarnation.items()
             if key[0] == incarnation.worker_id
             and key[1] < incarnation.born_ms
             and not worker.has_ended
-        ]
-        if not earlier:
-            return
-        log_event("worker:restarted", worker=incarnation.worker_id, born=incarnation.born_ms)
-        self.on_change()
-        self._wait_for_agents(earlier)
-        if not all(self._has_ended(life) for life in earlier):
-            notes = self._commit(end_lives=EndLives(earlier, [], crashed=True))
-            log_crash_notes(notes)
-
-    def _wait_for_agents(self, incarnations: list[WorkerLife]) -> None:
-        """Wait a moment for the agents to report the ends: they know which runs had worked."""
-        for _ in range(AGENT_CHECKS):
-            if all(self._has_ended(life) or not self._has_runs(life) for life in incarnations):
-                return
-            eventlet.sleep(AGENT_CHECK_SECONDS)
-
-    def _has_ended(self, incarnation: WorkerLife) -> bool:
-        worker = self._state_machine.ledger.worker_by_incarnation.get(incarnation_key(incarnation))
-        return worker is None or worker.has_ended
-
-    def _has_runs(self, incarnation: WorkerLife) -> bool:
-        worker = self._state_machine.ledger.worker_by_incarnation.get(incarnation_key(incarnation))
-        return worker is not None and bool(worker.record.agent_id and worker.task_by_run)
+        )
+        if earlier:
+            log_event(
+                "worker:restarted", worker=incarnation.worker_id, born=incarnation.born_ms,
+                earlier=earlier[-MAX_LOGGED_LIVES:],
+            )  # fmt: skip
 
     # --------------------------------------------------------------------- leadership
 
