A life that has not ended is heard although a later one of its id is noted

Cause: every changed heartbeat of a life before the newest counted as out of order, and was acknowledged and ignored, for as long as the later life had not ended and for 30 s more. The later one may be another writer's.

Change: the rule on earlier lives is for those that are not known or have ended: they must not come back. A life in the ledger that has not ended has its own sequence, which alone orders its heartbeats, also where it is believed again.

Class: a statement on one life (a later start) was taken for one on another (that it is over).

A mutant removes the guard; the one on live successors was brought up to the new text.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -985,10 +985,17 @@
     Mutant(
         "an earlier incarnation stays out while a later one works",
         _TASK_SERVICE,
-        "if any(not worker.has_ended for worker in self._later_incarnations(incarnation)):",
+        "if not is_live and self._has_live_successor(incarnation):",
         "if False:",
         "tests/dispatch/test_task_service.py",
     ),
+    Mutant(
+        "a life that has not ended is heard although a later one is noted",
+        _TASK_SERVICE,
+        "is_gone = not is_live and self._is_earlier_incarnation(record.life)",
+        "is_gone = self._is_earlier_incarnation(record.life)",
+        "tests/dispatch/test_task_service.py",
+    ),
     Mutant(
         "delayed heartbeats that come together are not believed",
         _IGNORED,
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -179,9 +179,9 @@
         """Process a worker's heartbeat; return once any change that it reports is durable.
 
         Returns the name of the host that calls the worker, or an empty string.  A heartbeat
-        that is out of order or from an earlier incarnation is ignored, unless its worker goes on
-        to send them.  One without a change is answered by every host that is in contact with
-        the leader.  Raises ImplausibleHeartbeat.
+        that is out of order, or from an incarnation before the newest that is not known or has
+        ended, is ignored, unless its worker goes on to send them.  One without a change is
+        answered by every host that is in contact with the leader.  Raises ImplausibleHeartbeat.
         """
         record = heartbeat.record
         key = incarnation_key(record.life)
@@ -202,8 +202,10 @@
             self._sequence_by_incarnation[key] = sequence
         self._require_recent_quorum_contact()
         newest = max(newest_here, known.record.sequence or 0 if known else -1)
-        if record.sequence <= newest or self._is_earlier_incarnation(record.life):
-            if not self._is_believed_again(record.life, sequence):
+        is_live = known is not None and not known.has_ended
+        is_gone = not is_live and self._is_earlier_incarnation(record.life)
+        if record.sequence <= newest or is_gone:
+            if not self._is_believed_again(record.life, sequence, is_live):
                 log_event("heartbeat:stale", worker=key[0], sequence=sequence, newest=newest)
                 return _agent_host(known.record) if known else ""
             record.sequence = min(MAX_SEQUENCE, max(record.sequence, newest + 1))
@@ -232,19 +234,24 @@
         log_event("worker:leaves", worker=worker_id)
         self.on_change()
 
-    def _is_believed_again(self, incarnation: WorkerLife, sequence: int) -> bool:
-        """Return whether a heartbeat that is out of order has to be one of a worker that lives."""
-        if any(not worker.has_ended for worker in self._later_incarnations(incarnation)):
+    def _is_believed_again(self, incarnation: WorkerLife, sequence: int, is_live: bool) -> bool:
+        """Return whether a heartbeat that is out of order has to be one of a worker that lives.
+
+        With ``is_live``, its life has not ended, so that a later one does not speak against it.
+        """
+        if not is_live and self._has_live_successor(incarnation):
             return False
         key, now = incarnation_key(incarnation), self._clock.monotonic()
         return self._ignored.is_persistent(key, sequence, now)
 
     def _is_earlier_incarnation(self, incarnation: WorkerLife) -> bool:
-        later = self._later_incarnations(incarnation)
         if incarnation_key(incarnation) in self._offset_by_incarnation:
             # It was believed against a later one that has ended.
-            return any(not worker.has_ended for worker in later)
-        return bool(later)
+            return self._has_live_successor(incarnation)
+        return bool(self._later_incarnations(incarnation))
+
+    def _has_live_successor(self, incarnation: WorkerLife) -> bool:
+        return any(not worker.has_ended for worker in self._later_incarnations(incarnation))
 
     def _later_incarnations(self, incarnation: WorkerLife) -> list[Worker]:
         return [
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -322,6 +322,20 @@
     assert not entry(state_machine, 3).has_ended
 
 
+# Guards against a start on a worker that drains: its heartbeats were acknowledged and ignored,
+# since another writer had named a later start.
+def test_a_life_that_has_not_ended_is_heard_though_a_later_one_is_noted(state_machine):
+    _, leader = host(state_machine)
+    leader.heartbeat(heartbeat(1))
+    leader.heartbeat(heartbeat(1, born_ms=2))
+    leader.heartbeat(heartbeat(2, draining=True))
+    assert entry(state_machine).record.draining
+    assert not entry(state_machine, 2).record.draining
+    # A delayed one of the same life changes nothing.
+    leader.heartbeat(heartbeat(1))
+    assert entry(state_machine).record.draining
+
+
 # Each new life of an id is logged once, with those before it that may go on.
 def test_a_later_life_is_logged_once_with_the_earlier_ones(state_machine, monkeypatch):
     lines = []
@@ -337,3 +351,15 @@
         {"worker": "w1", "born": 2, "earlier": [1]},
         {"worker": "w1", "born": 3, "earlier": [1, 2]},
     ]
+
+
+# Guards against a worker that drains unnoticed while an entry of a later start is in the ledger.
+def test_a_life_that_has_not_ended_is_believed_again_though_a_later_one_is_noted(state_machine):
+    clock = FakeClock()
+    _, leader = host(state_machine, clock=clock)
+    leader.heartbeat(heartbeat(2**53, draining=True))
+    leader.heartbeat(heartbeat(1, born_ms=2))
+    send_for(leader, clock, 25, 2)
+    assert entry(state_machine).record.draining
+    send_for(leader, clock, 10, 27)
+    assert not entry(state_machine).record.draining
