A heartbeat with a service that no manifest names brings no worker

PROTOCOL.md: an entry with "a state or service that isn't named here [...] names no worker to use; the others hold."

Change: the leader ignores such a heartbeat of a life that it does not know, or that has ended under another service, and answers 200 as before. One log line `heartbeat:ignored` with the reason for each life, service and address, not one a second. No metric: other ignored heartbeats are not counted either. Before the first manifest all services are accepted; once a manifest names the service, the next heartbeat counts. A known life keeps its service when that leaves the manifest. Followers redirect an unknown life to the leader, as before: a follower's manifest may be older.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -996,6 +996,13 @@
         "is_gone = self._is_earlier_incarnation(record.life)",
         "tests/dispatch/test_task_service.py",
     ),
+    Mutant(
+        "a heartbeat with a service that no manifest names brings no worker",
+        _TASK_SERVICE,
+        "if self._has_unknown_service(record, known):",
+        "if False:",
+        "tests/dispatch/test_task_service.py",
+    ),
     Mutant(
         "delayed heartbeats that come together are not believed",
         _IGNORED,
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -52,6 +52,9 @@
 One election timeout.
 """
 
+MAX_LOGGED_AS_IGNORED = 1000
+"""Number of ignored heartbeats that are remembered as logged."""
+
 MAX_LOGGED_LIVES = 8
 """Earlier lives of an id named in the log line of a new one: the latest."""
 
@@ -83,6 +86,9 @@
         """Added to the sequences of workers that were believed against a recorded one."""
 
         self._ignored = IgnoredHeartbeats()
+        self._logged_as_ignored: dict[tuple, None] = {}
+        """What has been logged as ignored, oldest first: a worker repeats it each second."""
+
         self.on_change = lambda: None
         """Called after commands that may give the leader's term work to do."""
 
@@ -180,8 +186,9 @@
 
         Returns the name of the host that calls the worker, or an empty string.  A heartbeat
         that is out of order, or from an incarnation before the newest that is not known or has
-        ended, is ignored, unless its worker goes on to send them.  One without a change is
-        answered by every host that is in contact with the leader.  Raises ImplausibleHeartbeat.
+        ended, is ignored, unless its worker goes on to send them.  So is one that brings in a
+        service that no manifest names, until one does.  One without a change is answered by
+        every host that is in contact with the leader.  Raises ImplausibleHeartbeat.
         """
         record = heartbeat.record
         key = incarnation_key(record.life)
@@ -201,6 +208,9 @@
                 return _agent_host(known.record) if known else ""
             self._sequence_by_incarnation[key] = sequence
         self._require_recent_quorum_contact()
+        if self._has_unknown_service(record, known):
+            self._log_ignored(record, "no manifest names its service")
+            return _agent_host(known.record) if known else ""
         newest = max(newest_here, known.record.sequence or 0 if known else -1)
         is_live = known is not None and not known.has_ended
         is_gone = not is_live and self._is_earlier_incarnation(record.life)
@@ -234,6 +244,30 @@
         log_event("worker:leaves", worker=worker_id)
         self.on_change()
 
+    def _has_unknown_service(self, record: WorkerRecord, known: Worker | None) -> bool:
+        """Return whether a heartbeat would bring in a service that the manifest does not name.
+
+        A life that is known keeps the service that it has: its runs have to be stopped, and their
+        ends noted.
+        """
+        manifest = self._state_machine.ledger.manifest
+        if manifest.version < 0 or (known and known.record.service_name == record.service_name):
+            return False
+        return all(service.name != record.service_name for service in manifest.services)
+
+    def _log_ignored(self, record: WorkerRecord, why: str) -> None:
+        """Log that a heartbeat is ignored as one of another writer: once for what it says."""
+        line = incarnation_key(record.life), record.service_name, record.address, why
+        if line in self._logged_as_ignored:
+            return
+        while len(self._logged_as_ignored) >= MAX_LOGGED_AS_IGNORED:
+            del self._logged_as_ignored[next(iter(self._logged_as_ignored))]
+        self._logged_as_ignored[line] = None
+        log_event(
+            "heartbeat:ignored", worker=record.life.worker_id, born=record.life.born_ms,
+            service=record.service_name, address=record.address, why=why,
+        )  # fmt: skip
+
     def _is_believed_again(self, incarnation: WorkerLife, sequence: int, is_live: bool) -> bool:
         """Return whether a heartbeat that is out of order has to be one of a worker that lives.
 
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -8,6 +8,7 @@
 from savoryshelf.dispatch import task_service
 from savoryshelf.dispatch.task_service import (
     MAX_FUTURE_MS,
+    MAX_LOGGED_AS_IGNORED,
     ImplausibleHeartbeat,
     TaskService,
     WorkerHeartbeat,
@@ -16,9 +17,9 @@
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated import ttypes
-from savoryshelf.wire.generated.ttypes import AgentAssignment, WorkerLife
+from savoryshelf.wire.generated.ttypes import AgentAssignment, Manifest, ServiceSpec, WorkerLife
 
-from ..tasks.builders import JOB, accept, manifest, record_intent, step, worker
+from ..tasks.builders import JOB, accept, manifest, queue, record_intent, step, worker
 
 
 class FakeReplica:
@@ -46,6 +47,16 @@
     return TaskStateMachine()
 
 
+@pytest.fixture
+def logged(monkeypatch):
+    """The log lines of the task service, as pairs of a name and values."""
+    lines = []
+    monkeypatch.setattr(
+        task_service, "log_event", lambda name, **values: lines.append((name, values))
+    )
+    return lines
+
+
 class FakeClock(SystemClock):
     """A clock whose steady time a test sets."""
 
@@ -337,16 +348,12 @@
 
 
 # Each new life of an id is logged once, with those before it that may go on.
-def test_a_later_life_is_logged_once_with_the_earlier_ones(state_machine, monkeypatch):
-    lines = []
-    monkeypatch.setattr(
-        task_service, "log_event", lambda name, **values: lines.append((name, values))
-    )
+def test_a_later_life_is_logged_once_with_the_earlier_ones(state_machine, logged):
     _, leader = host(state_machine)
     for sequence in (1, 2):
         for born_ms in (1, 2, 3):
             leader.heartbeat(heartbeat(sequence, born_ms=born_ms, draining=sequence == 2))
-    restarted = [values for name, values in lines if name == "worker:restarted"]
+    restarted = [values for name, values in logged if name == "worker:restarted"]
     assert restarted == [
         {"worker": "w1", "born": 2, "earlier": [1]},
         {"worker": "w1", "born": 3, "earlier": [1, 2]},
@@ -363,3 +370,95 @@
     assert entry(state_machine).record.draining
     send_for(leader, clock, 10, 27)
     assert not entry(state_machine).record.draining
+
+
+def of_service(service_name, sequence, **fields):
+    """Return a heartbeat that names a service."""
+    sent = heartbeat(sequence, **fields)
+    sent.record.service_name = service_name
+    return sent
+
+
+def ignored(lines):
+    return [values for name, values in lines if name == "heartbeat:ignored"]
+
+
+# Guards against workers of another deployment: an entry with a service that is not named here names
+# no worker to use.
+def test_a_new_life_of_a_service_that_no_manifest_names_is_ignored_until_one_does(
+    state_machine, logged
+):
+    replica, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    for sequence in range(1, 6):
+        assert leader.heartbeat(of_service("foreign", sequence)) == ""
+    assert replica.commits == 0 and not state_machine.ledger.worker_by_incarnation
+    (line,) = ignored(logged)
+    assert (line["worker"], line["born"], line["service"]) == ("w1", 1, "foreign")
+    assert "service" in line["why"]
+    services = [ServiceSpec(name, True, False) for name in ("dispatch", "foreign")]
+    state_machine.ledger.put_manifest(Manifest(2, [queue()], services, "{}"))
+    leader.heartbeat(of_service("foreign", 6))
+    assert entry(state_machine).record.service_name == "foreign"
+    assert entry(state_machine).is_schedulable
+
+
+def test_a_later_life_of_a_service_that_no_manifest_names_changes_nothing(state_machine):
+    replica, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    leader.heartbeat(heartbeat(1))
+    leader.heartbeat(of_service("foreign", 1, born_ms=2))
+    assert replica.commits == 1
+    assert state_machine.ledger.worker_by_incarnation.keys() == {("w1", 1)}
+
+
+def test_a_follower_decides_nothing_on_a_life_that_it_does_not_know(state_machine):
+    state_machine.ledger.put_manifest(manifest())
+    replica, follower = host(state_machine, is_leader=False)
+    for _ in range(2):
+        # The leader may know a newer manifest.
+        with pytest.raises(ttypes.NotLeader):
+            follower.heartbeat(of_service("foreign", 1))
+    assert replica.commits == 0
+
+
+# Workers announce themselves before the first manifest comes.
+def test_any_service_is_accepted_before_the_first_manifest(state_machine):
+    _, leader = host(state_machine)
+    leader.heartbeat(of_service("foreign", 1))
+    assert entry(state_machine).is_schedulable
+
+
+# Its runs have to be stopped, and their ends noted.
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_a_known_life_stays_when_its_service_leaves_the_manifest(state_machine, has_ended):
+    _, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    leader.heartbeat(heartbeat(1))
+    without = Manifest(2, [], [ServiceSpec("other", True, False)], "{}")
+    state_machine.ledger.put_manifest(without)
+    if has_ended:
+        end(state_machine, 1)
+    leader.heartbeat(heartbeat(2, draining=True))
+    assert entry(state_machine).record.draining and not entry(state_machine).has_ended
+
+
+# Guards against a life that comes back as a worker of another deployment.
+def test_an_ended_life_does_not_come_back_with_a_service_that_no_manifest_names(state_machine):
+    _, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    leader.heartbeat(heartbeat(1))
+    end(state_machine, 1)
+    leader.heartbeat(of_service("foreign", 2))
+    assert entry(state_machine).has_ended
+    leader.heartbeat(heartbeat(2))
+    assert entry(state_machine).is_schedulable
+
+
+# Guards against memory that another writer fills.
+def test_what_is_logged_as_ignored_is_bounded(state_machine, logged):
+    _, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    for number in range(3 * MAX_LOGGED_AS_IGNORED):
+        leader.heartbeat(of_service("foreign", 1, born_ms=number))
+    assert len(leader._logged_as_ignored) == MAX_LOGGED_AS_IGNORED
