What a life is does not change before its end: address, service, domain, rack, labels

Cause: any heartbeat under the id and `born` of a live worker replaced its address, service, failure domain, rack and labels.

Change, in `upsert_worker` and in the service: - A record that contradicts what is fixed in a life that has not ended is ignored whole. Capacity and draining change as before. The ledger enforces it, so neither a new leader nor an old entry of the log gets past it; it is a function of the log alone. - One line `heartbeat:ignored` with the fields for each service, address and reason. A follower decides nothing on such a heartbeat and keeps no trace of it (its ledger may be behind): it redirects to the leader as for any change. - A life that is recorded as ended may come back with other values. - The first record may have been the false one. A worker that contradicts it for 30 s and 10 heartbeats (IgnoredHeartbeats) corrects service, domain, rack and labels in place: runs, agent and token stay. For that the leader marks the record with the token of the life's agent, which no heartbeat has, and the ledger compares it. The address is never corrected in place: the runs were sent to the recorded one, so calls there reach that life or none, and they alone end it (no answer until the lease is over, or another life). Then the next heartbeat is taken at once. An idle life is not called, so a worker that names another address for 30 s has a new token assigned: the new session polls at once. - Ignored heartbeats are counted by what their sender says of itself, since two writers may speak in the name of one life.

Class: what another writer says in the name of a life was taken for its own.

--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -14,6 +14,7 @@
 from ..replication.bootstrap import host_name
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
+from ..tasks.ledger import contradicted_fields
 from ..tasks.manifest import find_queue
 from ..tasks.state_machine import TaskStateMachine
 from ..tasks.worker import Worker, incarnation_key
@@ -21,6 +22,8 @@
 from ..wire.generated import ttypes
 from ..wire.generated.ttypes import (
     AcceptTasks,
+    AgentAssignment,
+    AssignAgents,
     CancelTasks,
     JobAnswer,
     JobAnswerKind,
@@ -187,8 +190,9 @@
         Returns the name of the host that calls the worker, or an empty string.  A heartbeat
         that is out of order, or from an incarnation before the newest that is not known or has
         ended, is ignored, unless its worker goes on to send them.  So is one that brings in a
-        service that no manifest names, until one does.  One without a change is answered by
-        every host that is in contact with the leader.  Raises ImplausibleHeartbeat.
+        service that no manifest names, until one does, and one that contradicts what is fixed
+        in a life that has not ended.  One without a change is answered by every host that is in
+        contact with the leader.  Raises ImplausibleHeartbeat.
         """
         record = heartbeat.record
         key = incarnation_key(record.life)
@@ -204,7 +208,7 @@
             self._sequence_by_incarnation[key] = max(newest_here, record.sequence)
             return _agent_host(known.record)
         if not self._replica.is_leader and record.sequence <= newest_here:
-            if not self._ignored.is_persistent(key, sequence, self._clock.monotonic()):
+            if not self._is_persistent(record, sequence):
                 return _agent_host(known.record) if known else ""
             self._sequence_by_incarnation[key] = sequence
         self._require_recent_quorum_contact()
@@ -214,14 +218,23 @@
         newest = max(newest_here, known.record.sequence or 0 if known else -1)
         is_live = known is not None and not known.has_ended
         is_gone = not is_live and self._is_earlier_incarnation(record.life)
+        is_contrary = is_live and bool(contradicted_fields(known.record, record))
+        if is_contrary and not self._is_correction(known, record, sequence):
+            return _agent_host(known.record)
         if record.sequence <= newest or is_gone:
-            if not self._is_believed_again(record.life, sequence, is_live):
+            # What corrects a record has been found to be of a worker that lives.
+            if not is_contrary and not self._is_believed_again(record, sequence, is_live):
                 log_event("heartbeat:stale", worker=key[0], sequence=sequence, newest=newest)
                 return _agent_host(known.record) if known else ""
             record.sequence = min(MAX_SEQUENCE, max(record.sequence, newest + 1))
             self._offset_by_incarnation[key] = record.sequence - sequence
             log_event("heartbeat:believed_again", worker=key[0], sequence=sequence, newest=newest)
         self._commit(note_workers=NoteWorkers([record]))
+        noted = self._state_machine.ledger.worker_by_incarnation[key].record
+        if contradicted_fields(noted, record):
+            # Another record of this life was committed first.
+            self._log_ignored(record, "contradicts a record of the same moment")
+            return _agent_host(noted)
         newest_here = self._sequence_by_incarnation.get(key, -1)
         self._sequence_by_incarnation[key] = max(newest_here, record.sequence)
         log_event("worker:noted", worker=key[0], born=key[1], draining=record.draining)
@@ -268,15 +281,49 @@
             service=record.service_name, address=record.address, why=why,
         )  # fmt: skip
 
-    def _is_believed_again(self, incarnation: WorkerLife, sequence: int, is_live: bool) -> bool:
+    def _is_correction(self, known: Worker, record: WorkerRecord, sequence: int) -> bool:
+        """Return whether a record corrects that of a life that has not ended, which it contradicts.
+
+        It does so if its sender goes on for long: the known one was another writer's then.  The
+        record is marked for the ledger.  Another address is never taken before the life has ended:
+        the runs were sent to the recorded one, so calls there reach this life or none.
+        """
+        fields = contradicted_fields(known.record, record)
+        self._log_ignored(record, f"contradicts the record of this life: {', '.join(fields)}")
+        if not self._is_persistent(record, sequence):
+            return False
+        if record.address == known.record.address:
+            record.fencing_token = known.record.fencing_token
+            return True
+        self._poll_if_idle(known)
+        return False
+
+    def _poll_if_idle(self, worker: Worker) -> None:
+        """Have a worker without runs called at its recorded address: its session would not do so.
+
+        A new token makes a new session, which polls at once, and ends the life if nobody answers.
+        """
+        agent_id = worker.record.agent_id
+        if agent_id and not worker.task_by_run:
+            assignment = AgentAssignment(worker.record.life, agent_id)
+            self._commit(assign_agents=AssignAgents([assignment], 0))
+
+    def _is_persistent(self, record: WorkerRecord, sequence: int) -> bool:
+        """Count an ignored heartbeat; return whether its sender goes on for long."""
+        sender = (
+            incarnation_key(record.life), record.address, record.service_name,
+            record.failure_domain, record.rack, tuple(record.labels),
+        )  # fmt: skip
+        return self._ignored.is_persistent(sender, sequence, self._clock.monotonic())
+
+    def _is_believed_again(self, record: WorkerRecord, sequence: int, is_live: bool) -> bool:
         """Return whether a heartbeat that is out of order has to be one of a worker that lives.
 
         With ``is_live``, its life has not ended, so that a later one does not speak against it.
         """
-        if not is_live and self._has_live_successor(incarnation):
+        if not is_live and self._has_live_successor(record.life):
             return False
-        key, now = incarnation_key(incarnation), self._clock.monotonic()
-        return self._ignored.is_persistent(key, sequence, now)
+        return self._is_persistent(record, sequence)
 
     def _is_earlier_incarnation(self, incarnation: WorkerLife) -> bool:
         if incarnation_key(incarnation) in self._offset_by_incarnation:
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -29,6 +29,9 @@
 from .names import MalformedTaskName, parse_task_name
 from .worker import Worker, incarnation_key
 
+_FIXED_FIELDS = ("address", "service_name", "failure_domain", "rack", "labels")
+"""What does not change within one incarnation; capacity and draining may."""
+
 _HANDLER_BY_OUTCOME: dict[int, Callable] = {}
 _handles_outcome = registry_decorator(_HANDLER_BY_OUTCOME)
 """Registers the function that updates a task after a run ended with that ``RunOutcome``."""
@@ -52,6 +55,22 @@
     """What it changed in the crashes that count for tasks."""
 
 
+def contradicted_fields(known: WorkerRecord, announced: WorkerRecord) -> list[str]:
+    """Return what a record says otherwise though it does not change within one incarnation."""
+    return [name for name in _FIXED_FIELDS if getattr(known, name) != getattr(announced, name)]
+
+
+def may_correct(known: WorkerRecord, announced: WorkerRecord) -> bool:
+    """Return whether a record may change what is fixed in an incarnation that has not ended.
+
+    The leader gives such a record the token of the incarnation's agent, after it has checked it
+    against the known one; heartbeats have none.  The address stays: runs were sent there, and
+    only calls there tell whether they have ended.
+    """
+    is_checked = bool(known.fencing_token) and announced.fencing_token == known.fencing_token
+    return is_checked and announced.address == known.address
+
+
 @attrs.define(eq=False)
 class TaskLedger:
     """Jobs, workers, and the runs of the jobs' tasks on the workers."""
@@ -126,7 +145,9 @@
         """Add an incarnation of a worker, or update its record.
 
         An incarnation that was recorded as ended and reports again is schedulable again, but
-        not one that has announced its exit.  A record older than the known one is ignored.
+        not one that has announced its exit.  A record older than the known one is ignored, and
+        so is one that contradicts what is fixed before the incarnation has ended, unless it
+        ``may_correct`` that.
         """
         existing = self.worker_by_incarnation.get(incarnation_key(record.life))
         if existing is None:
@@ -140,6 +161,8 @@
             return
         if existing.has_ended:
             self._withdraw_crashes(existing.key)
+        elif contradicted_fields(known, record) and not may_correct(known, record):
+            return
         record.seen_end = known.seen_end
         record.agent_id, record.fencing_token = known.agent_id, known.fencing_token
         if known.leaving:
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -462,3 +462,165 @@
     for number in range(3 * MAX_LOGGED_AS_IGNORED):
         leader.heartbeat(of_service("foreign", 1, born_ms=number))
     assert len(leader._logged_as_ignored) == MAX_LOGGED_AS_IGNORED
+
+
+OTHER_WRITER = {
+    "address": "10.0.0.9:80",
+    "service_name": "other",
+    "failure_domain": "zone-b",
+    "rack": "r9",
+    "labels": ["b", "r1"],
+}
+"""What cannot change within one life, each with the value of another writer."""
+
+each_fixed_field = pytest.mark.parametrize("field", OTHER_WRITER)
+
+
+def of_other_writer(field, sequence, **fields):
+    """Return a heartbeat of the same life with another value in one field."""
+    sent = heartbeat(sequence, **fields)
+    setattr(sent.record, field, OTHER_WRITER[field])
+    return sent
+
+
+def send_as_other_writer(service, clock, seconds, first_sequence, field):
+    for second in range(seconds):
+        clock.seconds += 1.0
+        service.heartbeat(of_other_writer(field, first_sequence + second))
+
+
+def working_host(state_machine, clock=None):
+    """Return a leader that knows a worker with an agent and a run; both services are named."""
+    services = [ServiceSpec(name, True, False) for name in ("dispatch", "other")]
+    ledger = state_machine.ledger
+    ledger.put_manifest(Manifest(1, [queue()], services, "{}"))
+    replica, leader = host(state_machine, clock=clock)
+    leader.heartbeat(heartbeat(1))
+    accept(ledger, step(lasting=True))
+    ledger.assign_agents([AgentAssignment(WorkerLife("w1", 1), "c0.disk/1")], 6)
+    assert record_intent(ledger, f"{JOB}.0.0.0")
+    replica.commits = 0
+    return replica, leader
+
+
+def runs(state_machine):
+    return set(entry(state_machine).task_by_run)
+
+
+# Guards against calls that reach another worker, and runs that are taken for ended then: another
+# writer's heartbeat gave a live worker an address, or a service, of its own.
+@each_fixed_field
+def test_a_heartbeat_that_says_another_of_a_live_worker_is_ignored_and_logged_once(
+    state_machine, logged, field
+):
+    replica, leader = working_host(state_machine)
+    before = saved_record(state_machine)
+    for sequence in range(2, 22):
+        assert leader.heartbeat(of_other_writer(field, sequence, draining=True)) == "c0"
+    assert replica.commits == 0 and saved_record(state_machine) == before
+    (line,) = ignored(logged)
+    assert (line["worker"], line["born"]) == ("w1", 1)
+    assert field in line["why"] and len(line["why"]) < 200
+    # The worker's own heartbeats count as before.
+    leader.heartbeat(heartbeat(2, draining=True))
+    assert entry(state_machine).record.draining
+    assert runs(state_machine) == {(f"{JOB}.0.0.0", 1)}
+
+
+@each_fixed_field
+def test_a_follower_takes_nothing_of_another_writer(state_machine, field):
+    working_host(state_machine)
+    replica, follower = host(state_machine, is_leader=False)
+    before = saved_record(state_machine)
+    with pytest.raises(ttypes.NotLeader):
+        follower.heartbeat(of_other_writer(field, 2**50))
+    assert follower.heartbeat(heartbeat(2)) == "c0"
+    # It is no reason to take the worker's own heartbeats for stale.
+    with pytest.raises(ttypes.NotLeader):
+        follower.heartbeat(heartbeat(3, draining=True))
+    assert replica.commits == 0 and saved_record(state_machine) == before
+
+
+# Guards against a worker under a wrong service or label for good: the first record was false.
+@pytest.mark.parametrize("field", [each for each in OTHER_WRITER if each != "address"])
+@pytest.mark.parametrize("changes_host", [False, True], ids=["", "new leader and snapshot"])
+def test_a_worker_that_goes_on_to_contradict_its_first_record_is_believed(
+    state_machine, field, changes_host
+):
+    clock = FakeClock()
+    _, leader = working_host(state_machine, clock)
+    if changes_host:
+        _, leader = host(state_machine, clock=clock)
+        state_machine.restore(state_machine.snapshot())
+    send_as_other_writer(leader, clock, 25, 2, field)
+    assert getattr(entry(state_machine).record, field) != OTHER_WRITER[field]
+    send_as_other_writer(leader, clock, 10, 27, field)
+    record = entry(state_machine).record
+    assert getattr(record, field) == OTHER_WRITER[field]
+    # Nothing of the life is taken for ended, and its agent goes on.
+    assert runs(state_machine) == {(f"{JOB}.0.0.0", 1)}
+    assert (record.agent_id, record.fencing_token) == ("c0.disk/1", 7)
+    # From then on the first writer is the other one.
+    leader.heartbeat(heartbeat(100))
+    assert getattr(entry(state_machine).record, field) == OTHER_WRITER[field]
+    leader.heartbeat(of_other_writer(field, 50, draining=True))
+    assert entry(state_machine).record.draining
+
+
+# Guards against runs that are taken for ended while they go on at the recorded address.
+def test_another_address_is_taken_only_once_the_life_at_the_recorded_one_has_ended(state_machine):
+    clock = FakeClock()
+    _, leader = working_host(state_machine, clock)
+    before = saved_record(state_machine)
+    send_as_other_writer(leader, clock, 120, 2, "address")
+    assert saved_record(state_machine) == before
+    assert runs(state_machine) == {(f"{JOB}.0.0.0", 1)}
+    end(state_machine, 1)
+    leader.heartbeat(of_other_writer("address", 130))
+    assert entry(state_machine).record.address == OTHER_WRITER["address"]
+    assert entry(state_machine).is_schedulable
+
+
+# Guards against a worker that stays out of use: nothing runs in its name at an address that is
+# wrong, so nothing is called there, and no call shows that.
+def test_the_agent_looks_anew_at_an_idle_life_whose_worker_names_another_address(state_machine):
+    clock = FakeClock()
+    _, leader = host(state_machine, clock=clock)
+    leader.heartbeat(heartbeat(1))
+    state_machine.ledger.assign_agents([AgentAssignment(WorkerLife("w1", 1), "c0.disk/1")], 6)
+    send_as_other_writer(leader, clock, 25, 2, "address")
+    assert entry(state_machine).record.fencing_token == 7
+    send_as_other_writer(leader, clock, 10, 27, "address")
+    record = entry(state_machine).record
+    # Under a new token a new session polls at once.
+    assert (record.agent_id, record.fencing_token) == ("c0.disk/1", 8)
+    assert (record.address, entry(state_machine).has_ended) == ("10.0.0.1:80", False)
+
+
+# Guards against a worker that another writer keeps out by its own ignored heartbeats.
+def test_ignored_writers_are_counted_apart(state_machine):
+    clock = FakeClock()
+    _, leader = working_host(state_machine, clock)
+    for second in range(40):
+        leader.heartbeat(of_other_writer("address", 2**50 + second))
+        send_as_other_writer(leader, clock, 1, 2 + second, "service_name")
+    assert entry(state_machine).record.service_name == OTHER_WRITER["service_name"]
+    assert entry(state_machine).record.address == "10.0.0.1:80"
+
+
+# Guards against an acknowledged heartbeat that the ledger did not take: two writers name a new life
+# at the same time.
+def test_a_heartbeat_that_the_ledger_did_not_take_leaves_no_trace(state_machine):
+    replica, leader = host(state_machine)
+    propose = replica.propose
+
+    def propose_after_another(payload):
+        replica.propose = propose
+        host(state_machine)[1].heartbeat(heartbeat(1))
+        return propose(payload)
+
+    replica.propose = propose_after_another
+    leader.heartbeat(of_other_writer("address", 2**50))
+    assert entry(state_machine).record.address == "10.0.0.1:80"
+    leader.heartbeat(heartbeat(2, draining=True))
+    assert entry(state_machine).record.draining
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -370,6 +370,85 @@
     assert not task_ledger.worker_by_incarnation["w1", 1].is_schedulable
 
 
+OTHER_WRITER = {
+    "address": "10.0.0.9:80",
+    "service_name": "other",
+    "failure_domain": "zone-b",
+    "rack": "r9",
+    "labels": ["b", "r1"],
+}
+"""What cannot change within one life, each with the value of another writer."""
+
+
+def changed(record, sequence=None, **values):
+    """Return a copy of a record with other values."""
+    copied = codec.decode(WorkerRecord, codec.encode(record))
+    copied.sequence = (record.sequence or 0) + 1 if sequence is None else sequence
+    for name, value in values.items():
+        setattr(copied, name, value)
+    return copied
+
+
+def ledger_with_a_run():
+    task_ledger = ledger()
+    accept(task_ledger, step(lasting=True))
+    assign(task_ledger)
+    assert record_intent(task_ledger, f"{JOB}.0.0.0")
+    return task_ledger, task_ledger.worker_by_incarnation["w1", 1]
+
+
+# Guards against calls that reach another worker, and runs that are taken for ended then: another
+# writer's heartbeat gave a live worker an address, or a service, of its own.
+@pytest.mark.parametrize("field", OTHER_WRITER)
+@pytest.mark.parametrize("is_restored", [False, True])
+def test_what_a_life_is_does_not_change_before_its_end(field, is_restored):
+    task_ledger, entry = ledger_with_a_run()
+    if is_restored:
+        task_ledger = snapshot.load(snapshot.save(task_ledger))
+        entry = task_ledger.worker_by_incarnation["w1", 1]
+    before = codec.encode(entry.record)
+    other = changed(
+        entry.record, 10, draining=True, fencing_token=0, **{field: OTHER_WRITER[field]}
+    )
+    task_ledger.upsert_worker(other)
+    assert codec.encode(entry.record) == before
+    assert entry.task_by_run and not entry.has_ended
+    # What may change changes, and the sequence of the other writer holds nothing up.
+    task_ledger.upsert_worker(changed(entry.record, 1, millicores=500, draining=True))
+    assert (entry.record.millicores, entry.record.draining) == (500, True)
+    task_ledger.end_incarnations([WorkerLife("w1", 1)], [])
+    task_ledger.upsert_worker(changed(entry.record, 2, **{field: OTHER_WRITER[field]}))
+    assert getattr(entry.record, field) == OTHER_WRITER[field] and not entry.has_ended
+
+
+# A worker whose first record was another writer's would stay under a wrong service for good.
+@pytest.mark.parametrize("field", OTHER_WRITER)
+def test_a_record_checked_by_the_leader_corrects_a_life_at_its_address(field):
+    task_ledger, entry = ledger_with_a_run()
+    token = entry.record.fencing_token
+    assert token
+    right = changed(entry.record, 5, **{field: OTHER_WRITER[field]})
+    for other_token in (0, token - 1, token + 1):
+        task_ledger.upsert_worker(changed(right, 5, fencing_token=other_token))
+        assert getattr(entry.record, field) != OTHER_WRITER[field]
+    task_ledger.upsert_worker(changed(right, 5))
+    # What runs there was sent to the recorded address, and only calls there tell of it.
+    assert (getattr(entry.record, field) == OTHER_WRITER[field]) == (field != "address")
+    assert entry.record.fencing_token == token
+    assert entry.task_by_run.keys() == {(f"{JOB}.0.0.0", 1)} and not entry.has_ended
+    assert task_ledger.find_task(f"{JOB}.0.0.0").incarnation_by_run == {1: ("w1", 1)}
+
+
+# Without an agent there is no token that a record could have been checked against.
+def test_nothing_corrects_a_life_without_an_agent():
+    task_ledger = ledger()
+    entry = task_ledger.worker_by_incarnation["w1", 1]
+    for token in (0, None):
+        other = changed(entry.record, 5, service_name="other", fencing_token=token)
+        task_ledger.upsert_worker(other)
+    assert entry.record.service_name == "dispatch"
+
+
 # Replicas would differ in who is schedulable, in the tokens given out, and in the ends settled.
 @pytest.mark.parametrize(
     "late_fields",
