A leave is taken only for the one life that may have sent it

Cause: `TaskService.leave` marked every life of the id that had not ended as about to exit, draining or not. With that mark one unanswered call ends a life at once and releases all its runs. A `leave` has no body and may be late, so one of an earlier life hit the next one (TWICE after one lost answer; besides, the mark is never reset, so that life got no more work).

Change: it is taken only for a life that has reported `draining`, and only if no other life of the id may have sent it: none that has not ended, and none that had drained before it ended. A life that ended without draining crashed, and "a worker that crashes sends nothing". `worker:leaves` names the life, or none.

New cost: an id that drains and leaves a second time has its lease waited out.

Class: what one life says is taken for another's statement.

Two mutants; the text of an earlier one (a heartbeat that contradicts) was mended: its run was broken.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1028,7 +1028,7 @@
         "a heartbeat that contradicts a live life is ignored at first",
         _TASK_SERVICE,
         "if not self._is_persistent(record, sequence):\n            return False\n",
-        "",
+        "if False:\n            return False\n",
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
@@ -1039,6 +1039,20 @@
         "            incarnation_key(record.life),\n",
         "tests/dispatch/test_task_service.py",
     ),
+    Mutant(
+        "a leave is taken only for a life that has reported that it drains",
+        _TASK_SERVICE,
+        "possible[0].has_ended or not possible[0].record.draining:",
+        "possible[0].has_ended:",
+        "tests/dispatch/test_task_service.py",
+    ),
+    Mutant(
+        "a leave that may be of an ended life that had drained is taken for none",
+        _TASK_SERVICE,
+        "if key[0] == worker_id and (worker.record.draining or not worker.has_ended)",
+        "if key[0] == worker_id and not worker.has_ended",
+        "tests/dispatch/test_task_service.py",
+    ),
     Mutant(
         "delayed heartbeats that come together are not believed",
         _IGNORED,
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -244,19 +244,38 @@
         return _agent_host(record)
 
     def leave(self, worker_id: str) -> None:
-        """Process a worker's announced shutdown.
+        """Process a worker's announced shutdown, which ends its runs when it exits.
 
-        It gets no more runs, and those that it has end when it exits.
+        With it a life ends at its first unanswered call.  One that is taken for no life changes
+        nothing: whatever drains gets no more runs, and its lease is waited out.
         """
         self._require_recent_quorum_contact()
-        for key, worker in list(self._state_machine.ledger.worker_by_incarnation.items()):
-            if key[0] == worker_id and not worker.has_ended and not worker.record.leaving:
-                record = codec.decode(WorkerRecord, codec.encode(worker.record))
-                record.draining = record.leaving = True
-                self._commit(note_workers=NoteWorkers([record]))
-        log_event("worker:leaves", worker=worker_id)
+        worker = self._life_that_leaves(worker_id)
+        if worker is not None and not worker.record.leaving:
+            record = codec.decode(WorkerRecord, codec.encode(worker.record))
+            record.draining = record.leaving = True
+            # It corrects nothing.
+            record.fencing_token = 0
+            self._commit(note_workers=NoteWorkers([record]))
+        born_ms = worker.record.life.born_ms if worker is not None else None
+        log_event("worker:leaves", worker=worker_id, born=born_ms)
         self.on_change()
 
+    def _life_that_leaves(self, worker_id: str) -> Worker | None:
+        """Return the life that a ``leave`` comes from, or None if that is not certain.
+
+        It names no life and may be late.  A worker reports that it drains before it leaves, so one
+        that ended without that, in a crash, sends none; any other life may have sent it.
+        """
+        possible = [
+            worker
+            for key, worker in self._state_machine.ledger.worker_by_incarnation.items()
+            if key[0] == worker_id and (worker.record.draining or not worker.has_ended)
+        ]
+        if len(possible) != 1 or possible[0].has_ended or not possible[0].record.draining:
+            return None
+        return possible[0]
+
     def _has_unknown_service(self, record: WorkerRecord, known: Worker | None) -> bool:
         """Return whether a heartbeat would bring in a service that the manifest does not name.
 
