A step of the leader's wall clock silences no worker that is known

After a step back of that clock all workers were refused (400), and so was what they say of draining and of their capacity.

Change: the check is for lives that are not known yet. What it guards against, an entry that makes all real lives earlier ones, is about those alone.

--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -43,7 +43,7 @@
 """How far ahead of this host's wall clock a worker's start may be, in ms: one day.
 
 Wall clocks of both may step by seconds or hours; a start of days ahead is no worker's, and would
-make all its real incarnations earlier ones.
+make all its real incarnations earlier ones.  An incarnation that is known is heard in any case.
 """
 
 MAX_SEQUENCE = 2**63 - 1
@@ -196,9 +196,9 @@
         """
         record = heartbeat.record
         key = incarnation_key(record.life)
-        if key[1] > self._clock.wall_ms() + MAX_FUTURE_MS:
-            raise ImplausibleHeartbeat(f"born: {key[1]} is more than a day ahead")
         known = self._state_machine.ledger.worker_by_incarnation.get(key)
+        if known is None and key[1] > self._clock.wall_ms() + MAX_FUTURE_MS:
+            raise ImplausibleHeartbeat(f"born: {key[1]} is more than a day ahead")
         sequence = record.sequence
         record.sequence = min(MAX_SEQUENCE, sequence + self._offset_by_incarnation.get(key, 0))
         newest_here = self._sequence_by_incarnation.get(key, -1)
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -712,3 +712,26 @@
     leader.heartbeat(heartbeat(2, born_ms=2, draining=True))
     leader.leave("w1")
     assert left(state_machine) == [1]
+
+
+class SteppingClock(FakeClock):
+    """A clock whose wall time a test steps."""
+
+    offset_ms = 0
+
+    def wall_ms(self):
+        return super().wall_ms() + self.offset_ms
+
+
+# Guards against a start on a worker that drains: the wall clock of the leader stepped back by days,
+# and all heartbeats of its workers were refused.
+def test_a_known_life_is_heard_after_a_step_of_the_leaders_clock(state_machine):
+    clock = SteppingClock()
+    _, leader = host(state_machine, clock=clock)
+    born_ms = clock.wall_ms()
+    leader.heartbeat(heartbeat(1, born_ms=born_ms))
+    clock.offset_ms = -2 * MAX_FUTURE_MS
+    leader.heartbeat(heartbeat(2, born_ms=born_ms, draining=True))
+    assert entry(state_machine, born_ms).record.draining
+    with pytest.raises(ImplausibleHeartbeat):
+        leader.heartbeat(heartbeat(1, born_ms=born_ms + 1))
