A heartbeat without `born` brings no life beside those that have one

Cause: a heartbeat without `born` names the life (id, 0). Calls to that life match any life of the id, since the start time is not compared then. While lives with a start were known, such heartbeats counted as late ones, and were believed after 30 s once those had ended: two lives in the ledger for one worker, each with the room of all of it (LIMIT).

Change: `born` stands in all that a worker says of itself, or (older ones) in nothing, so a heartbeat without it is another writer's where a life with one is known. It is ignored for good and logged once. An id that never tells its start is used as before. Not mended here: the reverse order, (id, 0) first; a call to it has to be ended by an answer with a `born`.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1053,6 +1053,13 @@
         "if key[0] == worker_id and not worker.has_ended",
         "tests/dispatch/test_task_service.py",
     ),
+    Mutant(
+        "heartbeats without a start bring no life beside those that have one",
+        _TASK_SERVICE,
+        "if known is None and not key[1] and self._later_incarnations(record.life):",
+        "if False:",
+        "tests/dispatch/test_task_service.py",
+    ),
     Mutant(
         "delayed heartbeats that come together are not believed",
         _IGNORED,
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -215,6 +215,10 @@
         if self._has_unknown_service(record, known):
             self._log_ignored(record, "no manifest names its service")
             return _agent_host(known.record) if known else ""
+        if known is None and not key[1] and self._later_incarnations(record.life):
+            # Calls to it would reach any of them.
+            self._log_ignored(record, "it lacks its start, which other lives of this id have told")
+            return ""
         newest = max(newest_here, known.record.sequence or 0 if known else -1)
         is_live = known is not None and not known.has_ended
         is_gone = not is_live and self._is_earlier_incarnation(record.life)
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -735,3 +735,49 @@
     assert entry(state_machine, born_ms).record.draining
     with pytest.raises(ImplausibleHeartbeat):
         leader.heartbeat(heartbeat(1, born_ms=born_ms + 1))
+
+
+# Guards against LIMIT: calls to a life without a start time reach any life of its id, so one worker
+# would get the runs of two.  The heartbeats of an id tell its start always or never.
+@pytest.mark.parametrize("has_ended", [False, True])
+def test_heartbeats_without_a_start_bring_no_life_beside_those_that_have_one(
+    state_machine, logged, has_ended
+):
+    clock = FakeClock()
+    _, leader = host(state_machine, clock=clock)
+    leader.heartbeat(heartbeat(1))
+    if has_ended:
+        end(state_machine, 1)
+    send_for(leader, clock, 60, 1, born_ms=0)
+    assert state_machine.ledger.worker_by_incarnation.keys() == {("w1", 1)}
+    assert len(ignored(logged)) == 1
+
+
+def test_a_worker_that_never_tells_its_start_is_used(state_machine):
+    _, leader = host(state_machine)
+    leader.heartbeat(heartbeat(1, born_ms=0))
+    leader.heartbeat(heartbeat(2, born_ms=0, draining=True))
+    assert entry(state_machine, 0).record.draining
+
+
+# The wall clock of a worker's host stepped back before it started again.  Its next life counts as a
+# late heartbeat until the later one is found to have ended and 30 s are over; nothing runs twice.
+def test_a_next_life_with_an_earlier_start_is_believed_after_the_other_has_ended(state_machine):
+    clock = FakeClock()
+    _, leader = host(state_machine, clock=clock)
+    ledger = state_machine.ledger
+    ledger.put_manifest(manifest())
+    leader.heartbeat(heartbeat(1, born_ms=5))
+    accept(ledger, step())
+    assert record_intent(ledger, f"{JOB}.0.0.0", 1, ("w1", 5))
+    send_for(leader, clock, 60, 1, born_ms=4)
+    assert ledger.worker_by_incarnation.keys() == {("w1", 5)}
+    assert ledger.find_task(f"{JOB}.0.0.0").incarnation_by_run == {1: ("w1", 5)}
+    end(state_machine, 5)
+    send_for(leader, clock, 25, 61, born_ms=4)
+    assert ledger.worker_by_incarnation.keys() == {("w1", 5)}
+    send_for(leader, clock, 10, 86, born_ms=4)
+    assert entry(state_machine, 4).is_schedulable
+    # From then on it is heard at once.
+    leader.heartbeat(heartbeat(100, born_ms=4, draining=True))
+    assert entry(state_machine, 4).record.draining
