State machine of the ledger: lives of one id, heartbeats of other writers, leaves

A heartbeat may change the record of its own life alone, never its address or agent before the end, and what else is fixed only if its sender goes on for long. A leave changes only the one life that may have sent it.

The fakes of the replica and the clock moved to a module of their own, since two tests use them. Examples go from 60 to 100, since there are more rules.

--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -1,7 +1,5 @@
 """Heartbeats of workers, as the leader and the other hosts answer them."""
 
-import types
-
 import pytest
 
 from savoryshelf.clock import SystemClock
@@ -20,26 +18,7 @@
 from savoryshelf.wire.generated.ttypes import AgentAssignment, Manifest, ServiceSpec, WorkerLife
 
 from ..tasks.builders import JOB, accept, manifest, queue, record_intent, step, worker
-
-
-class FakeReplica:
-    """A replica whose proposals are applied at once."""
-
-    leader_address = leader_name = "c0"
-
-    def __init__(self, state_machine, is_leader=True):
-        self._state_machine = state_machine
-        self.is_leader = is_leader
-        self.commits = 0
-        self.leader_contact_age = 0.0
-        self.core = types.SimpleNamespace(
-            seconds_since_quorum_contact=lambda now: 0.0,
-            seconds_since_leader_contact=lambda now: self.leader_contact_age,
-        )
-
-    def propose(self, payload):
-        self.commits += 1
-        return self._state_machine.apply(payload)
+from .applying_replica import FakeClock, FakeReplica
 
 
 @pytest.fixture
@@ -57,15 +36,6 @@
     return lines
 
 
-class FakeClock(SystemClock):
-    """A clock whose steady time a test sets."""
-
-    seconds = 0.0
-
-    def monotonic(self):
-        return self.seconds
-
-
 def host(state_machine, is_leader=True, clock=None):
     replica = FakeReplica(state_machine, is_leader)
     return replica, TaskService(replica, state_machine, clock or SystemClock())
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -4,12 +4,38 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from savoryshelf.dispatch.task_service import TaskService, WorkerHeartbeat
 from savoryshelf.tasks import snapshot
-from savoryshelf.wire.generated.ttypes import RunEnd, RunIntent, RunOutcome, WorkerLife
+from savoryshelf.tasks.state_machine import TaskStateMachine
+from savoryshelf.wire import codec
+from savoryshelf.wire.generated.ttypes import (
+    AgentAssignment,
+    RunEnd,
+    RunIntent,
+    RunOutcome,
+    WorkerLife,
+    WorkerRecord,
+)
 
+from ..dispatch.applying_replica import FakeClock, FakeReplica
 from .builders import accept, ledger, record_intent, step, worker
 
 INCARNATIONS = [("w1", 1), ("w2", 1), ("w2", 2)]
+HEARD_OF = [*INCARNATIONS, ("w1", 2), ("w1", 0), ("w2", 3), ("w3", 1)]
+"""The lives that heartbeats name."""
+
+FIXED = {
+    "address": ("10.0.0.1:80", "10.0.0.9:80"),
+    "service_name": ("dispatch", "foreign"),
+    "failure_domain": ("zone-a", "zone-b"),
+    "rack": ("r1", "r9"),
+    "labels": (["a"], ["b"]),
+}
+"""What does not change within one life: the value of most heartbeats, and of another writer."""
+
+LONG = 12
+"""Heartbeats, 3 s apart, after which a sender that was ignored is believed."""
+
 OUTCOMES_BUT_DONE = [o for o in RunOutcome if o is not RunOutcome.DONE]
 JOB_SHAPES = [
     [step(2), step(1, after=[0])],
@@ -21,13 +47,34 @@
 
 
 class LedgerMachine(RuleBasedStateMachine):
-    """Accepts, starts, settles and cancels jobs; incarnations end and register again."""
+    """Accepts, starts, settles and cancels jobs; incarnations end and register again.
+
+    Heartbeats and leaves in the name of any life come from its worker or from another writer, to
+    one leader after the other.
+    """
 
     def __init__(self):
         super().__init__()
-        self.ledger = ledger(*[worker(*incarnation) for incarnation in INCARNATIONS])
+        self.state_machine = TaskStateMachine()
+        self.state_machine.ledger = ledger(*[worker(*each) for each in INCARNATIONS])
+        self.clock = FakeClock()
         self.done = set()
         self.completed = set()
+        self.may_exist = set()
+        """The runs that were started, until evidence of their own life has ended them."""
+
+        self.change_leader()
+
+    @property
+    def ledger(self):
+        return self.state_machine.ledger
+
+    def lives(self):
+        """Return what the ledger holds of each life: whether it has ended, and its record."""
+        return {
+            key: (each.has_ended, codec.decode(WorkerRecord, codec.encode(each.record)))
+            for key, each in self.ledger.worker_by_incarnation.items()
+        }
 
     def placed_runs(self):
         return [
@@ -59,6 +106,7 @@
         allowed = task.step.spec.allow_duplicates or not task.incarnation_by_run
         ended = task.step.job.is_ended or task.done
         if record_intent(self.ledger, task.name, task.runs + 1, incarnation):
+            self.may_exist.add((task.name, task.runs, incarnation))
             assert allowed and not ended
             dependencies = task.step.spec.after
             groups = task.step.job.groups
@@ -82,6 +130,20 @@
         seen_end = self.ledger.worker_by_incarnation[key].record.seen_end
         end = RunEnd(name, run, outcome, checkpoint, seen_end + 1 if is_reported else 0)
         self.ledger.settle(WorkerLife(*key), end.number, [end])
+        self.may_exist.discard((name, run, key))
+        group = self.ledger.find_task(name).step
+        if finishes and group.spec.gang:
+            # One member that is done completes all.
+            names = {task.name for task in group.tasks}
+            self.may_exist = {each for each in self.may_exist if each[0] not in names}
+
+    @precondition(lambda self: self.placed_runs())
+    @rule(data=st.data(), outcome=st.sampled_from(OUTCOMES_BUT_DONE), number=st.integers(0, 3))
+    def settle_for_another_life(self, data, outcome, number):
+        """Report an end from a life on which the run was not placed."""
+        name, run, key = data.draw(st.sampled_from(self.placed_runs()))
+        other = data.draw(st.sampled_from([each for each in HEARD_OF if each != key]))
+        self.ledger.settle(WorkerLife(*other), 0, [RunEnd(name, run, outcome, "", number)])
 
     @rule(number=st.integers(0, 3))
     def cancel(self, number):
@@ -90,6 +152,71 @@
     @rule(incarnation=st.sampled_from(INCARNATIONS))
     def end_incarnation(self, incarnation):
         self.ledger.end_incarnations([WorkerLife(*incarnation)], [])
+        self.may_exist = {each for each in self.may_exist if each[2] != incarnation}
+
+    @rule(incarnation=st.sampled_from(HEARD_OF))
+    def assign(self, incarnation):
+        self.ledger.assign_agents([AgentAssignment(WorkerLife(*incarnation), "c0.disk/1")], 0)
+
+    @rule()
+    def change_leader(self):
+        self.service = TaskService(FakeReplica(self.state_machine), self.state_machine, self.clock)
+
+    @rule(
+        key=st.sampled_from(HEARD_OF),
+        sequence=st.integers(0, 5),
+        draining=st.booleans(),
+        other=st.sampled_from(["", *FIXED]),
+        count=st.sampled_from([1, LONG]),
+    )
+    def hear(self, key, sequence, draining, other, count):
+        """Hear heartbeats of one sender: the worker, or another writer that differs in a field."""
+        before, runs_before = self.lives(), sorted(self.placed_runs())
+        for number in range(count):
+            self.clock.seconds += 3.0
+            record = worker(*key)
+            record.sequence, record.draining = sequence + number, draining
+            record.leaving, record.fencing_token = False, 0
+            for name, (usual, unusual) in FIXED.items():
+                setattr(record, name, unusual if name == other else usual)
+            self.service.heartbeat(WorkerHeartbeat(record, 0))
+        after = self.lives()
+        assert sorted(self.placed_runs()) == runs_before
+        for each, (had_ended, known) in before.items():
+            has_ended, record = after[each]
+            if each != key:
+                assert (has_ended, record) == (had_ended, known)
+                continue
+            assert had_ended or not has_ended
+            assert bool(record.leaving) == bool(known.leaving)
+            if had_ended:
+                continue
+            # Calls go to the address to which the runs were sent, by the same agent.
+            assert (record.address, record.agent_id) == (known.address, known.agent_id)
+            if self.ledger.worker_by_incarnation[each].task_by_run:
+                assert record.fencing_token == known.fencing_token
+            if count < LONG:
+                assert all(getattr(record, name) == getattr(known, name) for name in FIXED)
+        for each in after.keys() - before.keys():
+            assert each == key and after[each][1].service_name != "foreign"
+            assert each[1] or not any(life[0] == each[0] and life[1] for life in before)
+
+    @rule(worker_id=st.sampled_from(["w1", "w2", "w3"]))
+    def leave(self, worker_id):
+        before, runs_before = self.lives(), sorted(self.placed_runs())
+        self.service.leave(worker_id)
+        after = self.lives()
+        assert sorted(self.placed_runs()) == runs_before
+        for key, (had_ended, known) in before.items():
+            has_ended, record = after[key]
+            assert has_ended == had_ended
+            if record == known:
+                continue
+            # It changes only the one life that may have sent it.
+            assert key[0] == worker_id and not had_ended and known.draining and record.leaving
+            for other, (other_ended, other_record) in before.items():
+                if other[0] == worker_id and other != key:
+                    assert other_ended and not other_record.draining
 
     @precondition(
         lambda self: any(g.spec.gang for g in self.ledger.startable_group_by_key.values())
@@ -105,6 +232,8 @@
         ]
         valid = self.ledger.record_intents(intents)
         assert valid in ([], intents)
+        for intent in valid:
+            self.may_exist.add((intent.task, run, (intent.life.worker_id, intent.life.born_ms)))
 
     @rule(incarnation=st.sampled_from(INCARNATIONS))
     def register_again(self, incarnation):
@@ -115,13 +244,20 @@
         before = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
         checkpoints_before = self.checkpoints()
         progress_before = self.progress()
-        self.ledger = snapshot.load(snapshot.save(self.ledger))
+        lives_before = self.lives()
+        self.state_machine.ledger = snapshot.load(snapshot.save(self.ledger))
+        assert self.lives() == lives_before
         assert self.progress() == progress_before
         after = {k: w.has_ended for k, w in self.ledger.worker_by_incarnation.items()}
         assert after == before
         checkpoints_after = self.checkpoints()
         assert checkpoints_after == checkpoints_before
 
+    # Guards against TWICE: a heartbeat, a leave or another life's report is no evidence.
+    @invariant()
+    def a_run_may_exist_until_evidence_of_its_own_life_has_ended_it(self):
+        assert set(self.placed_runs()) == self.may_exist
+
     @invariant()
     def a_task_has_one_run_unless_duplicates_are_allowed(self):
         for job in self.ledger.job_by_id.values():
@@ -200,4 +336,4 @@
 
 
 TestLedgerMachine = LedgerMachine.TestCase
-TestLedgerMachine.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
+TestLedgerMachine.settings = settings(max_examples=100, stateful_step_count=40, deadline=None)
