Leases are as long on a slow worker's clock as on any other

Cause: deadlines went by a clock at full rate since a reading that was replaced only by one above the lowest possible clock. No answer of a worker whose clock is 2% slow is ever above that, since it takes time to arrive, so the estimate ran ahead by 2% of the session's age; of any worker, by 2% of the time since it was last polled. A crashed worker was lost that much later, without bound. And its next agent, which waits one lease and 1 s, could take it for lost while a late start of the earlier agent ran under such a lease: 7.17 s for a reading 2 s old, 80.6 s for one an hour old, where 7.14 s are waited.

Change: deadlines are derived from the lowest time that the clock can show, and the clock is read again before a lease is granted once the newest reading is 30 s old.

Elsewhere: the own interface counts leases on one clock (leases.py), not looked at.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -604,8 +604,8 @@
     Mutant(
         "an unresponsive worker's lease is not extended",
         _WORKER_SESSION,
-        "renews_lease = self.clock.has_reading and not self.is_unresponsive",
-        "renews_lease = self.clock.has_reading",
+        "renews_lease = self.clock.has_recent_reading(sent_at) and not self.is_unresponsive",
+        "renews_lease = self.clock.has_recent_reading(sent_at)",
         DISPATCH,
     ),
     Mutant(
@@ -1481,4 +1481,18 @@
         "if self._answered.intersection(current):",
         _GATEWAY_TESTS,
     ),
+    Mutant(
+        "no lease is longer on a slow clock",
+        "dispatch/worker_clock.py",
+        "self.lower_bound_ms(now) + lease_ms)",
+        "self._reading_ms + int((now - self._reading_at) * 1000) + lease_ms)",
+        DISPATCH + "/test_worker_clock.py",
+    ),
+    Mutant(
+        "the clock of a worker is read again before a start after a long time",
+        _WORKER_SESSION,
+        "if not self.clock.has_recent_reading(self._agent.now()):",
+        "if not self.clock.has_reading:",
+        DISPATCH + "/test_worker_session.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/worker_clock.py
+++ b/src/savoryshelf/dispatch/worker_clock.py
@@ -2,7 +2,9 @@
 
 The clock of a worker never goes back within one incarnation, and may run slow,
 down to ``MIN_CLOCK_RATE`` of real time.  A reading that came with an answer is a
-lower bound of the clock when the answer arrives.
+lower bound of the clock when the answer arrives.  Deadlines are derived from the lower
+bound: no lease is longer on the worker's clock than it was meant to be, and one is shorter
+by at most 2% of the time since the newest answer.
 """
 
 import attrs
@@ -16,6 +18,12 @@
 A worker kills its runs shortly after their lease has expired.
 """
 
+MAX_READING_AGE_SECONDS = 30.0
+"""Age of the newest reading above which the clock is read again before a lease is granted.
+
+A lease is at most 0.6 s too short then.
+"""
+
 
 @attrs.define
 class WorkerClock:
@@ -27,11 +35,15 @@
 
     _reading_ms: int | None = None
     _reading_at: float = 0.0
+    _newest_at: float = float("-inf")
+    """When the newest reading was received: on a slow clock few exceed the known bound."""
+
     latest_deadline_ms: int = 0
     """The latest deadline sent to the worker, whether or not the call was answered."""
 
     def record_reading(self, clock_ms: int, received_at: float) -> None:
         """Record a reading received at ``received_at``, unless the known bound is higher."""
+        self._newest_at = max(self._newest_at, received_at)
         if self._reading_ms is None or clock_ms >= self.lower_bound_ms(received_at):
             self._reading_ms, self._reading_at = clock_ms, received_at
 
@@ -40,14 +52,17 @@
         """Return whether there is a reading."""
         return self._reading_ms is not None
 
+    def has_recent_reading(self, now: float) -> bool:
+        """Return whether a lease may be derived from the readings so far."""
+        return now - self._newest_at <= MAX_READING_AGE_SECONDS
+
     def lower_bound_ms(self, now: float) -> int:
         """Return the lowest time that the worker's clock can show now."""
         return self._reading_ms + int((now - self._reading_at) * 1000 * MIN_CLOCK_RATE)
 
     def extend_deadline(self, now: float, lease_ms: int) -> int:
         """Return the deadline of a lease of ``lease_ms`` from now; it never moves back."""
-        expected_ms = self._reading_ms + int((now - self._reading_at) * 1000)
-        self.latest_deadline_ms = max(self.latest_deadline_ms, expected_ms + lease_ms)
+        self.latest_deadline_ms = max(self.latest_deadline_ms, self.lower_bound_ms(now) + lease_ms)
         return self.latest_deadline_ms
 
     def all_deadlines_passed(self, now: float) -> bool:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -393,7 +393,7 @@
         sent_at = self._agent.now()
         # The lease of an unresponsive worker must be able to expire, so it is not
         # renewed by a poll that may go unanswered as well.
-        renews_lease = self.clock.has_reading and not self.is_unresponsive
+        renews_lease = self.clock.has_recent_reading(sent_at) and not self.is_unresponsive
         deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
         result = self._call("poll", self.fencing_token, seen_end, deadline_ms, wait_ms)
@@ -638,7 +638,7 @@
         assigned_task = self.worker.task_by_run.get((task, run))
         if assigned_task is None or not self._may_call():
             return None
-        if not self.clock.has_reading:
+        if not self.clock.has_recent_reading(self._agent.now()):
             self._poll(0)
             if not self._may_call():
                 return None
--- a/tests/dispatch/test_worker_clock.py
+++ b/tests/dispatch/test_worker_clock.py
@@ -1,3 +1,7 @@
+import pytest
+
+from savoryshelf.dispatch.agent import TAKEOVER_SLACK_MS
+from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.dispatch.worker_clock import EXPIRY_SLACK_MS, MIN_CLOCK_RATE, WorkerClock
 
 
@@ -27,3 +31,33 @@
 
 def test_no_deadline_has_passed_without_a_reading():
     assert not WorkerClock().all_deadlines_passed(1e9)
+
+
+# Guards against leases that grow with the age of a worker whose clock is slow: no answer arrives
+# in less than no time, so no reading of the slowest clock is above the bound known from the first.
+# A worker that crashed was lost that much later, and one whose agent had changed was taken for
+# lost while a late start of the earlier agent ran there under such a lease.
+@pytest.mark.parametrize("rate", [MIN_CLOCK_RATE, 0.99, 1.0])
+def test_a_lease_is_as_long_on_a_slow_clock_as_on_any_other(rate):
+    clock = WorkerClock()
+    for poll in range(300):
+        now = 100.0 + 2.0 * poll
+        worker_ms = 1000 * rate * now
+        clock.record_reading(int(worker_ms), now + 0.005)
+        deadline_ms = clock.extend_deadline(now + 2.0, 6000) - 1000 * rate * (now + 2.0)
+        assert 6000 - 100 <= deadline_ms <= 6000
+
+
+# Guards against two runs of a task: a worker cannot be reached by its next agent, and a start that
+# the earlier one sent as late as it was permitted arrives there.
+@pytest.mark.parametrize("rate", [MIN_CLOCK_RATE, 1.0])
+@pytest.mark.parametrize("idle_seconds", [0.0, 2.0, 60.0, 3600.0])
+def test_the_next_agent_waits_longer_than_any_lease_of_the_earlier_one(idle_seconds, rate):
+    taken_over_at = 10_000.0
+    granted_at = taken_over_at + PERMISSION_SECONDS
+    clock = WorkerClock()
+    read_at = granted_at - idle_seconds
+    clock.record_reading(int(1000 * rate * read_at), read_at)
+    deadline_ms = clock.extend_deadline(granted_at, 6000)
+    killed_at = (deadline_ms + EXPIRY_SLACK_MS) / rate / 1000
+    assert taken_over_at + (6000 + TAKEOVER_SLACK_MS) / MIN_CLOCK_RATE / 1000 >= killed_at
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -12,6 +12,7 @@
     StartResult,
     WorkerUnresponsive,
 )
+from savoryshelf.dispatch.worker_clock import WorkerClock
 from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
@@ -763,3 +764,20 @@
         assert not agent.end_reasons
     finally:
         session.close()
+
+
+# Guards against a lease that is far too long, or too short for the run to outlast it: what the
+# clock of a worker shows after a long time without an answer is known to 2% of that time.
+def test_the_clock_of_a_worker_is_read_again_before_a_start_after_a_long_time(running_session):
+    task_ledger, worker, session, agent = running_session
+    wait_until(lambda: session.clock.has_reading and not session.worker.task_by_run)
+    assert record_intent(task_ledger, TASK, 2)
+    session.clock = WorkerClock()
+    session.clock.record_reading(worker.clock_ms() - 980_000, agent.now() - 1000.0)
+    polls = worker.calls.count("poll")
+    session._call_start(TASK, 2, "")
+    (request,) = worker.requests
+    assert LEASE_MS - 100 <= request.deadline_ms - worker.clock_ms() <= LEASE_MS
+    assert worker.calls.count("poll") > polls
+    worker.unanswered_calls = {"poll", "start", "stop"}
+    wait_until(lambda: agent.end_reasons == ["lease expired"], 3.0)
