Own interface: an announcement's id and incarnation are printable ASCII

Cause: both go into headers of calls to the worker, where a line break or another character raises an error that no call expects. Inferred: a start then stayed uncertain for good.

Four cases of test_a_malformed_announcement_is_refused failed before.

--- a/src/savoryshelf/entry/http/targets.py
+++ b/src/savoryshelf/entry/http/targets.py
@@ -10,7 +10,10 @@
 from ...wire.generated.ttypes import WorkerAnnouncement
 from .app import EntryContext, json_response, read_json, require_subject, route
 
-_TEXT_FIELDS = ("worker_id", "incarnation", "url", "failure_domain", "rack")
+_HEADER_FIELDS = ("worker_id", "incarnation")
+"""Fields that each call to the worker carries in its headers."""
+
+_TEXT_FIELDS = (*_HEADER_FIELDS, "url", "failure_domain", "rack")
 _INTEGER_FIELDS = ("slots", "connections", "memory_mb", "accelerators")
 MAX_TEXT_LENGTH = 200
 MAX_REPORT_BYTES = 32 * 1024 * 1024
@@ -41,9 +44,14 @@
 
 
 def _parse_announcement(content: dict) -> WorkerAnnouncement:
-    values: dict[str, object] = {}
+    values = {}
     for name in _TEXT_FIELDS:
         values[name] = _require_field(content, name, str)
+    for name in _HEADER_FIELDS:
+        text = values[name]
+        if not (text.isascii() and text.isprintable() and text == text.strip()):
+            detail = f"{name}: {text!r} is invalid; use printable ASCII characters"
+            raise RequestRefused("bad_announcement", detail, 400)
     for name in _INTEGER_FIELDS:
         values[name] = _require_field(content, name, int)
     values["cores"] = float(_require_field(content, "cores", (int, float)))
--- a/tests/entry/http/test_app.py
+++ b/tests/entry/http/test_app.py
@@ -141,7 +141,18 @@
 
 
 @pytest.mark.parametrize(
-    "change", [{"slots": -1}, {"slots": True}, {"url": "http://name:1"}, {"worker_id": ""}]
+    "change",
+    [
+        {"slots": -1},
+        {"slots": True},
+        {"url": "http://name:1"},
+        {"worker_id": ""},
+        # They go into the headers of calls.
+        {"worker_id": "w\n9"},
+        {"incarnation": "1\r\nX: y"},
+        {"incarnation": "\u0661"},
+        {"incarnation": " 1"},
+    ],
 )
 def test_a_malformed_announcement_is_refused(host, change):
     announcement = {
