Own interface: each call names the life of the worker that it is meant for

Cause: epochs count from 0 for each worker, and a call carried nothing else (a start: the incarnation). Where another worker, or a later life under the same epoch, listens at the address, it took calls for its own: a second owner by adopt, critical requests beyond its slots, and 'not known' to the question for an attempt that ran elsewhere, which the owner reports as not run.

Where else: a worker of the platform that ignores the headers is as before; the answer to adopt still names its incarnation, which the owner checks.

--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -39,6 +39,8 @@
     headers = {
         "Authorization": f"Bearer {issue(TOKEN_KEY, TARGET)}",
         "Savoryshelf-Epoch": str(target["epoch"]),
+        "Savoryshelf-Worker": target["worker_id"],
+        "Savoryshelf-Incarnation": target["incarnation"],
         "Savoryshelf-Size": "1;10",
         "Savoryshelf-Request-Id": "direct",
     }
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -376,6 +376,13 @@
         "elif False:",
         "tests/entry",
     ),
+    Mutant(
+        "each call names the incarnation that it is meant for",
+        "entry/worker_client.py",
+        "            INCARNATION_HEADER: target.worker.incarnation,\n",
+        "",
+        "tests/entry/test_worker_lives.py",
+    ),
     Mutant(
         "a response without an explicit length is rejected",
         "entry/worker_client.py",
--- a/src/savoryshelf/control/views.py
+++ b/src/savoryshelf/control/views.py
@@ -93,6 +93,7 @@
                 "standing": WorkerStanding(worker.standing).name.lower(),
                 "owner": worker.owner_id,
                 "epoch": worker.epoch,
+                "incarnation": worker.incarnation,
                 "url": worker.url,
                 "rack": worker.rack,
                 "failure_domain": worker.failure_domain,
--- a/src/savoryshelf/entry/worker_client.py
+++ b/src/savoryshelf/entry/worker_client.py
@@ -22,6 +22,8 @@
 CONTROL_CALL_TIMEOUT_SECONDS = 3.0
 NOT_RUN_HEADER = "Savoryshelf-Not-Run"
 EPOCH_HEADER = "Savoryshelf-Epoch"
+WORKER_HEADER = "Savoryshelf-Worker"
+INCARNATION_HEADER = "Savoryshelf-Incarnation"
 REQUEST_ID_HEADER = "Savoryshelf-Request-Id"
 SIZE_HEADER = "Savoryshelf-Size"
 TRACE_HEADER = "Savoryshelf-Trace-Id"
@@ -53,7 +55,10 @@
 
 
 class WorkerClient:
-    """Keep-alive connections to workers, by URL."""
+    """Keep-alive connections to workers, by URL.
+
+    Each call names the worker and the incarnation that it is meant for, and any other refuses it.
+    """
 
     def __init__(self, token: str):
         self._token = token
@@ -88,7 +93,7 @@
             "Savoryshelf-Attempt": str(order.key.attempt),
             "Savoryshelf-Class": order.class_name,
             "Savoryshelf-Checkpoint": order.checkpoint_id or "",
-            "Savoryshelf-Incarnation": order.worker_incarnation,
+            INCARNATION_HEADER: order.worker_incarnation,
             SIZE_HEADER: f"{order.cores};{order.memory_mb};{order.accelerators}",
             TRACE_HEADER: order.trace_id or "",
         }
@@ -152,7 +157,13 @@
         timeout_s: float,
         kind: str,
     ) -> WorkerResponse:
-        headers |= {"Authorization": f"Bearer {self._token}", EPOCH_HEADER: str(target.epoch)}
+        # Another process may listen at the address by now: it refuses what names another life.
+        headers = {
+            "Authorization": f"Bearer {self._token}",
+            EPOCH_HEADER: str(target.epoch),
+            WORKER_HEADER: target.worker_id,
+            INCARNATION_HEADER: target.worker.incarnation,
+        } | headers
         timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_SECONDS, timeout_s), total=timeout_s)
         try:
             response = self._pool(target.worker.url).urlopen(
--- a/standins/host.py
+++ b/standins/host.py
@@ -31,35 +31,17 @@
 REPORT_DELAY_SECONDS = 0.02
 
 
-class WorkerHost:
-    """Serves one stand-in worker on its own port, and reports to its owner."""
+class WorkerApplication:
+    """The WSGI callable that answers an owner's calls to one stand-in worker."""
 
-    def __init__(self, worker: Worker, ip: str, entry_urls: list[str], token: str):
+    def __init__(self, worker: Worker):
         self.worker = worker
-        self._entry_urls = entry_urls
-        self._headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
-        self._http = urllib3.PoolManager(retries=False, timeout=REPORT_TIMEOUT_SECONDS)
-        self._listener = eventlet.listen((ip, 0))
-        worker.url = f"http://{ip}:{self._listener.getsockname()[1]}"
-        self.threads = [
-            eventlet.spawn(wsgi.server, self._listener, self._serve, log_output=False),
-            eventlet.spawn(self._announce_and_report),
-        ]
-
-    def kill(self) -> None:
-        """Stop at once with all running tasks, as in a host failure."""
-        for thread in self.threads:
-            thread.kill()
-        for task in self.worker.running():
-            task.thread.kill()
-        self._listener.close()
-        worker = self.worker
-        worker.record.write("died", worker.spec.worker_id, incarnation=worker.incarnation)
 
-    # ------------------------------------------------------------ as a server
+    def __call__(self, environ, start_response):
+        """Answer one HTTP request."""
+        return self._response(Request(environ))(environ, start_response)
 
-    @Request.application
-    def _serve(self, request: Request) -> Response:
+    def _response(self, request: Request) -> Response:
         try:
             return self._answer(request)
         except NotOwner as error:
@@ -70,7 +52,10 @@
             return Response(str(error), 500)
 
     def _answer(self, request: Request) -> Response:
-        worker = self.worker
+        worker, headers = self.worker, request.headers
+        worker.require_life(
+            headers.get("Savoryshelf-Worker"), headers.get("Savoryshelf-Incarnation")
+        )
         body = request.get_data()
         if request.path == "/v1/adopt":
             call = json.loads(body)
@@ -79,11 +64,11 @@
                     call["epoch"], call["owner_url"], call["lease_s"], call["report_interval_s"]
                 )
             )
-        worker.require_epoch(int(request.headers["Savoryshelf-Epoch"]))
+        worker.require_epoch(int(headers["Savoryshelf-Epoch"]))
         if request.path.startswith("/v1/services/"):
-            demand = tuple(float(each) for each in request.headers["Savoryshelf-Size"].split(";"))
+            demand = tuple(float(each) for each in headers["Savoryshelf-Size"].split(";"))
             answer = worker.run_critical(
-                request.headers["Savoryshelf-Request-Id"], body, (demand[0], demand[1])
+                headers["Savoryshelf-Request-Id"], body, (demand[0], demand[1])
             )
             return Response(answer, content_type=request.content_type)
         if request.path == "/v1/tasks":
@@ -109,10 +94,37 @@
             body,
             (float(cores), float(memory_mb), int(accelerators)),
             headers["Savoryshelf-Checkpoint"],
-            headers["Savoryshelf-Incarnation"],
         )
         return Response("", 202)
 
+
+class WorkerHost:
+    """Serves one stand-in worker on its own port, and reports to its owner."""
+
+    def __init__(self, worker: Worker, ip: str, entry_urls: list[str], token: str):
+        self.worker = worker
+        self._entry_urls = entry_urls
+        self._headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        self._http = urllib3.PoolManager(retries=False, timeout=REPORT_TIMEOUT_SECONDS)
+        self._listener = eventlet.listen((ip, 0))
+        worker.url = f"http://{ip}:{self._listener.getsockname()[1]}"
+        self.threads = [
+            eventlet.spawn(
+                wsgi.server, self._listener, WorkerApplication(worker), log_output=False
+            ),
+            eventlet.spawn(self._announce_and_report),
+        ]
+
+    def kill(self) -> None:
+        """Stop at once with all running tasks, as in a host failure."""
+        for thread in self.threads:
+            thread.kill()
+        for task in self.worker.running():
+            task.thread.kill()
+        self._listener.close()
+        worker = self.worker
+        worker.record.write("died", worker.spec.worker_id, incarnation=worker.incarnation)
+
     # ------------------------------------------------------------ as a client
 
     def _announce_and_report(self) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -157,6 +157,11 @@
             self.record.write("guard_refused", self.spec.worker_id)
             raise RequestRejected("guard")
 
+    def require_life(self, worker_id: str | None, incarnation: str | None) -> None:
+        """Raise RequestRejected if the call is not meant for this incarnation of this worker."""
+        if (worker_id, incarnation) != (self.spec.worker_id, self.incarnation):
+            raise RequestRejected("incarnation")
+
     def require_epoch(self, epoch: int) -> None:
         """Raise NotOwner if ``epoch`` is not that of the current owner."""
         if epoch != self.epoch:
@@ -191,11 +196,8 @@
         body: bytes,
         demand: tuple[float, float, int],
         checkpoint_id: str,
-        incarnation: str,
     ) -> None:
         """Start an attempt; idempotent."""
-        if incarnation != self.incarnation:
-            raise RequestRejected("incarnation")
         if attempt_id in self._refused_attempts:
             raise RequestRejected("settled")
         if attempt_id in self.task_by_attempt_id:
