Own interface: an announcement ends no life of a worker

Cause: a worker's announcement with another incarnation settled all attempts of the one registered as lost, at once. Announcements wait at entry hosts until control answers, and carry no order: one of an ended life may come after the next one has work, and another process may run under the same id. What the worker ran was then started again while it went on there.

The leader settles them as lost once the next life has answered its owner at the same address, or once the task lease has run out, counted anew by each leader from when it saw the change, with the lease of the last owner added. The ledger finds attempts by life; the new life gets an owner only after the last one has released the earlier one, so that what it had acknowledged is ordered again if that life returns.

--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -12,13 +12,14 @@
 
 import attrs
 
+from ..leases import ENTRY_LEASE_SECONDS, granter_deadline
 from ..ledger.state import Job, JobState
 from ..observability import metrics
 from ..scheduling import eviction, interference, ownership, placement
 from ..scheduling.quarantine import EARLY_PROBE_INTERVAL_SECONDS, may_quarantine
 from ..targets.state import EntryHost, Worker
 from ..wire.generated import ttypes
-from ..wire.generated.ttypes import WorkerStanding
+from ..wire.generated.ttypes import OutcomeKind, WorkerStanding
 from .repair import GroupRepair
 from .sessions import EntrySessions
 from .site_service import SiteService
@@ -52,6 +53,8 @@
         self._interference_policy = interference.POLICIES[interference_policy]()
         self._overload_detector = ownership.OverloadDetector()
         self._initialised_term = 0
+        # By the id and the incarnation of an earlier life, and the epoch at which it was replaced.
+        self._earlier_since: dict[tuple[str, str, int], float] = {}
         self._next_run_by_activity: dict[str, float] = {}
         self._early_start_at_by_worker: dict[str, float] = {}
 
@@ -74,12 +77,14 @@
         if term != self._initialised_term:
             self._site.sessions = EntrySessions(now)
             self._site.confirm_leadership()
+            self._earlier_since = {}
             self._initialised_term = term
         if self._is_due("repair", REPAIR_INTERVAL_SECONDS, now):
             self._repair.step()
         if self._is_due("expiry", EXPIRY_INTERVAL_SECONDS, now):
             self._expire_records()
         self._remove_expired_entries(now)
+        self._settle_earlier_lives(now)
         self._assign_workers(now)
         self._evict_from_leaving_workers()
         self._evict_for_interference(now)
@@ -105,6 +110,44 @@
             finally:
                 sessions.end_removal(entry.entry_id)
 
+    def _settle_earlier_lives(self, now: float) -> None:
+        """Settle as lost the attempts in earlier lives of workers that are certain to have ended.
+
+        A life has ended when a later one has answered at its address, or when its
+        task lease has expired.  Its last owner may have renewed that until its own
+        lease expired; it takes the worker out of use with its next sync.
+        """
+        state = self._site.state_machine.state
+        declarations = self._site.state_machine.declarations
+        if declarations is None:
+            return
+        lease_s = declarations.limits.task_lease_s + ENTRY_LEASE_SECONDS
+        since_by_life, self._earlier_since = self._earlier_since, {}
+        for worker_id, incarnation in state.ledger.lives_with_attempts():
+            worker = state.fleet.workers_by_id.get(worker_id)
+            if worker is not None and worker.incarnation == incarnation:
+                continue
+            earlier = worker.earlier_lives.get(incarnation) if worker is not None else None
+            key = (worker_id, incarnation, earlier.replaced_epoch if earlier is not None else 0)
+            since = self._earlier_since[key] = since_by_life.get(key, now)
+            is_replaced = earlier is not None and self._answers_at(earlier.url, worker)
+            if not is_replaced and now <= granter_deadline(since, lease_s):
+                continue
+            reason = f"{worker_id} restarted" if is_replaced else f"{worker_id} was lost"
+            outcomes = [
+                ttypes.AttemptOutcome(
+                    ttypes.AttemptKey(job.job_id, job.attempt, 0), OutcomeKind.LOST, reason
+                )
+                for job in state.ledger.placed_on(worker_id, incarnation)
+            ]
+            self._site.commit(settle_attempts=ttypes.SettleAttempts(outcomes))
+
+    def _answers_at(self, url: str, worker: Worker) -> bool:
+        """Return whether the registered incarnation has answered its owner at that address."""
+        note = self._site.sessions.latest_notes().get(worker.worker_id)
+        has_answered = note is not None and note.adopted and note.epoch == worker.epoch
+        return has_answered and worker.url == url
+
     def _active_entries(self) -> list[EntryHost]:
         sessions = self._site.sessions.by_id
         return [
@@ -295,7 +338,8 @@
             slowdown=note.slowdown or 1.0,
             max_slots=worker.slots - reserve,
         )
-        for job in self._site.state_machine.state.ledger.placed_on(worker.worker_id):
+        ledger = self._site.state_machine.state.ledger
+        for job in ledger.placed_on(worker.worker_id, worker.incarnation):
             demand = self._demand(job)
             if demand is not None:
                 capacity.allocate(demand)
@@ -328,7 +372,7 @@
             ttypes.AttemptKey(job.job_id, job.attempt, 0)
             for worker in state.fleet.workers_by_id.values()
             if worker.standing in draining_standings
-            for job in state.ledger.placed_on(worker.worker_id)
+            for job in state.ledger.placed_on(worker.worker_id, worker.incarnation)
             if job.state is JobState.RUNNING
         ]
         self._request_evictions(keys, "worker is leaving")
@@ -355,15 +399,16 @@
     def _observations(self, note_by_worker_id: dict[str, ttypes.WorkerNote]):
         state = self._site.state_machine.state
         reserve = self._site.state_machine.declarations.limits.critical_reserve_slots
-        return {
-            worker_id: interference.WorkerObservation(
-                latency_ratio=(note.pressure_tenths or 0) / 10,
-                batch_running=len(state.ledger.placed_on(worker_id)),
-                batch_slots=max(0, state.fleet.workers_by_id[worker_id].slots - reserve),
-            )
-            for worker_id, note in note_by_worker_id.items()
-            if worker_id in state.fleet.workers_by_id
-        }
+        observations = {}
+        for worker_id, note in note_by_worker_id.items():
+            worker = state.fleet.workers_by_id.get(worker_id)
+            if worker is not None:
+                observations[worker_id] = interference.WorkerObservation(
+                    latency_ratio=(note.pressure_tenths or 0) / 10,
+                    batch_running=len(state.ledger.placed_on(worker_id, worker.incarnation)),
+                    batch_slots=max(0, worker.slots - reserve),
+                )
+        return observations
 
     def _preempt_for_urgent(self, unplaced: list[placement.Demand]) -> None:
         limits = self._site.state_machine.declarations.limits
@@ -398,10 +443,13 @@
     def _candidates(self) -> list[eviction.Candidate]:
         now_ms = self._site.clock.wall_ms()
         candidates = []
-        for job in self._site.state_machine.state.ledger.placed():
+        state = self._site.state_machine.state
+        for job in state.ledger.placed():
             demand = self._demand(job)
             if job.state is not JobState.RUNNING or job.urgent or demand is None:
                 continue
+            if not state.fleet.is_current(*job.life):
+                continue  # Its eviction makes no room on the incarnation that is registered.
             candidates.append(
                 eviction.Candidate(
                     job_id=job.job_id,
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -206,7 +206,7 @@
         return [
             job
             for worker in state.fleet.owned_by(session.entry_id)
-            for job in state.ledger.placed_on(worker.worker_id)
+            for job in state.ledger.placed_on(worker.worker_id, worker.incarnation)
         ]
 
     def _starts(self, session: EntrySession) -> list[ttypes.StartOrder]:
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -115,11 +115,13 @@
 def _register_workers(state_machine: SiteStateMachine, command, at_ms: int):
     fleet, ledger = state_machine.state.fleet, state_machine.state.ledger
     for announcement in command.workers:
-        registered = fleet.workers_by_id.get(announcement.worker_id)
-        previous_incarnation = registered.incarnation if registered else ""
-        if fleet.register_worker(announcement, at_ms) and previous_incarnation:
-            # A restarted worker no longer runs the attempts of its previous incarnation.
-            ledger.settle_lost_worker(announcement.worker_id, previous_incarnation, at_ms)
+        fleet.register_worker(announcement, at_ms)
+        worker = fleet.workers_by_id[announcement.worker_id]
+        worker.earlier_lives = {
+            incarnation: earlier
+            for incarnation, earlier in worker.earlier_lives.items()
+            if ledger.placed_on(worker.worker_id, incarnation)
+        }
     return Accepted()
 
 
--- a/src/savoryshelf/control/views.py
+++ b/src/savoryshelf/control/views.py
@@ -98,7 +98,7 @@
                 "rack": worker.rack,
                 "failure_domain": worker.failure_domain,
                 "slots": worker.slots,
-                "batch_running": len(state.ledger.placed_on(worker.worker_id)),
+                "batch_running": len(state.ledger.placed_on(worker.worker_id, worker.incarnation)),
                 "critical_in_flight": note.critical_in_flight if note else None,
                 "adopted": note.adopted if note else None,
                 "quarantined": note.quarantined if note else None,
--- a/src/savoryshelf/ledger/state.py
+++ b/src/savoryshelf/ledger/state.py
@@ -92,6 +92,11 @@
         self.story.append(JobEvent(at_ms, event, detail))
         del self.story[1 : len(self.story) - MAX_EVENTS + 1]
 
+    @property
+    def life(self) -> tuple[str, str]:
+        """Return the id and the incarnation of the worker that has the newest attempt."""
+        return self.worker_id, self.worker_incarnation
+
     @property
     def is_placed(self) -> bool:
         """Return whether an attempt may be running."""
@@ -119,7 +124,8 @@
 
     by_id: dict[str, Job] = attrs.field(factory=dict)
     _queued_by_id: dict[str, Job] = attrs.field(init=False, factory=dict)
-    _placed_by_worker: dict[str, dict[str, Job]] = attrs.field(init=False, factory=dict)
+    _placed_by_life: dict[tuple[str, str], dict[str, Job]] = attrs.field(init=False, factory=dict)
+    """By worker id and incarnation, then by job id."""
 
     def __attrs_post_init__(self):
         """Build the indexes, which are not part of a snapshot."""
@@ -217,7 +223,7 @@
 
     def settle_lost_worker(self, worker_id: str, incarnation: str, at_ms: int) -> int:
         """Settle as lost all attempts on one incarnation of a worker; return how many."""
-        lost = [job for job in self.placed_on(worker_id) if job.worker_incarnation == incarnation]
+        lost = self.placed_on(worker_id, incarnation)
         for job in lost:
             outcome = AttemptOutcome(
                 AttemptKey(job.job_id, job.attempt, 0), OutcomeKind.LOST, f"{worker_id} was lost"
@@ -242,26 +248,30 @@
 
     def placed(self) -> Iterator[Job]:
         """Yield the jobs that have an attempt which may be running."""
-        for by_id in self._placed_by_worker.values():
+        for by_id in self._placed_by_life.values():
             yield from by_id.values()
 
-    def placed_on(self, worker_id: str) -> list[Job]:
-        """Return the jobs that have an attempt which may be running on that worker."""
-        return list(self._placed_by_worker.get(worker_id, {}).values())
+    def placed_on(self, worker_id: str, incarnation: str) -> list[Job]:
+        """Return the jobs with an attempt that may be running in that life of the worker."""
+        return list(self._placed_by_life.get((worker_id, incarnation), {}).values())
+
+    def lives_with_attempts(self) -> list[tuple[str, str]]:
+        """Return the worker id and incarnation of each life on which an attempt may be running."""
+        return list(self._placed_by_life)
 
     def _index(self, job: Job) -> None:
         if job.state is JobState.QUEUED:
             self._queued_by_id[job.job_id] = job
         elif job.is_placed:
-            self._placed_by_worker.setdefault(job.worker_id, {})[job.job_id] = job
+            self._placed_by_life.setdefault(job.life, {})[job.job_id] = job
 
     def _unindex(self, job: Job) -> None:
         self._queued_by_id.pop(job.job_id, None)
-        jobs_on_worker = self._placed_by_worker.get(job.worker_id)
-        if jobs_on_worker is not None:
-            jobs_on_worker.pop(job.job_id, None)
-            if not jobs_on_worker:
-                del self._placed_by_worker[job.worker_id]
+        jobs_on_life = self._placed_by_life.get(job.life)
+        if jobs_on_life is not None:
+            jobs_on_life.pop(job.job_id, None)
+            if not jobs_on_life:
+                del self._placed_by_life[job.life]
 
 
 def _end_job(job: Job, state: JobState, at_ms: int, reason: str) -> None:
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -28,6 +28,15 @@
 """How many lost workers are kept; those that changed longest ago are dropped first."""
 
 
+@attrs.define
+class EarlierLife:
+    """An incarnation in whose place another one was registered; it may go on for a while."""
+
+    url: str
+    replaced_epoch: int
+    """The worker's epoch when this happened."""
+
+
 @attrs.define
 class Worker:
     """One worker: its announcement, its standing and its ownership."""
@@ -58,6 +67,9 @@
     changed_ms: int = 0
     """Wall-clock time in ms of the last change of the announcement or the standing."""
 
+    earlier_lives: dict[str, EarlierLife] = attrs.field(factory=dict)
+    """By incarnation; kept while the ledger has attempts that were placed on them."""
+
     @property
     def is_schedulable(self) -> bool:
         """Return whether new work may be placed on this worker."""
@@ -94,7 +106,10 @@
     def register_worker(self, announced: WorkerAnnouncement, at_ms: int) -> bool:
         """Register a worker's announcement; return whether it is a new incarnation.
 
-        A worker that was drained stays drained when it restarts.
+        A worker that was drained stays drained when it restarts.  An announcement
+        does not end the incarnation registered before: it may be late, or come from
+        another process that runs under the same id.  The new incarnation gets an
+        owner once that of the earlier one has acknowledged the release.
         """
         registered = self.workers_by_id.get(announced.worker_id)
         fields = {name: getattr(announced, name) for name in WorkerAnnouncement.__slots__}
@@ -109,13 +124,18 @@
         is_unchanged = registered.announcement() == announced and standing == registered.standing
         if is_unchanged:
             return False
+        if is_new_incarnation:
+            earlier = EarlierLife(registered.url, registered.epoch)
+            registered.earlier_lives[registered.incarnation] = earlier
+            registered.earlier_lives.pop(announced.incarnation, None)
         for name, value in fields.items():
             setattr(registered, name, value)
         registered.standing = standing
         registered.changed_ms = at_ms
+        self.assignment_version += 1
         if is_new_incarnation:
             registered.epoch += 1
-        self.assignment_version += 1
+            self._revoke(registered)
         return is_new_incarnation
 
     def change_standing(self, change: ChangeStanding, at_ms: int) -> Accepted | Refusal:
@@ -197,12 +217,20 @@
         for worker in lost[: max(0, len(lost) - MAX_LOST_WORKERS)]:
             del self.workers_by_id[worker.worker_id]
 
+    def is_current(self, worker_id: str, incarnation: str) -> bool:
+        """Return whether that incarnation of the worker is the one registered."""
+        worker = self.workers_by_id.get(worker_id)
+        return worker is not None and worker.incarnation == incarnation
+
     def owned_by(self, entry_id: str) -> list[Worker]:
         """Return the workers that the entry host owns."""
         return [w for w in self.workers_by_id.values() if w.owner_id == entry_id]
 
     def _revoke(self, worker: Worker) -> None:
-        """End the ownership, and record the release that the owner, if any, has to acknowledge."""
+        """End the ownership, and record the release that the owner, if any, has to acknowledge.
+
+        ``assignment_version`` must already be that of the release.
+        """
         if worker.owner_id:
             worker.released_by_id = worker.owner_id
             worker.released_version = self.assignment_version
--- a/tests/control/test_leader_loop.py
+++ b/tests/control/test_leader_loop.py
@@ -64,10 +64,15 @@
     cluster.site.submit(ttypes.SubmitJob(name, "team", name, class_name, b"", False, "d"))
 
 
+def jobs_on(cluster, worker_id):
+    """Return the jobs that are placed on the registered incarnation of a worker."""
+    state = cluster.site.state_machine.state
+    return state.ledger.placed_on(worker_id, state.fleet.workers_by_id[worker_id].incarnation)
+
+
 def placed_on(cluster, worker_id):
     """Return the ids of the jobs that the leader placed on a worker after the site was set up."""
-    ledger = cluster.site.state_machine.state.ledger
-    return sorted(j.job_id for j in ledger.placed_on(worker_id) if j.job_id.startswith("late"))
+    return sorted(j.job_id for j in jobs_on(cluster, worker_id) if j.job_id.startswith("late"))
 
 
 def leave_no_room(cluster, worker_id):
@@ -182,7 +187,7 @@
     quarantine(cluster, "w0")
     cluster.site.submit(ttypes.SubmitJob("urgent", "team", "urgent", "plans", b"", True, "d"))
     cluster.leader_loop._place()
-    states = [job.state.value for job in cluster.site.state_machine.state.ledger.placed_on("w0")]
+    states = [job.state.value for job in jobs_on(cluster, "w0")]
     assert states.count("evicting") == 1
 
 
@@ -191,10 +196,9 @@
         submit(cluster, f"late-{number}")
     cluster.leader_loop._run_round()
     quarantine(cluster, "w0")
-    for job in cluster.site.state_machine.state.ledger.placed_on("w1"):
+    for job in jobs_on(cluster, "w1"):
         job.started_ms -= 3_600_000  # Costlier victims than those on the quarantined worker.
     cluster.site.submit(ttypes.SubmitJob("urgent", "team", "urgent", "plans", b"", True, "d"))
     cluster.leader_loop._place()
-    ledger = cluster.site.state_machine.state.ledger
-    assert [job.state.value for job in ledger.placed_on("w0")].count("evicting") == 0
-    assert [job.state.value for job in ledger.placed_on("w1")].count("evicting") == 1
+    assert [job.state.value for job in jobs_on(cluster, "w0")].count("evicting") == 0
+    assert [job.state.value for job in jobs_on(cluster, "w1")].count("evicting") == 1
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -36,7 +36,7 @@
     restored = SiteStateMachine()
     restored.restore(state_machine.snapshot())
     assert restored.state == state_machine.state
-    assert [job.job_id for job in restored.state.ledger.placed_on("w0")] == ["job"]
+    assert [job.job_id for job in restored.state.ledger.placed_on("w0", "incarnation-1")] == ["job"]
     assert restored.declarations == state_machine.declarations
 
 
--- a/tests/promises/fakes.py
+++ b/tests/promises/fakes.py
@@ -138,17 +138,22 @@
 class FakeWorker:
     """A worker that does not enforce its own capacity, so only the scheduler can limit its load."""
 
-    def __init__(self, cluster, worker_id, slots=3):
+    def __init__(self, cluster, worker_id, slots=3, name=""):
         self.cluster = cluster
         self.worker_id = worker_id
         self.slots = slots
+        self.name = name or worker_id
         self.incarnation_count = 0
         self.is_leaving = False
+        self.url = ""
         self.restart()
 
-    def restart(self):
+    def restart(self, moves=False):
+        """Start again under the same id, and at another address if it ``moves``."""
         self.incarnation_count += 1
-        self.incarnation = f"incarnation-{self.incarnation_count}"
+        self.incarnation = f"{self.name}-{self.incarnation_count}"
+        if moves or not self.url:
+            self.url = f"http://127.0.0.1/{self.incarnation}"
         self.epoch = -1
         self.owner = None
         self.lease_deadline = 0.0
@@ -165,7 +170,7 @@
         return WorkerAnnouncement(
             self.worker_id,
             self.incarnation,
-            f"http://127.0.0.1/{self.worker_id}",
+            self.url,
             "fd",
             "rack",
             self.slots,
@@ -232,7 +237,9 @@
                 "tasks": [task.view() for task in self.task_by_attempt_id.values()],
             },
         )
-        if reply is not None:
+        if reply is None:
+            entry.state.add_announcement(self.announcement())
+        else:
             self.lease_deadline = requested_at + reply["lease_s"]
             for each in reply["acknowledged"]:
                 self.task_by_attempt_id.pop((each["job_id"], each["attempt"]), None)
@@ -253,7 +260,12 @@
     def _worker(self, target):
         if (self._entry_name, target.worker_id) in self._cluster.partitioned_links:
             raise WorkerUnreachable("partitioned")
-        return self._cluster.worker_by_id[target.worker_id]
+        worker = self._cluster.process_by_url.get(target.worker.url)
+        if worker is None:
+            raise WorkerUnreachable("nothing listens there")
+        if (target.worker_id, target.worker.incarnation) != (worker.worker_id, worker.incarnation):
+            raise WorkerRefused(worker.worker_id, "incarnation")
+        return worker
 
     def adopt(self, target, owner_url, lease_s, report_s):
         entry = self._cluster.entry_by_name[self._entry_name]
@@ -337,6 +349,8 @@
         self.starts = []
         self.entry_by_name = {}
         self.worker_by_id = {f"w{n}": FakeWorker(self, f"w{n}", slots) for n in range(workers)}
+        # Another process that runs under the id of w0, at its own address.
+        self.namesake = FakeWorker(self, "w0", slots, name="namesake")
         self.elect_leader()
         for number in range(entries):
             self.entry_by_name[f"e{number}"] = FakeEntry(self, f"e{number}")
@@ -356,13 +370,22 @@
         )
         self.leader_loop._initialised_term = 1
 
+    @property
+    def processes(self):
+        """Return all worker processes, the namesake included."""
+        return [*self.worker_by_id.values(), self.namesake]
+
+    @property
+    def process_by_url(self):
+        return {process.url: process for process in self.processes}
+
     def record_start(self, worker, order):
         self.starts.append((order.key.job_id, order.key.attempt, order.checkpoint_id))
 
     def running_attempts_of(self, job_id):
         return [
-            (worker.worker_id, attempt)
-            for worker in self.worker_by_id.values()
+            (worker.name, attempt)
+            for worker in self.processes
             for (job, attempt), task in worker.task_by_attempt_id.items()
             if job == job_id and task.state == "running"
         ]
--- a/tests/promises/test_guarantees.py
+++ b/tests/promises/test_guarantees.py
@@ -46,6 +46,8 @@
         self.not_run_attempts = set()
         self.version_by_entry = {}
         self.leaving_since = {}
+        # Announcements of lives that have ended, still on their way.
+        self.late_announcements = []
 
     # ------------------------------------------------------------------- helpers
 
@@ -57,6 +59,11 @@
         change = ttypes.ApplyConfiguration(operation, version, to_document(parse(content)), "")
         return self.cluster.site.apply(change)
 
+    def running_job_ids(self):
+        return {
+            task.order.key.job_id for worker in self.cluster.processes for task in worker.running
+        }
+
     @initialize()
     def set_up_site(self):
         self.apply(0, "first")
@@ -71,7 +78,8 @@
             if worker.owner is None:
                 self.announce(worker.worker_id, "e0")
                 self.announce(worker.worker_id, "e1")
-            elif not worker.owner.is_frozen:
+        for worker in self.cluster.processes:
+            if worker.owner is not None and not worker.owner.is_frozen:
                 worker.report()
         for entry in self.cluster.entry_by_name.values():
             if not entry.is_frozen:
@@ -192,13 +200,16 @@
 
     @rule(worker_id=worker_ids, name=entry_names)
     def announce(self, worker_id, name):
+        self.deliver_announcement(self.cluster.worker_by_id[worker_id].announcement(), name)
+
+    def deliver_announcement(self, announcement, name):
         entry = self.cluster.entry_by_name[name]
         if not entry.is_frozen:
-            entry.state.add_announcement(self.cluster.worker_by_id[worker_id].announcement())
+            entry.state.add_announcement(announcement)
 
-    @rule(worker_id=worker_ids, failed=st.booleans())
-    def end_task(self, worker_id, failed):
-        running = self.cluster.worker_by_id[worker_id].running
+    @rule(number=st.integers(0, 2), failed=st.booleans())
+    def end_task(self, number, failed):
+        running = self.cluster.processes[number].running
         if running:
             running[0].state = "failed" if failed else "finished"
 
@@ -209,7 +220,7 @@
     @rule(seconds=st.sampled_from([0.3, 1.0, 3.0]))
     def advance_clock(self, seconds):
         self.cluster.clock.advance(seconds)
-        for worker in self.cluster.worker_by_id.values():
+        for worker in self.cluster.processes:
             worker.stop_tasks_if_lease_expired()
 
     # ------------------------------------------------------------------- failures
@@ -240,9 +251,20 @@
         links = self.cluster.partitioned_links
         links.add((name, worker_id)) if partitioned else links.discard((name, worker_id))
 
-    @rule(worker_id=worker_ids)
-    def restart_worker(self, worker_id):
-        self.cluster.worker_by_id[worker_id].restart()
+    @rule(worker_id=worker_ids, moves=st.booleans())
+    def restart_worker(self, worker_id, moves):
+        worker = self.cluster.worker_by_id[worker_id]
+        self.late_announcements.append(worker.announcement())
+        worker.restart(moves)
+
+    @precondition(lambda self: self.late_announcements)
+    @rule(name=entry_names)
+    def deliver_late_announcement(self, name):
+        self.deliver_announcement(self.late_announcements.pop(0), name)
+
+    @rule(name=entry_names)
+    def announce_namesake(self, name):
+        self.deliver_announcement(self.cluster.namesake.announcement(), name)
 
     @precondition(lambda self: self.cluster.late_starts)
     @rule()
@@ -257,7 +279,7 @@
 
     @invariant()
     def no_worker_exceeds_its_slots(self):
-        for worker in self.cluster.worker_by_id.values():
+        for worker in self.cluster.processes:
             assert len(worker.running) <= worker.slots - 1
 
     @invariant()
@@ -315,7 +337,7 @@
             self.drain_or_return(worker_id, False)
         for _ in range(80):
             self.run_full_round()
-            for worker in cluster.worker_by_id.values():
+            for worker in cluster.processes:
                 worker.report()
                 for task in worker.running:
                     task.state = "finished"
@@ -350,3 +372,42 @@
     assert (("job-3", 1, None) in machine.cluster.starts) == (fault == "reply lost")
     assert (("job-3", 1) in machine.not_run_attempts) == (fault == "late")
     machine.teardown()
+
+
+def running_job_on(machine, worker):
+    """Return a job that may be repeated and that the worker runs; submit some until it does."""
+    for number in range(10, 30):
+        for job_id, _ in worker.task_by_attempt_id:
+            if machine.accepted[job_id] == "plans" and job_id in machine.running_job_ids():
+                return job_id
+        machine.submit(number, False, False)
+        machine.run_rounds(2)
+    raise AssertionError(f"{worker.name} is given no job")
+
+
+def run_checked_rounds(machine, rounds):
+    for _ in range(rounds):
+        machine.run_full_round()
+        machine.no_job_has_two_running_attempts()
+        machine.an_unrepeatable_job_starts_at_most_once()
+
+
+# Guards against a second run beside the first: an announcement that arrives late, or one of another
+# process under the id, was taken for a restart, and all that the worker ran was started again.
+@pytest.mark.parametrize("writer", ["earlier life", "namesake"])
+def test_an_announcement_of_another_life_ends_no_run_of_a_worker_that_lives(writer):
+    machine = Guarantees()
+    machine.set_up_site()
+    worker, namesake = machine.cluster.worker_by_id["w0"], machine.cluster.namesake
+    earlier = worker.announcement()
+    worker.restart()
+    machine.run_rounds(20)
+    job_id = running_job_on(machine, worker)
+    for task in machine.cluster.worker_by_id["w1"].running:
+        task.state = "finished"  # Leaves room for a second run.
+    starts = len(machine.cluster.starts)
+    announcement = earlier if writer == "earlier life" else namesake.announcement()
+    machine.deliver_announcement(announcement, "e1")
+    run_checked_rounds(machine, 6)
+    assert [job for job, _, _ in machine.cluster.starts[starts:]].count(job_id) == 0
+    machine.teardown()
--- a/tests/targets/test_state.py
+++ b/tests/targets/test_state.py
@@ -132,6 +132,19 @@
     assert fleet.workers_by_id["w0"].standing == WorkerStanding.DRAINED
 
 
+# Guards against orders of the owner for one incarnation that count as known for another one.
+def test_a_new_incarnation_is_assigned_only_when_the_owner_has_released_the_earlier_one():
+    fleet, sessions = fleet_of(1), EntrySessions(0.0)
+    active_entries = list(fleet.entries_by_id.values())
+    record_sync(sessions, "e0", fleet.assignment_version, 1.0)
+    epoch = fleet.workers_by_id["w0"].epoch
+    fleet.register_worker(announcement_of("w0", "incarnation-2"), 2)
+    assert fleet.workers_by_id["w0"].epoch > epoch
+    assert assign_unowned(fleet, active_entries, sessions.has_acknowledged_release) == []
+    record_sync(sessions, "e0", fleet.assignment_version, 2.0)
+    assert len(assign_unowned(fleet, active_entries, sessions.has_acknowledged_release)) == 1
+
+
 def test_a_resent_change_of_standing_is_idempotent():
     fleet = fleet_of(1)
     drain = ChangeStanding("op", "w0", WorkerStanding.DRAINED, "")
