Own interface: an outcome names the life and the owner that it comes from

Cause: an outcome was settled by job and attempt alone. An owner that could not reach its worker concluded 'not run', and could not tell control before its lease ran out; the next owner started the same attempt, and the earlier one's outcome, sent before its first sync, then put the job back into the queue. A job that may not be repeated ran twice.

Change: AttemptOutcome carries the worker's incarnation and the owner's epoch. The ledger ignores an outcome of another life than that of the attempt, and 'not run' under another epoch than the worker's newest. Ends that a worker lists count under any epoch.

Outcomes in logs of before carry neither and count as they did.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -271,6 +271,20 @@
         "",
         GUARANTEES,
     ),
+    Mutant(
+        "an outcome counts only for the incarnation that the attempt was placed on",
+        _LEDGER,
+        "(outcome.worker_id, outcome.worker_incarnation) != job.life:",
+        "False:",
+        LEDGER,
+    ),
+    Mutant(
+        "only the newest owner says that an attempt has not run",
+        "control/state.py",
+        "return worker is None or worker.epoch != outcome.epoch",
+        "return False",
+        f"{GUARANTEES} tests/control/test_state.py",
+    ),
     Mutant(
         "an announcement ends no earlier incarnation",
         "control/leader_loop.py",
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -17,7 +17,7 @@
 from ..registry import registry_decorator
 from ..targets.state import Fleet
 from ..wire import codec
-from ..wire.generated.ttypes import Command, WorkerStanding
+from ..wire.generated.ttypes import Command, OutcomeKind, WorkerStanding
 
 _CONVERTER = make_converter()
 _HANDLER_BY_COMMAND: dict[str, Callable] = {}
@@ -102,7 +102,18 @@
 
 @_handles_command("settle_attempts")
 def _settle_attempts(state_machine: SiteStateMachine, command, at_ms: int):
-    return [state_machine.state.ledger.settle(outcome, at_ms) for outcome in command.outcomes]
+    ledger, workers = state_machine.state.ledger, state_machine.state.fleet.workers_by_id
+
+    def may_have_run(outcome) -> bool:
+        """Return whether a later owner than the one that reports may have started the attempt."""
+        if outcome.kind != OutcomeKind.NOT_RUN or outcome.epoch is None:
+            return False
+        worker = workers.get(outcome.worker_id)
+        return worker is None or worker.epoch != outcome.epoch
+
+    return [
+        not may_have_run(outcome) and ledger.settle(outcome, at_ms) for outcome in command.outcomes
+    ]
 
 
 @_handles_command("request_evictions")
--- a/src/savoryshelf/entry/attempts.py
+++ b/src/savoryshelf/entry/attempts.py
@@ -32,11 +32,13 @@
 
 @attrs.define
 class Attempt:
-    """One attempt on one worker."""
+    """One attempt on one worker, as its owner under one epoch knows it."""
 
     job_id: str
     attempt: int
     worker_id: str
+    incarnation: str
+    epoch: int
     demand: ResourceDemand
     state: AttemptState = AttemptState.ORDERED
     outcome: AttemptOutcome | None = None
@@ -56,7 +58,15 @@
     def end(self, kind: OutcomeKind, reason: str, **details) -> None:
         """Record the outcome; later outcomes are ignored."""
         if self.outcome is None:
-            self.outcome = AttemptOutcome(key=self.key, kind=kind, reason=reason, **details)
+            self.outcome = AttemptOutcome(
+                key=self.key,
+                kind=kind,
+                reason=reason,
+                worker_id=self.worker_id,
+                worker_incarnation=self.incarnation,
+                epoch=self.epoch,
+                **details,
+            )
         self.state = AttemptState.ENDED
 
 
@@ -75,12 +85,18 @@
     def __init__(self):
         self.by_id: dict[tuple[str, int], Attempt] = {}
 
-    def add(self, key: AttemptKey, worker_id: str, demand: ResourceDemand) -> Attempt | None:
+    def add(self, key: AttemptKey, target: OwnedTarget, demand: ResourceDemand) -> Attempt | None:
         """Add an attempt for a start order; return None if the attempt exists already."""
         attempt_id = (key.job_id, key.attempt)
         if attempt_id in self.by_id:
             return None
-        attempt = Attempt(key.job_id, key.attempt, worker_id, demand)
+        return self._add(attempt_id, target, demand)
+
+    def _add(
+        self, attempt_id: tuple[str, int], target: OwnedTarget, demand: ResourceDemand
+    ) -> Attempt:
+        incarnation = target.worker.incarnation
+        attempt = Attempt(*attempt_id, target.worker_id, incarnation, target.epoch, demand)
         self.by_id[attempt_id] = attempt
         return attempt
 
@@ -106,8 +122,7 @@
         attempt_id = (str(task["job_id"]), int(task["attempt"]))
         attempt = self.by_id.get(attempt_id)
         if attempt is None:
-            attempt = Attempt(*attempt_id, target.worker_id, demand_of_task(task))
-            self.by_id[attempt_id] = attempt
+            attempt = self._add(attempt_id, target, demand_of_task(task))
         kind = _KIND_BY_WORKER_STATE.get(task["state"])
         if kind is None:
             if attempt.state is not AttemptState.ENDED:
--- a/src/savoryshelf/entry/batch.py
+++ b/src/savoryshelf/entry/batch.py
@@ -144,7 +144,7 @@
             if order.worker_incarnation != target.worker.incarnation:
                 continue
             demand = ResourceDemand(order.cores, order.memory_mb, order.accelerators)
-            attempt = self.attempts.add(order.key, order.worker_id, demand)
+            attempt = self.attempts.add(order.key, target, demand)
             if attempt is not None:
                 eventlet.spawn_n(self._start, order, attempt, target)
 
--- a/src/savoryshelf/ledger/state.py
+++ b/src/savoryshelf/ledger/state.py
@@ -181,10 +181,15 @@
         return True
 
     def settle(self, outcome: AttemptOutcome, at_ms: int) -> bool:
-        """Record the outcome of an attempt; return whether this changed anything."""
+        """Record the outcome of an attempt; return whether this changed anything.
+
+        An outcome from another life than that on which the attempt was placed changes nothing.
+        """
         job = self.by_id.get(outcome.key.job_id)
         if job is None or job.attempt != outcome.key.attempt:
             return False
+        if outcome.worker_id and (outcome.worker_id, outcome.worker_incarnation) != job.life:
+            return False
         resolves_unknown = job.state is JobState.UNKNOWN and outcome.kind in (
             OutcomeKind.FINISHED,
             OutcomeKind.FAILED,
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -99,7 +99,9 @@
 
 struct AttemptOutcome {
   1: AttemptKey key, 2: OutcomeKind kind, 3: string reason, 4: optional binary result,
-  5: optional string checkpoint_id, 6: i64 run_ms
+  5: optional string checkpoint_id, 6: i64 run_ms,
+  /** The incarnation that the attempt was placed on, and the epoch of the owner that reports. */
+  7: optional string worker_id, 8: optional string worker_incarnation, 9: optional i64 epoch
 }
 
 /** Tells an entry host to start an attempt on a worker that it owns. */
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -1,3 +1,5 @@
+import pytest
+
 from savoryshelf.configuration.declarations import parse, to_document
 from savoryshelf.control.state import SiteStateMachine
 from savoryshelf.ledger.state import JobState
@@ -67,3 +69,35 @@
     state_machine = state_machine_with_running_job()
     job = ttypes.SubmitJob("x", "team", "key-3", "nothing", b"", False, "digest", "")
     assert apply(state_machine, submit_job=job).reason == "no_such_class"
+
+
+# Guards against an attempt that the next owner has started and an earlier one says never ran.
+@pytest.mark.parametrize("epoch", [0, 1, 2])
+def test_an_attempt_is_not_run_only_if_the_newest_owner_says_so(epoch):
+    state_machine = state_machine_with_running_job()
+    assert state_machine.state.fleet.workers_by_id["w0"].epoch == 1
+    key = ttypes.AttemptKey("job", 1, 0)
+    not_run = ttypes.AttemptOutcome(
+        key,
+        ttypes.OutcomeKind.NOT_RUN,
+        "unreachable",
+        worker_id="w0",
+        worker_incarnation="incarnation-1",
+        epoch=epoch,
+    )
+    assert apply(state_machine, settle_attempts=ttypes.SettleAttempts([not_run])) == [epoch == 1]
+
+
+def test_an_end_that_a_worker_listed_counts_under_any_epoch():
+    state_machine = state_machine_with_running_job()
+    key = ttypes.AttemptKey("job", 1, 0)
+    finished = ttypes.AttemptOutcome(
+        key,
+        ttypes.OutcomeKind.FINISHED,
+        "",
+        result=b"r",
+        worker_id="w0",
+        worker_incarnation="incarnation-1",
+        epoch=0,
+    )
+    assert apply(state_machine, settle_attempts=ttypes.SettleAttempts([finished])) == [True]
--- a/tests/ledger/test_state.py
+++ b/tests/ledger/test_state.py
@@ -59,6 +59,18 @@
     assert job.state is JobState.RUNNING
 
 
+# Guards against ends that one life of a worker takes from another one.
+@pytest.mark.parametrize("life", [("w0", "incarnation-2"), ("w1", "incarnation-1")])
+@pytest.mark.parametrize("kind", OutcomeKind)
+def test_an_outcome_from_another_life_than_that_of_the_attempt_changes_nothing(life, kind):
+    ledger, job = ledger_with_job()
+    other = outcome(kind, worker_id=life[0], worker_incarnation=life[1])
+    assert not ledger.settle(other, 2)
+    assert job.state is JobState.RUNNING
+    own = outcome(kind, worker_id="w0", worker_incarnation="incarnation-1")
+    assert ledger.settle(own, 3)
+
+
 def test_an_evicted_job_is_queued_again_with_its_checkpoint():
     ledger, job = ledger_with_job()
     ledger.settle(outcome(OutcomeKind.EVICTED, checkpoint_id="c1"), 2)
--- a/tests/promises/test_guarantees.py
+++ b/tests/promises/test_guarantees.py
@@ -411,3 +411,39 @@
     run_checked_rounds(machine, 6)
     assert [job for job, _, _ in machine.cluster.starts[starts:]].count(job_id) == 0
     machine.teardown()
+
+
+# Guards against a second run beside the first: an owner that could not reach its worker said "not
+# run" only after the next owner had started the same attempt.
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_an_earlier_owner_does_not_say_that_an_attempt_has_not_run(is_lost):
+    machine = Guarantees()
+    machine.set_up_site()
+    cluster = machine.cluster
+    for worker in cluster.processes:
+        for task in worker.running:
+            task.state = "finished"
+    machine.run_rounds(3)
+    machine.submit(5, True, False)
+    cluster.leader_loop._run_round()
+    job = cluster.state_machine.state.ledger.by_id["job-5"]
+    worker = cluster.worker_by_id[job.worker_id]
+    earlier, later = cluster.entry_by_name["e0"], cluster.entry_by_name["e1"]
+    if worker.owner is not earlier:
+        earlier, later = later, earlier
+    cluster.partitioned_links.add((earlier.name, worker.worker_id))
+    earlier.sync()
+    earlier.control.is_partitioned = True
+    assert [each.kind for each in earlier.batch.attempts.outcomes()] == [OutcomeKind.NOT_RUN]
+    machine.run_rounds(20)
+    assert worker.owner is later
+    assert cluster.running_attempts_of("job-5") == [(worker.name, 1)]
+    if is_lost:
+        cluster.partitioned_links.add((later.name, worker.worker_id))
+        machine.run_rounds(10)
+        assert job.state.value == "unknown"
+    earlier.control.is_partitioned = False
+    earlier.send_outcomes()
+    run_checked_rounds(machine, 4)
+    assert job.attempt == 1
+    machine.teardown()
