An end that cannot be read is not taken for a run that never ran

Cause: what could not be read of a worker's list of ends was left out, and the rest taken for the whole. A new agent did the same with its first poll.

Change: the runs that are not listed while such an end is new are noted as maybe ended. They are not missing, and the end is not acknowledged, until it can be read. Later ends are settled all the same, but failures, which count each time that they are settled.

Elsewhere: rows of runs that cannot be read hold all runs of the worker back, as before (docs/DESIGN.md); an end of an unknown kind counts as lost, as before (tests/platform/test_malformed.py).

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1537,4 +1537,32 @@
         "if not self.clock.has_reading:",
         DISPATCH + "/test_worker_session.py",
     ),
+    Mutant(
+        "an end that cannot be read is not acknowledged while it may be a run's",
+        _WORKER_SESSION,
+        "        if not self._maybe_ended_runs:\n",
+        "        if True:\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a run is not missing while its end may be listed and unreadable",
+        _WORKER_SESSION,
+        "            if key in self._maybe_ended_runs:\n",
+        "            if False:\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a run placed after an unreadable end was listed is not held back by it",
+        _WORKER_SESSION,
+        "        if not is_new or not unlisted:\n",
+        "        if not unlisted:\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a failure behind an unreadable end counts once",
+        _WORKER_SESSION,
+        "            or (end.outcome != RunOutcome.FAILED and (end.task",
+        "            or ((end.task",
+        "tests/dispatch/test_worker_session.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -117,7 +117,10 @@
     """Listed runs that could not be read: any run that is not in ``running`` may exist."""
 
     unreadable_ends: int = 0
-    """Listed ends that could not be read; they count as acknowledged with a later end."""
+    """Listed ends that could not be read: any run that is not listed may have ended so."""
+
+    unreadable_end_numbers: list[int] = attrs.field(factory=list)
+    """The numbers of these ends, of those whose number could be read."""
 
     may_omit_ends: bool = False
     """Whether the worker may have more ends: a run that is not listed may have ended."""
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -6,7 +6,7 @@
 
 - The worker reports its end.
 - A poll that lists all runs and ends does not list it, and was sent after the run's last start
-  or stop was confirmed.
+  or stop was confirmed; no listed end that cannot be read may be its end.
 - Another incarnation answers at the worker's address.
 - The worker does not answer after it announced its shutdown.
 - Every lease of the worker has expired.
@@ -90,6 +90,9 @@
 A new token makes a new session, which has to learn all runs of the worker again.
 """
 
+MAX_LOGGED_ITEMS = 40
+"""Bound on the numbers and runs that one log line names."""
+
 PERMISSION_CHECK_SECONDS = 0.05
 """How often a session without permission to call its worker checks for it, in seconds."""
 
@@ -181,6 +184,16 @@
         self._unknown_runs: set[tuple[str, int, str]] = set()
         """The runs of the last poll that the ledger does not have here, and how they ended."""
 
+        self._unreadable_numbers: frozenset[int] = frozenset()
+        self._unnumbered_ends = 0
+        """The listed ends that cannot be read: their numbers, and how many have none either."""
+
+        self._settled_up_to = 0
+        """The number up to which ends had been settled when these were listed."""
+
+        self._maybe_ended_runs: set[tuple[str, int]] = set()
+        """The runs of which they may be the ends."""
+
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
         self._start_slots = Semaphore(MAX_CONCURRENT_STARTS)
@@ -463,9 +476,10 @@
                 "worker:more_ends", worker=self.incarnation.worker_id, listed=len(result.ends),
                 seen_end=self.worker.record.seen_end, runs=len(self.worker.task_by_run),
             )  # fmt: skip
+        self._note_unreadable_ends(result, ended_runs)
+        ends, seen_end = self._settleable_ends(ends)
         ends += self._missing_runs(result, ended_runs, sent_at)
         if ends:
-            seen_end = max(end.number for end in ends)
             self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
         self._stop_unexpected_runs(ended_runs)
@@ -491,6 +505,51 @@
             )  # fmt: skip
         self._unknown_runs = unknown
 
+    def _note_unreadable_ends(self, result: PollResult, ended_runs: set) -> None:
+        """Note which runs the listed ends that cannot be read may be ends of.
+
+        A run that is placed after such an end was first listed is none of them.
+        """
+        settled_up_to = self.worker.record.seen_end
+        numbers = frozenset(n for n in result.unreadable_end_numbers if n > settled_up_to)
+        unnumbered = result.unreadable_ends - len(result.unreadable_end_numbers)
+        # Without a number, an end cannot be told from one listed before the last acknowledgement.
+        known_unnumbered = self._unnumbered_ends if settled_up_to == self._settled_up_to else 0
+        is_new = bool(numbers - self._unreadable_numbers) or unnumbered > known_unnumbered
+        self._unreadable_numbers, self._unnumbered_ends = numbers, unnumbered
+        self._settled_up_to = settled_up_to
+        unlisted = self.worker.task_by_run.keys() - self.status_by_run.keys() - ended_runs
+        self._maybe_ended_runs &= unlisted if numbers or unnumbered else set()
+        if not is_new or not unlisted:
+            return
+        self._maybe_ended_runs |= unlisted - self._undelivered_starts
+        names = sorted(f"{task}:{run}" for task, run in self._maybe_ended_runs)
+        log_event(
+            "worker:unreadable_ends", worker=self.incarnation.worker_id, runs=len(names),
+            numbers=sorted(numbers)[:MAX_LOGGED_ITEMS], without_number=unnumbered,
+            maybe_ended=names[:MAX_LOGGED_ITEMS],
+        )  # fmt: skip
+
+    def _settleable_ends(self, ends: list[RunEnd]) -> tuple[list[RunEnd], int]:
+        """Return the ends to be settled now, and the number up to which they are acknowledged.
+
+        An end that cannot be read is not acknowledged while a run may have ended so: that run may
+        be done, and then its task must not start again.  Later ends are settled all the same,
+        but a failure counts each time that it is settled, so it waits.
+        """
+        if not self._maybe_ended_runs:
+            return ends, max((end.number for end in ends), default=0)
+        last = self.worker.record.seen_end
+        if not self._unnumbered_ends:
+            last = min(self._unreadable_numbers) - 1
+        settled = [
+            end
+            for end in ends
+            if end.number <= last
+            or (end.outcome != RunOutcome.FAILED and (end.task, end.run) in self.worker.task_by_run)
+        ]
+        return settled, max((end.number for end in settled if end.number <= last), default=0)
+
     def _expire_exclusions(self) -> None:
         now = self._agent.now()
         for image in [i for i, until in self._excluded_until_by_image.items() if until <= now]:
@@ -504,6 +563,8 @@
         for key in self.worker.task_by_run:
             if key in self._starts_in_flight or key in self.status_by_run or key in ended_runs:
                 continue
+            if key in self._maybe_ended_runs:
+                continue
             if self._confirmed_at_by_run.get(key, float("inf")) < sent_at:
                 missing.append(RunEnd(*key, RunOutcome.NEVER_RAN, "", 0))
                 log_event("run:missing", task=key[0], run=key[1], worker=self.incarnation.worker_id)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -48,6 +48,18 @@
         self.unreadable_runs = 0
         """Rows of each poll that cannot be read; with any, a poll is answered at once."""
 
+        self.unreadable_ends = set()
+        """Numbers of the ends whose rows cannot be read."""
+
+        self.has_unreadable_numbers = False
+        """Whether the numbers in these rows cannot be read either."""
+
+        self.foreign_rows = 0
+        """Rows in each list of ends that nothing can be read of, and no end of this worker."""
+
+        self.acknowledged = 0
+        """The number up to which ends were acknowledged, and are forgotten."""
+
         self.lists_before_waiting = False
         """Whether a long poll lists the runs as of its arrival instead of its answer."""
 
@@ -108,23 +120,27 @@
             raise self.poll_error
         if deadline_ms:
             self.deadlines.append(deadline_ms)
+        self.acknowledged = max(self.acknowledged, seen_end)
         running_before_wait = list(self.running.values()) if self.lists_before_waiting else None
         for _ in range(wait_ms // 20):
             if any(end.number > seen_end for end in self.ends) or "poll" in self.unanswered_calls:
                 break
-            if self.unreadable_runs:
+            if self.unreadable_runs or self.foreign_rows:
                 eventlet.sleep(0.001)
                 break
             eventlet.sleep(0.02)
             if self.has_crashed:
                 raise WorkerUnresponsive("connection reset")
-        ends = [end for end in self.ends if end.number > seen_end]
+        ends = [end for end in self.ends if end.number > self.acknowledged]
+        listed = ends[:MAX_LISTED_ENDS]
+        odd = [end.number for end in listed if end.number in self.unreadable_ends]
         running = (
             list(self.running.values()) if running_before_wait is None else running_before_wait
         )
         return PollResult(
-            self.clock_ms(), running, ends[:MAX_LISTED_ENDS], self.unreadable_runs,
-            may_omit_ends=len(ends) >= MAX_LISTED_ENDS,
+            self.clock_ms(), running, [end for end in listed if end.number not in odd],
+            self.unreadable_runs, len(odd) + self.foreign_rows,
+            [] if self.has_unreadable_numbers else odd, len(ends) >= MAX_LISTED_ENDS,
         )  # fmt: skip
 
     def set_speed(self, incarnation, task, run, speed_percent, fencing_token):
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -781,3 +781,110 @@
     assert worker.calls.count("poll") > polls
     worker.unanswered_calls = {"poll", "start", "stop"}
     wait_until(lambda: agent.end_reasons == ["lease expired"], 3.0)
+
+
+@pytest.fixture(params=[False, True], ids=["numbered", "without number"])
+def two_runs(request):
+    """Yield a ledger, a worker, its agent and two runs there; unreadable ends may lack numbers."""
+    task_ledger, worker = ledger(), FakeWorker()
+    worker.has_unreadable_numbers = request.param
+    accept(task_ledger, step(2))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(2)]
+    for task in tasks:
+        record_intent(task_ledger, task)
+    session, agent = make_session(task_ledger, worker)
+    for task in tasks:
+        session.start(task, 1)
+    wait_until(lambda: len(session.status_by_run) == 2)
+    agent.session = session
+    yield task_ledger, worker, agent, tasks
+    # The newest session: a test may have replaced the first one.
+    agent.session.close()
+
+
+def take_over(task_ledger, worker, agent):
+    agent.session.close()
+    (known,) = task_ledger.worker_by_incarnation.values()
+    task_ledger.assign_agents([AgentAssignment(known.record.life, "c1.disk/1")], 6)
+    agent.session = worker_session.WorkerSession(agent, known, LEASE_MS)
+
+
+# Guards against a second run of a task that is done: its end cannot be read, and was acknowledged
+# with a later one; a run that a list did not hold counted as one that never ran.
+@pytest.mark.parametrize("is_taken_over", [False, True])
+def test_an_end_that_cannot_be_read_is_not_taken_for_a_run_that_never_ran(two_runs, is_taken_over):
+    task_ledger, worker, agent, (odd, other) = two_runs
+    worker.unreadable_ends = {1}
+    worker.end(odd, 1, RunOutcome.DONE)
+    worker.end(other, 1, RunOutcome.DONE)
+    # What can be read does not wait.
+    wait_until(lambda: task_ledger.find_task(other).done)
+    if is_taken_over:
+        take_over(task_ledger, worker, agent)
+    eventlet.sleep(0.8)
+    assert worker.acknowledged == 0
+    assert task_ledger.find_task(odd).incarnation_by_run
+    worker.unreadable_ends = set()
+    wait_until(lambda: task_ledger.find_task(odd).done)
+
+
+# Guards against a failure that counts twice: it is listed until it is acknowledged.
+def test_a_failure_listed_behind_an_end_that_cannot_be_read_counts_once(two_runs):
+    task_ledger, worker, _, (odd, other) = two_runs
+    worker.unreadable_ends = {1}
+    worker.end(odd, 1, RunOutcome.STOPPED)
+    worker.end(other, 1, RunOutcome.FAILED)
+    eventlet.sleep(0.8)
+    assert worker.acknowledged == 0
+    assert task_ledger.find_task(odd).incarnation_by_run
+    worker.unreadable_ends = set()
+    wait_until(lambda: not task_ledger.find_task(other).incarnation_by_run)
+    eventlet.sleep(0.4)
+    assert [task_ledger.find_task(task).failures for task in (odd, other)] == [0, 1]
+
+
+# Guards against ends that the worker lists for good, up to the most that it lists in one answer.
+def test_ends_are_acknowledged_up_to_the_first_that_cannot_be_read():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(3))
+    tasks = [f"{JOB}.0.0.{index}" for index in range(3)]
+    for task in tasks:
+        record_intent(task_ledger, task)
+    session, _ = make_session(task_ledger, worker)
+    for task in tasks:
+        session.start(task, 1)
+    wait_until(lambda: len(session.status_by_run) == 3)
+    worker.unreadable_ends = {2}
+    for task in tasks:
+        worker.end(task, 1, RunOutcome.DONE)
+    wait_until(lambda: worker.acknowledged == 1)
+    wait_until(lambda: task_ledger.find_task(tasks[2]).done)
+    assert task_ledger.find_task(tasks[1]).incarnation_by_run
+    session.close()
+
+
+# Guards against tasks that wait for good for a row that is no end of theirs: all runs were listed,
+# or placed later.
+def test_work_goes_on_beside_a_row_that_is_the_end_of_no_run(two_runs):
+    task_ledger, worker, agent, (task, other) = two_runs
+    worker.foreign_rows = 1
+    worker.end(other, 1, RunOutcome.FAILED)
+    wait_until(lambda: worker.acknowledged == 1)
+    wait_until(lambda: task_ledger.find_task(other).failures == 1)
+    worker.unanswered_calls = {"start"}
+    assert record_intent(task_ledger, other, 2)
+    agent.session.start(other, 2)
+    wait_until(lambda: not task_ledger.find_task(other).incarnation_by_run)
+    worker.unanswered_calls = set()
+    worker.end(task, 1, RunOutcome.DONE)
+    wait_until(lambda: task_ledger.find_task(task).done)
+
+
+# Guards against an end of an unknown run that keeps all later ends from being acknowledged.
+def test_an_end_that_cannot_be_read_is_acknowledged_if_it_is_the_end_of_no_run_here(two_runs):
+    task_ledger, worker, _, (_, other) = two_runs
+    worker.unreadable_ends = {1}
+    worker.end("stray.0.0.0", 1, RunOutcome.DONE)
+    worker.end(other, 1, RunOutcome.DONE)
+    wait_until(lambda: worker.acknowledged == 2)
+    assert task_ledger.find_task(other).done
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -142,6 +142,7 @@
     result = _decode_poll_result(body)
     assert [end.task for end in result.ends] == ["a.0.0.2"]
     assert result.unreadable_ends == 1
+    assert result.unreadable_end_numbers == ([4] if position == 2 else [])
 
 
 NESTED = orjson.loads(b"[" * 900 + b"]" * 900)
@@ -161,6 +162,19 @@
     assert len(result.ends) == 1
 
 
+# Guards against an error that leaves a whole list unread, and against numbers that cannot be sent.
+@pytest.mark.parametrize(
+    ("row", "numbers"),
+    [(5, []), (None, []), ([], []), ([7], [7]), (["7"], []), ([True, "a"], []), ([NESTED], []),
+     ([7, 5, 1, "done", ""], [7]), ([2**63, "a"], []), ({"0": 7}, []), ([7, "a", 1], [7])],
+    ids=lambda value: str(value)[:20],
+)  # fmt: skip
+def test_the_number_of_an_end_that_cannot_be_read_is_known_if_it_can_be_read(row, numbers):
+    result = _decode_poll_result(POLL_RESULT | {"endedRuns": [row]})
+    assert result.ends == [] and result.unreadable_ends == 1
+    assert result.unreadable_end_numbers == numbers
+
+
 @pytest.mark.parametrize("how", ["preempted", None, 5, []], ids=str)
 def test_an_end_of_an_unknown_kind_is_no_result(how):
     body = POLL_RESULT | {"endedRuns": [[3, "a.0.0.2", 1, how, None]]}
