A worker's state is that of its present session

Cause: a call of a dropped session that failed late had the session's state reported, and the leader took the newest report for the newest state, also of an earlier agent. A state under another token than the worker's counts for nothing, so the worker got no runs until its present session had news, which an idle one never has.

Change: a dropped session reports no state, and the leader keeps the state with the highest token.

Elsewhere: ends and losses go by tokens already.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1565,4 +1565,11 @@
         "            or ((end.task",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a late state of an earlier agent does not replace that of the present one",
+        "dispatch/agent_fleet.py",
+        "if known_worker and state.fencing_token < known_worker.state.fencing_token:",
+        "if False:",
+        DISPATCH + "/test_agent_fleet.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -378,6 +378,9 @@
 
     def state_changed(self, session: WorkerSession) -> None:
         """Report the state of a session as soon as possible."""
+        if session.is_closed:
+            # The worker's next session reports what it finds itself.
+            return
         self._changed_sessions.add(session)
         self._wake_up_report()
 
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -82,6 +82,10 @@
             report.timer_lag_seconds,
         )  # fmt: skip
         for state in report.states:
+            known_worker = self._worker_by_incarnation.get(incarnation_key(state.life))
+            if known_worker and state.fencing_token < known_worker.state.fencing_token:
+                # Of an earlier agent, or of an earlier session of the same.
+                continue
             excluded_until = {i: now + ms / 1000 for i, ms in state.exclusion_ms_by_image.items()}
             self._worker_by_incarnation[incarnation_key(state.life)] = _KnownWorker(
                 report.agent_id, state, excluded_until
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -4,11 +4,14 @@
 import pytest
 
 from savoryshelf.dispatch import assignment, crash_log
+from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
-from savoryshelf.dispatch.worker_api import StartResult
+from savoryshelf.dispatch.worker_api import StartResult, WorkerUnresponsive
 from savoryshelf.tasks import snapshot
 from savoryshelf.wire.generated.ttypes import (
+    AgentAssignment,
+    AssignAgents,
     CancelTasks,
     EndLives,
     RunEnd,
@@ -110,7 +113,7 @@
     assert len(worker.calls) == calls
 
 
-def test_an_agent_that_has_not_applied_the_newest_assignment_makes_no_calls(large_group):
+def test_an_agent_that_has_not_applied_the_newest_givenmakes_no_calls(large_group):
     group = large_group
     host = group.agent_host()
     agent = group.agent_by_host[host]
@@ -247,8 +250,28 @@
         agent.incarnation_ended(session, "another incarnation answers")
         agent.start_rejected(session, TASK, 1, StartResult.UNHEALTHY)
         agent.settle_ends(session, 1, [RunEnd(TASK, 1, RunOutcome.DONE, "", 1)])
+        agent.state_changed(session)
         assert agent._ended_lives == {}
         assert agent._settlements == []
+        assert session not in agent._changed_sessions
+
+
+# Guards against a worker that gets no runs until its state changes, which may be never: a call of a
+# dropped session that failed late had that session's state reported, under its earlier token.
+def test_a_call_that_fails_after_its_session_was_dropped_hides_the_worker_from_no_one(group):
+    agent, earlier = next(
+        (a, s) for a in group.agent_by_host.values() for s in a.session_by_incarnation.values()
+    )
+    given = AgentAssignment(earlier.worker.record.life, agent.agent_id)
+    group.append_command(assign_agents=AssignAgents([given], 1))
+    wait_until(lambda: earlier.is_closed and agent.session_by_incarnation)
+    (session,) = agent.session_by_incarnation.values()
+    wait_until(lambda: session.is_responsive)
+    eventlet.sleep(2 * REPORT_INTERVAL_SECONDS)
+    earlier._mark_unresponsive(WorkerUnresponsive("no answer"))
+    eventlet.sleep(2 * REPORT_INTERVAL_SECONDS)
+    group.submit()
+    wait_until(lambda: only_worker(group).starts, 2.0)
 
 
 # Guards against a task that waits for good: its start was not answered, nor was any stop, while
--- a/tests/dispatch/test_agent_fleet.py
+++ b/tests/dispatch/test_agent_fleet.py
@@ -75,6 +75,16 @@
     assert not view.is_responsive
 
 
+# Guards against a worker that gets no runs until its state changes, which may be never: a late
+# report of its earlier agent replaced what its present one had said.
+def test_a_late_state_of_an_earlier_agent_does_not_replace_that_of_the_present_one():
+    fleet = AgentFleet()
+    fleet.record_report(report(states=[state(token=2)]), 0.0)
+    fleet.record_report(report(states=[state(token=1)], agent_id="c2.disk/1"), 0.1)
+    (view,) = fleet.views([worker_with_token(2)], 0.1)
+    assert view.is_responsive
+
+
 def test_a_state_counts_only_under_the_token_of_the_present_agent():
     fleet = AgentFleet()
     fleet.record_report(report(states=[state(token=1)]), 0.0)
