--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1572,4 +1572,11 @@
         "if False:",
         DISPATCH + "/test_agent_fleet.py",
     ),
+    Mutant(
+        "an unreadable end without a number is not taken for one that was acknowledged",
+        _WORKER_SESSION,
+        " if settled_up_to == self._settled_up_to else 0",
+        "",
+        "tests/dispatch/test_worker_session.py",
+    ),
 ]
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -888,3 +888,19 @@
     worker.end(other, 1, RunOutcome.DONE)
     wait_until(lambda: worker.acknowledged == 2)
     assert task_ledger.find_task(other).done
+
+
+# Guards against a second run of a task that is done: two rows of which nothing can be read look
+# alike, and the one that was listed first is forgotten as the other one appears.
+def test_an_end_that_cannot_be_read_is_not_taken_for_one_that_was_acknowledged(two_runs):
+    task_ledger, worker, agent, (odd, other) = two_runs
+    agent.session._threads[0].kill()
+    worker.unreadable_ends = {1, 3}
+    worker.end("stray.0.0.0", 1, RunOutcome.DONE)
+    worker.end(other, 1, RunOutcome.DONE)
+    agent.session._poll_now()
+    assert task_ledger.find_task(other).done
+    worker.end(odd, 1, RunOutcome.DONE)
+    agent.session._poll_now()
+    assert worker.acknowledged == 2
+    assert task_ledger.find_task(odd).incarnation_by_run
