Own interface: an adoption renews no task lease

Cause: the worker counted a lease from each adoption that reached it, the owner only from one that was answered. A worker whose answers were lost was taken for lost 16 s after its owner had got it, while each of these calls, and one that came late, had renewed its lease: the tasks went on beside their second runs.

Change: only the answer to a report renews, counted by the worker from before it sent it. A worker reports at once after an adoption; until then its owner sends no start, and counts what the owner before it may have granted. The stand-in also ends each task itself when its lease has run out; it used to do so only after its next report or announcement, which may wait for 2 s.

test_an_adoption_without_a_reply_does_not_let_tasks_outlive_the_loss_of_their_worker failed before (two runs at once). test_a_worker_never_adopted_may_have_been_renewed_by_its_last_owner set a state that can't be, not adopted but renewed; its replacement has both states that can.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -418,6 +418,20 @@
         "",
         "tests/entry/test_worker_lives.py",
     ),
+    Mutant(
+        "an adoption renews no task lease",
+        "entry/targets.py",
+        "        if not self.has_renewed:\n",
+        "        if not self.adopted:\n",
+        "tests/entry/test_state.py",
+    ),
+    Mutant(
+        "a start waits until a report has renewed the lease",
+        _BATCH,
+        " or not target.has_renewed",
+        "",
+        "tests/entry/test_batch.py",
+    ),
     Mutant(
         "a response without an explicit length is rejected",
         "entry/worker_client.py",
--- a/src/savoryshelf/entry/batch.py
+++ b/src/savoryshelf/entry/batch.py
@@ -80,7 +80,7 @@
             abandoned = AbandonedRequest(demand_of_task(running), now)
             target.abandoned_by_id[running["request_id"]] = abandoned
         self.attempts.handle_report(target, adoption["tasks"])
-        target.last_report_at = target.renewed_at = now
+        target.last_report_at = now
         target.adopted = True
         self.wake_outcomes()
         self._wake_queued()
@@ -139,7 +139,7 @@
         """Start the ordered attempts; an attempt that is known already is not started again."""
         for order in orders:
             target = self._state.targets.by_id.get(order.worker_id)
-            if target is None or not target.adopted:
+            if target is None or not target.adopted or not target.has_renewed:
                 continue  # Not acknowledged, so control orders it again.
             if order.worker_incarnation != target.worker.incarnation:
                 continue
--- a/src/savoryshelf/entry/targets.py
+++ b/src/savoryshelf/entry/targets.py
@@ -71,6 +71,11 @@
         """Return the worker's id."""
         return self.worker.worker_id
 
+    @property
+    def has_renewed(self) -> bool:
+        """Return whether this owner has answered a report, which alone renews the task lease."""
+        return self.renewed_at > float("-inf")
+
     @property
     def outstanding(self) -> int:
         """Return how many slots are, or may be, in use."""
@@ -191,11 +196,11 @@
     def lease_has_expired(self, now: float, entry_lease_s: float) -> bool:
         """Return whether the task lease has expired, so that the worker stopped its tasks.
 
-        The previous owner may have renewed a worker that is not adopted yet until
-        its own lease expired.
+        Until this owner has answered a report, the previous one may have renewed it
+        until its own lease expired.  An adoption renews nothing: it may arrive late.
         """
         last_contact_at, lease_seconds = self.renewed_at, self.task_lease_s
-        if not self.adopted:
+        if not self.has_renewed:
             last_contact_at, lease_seconds = self.owned_since, self.task_lease_s + entry_lease_s
         return now > granter_deadline(last_contact_at, lease_seconds)
 
--- a/standins/host.py
+++ b/standins/host.py
@@ -136,23 +136,24 @@
                 self._report()
             else:
                 self._post(random.choice(self._entry_urls) + "/v1/targets", worker.announcement())
-            if worker.owner_url and time.monotonic() > worker.lease_deadline:
+            if time.monotonic() > worker.lease_deadline:
                 worker.stop_all("lease ran out")
+            if time.monotonic() > worker.owner_deadline:
                 worker.owner_url = ""
             self._wait()
 
     def _wait(self) -> None:
-        """Wait until the next report or announcement is due, or shortly after an attempt ends."""
+        """Wait until a report or announcement is due; at once after an end or an adoption."""
         worker = self.worker
         seconds = worker.report_interval_s if worker.owner_url else ANNOUNCE_SECONDS
         if any(task.state != "running" for task in worker.task_by_attempt_id.values()):
             # An ended attempt is unacknowledged: the owner may still be reporting it to control.
             seconds = min(seconds, 0.2)
         with eventlet.Timeout(seconds * random.uniform(0.9, 1.1), False):
-            worker.attempt_ended.wait()
+            worker.report_due.wait()
             eventlet.sleep(REPORT_DELAY_SECONDS)
-        if worker.attempt_ended.ready():
-            worker.attempt_ended = Event()
+        if worker.report_due.ready():
+            worker.report_due = Event()
 
     def _report(self) -> None:
         worker = self.worker
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -117,13 +117,16 @@
         self.epoch = -1
         self.owner_url = ""
         self.lease_deadline = 0.0
+        self.owner_deadline = 0.0
+        """Until when to go on reporting to an owner that does not answer."""
+
         self.lease_s = 10.0
         self.report_interval_s = 2.0
         self.leaving = False
         self.task_by_attempt_id: dict[tuple[str, int], Task] = {}
         self.critical_demand_by_id: dict[str, tuple[float, float]] = {}
         self.checkpoints: dict[str, float] = {}
-        self.attempt_ended = Event()
+        self.report_due = Event()
         self.last_usage: dict = {}
         self._refused_attempts: set[tuple[str, int]] = set()
 
@@ -205,7 +208,7 @@
         if self.leaving:
             raise RequestRejected("leaving")
         if not self.owner_url or time.monotonic() > self.lease_deadline:
-            # The work may have been given to other workers: start nothing until adopted again.
+            # The work may have been given to other workers: start nothing until it is renewed.
             raise RequestRejected("lease")
         self._require_capacity(*demand)
         request_spec = read_request_spec(body)
@@ -225,6 +228,9 @@
         step_s = 0.02
         while task.done_s < task.run_s or self.behaviour.hangs:
             eventlet.sleep(step_s)
+            if time.monotonic() > self.lease_deadline:
+                self._end(task, "stopped", reason="lease ran out")
+                return
             task.done_s += step_s * task.throttle / self.slowdown()
         if self.behaviour.fails_everything:
             self._end(task, "failed", reason="this stand-in fails everything")
@@ -236,8 +242,12 @@
         if state != "finished":
             task.result = b""
         self._record_event("end", task, state=state)
-        if not self.attempt_ended.ready():
-            self.attempt_ended.send(None)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the next report be sent at once."""
+        if not self.report_due.ready():
+            self.report_due.send(None)
 
     def stop(self, attempt_id: tuple[str, int], checkpoint: bool) -> None:
         """Stop an attempt; with a checkpoint it can be resumed elsewhere."""
@@ -275,12 +285,16 @@
     # ----------------------------------------------------------- owner and lease
 
     def adopt(self, epoch: int, owner_url: str, lease_s: float, report_interval_s: float) -> dict:
-        """Accept a new owner; calls with an older epoch are rejected afterwards."""
+        """Accept a new owner; calls with an older epoch are rejected afterwards.
+
+        Only the answer to a report renews the lease: this call may arrive late.
+        """
         if epoch < self.epoch:
             raise NotOwner("epoch")
         self.epoch, self.owner_url = epoch, owner_url
         self.lease_s, self.report_interval_s = lease_s, report_interval_s
-        self.lease_deadline = time.monotonic() + lease_s
+        self.owner_deadline = time.monotonic() + lease_s
+        self.wake()
         return {
             "incarnation": self.incarnation,
             "tasks": [task.view() for task in self.task_by_attempt_id.values()],
@@ -294,7 +308,7 @@
         """Renew the lease from the owner's reply to a report, and drop acknowledged attempts."""
         self.lease_s = reply["lease_s"]
         self.report_interval_s = reply["report_interval_s"]
-        self.lease_deadline = requested_at + self.lease_s
+        self.lease_deadline = self.owner_deadline = requested_at + self.lease_s
         for acknowledged in reply["acknowledged"]:
             self.task_by_attempt_id.pop((acknowledged["job_id"], acknowledged["attempt"]), None)
 
--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -68,6 +68,18 @@
     assert kinds(host) == {"a": OutcomeKind.NOT_RUN}
 
 
+def test_a_start_waits_until_a_report_has_renewed_the_lease(host):
+    target = host.state.targets.by_id["w0"]
+    target.renewed_at = float("-inf")
+    start(host, order("a"))
+    assert host.client.started == []
+    assert host.attempts.attempt_keys() == [], "control orders it again"
+    report = {"incarnation": "incarnation-1", "critical": [], "tasks": []}
+    assert host.handle_report("w0", 1, report) is not None
+    start(host, order("a"))
+    assert host.client.started == [("a", 1)]
+
+
 def test_a_start_for_another_incarnation_of_the_worker_is_ignored(host):
     start(host, order("a", incarnation="incarnation-0"))
     assert host.client.started == []
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -93,10 +93,11 @@
     assert target.lease_has_expired(end + 0.01, ENTRY_LEASE_SECONDS)
 
 
-def test_a_worker_never_adopted_may_have_been_renewed_by_its_last_owner():
+@pytest.mark.parametrize("adopted", [False, True])
+def test_a_worker_may_have_been_renewed_by_its_last_owner_until_a_report_was_answered(adopted):
     clock = ManualClock()
     target = entry_state(clock, owned("w0")).targets.by_id["w0"]
-    target.adopted = False
+    target.adopted, target.renewed_at = adopted, float("-inf")
     end = granter_deadline(clock.now, target.task_lease_s + ENTRY_LEASE_SECONDS)
     assert not target.lease_has_expired(end - 0.01, ENTRY_LEASE_SECONDS)
     assert target.lease_has_expired(end + 0.01, ENTRY_LEASE_SECONDS)
--- a/tests/entry/test_worker_lives.py
+++ b/tests/entry/test_worker_lives.py
@@ -1,6 +1,7 @@
 """The real calls of an entry host, over a socket, to the stand-in worker at an address."""
 
 import threading
+import time
 
 import pytest
 from werkzeug.serving import make_server
@@ -52,6 +53,12 @@
     address.server.server_close()
 
 
+def renew(worker):
+    """Let the worker's lease begin, as the answer to a report does."""
+    reply = {"lease_s": 10.0, "report_interval_s": 1.0, "acknowledged": []}
+    worker.renew_lease(time.monotonic(), reply)
+
+
 def adopt(client, target):
     return client.adopt(target, "http://127.0.0.1:1", 10.0, 1.0)
 
@@ -79,9 +86,10 @@
 
 
 def test_each_call_is_answered_by_the_life_that_it_is_meant_for(address, call):
-    address.start_worker()
+    worker = address.start_worker()
     client, target = WorkerClient("token"), address.target()
     adopt(client, target)
+    renew(worker)
     call(client, target)
 
 
@@ -98,8 +106,20 @@
     later = address.start_worker(later_id)
     if is_adopted:
         client.adopt(address.target(), "http://127.0.0.1:2", 10.0, 1.0)
+        renew(later)
     owner_url = later.owner_url
     with pytest.raises(WorkerRefused):
         call(client, earlier)
     assert later.owner_url == owner_url
     assert not later.task_by_attempt_id
+
+
+# Guards against tasks that go on although others have been given the work: an adoption that
+# arrives late renews nothing.
+def test_an_adoption_renews_no_lease(address):
+    worker = address.start_worker()
+    adopt(WorkerClient("token"), address.target())
+    with pytest.raises(WorkerRefused) as refusal:
+        start(WorkerClient("token"), address.target())
+    assert refusal.value.reason == "lease"
+    assert worker.report_due.ready(), "the first report follows at once"
--- a/tests/promises/fakes.py
+++ b/tests/promises/fakes.py
@@ -157,6 +157,7 @@
         self.epoch = -1
         self.owner = None
         self.lease_deadline = 0.0
+        self.owner_deadline = 0.0
         self.task_by_attempt_id = {}
         self.refused_attempt_ids = set()
 
@@ -184,7 +185,7 @@
         if epoch < self.epoch:
             raise WorkerRefused(self.worker_id, "epoch")
         self.epoch, self.owner = epoch, owner
-        self.lease_deadline = self.cluster.clock.now + lease_s
+        self.owner_deadline = self.cluster.clock.now + lease_s
         tasks = [task.view() for task in self.task_by_attempt_id.values()]
         return {"incarnation": self.incarnation, "tasks": tasks, "critical": []}
 
@@ -216,9 +217,10 @@
         return False
 
     def stop_tasks_if_lease_expired(self):
-        if self.owner is not None and self.cluster.clock.now > self.lease_deadline:
+        if self.cluster.clock.now > self.lease_deadline:
             for task in self.running:
                 task.state = "stopped"
+        if self.cluster.clock.now > self.owner_deadline:
             self.owner = None
 
     def report(self):
@@ -240,7 +242,7 @@
         if reply is None:
             entry.state.add_announcement(self.announcement())
         else:
-            self.lease_deadline = requested_at + reply["lease_s"]
+            self.lease_deadline = self.owner_deadline = requested_at + reply["lease_s"]
             for each in reply["acknowledged"]:
                 self.task_by_attempt_id.pop((each["job_id"], each["attempt"]), None)
 
@@ -250,12 +252,14 @@
 
     ``fault`` selects what happens to starts: "none"; "lost", the request never arrives; "late", it
     is put into ``Cluster.late_starts``; "reply lost", the task starts and the caller gets no reply.
+    With ``loses_adopt_replies``, workers are adopted and the caller gets no reply.
     """
 
     def __init__(self, cluster, entry_name):
         self._cluster = cluster
         self._entry_name = entry_name
         self.fault = "none"
+        self.loses_adopt_replies = False
 
     def _worker(self, target):
         if (self._entry_name, target.worker_id) in self._cluster.partitioned_links:
@@ -269,7 +273,10 @@
 
     def adopt(self, target, owner_url, lease_s, report_s):
         entry = self._cluster.entry_by_name[self._entry_name]
-        return self._worker(target).adopt(target.epoch, entry, lease_s)
+        answer = self._worker(target).adopt(target.epoch, entry, lease_s)
+        if self.loses_adopt_replies:
+            raise WorkerUnresponsive("reply lost")
+        return answer
 
     def start_attempt(self, target, order):
         worker = self._worker(target)
--- a/tests/promises/test_guarantees.py
+++ b/tests/promises/test_guarantees.py
@@ -251,6 +251,10 @@
         links = self.cluster.partitioned_links
         links.add((name, worker_id)) if partitioned else links.discard((name, worker_id))
 
+    @rule(name=entry_names, lost=st.booleans())
+    def lose_adopt_replies(self, name, lost):
+        self.cluster.entry_by_name[name].workers.loses_adopt_replies = lost
+
     @rule(worker_id=worker_ids, moves=st.booleans())
     def restart_worker(self, worker_id, moves):
         worker = self.cluster.worker_by_id[worker_id]
@@ -333,6 +337,7 @@
         cluster.partitioned_links.clear()
         for entry in cluster.entry_by_name.values():
             entry.is_frozen = entry.control.is_partitioned = False
+            entry.workers.loses_adopt_replies = False
         for worker_id in cluster.worker_by_id:
             self.drain_or_return(worker_id, False)
         for _ in range(80):
@@ -447,3 +452,22 @@
     run_checked_rounds(machine, 4)
     assert job.attempt == 1
     machine.teardown()
+
+
+# Guards against a second run beside the first: a worker whose adoption got no answer was taken for
+# lost, while each of these calls had renewed its lease.
+def test_an_adoption_without_a_reply_does_not_let_tasks_outlive_the_loss_of_their_worker():
+    machine = Guarantees()
+    machine.set_up_site()
+    cluster = machine.cluster
+    worker = cluster.worker_by_id["w0"]
+    job_id = running_job_on(machine, worker)
+    for task in cluster.worker_by_id["w1"].running:
+        task.state = "finished"  # Leaves room for a second run.
+    worker.owner.start()
+    for entry in cluster.entry_by_name.values():
+        entry.workers.loses_adopt_replies = True
+    run_checked_rounds(machine, 30)
+    ledger = cluster.state_machine.state.ledger
+    assert ledger.by_id[job_id].attempt == 2
+    machine.teardown()
