Own interface: the longest task lease that a worker may hold is waited out

Cause: the owner reckoned a lapse by the lease of the configuration at the time when it got the worker, and granted by the one in force. After a change from 20 s to 4 s, or up from 4 s under the same owner, a worker counted as lost while it held the longer lease, and its jobs ran twice at once.

The leader waits as long for earlier lives.

test_a_worker_is_not_lost_before_the_longest_lease_that_it_was_granted and test_a_worker_is_not_lost_while_it_may_hold_a_longer_lease_of_an_earlier_configuration failed before. Two mutants are seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -418,11 +418,25 @@
         "",
         "tests/entry/test_worker_lives.py",
     ),
+    Mutant(
+        "a longer lease of an earlier configuration is waited out",
+        "configuration/state.py",
+        "documents = (change.document for change in self.history)",
+        "documents = [self.document]",
+        GUARANTEES,
+    ),
+    Mutant(
+        "the longest lease that an owner has granted is waited out",
+        "entry/targets.py",
+        "self.lease_ends_at = max(self.lease_ends_at, granter_deadline(now, lease_s))",
+        "self.lease_ends_at = granter_deadline(now, lease_s)",
+        "tests/entry/test_batch.py",
+    ),
     Mutant(
         "an adoption renews no task lease",
         "entry/targets.py",
-        "        if not self.has_renewed:\n",
-        "        if not self.adopted:\n",
+        "        if self.has_renewed:\n",
+        "        if self.has_renewed or self.adopted:\n",
         "tests/entry/test_state.py",
     ),
     Mutant(
--- a/src/savoryshelf/configuration/state.py
+++ b/src/savoryshelf/configuration/state.py
@@ -62,6 +62,11 @@
         self.history = [*self.history[-HISTORY_LENGTH + 1 :], applied]
         return ApplyResult(self.version, duplicate=False)
 
+    def longest_task_lease_s(self) -> float:
+        """Return the longest task lease of the changes that are kept; it may still be held."""
+        documents = (change.document for change in self.history)
+        return max((from_document(each).limits.task_lease_s for each in documents), default=0.0)
+
     def declarations(self) -> Declarations | None:
         """Return the declarations in force, or None before the first change."""
         return from_document(self.document) if self.document else None
--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -118,10 +118,7 @@
         lease expired; it takes the worker out of use with its next sync.
         """
         state = self._site.state_machine.state
-        declarations = self._site.state_machine.declarations
-        if declarations is None:
-            return
-        lease_s = declarations.limits.task_lease_s + ENTRY_LEASE_SECONDS
+        lease_s = self._site.state_machine.longest_task_lease_s + ENTRY_LEASE_SECONDS
         since_by_life, self._earlier_since = self._earlier_since, {}
         for worker_id, incarnation in state.ledger.lives_with_attempts():
             worker = state.fleet.workers_by_id.get(worker_id)
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -194,7 +194,12 @@
             reply.configuration = state.configuration.document
         if state.fleet.assignment_version != request.assignment_version:
             reply.owned = [
-                ttypes.OwnedWorker(worker.announcement(), worker.epoch, worker.standing)
+                ttypes.OwnedWorker(
+                    worker.announcement(),
+                    worker.epoch,
+                    worker.standing,
+                    self.state_machine.longest_task_lease_s,
+                )
                 for worker in state.fleet.owned_by(request.entry_id)
             ]
         return reply
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -41,6 +41,7 @@
     def __init__(self):
         self.state = SiteState()
         self._cached_declarations: tuple[int, Declarations | None] = (0, None)
+        self._cached_longest_lease: tuple[int, float] = (0, 0.0)
 
     def apply(self, payload: bytes):
         """Apply one command and return its outcome."""
@@ -56,6 +57,16 @@
         """Replace the state by that of a snapshot."""
         self.state = _CONVERTER.loads(data, SiteState)
         self._cached_declarations = (0, None)
+        self._cached_longest_lease = (0, 0.0)
+
+    @property
+    def longest_task_lease_s(self) -> float:
+        """Return the longest task lease that any owner may have granted."""
+        configuration = self.state.configuration
+        if self._cached_longest_lease[0] != configuration.version:
+            longest = configuration.longest_task_lease_s()
+            self._cached_longest_lease = (configuration.version, longest)
+        return self._cached_longest_lease[1]
 
     @property
     def declarations(self) -> Declarations | None:
--- a/src/savoryshelf/entry/batch.py
+++ b/src/savoryshelf/entry/batch.py
@@ -98,7 +98,9 @@
             return None
         if report["incarnation"] != target.worker.incarnation:
             return None
+        lease_s = self._task_lease_s
         target.record_report(now, {str(each) for each in report["critical"]})
+        target.renew_lease(now, lease_s)
         target.leaving = target.leaving or bool(report.get("leaving"))
         target.slowdown = float(report.get("slowdown", 1.0))
         acknowledged = self.attempts.handle_report(target, report["tasks"])
@@ -106,7 +108,7 @@
         self._wake_queued()
         return {
             "acknowledged": acknowledged,
-            "lease_s": self._task_lease_s,
+            "lease_s": lease_s,
             "report_interval_s": self._state.report_interval_s,
         }
 
--- a/src/savoryshelf/entry/targets.py
+++ b/src/savoryshelf/entry/targets.py
@@ -51,11 +51,15 @@
     epoch: int
     standing: WorkerStanding
     owned_since: float
-    task_lease_s: float
+    earlier_lease_s: float
+    """The longest task lease that an owner of before may have granted."""
+
     adopted: bool = False
     leaving: bool = False
     last_report_at: float = float("-inf")
-    renewed_at: float = float("-inf")
+    lease_ends_at: float = float("-inf")
+    """When every task lease that this owner has granted has expired, if it has granted any."""
+
     critical_by_id: dict[str, ResourceDemand] = attrs.field(factory=dict)
     abandoned_by_id: dict[str, AbandonedRequest] = attrs.field(factory=dict)
     batch_by_id: dict[tuple[str, int], ResourceDemand] = attrs.field(factory=dict)
@@ -74,7 +78,7 @@
     @property
     def has_renewed(self) -> bool:
         """Return whether this owner has answered a report, which alone renews the task lease."""
-        return self.renewed_at > float("-inf")
+        return self.lease_ends_at > float("-inf")
 
     @property
     def outstanding(self) -> int:
@@ -186,23 +190,29 @@
     def record_report(self, now: float, critical_ids: set[str]) -> None:
         """Apply a report: drop abandoned requests it does not list and that cannot be in flight."""
         self.last_report_at = now
-        self.renewed_at = now
         self.abandoned_by_id = {
             request_id: each
             for request_id, each in self.abandoned_by_id.items()
             if request_id in critical_ids or now - each.abandoned_at < LATE_ARRIVAL_SECONDS
         }
 
+    def renew_lease(self, now: float, lease_s: float) -> None:
+        """Count the lease that the answer to a report grants.
+
+        The answer may be lost, so a longer lease of before is counted as well.
+        """
+        lease_s = max(lease_s, 0.0 if self.has_renewed else self.earlier_lease_s)
+        self.lease_ends_at = max(self.lease_ends_at, granter_deadline(now, lease_s))
+
     def lease_has_expired(self, now: float, entry_lease_s: float) -> bool:
         """Return whether the task lease has expired, so that the worker stopped its tasks.
 
         Until this owner has answered a report, the previous one may have renewed it
         until its own lease expired.  An adoption renews nothing: it may arrive late.
         """
-        last_contact_at, lease_seconds = self.renewed_at, self.task_lease_s
-        if not self.has_renewed:
-            last_contact_at, lease_seconds = self.owned_since, self.task_lease_s + entry_lease_s
-        return now > granter_deadline(last_contact_at, lease_seconds)
+        if self.has_renewed:
+            return now > self.lease_ends_at
+        return now > granter_deadline(self.owned_since, self.earlier_lease_s + entry_lease_s)
 
 
 class OwnedTargets:
@@ -214,13 +224,17 @@
     def replace(
         self, owned: list[OwnedWorker], now: float, task_lease_s: float
     ) -> list[OwnedTarget]:
-        """Apply the list that control sent; return the workers that need to be adopted."""
+        """Apply the list that control sent; return the workers that need to be adopted.
+
+        ``task_lease_s`` is the one in force.
+        """
         previous_by_id, self.by_id = self.by_id, {}
         to_adopt = []
         for each in owned:
             target = previous_by_id.get(each.worker.worker_id)
             if target is None or target.epoch != each.epoch:
-                target = OwnedTarget(each.worker, each.epoch, each.standing, now, task_lease_s)
+                lease_s = max(task_lease_s, each.longest_task_lease_s or 0.0)
+                target = OwnedTarget(each.worker, each.epoch, each.standing, now, lease_s)
                 to_adopt.append(target)
             target.worker, target.standing = each.worker, each.standing
             self.by_id[each.worker.worker_id] = target
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -177,7 +177,11 @@
 /** Another entry host, to which critical requests can be spilled. */
 struct EntryPeer { 1: string entry_id, 2: string address, 3: i32 free_slots }
 
-struct OwnedWorker { 1: WorkerAnnouncement worker, 2: i64 epoch, 3: WorkerStanding standing }
+struct OwnedWorker {
+  1: WorkerAnnouncement worker, 2: i64 epoch, 3: WorkerStanding standing,
+  /** The longest task lease that an owner of before may have granted. */
+  4: optional double longest_task_lease_s
+}
 
 /**
  * An entry host's periodic report, which also renews its lease.
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -41,7 +41,8 @@
     state.targets.replace(list(workers or [owned()]), clock.now, 10.0)
     for target in state.targets.by_id.values():
         target.adopted = True
-        target.last_report_at = target.renewed_at = clock.now
+        target.last_report_at = clock.now
+        target.renew_lease(clock.now, 10.0)
     return state
 
 
--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -2,12 +2,13 @@
 
 import pytest
 
+from savoryshelf.configuration.declarations import parse, to_document
 from savoryshelf.entry.attempts import MAX_RESULT_BYTES, AttemptState
 from savoryshelf.entry.batch import BatchDispatch
 from savoryshelf.wire.generated.ttypes import AttemptKey, OutcomeKind, StartOrder, StopOrder
 from tests.promises.fakes import ManualClock, let_green_threads_run
 
-from .fakes import entry_state, owned
+from .fakes import DECLARATIONS, entry_state, owned
 
 
 class RecordingClient:
@@ -70,7 +71,7 @@
 
 def test_a_start_waits_until_a_report_has_renewed_the_lease(host):
     target = host.state.targets.by_id["w0"]
-    target.renewed_at = float("-inf")
+    target.lease_ends_at = float("-inf")
     start(host, order("a"))
     assert host.client.started == []
     assert host.attempts.attempt_keys() == [], "control orders it again"
@@ -137,6 +138,22 @@
     assert host.handle_report("w0", 1, report) is None
 
 
+# Guards against tasks that go on although others have been given the work.
+def test_a_worker_is_not_lost_before_the_longest_lease_that_it_was_granted(host):
+    report = {"incarnation": "incarnation-1", "critical": [], "tasks": []}
+    content = DECLARATIONS | {"limits": DECLARATIONS["limits"] | {"task_lease_s": 60.0}}
+    host.state.update_configuration(2, to_document(parse(content)))
+    assert host.handle_report("w0", 1, report)["lease_s"] == 60.0
+    host.clock.now += 1.0
+    content = DECLARATIONS | {"limits": DECLARATIONS["limits"] | {"task_lease_s": 10.0}}
+    host.state.update_configuration(3, to_document(parse(content)))
+    assert host.handle_report("w0", 1, report)["lease_s"] == 10.0
+    host.clock.now += 50.0
+    assert not host.notes()[0].lease_lapsed, "the answer to the last report may not have arrived"
+    host.clock.now += 15.0
+    assert host.notes()[0].lease_lapsed
+
+
 def test_a_report_under_another_epoch_is_rejected(host):
     report = {"incarnation": "incarnation-1", "critical": [], "tasks": []}
     assert host.handle_report("w0", 2, report) is None
--- a/tests/entry/test_state.py
+++ b/tests/entry/test_state.py
@@ -88,7 +88,7 @@
 def test_the_task_lease_of_a_worker_expires_at_the_deadline_of_its_granter():
     state = entry_state(ManualClock(), owned("w0"))
     target = state.targets.by_id["w0"]
-    end = granter_deadline(target.renewed_at, target.task_lease_s)
+    end = granter_deadline(target.last_report_at, 10.0)
     assert not target.lease_has_expired(end - 0.01, ENTRY_LEASE_SECONDS)
     assert target.lease_has_expired(end + 0.01, ENTRY_LEASE_SECONDS)
 
@@ -97,12 +97,23 @@
 def test_a_worker_may_have_been_renewed_by_its_last_owner_until_a_report_was_answered(adopted):
     clock = ManualClock()
     target = entry_state(clock, owned("w0")).targets.by_id["w0"]
-    target.adopted, target.renewed_at = adopted, float("-inf")
-    end = granter_deadline(clock.now, target.task_lease_s + ENTRY_LEASE_SECONDS)
+    target.adopted, target.lease_ends_at = adopted, float("-inf")
+    end = granter_deadline(clock.now, 10.0 + ENTRY_LEASE_SECONDS)
     assert not target.lease_has_expired(end - 0.01, ENTRY_LEASE_SECONDS)
     assert target.lease_has_expired(end + 0.01, ENTRY_LEASE_SECONDS)
 
 
+def test_an_owner_of_before_may_have_granted_a_longer_lease():
+    clock = ManualClock()
+    each = owned("w0")
+    each.longest_task_lease_s = 60.0
+    target = entry_state(clock, each).targets.by_id["w0"]
+    assert target.lease_ends_at == granter_deadline(clock.now, 60.0)
+    target.lease_ends_at = float("-inf")
+    end = granter_deadline(clock.now, 60.0 + ENTRY_LEASE_SECONDS)
+    assert not target.lease_has_expired(end - 0.01, ENTRY_LEASE_SECONDS)
+
+
 def test_a_refused_probe_is_inconclusive_and_may_be_repeated():
     quarantine = QuarantineState()
     for _ in range(FAILURES_BEFORE_QUARANTINE):
--- a/tests/promises/test_guarantees.py
+++ b/tests/promises/test_guarantees.py
@@ -35,6 +35,7 @@
 entry_names = st.sampled_from(["e0", "e1"])
 worker_ids = st.sampled_from(["w0", "w1"])
 job_numbers = st.integers(0, 5)
+LONG_LEASE_OPERATION = "operation-3"
 START_FAULTS = ["none", "lost", "late", "reply lost"]
 
 
@@ -56,6 +57,8 @@
 
     def apply(self, version, operation):
         content = DECLARATIONS | {"site": operation}
+        if operation == LONG_LEASE_OPERATION:
+            content |= {"limits": DECLARATIONS["limits"] | {"task_lease_s": 20.0}}
         change = ttypes.ApplyConfiguration(operation, version, to_document(parse(content)), "")
         return self.cluster.site.apply(change)
 
@@ -471,3 +474,23 @@
     ledger = cluster.state_machine.state.ledger
     assert ledger.by_id[job_id].attempt == 2
     machine.teardown()
+
+
+# Guards against a second run beside the first: the lease was reckoned by the configuration in
+# force, while one granted under the version before it was longer.
+def test_a_worker_is_not_lost_while_it_may_hold_a_longer_lease_of_an_earlier_configuration():
+    machine = Guarantees()
+    machine.set_up_site()
+    cluster = machine.cluster
+    worker = cluster.worker_by_id["w0"]
+    running_job_on(machine, worker)
+    for task in cluster.worker_by_id["w1"].running:
+        task.state = "finished"  # Leaves room for a second run.
+    version = cluster.state_machine.state.configuration.version
+    machine.apply(version, LONG_LEASE_OPERATION)
+    machine.run_rounds(2)
+    machine.apply(version + 1, "operation-4")
+    cluster.partitioned_links |= {(name, "w0") for name in cluster.entry_by_name}
+    worker.owner.start()
+    run_checked_rounds(machine, 40)
+    machine.teardown()
