Own interface: epochs of workers are never used twice

Cause: epochs counted from 0 in each worker's record, and control drops the records of lost workers beyond 2,000. A worker that came back after that knew a higher epoch than it was given, refused each adoption and was of no use until its next start; and a call that an owner of before still had under way could carry an epoch in use again.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -432,6 +432,13 @@
         "self.lease_ends_at = granter_deadline(now, lease_s)",
         "tests/entry/test_batch.py",
     ),
+    Mutant(
+        "epochs are never used twice",
+        _FLEET,
+        "        worker.epoch = self._next_epoch()\n",
+        "        worker.epoch += 1\n",
+        "tests/targets",
+    ),
     Mutant(
         "an adoption renews no task lease",
         "entry/targets.py",
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -100,9 +100,17 @@
     assignment_version: int = 0
     """Increments with every change that owners must be informed of."""
 
+    newest_epoch: int = 0
+    """Epochs are never used twice: a worker may outlive its record."""
+
     operations: dict[str, int] = attrs.field(factory=dict)
     """Wall-clock time in ms of each operator's change by its id, to detect a resent change."""
 
+    def __attrs_post_init__(self):
+        """Count on from the workers of a snapshot that has no newest epoch."""
+        epochs = [worker.epoch for worker in self.workers_by_id.values()]
+        self.newest_epoch = max([self.newest_epoch, *epochs])
+
     def register_worker(self, announced: WorkerAnnouncement, at_ms: int) -> bool:
         """Register a worker's announcement; return whether it is a new incarnation.
 
@@ -134,7 +142,7 @@
         registered.changed_ms = at_ms
         self.assignment_version += 1
         if is_new_incarnation:
-            registered.epoch += 1
+            registered.epoch = self._next_epoch()
             self._revoke(registered)
         return is_new_incarnation
 
@@ -184,7 +192,7 @@
             return False
         worker.owner_id = entry.entry_id
         worker.released_by_id = ""
-        worker.epoch += 1
+        worker.epoch = self._next_epoch()
         self.assignment_version += 1
         return True
 
@@ -226,6 +234,10 @@
         """Return the workers that the entry host owns."""
         return [w for w in self.workers_by_id.values() if w.owner_id == entry_id]
 
+    def _next_epoch(self) -> int:
+        self.newest_epoch += 1
+        return self.newest_epoch
+
     def _revoke(self, worker: Worker) -> None:
         """End the ownership, and record the release that the owner, if any, has to acknowledge.
 
--- a/tests/targets/test_state.py
+++ b/tests/targets/test_state.py
@@ -8,7 +8,7 @@
     rebalance,
     release_for_overload,
 )
-from savoryshelf.targets.state import Fleet
+from savoryshelf.targets.state import MAX_LOST_WORKERS, Fleet
 from savoryshelf.wire.generated.ttypes import (
     Assignment,
     ChangeStanding,
@@ -145,6 +145,28 @@
     assert len(assign_unowned(fleet, active_entries, sessions.has_acknowledged_release)) == 1
 
 
+# Guards against a worker that is never adopted again: it knows the epoch of before its record was
+# dropped, and refuses lower ones.
+def test_the_epochs_of_a_worker_rise_after_its_record_was_dropped():
+    fleet = fleet_of(MAX_LOST_WORKERS + 1)
+    epoch = fleet.workers_by_id["w0"].epoch
+    for worker_id in list(fleet.workers_by_id):
+        fleet.change_standing(ChangeStanding("", worker_id, WorkerStanding.LOST, ""), 1)
+    fleet.expire(0)
+    assert "w0" not in fleet.workers_by_id
+    fleet.register_worker(announcement_of("w0"), 2)
+    fleet.assign(Assignment("w0", "e0", "incarnation-1"))
+    assert fleet.workers_by_id["w0"].epoch > epoch
+
+
+def test_a_fleet_of_a_snapshot_without_the_newest_epoch_goes_on_from_its_workers():
+    fleet = fleet_of(3)
+    restored = Fleet(fleet.workers_by_id, fleet.entries_by_id)
+    restored.release("w0", "e0")
+    restored.assign(Assignment("w0", "e1", "incarnation-1"))
+    assert restored.workers_by_id["w0"].epoch == fleet.newest_epoch + 1
+
+
 def test_a_resent_change_of_standing_is_idempotent():
     fleet = fleet_of(1)
     drain = ChangeStanding("op", "w0", WorkerStanding.DRAINED, "")
