Own interface: within one life a worker does not move, and one that leaves does not return

Cause: an announcement of the registered incarnation replaced its address in the same epoch, so that calls and an adoption of before counted for another process; a late one made a leaving worker active again, and its owner, whose note had not changed, didn't say again that it leaves.

Change: such announcements change nothing, unless the worker is lost; capacity may change.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -432,6 +432,13 @@
         "self.lease_ends_at = granter_deadline(now, lease_s)",
         "tests/entry/test_batch.py",
     ),
+    Mutant(
+        "within one life a worker does not move",
+        _FLEET,
+        "return announced == self.announcement() or _place(announced) != _place(self)",
+        "return announced == self.announcement()",
+        "tests/targets",
+    ),
     Mutant(
         "epochs are never used twice",
         _FLEET,
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -103,14 +103,8 @@
         changed = []
         for announced_worker in announcements:
             registered = workers.get(announced_worker.worker_id)
-            registered_standings = (WorkerStanding.ACTIVE, WorkerStanding.DRAINED)
-            if (
-                registered
-                and registered.announcement() == announced_worker
-                and registered.standing in registered_standings
-            ):
-                continue
-            changed.append(announced_worker)
+            if registered is None or not registered.ignores(announced_worker):
+                changed.append(announced_worker)
         if changed:
             self.commit(register_workers=ttypes.RegisterWorkers(changed))
 
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -75,11 +75,24 @@
         """Return whether new work may be placed on this worker."""
         return self.standing == WorkerStanding.ACTIVE and bool(self.owner_id)
 
+    def ignores(self, announced: WorkerAnnouncement) -> bool:
+        """Return whether the announcement changes nothing.
+
+        Within one life a worker does not move, and one that leaves does not return.
+        """
+        if announced.incarnation != self.incarnation or self.standing == WorkerStanding.LOST:
+            return False
+        return announced == self.announcement() or _place(announced) != _place(self)
+
     def announcement(self) -> WorkerAnnouncement:
         """Return the worker's last announcement of itself."""
         return WorkerAnnouncement(*(getattr(self, name) for name in WorkerAnnouncement.__slots__))
 
 
+def _place(worker: Worker | WorkerAnnouncement) -> tuple[str, str, str]:
+    return worker.url, worker.failure_domain, worker.rack
+
+
 @attrs.define
 class EntryHost:
     """One incarnation of an entry process."""
@@ -125,13 +138,14 @@
             self.workers_by_id[announced.worker_id] = Worker(**fields, changed_ms=at_ms)
             self.assignment_version += 1
             return True
+        if registered.ignores(announced):
+            return False
         is_new_incarnation = registered.incarnation != announced.incarnation
         standing = registered.standing
-        if standing != WorkerStanding.DRAINED:
+        if (is_new_incarnation and standing != WorkerStanding.DRAINED) or (
+            standing == WorkerStanding.LOST
+        ):
             standing = WorkerStanding.ACTIVE
-        is_unchanged = registered.announcement() == announced and standing == registered.standing
-        if is_unchanged:
-            return False
         if is_new_incarnation:
             earlier = EarlierLife(registered.url, registered.epoch)
             registered.earlier_lives[registered.incarnation] = earlier
--- a/tests/targets/test_state.py
+++ b/tests/targets/test_state.py
@@ -1,3 +1,6 @@
+import attrs
+import pytest
+
 from savoryshelf.control.sessions import EntrySessions
 from savoryshelf.leases import ENTRY_LEASE_SECONDS, granter_deadline
 from savoryshelf.scheduling.ownership import (
@@ -145,6 +148,40 @@
     assert len(assign_unowned(fleet, active_entries, sessions.has_acknowledged_release)) == 1
 
 
+# Guards against calls to a process that runs under the id and the incarnation of another one.
+@pytest.mark.parametrize("field", ["url", "failure_domain", "rack"])
+def test_within_one_life_a_worker_stays_where_it_is(field):
+    fleet = fleet_of(1)
+    before = attrs.evolve(fleet.workers_by_id["w0"])
+    elsewhere = announcement_of("w0")
+    setattr(elsewhere, field, "http://127.0.0.1/elsewhere")
+    assert not fleet.register_worker(elsewhere, 2)
+    assert fleet.workers_by_id["w0"] == before
+    resized = announcement_of("w0")
+    resized.slots = 4
+    fleet.register_worker(resized, 3)
+    assert fleet.workers_by_id["w0"].slots == 4, "its capacity may change"
+
+
+def test_a_lost_worker_may_return_at_another_address():
+    fleet = fleet_of(1)
+    fleet.change_standing(ChangeStanding("", "w0", WorkerStanding.LOST, "incarnation-1"), 1)
+    elsewhere = announcement_of("w0")
+    elsewhere.url = "http://127.0.0.1/elsewhere"
+    fleet.register_worker(elsewhere, 2)
+    assert fleet.workers_by_id["w0"].url == elsewhere.url
+
+
+# Guards against work that is placed, refused and placed again on a worker that leaves.
+def test_an_announcement_that_is_late_does_not_return_a_leaving_worker():
+    fleet = fleet_of(1)
+    fleet.change_standing(ChangeStanding("", "w0", WorkerStanding.LEAVING, "incarnation-1"), 1)
+    fleet.register_worker(announcement_of("w0"), 2)
+    assert fleet.workers_by_id["w0"].standing == WorkerStanding.LEAVING
+    fleet.register_worker(announcement_of("w0", "incarnation-2"), 3)
+    assert fleet.workers_by_id["w0"].standing == WorkerStanding.ACTIVE
+
+
 # Guards against a worker that is never adopted again: it knows the epoch of before its record was
 # dropped, and refuses lower ones.
 def test_the_epochs_of_a_worker_rise_after_its_record_was_dropped():
