Own interface: a sync that another process under the name has overtaken gets no reply

Cause: the reply lists what the name owns at its end. A process of an entry host that had been replaced and was only frozen registers again with its first sync; one of the other process that waited at control was then told what the name owns now, under the same epoch, which both would use.

test_a_sync_that_another_process_under_the_name_overtakes_is_told_nothing failed before. Two live processes under one name still take turns; each time the epochs rise.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -439,6 +439,13 @@
         "return announced == self.announcement()",
         "tests/targets",
     ),
+    Mutant(
+        "only the registered process of an entry host is told what it owns",
+        "control/site_service.py",
+        "        self._require_registered(request)\n",
+        "",
+        "tests/control/test_site_service.py",
+    ),
     Mutant(
         "epochs are never used twice",
         _FLEET,
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -82,8 +82,19 @@
         # Confirmed last, because the reply renews a lease: a leader that was deposed
         # during the wait must not renew any.
         self.confirm_leadership()
+        self._require_registered(request)
         return self._sync_reply(request, session)
 
+    def _require_registered(self, request: ttypes.SyncRequest) -> None:
+        """Raise Unavailable if another process has registered under the name meanwhile.
+
+        The reply lists what the name owns, under epochs that only that process may use.
+        """
+        registered = self.state_machine.state.fleet.entries_by_id.get(request.entry_id)
+        incarnation = registered.incarnation if registered is not None else ""
+        if not request.leaving and incarnation != request.incarnation:
+            raise ttypes.Unavailable(f"entry host {request.entry_id} was replaced", False)
+
     def _register_entry(self, request: ttypes.SyncRequest) -> None:
         registered = self.state_machine.state.fleet.entries_by_id.get(request.entry_id)
         if registered is not None and registered.incarnation == request.incarnation:
