Own interface: a worker's list changes no attempt of another worker

Cause: the table of attempts went by job and attempt alone. A worker that lists an attempt of another one ended it there, or, if it came first, kept its start from being sent.

How a worker would come to list one is not known; the ledger ignores such an outcome by its life.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -446,6 +446,13 @@
         "",
         "tests/control/test_site_service.py",
     ),
+    Mutant(
+        "a worker's list changes no attempt of another worker",
+        "entry/attempts.py",
+        "elif attempt.worker_id != target.worker_id:",
+        "elif False:",
+        "tests/entry/test_batch.py",
+    ),
     Mutant(
         "epochs are never used twice",
         _FLEET,
--- a/src/savoryshelf/entry/attempts.py
+++ b/src/savoryshelf/entry/attempts.py
@@ -88,7 +88,8 @@
     def add(self, key: AttemptKey, target: OwnedTarget, demand: ResourceDemand) -> Attempt | None:
         """Add an attempt for a start order; return None if the attempt exists already."""
         attempt_id = (key.job_id, key.attempt)
-        if attempt_id in self.by_id:
+        existing = self.by_id.get(attempt_id)
+        if existing is not None and existing.worker_id == target.worker_id:
             return None
         return self._add(attempt_id, target, demand)
 
@@ -109,7 +110,8 @@
         listed = set()
         for task in tasks:
             attempt = self._update_attempt(target, task)
-            listed.add(attempt.attempt_id)
+            if attempt is not None:
+                listed.add(attempt.attempt_id)
         self._forget_settled(target, listed)
         self._update_batch_demand(target)
         return [
@@ -118,11 +120,14 @@
             if attempt.settled and attempt.worker_id == target.worker_id
         ]
 
-    def _update_attempt(self, target: OwnedTarget, task: dict) -> Attempt:
+    def _update_attempt(self, target: OwnedTarget, task: dict) -> Attempt | None:
+        """Apply one entry of a worker's list; return None if the attempt is another worker's."""
         attempt_id = (str(task["job_id"]), int(task["attempt"]))
         attempt = self.by_id.get(attempt_id)
         if attempt is None:
             attempt = self._add(attempt_id, target, demand_of_task(task))
+        elif attempt.worker_id != target.worker_id:
+            return None
         kind = _KIND_BY_WORKER_STATE.get(task["state"])
         if kind is None:
             if attempt.state is not AttemptState.ENDED:
--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -28,8 +28,12 @@
 
 @pytest.fixture
 def host():
+    return host_with("w0")
+
+
+def host_with(*worker_ids):
     clock = ManualClock()
-    state = entry_state(clock, owned("w0", slots=3))
+    state = entry_state(clock, *(owned(each, slots=3) for each in worker_ids))
     client = RecordingClient()
     batch = BatchDispatch(state, client, clock, "http://e0", lambda: None)
     batch.client, batch.clock, batch.state = client, clock, state
@@ -105,6 +109,23 @@
     assert host.attempts.attempt_keys() == []
 
 
+# Guards against an attempt that ends, or is never started, by what another worker lists.
+@pytest.mark.parametrize("is_ordered_first", [False, True])
+def test_what_another_worker_lists_changes_no_attempt(is_ordered_first):
+    host = host_with("w0", "w1")
+    row = {"job_id": "a", "attempt": 1, "state": "finished", "result": "cg=="}
+    other = host.state.targets.by_id["w1"]
+    if is_ordered_first:
+        start(host, order("a"))
+    host.attempts.handle_report(other, [row])
+    if not is_ordered_first:
+        start(host, order("a"))
+    assert host.client.started == [("a", 1)]
+    assert host.attempts.by_id["a", 1].worker_id == "w0"
+    assert host.attempts.by_id["a", 1].state is AttemptState.RUNNING
+    assert host.attempts.outcomes() == []
+
+
 def test_a_result_that_is_too_large_fails_its_attempt(host):
     start(host, order("a"))
     result = base64.b64encode(b"x" * (MAX_RESULT_BYTES + 1)).decode()
