Own interface: entries of older logs apply as they did

Change: an optional field on each command, set by new leaders; entries without it apply as before.

Three tests in tests/control/test_state.py, one mutant.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -453,11 +453,18 @@
         "elif False:",
         "tests/entry/test_batch.py",
     ),
+    Mutant(
+        "entries of older logs mean what they meant",
+        "control/state.py",
+        "if not command.keeps_earlier_lives:",
+        "if False:",
+        "tests/control/test_state.py",
+    ),
     Mutant(
         "epochs are never used twice",
         _FLEET,
-        "        worker.epoch = self._next_epoch()\n",
-        "        worker.epoch += 1\n",
+        "worker.epoch = self._next_epoch() if counts_epochs else worker.epoch + 1",
+        "worker.epoch += 1",
         "tests/targets",
     ),
     Mutant(
--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -169,7 +169,7 @@
             self._overload_detector.overloaded_entry_ids(now),
         )
         if assignments:
-            self._site.commit(assign_workers=ttypes.AssignWorkers(assignments))
+            self._site.commit(assign_workers=ttypes.AssignWorkers(assignments, True))
         elif self._is_due("rebalance", REBALANCE_INTERVAL_SECONDS, now):
             self._rebalance(active_entries, free_slots_by_entry, now)
 
--- a/src/savoryshelf/control/site_service.py
+++ b/src/savoryshelf/control/site_service.py
@@ -117,7 +117,7 @@
             if registered is None or not registered.ignores(announced_worker):
                 changed.append(announced_worker)
         if changed:
-            self.commit(register_workers=ttypes.RegisterWorkers(changed))
+            self.commit(register_workers=ttypes.RegisterWorkers(changed, True))
 
     def settle(self, outcomes: list[ttypes.AttemptOutcome]) -> None:
         """Commit the outcomes of ended attempts; returns once they are durable."""
--- a/src/savoryshelf/control/state.py
+++ b/src/savoryshelf/control/state.py
@@ -137,6 +137,10 @@
 def _register_workers(state_machine: SiteStateMachine, command, at_ms: int):
     fleet, ledger = state_machine.state.fleet, state_machine.state.ledger
     for announcement in command.workers:
+        if not command.keeps_earlier_lives:
+            ended = fleet.register_restarted_worker(announcement, at_ms)
+            ledger.settle_lost_worker(announcement.worker_id, ended, at_ms)
+            continue
         fleet.register_worker(announcement, at_ms)
         worker = fleet.workers_by_id[announcement.worker_id]
         worker.earlier_lives = {
@@ -159,7 +163,8 @@
 
 @_handles_command("assign_workers")
 def _assign_workers(state_machine: SiteStateMachine, command, at_ms: int):
-    return [state_machine.state.fleet.assign(assignment) for assignment in command.assignments]
+    fleet, counts_epochs = state_machine.state.fleet, bool(command.counts_epochs)
+    return [fleet.assign(assignment, counts_epochs) for assignment in command.assignments]
 
 
 @_handles_command("release_worker")
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -114,16 +114,11 @@
     """Increments with every change that owners must be informed of."""
 
     newest_epoch: int = 0
-    """Epochs are never used twice: a worker may outlive its record."""
+    """Epochs are never used twice, since a worker may outlive its record; 0 before the first."""
 
     operations: dict[str, int] = attrs.field(factory=dict)
     """Wall-clock time in ms of each operator's change by its id, to detect a resent change."""
 
-    def __attrs_post_init__(self):
-        """Count on from the workers of a snapshot that has no newest epoch."""
-        epochs = [worker.epoch for worker in self.workers_by_id.values()]
-        self.newest_epoch = max([self.newest_epoch, *epochs])
-
     def register_worker(self, announced: WorkerAnnouncement, at_ms: int) -> bool:
         """Register a worker's announcement; return whether it is a new incarnation.
 
@@ -160,6 +155,30 @@
             self._revoke(registered)
         return is_new_incarnation
 
+    def register_restarted_worker(self, announced: WorkerAnnouncement, at_ms: int) -> str:
+        """Apply an announcement as entries of older logs mean it, and return the ended incarnation.
+
+        Replicas apply the same entries, whatever snapshot they begin with.
+        """
+        registered = self.workers_by_id.get(announced.worker_id)
+        if registered is None:
+            self.register_worker(announced, at_ms)
+            return ""
+        ended = registered.incarnation if registered.incarnation != announced.incarnation else ""
+        standing = registered.standing
+        if standing != WorkerStanding.DRAINED:
+            standing = WorkerStanding.ACTIVE
+        if registered.announcement() == announced and standing == registered.standing:
+            return ""
+        for name in WorkerAnnouncement.__slots__:
+            setattr(registered, name, getattr(announced, name))
+        registered.standing = standing
+        registered.changed_ms = at_ms
+        if ended:
+            registered.epoch += 1
+        self.assignment_version += 1
+        return ended
+
     def change_standing(self, change: ChangeStanding, at_ms: int) -> Accepted | Refusal:
         """Change the standing of a worker; one that is lost also loses its owner.
 
@@ -190,11 +209,12 @@
         self._revoke(worker)
         return True
 
-    def assign(self, assignment: Assignment) -> bool:
+    def assign(self, assignment: Assignment, counts_epochs: bool = True) -> bool:
         """Assign an unowned worker to an entry host under a new epoch.
 
         Return False if the worker or this incarnation of the entry host is not
-        registered, or if the worker is lost or has an owner.
+        registered, or if the worker is lost or has an owner.  ``counts_epochs`` is
+        False for entries of older logs.
         """
         worker = self.workers_by_id.get(assignment.worker_id)
         entry = self.entries_by_id.get(assignment.entry_id)
@@ -206,7 +226,7 @@
             return False
         worker.owner_id = entry.entry_id
         worker.released_by_id = ""
-        worker.epoch = self._next_epoch()
+        worker.epoch = self._next_epoch() if counts_epochs else worker.epoch + 1
         self.assignment_version += 1
         return True
 
@@ -249,6 +269,9 @@
         return [w for w in self.workers_by_id.values() if w.owner_id == entry_id]
 
     def _next_epoch(self) -> int:
+        if not self.newest_epoch:
+            epochs = (worker.epoch for worker in self.workers_by_id.values())
+            self.newest_epoch = max(epochs, default=0)
         self.newest_epoch += 1
         return self.newest_epoch
 
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -136,7 +136,8 @@
 
 struct RequestEvictions { 1: list<AttemptKey> keys, 2: string reason }
 
-struct RegisterWorkers { 1: list<WorkerAnnouncement> workers }
+/** Unless `keeps_earlier_lives` is set, as in older logs, another incarnation ends the one before. */
+struct RegisterWorkers { 1: list<WorkerAnnouncement> workers, 2: optional bool keeps_earlier_lives }
 
 /** Whether a worker is given new work, and if not, why. */
 enum WorkerStanding { ACTIVE = 0, DRAINED = 1, LEAVING = 2, LOST = 3 }
@@ -145,7 +146,8 @@
 
 struct Assignment { 1: string worker_id, 2: string entry_id, 3: string entry_incarnation }
 
-struct AssignWorkers { 1: list<Assignment> assignments }
+/** Unless `counts_epochs` is set, as in older logs, each worker counts its own epochs. */
+struct AssignWorkers { 1: list<Assignment> assignments, 2: optional bool counts_epochs }
 
 /** Revokes a worker's ownership; another entry host may own it once the owner has acknowledged. */
 struct ReleaseWorker { 1: string worker_id, 2: string entry_id }
--- a/tests/control/test_state.py
+++ b/tests/control/test_state.py
@@ -101,3 +101,37 @@
         epoch=0,
     )
     assert apply(state_machine, settle_attempts=ttypes.SettleAttempts([finished])) == [True]
+
+
+# Guards against replicas that differ after an update: each replays the log from its own snapshot.
+def test_an_older_entry_with_another_incarnation_ends_the_one_before():
+    state_machine = state_machine_with_running_job()
+    restarted = state_machine.state.fleet.workers_by_id["w0"].announcement()
+    restarted.incarnation = "incarnation-2"
+    apply(state_machine, register_workers=ttypes.RegisterWorkers([restarted]))
+    worker = state_machine.state.fleet.workers_by_id["w0"]
+    assert state_machine.state.ledger.by_id["job"].state is JobState.QUEUED
+    assert (worker.incarnation, worker.epoch, worker.owner_id) == ("incarnation-2", 2, "e0")
+    assert worker.earlier_lives == {}
+
+
+def test_an_older_entry_counts_the_epochs_of_each_worker_by_itself():
+    state_machine = state_machine_with_running_job()
+    fleet = state_machine.state.fleet
+    other = fleet.workers_by_id["w0"].announcement()
+    other.worker_id = "w1"
+    apply(state_machine, register_workers=ttypes.RegisterWorkers([other]))
+    owner = ttypes.Assignment("w1", "e0", "incarnation-1")
+    apply(state_machine, assign_workers=ttypes.AssignWorkers([owner]))
+    assert (fleet.workers_by_id["w1"].epoch, fleet.newest_epoch) == (1, 0)
+
+
+def test_another_incarnation_keeps_the_attempts_of_the_one_before():
+    state_machine = state_machine_with_running_job()
+    restarted = state_machine.state.fleet.workers_by_id["w0"].announcement()
+    restarted.incarnation = "incarnation-2"
+    apply(state_machine, register_workers=ttypes.RegisterWorkers([restarted], True))
+    worker = state_machine.state.fleet.workers_by_id["w0"]
+    assert state_machine.state.ledger.by_id["job"].state is JobState.RUNNING
+    assert (worker.epoch, worker.owner_id) == (2, "")
+    assert list(worker.earlier_lives) == ["incarnation-1"]
