--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -175,6 +175,15 @@
     assert host.notes()[0].lease_lapsed
 
 
+def test_a_report_of_another_life_is_rejected(host):
+    start(host, order("a"))
+    row = {"job_id": "a", "attempt": 1, "state": "finished", "result": "cg=="}
+    report = {"incarnation": "incarnation-2", "critical": [], "leaving": True, "tasks": [row]}
+    assert host.handle_report("w0", 1, report) is None
+    assert host.attempts.outcomes() == []
+    assert not host.state.targets.by_id["w0"].leaving
+
+
 def test_a_report_under_another_epoch_is_rejected(host):
     report = {"incarnation": "incarnation-1", "critical": [], "tasks": []}
     assert host.handle_report("w0", 2, report) is None
