--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -239,8 +239,8 @@
         "an outcome settles only the attempt it names",
         _LEDGER,
         "if job is None or job.attempt != outcome.key.attempt:\n            return False\n"
-        "        resolves",
-        "if job is None:\n            return False\n        resolves",
+        "        if outcome.worker_id",
+        "if job is None:\n            return False\n        if outcome.worker_id",
         LEDGER,
     ),
     Mutant(
@@ -372,8 +372,8 @@
     Mutant(
         "an unresponsive worker is considered lost only after its task lease has expired",
         "entry/targets.py",
-        "return now > granter_deadline(last_contact_at, lease_seconds)",
-        "return now > last_contact_at + 1.5",
+        "            return now > self.lease_ends_at\n",
+        "            return now > self.last_report_at + 1.5\n",
         "tests/entry",
     ),
     Mutant(
