A life without a start is not that of a worker that tells one

Cause, found by the specification: a heartbeat of another writer without born brought a life that matched whatever answered at the address. Runs started there worked in the life of the real worker, and were released once that one had answered: TWICE.

Change: a list with a start time is another life's than one whose heartbeats told none. A worker that tells its start nowhere is used as before; its lives cannot be told apart.

--- a/tests/platform/test_worker_lives.py
+++ b/tests/platform/test_worker_lives.py
@@ -173,11 +173,21 @@
 
 
 @each_call
-def test_a_worker_whose_heartbeats_name_no_life_is_called(worker, call):
+def test_a_worker_that_never_tells_its_start_is_called(worker, call):
+    worker.answer_by_call["hold"] = (200, EMPTY_LIST)
     call(HttpWorkerApi(), worker.life(born=0))
     assert len(orders(worker)) == 1
 
 
+# Guards against TWICE: a heartbeat of another writer without a start, under the id and the address
+# of a worker, brought a life whose runs were started in that of the worker.
+@each_call
+def test_a_life_without_a_start_is_not_that_of_a_worker_that_tells_one(worker, call):
+    with pytest.raises(IncarnationReplaced):
+        call(HttpWorkerApi(), worker.life(born=0))
+    assert not orders(worker)
+
+
 @each_call
 def test_a_worker_that_accepts_connections_and_does_not_answer_gets_no_call(worker, call):
     worker.is_silent = True
