--- a/standins/host.py
+++ b/standins/host.py
@@ -101,12 +101,21 @@
 class WorkerHost:
     """Serves one stand-in worker on its own port, and reports to its owner."""
 
-    def __init__(self, worker: Worker, ip: str, entry_urls: list[str], token: str):
+    def __init__(
+        self,
+        worker: Worker,
+        ip: str,
+        entry_urls: list[str],
+        token: str,
+        port: int = 0,
+        first_announcement_s: float | None = None,
+    ):
         self.worker = worker
+        self._first_announcement_s = first_announcement_s
         self._entry_urls = entry_urls
         self._headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
         self._http = urllib3.PoolManager(retries=False, timeout=REPORT_TIMEOUT_SECONDS)
-        self._listener = eventlet.listen((ip, 0))
+        self._listener = eventlet.listen((ip, port))
         worker.url = f"http://{ip}:{self._listener.getsockname()[1]}"
         self.threads = [
             eventlet.spawn(
@@ -130,7 +139,8 @@
     def _announce_and_report(self) -> None:
         """Announce until adopted, then report; stop all tasks when the lease has expired."""
         worker = self.worker
-        eventlet.sleep(random.uniform(0, ANNOUNCE_SECONDS / 2))
+        first_s = self._first_announcement_s
+        eventlet.sleep(random.uniform(0, ANNOUNCE_SECONDS / 2) if first_s is None else first_s)
         while True:
             if worker.owner_url:
                 self._report()
@@ -185,6 +195,10 @@
 @click.option("--count", default=4, help="Number of workers.")
 @click.option("--ip", default="127.0.0.1", help="Address on which all workers listen.")
 @click.option("--first", default=0, help="Number of the first worker, as in its id.")
+@click.option("--port", default=0, help="Port of the first worker, others follow; 0 for any port.")
+@click.option(
+    "--first-announcement-s", type=float, help="Seconds from listening to the first announcement."
+)
 @click.option("--entries", required=True, help="URLs of entry hosts, separated by commas.")
 @click.option("--token", required=True, help="Token with the role of a target.")
 @click.option(
@@ -205,8 +219,8 @@
     "--noise", default="", help="Slowdown by each running task of a class, as class=factor,..."
 )
 def main(
-    count, ip, first, entries, token, record_path, domains, per_rack, slots, cores, memory_mb,
-    accelerators, bad_worker, noise,
+    count, ip, first, port, first_announcement_s, entries, token, record_path, domains, per_rack,
+    slots, cores, memory_mb, accelerators, bad_worker, noise,
 ) -> None:  # fmt: skip
     """Run stand-in workers until SIGTERM.
 
@@ -233,7 +247,8 @@
         if bad_worker and number == first:
             setattr(behaviour, bad_worker, True)
         worker = Worker(spec, record, behaviour)
-        WorkerHost(worker, ip, entries.split(","), token)
+        own_port = port + number - first if port else 0
+        WorkerHost(worker, ip, entries.split(","), token, own_port, first_announcement_s)
     stop = Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.send(None))
     stop.wait()
--- a/standins/site.py
+++ b/standins/site.py
@@ -171,13 +171,18 @@
         self._add(name, [sys.executable, "-m", "savoryshelf.daemon.main"], environment)
 
     def _add_workers(self, count: int, options: list[str]) -> None:
+        self.add_worker_process("workers", count, loopback_address(), options)
+
+    def add_worker_process(self, name: str, count: int, ip: str, options: list[str]) -> Process:
+        """Add a process of stand-in workers that listen on that address."""
         # A separate address: workers bind any free port, and a dead worker frees its port, so on
         # the daemons' address they could take the port of a daemon that is being restarted.
         command = [sys.executable, "-m", "standins.host", "--count", str(count)]
-        command += ["--ip", loopback_address()]
+        command += ["--ip", ip]
         command += ["--entries", ",".join(self.entry_urls), "--record", self.record_path]
         command += ["--token", issue(TOKEN_KEY, TARGET), *options]
-        self._add("workers", command, {})
+        self._add(name, command, {})
+        return self.process_by_name[name]
 
     def _add(self, name: str, command: list[str], environment: dict[str, str]) -> None:
         log_path = os.path.join(self.folder, f"{name}.log")
@@ -300,11 +305,14 @@
             time.sleep(0.1)
         raise TimeoutError(f"waited {seconds} s for {description}; logs are in {self.folder}")
 
-    def record_worker_deaths(self) -> None:
-        """Record the death of every worker that started a task: a killed process cannot do so."""
+    def record_worker_deaths(self, worker_id: str = "") -> None:
+        """Record the death of every worker that started a task: a killed process cannot do so.
+
+        With a ``worker_id``, only that worker's.
+        """
         record = ExecutionRecord(self.record_path)
         for event in read_events(self.record_path):
-            if event["event"] == "start":
+            if event["event"] == "start" and worker_id in ("", event["worker"]):
                 record.write("died", event["worker"], incarnation=event["incarnation"])
 
     def leader(self) -> str:
