Specification of the lives of one worker id

Six small models of one protocol: calls, answers, ends, claims of other writers, leaves and clocks that step back, each with the guards that it needs.

Where there are leaves, the model assumes that a process leaves only after one of its heartbeats was noted, and that nothing runs in it from then on. Without either, the rule that an unanswered poll ends a life that has left is refuted (trials).

--- /dev/null
+++ b/specification/lives.py
@@ -0,0 +1,587 @@
+"""Lives of one worker id: which calls, answers, ends and leaves belong to which process.
+
+Processes of a worker follow one another at one address under the same id; each knows nothing
+of the one before.  At a second address a process of another deployment answers under that id.
+The ledger learns of lives by heartbeats, which may come late or from another writer, and places
+runs of one task on them.  An agent's session starts, stops and polls; it belongs to one life
+under one token.  Calls of earlier sessions may still arrive, but no new ones are sent: that
+takes the permission of ``agents.py``.
+
+The models share these steps; each has the parts that its guards need.  Where there are leaves,
+two things are assumed: a process leaves only after a heartbeat of it has been noted, and nothing
+runs in it from then on.
+"""
+
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from .model import bound, is_small, specification
+
+LEASE = 1
+NOBODY, ELSEWHERE = 0, -1
+OWN_ADDRESS, OTHER_ADDRESS = range(2)
+
+CONNECTION = "a connection to a worker belongs to one life"
+QUESTION = "the question which life answers on a connection acknowledges no end"
+COMMIT_FIRST = "an end is acknowledged only after its commit"
+NEW_TOKEN = "each assignment has a token of its own"
+CURRENT_REPORT = "the ledger ignores what is reported under an earlier token"
+CONFIRMED_FIRST = "only a list asked for after a run's start or stop was confirmed can lack the run"
+WAIT_FOR_LEASE = "a life that does not answer is over only after its lease"
+NO_MORE_CALLS = "a session that has reported the end of its life makes no more calls"
+HEARTBEAT = "a heartbeat ends no life"
+ANSWERED = "a later life ends an earlier one only once it has answered itself"
+SAME_ADDRESS = "a later life ends only those that had its address"
+LATER = "a life that has answered ends no later one"
+ADDRESS = "the address of a life does not change"
+ONE_LEAVES = "a leave counts only if the ledger knows no other life of the id"
+IGNORE_EARLIER = (
+    "the heartbeat of a life that was born earlier is ignored while a later one is there"
+)
+STARTS_GUARDS = (CONNECTION, NEW_TOKEN, CONFIRMED_FIRST, WAIT_FOR_LEASE, LATER)
+REPORTS_GUARDS = (CURRENT_REPORT, NO_MORE_CALLS)
+ENDS_GUARDS = (CONNECTION, QUESTION, COMMIT_FIRST)
+WRITERS_GUARDS = (HEARTBEAT, ANSWERED, SAME_ADDRESS, ADDRESS)
+LEAVES_GUARDS = (ONE_LEAVES,)
+CLOCKS_GUARDS = (IGNORE_EARLIER,)
+GUARDS = frozenset(
+    (
+        *STARTS_GUARDS,
+        *REPORTS_GUARDS,
+        *ENDS_GUARDS,
+        *WRITERS_GUARDS,
+        *LEAVES_GUARDS,
+        *CLOCKS_GUARDS,
+    )
+)
+
+# A life that has ended is told from one that was never noted only where leaves are.
+UNKNOWN, LIVE, ENDED = range(3)
+# The start of the run in the ledger: not sent yet, sent, or confirmed (or its stop).
+UNSENT, SENT, CONFIRMED = range(3)
+# Kinds of ends; one `done` whose lease lapsed before it was acknowledged does not count.
+DONE, OTHER, LAPSED = range(3)
+
+
+class Scope(NamedTuple):
+    """What a model has."""
+
+    guards: frozenset[str]
+    processes: int
+    max_token: int
+    max_run: int = 2
+    """Highest run that is placed on a life; the next one starts on another worker at the latest."""
+
+    has_late_starts: bool = False
+    """Whether starts may be carried out late and go unanswered; otherwise they are immediate."""
+
+    has_late_reports: bool = False
+
+    has_ends: bool = False
+    has_writers: bool = False
+    has_leaves: bool = False
+    has_clock_steps: bool = False
+    """Whether the wall clock steps back between two processes: the later is born earlier."""
+
+    @property
+    def lives(self) -> range:
+        """Return the numbers of all lives; that of another writer is the latest."""
+        return range(1, self.processes + self.has_writers + 1)
+
+    def is_born_earlier(self, number: int, other: int) -> bool:
+        """Return whether a life says that it was born before another."""
+        return number > other if self.has_clock_steps else number < other
+
+
+class Process(NamedTuple):
+    """What the process that is up knows; nothing of it outlives the process."""
+
+    seen_token: int = 0
+    running: tuple[int, ...] = ()
+    ends: tuple[tuple[int, int], ...] = ()
+    """Run and kind of each end, in the order of their numbers."""
+
+    acknowledged: int = 0
+    """Number of the last end that it does not list any more."""
+
+    refused: int = 0
+    """Starts of runs up to this number are refused."""
+
+    leaves: bool = False
+
+
+class Life(NamedTuple):
+    """A life in the ledger, and the session under its present token."""
+
+    status: int = UNKNOWN
+    address: int = OWN_ADDRESS
+    token: int = 0
+    seen_end: int = 0
+    answered: bool = False
+    leaving: bool = False
+    lease: int = 0
+    """Longest lease that may be left."""
+
+    is_over: bool = False
+    """Whether the session has reported its end."""
+
+
+class State(NamedTuple):
+    """A state of the models."""
+
+    boot: int = 0
+    """Number of the process that is up, or was last."""
+
+    up: bool = False
+    process: Process = Process()
+    left: tuple[int, ...] = ()
+    """Processes whose leave may still arrive, any number of times."""
+
+    lives: tuple[Life, ...] = ()
+    newest_token: int = 0
+    run: int = 0
+    place: int = NOBODY
+    """The life on which the run may exist."""
+
+    start: int = UNSENT
+    done: bool = False
+    flight: tuple[tuple[int, int, int], ...] = ()
+    """Starts that may be carried out: run, life, token.  Their deadline is that of the lease."""
+
+    report: tuple | None = None
+    """A report that may reach the ledger late: life, token, and the list or None for its end."""
+
+    done_acknowledged: bool = False
+    started_after_done: bool = False
+    """Whether a run has started since a listed end that counts if it is acknowledged."""
+
+    started_twice: bool = False
+    acknowledged_early: bool = False
+
+
+def _with_life(state, number, **changes):
+    lives = list(state.lives)
+    lives[number - 1] = lives[number - 1]._replace(**changes)
+    return state._replace(lives=tuple(lives))
+
+
+def _with_process(state, **changes):
+    return state._replace(process=state.process._replace(**changes))
+
+
+def _release(state, number, run):
+    """Return the state once a run that was placed on a life may be started again."""
+    if (state.place, state.run) != (number, run):
+        return state
+    return state._replace(place=NOBODY, start=UNSENT)
+
+
+def _end_life(state, number, scope):
+    """Record the end of a life; its run is released."""
+    status = ENDED if scope.has_leaves else UNKNOWN
+    after = _with_life(
+        state, number,
+        status=status, token=0, answered=False, leaving=False, lease=0, is_over=False,
+    )  # fmt: skip
+    return _release(after, number, state.run)
+
+
+def _end_run(process, run, kind, scope):
+    return process._replace(
+        running=tuple(each for each in process.running if each != run),
+        ends=(*process.ends, (run, kind)) if scope.has_ends else (),
+        refused=max(process.refused, run),
+    )
+
+
+def _note_start(state):
+    process = state.process
+    listed = process.ends[process.acknowledged :]
+    return state._replace(
+        started_twice=state.started_twice or state.done_acknowledged,
+        started_after_done=state.started_after_done or any(kind == DONE for _, kind in listed),
+    )
+
+
+def _acknowledge(state, number):
+    """Return the state after a call with this `lastSeen` has reached the process that is up."""
+    process = state.process
+    upto = min(number, len(process.ends))
+    if upto <= process.acknowledged:
+        return state
+    is_done = any(kind == DONE for _, kind in process.ends[process.acknowledged : upto])
+    is_early = upto > state.lives[state.boot - 1].seen_end
+    return _with_process(
+        state._replace(
+            acknowledged_early=state.acknowledged_early or is_early,
+            done_acknowledged=state.done_acknowledged or is_done,
+            started_twice=state.started_twice or (is_done and state.started_after_done),
+        ),
+        acknowledged=upto,
+    )
+
+
+def _worker(state, scope):
+    """Yield what processes do without being called, late starts, and the passing of time."""
+    process = state.process
+    if not state.up and state.boot < scope.processes:
+        yield "a process starts", state._replace(boot=state.boot + 1, up=True)
+    if state.up:
+        is_bound = CONNECTION in scope.guards
+        yield (
+            "the process ends",
+            state._replace(
+                up=False,
+                process=Process(),
+                flight=() if is_bound else state.flight,
+                started_after_done=False,
+            ),
+        )
+        # A process that leaves has sent heartbeats that the ledger noted; its runs terminate.
+        is_noted = state.lives[state.boot - 1].status != UNKNOWN
+        if scope.has_leaves and is_noted and not process.leaves:
+            left = tuple(sorted({*state.left, state.boot}))
+            after = _with_process(state, leaves=True, running=())
+            yield "the process leaves", after._replace(left=left)
+    if scope.has_ends:
+        for run in process.running:
+            for kind, title in ((DONE, "done"), (OTHER, "failed")):
+                ended = _end_run(process, run, kind, scope)
+                yield f"run {run} ends {title}", state._replace(process=ended)
+    if state.up:
+        for order in state.flight:
+            yield from _late_start(state, order)
+    yield "the leases run out", _after_leases(state)
+
+
+def _after_leases(state):
+    """Return the state once all leases have run out: runs are killed, late starts refused."""
+    ends = tuple((run, LAPSED if kind == DONE else kind) for run, kind in state.process.ends)
+    over = _with_process(state, running=(), ends=ends)
+    return over._replace(
+        lives=tuple(life._replace(lease=0) for life in state.lives),
+        flight=(),
+        started_after_done=False,
+    )
+
+
+def _late_start(state, order):
+    run, life, token = order
+    process = state.process
+    after = state._replace(flight=tuple(each for each in state.flight if each != order))
+    if token < process.seen_token or run <= process.refused or run in process.running:
+        yield f"the start of run {run} is refused", after
+        return
+    started = _started(after, run, token)
+    yield f"the start of run {run} is carried out without an answer", started
+    if (state.place, state.run, state.lives[life - 1].token) == (life, run, token):
+        yield f"the start of run {run} is carried out", started._replace(start=CONFIRMED)
+
+
+def _started(state, run, token):
+    running = tuple(sorted((*state.process.running, run)))
+    return _with_process(_note_start(state), seen_token=token, running=running)
+
+
+def _ledger(state, scope):
+    """Yield heartbeats, leaves, assignments, placements and late reports."""
+    for number in range(1, state.boot + 1):
+        yield f"heartbeat of life {number}", _note(state, number, OWN_ADDRESS, scope)
+    if scope.has_writers:
+        for number in (*range(1, state.boot + 1), scope.lives[-1]):
+            for address in (OWN_ADDRESS, OTHER_ADDRESS):
+                title = f"another writer names life {number} at address {address}"
+                yield title, _note(state, number, address, scope)
+    for number in state.left:
+        yield f"leave of life {number}", _note_leave(state, scope)
+    is_waiting = not state.done and state.place == NOBODY
+    for number, life in zip(scope.lives, state.lives, strict=True):
+        if life.status != LIVE:
+            continue
+        if state.newest_token < scope.max_token:
+            yield f"life {number} gets an agent", _assign(state, number, scope)
+        may_place = is_waiting and state.run < scope.max_run
+        if may_place and life.token and not life.leaving and life.address == OWN_ADDRESS:
+            placed = state._replace(run=state.run + 1, place=number, start=UNSENT)
+            yield f"run {state.run + 1} is placed on life {number}", placed
+        yield from _ends_of_replaced(state, number, scope)
+    if is_waiting and state.run:
+        placed = _note_start(state)._replace(run=state.run + 1, place=ELSEWHERE)
+        yield f"run {state.run + 1} starts on another worker", placed
+    if state.report is not None:
+        arrived = state._replace(report=None)
+        yield "the report arrives late", _commit(arrived, state.report, scope)
+        yield "the report is lost", arrived
+
+
+def _note(state, number, address, scope):
+    life = state.lives[number - 1]
+    if scope.has_clock_steps and IGNORE_EARLIER in scope.guards:
+        for other, later in zip(scope.lives, state.lives, strict=True):
+            if later.status == LIVE and scope.is_born_earlier(number, other):
+                return state
+    if life.status == LIVE and ADDRESS in scope.guards:
+        address = life.address
+    after = _with_life(state, number, status=LIVE, address=address)
+    if HEARTBEAT not in scope.guards:
+        for other in range(1, number):
+            if after.lives[other - 1].status == LIVE:
+                after = _end_life(after, other, scope)
+    return after
+
+
+def _note_leave(state, scope):
+    known = [n for n in scope.lives if state.lives[n - 1].status != UNKNOWN]
+    if ONE_LEAVES in scope.guards and len(known) > 1:
+        return state
+    for number in known:
+        if state.lives[number - 1].status == LIVE:
+            state = _with_life(state, number, leaving=True)
+    return state
+
+
+def _assign(state, number, scope):
+    """Give a life an agent; a run that is there is settled by the first list of the session."""
+    token = state.lives[number - 1].token
+    if not token or NEW_TOKEN in scope.guards:
+        token = state.newest_token + 1
+    lease = LEASE if WAIT_FOR_LEASE in scope.guards else 0
+    after = _with_life(state, number, token=token, answered=False, lease=lease, is_over=False)
+    after = after._replace(newest_token=max(state.newest_token, token))
+    return after._replace(start=CONFIRMED) if state.place == number else after
+
+
+def _ends_of_replaced(state, number, scope):
+    """Yield the ends of the lives that this one has replaced."""
+    life = state.lives[number - 1]
+    if not life.token or (ANSWERED in scope.guards and not life.answered):
+        return
+    for other, earlier in zip(scope.lives, state.lives, strict=True):
+        if other == number or earlier.status != LIVE:
+            continue
+        is_earlier = scope.is_born_earlier(other, number) or LATER not in scope.guards
+        if is_earlier and (earlier.address == life.address or SAME_ADDRESS not in scope.guards):
+            yield f"life {number} has replaced life {other}", _end_life(state, other, scope)
+
+
+def _commit(state, report, scope):
+    """Return the state after the ledger has committed a report."""
+    number, token, answer = report
+    life = state.lives[number - 1]
+    if life.status != LIVE or (CURRENT_REPORT in scope.guards and life.token != token):
+        return state
+    if answer is None:
+        return _end_life(state, number, scope)
+    running, ends, expected = answer
+    is_current = life.token == token
+    state = _with_life(
+        state, number,
+        answered=life.answered or is_current, seen_end=max(life.seen_end, len(ends)),
+    )  # fmt: skip
+    for run, kind in ends[life.seen_end :]:
+        state = state._replace(done=state.done or kind != OTHER)
+        state = _release(state, number, run)
+    is_missing = expected and expected not in running and expected not in dict(ends)
+    return _release(state, number, expected) if is_missing else state
+
+
+def _reported(title, state, report, scope):
+    number, _, answer = report
+    after = _commit(state, report, scope)
+    yield title, after
+    says_nothing = after == state and answer is not None
+    if scope.has_late_reports and state.report is None and not says_nothing:
+        if answer is None and NO_MORE_CALLS in scope.guards:
+            state = _with_life(state, number, is_over=True)
+        yield f"{title}, reported late", state._replace(report=report)
+
+
+def _session(state, number, scope):
+    """Yield the calls and conclusions of the session of a life."""
+    life = state.lives[number - 1]
+    if life.status != LIVE or not life.token or life.is_over:
+        return
+    over = number, life.token, None
+    if not life.lease:
+        yield from _reported(f"the lease of life {number} is over", state, over, scope)
+    if life.leaving:
+        title = f"life {number} does not answer after its leave"
+        yield from _reported(title, state, over, scope)
+    if life.address == OTHER_ADDRESS:
+        if number <= scope.processes:
+            yield from _reported(f"another answers for life {number}", state, over, scope)
+        else:
+            listed = number, life.token, ((), (), 0)
+            yield from _reported(f"life {number} is polled", state, listed, scope)
+        return
+    has_start = state.place == number and state.start == UNSENT
+    if has_start:
+        # No connection is made, or the question on it goes unanswered.
+        yield f"life {number} is not reached", _release(state, number, state.run)
+    if not state.up:
+        return
+    if life.token < state.process.seen_token:
+        return
+    # Each call may be the first of a connection, whose question shows the token.
+    state = _with_process(state, seen_token=life.token)
+    if state.boot != number:
+        yield from _meets_another(state, number, scope)
+        if CONNECTION in scope.guards:
+            return
+    if has_start:
+        yield from _starts(state, number, scope)
+    if state.place == number and state.start == SENT:
+        yield from _stops(state, number, scope)
+    if state.boot == number:
+        yield from _polls(state, number, scope)
+
+
+def _meets_another(state, number, scope):
+    """Yield what a poll does that reaches another process than the one meant."""
+    life = state.lives[number - 1]
+    if not {CONNECTION, QUESTION} <= scope.guards:
+        state = _acknowledge(state, life.seen_end)
+    over = number, life.token, None
+    yield from _reported(f"another answers for life {number}", state, over, scope)
+    yield f"another answers for life {number}, and its answer is lost", state
+
+
+def _starts(state, number, scope):
+    token = state.lives[number - 1].token
+    state = _with_life(state, number, lease=LEASE)
+    if scope.has_late_starts:
+        flight = tuple(sorted((*state.flight, (state.run, number, token))))
+        yield f"life {number} is sent the start", state._replace(start=SENT, flight=flight)
+    elif state.process.leaves or state.run <= state.process.refused:
+        yield f"life {number} refuses the start", _release(state, number, state.run)
+    else:
+        started = _started(state, state.run, token)._replace(start=CONFIRMED)
+        yield f"life {number} starts run {state.run}", started
+
+
+def _stops(state, number, scope):
+    process = state.process
+    if state.run in process.running:
+        process = _end_run(process, state.run, OTHER, scope)
+    stopped = state._replace(process=process._replace(refused=max(process.refused, state.run)))
+    yield f"life {number} confirms a stop", stopped._replace(start=CONFIRMED)
+    yield f"life {number} is stopped without an answer", stopped
+
+
+def _polls(state, number, scope):
+    life = state.lives[number - 1]
+    last_seen = life.seen_end if COMMIT_FIRST in scope.guards else len(state.process.ends)
+    is_confirmed = state.start == CONFIRMED or CONFIRMED_FIRST not in scope.guards
+    expected = state.run if state.place == number and is_confirmed else 0
+    polled = _acknowledge(state, last_seen)
+    listed = polled.process.running, polled.process.ends, expected
+    for after, title in (
+        (polled, f"life {number} is polled"),
+        (_with_life(polled, number, lease=LEASE), f"the lease of life {number} is renewed"),
+    ):
+        yield from _reported(title, after, (number, life.token, listed), scope)
+        yield f"{title} without an answer", after
+
+
+def _is_over(state, scope):
+    """Return whether no run works or can start any more, and no end waits to be acknowledged."""
+    can_place = not state.done and state.place == NOBODY
+    may_run = state.place > NOBODY or state.process.running or state.flight
+    has_end = len(state.process.ends) > state.process.acknowledged
+    return not (can_place or may_run or has_end)
+
+
+def _protocol(name: str, scope: Scope) -> Protocol:
+    def transitions(state):
+        if _is_over(state, scope):
+            return
+        yield from _worker(state, scope)
+        yield from _ledger(state, scope)
+        for number in scope.lives:
+            yield from _session(state, number, scope)
+
+    def is_alone(state):
+        return len(state["process"].running) + (state["place"] == ELSEWHERE) <= 1
+
+    invariants = {"at most one run of the task works at a time": is_alone}
+    if scope.has_ends:
+        invariants |= {
+            "no run starts after an end done that is acknowledged": lambda s: (
+                not s["started_twice"]
+            ),
+            "no end is acknowledged before its commit": lambda s: not s["acknowledged_early"],
+        }
+    return Protocol(
+        name=name,
+        candidate=False,
+        fields=State._fields,
+        initial=State(lives=(Life(),) * len(scope.lives)),
+        transitions=transitions,
+        invariants=invariants,
+    )
+
+
+def _model(
+    name: str, guards: tuple[str, ...], *, only_at_full_bounds: tuple[str, ...] = (), **parts
+) -> None:
+    """Register a model with these parts, of which these guards can be removed."""
+
+    @specification(name, guards, only_at_full_bounds)
+    def make(active: frozenset[str]) -> Protocol:
+        return _protocol(name, Scope(guards=active | (GUARDS - set(guards)), **parts))
+
+
+_model(
+    "lives-starts",
+    STARTS_GUARDS,
+    processes=2,
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_late_starts=True,
+    has_late_reports=not is_small(),
+)
+_model(
+    "lives-reports",
+    REPORTS_GUARDS,
+    processes=1,
+    max_token=bound(4, 2),
+    max_run=bound(2, 1),
+    has_late_starts=True,
+    has_late_reports=True,
+)
+_model(
+    "lives-ends",
+    ENDS_GUARDS,
+    only_at_full_bounds=(QUESTION,),
+    processes=2,
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_ends=True,
+    has_late_reports=not is_small(),
+)
+_model(
+    "lives-writers",
+    WRITERS_GUARDS,
+    processes=bound(2, 1),
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_writers=True,
+)
+_model(
+    "lives-leaves",
+    LEAVES_GUARDS,
+    processes=2,
+    max_token=bound(3, 1),
+    max_run=bound(2, 1),
+    has_leaves=True,
+)
+_model(
+    "lives-clocks",
+    CLOCKS_GUARDS,
+    processes=bound(3, 2),
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_late_starts=True,
+    has_clock_steps=True,
+)
