Specification of lives: a heartbeat without a birth

A life whose heartbeats do not say when its process was born is called without a look at who answers.

--- a/specification/lives.py
+++ b/specification/lives.py
@@ -36,6 +36,7 @@
 LATER = "a life that has answered ends no later one"
 ADDRESS = "the address of a life does not change"
 ONE_LEAVES = "a leave counts only if the ledger knows no other life of the id"
+NAMED = "a heartbeat that does not say when its process was born names no life"
 IGNORE_EARLIER = (
     "the heartbeat of a life that was born earlier is ignored while a later one is there"
 )
@@ -45,6 +46,7 @@
 WRITERS_GUARDS = (HEARTBEAT, ANSWERED, SAME_ADDRESS, ADDRESS)
 LEAVES_GUARDS = (ONE_LEAVES,)
 CLOCKS_GUARDS = (IGNORE_EARLIER,)
+UNNAMED_GUARDS = (NAMED,)
 GUARDS = frozenset(
     (
         *STARTS_GUARDS,
@@ -53,6 +55,7 @@
         *WRITERS_GUARDS,
         *LEAVES_GUARDS,
         *CLOCKS_GUARDS,
+        *UNNAMED_GUARDS,
     )
 )
 
@@ -84,14 +87,21 @@
     has_clock_steps: bool = False
     """Whether the wall clock steps back between two processes: the later is born earlier."""
 
+    has_unnamed: bool = False
+    """Whether another writer names a life without its birth, for which any process is taken."""
+
     @property
     def lives(self) -> range:
-        """Return the numbers of all lives; that of another writer is the latest."""
-        return range(1, self.processes + self.has_writers + 1)
+        """Return the numbers of all lives; that of another writer is the last."""
+        return range(1, self.processes + (self.has_writers or self.has_unnamed) + 1)
 
     def is_born_earlier(self, number: int, other: int) -> bool:
         """Return whether a life says that it was born before another."""
-        return number > other if self.has_clock_steps else number < other
+        return number > other if self.has_clock_steps or self.has_unnamed else number < other
+
+    def is_meant(self, number: int, boot: int) -> bool:
+        """Return whether a session takes a process for the life that it calls."""
+        return number == boot or (self.has_unnamed and number == self.lives[-1])
 
 
 class Process(NamedTuple):
@@ -293,6 +303,9 @@
             for address in (OWN_ADDRESS, OTHER_ADDRESS):
                 title = f"another writer names life {number} at address {address}"
                 yield title, _note(state, number, address, scope)
+    if scope.has_unnamed and NAMED not in scope.guards:
+        title = "another writer names a life without its birth"
+        yield title, _note(state, scope.lives[-1], OWN_ADDRESS, scope)
     for number in state.left:
         yield f"leave of life {number}", _note_leave(state, scope)
     is_waiting = not state.done and state.place == NOBODY
@@ -425,7 +438,7 @@
         return
     # Each call may be the first of a connection, whose question shows the token.
     state = _with_process(state, seen_token=life.token)
-    if state.boot != number:
+    if not scope.is_meant(number, state.boot):
         yield from _meets_another(state, number, scope)
         if CONNECTION in scope.guards:
             return
@@ -433,7 +446,7 @@
         yield from _starts(state, number, scope)
     if state.place == number and state.start == SENT:
         yield from _stops(state, number, scope)
-    if state.boot == number:
+    if scope.is_meant(number, state.boot):
         yield from _polls(state, number, scope)
 
 
@@ -585,3 +598,11 @@
     has_late_starts=True,
     has_clock_steps=True,
 )
+_model(
+    "lives-unnamed",
+    UNNAMED_GUARDS,
+    processes=1,
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_unnamed=True,
+)
