--- a/tests/wire/test_http_pool.py
+++ b/tests/wire/test_http_pool.py
@@ -1,10 +1,15 @@
 """Reuse of connections to workers."""
 
+import http.client
 import os
 import pathlib
 import subprocess
 import sys
 
+import pytest
+
+from savoryshelf.wire.http_pool import WorkerConnectionPool
+
 PLATFORM = pathlib.Path(__file__).resolve().parents[2] / "platform"
 
 REUSES_A_CONNECTION = """
@@ -39,3 +44,11 @@
         env=os.environ | {"PYTHONPATH": str(PLATFORM)},
     )
     assert check.returncode == 0, check.stderr
+
+
+# Guards against TWICE: a connection that the worker has closed would be opened again by the
+# standard library, without the question which of its lives answers there.
+def test_a_closed_connection_sends_nothing():
+    pool = WorkerConnectionPool("127.0.0.1", 1, identify=lambda connection: None)
+    with pytest.raises(http.client.NotConnected):
+        pool._new_conn().send(b"POST / HTTP/1.1\r\n\r\n")
