Specification of lives: leaves as they are taken now

A leave counts for a life that has reported that it drains, if no other life that lives or had drained may have sent it. Both parts are refuted when removed. It holds if nothing runs in a process from its leave on, and if the leave of a process whose draining was never noted meets no later life that drains (docs/QUESTIONS.md has both).

--- a/specification/lives.py
+++ b/specification/lives.py
@@ -8,8 +8,8 @@
 takes the permission of ``agents.py``.
 
 The models share these steps; each has the parts that its guards need.  Where there are leaves,
-two things are assumed: a process leaves only after a heartbeat of it has been noted, and nothing
-runs in it from then on.
+two things are assumed.  Nothing runs in a process from its leave on.  And a leave of a process
+whose draining was never noted does not meet a later life that drains.
 """
 
 from typing import NamedTuple
@@ -35,7 +35,8 @@
 SAME_ADDRESS = "a later life ends only those that had its address"
 LATER = "a life that has answered ends no later one"
 ADDRESS = "the address of a life does not change"
-ONE_LEAVES = "a leave counts only if the ledger knows no other life of the id"
+ALONE = "a leave counts only if no other life may have sent it: one that lives, or had drained"
+DRAINS = "a leave counts only for a life that has reported that it drains"
 NAMED = "a heartbeat that does not say when its process was born names no life"
 IGNORE_EARLIER = (
     "the heartbeat of a life that was born earlier is ignored while a later one is there"
@@ -44,7 +45,7 @@
 REPORTS_GUARDS = (CURRENT_REPORT, NO_MORE_CALLS)
 ENDS_GUARDS = (CONNECTION, QUESTION, COMMIT_FIRST)
 WRITERS_GUARDS = (HEARTBEAT, ANSWERED, SAME_ADDRESS, ADDRESS)
-LEAVES_GUARDS = (ONE_LEAVES,)
+LEAVES_GUARDS = (ALONE, DRAINS)
 CLOCKS_GUARDS = (IGNORE_EARLIER,)
 UNNAMED_GUARDS = (NAMED,)
 GUARDS = frozenset(
@@ -59,8 +60,6 @@
     )
 )
 
-# A life that has ended is told from one that was never noted only where leaves are.
-UNKNOWN, LIVE, ENDED = range(3)
 # The start of the run in the ledger: not sent yet, sent, or confirmed (or its stop).
 UNSENT, SENT, CONFIRMED = range(3)
 # Kinds of ends; one `done` whose lease lapsed before it was acknowledged does not count.
@@ -118,17 +117,18 @@
     refused: int = 0
     """Starts of runs up to this number are refused."""
 
-    leaves: bool = False
-
 
 class Life(NamedTuple):
     """A life in the ledger, and the session under its present token."""
 
-    status: int = UNKNOWN
+    is_live: bool = False
     address: int = OWN_ADDRESS
     token: int = 0
     seen_end: int = 0
     answered: bool = False
+    drains: bool = False
+    """Whether it has reported that it drains; known after its end too."""
+
     leaving: bool = False
     lease: int = 0
     """Longest lease that may be left."""
@@ -145,8 +145,9 @@
 
     up: bool = False
     process: Process = Process()
+    drained: tuple[int, ...] = ()
     left: tuple[int, ...] = ()
-    """Processes whose leave may still arrive, any number of times."""
+    """Processes whose draining, or leave, may still arrive, any number of times."""
 
     lives: tuple[Life, ...] = ()
     newest_token: int = 0
@@ -187,13 +188,11 @@
     return state._replace(place=NOBODY, start=UNSENT)
 
 
-def _end_life(state, number, scope):
+def _end_life(state, number):
     """Record the end of a life; its run is released."""
-    status = ENDED if scope.has_leaves else UNKNOWN
     after = _with_life(
-        state, number,
-        status=status, token=0, answered=False, leaving=False, lease=0, is_over=False,
-    )  # fmt: skip
+        state, number, is_live=False, token=0, answered=False, leaving=False, lease=0, is_over=False
+    )
     return _release(after, number, state.run)
 
 
@@ -248,12 +247,8 @@
                 started_after_done=False,
             ),
         )
-        # A process that leaves has sent heartbeats that the ledger noted; its runs terminate.
-        is_noted = state.lives[state.boot - 1].status != UNKNOWN
-        if scope.has_leaves and is_noted and not process.leaves:
-            left = tuple(sorted({*state.left, state.boot}))
-            after = _with_process(state, leaves=True, running=())
-            yield "the process leaves", after._replace(left=left)
+        if scope.has_leaves:
+            yield from _announces(state)
     if scope.has_ends:
         for run in process.running:
             for kind, title in ((DONE, "done"), (OTHER, "failed")):
@@ -265,6 +260,17 @@
     yield "the leases run out", _after_leases(state)
 
 
+def _announces(state):
+    """Yield what the process that is up says before it ends: that it drains, and that it leaves."""
+    may_mislead = any(not state.lives[number - 1].drains for number in state.left)
+    if state.boot not in state.drained:
+        if not may_mislead:
+            yield "the process drains", state._replace(drained=(*state.drained, state.boot))
+    elif state.boot not in state.left:
+        after = _with_process(state, running=())
+        yield "the process leaves", after._replace(left=(*state.left, state.boot))
+
+
 def _after_leases(state):
     """Return the state once all leases have run out: runs are killed, late starts refused."""
     ends = tuple((run, LAPSED if kind == DONE else kind) for run, kind in state.process.ends)
@@ -306,16 +312,19 @@
     if scope.has_unnamed and NAMED not in scope.guards:
         title = "another writer names a life without its birth"
         yield title, _note(state, scope.lives[-1], OWN_ADDRESS, scope)
+    for number in state.drained:
+        noted = _with_life(_note(state, number, OWN_ADDRESS, scope), number, drains=True)
+        yield f"heartbeat of life {number}, which drains", noted
     for number in state.left:
         yield f"leave of life {number}", _note_leave(state, scope)
     is_waiting = not state.done and state.place == NOBODY
     for number, life in zip(scope.lives, state.lives, strict=True):
-        if life.status != LIVE:
+        if not life.is_live:
             continue
         if state.newest_token < scope.max_token:
             yield f"life {number} gets an agent", _assign(state, number, scope)
         may_place = is_waiting and state.run < scope.max_run
-        if may_place and life.token and not life.leaving and life.address == OWN_ADDRESS:
+        if may_place and life.token and not life.drains and life.address == OWN_ADDRESS:
             placed = state._replace(run=state.run + 1, place=number, start=UNSENT)
             yield f"run {state.run + 1} is placed on life {number}", placed
         yield from _ends_of_replaced(state, number, scope)
@@ -332,24 +341,26 @@
     life = state.lives[number - 1]
     if scope.has_clock_steps and IGNORE_EARLIER in scope.guards:
         for other, later in zip(scope.lives, state.lives, strict=True):
-            if later.status == LIVE and scope.is_born_earlier(number, other):
+            if later.is_live and scope.is_born_earlier(number, other):
                 return state
-    if life.status == LIVE and ADDRESS in scope.guards:
+    if life.is_live and ADDRESS in scope.guards:
         address = life.address
-    after = _with_life(state, number, status=LIVE, address=address)
+    after = _with_life(state, number, is_live=True, address=address)
     if HEARTBEAT not in scope.guards:
         for other in range(1, number):
-            if after.lives[other - 1].status == LIVE:
-                after = _end_life(after, other, scope)
+            if after.lives[other - 1].is_live:
+                after = _end_life(after, other)
     return after
 
 
 def _note_leave(state, scope):
-    known = [n for n in scope.lives if state.lives[n - 1].status != UNKNOWN]
-    if ONE_LEAVES in scope.guards and len(known) > 1:
+    """Return the state after a leave, which does not say which life it is of."""
+    possible = [n for n in scope.lives if state.lives[n - 1].is_live or state.lives[n - 1].drains]
+    if ALONE in scope.guards and len(possible) > 1:
         return state
-    for number in known:
-        if state.lives[number - 1].status == LIVE:
+    for number in possible:
+        life = state.lives[number - 1]
+        if life.is_live and (life.drains or DRAINS not in scope.guards):
             state = _with_life(state, number, leaving=True)
     return state
 
@@ -371,21 +382,21 @@
     if not life.token or (ANSWERED in scope.guards and not life.answered):
         return
     for other, earlier in zip(scope.lives, state.lives, strict=True):
-        if other == number or earlier.status != LIVE:
+        if other == number or not earlier.is_live:
             continue
         is_earlier = scope.is_born_earlier(other, number) or LATER not in scope.guards
         if is_earlier and (earlier.address == life.address or SAME_ADDRESS not in scope.guards):
-            yield f"life {number} has replaced life {other}", _end_life(state, other, scope)
+            yield f"life {number} has replaced life {other}", _end_life(state, other)
 
 
 def _commit(state, report, scope):
     """Return the state after the ledger has committed a report."""
     number, token, answer = report
     life = state.lives[number - 1]
-    if life.status != LIVE or (CURRENT_REPORT in scope.guards and life.token != token):
+    if not life.is_live or (CURRENT_REPORT in scope.guards and life.token != token):
         return state
     if answer is None:
-        return _end_life(state, number, scope)
+        return _end_life(state, number)
     running, ends, expected = answer
     is_current = life.token == token
     state = _with_life(
@@ -413,7 +424,7 @@
 def _session(state, number, scope):
     """Yield the calls and conclusions of the session of a life."""
     life = state.lives[number - 1]
-    if life.status != LIVE or not life.token or life.is_over:
+    if not life.is_live or not life.token or life.is_over:
         return
     over = number, life.token, None
     if not life.lease:
@@ -466,7 +477,7 @@
     if scope.has_late_starts:
         flight = tuple(sorted((*state.flight, (state.run, number, token))))
         yield f"life {number} is sent the start", state._replace(start=SENT, flight=flight)
-    elif state.process.leaves or state.run <= state.process.refused:
+    elif state.boot in state.left or state.run <= state.process.refused:
         yield f"life {number} refuses the start", _release(state, number, state.run)
     else:
         started = _started(state, state.run, token)._replace(start=CONFIRMED)
