--- a/specification/lives.py
+++ b/specification/lives.py
@@ -37,7 +37,7 @@
 ADDRESS = "the address of a life does not change"
 ALONE = "a leave counts only if no other life may have sent it: one that lives, or had drained"
 DRAINS = "a leave counts only for a life that has reported that it drains"
-NAMED = "a heartbeat that does not say when its process was born names no life"
+UNNAMED = "a process that says when it was born is no life without a birth"
 IGNORE_EARLIER = (
     "the heartbeat of a life that was born earlier is ignored while a later one is there"
 )
@@ -47,7 +47,7 @@
 WRITERS_GUARDS = (HEARTBEAT, ANSWERED, SAME_ADDRESS, ADDRESS)
 LEAVES_GUARDS = (ALONE, DRAINS)
 CLOCKS_GUARDS = (IGNORE_EARLIER,)
-UNNAMED_GUARDS = (NAMED,)
+UNNAMED_GUARDS = (UNNAMED,)
 GUARDS = frozenset(
     (
         *STARTS_GUARDS,
@@ -87,7 +87,7 @@
     """Whether the wall clock steps back between two processes: the later is born earlier."""
 
     has_unnamed: bool = False
-    """Whether another writer names a life without its birth, for which any process is taken."""
+    """Whether another writer names a life without saying when it was born."""
 
     @property
     def lives(self) -> range:
@@ -100,7 +100,8 @@
 
     def is_meant(self, number: int, boot: int) -> bool:
         """Return whether a session takes a process for the life that it calls."""
-        return number == boot or (self.has_unnamed and number == self.lives[-1])
+        is_unnamed = self.has_unnamed and number == self.lives[-1]
+        return number == boot or (is_unnamed and UNNAMED not in self.guards)
 
 
 class Process(NamedTuple):
@@ -309,7 +310,7 @@
             for address in (OWN_ADDRESS, OTHER_ADDRESS):
                 title = f"another writer names life {number} at address {address}"
                 yield title, _note(state, number, address, scope)
-    if scope.has_unnamed and NAMED not in scope.guards:
+    if scope.has_unnamed:
         title = "another writer names a life without its birth"
         yield title, _note(state, scope.lives[-1], OWN_ADDRESS, scope)
     for number in state.drained:
