--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1646,6 +1646,8 @@
         " if settled_up_to == self._settled_up_to else 0",
         "",
         "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
         "a new connection is used only if the life that answers is the one called",
         _PLATFORM_WORKERS,
         "        _require_incarnation(incarnation, reply)\n        if connection.is_closed:",
