Soak: workers restart under their id, alone and in series, beside the faults that it had

No soak could find it: its workers never restarted, and were seldom idle.

A job may be shown as failed once two lives of workers have crashed under one task of it: that was no case before, since no worker crashed; docs/DESIGN.md, "Tasks that crash their workers".

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -168,7 +168,7 @@
         self.gangs = gangs or Gangs()
         self.draining = False
         self.lives: list[WorkerLife] = []
-        self._listen_address = address
+        self._restarting = threading.Lock()
         server = _Server(address)
         self._listen_address = f"{server.server_address[0]}:{server.server_address[1]}"
         self.address = announce(self._listen_address)
@@ -191,11 +191,12 @@
 
     def restart(self, down_seconds: float, heartbeat_after_seconds: float = 0.0) -> None:
         """Crash, and begin another life that sends its first heartbeat so long after it listens."""
-        self.crash()
-        time.sleep(down_seconds)
-        self.draining = False
-        server = _Server(self._listen_address)
-        self.lives.append(WorkerLife(self, server, heartbeat_after_seconds))
+        with self._restarting:
+            self.crash()
+            time.sleep(down_seconds)
+            self.draining = False
+            server = _Server(self._listen_address)
+            self.lives.append(WorkerLife(self, server, heartbeat_after_seconds))
 
     def crash(self) -> None:
         """End this life: its connections are reset, and nothing of it goes on."""
@@ -502,12 +503,21 @@
 
 def send_heartbeat(pool, control_address: str, worker_id: str, body: dict) -> bool:
     """Send a heartbeat to a control host; return whether it was acknowledged."""
-    url = f"http://{control_address}/savoryshelf/instances/{worker_id}/heartbeat"
+    return _announce(pool, control_address, worker_id, "heartbeat", json.dumps(body))
+
+
+def send_leave(pool, control_address: str, worker_id: str) -> bool:
+    """Tell a control host that a worker leaves; return whether that was acknowledged."""
+    return _announce(pool, control_address, worker_id, "leave", None)
+
+
+def _announce(pool, control_address: str, worker_id: str, kind: str, body: str | None) -> bool:
+    url = f"http://{control_address}/savoryshelf/instances/{worker_id}/{kind}"
     try:
-        answer = pool.request("POST", url, body=json.dumps(body), redirect=False)
+        answer = pool.request("POST", url, body=body, redirect=False)
         if answer.status == 307:
             url = answer.headers["Location"]
-            answer = pool.request("POST", url, body=json.dumps(body), redirect=False)
+            answer = pool.request("POST", url, body=body, redirect=False)
     except urllib3.exceptions.HTTPError:
         return False
     return answer.status == 200
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -14,7 +14,7 @@
 import attrs
 import urllib3
 
-from ..platform import PlatformWorker, platform_settings
+from ..platform import PlatformWorker, platform_settings, send_heartbeat, send_leave
 from ..relay import Relay
 from ..site import loopback_address
 
@@ -125,6 +125,9 @@
         self.relays: list[Relay] = []
         self.workers: list[PlatformWorker] = []
         self.acknowledged_version = 0
+        self.lull_count = 0
+        """Callers but the first few pause unless this is 0."""
+
         self._worker_count = workers
         self._worker_relays: list[Relay] = []
         self._next_version = 1
@@ -217,10 +220,37 @@
         """Return the relay between some callers and an entry host."""
         return self.relays[number % len(self.relays)]
 
+    def worker(self, number: int) -> PlatformWorker:
+        """Return a worker."""
+        return self.workers[number % len(self.workers)]
+
     def worker_relay(self, number: int) -> Relay:
         """Return the relay of a worker."""
         return self._worker_relays[number % len(self._worker_relays)]
 
+    @contextlib.contextmanager
+    def lull(self):
+        """Let most callers pause."""
+        with self._lock:
+            self.lull_count += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self.lull_count -= 1
+
+    def send_heartbeat(self, worker: PlatformWorker, body: dict) -> None:
+        """Send a heartbeat in the name of a worker, to the first control host that takes it."""
+        for address in worker.control_addresses:
+            if send_heartbeat(self.http, address, worker.worker_id, body):
+                break
+
+    def send_leave(self, worker: PlatformWorker) -> None:
+        """Send a leave in the name of a worker, to the first control host that takes it."""
+        for address in worker.control_addresses:
+            if send_leave(self.http, address, worker.worker_id):
+                break
+
     def leader(self) -> Host:
         """Return the control host that answers reads of the manifest itself, or else the first."""
         for host in self.controls:
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -9,6 +9,7 @@
 
 from savoryshelf.registry import registry_decorator
 
+from ..platform import heartbeat
 from ..relay import BOTH_WAYS, TO_CLIENT, TO_UPSTREAM
 
 QUIET_SECONDS = 2.0
@@ -20,10 +21,26 @@
 FAULT_SECONDS = (0.3, 3.0)
 DELAY_STEP_SECONDS = 0.005
 
+WORKER_FAULT_INTERVAL_SECONDS = (0.5, 2.5)
+DOWN_SECONDS = (0.02, 0.3)
+HEARTBEAT_LATE_SECONDS = (0.0, 1.0)
+"""How long after it listens a restarted worker sends its first heartbeat."""
+
+LULL_SHARE = 0.35
+LULL_SECONDS = 2.0
+"""Time until most workers are idle after most callers have paused."""
+
+LULL_SERIES = 2
+"""Series of restarts in a lull."""
+
 _KINDS: dict[str, Callable] = {}
 """Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
 
+_WORKER_KINDS: dict[str, Callable] = {}
+"""The same for faults of workers' lives, which have a generator of their own."""
+
 _kind = registry_decorator(_KINDS)
+_worker_kind = registry_decorator(_WORKER_KINDS)
 
 
 @attrs.frozen
@@ -51,12 +68,26 @@
             lasts = rng.uniform(*FAULT_SECONDS)
             faults.append(Fault(round(at, 2), kind, rng.randrange(100), round(lasts, 2)))
         burst_at += BURST_INTERVAL_SECONDS * rng.uniform(0.7, 1.3)
+    faults += _draw_worker_faults(random.Random(f"workers of {seed}"), seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _draw_worker_faults(rng: random.Random, seconds: float) -> list[Fault]:
+    faults, at = [], QUIET_SECONDS
+    while at < seconds - QUIET_SECONDS:
+        lasts = round(rng.uniform(*FAULT_SECONDS), 2)
+        is_lull = rng.random() < LULL_SHARE
+        kind = "workers_restarted_in_lull" if is_lull else rng.choice(list(_WORKER_KINDS))
+        faults.append(Fault(round(at, 2), kind, rng.randrange(100), lasts))
+        at += rng.uniform(*WORKER_FAULT_INTERVAL_SECONDS)
+        if kind == "workers_restarted_in_lull":
+            at += LULL_SECONDS + LULL_SERIES * lasts
+    return faults
+
+
 def inject(deployment, fault: Fault) -> None:
     """Carry out a fault and wait until it is over."""
-    _KINDS[fault.kind](deployment, fault)
+    (_KINDS | _WORKER_KINDS)[fault.kind](deployment, fault)
 
 
 @_kind("rolled")
@@ -176,3 +207,76 @@
     relay.partition(directions)
     time.sleep(fault.seconds)
     relay.heal()
+
+
+@_worker_kind("worker_restarted")
+def _restart_worker(deployment, fault) -> None:
+    _restart(deployment.worker(fault.target), _details(fault))
+
+
+@_worker_kind("workers_restarted")
+def _restart_workers(deployment, fault) -> None:
+    """Restart one worker after the other."""
+    rng, count = _details(fault), len(deployment.workers)
+    for number in range(count):
+        _restart(deployment.worker(fault.target + number), rng)
+        time.sleep(fault.seconds / count)
+
+
+@_worker_kind("workers_restarted_in_lull")
+def _restart_idle_workers(deployment, fault) -> None:
+    """Restart all workers several times while few callers are active, so that most are idle."""
+    with deployment.lull():
+        time.sleep(LULL_SECONDS)
+        for _ in range(LULL_SERIES):
+            _restart_workers(deployment, fault)
+        time.sleep(HEARTBEAT_LATE_SECONDS[1])
+
+
+@_worker_kind("worker_restarted_behind_cut")
+def _restart_cut_worker(deployment, fault) -> None:
+    """Restart a worker that control hosts can't reach; its heartbeats reach them."""
+    rng, relay = _details(fault), deployment.worker_relay(fault.target)
+    relay.partition()
+    time.sleep(rng.uniform(0, fault.seconds))
+    _restart(deployment.worker(fault.target), rng)
+    time.sleep(rng.uniform(0, fault.seconds))
+    relay.heal()
+
+
+@_worker_kind("heartbeat_of_another_writer")
+def _send_foreign_heartbeat(deployment, fault) -> None:
+    """Send a heartbeat with a later start under the id of a worker that lives."""
+    rng, worker = _details(fault), deployment.worker(fault.target)
+    address = rng.choice(
+        [worker.address, deployment.worker(fault.target + 1).address, "127.0.0.1:9"]
+    )
+    service = rng.choice(["svc", "another"])
+    body = heartbeat(address, service=service, born=int(time.time() * 1000))
+    deployment.send_heartbeat(worker, body)
+
+
+@_worker_kind("leave_meets_next_life")
+def _leave_late(deployment, fault) -> None:
+    """Restart a worker that drains; its leave comes late, for half of them as it is cut off."""
+    rng, worker = _details(fault), deployment.worker(fault.target)
+    relay = deployment.worker_relay(fault.target)
+    worker.draining = True
+    time.sleep(fault.seconds)
+    _restart(worker, rng)
+    time.sleep(rng.uniform(*HEARTBEAT_LATE_SECONDS))
+    if rng.random() < 0.5:
+        relay.partition()
+        time.sleep(rng.uniform(0, fault.seconds))
+    deployment.send_leave(worker)
+    time.sleep(rng.uniform(0, fault.seconds))
+    relay.heal()
+
+
+def _details(fault: Fault) -> random.Random:
+    """Return a generator for what a fault does not say: its details follow from it."""
+    return random.Random(repr(fault))
+
+
+def _restart(worker, rng: random.Random) -> None:
+    worker.restart(rng.uniform(*DOWN_SECONDS), rng.uniform(*HEARTBEAT_LATE_SECONDS))
