--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -113,7 +113,7 @@
     assert len(worker.calls) == calls
 
 
-def test_an_agent_that_has_not_applied_the_newest_givenmakes_no_calls(large_group):
+def test_an_agent_that_has_not_applied_the_newest_assignment_makes_no_calls(large_group):
     group = large_group
     host = group.agent_host()
     agent = group.agent_by_host[host]
--- a/tests/dispatch/test_worker_lives.py
+++ b/tests/dispatch/test_worker_lives.py
@@ -15,6 +15,7 @@
     WorkerUnresponsive,
 )
 from savoryshelf.tasks import snapshot
+from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import JOB, step
@@ -149,6 +150,26 @@
     assert not has_ended(group, LATER)
 
 
+# Guards against BUDGET and LOST: the agent knows which runs had worked, the leader does not.
+@pytest.mark.parametrize("is_found_by_agent", [True, False])
+def test_the_end_of_a_life_tells_what_is_known_of_its_runs(group, is_found_by_agent):
+    worker = start_a_run(group)
+    eventlet.sleep(2 * SURVIVAL_MS / 1000)
+    polls = worker.calls.count("poll")
+    for agent in group.agent_by_host.values():
+        for session in agent.session_by_incarnation.values():
+            session.check_incarnation()
+    wait_until(lambda: worker.calls.count("poll") > polls)
+    group.restart_worker("w1", 2)
+    if not is_found_by_agent:
+        group.error_by_life[EARLIER] = WorkerUnresponsive("no answer")
+    group.note_life(*LATER)
+    wait_until(lambda: has_ended(group, EARLIER))
+    (crash,) = group.ledger.find_task(TASK).crashes
+    assert crash.is_certain is is_found_by_agent
+    assert crash.on_start is not is_found_by_agent
+
+
 # Guards against TWICE: another process of the same id, at another address, is no evidence.
 def test_a_life_goes_on_while_another_one_answers_at_another_address(group, event):
     worker = start_a_run(group)
