A test of unreadable ends waits for the list after the acknowledgement

test_work_goes_on_beside_a_row_that_is_the_end_of_no_run[without number] failed once in 150 tests run two at a time. Traced: its second run was placed between an acknowledgement and the next list.

--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -871,6 +871,9 @@
     worker.end(other, 1, RunOutcome.FAILED)
     wait_until(lambda: worker.acknowledged == 1)
     wait_until(lambda: task_ledger.find_task(other).failures == 1)
+    # A run that is placed before the list after an acknowledgement may be what the row is of.
+    polls = worker.calls.count("poll")
+    wait_until(lambda: worker.calls.count("poll") >= polls + 2)
     worker.unanswered_calls = {"start"}
     assert record_intent(task_ledger, other, 2)
     agent.session.start(other, 2)
