A start that waits for a slot is not sent once its job is cancelled

Cause: a start that waits in the session looks at its run when it is sent, but not at whether that is to be stopped. Fix: such a run counts as not sent, and the next poll settles it. Evidence: test_a_start_that_waits_is_not_sent_once_its_job_is_cancelled failed before, passes now; 336 tests of worker sessions, agents and bounded waits pass.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -707,6 +707,9 @@
             self._note_survivors()
             if not self._may_call():
                 return None
+        if (task, run) in self._agent.ledger.runs_to_stop:
+            # Its job was cancelled while the start waited.
+            return None
         if self.worker.is_over_capacity:
             # Its capacity shrank after the run was placed; it may not guard it itself.
             return StartResult.NO_CAPACITY
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -641,6 +641,31 @@
     assert min(session.worked_ms_by_run().values()) >= 0
 
 
+# Guards against UNASKED: a start that waited for a slot was sent after the cancel was acknowledged.
+def test_a_start_that_waits_is_not_sent_once_its_job_is_cancelled(running_session, monkeypatch):
+    task_ledger, worker, session, _ = running_session
+    other = "00000000000000b2"
+    accept(task_ledger, step(MAX_CONCURRENT_STARTS, millicores=1), job_id=other)
+    tasks = [f"{other}.0.0.{index}" for index in range(MAX_CONCURRENT_STARTS)]
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
+    answered, begun, start = Event(), [], worker.start
+
+    def start_later(incarnation, request):
+        begun.append(request.task)
+        answered.wait()
+        return start(incarnation, request)
+
+    monkeypatch.setattr(worker, "start", start_later)
+    for task in [*tasks, TASK]:
+        assert record_intent(task_ledger, task, 2)
+        session.start(task, 2)
+    wait_until(lambda: len(begun) == MAX_CONCURRENT_STARTS)
+    task_ledger.cancel(JOB)
+    answered.send(None)
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
+    assert begun == tasks
+
+
 # Guards against work that never starts though a worker has room: a worker that was marked as
 # unresponsive while its last run was settled was never asked again.
 @pytest.mark.parametrize(
