--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -224,6 +224,9 @@
         is_gone = not is_live and self._is_earlier_incarnation(record.life)
         is_contrary = is_live and bool(contradicted_fields(known.record, record))
         if is_contrary and not self._is_correction(known, record, sequence):
+            if record.draining and not known.record.draining:
+                # It may be the worker's own, which relies on the acknowledgement.
+                self._note_draining(known)
             return _agent_host(known.record)
         if record.sequence <= newest or is_gone:
             # What corrects a record has been found to be of a worker that lives.
@@ -256,15 +259,19 @@
         self._require_recent_quorum_contact()
         worker = self._life_that_leaves(worker_id)
         if worker is not None and not worker.record.leaving:
-            record = codec.decode(WorkerRecord, codec.encode(worker.record))
-            record.draining = record.leaving = True
-            # It corrects nothing.
-            record.fencing_token = 0
-            self._commit(note_workers=NoteWorkers([record]))
+            self._note_draining(worker, leaving=True)
         born_ms = worker.record.life.born_ms if worker is not None else None
         log_event("worker:leaves", worker=worker_id, born=born_ms)
         self.on_change()
 
+    def _note_draining(self, worker: Worker, leaving: bool = False) -> None:
+        """Commit that a life drains, or leaves, and nothing else of its record."""
+        record = codec.decode(WorkerRecord, codec.encode(worker.record))
+        record.draining, record.leaving = True, leaving
+        # It corrects nothing.
+        record.fencing_token = 0
+        self._commit(note_workers=NoteWorkers([record]))
+
     def _life_that_leaves(self, worker_id: str) -> Worker | None:
         """Return the life that a ``leave`` comes from, or None if that is not certain.
 
