A late report of an agent's earlier process does not replace the present one

Fix: agents that were replaced are remembered, at most 100, and their reports ignored. A new leader knows none, so a late report that reaches it first still counts until the next report of the present process.

--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -34,6 +34,9 @@
 Its host is slow or has too much to do: it would start runs late and notice their ends late.
 """
 
+MAX_REPLACED_IDS = 100
+"""Bound on the ids of earlier agents that are remembered; a late report comes within seconds."""
+
 COMMIT_SAMPLE_SECONDS = 0.1
 """Time between two samples of the commit index."""
 
@@ -64,6 +67,9 @@
     _agent_by_id: dict[str, _KnownAgent] = attrs.field(factory=dict)
     _worker_by_incarnation: dict[IncarnationKey, _KnownWorker] = attrs.field(factory=dict)
     _weights_by_pair: dict[tuple[str, str], dict[str, PairWeight]] = attrs.field(factory=dict)
+    _replaced_ids: dict[str, None] = attrs.field(factory=dict)
+    """Agents of earlier incarnations of their processes, oldest first: late reports may come."""
+
     _commit_samples: deque[tuple[float, int]] = attrs.field(factory=deque)
 
     def record_report(self, report: AgentReport, now: float) -> bool:
@@ -72,7 +78,7 @@
         A report that is older than one that came before is ignored.
         """
         known = self._agent_by_id.get(report.agent_id)
-        if known is not None and report.number <= known.number:
+        if report.agent_id in self._replaced_ids or (known and report.number <= known.number):
             return False
         if known is None:
             self._drop_earlier_incarnations(report.agent_id)
@@ -97,6 +103,9 @@
         replica_id = replica_of(agent_id)
         for earlier in [each for each in self._agent_by_id if replica_of(each) == replica_id]:
             del self._agent_by_id[earlier]
+            self._replaced_ids[earlier] = None
+        while len(self._replaced_ids) > MAX_REPLACED_IDS:
+            del self._replaced_ids[next(iter(self._replaced_ids))]
 
     def record_commit_index(self, index: int, now: float) -> None:
         """Take a sample of the commit index, if one is due."""
--- a/tests/dispatch/test_agent_fleet.py
+++ b/tests/dispatch/test_agent_fleet.py
@@ -2,6 +2,7 @@
     AGENT_TIMEOUT_SECONDS,
     MAX_AGENT_LAG_SECONDS,
     MAX_APPLY_LAG_SECONDS,
+    MAX_REPLACED_IDS,
     AgentFleet,
 )
 from savoryshelf.wire.generated.ttypes import AgentReport, PairWeight, WorkerLife, WorkerState
@@ -149,3 +150,19 @@
     fleet.record_report(report(agent_id="c2.disk/1"), 0.0)
     fleet.record_report(report(agent_id="c1.disk/2"), 0.1)
     assert set(fleet.usable_agents(0.1)) == {"c1.disk/2", "c2.disk/1"}
+
+
+# Guards against an agent that loses its workers to a late report of its earlier process.
+def test_a_late_report_of_an_earlier_process_replaces_no_agent():
+    fleet = AgentFleet()
+    fleet.record_report(report(agent_id="c1.disk/1", number=4), 0.0)
+    fleet.record_report(report(agent_id="c1.disk/2", number=1), 0.1)
+    assert not fleet.record_report(report(agent_id="c1.disk/1", number=5), 0.2)
+    assert list(fleet.usable_agents(0.2)) == ["c1.disk/2"]
+
+
+def test_the_earlier_agents_that_are_remembered_are_bounded():
+    fleet = AgentFleet()
+    for number in range(2 * MAX_REPLACED_IDS):
+        fleet.record_report(report(agent_id=f"c1.disk/{number}"), 0.0)
+    assert len(fleet._replaced_ids) == MAX_REPLACED_IDS
