A worker's session is not kept from a new token by a life that never answered

Fix: a rejected session gets no new token only while another life at the address answers its agent. The earlier life ends once any later one answers there, not only the latest.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1821,7 +1821,7 @@
     Mutant(
         "a life with a later one at its address gets no new token",
         _LEADER_TERM,
-        "and (worker.key in replaceable or not self._fleet.is_fenced(worker))",
+        "and (worker.key in with_rivals or not self._fleet.is_fenced(worker))",
         "and not self._fleet.is_fenced(worker)",
         _EVIDENCE_TESTS,
     ),
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -306,7 +306,12 @@
             self._moved_at = now
         live_workers = self._live_workers()
         self._fleet.forget({worker.key for worker in live_workers}, now)
-        replaceable = {worker.key for worker, _ in _with_later_incarnations(live_workers)}
+        with_rivals = {
+            worker.key
+            for sharing in _sharing_an_address(live_workers)
+            for worker in sharing
+            if any(self._fleet.answers(other) for other in sharing if other is not worker)
+        }
         agent_ids = {agent.agent_id for agent in agents}
         workers = [
             AssignableWorker(
@@ -314,7 +319,8 @@
                 self._settings.region_by_domain.get(worker.record.failure_domain, ""),
                 worker.record.agent_id
                 if worker.record.agent_id in agent_ids
-                and (worker.key in replaceable or not self._fleet.is_fenced(worker))
+                # A new token would take the worker from the incarnation that answers there.
+                and (worker.key in with_rivals or not self._fleet.is_fenced(worker))
                 else None,
             )
             for worker in live_workers
@@ -339,8 +345,14 @@
         self._have_states_changed = False
         replaced = {
             worker.key: worker
-            for worker, later in _with_later_incarnations(self._live_workers())
-            if worker.key in self._replaced_at_by_incarnation or self._fleet.answers(later)
+            for sharing in _sharing_an_address(self._live_workers())
+            for worker in sharing
+            if worker.key in self._replaced_at_by_incarnation
+            or any(
+                other.record.life.born_ms > worker.record.life.born_ms
+                and self._fleet.answers(other)
+                for other in sharing
+            )
         }
         for key in self._replaced_at_by_incarnation.keys() - replaced.keys():
             del self._replaced_at_by_incarnation[key]
@@ -478,19 +490,13 @@
             log_event("term:command_lost", term=self._term, why=str(error))
 
 
-def _with_later_incarnations(workers: Iterable[Worker]) -> list[tuple[Worker, Worker]]:
-    """Return each worker that has a later incarnation at the same address, and that one."""
-    latest_by_place: dict[tuple[str, str], Worker] = {}
+def _sharing_an_address(workers: Iterable[Worker]) -> list[list[Worker]]:
+    """Return the incarnations of each worker of which there are several at one address."""
+    by_place: dict[tuple[str, str], list[Worker]] = {}
     for worker in workers:
         place = worker.record.life.worker_id, worker.record.address
-        latest = latest_by_place.setdefault(place, worker)
-        if worker.record.life.born_ms > latest.record.life.born_ms:
-            latest_by_place[place] = worker
-    pairs = (
-        (worker, latest_by_place[worker.record.life.worker_id, worker.record.address])
-        for worker in workers
-    )
-    return [(worker, latest) for worker, latest in pairs if latest is not worker]
+        by_place.setdefault(place, []).append(worker)
+    return [sharing for sharing in by_place.values() if len(sharing) > 1]
 
 
 def _merged(ended_lives: list[EndLives]) -> list[EndLives]:
