Starts that did not reach a life that has ended are no suspects of its crash

Four such crashes give a job up.

Fix: the end is reported once the starts under way are answered, 0.25 s later at most. Starts that wait for a reading of the clock share one poll.

test_starts_that_did_not_reach_a_life_are_no_suspects_of_its_end failed before; passes.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -93,6 +93,15 @@
 MAX_LOGGED_ITEMS = 40
 """Bound on the numbers and runs that one log line names."""
 
+MAX_REPORT_DELAY_SECONDS = 0.25
+"""How long the end of an incarnation is not reported while starts are under way, in seconds.
+
+A run whose start did not reach it is no suspect of a crash; a round trip or two tell.
+"""
+
+REPORT_CHECK_SECONDS = 0.01
+"""How often to look whether starts are still under way, in seconds."""
+
 PERMISSION_CHECK_SECONDS = 0.05
 """How often a session without permission to call its worker checks for it, in seconds."""
 
@@ -197,6 +206,7 @@
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
         self._start_slots = Semaphore(MAX_CONCURRENT_STARTS)
+        self._clock_check = Semaphore(1)
         self._wake = Event()
         self.is_closed = False
         self._threads = [eventlet.spawn(self._run)]
@@ -366,6 +376,16 @@
         if self.has_ended:
             return
         self.has_ended = True
+        if self._starts_in_flight:
+            eventlet.spawn_n(self._report_end, why)
+        else:
+            self._agent.incarnation_ended(self, why)
+
+    def _report_end(self, why: str) -> None:
+        """Report the end of the incarnation once the starts under way tell if they reached it."""
+        with eventlet.Timeout(MAX_REPORT_DELAY_SECONDS, False):
+            while self._starts_in_flight:
+                eventlet.sleep(REPORT_CHECK_SECONDS)
         self._agent.incarnation_ended(self, why)
 
     def _may_call(self) -> bool:
@@ -699,10 +719,11 @@
         assigned_task = self.worker.task_by_run.get((task, run))
         if assigned_task is None or not self._may_call():
             return None
-        if not self.clock.has_recent_reading(self._agent.now()):
-            self._poll(0)
-            if not self._may_call():
-                return None
+        with self._clock_check:
+            if not self.clock.has_recent_reading(self._agent.now()):
+                self._poll(0)
+        if not self._may_call():
+            return None
         if is_suspect(assigned_task):
             self._note_survivors()
             if not self._may_call():
--- a/tests/dispatch/test_worker_lives.py
+++ b/tests/dispatch/test_worker_lives.py
@@ -1,5 +1,7 @@
 """Two lives of a worker under one id: what ends the earlier one, and what does not."""
 
+import types
+
 import eventlet
 import pytest
 
@@ -19,16 +21,25 @@
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import JOB, step
+from . import group as group_module
 from .fakes import wait_until
 from .group import LEASE_MS, FakeGroup
 
 TASK = f"{JOB}.0.0.0"
 OTHER_JOB = "00000000000000b2"
 EARLIER, LATER = ("w1", 1), ("w1", 2)
+LEASE_SECONDS = 6.0
+"""As on the platform; the leases of this group are too short for long polls."""
+
 PASS_SECONDS = 2 * MAX_PASS_INTERVAL_SECONDS + 0.1
 """Time for the leader's next two passes, and for a call, a report and a commit between them."""
 
 
+@pytest.fixture
+def long_leases(monkeypatch):
+    monkeypatch.setattr(group_module, "LEASE_MS", 1000 * LEASE_SECONDS)
+
+
 @pytest.fixture(params=["the leader calls the workers", "the other hosts call them"])
 def group(request, monkeypatch):
     if request.param == "the other hosts call them":
@@ -261,3 +272,55 @@
     else:
         session.set_speed(TASK, 1, 50)
     wait_until(lambda: has_ended(group, EARLIER))
+
+
+# Guards against LOST: starts that were under way together to a life that had ended counted as
+# suspects of a crash, all but the first to be told, and jobs were given up for them.
+def test_starts_that_did_not_reach_a_life_are_no_suspects_of_its_end(group):
+    eventlet.sleep(0.1)
+    group.restart_worker("w1", 2)
+
+    def refuse(seconds):
+        # A connection and a question take a round trip.
+        eventlet.sleep(seconds)
+        raise IncarnationReplaced("another life answers")
+
+    group.start = lambda incarnation, request: refuse(0.05)
+    group.poll = lambda incarnation, *arguments: refuse(0.06)
+    group.submit(step(count=3, lasting=True))
+    wait_until(lambda: has_ended(group, EARLIER))
+    tasks = [group.ledger.find_task(f"{JOB}.0.0.{index}") for index in range(3)]
+    assert [task.name for task in tasks if task.crashes] == []
+
+
+# Guards against AVAIL: a life of another writer at the worker's address took the worker from its
+# session and kept it from a new token.
+@pytest.mark.parametrize(
+    "error",
+    [IncarnationReplaced("another life answers"), WorkerUnresponsive("no answer")],
+    ids=lambda error: type(error).__name__,
+)
+def test_a_life_of_another_writer_at_the_same_address_lets_no_lease_lapse(
+    long_leases, group, error
+):
+    worker = start_a_run(group)
+    original = group._worker
+
+    def fence(incarnation, fencing_token, *arguments):
+        if fencing_token < worker.fencing_token:
+            raise Fenced("poll")
+        worker.fencing_token = fencing_token
+        raise error
+
+    foreign = types.SimpleNamespace(poll=fence)
+    group._worker = lambda life: foreign if life.born_ms == 2 else original(life)
+    group.note_life(*LATER)
+    granted, granted_at, longest = len(worker.deadlines), group.term.now(), 0.0
+    ends_at = granted_at + 2 * LEASE_SECONDS
+    while group.term.now() < ends_at:
+        eventlet.sleep(0.02)
+        if len(worker.deadlines) > granted:
+            granted, granted_at = len(worker.deadlines), group.term.now()
+        longest = max(longest, group.term.now() - granted_at)
+    assert longest < LEASE_SECONDS, f"no lease was granted for {longest:.2f} s"
+    assert worker.starts == [(TASK, 1)]
