--- a/tests/platform/test_worker_lives.py
+++ b/tests/platform/test_worker_lives.py
@@ -3,10 +3,11 @@
 import contextlib
 import socket
 import threading
+import time
 
 import orjson
 import pytest
-from savoryshelf_platform.workers import HttpWorkerApi
+from savoryshelf_platform.workers import CALL_TIMEOUT_SECONDS, HttpWorkerApi
 
 from savoryshelf.dispatch.worker_api import (
     CallRejected,
@@ -41,6 +42,9 @@
         """Status and body of a call's answer, by its name, in place of an empty list."""
 
         self.is_silent = False
+        self.answer_seconds = 0.0
+        """How long each answer takes."""
+
         self._connections = []
         self._port = 0
         self.boot(born=1)
@@ -96,6 +100,7 @@
                 reply = EMPTY_LIST | {"born": self.born}
                 status, reply = self.answer_by_call.get(path, (200, reply))
                 body = orjson.dumps(reply)
+                time.sleep(self.answer_seconds)
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
                 connection.sendall(head.encode() + body)
 
@@ -222,3 +227,13 @@
     with pytest.raises(WorkerUnresponsive) as caught:
         api.start(worker.life(), request)
     assert not isinstance(caught.value, NotDelivered)
+
+
+# Guards against a worker that is out of use although it answers each call in time.
+@each_call
+@pytest.mark.parametrize("answer_seconds", [0.3, 0.75])
+def test_a_worker_that_answers_within_the_timeout_of_a_call_is_used(worker, call, answer_seconds):
+    worker.answer_seconds = answer_seconds
+    assert answer_seconds < CALL_TIMEOUT_SECONDS
+    call(HttpWorkerApi(), worker.life())
+    assert len(orders(worker)) == 1
