No lease counts from later than the check of the permission to grant it

Cause: the clock was read after the permission was checked. A process that is stopped between the two by a signal, or suspended, granted a lease from when it went on. Its token is an earlier one by then, but a worker that the next agent does not reach has not seen a later one: the next agent takes it for lost one lease and 1 s after its assignment, while the late start or lease lets runs go on there.

Change: the clock is read first; starts, polls and renewals grant a lease only if the permission still holds after that. What is sent after a pause then names a deadline from before it.

Elsewhere: the own interface's batch leases, not looked at.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1848,4 +1848,21 @@
         "        eventlet",
         _EVIDENCE_TESTS,
     ),
+    Mutant(
+        "no lease of a start counts from later than the check of the permission",
+        _WORKER_SESSION,
+        "        now = self._agent.now()\n"
+        "        if not self._may_call():\n"
+        "            return None\n"
+        "        request",
+        "        now = self._agent.now()\n        request",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "no lease of a poll counts from later than the check of the permission",
+        _WORKER_SESSION,
+        "        renews_lease = renews_lease and self._may_call()\n",
+        "",
+        "tests/dispatch/test_worker_session.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -427,6 +427,8 @@
         # The lease of an unresponsive worker must be able to expire, so it is not
         # renewed by a poll that may go unanswered as well.
         renews_lease = self.clock.has_recent_reading(sent_at) and not self.is_unresponsive
+        # Checked after the clock was read: a process may be stopped between the two.
+        renews_lease = renews_lease and self._may_call()
         deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
         result = self._call("poll", self.fencing_token, seen_end, deadline_ms, wait_ms)
@@ -453,9 +455,10 @@
             self._wait_before_retry()
 
     def _renew_lease(self) -> None:
+        now = self._agent.now()
         if not self._may_call():
             return
-        deadline_ms = self.clock.extend_deadline(self._agent.now(), self._lease_ms)
+        deadline_ms = self.clock.extend_deadline(now, self._lease_ms)
         seen_end = self.worker.record.seen_end
         self._call("poll", self.fencing_token, seen_end, deadline_ms, 0)
 
@@ -734,7 +737,10 @@
         if self.worker.is_over_capacity:
             # Its capacity shrank after the run was placed; it may not guard it itself.
             return StartResult.NO_CAPACITY
+        # Read before the check: a process may be stopped between the two.
         now = self._agent.now()
+        if not self._may_call():
+            return None
         request = StartRequest(
             task=task,
             run=run,
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -932,3 +932,46 @@
     agent.session._poll_now()
     assert worker.acknowledged == 2
     assert task_ledger.find_task(odd).incarnation_by_run
+
+
+class PausedAgent:
+    """Stops its process for 20 s right after each check of the permission that it passes."""
+
+    def __init__(self, agent):
+        self._agent = agent
+        self._paused_seconds = 0.0
+        self._valid_until = time.monotonic() + 1.0
+
+    def __getattr__(self, name):
+        return getattr(self._agent, name)
+
+    def now(self):
+        return time.monotonic() + self._paused_seconds
+
+    def may_call_workers(self):
+        if self.now() >= self._valid_until:
+            return False
+        self._paused_seconds += 20.0
+        return True
+
+
+# Guards against two runs of a task: a process that is stopped between the check of its permission
+# and its look at the clock grants a lease from when it goes on, long after the worker's next agent,
+# which may not reach it, has taken it for lost.
+@pytest.mark.parametrize("call", ["start", "poll", "renewal"])
+def test_no_lease_counts_from_later_than_the_check_of_the_permission(running_session, call):
+    task_ledger, worker, session, agent = running_session
+    wait_until(lambda: session.clock.has_recent_reading(agent.now()))
+    wait_until(lambda: not session.worker.task_by_run)
+    session._threads[0].kill()
+    assert record_intent(task_ledger, TASK, 2)
+    worker.deadlines.clear()
+    session._agent = PausedAgent(agent)
+    if call == "start":
+        session._call_start(TASK, 2, "")
+    elif call == "poll":
+        session._poll_now()
+    else:
+        session._renew_lease()
+    granted = worker.deadlines + [request.deadline_ms for request in worker.requests]
+    assert all(deadline_ms <= worker.clock_ms() + LEASE_MS for deadline_ms in granted)
