Tests: a life that was recorded as ended and reports again is settled under its new token alone

Its ends go on with the numbers that they had; what was reported under the earlier token is ignored before and after the new assignment, its end too.

--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -507,3 +507,28 @@
     assert all(task.done for task in restored.job_by_id[JOB].tasks())
     assert not restored.startable_group_by_key
     assert restored.job_by_id[JOB].state is task_ledger.job_by_id[JOB].state
+
+
+# Guards against ends that count for another assignment of a life: it was recorded as ended, answers
+# again, and its ends go on with the numbers that they had.
+def test_a_life_that_reports_again_is_settled_under_its_new_token_from_where_it_was():
+    task_ledger, life, task = ledger(), WorkerLife("w1", 1), f"{JOB}.0.0.0"
+    accept(task_ledger, step())
+    record_intent(task_ledger, task)
+    earlier = assign(task_ledger)
+    task_ledger.settle(life, 7, [], earlier)
+    task_ledger.end_incarnations([life], [], [earlier])
+    done = RunEnd(task, 1, RunOutcome.DONE, "", 8)
+    record = worker()
+    record.sequence = 6
+    task_ledger.settle(life, 8, [done], earlier)
+    task_ledger.upsert_worker(record)
+    task_ledger.settle(life, 8, [done], earlier)
+    current = assign(task_ledger)
+    task_ledger.settle(life, 8, [done], earlier)
+    entry = task_ledger.worker_by_incarnation["w1", 1]
+    assert entry.record.seen_end == 7 and not task_ledger.find_task(task).done
+    task_ledger.end_incarnations([life], [], [earlier])
+    assert not entry.has_ended
+    task_ledger.settle(life, 8, [done], current)
+    assert entry.record.seen_end == 8 and task_ledger.find_task(task).done
