--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1782,32 +1782,22 @@
     Mutant(
         "a later life ends an earlier one only once it has answered",
         _LEADER_TERM,
-        "or self._fleet.answers(later)",
-        "or True",
+        "                and self._fleet.answers(other)\n                for other in sharing\n            )\n        }",
+        "                for other in sharing\n            )\n        }",
         _EVIDENCE_TESTS,
     ),
     Mutant(
         "a later life ends an earlier one at the same address alone",
         _LEADER_TERM,
-        "        place = worker.record.life.worker_id, worker.record.address\n"
-        "        latest = latest_by_place.setdefault(place, worker)\n"
-        "        if worker.record.life.born_ms > latest.record.life.born_ms:\n"
-        "            latest_by_place[place] = worker\n"
-        "    pairs = (\n"
-        "        (worker, latest_by_place[worker.record.life.worker_id, worker.record.address])\n",
-        "        place = worker.record.life.worker_id\n"
-        "        latest = latest_by_place.setdefault(place, worker)\n"
-        "        if worker.record.life.born_ms > latest.record.life.born_ms:\n"
-        "            latest_by_place[place] = worker\n"
-        "    pairs = (\n"
-        "        (worker, latest_by_place[worker.record.life.worker_id])\n",
+        "        place = worker.record.life.worker_id, worker.record.address\n",
+        '        place = worker.record.life.worker_id, ""\n',
         _LIVES_TESTS,
     ),
     Mutant(
         "a life that has answered ends no later one",
         _LEADER_TERM,
-        "if worker.record.life.born_ms > latest",
-        "if worker.record.life.born_ms < latest",
+        "other.record.life.born_ms > worker.record.life.born_ms",
+        "other.record.life.born_ms != worker.record.life.born_ms",
         _LIVES_TESTS,
     ),
     Mutant(
@@ -1865,4 +1855,40 @@
         "",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a rejected session gets a new token while no other life answers",
+        _LEADER_TERM,
+        "if any(self._fleet.answers(other) for other in sharing if other is not worker)",
+        "if any(other is not worker for other in sharing)",
+        _LIVES_TESTS,
+    ),
+    Mutant(
+        "the end of a life is reported once the starts under way have told",
+        _WORKER_SESSION,
+        "        if self._starts_in_flight:\n            eventlet.spawn_n(self._report_end, why)\n"
+        "        else:\n            self._agent.incarnation_ended(self, why)\n",
+        "        self._agent.incarnation_ended(self, why)\n",
+        _LIVES_TESTS,
+    ),
+    Mutant(
+        "a draining heartbeat that contradicts its record keeps starts away",
+        _TASK_SERVICE,
+        "if record.draining and not known.record.draining:",
+        "if False:",
+        "tests/dispatch/test_task_service.py",
+    ),
+    Mutant(
+        "a late report of an earlier process replaces no agent",
+        "dispatch/agent_fleet.py",
+        "report.agent_id in self._replaced_ids or (",
+        "(",
+        DISPATCH + "/test_agent_fleet.py",
+    ),
+    Mutant(
+        "a start that waits is not sent once its job is cancelled",
+        _WORKER_SESSION,
+        "if (task, run) in self._agent.ledger.runs_to_stop:",
+        "if False:",
+        "tests/dispatch/test_worker_session.py",
+    ),
 ]
