--- a/specification/lives.py
+++ b/specification/lives.py
@@ -8,8 +8,8 @@
 takes the permission of ``agents.py``.
 
 The models share these steps; each has the parts that its guards need.  Where there are leaves,
-two things are assumed.  Nothing runs in a process from its leave on.  And a leave of a process
-whose draining was never noted does not meet a later life that drains.
+two things are assumed.  Nothing runs or starts in a process from its leave on.  And a leave of
+a process whose draining was never noted does not meet a later life that drains.
 """
 
 from typing import NamedTuple
@@ -287,7 +287,8 @@
     run, life, token = order
     process = state.process
     after = state._replace(flight=tuple(each for each in state.flight if each != order))
-    if token < process.seen_token or run <= process.refused or run in process.running:
+    is_refused = token < process.seen_token or run <= process.refused or state.boot in state.left
+    if is_refused or run in process.running:
         yield f"the start of run {run} is refused", after
         return
     started = _started(after, run, token)
