--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1782,8 +1782,8 @@
     Mutant(
         "a later life ends an earlier one only once it has answered",
         _LEADER_TERM,
-        "                and self._fleet.answers(other)\n                for other in sharing\n            )\n        }",
-        "                for other in sharing\n            )\n        }",
+        "                and self._fleet.answers(other)\n                for other in sharing\n",
+        "                for other in sharing\n",
         _EVIDENCE_TESTS,
     ),
     Mutant(
@@ -1890,6 +1890,8 @@
         "if (task, run) in self._agent.ledger.runs_to_stop:",
         "if False:",
         "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
         "a worker that tells its start is no life whose heartbeats tell none",
         _PLATFORM_WORKERS,
         "if born_ms is None and not incarnation.born_ms:",
