--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -9,7 +9,7 @@
 
 from savoryshelf.registry import registry_decorator
 
-from ..platform import doubled_runs
+from ..platform import RunRecord, doubled_runs
 from .callers import CANCEL, DEADLINE_SECONDS, NOT_RUN, READ, SUBMIT, Call
 from .deployment import GRACE_SECONDS, Deployment
 
@@ -71,10 +71,18 @@
                 times.setdefault(call.job_id, call.ended_at)
         return times
 
+    def records(self, job_id: str = "") -> list[RunRecord]:
+        """Return the runs of a job, or all, as their workers saw them."""
+        return [
+            record
+            for worker in self.deployment.workers
+            for record in worker.records
+            if record.task.startswith(job_id)
+        ]
+
     def jobs_that_may_be_given_up(self) -> set[str]:
         """Return the jobs with a task under which several workers crashed."""
-        records = [record for worker in self.deployment.workers for record in worker.records]
-        crashes = collections.Counter(r.task for r in records if r.outcome == "crashed")
+        crashes = collections.Counter(r.task for r in self.records() if r.outcome == "crashed")
         tasks = [task for task, count in crashes.items() if count >= CRASHES_UNTIL_GIVEN_UP]
         return {task.partition(".")[0] for task in tasks}
 
@@ -144,13 +152,14 @@
         allowed |= {"failed"} if job_id in given_up else set()
         if state not in allowed:
             caller = next(call.caller for call in seen.calls if call.job_id == job_id)
-            yield Finding("LOST job", last, f"{job_id} ends as {state or 'unknown'}", caller)
+            text = f"{job_id} ends as {state or 'unknown'}; "
+            text += "; ".join(f"{each.task} {each}" for each in seen.records(job_id))
+            yield Finding("LOST job", last, text, caller)
 
 
 @_check("tasks that run twice")
 def _doubled_tasks(seen: Observations) -> Iterator[Finding]:
-    records = [record for worker in seen.deployment.workers for record in worker.records]
-    for earlier, later in doubled_runs(records):
+    for earlier, later in doubled_runs(seen.records()):
         overlap = min(earlier.ended_at, later.ended_at) - later.started_at
         text = f"{later.task}: {earlier}; {later}; at once for {max(0.0, overlap):.3f} s"
         yield Finding("TWICE", later.started_at, text)
@@ -165,7 +174,7 @@
 
 @_check("tasks of refused jobs, and jobs completed with tasks undone")
 def _wrong_tasks(seen: Observations) -> Iterator[Finding]:
-    records = [r for worker in seen.deployment.workers for r in worker.records]
+    records = seen.records()
     clear_by_job: dict[str, bool] = {}
     for call in seen.calls_of(SUBMIT):
         is_refused = call.status in NOT_RUN or not (call.status or call.sent_at)
