Soak: an end that nobody has read when its life ends counts like a run that is lost with it

The new check of jobs that are given up counted only runs that were at work at the crash. Its first start was broken off by the crash (in doubt), its second run had ended `done` 0.1 s or more before the crash and no list had told so, its third was at work. The caller of a worker can't tell the second from the third. A start in doubt leaves no record at its worker, so a job given up after one lost run and starts in doubt is still a finding.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -119,6 +119,8 @@
     is_acknowledged: bool = False
     worker_id: str = ""
     life: int = 1
+    is_lost: bool = False
+    """Whether its life ended before its end was acknowledged."""
 
     def __str__(self) -> str:
         return (
@@ -302,10 +304,12 @@
             now = time.monotonic()
             for run in self._running.values():
                 record = self.records[run.task, run.number]
-                record.ended_at, record.outcome = now, "crashed"
+                record.ended_at, record.outcome, record.is_lost = now, "crashed", True
                 if run.gang is not None:
                     run.gang.break_off(now)
             self._running.clear()
+            for _, task, number, *_ in self._listed_ends:
+                self.records[task, number].is_lost = True
         self._server.reset_all(self._accepting)
 
     def clock_ms(self) -> int:
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -58,6 +58,10 @@
     assert [end[:4] for end in ends] == [[1, TASK, 1, "done"]]
     lives = [(each.life, each.number, each.outcome) for each in worker.records]
     assert lives == [(1, 3, "done"), (1, 4, "crashed"), (2, 1, "done")]
+    assert [each.is_lost for each in worker.records] == [True, True, False]
+    connect(worker).call("hold", fencingToken=1, lastSeen=1)
+    worker.crash()
+    assert not worker.records[-1].is_lost
 
 
 def test_only_lists_say_which_life_answers(worker):
