Specification of lives: a life that has left and ended stays ended

A trial of all parts in one model (942,098 states) was refuted: a life that left ends at an unanswered poll, a heartbeat of it takes it up again, and the next session acknowledges an end done that was listed before the task's next start. With the guard the model of leaves and ends holds; without it 17 states refute it. The ledger of the product does not have the guard yet.

--- a/specification/lives.py
+++ b/specification/lives.py
@@ -37,6 +37,7 @@
 ADDRESS = "the address of a life does not change"
 ALONE = "a leave counts only if no other life may have sent it: one that lives, or had drained"
 DRAINS = "a leave counts only for a life that has reported that it drains"
+STAYS_ENDED = "a life that has left and ended is not taken up again"
 UNNAMED = "a process that says when it was born is no life without a birth"
 IGNORE_EARLIER = (
     "the heartbeat of a life that was born earlier is ignored while a later one is there"
@@ -46,6 +47,7 @@
 ENDS_GUARDS = (CONNECTION, QUESTION, COMMIT_FIRST)
 WRITERS_GUARDS = (HEARTBEAT, ANSWERED, SAME_ADDRESS, ADDRESS)
 LEAVES_GUARDS = (ALONE, DRAINS)
+LEFT_GUARDS = (STAYS_ENDED,)
 CLOCKS_GUARDS = (IGNORE_EARLIER,)
 UNNAMED_GUARDS = (UNNAMED,)
 GUARDS = frozenset(
@@ -55,6 +57,7 @@
         *ENDS_GUARDS,
         *WRITERS_GUARDS,
         *LEAVES_GUARDS,
+        *LEFT_GUARDS,
         *CLOCKS_GUARDS,
         *UNNAMED_GUARDS,
     )
@@ -131,6 +134,8 @@
     """Whether it has reported that it drains; known after its end too."""
 
     leaving: bool = False
+    """Whether its leave was taken; known after its end too."""
+
     lease: int = 0
     """Longest lease that may be left."""
 
@@ -192,7 +197,7 @@
 def _end_life(state, number):
     """Record the end of a life; its run is released."""
     after = _with_life(
-        state, number, is_live=False, token=0, answered=False, leaving=False, lease=0, is_over=False
+        state, number, is_live=False, token=0, answered=False, lease=0, is_over=False
     )
     return _release(after, number, state.run)
 
@@ -345,6 +350,8 @@
         for other, later in zip(scope.lives, state.lives, strict=True):
             if later.is_live and scope.is_born_earlier(number, other):
                 return state
+    if life.leaving and not life.is_live and STAYS_ENDED in scope.guards:
+        return state
     if life.is_live and ADDRESS in scope.guards:
         address = life.address
     after = _with_life(state, number, is_live=True, address=address)
@@ -619,3 +626,12 @@
     max_run=bound(2, 1),
     has_unnamed=True,
 )
+_model(
+    "lives-left",
+    LEFT_GUARDS,
+    processes=bound(2, 1),
+    max_token=bound(3, 2),
+    max_run=1,
+    has_ends=True,
+    has_leaves=True,
+)
