A life that has left and ended does not come back

Cause, found by the specification (lives-left): a life that had announced its exit ended at an unanswered call, and its next heartbeat took it up again. Its session then acknowledged the end of a run that had been settled as lost and started again elsewhere: TWICE, noted for good.

Not reproduced with real processes.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1898,4 +1898,11 @@
         "if not incarnation.born_ms:",
         _CALLED_LIFE_TESTS,
     ),
+    Mutant(
+        "a life that has left and ended does not come back",
+        "tasks/ledger.py",
+        "if existing.has_ended and known.leaving:",
+        "if False:",
+        "tests/tasks/test_ledger.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -212,6 +212,9 @@
                 return _agent_host(known.record) if known else ""
             self._sequence_by_incarnation[key] = sequence
         self._require_recent_quorum_contact()
+        if known is not None and known.has_ended and known.record.leaving:
+            self._log_ignored(record, "this life has left and ended")
+            return ""
         if self._has_unknown_service(record, known):
             self._log_ignored(record, "no manifest names its service")
             return _agent_host(known.record) if known else ""
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -144,9 +144,9 @@
     def upsert_worker(self, record: WorkerRecord) -> None:
         """Add an incarnation of a worker, or update its record.
 
-        An incarnation that was recorded as ended and reports again is schedulable again, but
-        not one that has announced its exit.  A record older than the known one is ignored, and
-        so is one that contradicts what is fixed before the incarnation has ended, unless it
+        An incarnation that was recorded as ended and reports again is schedulable again; one that
+        had announced its exit has ended for good.  A record older than the known one is ignored,
+        and so is one that contradicts what is fixed before the incarnation has ended, unless it
         ``may_correct`` that.
         """
         existing = self.worker_by_incarnation.get(incarnation_key(record.life))
@@ -159,6 +159,9 @@
         known = existing.record
         if (record.sequence or 0) < (known.sequence or 0):
             return
+        if existing.has_ended and known.leaving:
+            # What it lists was settled as lost, and must not be acknowledged.
+            return
         if existing.has_ended:
             self._withdraw_crashes(existing.key)
         elif contradicted_fields(known, record) and not may_correct(known, record):
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -803,3 +803,18 @@
     assert not entry(state_machine).is_schedulable
     leader.heartbeat(heartbeat(2))
     assert entry(state_machine).is_schedulable
+
+
+# Guards against a commit for each heartbeat of a life that has ended for good.
+def test_heartbeats_of_a_life_that_has_left_and_ended_change_nothing(state_machine, logged):
+    replica, leader = host(state_machine)
+    leader.heartbeat(heartbeat(1, draining=True))
+    leader.leave("w1")
+    end(state_machine, 1)
+    commits = replica.commits
+    for sequence in range(2, 8):
+        leader.heartbeat(heartbeat(sequence))
+    assert replica.commits == commits
+    assert entry(state_machine).has_ended
+    (line,) = ignored(logged)
+    assert line["why"] == "this life has left and ended"
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -532,3 +532,25 @@
     assert not entry.has_ended
     task_ledger.settle(life, 8, [done], current)
     assert entry.record.seen_end == 8 and task_ledger.find_task(task).done
+
+
+# Guards against TWICE: a life that had left ended at an unanswered call and came back with its next
+# heartbeat; its session then acknowledged the end of a run that had been started again elsewhere.
+def test_a_life_that_has_left_and_ended_does_not_come_back():
+    task_ledger = ledger()
+    accept(task_ledger, step())
+    record_intent(task_ledger, f"{JOB}.0.0.0")
+    left = worker()
+    left.draining = left.leaving = True
+    left.sequence = 1
+    task_ledger.upsert_worker(left)
+    task_ledger.end_incarnations([left.life], [])
+    later = worker()
+    later.sequence = 2
+    task_ledger.upsert_worker(later)
+    task_ledger.assign_agents([AgentAssignment(left.life, "c0.disk/1")], 6)
+    known = task_ledger.worker_by_incarnation["w1", 1]
+    assert known.has_ended and known.record.leaving and not known.record.fencing_token
+    task_ledger = snapshot.load(snapshot.save(task_ledger))
+    task_ledger.upsert_worker(worker())
+    assert task_ledger.worker_by_incarnation["w1", 1].has_ended
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -190,6 +190,7 @@
             assert had_ended or not has_ended
             assert bool(record.leaving) == bool(known.leaving)
             if had_ended:
+                assert has_ended or not known.leaving
                 continue
             # Calls go to the address to which the runs were sent, by the same agent.
             assert (record.address, record.agent_id) == (known.address, known.agent_id)
