A start that waits is not sent once its worker has announced its exit

Found by the specification: that one unanswered call ends a life that has announced its exit is sound only if nothing starts there any more. Starts that waited in the session were sent all the same. test_a_start_that_waits_is_not_sent_once_it_is_not_wanted[announce_the_exit] failed before; 66 tests of worker sessions pass. (The test of cancelled jobs is its other case now, under this name.)

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1887,8 +1887,8 @@
     Mutant(
         "a start that waits is not sent once its job is cancelled",
         _WORKER_SESSION,
-        "if (task, run) in self._agent.ledger.runs_to_stop:",
-        "if False:",
+        "if (task, run) in self._agent.ledger.runs_to_stop or self.worker.record.leaving:",
+        "if self.worker.record.leaving:",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -731,8 +731,8 @@
             self._note_survivors()
             if not self._may_call():
                 return None
-        if (task, run) in self._agent.ledger.runs_to_stop:
-            # Its job was cancelled while the start waited.
+        if (task, run) in self._agent.ledger.runs_to_stop or self.worker.record.leaving:
+            # Its job was cancelled, or the worker has announced its exit, while the start waited.
             return None
         if self.worker.is_over_capacity:
             # Its capacity shrank after the run was placed; it may not guard it itself.
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -641,8 +641,19 @@
     assert min(session.worked_ms_by_run().values()) >= 0
 
 
-# Guards against UNASKED: a start that waited for a slot was sent after the cancel was acknowledged.
-def test_a_start_that_waits_is_not_sent_once_its_job_is_cancelled(running_session, monkeypatch):
+def cancel_its_job(task_ledger):
+    task_ledger.cancel(JOB)
+
+
+def announce_the_exit(task_ledger):
+    (entry,) = task_ledger.worker_by_incarnation.values()
+    entry.record.draining = entry.record.leaving = True
+
+
+# Guards against UNASKED: a start that waited for a slot was sent after the cancel was acknowledged;
+# and against TWICE: one call without an answer ends a life that has announced its exit.
+@pytest.mark.parametrize("event", [cancel_its_job, announce_the_exit])
+def test_a_start_that_waits_is_not_sent_once_it_is_not_wanted(running_session, monkeypatch, event):
     task_ledger, worker, session, _ = running_session
     other = "00000000000000b2"
     accept(task_ledger, step(MAX_CONCURRENT_STARTS, millicores=1), job_id=other)
@@ -660,7 +671,7 @@
         assert record_intent(task_ledger, task, 2)
         session.start(task, 2)
     wait_until(lambda: len(begun) == MAX_CONCURRENT_STARTS)
-    task_ledger.cancel(JOB)
+    event(task_ledger)
     answered.send(None)
     wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
     assert begun == tasks
