A start that is refused counts as no start: other workers are tried, the wait goes on

What callers saw: accepted work that could run and does not, for good (LOST), while one worker answers each of its starts with `late`, `old` or status 400 and others have the room; or for up to 16 s, while one worker refuses for lack of room and the others are quarantined.

Cause: placement forgot a start as soon as it was planned. Nothing kept the task from the worker that had just refused it, since these answers hold no worker back, and the wait after which preferences are ignored began anew with each planned start.

A task goes to the workers that have refused it least, and waits since before those starts. A refused start was never run, so no second run can come of it; nothing is settled sooner.

--- a/src/savoryshelf/dispatch/isolation.py
+++ b/src/savoryshelf/dispatch/isolation.py
@@ -62,8 +62,14 @@
     _crashed_worker_ids: set[str] = attrs.field(factory=set)
     """The workers that have crashed of late."""
 
-    def begin_pass(self, ledger: TaskLedger, now: float) -> list[Task]:
-        """Return the suspects to isolate in this pass, the longest waiting first."""
+    def begin_pass(
+        self, ledger: TaskLedger, now: float, refused_since_by_task: dict[str, float]
+    ) -> list[Task]:
+        """Return the suspects to isolate in this pass, the longest waiting first.
+
+        ``refused_since_by_task`` holds since when the tasks wait of which the newest start did
+        not become a run.
+        """
         self._kept_until_by_worker = {
             key: until for key, until in self._kept_until_by_worker.items() if now < until
         }
@@ -77,7 +83,7 @@
             and not task.step.spec.gang
             and is_suspect(task)
         ]
-        since = self._waiting_since_by_task
+        since = refused_since_by_task | self._waiting_since_by_task
         self._waiting_since_by_task = {task.name: since.get(task.name, now) for task in waiting}
         since = self._waiting_since_by_task
         suspects = [task for task in waiting if now - since[task.name] < MAX_WAIT_SECONDS]
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -451,6 +451,8 @@
             if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED) and end.number > settled_up_to:
                 succeeded = end.outcome == RunOutcome.DONE
                 self._record_outcome(settlement.life.worker_id, succeeded, end.task)
+            elif end.outcome == RunOutcome.NEVER_RAN:
+                self._placement.record_refusal(end.task, end.run)
 
     def _record_outcome(self, worker_id: str, succeeded: bool, cause: str) -> None:
         """Record an outcome and log a quarantine that it begins, with the task that failed."""
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -27,6 +27,7 @@
 )
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
+from .refused_starts import RefusedStarts
 from .waiting import MAX_DEFERRAL_SECONDS, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -83,6 +84,9 @@
 Its attempts are limited, so it is placed there only as a last resort.
 """
 
+REFUSED_HERE_PENALTY = 1000.0
+"""For each start of the task that the worker has refused of late: all others are tried first."""
+
 RECENT_FAILURE_PENALTY = 5.0
 """For each failure on the worker since its last success."""
 
@@ -413,13 +417,14 @@
         entries = self._entries
         if not entries:
             return None
-        if task.failed_on:
-            _, position = min(
-                (score + FAILED_HERE_PENALTY * self._has_failed_on(task, position), position)
-                for score, position in entries
-            )
-            return self._candidates[position]
-        return self._candidates[entries[0][1]]
+        refusals = self._placement.refusals_by_worker(task)
+        if not task.failed_on and not refusals:
+            return self._candidates[entries[0][1]]
+        _, position = min(
+            (score + self._penalty(task, refusals, position), position)
+            for score, position in entries
+        )
+        return self._candidates[position]
 
     def update(self, candidate: _Candidate) -> None:
         """Score a candidate again on which a run has been planned."""
@@ -446,9 +451,11 @@
             return None
         return self._placement.score(self._step, candidate, run_count), position
 
-    def _has_failed_on(self, task: Task, position: int) -> bool:
-        record = self._candidates[position].view.worker.record
-        return task.failed_on == record.life.worker_id
+    def _penalty(self, task: Task, refusals: Counter, position: int) -> float:
+        """Return what is added to a candidate's score for this task alone."""
+        worker_id = self._candidates[position].view.worker.record.life.worker_id
+        penalty = FAILED_HERE_PENALTY if task.failed_on == worker_id else 0.0
+        return penalty + REFUSED_HERE_PENALTY * refusals[worker_id]
 
 
 def _expected_use(worker: Worker) -> float:
@@ -467,8 +474,9 @@
 class Placement:
     """Plans the runs to start during one leader's term.
 
-    Its only state is the time since which startable work has been waiting, the worker from
-    which on the next step is placed, and the workers kept for tasks that may crash them.
+    Its only state is the time since which startable work has been waiting, the starts that were
+    refused of late, the worker from which on the next step is placed, and the workers kept for
+    tasks that may crash them.
     """
 
     def __init__(
@@ -479,6 +487,7 @@
     ):
         self._interference = interference
         self._waiting = WaitingWork()
+        self._refused_starts = RefusedStarts()
         self._next_position = 0
         self._isolation = Isolation()
         self._home_region = home_region
@@ -504,18 +513,22 @@
             for group in ledger.startable_group_by_key.values()
             if group.job.due_ms(group.occurrence) <= wall_ms
         ]
-        self._waiting.begin_pass(groups, now)
+        self._refused_starts.forget_old(now)
+        refused_since_by_task = self._refused_starts.waiting_since_by_task()
+        self._waiting.begin_pass(groups, now, refused_since_by_task)
         candidates = [
             self._candidate(view, health, now)
             for view in views
             if view.is_responsive and view.worker.is_schedulable
         ]
         preferred = [c for c in candidates if not c.is_avoided]
-        intents = self._plan_suspects(ledger, _Pools(preferred), now)
+        suspects = self._isolation.begin_pass(ledger, now, refused_since_by_task)
+        intents = self._plan_suspects(suspects, ledger, _Pools(preferred), now)
         for candidate in preferred:
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
+        last_resorts: set[str] = set()
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
             pool = pools.pool_of(group)
             if self._must_leave_capacity(group, pool.candidates, now):
@@ -523,21 +536,51 @@
             limit = math.inf
             if is_limited(group.spec):
                 limit = max(best_effort_starts, 0 if _has_run(group) else 1)
-            planned = self._plan_group(group, pool, limit) if limit else []
+            planned = self._plan_group(group, pool, limit, now) if limit else []
             if group.spec.lasting or not planned:
-                planned += self._plan_overdue(group, all_pools.pool_of(group), planned, usage, now)
+                overdue = self._plan_overdue(group, all_pools.pool_of(group), planned, usage, now)
+                last_resorts.update(intent.task for intent in overdue)
+                planned += overdue
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
-        self._waiting.record_starts(intents, now)
+        self._record_starts(ledger, intents, last_resorts, now)
         return intents
 
-    def _plan_suspects(self, ledger: TaskLedger, pools: "_Pools", now: float) -> list[RunIntent]:
+    def _record_starts(
+        self, ledger: TaskLedger, intents: list[RunIntent], last_resorts: set[str], now: float
+    ) -> None:
+        """Take note of planned starts; ``last_resorts`` names the tasks that were overdue.
+
+        Those wait anew if they are refused, so that one attempt of the kind follows the other
+        only after a while.
+        """
+        for intent in intents:
+            seconds = 0.0
+            if intent.task not in last_resorts:
+                seconds = self._waiting.seconds_of_task(ledger.find_task(intent.task), now)
+            worker_id = intent.life.worker_id
+            self._refused_starts.record_start(
+                intent.task, intent.run, worker_id, now, waiting_since=now - seconds
+            )
+        self._waiting.record_starts(intents, now)
+
+    def record_refusal(self, task: str, run: int) -> None:
+        """Take note that a planned start did not become a run."""
+        self._refused_starts.record_refusal(task, run)
+
+    def refusals_by_worker(self, task: Task) -> Counter:
+        """Return how many starts of a task each worker has refused of late, by worker id."""
+        return self._refused_starts.count_by_worker(task.name)
+
+    def _plan_suspects(
+        self, suspects: list[Task], ledger: TaskLedger, pools: "_Pools", now: float
+    ) -> list[RunIntent]:
         """Place tasks that may crash their workers, each where nothing else is started."""
         intents, choices, isolation = [], 0, self._isolation
         run_counts_by_step: dict[tuple, Counter] = {}
-        for task in isolation.begin_pass(ledger, now):
+        for task in suspects:
             pool, step = pools.pool_of(task.step), task.step.spec
             limit = max(1, int(MAX_ISOLATED_SHARE * len(pool.candidates)))
             kept = isolation.worker_kept_for(task)
@@ -559,6 +602,10 @@
                 for c in candidates
                 if self.may_run(step, c, run_counts.get(c.view.incarnation, 0))
             }
+            refusals = self.refusals_by_worker(task)
+            if not refusals.keys() >= {key[0] for key in candidate_by_incarnation}:
+                for key in [key for key in candidate_by_incarnation if refusals[key[0]]]:
+                    del candidate_by_incarnation[key]
             score_by_worker = {
                 key: (c.view.worker, self.score(step, c, run_counts.get(key, 0)))
                 for key, c in candidate_by_incarnation.items()
@@ -590,13 +637,18 @@
             last_failure_at=health.last_failure_at(worker_id),
         )
 
-    def _plan_group(self, group: StepGroup, pool: "_Pool", limit: float) -> list[RunIntent]:
+    def _plan_group(
+        self, group: StepGroup, pool: "_Pool", limit: float, now: float
+    ) -> list[RunIntent]:
         step = group.spec
         if pool.is_exhausted_for(step):
             return []
+        tasks = self._startable_tasks(group)
+        overdue = self._waiting.overdue_tasks(group, tasks, now)
+        refused = [task for task in overdue if self._refused_starts.has_refusals(task.name)]
         run_counts = _run_count_by_incarnation(group)
         if step.gang:
-            return self._plan_gang(group, pool.candidates, run_counts)
+            return [] if refused else self._plan_gang(group, pool.candidates, run_counts)
         # The best worker for a long-running task, or for data in a rack, may be any.
         sample_size = math.inf
         if not step.lasting and not step.data_rack:
@@ -605,10 +657,16 @@
         ranking = _Ranking(
             self, step, pool.candidates, run_counts, self._next_position, sample_size
         )
+        # What all these candidates have refused is left to those that are avoided otherwise.
+        refused = [task for task in refused if self._is_refused_by_all(task, ranking)]
+        if refused and not step.lasting:
+            return []
         intents = []
-        for task in self._startable_tasks(group):
+        for task in tasks:
             if len(intents) >= limit:
                 break
+            if task in refused:
+                continue
             chosen = ranking.best(task)
             if chosen is None:
                 pool.record_rejected(step)
@@ -618,6 +676,10 @@
         self._next_position += ranking.scanned
         return intents
 
+    def _is_refused_by_all(self, task: Task, ranking: _Ranking) -> bool:
+        best = ranking.best(task)
+        return best is not None and bool(self.refusals_by_worker(task)[best.view.incarnation[0]])
+
     def _must_leave_capacity(
         self, group: StepGroup, eligible: list[_Candidate], now: float
     ) -> bool:
@@ -644,7 +706,8 @@
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
         tasks = self._waiting.overdue_tasks(group, tasks, now)
         step = group.spec
-        if not tasks or pool.is_exhausted_for(step):
+        has_refusals = any(self._refused_starts.has_refusals(task.name) for task in tasks)
+        if not tasks or (pool.is_exhausted_for(step) and not has_refusals):
             return []
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
@@ -654,7 +717,7 @@
             run_counts[intent.life.worker_id, intent.life.born_ms] += 1
         if step.gang:
             eligible = [candidate.copy() for candidate in pool.candidates]
-        elif step.filling:
+        elif step.filling or has_refusals:
             eligible = pool.candidates
         else:
             # The others have no room, or the task would have been placed there.
@@ -678,7 +741,8 @@
         for task in tasks:
             if not order_by_position:
                 break
-            position = _first_for(task, eligible, order_by_position)
+            refusals = self.refusals_by_worker(task)
+            position = _first_for(task, eligible, order_by_position, refusals)
             chosen = eligible[position]
             task_run = run if step.gang else task.runs + 1
             intents.append(self._assign(task, task_run, chosen, run_counts))
@@ -779,16 +843,22 @@
 
 
 def _first_for(
-    task: Task, candidates: list[_Candidate], order_by_position: dict[int, tuple]
+    task: Task,
+    candidates: list[_Candidate],
+    order_by_position: dict[int, tuple],
+    refusals: Counter,
 ) -> int:
-    """Return the position of the first worker by that order, one where the task failed last."""
-    if not task.failed_on:
+    """Return the position of the first worker by that order.
+
+    Those that have refused the task least come first, and one where it failed last comes last.
+    """
+    if not task.failed_on and not refusals:
         return min(order_by_position, key=order_by_position.get)
 
     def order(position: int) -> tuple:
         worker_id = candidates[position].view.worker.record.life.worker_id
         is_avoided, *others = order_by_position[position]
-        return is_avoided, worker_id == task.failed_on, others
+        return refusals[worker_id], is_avoided, worker_id == task.failed_on, others
 
     return min(order_by_position, key=order)
 
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -30,8 +30,14 @@
     _since_by_task: dict[str, float] = attrs.field(factory=dict)
     _since_by_group_key: dict[tuple, float] = attrs.field(factory=dict)
 
-    def begin_pass(self, groups: list[StepGroup], now: float) -> None:
-        """Take note of the steps that have startable tasks and are due, at the start of a pass."""
+    def begin_pass(
+        self, groups: list[StepGroup], now: float, refused_since_by_task: dict[str, float]
+    ) -> None:
+        """Take note of the steps that have startable tasks and are due, at the start of a pass.
+
+        ``refused_since_by_task`` holds since when the tasks wait of which the newest start did
+        not become a run: what was planned for them does not count.
+        """
         since = self._since_by_group_key
         self._since_by_group_key = {group.key: since.get(group.key, now) for group in groups}
         since = self._since_by_task
@@ -41,6 +47,20 @@
             if group.spec.lasting
             for task in (group.tasks[index] for index in group.startable_indexes)
         }
+        if refused_since_by_task:
+            self._resume_waits(groups, refused_since_by_task)
+
+    def _resume_waits(
+        self, groups: list[StepGroup], refused_since_by_task: dict[str, float]
+    ) -> None:
+        group_by_key = {group.key: group for group in groups}
+        for task, refused_since in refused_since_by_task.items():
+            if task in self._since_by_task:
+                self._since_by_task[task] = min(refused_since, self._since_by_task[task])
+            group = group_by_key.get(_step_key(task))
+            if group is not None and not any(each.incarnation_by_run for each in group.tasks):
+                since = self._since_by_group_key[group.key]
+                self._since_by_group_key[group.key] = min(refused_since, since)
 
     def seconds(self, group: StepGroup, now: float) -> float:
         """Return how long the step has been waiting; the longest wait of its tasks counts."""
@@ -51,6 +71,12 @@
             since = self._since_by_group_key.get(group.key, now)
         return now - since
 
+    def seconds_of_task(self, task: Task, now: float) -> float:
+        """Return how long a startable task, or its step if that is finite, has been waiting."""
+        if task.step.spec.lasting:
+            return now - self._since_by_task.get(task.name, now)
+        return self.seconds(task.step, now)
+
     def overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
         """Return those of the startable tasks of a step that are to be started on any worker.
 
@@ -73,7 +99,12 @@
         for intent in intents:
             if intent.task in self._since_by_task:
                 self._since_by_task[intent.task] = now
-            name = parse_task_name(intent.task)
-            key = name.job_id, name.occurrence, name.step
+            key = _step_key(intent.task)
             if key in self._since_by_group_key:
                 self._since_by_group_key[key] = now
+
+
+def _step_key(task: str) -> tuple[str, int, int]:
+    """Return the key of a task's step from its name."""
+    name = parse_task_name(task)
+    return name.job_id, name.occurrence, name.step
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -382,3 +382,15 @@
         "announced": False, "runs": 3, "line": 1, "not_named": 0,
         "released": [f"{JOB}.0.0.{index}:1" for index in range(3)],
     }  # fmt: skip
+
+
+# Guards against a task that waits for good while one worker refuses each of its starts.
+@pytest.mark.parametrize(
+    "result", [StartResult.MALFORMED, StartResult.TOO_LATE, StartResult.STALE_RUN], ids=str
+)
+def test_a_task_starts_elsewhere_though_a_worker_refuses_it_again_and_again(result):
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        refusing = group.worker_by_id["w1"]
+        refusing.start = lambda incarnation, request: (result, refusing.clock_ms())
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: group.worker_by_id["w2"].running)
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -42,12 +42,14 @@
 SERVING = {"lasting": True, "target_ms": 50, "image": "shop"}
 
 WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES = "works", "fails", "rejected", "unhealthy", "lapses"
+MALFORMED = "malformed"
 
 END_BY_FATE = {
     WORKS: (RunOutcome.DONE, RUN_SECONDS),
     FAILS: (RunOutcome.FAILED, 0.0),
     REJECTED: (RunOutcome.NEVER_RAN, 0.0),
     UNHEALTHY: (RunOutcome.NEVER_RAN, 0.0),
+    MALFORMED: (RunOutcome.NEVER_RAN, 0.0),
     LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
 }
 """How a start ends, and after how many seconds; lasting runs that work go on."""
@@ -195,9 +197,11 @@
             if task.incarnation_by_run.get(run) != key:
                 continue
             settle_run(self.ledger, name, outcome, run, key)
+            if outcome == RunOutcome.NEVER_RAN:
+                self.placement.record_refusal(name, run)
             if fate == REJECTED:
                 self.health.record_rejection(key[0], self.now)
-            elif fate != LAPSES:
+            elif fate not in (LAPSES, MALFORMED):
                 self.health.record_outcome(key[0], fate == WORKS, self.now)
             if task.step.spec.gang:
                 self._end_gang(task.step)
@@ -404,6 +408,42 @@
     site.run(20.0)
 
 
+# Guards against starts that are refused and repeated on the worker that scores best.
+@each_kind
+def test_work_of_each_kind_is_tried_elsewhere_after_a_worker_has_refused_it(kind):
+    site = Site(*[worker(f"w{number}", millicores=12_000, memory_mb=4000) for number in range(4)])
+    site.fate = lambda task, worker_id: WORKS if worker_id == "w3" else MALFORMED
+    accept(site.ledger, work(kind))
+    site.run(MAX_START_SECONDS)
+    assert "w3" in {worker_id for _, _, worker_id in site.starts}
+
+
+# Guards against a wait that counts from the newest planned start though that became no run.
+@each_kind
+@pytest.mark.parametrize("fate", [REJECTED, MALFORMED])
+def test_work_of_each_kind_is_overdue_though_its_starts_are_refused_in_turn(kind, fate):
+    site = Site(*[worker(f"w{number}", millicores=12_000, memory_mb=4000) for number in range(2)])
+    site.quarantine("w1")
+    site.fate = lambda task, worker_id: WORKS if worker_id == "w1" else fate
+    accept(site.ledger, work(kind))
+    site.run(MAX_START_SECONDS)
+    assert "w1" in {worker_id for _, _, worker_id in site.starts}
+
+
+# Guards against a suspect of a crash that is kept for a worker which refuses it again and again.
+def test_a_suspect_is_tried_elsewhere_after_a_worker_has_refused_it():
+    site = Site(*[worker(f"w{number}") for number in range(4)])
+    accept(site.ledger, step(1, lasting=True))
+    site.run(PASS_SECONDS)
+    ((_, _, crashed),) = site.starts
+    site.crash(crashed, returns=False)
+    site.starts.clear()
+    able = max({"w0", "w1", "w2", "w3"} - {crashed})
+    site.fate = lambda task, worker_id: WORKS if worker_id == able else MALFORMED
+    site.run(MAX_START_SECONDS)
+    assert able in {worker_id for _, _, worker_id in site.starts}
+
+
 # Guards against tasks that last and wait for a worker that quarantine alone keeps from them.
 def test_each_task_of_a_spread_step_starts_though_one_worker_is_quarantined():
     site = Site(worker("w0"), worker("w1"), worker("w2"))
