A run behind a row that cannot be read is stopped, and then settled

What callers saw: a task that waits for good (LOST) if its start was committed and never sent, as when all hosts lose power, and each list of its worker holds a row that cannot be read.

Why this works: after two seconds a run that is not known to have started here is stopped. A worker refuses a start of it that comes later, and ends it within its bound if the row is of it; a list that was asked for a second after the confirmed stop therefore settles it. Nothing is settled while the stop is unconfirmed, which a third case holds. A run that has been listed here, or whose start was answered, is left alone.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -6,7 +6,8 @@
 
 - The worker reports its end.
 - A poll that lists all runs and ends does not list it, and was sent after the run's last start
-  or stop was confirmed; no listed end that cannot be read may be its end.
+  or stop was confirmed; no listed end that cannot be read may be its end.  If a row of the runs
+  cannot be read, a stop has to have been confirmed a while before.
 - Another incarnation answers at the worker's address.
 - The worker does not answer after it announced its shutdown.
 - Every lease of the worker has expired.
@@ -85,9 +86,10 @@
 """
 
 MAX_DOUBT_SECONDS = 2.0
-"""How long a stop may stay unconfirmed until a start in doubt is ended by a new token.
+"""How long a run may be in doubt until it is ended.
 
-A new token makes a new session, which has to learn all runs of the worker again.
+If stops go unconfirmed, it is ended by a new token, which makes a new session that has to learn
+all runs of the worker again.  If rows that cannot be read may hide it, it is ended by a stop.
 """
 
 MAX_LOGGED_ITEMS = 40
@@ -505,6 +507,7 @@
         if ends:
             self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
+        self._stop_hidden_runs(result, ended_runs, sent_at)
         self._stop_unexpected_runs(ended_runs)
         self._expire_exclusions()
         self._agent.poll_completed(self, self._history)
@@ -541,7 +544,7 @@
         is_new = bool(numbers - self._unreadable_numbers) or unnumbered > known_unnumbered
         self._unreadable_numbers, self._unnumbered_ends = numbers, unnumbered
         self._settled_up_to = settled_up_to
-        unlisted = self.worker.task_by_run.keys() - self.status_by_run.keys() - ended_runs
+        unlisted = self._unlisted_runs(ended_runs)
         self._maybe_ended_runs &= unlisted if numbers or unnumbered else set()
         if not is_new or not unlisted:
             return
@@ -581,18 +584,38 @@
     def _missing_runs(self, result: PollResult, ended_runs: set, sent_at: float) -> list[RunEnd]:
         """Return ends for the runs that this poll should have listed and did not."""
         missing = []
-        if result.unreadable_runs or result.may_omit_ends:
+        if result.may_omit_ends:
             return missing
-        for key in self.worker.task_by_run:
-            if key in self._starts_in_flight or key in self.status_by_run or key in ended_runs:
+        for key in self._unlisted_runs(ended_runs):
+            if key in self._starts_in_flight or key in self._maybe_ended_runs:
                 continue
-            if key in self._maybe_ended_runs:
+            if result.unreadable_runs and not self._has_been_stopped(key, sent_at):
                 continue
             if self._confirmed_at_by_run.get(key, float("inf")) < sent_at:
                 missing.append(RunEnd(*key, RunOutcome.NEVER_RAN, "", 0))
                 log_event("run:missing", task=key[0], run=key[1], worker=self.incarnation.worker_id)
         return missing
 
+    def _unlisted_runs(self, ended_runs: set) -> set[tuple[str, int]]:
+        return self.worker.task_by_run.keys() - self.status_by_run.keys() - ended_runs
+
+    def _has_been_stopped(self, key: tuple[str, int], at: float) -> bool:
+        """Return whether a run had been stopped for certain by then, so that no row is of it."""
+        stopped_at = self._stopped_at_by_run.get(key)
+        return stopped_at is not None and at - stopped_at >= STOP_LAG_SECONDS
+
+    def _stop_hidden_runs(self, result: PollResult, ended_runs: set, sent_at: float) -> None:
+        """Stop runs that a row which cannot be read may be of, so that they can be settled.
+
+        Those that are known to have started here are left alone: their ends will be listed.
+        """
+        if not result.unreadable_runs:
+            return
+        for key in self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():
+            confirmed_at = self._confirmed_at_by_run.get(key, float("inf"))
+            if sent_at - confirmed_at >= MAX_DOUBT_SECONDS:
+                self.stop(*key)
+
     def _stop_unexpected_runs(self, ended_runs: set) -> None:
         """Stop listed runs that should not run here; drop the data kept on runs that are gone."""
         runs_to_stop = self._agent.ledger.runs_to_stop
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -1,5 +1,6 @@
 import time
 
+import attrs
 import eventlet
 import pytest
 from eventlet.event import Event
@@ -13,7 +14,12 @@
     WorkerUnresponsive,
 )
 from savoryshelf.dispatch.worker_clock import WorkerClock
-from savoryshelf.dispatch.worker_session import MAX_CONCURRENT_STARTS
+from savoryshelf.dispatch.worker_session import (
+    MAX_CONCURRENT_STARTS,
+    MAX_DOUBT_SECONDS,
+    RETRY_SECONDS,
+    STOP_LAG_SECONDS,
+)
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
 from savoryshelf.wire.generated.ttypes import AgentAssignment, RunIntent, RunOutcome, WorkerLife
@@ -560,6 +566,48 @@
     wait_until(lambda: task_ledger.find_task(TASK).done)
 
 
+class HidingWorker(FakeWorker):
+    """Lists each of its runs, or another writer's, in a row that cannot be read."""
+
+    def __init__(self):
+        super().__init__()
+        self.unreadable_runs = 1
+
+    def poll(self, *arguments):
+        result = super().poll(*arguments)
+        return attrs.evolve(result, running=[])
+
+
+# Guards against a task that waits for good for a run that was never sent, since each list of its
+# worker holds a row that cannot be read; and against a second run, should the row be of that run.
+@pytest.mark.parametrize("is_running", [False, True], ids=["never sent", "runs in that row"])
+def test_a_run_behind_a_row_that_cannot_be_read_is_stopped_and_settled(is_running):
+    task_ledger, worker = ledger(), HidingWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    if is_running:
+        worker.running[TASK, 1] = RunStatus(TASK, 1, "", 0, 0)
+    session, _ = make_session(task_ledger, worker)
+    bound = MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, bound)
+    assert not worker.running
+    assert worker.stopped == {TASK: 1}
+    session.close()
+
+
+# Guards against a run that is given up before its stop has certainly taken effect.
+def test_a_run_behind_a_row_that_cannot_be_read_is_kept_while_its_stop_is_unconfirmed():
+    task_ledger, worker = ledger(), HidingWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    worker.running[TASK, 1] = RunStatus(TASK, 1, "", 0, 0)
+    worker.unanswered_calls = {"stop"}
+    session, _ = make_session(task_ledger, worker)
+    eventlet.sleep(MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS)
+    assert task_ledger.find_task(TASK).incarnation_by_run
+    session.close()
+
+
 # Guards against a start that brings a worker over its capacity: it was placed before the capacity
 # shrank, and was sent after it, held back by the starts before it.
 def test_a_start_held_back_is_not_sent_once_the_capacity_has_shrunk():
