The end of a long-running task need not be readable for its next start

What callers saw: a long-running task without a run for good (LOST) after its run ended with an end that cannot be read.

Cause: such an end may be a task that is done, which must not start again. That holds for finite tasks alone: a long-running one has to run again however its run has ended.

Why this works: a list without a row that cannot be read holds all that runs, so the run has ended; the task starts again as after any other end.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -544,7 +544,12 @@
         is_new = bool(numbers - self._unreadable_numbers) or unnumbered > known_unnumbered
         self._unreadable_numbers, self._unnumbered_ends = numbers, unnumbered
         self._settled_up_to = settled_up_to
-        unlisted = self._unlisted_runs(ended_runs)
+        # A long-running task is started again however its run has ended.
+        unlisted = {
+            key
+            for key in self._unlisted_runs(ended_runs)
+            if not self.worker.task_by_run[key].step.spec.lasting
+        }
         self._maybe_ended_runs &= unlisted if numbers or unnumbered else set()
         if not is_new or not unlisted:
             return
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -608,6 +608,21 @@
     session.close()
 
 
+# Guards against a long-running task that waits for good for an end that cannot be read: whatever
+# it says, the task has to run again.
+def test_a_long_running_task_starts_again_though_its_end_cannot_be_read():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(1, lasting=True))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    worker.unreadable_ends = {1}
+    worker.end(TASK, 1, RunOutcome.FAILED)
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
+    session.close()
+
+
 # Guards against a start that brings a worker over its capacity: it was placed before the capacity
 # shrank, and was sent after it, held back by the starts before it.
 def test_a_start_held_back_is_not_sent_once_the_capacity_has_shrunk():
