A planned start that turns out invalid counts as no start

What callers saw: the same as with starts that are refused: a wait that begins anew with each start that was planned and became no run.

Cause: placement took each planned start for one that was made; what the log found invalid, since the worker drains or has ended meanwhile, was dropped without a word.

Evidence: the new test, with a worker on which each start is found invalid, fails on the commit before; the other worker is never tried.

Why this works: an invalid intent was never sent, and is remembered like a refused start.

--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -241,7 +241,15 @@
         if intents:
             self._start_rate.record_starts(sum(map(self._is_limited, intents)))
             self._log_first_starts(intents)
-            self.commit(intend_runs=IntendRuns(intents))
+            self._commit_starts(intents)
+
+    def _commit_starts(self, intents: list[RunIntent]) -> None:
+        valid = self.commit(intend_runs=IntendRuns(intents))
+        valid_runs = {(intent.task, intent.run) for intent in valid}
+        for intent in intents:
+            if (intent.task, intent.run) not in valid_runs:
+                # Something was committed meanwhile, such as that its worker drains.
+                self._placement.record_refusal(intent.task, intent.run)
 
     def _live_workers(self):
         return [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -9,6 +9,7 @@
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.dispatch.worker_api import StartResult, WorkerUnresponsive
 from savoryshelf.tasks import snapshot
+from savoryshelf.tasks.ledger import TaskLedger
 from savoryshelf.wire.generated.ttypes import (
     AgentAssignment,
     AssignAgents,
@@ -394,3 +395,16 @@
         refusing.start = lambda incarnation, request: (result, refusing.clock_ms())
         group.submit(step(1, lasting=True))
         wait_until(lambda: group.worker_by_id["w2"].running)
+
+
+# Guards against a task that waits for good while the starts planned for it turn out invalid.
+def test_a_task_starts_elsewhere_though_its_starts_on_one_worker_are_invalid(monkeypatch):
+    is_valid = TaskLedger._is_valid
+    monkeypatch.setattr(
+        TaskLedger,
+        "_is_valid",
+        lambda self, intent, task: intent.life.worker_id != "w1" and is_valid(self, intent, task),
+    )
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: group.worker_by_id["w2"].running)
