--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -31,6 +31,8 @@
 _CRASHES = "tasks/crashes.py"
 _WORKER_SESSION = "dispatch/worker_session.py"
 _LEADER_TERM = "dispatch/leader_term.py"
+_PLACEMENT = "dispatch/placement.py"
+_BOUNDED_WAITS_TESTS = "tests/dispatch/test_bounded_waits.py"
 _HTTP_POOL = "wire/http_pool.py"
 _TASK_SERVICE = "dispatch/task_service.py"
 _IGNORED = "dispatch/ignored_heartbeats.py"
@@ -1018,15 +1020,15 @@
     Mutant(
         "no run is missing while a row of a poll cannot be read",
         _WORKER_SESSION,
-        "if result.unreadable_runs or result.may_omit_ends:",
-        "if result.may_omit_ends:",
+        "if result.unreadable_runs and not self._has_been_stopped(key, sent_at):",
+        "if False:",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
         "no run is missing while a worker may have more ends than it lists",
         _WORKER_SESSION,
-        "if result.unreadable_runs or result.may_omit_ends:",
-        "if result.unreadable_runs:",
+        "        if result.may_omit_ends:\n            return missing\n",
+        "",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
@@ -1615,8 +1617,8 @@
     Mutant(
         "a run is not missing while its end may be listed and unreadable",
         _WORKER_SESSION,
-        "            if key in self._maybe_ended_runs:\n",
-        "            if False:\n",
+        "if key in self._starts_in_flight or key in self._maybe_ended_runs:",
+        "if key in self._starts_in_flight:",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
@@ -1905,4 +1907,88 @@
         "if False:",
         "tests/tasks/test_ledger.py",
     ),
+    Mutant(
+        "a run behind a row that cannot be read is stopped",
+        _WORKER_SESSION,
+        "if sent_at - confirmed_at >= MAX_DOUBT_SECONDS:",
+        "if False:",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a run that was listed is not stopped for a row that cannot be read",
+        _WORKER_SESSION,
+        "self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():",
+        "self._unlisted_runs(ended_runs):",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a list soon after a stop settles no run behind a row that cannot be read",
+        _WORKER_SESSION,
+        "return stopped_at is not None and at - stopped_at >= STOP_LAG_SECONDS",
+        "return stopped_at is not None",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "the end of a long-running task need not be readable",
+        _WORKER_SESSION,
+        "if not self.worker.task_by_run[key].step.spec.lasting",
+        "if True",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a task goes to the workers that have refused it least",
+        _PLACEMENT,
+        "return penalty + REFUSED_HERE_PENALTY * refusals[worker_id]",
+        "return penalty",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "an overdue task that is refused is tried on workers that are avoided",
+        _PLACEMENT,
+        "elif step.filling or has_refusals:",
+        "elif step.filling:",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "a wait goes on through starts that are refused",
+        _PLACEMENT,
+        "self._waiting.begin_pass(groups, now, refused_since_by_task)",
+        "self._waiting.begin_pass(groups, now, {})",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "an overdue attempt that is refused begins the wait anew",
+        _PLACEMENT,
+        "            if intent.task not in last_resorts:\n",
+        "            if True:\n",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "a suspect goes to another worker than those that have refused it",
+        _PLACEMENT,
+        "for key in [key for key in candidate_by_incarnation if refusals[key[0]]]:",
+        "for key in []:",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "the leader remembers a start that was refused",
+        _LEADER_TERM,
+        "                self._placement.record_refusal(end.task, end.run)\n",
+        "                pass\n",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "the leader remembers a start that was invalid",
+        _LEADER_TERM,
+        "if (intent.task, intent.run) not in valid_runs:",
+        "if False:",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "a refused start is forgotten after a while",
+        "dispatch/refused_starts.py",
+        "while self._starts and now - self._starts[0].planned_at > REMEMBERED_SECONDS:",
+        "while False:",
+        DISPATCH + "/test_refused_starts.py",
+    ),
 ]
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -566,6 +566,10 @@
     wait_until(lambda: task_ledger.find_task(TASK).done)
 
 
+STOP_SECONDS = 0.4
+"""PROTOCOL.md, ``stopMs``: how long a stop takes to end a run, at most."""
+
+
 class HidingWorker(FakeWorker):
     """Lists each of its runs, or another writer's, in a row that cannot be read."""
 
@@ -577,6 +581,17 @@
         result = super().poll(*arguments)
         return attrs.evolve(result, running=[])
 
+    def stop(self, incarnation, task, run, fencing_token):
+        self._record_call("stop")
+        if "stop" in self.unanswered_calls:
+            raise WorkerUnresponsive("no answer")
+        self.stopped[task] = run
+        eventlet.spawn_after(STOP_SECONDS, self._end_if_running, task, run)
+
+    def _end_if_running(self, task, run):
+        if (task, run) in self.running:
+            self.end(task, run, RunOutcome.STOPPED)
+
 
 # Guards against a task that waits for good for a run that was never sent, since each list of its
 # worker holds a row that cannot be read; and against a second run, should the row be of that run.
@@ -595,6 +610,21 @@
     session.close()
 
 
+# Guards against work that is thrown away for another writer's row: its run is known to be there.
+def test_a_run_that_has_started_is_not_stopped_for_a_row_that_cannot_be_read(running_session):
+    task_ledger, worker, session, _ = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    # Its row is the one that cannot be read from now on.
+    run = worker.running.pop((TASK, 1))
+    worker.unreadable_runs = 1
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+    eventlet.sleep(MAX_DOUBT_SECONDS + 4 * RETRY_SECONDS)
+    assert "stop" not in worker.calls
+    worker.unreadable_runs = 0
+    worker.running[TASK, 1] = run
+
+
 # Guards against a run that is given up before its stop has certainly taken effect.
 def test_a_run_behind_a_row_that_cannot_be_read_is_kept_while_its_stop_is_unconfirmed():
     task_ledger, worker = ledger(), HidingWorker()
