--- a/benchmarks/passes.py
+++ b/benchmarks/passes.py
@@ -55,11 +55,11 @@
     ledger, fleet = TaskLedger(), AgentFleet()
     queue = QueueSpec("q", "host", "/q/", "service", 2, 3, 2.0, 1000)
     ledger.put_manifest(Manifest(1, [queue], [ServiceSpec("service", True, False)], ""))
-    lives = [WorkerLife(f"w{number}", 1) for number in range(workers)]
-    for life in lives:
+    incarnations = [WorkerLife(f"w{number}", 1) for number in range(workers)]
+    for incarnation in incarnations:
         ledger.upsert_worker(
             WorkerRecord(
-                life,
+                incarnation,
                 "service",
                 "10.0.0.1:80",
                 "zone",
@@ -76,10 +76,10 @@
                 0,
             )  # fmt: skip
         )
-    ledger.assign_agents([AgentAssignment(life, AGENT) for life in lives], 0)
-    for number, life in enumerate(lives):
+    ledger.assign_agents([AgentAssignment(incarnation, AGENT) for incarnation in incarnations], 0)
+    for number, incarnation in enumerate(incarnations):
         job_id = _accept(ledger, number, _step(RUNS_PER_WORKER, f"shop-{number % 8}", True))
-        intents = [RunIntent(f"{job_id}.0.0.{i}", 1, life) for i in range(RUNS_PER_WORKER)]
+        intents = [RunIntent(f"{job_id}.0.0.{i}", 1, incarnation) for i in range(RUNS_PER_WORKER)]
         ledger.record_intents(intents)
     states = [
         WorkerState(w.record.life, w.record.fencing_token, True, {}, {}, False)
--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -244,8 +244,8 @@
         "an outcome settles only the attempt it names",
         _LEDGER,
         "if job is None or job.attempt != outcome.key.attempt:\n            return False\n"
-        "        if outcome.worker_id",
-        "if job is None:\n            return False\n        if outcome.worker_id",
+        "        if (\n            outcome.worker_id",
+        "if job is None:\n            return False\n        if (\n            outcome.worker_id",
         LEDGER,
     ),
     Mutant(
@@ -272,15 +272,15 @@
     Mutant(
         "a restarted worker's tasks are settled as lost",
         "control/leader_loop.py",
-        "        self._settle_earlier_lives(now)\n",
+        "        self._settle_earlier_incarnations(now)\n",
         "",
         GUARANTEES,
     ),
     Mutant(
         "an outcome counts only for the incarnation that the attempt was placed on",
         _LEDGER,
-        "(outcome.worker_id, outcome.worker_incarnation) != job.life:",
-        "False:",
+        "(outcome.worker_id, outcome.worker_incarnation) != job.incarnation_key",
+        "False",
         LEDGER,
     ),
     Mutant(
@@ -1222,8 +1222,8 @@
     Mutant(
         "a dropped session reports nothing",
         "dispatch/agent.py",
-        "        if session.is_closed:\n            return\n        life = WorkerLife(",
-        "        life = WorkerLife(",
+        "        if session.is_closed:\n            return\n        incarnation = WorkerLife(",
+        "        incarnation = WorkerLife(",
         "tests/dispatch/test_agent.py",
     ),
     Mutant(
@@ -1580,8 +1580,8 @@
     Mutant(
         "the ends of lost workers share a command",
         "dispatch/leader_term.py",
-        "for ended in _merged(ended_lives):",
-        "for ended in ended_lives:",
+        "for ended in _merged(ended_incarnations):",
+        "for ended in ended_incarnations:",
         "tests/dispatch/test_leader_term.py",
     ),
     Mutant(
@@ -1671,12 +1671,12 @@
     Mutant(
         "each life at an address has connections of its own",
         _PLATFORM_WORKERS,
-        "pool = self._pool_by_life.get((incarnation, fencing_token))",
+        "pool = self._pool_by_incarnation.get((incarnation, fencing_token))",
         "pool = next(\n"
         "            (\n"
         "                each\n"
-        "                for (life, _), each in self._pool_by_life.items()\n"
-        "                if life.address == incarnation.address\n"
+        "                for (other, _), each in self._pool_by_incarnation.items()\n"
+        "                if other.address == incarnation.address\n"
         "            ),\n"
         "            None,\n"
         "        )",
--- a/src/savoryshelf/control/leader_loop.py
+++ b/src/savoryshelf/control/leader_loop.py
@@ -53,7 +53,7 @@
         self._interference_policy = interference.POLICIES[interference_policy]()
         self._overload_detector = ownership.OverloadDetector()
         self._initialised_term = 0
-        # By the id and the incarnation of an earlier life, and the epoch at which it was replaced.
+        # By worker id and earlier incarnation, and the epoch at which that was replaced.
         self._earlier_since: dict[tuple[str, str, int], float] = {}
         self._next_run_by_activity: dict[str, float] = {}
         self._early_start_at_by_worker: dict[str, float] = {}
@@ -84,7 +84,7 @@
         if self._is_due("expiry", EXPIRY_INTERVAL_SECONDS, now):
             self._expire_records()
         self._remove_expired_entries(now)
-        self._settle_earlier_lives(now)
+        self._settle_earlier_incarnations(now)
         self._assign_workers(now)
         self._evict_from_leaving_workers()
         self._evict_for_interference(now)
@@ -110,23 +110,23 @@
             finally:
                 sessions.end_removal(entry.entry_id)
 
-    def _settle_earlier_lives(self, now: float) -> None:
-        """Settle as lost the attempts in earlier lives of workers that are certain to have ended.
+    def _settle_earlier_incarnations(self, now: float) -> None:
+        """Settle as lost the attempts in earlier incarnations that are certain to have ended.
 
-        A life has ended when a later one has answered at its address, or when its
+        An incarnation has ended when a later one has answered at its address, or when its
         task lease has expired.  Its last owner may have renewed that until its own
         lease expired; it takes the worker out of use with its next sync.
         """
         state = self._site.state_machine.state
         lease_s = self._site.state_machine.longest_task_lease_s + ENTRY_LEASE_SECONDS
-        since_by_life, self._earlier_since = self._earlier_since, {}
-        for worker_id, incarnation in state.ledger.lives_with_attempts():
+        since_by_incarnation, self._earlier_since = self._earlier_since, {}
+        for worker_id, incarnation in state.ledger.incarnations_with_attempts():
             worker = state.fleet.workers_by_id.get(worker_id)
             if worker is not None and worker.incarnation == incarnation:
                 continue
             earlier = worker.earlier_lives.get(incarnation) if worker is not None else None
             key = (worker_id, incarnation, earlier.replaced_epoch if earlier is not None else 0)
-            since = self._earlier_since[key] = since_by_life.get(key, now)
+            since = self._earlier_since[key] = since_by_incarnation.get(key, now)
             is_replaced = earlier is not None and self._answers_at(earlier.url, worker)
             if not is_replaced and now <= granter_deadline(since, lease_s):
                 continue
@@ -445,7 +445,7 @@
             demand = self._demand(job)
             if job.state is not JobState.RUNNING or job.urgent or demand is None:
                 continue
-            if not state.fleet.is_current(*job.life):
+            if not state.fleet.is_current(*job.incarnation_key):
                 continue  # Its eviction makes no room on the incarnation that is registered.
             candidates.append(
                 eviction.Candidate(
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -36,7 +36,7 @@
     WorkerState,
 )
 from .agent_id import new_agent_id
-from .crash_log import log_life_ends
+from .crash_log import log_incarnation_ends
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .permission import PERMISSION_SECONDS, Permission
@@ -116,12 +116,14 @@
         )
 
     def message(self) -> SettleRuns:
-        life = WorkerLife(self.session.incarnation.worker_id, self.session.incarnation.born_ms)
-        return SettleRuns(life, self.seen_end, self.ends, self.session.fencing_token)
+        incarnation = WorkerLife(
+            self.session.incarnation.worker_id, self.session.incarnation.born_ms
+        )
+        return SettleRuns(incarnation, self.seen_end, self.ends, self.session.fencing_token)
 
 
 @attrs.define
-class _EndedLife:
+class _EndedIncarnation:
     """The end of an incarnation, until it is applied on this host."""
 
     message: EndLives
@@ -167,7 +169,7 @@
         self._changed_sessions: set[WorkerSession] = set()
         self._reported_state_by_session: dict[WorkerSession, WorkerState] = {}
         self._settlements: list[_Settlement] = []
-        self._ended_lives: dict[IncarnationKey, _EndedLife] = {}
+        self._ended_incarnations: dict[IncarnationKey, _EndedIncarnation] = {}
         self._rejections: list[StartRejection] = []
         self._mean_lag = 0.0
         state_machine.observer = self
@@ -242,10 +244,10 @@
         self._note_assignments(body, outcome)
 
     @_handles_command("end_lives")
-    def _note_ended_lives(self, body, ends) -> None:
+    def _note_ended_incarnations(self, body, ends) -> None:
         if self._replica.is_leader:
             # Here, and not where it was proposed: any proposer, and an earlier leader's, count.
-            log_life_ends(ends)
+            log_incarnation_ends(ends)
         self._note_assignments(body, ends)
 
     @_handles_command("assign_agents")
@@ -296,7 +298,7 @@
         self._changed_sessions.discard(session)
         self._reported_state_by_session.pop(session, None)
         self._settlements = [s for s in self._settlements if s.session is not session]
-        self._ended_lives.pop(key, None)
+        self._ended_incarnations.pop(key, None)
 
     def _stop_runs(self) -> None:
         for (task, run), key in list(self.ledger.runs_to_stop.items()):
@@ -352,11 +354,11 @@
         """Report that an incarnation has ended, so that its runs can be started elsewhere."""
         if session.is_closed:
             return
-        life = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
+        incarnation = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
         worked_ms_by_run = session.worked_ms_by_run()
         newest = sorted(worked_ms_by_run, key=worked_ms_by_run.get)[:MAX_LOGGED_RUNS]
         log_event(
-            "worker:life_over", worker=life.worker_id, born=life.born_ms, why=why,
+            "worker:life_over", worker=incarnation.worker_id, born=incarnation.born_ms, why=why,
             runs=len(session.worker.task_by_run), started=len(worked_ms_by_run),
             newest_worked_ms={f"{task}:{run}": worked_ms_by_run[task, run] for task, run in newest},
         )  # fmt: skip
@@ -365,9 +367,9 @@
             for status in session.status_by_run.values()
             if status.checkpoint
         ]
-        self._ended_lives[session.worker.key] = _EndedLife(
+        self._ended_incarnations[session.worker.key] = _EndedIncarnation(
             EndLives(
-                [life],
+                [incarnation],
                 checkpoints,
                 [session.fencing_token],
                 not session.worker.record.leaving,
@@ -476,7 +478,7 @@
         self._changed_sessions = set()
         due = [
             each
-            for each in (*self._settlements, *self._ended_lives.values())
+            for each in (*self._settlements, *self._ended_incarnations.values())
             if is_full or now - each.sent_at > RESEND_SECONDS
         ]
         for each in due:
@@ -491,7 +493,7 @@
             timer_lag_seconds=self._mean_lag,
             states=states,
             settlements=[each.message() for each in due if isinstance(each, _Settlement)],
-            ended_lives=[each.message for each in due if isinstance(each, _EndedLife)],
+            ended_lives=[each.message for each in due if isinstance(each, _EndedIncarnation)],
             rejections=rejections,
             weights=self.interference.take_learned_weights(),
             region=self._settings.home_region,
--- a/src/savoryshelf/dispatch/crash_log.py
+++ b/src/savoryshelf/dispatch/crash_log.py
@@ -5,21 +5,21 @@
 import attrs
 
 from ..observability.logs import log_event
-from ..tasks.ledger import LifeEnd
+from ..tasks.ledger import IncarnationEnd
 
 RUNS_PER_LINE = 40
 MAX_LINES = 25
 """Bounds of the lines that name the runs which the end of one incarnation released."""
 
 
-def log_crash_notes(ends: Iterable[LifeEnd]) -> None:
+def log_crash_notes(ends: Iterable[IncarnationEnd]) -> None:
     """Log each task for which a crash was counted, and each that was given up for it."""
     for end in ends:
         for note in end.crash_notes:
             log_event("task:given_up" if note.gave_up else "task:suspected", **attrs.asdict(note))
 
 
-def log_life_ends(ends: Iterable[LifeEnd]) -> None:
+def log_incarnation_ends(ends: Iterable[IncarnationEnd]) -> None:
     """Log each incarnation whose end was committed, with the runs that this released."""
     for end in ends:
         names = [f"{task}:{run}" for task, run in sorted(end.released_runs)]
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -157,7 +157,7 @@
         )
         self._start_rate = StartRate()
         self._settlements: list[SettleRuns] = []
-        self._ended_lives: list[EndLives] = []
+        self._ended_incarnations: list[EndLives] = []
         self._wake = Event()
         self._wake_commit = Event()
         self._has_ended = False
@@ -367,8 +367,8 @@
         ]
         if not due:
             return
-        for life in due:
-            log_event("worker:replaced", worker=life.worker_id, born=life.born_ms)
+        for incarnation in due:
+            log_event("worker:replaced", worker=incarnation.worker_id, born=incarnation.born_ms)
         log_crash_notes(self.commit(end_lives=EndLives(due, [], crashed=True)))
 
     def _may_still_report(self, agent_id: str | None, agent_ids: set[str], now: float) -> bool:
@@ -414,7 +414,7 @@
             self._record_rejection(rejection, now)
         if report.settlements or report.ended_lives:
             self._settlements += report.settlements
-            self._ended_lives += report.ended_lives
+            self._ended_incarnations += report.ended_lives
             self._wake_up_commit()
         elif report.states:
             self.wake()
@@ -433,14 +433,14 @@
             self._wake_commit.wait()
             self._wake_commit = Event()
             settlements, self._settlements = self._settlements, []
-            ended_lives, self._ended_lives = self._ended_lives, []
+            ended_incarnations, self._ended_incarnations = self._ended_incarnations, []
             # The agents report again whatever they do not see committed.
             with self._log_lost_leadership():
                 for settlement in settlements:
                     self._record_outcomes(settlement)
                 if settlements:
                     self.commit(settle_batch=SettleBatch(settlements))
-                for ended in _merged(ended_lives):
+                for ended in _merged(ended_incarnations):
                     log_crash_notes(self.commit(end_lives=ended))
             self.wake()
 
@@ -499,13 +499,13 @@
     return [sharing for sharing in by_place.values() if len(sharing) > 1]
 
 
-def _merged(ended_lives: list[EndLives]) -> list[EndLives]:
+def _merged(ended_incarnations: list[EndLives]) -> list[EndLives]:
     """Return the same ends in as few commands as possible: each costs a round trip.
 
     The incarnations of one command have all crashed or none, and all have a token or none.
     """
     merged: dict[tuple[bool, bool], EndLives] = {}
-    for each in ended_lives:
+    for each in ended_incarnations:
         key = bool(each.fencing_tokens), bool(each.crashed)
         command = merged.setdefault(key, EndLives([], [], [], crashed=key[1], worked=[]))
         command.lives += each.lives
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -58,8 +58,8 @@
 MAX_LOGGED_AS_IGNORED = 1000
 """Number of ignored heartbeats that are remembered as logged."""
 
-MAX_LOGGED_LIVES = 8
-"""Earlier lives of an id named in the log line of a new one: the latest."""
+MAX_LOGGED_INCARNATIONS = 8
+"""Earlier incarnations of an id named in the log line of a new one: the latest."""
 
 
 class ImplausibleHeartbeat(SavoryshelfError):
@@ -191,7 +191,7 @@
         that is out of order, or from an incarnation before the newest that is not known or has
         ended, is ignored, unless its worker goes on to send them.  So is one that brings in a
         service that no manifest names, until one does, and one that contradicts what is fixed
-        in a life that has not ended.  One without a change is answered by every host that is in
+        in an incarnation that has not ended.  One without a change is answered by every host in
         contact with the leader.  Raises ImplausibleHeartbeat.
         """
         record = heartbeat.record
@@ -242,7 +242,7 @@
         self._commit(note_workers=NoteWorkers([record]))
         noted = self._state_machine.ledger.worker_by_incarnation[key].record
         if contradicted_fields(noted, record):
-            # Another record of this life was committed first.
+            # Another record of this incarnation was committed first.
             self._log_ignored(record, "contradicts a record of the same moment")
             return _agent_host(noted)
         newest_here = self._sequence_by_incarnation.get(key, -1)
@@ -256,11 +256,11 @@
     def leave(self, worker_id: str) -> None:
         """Process a worker's announced shutdown, which ends its runs when it exits.
 
-        With it a life ends at its first unanswered call.  One that is taken for no life changes
-        nothing: whatever drains gets no more runs, and its lease is waited out.
+        With it an incarnation ends at its first unanswered call.  One that is taken for none
+        changes nothing: whatever drains gets no more runs, and its lease is waited out.
         """
         self._require_recent_quorum_contact()
-        worker = self._life_that_leaves(worker_id)
+        worker = self._incarnation_that_leaves(worker_id)
         if worker is not None and not worker.record.leaving:
             self._note_draining(worker, leaving=True)
         born_ms = worker.record.life.born_ms if worker is not None else None
@@ -268,18 +268,18 @@
         self.on_change()
 
     def _note_draining(self, worker: Worker, leaving: bool = False) -> None:
-        """Commit that a life drains, or leaves, and nothing else of its record."""
+        """Commit that an incarnation drains, or leaves, and nothing else of its record."""
         record = codec.decode(WorkerRecord, codec.encode(worker.record))
         record.draining, record.leaving = True, leaving
         # It corrects nothing.
         record.fencing_token = 0
         self._commit(note_workers=NoteWorkers([record]))
 
-    def _life_that_leaves(self, worker_id: str) -> Worker | None:
-        """Return the life that a ``leave`` comes from, or None if that is not certain.
+    def _incarnation_that_leaves(self, worker_id: str) -> Worker | None:
+        """Return the incarnation that a ``leave`` comes from, or None if that is not certain.
 
-        It names no life and may be late.  A worker reports that it drains before it leaves, so one
-        that ended without that, in a crash, sends none; any other life may have sent it.
+        It names none and may be late.  A worker reports that it drains before it leaves, so one
+        that ended without that, in a crash, sends none; any other incarnation may have sent it.
         """
         possible = [
             worker
@@ -293,7 +293,7 @@
     def _has_unknown_service(self, record: WorkerRecord, known: Worker | None) -> bool:
         """Return whether a heartbeat would bring in a service that the manifest does not name.
 
-        A life that is known keeps the service that it has: its runs have to be stopped, and their
+        An incarnation that is known keeps its service: its runs have to be stopped, and their
         ends noted.
         """
         manifest = self._state_machine.ledger.manifest
@@ -315,11 +315,11 @@
         )  # fmt: skip
 
     def _is_correction(self, known: Worker, record: WorkerRecord, sequence: int) -> bool:
-        """Return whether a record corrects that of a life that has not ended, which it contradicts.
+        """Return whether a record corrects that of a live incarnation, which it contradicts.
 
         It does so if its sender goes on for long: the known one was another writer's then.  The
-        record is marked for the ledger.  Another address is never taken before the life has ended:
-        the runs were sent to the recorded one, so calls there reach this life or none.
+        record is marked for the ledger.  Another address is never taken before the incarnation has
+        ended: the runs were sent to the recorded one, so calls there reach this one or none.
         """
         fields = contradicted_fields(known.record, record)
         self._log_ignored(record, f"contradicts the record of this life: {', '.join(fields)}")
@@ -334,7 +334,8 @@
     def _poll_if_idle(self, worker: Worker) -> None:
         """Have a worker without runs called at its recorded address: its session would not do so.
 
-        A new token makes a new session, which polls at once, and ends the life if nobody answers.
+        A new token makes a new session, which polls at once, and ends the
+        incarnation if nobody answers.
         """
         agent_id = worker.record.agent_id
         if agent_id and not worker.task_by_run:
@@ -352,7 +353,7 @@
     def _is_believed_again(self, record: WorkerRecord, sequence: int, is_live: bool) -> bool:
         """Return whether a heartbeat that is out of order has to be one of a worker that lives.
 
-        With ``is_live``, its life has not ended, so that a later one does not speak against it.
+        With ``is_live``, its incarnation has not ended, so a later one does not speak against it.
         """
         if not is_live and self._has_live_successor(record.life):
             return False
@@ -375,9 +376,9 @@
         ]
 
     def _log_restart(self, incarnation: WorkerLife) -> None:
-        """Log a new life of an id of which others have not ended: it is no evidence of their end.
+        """Log a new incarnation beside others that have not ended: it is no evidence of their end.
 
-        The agents of those lives look, and only what they find ends one.
+        The agents of those incarnations look, and only what they find ends one.
         """
         earlier = sorted(
             key[1]
@@ -389,7 +390,7 @@
         if earlier:
             log_event(
                 "worker:restarted", worker=incarnation.worker_id, born=incarnation.born_ms,
-                earlier=earlier[-MAX_LOGGED_LIVES:],
+                earlier=earlier[-MAX_LOGGED_INCARNATIONS:],
             )  # fmt: skip
 
     # --------------------------------------------------------------------- leadership
--- a/src/savoryshelf/entry/worker_client.py
+++ b/src/savoryshelf/entry/worker_client.py
@@ -157,7 +157,7 @@
         timeout_s: float,
         kind: str,
     ) -> WorkerResponse:
-        # Another process may listen at the address by now: it refuses what names another life.
+        # Another process may listen there by now: it refuses what names another incarnation.
         headers = {
             "Authorization": f"Bearer {self._token}",
             EPOCH_HEADER: str(target.epoch),
--- a/src/savoryshelf/ledger/state.py
+++ b/src/savoryshelf/ledger/state.py
@@ -93,7 +93,7 @@
         del self.story[1 : len(self.story) - MAX_EVENTS + 1]
 
     @property
-    def life(self) -> tuple[str, str]:
+    def incarnation_key(self) -> tuple[str, str]:
         """Return the id and the incarnation of the worker that has the newest attempt."""
         return self.worker_id, self.worker_incarnation
 
@@ -124,7 +124,9 @@
 
     by_id: dict[str, Job] = attrs.field(factory=dict)
     _queued_by_id: dict[str, Job] = attrs.field(init=False, factory=dict)
-    _placed_by_life: dict[tuple[str, str], dict[str, Job]] = attrs.field(init=False, factory=dict)
+    _placed_by_incarnation: dict[tuple[str, str], dict[str, Job]] = attrs.field(
+        init=False, factory=dict
+    )
     """By worker id and incarnation, then by job id."""
 
     def __attrs_post_init__(self):
@@ -183,12 +185,15 @@
     def settle(self, outcome: AttemptOutcome, at_ms: int) -> bool:
         """Record the outcome of an attempt; return whether this changed anything.
 
-        An outcome from another life than that on which the attempt was placed changes nothing.
+        An outcome from another incarnation than that of the attempt changes nothing.
         """
         job = self.by_id.get(outcome.key.job_id)
         if job is None or job.attempt != outcome.key.attempt:
             return False
-        if outcome.worker_id and (outcome.worker_id, outcome.worker_incarnation) != job.life:
+        if (
+            outcome.worker_id
+            and (outcome.worker_id, outcome.worker_incarnation) != job.incarnation_key
+        ):
             return False
         resolves_unknown = job.state is JobState.UNKNOWN and outcome.kind in (
             OutcomeKind.FINISHED,
@@ -253,30 +258,30 @@
 
     def placed(self) -> Iterator[Job]:
         """Yield the jobs that have an attempt which may be running."""
-        for by_id in self._placed_by_life.values():
+        for by_id in self._placed_by_incarnation.values():
             yield from by_id.values()
 
     def placed_on(self, worker_id: str, incarnation: str) -> list[Job]:
-        """Return the jobs with an attempt that may be running in that life of the worker."""
-        return list(self._placed_by_life.get((worker_id, incarnation), {}).values())
+        """Return the jobs with an attempt that may be running in that incarnation of the worker."""
+        return list(self._placed_by_incarnation.get((worker_id, incarnation), {}).values())
 
-    def lives_with_attempts(self) -> list[tuple[str, str]]:
-        """Return the worker id and incarnation of each life on which an attempt may be running."""
-        return list(self._placed_by_life)
+    def incarnations_with_attempts(self) -> list[tuple[str, str]]:
+        """Return the key of each incarnation on which an attempt may be running."""
+        return list(self._placed_by_incarnation)
 
     def _index(self, job: Job) -> None:
         if job.state is JobState.QUEUED:
             self._queued_by_id[job.job_id] = job
         elif job.is_placed:
-            self._placed_by_life.setdefault(job.life, {})[job.job_id] = job
+            self._placed_by_incarnation.setdefault(job.incarnation_key, {})[job.job_id] = job
 
     def _unindex(self, job: Job) -> None:
         self._queued_by_id.pop(job.job_id, None)
-        jobs_on_life = self._placed_by_life.get(job.life)
-        if jobs_on_life is not None:
-            jobs_on_life.pop(job.job_id, None)
-            if not jobs_on_life:
-                del self._placed_by_life[job.life]
+        jobs_on_incarnation = self._placed_by_incarnation.get(job.incarnation_key)
+        if jobs_on_incarnation is not None:
+            jobs_on_incarnation.pop(job.job_id, None)
+            if not jobs_on_incarnation:
+                del self._placed_by_incarnation[job.incarnation_key]
 
 
 def _end_job(job: Job, state: JobState, at_ms: int, reason: str) -> None:
--- a/src/savoryshelf/targets/state.py
+++ b/src/savoryshelf/targets/state.py
@@ -29,7 +29,7 @@
 
 
 @attrs.define
-class EarlierLife:
+class EarlierIncarnation:
     """An incarnation in whose place another one was registered; it may go on for a while."""
 
     url: str
@@ -67,7 +67,7 @@
     changed_ms: int = 0
     """Wall-clock time in ms of the last change of the announcement or the standing."""
 
-    earlier_lives: dict[str, EarlierLife] = attrs.field(factory=dict)
+    earlier_lives: dict[str, EarlierIncarnation] = attrs.field(factory=dict)
     """By incarnation; kept while the ledger has attempts that were placed on them."""
 
     @property
@@ -78,7 +78,7 @@
     def ignores(self, announced: WorkerAnnouncement) -> bool:
         """Return whether the announcement changes nothing.
 
-        Within one life a worker does not move, and one that leaves does not return.
+        Within one incarnation a worker does not move, and one that leaves does not return.
         """
         if announced.incarnation != self.incarnation or self.standing == WorkerStanding.LOST:
             return False
@@ -142,7 +142,7 @@
         ):
             standing = WorkerStanding.ACTIVE
         if is_new_incarnation:
-            earlier = EarlierLife(registered.url, registered.epoch)
+            earlier = EarlierIncarnation(registered.url, registered.epoch)
             registered.earlier_lives[registered.incarnation] = earlier
             registered.earlier_lives.pop(announced.incarnation, None)
         for name, value in fields.items():
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -38,7 +38,7 @@
 
 
 @attrs.frozen
-class LifeEnd:
+class IncarnationEnd:
     """The recorded end of an incarnation."""
 
     incarnation: IncarnationKey
@@ -232,7 +232,7 @@
         fencing_tokens: list[int] | None = None,
         crashed: bool = False,
         worked: list[RunAge] | None = None,
-    ) -> list[LifeEnd]:
+    ) -> list[IncarnationEnd]:
         """Record that incarnations have ended; their remaining runs are settled as lost.
 
         With ``crashed``, the crash counts for the tasks of these runs, unless the incarnation
@@ -258,7 +258,7 @@
                 notes = self._record_crash(worker, worked or [])
             released_runs = list(worker.task_by_run)
             announced = bool(worker.record.leaving)
-            ends.append(LifeEnd(worker.key, agent_id, announced, released_runs, notes))
+            ends.append(IncarnationEnd(worker.key, agent_id, announced, released_runs, notes))
             for name, run in released_runs:
                 checkpoint = checkpoint_by_run.get((name, run), "")
                 self._settle_run(RunEnd(name, run, RunOutcome.LOST, checkpoint, 0), worker.key)
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -97,7 +97,7 @@
 
 
 @_handles_command("end_lives")
-def _end_lives(ledger: TaskLedger, command):
+def _end_incarnations(ledger: TaskLedger, command):
     return ledger.end_incarnations(
         command.lives, command.checkpoints, command.fencing_tokens, bool(command.crashed),
         command.worked,
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -251,7 +251,7 @@
         agent.start_rejected(session, TASK, 1, StartResult.UNHEALTHY)
         agent.settle_ends(session, 1, [RunEnd(TASK, 1, RunOutcome.DONE, "", 1)])
         agent.state_changed(session)
-        assert agent._ended_lives == {}
+        assert agent._ended_incarnations == {}
         assert agent._settlements == []
         assert session not in agent._changed_sessions
 
--- a/tests/dispatch/test_crash_log.py
+++ b/tests/dispatch/test_crash_log.py
@@ -1,7 +1,7 @@
 import pytest
 
 from savoryshelf.dispatch import crash_log
-from savoryshelf.tasks.ledger import LifeEnd
+from savoryshelf.tasks.ledger import IncarnationEnd
 
 
 # Guards against lines without bounds, and against runs beyond a bound that nobody counts.
@@ -10,7 +10,7 @@
     lines = []
     monkeypatch.setattr(crash_log, "log_event", lambda event, **fields: lines.append(fields))
     released = [(f"task{number:04}", 1) for number in range(runs)]
-    crash_log.log_life_ends([LifeEnd(("w1", 1), None, False, released, [])])
+    crash_log.log_incarnation_ends([IncarnationEnd(("w1", 1), None, False, released, [])])
     named = [name for fields in lines for name in fields["released"]]
     assert named == [f"{task}:{run}" for task, run in released[:1000]]
     assert 1 <= len(lines) <= 25 and all(len(fields["released"]) <= 40 for fields in lines)
