--- a/standins/host.py
+++ b/standins/host.py
@@ -53,7 +53,7 @@
 
     def _answer(self, request: Request) -> Response:
         worker, headers = self.worker, request.headers
-        worker.require_life(
+        worker.require_incarnation(
             headers.get("Savoryshelf-Worker"), headers.get("Savoryshelf-Incarnation")
         )
         body = request.get_data()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -34,7 +34,7 @@
 """A run that works saves a checkpoint each so many ms, and one when it is broken off."""
 
 FIRST_CLOCK_MS = 1000
-"""Time on the clock of a life when it begins."""
+"""Time on the clock of an incarnation when it begins."""
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
@@ -106,7 +106,7 @@
 class RunRecord:
     """A run as its worker saw it; times are on the monotonic clock, in seconds.
 
-    ``life`` is the number of the life that ran it.  ``is_acknowledged`` tells whether its
+    ``incarnation`` is the number of the one that ran it.  ``is_acknowledged`` tells whether its
     end was acknowledged before the lease lapsed.
     """
 
@@ -118,13 +118,13 @@
     end_number: int = 0
     is_acknowledged: bool = False
     worker_id: str = ""
-    life: int = 1
+    incarnation: int = 1
     is_lost: bool = False
-    """Whether its life ended before its end was acknowledged."""
+    """Whether its incarnation ended before its end was acknowledged."""
 
     def __str__(self) -> str:
         return (
-            f"run {self.number} on {self.worker_id} life {self.life}, "
+            f"run {self.number} on {self.worker_id} incarnation {self.incarnation}, "
             f"{self.started_at:.3f} to {self.ended_at:.3f} s {self.outcome or 'at work'}"
             f"{', acknowledged' if self.is_acknowledged else ''}"
         )
@@ -149,7 +149,7 @@
 
 
 class PlatformWorker:
-    """One worker over all its lives, which have the same id and address.
+    """One worker over all its incarnations, which have the same id and address.
 
     The first word of a ``taskSpec`` is the duration of the run in ms.  If the word is "fail",
     the run fails at once.  "... gang of N" makes the task a member of a gang of that many
@@ -169,12 +169,12 @@
         self.control_addresses = control_addresses
         self.gangs = gangs or Gangs()
         self.draining = False
-        self.lives: list[WorkerLife] = []
+        self.incarnations: list[WorkerIncarnation] = []
         self._restarting = threading.Lock()
         server = _Server(address)
         self._listen_address = f"{server.server_address[0]}:{server.server_address[1]}"
         self.address = announce(self._listen_address)
-        self.lives.append(WorkerLife(self, server, 0.0))
+        self.incarnations.append(WorkerIncarnation(self, server, 0.0))
 
     @property
     def starts(self) -> list[tuple[str, int]]:
@@ -184,25 +184,25 @@
     @property
     def ends(self) -> list[tuple[int, str, int, str, str]]:
         """Return every end as (number of the end, task, run, outcome, checkpoint)."""
-        return [end for life in self.lives for end in life.ends]
+        return [end for each in self.incarnations for end in each.ends]
 
     @property
     def records(self) -> list[RunRecord]:
         """Return every run with its times."""
-        return [record for life in self.lives for record in list(life.records.values())]
+        return [record for each in self.incarnations for record in list(each.records.values())]
 
     def restart(self, down_seconds: float, heartbeat_after_seconds: float = 0.0) -> None:
-        """Crash, and begin another life that sends its first heartbeat so long after it listens."""
+        """Crash and start again; the new incarnation listens so long before its first heartbeat."""
         with self._restarting:
             self.crash()
             time.sleep(down_seconds)
             self.draining = False
             server = _Server(self._listen_address)
-            self.lives.append(WorkerLife(self, server, heartbeat_after_seconds))
+            self.incarnations.append(WorkerIncarnation(self, server, heartbeat_after_seconds))
 
     def crash(self) -> None:
-        """End this life: its connections are reset, and nothing of it goes on."""
-        self.lives[-1].end()
+        """End this incarnation: its connections are reset, and nothing of it goes on."""
+        self.incarnations[-1].end()
 
     def close(self) -> None:
         """Stop answering, as after a crash."""
@@ -210,7 +210,7 @@
 
 
 class _Server(ThreadingHTTPServer):
-    """The listener of one life, with its connections."""
+    """The listener of one incarnation, with its connections."""
 
     daemon_threads = True
     request_queue_size = 64
@@ -258,14 +258,14 @@
             time.sleep(0.002)
 
 
-class WorkerLife:
-    """One life of a worker: it knows nothing of earlier ones, and its counts start anew."""
+class WorkerIncarnation:
+    """One incarnation of a worker: it knows nothing of earlier ones, and its counts start anew."""
 
     def __init__(self, worker: PlatformWorker, server: _Server, heartbeat_after_seconds: float):
-        self.number = len(worker.lives) + 1
+        self.number = len(worker.incarnations) + 1
         self.born_ms = int(time.time() * 1000)
-        if worker.lives:
-            self.born_ms = max(self.born_ms, worker.lives[-1].born_ms + 1)
+        if worker.incarnations:
+            self.born_ms = max(self.born_ms, worker.incarnations[-1].born_ms + 1)
         self.ends: list[tuple[int, str, int, str, str]] = []
         self.records: dict[tuple[str, int], RunRecord] = {}
         self._worker = worker
@@ -291,7 +291,7 @@
 
     @property
     def is_up(self) -> bool:
-        """Return whether this life goes on."""
+        """Return whether this incarnation goes on."""
         return not self._is_over.is_set()
 
     def end(self) -> None:
@@ -313,7 +313,7 @@
         self._server.reset_all(self._accepting)
 
     def clock_ms(self) -> int:
-        """Return the steady clock of this life, in ms."""
+        """Return the steady clock of this incarnation, in ms."""
         return self._clock_ms_at(time.monotonic())
 
     def _clock_ms_at(self, at: float) -> int:
@@ -322,7 +322,7 @@
     # ------------------------------------------------------------------------- calls
 
     def answer(self, expected_id: str | None, path: str, body: dict) -> tuple[int, dict] | None:
-        """Carry a call out; return its status and reply, None if this life has ended."""
+        """Carry a call out; return its status and reply, None if this incarnation has ended."""
         kind = path.rpartition("/")[2]
         with self._lock:
             if self._is_over.is_set():
@@ -365,7 +365,7 @@
             started.gang.join(task, checkpoint)
         self._running[task, run] = started
         self.records[task, run] = RunRecord(
-            task, run, time.monotonic(), worker_id=self._worker.worker_id, life=self.number
+            task, run, time.monotonic(), worker_id=self._worker.worker_id, incarnation=self.number
         )
         return 200, {}
 
@@ -472,14 +472,14 @@
             self._is_over.wait(HEARTBEAT_SECONDS)
 
     def _handler(self):
-        life = self
+        incarnation = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
             def do_POST(self):  # noqa: N802
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                answer = life.answer(self.headers.get("X-Expect-Instance"), self.path, body)
+                answer = incarnation.answer(self.headers.get("X-Expect-Instance"), self.path, body)
                 if answer is None:
                     self.close_connection = True
                     return
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -37,7 +37,7 @@
 """Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
 
 _WORKER_KINDS: dict[str, Callable] = {}
-"""The same for faults of workers' lives, which have a generator of their own."""
+"""The same for faults of workers' incarnations, which have a generator of their own."""
 
 _kind = registry_decorator(_KINDS)
 _worker_kind = registry_decorator(_WORKER_KINDS)
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -26,7 +26,7 @@
 """An accepted job must be known to every host after this time."""
 
 CRASHES_UNTIL_GIVEN_UP = 2
-"""A task may be given up once so many lives of workers have ended with its run, or with the
+"""A task may be given up once so many incarnations of workers have ended with its run, or with the
 end of its run unread: callers of the worker can't tell which of the two."""
 
 CLOCK_SLACK_SECONDS = 0.05
@@ -58,7 +58,7 @@
     state_by_job: dict[str, str] = attrs.field(factory=dict)
     manifest_version: int = 0
     unused_workers: list[str] = attrs.field(factory=list)
-    """Ids of workers whose last life got no run after the recovery."""
+    """Ids of workers whose last incarnation got no run after the recovery."""
 
     def calls_of(self, verb: str) -> list[Call]:
         """Return the calls of a verb in the order of their answers."""
@@ -198,8 +198,8 @@
 def _wrong_exits(seen: Observations) -> Iterator[Finding]:
     for host in seen.deployment.hosts:
         for end in host.exits:
-            life = [(at, name) for at, name in host.signals if at <= end.at]
-            near = [name for at, name in life if at > end.at - GRACE_SECONDS - CONTACT_SECONDS]
+            signals = [(at, name) for at, name in host.signals if at <= end.at]
+            near = [name for at, name in signals if at > end.at - GRACE_SECONDS - CONTACT_SECONDS]
             is_late = end.after_seconds is not None and end.after_seconds > GRACE_SECONDS
             if "SIGSTOP" in near or ("SIGKILL" in near and not is_late):
                 continue
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -160,7 +160,7 @@
             self.record.write("guard_refused", self.spec.worker_id)
             raise RequestRejected("guard")
 
-    def require_life(self, worker_id: str | None, incarnation: str | None) -> None:
+    def require_incarnation(self, worker_id: str | None, incarnation: str | None) -> None:
         """Raise RequestRejected if the call is not meant for this incarnation of this worker."""
         if (worker_id, incarnation) != (self.spec.worker_id, self.incarnation):
             raise RequestRejected("incarnation")
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -10,8 +10,8 @@
     (3190, 12.0),
     # The same cause in some runs; the leader is also killed while another host is paused.
     (53, 12.0),
-    # Workers restart under their id while most are idle: what the next life of a worker ran was
-    # settled as lost with the earlier one, and ran twice.
+    # Workers restart under their id while most are idle: what the next incarnation of a worker ran
+    # was settled as lost with the earlier one, and ran twice.
     (3, 30.0),
     # The same cause.
     (8, 30.0),
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -1,4 +1,4 @@
-"""The stand-in of the platform's worker: its lives under one id."""
+"""The stand-in of the platform's worker: its incarnations under one id."""
 
 import contextlib
 import http.client
@@ -41,7 +41,7 @@
     return connection.call("run-start", task=TASK, run=number, **fields)
 
 
-def test_a_new_life_knows_nothing_of_the_one_before(worker):
+def test_a_new_incarnation_knows_nothing_of_the_one_before(worker):
     connection = connect(worker)
     assert start(connection, 3, 0, token=7)[0] == 200
     first = connection.call("hold", fencingToken=7, lastSeen=0)[1]
@@ -52,19 +52,19 @@
     assert second["running"] == second["endedRuns"] == []
     assert second["born"] > first["born"]
     assert second["clockMs"] < first["clockMs"] + 1000
-    # Not rejected as old, and the first end of this life.
+    # Not rejected as old, and the first end of this incarnation.
     assert start(connect(worker), 1, 0)[0] == 200
     ends = connect(worker).call("hold", fencingToken=1, lastSeen=0)[1]["endedRuns"]
     assert [end[:4] for end in ends] == [[1, TASK, 1, "done"]]
-    lives = [(each.life, each.number, each.outcome) for each in worker.records]
-    assert lives == [(1, 3, "done"), (1, 4, "crashed"), (2, 1, "done")]
+    incarnations = [(each.incarnation, each.number, each.outcome) for each in worker.records]
+    assert incarnations == [(1, 3, "done"), (1, 4, "crashed"), (2, 1, "done")]
     assert [each.is_lost for each in worker.records] == [True, True, False]
     connect(worker).call("hold", fencingToken=1, lastSeen=1)
     worker.crash()
     assert not worker.records[-1].is_lost
 
 
-def test_only_lists_say_which_life_answers(worker):
+def test_only_lists_say_which_incarnation_answers(worker):
     connection = connect(worker)
     assert "born" not in start(connection, 1, 60_000)[1]
     assert "born" not in connection.call("run-stop", task=TASK, run=1, fencingToken=1)[1]
@@ -111,7 +111,7 @@
     assert [end[3] for end in ends] == ["lapsed"]
 
 
-def test_the_first_heartbeat_of_a_life_comes_when_chosen():
+def test_the_first_heartbeat_of_an_incarnation_comes_when_chosen():
     beats = []
 
     class Control(BaseHTTPRequestHandler):
@@ -146,9 +146,9 @@
 @pytest.mark.parametrize(
     ("later", "is_doubled"),
     [
-        (RunRecord(TASK, 2, 1.5, 2.5, "done", life=2), True),
-        (RunRecord(TASK, 2, 2.0, 2.5, "done", life=2), False),
-        (RunRecord("00000000000000ab.0.0.0", 2, 1.5, 2.5, "done", life=2), False),
+        (RunRecord(TASK, 2, 1.5, 2.5, "done", incarnation=2), True),
+        (RunRecord(TASK, 2, 2.0, 2.5, "done", incarnation=2), False),
+        (RunRecord("00000000000000ab.0.0.0", 2, 1.5, 2.5, "done", incarnation=2), False),
     ],
 )
 def test_runs_at_once_are_found(later, is_doubled):
