--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -5,7 +5,7 @@
 
 import click
 
-from . import agents, attempts, configuration, election, lives, ownership, repair  # noqa: F401
+from . import agents, attempts, configuration, election, incarnations, ownership, repair  # noqa: F401
 from .model import MODELS, MUTANT_MAX_STATES, Specification, check, is_small
 
 SMALL_BOUNDS = (
--- a/specification/lives.py
+++ b/specification/incarnations.py
@@ -1,15 +1,15 @@
-"""Lives of one worker id: which calls, answers, ends and leaves belong to which process.
+"""Incarnations of one worker id: which calls, answers, ends and leaves belong to which process.
 
 Processes of a worker follow one another at one address under the same id; each knows nothing
 of the one before.  At a second address a process of another deployment answers under that id.
-The ledger learns of lives by heartbeats, which may come late or from another writer, and places
-runs of one task on them.  An agent's session starts, stops and polls; it belongs to one life
-under one token.  Calls of earlier sessions may still arrive, but no new ones are sent: that
-takes the permission of ``agents.py``.
+The ledger learns of incarnations by heartbeats, which may come late or from another writer, and
+places runs of one task on them.  An agent's session starts, stops and polls; it belongs to one
+incarnation under one token.  Calls of earlier sessions may still arrive, but no new ones are
+sent: that takes the permission of ``agents.py``.
 
 The models share these steps; each has the parts that its guards need.  Where there are leaves,
 two things are assumed.  Nothing runs or starts in a process from its leave on.  And a leave of
-a process whose draining was never noted does not meet a later life that drains.
+a process whose draining was never noted does not meet a later incarnation that drains.
 """
 
 from typing import NamedTuple
@@ -22,25 +22,25 @@
 NOBODY, ELSEWHERE = 0, -1
 OWN_ADDRESS, OTHER_ADDRESS = range(2)
 
-CONNECTION = "a connection to a worker belongs to one life"
-QUESTION = "the question which life answers on a connection acknowledges no end"
+CONNECTION = "a connection to a worker belongs to one incarnation"
+QUESTION = "the question which incarnation answers on a connection acknowledges no end"
 COMMIT_FIRST = "an end is acknowledged only after its commit"
 NEW_TOKEN = "each assignment has a token of its own"
 CURRENT_REPORT = "the ledger ignores what is reported under an earlier token"
 CONFIRMED_FIRST = "only a list asked for after a run's start or stop was confirmed can lack the run"
-WAIT_FOR_LEASE = "a life that does not answer is over only after its lease"
-NO_MORE_CALLS = "a session that has reported the end of its life makes no more calls"
-HEARTBEAT = "a heartbeat ends no life"
-ANSWERED = "a later life ends an earlier one only once it has answered itself"
-SAME_ADDRESS = "a later life ends only those that had its address"
-LATER = "a life that has answered ends no later one"
-ADDRESS = "the address of a life does not change"
-ALONE = "a leave counts only if no other life may have sent it: one that lives, or had drained"
-DRAINS = "a leave counts only for a life that has reported that it drains"
-STAYS_ENDED = "a life that has left and ended is not taken up again"
-UNNAMED = "a process that says when it was born is no life without a birth"
+WAIT_FOR_LEASE = "an incarnation that does not answer is over only after its lease"
+NO_MORE_CALLS = "a session that has reported the end of its incarnation makes no more calls"
+HEARTBEAT = "a heartbeat ends no incarnation"
+ANSWERED = "a later incarnation ends an earlier one only once it has answered itself"
+SAME_ADDRESS = "a later incarnation ends only those that had its address"
+LATER = "an incarnation that has answered ends no later one"
+ADDRESS = "the address of an incarnation does not change"
+ALONE = "a leave counts only if no other incarnation, live or drained before, may have sent it"
+DRAINS = "a leave counts only for an incarnation that has reported that it drains"
+STAYS_ENDED = "an incarnation that has left and ended is not taken up again"
+UNNAMED = "a process that says when it was born is no incarnation without a birth"
 IGNORE_EARLIER = (
-    "the heartbeat of a life that was born earlier is ignored while a later one is there"
+    "the heartbeat of an incarnation that was born earlier is ignored while a later one is there"
 )
 STARTS_GUARDS = (CONNECTION, NEW_TOKEN, CONFIRMED_FIRST, WAIT_FOR_LEASE, LATER)
 REPORTS_GUARDS = (CURRENT_REPORT, NO_MORE_CALLS)
@@ -76,7 +76,7 @@
     processes: int
     max_token: int
     max_run: int = 2
-    """Highest run that is placed on a life; the next one starts on another worker at the latest."""
+    """Highest run that is placed on an incarnation; the next one starts elsewhere at the latest."""
 
     has_late_starts: bool = False
     """Whether starts may be carried out late and go unanswered; otherwise they are immediate."""
@@ -90,20 +90,20 @@
     """Whether the wall clock steps back between two processes: the later is born earlier."""
 
     has_unnamed: bool = False
-    """Whether another writer names a life without saying when it was born."""
+    """Whether another writer names an incarnation without saying when it was born."""
 
     @property
-    def lives(self) -> range:
-        """Return the numbers of all lives; that of another writer is the last."""
+    def incarnations(self) -> range:
+        """Return the numbers of all incarnations; that of another writer is the last."""
         return range(1, self.processes + (self.has_writers or self.has_unnamed) + 1)
 
     def is_born_earlier(self, number: int, other: int) -> bool:
-        """Return whether a life says that it was born before another."""
+        """Return whether an incarnation says that it was born before another."""
         return number > other if self.has_clock_steps or self.has_unnamed else number < other
 
     def is_meant(self, number: int, boot: int) -> bool:
-        """Return whether a session takes a process for the life that it calls."""
-        is_unnamed = self.has_unnamed and number == self.lives[-1]
+        """Return whether a session takes a process for the incarnation that it calls."""
+        is_unnamed = self.has_unnamed and number == self.incarnations[-1]
         return number == boot or (is_unnamed and UNNAMED not in self.guards)
 
 
@@ -122,8 +122,8 @@
     """Starts of runs up to this number are refused."""
 
 
-class Life(NamedTuple):
-    """A life in the ledger, and the session under its present token."""
+class Incarnation(NamedTuple):
+    """An incarnation in the ledger, and the session under its present token."""
 
     is_live: bool = False
     address: int = OWN_ADDRESS
@@ -155,19 +155,19 @@
     left: tuple[int, ...] = ()
     """Processes whose draining, or leave, may still arrive, any number of times."""
 
-    lives: tuple[Life, ...] = ()
+    incarnations: tuple[Incarnation, ...] = ()
     newest_token: int = 0
     run: int = 0
     place: int = NOBODY
-    """The life on which the run may exist."""
+    """The incarnation on which the run may exist."""
 
     start: int = UNSENT
     done: bool = False
     flight: tuple[tuple[int, int, int], ...] = ()
-    """Starts that may be carried out: run, life, token.  Their deadline is that of the lease."""
+    """Starts that may be carried out: run, incarnation, token.  Their deadline is the lease's."""
 
     report: tuple | None = None
-    """A report that may reach the ledger late: life, token, and the list or None for its end."""
+    """A report that may arrive late: incarnation, token, and the list or None for its end."""
 
     done_acknowledged: bool = False
     started_after_done: bool = False
@@ -177,10 +177,10 @@
     acknowledged_early: bool = False
 
 
-def _with_life(state, number, **changes):
-    lives = list(state.lives)
-    lives[number - 1] = lives[number - 1]._replace(**changes)
-    return state._replace(lives=tuple(lives))
+def _with_incarnation(state, number, **changes):
+    incarnations = list(state.incarnations)
+    incarnations[number - 1] = incarnations[number - 1]._replace(**changes)
+    return state._replace(incarnations=tuple(incarnations))
 
 
 def _with_process(state, **changes):
@@ -188,15 +188,15 @@
 
 
 def _release(state, number, run):
-    """Return the state once a run that was placed on a life may be started again."""
+    """Return the state once a run that was placed on an incarnation may be started again."""
     if (state.place, state.run) != (number, run):
         return state
     return state._replace(place=NOBODY, start=UNSENT)
 
 
-def _end_life(state, number):
-    """Record the end of a life; its run is released."""
-    after = _with_life(
+def _end_incarnation(state, number):
+    """Record the end of an incarnation; its run is released."""
+    after = _with_incarnation(
         state, number, is_live=False, token=0, answered=False, lease=0, is_over=False
     )
     return _release(after, number, state.run)
@@ -226,7 +226,7 @@
     if upto <= process.acknowledged:
         return state
     is_done = any(kind == DONE for _, kind in process.ends[process.acknowledged : upto])
-    is_early = upto > state.lives[state.boot - 1].seen_end
+    is_early = upto > state.incarnations[state.boot - 1].seen_end
     return _with_process(
         state._replace(
             acknowledged_early=state.acknowledged_early or is_early,
@@ -268,7 +268,7 @@
 
 def _announces(state):
     """Yield what the process that is up says before it ends: that it drains, and that it leaves."""
-    may_mislead = any(not state.lives[number - 1].drains for number in state.left)
+    may_mislead = any(not state.incarnations[number - 1].drains for number in state.left)
     if state.boot not in state.drained:
         if not may_mislead:
             yield "the process drains", state._replace(drained=(*state.drained, state.boot))
@@ -282,14 +282,14 @@
     ends = tuple((run, LAPSED if kind == DONE else kind) for run, kind in state.process.ends)
     over = _with_process(state, running=(), ends=ends)
     return over._replace(
-        lives=tuple(life._replace(lease=0) for life in state.lives),
+        incarnations=tuple(incarnation._replace(lease=0) for incarnation in state.incarnations),
         flight=(),
         started_after_done=False,
     )
 
 
 def _late_start(state, order):
-    run, life, token = order
+    run, number, token = order
     process = state.process
     after = state._replace(flight=tuple(each for each in state.flight if each != order))
     is_refused = token < process.seen_token or run <= process.refused or state.boot in state.left
@@ -298,7 +298,7 @@
         return
     started = _started(after, run, token)
     yield f"the start of run {run} is carried out without an answer", started
-    if (state.place, state.run, state.lives[life - 1].token) == (life, run, token):
+    if (state.place, state.run, state.incarnations[number - 1].token) == (number, run, token):
         yield f"the start of run {run} is carried out", started._replace(start=CONFIRMED)
 
 
@@ -310,30 +310,35 @@
 def _ledger(state, scope):
     """Yield heartbeats, leaves, assignments, placements and late reports."""
     for number in range(1, state.boot + 1):
-        yield f"heartbeat of life {number}", _note(state, number, OWN_ADDRESS, scope)
+        yield f"heartbeat of incarnation {number}", _note(state, number, OWN_ADDRESS, scope)
     if scope.has_writers:
-        for number in (*range(1, state.boot + 1), scope.lives[-1]):
+        for number in (*range(1, state.boot + 1), scope.incarnations[-1]):
             for address in (OWN_ADDRESS, OTHER_ADDRESS):
-                title = f"another writer names life {number} at address {address}"
+                title = f"another writer names incarnation {number} at address {address}"
                 yield title, _note(state, number, address, scope)
     if scope.has_unnamed:
-        title = "another writer names a life without its birth"
-        yield title, _note(state, scope.lives[-1], OWN_ADDRESS, scope)
+        title = "another writer names an incarnation without its birth"
+        yield title, _note(state, scope.incarnations[-1], OWN_ADDRESS, scope)
     for number in state.drained:
-        noted = _with_life(_note(state, number, OWN_ADDRESS, scope), number, drains=True)
-        yield f"heartbeat of life {number}, which drains", noted
+        noted = _with_incarnation(_note(state, number, OWN_ADDRESS, scope), number, drains=True)
+        yield f"heartbeat of incarnation {number}, which drains", noted
     for number in state.left:
-        yield f"leave of life {number}", _note_leave(state, scope)
+        yield f"leave of incarnation {number}", _note_leave(state, scope)
     is_waiting = not state.done and state.place == NOBODY
-    for number, life in zip(scope.lives, state.lives, strict=True):
-        if not life.is_live:
+    for number, incarnation in zip(scope.incarnations, state.incarnations, strict=True):
+        if not incarnation.is_live:
             continue
         if state.newest_token < scope.max_token:
-            yield f"life {number} gets an agent", _assign(state, number, scope)
+            yield f"incarnation {number} gets an agent", _assign(state, number, scope)
         may_place = is_waiting and state.run < scope.max_run
-        if may_place and life.token and not life.drains and life.address == OWN_ADDRESS:
+        if (
+            may_place
+            and incarnation.token
+            and not incarnation.drains
+            and incarnation.address == OWN_ADDRESS
+        ):
             placed = state._replace(run=state.run + 1, place=number, start=UNSENT)
-            yield f"run {state.run + 1} is placed on life {number}", placed
+            yield f"run {state.run + 1} is placed on incarnation {number}", placed
         yield from _ends_of_replaced(state, number, scope)
     if is_waiting and state.run:
         placed = _note_start(state)._replace(run=state.run + 1, place=ELSEWHERE)
@@ -345,74 +350,82 @@
 
 
 def _note(state, number, address, scope):
-    life = state.lives[number - 1]
+    incarnation = state.incarnations[number - 1]
     if scope.has_clock_steps and IGNORE_EARLIER in scope.guards:
-        for other, later in zip(scope.lives, state.lives, strict=True):
+        for other, later in zip(scope.incarnations, state.incarnations, strict=True):
             if later.is_live and scope.is_born_earlier(number, other):
                 return state
-    if life.leaving and not life.is_live and STAYS_ENDED in scope.guards:
+    if incarnation.leaving and not incarnation.is_live and STAYS_ENDED in scope.guards:
         return state
-    if life.is_live and ADDRESS in scope.guards:
-        address = life.address
-    after = _with_life(state, number, is_live=True, address=address)
+    if incarnation.is_live and ADDRESS in scope.guards:
+        address = incarnation.address
+    after = _with_incarnation(state, number, is_live=True, address=address)
     if HEARTBEAT not in scope.guards:
         for other in range(1, number):
-            if after.lives[other - 1].is_live:
-                after = _end_life(after, other)
+            if after.incarnations[other - 1].is_live:
+                after = _end_incarnation(after, other)
     return after
 
 
 def _note_leave(state, scope):
-    """Return the state after a leave, which does not say which life it is of."""
-    possible = [n for n in scope.lives if state.lives[n - 1].is_live or state.lives[n - 1].drains]
+    """Return the state after a leave, which does not say which incarnation it is of."""
+    known = zip(scope.incarnations, state.incarnations, strict=True)
+    possible = [number for number, each in known if each.is_live or each.drains]
     if ALONE in scope.guards and len(possible) > 1:
         return state
     for number in possible:
-        life = state.lives[number - 1]
-        if life.is_live and (life.drains or DRAINS not in scope.guards):
-            state = _with_life(state, number, leaving=True)
+        incarnation = state.incarnations[number - 1]
+        if incarnation.is_live and (incarnation.drains or DRAINS not in scope.guards):
+            state = _with_incarnation(state, number, leaving=True)
     return state
 
 
 def _assign(state, number, scope):
-    """Give a life an agent; a run that is there is settled by the first list of the session."""
-    token = state.lives[number - 1].token
+    """Give an incarnation an agent; a run there is settled by the first list of the session."""
+    token = state.incarnations[number - 1].token
     if not token or NEW_TOKEN in scope.guards:
         token = state.newest_token + 1
     lease = LEASE if WAIT_FOR_LEASE in scope.guards else 0
-    after = _with_life(state, number, token=token, answered=False, lease=lease, is_over=False)
+    after = _with_incarnation(
+        state, number, token=token, answered=False, lease=lease, is_over=False
+    )
     after = after._replace(newest_token=max(state.newest_token, token))
     return after._replace(start=CONFIRMED) if state.place == number else after
 
 
 def _ends_of_replaced(state, number, scope):
-    """Yield the ends of the lives that this one has replaced."""
-    life = state.lives[number - 1]
-    if not life.token or (ANSWERED in scope.guards and not life.answered):
+    """Yield the ends of the incarnations that this one has replaced."""
+    incarnation = state.incarnations[number - 1]
+    if not incarnation.token or (ANSWERED in scope.guards and not incarnation.answered):
         return
-    for other, earlier in zip(scope.lives, state.lives, strict=True):
+    for other, earlier in zip(scope.incarnations, state.incarnations, strict=True):
         if other == number or not earlier.is_live:
             continue
         is_earlier = scope.is_born_earlier(other, number) or LATER not in scope.guards
-        if is_earlier and (earlier.address == life.address or SAME_ADDRESS not in scope.guards):
-            yield f"life {number} has replaced life {other}", _end_life(state, other)
+        if is_earlier and (
+            earlier.address == incarnation.address or SAME_ADDRESS not in scope.guards
+        ):
+            yield (
+                f"incarnation {number} has replaced incarnation {other}",
+                _end_incarnation(state, other),
+            )
 
 
 def _commit(state, report, scope):
     """Return the state after the ledger has committed a report."""
     number, token, answer = report
-    life = state.lives[number - 1]
-    if not life.is_live or (CURRENT_REPORT in scope.guards and life.token != token):
+    incarnation = state.incarnations[number - 1]
+    if not incarnation.is_live or (CURRENT_REPORT in scope.guards and incarnation.token != token):
         return state
     if answer is None:
-        return _end_life(state, number)
+        return _end_incarnation(state, number)
     running, ends, expected = answer
-    is_current = life.token == token
-    state = _with_life(
+    is_current = incarnation.token == token
+    state = _with_incarnation(
         state, number,
-        answered=life.answered or is_current, seen_end=max(life.seen_end, len(ends)),
+        answered=incarnation.answered or is_current, seen_end=max(incarnation.seen_end, len(ends)),
     )  # fmt: skip
-    for run, kind in ends[life.seen_end :]:
+    for run, kind in ends[incarnation.seen_end :]:
         state = state._replace(done=state.done or kind != OTHER)
         state = _release(state, number, run)
     is_missing = expected and expected not in running and expected not in dict(ends)
@@ -426,38 +439,38 @@
     says_nothing = after == state and answer is not None
     if scope.has_late_reports and state.report is None and not says_nothing:
         if answer is None and NO_MORE_CALLS in scope.guards:
-            state = _with_life(state, number, is_over=True)
+            state = _with_incarnation(state, number, is_over=True)
         yield f"{title}, reported late", state._replace(report=report)
 
 
 def _session(state, number, scope):
-    """Yield the calls and conclusions of the session of a life."""
-    life = state.lives[number - 1]
-    if not life.is_live or not life.token or life.is_over:
+    """Yield the calls and conclusions of the session of an incarnation."""
+    incarnation = state.incarnations[number - 1]
+    if not incarnation.is_live or not incarnation.token or incarnation.is_over:
         return
-    over = number, life.token, None
-    if not life.lease:
-        yield from _reported(f"the lease of life {number} is over", state, over, scope)
-    if life.leaving:
-        title = f"life {number} does not answer after its leave"
+    over = number, incarnation.token, None
+    if not incarnation.lease:
+        yield from _reported(f"the lease of incarnation {number} is over", state, over, scope)
+    if incarnation.leaving:
+        title = f"incarnation {number} does not answer after its leave"
         yield from _reported(title, state, over, scope)
-    if life.address == OTHER_ADDRESS:
+    if incarnation.address == OTHER_ADDRESS:
         if number <= scope.processes:
-            yield from _reported(f"another answers for life {number}", state, over, scope)
+            yield from _reported(f"another answers for incarnation {number}", state, over, scope)
         else:
-            listed = number, life.token, ((), (), 0)
-            yield from _reported(f"life {number} is polled", state, listed, scope)
+            listed = number, incarnation.token, ((), (), 0)
+            yield from _reported(f"incarnation {number} is polled", state, listed, scope)
         return
     has_start = state.place == number and state.start == UNSENT
     if has_start:
         # No connection is made, or the question on it goes unanswered.
-        yield f"life {number} is not reached", _release(state, number, state.run)
+        yield f"incarnation {number} is not reached", _release(state, number, state.run)
     if not state.up:
         return
-    if life.token < state.process.seen_token:
+    if incarnation.token < state.process.seen_token:
         return
     # Each call may be the first of a connection, whose question shows the token.
-    state = _with_process(state, seen_token=life.token)
+    state = _with_process(state, seen_token=incarnation.token)
     if not scope.is_meant(number, state.boot):
         yield from _meets_another(state, number, scope)
         if CONNECTION in scope.guards:
@@ -472,25 +485,25 @@
 
 def _meets_another(state, number, scope):
     """Yield what a poll does that reaches another process than the one meant."""
-    life = state.lives[number - 1]
+    incarnation = state.incarnations[number - 1]
     if not {CONNECTION, QUESTION} <= scope.guards:
-        state = _acknowledge(state, life.seen_end)
-    over = number, life.token, None
-    yield from _reported(f"another answers for life {number}", state, over, scope)
-    yield f"another answers for life {number}, and its answer is lost", state
+        state = _acknowledge(state, incarnation.seen_end)
+    over = number, incarnation.token, None
+    yield from _reported(f"another answers for incarnation {number}", state, over, scope)
+    yield f"another answers for incarnation {number}, and its answer is lost", state
 
 
 def _starts(state, number, scope):
-    token = state.lives[number - 1].token
-    state = _with_life(state, number, lease=LEASE)
+    token = state.incarnations[number - 1].token
+    state = _with_incarnation(state, number, lease=LEASE)
     if scope.has_late_starts:
         flight = tuple(sorted((*state.flight, (state.run, number, token))))
-        yield f"life {number} is sent the start", state._replace(start=SENT, flight=flight)
+        yield f"incarnation {number} is sent the start", state._replace(start=SENT, flight=flight)
     elif state.boot in state.left or state.run <= state.process.refused:
-        yield f"life {number} refuses the start", _release(state, number, state.run)
+        yield f"incarnation {number} refuses the start", _release(state, number, state.run)
     else:
         started = _started(state, state.run, token)._replace(start=CONFIRMED)
-        yield f"life {number} starts run {state.run}", started
+        yield f"incarnation {number} starts run {state.run}", started
 
 
 def _stops(state, number, scope):
@@ -498,22 +511,25 @@
     if state.run in process.running:
         process = _end_run(process, state.run, OTHER, scope)
     stopped = state._replace(process=process._replace(refused=max(process.refused, state.run)))
-    yield f"life {number} confirms a stop", stopped._replace(start=CONFIRMED)
-    yield f"life {number} is stopped without an answer", stopped
+    yield f"incarnation {number} confirms a stop", stopped._replace(start=CONFIRMED)
+    yield f"incarnation {number} is stopped without an answer", stopped
 
 
 def _polls(state, number, scope):
-    life = state.lives[number - 1]
-    last_seen = life.seen_end if COMMIT_FIRST in scope.guards else len(state.process.ends)
+    incarnation = state.incarnations[number - 1]
+    last_seen = incarnation.seen_end if COMMIT_FIRST in scope.guards else len(state.process.ends)
     is_confirmed = state.start == CONFIRMED or CONFIRMED_FIRST not in scope.guards
     expected = state.run if state.place == number and is_confirmed else 0
     polled = _acknowledge(state, last_seen)
     listed = polled.process.running, polled.process.ends, expected
     for after, title in (
-        (polled, f"life {number} is polled"),
-        (_with_life(polled, number, lease=LEASE), f"the lease of life {number} is renewed"),
+        (polled, f"incarnation {number} is polled"),
+        (
+            _with_incarnation(polled, number, lease=LEASE),
+            f"the lease of incarnation {number} is renewed",
+        ),
     ):
-        yield from _reported(title, after, (number, life.token, listed), scope)
+        yield from _reported(title, after, (number, incarnation.token, listed), scope)
         yield f"{title} without an answer", after
 
 
@@ -531,7 +547,7 @@
             return
         yield from _worker(state, scope)
         yield from _ledger(state, scope)
-        for number in scope.lives:
+        for number in scope.incarnations:
             yield from _session(state, number, scope)
 
     def is_alone(state):
@@ -549,7 +565,7 @@
         name=name,
         candidate=False,
         fields=State._fields,
-        initial=State(lives=(Life(),) * len(scope.lives)),
+        initial=State(incarnations=(Incarnation(),) * len(scope.incarnations)),
         transitions=transitions,
         invariants=invariants,
     )
@@ -566,7 +582,7 @@
 
 
 _model(
-    "lives-starts",
+    "incarnations-starts",
     STARTS_GUARDS,
     processes=2,
     max_token=bound(3, 2),
@@ -575,7 +591,7 @@
     has_late_reports=not is_small(),
 )
 _model(
-    "lives-reports",
+    "incarnations-reports",
     REPORTS_GUARDS,
     processes=1,
     max_token=bound(4, 2),
@@ -584,7 +600,7 @@
     has_late_reports=True,
 )
 _model(
-    "lives-ends",
+    "incarnations-ends",
     ENDS_GUARDS,
     only_at_full_bounds=(QUESTION,),
     processes=2,
@@ -594,7 +610,7 @@
     has_late_reports=not is_small(),
 )
 _model(
-    "lives-writers",
+    "incarnations-writers",
     WRITERS_GUARDS,
     processes=bound(2, 1),
     max_token=bound(3, 2),
@@ -602,7 +618,7 @@
     has_writers=True,
 )
 _model(
-    "lives-leaves",
+    "incarnations-leaves",
     LEAVES_GUARDS,
     processes=2,
     max_token=bound(3, 1),
@@ -610,7 +626,7 @@
     has_leaves=True,
 )
 _model(
-    "lives-clocks",
+    "incarnations-clocks",
     CLOCKS_GUARDS,
     processes=bound(3, 2),
     max_token=bound(3, 2),
@@ -619,7 +635,7 @@
     has_clock_steps=True,
 )
 _model(
-    "lives-unnamed",
+    "incarnations-unnamed",
     UNNAMED_GUARDS,
     processes=1,
     max_token=bound(3, 2),
@@ -627,7 +643,7 @@
     has_unnamed=True,
 )
 _model(
-    "lives-left",
+    "incarnations-left",
     LEFT_GUARDS,
     processes=bound(2, 1),
     max_token=bound(3, 2),
