--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -38,9 +38,9 @@
 _PLATFORM_WORKERS = "../../platform/savoryshelf_platform/workers.py"
 _INTERFERENCE = "dispatch/interference.py"
 _THROTTLING = "dispatch/throttling.py"
-_CALLED_LIFE_TESTS = "tests/platform/test_worker_lives.py"
-_LIVES_TESTS = "tests/dispatch/test_worker_lives.py"
-_EVIDENCE_TESTS = "tests/dispatch/test_evidence_of_lives.py"
+_CALLED_INCARNATION_TESTS = "tests/platform/test_worker_incarnations.py"
+_INCARNATIONS_TESTS = "tests/dispatch/test_worker_incarnations.py"
+_EVIDENCE_TESTS = "tests/dispatch/test_evidence_of_incarnations.py"
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
@@ -295,21 +295,21 @@
         "control/leader_loop.py",
         "if not is_replaced and now <= granter_deadline(since, lease_s):",
         "if False:",
-        f"{GUARANTEES} tests/control/test_earlier_lives.py",
+        f"{GUARANTEES} tests/control/test_earlier_incarnations.py",
     ),
     Mutant(
         "an answer ends the earlier incarnation at the same address only",
         "control/leader_loop.py",
         "return has_answered and worker.url == url",
         "return has_answered",
-        "tests/control/test_earlier_lives.py",
+        "tests/control/test_earlier_incarnations.py",
     ),
     Mutant(
         "a new incarnation has no owner before that of the earlier one has released it",
         _FLEET,
         "            self._revoke(registered)\n",
         "",
-        "tests/targets tests/control/test_earlier_lives.py",
+        "tests/targets tests/control/test_earlier_incarnations.py",
     ),
     Mutant(
         "a change is accepted only from the version in force",
@@ -421,7 +421,7 @@
         "entry/worker_client.py",
         "            INCARNATION_HEADER: target.worker.incarnation,\n",
         "",
-        "tests/entry/test_worker_lives.py",
+        "tests/entry/test_worker_incarnations.py",
     ),
     Mutant(
         "a longer lease of an earlier configuration is waited out",
@@ -438,7 +438,7 @@
         "tests/entry/test_batch.py",
     ),
     Mutant(
-        "within one life a worker does not move",
+        "within one incarnation a worker does not move",
         _FLEET,
         "return announced == self.announcement() or _place(announced) != _place(self)",
         "return announced == self.announcement()",
@@ -1100,7 +1100,7 @@
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "a life that has not ended is heard although a later one is noted",
+        "an incarnation that has not ended is heard although a later one is noted",
         _TASK_SERVICE,
         "is_gone = not is_live and self._is_earlier_incarnation(record.life)",
         "is_gone = self._is_earlier_incarnation(record.life)",
@@ -1114,35 +1114,35 @@
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "the ledger keeps what is fixed in a life that has not ended",
+        "the ledger keeps what is fixed in an incarnation that has not ended",
         "tasks/ledger.py",
         "elif contradicted_fields(known, record) and not may_correct(known, record):",
         "elif False:",
         "tests/tasks/test_ledger.py",
     ),
     Mutant(
-        "a correction that was not checked against the life's agent is ignored",
+        "a correction that was not checked against the incarnation's agent is ignored",
         "tasks/ledger.py",
         "return is_checked and announced.address == known.address",
         "return announced.address == known.address",
         "tests/tasks/test_ledger.py",
     ),
     Mutant(
-        "no correction changes the address of a life that has not ended",
+        "no correction changes the address of an incarnation that has not ended",
         "tasks/ledger.py",
         "return is_checked and announced.address == known.address",
         "return is_checked",
         "tests/tasks/test_ledger.py",
     ),
     Mutant(
-        "a heartbeat that contradicts a live life is ignored at first",
+        "a heartbeat that contradicts a live incarnation is ignored at first",
         _TASK_SERVICE,
         "if not self._is_persistent(record, sequence):\n            return False\n",
         "if False:\n            return False\n",
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "two writers in the name of one life are counted apart",
+        "two writers in the name of one incarnation are counted apart",
         _TASK_SERVICE,
         "            incarnation_key(record.life), record.address, record.service_name,\n"
         "            record.failure_domain, record.rack, tuple(record.labels),\n",
@@ -1150,21 +1150,21 @@
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "a leave is taken only for a life that has reported that it drains",
+        "a leave is taken only for an incarnation that has reported that it drains",
         _TASK_SERVICE,
         "possible[0].has_ended or not possible[0].record.draining:",
         "possible[0].has_ended:",
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "a leave that may be of an ended life that had drained is taken for none",
+        "a leave that may be of an ended incarnation that had drained is taken for none",
         _TASK_SERVICE,
         "if key[0] == worker_id and (worker.record.draining or not worker.has_ended)",
         "if key[0] == worker_id and not worker.has_ended",
         "tests/dispatch/test_task_service.py",
     ),
     Mutant(
-        "heartbeats without a start bring no life beside those that have one",
+        "heartbeats without a start bring no incarnation beside those that have one",
         _TASK_SERVICE,
         "if known is None and not key[1] and self._later_incarnations(record.life):",
         "if False:",
@@ -1648,28 +1648,28 @@
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "a new connection is used only if the life that answers is the one called",
+        "a new connection is used only if the incarnation that answers is the one called",
         _PLATFORM_WORKERS,
         "        _require_incarnation(incarnation, reply)\n        if connection.is_closed:",
         "        if connection.is_closed:",
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "the question which life answers acknowledges no end",
+        "the question which incarnation answers acknowledges no end",
         _PLATFORM_WORKERS,
         '"lastSeen": 0}',
         '"lastSeen": 1}',
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "the question which life answers renews no lease",
+        "the question which incarnation answers renews no lease",
         _PLATFORM_WORKERS,
         '"lastSeen": 0}',
         '"lastSeen": 0, "deadlineMs": 1}',
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "each life at an address has connections of its own",
+        "each incarnation at an address has connections of its own",
         _PLATFORM_WORKERS,
         "pool = self._pool_by_incarnation.get((incarnation, fencing_token))",
         "pool = next(\n"
@@ -1680,17 +1680,17 @@
         "            ),\n"
         "            None,\n"
         "        )",
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "the end of a life closes no connection of the next one",
+        "the end of an incarnation closes no connection of the next one",
         _PLATFORM_WORKERS,
         "if key[0] == incarnation]",
         "if key[0].address == incarnation.address]",
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "a list of runs is that of the life that was asked",
+        "a list of runs is that of the incarnation that was asked",
         _PLATFORM_WORKERS,
         "        _require_incarnation(incarnation, reply)\n"
         "        return _decode_poll_result(reply)",
@@ -1702,38 +1702,38 @@
         _PLATFORM_WORKERS,
         'raise NotDelivered(f"{HOLD_PATH}: {shorten(error)}") from error',
         'raise WorkerUnresponsive(f"{HOLD_PATH}: {shorten(error)}") from error',
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "a new connection is asked which life answers",
+        "a new connection is asked which incarnation answers",
         _HTTP_POOL,
         "                self._identify(self)\n",
         "                pass\n",
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "a connection that has closed is opened again only with the question which life answers",
+        "a closed connection is opened again only with the question which incarnation answers",
         _HTTP_POOL,
         "    auto_open = 0\n",
         "    auto_open = 1\n",
         "tests/wire/test_http_pool.py",
     ),
     Mutant(
-        "a life gets no run before it has answered",
+        "an incarnation gets no run before it has answered",
         _WORKER_SESSION,
         "        self.is_state_known = False\n",
         "        self.is_state_known = not worker.task_by_run\n",
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a heartbeat of another life makes the agent ask which one answers",
+        "a heartbeat of another incarnation makes the agent ask which one answers",
         "dispatch/agent.py",
         "                    session.check_incarnation()\n",
         "                    pass\n",
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a poll beside the open one that finds another life ends the earlier one",
+        "a poll beside the open one that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
         "        except IncarnationReplaced as error:\n"
         "            self._end_incarnation(str(error))\n"
@@ -1743,7 +1743,7 @@
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a speed call that finds another life ends the earlier one",
+        "a speed call that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
         "        except IncarnationReplaced as error:\n"
         "            self._end_incarnation(str(error))\n"
@@ -1751,10 +1751,10 @@
         "            self.speed",
         "        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:\n"
         "            self.speed",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "a stop that finds another life ends the earlier one",
+        "a stop that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
         "            except IncarnationReplaced as error:\n"
         "                self._end_incarnation(str(error))\n"
@@ -1762,10 +1762,10 @@
         "                metrics",
         "            except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:\n"
         "                metrics",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "a start that met another life has not reached the one called",
+        "a start that met another incarnation has not reached the one called",
         _WORKER_SESSION,
         "            # Calls reach the incarnation that they name or none.\n"
         "            self._undelivered_starts.add(key)\n",
@@ -1773,50 +1773,50 @@
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a session that has reported the end of its life makes no more calls",
+        "a session that has reported the end of its incarnation makes no more calls",
         _WORKER_SESSION,
         "        if self.is_closed or self.has_ended or self.is_fenced:\n            return False",
         "        if self.is_closed or self.is_fenced:\n            return False",
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a later life ends an earlier one only once it has answered",
+        "a later incarnation ends an earlier one only once it has answered",
         _LEADER_TERM,
         "                and self._fleet.answers(other)\n                for other in sharing\n",
         "                for other in sharing\n",
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a later life ends an earlier one at the same address alone",
+        "a later incarnation ends an earlier one at the same address alone",
         _LEADER_TERM,
         "        place = worker.record.life.worker_id, worker.record.address\n",
         '        place = worker.record.life.worker_id, ""\n',
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "a life that has answered ends no later one",
+        "an incarnation that has answered ends no later one",
         _LEADER_TERM,
         "other.record.life.born_ms > worker.record.life.born_ms",
         "other.record.life.born_ms != worker.record.life.born_ms",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "an earlier life whose agent learns nothing ends once a later one has answered",
+        "an earlier incarnation whose agent learns nothing ends once a later one has answered",
         _LEADER_TERM,
         "            or now - self._replaced_at_by_incarnation[key] >= "
         "REPLACEMENT_REPORT_SECONDS\n",
         "",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "a life with a later one at its address gets no new token",
+        "an incarnation with a later one at its address gets no new token",
         _LEADER_TERM,
         "and (worker.key in with_rivals or not self._fleet.is_fenced(worker))",
         "and not self._fleet.is_fenced(worker)",
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "the agent of an earlier life has time to report which runs it had outlived",
+        "the agent of an earlier incarnation has time to report which runs it had outlived",
         _LEADER_TERM,
         "            or now - self._replaced_at_by_incarnation[key] >= "
         "REPLACEMENT_REPORT_SECONDS\n",
@@ -1824,7 +1824,7 @@
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "a life has answered only if its present agent says so",
+        "an incarnation has answered only if its present agent says so",
         "dispatch/agent_fleet.py",
         "            and known.state.responsive\n"
         "            and known.state.fencing_token == worker.record.fencing_token\n",
@@ -1832,7 +1832,7 @@
         _EVIDENCE_TESTS,
     ),
     Mutant(
-        "which life answers is asked on a new connection",
+        "which incarnation answers is asked on a new connection",
         _WORKER_SESSION,
         "        self._agent.worker_api.disconnect(self.incarnation)\n        eventlet",
         "        eventlet",
@@ -1856,19 +1856,19 @@
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "a rejected session gets a new token while no other life answers",
+        "a rejected session gets a new token while no other incarnation answers",
         _LEADER_TERM,
         "if any(self._fleet.answers(other) for other in sharing if other is not worker)",
         "if any(other is not worker for other in sharing)",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
-        "the end of a life is reported once the starts under way have told",
+        "the end of an incarnation is reported once the starts under way have told",
         _WORKER_SESSION,
         "        if self._starts_in_flight:\n            eventlet.spawn_n(self._report_end, why)\n"
         "        else:\n            self._agent.incarnation_ended(self, why)\n",
         "        self._agent.incarnation_ended(self, why)\n",
-        _LIVES_TESTS,
+        _INCARNATIONS_TESTS,
     ),
     Mutant(
         "a draining heartbeat that contradicts its record keeps starts away",
@@ -1892,14 +1892,14 @@
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "a worker that tells its start is no life whose heartbeats tell none",
+        "a worker that tells its start is no incarnation whose heartbeats tell none",
         _PLATFORM_WORKERS,
         "if born_ms is None and not incarnation.born_ms:",
         "if not incarnation.born_ms:",
-        _CALLED_LIFE_TESTS,
+        _CALLED_INCARNATION_TESTS,
     ),
     Mutant(
-        "a life that has left and ended does not come back",
+        "an incarnation that has left and ended does not come back",
         "tasks/ledger.py",
         "if existing.has_ended and known.leaving:",
         "if False:",
--- a/tests/control/test_earlier_lives.py
+++ b/tests/control/test_earlier_incarnations.py
@@ -37,13 +37,13 @@
         return job.attempt != self.attempt or not job.is_placed
 
 
-def test_attempts_of_a_life_are_lost_once_the_next_one_answers_at_its_address():
+def test_attempts_of_an_incarnation_are_lost_once_the_next_one_answers_at_its_address():
     site = RestartedWorker(moves=False)
     site.wait(PROMPT_SECONDS)
     assert site.is_settled
 
 
-def test_attempts_of_a_life_are_kept_until_its_lease_has_expired_if_the_next_one_is_elsewhere():
+def test_attempts_of_an_incarnation_are_kept_until_its_lease_expires_if_the_next_one_is_elsewhere():
     site = RestartedWorker(moves=True)
     site.wait(LONGEST_WAIT_SECONDS - 2)
     assert not site.is_settled
@@ -51,7 +51,7 @@
     assert site.is_settled
 
 
-def test_a_new_leader_waits_for_the_lease_of_an_earlier_life_anew():
+def test_a_new_leader_waits_for_the_lease_of_an_earlier_incarnation_anew():
     site = RestartedWorker(moves=True)
     site.wait(LONGEST_WAIT_SECONDS - 2)
     site.cluster.elect_leader()
@@ -61,7 +61,7 @@
     assert site.is_settled
 
 
-def test_the_address_of_an_earlier_life_is_part_of_a_snapshot():
+def test_the_address_of_an_earlier_incarnation_is_part_of_a_snapshot():
     site = RestartedWorker(moves=False)
     assert not site.is_settled
     site.cluster.elect_leader()
@@ -70,7 +70,7 @@
 
 
 @pytest.mark.parametrize("moves", [False, True])
-def test_no_order_goes_out_for_an_attempt_of_an_earlier_life(moves):
+def test_no_order_goes_out_for_an_attempt_of_an_earlier_incarnation(moves):
     site = RestartedWorker(moves)
     placed = site.cluster.state_machine.state.ledger.placed_on
     assert placed(site.worker.worker_id, site.incarnation)
@@ -81,7 +81,7 @@
 
 # Guards against an attempt that is never started nor lost: what an entry host had acknowledged
 # before the worker was registered anew is ordered again.
-def test_a_life_that_is_registered_again_in_time_keeps_its_attempts():
+def test_an_incarnation_that_is_registered_again_in_time_keeps_its_attempts():
     machine = Guarantees()
     machine.set_up_site()
     cluster = machine.cluster
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -197,8 +197,8 @@
 
 def make_session(ledger, worker_api):
     (worker,) = ledger.worker_by_incarnation.values()
-    life = worker.record.life
-    ledger.assign_agents([AgentAssignment(life, "c0.disk/1")], 6)
+    incarnation = worker.record.life
+    ledger.assign_agents([AgentAssignment(incarnation, "c0.disk/1")], 6)
     agent = FakeAgent(ledger, worker_api)
     return WorkerSession(agent, worker, LEASE_MS), agent
 
--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -75,10 +75,10 @@
 
         self.worker_by_id = {worker_id: FakeWorker() for worker_id in worker_ids}
         self.born_by_id = dict.fromkeys(worker_ids, 1)
-        """Which life of each worker is up; calls to any other find another life there."""
+        """Which incarnation of each worker is up; calls to any other find this one there."""
 
-        self.error_by_life = {}
-        """Errors that calls to a life raise instead, by its key."""
+        self.error_by_incarnation = {}
+        """Errors that calls to an incarnation raise instead, by its key."""
 
         self.state_machine_by_host = {}
         self.replica_by_host = {}
@@ -195,10 +195,10 @@
 
     def _worker(self, incarnation):
         key = incarnation.worker_id, incarnation.born_ms
-        if key in self.error_by_life:
-            raise self.error_by_life[key]
+        if key in self.error_by_incarnation:
+            raise self.error_by_incarnation[key]
         if self.born_by_id[key[0]] != key[1]:
-            raise IncarnationReplaced("another life answers")
+            raise IncarnationReplaced("another incarnation answers")
         return self.worker_by_id[key[0]]
 
     def restart_worker(self, worker_id, born_ms):
@@ -207,7 +207,7 @@
         self.worker_by_id[worker_id] = FakeWorker()
         self.born_by_id[worker_id] = born_ms
 
-    def note_life(self, worker_id, born_ms, **fields):
+    def note_incarnation(self, worker_id, born_ms, **fields):
         """Commit a heartbeat, whoever sent it."""
         record = worker(worker_id=worker_id, born_ms=born_ms)
         for name, value in fields.items():
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -210,21 +210,21 @@
 
     def crash(self, worker_id, returns=True):
         """Crash a worker on the starts of all that runs there."""
-        life = self.life_of(worker_id)
-        tracked = self.ledger.worker_by_incarnation[worker_id, life.born_ms]
+        incarnation = self.incarnation_of(worker_id)
+        tracked = self.ledger.worker_by_incarnation[worker_id, incarnation.born_ms]
         tasks = list(tracked.task_by_run.values())
         worked = [RunAge(task, run, 0) for task, run in tracked.task_by_run]
-        self.ledger.end_incarnations([life], [], None, True, worked)
+        self.ledger.end_incarnations([incarnation], [], None, True, worked)
         for task in tasks:
             if task.step.spec.gang:
                 self._end_gang(task.step)
         if returns:
-            record = worker(worker_id, life.born_ms + 1)
+            record = worker(worker_id, incarnation.born_ms + 1)
             for name in ("millicores", "memory_mb", "accelerators", "labels"):
                 setattr(record, name, getattr(tracked.record, name))
             self.ledger.upsert_worker(record)
 
-    def life_of(self, worker_id):
+    def incarnation_of(self, worker_id):
         """Return the newest incarnation of a worker."""
         return WorkerLife(*max(k for k in self.ledger.worker_by_incarnation if k[0] == worker_id))
 
--- a/tests/dispatch/test_evidence_of_lives.py
+++ b/tests/dispatch/test_evidence_of_incarnations.py
@@ -1,4 +1,4 @@
-"""What agents and the leader take for evidence that a life of a worker has ended, and what not."""
+"""What agents and the leader take for evidence that an incarnation has ended, and what not."""
 
 import eventlet
 import pytest
@@ -19,7 +19,7 @@
 EARLIER, LATER = ("w1", 1), ("w1", 2)
 OTHER_ADDRESS = "10.0.0.9:80"
 SETTLING_SECONDS = 2 * REPLACEMENT_REPORT_SECONDS
-"""Time after which the leader would have ended a life for which it has evidence."""
+"""Time after which the leader would have ended an incarnation for which it has evidence."""
 
 
 @pytest.fixture
@@ -44,7 +44,7 @@
     session.close()
 
 
-def life(group, key):
+def incarnation(group, key):
     return group.ledger.worker_by_incarnation[key]
 
 
@@ -54,45 +54,45 @@
     return group.worker_by_id["w1"]
 
 
-# Guards against TWICE: a later life of which there is only a heartbeat is no evidence, also while
-# nobody has found out yet that it does not exist.
-def test_a_later_life_that_does_not_answer_ends_no_earlier_one(group):
+# Guards against TWICE: a later incarnation of which there is only a heartbeat is no evidence, also
+# while nobody has found out yet that it does not exist.
+def test_a_later_incarnation_that_does_not_answer_ends_no_earlier_one(group):
     worker = start_a_run(group)
-    group.error_by_life[LATER] = WorkerUnresponsive("no answer")
-    group.note_life(*LATER)
+    group.error_by_incarnation[LATER] = WorkerUnresponsive("no answer")
+    group.note_incarnation(*LATER)
     eventlet.sleep(SETTLING_SECONDS)
-    assert not life(group, EARLIER).has_ended
+    assert not incarnation(group, EARLIER).has_ended
     assert worker.starts == [(TASK, 1)]
 
 
-# Guards against tasks that are given up: the agent alone knows which runs a life had outlived.
-def test_the_agent_of_an_earlier_life_has_time_to_report_its_end(group):
+# Guards against tasks that are given up: the agent alone knows which runs an incarnation outlived.
+def test_the_agent_of_an_earlier_incarnation_has_time_to_report_its_end(group):
     start_a_run(group)
     group.restart_worker("w1", 2)
-    group.error_by_life[EARLIER] = WorkerUnresponsive("no answer")
+    group.error_by_incarnation[EARLIER] = WorkerUnresponsive("no answer")
     began_at = group.term.now()
-    group.note_life(*LATER)
-    wait_until(lambda: life(group, EARLIER).has_ended)
+    group.note_incarnation(*LATER)
+    wait_until(lambda: incarnation(group, EARLIER).has_ended)
     assert group.term.now() - began_at >= REPLACEMENT_REPORT_SECONDS
 
 
 # Guards against two agents that take a worker from each other, each with a higher token.
-def test_a_life_whose_successor_answers_at_its_address_gets_no_new_token(group):
+def test_an_incarnation_whose_successor_answers_at_its_address_gets_no_new_token(group):
     start_a_run(group)
     group.restart_worker("w1", 2)
-    group.error_by_life[EARLIER] = Fenced("poll")
-    group.note_life(*LATER)
-    wait_until(lambda: group.term._fleet.answers(life(group, LATER)))
-    assert not life(group, EARLIER).has_ended
-    tokens = {life(group, EARLIER).record.fencing_token}
-    while not life(group, EARLIER).has_ended:
-        tokens.add(life(group, EARLIER).record.fencing_token)
+    group.error_by_incarnation[EARLIER] = Fenced("poll")
+    group.note_incarnation(*LATER)
+    wait_until(lambda: group.term._fleet.answers(incarnation(group, LATER)))
+    assert not incarnation(group, EARLIER).has_ended
+    tokens = {incarnation(group, EARLIER).record.fencing_token}
+    while not incarnation(group, EARLIER).has_ended:
+        tokens.add(incarnation(group, EARLIER).record.fencing_token)
         eventlet.sleep(0.01)
     assert len(tokens) == 1
 
 
-# Guards against work that waits on a life of which there is only a heartbeat.
-def test_a_life_whose_first_poll_is_open_gets_no_run(group, monkeypatch):
+# Guards against work that waits on an incarnation of which there is only a heartbeat.
+def test_an_incarnation_whose_first_poll_is_open_gets_no_run(group, monkeypatch):
     has_answered, original = Event(), group._worker
 
     def open_poll(*arguments):
@@ -102,22 +102,26 @@
     later = FakeWorker()
     later.poll = open_poll
     monkeypatch.setattr(
-        group, "_worker", lambda life: later if life.address == OTHER_ADDRESS else original(life)
+        group,
+        "_worker",
+        lambda incarnation: (
+            later if incarnation.address == OTHER_ADDRESS else original(incarnation)
+        ),
     )
-    group.note_life(*LATER, address=OTHER_ADDRESS)
-    wait_until(lambda: life(group, LATER).record.agent_id)
+    group.note_incarnation(*LATER, address=OTHER_ADDRESS)
+    wait_until(lambda: incarnation(group, LATER).record.agent_id)
     group.submit(step(count=8, lasting=True))
-    wait_until(lambda: len(life(group, EARLIER).task_by_run) == 4)
+    wait_until(lambda: len(incarnation(group, EARLIER).task_by_run) == 4)
     eventlet.sleep(SETTLING_SECONDS)
-    assert not life(group, LATER).task_by_run
+    assert not incarnation(group, LATER).task_by_run
     has_answered.send(None)
-    wait_until(lambda: len(life(group, LATER).task_by_run) == 4)
+    wait_until(lambda: len(incarnation(group, LATER).task_by_run) == 4)
 
 
-# Guards against a session that learns of the next life only when its open call times out: the
-# process is gone, and nothing has closed its connections.
-def test_a_heartbeat_of_another_life_has_the_present_one_asked_at_once(group, monkeypatch):
-    # The leader does not end the life in place of its agent.
+# Guards against a session that learns of the next incarnation only when its open call times out:
+# the process is gone, and nothing has closed its connections.
+def test_a_heartbeat_of_another_incarnation_has_the_present_one_asked_at_once(group, monkeypatch):
+    # The leader does not end the incarnation in place of its agent.
     monkeypatch.setattr(leader_term, "REPLACEMENT_REPORT_SECONDS", 60.0)
     worker, open_polls = start_a_run(group), []
 
@@ -130,26 +134,28 @@
     worker.end("another.0.0.0", 1, RunOutcome.DONE)
     wait_until(lambda: open_polls)
     group.worker_by_id["w1"], group.born_by_id["w1"] = FakeWorker(), 2
-    group.note_life(*LATER)
-    wait_until(lambda: life(group, EARLIER).has_ended)
+    group.note_incarnation(*LATER)
+    wait_until(lambda: incarnation(group, EARLIER).has_ended)
 
 
-def test_the_present_life_is_asked_on_a_new_connection(group, monkeypatch):
+def test_the_present_incarnation_is_asked_on_a_new_connection(group, monkeypatch):
     start_a_run(group)
     disconnected = []
     monkeypatch.setattr(group, "disconnect", disconnected.append)
-    group.note_life(*LATER, address=OTHER_ADDRESS)
+    group.note_incarnation(*LATER, address=OTHER_ADDRESS)
     wait_until(lambda: any(each.born_ms == EARLIER[1] for each in disconnected))
-    assert not life(group, EARLIER).has_ended
+    assert not incarnation(group, EARLIER).has_ended
 
 
-def test_a_poll_beside_the_open_one_that_finds_another_life_ends_the_session(running_session):
+def test_a_poll_beside_the_open_one_that_finds_another_incarnation_ends_the_session(
+    running_session,
+):
     session, worker, agent = running_session
 
     def poll(incarnation, fencing_token, seen_end, deadline_ms, wait_ms):
         if wait_ms:
             eventlet.sleep(60)
-        raise IncarnationReplaced("another life answers")
+        raise IncarnationReplaced("another incarnation answers")
 
     session.start(TASK, 1)
     wait_until(lambda: worker.running and session.is_state_known)
@@ -158,14 +164,14 @@
     wait_until(lambda: agent.end_reasons)
 
 
-# Guards against BUDGET: a start that met another life counted for its task as a crash.
-def test_a_start_that_met_another_life_has_not_reached_the_one_called(running_session):
+# Guards against BUDGET: a start that met another incarnation counted for its task as a crash.
+def test_a_start_that_met_another_incarnation_has_not_reached_the_one_called(running_session):
     session, worker, agent = running_session
     worked = []
     agent.incarnation_ended = lambda ended, why: worked.append(ended.worked_ms_by_run())
 
     def start(*arguments):
-        raise IncarnationReplaced("another life answers")
+        raise IncarnationReplaced("another incarnation answers")
 
     worker.start = start
     session.start(TASK, 1)
@@ -173,9 +179,9 @@
     assert worked == [{(TASK, 1): -1}]
 
 
-# Guards against TWICE: until the report is committed, the ledger still has runs on a life whose
-# end was reported, and a start would be carried out after they were released.
-def test_a_session_that_has_reported_the_end_of_its_life_makes_no_call(running_session):
+# Guards against TWICE: until the report is committed, the ledger still has runs on an incarnation
+# whose end was reported, and a start would be carried out after they were released.
+def test_a_session_that_has_reported_the_end_of_its_incarnation_makes_no_call(running_session):
     session, worker, agent = running_session
     reasons = []
     agent.incarnation_ended = lambda ended, why: reasons.append(why)
@@ -195,7 +201,7 @@
     assert len(reasons) == 1
 
 
-def test_a_life_answers_only_by_a_report_under_its_present_token():
+def test_an_incarnation_answers_only_by_a_report_under_its_present_token():
     fleet = AgentFleet()
     fleet.record_report(report(states=[state(token=5)]), 0.0)
     assert fleet.answers(worker_with_token(5))
--- a/tests/dispatch/test_leader_term.py
+++ b/tests/dispatch/test_leader_term.py
@@ -23,7 +23,7 @@
 COMMIT_SECONDS = 0.04
 """A commit across regions."""
 
-LIVES = 40
+INCARNATIONS = 40
 SETTLE_SECONDS = 1.0
 """An agent's session polls again after this time without having seen its ends committed."""
 
@@ -46,8 +46,8 @@
         if name == "end_lives":
             tokens = body.fencing_tokens or [None] * len(body.lives)
             self.ended += [
-                (life, token, bool(body.crashed))
-                for life, token in zip(body.lives, tokens, strict=True)
+                (incarnation, token, bool(body.crashed))
+                for incarnation, token in zip(body.lives, tokens, strict=True)
             ]
             self.worked += body.worked or []
         return []
@@ -73,27 +73,29 @@
 # Guards against runs whose ends wait for the commits of many lost workers, one after the other.
 def test_ends_of_runs_do_not_wait_for_each_of_many_lost_workers(committing_term):
     replica, term = committing_term
-    lives = [WorkerLife(f"w{number}", 1) for number in range(LIVES)]
-    term.receive_report(report(1, [EndLives([life], [], [7]) for life in lives]))
+    incarnations = [WorkerLife(f"w{number}", 1) for number in range(INCARNATIONS)]
+    term.receive_report(
+        report(1, [EndLives([incarnation], [], [7]) for incarnation in incarnations])
+    )
     eventlet.sleep(COMMIT_SECONDS / 2)
     ends = [RunEnd("t", 1, RunOutcome.DONE, "", 1)]
     term.receive_report(report(2, (), [SettleRuns(WorkerLife("v", 1), 1, ends, 3)]))
     eventlet.sleep(SETTLE_SECONDS / 2)
     assert "settle_batch" in replica.names
-    assert replica.ended == [(life, 7, False) for life in lives]
+    assert replica.ended == [(incarnation, 7, False) for incarnation in incarnations]
 
 
-def test_ended_lives_keep_their_tokens_crashes_and_ages(committing_term):
+def test_ended_incarnations_keep_their_tokens_crashes_and_ages(committing_term):
     replica, term = committing_term
-    lives = [WorkerLife(f"w{number}", 1) for number in range(4)]
+    incarnations = [WorkerLife(f"w{number}", 1) for number in range(4)]
     ages = [RunAge(f"t{number}", 1, number) for number in range(4)]
     tokens, crashed = [7, None, 9, 11], [True, False, False, True]
     ended = [
-        EndLives([life], [], [token] if token else None, crashed=crash, worked=[age])
-        for life, token, crash, age in zip(lives, tokens, crashed, ages, strict=True)
+        EndLives([incarnation], [], [token] if token else None, crashed=crash, worked=[age])
+        for incarnation, token, crash, age in zip(incarnations, tokens, crashed, ages, strict=True)
     ]
     term.receive_report(report(1, ended))
     eventlet.sleep(10 * COMMIT_SECONDS)
     by_worker = sorted(replica.ended, key=lambda each: each[0].worker_id)
-    assert by_worker == list(zip(lives, tokens, crashed, strict=True))
+    assert by_worker == list(zip(incarnations, tokens, crashed, strict=True))
     assert sorted(replica.worked, key=lambda age: age.task) == ages
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -57,9 +57,9 @@
 
 
 def end(state_machine, *born_ms):
-    """End lives of the worker, as on evidence of its agents."""
-    lives = [WorkerLife("w1", each) for each in born_ms]
-    state_machine.ledger.end_incarnations(lives, [])
+    """End incarnations of the worker, as on evidence of its agents."""
+    incarnations = [WorkerLife("w1", each) for each in born_ms]
+    state_machine.ledger.end_incarnations(incarnations, [])
 
 
 def test_only_changes_are_committed(state_machine):
@@ -262,9 +262,11 @@
 
 
 # Guards against TWICE: one heartbeat in the name of a worker, with a later start, released all that
-# ran there, although nobody had reached the later life.
+# ran there, although nobody had reached the later incarnation.
 @pytest.mark.parametrize("heartbeats", [1, 60])
-def test_heartbeats_of_a_later_life_leave_the_earlier_one_as_it_is(state_machine, heartbeats):
+def test_heartbeats_of_a_later_incarnation_leave_the_earlier_one_as_it_is(
+    state_machine, heartbeats
+):
     clock = FakeClock()
     _, leader = host(state_machine, clock=clock)
     leader.heartbeat(heartbeat(1))
@@ -296,7 +298,7 @@
     send_for(next_leader, clock, heartbeats, 200, born_ms=2, draining=True)
     send_for(next_leader, clock, heartbeats, 1, born_ms=3)
     check()
-    # Each life is ended by evidence of its own only.
+    # Each incarnation is ended by evidence of its own only.
     state_machine.ledger.end_incarnations([WorkerLife("w1", 2)], [], crashed=True)
     check()
     state_machine.ledger.end_incarnations([WorkerLife("w1", 1)], [], crashed=True)
@@ -306,20 +308,20 @@
 
 # Guards against a start on a worker that drains: its heartbeats were acknowledged and ignored,
 # since another writer had named a later start.
-def test_a_life_that_has_not_ended_is_heard_though_a_later_one_is_noted(state_machine):
+def test_an_incarnation_that_has_not_ended_is_heard_though_a_later_one_is_noted(state_machine):
     _, leader = host(state_machine)
     leader.heartbeat(heartbeat(1))
     leader.heartbeat(heartbeat(1, born_ms=2))
     leader.heartbeat(heartbeat(2, draining=True))
     assert entry(state_machine).record.draining
     assert not entry(state_machine, 2).record.draining
-    # A delayed one of the same life changes nothing.
+    # A delayed one of the same incarnation changes nothing.
     leader.heartbeat(heartbeat(1))
     assert entry(state_machine).record.draining
 
 
-# Each new life of an id is logged once, with those before it that may go on.
-def test_a_later_life_is_logged_once_with_the_earlier_ones(state_machine, logged):
+# Each new incarnation of an id is logged once, with those before it that may go on.
+def test_a_later_incarnation_is_logged_once_with_the_earlier_ones(state_machine, logged):
     _, leader = host(state_machine)
     for sequence in (1, 2):
         for born_ms in (1, 2, 3):
@@ -332,7 +334,9 @@
 
 
 # Guards against a worker that drains unnoticed while an entry of a later start is in the ledger.
-def test_a_life_that_has_not_ended_is_believed_again_though_a_later_one_is_noted(state_machine):
+def test_an_incarnation_that_has_not_ended_is_believed_again_though_a_later_one_is_noted(
+    state_machine,
+):
     clock = FakeClock()
     _, leader = host(state_machine, clock=clock)
     leader.heartbeat(heartbeat(2**53, draining=True))
@@ -356,7 +360,7 @@
 
 # Guards against workers of another deployment: an entry with a service that is not named here names
 # no worker to use.
-def test_a_new_life_of_a_service_that_no_manifest_names_is_ignored_until_one_does(
+def test_a_new_incarnation_of_a_service_that_no_manifest_names_is_ignored_until_one_does(
     state_machine, logged
 ):
     replica, leader = host(state_machine)
@@ -374,7 +378,7 @@
     assert entry(state_machine).is_schedulable
 
 
-def test_a_later_life_of_a_service_that_no_manifest_names_changes_nothing(state_machine):
+def test_a_later_incarnation_of_a_service_that_no_manifest_names_changes_nothing(state_machine):
     replica, leader = host(state_machine)
     state_machine.ledger.put_manifest(manifest())
     leader.heartbeat(heartbeat(1))
@@ -383,7 +387,7 @@
     assert state_machine.ledger.worker_by_incarnation.keys() == {("w1", 1)}
 
 
-def test_a_follower_decides_nothing_on_a_life_that_it_does_not_know(state_machine):
+def test_a_follower_decides_nothing_on_an_incarnation_that_it_does_not_know(state_machine):
     state_machine.ledger.put_manifest(manifest())
     replica, follower = host(state_machine, is_leader=False)
     for _ in range(2):
@@ -402,7 +406,7 @@
 
 # Its runs have to be stopped, and their ends noted.
 @pytest.mark.parametrize("has_ended", [False, True])
-def test_a_known_life_stays_when_its_service_leaves_the_manifest(state_machine, has_ended):
+def test_a_known_incarnation_stays_when_its_service_leaves_the_manifest(state_machine, has_ended):
     _, leader = host(state_machine)
     state_machine.ledger.put_manifest(manifest())
     leader.heartbeat(heartbeat(1))
@@ -414,8 +418,10 @@
     assert entry(state_machine).record.draining and not entry(state_machine).has_ended
 
 
-# Guards against a life that comes back as a worker of another deployment.
-def test_an_ended_life_does_not_come_back_with_a_service_that_no_manifest_names(state_machine):
+# Guards against an incarnation that comes back as a worker of another deployment.
+def test_an_ended_incarnation_does_not_come_back_with_a_service_that_no_manifest_names(
+    state_machine,
+):
     _, leader = host(state_machine)
     state_machine.ledger.put_manifest(manifest())
     leader.heartbeat(heartbeat(1))
@@ -442,13 +448,13 @@
     "rack": "r9",
     "labels": ["b", "r1"],
 }
-"""What cannot change within one life, each with the value of another writer."""
+"""What cannot change within one incarnation, each with the value of another writer."""
 
 each_fixed_field = pytest.mark.parametrize("field", OTHER_WRITER)
 
 
 def of_other_writer(field, sequence, **fields):
-    """Return a heartbeat of the same life with another value in one field."""
+    """Return a heartbeat of the same incarnation with another value in one field."""
     sent = heartbeat(sequence, **fields)
     setattr(sent.record, field, OTHER_WRITER[field])
     return sent
@@ -528,7 +534,7 @@
     send_as_other_writer(leader, clock, 10, 27, field)
     record = entry(state_machine).record
     assert getattr(record, field) == OTHER_WRITER[field]
-    # Nothing of the life is taken for ended, and its agent goes on.
+    # Nothing of the incarnation is taken for ended, and its agent goes on.
     assert runs(state_machine) == {(f"{JOB}.0.0.0", 1)}
     assert (record.agent_id, record.fencing_token) == ("c0.disk/1", 7)
     # From then on the first writer is the other one.
@@ -539,7 +545,9 @@
 
 
 # Guards against runs that are taken for ended while they go on at the recorded address.
-def test_another_address_is_taken_only_once_the_life_at_the_recorded_one_has_ended(state_machine):
+def test_another_address_is_taken_only_once_the_incarnation_at_the_recorded_one_has_ended(
+    state_machine,
+):
     clock = FakeClock()
     _, leader = working_host(state_machine, clock)
     before = saved_record(state_machine)
@@ -554,7 +562,9 @@
 
 # Guards against a worker that stays out of use: nothing runs in its name at an address that is
 # wrong, so nothing is called there, and no call shows that.
-def test_the_agent_looks_anew_at_an_idle_life_whose_worker_names_another_address(state_machine):
+def test_the_agent_looks_anew_at_an_idle_incarnation_whose_worker_names_another_address(
+    state_machine,
+):
     clock = FakeClock()
     _, leader = host(state_machine, clock=clock)
     leader.heartbeat(heartbeat(1))
@@ -579,8 +589,8 @@
     assert entry(state_machine).record.address == "10.0.0.1:80"
 
 
-# Guards against an acknowledged heartbeat that the ledger did not take: two writers name a new life
-# at the same time.
+# Guards against an acknowledged heartbeat that the ledger did not take: two writers name a new
+# incarnation at the same time.
 def test_a_heartbeat_that_the_ledger_did_not_take_leaves_no_trace(state_machine):
     replica, leader = host(state_machine)
     propose = replica.propose
@@ -598,7 +608,7 @@
 
 
 def left(state_machine):
-    """Return the starts of the lives that count as about to exit."""
+    """Return the starts of the incarnations that count as about to exit."""
     workers = state_machine.ledger.worker_by_incarnation
     return [key[1] for key, worker in sorted(workers.items()) if worker.record.leaving]
 
@@ -618,7 +628,9 @@
 
 # Issue 3: a worker that left kept its tasks for a lease.
 @pytest.mark.parametrize("crashed_before", [False, True])
-def test_a_leave_is_taken_for_the_life_that_drains(state_machine, leader_after, crashed_before):
+def test_a_leave_is_taken_for_the_incarnation_that_drains(
+    state_machine, leader_after, crashed_before
+):
     replica, leader = host(state_machine)
     leader.heartbeat(heartbeat(1))
     if crashed_before:
@@ -638,8 +650,8 @@
     assert replica.commits == commits and left(state_machine) == [born_ms]
 
 
-# Guards against a life that ends at its first unanswered call: the leave was of an earlier one.
-def test_a_leave_is_not_taken_for_a_life_that_has_not_drained(state_machine, leader_after):
+# Guards against an incarnation that ends at its first unanswered call: the leave was of another.
+def test_a_leave_is_not_taken_for_an_incarnation_that_has_not_drained(state_machine, leader_after):
     replica, leader = host(state_machine)
     leader.heartbeat(heartbeat(1))
     leader = leader_after(leader)
@@ -647,17 +659,17 @@
     assert left(state_machine) == [] and entry(state_machine).is_schedulable
 
 
-@pytest.mark.parametrize("other_life", ["is ready", "drains", "has drained and ended"])
+@pytest.mark.parametrize("other_incarnation", ["is ready", "drains", "has drained and ended"])
 @pytest.mark.parametrize("born_ms", [1, 2], ids=["earlier", "later"])
-def test_a_leave_that_may_be_of_another_life_is_taken_for_none(
-    state_machine, leader_after, other_life, born_ms
+def test_a_leave_that_may_be_of_another_incarnation_is_taken_for_none(
+    state_machine, leader_after, other_incarnation, born_ms
 ):
-    """Guards against TWICE: the later life drains, and a leave of the earlier one comes late."""
+    """Guards against TWICE: the later incarnation drains, and the other's leave comes late."""
     other = 3 - born_ms
     _, leader = host(state_machine)
     leader.heartbeat(heartbeat(1, born_ms=other))
-    leader.heartbeat(heartbeat(2, born_ms=other, draining=other_life != "is ready"))
-    if other_life == "has drained and ended":
+    leader.heartbeat(heartbeat(2, born_ms=other, draining=other_incarnation != "is ready"))
+    if other_incarnation == "has drained and ended":
         end(state_machine, other)
     state_machine.ledger.upsert_worker(heartbeat(1, born_ms=born_ms).record)
     leader.heartbeat(heartbeat(2, born_ms=born_ms, draining=True))
@@ -669,8 +681,8 @@
     assert not entry(state_machine, born_ms).has_ended
 
 
-# The leave of an earlier life was taken, and may come again after a lost answer.
-def test_a_leave_that_comes_again_is_not_taken_for_a_later_life(state_machine, leader_after):
+# The leave of an earlier incarnation was taken, and may come again after a lost answer.
+def test_a_leave_that_comes_again_is_not_taken_for_a_later_incarnation(state_machine, leader_after):
     _, leader = host(state_machine)
     leader.heartbeat(heartbeat(1, draining=True))
     leader.leave("w1")
@@ -695,7 +707,7 @@
 
 # Guards against a start on a worker that drains: the wall clock of the leader stepped back by days,
 # and all heartbeats of its workers were refused.
-def test_a_known_life_is_heard_after_a_step_of_the_leaders_clock(state_machine):
+def test_a_known_incarnation_is_heard_after_a_step_of_the_leaders_clock(state_machine):
     clock = SteppingClock()
     _, leader = host(state_machine, clock=clock)
     born_ms = clock.wall_ms()
@@ -707,10 +719,10 @@
         leader.heartbeat(heartbeat(1, born_ms=born_ms + 1))
 
 
-# Guards against LIMIT: calls to a life without a start time reach any life of its id, so one worker
-# would get the runs of two.  The heartbeats of an id tell its start always or never.
+# Guards against LIMIT: calls to an incarnation without a start time reach any of its id, so one
+# worker would get the runs of two.  The heartbeats of an id tell its start always or never.
 @pytest.mark.parametrize("has_ended", [False, True])
-def test_heartbeats_without_a_start_bring_no_life_beside_those_that_have_one(
+def test_heartbeats_without_a_start_bring_no_incarnation_beside_those_that_have_one(
     state_machine, logged, has_ended
 ):
     clock = FakeClock()
@@ -730,9 +742,12 @@
     assert entry(state_machine, 0).record.draining
 
 
-# The wall clock of a worker's host stepped back before it started again.  Its next life counts as a
-# late heartbeat until the later one is found to have ended and 30 s are over; nothing runs twice.
-def test_a_next_life_with_an_earlier_start_is_believed_after_the_other_has_ended(state_machine):
+# The wall clock of a worker's host stepped back before it started again.  Its next
+# incarnation counts as a late heartbeat until the later one is found to have ended and 30 s are
+# over; nothing runs twice.
+def test_a_next_incarnation_with_an_earlier_start_is_believed_after_the_other_has_ended(
+    state_machine,
+):
     clock = FakeClock()
     _, leader = host(state_machine, clock=clock)
     ledger = state_machine.ledger
@@ -769,7 +784,7 @@
 
 
 # Guards against DRAIN: a worker's own heartbeat was acknowledged and not recorded, since the first
-# record of its life was another writer's.
+# record of its incarnation was another writer's.
 @ODD_RECORDS
 def test_a_draining_heartbeat_that_contradicts_the_record_keeps_starts_away(state_machine, odd):
     state_machine.ledger.put_manifest(manifest())
@@ -805,8 +820,8 @@
     assert entry(state_machine).is_schedulable
 
 
-# Guards against a commit for each heartbeat of a life that has ended for good.
-def test_heartbeats_of_a_life_that_has_left_and_ended_change_nothing(state_machine, logged):
+# Guards against a commit for each heartbeat of an incarnation that has ended for good.
+def test_heartbeats_of_an_incarnation_that_has_left_and_ended_change_nothing(state_machine, logged):
     replica, leader = host(state_machine)
     leader.heartbeat(heartbeat(1, draining=True))
     leader.leave("w1")
--- a/tests/dispatch/test_worker_lives.py
+++ b/tests/dispatch/test_worker_incarnations.py
@@ -1,4 +1,4 @@
-"""Two lives of a worker under one id: what ends the earlier one, and what does not."""
+"""Two incarnations of a worker under one id: what ends the earlier one, and what does not."""
 
 import types
 
@@ -54,12 +54,12 @@
         started.close()
 
 
-def life(group, key):
+def incarnation(group, key):
     return group.ledger.worker_by_incarnation[key]
 
 
 def has_ended(group, key):
-    return life(group, key).has_ended
+    return incarnation(group, key).has_ended
 
 
 def start_a_run(group):
@@ -89,9 +89,9 @@
 
 # Guards against TWICE: all that ran on a worker that lived was started again after one heartbeat
 # of another writer with a later start.
-def test_a_heartbeat_of_a_later_life_ends_nothing(group, event):
+def test_a_heartbeat_of_a_later_incarnation_ends_nothing(group, event):
     worker = start_a_run(group)
-    group.note_life(*LATER)
+    group.note_incarnation(*LATER)
     event(group)
     wait_until(lambda: has_ended(group, LATER))
     eventlet.sleep(REPLACEMENT_REPORT_SECONDS + PASS_SECONDS)
@@ -103,57 +103,57 @@
     wait_until(lambda: not group.ledger.find_task(TASK).incarnation_by_run.get(1))
 
 
-# Guards against work that is placed on a life of which there is only a heartbeat.
-def test_a_life_that_has_not_answered_gets_no_run(group):
-    group.error_by_life[LATER] = WorkerUnresponsive("no answer")
-    group.note_life(*LATER, address="10.0.0.9:80")
+# Guards against work that is placed on an incarnation of which there is only a heartbeat.
+def test_an_incarnation_that_has_not_answered_gets_no_run(group):
+    group.error_by_incarnation[LATER] = WorkerUnresponsive("no answer")
+    group.note_incarnation(*LATER, address="10.0.0.9:80")
     group.submit(step(count=8, lasting=True))
-    wait_until(lambda: len(life(group, EARLIER).task_by_run) == 4)
+    wait_until(lambda: len(incarnation(group, EARLIER).task_by_run) == 4)
     eventlet.sleep(PASS_SECONDS)
     assert not group.ledger.find_task(f"{JOB}.0.0.7").runs, (
-        "more than the earlier life has room for"
+        "more than the earlier incarnation has room for"
     )
 
 
 @pytest.mark.parametrize("is_noted", [True, False], ids=["noted", "not noted"])
-def test_a_life_whose_worker_has_restarted_ends_at_once(group, is_noted):
+def test_an_incarnation_whose_worker_has_restarted_ends_at_once(group, is_noted):
     start_a_run(group)
     with counting_loop_time() as loop_time:
         group.restart_worker("w1", 2)
         if is_noted:
-            group.note_life(*LATER)
+            group.note_incarnation(*LATER)
         wait_until(lambda: has_ended(group, EARLIER))
         assert loop_time.seconds < REPLACEMENT_REPORT_SECONDS
     wait_until(lambda: bool(group.worker_by_id["w1"].starts) is is_noted)
 
 
-# Guards against TWICE: ends and runs of the next life counted for the earlier one.
-def test_the_runs_of_a_life_are_settled_by_that_life(group, event):
+# Guards against TWICE: ends and runs of the next incarnation counted for the earlier one.
+def test_the_runs_of_an_incarnation_are_settled_by_that_incarnation(group, event):
     start_a_run(group)
     group.restart_worker("w1", 2)
-    group.note_life(*LATER)
+    group.note_incarnation(*LATER)
     event(group)
     later = group.worker_by_id["w1"]
     wait_until(lambda: later.running)
     assert later.starts == [(TASK, 2)]
-    assert list(life(group, LATER).task_by_run) == [(TASK, 2)]
-    assert not life(group, EARLIER).task_by_run
-    assert life(group, LATER).record.seen_end == 0
+    assert list(incarnation(group, LATER).task_by_run) == [(TASK, 2)]
+    assert not incarnation(group, EARLIER).task_by_run
+    assert incarnation(group, LATER).record.seen_end == 0
 
 
 # Guards against LOST and against two agents that take a worker from each other: the agent of the
-# earlier life learns nothing, since the later one knows a higher token.
+# earlier incarnation learns nothing, since the later one knows a higher token.
 @pytest.mark.parametrize(
     "error",
     [Fenced("poll"), CallRejected("poll"), WorkerUnresponsive("no answer")],
     ids=lambda error: type(error).__name__,
 )
-def test_a_life_whose_successor_answers_at_its_address_ends(group, event, error):
+def test_an_incarnation_whose_successor_answers_at_its_address_ends(group, event, error):
     start_a_run(group)
     group.restart_worker("w1", 2)
-    group.error_by_life[EARLIER] = error
+    group.error_by_incarnation[EARLIER] = error
     with counting_loop_time() as loop_time:
-        group.note_life(*LATER)
+        group.note_incarnation(*LATER)
         event(group)
         wait_until(lambda: has_ended(group, EARLIER))
         if event is do_nothing:
@@ -164,7 +164,7 @@
 
 # Guards against BUDGET and LOST: the agent knows which runs had worked, the leader does not.
 @pytest.mark.parametrize("is_found_by_agent", [True, False])
-def test_the_end_of_a_life_tells_what_is_known_of_its_runs(group, is_found_by_agent):
+def test_the_end_of_an_incarnation_tells_what_is_known_of_its_runs(group, is_found_by_agent):
     worker = start_a_run(group)
     eventlet.sleep(2 * SURVIVAL_MS / 1000)
     polls = worker.calls.count("poll")
@@ -174,8 +174,8 @@
     wait_until(lambda: worker.calls.count("poll") > polls)
     group.restart_worker("w1", 2)
     if not is_found_by_agent:
-        group.error_by_life[EARLIER] = WorkerUnresponsive("no answer")
-    group.note_life(*LATER)
+        group.error_by_incarnation[EARLIER] = WorkerUnresponsive("no answer")
+    group.note_incarnation(*LATER)
     wait_until(lambda: has_ended(group, EARLIER))
     (crash,) = group.ledger.find_task(TASK).crashes
     assert crash.is_certain is is_found_by_agent
@@ -183,11 +183,11 @@
 
 
 # Guards against TWICE: another process of the same id, at another address, is no evidence.
-def test_a_life_goes_on_while_another_one_answers_at_another_address(group, event):
+def test_an_incarnation_goes_on_while_another_one_answers_at_another_address(group, event):
     worker = start_a_run(group)
     elsewhere = FakeElsewhere(group)
     elsewhere.answer()
-    group.note_life(*LATER, address="10.0.0.9:80")
+    group.note_incarnation(*LATER, address="10.0.0.9:80")
     event(group)
     wait_until(lambda: elsewhere.polls)
     eventlet.sleep(REPLACEMENT_REPORT_SECONDS + PASS_SECONDS)
@@ -218,45 +218,47 @@
         return self.worker.calls
 
 
-# Guards against TWICE: an idle session was not told that its life had ended, and its next start
-# was run by the next life.
-def test_nothing_is_started_on_a_life_that_ended_while_it_was_idle(group):
+# Guards against TWICE: an idle session was not told that its incarnation had ended, and its next
+# start was run by the next incarnation.
+def test_nothing_is_started_on_an_incarnation_that_ended_while_it_was_idle(group):
     eventlet.sleep(0.1)
     group.restart_worker("w1", 2)
     group.submit(step(lasting=True))
     wait_until(lambda: has_ended(group, EARLIER))
     assert group.worker_by_id["w1"].starts == []
-    group.note_life(*LATER)
+    group.note_incarnation(*LATER)
     wait_until(lambda: group.worker_by_id["w1"].running)
     assert list(group.worker_by_id["w1"].running) == [(TASK, 2)]
-    assert not group.ledger.find_task(TASK).crashes, "the start had not reached the life that ended"
+    assert not group.ledger.find_task(TASK).crashes, (
+        "the start had not reached the incarnation that ended"
+    )
 
 
-def test_restarts_in_series_leave_the_last_life(group):
+def test_restarts_in_series_leave_the_last_incarnation(group):
     group.submit(step(lasting=True))
     for born in range(2, 8):
         wait_until(lambda: group.worker_by_id["w1"].running)
         group.restart_worker("w1", born)
-        group.note_life("w1", born)
+        group.note_incarnation("w1", born)
     wait_until(lambda: group.worker_by_id["w1"].running)
     wait_until(lambda: all(has_ended(group, ("w1", born)) for born in range(1, 7)))
     assert not has_ended(group, ("w1", 7))
 
 
-def test_a_silent_life_with_a_later_one_elsewhere_ends_with_its_lease(group):
+def test_a_silent_incarnation_with_a_later_one_elsewhere_ends_with_its_lease(group):
     start_a_run(group)
     elsewhere = FakeElsewhere(group)
     elsewhere.answer()
-    group.error_by_life[EARLIER] = WorkerUnresponsive("no answer")
+    group.error_by_incarnation[EARLIER] = WorkerUnresponsive("no answer")
     began_at = group.term.now()
-    group.note_life(*LATER, address="10.0.0.9:80")
+    group.note_incarnation(*LATER, address="10.0.0.9:80")
     wait_until(lambda: has_ended(group, EARLIER))
     assert group.term.now() - began_at > LEASE_MS / 1000
     wait_until(lambda: elsewhere.worker.running)
 
 
 @pytest.mark.parametrize("call", ["set_speed", "stop"])
-def test_any_call_that_finds_another_life_ends_the_earlier_one(group, call):
+def test_any_call_that_finds_another_incarnation_ends_the_earlier_one(group, call):
     worker = start_a_run(group)
     session = next(
         session
@@ -265,7 +267,7 @@
     )
 
     def refuse(*arguments):
-        raise IncarnationReplaced("another life answers")
+        raise IncarnationReplaced("another incarnation answers")
 
     setattr(worker, call, refuse)
     if call == "stop":
@@ -275,16 +277,16 @@
     wait_until(lambda: has_ended(group, EARLIER))
 
 
-# Guards against LOST: starts that were under way together to a life that had ended counted as
-# suspects of a crash, all but the first to be told, and jobs were given up for them.
-def test_starts_that_did_not_reach_a_life_are_no_suspects_of_its_end(group):
+# Guards against LOST: starts that were under way together to an incarnation that had ended counted
+# as suspects of a crash, all but the first to be told, and jobs were given up for them.
+def test_starts_that_did_not_reach_an_incarnation_are_no_suspects_of_its_end(group):
     eventlet.sleep(0.1)
     group.restart_worker("w1", 2)
 
     def refuse(seconds):
         # A connection and a question take a round trip.
         eventlet.sleep(seconds)
-        raise IncarnationReplaced("another life answers")
+        raise IncarnationReplaced("another incarnation answers")
 
     group.start = lambda incarnation, request: refuse(0.05)
     group.poll = lambda incarnation, *arguments: refuse(0.06)
@@ -294,14 +296,14 @@
     assert [task.name for task in tasks if task.crashes] == []
 
 
-# Guards against AVAIL: a life of another writer at the worker's address took the worker from its
-# session and kept it from a new token.
+# Guards against AVAIL: an incarnation of another writer at the worker's address took the worker
+# from its session and kept it from a new token.
 @pytest.mark.parametrize(
     "error",
-    [IncarnationReplaced("another life answers"), WorkerUnresponsive("no answer")],
+    [IncarnationReplaced("another incarnation answers"), WorkerUnresponsive("no answer")],
     ids=lambda error: type(error).__name__,
 )
-def test_a_life_of_another_writer_at_the_same_address_lets_no_lease_lapse(
+def test_an_incarnation_of_another_writer_at_the_same_address_lets_no_lease_lapse(
     long_leases, group, error
 ):
     worker = start_a_run(group)
@@ -314,8 +316,10 @@
         raise error
 
     foreign = types.SimpleNamespace(poll=fence)
-    group._worker = lambda life: foreign if life.born_ms == 2 else original(life)
-    group.note_life(*LATER)
+    group._worker = lambda incarnation: (
+        foreign if incarnation.born_ms == 2 else original(incarnation)
+    )
+    group.note_incarnation(*LATER)
     granted, granted_at, longest = len(worker.deadlines), group.term.now(), 0.0
     ends_at = granted_at + 2 * LEASE_SECONDS
     while group.term.now() < ends_at:
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -143,8 +143,10 @@
     tasks = [f"{JOB}.0.0.0", f"{JOB}.0.0.1"]
 
     def plan_run(number):
-        life = WorkerLife("w1", 1)
-        assert len(task_ledger.record_intents([RunIntent(t, number, life) for t in tasks])) == 2
+        incarnation = WorkerLife("w1", 1)
+        assert (
+            len(task_ledger.record_intents([RunIntent(t, number, incarnation) for t in tasks])) == 2
+        )
 
     plan_run(1)
     for task in tasks:
@@ -651,7 +653,7 @@
 
 
 # Guards against UNASKED: a start that waited for a slot was sent after the cancel was acknowledged;
-# and against TWICE: one call without an answer ends a life that has announced its exit.
+# and against TWICE: one call without an answer ends an incarnation that has announced its exit.
 @pytest.mark.parametrize("event", [cancel_its_job, announce_the_exit])
 def test_a_start_that_waits_is_not_sent_once_it_is_not_wanted(running_session, monkeypatch, event):
     task_ledger, worker, session, _ = running_session
--- a/tests/entry/test_batch.py
+++ b/tests/entry/test_batch.py
@@ -175,7 +175,7 @@
     assert host.notes()[0].lease_lapsed
 
 
-def test_a_report_of_another_life_is_rejected(host):
+def test_a_report_of_another_incarnation_is_rejected(host):
     start(host, order("a"))
     row = {"job_id": "a", "attempt": 1, "state": "finished", "result": "cg=="}
     report = {"incarnation": "incarnation-2", "critical": [], "leaving": True, "tasks": [row]}
--- a/tests/entry/test_worker_lives.py
+++ b/tests/entry/test_worker_incarnations.py
@@ -85,7 +85,7 @@
     return CALLS[request.param]
 
 
-def test_each_call_is_answered_by_the_life_that_it_is_meant_for(address, call):
+def test_each_call_is_answered_by_the_incarnation_that_it_is_meant_for(address, call):
     worker = address.start_worker()
     client, target = WorkerClient("token"), address.target()
     adopt(client, target)
@@ -93,8 +93,8 @@
     call(client, target)
 
 
-# Guards against calls that another worker, or a later life of this one, takes for its own: it
-# would say of an attempt that ran elsewhere that it never ran, and take a second owner.
+# Guards against calls that another worker, or a later incarnation of this one, takes for its own:
+# it would say of an attempt that ran elsewhere that it never ran, and take a second owner.
 @pytest.mark.parametrize("later_id", ["w0", "w1"])
 @pytest.mark.parametrize("is_adopted", [True, False])
 def test_a_call_meant_for_an_earlier_worker_at_the_address_is_refused(
--- a/tests/ledger/test_state.py
+++ b/tests/ledger/test_state.py
@@ -59,12 +59,14 @@
     assert job.state is JobState.RUNNING
 
 
-# Guards against ends that one life of a worker takes from another one.
-@pytest.mark.parametrize("life", [("w0", "incarnation-2"), ("w1", "incarnation-1")])
+# Guards against ends that one incarnation of a worker takes from another one.
+@pytest.mark.parametrize("incarnation", [("w0", "incarnation-2"), ("w1", "incarnation-1")])
 @pytest.mark.parametrize("kind", OutcomeKind)
-def test_an_outcome_from_another_life_than_that_of_the_attempt_changes_nothing(life, kind):
+def test_an_outcome_from_another_incarnation_than_that_of_the_attempt_changes_nothing(
+    incarnation, kind
+):
     ledger, job = ledger_with_job()
-    other = outcome(kind, worker_id=life[0], worker_incarnation=life[1])
+    other = outcome(kind, worker_id=incarnation[0], worker_incarnation=incarnation[1])
     assert not ledger.settle(other, 2)
     assert job.state is JobState.RUNNING
     own = outcome(kind, worker_id="w0", worker_incarnation="incarnation-1")
--- a/tests/platform/test_worker_lives.py
+++ b/tests/platform/test_worker_incarnations.py
@@ -1,4 +1,4 @@
-"""Calls to a worker that was started again under its id: none reaches another life."""
+"""Calls to a worker that was started again under its id: none reaches another incarnation."""
 
 import contextlib
 import socket
@@ -23,20 +23,20 @@
 TASK = "00000000000000a1.0.0.0"
 EMPTY_LIST = {"clockMs": 5, "running": [], "endedRuns": []}
 CALLS = {
-    "start": lambda api, life: api.start(life, StartRequest(TASK, 1, "work", 1, 7)),
-    "stop": lambda api, life: api.stop(life, TASK, 1, 7),
-    "speed": lambda api, life: api.set_speed(life, TASK, 1, 50, 7),
-    "acknowledgement": lambda api, life: api.poll(life, 7, 3, 0, 0),
+    "start": lambda api, incarnation: api.start(incarnation, StartRequest(TASK, 1, "work", 1, 7)),
+    "stop": lambda api, incarnation: api.stop(incarnation, TASK, 1, 7),
+    "speed": lambda api, incarnation: api.set_speed(incarnation, TASK, 1, 50, 7),
+    "acknowledgement": lambda api, incarnation: api.poll(incarnation, 7, 3, 0, 0),
 }
 each_call = pytest.mark.parametrize("call", CALLS.values(), ids=CALLS.keys())
 
 
 class Worker:
-    """A worker in native threads; ``restart`` begins another life at the same address."""
+    """A worker in native threads; ``restart`` begins another incarnation at the same address."""
 
     def __init__(self):
         self.requests = []
-        """The name and the body of each call, of the present life."""
+        """The name and the body of each call, of the present incarnation."""
 
         self.answer_by_call = {}
         """Status and body of a call's answer, by its name, in place of an empty list."""
@@ -71,7 +71,7 @@
         self.crash()
         self.boot(born)
 
-    def life(self, born=None):
+    def incarnation(self, born=None):
         return WorkerIncarnation("w1", self.born if born is None else born, self.address)
 
     @property
@@ -121,17 +121,17 @@
     ]
 
 
-# Guards against TWICE: a start for an earlier life was run by the next one, and ends of the next
-# one were acknowledged by a poll of the earlier one.
+# Guards against TWICE: a start for an earlier incarnation was run by the next one, and ends of the
+# next one were acknowledged by a poll of the earlier one.
 @each_call
 @pytest.mark.parametrize("had_connection", [False, True])
-def test_no_call_reaches_another_life(worker, call, had_connection):
-    api, earlier = HttpWorkerApi(), worker.life()
+def test_no_call_reaches_another_incarnation(worker, call, had_connection):
+    api, earlier = HttpWorkerApi(), worker.incarnation()
     if had_connection:
         call(api, earlier)
     worker.restart(born=2)
     with contextlib.suppress(WorkerUnresponsive):
-        # The connection to the earlier life may break under the first call.
+        # The connection to the earlier incarnation may break under the first call.
         with pytest.raises(IncarnationReplaced):
             call(api, earlier)
         assert not orders(worker)
@@ -141,55 +141,55 @@
 
 
 @each_call
-def test_a_call_reaches_the_life_that_it_names(worker, call):
+def test_a_call_reaches_the_incarnation_that_it_names(worker, call):
     api = HttpWorkerApi()
-    call(api, worker.life())
-    call(api, worker.life())
+    call(api, worker.incarnation())
+    call(api, worker.incarnation())
     assert len(orders(worker)) == 2
     assert len(worker.requests) == 3, "one connection, asked once whose it is"
 
 
 @each_call
-def test_calls_to_the_next_life_use_connections_of_its_own(worker, call):
+def test_calls_to_the_next_incarnation_use_connections_of_its_own(worker, call):
     api = HttpWorkerApi()
-    call(api, worker.life())
+    call(api, worker.incarnation())
     worker.restart(born=2)
-    call(api, worker.life())
+    call(api, worker.incarnation())
     assert len(orders(worker)) == 1
 
 
 @each_call
-def test_the_end_of_an_earlier_life_leaves_the_connections_to_the_next_one(worker, call):
-    api, earlier = HttpWorkerApi(), worker.life()
+def test_the_end_of_an_earlier_incarnation_leaves_the_connections_to_the_next_one(worker, call):
+    api, earlier = HttpWorkerApi(), worker.incarnation()
     worker.restart(born=2)
-    call(api, worker.life())
+    call(api, worker.incarnation())
     api.disconnect(earlier)
-    call(api, worker.life())
+    call(api, worker.incarnation())
     assert [name for name, _ in worker.requests].count("hold") <= 3
-    assert len(worker.requests) == 3, "the connection was closed with the earlier life's"
+    assert len(worker.requests) == 3, "the connection was closed with the earlier incarnation's"
 
 
 @each_call
-def test_a_life_that_does_not_say_which_one_it_is_gets_no_call(worker, call):
+def test_an_incarnation_that_does_not_say_which_one_it_is_gets_no_call(worker, call):
     worker.answer_by_call["hold"] = (200, EMPTY_LIST)
     with pytest.raises(NotDelivered):
-        call(HttpWorkerApi(), worker.life())
+        call(HttpWorkerApi(), worker.incarnation())
     assert not orders(worker)
 
 
 @each_call
 def test_a_worker_that_never_tells_its_start_is_called(worker, call):
     worker.answer_by_call["hold"] = (200, EMPTY_LIST)
-    call(HttpWorkerApi(), worker.life(born=0))
+    call(HttpWorkerApi(), worker.incarnation(born=0))
     assert len(orders(worker)) == 1
 
 
 # Guards against TWICE: a heartbeat of another writer without a start, under the id and the address
-# of a worker, brought a life whose runs were started in that of the worker.
+# of a worker, brought an incarnation whose runs were started in that of the worker.
 @each_call
-def test_a_life_without_a_start_is_not_that_of_a_worker_that_tells_one(worker, call):
+def test_an_incarnation_without_a_start_is_not_that_of_a_worker_that_tells_one(worker, call):
     with pytest.raises(IncarnationReplaced):
-        call(HttpWorkerApi(), worker.life(born=0))
+        call(HttpWorkerApi(), worker.incarnation(born=0))
     assert not orders(worker)
 
 
@@ -197,7 +197,7 @@
 def test_a_worker_that_accepts_connections_and_does_not_answer_gets_no_call(worker, call):
     worker.is_silent = True
     with pytest.raises(NotDelivered):
-        call(HttpWorkerApi(), worker.life())
+        call(HttpWorkerApi(), worker.incarnation())
     assert not orders(worker)
 
 
@@ -216,16 +216,16 @@
 ):
     worker.answer_by_call["hold"] = (status, reply)
     with pytest.raises(error):
-        call(HttpWorkerApi(), worker.life())
+        call(HttpWorkerApi(), worker.incarnation())
     assert not orders(worker)
 
 
 def test_a_start_on_a_connection_that_broke_is_in_doubt(worker):
     api, request = HttpWorkerApi(), StartRequest(TASK, 1, "work", 1, 7)
-    assert api.start(worker.life(), request) == (StartResult.STARTED, 5)
+    assert api.start(worker.incarnation(), request) == (StartResult.STARTED, 5)
     worker.is_silent = True
     with pytest.raises(WorkerUnresponsive) as caught:
-        api.start(worker.life(), request)
+        api.start(worker.incarnation(), request)
     assert not isinstance(caught.value, NotDelivered)
 
 
@@ -235,5 +235,5 @@
 def test_a_worker_that_answers_within_the_timeout_of_a_call_is_used(worker, call, answer_seconds):
     worker.answer_seconds = answer_seconds
     assert answer_seconds < CALL_TIMEOUT_SECONDS
-    call(HttpWorkerApi(), worker.life())
+    call(HttpWorkerApi(), worker.incarnation())
     assert len(orders(worker)) == 1
--- a/tests/platform/test_worker_restarts.py
+++ b/tests/platform/test_worker_restarts.py
@@ -1,4 +1,4 @@
-"""Lives of a worker under one id: what is said of one, or to one, counts for no other."""
+"""Incarnations of a worker under one id: what is said of one, or to one, counts for no other."""
 
 import random
 import threading
@@ -66,8 +66,8 @@
     return run_twice(deployment)
 
 
-# Guards against runs that a new life of a worker got from the session of the one before: they
-# were settled as lost with the earlier life, and started again elsewhere.
+# Guards against runs that a new incarnation of a worker got from the session of the one before:
+# they were settled as lost with the earlier incarnation, and started again elsewhere.
 @pytest.mark.parametrize(
     "submissions, gap_seconds",
     [((0.5, (300, 900), 3), 0.5), ((0.7, (1000, 2000), 1), 0.5)],
@@ -80,7 +80,7 @@
     assert not doubled, "\n".join([f"{len(doubled)} pairs", *doubled])
 
 
-# Guards against ends of a new life that a poll of the earlier one acknowledged unread.
+# Guards against ends of a new incarnation that a poll of the earlier one acknowledged unread.
 def test_nothing_runs_twice_while_workers_restart_under_short_tasks(tmp_path):
     doubled = play_restarts(tmp_path, (0.06, (50, 150), TASKS), 0.5, (0.0, 0.0))
     assert not doubled, "\n".join([f"{len(doubled)} pairs", *doubled])
--- a/tests/promises/test_guarantees.py
+++ b/tests/promises/test_guarantees.py
@@ -47,7 +47,7 @@
         self.not_run_attempts = set()
         self.version_by_entry = {}
         self.leaving_since = {}
-        # Announcements of lives that have ended, still on their way.
+        # Announcements of incarnations that have ended, still on their way.
         self.late_announcements = []
 
     # ------------------------------------------------------------------- helpers
@@ -402,8 +402,8 @@
 
 # Guards against a second run beside the first: an announcement that arrives late, or one of another
 # process under the id, was taken for a restart, and all that the worker ran was started again.
-@pytest.mark.parametrize("writer", ["earlier life", "namesake"])
-def test_an_announcement_of_another_life_ends_no_run_of_a_worker_that_lives(writer):
+@pytest.mark.parametrize("writer", ["earlier incarnation", "namesake"])
+def test_an_announcement_of_another_incarnation_ends_no_run_of_a_worker_that_lives(writer):
     machine = Guarantees()
     machine.set_up_site()
     worker, namesake = machine.cluster.worker_by_id["w0"], machine.cluster.namesake
@@ -414,7 +414,7 @@
     for task in machine.cluster.worker_by_id["w1"].running:
         task.state = "finished"  # Leaves room for a second run.
     starts = len(machine.cluster.starts)
-    announcement = earlier if writer == "earlier life" else namesake.announcement()
+    announcement = earlier if writer == "earlier incarnation" else namesake.announcement()
     machine.deliver_announcement(announcement, "e1")
     run_checked_rounds(machine, 6)
     assert [job for job, _, _ in machine.cluster.starts[starts:]].count(job_id) == 0
--- a/tests/targets/test_state.py
+++ b/tests/targets/test_state.py
@@ -150,7 +150,7 @@
 
 # Guards against calls to a process that runs under the id and the incarnation of another one.
 @pytest.mark.parametrize("field", ["url", "failure_domain", "rack"])
-def test_within_one_life_a_worker_stays_where_it_is(field):
+def test_within_one_incarnation_a_worker_stays_where_it_is(field):
     fleet = fleet_of(1)
     before = attrs.evolve(fleet.workers_by_id["w0"])
     elsewhere = announcement_of("w0")
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -29,8 +29,8 @@
     """End an incarnation under its runs, which it has outlived by ``worked_ms``."""
     runs = task_ledger.worker_by_incarnation[worker_id, born_ms].task_by_run
     worked = [RunAge(*run, worked_ms) for run in runs if worked_ms is not IN_DOUBT]
-    life = WorkerLife(worker_id, born_ms)
-    (end,) = task_ledger.end_incarnations([life], [], None, True, worked)
+    incarnation = WorkerLife(worker_id, born_ms)
+    (end,) = task_ledger.end_incarnations([incarnation], [], None, True, worked)
     return end.crash_notes
 
 
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -377,7 +377,7 @@
     "rack": "r9",
     "labels": ["b", "r1"],
 }
-"""What cannot change within one life, each with the value of another writer."""
+"""What cannot change within one incarnation, each with the value of another writer."""
 
 
 def changed(record, sequence=None, **values):
@@ -401,7 +401,7 @@
 # writer's heartbeat gave a live worker an address, or a service, of its own.
 @pytest.mark.parametrize("field", OTHER_WRITER)
 @pytest.mark.parametrize("is_restored", [False, True])
-def test_what_a_life_is_does_not_change_before_its_end(field, is_restored):
+def test_what_an_incarnation_is_does_not_change_before_its_end(field, is_restored):
     task_ledger, entry = ledger_with_a_run()
     if is_restored:
         task_ledger = snapshot.load(snapshot.save(task_ledger))
@@ -423,7 +423,7 @@
 
 # A worker whose first record was another writer's would stay under a wrong service for good.
 @pytest.mark.parametrize("field", OTHER_WRITER)
-def test_a_record_checked_by_the_leader_corrects_a_life_at_its_address(field):
+def test_a_record_checked_by_the_leader_corrects_an_incarnation_at_its_address(field):
     task_ledger, entry = ledger_with_a_run()
     token = entry.record.fencing_token
     assert token
@@ -440,7 +440,7 @@
 
 
 # Without an agent there is no token that a record could have been checked against.
-def test_nothing_corrects_a_life_without_an_agent():
+def test_nothing_corrects_an_incarnation_without_an_agent():
     task_ledger = ledger()
     entry = task_ledger.worker_by_incarnation["w1", 1]
     for token in (0, None):
@@ -509,34 +509,35 @@
     assert restored.job_by_id[JOB].state is task_ledger.job_by_id[JOB].state
 
 
-# Guards against ends that count for another assignment of a life: it was recorded as ended, answers
-# again, and its ends go on with the numbers that they had.
-def test_a_life_that_reports_again_is_settled_under_its_new_token_from_where_it_was():
-    task_ledger, life, task = ledger(), WorkerLife("w1", 1), f"{JOB}.0.0.0"
+# Guards against ends that count for another assignment of an incarnation: it was recorded as ended,
+# answers again, and its ends go on with the numbers that they had.
+def test_an_incarnation_that_reports_again_is_settled_under_its_new_token_from_where_it_was():
+    task_ledger, incarnation, task = ledger(), WorkerLife("w1", 1), f"{JOB}.0.0.0"
     accept(task_ledger, step())
     record_intent(task_ledger, task)
     earlier = assign(task_ledger)
-    task_ledger.settle(life, 7, [], earlier)
-    task_ledger.end_incarnations([life], [], [earlier])
+    task_ledger.settle(incarnation, 7, [], earlier)
+    task_ledger.end_incarnations([incarnation], [], [earlier])
     done = RunEnd(task, 1, RunOutcome.DONE, "", 8)
     record = worker()
     record.sequence = 6
-    task_ledger.settle(life, 8, [done], earlier)
+    task_ledger.settle(incarnation, 8, [done], earlier)
     task_ledger.upsert_worker(record)
-    task_ledger.settle(life, 8, [done], earlier)
+    task_ledger.settle(incarnation, 8, [done], earlier)
     current = assign(task_ledger)
-    task_ledger.settle(life, 8, [done], earlier)
+    task_ledger.settle(incarnation, 8, [done], earlier)
     entry = task_ledger.worker_by_incarnation["w1", 1]
     assert entry.record.seen_end == 7 and not task_ledger.find_task(task).done
-    task_ledger.end_incarnations([life], [], [earlier])
+    task_ledger.end_incarnations([incarnation], [], [earlier])
     assert not entry.has_ended
-    task_ledger.settle(life, 8, [done], current)
+    task_ledger.settle(incarnation, 8, [done], current)
     assert entry.record.seen_end == 8 and task_ledger.find_task(task).done
 
 
-# Guards against TWICE: a life that had left ended at an unanswered call and came back with its next
-# heartbeat; its session then acknowledged the end of a run that had been started again elsewhere.
-def test_a_life_that_has_left_and_ended_does_not_come_back():
+# Guards against TWICE: an incarnation that had left ended at an unanswered call and came back with
+# its next heartbeat; its session then acknowledged the end of a run that had been started again
+# elsewhere.
+def test_an_incarnation_that_has_left_and_ended_does_not_come_back():
     task_ledger = ledger()
     accept(task_ledger, step())
     record_intent(task_ledger, f"{JOB}.0.0.0")
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -22,7 +22,7 @@
 
 INCARNATIONS = [("w1", 1), ("w2", 1), ("w2", 2)]
 HEARD_OF = [*INCARNATIONS, ("w1", 2), ("w1", 0), ("w2", 3), ("w3", 1)]
-"""The lives that heartbeats name."""
+"""The incarnations that heartbeats name."""
 
 FIXED = {
     "address": ("10.0.0.1:80", "10.0.0.9:80"),
@@ -31,7 +31,7 @@
     "rack": ("r1", "r9"),
     "labels": (["a"], ["b"]),
 }
-"""What does not change within one life: the value of most heartbeats, and of another writer."""
+"""What does not change within one incarnation: most heartbeats' value, and another writer's."""
 
 LONG = 12
 """Heartbeats, 3 s apart, after which a sender that was ignored is believed."""
@@ -213,7 +213,7 @@
             assert has_ended == had_ended
             if record == known:
                 continue
-            # It changes only the one life that may have sent it.
+            # It changes only the one incarnation that may have sent it.
             assert key[0] == worker_id and not had_ended and known.draining and record.leaving
             for other, (other_ended, other_record) in before.items():
                 if other[0] == worker_id and other != key:
@@ -254,7 +254,7 @@
         checkpoints_after = self.checkpoints()
         assert checkpoints_after == checkpoints_before
 
-    # Guards against TWICE: a heartbeat, a leave or another life's report is no evidence.
+    # Guards against TWICE: a heartbeat, a leave or another incarnation's report is no evidence.
     @invariant()
     def a_run_may_exist_until_evidence_of_its_own_life_has_ended_it(self):
         assert set(self.placed_runs()) == self.may_exist
--- a/tests/wire/test_http_pool.py
+++ b/tests/wire/test_http_pool.py
@@ -47,7 +47,7 @@
 
 
 # Guards against TWICE: a connection that the worker has closed would be opened again by the
-# standard library, without the question which of its lives answers there.
+# standard library, without the question which of its incarnations answers there.
 def test_a_closed_connection_sends_nothing():
     pool = WorkerConnectionPool("127.0.0.1", 1, identify=lambda connection: None)
     with pytest.raises(http.client.NotConnected):
