--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -602,10 +602,6 @@
                 for c in candidates
                 if self.may_run(step, c, run_counts.get(c.view.incarnation, 0))
             }
-            refusals = self.refusals_by_worker(task)
-            if not refusals.keys() >= {key[0] for key in candidate_by_incarnation}:
-                for key in [key for key in candidate_by_incarnation if refusals[key[0]]]:
-                    del candidate_by_incarnation[key]
             score_by_worker = {
                 key: (c.view.worker, self.score(step, c, run_counts.get(key, 0)))
                 for key, c in candidate_by_incarnation.items()
