--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -430,15 +430,15 @@
     assert "w1" in {worker_id for _, _, worker_id in site.starts}
 
 
-# Guards against a suspect of a crash that is kept for a worker which refuses it again and again.
-def test_a_suspect_is_tried_elsewhere_after_a_worker_has_refused_it():
-    site = Site(*[worker(f"w{number}") for number in range(4)])
+# Guards against a suspect of a crash that waits anew for a worker of its own after each refusal.
+def test_a_suspect_is_tried_on_a_quarantined_worker_after_the_others_have_refused_it():
+    site = Site(*[worker(f"w{number}") for number in range(3)])
     accept(site.ledger, step(1, lasting=True))
     site.run(PASS_SECONDS)
     ((_, _, crashed),) = site.starts
     site.crash(crashed, returns=False)
-    site.starts.clear()
-    able = max({"w0", "w1", "w2", "w3"} - {crashed})
+    refusing, able = sorted({"w0", "w1", "w2"} - {crashed})
+    site.quarantine(able)
     site.fate = lambda task, worker_id: WORKS if worker_id == able else MALFORMED
     site.run(MAX_START_SECONDS)
     assert able in {worker_id for _, _, worker_id in site.starts}
