--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -42,7 +42,7 @@
 SERVING = {"lasting": True, "target_ms": 50, "image": "shop"}
 
 WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES = "works", "fails", "rejected", "unhealthy", "lapses"
-MALFORMED = "malformed"
+MALFORMED, IN_DOUBT = "malformed", "in doubt"
 
 END_BY_FATE = {
     WORKS: (RunOutcome.DONE, RUN_SECONDS),
@@ -50,6 +50,7 @@
     REJECTED: (RunOutcome.NEVER_RAN, 0.0),
     UNHEALTHY: (RunOutcome.NEVER_RAN, 0.0),
     MALFORMED: (RunOutcome.NEVER_RAN, 0.0),
+    IN_DOUBT: (RunOutcome.NEVER_RAN, 2 * PASS_SECONDS),
     LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
 }
 """How a start ends, and after how many seconds; lasting runs that work go on."""
@@ -201,7 +202,7 @@
                 self.placement.record_refusal(name, run)
             if fate == REJECTED:
                 self.health.record_rejection(key[0], self.now)
-            elif fate not in (LAPSES, MALFORMED):
+            elif fate not in (LAPSES, MALFORMED, IN_DOUBT):
                 self.health.record_outcome(key[0], fate == WORKS, self.now)
             if task.step.spec.gang:
                 self._end_gang(task.step)
@@ -420,7 +421,7 @@
 
 # Guards against a wait that counts from the newest planned start though that became no run.
 @each_kind
-@pytest.mark.parametrize("fate", [REJECTED, MALFORMED])
+@pytest.mark.parametrize("fate", [REJECTED, MALFORMED, IN_DOUBT])
 def test_work_of_each_kind_is_overdue_though_its_starts_are_refused_in_turn(kind, fate):
     site = Site(*[worker(f"w{number}", millicores=12_000, memory_mb=4000) for number in range(2)])
     site.quarantine("w1")
@@ -439,7 +440,7 @@
     site.crash(crashed, returns=False)
     refusing, able = sorted({"w0", "w1", "w2"} - {crashed})
     site.quarantine(able)
-    site.fate = lambda task, worker_id: WORKS if worker_id == able else MALFORMED
+    site.fate = lambda task, worker_id: WORKS if worker_id == able else IN_DOUBT
     site.run(MAX_START_SECONDS)
     assert able in {worker_id for _, _, worker_id in site.starts}
 
