The leader logs why startable work waits, and what is blocked or not due

Placement dropped workers silently: no line told, for work that had waited beyond MAX_DEFERRAL_SECONDS, which workers of its service were left out for which reason, nor that its planned starts were refused again and again.

task:waits holds, once a second at most and for 6 steps at most, what the task needs, the count of workers by the first reason that leaves each of them out, and the starts that were planned in this term and never became a run. A start that never became a run no longer hides the wait from the log; placement counts as before. task:blocked and job:not_due name once what stays blocked or not due for 10 s. Nothing of what is placed, started, stopped or settled changes.

Metrics: savoryshelf_overdue_steps, savoryshelf_left_out_workers by reason.

--- a/src/savoryshelf/dispatch/health.py
+++ b/src/savoryshelf/dispatch/health.py
@@ -78,6 +78,16 @@
             return True
         return now >= health.quarantined_until and now >= health.backoff_until
 
+    def is_quarantined(self, worker_id: str, now: float) -> bool:
+        """Return whether this worker is quarantined now."""
+        health = self._health_by_worker_id.get(worker_id)
+        return health is not None and now < health.quarantined_until
+
+    def is_backed_off(self, worker_id: str, now: float) -> bool:
+        """Return whether this worker rejected a start, or left one unanswered, a moment ago."""
+        health = self._health_by_worker_id.get(worker_id)
+        return health is not None and now < health.backoff_until
+
     def last_failure_at(self, worker_id: str) -> float:
         """Return when a run last failed on this worker; minus infinity if none did."""
         health = self._health_by_worker_id.get(worker_id)
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -38,6 +38,7 @@
     IntendRuns,
     NoteWeights,
     RejectionKind,
+    RunEnd,
     RunIntent,
     RunOutcome,
     SettleBatch,
@@ -52,10 +53,12 @@
 from .assignment import AssignableAgent, AssignableWorker, plan_assignments
 from .crash_log import log_crash_notes
 from .health import FleetHealth
+from .held_work import HeldWork
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .placement import Placement, is_limited
 from .retention import Retention
+from .waiting_log import INVALID, SETTLED, WaitingLog
 
 MAX_PASS_INTERVAL_SECONDS = 0.25
 """Longest time between two passes of the loop, in seconds.
@@ -155,6 +158,8 @@
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
         )
+        self._waiting_log = WaitingLog(self._placement, self._fleet, self.health)
+        self._held_work = HeldWork()
         self._start_rate = StartRate()
         self._settlements: list[SettleRuns] = []
         self._ended_lives: list[EndLives] = []
@@ -191,16 +196,30 @@
                 if self._failure is not None:
                     raise self._failure
                 began_at = self.now()
-                if self.is_confirmed():
+                is_confirmed = self.is_confirmed()
+                if is_confirmed:
                     self._run_pass()
-                self._wait_for_work(self.now() - began_at)
+                pass_seconds = self.now() - began_at
+                if is_confirmed:
+                    self._log_waiting_work()
+                self._wait_for_work(pass_seconds)
         except LeadershipLost:
             log_event("term:command_lost", term=self._term)
         finally:
             self._has_ended = True
             self._wake_up_commit()
+            metrics.OVERDUE_STEPS.set(0)
             log_event("term:ends", term=self._term)
 
+    def _log_waiting_work(self) -> None:
+        """Log what waits and why; an error in that ends no term."""
+        try:
+            now, wall_ms = self.now(), self._clock.wall_ms()
+            self._waiting_log.look(self.ledger, wall_ms, now)
+            self._held_work.look(self.ledger, wall_ms, now)
+        except Exception as error:
+            log_event("task:waits_unknown", term=self._term, why=repr(error))
+
     def _run_activity(self, activity) -> None:
         try:
             activity()
@@ -241,7 +260,19 @@
         if intents:
             self._start_rate.record_starts(sum(map(self._is_limited, intents)))
             self._log_first_starts(intents)
-            self.commit(intend_runs=IntendRuns(intents))
+            valid = self.commit(intend_runs=IntendRuns(intents))
+            self._note_invalid_starts(intents, valid)
+
+    def _note_invalid_starts(self, planned: list[RunIntent], valid: list[RunIntent] | None) -> None:
+        """Count the planned starts that had become invalid when they were committed."""
+        if valid is None or len(valid) == len(planned):
+            return
+        valid_runs = {(intent.task, intent.run) for intent in valid}
+        for intent in planned:
+            task = self.ledger.find_task(intent.task)
+            if task is not None and (intent.task, intent.run) not in valid_runs:
+                key = incarnation_key(intent.life)
+                self._waiting_log.record_never_ran(task, intent.run, key, INVALID, self.now())
 
     def _live_workers(self):
         return [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
@@ -369,6 +400,7 @@
             return
         for life in due:
             log_event("worker:replaced", worker=life.worker_id, born=life.born_ms)
+        self._note_lost_runs(due)
         log_crash_notes(self.commit(end_lives=EndLives(due, [], crashed=True)))
 
     def _may_still_report(self, agent_id: str | None, agent_ids: set[str], now: float) -> bool:
@@ -441,6 +473,7 @@
                 if settlements:
                     self.commit(settle_batch=SettleBatch(settlements))
                 for ended in _merged(ended_lives):
+                    self._note_lost_runs(ended.lives)
                     log_crash_notes(self.commit(end_lives=ended))
             self.wake()
 
@@ -448,10 +481,27 @@
         worker = self.ledger.worker_by_incarnation.get(incarnation_key(settlement.life))
         settled_up_to = worker.record.seen_end if worker else 0
         for end in settlement.ends:
+            self._note_settled_run(end, incarnation_key(settlement.life))
             if end.outcome in (RunOutcome.DONE, RunOutcome.FAILED) and end.number > settled_up_to:
                 succeeded = end.outcome == RunOutcome.DONE
                 self._record_outcome(settlement.life.worker_id, succeeded, end.task)
 
+    def _note_settled_run(self, end: RunEnd, key: IncarnationKey) -> None:
+        """Tell the log of waits whether a run that is settled had come to be."""
+        task = self.ledger.find_task(end.task)
+        if task is None or task.incarnation_by_run.get(end.run) != key:
+            return
+        if end.outcome == RunOutcome.NEVER_RAN:
+            self._waiting_log.record_never_ran(task, end.run, key, SETTLED, self.now())
+        else:
+            self._waiting_log.record_ended(task)
+
+    def _note_lost_runs(self, lives: list[WorkerLife]) -> None:
+        for life in lives:
+            worker = self.ledger.worker_by_incarnation.get(incarnation_key(life))
+            for task in list(worker.task_by_run.values()) if worker else ():
+                self._waiting_log.record_ended(task)
+
     def _record_outcome(self, worker_id: str, succeeded: bool, cause: str) -> None:
         """Record an outcome and log a quarantine that it begins, with the task that failed."""
         seconds = self.health.record_outcome(worker_id, succeeded, self.now())
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -478,7 +478,7 @@
         region_by_domain: dict[str, str] | None = None,
     ):
         self._interference = interference
-        self._waiting = WaitingWork()
+        self.waiting = WaitingWork()
         self._next_position = 0
         self._isolation = Isolation()
         self._home_region = home_region
@@ -504,9 +504,9 @@
             for group in ledger.startable_group_by_key.values()
             if group.job.due_ms(group.occurrence) <= wall_ms
         ]
-        self._waiting.begin_pass(groups, now)
+        self.waiting.begin_pass(groups, now)
         candidates = [
-            self._candidate(view, health, now)
+            self.candidate(view, health, now)
             for view in views
             if view.is_responsive and view.worker.is_schedulable
         ]
@@ -530,7 +530,7 @@
                 best_effort_starts -= len(planned)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
-        self._waiting.record_starts(intents, now)
+        self.waiting.record_starts(intents, now)
         return intents
 
     def _plan_suspects(self, ledger: TaskLedger, pools: "_Pools", now: float) -> list[RunIntent]:
@@ -552,7 +552,7 @@
                 continue
             run_counts = run_counts_by_step.get(task.step.key)
             if run_counts is None:
-                run_counts = _run_count_by_incarnation(task.step)
+                run_counts = run_count_by_incarnation(task.step)
                 run_counts_by_step[task.step.key] = run_counts
             candidate_by_incarnation = {
                 c.view.incarnation: c
@@ -575,7 +575,16 @@
         tasks = (group.tasks[index] for index in sorted(group.startable_indexes))
         return [task for task in tasks if not self._isolation.is_isolated(task)]
 
-    def _candidate(self, view: WorkerView, health: FleetHealth, now: float) -> _Candidate:
+    def is_kept(self, incarnation: IncarnationKey) -> bool:
+        """Return whether a worker is kept for a suspect of a crash."""
+        return self._isolation.is_kept(incarnation)
+
+    def is_isolated(self, task: Task) -> bool:
+        """Return whether a task waits for a worker of its own."""
+        return self._isolation.is_isolated(task)
+
+    def candidate(self, view: WorkerView, health: FleetHealth, now: float) -> _Candidate:
+        """Return a worker as a candidate of a new pass: nothing is planned on it yet."""
         record = view.worker.record
         worker_id = record.life.worker_id
         penalty = RECENT_FAILURE_PENALTY * health.consecutive_failures(worker_id)
@@ -594,7 +603,7 @@
         step = group.spec
         if pool.is_exhausted_for(step):
             return []
-        run_counts = _run_count_by_incarnation(group)
+        run_counts = run_count_by_incarnation(group)
         if step.gang:
             return self._plan_gang(group, pool.candidates, run_counts)
         # The best worker for a long-running task, or for data in a rack, may be any.
@@ -624,7 +633,7 @@
         """Return whether long-running work is held back for the benefit of finite runs."""
         return (
             _is_new_long_running(group)
-            and self._waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
+            and self.waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
             and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
         )
 
@@ -642,14 +651,14 @@
         """
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
-        tasks = self._waiting.overdue_tasks(group, tasks, now)
+        tasks = self.waiting.overdue_tasks(group, tasks, now)
         step = group.spec
         if not tasks or pool.is_exhausted_for(step):
             return []
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
             return []
-        run_counts = _run_count_by_incarnation(group)
+        run_counts = run_count_by_incarnation(group)
         for intent in planned:
             run_counts[intent.life.worker_id, intent.life.born_ms] += 1
         if step.gang:
@@ -663,7 +672,7 @@
         def is_feasible(candidate: _Candidate) -> bool:
             if not candidate.fits(step):
                 return False
-            if _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
+            if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
                 return False
             return may_interfere or not step.filling or candidate.may_add_best_effort(step)
 
@@ -729,7 +738,7 @@
             return False
         if step.filling and not candidate.may_add_best_effort(step):
             return False
-        return not _is_at_limit(step, run_count)
+        return not is_at_limit(step, run_count)
 
     def score(self, step: StepSpec, candidate: _Candidate, run_count: int) -> float:
         """Return the score of the candidate for the step; the lowest one is chosen."""
@@ -812,7 +821,7 @@
     return step.filling and not step.lasting
 
 
-def _is_at_limit(step: StepSpec, run_count: int) -> bool:
+def is_at_limit(step: StepSpec, run_count: int) -> bool:
     """Return whether a worker has as many runs of the step as it may have."""
     return bool(step.max_per_worker) and run_count >= step.max_per_worker
 
@@ -836,7 +845,8 @@
     )
 
 
-def _run_count_by_incarnation(group: StepGroup) -> Counter:
+def run_count_by_incarnation(group: StepGroup) -> Counter:
+    """Return how many runs of the step may exist on each incarnation."""
     return Counter(
         incarnation for task in group.tasks for incarnation in task.incarnation_by_run.values()
     )
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -51,6 +51,10 @@
             since = self._since_by_group_key.get(group.key, now)
         return now - since
 
+    def since_task(self, task: Task, now: float) -> float:
+        """Return since when a startable task of a long-running step has had no run."""
+        return self._since_by_task.get(task.name, now)
+
     def overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
         """Return those of the startable tasks of a step that are to be started on any worker.
 
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -47,6 +47,23 @@
     "Workers that the leader passes over since runs fail there.",
     registry=REGISTRY,
 )
+OVERDUE_STEPS = Gauge(
+    "savoryshelf_overdue_steps",
+    "Steps with startable work that the leader has not started for longer than it may defer.",
+    registry=REGISTRY,
+)
+LEFT_OUT_WORKERS = Counter(
+    "savoryshelf_left_out_workers",
+    "Workers left out for overdue work, by reason, once for each step and second that is logged.",
+    ["reason"],
+    registry=REGISTRY,
+)
+UNSETTLED_RUNS = Gauge(
+    "savoryshelf_unsettled_runs",
+    "Runs that may exist and that their workers do not list, by what keeps them unsettled.",
+    ["state"],
+    registry=REGISTRY,
+)
 START_RATE = Gauge(
     "savoryshelf_best_effort_start_rate",
     "Best-effort starts per second that the leader allows.",
