Agents log the runs that may exist and that their workers do not list

A task can't start again until such a run is settled, and no line told which run held it back, where, since when, and in which state the session was. run:unsettled names, once a second at most and for 6 workers of an agent at most, the run of each worker that has been so for longest, over 2 s, with the first of the states that apply (RunHold). Nothing of what is settled changes. Metric: savoryshelf_unsettled_runs by state.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -47,6 +47,7 @@
     learn_interference,
     speed_changes,
 )
+from .unsettled_runs import LOOK_SECONDS, UnsettledRuns
 from .worker_api import StartResult, WorkerApi
 from .worker_session import WorkerSession
 
@@ -169,6 +170,7 @@
         self._settlements: list[_Settlement] = []
         self._ended_lives: dict[IncarnationKey, _EndedLife] = {}
         self._rejections: list[StartRejection] = []
+        self._unsettled_runs = UnsettledRuns()
         self._mean_lag = 0.0
         state_machine.observer = self
 
@@ -187,7 +189,12 @@
 
     def start(self, run_activity) -> None:
         """Run the agent's activities, each with ``run_activity`` in a green thread."""
-        for activity in (self._maintain_sessions, self._send_reports, self._measure_lag):
+        for activity in (
+            self._maintain_sessions,
+            self._send_reports,
+            self._measure_lag,
+            self._log_unsettled_runs,
+        ):
             eventlet.spawn(run_activity, activity)
 
     def leave(self) -> None:
@@ -519,6 +526,16 @@
                 leader=self._replica.leader_name, workers=len(self.session_by_incarnation),
             )  # fmt: skip
 
+    def _log_unsettled_runs(self) -> None:
+        while True:
+            eventlet.sleep(LOOK_SECONDS)
+            sessions = list(self.session_by_incarnation.values())
+            try:
+                self._unsettled_runs.look(sessions, self._clock.wall_ms(), self.now())
+            except Exception as error:
+                # Nothing depends on these lines, so an error ends no agent.
+                log_event("run:unsettled_unknown", agent=self.agent_id, why=repr(error))
+
     def _measure_lag(self) -> None:
         for lag in measure_lag(self._clock):
             self._mean_lag += AVERAGING_FACTOR * (lag - self._mean_lag)
--- a/src/savoryshelf/dispatch/worker_clock.py
+++ b/src/savoryshelf/dispatch/worker_clock.py
@@ -70,3 +70,10 @@
         if self._reading_ms is None:
             return False
         return self.lower_bound_ms(now) > self.latest_deadline_ms + EXPIRY_SLACK_MS
+
+    def seconds_until_deadlines_passed(self, now: float) -> float:
+        """Return in how many seconds every deadline sent has passed; 0 if there is no reading."""
+        if self._reading_ms is None:
+            return 0.0
+        left_ms = self.latest_deadline_ms + EXPIRY_SLACK_MS - self.lower_bound_ms(now)
+        return max(0.0, left_ms / 1000 / MIN_CLOCK_RATE)
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -28,6 +28,7 @@
 from ..wire.generated.ttypes import RunEnd, RunOutcome
 from .placement import WorkerView
 from .throttling import ColocationHistory
+from .unsettled_runs import RunHold
 from .worker_api import (
     CallRejected,
     Fenced,
@@ -203,6 +204,13 @@
         self._maybe_ended_runs: set[tuple[str, int]] = set()
         """The runs of which they may be the ends."""
 
+        self._listed_ends: set[tuple[str, int]] = set()
+        """The runs of which the newest poll lists an end that was not acknowledged before."""
+
+        self._has_unreadable_runs = False
+        self._may_omit_ends = False
+        """What the newest poll says of its own lists."""
+
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
         self._start_slots = Semaphore(MAX_CONCURRENT_STARTS)
@@ -325,6 +333,42 @@
             return True
         return self.clock.all_deadlines_passed(now)
 
+    def lease_seconds_left(self) -> float:
+        """Return for how long leases may still hold; 0 once every lease has expired."""
+        now = self._agent.now()
+        earlier_ms = self._lease_ms + self._agent.takeover_slack_ms
+        earlier_seconds = earlier_ms / 1000 / MIN_CLOCK_RATE - (now - self._taken_over_at)
+        return max(0.0, earlier_seconds, self.clock.seconds_until_deadlines_passed(now))
+
+    def unlisted_runs(self) -> set[tuple[str, int]]:
+        """Return the runs that may exist and that the newest poll does not list.
+
+        If the worker does not answer, these are all: what was listed before may have ended.
+        """
+        runs = self.worker.task_by_run.keys()
+        return set(runs) if self.is_unresponsive else runs - self.status_by_run.keys()
+
+    def holds_on(self, run: tuple[str, int]) -> list[RunHold]:
+        """Return what keeps a run that is not listed from being settled, for the log."""
+        is_starting, is_undelivered = run in self._starts_in_flight, run in self._undelivered_starts
+        applies = {
+            RunHold.INCARNATION_ENDED: self.has_ended,
+            RunHold.START_IN_FLIGHT: is_starting and not is_undelivered,
+            RunHold.START_QUEUED: is_starting and is_undelivered,
+            RunHold.FENCED: self.is_fenced,
+            RunHold.NEEDS_TOKEN: self.needs_new_token,
+            RunHold.START_IN_DOUBT: run in self._in_doubt_since_by_run,
+            RunHold.NO_PERMISSION: not self._may_call(),
+            RunHold.STATE_UNKNOWN: not self.is_state_known,
+            RunHold.UNRESPONSIVE: self.is_unresponsive,
+            RunHold.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
+            RunHold.ENDED_NOT_COMMITTED: run in self._listed_ends,
+            RunHold.UNREADABLE_RUNS: self._has_unreadable_runs,
+            RunHold.UNREADABLE_ENDS: run in self._maybe_ended_runs,
+            RunHold.LIST_CUT_SHORT: self._may_omit_ends,
+        }
+        return [hold for hold, is_so in applies.items() if is_so] or [RunHold.AWAITING_POLL]
+
     # -------------------------------------------------------------------- polling
 
     def _run(self) -> None:
@@ -493,6 +537,9 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
+        self._listed_ends = ended_runs
+        self._has_unreadable_runs = bool(result.unreadable_runs)
+        self._may_omit_ends = result.may_omit_ends
         self._log_unknown_runs(ends)
         if result.may_omit_ends:
             log_event(
--- /dev/null
+++ b/tests/dispatch/test_unsettled_runs.py
@@ -0,0 +1,344 @@
+"""Lines on runs that may exist and are not listed: what they name, and how many there are."""
+
+import contextlib
+import time
+
+import eventlet
+import pytest
+
+from savoryshelf.dispatch import unsettled_runs
+from savoryshelf.dispatch.unsettled_runs import (
+    LINE_SECONDS,
+    LOOK_SECONDS,
+    MAX_LINES,
+    MAX_UNSETTLED_SECONDS,
+    RunHold,
+    UnsettledRuns,
+)
+from savoryshelf.dispatch.worker_api import CallRejected, StartResult
+from savoryshelf.observability import metrics
+from savoryshelf.registry import registry_decorator
+from savoryshelf.wire.generated.ttypes import RunOutcome
+
+from ..tasks.builders import JOB, accept, ledger, record_intent, step, worker
+from .fakes import MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
+from .group import FakeGroup
+
+TASK = f"{JOB}.0.0.0"
+RUN = (TASK, 1)
+
+
+class Site:
+    """One session with one worker on which a run has been placed and not started yet."""
+
+    def __init__(self):
+        self.ledger, self.worker = ledger(), FakeWorker()
+        accept(self.ledger, step(9, millicores=1))
+        assert record_intent(self.ledger, TASK)
+        self.session, self.agent = make_session(self.ledger, self.worker)
+        self.blocked = []
+
+    def hold_calls(self, name):
+        """Let calls of that name go on without an answer until the site is closed."""
+        real = getattr(self.worker, name)
+
+        def call(*arguments):
+            self.blocked.append(name)
+            while not self.session.is_closed:
+                eventlet.sleep(0.01)
+            return real(*arguments)
+
+        setattr(self.worker, name, call)
+
+    def refuse(self, name):
+        """Let calls of that name be refused without effect."""
+
+        def call(*arguments):
+            raise CallRejected("refused")
+
+        setattr(self.worker, name, call)
+
+    def keep_ends_uncommitted(self):
+        self.agent.settle_ends = lambda *arguments: eventlet.sleep(0.02)
+
+    def is_held(self, hold):
+        return RUN in self.session.unlisted_runs() and self.session.holds_on(RUN)[0] is hold
+
+
+@contextlib.contextmanager
+def a_site():
+    site = Site()
+    try:
+        yield site
+    finally:
+        site.session.close()
+
+
+PREPARE_BY_HOLD = {}
+prepares = registry_decorator(PREPARE_BY_HOLD)
+"""Registers what brings the run of a site into that state."""
+
+
+@prepares(RunHold.INCARNATION_ENDED)
+def _be_replaced_while_the_end_is_not_committed(site):
+    site.agent.incarnation_ended = lambda session, why: None
+    site.worker.is_replaced = True
+
+
+@prepares(RunHold.START_IN_FLIGHT)
+def _get_no_answer_to_a_start(site):
+    site.hold_calls("start")
+    site.session.start(*RUN)
+
+
+@prepares(RunHold.START_QUEUED)
+def _wait_for_four_other_starts(site):
+    site.keep_ends_uncommitted()
+    site.hold_calls("start")
+    for index in range(1, 5):
+        assert record_intent(site.ledger, f"{JOB}.0.0.{index}")
+        site.session.start(f"{JOB}.0.0.{index}", 1)
+    wait_until(lambda: len(site.blocked) == 4)
+    site.session.start(*RUN)
+
+
+@prepares(RunHold.FENCED)
+def _reject_the_token(site):
+    site.worker.apply_start = lambda request: StartResult.FENCED
+    site.session.start(*RUN)
+
+
+@prepares(RunHold.NEEDS_TOKEN)
+def _answer_polls_and_no_stop(site):
+    site.worker.unanswered_calls = {"start", "stop"}
+    site.session.start(*RUN)
+
+
+@prepares(RunHold.START_IN_DOUBT)
+def _answer_neither_start_nor_stop(site):
+    site.worker.unanswered_calls = {"start", "stop", "poll"}
+    wait_until(lambda: site.session.is_unresponsive)
+    site.session.clock.record_reading(site.worker.clock_ms(), time.monotonic())
+    site.session.start(*RUN)
+
+
+@prepares(RunHold.NO_PERMISSION)
+def _lose_the_permission(site):
+    site.agent.has_permission = False
+
+
+@prepares(RunHold.STATE_UNKNOWN)
+def _hold_the_first_poll(site):
+    site.hold_calls("poll")
+
+
+@prepares(RunHold.UNRESPONSIVE)
+def _fall_silent(site):
+    site.session.start(*RUN)
+    wait_until(lambda: RUN in site.session.status_by_run)
+    site.worker.unanswered_calls = {"poll", "start", "stop"}
+
+
+@prepares(RunHold.NOT_CONFIRMED)
+def _lose_the_confirmation(site):
+    site.session._confirmed_at_by_run.pop(RUN)
+
+
+@prepares(RunHold.ENDED_NOT_COMMITTED)
+def _end_without_a_commit(site):
+    site.keep_ends_uncommitted()
+    site.worker.end(*RUN, RunOutcome.DONE)
+
+
+@prepares(RunHold.UNREADABLE_RUNS)
+def _list_what_cannot_be_read(site):
+    site.worker.unreadable_runs = 1
+
+
+@prepares(RunHold.UNREADABLE_ENDS)
+def _list_an_end_that_cannot_be_read(site):
+    site.worker.end(*RUN, RunOutcome.DONE)
+    site.worker.unreadable_ends = {1}
+
+
+@prepares(RunHold.LIST_CUT_SHORT)
+def _list_as_many_ends_as_fit(site):
+    site.keep_ends_uncommitted()
+    for number in range(MAX_LISTED_ENDS + 1):
+        site.worker.end(f"{JOB}.0.9.{number}", 1, RunOutcome.DONE)
+
+
+@prepares(RunHold.AWAITING_POLL)
+def _hold_the_poll_after_the_first(site):
+    site.keep_ends_uncommitted()
+
+
+def test_each_state_is_tested():
+    assert set(PREPARE_BY_HOLD) == set(RunHold)
+
+
+# Guards against a run that holds its task back while no line tells in which state it is.
+@pytest.mark.parametrize("hold", RunHold)
+def test_the_state_of_a_run_that_is_not_listed_is_named(hold):
+    with a_site() as site:
+        PREPARE_BY_HOLD[hold](site)
+        wait_until(lambda: site.is_held(hold))
+        assert site.session.holds_on(RUN).count(hold) == 1
+
+
+def test_a_run_that_its_worker_lists_is_not_named():
+    with a_site() as site:
+        site.session.start(*RUN)
+        wait_until(lambda: RUN in site.session.status_by_run)
+        assert site.session.unlisted_runs() == set()
+
+
+def test_the_lease_that_is_left_ends_when_the_lease_has_expired():
+    with a_site() as site:
+        site.session.start(*RUN)
+        wait_until(lambda: RUN in site.session.status_by_run and site.worker.deadlines)
+        site.worker.unanswered_calls = {"poll", "start", "stop"}
+        site.agent.incarnation_ended = lambda session, why: None
+        while not site.session.lease_has_expired():
+            assert site.session.lease_seconds_left() > 0
+            eventlet.sleep(0.02)
+        eventlet.sleep(0.01)
+        assert site.session.lease_seconds_left() == 0
+
+
+class FakeSession:
+    """A session of which all runs are unlisted, in one state."""
+
+    incarnation = fencing_token = last_contact_at = None
+
+    def __init__(self, worker_id, runs, hold=RunHold.UNRESPONSIVE):
+        (self.worker,) = ledger(worker(worker_id)).worker_by_incarnation.values()
+        self.incarnation = type("I", (), {"worker_id": worker_id, "born_ms": 1})
+        self.fencing_token, self.last_contact_at, self.status_by_run = 7, 90.0, {}
+        self.runs, self.hold = runs, hold
+
+    def unlisted_runs(self):
+        return self.runs
+
+    def holds_on(self, run):
+        return [self.hold, RunHold.NOT_CONFIRMED]
+
+    def lease_has_expired(self):
+        return False
+
+    def lease_seconds_left(self):
+        return 1.5
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        unsettled_runs, "log_event", lambda event, **fields: logged.append((event, fields))
+    )
+    return logged
+
+
+def look_for(unsettled, sessions, first, seconds):
+    for number in range(int(seconds / LOOK_SECONDS) + 1):
+        now = first + number * LOOK_SECONDS
+        unsettled.look(sessions, int(1000 * now), now)
+
+
+def test_a_line_names_the_run_that_has_waited_longest_on_its_worker(lines):
+    unsettled, session = UnsettledRuns(), FakeSession("w1", {("a.0.0.0", 2)})
+    unsettled.look([session], 100_000, 100.0)
+    session.runs = {("a.0.0.0", 2), ("b.0.0.0", 1)}
+    look_for(unsettled, [session], 100.0 + LOOK_SECONDS, MAX_UNSETTLED_SECONDS + 1.0)
+    event, fields = lines[-1]
+    assert event == "run:unsettled"
+    expected = {
+        "task": "a.0.0.0", "run": 2, "worker": "w1", "born": 1, "token": 7, "runs": 2,
+        "state": "unresponsive", "also": ["not_confirmed"], "since_ms": 100_000,
+        "was_listed": False, "lease_expired": False, "lease_seconds_left": 1.5,
+        "further_workers": 0,
+    }  # fmt: skip
+    assert expected.items() <= fields.items()
+    assert fields["contact_seconds_ago"] == fields["seconds"] + 10.0
+    assert all(f["seconds"] > MAX_UNSETTLED_SECONDS for _, f in lines)
+
+
+def test_a_run_that_is_listed_or_settled_in_time_has_no_line(lines):
+    unsettled, session = UnsettledRuns(), FakeSession("w1", {("a.0.0.0", 2)})
+    for first in (100.0, 110.0, 120.0):
+        session.runs = {("a.0.0.0", 2)}
+        look_for(unsettled, [session], first, MAX_UNSETTLED_SECONDS)
+        session.runs = set()
+        look_for(unsettled, [session], first + 5.0, 1.0)
+    assert lines == []
+
+
+# Guards against lines whose number grows with the workers that do not answer.
+def test_an_agent_names_few_workers_a_second_the_longest_wait_first(lines):
+    unsettled, sessions = UnsettledRuns(), []
+    for number in range(MAX_LINES + 4):
+        sessions.insert(0, FakeSession(f"w{number}", {("a.0.0.0", n) for n in range(30)}))
+        look_for(unsettled, sessions, 100.0 + number, 0.0)
+    lines.clear()
+    look_for(unsettled, sessions, 130.0, 3 * LINE_SECONDS)
+    assert [f["worker"] for _, f in lines] == 4 * [f"w{number}" for number in range(MAX_LINES)]
+    assert {f["further_workers"] for _, f in lines} == {4}
+    assert {f["runs"] for _, f in lines} == {30}
+
+
+def test_unsettled_runs_are_counted_by_state_on_the_metrics_page(lines):
+    unsettled = UnsettledRuns()
+    sessions = [
+        FakeSession("w1", {("a.0.0.0", n) for n in range(3)}, RunHold.FENCED),
+        FakeSession("w2", {("b.0.0.0", 1)}, RunHold.NEEDS_TOKEN),
+    ]
+    look_for(unsettled, sessions, 100.0, MAX_UNSETTLED_SECONDS + LINE_SECONDS)
+    page = metrics.render_metrics()
+    assert b'savoryshelf_unsettled_runs{state="fenced"} 3.0' in page
+    assert b'savoryshelf_unsettled_runs{state="needs_token"} 1.0' in page
+    look_for(unsettled, [], 110.0, LINE_SECONDS)
+    page = metrics.render_metrics()
+    assert b'savoryshelf_unsettled_runs{state="fenced"} 0.0' in page
+    assert {hold.value for hold in RunHold} == {
+        line.partition('{state="')[2].partition('"')[0]
+        for line in page.decode().splitlines()
+        if line.startswith("savoryshelf_unsettled_runs{")
+    }
+
+
+@pytest.fixture
+def group():
+    started = FakeGroup(["c0", "c1"], ["w1"])
+    try:
+        wait_until(lambda: started.agent_host("w1"))
+        yield started
+        assert started.failures == []
+    finally:
+        started.close()
+
+
+# Guards against a task that waits for a run nobody can settle, without a line of its agent.
+def test_an_agent_names_a_run_whose_end_cannot_be_read(group, lines):
+    group.submit()
+    fake = group.worker_by_id["w1"]
+    wait_until(lambda: fake.running)
+    fake.unreadable_ends = {1}
+    fake.end(*RUN, RunOutcome.DONE)
+    wait_until(lambda: lines, 6.0)
+    event, fields = lines[0]
+    assert (event, fields["task"], fields["worker"]) == ("run:unsettled", TASK, "w1")
+    assert fields["state"] == "unreadable_ends"
+    assert fields["seconds"] >= MAX_UNSETTLED_SECONDS
+
+
+# Guards against an agent that ends since a log line can't be written.
+def test_an_error_in_the_log_of_unsettled_runs_ends_no_agent(group, monkeypatch):
+    calls = []
+
+    def fail(*arguments):
+        calls.append(arguments)
+        raise ValueError("an error")
+
+    monkeypatch.setattr(UnsettledRuns, "look", fail)
+    eventlet.sleep(2.5 * LOOK_SECONDS)
+    assert len(calls) >= 3
