Operations: from a task to the reason why it does not run

Names: 'hold' is the platform's word for a poll, so the states of unsettled runs and the module on work that may not start have others.

--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -53,9 +53,9 @@
 from .assignment import AssignableAgent, AssignableWorker, plan_assignments
 from .crash_log import log_crash_notes
 from .health import FleetHealth
-from .held_work import HeldWork
 from .interference import InterferenceModel
 from .lag import measure_lag
+from .not_startable import NotStartable
 from .placement import Placement, is_limited
 from .retention import Retention
 from .waiting_log import INVALID, SETTLED, WaitingLog
@@ -159,7 +159,7 @@
             self.interference, settings.home_region, settings.region_by_domain
         )
         self._waiting_log = WaitingLog(self._placement, self._fleet, self.health)
-        self._held_work = HeldWork()
+        self._not_startable = NotStartable()
         self._start_rate = StartRate()
         self._settlements: list[SettleRuns] = []
         self._ended_lives: list[EndLives] = []
@@ -216,7 +216,7 @@
         try:
             now, wall_ms = self.now(), self._clock.wall_ms()
             self._waiting_log.look(self.ledger, wall_ms, now)
-            self._held_work.look(self.ledger, wall_ms, now)
+            self._not_startable.look(self.ledger, wall_ms, now)
         except Exception as error:
             log_event("task:waits_unknown", term=self._term, why=repr(error))
 
--- a/src/savoryshelf/dispatch/unsettled_runs.py
+++ b/src/savoryshelf/dispatch/unsettled_runs.py
@@ -27,7 +27,7 @@
 """Workers that are named at one time, those with the longest wait first."""
 
 
-class RunHold(enum.Enum):
+class UnsettledState(enum.Enum):
     """What keeps a run that is not listed from being settled.
 
     The values are words of the log and labels of a metric.  Of several that apply to a run, the
@@ -96,19 +96,19 @@
     @staticmethod
     def _count_states(overdue_by_session: dict) -> None:
         counts = Counter(
-            session.holds_on(run)[0]
+            session.unsettled_states(run)[0]
             for session, runs in overdue_by_session.items()
             for _, run in runs
         )
-        for hold in RunHold:
-            metrics.UNSETTLED_RUNS.labels(hold.value).set(counts[hold])
+        for state in UnsettledState:
+            metrics.UNSETTLED_RUNS.labels(state.value).set(counts[state])
 
 
 def _log(
     session, runs: list[tuple[float, tuple[str, int]]], further: int, wall_ms: int, now: float
 ) -> None:
     negative_seconds, (task, run) = min(runs)
-    state, *others = (hold.value for hold in session.holds_on((task, run)))
+    state, *others = (each.value for each in session.unsettled_states((task, run)))
     has_contact = session.last_contact_at > float("-inf")
     log_event(
         "run:unsettled", task=task, run=run, worker=session.incarnation.worker_id,
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -28,7 +28,7 @@
 from ..wire.generated.ttypes import RunEnd, RunOutcome
 from .placement import WorkerView
 from .throttling import ColocationHistory
-from .unsettled_runs import RunHold
+from .unsettled_runs import UnsettledState
 from .worker_api import (
     CallRejected,
     Fenced,
@@ -348,26 +348,28 @@
         runs = self.worker.task_by_run.keys()
         return set(runs) if self.is_unresponsive else runs - self.status_by_run.keys()
 
-    def holds_on(self, run: tuple[str, int]) -> list[RunHold]:
+    def unsettled_states(self, run: tuple[str, int]) -> list[UnsettledState]:
         """Return what keeps a run that is not listed from being settled, for the log."""
         is_starting, is_undelivered = run in self._starts_in_flight, run in self._undelivered_starts
         applies = {
-            RunHold.INCARNATION_ENDED: self.has_ended,
-            RunHold.START_IN_FLIGHT: is_starting and not is_undelivered,
-            RunHold.START_QUEUED: is_starting and is_undelivered,
-            RunHold.FENCED: self.is_fenced,
-            RunHold.NEEDS_TOKEN: self.needs_new_token,
-            RunHold.START_IN_DOUBT: run in self._in_doubt_since_by_run,
-            RunHold.NO_PERMISSION: not self._may_call(),
-            RunHold.STATE_UNKNOWN: not self.is_state_known,
-            RunHold.UNRESPONSIVE: self.is_unresponsive,
-            RunHold.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
-            RunHold.ENDED_NOT_COMMITTED: run in self._listed_ends,
-            RunHold.UNREADABLE_RUNS: self._has_unreadable_runs,
-            RunHold.UNREADABLE_ENDS: run in self._maybe_ended_runs,
-            RunHold.LIST_CUT_SHORT: self._may_omit_ends,
+            UnsettledState.INCARNATION_ENDED: self.has_ended,
+            UnsettledState.START_IN_FLIGHT: is_starting and not is_undelivered,
+            UnsettledState.START_QUEUED: is_starting and is_undelivered,
+            UnsettledState.FENCED: self.is_fenced,
+            UnsettledState.NEEDS_TOKEN: self.needs_new_token,
+            UnsettledState.START_IN_DOUBT: run in self._in_doubt_since_by_run,
+            UnsettledState.NO_PERMISSION: not self._may_call(),
+            UnsettledState.STATE_UNKNOWN: not self.is_state_known,
+            UnsettledState.UNRESPONSIVE: self.is_unresponsive,
+            UnsettledState.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
+            UnsettledState.ENDED_NOT_COMMITTED: run in self._listed_ends,
+            UnsettledState.UNREADABLE_RUNS: self._has_unreadable_runs,
+            UnsettledState.UNREADABLE_ENDS: run in self._maybe_ended_runs,
+            UnsettledState.LIST_CUT_SHORT: self._may_omit_ends,
         }
-        return [hold for hold, is_so in applies.items() if is_so] or [RunHold.AWAITING_POLL]
+        return [state for state, is_so in applies.items() if is_so] or [
+            UnsettledState.AWAITING_POLL
+        ]
 
     # -------------------------------------------------------------------- polling
 
--- a/tests/dispatch/test_unsettled_runs.py
+++ b/tests/dispatch/test_unsettled_runs.py
@@ -12,8 +12,8 @@
     LOOK_SECONDS,
     MAX_LINES,
     MAX_UNSETTLED_SECONDS,
-    RunHold,
     UnsettledRuns,
+    UnsettledState,
 )
 from savoryshelf.dispatch.worker_api import CallRejected, StartResult
 from savoryshelf.observability import metrics
@@ -61,8 +61,10 @@
     def keep_ends_uncommitted(self):
         self.agent.settle_ends = lambda *arguments: eventlet.sleep(0.02)
 
-    def is_held(self, hold):
-        return RUN in self.session.unlisted_runs() and self.session.holds_on(RUN)[0] is hold
+    def is_in_state(self, state):
+        return (
+            RUN in self.session.unlisted_runs() and self.session.unsettled_states(RUN)[0] is state
+        )
 
 
 @contextlib.contextmanager
@@ -74,24 +76,24 @@
         site.session.close()
 
 
-PREPARE_BY_HOLD = {}
-prepares = registry_decorator(PREPARE_BY_HOLD)
+PREPARE_BY_STATE = {}
+prepares = registry_decorator(PREPARE_BY_STATE)
 """Registers what brings the run of a site into that state."""
 
 
-@prepares(RunHold.INCARNATION_ENDED)
+@prepares(UnsettledState.INCARNATION_ENDED)
 def _be_replaced_while_the_end_is_not_committed(site):
     site.agent.incarnation_ended = lambda session, why: None
     site.worker.is_replaced = True
 
 
-@prepares(RunHold.START_IN_FLIGHT)
+@prepares(UnsettledState.START_IN_FLIGHT)
 def _get_no_answer_to_a_start(site):
     site.hold_calls("start")
     site.session.start(*RUN)
 
 
-@prepares(RunHold.START_QUEUED)
+@prepares(UnsettledState.START_QUEUED)
 def _wait_for_four_other_starts(site):
     site.keep_ends_uncommitted()
     site.hold_calls("start")
@@ -102,19 +104,19 @@
     site.session.start(*RUN)
 
 
-@prepares(RunHold.FENCED)
+@prepares(UnsettledState.FENCED)
 def _reject_the_token(site):
     site.worker.apply_start = lambda request: StartResult.FENCED
     site.session.start(*RUN)
 
 
-@prepares(RunHold.NEEDS_TOKEN)
+@prepares(UnsettledState.NEEDS_TOKEN)
 def _answer_polls_and_no_stop(site):
     site.worker.unanswered_calls = {"start", "stop"}
     site.session.start(*RUN)
 
 
-@prepares(RunHold.START_IN_DOUBT)
+@prepares(UnsettledState.START_IN_DOUBT)
 def _answer_neither_start_nor_stop(site):
     site.worker.unanswered_calls = {"start", "stop", "poll"}
     wait_until(lambda: site.session.is_unresponsive)
@@ -122,68 +124,68 @@
     site.session.start(*RUN)
 
 
-@prepares(RunHold.NO_PERMISSION)
+@prepares(UnsettledState.NO_PERMISSION)
 def _lose_the_permission(site):
     site.agent.has_permission = False
 
 
-@prepares(RunHold.STATE_UNKNOWN)
+@prepares(UnsettledState.STATE_UNKNOWN)
 def _hold_the_first_poll(site):
     site.hold_calls("poll")
 
 
-@prepares(RunHold.UNRESPONSIVE)
+@prepares(UnsettledState.UNRESPONSIVE)
 def _fall_silent(site):
     site.session.start(*RUN)
     wait_until(lambda: RUN in site.session.status_by_run)
     site.worker.unanswered_calls = {"poll", "start", "stop"}
 
 
-@prepares(RunHold.NOT_CONFIRMED)
+@prepares(UnsettledState.NOT_CONFIRMED)
 def _lose_the_confirmation(site):
     site.session._confirmed_at_by_run.pop(RUN)
 
 
-@prepares(RunHold.ENDED_NOT_COMMITTED)
+@prepares(UnsettledState.ENDED_NOT_COMMITTED)
 def _end_without_a_commit(site):
     site.keep_ends_uncommitted()
     site.worker.end(*RUN, RunOutcome.DONE)
 
 
-@prepares(RunHold.UNREADABLE_RUNS)
+@prepares(UnsettledState.UNREADABLE_RUNS)
 def _list_what_cannot_be_read(site):
     site.worker.unreadable_runs = 1
 
 
-@prepares(RunHold.UNREADABLE_ENDS)
+@prepares(UnsettledState.UNREADABLE_ENDS)
 def _list_an_end_that_cannot_be_read(site):
     site.worker.end(*RUN, RunOutcome.DONE)
     site.worker.unreadable_ends = {1}
 
 
-@prepares(RunHold.LIST_CUT_SHORT)
+@prepares(UnsettledState.LIST_CUT_SHORT)
 def _list_as_many_ends_as_fit(site):
     site.keep_ends_uncommitted()
     for number in range(MAX_LISTED_ENDS + 1):
         site.worker.end(f"{JOB}.0.9.{number}", 1, RunOutcome.DONE)
 
 
-@prepares(RunHold.AWAITING_POLL)
+@prepares(UnsettledState.AWAITING_POLL)
 def _hold_the_poll_after_the_first(site):
     site.keep_ends_uncommitted()
 
 
 def test_each_state_is_tested():
-    assert set(PREPARE_BY_HOLD) == set(RunHold)
+    assert set(PREPARE_BY_STATE) == set(UnsettledState)
 
 
 # Guards against a run that holds its task back while no line tells in which state it is.
-@pytest.mark.parametrize("hold", RunHold)
-def test_the_state_of_a_run_that_is_not_listed_is_named(hold):
+@pytest.mark.parametrize("expected", UnsettledState)
+def test_the_state_of_a_run_that_is_not_listed_is_named(expected):
     with a_site() as site:
-        PREPARE_BY_HOLD[hold](site)
-        wait_until(lambda: site.is_held(hold))
-        assert site.session.holds_on(RUN).count(hold) == 1
+        PREPARE_BY_STATE[expected](site)
+        wait_until(lambda: site.is_in_state(expected))
+        assert site.session.unsettled_states(RUN).count(expected) == 1
 
 
 def test_a_run_that_its_worker_lists_is_not_named():
@@ -211,17 +213,17 @@
 
     incarnation = fencing_token = last_contact_at = None
 
-    def __init__(self, worker_id, runs, hold=RunHold.UNRESPONSIVE):
+    def __init__(self, worker_id, runs, state=UnsettledState.UNRESPONSIVE):
         (self.worker,) = ledger(worker(worker_id)).worker_by_incarnation.values()
         self.incarnation = type("I", (), {"worker_id": worker_id, "born_ms": 1})
         self.fencing_token, self.last_contact_at, self.status_by_run = 7, 90.0, {}
-        self.runs, self.hold = runs, hold
+        self.runs, self.state = runs, state
 
     def unlisted_runs(self):
         return self.runs
 
-    def holds_on(self, run):
-        return [self.hold, RunHold.NOT_CONFIRMED]
+    def unsettled_states(self, run):
+        return [self.state, UnsettledState.NOT_CONFIRMED]
 
     def lease_has_expired(self):
         return False
@@ -289,8 +291,8 @@
 def test_unsettled_runs_are_counted_by_state_on_the_metrics_page(lines):
     unsettled = UnsettledRuns()
     sessions = [
-        FakeSession("w1", {("a.0.0.0", n) for n in range(3)}, RunHold.FENCED),
-        FakeSession("w2", {("b.0.0.0", 1)}, RunHold.NEEDS_TOKEN),
+        FakeSession("w1", {("a.0.0.0", n) for n in range(3)}, UnsettledState.FENCED),
+        FakeSession("w2", {("b.0.0.0", 1)}, UnsettledState.NEEDS_TOKEN),
     ]
     look_for(unsettled, sessions, 100.0, MAX_UNSETTLED_SECONDS + LINE_SECONDS)
     page = metrics.render_metrics()
@@ -299,7 +301,7 @@
     look_for(unsettled, [], 110.0, LINE_SECONDS)
     page = metrics.render_metrics()
     assert b'savoryshelf_unsettled_runs{state="fenced"} 0.0' in page
-    assert {hold.value for hold in RunHold} == {
+    assert {state.value for state in UnsettledState} == {
         line.partition('{state="')[2].partition('"')[0]
         for line in page.decode().splitlines()
         if line.startswith("savoryshelf_unsettled_runs{")
--- a/tests/dispatch/test_waiting_log.py
+++ b/tests/dispatch/test_waiting_log.py
@@ -1,5 +1,7 @@
 """Lines on startable work that waits too long: what they name, and how many there are."""
 
+import time
+
 import eventlet
 import pytest
 
@@ -259,6 +261,34 @@
     assert line["workers"] == 2
 
 
+# Guards against a wait that counts on over a run, which hides what the task waits for since then.
+@pytest.mark.parametrize("end", ["fails", "is lost"])
+def test_for_a_leader_a_wait_begins_anew_once_a_run_has_ended(lines, group, end):
+    def refuse(request):
+        return StartResult.MALFORMED
+
+    for fake in group.worker_by_id.values():
+        fake.apply_start = refuse
+    group.submit(step(**LASTING))
+    wait_until(lambda: lines, 6.0)
+    for fake in group.worker_by_id.values():
+        del fake.apply_start
+    wait_until(lambda: any(fake.running for fake in group.worker_by_id.values()))
+    ran_from = time.monotonic()
+    name, running = next((n, fake) for n, fake in group.worker_by_id.items() if fake.running)
+    for fake in group.worker_by_id.values():
+        fake.apply_start = refuse
+    if end == "fails":
+        running.end(*next(iter(running.running)), RunOutcome.FAILED)
+    else:
+        group.restart_worker(name, 2)
+        group.note_life(name, 2)
+        group.worker_by_id[name].apply_start = refuse
+    lines.clear()
+    wait_until(lambda: lines, 8.0)
+    assert last_line(lines)["seconds"] < time.monotonic() - ran_from
+
+
 def test_a_leader_counts_planned_starts_that_were_invalid_when_committed(lines, group):
     term = group.term
     real_plan = term._placement.plan
