Agents name no run of a session that they have closed

Seen: test_an_agent_names_a_run_whose_end_cannot_be_read failed once in a run of tests/dispatch, tests/tasks and tests/scheduling: lines of an earlier test's agents, whose sessions were closed, came first. Shown again by a run of that test after those of test_agent.py on unanswered starts. A closed session's runs are its successor's to name.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -529,7 +529,7 @@
     def _log_unsettled_runs(self) -> None:
         while True:
             eventlet.sleep(LOOK_SECONDS)
-            sessions = list(self.session_by_incarnation.values())
+            sessions = [s for s in self.session_by_incarnation.values() if not s.is_closed]
             try:
                 self._unsettled_runs.look(sessions, self._clock.wall_ms(), self.now())
             except Exception as error:
--- a/tests/dispatch/test_unsettled_runs.py
+++ b/tests/dispatch/test_unsettled_runs.py
@@ -310,9 +310,10 @@
 
 @pytest.fixture
 def group():
-    started = FakeGroup(["c0", "c1"], ["w1"])
+    # The agents of other tests go on, so the worker has an id of its own.
+    started = FakeGroup(["c0", "c1"], ["w31"])
     try:
-        wait_until(lambda: started.agent_host("w1"))
+        wait_until(lambda: started.agent_host("w31"))
         yield started
         assert started.failures == []
     finally:
@@ -322,17 +323,34 @@
 # Guards against a task that waits for a run nobody can settle, without a line of its agent.
 def test_an_agent_names_a_run_whose_end_cannot_be_read(group, lines):
     group.submit()
-    fake = group.worker_by_id["w1"]
+    fake = group.worker_by_id["w31"]
     wait_until(lambda: fake.running)
     fake.unreadable_ends = {1}
     fake.end(*RUN, RunOutcome.DONE)
-    wait_until(lambda: lines, 6.0)
-    event, fields = lines[0]
-    assert (event, fields["task"], fields["worker"]) == ("run:unsettled", TASK, "w1")
+
+    def own_lines():
+        return [fields for _, fields in lines if fields["worker"] == "w31"]
+
+    wait_until(own_lines, 6.0)
+    fields = own_lines()[0]
+    assert fields["task"] == TASK
     assert fields["state"] == "unreadable_ends"
     assert fields["seconds"] >= MAX_UNSETTLED_SECONDS
 
 
+# Guards against lines on a worker that another agent calls by now.
+def test_an_agent_names_no_run_of_a_session_that_it_has_closed(group, lines):
+    group.submit()
+    fake = group.worker_by_id["w31"]
+    wait_until(lambda: fake.running)
+    fake.unanswered_calls = {"poll", "start", "stop"}
+    session = group.agent_by_host[group.agent_host("w31")].session_by_incarnation["w31", 1]
+    wait_until(lambda: session.is_unresponsive)
+    session.close()
+    eventlet.sleep(MAX_UNSETTLED_SECONDS + 2 * LINE_SECONDS)
+    assert not [fields for _, fields in lines if fields["worker"] == "w31"]
+
+
 # Guards against an agent that ends since a log line can't be written.
 def test_an_error_in_the_log_of_unsettled_runs_ends_no_agent(group, monkeypatch):
     calls = []
