--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1378,7 +1378,7 @@
     Mutant(
         "long-running work is held back for finite runs only for a while",
         "dispatch/placement.py",
-        "            and self._waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS\n",
+        "            and self.waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS\n",
         "",
         DISPATCH + "/test_placement.py",
     ),
@@ -1434,7 +1434,7 @@
     Mutant(
         "a starving task is not placed beyond the limit of its step on a worker",
         "dispatch/placement.py",
-        "            if _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):\n",
+        "            if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):\n",
         "            if False:\n",
         DISPATCH + "/test_placement.py",
     ),
@@ -1952,8 +1952,8 @@
     Mutant(
         "a wait goes on through starts that are refused",
         _PLACEMENT,
-        "self._waiting.begin_pass(groups, now, refused_since_by_task)",
-        "self._waiting.begin_pass(groups, now, {})",
+        "self.waiting.begin_pass(groups, now, refused_since_by_task)",
+        "self.waiting.begin_pass(groups, now, {})",
         _BOUNDED_WAITS_TESTS,
     ),
     Mutant(
@@ -1971,16 +1971,16 @@
         _BOUNDED_WAITS_TESTS,
     ),
     Mutant(
-        "the leader remembers a start that was refused",
+        "the leader remembers a start that became no run",
         _LEADER_TERM,
-        "                self._placement.record_refusal(end.task, end.run)\n",
-        "                pass\n",
+        "        self._placement.record_refusal(task.name, run)\n",
+        "",
         "tests/dispatch/test_agent.py",
     ),
     Mutant(
         "the leader remembers a start that was invalid",
         _LEADER_TERM,
-        "if (intent.task, intent.run) not in valid_runs:",
+        "if task is not None and (intent.task, intent.run) not in valid_runs:",
         "if False:",
         "tests/dispatch/test_agent.py",
     ),
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -486,7 +486,7 @@
         region_by_domain: dict[str, str] | None = None,
     ):
         self._interference = interference
-        self._waiting = WaitingWork()
+        self.waiting = WaitingWork()
         self._refused_starts = RefusedStarts()
         self._next_position = 0
         self._isolation = Isolation()
@@ -515,9 +515,9 @@
         ]
         self._refused_starts.forget_old(now)
         refused_since_by_task = self._refused_starts.waiting_since_by_task()
-        self._waiting.begin_pass(groups, now, refused_since_by_task)
+        self.waiting.begin_pass(groups, now, refused_since_by_task)
         candidates = [
-            self._candidate(view, health, now)
+            self.candidate(view, health, now)
             for view in views
             if view.is_responsive and view.worker.is_schedulable
         ]
@@ -559,12 +559,12 @@
         for intent in intents:
             seconds = 0.0
             if intent.task not in last_resorts:
-                seconds = self._waiting.seconds_of_task(ledger.find_task(intent.task), now)
+                seconds = self.waiting.seconds_of_task(ledger.find_task(intent.task), now)
             worker_id = intent.life.worker_id
             self._refused_starts.record_start(
                 intent.task, intent.run, worker_id, now, waiting_since=now - seconds
             )
-        self._waiting.record_starts(intents, now)
+        self.waiting.record_starts(intents, now)
 
     def record_refusal(self, task: str, run: int) -> None:
         """Take note that a planned start did not become a run."""
@@ -595,7 +595,7 @@
                 continue
             run_counts = run_counts_by_step.get(task.step.key)
             if run_counts is None:
-                run_counts = _run_count_by_incarnation(task.step)
+                run_counts = run_count_by_incarnation(task.step)
                 run_counts_by_step[task.step.key] = run_counts
             candidate_by_incarnation = {
                 c.view.incarnation: c
@@ -618,7 +618,16 @@
         tasks = (group.tasks[index] for index in sorted(group.startable_indexes))
         return [task for task in tasks if not self._isolation.is_isolated(task)]
 
-    def _candidate(self, view: WorkerView, health: FleetHealth, now: float) -> _Candidate:
+    def is_kept(self, incarnation: IncarnationKey) -> bool:
+        """Return whether a worker is kept for a suspect of a crash."""
+        return self._isolation.is_kept(incarnation)
+
+    def is_isolated(self, task: Task) -> bool:
+        """Return whether a task waits for a worker of its own."""
+        return self._isolation.is_isolated(task)
+
+    def candidate(self, view: WorkerView, health: FleetHealth, now: float) -> _Candidate:
+        """Return a worker as a candidate of a new pass: nothing is planned on it yet."""
         record = view.worker.record
         worker_id = record.life.worker_id
         penalty = RECENT_FAILURE_PENALTY * health.consecutive_failures(worker_id)
@@ -640,9 +649,9 @@
         if pool.is_exhausted_for(step):
             return []
         tasks = self._startable_tasks(group)
-        overdue = self._waiting.overdue_tasks(group, tasks, now)
+        overdue = self.waiting.overdue_tasks(group, tasks, now)
         refused = [task for task in overdue if self._refused_starts.has_refusals(task.name)]
-        run_counts = _run_count_by_incarnation(group)
+        run_counts = run_count_by_incarnation(group)
         if step.gang:
             return [] if refused else self._plan_gang(group, pool.candidates, run_counts)
         # The best worker for a long-running task, or for data in a rack, may be any.
@@ -682,7 +691,7 @@
         """Return whether long-running work is held back for the benefit of finite runs."""
         return (
             _is_new_long_running(group)
-            and self._waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
+            and self.waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
             and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
         )
 
@@ -700,7 +709,7 @@
         """
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
-        tasks = self._waiting.overdue_tasks(group, tasks, now)
+        tasks = self.waiting.overdue_tasks(group, tasks, now)
         step = group.spec
         has_refusals = any(self._refused_starts.has_refusals(task.name) for task in tasks)
         if not tasks or (pool.is_exhausted_for(step) and not has_refusals):
@@ -708,7 +717,7 @@
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
             return []
-        run_counts = _run_count_by_incarnation(group)
+        run_counts = run_count_by_incarnation(group)
         for intent in planned:
             run_counts[intent.life.worker_id, intent.life.born_ms] += 1
         if step.gang:
@@ -722,7 +731,7 @@
         def is_feasible(candidate: _Candidate) -> bool:
             if not candidate.fits(step):
                 return False
-            if _is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
+            if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
                 return False
             return may_interfere or not step.filling or candidate.may_add_best_effort(step)
 
@@ -789,7 +798,7 @@
             return False
         if step.filling and not candidate.may_add_best_effort(step):
             return False
-        return not _is_at_limit(step, run_count)
+        return not is_at_limit(step, run_count)
 
     def score(self, step: StepSpec, candidate: _Candidate, run_count: int) -> float:
         """Return the score of the candidate for the step; the lowest one is chosen."""
@@ -878,7 +887,7 @@
     return step.filling and not step.lasting
 
 
-def _is_at_limit(step: StepSpec, run_count: int) -> bool:
+def is_at_limit(step: StepSpec, run_count: int) -> bool:
     """Return whether a worker has as many runs of the step as it may have."""
     return bool(step.max_per_worker) and run_count >= step.max_per_worker
 
@@ -902,7 +911,8 @@
     )
 
 
-def _run_count_by_incarnation(group: StepGroup) -> Counter:
+def run_count_by_incarnation(group: StepGroup) -> Counter:
+    """Return how many runs of the step may exist on each incarnation."""
     return Counter(
         incarnation for task in group.tasks for incarnation in task.incarnation_by_run.values()
     )
