The log tells a run that never ran and waits for a commit from one without confirmation

A refused start, and a run that a list lacks, are reported and settle with the commit; run:unsettled called the first not_confirmed, which says that nothing settles it, and the second awaiting_poll.

--- a/src/savoryshelf/dispatch/unsettled_runs.py
+++ b/src/savoryshelf/dispatch/unsettled_runs.py
@@ -53,10 +53,12 @@
     """No poll of this session has been answered yet."""
 
     UNRESPONSIVE = "unresponsive"
+    ENDED_NOT_COMMITTED = "ended_not_committed"
+    """Its end, or that it never ran, is reported to the leader, and not applied here."""
+
     NOT_CONFIRMED = "not_confirmed"
     """Neither a start nor a stop is confirmed, so no poll settles it."""
 
-    ENDED_NOT_COMMITTED = "ended_not_committed"
     UNREADABLE_RUNS = "unreadable_runs"
     UNREADABLE_ENDS = "unreadable_ends"
     LIST_CUT_SHORT = "list_cut_short"
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -204,8 +204,11 @@
         self._maybe_ended_runs: set[tuple[str, int]] = set()
         """The runs of which they may be the ends."""
 
-        self._listed_ends: set[tuple[str, int]] = set()
-        """The runs of which the newest poll lists an end that was not acknowledged before."""
+        self._reported_ends: set[tuple[str, int]] = set()
+        """The runs that the newest poll tells to have ended, or that it should list."""
+
+        self._refused_starts: set[tuple[str, int]] = set()
+        """The runs whose starts were refused or not sent, until that is applied here."""
 
         self._has_unreadable_runs = False
         self._may_omit_ends = False
@@ -361,8 +364,8 @@
             UnsettledState.NO_PERMISSION: not self._may_call(),
             UnsettledState.STATE_UNKNOWN: not self.is_state_known,
             UnsettledState.UNRESPONSIVE: self.is_unresponsive,
+            UnsettledState.ENDED_NOT_COMMITTED: run in self._reported_ends | self._refused_starts,
             UnsettledState.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
-            UnsettledState.ENDED_NOT_COMMITTED: run in self._listed_ends,
             UnsettledState.UNREADABLE_RUNS: self._has_unreadable_runs,
             UnsettledState.UNREADABLE_ENDS: run in self._maybe_ended_runs,
             UnsettledState.LIST_CUT_SHORT: self._may_omit_ends,
@@ -539,7 +542,6 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
-        self._listed_ends = ended_runs
         self._has_unreadable_runs = bool(result.unreadable_runs)
         self._may_omit_ends = result.may_omit_ends
         self._log_unknown_runs(ends)
@@ -551,6 +553,7 @@
         self._note_unreadable_ends(result, ended_runs)
         ends, seen_end = self._settleable_ends(ends)
         ends += self._missing_runs(result, ended_runs, sent_at)
+        self._reported_ends = ended_runs | {(end.task, end.run) for end in ends}
         if ends:
             self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
@@ -652,6 +655,7 @@
         for key in self._started_at_by_run.keys() - self.worker.task_by_run.keys():
             del self._started_at_by_run[key]
         self._undelivered_starts &= self.worker.task_by_run.keys()
+        self._refused_starts &= self.worker.task_by_run.keys()
         for key in self._in_doubt_since_by_run.keys() - self.worker.task_by_run.keys():
             del self._in_doubt_since_by_run[key]
         for key in self._confirmed_at_by_run.keys() - self.worker.task_by_run.keys():
@@ -753,6 +757,7 @@
         log_event(
             "run:rejected", task=task, run=run, worker=self.incarnation.worker_id, why=result.value
         )
+        self._refused_starts.add(key)
         self._agent.start_rejected(self, task, run, result)
 
     def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
