--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -59,7 +59,8 @@
 class FakeGroup:
     """``hosts`` control hosts, the first of which leads, and fake workers by their id."""
 
-    def __init__(self, hosts, worker_ids):
+    def __init__(self, hosts, worker_ids, clock=None):
+        self.clock = clock or SystemClock()
         self.leader = hosts[0]
         self.quorum_contact_age = 0.0
         self.membership = Membership([Member(f"{h}.disk", h, "", True) for h in hosts])
@@ -95,7 +96,7 @@
         replica = self.replica_by_host[host] = FakeReplica(self, host)
         state_machine = self.state_machine_by_host[host] = TaskStateMachine()
         self.agent_by_host[host] = Agent(
-            replica, state_machine, self, SystemClock(),
+            replica, state_machine, self, self.clock,
             DispatchSettings(LEASE_MS), lambda report: self._report(host, report),
         )  # fmt: skip
         self.agent_by_host[host].start(self._run_activity)
@@ -122,7 +123,7 @@
     def _begin_term(self):
         self.term = LeaderTerm(
             self.replica_by_host[self.leader], self.state_machine_by_host[self.leader],
-            SystemClock(), DispatchSettings(LEASE_MS),
+            self.clock, DispatchSettings(LEASE_MS),
         )  # fmt: skip
         self._thread = eventlet.spawn(self._run_activity, self.term.run)
 
--- /dev/null
+++ b/tests/dispatch/startable_group.py
@@ -0,0 +1,404 @@
+"""Control hosts, workers that follow the protocol, and what impairs them, on virtual time.
+
+The hosts are those of ``FakeGroup``.  Here commits take time, all hosts may lose power at once,
+between a commit and what follows it as well, and workers go on alone meanwhile.
+"""
+
+import eventlet
+from eventlet import greenthread
+
+from savoryshelf.dispatch import (
+    agent,
+    agent_fleet,
+    health,
+    isolation,
+    leader_term,
+    waiting,
+    worker_clock,
+    worker_session,
+)
+from savoryshelf.dispatch.task_service import TaskService, WorkerHeartbeat
+from savoryshelf.dispatch.worker_api import NotDelivered
+from savoryshelf.errors import SavoryshelfError
+from savoryshelf.replication.service import OutcomeUnknown
+from savoryshelf.replication.types import NotLeading
+from savoryshelf.tasks.state_machine import TaskStateMachine
+from savoryshelf.wire import codec
+from savoryshelf.wire.generated import ttypes
+from savoryshelf.wire.generated.ttypes import CancelTasks, TaskCommand
+
+from . import group as group_module
+from .group import FakeGroup, FakeReplica
+from .protocol_worker import (
+    CALL_TIMEOUT_SECONDS,
+    HEARTBEAT_SECONDS,
+    SILENT,
+    STOP_SECONDS,
+    Judge,
+    ProtocolWorker,
+)
+
+HOSTS = ("c0", "c1", "c2")
+LEASE_MS = 6000
+"""The platform's."""
+
+COMMIT_SECONDS = 0.004
+MAX_WAIT_SECONDS = 3.0
+"""RULES.md, LOST: how long startable work may have nothing running."""
+
+
+def seconds_until_calm():
+    """Return the sum of what may follow one after the other once nothing is impaired any more.
+
+    From docs/DESIGN.md, "What keeps startable work waiting", with the constants of the product.
+    """
+    passing = leader_term.MAX_PASS_INTERVAL_SECONDS + leader_term.BATCH_DELAY_SECONDS
+    reporting = agent.REPORT_INTERVAL_SECONDS + agent.LEADER_CHECK_SECONDS + COMMIT_SECONDS
+    retrying = CALL_TIMEOUT_SECONDS + 1.5 * worker_session.RETRY_SECONDS
+    # The worker says that it is there, and ready.
+    heard = HEARTBEAT_SECONDS + COMMIT_SECONDS
+    # Its agent is silent, or does not apply the log.
+    detected = max(agent_fleet.AGENT_TIMEOUT_SECONDS, agent_fleet.MAX_APPLY_LAG_SECONDS)
+    assigned = (
+        leader_term.FIRST_REPORT_SECONDS
+        + leader_term.ASSIGNMENT_INTERVAL_SECONDS
+        + agent.MAINTENANCE_INTERVAL_SECONDS
+        + passing
+        + reporting
+    )
+    # What ran on a worker that is gone may run until then.
+    lease = LEASE_MS + max(agent.TAKEOVER_SLACK_MS, worker_clock.EXPIRY_SLACK_MS)
+    expired = lease / 1000 / worker_clock.MIN_CLOCK_RATE + worker_session.MAX_REFUSED_POLL_SECONDS
+    # A start is in doubt, its stop is not confirmed, and a new token settles it.
+    settled = (
+        worker_session.MAX_DOUBT_SECONDS
+        + 3 * retrying
+        + assigned
+        + worker_session.POLL_WAIT_MS / 1000
+        + worker_session.STOP_LAG_SECONDS
+        + STOP_SECONDS
+    )
+    reported = agent.RESEND_SECONDS + agent.SETTLE_TIMEOUT_SECONDS + reporting
+    replaced = leader_term.REPLACEMENT_REPORT_SECONDS + worker_session.MAX_REPORT_DELAY_SECONDS
+    placed = (
+        max(waiting.MAX_DEFERRAL_SECONDS, isolation.MAX_WAIT_SECONDS)
+        + health.REJECTION_BACKOFF_SECONDS
+        + 2 * passing
+        + COMMIT_SECONDS
+        + retrying
+    )
+    return sum((heard, detected, assigned, expired, settled, reported, replaced, placed))
+
+
+class SlowReplica(FakeReplica):
+    """One host's end of a log that takes time to commit."""
+
+    @property
+    def is_leader(self):
+        return self._group.leader == self._host and self._group.replica_by_host[self._host] is self
+
+    def propose(self, payload):
+        term = self.core.term
+        eventlet.sleep(COMMIT_SECONDS)
+        if not self.is_leader or self.core.term != term:
+            raise NotLeading(None)
+        return self._group.append(payload)
+
+
+class StartableGroup(FakeGroup):
+    """``HOSTS`` and workers that announce themselves to them, and a judge."""
+
+    def __init__(self, clock):
+        self.judge = Judge()
+        self.worker_by_address = {}
+        self.is_dark = False
+        self.trap = None
+        """The command after whose commit, or "start" on whose arrival, the power goes."""
+
+        self.commands = []
+        """The names of the commands in the log."""
+
+        self._threads_by_host = {}
+        self._worker_threads = []
+        self.service_by_host = {}
+        self._lease_ms, group_module.LEASE_MS = group_module.LEASE_MS, LEASE_MS
+        super().__init__(list(HOSTS), [], clock)
+
+    # ----------------------------------------------------------------------- hosts
+
+    def _start_host(self, host, uses_snapshot=False):
+        replica = self.replica_by_host[host] = SlowReplica(self, host)
+        state_machine = self.state_machine_by_host[host] = TaskStateMachine()
+        self.service_by_host[host] = TaskService(replica, state_machine, self.clock)
+        self.service_by_host[host].on_change = lambda: self.term.wake()
+        if uses_snapshot:
+            self.apply(host)
+            state_machine.restore(state_machine.snapshot())
+        self.agent_by_host[host] = agent.Agent(
+            replica, state_machine, self, self.clock,
+            leader_term.DispatchSettings(LEASE_MS), lambda report: self._report(host, report),
+        )  # fmt: skip
+        threads = self._threads_by_host[host] = []
+        self.apply(host)
+
+        def run_activity(activity):
+            threads.append(greenthread.getcurrent())
+            self._run_activity(activity)
+
+        self.agent_by_host[host].start(run_activity)
+
+    def _stop_host(self, host):
+        for thread in self._threads_by_host[host]:
+            greenthread.kill(thread)
+        for session in self.agent_by_host[host].session_by_incarnation.values():
+            session.close()
+
+    def restart_host(self, host, uses_snapshot=False):
+        """End the processes of a host that does not lead, and start them again."""
+        term = self.replica_by_host[host].core.term
+        self._stop_host(host)
+        self._start_host(host, uses_snapshot)
+        self.replica_by_host[host].core.term = term
+
+    def lose_power(self):
+        """End all that the hosts do at this moment; only the log is kept."""
+        if self.is_dark:
+            return
+        self.is_dark, self.trap = True, None
+        self.lost_term = self.term._term
+        self.leader = ""
+        self.term._has_ended = True
+        greenthread.kill(self._thread)
+        for host in HOSTS:
+            self._stop_host(host)
+
+    def restart(self, leader, uses_snapshot=False):
+        """Start all hosts from the log, and a term of one that knows of no earlier leader."""
+        self.silent_hosts.clear()
+        self.stalled_hosts.clear()
+        for host in HOSTS:
+            self._start_host(host, uses_snapshot)
+            self.replica_by_host[host].core.term = self.lost_term + 1
+        self.leader, self.is_dark = leader, False
+        self._begin_term()
+
+    def change_leader(self, host):
+        """End the present term, and begin one of another host."""
+        self.stalled_hosts.discard(host)
+        self.apply(host)
+        super().change_leader(host)
+
+    def receive_snapshot(self, host):
+        """Replace the ledger of a host that does not lead by what a snapshot of the leader's."""
+        data = self.state_machine_by_host[self.leader].snapshot()
+        self.state_machine_by_host[host].restore(data)
+        self.replica_by_host[host].core.applied_index = len(self.log)
+
+    def append(self, payload):
+        name, _ = codec.sole_field(codec.decode(TaskCommand, payload).body)
+        self.commands.append(name)
+        if self.trap == name:
+            self.log.append(payload)
+            self._spring_trap()
+            raise OutcomeUnknown
+        return super().append(payload)
+
+    def _spring_trap(self):
+        self.trap = None
+        # Not in this thread, which the power loss ends; nothing else happens before it.
+        eventlet.spawn(self.lose_power)
+        self.leader = ""
+
+    def close(self):
+        for thread in self._worker_threads:
+            greenthread.kill(thread)
+        if not self.is_dark:
+            self.lose_power()
+        group_module.LEASE_MS = self._lease_ms
+
+    @property
+    def ledger(self):
+        return self.state_machine_by_host[self.leader or HOSTS[0]].ledger
+
+    # --------------------------------------------------------------------- workers
+
+    def start_worker(self, worker_id, born_ms=1, address=None, **fields):
+        """Start a process of a worker, and its heartbeats."""
+        address = address or f"10.0.0.{worker_id[1:]}:80"
+        worker = ProtocolWorker(
+            self.judge, self.clock, worker_id, born_ms, address=address,
+            max_hold_ms=LEASE_MS, **fields,
+        )  # fmt: skip
+        self.worker_by_id[worker_id] = self.worker_by_address[address] = worker
+        self._worker_threads.append(eventlet.spawn(self._send_heartbeats, worker))
+        return worker
+
+    def _send_heartbeats(self, worker):
+        while worker.is_up:
+            self.beat(worker)
+            eventlet.sleep(HEARTBEAT_SECONDS)
+
+    def beat(self, worker):
+        """Send a heartbeat; return whether it was acknowledged."""
+        record = worker.record()
+        if worker.impairment == SILENT or not self.leader:
+            return False
+        try:
+            self.service_by_host[self.leader].heartbeat(WorkerHeartbeat(record, worker.clock_ms()))
+        except (SavoryshelfError, ttypes.NotLeader, ttypes.Unavailable):
+            return False
+        return True
+
+    def leave(self, worker):
+        """Announce a worker's exit; return whether that was acknowledged."""
+        if worker.impairment == SILENT or not self.leader:
+            return False
+        try:
+            self.service_by_host[self.leader].leave(worker.worker_id)
+        except (SavoryshelfError, ttypes.NotLeader, ttypes.Unavailable):
+            return False
+        return True
+
+    def _worker(self, incarnation):
+        worker = self.worker_by_address.get(incarnation.address)
+        if worker is None:
+            raise NotDelivered("connection refused")
+        return worker
+
+    def start(self, incarnation, request):
+        worker = self._worker(incarnation)
+        if self.trap == "start":
+            self._spring_trap()
+        return worker.start(incarnation, request)
+
+    # ------------------------------------------------------------------------ jobs
+
+    def submit(self, *steps, job_id):
+        """Accept a job, as far as the group can."""
+        for number, spec in enumerate(steps):
+            for index in range(spec.count):
+                self.judge.spec_by_task[f"{job_id}.0.{number}.{index}"] = spec
+        super().submit(*steps, job_id=job_id)
+
+    def cancel(self, job_id):
+        """Cancel a job."""
+        self.append_command(cancel_tasks=CancelTasks(job_id))
+        self.term.wake()
+
+    # -------------------------------------------------------------------- judgement
+
+    def become_calm(self):
+        """End what impairs hosts and workers; those that are gone stay gone."""
+        self.trap = None
+        if not self.leader:
+            # Or the power is just going.
+            self.lose_power()
+            self.restart("c1")
+        self.heal_hosts()
+        for worker in self.worker_by_id.values():
+            worker.heal()
+
+    def heal_hosts(self):
+        """Let the reports of all hosts arrive again, and all apply what is committed."""
+        self.silent_hosts.clear()
+        for host in list(self.stalled_hosts):
+            self.stalled_hosts.discard(host)
+            self.apply(host)
+
+    def wait_until_calm(self):
+        """Let the time pass after which all that can run has to."""
+        self.become_calm()
+        eventlet.sleep(seconds_until_calm())
+
+    def waiting_work(self):
+        """Return a line for each task, or finite step, that waits though there is room twice over.
+
+        Judged by what the workers have, not by what the hosts believe.
+        """
+        workers = [w for w in self.worker_by_id.values() if w.is_up]
+        at_work = {run for worker in workers for run, stopped in worker.running.items()
+                   if stopped is None}  # fmt: skip
+        tasks_at_work = {task for task, _ in at_work}
+        lines = []
+        for job in self.ledger.job_by_id.values():
+            if job.is_ended:
+                continue
+            for group in job.groups.values():
+                waiting_tasks = [
+                    t for t in group.tasks if not t.done and t.name not in tasks_at_work
+                ]
+                if not group.is_unblocked or not waiting_tasks or self._is_seen(group, at_work):
+                    continue
+                if sum(worker.allowed_slots(group.spec) for worker in workers) >= 2:
+                    lines += [self.explain(task) for task in waiting_tasks]
+        return lines
+
+    def _is_seen(self, group, at_work):
+        if group.spec.lasting:
+            return False
+        name = ".".join(map(str, group.key))
+        seen_at = self.judge.seen_at_by_step.get(name, float("-inf"))
+        return any(task.rpartition(".")[0] == name for task, _ in at_work) or (
+            self.clock.monotonic() - seen_at < MAX_WAIT_SECONDS
+        )
+
+    def lasting_phantom_runs(self):
+        """Return a line for each run that takes room in the ledger, and that no worker has.
+
+        What starts and ends now is not among them.
+        """
+        before = self._phantom_runs()
+        eventlet.sleep(MAX_WAIT_SECONDS)
+        return [line for key, line in self._phantom_runs().items() if key in before]
+
+    def _phantom_runs(self):
+        return {
+            (key, run): self._explain_run(task, run[1])
+            for key, known in self.ledger.worker_by_incarnation.items()
+            for run, task in known.task_by_run.items()
+            if not any(run in each.running for each in self.judge.workers if each.is_up)
+        }
+
+    def explain(self, task):
+        """Return why a task may wait: where its newest run stands, and the session's state."""
+        line = f"{task.name} waits: run {task.runs}, crashes {len(task.crashes)}"
+        if not task.incarnation_by_run:
+            startable = task.index in task.step.startable_indexes
+            sessions = [self._explain_session(key) for key in self.ledger.worker_by_incarnation]
+            return f"{line}, no run may exist, startable {startable}; {'; '.join(sessions)}"
+        return "; ".join([line, *(self._explain_run(task, r) for r in task.incarnation_by_run)])
+
+    def _explain_run(self, task, run):
+        key = task.incarnation_by_run.get(run)
+        return (
+            f"{task.name}:{run} may exist on {key}: {self._explain_session(key, (task.name, run))}"
+        )
+
+    def _explain_session(self, key, run=None):
+        known = self.ledger.worker_by_incarnation.get(key)
+        if known is None:
+            return f"{key} is not known"
+        record = known.record
+        facts = [
+            f"agent {record.agent_id} token {record.fencing_token} ended {known.has_ended}",
+            f"draining {record.draining} leaving {record.leaving} runs {len(known.task_by_run)}",
+        ]
+        for host, each in self.agent_by_host.items():
+            session = each.session_by_incarnation.get(key)
+            if session is None:
+                continue
+            facts.append(
+                f"session at {host} (live {each.agent_id == record.agent_id}) token "
+                f"{session.fencing_token} known {session.is_state_known} unresponsive "
+                f"{session.is_unresponsive} fenced {session.is_fenced} ended {session.has_ended} "
+                f"needs token {session.needs_new_token}"
+            )
+            if run is not None:
+                facts.append(
+                    f"listed {run in session.status_by_run} in flight "
+                    f"{run in session._starts_in_flight} confirmed "
+                    f"{session._confirmed_at_by_run.get(run)} in doubt "
+                    f"{session._in_doubt_since_by_run.get(run)} maybe ended "
+                    f"{run in session._maybe_ended_runs}"
+                )
+        return f"{key[0]}/{key[1]}: " + ", ".join(facts)
--- /dev/null
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -0,0 +1,238 @@
+"""Placement, ledger, sessions, agents and leaders together, through a restart of everything."""
+
+import eventlet
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch.worker_api import StartResult
+
+from ..tasks.builders import step
+from ..virtual_time import virtual_time
+from .protocol_worker import BUSY, REFUSES, SILENT
+from .startable_group import HOSTS, StartableGroup
+
+LABELS_BY_WORKER = {"w1": ["a"], "w2": ["a"], "w3": ["a", "b"], "w4": ["b"]}
+WORKERS = sorted(LABELS_BY_WORKER)
+MIN_WORKERS = 2
+"""How many processes of workers are left alone by what ends them."""
+
+MAX_JOBS = 5
+STEPS = {
+    "lasting": {"lasting": True},
+    "spread": {"lasting": True, "max_per_worker": 1},
+    "labelled": {"lasting": True, "required_label": "a"},
+    "large": {"lasting": True, "millicores": 2500},
+    "finite": {"estimated_ms": 700},
+    "long": {"estimated_ms": 4000, "millicores": 500},
+    "finite and labelled": {"estimated_ms": 700, "required_label": "b"},
+}
+STARTS = [
+    StartResult.NO_CAPACITY,
+    StartResult.TOO_LATE,
+    StartResult.MALFORMED,
+    StartResult.UNHEALTHY,
+]
+TRAPS = ["intend_runs", "settle_batch", "assign_agents", "end_lives", "note_workers", "start"]
+SECONDS = [0.01, 0.05, 0.3, 1.0, 2.5, 7.0]
+"""How long a rule lets time pass; the last is longer than a lease."""
+
+seconds_drawn = st.sampled_from(SECONDS)
+worker_ids = st.sampled_from(WORKERS)
+host_names = st.sampled_from(HOSTS)
+
+
+class StartableWork(RuleBasedStateMachine):
+    """What hosts, workers and callers do at once; all that may run has a run once it is calm."""
+
+    @initialize(
+        leader_calls=st.booleans(),
+        guards_capacity=st.booleans(),
+        clock_rate=st.sampled_from([1.0, 0.98]),
+        clock_offset_ms=st.sampled_from([0, 10**9]),
+    )
+    def begin(self, leader_calls, **fields):
+        self.max_workers_of_leader = assignment.MAX_WORKERS_OF_LEADER
+        assignment.MAX_WORKERS_OF_LEADER = 64 if leader_calls else 0
+        self.time = virtual_time()
+        self.clock = self.time.__enter__()
+        self.fields = fields
+        self.group = StartableGroup(self.clock)
+        self.jobs = []
+        self.has_been_calm = False
+        for worker_id in WORKERS:
+            self.start_worker(worker_id, 1)
+        eventlet.sleep(1.0)
+
+    def start_worker(self, worker_id, born_ms, address=None):
+        self.group.start_worker(
+            worker_id, born_ms, address, labels=LABELS_BY_WORKER[worker_id], **self.fields
+        )
+
+    def teardown(self):
+        if not hasattr(self, "group"):
+            return
+        try:
+            self.require_runs_once_calm()
+            self.nothing_is_broken()
+        finally:
+            self.group.close()
+            self.time.__exit__(None, None, None)
+            assignment.MAX_WORKERS_OF_LEADER = self.max_workers_of_leader
+
+    def worker(self, worker_id):
+        return self.group.worker_by_id[worker_id]
+
+    def may_end(self, worker_id):
+        up = [each for each in WORKERS if self.worker(each).is_up]
+        return worker_id in up and len(up) > MIN_WORKERS
+
+    # ----------------------------------------------------------------- time and jobs
+
+    @rule(seconds=seconds_drawn)
+    def wait(self, seconds):
+        eventlet.sleep(seconds)
+
+    @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
+    @rule(kind=st.sampled_from(sorted(STEPS)), count=st.integers(1, 3))
+    def submit(self, kind, count):
+        job_id = f"{0xA0 + len(self.jobs):016x}"
+        self.jobs.append(job_id)
+        self.group.submit(step(count, **STEPS[kind]), job_id=job_id)
+
+    @precondition(lambda self: self.group.leader and self.jobs)
+    @rule(choice=st.integers(0, MAX_JOBS - 1))
+    def cancel(self, choice):
+        self.group.cancel(self.jobs[choice % len(self.jobs)])
+
+    # ------------------------------------------------------------------------- hosts
+
+    @precondition(lambda self: not self.group.is_dark)
+    @rule()
+    def lose_power(self):
+        self.group.lose_power()
+
+    @precondition(lambda self: not self.group.is_dark)
+    @rule(name=st.sampled_from(TRAPS))
+    def lose_power_after(self, name):
+        """Lose the power at the next commit of a kind, before anybody knows of it."""
+        self.group.trap = name
+
+    @precondition(lambda self: self.group.is_dark)
+    @rule(leader=host_names, uses_snapshot=st.booleans())
+    def restart(self, leader, uses_snapshot):
+        self.group.restart(leader, uses_snapshot)
+
+    @precondition(lambda self: self.group.leader)
+    @rule(host=host_names)
+    def change_leader(self, host):
+        if host != self.group.leader:
+            self.group.change_leader(host)
+
+    @precondition(lambda self: self.group.leader)
+    @rule(host=host_names, uses_snapshot=st.booleans())
+    def restart_host(self, host, uses_snapshot):
+        if host != self.group.leader:
+            self.group.restart_host(host, uses_snapshot)
+
+    @precondition(lambda self: self.group.leader)
+    @rule(host=host_names)
+    def receive_snapshot(self, host):
+        if host != self.group.leader and host not in self.group.stalled_hosts:
+            self.group.receive_snapshot(host)
+
+    @precondition(lambda self: self.group.leader)
+    @rule(host=host_names)
+    def stall(self, host):
+        if host != self.group.leader:
+            self.group.stalled_hosts.add(host)
+
+    @rule(host=host_names)
+    def fall_silent(self, host):
+        self.group.silent_hosts.add(host)
+
+    @precondition(lambda self: self.group.stalled_hosts or self.group.silent_hosts)
+    @rule()
+    def heal_hosts(self):
+        self.group.heal_hosts()
+
+    # ----------------------------------------------------------------------- workers
+
+    @rule(worker_id=worker_ids, impairment=st.sampled_from([SILENT, BUSY, REFUSES, *STARTS]))
+    def impair(self, worker_id, impairment):
+        self.worker(worker_id).impairment = impairment
+
+    @rule(worker_id=worker_ids, seconds=st.sampled_from([0.5, 1.5, 3.0, 8.0]))
+    def be_late(self, worker_id, seconds):
+        self.worker(worker_id).late_seconds = seconds
+
+    @rule(worker_id=worker_ids, what=st.sampled_from(["runs", "ends", "numbers", "foreign"]))
+    def list_odd_rows(self, worker_id, what):
+        self.worker(worker_id).unreadable = what
+
+    @rule(worker_id=worker_ids, carries_out=st.booleans())
+    def heal(self, worker_id, carries_out):
+        self.worker(worker_id).heal(carries_out)
+
+    @rule(worker_id=worker_ids)
+    def crash(self, worker_id):
+        if self.may_end(worker_id):
+            self.worker(worker_id).exit()
+
+    @rule(worker_id=worker_ids, moves=st.booleans(), is_noted=st.booleans())
+    def restart_worker(self, worker_id, moves, is_noted):
+        old = self.worker(worker_id)
+        old.exit()
+        born_ms = old.born_ms + 1
+        address = f"10.0.{born_ms}.{worker_id[1:]}:80" if moves else old.address
+        self.start_worker(worker_id, born_ms, address)
+        if is_noted:
+            eventlet.sleep(0.01)
+
+    @rule(worker_id=worker_ids, seconds=st.sampled_from([0.05, 2.0]))
+    def drain(self, worker_id, seconds):
+        worker = self.worker(worker_id)
+        worker.is_draining = True
+        self.group.beat(worker)
+        eventlet.sleep(seconds)
+
+    @rule(worker_id=worker_ids, seconds=st.sampled_from([0.0, 0.3, 2.0]))
+    def leave(self, worker_id, seconds):
+        worker = self.worker(worker_id)
+        if not (worker.is_draining and self.may_end(worker_id)):
+            return
+        self.group.leave(worker)
+        eventlet.sleep(seconds)
+        worker.exit()
+
+    # -------------------------------------------------------------------- invariants
+
+    @invariant()
+    def nothing_is_broken(self):
+        if hasattr(self, "group"):
+            assert self.group.judge.violations == []
+            assert self.group.failures == []
+
+    @precondition(lambda self: not self.has_been_calm)
+    @rule()
+    def calm(self):
+        self.has_been_calm = True
+        self.require_runs_once_calm()
+
+    def require_runs_once_calm(self):
+        self.group.wait_until_calm()
+        waiting = self.group.waiting_work()
+        assert not waiting, "\n".join(waiting)
+        phantoms = self.group.lasting_phantom_runs()
+        assert not phantoms, "\n".join(phantoms)
+
+
+TestStartableWork = StartableWork.TestCase
+TestStartableWork.settings = settings(max_examples=60, stateful_step_count=30)
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,102 @@
+"""Virtual time for tests of green threads: waiting costs nothing, and each run is the same.
+
+A hub whose clock stands still while anything is ready, and jumps to the next timer when nothing
+is.  Timers that are due together run in the order in which they were set.  For code without
+sockets, pipes and native threads.
+"""
+
+import contextlib
+import itertools
+import random
+
+import eventlet
+from eventlet import hubs
+from eventlet.hubs.hub import BaseHub
+
+BEGINNING_SECONDS = 1000.0
+WALL_OFFSET_MS = 1_700_000_000_000
+
+
+class Stuck(Exception):
+    """Everything waits for something else, so that no timer would ever end it."""
+
+
+class _DueTime(float):
+    """When a timer is due; equal times keep the order in which they were made."""
+
+    def __new__(cls, seconds, number):
+        due = super().__new__(cls, seconds)
+        due.number = number
+        return due
+
+    def __eq__(self, other):
+        return self is other
+
+    __hash__ = float.__hash__
+
+    def __lt__(self, other):
+        if isinstance(other, _DueTime):
+            return (float(self), self.number) < (float(other), other.number)
+        return float(self) < other
+
+
+class VirtualHub(BaseHub):
+    """Runs timers in their order, and never sleeps."""
+
+    def __init__(self):
+        self.now = BEGINNING_SECONDS
+        self._numbers = itertools.count()
+        super().__init__(lambda: self.now)
+
+    @staticmethod
+    def is_available():
+        """Return whether this hub can be used on this system."""
+        return True
+
+    def add_timer(self, timer):
+        """Set a timer."""
+        due = _DueTime(self.now + timer.seconds, next(self._numbers))
+        self.next_timers.append((due, timer))
+        return due
+
+    def wait(self, seconds=None):
+        """Jump to the time of the next timer."""
+        if not self.timers:
+            raise Stuck("no timer is set")
+        self.now = max(self.now, float(self.timers[0][0]))
+
+
+class VirtualClock:
+    """The clocks of the product on virtual time."""
+
+    def __init__(self, hub):
+        self._hub = hub
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never steps."""
+        return self._hub.now
+
+    def wall_ms(self) -> int:
+        """Return milliseconds since the epoch."""
+        return WALL_OFFSET_MS + int(1000 * self._hub.now)
+
+    def sleep(self, seconds: float) -> None:
+        """Suspend this green thread for that long."""
+        eventlet.sleep(seconds)
+
+
+@contextlib.contextmanager
+def virtual_time(seed=0):
+    """Run the green threads of this thread on virtual time in the block; yield its clock."""
+    kept, random_state = dict(vars(hubs._threadlocal)), random.getstate()
+    hubs.use_hub(VirtualHub)
+    random.seed(seed)
+    hub = hubs.get_hub()
+    try:
+        yield VirtualClock(hub)
+    finally:
+        if not hub.greenlet.dead:
+            hub.abort(wait=True)
+        vars(hubs._threadlocal).clear()
+        vars(hubs._threadlocal).update(kept)
+        random.setstate(random_state)
