--- a/tests/dispatch/startable_group.py
+++ b/tests/dispatch/startable_group.py
@@ -4,6 +4,9 @@
 between a commit and what follows it as well, and workers go on alone meanwhile.
 """
 
+from collections import Counter
+
+import attrs
 import eventlet
 from eventlet import greenthread
 
@@ -27,6 +30,7 @@
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import CancelTasks, TaskCommand
 
+from ..tasks.builders import step
 from . import group as group_module
 from .group import FakeGroup, FakeReplica
 from .protocol_worker import (
@@ -43,21 +47,35 @@
 """The platform's."""
 
 COMMIT_SECONDS = 0.004
+LOOK_SECONDS = 0.2
+"""How often the judge looks which work could start."""
+
 MAX_WAIT_SECONDS = 3.0
 """RULES.md, LOST: how long startable work may have nothing running."""
 
 
-def seconds_until_calm():
-    """Return the sum of what may follow one after the other once nothing is impaired any more.
+@attrs.frozen
+class Bounds:
+    """How long what keeps work waiting lasts, in seconds, once nothing is impaired any more.
 
     From docs/DESIGN.md, "What keeps startable work waiting", with the constants of the product.
     """
+
+    until_used: float
+    """Until all workers that answer are used again, by an agent that is heard."""
+
+    until_settled: float
+    """Until all runs that may exist do, and are at work."""
+
+
+def bounds_of_waits():
+    """Return the sums of what may follow one after the other."""
     passing = leader_term.MAX_PASS_INTERVAL_SECONDS + leader_term.BATCH_DELAY_SECONDS
     reporting = agent.REPORT_INTERVAL_SECONDS + agent.LEADER_CHECK_SECONDS + COMMIT_SECONDS
     retrying = CALL_TIMEOUT_SECONDS + 1.5 * worker_session.RETRY_SECONDS
     # The worker says that it is there, and ready.
     heard = HEARTBEAT_SECONDS + COMMIT_SECONDS
-    # Its agent is silent, or does not apply the log.
+    # Its agent was silent, or did not apply the log.
     detected = max(agent_fleet.AGENT_TIMEOUT_SECONDS, agent_fleet.MAX_APPLY_LAG_SECONDS)
     assigned = (
         leader_term.FIRST_REPORT_SECONDS
@@ -66,6 +84,7 @@
         + passing
         + reporting
     )
+    until_used = heard + detected + assigned + retrying + reporting
     # What ran on a worker that is gone may run until then.
     lease = LEASE_MS + max(agent.TAKEOVER_SLACK_MS, worker_clock.EXPIRY_SLACK_MS)
     expired = lease / 1000 / worker_clock.MIN_CLOCK_RATE + worker_session.MAX_REFUSED_POLL_SECONDS
@@ -80,14 +99,15 @@
     )
     reported = agent.RESEND_SECONDS + agent.SETTLE_TIMEOUT_SECONDS + reporting
     replaced = leader_term.REPLACEMENT_REPORT_SECONDS + worker_session.MAX_REPORT_DELAY_SECONDS
-    placed = (
+    started = (
         max(waiting.MAX_DEFERRAL_SECONDS, isolation.MAX_WAIT_SECONDS)
         + health.REJECTION_BACKOFF_SECONDS
         + 2 * passing
         + COMMIT_SECONDS
         + retrying
     )
-    return sum((heard, detected, assigned, expired, settled, reported, replaced, placed))
+    until_settled = until_used + expired + settled + reported + replaced + started
+    return Bounds(until_used, until_settled)
 
 
 class SlowReplica(FakeReplica):
@@ -120,6 +140,7 @@
 
         self._threads_by_host = {}
         self._worker_threads = []
+        self._probes = 0
         self.service_by_host = {}
         self._lease_ms, group_module.LEASE_MS = group_module.LEASE_MS, LEASE_MS
         super().__init__(list(HOSTS), [], clock)
@@ -306,9 +327,76 @@
             self.apply(host)
 
     def wait_until_calm(self):
-        """Let the time pass after which all that can run has to."""
+        """Let the time pass after which all that can run has to; return what waits too long.
+
+        Work of which no run may exist is to start within the users' bound as soon as the workers
+        are used, all other work by the end.
+        """
         self.become_calm()
-        eventlet.sleep(seconds_until_calm())
+        bounds, began_at = bounds_of_waits(), self.clock.monotonic()
+        eventlet.sleep(bounds.until_used)
+        probe = self._submit_probe()
+        since, lines = {}, []
+        while self.clock.monotonic() < began_at + bounds.until_settled:
+            eventlet.sleep(LOOK_SECONDS)
+            now = self.clock.monotonic()
+            since = {key: since.get(key, now) for key in self._startable_work()}
+            lines = [
+                f"waits for {now - at:.2f} s, {now - began_at:.2f} s after all was calm: "
+                + self.explain(self.ledger.find_task(name))
+                for name, at in since.items()
+                if now - at > MAX_WAIT_SECONDS
+            ]
+            if lines:
+                return lines
+        lines = self.waiting_work()
+        self.cancel(probe)
+        return lines
+
+    def _submit_probe(self):
+        """Submit a step that keeps a task waiting if any worker that could run two gets none."""
+        workers = [worker for worker in self.worker_by_id.values() if worker.is_up]
+        self._probes += 1
+        job_id = f"{0xF000 + self._probes:016x}"
+        probe = step(
+            2 * len(workers) - 1, lasting=True, max_per_worker=2, millicores=1, memory_mb=1
+        )
+        self.submit(probe, job_id=job_id)
+        return job_id
+
+    def _startable_work(self):
+        """Return the tasks that last, and the first of steps, that could start at once.
+
+        There is room twice over, by what the hosts and by what the workers know.
+        """
+        names = []
+        for group in self.ledger.startable_group_by_key.values():
+            is_running = any(task.incarnation_by_run for task in group.tasks)
+            if (is_running and not group.spec.lasting) or self._room(group) < 2:
+                continue
+            tasks = [group.tasks[index] for index in sorted(group.startable_indexes)]
+            names += [task.name for task in (tasks if group.spec.lasting else tasks[:1])]
+        return names
+
+    def _room(self, group):
+        count_by_key = Counter(
+            key for task in group.tasks for key in task.incarnation_by_run.values()
+        )
+        room = 0
+        for worker in self.worker_by_id.values():
+            known = self.ledger.worker_by_incarnation.get((worker.worker_id, worker.born_ms))
+            if not worker.is_up or known is None:
+                continue
+            spec, used = group.spec, known.used
+            slots = min(
+                worker.allowed_slots(spec),
+                (known.record.millicores - used.millicores) // spec.millicores,
+                (known.record.memory_mb - used.memory_mb) // spec.memory_mb,
+            )
+            if spec.max_per_worker:
+                slots = min(slots, spec.max_per_worker - count_by_key[known.key])
+            room += max(0, slots)
+        return room
 
     def waiting_work(self):
         """Return a line for each task, or finite step, that waits though there is room twice over.
--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -57,8 +57,9 @@
         guards_capacity=st.booleans(),
         clock_rate=st.sampled_from([1.0, 0.98]),
         clock_offset_ms=st.sampled_from([0, 10**9]),
+        kinds=st.lists(st.sampled_from(sorted(STEPS)), min_size=1, max_size=3),
     )
-    def begin(self, leader_calls, **fields):
+    def begin(self, leader_calls, kinds, **fields):
         self.max_workers_of_leader = assignment.MAX_WORKERS_OF_LEADER
         assignment.MAX_WORKERS_OF_LEADER = 64 if leader_calls else 0
         self.time = virtual_time()
@@ -70,6 +71,8 @@
         for worker_id in WORKERS:
             self.start_worker(worker_id, 1)
         eventlet.sleep(1.0)
+        for kind in kinds:
+            self.submit_step(kind, 2)
 
     def start_worker(self, worker_id, born_ms, address=None):
         self.group.start_worker(
@@ -103,6 +106,9 @@
     @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
     @rule(kind=st.sampled_from(sorted(STEPS)), count=st.integers(1, 3))
     def submit(self, kind, count):
+        self.submit_step(kind, count)
+
+    def submit_step(self, kind, count):
         job_id = f"{0xA0 + len(self.jobs):016x}"
         self.jobs.append(job_id)
         self.group.submit(step(count, **STEPS[kind]), job_id=job_id)
@@ -125,6 +131,22 @@
         """Lose the power at the next commit of a kind, before anybody knows of it."""
         self.group.trap = name
 
+    @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
+    @rule(
+        kind=st.sampled_from(sorted(STEPS)),
+        name=st.sampled_from(["intend_runs", "start"]),
+        seconds=seconds_drawn,
+        leader=host_names,
+        uses_snapshot=st.booleans(),
+    )
+    def lose_power_on_start(self, kind, name, seconds, leader, uses_snapshot):
+        self.group.trap = name
+        self.submit_step(kind, 2)
+        eventlet.sleep(0.5)
+        if self.group.is_dark:
+            eventlet.sleep(seconds)
+            self.group.restart(leader, uses_snapshot)
+
     @precondition(lambda self: self.group.is_dark)
     @rule(leader=host_names, uses_snapshot=st.booleans())
     def restart(self, leader, uses_snapshot):
@@ -169,6 +191,19 @@
     def impair(self, worker_id, impairment):
         self.worker(worker_id).impairment = impairment
 
+    @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
+    @rule(
+        impaired=st.sets(worker_ids, min_size=1),
+        impairment=st.sampled_from([SILENT, BUSY, REFUSES, *STARTS]),
+        kind=st.sampled_from(sorted(STEPS)),
+        seconds=seconds_drawn,
+    )
+    def submit_to_impaired(self, impaired, impairment, kind, seconds):
+        for worker_id in sorted(impaired):
+            self.worker(worker_id).impairment = impairment
+        self.submit_step(kind, 3)
+        eventlet.sleep(seconds)
+
     @rule(worker_id=worker_ids, seconds=st.sampled_from([0.5, 1.5, 3.0, 8.0]))
     def be_late(self, worker_id, seconds):
         self.worker(worker_id).late_seconds = seconds
@@ -227,8 +262,7 @@
         self.require_runs_once_calm()
 
     def require_runs_once_calm(self):
-        self.group.wait_until_calm()
-        waiting = self.group.waiting_work()
+        waiting = self.group.wait_until_calm()
         assert not waiting, "\n".join(waiting)
         phantoms = self.group.lasting_phantom_runs()
         assert not phantoms, "\n".join(phantoms)
