--- a/tests/dispatch/protocol_worker.py
+++ b/tests/dispatch/protocol_worker.py
@@ -60,7 +60,7 @@
             self.violations.append(f"ROUTE: {task}:{run} on {worker}")
         if worker.free_slots(spec) < 1:
             self.violations.append(f"LIMIT: {task}:{run} does not fit on {worker}")
-        elif worker.allowed_slots(spec) < 1:
+        elif worker.allowed_slots(task.rpartition(".")[0]) < 1:
             self.violations.append(f"ROUTE: {task}:{run} is one too many on {worker}")
         self._judge_starts_after_done()
 
@@ -163,17 +163,18 @@
             (self.memory_mb - sum(each.memory_mb for each in used)) // spec.memory_mb,
         )
 
-    def allowed_slots(self, spec):
+    def allowed_slots(self, step_name):
         """Return how many more runs of a step fit and may be here."""
+        spec = self.judge.spec_by_task[f"{step_name}.0"]
         if spec.required_label and spec.required_label not in self.labels:
             return 0
         slots = self.free_slots(spec)
         if spec.max_per_worker:
-            slots = min(slots, spec.max_per_worker - self._count(spec))
+            slots = min(slots, spec.max_per_worker - self._count(step_name))
         return max(0, slots)
 
-    def _count(self, spec):
-        return sum(self.judge.spec_by_task[task] is spec for task, _ in self.running)
+    def _count(self, step_name):
+        return sum(task.rpartition(".")[0] == step_name for task, _ in self.running)
 
     def exit(self):
         """End the process, with all that runs there."""
--- a/tests/dispatch/startable_group.py
+++ b/tests/dispatch/startable_group.py
@@ -110,6 +110,11 @@
     return Bounds(until_used, until_settled)
 
 
+def _name_of(group):
+    """Return the part of the names of its tasks that a step gives."""
+    return ".".join(map(str, group.key))
+
+
 class SlowReplica(FakeReplica):
     """One host's end of a log that takes time to commit."""
 
@@ -389,7 +394,7 @@
                 continue
             spec, used = group.spec, known.used
             slots = min(
-                worker.allowed_slots(spec),
+                worker.allowed_slots(_name_of(group)),
                 (known.record.millicores - used.millicores) // spec.millicores,
                 (known.record.memory_mb - used.memory_mb) // spec.memory_mb,
             )
@@ -417,14 +422,14 @@
                 ]
                 if not group.is_unblocked or not waiting_tasks or self._is_seen(group, at_work):
                     continue
-                if sum(worker.allowed_slots(group.spec) for worker in workers) >= 2:
+                if sum(worker.allowed_slots(_name_of(group)) for worker in workers) >= 2:
                     lines += [self.explain(task) for task in waiting_tasks]
         return lines
 
     def _is_seen(self, group, at_work):
         if group.spec.lasting:
             return False
-        name = ".".join(map(str, group.key))
+        name = _name_of(group)
         seen_at = self.judge.seen_at_by_step.get(name, float("-inf"))
         return any(task.rpartition(".")[0] == name for task, _ in at_work) or (
             self.clock.monotonic() - seen_at < MAX_WAIT_SECONDS
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -14,6 +14,10 @@
 from eventlet.hubs.hub import BaseHub
 
 BEGINNING_SECONDS = 1000.0
+READING_SECONDS = 1e-7
+"""How far apart two readings of the clock are at least: the product takes equal times as unclear.
+"""
+
 WALL_OFFSET_MS = 1_700_000_000_000
 
 
@@ -71,10 +75,12 @@
 
     def __init__(self, hub):
         self._hub = hub
+        self._read_at = 0.0
 
     def monotonic(self) -> float:
-        """Return seconds on a clock that never steps."""
-        return self._hub.now
+        """Return seconds on a clock that never steps, and later than any that were read before."""
+        self._read_at = max(self._hub.now, self._read_at + READING_SECONDS)
+        return self._read_at
 
     def wall_ms(self) -> int:
         """Return milliseconds since the epoch."""
