--- a/tests/dispatch/startable_group.py
+++ b/tests/dispatch/startable_group.py
@@ -64,6 +64,9 @@
     until_used: float
     """Until all workers that answer are used again, by an agent that is heard."""
 
+    until_expired: float
+    """Until what ran on a worker that is gone is known to have ended."""
+
     until_settled: float
     """Until all runs that may exist do, and are at work."""
 
@@ -107,7 +110,7 @@
         + retrying
     )
     until_settled = until_used + expired + settled + reported + replaced + started
-    return Bounds(until_used, until_settled)
+    return Bounds(until_used, until_used + expired, until_settled)
 
 
 def _name_of(group):
