Placement: a suspect that a pass has placed counts for its step's limit

Callers saw two long-running tasks of one step on a worker that may have one (ROUTE, antiAffinity), after a worker had crashed on the start of the first while the second had waited for over MAX_DEFERRAL_SECONDS.

Cause: a pass places suspects of crashes first. The counts of runs for each worker that the rest of the pass uses come from the ledger, which does not have these starts yet. Other tasks of the step keep off the suspect's worker since it is kept for it; an overdue task ignores that, and then the limit too.

What was planned for suspects now counts for the tasks placed after them. The class: state of a pass that one way of placing does not hand to the next. Room, load and interference are kept in the shared candidates.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -11,12 +11,13 @@
 import heapq
 import math
 from collections import Counter
+from collections.abc import Iterable
 
 import attrs
 
 from ..tasks.job import IncarnationKey, StepGroup, Task
 from ..tasks.ledger import TaskLedger
-from ..tasks.worker import ResourceUsage, Worker
+from ..tasks.worker import ResourceUsage, Worker, incarnation_key
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
 from .health import FleetHealth
 from .interference import (
@@ -512,6 +513,7 @@
         ]
         preferred = [c for c in candidates if not c.is_avoided]
         intents = self._plan_suspects(ledger, _Pools(preferred), now)
+        suspects_by_step = _by_step(ledger, intents)
         for candidate in preferred:
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
@@ -523,9 +525,12 @@
             limit = math.inf
             if is_limited(group.spec):
                 limit = max(best_effort_starts, 0 if _has_run(group) else 1)
-            planned = self._plan_group(group, pool, limit) if limit else []
+            suspects = suspects_by_step.get(group.key, [])
+            planned = self._plan_group(group, pool, limit, suspects) if limit else []
             if group.spec.lasting or not planned:
-                planned += self._plan_overdue(group, all_pools.pool_of(group), planned, usage, now)
+                planned += self._plan_overdue(
+                    group, all_pools.pool_of(group), suspects + planned, usage, now
+                )
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
             intents += planned
@@ -590,11 +595,14 @@
             last_failure_at=health.last_failure_at(worker_id),
         )
 
-    def _plan_group(self, group: StepGroup, pool: "_Pool", limit: float) -> list[RunIntent]:
+    def _plan_group(
+        self, group: StepGroup, pool: "_Pool", limit: float, suspects: list[RunIntent]
+    ) -> list[RunIntent]:
+        """Place tasks of a step; ``suspects`` holds its runs that were placed in this pass."""
         step = group.spec
         if pool.is_exhausted_for(step):
             return []
-        run_counts = _run_count_by_incarnation(group)
+        run_counts = _run_count_by_incarnation(group, suspects)
         if step.gang:
             return self._plan_gang(group, pool.candidates, run_counts)
         # The best worker for a long-running task, or for data in a rack, may be any.
@@ -649,9 +657,7 @@
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
             return []
-        run_counts = _run_count_by_incarnation(group)
-        for intent in planned:
-            run_counts[intent.life.worker_id, intent.life.born_ms] += 1
+        run_counts = _run_count_by_incarnation(group, planned)
         if step.gang:
             eligible = [candidate.copy() for candidate in pool.candidates]
         elif step.filling:
@@ -836,7 +842,18 @@
     )
 
 
-def _run_count_by_incarnation(group: StepGroup) -> Counter:
-    return Counter(
+def _run_count_by_incarnation(group: StepGroup, planned: Iterable[RunIntent] = ()) -> Counter:
+    """Return how many runs of a step each worker has, with those planned in this pass."""
+    run_counts = Counter(
         incarnation for task in group.tasks for incarnation in task.incarnation_by_run.values()
     )
+    run_counts.update(incarnation_key(intent.life) for intent in planned)
+    return run_counts
+
+
+def _by_step(ledger: TaskLedger, intents: list[RunIntent]) -> dict[tuple, list[RunIntent]]:
+    """Return planned runs by the key of their step."""
+    intents_by_step: dict[tuple, list[RunIntent]] = {}
+    for intent in intents:
+        intents_by_step.setdefault(ledger.find_task(intent.task).step.key, []).append(intent)
+    return intents_by_step
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -486,6 +486,18 @@
     return worker(worker_id, millicores=9000, memory_mb=memory_mb, labels=("gpu",))
 
 
+# Guards against more tasks of a step on one worker than it may have: a pass that places a suspect
+# of a crash places an overdue task of the same step on the same worker.
+def test_a_suspect_and_an_overdue_task_of_its_step_keep_its_limit_for_each_worker():
+    site = Site(worker("w0"), worker("w1"))
+    accept(site.ledger, work("spread", count=2))
+    site.unresponsive = {"w1"}
+    site.run(MAX_START_SECONDS)
+    site.crash("w0", returns=False)
+    site.unresponsive = set()
+    assert [worker_id for _, worker_id in site.run_pass()] == ["w1"]
+
+
 # Guards against suspects of a crash, or other work, that wait for each other on one worker.
 @pytest.mark.parametrize("suspects", [1, 3, 12])
 @pytest.mark.parametrize("lasting", [False, True], ids=["finite", "lasting"])
