--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -31,6 +31,7 @@
 _CRASHES = "tasks/crashes.py"
 _WORKER_SESSION = "dispatch/worker_session.py"
 _LEADER_TERM = "dispatch/leader_term.py"
+_PLACEMENT = "dispatch/placement.py"
 _HTTP_POOL = "wire/http_pool.py"
 _TASK_SERVICE = "dispatch/task_service.py"
 _IGNORED = "dispatch/ignored_heartbeats.py"
@@ -44,6 +45,20 @@
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
+    Mutant(
+        "a new agent settles runs that were placed before its session and are not there",
+        _WORKER_SESSION,
+        "            run: agent.now() for run in worker.task_by_run\n",
+        "            run: agent.now() for run in ()\n",
+        "tests/dispatch/test_startable_work_stateful.py",
+    ),
+    Mutant(
+        "a suspect that a pass has placed counts for the limit of its step",
+        _PLACEMENT,
+        "    run_counts.update(incarnation_key(intent.life) for intent in planned)\n",
+        "",
+        "tests/dispatch/test_bounded_waits.py",
+    ),
     Mutant(
         "a full queue of a replica drops its oldest messages",
         "replication/transport.py",
--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -1,7 +1,8 @@
 """Placement, ledger, sessions, agents and leaders together, through a restart of everything."""
 
 import eventlet
-from hypothesis import settings
+import pytest
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -9,10 +10,14 @@
     invariant,
     precondition,
     rule,
+    run_state_machine_as_test,
 )
 
 from savoryshelf.dispatch import assignment
 from savoryshelf.dispatch.worker_api import StartResult
+from savoryshelf.dispatch.worker_session import WorkerSession
+from savoryshelf.tasks.ledger import TaskLedger
+from savoryshelf.tasks.worker import incarnation_key
 
 from ..tasks.builders import step
 from ..virtual_time import virtual_time
@@ -283,3 +288,35 @@
 
 TestStartableWork = StartableWork.TestCase
 TestStartableWork.settings = settings(max_examples=60, stateful_step_count=30)
+
+
+def _keep_draining(monkeypatch):
+    """Let a worker that has drained stay so."""
+    upsert_worker = TaskLedger.upsert_worker
+
+    def keep(ledger, record):
+        known = ledger.worker_by_incarnation.get(incarnation_key(record.life))
+        record.draining = record.draining or (known is not None and known.record.draining)
+        upsert_worker(ledger, record)
+
+    monkeypatch.setattr(TaskLedger, "upsert_worker", keep)
+
+
+def _forget_earlier_runs(monkeypatch):
+    """Let no poll settle runs that were placed before its session began."""
+    begin = WorkerSession.__init__
+
+    def forget(session, *arguments):
+        begin(session, *arguments)
+        session._confirmed_at_by_run.clear()
+
+    monkeypatch.setattr(WorkerSession, "__init__", forget)
+
+
+@pytest.mark.parametrize("plant", [_keep_draining, _forget_earlier_runs])
+def test_the_machine_finds_a_planted_fault(monkeypatch, plant):
+    plant(monkeypatch)
+    with pytest.raises(AssertionError, match="waits"):
+        run_state_machine_as_test(
+            StartableWork, settings=settings(TestStartableWork.settings, phases=[Phase.generate])
+        )
