A silent worker with runs is not moved to even out the load

Tasks on a lost worker of a large fleet wait longer than its lease, the same class as the waits of refused starts: a bound that begins anew.

Cause: each new agent has to wait for the longest lease and the earlier agent's permission, about 7 s, and moves that even out the load took silent workers like all others; after a restart of all hosts a leader of a large fleet gives its misplaced workers away, eight each two seconds.

Evidence: by reading; the new tests fail on the code before, which moves such a worker.

Why this works: nothing is gained by moving a worker that answers nobody. It gets another agent all the same if its own is gone, lags or leaves.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2005,4 +2005,18 @@
         "while False:",
         DISPATCH + "/test_refused_starts.py",
     ),
+    Mutant(
+        "a silent worker with runs is moved to no other agent",
+        _LEADER_TERM,
+        "may_move=self._fleet.answers(worker) or not worker.task_by_run,",
+        "may_move=True,",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "a worker that may not move stays with its agent",
+        "dispatch/assignment.py",
+        "        if not worker.may_move:\n            continue\n",
+        "",
+        "tests/dispatch/test_assignment.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/assignment.py
+++ b/src/savoryshelf/dispatch/assignment.py
@@ -46,6 +46,8 @@
     key: IncarnationKey
     region: str
     agent_id: str | None = None
+    may_move: bool = True
+    """Whether it may be taken from an agent that could keep it."""
 
 
 def plan_assignments(
@@ -103,6 +105,8 @@
     for worker in workers:
         if len(planned) == MAX_MOVES:
             break
+        if not worker.may_move:
+            continue
         load = load_by_agent[worker.agent_id]
         # In a small fleet one agent has all workers, and keeps them when the leader changes.
         is_misplaced = worker.agent_id not in preferred_ids and not is_small
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -356,6 +356,8 @@
                 # A new token would take the worker from the incarnation that answers there.
                 and (worker.key in with_rivals or not self._fleet.is_fenced(worker))
                 else None,
+                # A new agent would have to wait for the lease of a silent worker anew.
+                may_move=self._fleet.answers(worker) or not worker.task_by_run,
             )
             for worker in live_workers
             if not self._may_still_report(worker.record.agent_id, agent_ids, now)
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 
-from savoryshelf.dispatch import assignment, crash_log
+from savoryshelf.dispatch import assignment, crash_log, leader_term
 from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
@@ -408,3 +408,20 @@
     with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
         group.submit(step(1, lasting=True))
         wait_until(lambda: group.worker_by_id["w2"].running)
+
+
+# Guards against a lost worker whose runs wait for its lease anew, since it is moved meanwhile.
+def test_a_silent_worker_with_runs_is_moved_to_no_other_agent(large_group, monkeypatch):
+    planned_with = []
+
+    def record(workers, *arguments):
+        planned_with.append({worker.key[0]: worker.may_move for worker in workers})
+        return assignment.plan_assignments(workers, *arguments)
+
+    monkeypatch.setattr(leader_term, "plan_assignments", record)
+    large_group.submit(step(1, lasting=True))
+    silent = large_group.worker_by_id["w1"]
+    wait_until(lambda: silent.running)
+    wait_until(lambda: planned_with[-1:] == [{"w1": True}])
+    silent.unanswered_calls = {"poll", "start", "stop"}
+    wait_until(lambda: planned_with[-1:] == [{"w1": False}])
--- a/tests/dispatch/test_assignment.py
+++ b/tests/dispatch/test_assignment.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import attrs
+
 from savoryshelf.dispatch.assignment import (
     MAX_MOVES,
     MAX_WORKERS_OF_LEADER,
@@ -57,6 +59,17 @@
     assert plan(fleet, [LEADER, *OTHERS], may_move=True) == {}
 
 
+# Guards against runs of a lost worker that wait for its lease anew with each agent that it gets.
+def test_a_worker_that_may_not_move_stays_with_its_agent_while_others_move():
+    fleet = workers(200, "leader")
+    kept = attrs.evolve(fleet[0], may_move=False)
+    planned = plan([kept, *fleet[1:]], [LEADER, *OTHERS])
+    assert kept.key not in planned
+    assert len(planned) == MAX_MOVES
+    # It gets another one all the same once its agent is gone.
+    assert kept.key in plan([kept, *fleet[1:]], OTHERS)
+
+
 def test_the_load_is_evened_out_in_small_steps():
     fleet = workers(400, "other-0")
     for _ in range(200):
