A new token of the same agent continues the wait for a lease

Cause: each session waited for the longest lease that an earlier agent may have granted, also if the earlier session was of the same agent, which knows what it has granted.

Why this works: a session takes over the clock of the one that it replaces, with every deadline that was sent, and the moment from which the wait counts. Not if another host has been the agent in between, or the incarnation had ended: then leases may be unknown here, and the wait begins anew, which two more cases hold. A session that replaces an unresponsive one renews no lease before an answer.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2019,4 +2019,32 @@
         "",
         "tests/dispatch/test_assignment.py",
     ),
+    Mutant(
+        "a new token of the same agent continues the wait for a lease",
+        "dispatch/agent.py",
+        "previous=replaced.get(key)",
+        "previous=None",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "a session that replaces an unresponsive one renews no lease before an answer",
+        _WORKER_SESSION,
+        "self.is_unresponsive = previous is not None and previous.is_unresponsive",
+        "self.is_unresponsive = False",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "the wait for a lease begins anew after another agent",
+        "dispatch/agent.py",
+        "self._continued_incarnations.discard(incarnation_key(assignment.life))",
+        "pass",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "the wait for a lease begins anew after an end",
+        "dispatch/agent.py",
+        "self._continued_incarnations -= {incarnation_key(life) for life in body.lives}",
+        "pass",
+        "tests/dispatch/test_agent.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -158,6 +158,9 @@
         self._report_to_leader = report_to_leader
         self.agent_id = new_agent_id(replica.core.replica_id)
         self.session_by_incarnation: dict[IncarnationKey, WorkerSession] = {}
+        self._continued_incarnations: set[IncarnationKey] = set()
+        """The incarnations that have had no other agent, and no end, since their session began."""
+
         self.interference = InterferenceModel()
         self.is_leaving = False
         self._permission = Permission()
@@ -255,9 +258,17 @@
         if self._replica.is_leader:
             # Here, and not where it was proposed: any proposer, and an earlier leader's, count.
             log_incarnation_ends(ends)
+        self._continued_incarnations -= {incarnation_key(life) for life in body.lives}
         self._note_assignments(body, ends)
 
     @_handles_command("assign_agents")
+    def _assign_workers(self, body, outcome) -> None:
+        for assignment in body.assignments:
+            if assignment.agent_id != self.agent_id:
+                # The other agent may grant leases of which this one does not know.
+                self._continued_incarnations.discard(incarnation_key(assignment.life))
+        self._note_assignments(body, outcome)
+
     def _note_assignments(self, body, outcome) -> None:
         self._assignments_changed = True
         self._wake_up_maintenance()
@@ -288,15 +299,22 @@
             for key, worker in self.ledger.worker_by_incarnation.items()
             if worker.record.agent_id == self.agent_id and not worker.has_ended
         }
+        replaced: dict[IncarnationKey, WorkerSession] = {}
         for key, session in list(self.session_by_incarnation.items()):
             worker = assigned.get(key)
             if worker is None or worker.record.fencing_token != session.fencing_token:
                 self._drop_session(key)
+                if worker is not None and key in self._continued_incarnations:
+                    replaced[key] = session
         for key, worker in assigned.items():
             if key not in self.session_by_incarnation:
-                session = WorkerSession(self, worker, self._settings.lease_ms)
+                session = WorkerSession(
+                    self, worker, self._settings.lease_ms, previous=replaced.get(key)
+                )
                 self.session_by_incarnation[key] = session
+                self._continued_incarnations.add(key)
                 self.state_changed(session)
+        self._continued_incarnations &= self.session_by_incarnation.keys()
 
     def _drop_session(self, key: IncarnationKey) -> None:
         session = self.session_by_incarnation.pop(key)
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -122,7 +122,13 @@
 class WorkerSession:
     """Polls and calls one incarnation of a worker for as long as this host is its agent."""
 
-    def __init__(self, agent, worker: Worker, lease_ms: int):
+    def __init__(
+        self, agent, worker: Worker, lease_ms: int, previous: "WorkerSession | None" = None
+    ):
+        """Begin to poll; ``previous`` is the session that this one replaces.
+
+        It was this agent's too, and no other has been the worker's agent since it began.
+        """
         self._agent = agent
         self.worker = worker
         record = worker.record
@@ -141,7 +147,7 @@
         self.incarnation = WorkerIncarnation(
             record.life.worker_id, record.life.born_ms, record.address
         )
-        self.clock = WorkerClock()
+        self.clock = WorkerClock() if previous is None else previous.clock
         self.status_by_run: dict[tuple[str, int], RunStatus] = {}
         self.speed_percent_by_run: dict[tuple[str, int], int | None] = {
             run: None for run, task in worker.task_by_run.items() if task.step.spec.filling
@@ -160,7 +166,7 @@
         self._alive_at = float("-inf")
         """When the newest poll that this incarnation answered was sent, in monotonic seconds."""
 
-        self.is_unresponsive = False
+        self.is_unresponsive = previous is not None and previous.is_unresponsive
         self.is_state_known = False
         """Whether this incarnation has answered a poll, so that its runs are known.
 
@@ -171,7 +177,7 @@
         """Whether the incarnation was reported as ended; no call may be made after that."""
 
         self._lease_ms = lease_ms
-        self._taken_over_at = agent.now()
+        self._taken_over_at = agent.now() if previous is None else previous._taken_over_at
         self._confirmed_at_by_run: dict[tuple[str, int], float] = {
             run: agent.now() for run in worker.task_by_run
         }
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -1,13 +1,15 @@
 import contextlib
+import time
 
 import eventlet
 import pytest
 
 from savoryshelf.dispatch import assignment, crash_log, leader_term
-from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS
+from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS, TAKEOVER_SLACK_MS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.dispatch.worker_api import StartResult, WorkerUnresponsive
+from savoryshelf.dispatch.worker_clock import MIN_CLOCK_RATE
 from savoryshelf.tasks import snapshot
 from savoryshelf.tasks.ledger import TaskLedger
 from savoryshelf.wire.generated.ttypes import (
@@ -20,11 +22,13 @@
     WorkerLife,
 )
 
-from ..tasks.builders import JOB, step
+from ..tasks.builders import JOB, record_intent, step
 from .fakes import wait_until
 from .group import LEASE_MS, FakeGroup
 
 TASK = f"{JOB}.0.0.0"
+TAKEOVER_SECONDS = (LEASE_MS + TAKEOVER_SLACK_MS) / 1000 / MIN_CLOCK_RATE
+"""How long a new agent waits for the leases that an earlier one may have granted."""
 
 
 @pytest.fixture(params=["the leader calls the workers", "the other hosts call them"])
@@ -425,3 +429,51 @@
     wait_until(lambda: planned_with[-1:] == [{"w1": True}])
     silent.unanswered_calls = {"poll", "start", "stop"}
     wait_until(lambda: planned_with[-1:] == [{"w1": False}])
+
+
+def reassign(group, agent_ids, worker_id="w1"):
+    """Commit assignments of a worker, each under a new token."""
+    life = WorkerLife(worker_id, 1)
+    for agent_id in agent_ids:
+        assignments = AssignAgents([AgentAssignment(life, agent_id)], group.term._term)
+        group.append_command(assign_agents=assignments)
+
+
+def silence_a_working_worker(group):
+    """Let a worker fall silent under a run, once its agent need not wait for earlier leases."""
+    group.submit(step(1, lasting=True))
+    silent = group.worker_by_id["w1"]
+    wait_until(lambda: silent.running)
+    eventlet.sleep(TAKEOVER_SECONDS)
+    silent.unanswered_calls = {"poll", "start", "stop"}
+    return group.ledger.find_task(TASK)
+
+
+# Guards against runs of a lost worker that wait for its lease anew with each token that its agent
+# gets, though no other host has been its agent.
+def test_a_lost_worker_ends_with_its_lease_though_its_agent_gets_new_tokens(group):
+    task = silence_a_working_worker(group)
+    agent_id = group.agent_by_host[group.agent_host()].agent_id
+    deadline = time.monotonic() + LEASE_MS / 1000 + 1.5
+    while task.incarnation_by_run:
+        assert time.monotonic() < deadline
+        reassign(group, [agent_id])
+        eventlet.sleep(0.3)
+
+
+# Guards against a second run: the lease of an agent in between may go on.
+@pytest.mark.parametrize("is_ended", [False, True], ids=["another agent", "an end"])
+def test_a_new_token_after_another_agent_waits_for_the_longest_lease_anew(group, is_ended):
+    task = silence_a_working_worker(group)
+    host = group.agent_host()
+    agent_id = group.agent_by_host[host].agent_id
+    other = next(a.agent_id for h, a in group.agent_by_host.items() if h != host)
+    eventlet.sleep(LEASE_MS / 2000)
+    if is_ended:
+        group.append_command(end_lives=EndLives([WorkerLife("w1", 1)], [], None))
+        group.note_incarnation("w1", 1)
+        assert record_intent(group.ledger, TASK, 2)
+    reassign(group, [agent_id] if is_ended else [other, agent_id])
+    eventlet.sleep(TAKEOVER_SECONDS - 0.5)
+    assert not group.ledger.worker_by_incarnation["w1", 1].has_ended
+    assert task.incarnation_by_run
