--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -101,6 +101,11 @@
     def worker(self, worker_id):
         return self.group.worker_by_id[worker_id]
 
+    def loaded(self, worker_id):
+        """Return this worker, or one that has runs and so more to lose."""
+        loaded = [each for each in WORKERS if self.worker(each).running]
+        return worker_id if worker_id in loaded or not loaded else loaded[0]
+
     def may_end(self, worker_id):
         up = [each for each in WORKERS if self.worker(each).is_up]
         return worker_id in up and len(up) > MIN_WORKERS
@@ -117,6 +122,9 @@
         self.submit_step(kind, count)
 
     def submit_step(self, kind, count):
+        if not self.group.leader:
+            # The power went just now.
+            return
         job_id = f"{0xA0 + len(self.jobs):016x}"
         self.jobs.append(job_id)
         self.group.submit(step(count, **STEPS[kind]), job_id=job_id)
@@ -165,10 +173,7 @@
     def lose_power_beside_impaired(self, impairment, dark_seconds, leader, seconds):
         """Let a worker with runs be impaired for a new agent from the beginning."""
         self.group.lose_power()
-        for worker_id in WORKERS:
-            if self.worker(worker_id).running:
-                self.worker(worker_id).impairment = impairment
-                break
+        self.worker(self.loaded("w1")).impairment = impairment
         eventlet.sleep(dark_seconds)
         self.group.restart(leader)
         eventlet.sleep(seconds)
@@ -206,6 +211,22 @@
     def fall_silent(self, host):
         self.group.silent_hosts.add(host)
 
+    @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
+    @rule(
+        kind=st.sampled_from(sorted(STEPS)),
+        seconds=st.sampled_from([0.7, 0.8, 0.9, 1.0]),
+        is_back_soon=st.booleans(),
+    )
+    def submit_to_silent_agent(self, kind, seconds, is_back_soon):
+        """Submit when an agent has lost its permission, and still counts as live."""
+        hosts = [each for each in HOSTS if self.group.agent_by_host[each].session_by_incarnation]
+        self.group.silent_hosts |= set(hosts[:1])
+        eventlet.sleep(seconds)
+        self.submit_step(kind, 3)
+        eventlet.sleep(0.1)
+        if is_back_soon:
+            self.group.silent_hosts.clear()
+
     @precondition(lambda self: self.group.stalled_hosts or self.group.silent_hosts)
     @rule()
     def heal_hosts(self):
@@ -219,11 +240,7 @@
         seconds=seconds_drawn,
     )
     def impair(self, worker_id, impairment, seconds):
-        loaded = [each for each in WORKERS if self.worker(each).running]
-        if loaded and worker_id not in loaded:
-            # What has no runs has little to lose.
-            worker_id = loaded[0]
-        self.worker(worker_id).impairment = impairment
+        self.worker(self.loaded(worker_id)).impairment = impairment
         eventlet.sleep(seconds)
 
     @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
@@ -243,9 +260,14 @@
     def be_late(self, worker_id, seconds):
         self.worker(worker_id).late_seconds = seconds
 
-    @rule(worker_id=worker_ids, what=st.sampled_from(["runs", "ends", "numbers", "foreign"]))
-    def list_odd_rows(self, worker_id, what):
-        self.worker(worker_id).unreadable = what
+    @rule(
+        worker_id=worker_ids,
+        what=st.sampled_from(["runs", "ends", "numbers", "foreign"]),
+        seconds=seconds_drawn,
+    )
+    def list_odd_rows(self, worker_id, what, seconds):
+        self.worker(self.loaded(worker_id)).unreadable = what
+        eventlet.sleep(seconds)
 
     @rule(worker_id=worker_ids, carries_out=st.booleans())
     def heal(self, worker_id, carries_out):
@@ -308,8 +330,14 @@
         assert not phantoms, "\n".join(phantoms)
 
 
+class BrieflyImpairedWork(StartableWork):
+    """The same for little that happens, so that nothing that comes later undoes it."""
+
+
 TestStartableWork = StartableWork.TestCase
-TestStartableWork.settings = settings(max_examples=60, stateful_step_count=30)
+TestStartableWork.settings = settings(max_examples=50, stateful_step_count=30)
+TestBrieflyImpairedWork = BrieflyImpairedWork.TestCase
+TestBrieflyImpairedWork.settings = settings(max_examples=50, stateful_step_count=10)
 
 
 def _keep_draining(monkeypatch):
@@ -338,7 +366,7 @@
 @pytest.mark.parametrize("plant", [_keep_draining, _forget_earlier_runs])
 def test_the_machine_finds_a_planted_fault(monkeypatch, plant):
     plant(monkeypatch)
-    with pytest.raises(AssertionError, match="waits"):
+    with pytest.raises(AssertionError, match="waits|may exist"):
         run_state_machine_as_test(
             StartableWork, settings=settings(TestStartableWork.settings, phases=[Phase.generate])
         )
