A leader goes on after a start that was found invalid

Callers see a leader's host end by itself, some 10 s after one planned start was found invalid when it was committed (its worker had begun to drain meanwhile, say).

Cause: an invalid start uses up no run number, so the next start of its task has the same one. RefusedStarts keeps both in its queue, but one entry by task and run; dropping the second start raised KeyError in Placement.plan, which ends the term and with it the host (Host._run_activity).

A start now takes along only the entry that is its own, as it did for the newest start of a task. Both tests pass.

--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -43,7 +43,9 @@
         """Drop the starts of long ago."""
         while self._starts and now - self._starts[0].planned_at > REMEMBERED_SECONDS:
             start = self._starts.popleft()
-            del self._start_by_run[start.task, start.run]
+            # An invalid start uses up no run number, so a later one may have the same.
+            if self._start_by_run.get((start.task, start.run)) is start:
+                del self._start_by_run[start.task, start.run]
             if self._newest_by_task[start.task] is start:
                 del self._newest_by_task[start.task]
             if start.is_refused:
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 
-from savoryshelf.dispatch import assignment, crash_log
+from savoryshelf.dispatch import assignment, crash_log, refused_starts
 from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
@@ -397,6 +397,25 @@
         wait_until(lambda: group.worker_by_id["w2"].running)
 
 
+# Guards against a leader that ends some seconds after a start was found invalid: it used up no run
+# number, so the next start of its task has the same one.
+def test_a_leader_goes_on_after_a_start_was_invalid(monkeypatch):
+    monkeypatch.setattr(refused_starts, "REMEMBERED_SECONDS", 0.5)
+    is_valid, workers = TaskLedger._is_valid, set()
+
+    def is_valid_elsewhere(self, intent, task):
+        workers.add(intent.life.worker_id)
+        return len(workers) > 1 and is_valid(self, intent, task)
+
+    monkeypatch.setattr(TaskLedger, "_is_valid", is_valid_elsewhere)
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: any(worker.running for worker in group.worker_by_id.values()))
+        eventlet.sleep(1.0)
+        group.submit(step(1, lasting=True), job_id="00000000000000b2")
+        wait_until(lambda: sum(len(w.running) for w in group.worker_by_id.values()) == 2)
+
+
 # Guards against a task that waits for good while the starts planned for it turn out invalid.
 def test_a_task_starts_elsewhere_though_its_starts_on_one_worker_are_invalid(monkeypatch):
     is_valid = TaskLedger._is_valid
--- a/tests/dispatch/test_refused_starts.py
+++ b/tests/dispatch/test_refused_starts.py
@@ -50,3 +50,18 @@
     starts.forget_old(12.5 + REMEMBERED_SECONDS)
     starts.record_refusal(TASK, 2)
     assert not starts.has_refusals(TASK)
+
+
+# Guards against a leader that ends: a start that was found invalid used up no run number, so the
+# next start of the task has the same one.
+def test_a_run_number_that_is_planned_again_is_forgotten_with_both_starts():
+    starts = RefusedStarts()
+    starts.record_start(TASK, 1, "w1", 10.0, 8.0)
+    starts.record_refusal(TASK, 1)
+    starts.record_start(TASK, 1, "w2", 11.0, 8.0)
+    starts.record_refusal(TASK, 1)
+    assert starts.count_by_worker(TASK) == {"w1": 1, "w2": 1}
+    starts.forget_old(10.5 + REMEMBERED_SECONDS)
+    assert starts.count_by_worker(TASK) == {"w2": 1}
+    starts.forget_old(11.5 + REMEMBERED_SECONDS)
+    assert not starts.has_refusals(TASK)
