A last resort begins the wait of its whole finite step anew

Callers see attempts of a finite job spent one pass after the other on workers where runs fail, though a step is to be tried there at most each 2 s.

Cause: the wait of a step goes on from before the newest refused start of any of its tasks. A last resort began only its own task's wait anew, so the earlier refused starts of the others kept the step overdue, one attempt for each.

The test fails without the change, with 4 and 32 passes a second.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -557,9 +557,13 @@
         only after a while.
         """
         for intent in intents:
-            seconds = 0.0
+            seconds, task = 0.0, ledger.find_task(intent.task)
             if intent.task not in last_resorts:
-                seconds = self.waiting.seconds_of_task(ledger.find_task(intent.task), now)
+                seconds = self.waiting.seconds_of_task(task, now)
+            elif not task.step.spec.lasting:
+                # A finite step waits as a whole.
+                for each in task.step.tasks:
+                    self._refused_starts.restart_wait(each.name, now)
             worker_id = intent.life.worker_id
             self._refused_starts.record_start(
                 intent.task, intent.run, worker_id, now, waiting_since=now - seconds
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -822,6 +822,25 @@
         assert max(gaps) <= MAX_START_SECONDS
 
 
+# Guards against attempts of a finite job that follow each other at once, on workers that fail: an
+# earlier refused start of another of its tasks kept the step overdue.
+@pytest.mark.parametrize("passes_a_second", [4, 32])
+def test_a_step_is_tried_as_a_last_resort_each_two_seconds_after_its_tasks_were_refused(
+    passes_a_second,
+):
+    site = Site(worker("w0"), worker("w1"))
+    site.pass_seconds = 1 / passes_a_second
+    site.is_sound, site.fate = False, lambda task, worker_id: REJECTED
+    accept(site.ledger, step(4))
+    site.run(PASS_SECONDS)
+    site.quarantine("w0", "w1")
+    site.fate, began_at = lambda task, worker_id: FAILS, site.now
+    site.run(8.0)
+    tries = [at for at, _, _ in site.starts if at >= began_at]
+    gaps = [later - earlier for earlier, later in zip(tries, tries[1:], strict=False)]
+    assert gaps and min(gaps) >= LAST_RESORT_SECONDS
+
+
 # Guards against one task of a step whose attempts are spent first, which fails the whole job.
 def test_the_task_with_the_fewest_failures_is_tried_as_a_last_resort():
     site = Site()
