A run is stopped for odd rows only after they have been odd for a while

Callers see a run stopped, and its work thrown away, for a single list of its worker in which its row could not be read.

Cause: the 2 s after which a run behind such a row is stopped counted from the begin of the session, or the run's last confirmed start or stop, not from the first odd list. A worker that was silent for 2 s after a change of agent had its runs stopped for the first list that it sent.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -212,9 +212,11 @@
         self._refused_starts: set[tuple[str, int]] = set()
         """The runs whose starts were refused or not sent, until that is applied here."""
 
-        self._has_unreadable_runs = False
+        self._unreadable_since: float | None = None
+        """When the first of the newest polls that all list a run which cannot be read was sent."""
+
         self._may_omit_ends = False
-        """What the newest poll says of its own lists."""
+        """Whether the newest poll may omit ends."""
 
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
@@ -368,7 +370,7 @@
             UnsettledState.UNRESPONSIVE: self.is_unresponsive,
             UnsettledState.ENDED_NOT_COMMITTED: run in self._reported_ends | self._refused_starts,
             UnsettledState.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
-            UnsettledState.UNREADABLE_RUNS: self._has_unreadable_runs,
+            UnsettledState.UNREADABLE_RUNS: self._unreadable_since is not None,
             UnsettledState.UNREADABLE_ENDS: run in self._maybe_ended_runs,
             UnsettledState.LIST_CUT_SHORT: self._may_omit_ends,
         }
@@ -544,7 +546,10 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
-        self._has_unreadable_runs = bool(result.unreadable_runs)
+        if not result.unreadable_runs:
+            self._unreadable_since = None
+        elif self._unreadable_since is None:
+            self._unreadable_since = sent_at
         self._may_omit_ends = result.may_omit_ends
         self._log_unknown_runs(ends)
         if result.may_omit_ends:
@@ -559,7 +564,7 @@
         if ends:
             self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
-        self._stop_hidden_runs(result, ended_runs, sent_at)
+        self._stop_hidden_runs(ended_runs, sent_at)
         self._stop_unexpected_runs(ended_runs)
         self._expire_exclusions()
         self._agent.poll_completed(self, self._history)
@@ -661,12 +666,12 @@
         stopped_at = self._stopped_at_by_run.get(key)
         return stopped_at is not None and at - stopped_at >= STOP_LAG_SECONDS
 
-    def _stop_hidden_runs(self, result: PollResult, ended_runs: set, sent_at: float) -> None:
+    def _stop_hidden_runs(self, ended_runs: set, sent_at: float) -> None:
         """Stop runs that a row which cannot be read may be of, so that they can be settled.
 
         Those that are known to have started here are left alone: their ends will be listed.
         """
-        if not result.unreadable_runs:
+        if self._unreadable_since is None or sent_at - self._unreadable_since < MAX_DOUBT_SECONDS:
             return
         for key in self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():
             confirmed_at = self._confirmed_at_by_run.get(key, float("inf"))
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -640,6 +640,27 @@
     session.close()
 
 
+# Guards against work that is thrown away for one odd list: the session is old, and yet this is the
+# first list that it has seen, since the worker was silent before.
+def test_a_run_behind_a_row_that_cannot_be_read_once_goes_on():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    worker.unanswered_calls, worker.unreadable_runs = {"poll"}, 1
+    session, _ = make_session(task_ledger, worker)
+    session.clock.record_reading(worker.clock_ms(), time.monotonic())
+    session.clock.extend_deadline(time.monotonic(), 60_000)
+    eventlet.sleep(MAX_DOUBT_SECONDS + RETRY_SECONDS)
+    worker.unanswered_calls = set()
+    wait_until(lambda: session.is_state_known)
+    worker.running[TASK, 1] = RunStatus(TASK, 1, "", 0, 0)
+    worker.unreadable_runs = 0
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    eventlet.sleep(2 * RETRY_SECONDS)
+    assert "stop" not in worker.calls and (TASK, 1) in worker.running
+    session.close()
+
+
 # Guards against a long-running task that waits for good for an end that cannot be read: whatever
 # it says, the task has to run again.
 def test_a_long_running_task_starts_again_though_its_end_cannot_be_read():
