--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -450,7 +450,7 @@
         return self._agent.may_call_workers()
 
     def _poll_wait_ms(self) -> int:
-        if not self.is_state_known or self.is_unresponsive:
+        if not self.is_state_known or self.is_unresponsive or self._hidden_runs():
             return 0
         return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
 
@@ -666,14 +666,20 @@
         stopped_at = self._stopped_at_by_run.get(key)
         return stopped_at is not None and at - stopped_at >= STOP_LAG_SECONDS
 
-    def _stop_hidden_runs(self, ended_runs: set, sent_at: float) -> None:
-        """Stop runs that a row which cannot be read may be of, so that they can be settled.
+    def _hidden_runs(self) -> set[tuple[str, int]]:
+        """Return the unlisted runs that a row which cannot be read may be of.
 
-        Those that are known to have started here are left alone: their ends will be listed.
+        Those that are known to have started here are none: their ends will be listed.
         """
+        if self._unreadable_since is None:
+            return set()
+        return self._unlisted_runs(self._reported_ends) - self._started_at_by_run.keys()
+
+    def _stop_hidden_runs(self, ended_runs: set, sent_at: float) -> None:
+        """Stop runs that have been hidden for a while, so that they can be settled."""
         if self._unreadable_since is None or sent_at - self._unreadable_since < MAX_DOUBT_SECONDS:
             return
-        for key in self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():
+        for key in self._hidden_runs() - ended_runs:
             confirmed_at = self._confirmed_at_by_run.get(key, float("inf"))
             if sent_at - confirmed_at >= MAX_DOUBT_SECONDS:
                 self.stop(*key)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -612,6 +612,28 @@
     session.close()
 
 
+class HoldingWorker(HidingWorker):
+    """Holds each poll until a run ends, odd rows or not, as the platform's workers do."""
+
+    def __init__(self):
+        super().__init__()
+        self.unreadable_runs = 0
+
+    def poll(self, *arguments):
+        return attrs.evolve(super().poll(*arguments), unreadable_runs=1)
+
+
+# Guards against a wait of two long polls more for a run that was never sent.
+def test_a_run_behind_a_row_that_cannot_be_read_does_not_wait_for_long_polls():
+    task_ledger, worker = ledger(), HoldingWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    bound = MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, bound)
+    session.close()
+
+
 # Guards against work that is thrown away for another writer's row: its run is known to be there.
 def test_a_run_that_has_started_is_not_stopped_for_a_row_that_cannot_be_read(running_session):
     task_ledger, worker, session, _ = running_session
