A wide step is looked at once a pass, however many starts were refused

Callers see passes of the leader that take half a second of processor time while many starts of one wide step are refused.

Cause: for each refused task, all tasks of its step were looked at for a run.

What is left is the choice of a worker for each task with refusals, which is linear in them.

--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -53,14 +53,18 @@
     def _resume_waits(
         self, groups: list[StepGroup], refused_since_by_task: dict[str, float]
     ) -> None:
-        group_by_key = {group.key: group for group in groups}
+        since_by_group_key: dict[tuple, float] = {}
         for task, refused_since in refused_since_by_task.items():
             if task in self._since_by_task:
                 self._since_by_task[task] = min(refused_since, self._since_by_task[task])
-            group = group_by_key.get(_step_key(task))
-            if group is not None and not any(each.incarnation_by_run for each in group.tasks):
-                since = self._since_by_group_key[group.key]
-                self._since_by_group_key[group.key] = min(refused_since, since)
+            key = _step_key(task)
+            since = since_by_group_key.get(key, refused_since)
+            since_by_group_key[key] = min(refused_since, since)
+        for group in groups:
+            since = since_by_group_key.get(group.key)
+            if since is not None and not any(each.incarnation_by_run for each in group.tasks):
+                since = min(since, self._since_by_group_key[group.key])
+                self._since_by_group_key[group.key] = since
 
     def seconds(self, group: StepGroup, now: float) -> float:
         """Return how long the step has been waiting; the longest wait of its tasks counts."""
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -841,6 +841,33 @@
     assert gaps and min(gaps) >= LAST_RESORT_SECONDS
 
 
+class CountedTasks(list):
+    """The tasks of a step; counts how often all of them are looked at."""
+
+    looks = 0
+
+    def __iter__(self):
+        self.looks += 1
+        return super().__iter__()
+
+
+# Guards against a pass of half a second: all tasks of a wide step were looked at for each of them
+# that had been refused.
+def test_a_pass_looks_at_a_wide_step_as_often_however_many_of_its_starts_were_refused():
+    looks = {}
+    for width in (5, 50):
+        site = Site(worker("w0", millicores=9000, memory_mb=9000))
+        site.fate = lambda task, worker_id: MALFORMED
+        accept(site.ledger, step(width, millicores=10, memory_mb=10))
+        site.run_pass()
+        (group,) = site.ledger.startable_group_by_key.values()
+        group.tasks = CountedTasks(group.tasks)
+        views = [WorkerView(w, True, {}) for w in site._workers()]
+        site.placement.plan(site.ledger, views, site.wall_ms, site.health, site.now)
+        looks[width] = group.tasks.looks
+    assert looks[5] == looks[50]
+
+
 # Guards against one task of a step whose attempts are spent first, which fails the whole job.
 def test_the_task_with_the_fewest_failures_is_tried_as_a_last_resort():
     site = Site()
