Two failing tests of waits that go on for good

test_a_long_running_task_whose_end_cannot_be_read_starts_again_beside_an_odd_row: a run that is known to have started, whose end cannot be read, is neither stopped nor settled while a row of the runs cannot be read either.

test_a_silent_worker_is_lost_though_its_agents_lag_in_turn: each assignment of a worker begins the wait for its lease anew (WorkerSession._taken_over_at), and agents that lag in turn (AgentFleet.usable_agents) make a new one each time.

--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import eventlet
 import pytest
@@ -427,3 +428,23 @@
     with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
         group.submit(step(1, lasting=True))
         wait_until(lambda: group.worker_by_id["w2"].running)
+
+
+# Guards against runs of a lost worker that wait for good: each new agent waits for a lease anew,
+# and the hosts lag one after the other.
+def test_a_silent_worker_is_lost_though_its_agents_lag_in_turn():
+    with _group(["c0", "c1", "c2"]) as group:
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: only_worker(group).running)
+        only_worker(group).unanswered_calls = {"poll", "start", "stop"}
+        agents = list(group.agent_by_host.values())
+        slack_ms = agents[0].takeover_slack_ms
+        until = time.monotonic() + 2 * (LEASE_MS + slack_ms) / 1000 + 1.0
+        has_ended = False
+        while time.monotonic() < until and not has_ended:
+            laggard = agents[int(time.monotonic() / 0.7) % 3]
+            for agent in agents:
+                agent._mean_lag = 0.5 if agent is laggard else 0.0
+            eventlet.sleep(0.01)
+            has_ended = not group.ledger.find_task(f"{JOB}.0.0.0").incarnation_by_run
+        assert has_ended
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -683,6 +683,22 @@
     session.close()
 
 
+# Guards against a long-running task that waits for good: its end cannot be read, and neither can a
+# row of the runs, which is of another run.
+def test_a_long_running_task_whose_end_cannot_be_read_starts_again_beside_an_odd_row():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(1, lasting=True))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    worker.unreadable_runs, worker.unreadable_ends = 1, {1}
+    worker.end(TASK, 1, RunOutcome.FAILED)
+    bound = MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, bound)
+    session.close()
+
+
 # Guards against a long-running task that waits for good for an end that cannot be read: whatever
 # it says, the task has to run again.
 def test_a_long_running_task_starts_again_though_its_end_cannot_be_read():
