--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -43,7 +43,9 @@
         """Drop the starts of long ago."""
         while self._starts and now - self._starts[0].planned_at > REMEMBERED_SECONDS:
             start = self._starts.popleft()
-            del self._start_by_run[start.task, start.run]
+            # An invalid start uses up no run number, so a later one may have the same.
+            if self._start_by_run.get((start.task, start.run)) is start:
+                del self._start_by_run[start.task, start.run]
             if self._newest_by_task[start.task] is start:
                 del self._newest_by_task[start.task]
             if start.is_refused:
@@ -67,6 +69,12 @@
             start.is_refused = True
             self._refused_by_task.setdefault(task, []).append(start)
 
+    def restart_wait(self, task: str, now: float) -> None:
+        """Count the wait of a task from now, should its newest start be refused."""
+        start = self._newest_by_task.get(task)
+        if start is not None:
+            start.waiting_since = now
+
     def has_refusals(self, task: str) -> bool:
         """Return whether a start of the task has been refused of late."""
         return task in self._refused_by_task
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -4,7 +4,7 @@
 import eventlet
 import pytest
 
-from savoryshelf.dispatch import assignment, crash_log, leader_term
+from savoryshelf.dispatch import assignment, crash_log, leader_term, refused_starts
 from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS, TAKEOVER_SLACK_MS
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
@@ -401,6 +401,25 @@
         wait_until(lambda: group.worker_by_id["w2"].running)
 
 
+# Guards against a leader that ends some seconds after a start was found invalid: it used up no run
+# number, so the next start of its task has the same one.
+def test_a_leader_goes_on_after_a_start_was_invalid(monkeypatch):
+    monkeypatch.setattr(refused_starts, "REMEMBERED_SECONDS", 0.5)
+    is_valid, workers = TaskLedger._is_valid, set()
+
+    def is_valid_elsewhere(self, intent, task):
+        workers.add(intent.life.worker_id)
+        return len(workers) > 1 and is_valid(self, intent, task)
+
+    monkeypatch.setattr(TaskLedger, "_is_valid", is_valid_elsewhere)
+    with _group(["c0", "c1", "c2"], ["w1", "w2"]) as group:
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: any(worker.running for worker in group.worker_by_id.values()))
+        eventlet.sleep(1.0)
+        group.submit(step(1, lasting=True), job_id="00000000000000b2")
+        wait_until(lambda: sum(len(w.running) for w in group.worker_by_id.values()) == 2)
+
+
 # Guards against a task that waits for good while the starts planned for it turn out invalid.
 def test_a_task_starts_elsewhere_though_its_starts_on_one_worker_are_invalid(monkeypatch):
     is_valid = TaskLedger._is_valid
@@ -477,3 +496,23 @@
     eventlet.sleep(TAKEOVER_SECONDS - 0.5)
     assert not group.ledger.worker_by_incarnation["w1", 1].has_ended
     assert task.incarnation_by_run
+
+
+# Guards against runs of a lost worker that wait for good: each new agent waits for a lease anew,
+# and the hosts lag one after the other.
+def test_a_silent_worker_is_lost_though_its_agents_lag_in_turn():
+    with _group(["c0", "c1", "c2"]) as group:
+        group.submit(step(1, lasting=True))
+        wait_until(lambda: only_worker(group).running)
+        only_worker(group).unanswered_calls = {"poll", "start", "stop"}
+        agents = list(group.agent_by_host.values())
+        slack_ms = agents[0].takeover_slack_ms
+        until = time.monotonic() + 2 * (LEASE_MS + slack_ms) / 1000 + 1.0
+        has_ended = False
+        while time.monotonic() < until and not has_ended:
+            laggard = agents[int(time.monotonic() / 0.7) % 3]
+            for agent in agents:
+                agent._mean_lag = 0.5 if agent is laggard else 0.0
+            eventlet.sleep(0.01)
+            has_ended = not group.ledger.find_task(f"{JOB}.0.0.0").incarnation_by_run
+        assert has_ended
