--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1842,9 +1842,8 @@
     Mutant(
         "an incarnation has answered only if its present agent says so",
         "dispatch/agent_fleet.py",
-        "            and known.state.responsive\n"
-        "            and known.state.fencing_token == worker.record.fencing_token\n",
-        "            and known.state.responsive\n",
+        "if known is None or known.state.fencing_token != worker.record.fencing_token:",
+        "if known is None:",
         _EVIDENCE_TESTS,
     ),
     Mutant(
@@ -1931,8 +1930,8 @@
     Mutant(
         "a run that was listed is not stopped for a row that cannot be read",
         _WORKER_SESSION,
-        "self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():",
-        "self._unlisted_runs(ended_runs):",
+        "return self._unlisted_runs(self._reported_ends) - have_listed_ends",
+        "return self._unlisted_runs(self._reported_ends)",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
@@ -1945,8 +1944,8 @@
     Mutant(
         "the end of a long-running task need not be readable",
         _WORKER_SESSION,
-        "if not self.worker.task_by_run[key].step.spec.lasting",
-        "if True",
+        "unlisted = self._unlisted_runs(ended_runs) - long_running",
+        "unlisted = self._unlisted_runs(ended_runs)",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
@@ -2008,7 +2007,7 @@
     Mutant(
         "a silent worker with runs is moved to no other agent",
         _LEADER_TERM,
-        "may_move=self._fleet.answers(worker) or not worker.task_by_run,",
+        "may_move=worker.key not in silent,",
         "may_move=True,",
         "tests/dispatch/test_agent.py",
     ),
@@ -2019,4 +2018,39 @@
         "",
         "tests/dispatch/test_assignment.py",
     ),
+    Mutant(
+        "a new token of the same agent continues the wait for a lease",
+        "dispatch/agent.py",
+        "previous=replaced.get(key)",
+        "previous=None",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "a session that replaces an unresponsive one renews no lease before an answer",
+        _WORKER_SESSION,
+        "self.is_unresponsive = previous is not None and previous.is_unresponsive",
+        "self.is_unresponsive = False",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "the wait for a lease begins anew after another agent",
+        "dispatch/agent.py",
+        "self._continued_incarnations.discard(incarnation_key(assignment.life))",
+        "pass",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "the wait for a lease begins anew after an end",
+        "dispatch/agent.py",
+        "self._continued_incarnations -= {incarnation_key(life) for life in body.lives}",
+        "pass",
+        "tests/dispatch/test_agent.py",
+    ),
+    Mutant(
+        "a silent worker stays with an agent that lags once it was handed over",
+        _LEADER_TERM,
+        "            and not self._waits_for_lease(worker, now)\n",
+        "",
+        "tests/dispatch/test_agent.py",
+    ),
 ]
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -162,12 +162,19 @@
 
     def answers(self, worker: Worker) -> bool:
         """Return whether the worker's present agent has reported that it answers calls."""
+        state = self._present_state(worker)
+        return state is not None and state.responsive
+
+    def is_silent(self, worker: Worker) -> bool:
+        """Return whether the worker's present agent has reported that it does not answer calls."""
+        state = self._present_state(worker)
+        return state is not None and not state.responsive
+
+    def _present_state(self, worker: Worker) -> WorkerState | None:
         known = self._worker_by_incarnation.get(worker.key)
-        return (
-            known is not None
-            and known.state.responsive
-            and known.state.fencing_token == worker.record.fencing_token
-        )
+        if known is None or known.state.fencing_token != worker.record.fencing_token:
+            return None
+        return known.state
 
     def views(self, workers: Iterable[Worker], now: float) -> list[WorkerView]:
         """Return the state of each worker that its present agent has reported."""
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -151,6 +151,9 @@
         self._replaced_at_by_incarnation: dict[IncarnationKey, float] = {}
         """When a later incarnation was first seen to answer at the address of a live one."""
 
+        self._handed_over_silent: set[IncarnationKey] = set()
+        """The silent workers with runs that have got another agent since they fell silent."""
+
         self._have_states_changed = True
         """Whether agents have reported states since that was last looked for."""
 
@@ -347,6 +350,12 @@
             if any(self._fleet.answers(other) for other in sharing if other is not worker)
         }
         agent_ids = {agent.agent_id for agent in agents}
+        silent = {
+            worker.key
+            for worker in live_workers
+            if worker.task_by_run and self._fleet.is_silent(worker)
+        }
+        self._handed_over_silent &= silent
         workers = [
             AssignableWorker(
                 worker.key,
@@ -357,10 +366,11 @@
                 and (worker.key in with_rivals or not self._fleet.is_fenced(worker))
                 else None,
                 # A new agent would have to wait for the lease of a silent worker anew.
-                may_move=self._fleet.answers(worker) or not worker.task_by_run,
+                may_move=worker.key not in silent,
             )
             for worker in live_workers
             if not self._may_still_report(worker.record.agent_id, agent_ids, now)
+            and not self._waits_for_lease(worker, now)
         ]
         planned = plan_assignments(workers, agents, len(live_workers), may_move)
         if not planned:
@@ -368,8 +378,20 @@
         count_by_agent = Counter(planned.values())
         log_event("agents:assigned", term=self._term, workers_by_agent=dict(count_by_agent))
         assignments = [AgentAssignment(WorkerLife(*key), agent) for key, agent in planned.items()]
+        self._handed_over_silent |= planned.keys() & silent
         self.commit(assign_agents=AssignAgents(assignments, self._term))
 
+    def _waits_for_lease(self, worker: Worker, now: float) -> bool:
+        """Return whether a silent worker stays with its agent, though that may lag.
+
+        Each new agent waits for the longest lease anew, and agents may lag in turn.
+        """
+        return (
+            worker.key in self._handed_over_silent
+            and self._fleet.is_live(worker.record.agent_id, now)
+            and not self._fleet.is_fenced(worker)
+        )
+
     def _end_replaced_incarnations(self, now: float) -> None:
         """End the incarnations of which a later one answers calls at the same address.
 
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -122,7 +122,13 @@
 class WorkerSession:
     """Polls and calls one incarnation of a worker for as long as this host is its agent."""
 
-    def __init__(self, agent, worker: Worker, lease_ms: int):
+    def __init__(
+        self, agent, worker: Worker, lease_ms: int, previous: "WorkerSession | None" = None
+    ):
+        """Begin to poll; ``previous`` is the session that this one replaces.
+
+        It was this agent's too, and no other has been the worker's agent since it began.
+        """
         self._agent = agent
         self.worker = worker
         record = worker.record
@@ -141,7 +147,7 @@
         self.incarnation = WorkerIncarnation(
             record.life.worker_id, record.life.born_ms, record.address
         )
-        self.clock = WorkerClock()
+        self.clock = WorkerClock() if previous is None else previous.clock
         self.status_by_run: dict[tuple[str, int], RunStatus] = {}
         self.speed_percent_by_run: dict[tuple[str, int], int | None] = {
             run: None for run, task in worker.task_by_run.items() if task.step.spec.filling
@@ -160,7 +166,7 @@
         self._alive_at = float("-inf")
         """When the newest poll that this incarnation answered was sent, in monotonic seconds."""
 
-        self.is_unresponsive = False
+        self.is_unresponsive = previous is not None and previous.is_unresponsive
         self.is_state_known = False
         """Whether this incarnation has answered a poll, so that its runs are known.
 
@@ -171,7 +177,7 @@
         """Whether the incarnation was reported as ended; no call may be made after that."""
 
         self._lease_ms = lease_ms
-        self._taken_over_at = agent.now()
+        self._taken_over_at = agent.now() if previous is None else previous._taken_over_at
         self._confirmed_at_by_run: dict[tuple[str, int], float] = {
             run: agent.now() for run in worker.task_by_run
         }
@@ -204,7 +210,10 @@
         """The number up to which ends had been settled when these were listed."""
 
         self._maybe_ended_runs: set[tuple[str, int]] = set()
-        """The runs of which they may be the ends."""
+        """The runs of finite tasks of which they may be the ends."""
+
+        self._maybe_ended_long_running: set[tuple[str, int]] = set()
+        """The unlisted runs of long-running tasks of which such ends may have been."""
 
         self._reported_ends: set[tuple[str, int]] = set()
         """The runs that the newest poll tells to have ended, or that it should list."""
@@ -212,9 +221,11 @@
         self._refused_starts: set[tuple[str, int]] = set()
         """The runs whose starts were refused or not sent, until that is applied here."""
 
-        self._has_unreadable_runs = False
+        self._unreadable_since: float | None = None
+        """When the first of the newest polls that all list a run which cannot be read was sent."""
+
         self._may_omit_ends = False
-        """What the newest poll says of its own lists."""
+        """Whether the newest poll may omit ends."""
 
         self._starts_in_flight: set[tuple[str, int]] = set()
         self._stops_in_flight: set[tuple[str, int]] = set()
@@ -368,7 +379,7 @@
             UnsettledState.UNRESPONSIVE: self.is_unresponsive,
             UnsettledState.ENDED_NOT_COMMITTED: run in self._reported_ends | self._refused_starts,
             UnsettledState.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
-            UnsettledState.UNREADABLE_RUNS: self._has_unreadable_runs,
+            UnsettledState.UNREADABLE_RUNS: self._unreadable_since is not None,
             UnsettledState.UNREADABLE_ENDS: run in self._maybe_ended_runs,
             UnsettledState.LIST_CUT_SHORT: self._may_omit_ends,
         }
@@ -448,7 +459,7 @@
         return self._agent.may_call_workers()
 
     def _poll_wait_ms(self) -> int:
-        if not self.is_state_known or self.is_unresponsive:
+        if not self.is_state_known or self.is_unresponsive or self._hidden_runs():
             return 0
         return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
 
@@ -544,7 +555,10 @@
             if end.number > self.worker.record.seen_end
         ]
         ended_runs = {(end.task, end.run) for end in ends}
-        self._has_unreadable_runs = bool(result.unreadable_runs)
+        if not result.unreadable_runs:
+            self._unreadable_since = None
+        elif self._unreadable_since is None:
+            self._unreadable_since = sent_at
         self._may_omit_ends = result.may_omit_ends
         self._log_unknown_runs(ends)
         if result.may_omit_ends:
@@ -559,7 +573,7 @@
         if ends:
             self._agent.settle_ends(self, seen_end, ends)
         self.is_state_known = True
-        self._stop_hidden_runs(result, ended_runs, sent_at)
+        self._stop_hidden_runs(ended_runs, sent_at)
         self._stop_unexpected_runs(ended_runs)
         self._expire_exclusions()
         self._agent.poll_completed(self, self._history)
@@ -596,12 +610,15 @@
         is_new = bool(numbers - self._unreadable_numbers) or unnumbered > known_unnumbered
         self._unreadable_numbers, self._unnumbered_ends = numbers, unnumbered
         self._settled_up_to = settled_up_to
-        # A long-running task is started again however its run has ended.
-        unlisted = {
+        long_running = {
             key
             for key in self._unlisted_runs(ended_runs)
-            if not self.worker.task_by_run[key].step.spec.lasting
+            if self.worker.task_by_run[key].step.spec.lasting
         }
+        # A long-running task is started again however its run has ended.
+        self._maybe_ended_long_running &= long_running
+        self._maybe_ended_long_running |= long_running if is_new else set()
+        unlisted = self._unlisted_runs(ended_runs) - long_running
         self._maybe_ended_runs &= unlisted if numbers or unnumbered else set()
         if not is_new or not unlisted:
             return
@@ -661,14 +678,21 @@
         stopped_at = self._stopped_at_by_run.get(key)
         return stopped_at is not None and at - stopped_at >= STOP_LAG_SECONDS
 
-    def _stop_hidden_runs(self, result: PollResult, ended_runs: set, sent_at: float) -> None:
-        """Stop runs that a row which cannot be read may be of, so that they can be settled.
+    def _hidden_runs(self) -> set[tuple[str, int]]:
+        """Return the unlisted runs that a row which cannot be read may be of.
 
-        Those that are known to have started here are left alone: their ends will be listed.
+        Those that are known to have started here are none, if their ends can be read.
         """
-        if not result.unreadable_runs:
+        if self._unreadable_since is None:
+            return set()
+        have_listed_ends = self._started_at_by_run.keys() - self._maybe_ended_long_running
+        return self._unlisted_runs(self._reported_ends) - have_listed_ends
+
+    def _stop_hidden_runs(self, ended_runs: set, sent_at: float) -> None:
+        """Stop runs that have been hidden for a while, so that they can be settled."""
+        if self._unreadable_since is None or sent_at - self._unreadable_since < MAX_DOUBT_SECONDS:
             return
-        for key in self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():
+        for key in self._hidden_runs() - ended_runs:
             confirmed_at = self._confirmed_at_by_run.get(key, float("inf"))
             if sent_at - confirmed_at >= MAX_DOUBT_SECONDS:
                 self.stop(*key)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -612,6 +612,28 @@
     session.close()
 
 
+class HoldingWorker(HidingWorker):
+    """Holds each poll until a run ends, odd rows or not, as the platform's workers do."""
+
+    def __init__(self):
+        super().__init__()
+        self.unreadable_runs = 0
+
+    def poll(self, *arguments):
+        return attrs.evolve(super().poll(*arguments), unreadable_runs=1)
+
+
+# Guards against a wait of two long polls more for a run that was never sent.
+def test_a_run_behind_a_row_that_cannot_be_read_does_not_wait_for_long_polls():
+    task_ledger, worker = ledger(), HoldingWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    bound = MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, bound)
+    session.close()
+
+
 # Guards against work that is thrown away for another writer's row: its run is known to be there.
 def test_a_run_that_has_started_is_not_stopped_for_a_row_that_cannot_be_read(running_session):
     task_ledger, worker, session, _ = running_session
@@ -640,6 +662,43 @@
     session.close()
 
 
+# Guards against work that is thrown away for one odd list: the session is old, and yet this is the
+# first list that it has seen, since the worker was silent before.
+def test_a_run_behind_a_row_that_cannot_be_read_once_goes_on():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(1))
+    record_intent(task_ledger, TASK)
+    worker.unanswered_calls, worker.unreadable_runs = {"poll"}, 1
+    session, _ = make_session(task_ledger, worker)
+    session.clock.record_reading(worker.clock_ms(), time.monotonic())
+    session.clock.extend_deadline(time.monotonic(), 60_000)
+    eventlet.sleep(MAX_DOUBT_SECONDS + RETRY_SECONDS)
+    worker.unanswered_calls = set()
+    wait_until(lambda: session.is_state_known)
+    worker.running[TASK, 1] = RunStatus(TASK, 1, "", 0, 0)
+    worker.unreadable_runs = 0
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    eventlet.sleep(2 * RETRY_SECONDS)
+    assert "stop" not in worker.calls and (TASK, 1) in worker.running
+    session.close()
+
+
+# Guards against a long-running task that waits for good: its end cannot be read, and neither can a
+# row of the runs, which is of another run.
+def test_a_long_running_task_whose_end_cannot_be_read_starts_again_beside_an_odd_row():
+    task_ledger, worker = ledger(), FakeWorker()
+    accept(task_ledger, step(1, lasting=True))
+    record_intent(task_ledger, TASK)
+    session, _ = make_session(task_ledger, worker)
+    session.start(TASK, 1)
+    wait_until(lambda: (TASK, 1) in session.status_by_run)
+    worker.unreadable_runs, worker.unreadable_ends = 1, {1}
+    worker.end(TASK, 1, RunOutcome.FAILED)
+    bound = MAX_DOUBT_SECONDS + STOP_LAG_SECONDS + 4 * RETRY_SECONDS
+    wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run, bound)
+    session.close()
+
+
 # Guards against a long-running task that waits for good for an end that cannot be read: whatever
 # it says, the task has to run again.
 def test_a_long_running_task_starts_again_though_its_end_cannot_be_read():
