Stand-in worker: long-running runs, room, and times at which it is up

A run may last until it is stopped, lapses or crashes, or fail after a while by its own fault. A run that says what it takes of its worker is rejected with "room" where it does not fit, as workers do that guard their capacity. Runs whose lease is over are ended before they are read, so that a record is right also when nobody has called the worker since.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -8,6 +8,8 @@
 import contextlib
 import itertools
 import json
+import math
+import re
 import socket
 import struct
 import threading
@@ -36,6 +38,10 @@
 FIRST_CLOCK_MS = 1000
 """Time on the clock of a life when it begins."""
 
+CAPACITY = {"cpu": 4000, "memMb": 4000, "gpu": 0}
+_NEED = re.compile(r"(\d+) cpu (\d+) mb")
+"""What a run takes of its worker, in its ``taskSpec``."""
+
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
@@ -79,12 +85,16 @@
 
 @attrs.define
 class _Run:
-    """A run in progress; ``ends_at`` is on the monotonic clock, in seconds."""
+    """A run in progress; ``ends_at`` is on the monotonic clock, in seconds, inf for no end.
+
+    ``need`` is the processor time and memory that it takes of its worker.
+    """
 
     task: str
     number: int
     ends_at: float
     fails: bool = False
+    need: tuple[int, int] = (0, 0)
     gang: Gang | None = None
     saved_ms: int = 0
     """Work that the checkpoint of the start held."""
@@ -152,7 +162,9 @@
     """One worker over all its lives, which have the same id and address.
 
     The first word of a ``taskSpec`` is the duration of the run in ms.  If the word is "fail",
-    the run fails at once.  "... gang of N" makes the task a member of a gang of that many
+    the run fails at once; if it is "lasts", the run does not end by itself.  With "then fails"
+    the run fails at its end.  "... N cpu M mb" is what the run takes of the worker, which
+    rejects a run that does not fit.  "... gang of N" makes the task a member of a gang of that many
     tasks, on workers that share ``gangs``.  ``announce`` returns the address for its
     heartbeats, given the one where it listens.
     """
@@ -169,6 +181,9 @@
         self.control_addresses = control_addresses
         self.gangs = gangs or Gangs()
         self.draining = False
+        self.is_silent = False
+        """Whether it sends no heartbeats."""
+
         self.lives: list[WorkerLife] = []
         self._restarting = threading.Lock()
         server = _Server(address)
@@ -189,7 +204,16 @@
     @property
     def records(self) -> list[RunRecord]:
         """Return every run with its times."""
-        return [record for life in self.lives for record in list(life.records.values())]
+        return [record for life in self.lives for record in life.settled_records()]
+
+    @property
+    def up(self) -> list[tuple[float, float]]:
+        """Return the times at which it was up: from, until, on the monotonic clock."""
+        return [(life.booted_at, life.ended_at) for life in self.lives]
+
+    def has_room(self, cpu: int, memory_mb: int) -> bool:
+        """Return whether one more run would fit."""
+        return self.lives[-1].has_room((cpu, memory_mb))
 
     def restart(self, down_seconds: float, heartbeat_after_seconds: float = 0.0) -> None:
         """Crash, and begin another life that sends its first heartbeat so long after it listens."""
@@ -269,8 +293,9 @@
         self.ends: list[tuple[int, str, int, str, str]] = []
         self.records: dict[tuple[str, int], RunRecord] = {}
         self._worker = worker
-        self._booted_at = time.monotonic()
-        self._first_heartbeat_at = self._booted_at + heartbeat_after_seconds
+        self.booted_at = time.monotonic()
+        self.ended_at = math.inf
+        self._first_heartbeat_at = self.booted_at + heartbeat_after_seconds
         self._sequence = itertools.count(1)
         self._lock = threading.RLock()
         self._running: dict[tuple[str, int], _Run] = {}
@@ -301,7 +326,7 @@
                 return
             self._end_due_runs()
             self._is_over.set()
-            now = time.monotonic()
+            self.ended_at = now = time.monotonic()
             for run in self._running.values():
                 record = self.records[run.task, run.number]
                 record.ended_at, record.outcome, record.is_lost = now, "crashed", True
@@ -312,12 +337,26 @@
                 self.records[task, number].is_lost = True
         self._server.reset_all(self._accepting)
 
+    def settled_records(self) -> list[RunRecord]:
+        """Return every run, after those have been ended whose time or lease is over."""
+        with self._lock:
+            if self.is_up:
+                self._end_due_runs()
+            return list(self.records.values())
+
+    def has_room(self, need: tuple[int, int]) -> bool:
+        """Return whether a run that takes so much processor time and memory would fit."""
+        with self._lock:
+            needs = [need, *(run.need for run in self._running.values())]
+        cpu, memory_mb = (sum(amounts) for amounts in zip(*needs, strict=True))
+        return cpu <= CAPACITY["cpu"] and memory_mb <= CAPACITY["memMb"]
+
     def clock_ms(self) -> int:
         """Return the steady clock of this life, in ms."""
         return self._clock_ms_at(time.monotonic())
 
     def _clock_ms_at(self, at: float) -> int:
-        return FIRST_CLOCK_MS + int((at - self._booted_at) * 1000)
+        return FIRST_CLOCK_MS + int((at - self.booted_at) * 1000)
 
     # ------------------------------------------------------------------------- calls
 
@@ -354,10 +393,18 @@
             return 409, {"reason": "old"}
         if body["deadlineMs"] <= self.clock_ms():
             return 409, {"reason": "late"}
-        word = body["taskSpec"].split()[0]
-        seconds = 0.0 if word == "fail" else int(word) / 1000
-        started = _Run(task, run, time.monotonic() + seconds, word == "fail")
-        _, is_member, size = body["taskSpec"].partition("gang of ")
+        spec = body["taskSpec"]
+        need = _NEED.search(spec)
+        need = tuple(int(amount) for amount in need.groups()) if need else (0, 0)
+        if not self.has_room(need):
+            return 409, {"reason": "room"}
+        word = spec.split()[0]
+        seconds = {"fail": 0.0, "lasts": math.inf}.get(word)
+        if seconds is None:
+            seconds = int(word) / 1000
+        fails = word == "fail" or "then fails" in spec
+        started = _Run(task, run, time.monotonic() + seconds, fails, need)
+        _, is_member, size = spec.partition("gang of ")
         if is_member:
             checkpoint = body.get("checkpoint", "")
             started.saved_ms = int(checkpoint or 0)
@@ -418,7 +465,7 @@
 
     def _end_due_runs(self) -> None:
         now = time.monotonic()
-        lease_ends_at = self._booted_at + (self._lease_expires_ms - FIRST_CLOCK_MS) / 1000
+        lease_ends_at = self.booted_at + (self._lease_expires_ms - FIRST_CLOCK_MS) / 1000
         if now > lease_ends_at:
             self._lapsed_at = lease_ends_at
         for run in list(self._running.values()):
@@ -467,7 +514,11 @@
                 sequence=next(self._sequence),
             )
             for address in self._worker.control_addresses:
-                if not self.is_up or send_heartbeat(pool, address, self._worker.worker_id, body):
+                if (
+                    not self.is_up
+                    or self._worker.is_silent
+                    or send_heartbeat(pool, address, self._worker.worker_id, body)
+                ):
                     break
             self._is_over.wait(HEARTBEAT_SECONDS)
 
@@ -501,7 +552,7 @@
     return {
         "service": "svc", "address": address, "zone": "z1", "version": "v1", "slots": 8,
         "state": "ready", "coldRemainingMs": 0, "clockMs": FIRST_CLOCK_MS, "sequence": 1,
-        "capacity": {"cpu": 4000, "memMb": 4000, "gpu": 0}, "labels": ["a", "r1"],
+        "capacity": CAPACITY, "labels": ["a", "r1"],
     } | fields  # fmt: skip
 
 
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -36,8 +36,9 @@
     return Connection(host, int(port), timeout=3.0)
 
 
-def start(connection, number, ms, token=1, deadline_ms=60_000):
-    fields = {"fencingToken": token, "deadlineMs": deadline_ms, "taskSpec": f"{ms} ms"}
+def start(connection, number, ms, token=1, deadline_ms=60_000, spec=""):
+    spec = spec or f"{ms} ms"
+    fields = {"fencingToken": token, "deadlineMs": deadline_ms, "taskSpec": spec}
     return connection.call("run-start", task=TASK, run=number, **fields)
 
 
@@ -111,6 +112,38 @@
     assert [end[3] for end in ends] == ["lapsed"]
 
 
+def test_a_long_running_run_lasts_until_it_is_stopped_or_its_lease_lapses(worker):
+    connection = connect(worker)
+    lease_ends_ms = worker.lives[0].clock_ms() + 1000
+    start(connection, 1, 0, deadline_ms=lease_ends_ms, spec="lasts 100 cpu 10 mb")
+    time.sleep(0.1)
+    assert connection.call("hold", fencingToken=1, lastSeen=0)[1]["running"][0][:2] == [TASK, 1]
+    connection.call("run-stop", task=TASK, run=1, fencingToken=1)
+    start(connection, 2, 0, deadline_ms=lease_ends_ms, spec="lasts 100 cpu 10 mb")
+    assert [record.outcome for record in worker.records] == ["stopped", ""]
+    time.sleep(1.0)
+    # Also without a call after the end of the lease.
+    assert [record.outcome for record in worker.records] == ["stopped", "lapsed"]
+    start(connection, 3, 0, spec="50 ms then fails")
+    time.sleep(0.1)
+    assert [record.outcome for record in worker.records] == ["stopped", "lapsed", "failed"]
+
+
+@pytest.mark.parametrize("spec", ["lasts 2001 cpu 10 mb", "lasts 10 cpu 2001 mb"])
+def test_a_run_without_room_is_rejected(worker, spec):
+    connection = connect(worker)
+    assert start(connection, 1, 0, spec="lasts 2000 cpu 2000 mb")[0] == 200
+    rejected = connection.call(
+        "run-start", task=f"{TASK}1", run=1, fencingToken=1, deadlineMs=60_000, taskSpec=spec
+    )
+    assert (rejected[0], rejected[1]["reason"]) == (409, "room")
+    # The run that is there is no new one.
+    assert start(connection, 1, 0, spec="lasts 2000 cpu 2000 mb")[0] == 200
+    assert worker.has_room(2000, 2000) and not worker.has_room(2001, 2000)
+    connection.call("run-stop", task=TASK, run=1, fencingToken=1)
+    assert start(connection, 2, 0, spec=spec)[0] == 200
+
+
 def test_the_first_heartbeat_of_a_life_comes_when_chosen():
     beats = []
 
