Soak: the rule of LOST on waiting work, through a restart of everything

The judge looked for jobs without an answer, doubled tasks and wrong ends, not for work that waits though there is room; and no series ended all hosts with long-running work accepted.

The new check asks, from the records of workers, what callers were told and the times of the faults, whether a job has nothing running for 3 s, or a long-running task from 6 s after its last run on, while there is room for it twice over and under half of the service is in use: after the recovery, and in each span in which nothing was disturbed for 4 s before. The computation over intervals is a function of its own, with tests.

A caller hands long-running jobs in, and series with closings end all hosts at once, with what workers do meanwhile drawn too. Both have generators of their own, and series without closings (--no-closings, and the seeds in tests/process/test_soak.py) draw the faults that they had. Workers guard their capacity in all series.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -16,8 +16,9 @@
 @click.option("--seeds", default="", metavar="A-B", help="Range of seeds.")
 @click.option("--seconds", default=30.0, help="Duration of the faults of each seed.")
 @click.option("--size", type=click.Choice(list(SIZES)), default="usual")
+@click.option("--closings/--no-closings", default=True, help="All hosts end at once, or never.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
-def main(seed: int, seeds: str, seconds: float, size: str, logs: str) -> None:
+def main(seed: int, seeds: str, seconds: float, size: str, closings: bool, logs: str) -> None:
     """Run a series of faults for each seed, and print what was broken."""
     # Ends the processes of a run that is terminated.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -25,7 +26,7 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        result = run_soak(pathlib.Path(folder), number, seconds, size)
+        result = run_soak(pathlib.Path(folder), number, seconds, size, closings)
         click.echo(result.summary())
         if not result.findings:
             shutil.rmtree(folder)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..platform import CAPACITY
 from .deployment import PORTS, Deployment, Host
 
 PROBE_SECONDS = 1.0
@@ -21,10 +22,11 @@
 """Share of jobs with long tasks."""
 
 MAX_TASKS = 4
-WORKER_CPU = 4000
 TASKS_PER_WORKER = 2
 """Tasks of a job that takes the whole capacity of workers."""
 
+CPU_OF_USE = CAPACITY["cpu"] // TASKS_PER_WORKER
+
 NOT_RUN = (429, 503)
 ACTIVE_IN_LULL = 1
 """Callers that go on, more slowly, while the others pause."""
@@ -34,9 +36,46 @@
 RELAYED_EVERY = 3
 """Every third caller connects through relays."""
 
+OPEN_LONG_RUNNING_TASKS = 10
+"""Long-running tasks that one caller wants to run at most; far below half of the capacity."""
+
+LONG_RUNNING_CPU = (100, 1200)
+LONG_RUNNING_MEMORY_MB = (50, 600)
+LONG_RUNNING_TASKS = (2, 5)
+LIMIT_SHARE = 0.5
+"""Share of long-running jobs with a limit of tasks for each worker."""
+
+FAILING_SHARE = 0.2
+FAILS_AFTER_MS = (1500, 8000)
+"""How long a run of a long-running job that fails by its own fault works before."""
+
+LONG_RUNNING_PAUSE_SECONDS = (0.1, 0.8)
+
 SUBMIT, READ, CANCEL = "POST", "GET", "DELETE"
 
 
+@attrs.frozen
+class JobSpec:
+    """A job of one step; ``work`` begins its ``taskSpec``, a limit of 0 for a worker is none."""
+
+    count: int = 1
+    cpu: int = 200
+    memory_mb: int = 10
+    work: str = "lasts"
+    is_long_running: bool = False
+    max_per_worker: int = 0
+
+    def body(self) -> str:
+        """Return the body of the request that hands the job in."""
+        step = {"count": self.count, "cpu": self.cpu, "memMb": self.memory_mb}
+        if self.is_long_running:
+            step["longRunning"] = True
+        if self.max_per_worker:
+            step["antiAffinity"] = self.max_per_worker
+        task_spec = f"{self.work} {self.cpu} cpu {self.memory_mb} mb"
+        return json.dumps({"taskSpec": task_spec, "steps": [step]})
+
+
 @attrs.define
 class Call:
     """A request as its caller saw it; times are on the monotonic clock, in seconds.
@@ -84,7 +123,7 @@
 
     def __init__(self, number: int, seed: int, deployment: Deployment, balancer: Balancer):
         self.calls: list[Call] = []
-        self.task_count_by_job: dict[str, int] = {}
+        self.spec_by_job: dict[str, JobSpec] = {}
         self._number = number
         self._rng = random.Random(f"{seed}-{number}")
         self._deployment = deployment
@@ -92,7 +131,6 @@
         self._is_relayed = number % RELAYED_EVERY == 0
         self._connection: http.client.HTTPConnection | None = None
         self._ip = ""
-        self._body_by_job: dict[str, str] = {}
         self._unclear: list[str] = []
         self._accepted: list[str] = []
 
@@ -117,22 +155,20 @@
 
     def use_workers(self, count: int) -> None:
         """Submit a job that takes the whole capacity of these many workers for a moment."""
-        self._submit(self._new_job(TASKS_PER_WORKER * count, WORKER_CPU // TASKS_PER_WORKER))
+        self._submit(self._new_job(TASKS_PER_WORKER * count, CPU_OF_USE))
 
     def _new_job(self, count: int = 0, cpu: int = 200) -> str:
         job_id = f"{self._rng.getrandbits(64):016x}"
         count = count or self._rng.randint(1, MAX_TASKS)
-        step = {"count": count, "cpu": cpu, "memMb": 10}
         task_ms = LONG_TASK_MS if self._rng.random() < LONG_SHARE else TASK_MS
-        body = {"taskSpec": f"{self._rng.randint(*task_ms)} ms", "steps": [step]}
-        self._body_by_job[job_id] = json.dumps(body)
-        self.task_count_by_job[job_id] = count
+        self.spec_by_job[job_id] = JobSpec(count, cpu, work=f"{self._rng.randint(*task_ms)} ms")
         return job_id
 
     def _submit(self, job_id: str) -> None:
-        call = self._call(SUBMIT, job_id, self._body_by_job[job_id])
+        call = self._call(SUBMIT, job_id, self.spec_by_job[job_id].body())
         if call.status == 200:
             self._accepted.append(job_id)
+            self._deployment.job_accepted.set()
         elif call.status not in NOT_RUN:
             self._unclear.append(job_id)
 
@@ -169,3 +205,40 @@
         if self._connection is not None:
             self._connection.close()
             self._connection = None
+
+
+class LongRunningCaller(Caller):
+    """Submits long-running jobs, up to a number of tasks, and cancels some of them later."""
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        while not stopping.wait(self._rng.uniform(*LONG_RUNNING_PAUSE_SECONDS)):
+            open_tasks = sum(self.spec_by_job[job_id].count for job_id in self._accepted)
+            draw = self._rng.random()
+            if self._unclear and draw < 0.6:
+                self._submit(self._unclear.pop(0))
+            elif draw < 0.6 and open_tasks + LONG_RUNNING_TASKS[1] <= OPEN_LONG_RUNNING_TASKS:
+                self._submit(self._new_job())
+            elif self._accepted and draw < 0.9:
+                job_id = self._rng.choice(self._accepted)
+                if self._call(READ, job_id).state == "failed":
+                    self._accepted.remove(job_id)
+            elif self._accepted:
+                job_id = self._rng.choice(self._accepted)
+                if self._call(CANCEL, job_id).status in (200, 410):
+                    self._accepted.remove(job_id)
+        self.disconnect()
+
+    def _new_job(self, count: int = 0, cpu: int = 0) -> str:
+        rng = self._rng
+        job_id = f"{rng.getrandbits(64):016x}"
+        fails = rng.random() < FAILING_SHARE
+        self.spec_by_job[job_id] = JobSpec(
+            count or rng.randint(*LONG_RUNNING_TASKS),
+            cpu or rng.randint(*LONG_RUNNING_CPU),
+            rng.randint(*LONG_RUNNING_MEMORY_MB),
+            f"{rng.randint(*FAILS_AFTER_MS)} ms then fails" if fails else "lasts",
+            is_long_running=True,
+            max_per_worker=rng.randint(1, 2) if rng.random() < LIMIT_SHARE else 0,
+        )
+        return job_id
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -31,6 +32,8 @@
     "targetLatencyMs": 500, "priority": 0, "service": "svc", "maxAttempts": 2, "stretch": 1.5,
 }  # fmt: skip
 
+SERVICE = {"name": "svc", "admissionCheck": True}
+
 
 @attrs.frozen
 class Exit:
@@ -57,6 +60,10 @@
     was_listening: bool = False
     signals: list[tuple[float, str]] = attrs.field(factory=list)
     exits: list[Exit] = attrs.field(factory=list)
+    starts: list[float] = attrs.field(factory=list)
+    dark_until: float = 0.0
+    """The process is not started again before this time."""
+
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
@@ -64,12 +71,20 @@
         """Return the path of the settings file."""
         return self.folder / f"{self.ip}.json"
 
+    @property
+    def data_path(self) -> pathlib.Path:
+        """Return the path of the data folder."""
+        return self.folder / self.ip
+
     def start(self) -> None:
-        """Start the process; its output is appended to a log."""
+        """Start the process, unless it is dark; its output is appended to a log."""
         environment = os.environ | {"SAVORYSHELF_CONFIG": str(self.settings_path)}
         command = [sys.executable, "platform/run.py", self.role]
         with open(self.folder / f"{self.ip}.log", "ab") as log, self.lock:
+            if time.monotonic() < self.dark_until:
+                return
             self.terminated_at = None
+            self.starts.append(time.monotonic())
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
@@ -86,6 +101,12 @@
             self.signals.append((time.monotonic(), number.name))
             self.process.send_signal(number)
 
+    def lose_disk(self) -> None:
+        """Empty the data folder of a process that is dark."""
+        self.process.wait()
+        shutil.rmtree(self.data_path)
+        self.data_path.mkdir()
+
     def supervise(self, stopping: threading.Event) -> None:
         """Restart the process whenever it ends, and kill it once the grace time is over."""
         while not stopping.wait(0.02):
@@ -94,13 +115,20 @@
             if status is not None:
                 after = now - since if since else None
                 self.exits.append(Exit(now, status, after, self.was_listening))
-                stopping.wait(RESTART_SECONDS)
-                if not stopping.is_set():
-                    self.start()
+                self._start_again(stopping)
             elif since and now > since + GRACE_SECONDS:
                 self.send(signal.SIGKILL)
                 self.process.wait()
 
+    def _start_again(self, stopping: threading.Event) -> None:
+        count, ended_at = len(self.starts), time.monotonic()
+        while len(self.starts) == count:
+            is_dark = self.dark_until > ended_at
+            start_at = self.dark_until if is_dark else ended_at + RESTART_SECONDS
+            if stopping.wait(max(0.0, start_at - time.monotonic())):
+                return
+            self.start()
+
     def _is_listening(self) -> bool:
         port = PORTS["front" if self.role == "front" else "control"]
         with socket.socket() as connection:
@@ -125,6 +153,7 @@
         self.relays: list[Relay] = []
         self.workers: list[PlatformWorker] = []
         self.acknowledged_version = 0
+        self.job_accepted = threading.Event()
         self.lull_count = 0
         """Callers but the first few pause unless this is 0."""
 
@@ -181,10 +210,9 @@
 
     def write_settings(self, host: Host) -> None:
         """Write the settings file of a host, by a rename."""
-        data = self._folder / host.ip
-        data.mkdir(exist_ok=True)
+        host.data_path.mkdir(exist_ok=True)
         seeds = [*self._seeds]
-        settings = platform_settings(host.role, host.ip, PORTS, seeds, str(data))
+        settings = platform_settings(host.role, host.ip, PORTS, seeds, str(host.data_path))
         settings["bootstrap"] = self._is_first_start
         settings["bounds"]["graceS"] = GRACE_SECONDS
         temporary = host.settings_path.with_suffix(".new")
@@ -251,6 +279,13 @@
             if send_leave(self.http, address, worker.worker_id):
                 break
 
+    def lose_power(self, until: float) -> None:
+        """End all processes at once; none is started again before ``until``."""
+        for host in self.hosts:
+            host.dark_until = max(until, host.dark_until)
+        for host in self.hosts:
+            host.send(signal.SIGKILL)
+
     def leader(self) -> Host:
         """Return the control host that answers reads of the manifest itself, or else the first."""
         for host in self.controls:
@@ -266,7 +301,7 @@
             version = self._next_version
             self._next_version += 1
         route = ROUTE | {"timeoutMs": 3000 + version}
-        manifest = {"version": version, "routes": [route], "services": [{"name": "svc"}]}
+        manifest = {"version": version, "routes": [route], "services": [SERVICE]}
         for host in self.controls:
             if self._operate(host, "POST", "put", manifest | {"limits": {}})[0] == 200:
                 with self._lock:
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -1,7 +1,9 @@
 """Faults of a soak: a series is a pure function of the seed, and each kind knows how to act."""
 
+import contextlib
 import random
 import signal
+import threading
 import time
 from collections.abc import Callable
 
@@ -33,14 +35,44 @@
 LULL_SERIES = 2
 """Series of restarts in a lull."""
 
+CLOSING_SERIES = ("end", "middle", "middle and end", "in a row")
+DARK_SECONDS = (0.3, 5.0)
+MIDDLE_SHARE = (0.25, 0.6)
+LAST_SECONDS = 1.5
+"""A closing at the end begins so long before the end of the series at most."""
+
+NEXT_CLOSING_SECONDS = (0.5, 4.0)
+CALM_SHARE = 0.5
+"""Share of the series in which nothing else begins for a while after a closing in the middle."""
+
+CALM_SECONDS = 10.0
+WORKER_FAULT_SHARE = 0.4
+"""Share of the faults of workers that are kept where there are closings."""
+
+DISK_SHARE = 0.2
+ACCEPTANCE_SECONDS = 2.0
+"""How long a closing waits for a job that is accepted."""
+
+WORKERS_IN_DARK_SHARE = 0.6
+HEAL_AFTER_SECONDS = (-0.5, 3.0)
+"""When a worker that is cut while all hosts are dark is reached again, from their start on."""
+
 _KINDS: dict[str, Callable] = {}
 """Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
 
 _WORKER_KINDS: dict[str, Callable] = {}
 """The same for faults of workers' lives, which have a generator of their own."""
 
+_CLOSING_KINDS: dict[str, Callable] = {}
+"""The same for the end of all hosts at once."""
+
+_RARE_CLOSING_KINDS: dict[str, Callable] = {}
+"""The same for those of which a series has one at most."""
+
 _kind = registry_decorator(_KINDS)
 _worker_kind = registry_decorator(_WORKER_KINDS)
+_closing_kind = registry_decorator(_CLOSING_KINDS)
+_rare_closing_kind = registry_decorator(_RARE_CLOSING_KINDS)
 
 
 @attrs.frozen
@@ -85,9 +117,38 @@
     return faults
 
 
+def draw_closings(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+    """Return the series with times at which all hosts end at once, and with fewer other faults."""
+    rng = random.Random(f"closings of {seed}")
+    series = rng.choice(CLOSING_SERIES)
+    middle = seconds * rng.uniform(*MIDDLE_SHARE)
+    second = middle + rng.uniform(*NEXT_CLOSING_SECONDS)
+    last = seconds - rng.uniform(0, LAST_SECONDS)
+    times = {"end": [last], "middle": [middle], "middle and end": [middle, last]}
+    kept = [f for f in faults if f.kind not in _WORKER_KINDS or rng.random() < WORKER_FAULT_SHARE]
+    closings = [
+        Fault(
+            round(at, 2),
+            rng.choice(list(_CLOSING_KINDS)),
+            rng.randrange(100),
+            round(rng.uniform(*DARK_SECONDS), 2),
+        )
+        for at in times.get(series, [middle, second])
+    ]
+    # One control host of three may lose its disk, so only one closing of a series takes one.
+    if rng.random() < DISK_SHARE:
+        number = rng.randrange(len(closings))
+        closings[number] = attrs.evolve(closings[number], kind="all_ended_and_a_disk_lost")
+    if series == "middle" and rng.random() < CALM_SHARE:
+        calm_from = closings[0].at + closings[0].seconds
+        kept = [f for f in kept if not calm_from < f.at < calm_from + CALM_SECONDS]
+    return sorted([*kept, *closings], key=lambda fault: fault.at)
+
+
 def inject(deployment, fault: Fault) -> None:
     """Carry out a fault and wait until it is over."""
-    (_KINDS | _WORKER_KINDS)[fault.kind](deployment, fault)
+    kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
+    kinds[fault.kind](deployment, fault)
 
 
 @_kind("rolled")
@@ -273,6 +334,73 @@
     relay.heal()
 
 
+@_closing_kind("all_ended")
+def _end_all(deployment, fault) -> None:
+    """End all hosts at the same moment, while workers go on, crash, are cut or silent."""
+    with _power_lost(deployment, fault):
+        pass
+
+
+@_closing_kind("all_ended_after_acceptance")
+def _end_all_after_acceptance(deployment, fault) -> None:
+    """End all hosts right after a job was accepted."""
+    deployment.job_accepted.clear()
+    deployment.job_accepted.wait(ACCEPTANCE_SECONDS)
+    _end_all(deployment, fault)
+
+
+@_rare_closing_kind("all_ended_and_a_disk_lost")
+def _end_all_and_lose_a_disk(deployment, fault) -> None:
+    """End all hosts; one control host starts again with an empty disk."""
+    with _power_lost(deployment, fault):
+        deployment.control(fault.target).lose_disk()
+
+
+@contextlib.contextmanager
+def _power_lost(deployment, fault):
+    """End all hosts; the block runs while they are dark, and afterwards it waits for that to end.
+
+    What some of the workers do meanwhile is a detail of the fault.
+    """
+    rng, until = _details(fault), time.monotonic() + fault.seconds
+    deployment.lose_power(until)
+    threads = []
+    if rng.random() < WORKERS_IN_DARK_SHARE:
+        count = len(deployment.workers)
+        for number in rng.sample(range(count), rng.randint(1, count)):
+            act, details = rng.choice(_ACTIONS_IN_DARK), random.Random(rng.random())
+            arguments = (deployment, number, details, fault.seconds)
+            threads.append(threading.Thread(target=act, args=arguments))
+    for thread in threads:
+        thread.start()
+    yield
+    for thread in threads:
+        thread.join()
+    time.sleep(max(0.0, until - time.monotonic()))
+
+
+def _restart_in_dark(deployment, number: int, rng: random.Random, dark_seconds: float) -> None:
+    time.sleep(rng.uniform(0, dark_seconds))
+    _restart(deployment.worker(number), rng)
+
+
+def _cut_in_dark(deployment, number: int, rng: random.Random, dark_seconds: float) -> None:
+    began = rng.uniform(0, dark_seconds)
+    time.sleep(began)
+    deployment.worker_relay(number).partition()
+    time.sleep(max(0.0, dark_seconds - began + rng.uniform(*HEAL_AFTER_SECONDS)))
+    deployment.worker_relay(number).heal()
+
+
+def _silence_in_dark(deployment, number: int, rng: random.Random, dark_seconds: float) -> None:
+    deployment.worker(number).is_silent = True
+    _cut_in_dark(deployment, number, rng, dark_seconds)
+    deployment.worker(number).is_silent = False
+
+
+_ACTIONS_IN_DARK = (_restart_in_dark, _cut_in_dark, _silence_in_dark)
+
+
 def _details(fault: Fault) -> random.Random:
     """Return a generator for what a fault does not say: its details follow from it."""
     return random.Random(repr(fault))
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 import signal
 from collections.abc import Callable, Iterator
 
@@ -9,9 +10,20 @@
 
 from savoryshelf.registry import registry_decorator
 
-from ..platform import RunRecord, doubled_runs
-from .callers import CANCEL, DEADLINE_SECONDS, NOT_RUN, READ, SUBMIT, Call
+from ..platform import CAPACITY, RunRecord, doubled_runs
+from .callers import CANCEL, DEADLINE_SECONDS, NOT_RUN, READ, SUBMIT, Call, JobSpec
 from .deployment import GRACE_SECONDS, Deployment
+from .waits import (
+    CONTACT_SECONDS,
+    MAX_WAIT_SECONDS,
+    TASK_SLACK_SECONDS,
+    Demand,
+    Span,
+    Use,
+    WorkerTimes,
+    calm_spans,
+    unmet_demands,
+)
 
 LOSS_SLACK_SECONDS = 0.2
 """A request whose connection ends sooner after it was sent may not have been read."""
@@ -19,9 +31,6 @@
 PLANNED_SECONDS = 3.0
 """Requests sent up to this long after SIGTERM must be answered."""
 
-CONTACT_SECONDS = 4.0
-"""A host counts as impaired for this long after the impairment."""
-
 VISIBLE_SECONDS = 3.0
 """An accepted job must be known to every host after this time."""
 
@@ -54,12 +63,21 @@
 
     deployment: Deployment
     calls: list[Call]
-    task_count_by_job: dict[str, int]
+    spec_by_job: dict[str, JobSpec]
     state_by_job: dict[str, str] = attrs.field(factory=dict)
     manifest_version: int = 0
     unused_workers: list[str] = attrs.field(factory=list)
     """Ids of workers whose last life got no run after the recovery."""
 
+    disturbed: list[Span] = attrs.field(factory=list)
+    """When each fault of the series began and was over."""
+
+    recovered_at: float = float("inf")
+    """From when on everything must have recovered."""
+
+    ended_at: float = 0.0
+    """When the observation ended."""
+
     def calls_of(self, verb: str) -> list[Call]:
         """Return the calls of a verb in the order of their answers."""
         return sorted((c for c in self.calls if c.verb == verb), key=lambda c: c.ended_at)
@@ -81,11 +99,24 @@
             if record.task.startswith(job_id)
         ]
 
-    def jobs_that_may_be_given_up(self) -> set[str]:
-        """Return the jobs with a task under which several workers crashed."""
-        crashes = collections.Counter(record.task for record in self.records() if record.is_lost)
-        tasks = [task for task, count in crashes.items() if count >= CRASHES_UNTIL_GIVEN_UP]
-        return {task.partition(".")[0] for task in tasks}
+    def may_stay(self, job_id: str, state: str) -> bool:
+        """Return whether a job may be in this state for good; a long-running one goes on."""
+        if state in ("running", "queued"):
+            return self.spec_by_job[job_id].is_long_running
+        return state in ("completed", "cancelled", "failed")
+
+    def given_up_at_by_job(self) -> dict[str, float]:
+        """Return from when on jobs with a task under which several workers crashed may fail."""
+        crashed_at_by_task = collections.defaultdict(list)
+        for record in self.records():
+            if record.is_lost:
+                crashed_at_by_task[record.task].append(record.ended_at)
+        times: dict[str, float] = {}
+        for task, crashed_at in crashed_at_by_task.items():
+            if len(crashed_at) >= CRASHES_UNTIL_GIVEN_UP:
+                job_id, at = task.partition(".")[0], sorted(crashed_at)[CRASHES_UNTIL_GIVEN_UP - 1]
+                times[job_id] = min(at, times.get(job_id, at))
+        return times
 
     def cancel_began_by_job(self) -> dict[str, float]:
         """Return when each cancelled job's first cancel began, whether it was answered or not."""
@@ -137,7 +168,7 @@
 @_check("accepted jobs that are unknown, or end otherwise than completed")
 def _lost_jobs(seen: Observations) -> Iterator[Finding]:
     accepted_at, cancel_began = seen.accepted_at_by_job(), seen.cancel_began_by_job()
-    given_up = seen.jobs_that_may_be_given_up()
+    given_up = seen.given_up_at_by_job()
     for call in seen.calls_of(READ):
         if call.ended_at > cancel_began.get(call.job_id, float("inf")):
             continue
@@ -148,7 +179,8 @@
             yield Finding("LOST job", call.ended_at, text, call.caller)
     last = max((call.ended_at for call in seen.calls), default=0.0)
     for job_id, state in seen.state_by_job.items():
-        allowed = {"completed"}
+        is_long_running = seen.spec_by_job[job_id].is_long_running
+        allowed = {"running", "queued"} if is_long_running else {"completed"}
         allowed |= {"cancelled"} if job_id in cancel_began else set()
         allowed |= {"failed"} if job_id in given_up else set()
         if state not in allowed:
@@ -189,11 +221,71 @@
             text = f"{record.task} ran, but its job was refused or never sent"
             yield Finding("REFUSED", record.started_at, text)
     for job_id, state in seen.state_by_job.items():
-        if state == "completed" and done_by_job[job_id] != seen.task_count_by_job[job_id]:
+        if state == "completed" and done_by_job[job_id] != seen.spec_by_job[job_id].count:
             text = f"{job_id} is completed with {done_by_job[job_id]} tasks done"
             yield Finding("MIXED", seen.accepted_at_by_job()[job_id], text)
 
 
+@_check("work that waits though there is room")
+def _waiting_work(seen: Observations) -> Iterator[Finding]:
+    uses = [_use(seen, record) for record in seen.records()]
+    workers = [
+        WorkerTimes(worker.worker_id, CAPACITY["cpu"], CAPACITY["memMb"], worker.up)
+        for worker in seen.deployment.workers
+    ]
+    spans = list(seen.disturbed)
+    for host in seen.deployment.hosts:
+        times = [*(at for at, _ in host.signals), *(end.at for end in host.exits), *host.starts]
+        spans += [(at, at) for at in times]
+    judged = [*calm_spans(spans, seen.ended_at), (seen.recovered_at, seen.ended_at)]
+    for wait in unmet_demands(_demands(seen), workers, uses, judged):
+        name, since = wait.demand.name, wait.since
+        earlier = [record for record in seen.records(name) if record.started_at < since]
+        last = max(earlier, key=lambda record: record.started_at, default="none")
+        text = f"{name} has nothing running for {MAX_WAIT_SECONDS} s from {since:.3f} s on, owed "
+        text += f"from {wait.demand.owed[0]:.3f} s on; last {last}; room on {wait.free}"
+        yield Finding("LOST task", since + MAX_WAIT_SECONDS, text)
+
+
+def _use(seen: Observations, record: RunRecord) -> Use:
+    job_id, _, step = record.task.rpartition(".")[0].partition(".")
+    spec = seen.spec_by_job.get(job_id, JobSpec())
+    span = record.started_at, record.ended_at
+    return Use(record.worker_id, f"{job_id}.{step}", spec.cpu, spec.memory_mb, span)
+
+
+def _demands(seen: Observations) -> Iterator[Demand]:
+    """Return what each accepted job is owed: a run at any time, and one of each task that lasts."""
+    cancel_began, given_up_at = seen.cancel_began_by_job(), seen.given_up_at_by_job()
+    records_by_task = collections.defaultdict(list)
+    for record in seen.records():
+        records_by_task[record.task].append(record)
+    for job_id, accepted_at in seen.accepted_at_by_job().items():
+        spec, state = seen.spec_by_job[job_id], seen.state_by_job.get(job_id, "")
+        step = f"{job_id}.0.0"
+        tasks = [f"{step}.{index}" for index in range(spec.count)]
+        until = cancel_began.get(job_id, math.inf)
+        if state == "failed":
+            until = min(until, given_up_at.get(job_id, math.inf))
+        if not spec.is_long_running:
+            until = min(until, max(_done_at(records_by_task[task], state) for task in tasks))
+        needs = spec.cpu, spec.memory_mb, spec.max_per_worker, (accepted_at, until)
+        spans = {
+            task: [(record.started_at, record.ended_at) for record in records_by_task[task]]
+            for task in tasks
+        }
+        yield Demand(job_id, step, *needs, [span for task in tasks for span in spans[task]])
+        if spec.is_long_running:
+            for task in tasks:
+                yield Demand(task, step, *needs, spans[task], TASK_SLACK_SECONDS)
+
+
+def _done_at(records: list[RunRecord], state: str) -> float:
+    """Return when a task was done; an end that was lost counts if its job was completed."""
+    done = (r for r in records if r.outcome == "done" and (state == "completed" or not r.is_lost))
+    return min((record.ended_at for record in done), default=math.inf)
+
+
 @_check("exits of processes")
 def _wrong_exits(seen: Observations) -> Iterator[Finding]:
     for host in seen.deployment.hosts:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -11,15 +11,19 @@
 
 import attrs
 
-from .callers import DEADLINE_SECONDS, READ, Balancer, Call, Caller
+from .callers import CPU_OF_USE, DEADLINE_SECONDS, READ, Balancer, Call, Caller, LongRunningCaller
 from .deployment import PORTS, Deployment
-from .faults import Fault, draw_faults, inject
+from .faults import Fault, draw_closings, draw_faults, inject
 from .judge import Finding, Observations, judge
+from .waits import MAX_WAIT_SECONDS, Span
 
 FINISH_SECONDS = 14.0
 """Time after the recovery in which all accepted jobs must end, and each worker must get a run."""
 
 RECOVERY_SECONDS = 12.0
+JUDGED_SECONDS = MAX_WAIT_SECONDS + 0.5
+"""Time after the recovery in which work with room may not wait."""
+
 HISTORY_SECONDS = 6.0
 SIZES = {
     "small": {"entries": 3, "controls": 3, "workers": 7, "callers": 10},
@@ -82,31 +86,47 @@
         )
 
 
-def run_soak(folder: pathlib.Path, seed: int, seconds: float, size: str) -> SoakResult:
-    """Run the series of a seed and return the verdict; logs are written to the folder."""
+def run_soak(
+    folder: pathlib.Path, seed: int, seconds: float, size: str, closings: bool = False
+) -> SoakResult:
+    """Run the series of a seed and return the verdict; logs are written to the folder.
+
+    With ``closings``, all hosts end at once in the series, and there are long-running jobs.
+    """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
     faults = draw_faults(seed, seconds)
+    if closings:
+        faults = draw_closings(seed, seconds, faults)
     with Deployment(folder, **shape).running() as deployment:
         balancer = Balancer(deployment)
         callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
+        if closings:
+            callers.append(LongRunningCaller(caller_count, seed, deployment, balancer))
         began_at = time.monotonic()
         with _in_threads([(balancer.probe, host) for host in deployment.entries]):
             with _in_threads([(caller.run,) for caller in callers]):
-                _inject_all(deployment, faults, began_at)
+                disturbed = _inject_all(deployment, faults, began_at)
                 time.sleep(max(0.0, began_at + seconds - time.monotonic()))
             for host in deployment.hosts:
                 host.send(signal.SIGCONT)
-            callers.append(Caller(caller_count, seed, deployment, balancer))
+            recovered_at = time.monotonic() + RECOVERY_SECONDS
+            callers.append(Caller(len(callers), seed, deployment, balancer))
             unused = _use_workers(deployment, callers[-1])
             seen = Observations(
                 deployment,
                 [call for caller in callers for call in caller.calls],
-                {k: n for caller in callers for k, n in caller.task_count_by_job.items()},
+                {k: spec for caller in callers for k, spec in caller.spec_by_job.items()},
                 unused_workers=unused,
+                disturbed=disturbed,
+                recovered_at=recovered_at,
             )
             _recover(deployment, seen)
-    return SoakResult(seed, began_at, faults, seen, judge(seen))
+            if closings:
+                time.sleep(max(0.0, recovered_at + JUDGED_SECONDS - time.monotonic()))
+            seen.ended_at = time.monotonic()
+            # Before the workers end, since the end of a worker is a crash for its runs.
+            return SoakResult(seed, began_at, faults, seen, judge(seen))
 
 
 @contextlib.contextmanager
@@ -127,14 +147,22 @@
             thread.join()
 
 
-def _inject_all(deployment: Deployment, faults: list[Fault], began_at: float) -> None:
-    threads = []
+def _inject_all(deployment: Deployment, faults: list[Fault], began_at: float) -> list[Span]:
+    """Carry all faults out; return when each of them began and was over."""
+    threads, spans = [], []
+
+    def carry_out(fault: Fault) -> None:
+        since = time.monotonic()
+        inject(deployment, fault)
+        spans.append((since, time.monotonic()))
+
     for fault in faults:
         time.sleep(max(0.0, began_at + fault.at - time.monotonic()))
-        threads.append(threading.Thread(target=inject, args=(deployment, fault), daemon=True))
+        threads.append(threading.Thread(target=carry_out, args=(fault,), daemon=True))
         threads[-1].start()
     for thread in threads:
         thread.join()
+    return spans
 
 
 def _use_workers(deployment: Deployment, caller: Caller) -> list[str]:
@@ -145,7 +173,13 @@
     while unused and time.monotonic() < deadline:
         caller.use_workers(len(deployment.workers))
         time.sleep(0.5)
-        unused = [each for each in unused if len(each.starts) == counts[each.worker_id]]
+        unused = [
+            each
+            for each in unused
+            if len(each.starts) == counts[each.worker_id]
+            # One that long-running work takes is in use.
+            and each.has_room(CPU_OF_USE, 0)
+        ]
     caller.disconnect()
     return [worker.worker_id for worker in unused]
 
@@ -163,8 +197,9 @@
             # Each round reads at another host, so that all hosts are asked.
             ip = deployment.entry(number + len(waiting)).ip
             seen.state_by_job[job_id] = _read(ip, job_id) or seen.state_by_job.get(job_id, "")
-        ended = ("completed", "cancelled", "failed")
-        waiting = [job_id for job_id in waiting if seen.state_by_job[job_id] not in ended]
+        waiting = [
+            job_id for job_id in waiting if not seen.may_stay(job_id, seen.state_by_job[job_id])
+        ]
         time.sleep(0.2)
 
 
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from standins.soak.faults import draw_faults
+from standins.soak.faults import draw_closings, draw_faults
 from standins.soak.run import run_soak
 
 SEEDS = [
@@ -24,6 +24,15 @@
     assert draw_faults(1, 60.0) != draw_faults(2, 60.0)
 
 
+def test_each_series_with_closings_ends_all_hosts_and_loses_at_most_one_disk():
+    for seed in range(1, 50):
+        series = draw_closings(seed, 20.0, draw_faults(seed, 20.0))
+        assert series == draw_closings(seed, 20.0, draw_faults(seed, 20.0))
+        closings = [fault.kind for fault in series if fault.kind.startswith("all_ended")]
+        assert len(closings) in (1, 2)
+        assert closings.count("all_ended_and_a_disk_lost") <= 1
+
+
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_no_promise_is_broken_while_faults_overlap(tmp_path, seed, seconds):
     result = run_soak(tmp_path, seed, seconds, "small")
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -6,9 +6,10 @@
 import pytest
 
 from standins.platform import RunRecord
-from standins.soak.callers import READ, SUBMIT, Call
+from standins.soak.callers import CANCEL, READ, SUBMIT, Call, JobSpec
 from standins.soak.deployment import Exit, Host
 from standins.soak.judge import Observations, judge
+from standins.soak.waits import Demand, Use, WorkerTimes, calm_spans, unmet_demands
 
 JOB = "00000000000000aa"
 
@@ -20,19 +21,22 @@
     exits=(),
     state="completed",
     acknowledged=1,
-    task_count=1,
+    spec=None,
     unused_workers=(),
+    **times,
 ):
-    """Return the kinds of findings in a run with one accepted job, whose task was done once."""
+    """Return the kinds of findings in a run with one accepted job, whose task ran once."""
+    spec = spec or JobSpec()
     host = Host("ip", "front", pathlib.Path(), signals=list(signals), exits=list(exits))
-    done = RunRecord(f"{JOB}.0.0.0", 1, 2.0, 3.0, "done", 1, True)
-    worker = types.SimpleNamespace(records=[done, *records])
+    outcome = "failed" if spec.is_long_running else "done"
+    ended = RunRecord(f"{JOB}.0.0.0", 1, 2.0, 3.0, outcome, 1, True)
+    worker = types.SimpleNamespace(worker_id="w1", records=[ended, *records], up=[(0.0, 99.0)])
     deployment = types.SimpleNamespace(
         entries=[host], hosts=[host], workers=[worker], acknowledged_version=acknowledged
     )
     submitted = Call(0, SUBMIT, JOB, "ip", False, 1.0, 1.0, 1.1, 200)
     seen = Observations(
-        deployment, [submitted, *calls], {JOB: task_count}, {JOB: state}, 1, unused_workers
+        deployment, [submitted, *calls], {JOB: spec}, {JOB: state}, 1, unused_workers, **times
     )
     return [finding.kind for finding in judge(seen)]
 
@@ -110,7 +114,7 @@
 
 
 def test_a_completed_job_must_be_done_whole():
-    assert kinds(task_count=2) == ["MIXED"]
+    assert kinds(spec=JobSpec(2)) == ["MIXED"]
 
 
 def test_an_acknowledged_manifest_must_be_kept():
@@ -131,3 +135,126 @@
 )
 def test_a_stopped_process_ends_in_time_with_status_0(end, signals, found):
     assert kinds(exits=[end], signals=signals) == found
+
+
+STEP = f"{JOB}.0.0"
+TASK = f"{STEP}.0"
+LASTING = JobSpec(is_long_running=True)
+ALWAYS = (0.0, 99.0)
+
+
+def waits(judged=(ALWAYS,), uses=(), up=(ALWAYS, ALWAYS), **fields):
+    """Return (name, since, free workers) of the waits of a demand for 1000 of 4000 on w0 and w1."""
+    usual = {"name": TASK, "step": STEP, "cpu": 1000, "memory_mb": 10, "max_per_worker": 0}
+    demand = Demand(**usual | {"owed": (1.0, 99.0), "runs": []} | fields)
+    workers = [WorkerTimes(f"w{n}", 4000, 4000, [span]) for n, span in enumerate(up)]
+    found = unmet_demands([demand], workers, list(uses), list(judged))
+    return [(wait.demand.name, wait.since, wait.free) for wait in found]
+
+
+def use(worker_id, cpu, span=ALWAYS, step="another", memory_mb=10):
+    return Use(worker_id, step, cpu, memory_mb, span)
+
+
+def test_work_without_a_run_waits_while_there_is_room():
+    assert waits() == [(TASK, 1.0, ["w0", "w1"])]
+    assert waits(runs=[(1.5, 40.0)]) == [(TASK, 40.0, ["w0", "w1"])]
+    assert waits(runs=[(1.5, 40.0), (42.9, 99.0)]) == []
+    assert waits(runs=[(3.9, 99.0)]) == []
+    assert waits(runs=[(4.1, 99.0)]) == [(TASK, 1.0, ["w0", "w1"])]
+
+
+def test_work_that_is_no_longer_owed_does_not_wait():
+    assert waits(owed=(1.0, 3.9)) == []
+    assert waits(owed=(1.0, 20.0), runs=[(1.0, 18.0)]) == []
+    assert waits(owed=(1.0, 4.1), runs=[(30.0, 40.0)]) == [(TASK, 1.0, ["w0", "w1"])]
+
+
+def test_a_long_running_task_waits_from_6_s_after_its_last_run_on():
+    assert waits(runs=[(1.5, 40.0), (48.9, 99.0)], slack_seconds=6.0) == []
+    found = waits(runs=[(1.5, 40.0), (49.1, 99.0)], slack_seconds=6.0)
+    assert found == [(TASK, 46.0, ["w0", "w1"])]
+    # One that had no run has no slack.
+    assert waits(slack_seconds=6.0) == [(TASK, 1.0, ["w0", "w1"])]
+
+
+@pytest.mark.parametrize(
+    ("uses", "found"),
+    [
+        # Room for one run on each worker, or for two on one of them, with less than half in use.
+        ([use("w0", 2500), use("w1", 1400)], True),
+        ([use("w0", 3900)], True),
+        # For one run only.
+        ([use("w0", 3000, memory_mb=3995), use("w1", 0, memory_mb=3980)], False),
+        # Half in use.
+        ([use("w0", 4000)], False),
+        ([use("w0", 100, memory_mb=4000)], False),
+        # Room only for less than 3 s on end.
+        ([use("w0", 4000, (1.0, 20.0)), use("w0", 4000, (22.9, 99.0))], False),
+        ([use("w0", 4000, (1.0, 20.0)), use("w0", 4000, (23.1, 99.0))], True),
+    ],
+)
+def test_work_waits_only_where_there_is_room_twice_over(uses, found):
+    assert bool(waits(uses=uses)) == found
+
+
+def test_a_worker_with_as_many_runs_of_the_step_as_it_may_have_has_no_room():
+    both = {"uses": [use("w0", 100, step=STEP), use("w1", 100, step=STEP)], "max_per_worker": 1}
+    assert waits(**both) == []
+    assert waits(**both | {"max_per_worker": 2}) == [(TASK, 1.0, ["w0", "w1"])]
+    assert waits(uses=[use("w0", 100)], max_per_worker=1) == [(TASK, 1.0, ["w0", "w1"])]
+    # The limit leaves one place in all.
+    assert waits(uses=[use("w0", 100, step=STEP)], max_per_worker=1) == []
+
+
+def test_only_workers_that_are_up_have_room():
+    assert waits(up=[(50.0, 99.0), (60.0, 62.9)]) == [(TASK, 50.0, ["w0"])]
+    assert waits(up=[(50.0, 52.9), (60.0, 62.9)]) == []
+
+
+def test_only_calm_spans_are_judged():
+    disturbed = [(0.0, 1.0), (10.0, 10.0), (13.0, 20.0), (15.0, 16.0)]
+    assert calm_spans(disturbed, 30.0) == [(5.0, 10.0), (24.0, 30.0)]
+    assert calm_spans(disturbed, 23.0) == [(5.0, 10.0)]
+    assert waits(judged=[(5.0, 7.9), (24.0, 26.9)]) == []
+    assert waits(judged=[(5.0, 7.9), (24.0, 27.1)]) == [(TASK, 24.0, ["w0", "w1"])]
+
+
+def test_a_job_must_have_a_run_after_the_recovery():
+    ends = {"disturbed": [(0.0, 20.0)], "recovered_at": 20.0, "ended_at": 24.0}
+    assert kinds(state="running", spec=LASTING, **ends) == ["LOST task"] * 2
+    assert kinds(state="running", spec=LASTING, **ends | {"ended_at": 22.9}) == []
+    at_work = RunRecord(TASK, 2, 4.0)
+    assert kinds(records=[at_work], state="running", spec=LASTING, **ends) == []
+    # The other task of the job has no run, which the users ask for each task that lasts.
+    spec = JobSpec(2, is_long_running=True)
+    assert kinds(records=[at_work], state="running", spec=spec, **ends) == ["LOST task"]
+    assert kinds(state="running", spec=JobSpec(2), **ends) == ["LOST job", "LOST task"]
+    assert kinds(state="completed", **ends) == []
+
+
+def test_a_job_must_have_a_run_in_a_calm_span_of_the_series():
+    ends = {"recovered_at": 40.0, "ended_at": 40.0}
+    lasting = {"state": "running", "spec": LASTING, "records": [RunRecord(TASK, 2, 14.5)]}
+    # It ran until 3.0 s, and again from 14.5 s on.
+    assert kinds(disturbed=[(0.0, 5.0)], **lasting, **ends) == ["LOST task"] * 2
+    assert kinds(disturbed=[(0.0, 7.8)], **lasting, **ends) == []
+    assert kinds(disturbed=[(0.0, 5.0), (11.9, 12.0)], **lasting, **ends) == []
+    # Signals of hosts, and their ends, are faults too.
+    signals, exits = [(11.9, "SIGKILL")], [Exit(11.9, -9, None, True)]
+    assert kinds(signals=signals, exits=exits, disturbed=[(0.0, 5.0)], **lasting, **ends) == []
+
+
+def test_a_job_that_is_cancelled_or_given_up_needs_no_run():
+    ends = {"disturbed": [(0.0, 20.0)], "recovered_at": 20.0, "ended_at": 24.0, "spec": LASTING}
+    cancelled = Call(0, CANCEL, JOB, "ip", False, 10.0, 10.0, 10.1)
+    assert kinds(calls=[cancelled], state="running", **ends) == []
+    crashes = [RunRecord(TASK, n, n, n + 0.5, "crashed", is_lost=True) for n in (4, 5)]
+    assert kinds(records=crashes, state="failed", **ends) == []
+    assert kinds(records=crashes, state="running", **ends) == ["LOST task"] * 2
+    assert kinds(records=crashes[:1], state="failed", **ends) == ["LOST job"] + ["LOST task"] * 2
+
+
+def test_a_long_running_job_does_not_end_by_itself():
+    assert kinds(state="completed", spec=LASTING) == ["LOST job", "MIXED"]
+    assert kinds(state="running", spec=LASTING) == []
