--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -99,6 +99,10 @@
             if record.task.startswith(job_id)
         ]
 
+    def long_running_jobs(self) -> list[str]:
+        """Return the accepted jobs that go on until they are cancelled."""
+        return [job for job in self.accepted_at_by_job() if self.spec_by_job[job].is_long_running]
+
     def may_stay(self, job_id: str, state: str) -> bool:
         """Return whether a job may be in this state for good; a long-running one goes on."""
         if state in ("running", "queued"):
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -124,6 +124,7 @@
             _recover(deployment, seen)
             if closings:
                 time.sleep(max(0.0, recovered_at + JUDGED_SECONDS - time.monotonic()))
+                _read_states(deployment, seen, seen.long_running_jobs())
             seen.ended_at = time.monotonic()
             # Before the workers end, since the end of a worker is a crash for its runs.
             return SoakResult(seed, began_at, faults, seen, judge(seen))
@@ -185,13 +186,16 @@
 
 
 def _recover(deployment: Deployment, seen: Observations) -> None:
-    """Read back the manifest, and each accepted job until it has ended."""
+    """Read back the manifest, and each accepted job until it has ended or may go on."""
     with contextlib.suppress(TimeoutError):
         seen.manifest_version = deployment.wait_for(
             deployment.manifest_version, "a manifest", RECOVERY_SECONDS
         )
+    _read_states(deployment, seen, list(seen.accepted_at_by_job()))
+
+
+def _read_states(deployment: Deployment, seen: Observations, waiting: list[str]) -> None:
     deadline = time.monotonic() + RECOVERY_SECONDS + FINISH_SECONDS
-    waiting = list(seen.accepted_at_by_job())
     while waiting and time.monotonic() < deadline:
         for number, job_id in enumerate(waiting):
             # Each round reads at another host, so that all hosts are asked.
