--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -18,6 +18,14 @@
 ]
 """Seeds, and the duration of their faults in seconds."""
 
+SEEDS_WITH_CLOSINGS = [
+    # All hosts end twice, the first time right after a job was accepted.
+    (1, 8.0),
+    # All hosts end while entry hosts stop one by one; one control host has lost its disk.
+    (7, 8.0),
+]
+"""In both, long-running tasks that had a run before and get none afterwards are found."""
+
 
 def test_the_series_of_a_seed_is_always_the_same():
     assert draw_faults(1, 60.0) == draw_faults(1, 60.0)
@@ -37,3 +45,10 @@
 def test_no_promise_is_broken_while_faults_overlap(tmp_path, seed, seconds):
     result = run_soak(tmp_path, seed, seconds, "small")
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_CLOSINGS)
+def test_no_promise_is_broken_when_all_hosts_end_at_once(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", closings=True)
+    assert result.seen.long_running_jobs()
+    assert not result.findings, result.report(histories_per_kind=1)
