--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -398,7 +398,13 @@
     deployment.worker(number).is_silent = False
 
 
-_ACTIONS_IN_DARK = (_restart_in_dark, _cut_in_dark, _silence_in_dark)
+def _drain_in_dark(deployment, number: int, rng: random.Random, dark_seconds: float) -> None:
+    """Let a worker announce that it leaves, and start again while or after the hosts are dark."""
+    deployment.worker(number).draining = True
+    _restart_in_dark(deployment, number, rng, dark_seconds + HEAL_AFTER_SECONDS[1])
+
+
+_ACTIONS_IN_DARK = (_restart_in_dark, _cut_in_dark, _silence_in_dark, _drain_in_dark)
 
 
 def _details(fault: Fault) -> random.Random:
