--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -239,7 +239,9 @@
     ]
     spans = list(seen.disturbed)
     for host in seen.deployment.hosts:
-        times = [*(at for at, _ in host.signals), *(end.at for end in host.exits), *host.starts]
+        # A pause counts as its fault; SIGCONT is also sent to all hosts at the end of a series.
+        signals = [at for at, name in host.signals if name != "SIGCONT"]
+        times = [*signals, *(end.at for end in host.exits), *host.starts]
         spans += [(at, at) for at in times]
     judged = [*calm_spans(spans, seen.ended_at), (seen.recovered_at, seen.ended_at)]
     for wait in unmet_demands(_demands(seen), workers, uses, judged):
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -240,6 +240,9 @@
     assert kinds(disturbed=[(0.0, 5.0)], **lasting, **ends) == ["LOST task"] * 2
     assert kinds(disturbed=[(0.0, 7.8)], **lasting, **ends) == []
     assert kinds(disturbed=[(0.0, 5.0), (11.9, 12.0)], **lasting, **ends) == []
+    resumed = [(11.9, "SIGCONT")]
+    found = kinds(signals=resumed, disturbed=[(0.0, 5.0)], **lasting, **ends)
+    assert found == ["LOST task"] * 2
     # Signals of hosts, and their ends, are faults too.
     signals, exits = [(11.9, "SIGKILL")], [Exit(11.9, -9, None, True)]
     assert kinds(signals=signals, exits=exits, disturbed=[(0.0, 5.0)], **lasting, **ends) == []
