--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -111,6 +111,9 @@
             for host in deployment.hosts:
                 host.send(signal.SIGCONT)
             recovered_at = time.monotonic() + RECOVERY_SECONDS
+            if closings:
+                # Before the service is filled, since work may wait while half of it is in use.
+                time.sleep(max(0.0, recovered_at + JUDGED_SECONDS - time.monotonic()))
             callers.append(Caller(len(callers), seed, deployment, balancer))
             unused = _use_workers(deployment, callers[-1])
             seen = Observations(
@@ -123,7 +126,6 @@
             )
             _recover(deployment, seen)
             if closings:
-                time.sleep(max(0.0, recovered_at + JUDGED_SECONDS - time.monotonic()))
                 _read_states(deployment, seen, seen.long_running_jobs())
             seen.ended_at = time.monotonic()
             # Before the workers end, since the end of a worker is a crash for its runs.
