--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -21,7 +21,7 @@
 SEEDS_WITH_CLOSINGS = [
     # All hosts end twice, the first time right after a job was accepted.
     (1, 6.0),
-    # All hosts end while entry hosts stop one by one; one control host has lost its disk.
+    # All hosts end, and one control host has lost its disk.
     (7, 6.0),
 ]
 """In both, long-running tasks that had a run before and get none afterwards are found."""
