--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from standins.soak.faults import draw_faults
+from standins.soak.faults import draw_closings, draw_faults
 from standins.soak.run import run_soak
 
 SEEDS = [
@@ -18,13 +18,35 @@
 ]
 """Seeds, and the duration of their faults in seconds."""
 
+SEEDS_WITH_CLOSINGS = [
+    # All hosts end twice, the first time right after a job was accepted.
+    (1, 6.0),
+]
+"""Long-running tasks that had a run before and get none afterwards would be found in these."""
+
 
 def test_the_series_of_a_seed_is_always_the_same():
     assert draw_faults(1, 60.0) == draw_faults(1, 60.0)
     assert draw_faults(1, 60.0) != draw_faults(2, 60.0)
 
 
+def test_each_series_with_closings_ends_all_hosts_and_loses_at_most_one_disk():
+    for seed in range(1, 50):
+        series = draw_closings(seed, 20.0, draw_faults(seed, 20.0))
+        assert series == draw_closings(seed, 20.0, draw_faults(seed, 20.0))
+        closings = [fault.kind for fault in series if fault.kind.startswith("all_ended")]
+        assert len(closings) in (1, 2)
+        assert closings.count("all_ended_and_a_disk_lost") <= 1
+
+
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_no_promise_is_broken_while_faults_overlap(tmp_path, seed, seconds):
     result = run_soak(tmp_path, seed, seconds, "small")
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_CLOSINGS)
+def test_no_promise_is_broken_when_all_hosts_end_at_once(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", closings=True)
+    assert result.seen.long_running_jobs()
+    assert not result.findings, result.report(histories_per_kind=1)
