Soak: twice the contact time after a final fault that took most of the core

RULES.md, "Stable", allows that: machines are in touch a contact time after the last event, "twice that, if a final fault took most of the core". The check counted 4 s after such a fault, and counts 8 s now, only after the last fault of a series; the check from 12 s after the recovery on is unchanged.

--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -243,6 +243,7 @@
         signals = [at for at, name in host.signals if name != "SIGCONT"]
         times = [*signals, *(end.at for end in host.exits), *host.starts]
         spans += [(at, at) for at in times]
+    spans += _final_losses_of_the_core(seen)
     judged = [*calm_spans(spans, seen.ended_at), (seen.recovered_at, seen.ended_at)]
     for wait in unmet_demands(_demands(seen), workers, uses, judged):
         name, since = wait.demand.name, wait.since
@@ -253,6 +254,25 @@
         yield Finding("LOST task", since + MAX_WAIT_SECONDS, text)
 
 
+def _final_losses_of_the_core(seen: Observations) -> Iterator[Span]:
+    """Yield when most control hosts were down after all other faults, and a contact time more.
+
+    RULES.md, "Stable": after a final fault that took most of the core twice the contact time
+    has to pass until machines are in touch.
+    """
+    cores = [host for host in seen.deployment.hosts if host.role == "core"]
+    downs = [
+        (end.at, min((at for at in host.starts if at > end.at), default=end.at))
+        for host in cores
+        for end in host.exits
+    ]
+    for at, _ in downs:
+        down = [span for span in downs if span[0] <= at <= span[1]]
+        is_final = all(began_at <= at for began_at, _ in seen.disturbed)
+        if is_final and 2 * len(down) > len(cores):
+            yield at, max(until for _, until in down) + CONTACT_SECONDS
+
+
 def _use(seen: Observations, record: RunRecord) -> Use:
     job_id, _, step = record.task.rpartition(".")[0].partition(".")
     spec = seen.spec_by_job.get(job_id, JobSpec())
