Mutants: guards of the starts, waits and odd rows of the review

The pattern of "a run that was listed is not stopped for a row that cannot be read" follows the code that it edits; the edit removes the same guard.

The mutants of these guards, old and new, were run: each makes its tests fail.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1917,8 +1917,8 @@
     Mutant(
         "a run that was listed is not stopped for a row that cannot be read",
         _WORKER_SESSION,
-        "self._unlisted_runs(ended_runs) - self._started_at_by_run.keys():",
-        "self._unlisted_runs(ended_runs):",
+        "return self._unlisted_runs(self._reported_ends) - self._started_at_by_run.keys()",
+        "return self._unlisted_runs(self._reported_ends)",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
@@ -1991,4 +1991,32 @@
         "while False:",
         DISPATCH + "/test_refused_starts.py",
     ),
+    Mutant(
+        "a start is forgotten without the later one of the same run number",
+        "dispatch/refused_starts.py",
+        "if self._start_by_run.get((start.task, start.run)) is start:",
+        "if True:",
+        DISPATCH + "/test_refused_starts.py",
+    ),
+    Mutant(
+        "a last resort of a finite step begins the waits of all its tasks anew",
+        _PLACEMENT,
+        "elif not task.step.spec.lasting:",
+        "elif False:",
+        _BOUNDED_WAITS_TESTS,
+    ),
+    Mutant(
+        "a run is stopped only after rows have been unreadable for a while",
+        _WORKER_SESSION,
+        " or sent_at - self._unreadable_since < MAX_DOUBT_SECONDS:",
+        ":",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "polls are not held open while a run is hidden",
+        _WORKER_SESSION,
+        "or self.is_unresponsive or self._hidden_runs():",
+        "or self.is_unresponsive:",
+        "tests/dispatch/test_worker_session.py",
+    ),
 ]
