--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -13,7 +13,7 @@
 """How long a start is remembered, in seconds: a start in doubt is settled within five."""
 
 
-_NONE: Counter = Counter()
+_NO_REFUSALS: Counter = Counter()
 
 
 @attrs.define
@@ -82,7 +82,7 @@
     def count_by_worker(self, task: str) -> Counter:
         """Return how many starts of a task each worker has refused of late, by worker id."""
         refused = self._refused_by_task.get(task)
-        return Counter(start.worker_id for start in refused) if refused else _NONE
+        return Counter(start.worker_id for start in refused) if refused else _NO_REFUSALS
 
     def waiting_since_by_task(self) -> dict[str, float]:
         """Return since when the tasks wait of which the newest start was refused."""
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -218,7 +218,7 @@
         self._reported_ends: set[tuple[str, int]] = set()
         """The runs that the newest poll tells to have ended, or that it should list."""
 
-        self._refused_starts: set[tuple[str, int]] = set()
+        self._unapplied_refusals: set[tuple[str, int]] = set()
         """The runs whose starts were refused or not sent, until that is applied here."""
 
         self._unreadable_since: float | None = None
@@ -377,7 +377,8 @@
             UnsettledState.NO_PERMISSION: not self._may_call(),
             UnsettledState.STATE_UNKNOWN: not self.is_state_known,
             UnsettledState.UNRESPONSIVE: self.is_unresponsive,
-            UnsettledState.ENDED_NOT_COMMITTED: run in self._reported_ends | self._refused_starts,
+            UnsettledState.ENDED_NOT_COMMITTED: run
+            in self._reported_ends | self._unapplied_refusals,
             UnsettledState.NOT_CONFIRMED: run not in self._confirmed_at_by_run,
             UnsettledState.UNREADABLE_RUNS: self._unreadable_since is not None,
             UnsettledState.UNREADABLE_ENDS: run in self._maybe_ended_runs,
@@ -707,7 +708,7 @@
         for key in self._started_at_by_run.keys() - self.worker.task_by_run.keys():
             del self._started_at_by_run[key]
         self._undelivered_starts &= self.worker.task_by_run.keys()
-        self._refused_starts &= self.worker.task_by_run.keys()
+        self._unapplied_refusals &= self.worker.task_by_run.keys()
         for key in self._in_doubt_since_by_run.keys() - self.worker.task_by_run.keys():
             del self._in_doubt_since_by_run[key]
         for key in self._confirmed_at_by_run.keys() - self.worker.task_by_run.keys():
@@ -809,7 +810,7 @@
         log_event(
             "run:rejected", task=task, run=run, worker=self.incarnation.worker_id, why=result.value
         )
-        self._refused_starts.add(key)
+        self._unapplied_refusals.add(key)
         self._agent.start_rejected(self, task, run, result)
 
     def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
