Best-effort runs do not count as use of a service

From 38 to 67 s up to 75 finite best-effort steps wait, each with all 33 workers left out for interference. An overdue one is started all the same unless the service is busy, and busy counted the best-effort runs themselves: 0.6 of 0.488 that is reserved and 0.26 of best-effort runs is 0.553 (a trial that logs it), above 0.55, for good, since those runs are slowed down.

Why this works: below half of what is reserved an overdue step gets one run where it interferes least; throttling and pauses keep serving runs under their targets as before.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2081,4 +2081,11 @@
         "or self.is_unresponsive:",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "best-effort runs do not count as use of a service",
+        _PLACEMENT,
+        "reserved_millicores += worker.used.millicores + candidate.planned.millicores",
+        "reserved_millicores += candidate.expected_millicores",
+        _BOUNDED_WAITS_TESTS,
+    ),
 ]
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -66,11 +66,13 @@
 use it.
 """
 
-BUSY_SHARE = 0.55
-"""Share of a service's processors in use from which finite best-effort steps keep waiting.
+BUSY_SHARE = 0.5
+"""Share of a service's processors reserved from which finite best-effort steps keep waiting.
 
 Below it, an overdue one is placed where it interferes least, even if the run exceeds the
-interference headroom there.  Long-running tasks have to run however busy the service is.
+interference headroom there: the users require a start while under half of the capacity is in use,
+and best-effort runs count for nothing in that.  Long-running tasks have to run however busy the
+service is.
 """
 
 INTERFERENCE_WEIGHT = 3.0
@@ -339,7 +341,7 @@
 
 
 class _ServiceUsage:
-    """How much of each service is in use in one pass, that of silent workers included."""
+    """How much of each service is reserved in one pass, that of silent workers included."""
 
     def __init__(self, candidates: list[_Candidate], views: list[WorkerView]):
         self._candidates = candidates
@@ -348,21 +350,21 @@
         self._others = [view.worker for view in views if view.incarnation not in placeable]
 
     def is_busy(self, service_name: str) -> bool:
-        """Return whether ``BUSY_SHARE`` of the service is in use, with what this pass planned."""
+        """Return whether ``BUSY_SHARE`` of the service is reserved, with what this pass planned."""
         if service_name in self._busy_services:
-            # Use only rises during a pass.
+            # What is reserved only rises during a pass.
             return True
-        total_millicores = expected_use = 0.0
+        total_millicores = reserved_millicores = 0
         for candidate in self._candidates:
-            record = candidate.view.worker.record
-            if record.service_name == service_name:
-                total_millicores += record.millicores
-                expected_use += candidate.expected_millicores
+            worker = candidate.view.worker
+            if worker.record.service_name == service_name:
+                total_millicores += worker.record.millicores
+                reserved_millicores += worker.used.millicores + candidate.planned.millicores
         for worker in self._others:
             if worker.record.service_name == service_name:
                 total_millicores += worker.record.millicores
-                expected_use += _expected_use(worker)
-        is_busy = expected_use >= BUSY_SHARE * total_millicores
+                reserved_millicores += worker.used.millicores
+        is_busy = reserved_millicores >= BUSY_SHARE * total_millicores
         if is_busy:
             self._busy_services.add(service_name)
         return is_busy
