Sum up the time in which nothing of startable work is at work

Cause: the wait of a finite step counted from its newest planned start, whatever became of it. A run that is soon done, evicted, paused, refused or in doubt ended a wait of 2 s, and each such wait is a time without work. Two of them in a row, or a last resort that was refused (it began the wait anew on purpose), are longer than the 3 s that callers allow.

Change: the leader keeps an account of the time without a run at work, for each long-running task and each finite step. What counts as at work is what agents report (runs paused, being stopped or in doubt are named in WorkerState.idle_runs, silent workers count for nothing), not what was planned. Work is overdue from 2 s in the account on. Runs that placement starts by its preferences make up for the time; overdue runs of a finite step do not, so the next one follows at once. After a run that is not done the next overdue start waits 0.5 s, after one that failed 2 s, since attempts are limited. Leases, confirmed stops and the settlement of runs are as they were: what starts is always another task, or one whose run is settled.

task:waits has the field without_work, and run:overdue_ended says how an overdue run ended that was not done.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1392,7 +1392,7 @@
     Mutant(
         "long-running work is held back for finite runs only for a while",
         "dispatch/placement.py",
-        "            and self.waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS\n",
+        "            and self.waiting.is_deferred(group, now)\n",
         "",
         DISPATCH + "/test_placement.py",
     ),
@@ -1404,12 +1404,26 @@
         DISPATCH + "/test_placement.py",
     ),
     Mutant(
-        "an overdue task that fails before the next pass waits anew",
+        "an overdue task that fails before the next pass is held back",
         "dispatch/waiting.py",
-        "            if intent.task in self._since_by_task:\n",
-        "            if False:\n",
+        "        return now - last.planned_at < pause\n",
+        "        return False\n",
         DISPATCH + "/test_bounded_waits.py",
     ),
+    Mutant(
+        "overdue runs do not make up for the time without one",
+        "dispatch/waiting.py",
+        "    return task.step.spec.lasting or any(",
+        "    return True or any(",
+        DISPATCH + "/test_waiting.py",
+    ),
+    Mutant(
+        "runs that agents report as idle are not at work",
+        "dispatch/waiting.py",
+        " and (task.name, run) not in self.idle_seconds_by_run",
+        "",
+        DISPATCH + "/test_waiting.py",
+    ),
     Mutant(
         "the time before an occurrence is due is no wait",
         "dispatch/placement.py",
@@ -1965,15 +1979,8 @@
     Mutant(
         "a wait goes on through starts that are refused",
         _PLACEMENT,
-        "self.waiting.begin_pass(groups, now, refused_since_by_task)",
-        "self.waiting.begin_pass(groups, now, {})",
-        _BOUNDED_WAITS_TESTS,
-    ),
-    Mutant(
-        "an overdue attempt that is refused begins the wait anew",
-        _PLACEMENT,
-        "            if intent.task not in last_resorts:\n",
-        "            if True:\n",
+        "runs_at_work, refused_since_by_task, now)",
+        "runs_at_work, {}, now)",
         _BOUNDED_WAITS_TESTS,
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -6,6 +6,8 @@
 answers renews the agent's permission to call workers.
 """
 
+import math
+
 import attrs
 import eventlet
 from eventlet.event import Event
@@ -26,6 +28,7 @@
     AgentReply,
     AgentReport,
     EndLives,
+    IdleRun,
     RejectionKind,
     RunAge,
     RunEnd,
@@ -40,6 +43,7 @@
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .permission import PERMISSION_SECONDS, Permission
+from .placement import WorkerView
 from .throttling import (
     ColocationHistory,
     baseline_utilisations,
@@ -373,7 +377,7 @@
         if not session.is_closed:
             worker_id = session.incarnation.worker_id
             self._rejections.append(StartRejection(worker_id, RejectionKind.NO_CAPACITY))
-            self._wake_up_report()
+            self.state_changed(session)
 
     def incarnation_ended(self, session: WorkerSession, why: str) -> None:
         """Report that an incarnation has ended, so that its runs can be started elsewhere."""
@@ -418,7 +422,12 @@
         view = session.view()
         learn_interference(self.interference, view, history, self.now())
         session.baseline_by_image = baseline_utilisations(self.interference, view)
+        self._adjust_speeds(session, view, history)
         self._report_if_changed(session)
+
+    def _adjust_speeds(
+        self, session: WorkerSession, view: WorkerView, history: ColocationHistory
+    ) -> None:
         now = self.now()
         history.record_speeds(session.speed_percent_by_run, now)
         for change in speed_changes(
@@ -439,13 +448,17 @@
             session.stop(change.task, change.run)
 
     def _report_if_changed(self, session: WorkerSession) -> None:
-        """Report a worker that answers again at once, and its baselines with the next report."""
+        """Report a worker that answers again at once, other changes with the next report."""
         reported = self._reported_state_by_session.get(session)
         if reported is None or reported.responsive != session.is_responsive:
             self.state_changed(session)
-        elif reported.baseline_by_image.keys() != session.baseline_by_image.keys() or any(
-            abs(value - reported.baseline_by_image[image]) > MIN_REPORTED_CHANGE
-            for image, value in session.baseline_by_image.items()
+        elif (
+            _idle_runs(reported) != session.idle_seconds_by_run().keys()
+            or reported.baseline_by_image.keys() != session.baseline_by_image.keys()
+            or any(
+                abs(value - reported.baseline_by_image[image]) > MIN_REPORTED_CHANGE
+                for image, value in session.baseline_by_image.items()
+            )
         ):
             self._changed_sessions.add(session)
 
@@ -526,6 +539,10 @@
 
     def _state_of(self, session: WorkerSession) -> WorkerState:
         exclusion_ms = {i: int(s * 1000) for i, s in session.excluded_images().items()}
+        idle_runs = [
+            IdleRun(*run, -1 if math.isinf(seconds) else int(1000 * seconds))
+            for run, seconds in session.idle_seconds_by_run().items()
+        ]
         state = WorkerState(
             WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms),
             session.fencing_token,
@@ -533,6 +550,7 @@
             dict(session.baseline_by_image),
             exclusion_ms,
             session.is_fenced or session.needs_new_token,
+            idle_runs,
         )
         self._reported_state_by_session[session] = state
         return state
@@ -579,6 +597,11 @@
         )  # fmt: skip
 
 
+def _idle_runs(state: WorkerState) -> set[tuple[str, int]]:
+    """Return the runs that were reported as idle."""
+    return {(each.task, each.run) for each in state.idle_runs}
+
+
 def _wait(event: Event, seconds: float) -> None:
     with eventlet.Timeout(seconds, False):
         event.wait()
--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -3,6 +3,7 @@
 This module does no I/O; times are seconds on the leader's monotonic clock.
 """
 
+import math
 import statistics
 from collections import deque
 from collections.abc import Iterable
@@ -187,6 +188,7 @@
                 continue
             is_responsive = known.state.responsive and is_live_by_agent.get(record.agent_id, False)
             excluded = known.excluded_until_by_image
+            idle_runs = known.state.idle_runs or ()
             views.append(
                 WorkerView(
                     worker,
@@ -196,6 +198,12 @@
                     frozenset(i for i, until in excluded.items() if now < until)
                     if excluded
                     else frozenset(),
+                    {
+                        (idle.task, idle.run): idle.idle_ms / 1000
+                        if idle.idle_ms >= 0
+                        else math.inf
+                        for idle in idle_runs
+                    },
                 )
             )
         return views
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -518,6 +518,13 @@
         task = self.ledger.find_task(end.task)
         if task is None or task.incarnation_by_run.get(end.run) != key:
             return
+        if end.outcome != RunOutcome.DONE and self._placement.waiting.is_last_resort(task, end.run):
+            log_event(
+                "run:overdue_ended", task=end.task, run=end.run, worker=key[0],
+                how=RunOutcome(end.outcome).name.lower(), without_work=round(
+                    self._placement.waiting.seconds_without_work(task, self.now()), 2
+                ),
+            )  # fmt: skip
         if end.outcome == RunOutcome.NEVER_RAN:
             self._note_start_without_run(task, end.run, key, SETTLED)
         else:
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -29,7 +29,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
 from .refused_starts import RefusedStarts
-from .waiting import MAX_DEFERRAL_SECONDS, WaitingWork
+from .waiting import RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
 """A task in another rack than its data runs several times longer, so this is the last resort."""
@@ -125,6 +125,9 @@
     excluded_images: frozenset[str] = frozenset()
     """Best-effort images recently evicted from this worker."""
 
+    idle_seconds_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    """Runs that are not at work, such as paused ones, and for how long."""
+
     incarnation: IncarnationKey = attrs.field(init=False)
     """Key of the worker's incarnation."""
 
@@ -477,8 +480,8 @@
 class Placement:
     """Plans the runs to start during one leader's term.
 
-    Its only state is the time since which startable work has been waiting, the starts that were
-    refused of late, the worker from which on the next step is placed, and the workers kept for
+    Its only state is how long startable work has had no run at work, the starts that were refused
+    of late, the worker from which on the next step is placed, and the workers kept for
     tasks that may crash them.
     """
 
@@ -518,7 +521,8 @@
         ]
         self._refused_starts.forget_old(now)
         refused_since_by_task = self._refused_starts.waiting_since_by_task()
-        self.waiting.begin_pass(groups, now, refused_since_by_task)
+        runs_at_work = _runs_at_work(views)
+        self.waiting.begin_pass(ledger, groups, runs_at_work, refused_since_by_task, now)
         candidates = [
             self.candidate(view, health, now)
             for view in views
@@ -532,50 +536,37 @@
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
-        last_resorts: set[str] = set()
+        last_resorts: list[RunIntent] = []
         for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
             pool = pools.pool_of(group)
             if self._must_leave_capacity(group, pool.candidates, now):
                 continue
             limit = math.inf
             if is_limited(group.spec):
-                limit = max(best_effort_starts, 0 if _has_run(group) else 1)
+                limit = max(best_effort_starts, 0 if self.waiting.is_at_work(group) else 1)
             suspect_starts = suspects_by_step.get(group.key, [])
             planned = self._plan_group(group, pool, limit, suspect_starts, now) if limit else []
             if group.spec.lasting or not planned:
                 overdue = self._plan_overdue(
                     group, all_pools.pool_of(group), suspect_starts + planned, usage, now
                 )
-                last_resorts.update(intent.task for intent in overdue)
+                last_resorts += overdue
                 planned += overdue
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
-        self._record_starts(ledger, intents, last_resorts, now)
+        self._record_starts(ledger, intents, now)
+        self.waiting.record_starts(ledger, intents, last_resorts, now)
         return intents
 
-    def _record_starts(
-        self, ledger: TaskLedger, intents: list[RunIntent], last_resorts: set[str], now: float
-    ) -> None:
-        """Take note of planned starts; ``last_resorts`` names the tasks that were overdue.
-
-        Those wait anew if they are refused, so that one attempt of the kind follows the other
-        only after a while.
-        """
+    def _record_starts(self, ledger: TaskLedger, intents: list[RunIntent], now: float) -> None:
+        """Take note of planned starts, and of how long each has been waited for."""
         for intent in intents:
-            seconds, task = 0.0, ledger.find_task(intent.task)
-            if intent.task not in last_resorts:
-                seconds = self.waiting.seconds_of_task(task, now)
-            elif not task.step.spec.lasting:
-                # A finite step waits as a whole.
-                for each in task.step.tasks:
-                    self._refused_starts.restart_wait(each.name, now)
-            worker_id = intent.life.worker_id
+            seconds = self.waiting.seconds_of_task(ledger.find_task(intent.task), now)
             self._refused_starts.record_start(
-                intent.task, intent.run, worker_id, now, waiting_since=now - seconds
+                intent.task, intent.run, intent.life.worker_id, now, waiting_since=now - seconds
             )
-        self.waiting.record_starts(intents, now)
 
     def record_refusal(self, task: str, run: int) -> None:
         """Take note that a planned start did not become a run."""
@@ -708,7 +699,7 @@
         """Return whether long-running work is held back for the benefit of finite runs."""
         return (
             _is_new_long_running(group)
-            and self.waiting.seconds(group, now) < MAX_DEFERRAL_SECONDS
+            and self.waiting.is_deferred(group, now)
             and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
         )
 
@@ -907,8 +898,12 @@
     return bool(step.max_per_worker) and run_count >= step.max_per_worker
 
 
-def _has_run(group: StepGroup) -> bool:
-    return any(task.incarnation_by_run for task in group.tasks)
+def _runs_at_work(views: list[WorkerView]) -> RunsAtWork:
+    idle_seconds_by_run: dict[tuple[str, int], float] = {}
+    for view in views:
+        idle_seconds_by_run.update(view.idle_seconds_by_run)
+    answering = frozenset(view.incarnation for view in views if view.is_responsive)
+    return RunsAtWork(answering, idle_seconds_by_run)
 
 
 def _is_new_long_running(group: StepGroup) -> bool:
--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -69,12 +69,6 @@
             start.is_refused = True
             self._refused_by_task.setdefault(task, []).append(start)
 
-    def restart_wait(self, task: str, now: float) -> None:
-        """Count the wait of a task from now, should its newest start be refused."""
-        start = self._newest_by_task.get(task)
-        if start is not None:
-            start.waiting_since = now
-
     def has_refusals(self, task: str) -> bool:
         """Return whether a start of the task has been refused of late."""
         return task in self._refused_by_task
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -1,15 +1,19 @@
-"""Bounds how long preferences keep startable work waiting.
+"""Bounds how long preferences keep startable work without a run at work.
 
 Placement passes over workers that are quarantined, kept for suspects of a crash, or where
 a run would disturb others.  Each of these preferences may delay a start, but none may
-prevent it: work that has waited ``MAX_DEFERRAL_SECONDS`` is overdue, and may be started on
-any worker that accepts runs and has the room.
+prevent it: work that has gone without a run for ``MAX_DEFERRAL_SECONDS`` is overdue, and may be
+started on any worker that accepts runs and has the room.
+
+Callers see the time in which nothing is at work, whatever was planned meanwhile.  So that time is
+summed up, through starts that are refused or in doubt and runs that are evicted or paused; only
+work that placement starts by its preferences makes up for it.
 """
 
 import attrs
 
-from ..tasks.job import StepGroup, Task
-from ..tasks.names import parse_task_name
+from ..tasks.job import IncarnationKey, StepGroup, Task
+from ..tasks.ledger import TaskLedger
 from ..wire.generated.ttypes import RunIntent
 
 MAX_DEFERRAL_SECONDS = 2.0
@@ -18,97 +22,280 @@
 The users require a start within 3 s where there is room; the rest is for passes and commits.
 """
 
+RETRY_SECONDS = 0.5
+"""Shortest time between two overdue starts of the same work, unless the first one is done."""
+
+RETRY_AFTER_FAILURE_SECONDS = 2.0
+"""The same after a run that failed: the attempts of a task are limited."""
+
+WorkKey = str | tuple
+"""What waits as a whole: the name of a long-running task, or the key of a finite step."""
+
+
+@attrs.frozen
+class RunsAtWork:
+    """Which runs are at work, as far as agents have reported the state of their workers."""
+
+    answering: frozenset[IncarnationKey] = frozenset()
+    """The workers that answer."""
+
+    idle_seconds_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    """The runs on them that are not at work, by task name and run number, and for how long."""
+
+    def runs(self, task: Task) -> list[int]:
+        """Return the numbers of the task's runs that are at work."""
+        return [
+            run
+            for run, incarnation in task.incarnation_by_run.items()
+            if incarnation in self.answering and (task.name, run) not in self.idle_seconds_by_run
+        ]
+
+    def idle_seconds(self, task: Task) -> float:
+        """Return for how long a run of the task has been idle; 0 if it has none or is silent."""
+        return max(
+            (self.idle_seconds_by_run.get((task.name, r), 0.0) for r in task.incarnation_by_run),
+            default=0.0,
+        )
+
+
+@attrs.define
+class _LastResort:
+    """The newest overdue start of some work."""
+
+    planned_at: float
+    runs: dict[str, int]
+    """The run numbers by task name; several of a gang alone."""
+
+    failures: int
+    """How many runs of the work had failed by then."""
+
+
+@attrs.define
+class _Account:
+    """The time that some work has gone without a run at work; times are monotonic seconds."""
+
+    changed_at: float
+    """When it changed last whether anything is at work, or makes up."""
+
+    idle_since: float | None
+    """Since when nothing has been at work; None if something is."""
+
+    at_work_since: float = 0.0
+    seconds: float = 0.0
+    """Time without a run at work up to ``changed_at``, less what was made up for."""
+
+    makes_up: bool = False
+    """Whether the present time at work counts against the time without."""
+
+    last_resort: _LastResort | None = None
+
+    def seconds_at(self, now: float) -> float:
+        """Return the time without a run at work, less what was made up for."""
+        elapsed = now - self.changed_at
+        if self.idle_since is not None:
+            return self.seconds + elapsed
+        if not self.makes_up:
+            return self.seconds
+        return max(0.0, min(self.seconds, MAX_DEFERRAL_SECONDS) - elapsed)
+
+    def note_at_work(self, makes_up: bool, now: float) -> None:
+        """Take note that something is at work."""
+        if self.idle_since is not None or self.makes_up != makes_up:
+            self.seconds, self.changed_at, self.makes_up = self.seconds_at(now), now, makes_up
+        if self.idle_since is not None:
+            self.idle_since, self.at_work_since = None, now
+
+    def note_idle(self, idle_since: float) -> None:
+        """Take note that nothing is at work, and since when, as is known now."""
+        if self.idle_since is None:
+            changed_at = max(idle_since, self.changed_at)
+            self.seconds, self.changed_at = self.seconds_at(changed_at), changed_at
+            self.idle_since = idle_since
+
+    def is_owed_work(self, now: float) -> bool:
+        """Return whether its time is not made up for, or its newest start may yet be refused."""
+        return self.seconds_at(now) > 0.0 or now - self.at_work_since < MAX_DEFERRAL_SECONDS
+
+    def is_held(self, tasks: list[Task], now: float) -> bool:
+        """Return whether the newest overdue start is too recent for another one."""
+        last = self.last_resort
+        if last is None:
+            return False
+        started = [task for task in tasks if task.name in last.runs]
+        if started and all(task.done for task in started):
+            return False
+        has_failed = _failures(tasks) > last.failures
+        pause = RETRY_AFTER_FAILURE_SECONDS if has_failed else RETRY_SECONDS
+        return now - last.planned_at < pause
+
 
 @attrs.define
 class WaitingWork:
-    """Since when startable work has had no run, in one leader's term; in monotonic seconds.
+    """How long startable work has had no run at work, in one leader's term.
 
     Each long-running task has to run, so each is counted by itself.  A finite step counts
-    as a whole, from its newest start on: it makes progress as long as one of its tasks runs.
+    as a whole: it makes progress as long as one of its tasks is at work.
     """
 
-    _since_by_task: dict[str, float] = attrs.field(factory=dict)
-    _since_by_group_key: dict[tuple, float] = attrs.field(factory=dict)
+    _account_by_key: dict[WorkKey, _Account] = attrs.field(factory=dict)
+    _runs_at_work: RunsAtWork = attrs.field(factory=RunsAtWork)
 
     def begin_pass(
-        self, groups: list[StepGroup], now: float, refused_since_by_task: dict[str, float]
+        self,
+        ledger: TaskLedger,
+        groups: list[StepGroup],
+        runs_at_work: RunsAtWork,
+        refused_since_by_task: dict[str, float],
+        now: float,
     ) -> None:
-        """Take note of the steps that have startable tasks and are due, at the start of a pass.
+        """Count the time up to a pass, of the steps that have startable tasks and are due.
 
         ``refused_since_by_task`` holds since when the tasks wait of which the newest start did
         not become a run: what was planned for them does not count.
         """
-        since = self._since_by_group_key
-        self._since_by_group_key = {group.key: since.get(group.key, now) for group in groups}
-        since = self._since_by_task
-        self._since_by_task = {
-            task.name: since.get(task.name, now)
-            for group in groups
-            if group.spec.lasting
-            for task in (group.tasks[index] for index in group.startable_indexes)
-        }
-        if refused_since_by_task:
-            self._resume_waits(groups, refused_since_by_task)
-
-    def _resume_waits(
-        self, groups: list[StepGroup], refused_since_by_task: dict[str, float]
-    ) -> None:
-        since_by_group_key: dict[tuple, float] = {}
-        for task, refused_since in refused_since_by_task.items():
-            if task in self._since_by_task:
-                self._since_by_task[task] = min(refused_since, self._since_by_task[task])
-            key = _step_key(task)
-            since = since_by_group_key.get(key, refused_since)
-            since_by_group_key[key] = min(refused_since, since)
+        self._runs_at_work = runs_at_work
+        accounts, self._account_by_key = self._account_by_key, {}
         for group in groups:
-            since = since_by_group_key.get(group.key)
-            if since is not None and not any(each.incarnation_by_run for each in group.tasks):
-                since = min(since, self._since_by_group_key[group.key])
-                self._since_by_group_key[group.key] = since
-
-    def seconds(self, group: StepGroup, now: float) -> float:
-        """Return how long the step has been waiting; the longest wait of its tasks counts."""
-        if group.spec.lasting:
-            tasks = (group.tasks[index] for index in group.startable_indexes)
-            since = min((self._since_by_task.get(task.name, now) for task in tasks), default=now)
-        else:
-            since = self._since_by_group_key.get(group.key, now)
-        return now - since
+            for key, tasks in _works(group):
+                account = accounts.pop(key, None)
+                if account is None:
+                    account = _Account(now, idle_since=now)
+                self._update(account, tasks, refused_since_by_task, now)
+                self._account_by_key[key] = account
+        # Work of which all tasks have runs may have to start again.
+        for key, account in accounts.items():
+            tasks = _find_tasks(ledger, key)
+            if tasks:
+                self._update(account, tasks, refused_since_by_task, now)
+                if account.is_owed_work(now):
+                    self._account_by_key[key] = account
+
+    def _update(
+        self, account: _Account, tasks: list[Task], refused_since_by_task: dict, now: float
+    ) -> None:
+        with_runs = [task for task in tasks if task.incarnation_by_run]
+        at_work = [(task.name, run) for task in with_runs for run in self._runs_at_work.runs(task)]
+        if at_work:
+            account.note_at_work(_makes_up(account, at_work, tasks[0]), now)
+            return
+        idle_seconds = max(map(self._runs_at_work.idle_seconds, with_runs), default=0.0)
+        idle_since = max(now - idle_seconds, account.at_work_since)
+        if not with_runs and refused_since_by_task:
+            refused = (refused_since_by_task.get(task.name, now) for task in tasks)
+            idle_since = min(idle_since, *refused)
+        account.note_idle(idle_since)
+
+    def is_at_work(self, group: StepGroup) -> bool:
+        """Return whether a run of the step is known to be at work."""
+        return any(self._runs_at_work.runs(task) for task in group.tasks)
 
     def seconds_of_task(self, task: Task, now: float) -> float:
-        """Return how long a startable task, or its step if that is finite, has been waiting."""
-        if task.step.spec.lasting:
-            return now - self._since_by_task.get(task.name, now)
-        return self.seconds(task.step, now)
+        """Return how long nothing of a task, or of its finite step, has been at work.
+
+        If something is, return since when.
+        """
+        account = self._account_by_key.get(_key(task))
+        if account is None:
+            return 0.0
+        since = account.at_work_since if account.idle_since is None else account.idle_since
+        return now - since
+
+    def seconds_without_work(self, task: Task, now: float) -> float:
+        """Return for how long nothing of a task, or its finite step, was at work, summed up."""
+        account = self._account_by_key.get(_key(task))
+        return account.seconds_at(now) if account else 0.0
+
+    def is_last_resort(self, task: Task, run: int) -> bool:
+        """Return whether a run is the newest overdue start of a task, or of its finite step."""
+        account = self._account_by_key.get(_key(task))
+        last = account.last_resort if account else None
+        return last is not None and last.runs.get(task.name) == run
+
+    def is_deferred(self, group: StepGroup, now: float) -> bool:
+        """Return whether preferences may keep all startable tasks of a step waiting."""
+        accounts = (self._account_by_key.get(key) for key, _ in _works(group))
+        return all(each.seconds_at(now) < MAX_DEFERRAL_SECONDS for each in accounts if each)
 
     def overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
         """Return those of the startable tasks of a step that are to be started on any worker.
 
-        Of a finite step this is one task, or the whole gang, and none while the step has a run.
+        Of a finite step this is one task, or the whole gang, and none while a run is at work.
         """
-        if self.seconds(group, now) < MAX_DEFERRAL_SECONDS:
+        if group.spec.lasting and not group.spec.gang:
+            return [task for task in tasks if self._is_overdue(task.name, [task], now)]
+        works = _works(group) if group.spec.lasting else [(group.key, group.tasks)]
+        if not tasks or not any(self._is_overdue(key, each, now) for key, each in works):
             return []
         if group.spec.gang:
             return tasks if len(tasks) == len(group.tasks) else []
-        if group.spec.lasting:
-            since = self._since_by_task
-            return [t for t in tasks if now - since.get(t.name, now) >= MAX_DEFERRAL_SECONDS]
-        if not tasks or any(task.incarnation_by_run for task in group.tasks):
-            return []
         # The attempts of a finite task are limited, so its step uses them up evenly.
         return [min(tasks, key=lambda task: (task.failures, task.index))]
 
-    def record_starts(self, intents: list[RunIntent], now: float) -> None:
-        """Count the waits anew of what is started; it may be startable again in the next pass."""
+    def _is_overdue(self, key: WorkKey, tasks: list[Task], now: float) -> bool:
+        account = self._account_by_key.get(key)
+        if account is None or account.idle_since is None:
+            return False
+        return account.seconds_at(now) >= MAX_DEFERRAL_SECONDS and not account.is_held(tasks, now)
+
+    def record_starts(
+        self,
+        ledger: TaskLedger,
+        intents: list[RunIntent],
+        last_resorts: list[RunIntent],
+        now: float,
+    ) -> None:
+        """Take note of planned starts, of which ``last_resorts`` are those of overdue tasks.
+
+        Each counts as a run at work, until it is known that none came to be.
+        """
+        runs_by_key: dict[WorkKey, dict[str, int]] = {}
+        for intent in last_resorts:
+            key = _key(ledger.find_task(intent.task))
+            runs_by_key.setdefault(key, {})[intent.task] = intent.run
+        for key, runs in runs_by_key.items():
+            account = self._account_by_key.get(key)
+            if account is not None:
+                failures = _failures(_find_tasks(ledger, key))
+                account.last_resort = _LastResort(now, runs, failures)
         for intent in intents:
-            if intent.task in self._since_by_task:
-                self._since_by_task[intent.task] = now
-            key = _step_key(intent.task)
-            if key in self._since_by_group_key:
-                self._since_by_group_key[key] = now
+            task = ledger.find_task(intent.task)
+            account = self._account_by_key.get(_key(task))
+            if account is not None:
+                account.note_at_work(_makes_up(account, [(task.name, intent.run)], task), now)
+
+
+def _key(task: Task) -> WorkKey:
+    return task.name if task.step.spec.lasting else task.step.key
+
+
+def _makes_up(account: _Account, runs: list[tuple[str, int]], task: Task) -> bool:
+    """Return whether runs of some work make up for time without: overdue ones don't, if finite."""
+    last = account.last_resort
+    return task.step.spec.lasting or any(not last or last.runs.get(t) != r for t, r in runs)
+
+
+def _works(group: StepGroup) -> list[tuple[WorkKey, list[Task]]]:
+    """Return what of a step waits by itself, and the tasks of each."""
+    if not group.spec.lasting:
+        return [(group.key, group.tasks)]
+    tasks = (group.tasks[index] for index in sorted(group.startable_indexes))
+    return [(task.name, [task]) for task in tasks]
+
+
+def _find_tasks(ledger: TaskLedger, key: WorkKey) -> list[Task]:
+    """Return the tasks of some work; empty if it has ended."""
+    if isinstance(key, str):
+        task = ledger.find_task(key)
+        tasks = [task] if task else []
+    else:
+        job_id, occurrence, number = key
+        job = ledger.job_by_id.get(job_id)
+        group = job.groups.get((occurrence, number)) if job else None
+        tasks = group.tasks if group else []
+    if not tasks or tasks[0].step.job.is_ended or not tasks[0].step.unfinished:
+        return []
+    return tasks
 
 
-def _step_key(task: str) -> tuple[str, int, int]:
-    """Return the key of a task's step from its name."""
-    name = parse_task_name(task)
-    return name.job_id, name.occurrence, name.step
+def _failures(tasks: list[Task]) -> int:
+    return sum(task.failures for task in tasks)
--- a/src/savoryshelf/dispatch/waiting_log.py
+++ b/src/savoryshelf/dispatch/waiting_log.py
@@ -204,6 +204,7 @@
             seconds=round(step.seconds, 2), since_ms=wall_ms - int(1000 * step.seconds),
             waiting=len(group.startable_indexes), tasks=len(group.tasks),
             at_work=step.is_at_work, long_running=spec.lasting, best_effort=spec.filling,
+            without_work=round(self._placement.waiting.seconds_without_work(task, now), 2),
             millicores=spec.millicores, memory_mb=spec.memory_mb, accelerators=spec.accelerators,
             label=spec.required_label, max_per_worker=spec.max_per_worker,
             service=group.job.queue.service_name, workers=len(situations),
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -15,6 +15,7 @@
 Each call is preceded by a check of the agent's permission, without a pause in between.
 """
 
+import math
 import random
 
 import attrs
@@ -28,7 +29,7 @@
 from ..tasks.worker import Worker
 from ..wire.generated.ttypes import RunEnd, RunOutcome
 from .placement import WorkerView
-from .throttling import ColocationHistory
+from .throttling import PAUSED, ColocationHistory
 from .unsettled_runs import UnsettledState
 from .worker_api import (
     CallRejected,
@@ -276,6 +277,19 @@
             frozenset(self.excluded_images()),
         )
 
+    def idle_seconds_by_run(self) -> dict[tuple[str, int], float]:
+        """Return the runs that may exist and are not at work, and for how long.
+
+        Infinity for a run whose start is in doubt: it may never have been at work.
+        """
+        now = self._agent.now()
+        runs = self.worker.task_by_run.keys()
+        idle = dict.fromkeys(self._stops_in_flight & runs, 0.0)
+        for run, speed_percent in self.speed_percent_by_run.items():
+            if speed_percent == PAUSED and run in runs:
+                idle[run] = self._history.paused_seconds(run, now)
+        return idle | dict.fromkeys(self._in_doubt_since_by_run.keys() & runs, math.inf)
+
     def exclude_image(self, image: str) -> None:
         """Keep a best-effort image off this worker for a while, after a run of it was evicted."""
         self._excluded_until_by_image[image] = self._agent.now() + IMAGE_EXCLUSION_SECONDS
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -381,6 +381,13 @@
 
 // ------------------------------------------------------ agents <-> the leader
 
+/** A run that may exist and is not at work: paused, being stopped, or its start is in doubt. */
+struct IdleRun {
+  1: string task, 2: i32 run,
+  /** For how long; negative if it is not known ever to have been at work. */
+  3: i64 idle_ms
+}
+
 /** What an agent knows of one of its workers beyond the log. */
 struct WorkerState {
   1: WorkerLife life, 2: i64 fencing_token,
@@ -391,7 +398,8 @@
   /** Best-effort images that were evicted recently, and for how many more ms to keep each away. */
   5: map<string, i32> exclusion_ms_by_image,
   /** The worker has seen a higher fencing token than its agent's. */
-  6: bool fenced
+  6: bool fenced,
+  7: optional list<IdleRun> idle_runs
 }
 
 enum RejectionKind { NO_CAPACITY = 1, UNHEALTHY = 2 }
--- /dev/null
+++ b/tests/dispatch/test_waiting.py
@@ -0,0 +1,48 @@
+"""Callers look at moments which work runs: it has to be at work for most of the time."""
+
+import pytest
+
+from ..tasks.builders import accept, step, worker
+from .test_bounded_waits import (
+    BATCH,
+    MAX_START_SECONDS,
+    RUN_SECONDS,
+    Site,
+    disturbing,
+    serve_everywhere,
+)
+
+LOOK_SECONDS = 1.0
+"""How often a caller looks; shorter than the time for which work may have nothing running."""
+
+PHASES = [number / 20 for number in range(20)]
+
+
+def longest_unseen_seconds(spans, phase, first, last):
+    """Return the longest time between looks of which none, first and last included, sees a run."""
+    longest, unseen_since, at = 0.0, None, first + phase
+    while at <= last:
+        if any(began_at <= at < ended_at for began_at, ended_at in spans):
+            unseen_since = None
+        else:
+            unseen_since = at if unseen_since is None else unseen_since
+            longest = max(longest, at - unseen_since)
+        at += LOOK_SECONDS
+    return longest
+
+
+# Guards against overdue work that gets one short run in each deferral: looks once a second that
+# are in phase with it find nothing running for as long as that goes on.
+@pytest.mark.parametrize("phase", PHASES)
+def test_overdue_best_effort_work_is_seen_running_by_looks_of_any_phase(phase):
+    site = Site(
+        *[worker(f"w{n}", millicores=9000, memory_mb=9000) for n in range(4)],
+        interference=disturbing(),
+    )
+    serve_everywhere(site)
+    accept(site.ledger, step(60, **BATCH))
+    began_at = site.now
+    site.run(12.0)
+    spans = [(at, at + RUN_SECONDS) for at, _, _ in site.starts]
+    unseen = longest_unseen_seconds(spans, phase, began_at, site.now)
+    assert unseen < MAX_START_SECONDS
