Place overdue work before steps whose starts are refused again and again

Callers saw: accepted work that could run and does not, for as long as another step, earlier in scheduling order, has its starts refused by all workers for a reason of its own (400, `late`, `old`, or room that they do not have for it), while the workers are empty.

Cause: a refused task is planned again in the next pass, and before later steps; its reservation ends only in the pass that places it again. What needs the same room finds none in any pass, and a last resort ignores preferences, not reservations. A finite step leaves a gap each 2 s, in the pass of its last resort; a long-running one or a gang leaves none.

Change: steps that have waited 2 s go before the first step of which a newest start was refused within the last 2 s. Otherwise the order stays, so urgent work that is refused once stays before work that is not overdue. It ends no reservation early.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -517,6 +517,7 @@
             if group.job.due_ms(group.occurrence) <= wall_ms
         ]
         self._refused_starts.forget_old(now)
+        self._refused_starts.note_time_of_refusals(now)
         refused_since_by_task = self._refused_starts.waiting_since_by_task()
         self.waiting.begin_pass(groups, now, refused_since_by_task)
         candidates = [
@@ -533,7 +534,8 @@
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
         last_resorts: set[str] = set()
-        for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
+        groups.sort(key=lambda group: _scheduling_order(group, wall_ms))
+        for group in self._with_overdue_before_refused(groups, ledger, now):
             pool = pools.pool_of(group)
             if self._must_leave_capacity(group, pool.candidates, now):
                 continue
@@ -555,6 +557,26 @@
         self._record_starts(ledger, intents, last_resorts, now)
         return intents
 
+    def _with_overdue_before_refused(
+        self, groups: list[StepGroup], ledger: TaskLedger, now: float
+    ) -> list[StepGroup]:
+        """Return steps in scheduling order, overdue ones before those that are being refused.
+
+        What is refused again and again takes the room in each pass and uses it in none.
+        """
+        names = self._refused_starts.tasks_refused_since(now - MAX_DEFERRAL_SECONDS)
+        refused = {task.step.key for task in map(ledger.find_task, names) if task is not None}
+        first = next((i for i, group in enumerate(groups) if group.key in refused), len(groups))
+        moved = [
+            group
+            for group in groups[first:]
+            if group.key not in refused and self.waiting.seconds(group, now) >= MAX_DEFERRAL_SECONDS
+        ]
+        if not moved:
+            return groups
+        keys = {group.key for group in moved}
+        return groups[:first] + moved + [g for g in groups[first:] if g.key not in keys]
+
     def _record_starts(
         self, ledger: TaskLedger, intents: list[RunIntent], last_resorts: set[str], now: float
     ) -> None:
--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -24,6 +24,8 @@
     planned_at: float
     waiting_since: float
     is_refused: bool = False
+    refused_at: float | None = None
+    """When the first pass after its refusal began."""
 
 
 @attrs.define
@@ -38,6 +40,14 @@
 
     _newest_by_task: dict[str, _Start] = attrs.field(factory=dict)
     _refused_by_task: dict[str, list[_Start]] = attrs.field(factory=dict)
+    _newly_refused: list[_Start] = attrs.field(factory=list)
+    """Those that were refused since the last pass began."""
+
+    def note_time_of_refusals(self, now: float) -> None:
+        """Take note at the begin of a pass when the newest refusals were heard of."""
+        for start in self._newly_refused:
+            start.refused_at = now
+        self._newly_refused = []
 
     def forget_old(self, now: float) -> None:
         """Drop the starts of long ago."""
@@ -68,6 +78,7 @@
         if start is not None and not start.is_refused:
             start.is_refused = True
             self._refused_by_task.setdefault(task, []).append(start)
+            self._newly_refused.append(start)
 
     def restart_wait(self, task: str, now: float) -> None:
         """Count the wait of a task from now, should its newest start be refused."""
@@ -75,6 +86,11 @@
         if start is not None:
             start.waiting_since = now
 
+    def tasks_refused_since(self, since: float) -> list[str]:
+        """Return the tasks of which the newest start was heard to be refused after that time."""
+        newest = (self._newest_by_task.get(task) for task in self._refused_by_task)
+        return [s.task for s in newest if s and s.refused_at is not None and s.refused_at > since]
+
     def has_refusals(self, task: str) -> bool:
         """Return whether a start of the task has been refused of late."""
         return task in self._refused_by_task
