Test, failing: a last resort that is refused begins a second wait of 2 s

The workers with room are avoided ones; the first that is tried refuses, the next is tried 2 s later.

Cause: Placement._record_starts gives the start of a last resort a wait of 0 s (long-running) or calls restart_wait for all tasks of the step (finite), and WaitingWork.record_starts counts anew from the planned start. The 2 s protect attempts, which a refused start does not use up. Not fixed here: a trial without the restart mends this and breaks test_a_small_task_starts_behind_a_larger_one_that_is_rejected_each_time and test_a_step_is_tried_as_a_last_resort_each_two_seconds_after_its_tasks_were_refused.

--- a/tests/dispatch/test_urgent_work.py
+++ b/tests/dispatch/test_urgent_work.py
@@ -339,6 +339,21 @@
     assert max(idle, default=0.0) < MAX_IDLE_SECONDS
 
 
+# ------------------------------------------- several conditions one after the other
+
+
+# Guards against two waits of a last resort in a row: the first one is refused.
+@each_duration
+@each_refusal
+@pytest.mark.parametrize("refusing", [1, 2])
+def test_urgent_work_starts_though_a_last_resort_is_refused(refusing, fate, lasting):
+    site = Site()
+    site.quarantine(*[f"w{n}" for n in range(8)])
+    by_worker(site, **{f"w{n}": fate for n in range(refusing)})
+    site.submit(count=1, lasting=lasting)
+    assert site.run(12.0) < MAX_IDLE_SECONDS
+
+
 # -------------------------------------------------------------- a change of the leader
 
 
