Test, failing: a start in doubt, or on a lost worker, counts as the run of a finite step

Callers see 6.0 s (in doubt) and 9.25 s (worker lost) without anything at work after a last resort, and 4.0 s and 7.25 s where the starts were no last resort, though six other tasks of the step could start on workers that would take them: 4 of 4 cases fail.

Cause: WaitingWork.overdue_tasks returns nothing while any run of a finite step may exist. Only the task itself has to wait for its lease or confirmed stop. It matters where the rest of the step fits on avoided workers alone; elsewhere the others are placed normally. Not fixed here.

--- a/tests/dispatch/test_urgent_work.py
+++ b/tests/dispatch/test_urgent_work.py
@@ -354,6 +354,27 @@
     assert site.run(12.0) < MAX_IDLE_SECONDS
 
 
+# Guards against a step whose last resort is in doubt, or on a worker that is gone, and whose
+# other tasks wait for the end of that.
+@pytest.mark.parametrize("fate", ["unanswered", "lost"])
+def test_an_urgent_step_is_tried_elsewhere_while_its_last_resort_is_no_run(fate):
+    site = Site()
+    site.quarantine(*[f"w{n}" for n in range(8)])
+    by_worker(site, w0=fate)
+    site.submit()
+    assert site.run(12.0) < MAX_IDLE_SECONDS
+
+
+# Guards against the same for starts that were no last resort.
+@pytest.mark.parametrize("fate", ["unanswered", "lost"])
+def test_an_urgent_step_is_tried_elsewhere_while_its_only_runs_are_none(fate):
+    site = Site()
+    site.quarantine(*[f"w{n}" for n in range(1, 8)])
+    by_worker(site, w0=fate)
+    site.submit()
+    assert site.run(12.0) < MAX_IDLE_SECONDS
+
+
 # -------------------------------------------------------------- a change of the leader
 
 
