Test, failing: the last resort of a finite step is the same task each time, though it is refused

Cause: WaitingWork.overdue_tasks takes the task with the fewest failures and the lowest index. A refused start is no failure, so a task that all workers refuse is taken each 2 s, and no other of its step ever. Not fixed here: refusals have to count before failures in the order.

--- a/tests/dispatch/test_urgent_work.py
+++ b/tests/dispatch/test_urgent_work.py
@@ -375,6 +375,19 @@
     assert site.run(12.0) < MAX_IDLE_SECONDS
 
 
+# Guards against a step of which one task alone is tried: what keeps it from all workers need not
+# keep the others.
+@each_refusal
+def test_another_task_of_an_urgent_step_is_tried_after_its_first_was_refused(fate):
+    site = Site()
+    site.quarantine(*[f"w{n}" for n in range(8)])
+    site.fate = lambda task, worker_id: "works" if task.index else fate
+    site.submit()
+    site.run(12.0)
+    assert {task for _, task, _ in site.starts} > {f"{JOB}.0.0.0"}
+    assert site.run(0.1) < MAX_IDLE_SECONDS
+
+
 # -------------------------------------------------------------- a change of the leader
 
 
