--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1392,7 +1392,7 @@
     Mutant(
         "long-running work is held back for finite runs only for a while",
         "dispatch/placement.py",
-        "            and self.waiting.is_deferred(group, now)\n",
+        "            and not self.waiting.is_overdue(group, now)\n",
         "",
         DISPATCH + "/test_placement.py",
     ),
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -29,7 +29,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
 from .refused_starts import RefusedStarts
-from .waiting import RunsAtWork, WaitingWork
+from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
 """A task in another rack than its data runs several times longer, so this is the last resort."""
@@ -520,6 +520,7 @@
             if group.job.due_ms(group.occurrence) <= wall_ms
         ]
         self._refused_starts.forget_old(now)
+        self._refused_starts.note_time_of_refusals(now)
         refused_since_by_task = self._refused_starts.waiting_since_by_task()
         runs_at_work = _runs_at_work(views)
         self.waiting.begin_pass(ledger, groups, runs_at_work, refused_since_by_task, now)
@@ -537,9 +538,10 @@
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
         last_resorts: list[RunIntent] = []
-        for group in sorted(groups, key=lambda group: _scheduling_order(group, wall_ms)):
+        groups.sort(key=lambda group: _scheduling_order(group, wall_ms))
+        for group in self._with_overdue_before_refused(groups, ledger, now):
             pool = pools.pool_of(group)
-            if self._must_leave_capacity(group, pool.candidates, now):
+            if self._must_leave_capacity(group, pool.candidates, wall_ms, now):
                 continue
             limit = math.inf
             if is_limited(group.spec):
@@ -560,6 +562,26 @@
         self.waiting.record_starts(ledger, intents, last_resorts, now)
         return intents
 
+    def _with_overdue_before_refused(
+        self, groups: list[StepGroup], ledger: TaskLedger, now: float
+    ) -> list[StepGroup]:
+        """Return steps in scheduling order, overdue ones before those that are being refused.
+
+        What is refused again and again takes the room in each pass and uses it in none.
+        """
+        names = self._refused_starts.tasks_refused_since(now - MAX_DEFERRAL_SECONDS)
+        refused = {task.step.key for task in map(ledger.find_task, names) if task is not None}
+        first = next((i for i, group in enumerate(groups) if group.key in refused), len(groups))
+        moved = [
+            group
+            for group in groups[first:]
+            if group.key not in refused and self.waiting.is_overdue(group, now)
+        ]
+        if not moved:
+            return groups
+        keys = {group.key for group in moved}
+        return groups[:first] + moved + [g for g in groups[first:] if g.key not in keys]
+
     def _record_starts(self, ledger: TaskLedger, intents: list[RunIntent], now: float) -> None:
         """Take note of planned starts, and of how long each has been waited for."""
         for intent in intents:
@@ -576,6 +598,9 @@
         """Return how many starts of a task each worker has refused of late, by worker id."""
         return self._refused_starts.count_by_worker(task.name)
 
+    def _overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
+        return self.waiting.overdue_tasks(group, tasks, self._refused_starts.count, now)
+
     def _plan_suspects(
         self, suspects: list[Task], ledger: TaskLedger, pools: "_Pools", now: float
     ) -> list[RunIntent]:
@@ -657,7 +682,7 @@
         if pool.is_exhausted_for(step):
             return []
         tasks = self._startable_tasks(group)
-        overdue = self.waiting.overdue_tasks(group, tasks, now)
+        overdue = self._overdue_tasks(group, tasks, now)
         refused = [task for task in overdue if self._refused_starts.has_refusals(task.name)]
         run_counts = run_count_by_incarnation(group, suspect_starts)
         if step.gang:
@@ -694,12 +719,13 @@
         return best is not None and bool(self.refusals_by_worker(task)[best.view.incarnation[0]])
 
     def _must_leave_capacity(
-        self, group: StepGroup, eligible: list[_Candidate], now: float
+        self, group: StepGroup, eligible: list[_Candidate], wall_ms: int, now: float
     ) -> bool:
         """Return whether long-running work is held back for the benefit of finite runs."""
         return (
             _is_new_long_running(group)
-            and self.waiting.is_deferred(group, now)
+            and not self.waiting.is_overdue(group, now)
+            and _seconds_since_acceptance(group, wall_ms) < MAX_DEFERRAL_SECONDS
             and _long_running_share(group, eligible) > MAX_LONG_RUNNING_SHARE
         )
 
@@ -717,7 +743,7 @@
         """
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
-        tasks = self.waiting.overdue_tasks(group, tasks, now)
+        tasks = self._overdue_tasks(group, tasks, now)
         step = group.spec
         has_refusals = any(self._refused_starts.has_refusals(task.name) for task in tasks)
         if not tasks or (pool.is_exhausted_for(step) and not has_refusals):
@@ -912,6 +938,17 @@
     )
 
 
+def _seconds_since_acceptance(group: StepGroup, wall_ms: int) -> float:
+    """Return for how long a step has been startable at least, whoever led; 0 if that is not known.
+
+    Only for steps that have not started.
+    """
+    if group.spec.after:
+        return 0.0
+    job = group.job
+    return (wall_ms - max(job.accepted_ms, job.due_ms(group.occurrence))) / 1000
+
+
 def _long_running_share(group: StepGroup, eligible: list[_Candidate]) -> float:
     """Return the share of the service's processors reserved by long-running runs and this group."""
     total_millicores = sum(c.view.worker.record.millicores for c in eligible)
--- a/src/savoryshelf/dispatch/refused_starts.py
+++ b/src/savoryshelf/dispatch/refused_starts.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from ..tasks.job import Task
+
 REMEMBERED_SECONDS = 10.0
 """How long a start is remembered, in seconds: a start in doubt is settled within five."""
 
@@ -24,6 +26,8 @@
     planned_at: float
     waiting_since: float
     is_refused: bool = False
+    refused_at: float | None = None
+    """When the first pass after its refusal began."""
 
 
 @attrs.define
@@ -38,6 +42,14 @@
 
     _newest_by_task: dict[str, _Start] = attrs.field(factory=dict)
     _refused_by_task: dict[str, list[_Start]] = attrs.field(factory=dict)
+    _newly_refused: list[_Start] = attrs.field(factory=list)
+    """Those that were refused since the last pass began."""
+
+    def note_time_of_refusals(self, now: float) -> None:
+        """Take note at the begin of a pass when the newest refusals were heard of."""
+        for start in self._newly_refused:
+            start.refused_at = now
+        self._newly_refused = []
 
     def forget_old(self, now: float) -> None:
         """Drop the starts of long ago."""
@@ -68,11 +80,21 @@
         if start is not None and not start.is_refused:
             start.is_refused = True
             self._refused_by_task.setdefault(task, []).append(start)
+            self._newly_refused.append(start)
+
+    def tasks_refused_since(self, since: float) -> list[str]:
+        """Return the tasks of which the newest start was heard to be refused after that time."""
+        newest = (self._newest_by_task.get(task) for task in self._refused_by_task)
+        return [s.task for s in newest if s and s.refused_at is not None and s.refused_at > since]
 
     def has_refusals(self, task: str) -> bool:
         """Return whether a start of the task has been refused of late."""
         return task in self._refused_by_task
 
+    def count(self, task: Task) -> int:
+        """Return how many starts of the task have been refused of late."""
+        return len(self._refused_by_task.get(task.name, ()))
+
     def count_by_worker(self, task: str) -> Counter:
         """Return how many starts of a task each worker has refused of late, by worker id."""
         refused = self._refused_by_task.get(task)
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -10,6 +10,8 @@
 work that placement starts by its preferences makes up for it.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from ..tasks.job import IncarnationKey, StepGroup, Task
@@ -22,7 +24,7 @@
 The users require a start within 3 s where there is room; the rest is for passes and commits.
 """
 
-RETRY_SECONDS = 0.5
+RETRY_SECONDS = 0.25
 """Shortest time between two overdue starts of the same work, unless the first one is done."""
 
 RETRY_AFTER_FAILURE_SECONDS = 2.0
@@ -211,31 +213,42 @@
         last = account.last_resort if account else None
         return last is not None and last.runs.get(task.name) == run
 
-    def is_deferred(self, group: StepGroup, now: float) -> bool:
-        """Return whether preferences may keep all startable tasks of a step waiting."""
-        accounts = (self._account_by_key.get(key) for key, _ in _works(group))
-        return all(each.seconds_at(now) < MAX_DEFERRAL_SECONDS for each in accounts if each)
+    def is_overdue(self, group: StepGroup, now: float) -> bool:
+        """Return whether a startable task of the step has gone too long without a run at work."""
+        return any(self._has_waited_too_long(key, now) for key, _ in _works(group))
+
+    def _has_waited_too_long(self, key: WorkKey, now: float) -> bool:
+        account = self._account_by_key.get(key)
+        if account is None or account.idle_since is None:
+            return False
+        return account.seconds_at(now) >= MAX_DEFERRAL_SECONDS
 
-    def overdue_tasks(self, group: StepGroup, tasks: list[Task], now: float) -> list[Task]:
+    def overdue_tasks(
+        self,
+        group: StepGroup,
+        tasks: list[Task],
+        refusals: Callable[[Task], int],
+        now: float,
+    ) -> list[Task]:
         """Return those of the startable tasks of a step that are to be started on any worker.
 
         Of a finite step this is one task, or the whole gang, and none while a run is at work.
+        ``refusals`` returns how many starts of a task were refused of late.
         """
         if group.spec.lasting and not group.spec.gang:
-            return [task for task in tasks if self._is_overdue(task.name, [task], now)]
+            return [task for task in tasks if self._may_start_anywhere(task.name, [task], now)]
         works = _works(group) if group.spec.lasting else [(group.key, group.tasks)]
-        if not tasks or not any(self._is_overdue(key, each, now) for key, each in works):
+        if not tasks or not any(self._may_start_anywhere(key, each, now) for key, each in works):
             return []
         if group.spec.gang:
             return tasks if len(tasks) == len(group.tasks) else []
         # The attempts of a finite task are limited, so its step uses them up evenly.
-        return [min(tasks, key=lambda task: (task.failures, task.index))]
+        return [min(tasks, key=lambda task: (task.failures + refusals(task), task.index))]
 
-    def _is_overdue(self, key: WorkKey, tasks: list[Task], now: float) -> bool:
-        account = self._account_by_key.get(key)
-        if account is None or account.idle_since is None:
+    def _may_start_anywhere(self, key: WorkKey, tasks: list[Task], now: float) -> bool:
+        if not self._has_waited_too_long(key, now):
             return False
-        return account.seconds_at(now) >= MAX_DEFERRAL_SECONDS and not account.is_held(tasks, now)
+        return not self._account_by_key[key].is_held(tasks, now)
 
     def record_starts(
         self,
