Defer startable work by 1.5 s at most, so that one unanswered start fits into 3 s

What callers would see: a step whose overdue start goes unanswered has nothing at work for 2 s, 1 s until the call times out, and a pass: over the 3 s that they allow, though each bound holds by itself.

Cause: the bounds were chosen one by one; the sum of a deferral and one unanswered call was never asked for.

Evidence: tests/dispatch/test_urgent_work.py::test_an_urgent_step_is_tried_elsewhere_while_its_last_resort_is_no_run [unanswered] had 3.0 s without work with a deferral of 2 s, and passes with 1.5 s.

--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -18,10 +18,11 @@
 from ..tasks.ledger import TaskLedger
 from ..wire.generated.ttypes import RunIntent
 
-MAX_DEFERRAL_SECONDS = 2.0
+MAX_DEFERRAL_SECONDS = 1.5
 """How long preferences may keep startable work without a run.
 
-The users require a start within 3 s where there is room; the rest is for passes and commits.
+The users require a run at work within 3 s where there is room.  The rest is for one start call that
+goes unanswered for a second, and for passes and commits.
 """
 
 RETRY_SECONDS = 0.25
