A new leader takes into account how long work may have waited before its term

The log does not say since when a step is startable, but since when its job is accepted or due.

Change: what has no run when a leader plans for the first time may have waited since its job was accepted, or due; it is overdue 0.5 s later at the latest, the time in which agents report the state of their workers.

Evidence: test_overdue_work_starts_though_the_leader_changes_each_second finds no start at all in 4 s without the change, and one in time with it.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1979,8 +1979,8 @@
     Mutant(
         "a wait goes on through starts that are refused",
         _PLACEMENT,
-        "runs_at_work, refused_since_by_task, now)",
-        "runs_at_work, {}, now)",
+        "runs_at_work, refused_since_by_task, wall_ms, now)",
+        "runs_at_work, {}, wall_ms, now)",
         _BOUNDED_WAITS_TESTS,
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -523,7 +523,7 @@
         self._refused_starts.note_time_of_refusals(now)
         refused_since_by_task = self._refused_starts.waiting_since_by_task()
         runs_at_work = _runs_at_work(views)
-        self.waiting.begin_pass(ledger, groups, runs_at_work, refused_since_by_task, now)
+        self.waiting.begin_pass(ledger, groups, runs_at_work, refused_since_by_task, wall_ms, now)
         candidates = [
             self.candidate(view, health, now)
             for view in views
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -31,6 +31,9 @@
 RETRY_AFTER_FAILURE_SECONDS = 2.0
 """The same after a run that failed: the attempts of a task are limited."""
 
+LEADER_GRACE_SECONDS = 0.5
+"""How long work without a run is not overdue for a new leader, which lacks reports of workers."""
+
 WorkKey = str | tuple
 """What waits as a whole: the name of a long-running task, or the key of a finite step."""
 
@@ -142,6 +145,8 @@
 
     _account_by_key: dict[WorkKey, _Account] = attrs.field(factory=dict)
     _runs_at_work: RunsAtWork = attrs.field(factory=RunsAtWork)
+    _is_new: bool = True
+    """Whether the leader has planned nothing yet."""
 
     def begin_pass(
         self,
@@ -149,6 +154,7 @@
         groups: list[StepGroup],
         runs_at_work: RunsAtWork,
         refused_since_by_task: dict[str, float],
+        wall_ms: int,
         now: float,
     ) -> None:
         """Count the time up to a pass, of the steps that have startable tasks and are due.
@@ -157,12 +163,15 @@
         not become a run: what was planned for them does not count.
         """
         self._runs_at_work = runs_at_work
+        is_new, self._is_new = self._is_new, False
         accounts, self._account_by_key = self._account_by_key, {}
         for group in groups:
             for key, tasks in _works(group):
                 account = accounts.pop(key, None)
                 if account is None:
                     account = _Account(now, idle_since=now)
+                    if is_new:
+                        account.seconds = _unseen_seconds(group, tasks, wall_ms)
                 self._update(account, tasks, refused_since_by_task, now)
                 self._account_by_key[key] = account
         # Work of which all tasks have runs may have to start again.
@@ -313,3 +322,12 @@
 
 def _failures(tasks: list[Task]) -> int:
     return sum(task.failures for task in tasks)
+
+
+def _unseen_seconds(group: StepGroup, tasks: list[Task], wall_ms: int) -> float:
+    """Return how long work may have waited under earlier leaders, less what reports take."""
+    if any(task.incarnation_by_run for task in tasks):
+        return 0.0
+    since_ms = max(group.job.accepted_ms, group.job.due_ms(group.occurrence))
+    longest = MAX_DEFERRAL_SECONDS - LEADER_GRACE_SECONDS
+    return min(longest, max(0.0, (wall_ms - since_ms) / 1000))
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -46,3 +46,20 @@
     spans = [(at, at + RUN_SECONDS) for at, _, _ in site.starts]
     unseen = longest_unseen_seconds(spans, phase, began_at, site.now)
     assert unseen < MAX_START_SECONDS
+
+
+# Guards against waits that each new leader counts from its first pass: under leaders that change
+# again and again, what preferences hold back never starts.
+def test_overdue_work_starts_though_the_leader_changes_each_second():
+    site = Site(
+        *[worker(f"w{n}", millicores=9000, memory_mb=9000) for n in range(4)],
+        interference=disturbing(),
+    )
+    serve_everywhere(site)
+    site.ledger.at_ms = site.wall_ms
+    accept(site.ledger, step(60, **BATCH))
+    accepted_at = site.now
+    for _ in range(4):
+        site.run(1.0)
+        site.change_leader()
+    assert site.starts[0][0] - accepted_at < MAX_START_SECONDS
