A service counts as busy only if it is with and without silent workers

What callers would see: best-effort steps wait without an end while under half of the service is in use, since what may exist on workers that do not answer is counted in the share from which on they keep waiting.

Cause: the share was taken over all workers, lost ones with all that is reserved on them included; callers do not see those.

Evidence: test_best_effort_work_starts_though_workers_that_do_not_answer_are_fully_reserved finds no start in 3 s without the change.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -344,7 +344,7 @@
 
 
 class _ServiceUsage:
-    """How much of each service is reserved in one pass, that of silent workers included."""
+    """How much of each service is reserved in one pass."""
 
     def __init__(self, candidates: list[_Candidate], views: list[WorkerView]):
         self._candidates = candidates
@@ -353,7 +353,11 @@
         self._others = [view.worker for view in views if view.incarnation not in placeable]
 
     def is_busy(self, service_name: str) -> bool:
-        """Return whether ``BUSY_SHARE`` of the service is reserved, with what this pass planned."""
+        """Return whether ``BUSY_SHARE`` of the service is reserved, with what this pass planned.
+
+        It has to be so with and without the workers that do not answer: whether those, and the
+        runs that may exist on them, count for callers is not known.
+        """
         if service_name in self._busy_services:
             # What is reserved only rises during a pass.
             return True
@@ -363,11 +367,12 @@
             if worker.record.service_name == service_name:
                 total_millicores += worker.record.millicores
                 reserved_millicores += worker.used.millicores + candidate.planned.millicores
+        is_busy = reserved_millicores >= BUSY_SHARE * total_millicores
         for worker in self._others:
             if worker.record.service_name == service_name:
                 total_millicores += worker.record.millicores
                 reserved_millicores += worker.used.millicores
-        is_busy = reserved_millicores >= BUSY_SHARE * total_millicores
+        is_busy = is_busy and reserved_millicores >= BUSY_SHARE * total_millicores
         if is_busy:
             self._busy_services.add(service_name)
         return is_busy
--- a/tests/dispatch/test_waiting.py
+++ b/tests/dispatch/test_waiting.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..tasks.builders import accept, step, worker
+from ..tasks.builders import accept, record_intent, step, worker
 from .test_bounded_waits import (
     BATCH,
     MAX_START_SECONDS,
@@ -12,6 +12,7 @@
     serve_everywhere,
 )
 
+OTHER_JOB = "00000000000000b2"
 LOOK_SECONDS = 1.0
 """How often a caller looks; shorter than the time for which work may have nothing running."""
 
@@ -63,3 +64,17 @@
         site.run(1.0)
         site.change_leader()
     assert site.starts[0][0] - accepted_at < MAX_START_SECONDS
+
+
+# Guards against a service that counts as busy by what may exist on workers that do not answer.
+def test_best_effort_work_starts_though_workers_that_do_not_answer_are_fully_reserved():
+    records = [worker(f"w{n}", millicores=9000, memory_mb=9000) for n in range(4)]
+    site = Site(*records, interference=disturbing())
+    serve_everywhere(site, millicores=4000)
+    site.unresponsive = {"w3"}
+    lost = step(lasting=True, millicores=5000)
+    accept(site.ledger, lost, job_id=OTHER_JOB)
+    record_intent(site.ledger, f"{OTHER_JOB}.0.0.0", incarnation=("w3", 1))
+    accept(site.ledger, step(2, **BATCH))
+    site.run(MAX_START_SECONDS)
+    assert site.starts
