Tests: workers whose serving runs suffer from best-effort runs beside them

Workers of the state machine ran no serving and no best-effort work, so no agent there ever throttled, paused or evicted a run. A worker on virtual time now reports the tail of its serving runs (as busy by themselves as it is told, plus what best-effort runs add, over the last half second), lets best-effort runs work at the speed that the agent sets (from 0.05 s on; no progress at 0 percent), and notes since when a serving run is over its target by what fills beside it alone. The judge notes when a run of a step, and of a task, was last at work: not paused, not being stopped, on a process that is up. Best-effort runs reserve no processor time.

--- a/tests/dispatch/protocol_worker.py
+++ b/tests/dispatch/protocol_worker.py
@@ -1,6 +1,7 @@
 """Workers that follow the platform's PROTOCOL.md, on virtual time, and a judge of what they see."""
 
 import contextlib
+import math
 
 import attrs
 import eventlet
@@ -27,6 +28,22 @@
 HEARTBEAT_SECONDS = 1.0
 MAX_LISTED_ENDS = 500
 
+PACE_SECONDS = 0.05
+"""How long after it arrives a new speed takes effect."""
+
+GAUGE_SECONDS = 0.5
+"""The time over which the gauges of a list of runs are taken."""
+
+HARM_SECONDS = 4.0
+"""RULES.md, HARM: how long best-effort runs may keep a serving run over its target."""
+
+USUAL_LOAD = 0.5
+"""Share of its capacity that a serving run uses by itself."""
+
+MAX_LOAD = 0.97
+IDLE_TAIL_SHARE = 0.2
+"""Tail response time of an idle serving run, as a share of its target."""
+
 SILENT, BUSY, REFUSES = "silent", "answers polls alone", "refuses"
 """What a worker may be impaired by for a while; any other is a way to answer starts."""
 
@@ -41,7 +58,13 @@
 
     violations: list = attrs.field(factory=list)
     seen_at_by_step: dict = attrs.field(factory=dict)
-    """When a run of each step was last at work."""
+    """When a run of each step was last at work, if none is now."""
+
+    seen_at_by_task: dict = attrs.field(factory=dict)
+    """The same of each task."""
+
+    weight_by_pair: dict = attrs.field(factory=dict)
+    """What each core of a best-effort image adds to the load of a serving image."""
 
     _done: list = attrs.field(factory=list)
     _after_done: list = attrs.field(factory=list)
@@ -64,9 +87,16 @@
             self.violations.append(f"ROUTE: {task}:{run} is one too many on {worker}")
         self._judge_starts_after_done()
 
+    def note_rest(self, task, now):
+        """Take note that a run of a task is at work no more."""
+        self.seen_at_by_task[task] = self.seen_at_by_step[task.rpartition(".")[0]] = now
+
+    def tasks_at_work(self):
+        """Return the names of the tasks of which a run is at work."""
+        return {run[0] for worker in self.workers if worker.is_up for run in worker.runs_at_work()}
+
     def note_end(self, worker, end):
         """Take note of an end that a worker lists from now on."""
-        self.seen_at_by_step[end.task.rpartition(".")[0]] = worker.clock.monotonic()
         if end.outcome is RunOutcome.DONE:
             self._done.append(_DoneEnd(worker, end.number, end.task))
 
@@ -99,6 +129,34 @@
     has_lapsed: bool = False
 
 
+@attrs.define
+class _Work:
+    """What a run has done, and how fast it works."""
+
+    since: float
+    """Since when it works at this speed."""
+
+    speed_percent: int = 100
+    done_ms: float = 0.0
+    finish: object = None
+    """What ends a finite run once it is done."""
+
+    def settle(self, now):
+        """Count what was done until now."""
+        self.done_ms += (now - self.since) * 10 * self.speed_percent
+        self.since = now
+
+
+@attrs.frozen
+class _Load:
+    """What a worker's runs use from a moment on."""
+
+    since: float
+    own: float
+    cores_by_image: dict
+    """The cores in use by each best-effort image."""
+
+
 class ProtocolWorker:
     """One process of a worker: its runs, its lease, and what impairs it."""
 
@@ -122,6 +180,16 @@
         self.running = {}
         """When each run is stopped, or None, by task and run."""
 
+        self.load = USUAL_LOAD
+        """How busy its serving runs are by themselves."""
+
+        self.harmed_since_by_run = {}
+        """Since when each serving run has been over its target by what fills beside it."""
+
+        self._work_by_run = {}
+        self._loads = [_Load(clock.monotonic(), self.load, {})]
+        """What the runs used of late, oldest first."""
+
         self.ends = []
         self.acknowledged = 0
         self.pending_orders = []
@@ -158,10 +226,23 @@
     def free_slots(self, spec):
         """Return how many runs of a step fit beside what runs here, its limit aside."""
         used = [self.judge.spec_by_task[task] for task, _ in self.running]
-        return min(
-            (self.millicores - sum(each.millicores for each in used)) // spec.millicores,
-            (self.memory_mb - sum(each.memory_mb for each in used)) // spec.memory_mb,
-        )
+        free_memory_mb = self.memory_mb - sum(each.memory_mb for each in used)
+        slots = free_memory_mb // spec.memory_mb
+        if spec.filling:
+            return slots
+        return min(slots, (self.millicores - self.reserved_millicores()) // spec.millicores)
+
+    def reserved_millicores(self):
+        """Return what the runs here reserve of the processors: best-effort runs nothing."""
+        used = [self.judge.spec_by_task[task] for task, _ in self.running]
+        return sum(spec.millicores for spec in used if not spec.filling)
+
+    def runs_at_work(self):
+        """Return the runs that are neither paused nor being stopped."""
+        return [run for run in self.running if self._is_at_work(run)]
+
+    def _is_at_work(self, run):
+        return self.running.get(run, self) is None and self._work_by_run[run].speed_percent > 0
 
     def allowed_slots(self, step_name):
         """Return how many more runs of a step fit and may be here."""
@@ -178,14 +259,22 @@
 
     def exit(self):
         """End the process, with all that runs there."""
+        for run in self.runs_at_work():
+            self.judge.note_rest(run[0], self.clock.monotonic())
         self.is_up = False
         self.running.clear()
+        self.harmed_since_by_run.clear()
         self._note_change()
 
     def end(self, task, run, outcome):
         """End a run, if it is there, and list the end."""
-        if self.running.pop((task, run), self) is self:
+        if (task, run) not in self.running:
             return
+        if self._is_at_work((task, run)):
+            self.judge.note_rest(task, self.clock.monotonic())
+        del self.running[task, run]
+        self._cancel_finish(self._work_by_run.pop((task, run)))
+        self._note_load()
         self._close(task, run)
         self.ends.append(EndedRun(len(self.ends) + 1, task, run, outcome, ""))
         self.judge.note_end(self, self.ends[-1])
@@ -255,19 +344,104 @@
             return StartResult.NO_CAPACITY
         self.judge.note_start(self, task, run)
         self.running[task, run] = None
-        if not spec.lasting:
-            eventlet.spawn_after(spec.estimated_ms / 1000, self._finish, task, run)
+        self._work_by_run[task, run] = _Work(self.clock.monotonic())
+        self._set_speed(task, run, 100)
         return StartResult.STARTED
 
     def _finish(self, task, run):
         if self.running.get((task, run), self) is None:
             self.end(task, run, RunOutcome.DONE)
 
+    def _pace(self, task, run, speed_percent, token):
+        if not self._takes(token):
+            raise Fenced("pace")
+        eventlet.spawn_after(PACE_SECONDS, self._set_speed, task, run, speed_percent)
+
+    def _set_speed(self, task, run, speed_percent):
+        if self.running.get((task, run), self) is not None:
+            return
+        work, now = self._work_by_run[task, run], self.clock.monotonic()
+        if not speed_percent and work.speed_percent:
+            self.judge.note_rest(task, now)
+        work.settle(now)
+        work.speed_percent = speed_percent
+        self._cancel_finish(work)
+        spec = self.judge.spec_by_task[task]
+        if speed_percent and not spec.lasting:
+            seconds = max(0.0, spec.estimated_ms - work.done_ms) / 10 / speed_percent
+            work.finish = eventlet.spawn_after(seconds, self._finish, task, run)
+        self._note_load()
+
+    @staticmethod
+    def _cancel_finish(work):
+        if work.finish is not None:
+            work.finish.cancel()
+
+    # ----------------------------------------------- what its runs do to each other
+
+    def set_load(self, load):
+        """Let the serving runs here be so busy by themselves."""
+        self.load = load
+        self._note_load()
+
+    def _note_load(self):
+        """Take note of what the runs use from now on."""
+        now, cores_by_image = self.clock.monotonic(), {}
+        for run in self.runs_at_work():
+            spec = self.judge.spec_by_task[run[0]]
+            if spec.filling:
+                cores = spec.millicores * self._work_by_run[run].speed_percent / 100_000
+                cores_by_image[spec.image] = cores_by_image.get(spec.image, 0.0) + cores
+        self._loads.append(_Load(now, self.load, cores_by_image))
+        while len(self._loads) > 1 and self._loads[1].since <= now - GAUGE_SECONDS:
+            del self._loads[0]
+        harmed = {run for run in self.running if self._is_harmed(run[0])}
+        since = self.harmed_since_by_run
+        self.harmed_since_by_run = {run: since.get(run, now) for run in harmed}
+
+    def _is_harmed(self, task):
+        spec, load = self.judge.spec_by_task[task], self._loads[-1]
+        alone = attrs.evolve(load, cores_by_image={})
+        return bool(spec.target_ms) and (
+            self._tail_ms(spec, load) > spec.target_ms >= self._tail_ms(spec, alone)
+        )
+
+    def _tail_ms(self, spec, load):
+        added = sum(
+            cores * self.judge.weight_by_pair.get((image, spec.image), 0.0)
+            for image, cores in load.cores_by_image.items()
+        )
+        return spec.target_ms * IDLE_TAIL_SHARE / (1.0 - min(MAX_LOAD, load.own + added))
+
+    def _mean(self, value_of):
+        """Return the mean of a value over the time of the gauges."""
+        now = self.clock.monotonic()
+        ends = [load.since for load in self._loads[1:]] + [now]
+        total = sum(
+            value_of(load) * max(0.0, end - max(load.since, now - GAUGE_SECONDS))
+            for load, end in zip(self._loads, ends, strict=True)
+        )
+        return total / min(GAUGE_SECONDS, max(now - self._loads[0].since, 1e-6))
+
+    def _status(self, run):
+        """Return a row of the list of runs."""
+        spec, work = self.judge.spec_by_task[run[0]], self._work_by_run[run]
+        percent, gauge = 100, spec.millicores
+        if not spec.lasting:
+            work.settle(self.clock.monotonic())
+            percent = min(100, int(100 * work.done_ms / spec.estimated_ms))
+        if spec.target_ms:
+            gauge = math.ceil(self._mean(lambda load: self._tail_ms(spec, load)))
+        elif spec.filling:
+            gauge = spec.millicores * work.speed_percent // 100
+        return RunStatus(*run, "", percent, gauge)
+
     def _stop(self, task, run, token):
         if not self._takes(token):
             raise Fenced("stop")
         self._close(task, run)
         if self.running.get((task, run), self) is None:
+            self._set_speed(task, run, 0)
             self.running[task, run] = self.clock.monotonic()
             eventlet.spawn_after(STOP_SECONDS, self.end, task, run, RunOutcome.STOPPED)
 
@@ -291,7 +465,7 @@
     def _lists(self):
         ends = self.ends[self.acknowledged :]
         may_omit_ends, ends = len(ends) >= MAX_LISTED_ENDS, ends[:MAX_LISTED_ENDS]
-        running = [RunStatus(*run, "", 0, 0) for run in self.running]
+        running = [self._status(run) for run in self.running]
         if self.unreadable == "runs":
             return PollResult(
                 self.clock_ms(), running[1:], ends, max(1, len(running[:1])), 0, [], may_omit_ends
@@ -314,6 +488,10 @@
         """Answer ``run-stop``."""
         self._call(incarnation, "stop", lambda: self._stop(task, run, fencing_token))
 
+    def set_speed(self, incarnation, task, run, speed_percent, fencing_token):
+        """Answer ``pace``."""
+        self._call(incarnation, "pace", lambda: self._pace(task, run, speed_percent, fencing_token))
+
     def poll(self, incarnation, fencing_token, seen_end, deadline_ms, wait_ms):
         """Answer ``hold``."""
         return self._call(
