Tests: the state machine asks what is at work, beside serving runs; it fails

Class: a wait counts from an event that can repeat. The machine judged by runs that may exist, so an evicted, refused or paused run counted as one.

New: steps that serve and best-effort steps, loads of serving runs that rise for a while, and in calm time a wide best-effort step while the serving runs are busy for 4 s and as usual for 4 s. Judged in calm time, from what the workers run: no finite step of a service under half reserved, and no task that lasts, has nothing at work for 3 s (a task that lasts: from 6 s after its last run) though it has room twice over and a task could start or is paused; and no serving run is over its target for 4 s by best-effort runs alone (HARM).

--- a/tests/dispatch/startable_group.py
+++ b/tests/dispatch/startable_group.py
@@ -35,9 +35,11 @@
 from .group import FakeGroup, FakeReplica
 from .protocol_worker import (
     CALL_TIMEOUT_SECONDS,
+    HARM_SECONDS,
     HEARTBEAT_SECONDS,
     SILENT,
     STOP_SECONDS,
+    USUAL_LOAD,
     Judge,
     ProtocolWorker,
 )
@@ -47,12 +49,21 @@
 """The platform's."""
 
 COMMIT_SECONDS = 0.004
+LOAD_SECONDS = 4.0
+"""How long serving runs stay as busy in calm time."""
+
 LOOK_SECONDS = 0.2
 """How often the judge looks which work could start."""
 
 MAX_WAIT_SECONDS = 3.0
 """RULES.md, LOST: how long startable work may have nothing running."""
 
+LASTING_WAIT_SECONDS = 6.0
+"""RULES.md, LOST: the same for a task that lasts, after its last run."""
+
+BUSY_SHARE = 0.5
+"""RULES.md, LOST: the share of a service in use from which finite work may wait."""
+
 
 @attrs.frozen
 class Bounds:
@@ -339,20 +350,24 @@
             self.stalled_hosts.discard(host)
             self.apply(host)
 
-    def wait_until_calm(self):
+    def wait_until_calm(self, *calm_steps, calm_load=USUAL_LOAD):
         """Let the time pass after which all that can run has to; return what waits too long.
 
         Work of which no run may exist is to start within the users' bound as soon as the workers
-        are used, all other work by the end.
+        are used, all other work by the end.  ``calm_steps`` are submitted once they are.  The
+        serving runs are as busy as ``calm_load`` and as usual in turn: callers are no impairment.
         """
         self.become_calm()
         bounds, began_at = bounds_of_waits(), self.clock.monotonic()
         eventlet.sleep(bounds.until_used)
-        probe = self._submit_probe()
-        since, lines = {}, []
+        probes = [self._submit_probe(), *map(self._submit_calm_step, calm_steps)]
+        since, lines, rests = {}, [], {}
         while self.clock.monotonic() < began_at + bounds.until_settled:
             eventlet.sleep(LOOK_SECONDS)
             now = self.clock.monotonic()
+            for worker in self._live_workers():
+                is_pressed = int((now - began_at) / LOAD_SECONDS) % 2
+                worker.set_load(calm_load if is_pressed else USUAL_LOAD)
             since = {key: since.get(key, now) for key in self._startable_work()}
             lines = [
                 f"waits for {now - at:.2f} s, {now - began_at:.2f} s after all was calm: "
@@ -360,10 +375,12 @@
                 for name, at in since.items()
                 if now - at > MAX_WAIT_SECONDS
             ]
+            lines = lines or self._work_at_rest(rests, now) or self.harmed_runs(now)
             if lines:
                 return lines
         lines = self.waiting_work()
-        self.cancel(probe)
+        for job_id in probes:
+            self.cancel(job_id)
         return lines
 
     def _submit_probe(self):
@@ -377,6 +394,110 @@
         self.submit(probe, job_id=job_id)
         return job_id
 
+    def _submit_calm_step(self, calm_step):
+        self._probes += 1
+        job_id = f"{0xF000 + self._probes:016x}"
+        self.submit(calm_step, job_id=job_id)
+        return job_id
+
+    def work_at_rest(self, seconds):
+        """Let time pass; return what had nothing at work for too long in it, and what it harmed.
+
+        Ends at the first of that.
+        """
+        until, rests = self.clock.monotonic() + seconds, {}
+        while (now := self.clock.monotonic()) < until:
+            lines = self._work_at_rest(rests, now) or self.harmed_runs(now)
+            if lines:
+                return lines
+            eventlet.sleep(LOOK_SECONDS)
+        return []
+
+    def _work_at_rest(self, rests, now):
+        """Return a line for each finite step, or task that lasts, with nothing at work for long.
+
+        That is what the users ask, from what the workers run, whatever the hosts believe or have
+        planned.  ``rests`` holds since when each of them could have had something at work.
+        """
+        names = self._names_at_rest()
+        for name in rests.keys() - names.keys():
+            del rests[name]
+        lines = []
+        for name, group in names.items():
+            since = rests.setdefault(name, now)
+            if group.spec.lasting:
+                seen_at = self.judge.seen_at_by_task.get(name, -LASTING_WAIT_SECONDS)
+                since = max(since, seen_at + LASTING_WAIT_SECONDS - MAX_WAIT_SECONDS)
+            else:
+                since = max(since, self.judge.seen_at_by_step.get(name, since))
+            if now - since >= MAX_WAIT_SECONDS:
+                tasks = [t for t in group.tasks if not t.done and name in (t.name, _name_of(group))]
+                lines.append(
+                    f"{name} waits with nothing at work for {now - since:.2f} s: "
+                    + "; ".join(self.explain(task) for task in tasks[:2])
+                )
+        return lines
+
+    def _names_at_rest(self):
+        """Return the finite steps and tasks that last with nothing at work, though it could be.
+
+        There is room twice over, by what the hosts and by what the workers know, and a task that
+        no worker has could be started, or one is paused.
+        """
+        at_work = self.judge.tasks_at_work()
+        present = {task for worker in self._live_workers() for task, _ in worker.running}
+        is_busy = self.is_half_reserved()
+        names = {}
+        for job in self.ledger.job_by_id.values():
+            if job.is_ended:
+                continue
+            for group in job.groups.values():
+                is_finite = not group.spec.lasting
+                if not group.is_unblocked or (is_finite and is_busy):
+                    continue
+                if is_finite and any(task.name in at_work for task in group.tasks):
+                    continue
+                tasks = [
+                    task
+                    for task in group.tasks
+                    if not task.done
+                    and task.name not in at_work
+                    and (task.index in group.startable_indexes or task.name in present)
+                ]
+                if not tasks or self._room(group) < 2:
+                    continue
+                names |= dict.fromkeys(
+                    [_name_of(group)] if is_finite else [task.name for task in tasks], group
+                )
+        return names
+
+    def _live_workers(self):
+        return [worker for worker in self.worker_by_id.values() if worker.is_up]
+
+    def is_half_reserved(self):
+        """Return whether half of the service is reserved, by the hosts' or by the workers' count.
+
+        Best-effort runs reserve nothing.
+        """
+        workers = self._live_workers()
+        shares = [
+            (sum(w.reserved_millicores() for w in workers), sum(w.millicores for w in workers))
+        ]
+        known = [w for w in self.ledger.worker_by_incarnation.values() if not w.has_ended]
+        shares.append(
+            (sum(w.used.millicores for w in known), sum(w.record.millicores for w in known))
+        )
+        return any(reserved >= BUSY_SHARE * total for reserved, total in shares)
+
+    def harmed_runs(self, now):
+        """Return a line for each serving run that best-effort runs keep over its target."""
+        return [
+            f"HARM: {task}:{run} on {worker} is over its target for {now - since:.2f} s"
+            for worker in self._live_workers()
+            for (task, run), since in worker.harmed_since_by_run.items()
+            if now - since >= HARM_SECONDS
+        ]
+
     def _startable_work(self):
         """Return the tasks that last, and the first of steps, that could start at once.
 
@@ -387,6 +508,8 @@
             is_running = any(task.incarnation_by_run for task in group.tasks)
             if (is_running and not group.spec.lasting) or self._room(group) < 2:
                 continue
+            if group.spec.filling and not group.spec.lasting and self.is_half_reserved():
+                continue
             tasks = [group.tasks[index] for index in sorted(group.startable_indexes)]
             names += [task.name for task in (tasks if group.spec.lasting else tasks[:1])]
         return names
@@ -403,9 +526,11 @@
             spec, used = group.spec, known.used
             slots = min(
                 worker.allowed_slots(_name_of(group)),
-                (known.record.millicores - used.millicores) // spec.millicores,
                 (known.record.memory_mb - used.memory_mb) // spec.memory_mb,
             )
+            if not spec.filling:
+                free_millicores = known.record.millicores - used.millicores
+                slots = min(slots, free_millicores // spec.millicores)
             if spec.max_per_worker:
                 slots = min(slots, spec.max_per_worker - count_by_key[known.key])
             room += max(0, slots)
@@ -430,6 +555,9 @@
                 ]
                 if not group.is_unblocked or not waiting_tasks or self._is_seen(group, at_work):
                     continue
+                if group.spec.filling:
+                    # It may be evicted at any time: what matters is since when nothing is at work.
+                    continue
                 if sum(worker.allowed_slots(_name_of(group)) for worker in workers) >= 2:
                     lines += [self.explain(task) for task in waiting_tasks]
         return lines
--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -1,5 +1,7 @@
 """Placement, ledger, sessions, agents and leaders together, through a restart of everything."""
 
+import math
+
 import eventlet
 import pytest
 from hypothesis import Phase, settings
@@ -13,7 +15,8 @@
     run_state_machine_as_test,
 )
 
-from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch import assignment, throttling
+from savoryshelf.dispatch.placement import Placement
 from savoryshelf.dispatch.worker_api import StartResult
 from savoryshelf.dispatch.worker_session import WorkerSession
 from savoryshelf.tasks.ledger import TaskLedger
@@ -21,8 +24,8 @@
 
 from ..tasks.builders import step
 from ..virtual_time import virtual_time
-from .protocol_worker import BUSY, REFUSES, SILENT
-from .startable_group import HOSTS, StartableGroup
+from .protocol_worker import BUSY, REFUSES, SILENT, USUAL_LOAD
+from .startable_group import HOSTS, MAX_WAIT_SECONDS, StartableGroup
 
 LABELS_BY_WORKER = {"w1": ["a"], "w2": ["a"], "w3": ["a", "b"], "w4": ["b"]}
 WORKERS = sorted(LABELS_BY_WORKER)
@@ -30,6 +33,8 @@
 """How many processes of workers are left alone by what ends them."""
 
 MAX_JOBS = 5
+SERVING = {"lasting": True, "target_ms": 50, "image": "shop", "millicores": 500, "memory_mb": 50}
+BEST_EFFORT = {"filling": True, "image": "batch", "memory_mb": 20}
 STEPS = {
     "lasting": {"lasting": True},
     "spread": {"lasting": True, "max_per_worker": 1},
@@ -38,7 +43,17 @@
     "finite": {"estimated_ms": 700},
     "long": {"estimated_ms": 4000, "millicores": 500},
     "finite and labelled": {"estimated_ms": 700, "required_label": "b"},
+    "serving": {"max_per_worker": 1, **SERVING},
+    "best-effort": {"estimated_ms": 700, **BEST_EFFORT},
+    "long best-effort": {"estimated_ms": 4000, **BEST_EFFORT, "millicores": 2000},
+    "lasting best-effort": {"lasting": True, **BEST_EFFORT},
 }
+WEIGHTS = [0.15, 0.35, 0.8]
+"""What a core of the best-effort image adds to the load of serving runs: 0.3 is the most that they
+tolerate."""
+
+LOADS = [USUAL_LOAD, 0.65, 0.78, 0.9]
+"""How busy serving runs are by themselves: above 0.8 they are over their target."""
 STARTS = [
     StartResult.NO_CAPACITY,
     StartResult.TOO_LATE,
@@ -66,14 +81,20 @@
         clock_rate=st.sampled_from([1.0, 0.98]),
         clock_offset_ms=st.sampled_from([0, 10**9]),
         kinds=st.lists(st.sampled_from(sorted(STEPS)), min_size=1, max_size=3),
+        weight=st.sampled_from(WEIGHTS),
+        serves=st.booleans(),
+        calm_kinds=st.sampled_from([["best-effort"], ["long best-effort"]]),
+        calm_load=st.sampled_from(LOADS),
     )
-    def begin(self, leader_calls, kinds, **fields):
+    def begin(self, leader_calls, kinds, weight, serves, calm_kinds, calm_load, **fields):
         self.max_workers_of_leader = assignment.MAX_WORKERS_OF_LEADER
         assignment.MAX_WORKERS_OF_LEADER = 64 if leader_calls else 0
         self.time = virtual_time()
         self.clock = self.time.__enter__()
         self.fields = fields
         self.group = StartableGroup(self.clock)
+        self.group.judge.weight_by_pair["batch", "shop"] = weight
+        self.calm_kinds, self.calm_load = calm_kinds, calm_load
         self.jobs = []
         self.has_been_calm = False
         for worker_id in WORKERS:
@@ -81,6 +102,8 @@
         eventlet.sleep(1.0)
         for kind in kinds:
             self.submit_step(kind, 2)
+        if serves:
+            self.submit_step("serving", len(WORKERS))
 
     def start_worker(self, worker_id, born_ms, address=None):
         self.group.start_worker(
@@ -269,6 +292,25 @@
         self.worker(self.loaded(worker_id)).unreadable = what
         eventlet.sleep(seconds)
 
+    @rule(worker_id=worker_ids, load=st.sampled_from(LOADS), seconds=seconds_drawn)
+    def press(self, worker_id, load, seconds):
+        """Let callers keep the serving runs of a worker busy for a while."""
+        worker = self.worker(worker_id)
+        worker.set_load(load)
+        eventlet.spawn_after(seconds, worker.set_load, USUAL_LOAD)
+
+    @precondition(lambda self: self.group.leader and len(self.jobs) < MAX_JOBS)
+    @rule(
+        kind=st.sampled_from(["best-effort", "long best-effort", "lasting best-effort"]),
+        load=st.sampled_from(LOADS),
+        seconds=seconds_drawn,
+    )
+    def submit_beside_busy_serving_runs(self, kind, load, seconds):
+        for worker_id in WORKERS:
+            self.press(worker_id, load, seconds)
+        self.submit_step(kind, 8)
+        eventlet.sleep(seconds)
+
     @rule(worker_id=worker_ids, carries_out=st.booleans())
     def heal(self, worker_id, carries_out):
         self.worker(worker_id).heal(carries_out)
@@ -324,7 +366,8 @@
         self.require_runs_once_calm()
 
     def require_runs_once_calm(self):
-        waiting = self.group.wait_until_calm()
+        calm_steps = [step(12, **STEPS[kind]) for kind in self.calm_kinds]
+        waiting = self.group.wait_until_calm(*calm_steps, calm_load=self.calm_load)
         assert not waiting, "\n".join(waiting)
         phantoms = self.group.lasting_phantom_runs()
         assert not phantoms, "\n".join(phantoms)
@@ -363,10 +406,42 @@
     monkeypatch.setattr(WorkerSession, "__init__", forget)
 
 
-@pytest.mark.parametrize("plant", [_keep_draining, _forget_earlier_runs])
-def test_the_machine_finds_a_planted_fault(monkeypatch, plant):
+def _wait_anew_after_each_start(monkeypatch):
+    """Let a best-effort step wait after each planned start, whatever became of that."""
+    plan = Placement.plan
+
+    def plan_less(placement, ledger, views, wall_ms, health, now, *arguments):
+        planned_at_by_step = vars(placement).setdefault("planned_at_by_step", {})
+        intents, planned = [], {}
+        for intent in plan(placement, ledger, views, wall_ms, health, now, *arguments):
+            group = ledger.find_task(intent.task).step
+            planned_at = planned_at_by_step.get(group.key, -math.inf)
+            if not group.spec.filling or now - planned_at > MAX_WAIT_SECONDS:
+                intents.append(intent)
+                planned[group.key] = now
+        planned_at_by_step.update(planned)
+        return intents
+
+    monkeypatch.setattr(Placement, "plan", plan_less)
+
+
+def _keep_paused_runs(monkeypatch):
+    """Let agents pause any run where they would evict it, and never end that."""
+    monkeypatch.setattr(throttling, "_max_pause_seconds", lambda step, status: math.inf)
+
+
+@pytest.mark.parametrize(
+    ("plant", "finding"),
+    [
+        (_keep_draining, "waits|may exist"),
+        (_forget_earlier_runs, "waits|may exist"),
+        (_wait_anew_after_each_start, "nothing at work"),
+        (_keep_paused_runs, "nothing at work"),
+    ],
+)
+def test_the_machine_finds_a_planted_fault(monkeypatch, plant, finding):
     plant(monkeypatch)
-    with pytest.raises(AssertionError, match="waits|may exist"):
+    with pytest.raises(AssertionError, match=finding):
         run_state_machine_as_test(
             StartableWork, settings=settings(TestStartableWork.settings, phases=[Phase.generate])
         )
