--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -42,7 +42,7 @@
 SERVING = {"lasting": True, "target_ms": 50, "image": "shop"}
 
 WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES = "works", "fails", "rejected", "unhealthy", "lapses"
-MALFORMED, IN_DOUBT = "malformed", "in doubt"
+MALFORMED, IN_DOUBT, EVICTED = "malformed", "in doubt", "evicted"
 
 END_BY_FATE = {
     WORKS: (RunOutcome.DONE, RUN_SECONDS),
@@ -52,6 +52,7 @@
     MALFORMED: (RunOutcome.NEVER_RAN, 0.0),
     IN_DOUBT: (RunOutcome.NEVER_RAN, 2 * PASS_SECONDS),
     LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
+    EVICTED: (RunOutcome.STOPPED, PASS_SECONDS),
 }
 """How a start ends, and after how many seconds; lasting runs that work go on."""
 
@@ -202,7 +203,7 @@
                 self.placement.record_refusal(name, run)
             if fate == REJECTED:
                 self.health.record_rejection(key[0], self.now)
-            elif fate not in (LAPSES, MALFORMED, IN_DOUBT):
+            elif fate not in (LAPSES, MALFORMED, IN_DOUBT, EVICTED):
                 self.health.record_outcome(key[0], fate == WORKS, self.now)
             if task.step.spec.gang:
                 self._end_gang(task.step)
