Stand-in workers: best-effort runs slow serving runs down, and work at the speed they are given

A run whose taskSpec says 'serves IMAGE in T ms' reports a tail as the fifth entry of its row. The tail rises with the task's own load, which peaks at times drawn from its name, and with the cores of the best-effort runs ('fills as IMAGE') beside it in the last half second. A run progresses at its speed (pace) and not while it is paused; its record keeps the speeds. Best-effort runs take no processor time of their worker's room. Rows of other runs are as before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -21,6 +21,8 @@
 import attrs
 import urllib3
 
+from .interference import WINDOW_SECONDS, added_per_core, load, tail_ms
+
 HEARTBEAT_SECONDS = 0.3
 MAX_HOLD_MS = 3000
 """Longest lease; a longer one is shortened to it."""
@@ -42,6 +44,10 @@
 _NEED = re.compile(r"(\d+) cpu (\d+) mb")
 """What a run takes of its worker, in its ``taskSpec``."""
 
+_SERVING = re.compile(r"serves (\S+) in (\d+) ms")
+_BEST_EFFORT = re.compile(r"fills as (\S+)")
+FULL_SPEED_PERCENT = 100
+
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
@@ -87,7 +93,8 @@
 class _Run:
     """A run in progress; ``ends_at`` is on the monotonic clock, in seconds, inf for no end.
 
-    ``need`` is the processor time and memory that it takes of its worker.
+    ``need`` is the processor time and memory that it takes of its worker.  A run with a
+    ``target_ms`` serves, and a best-effort one uses ``spare_cores``; both have an ``image``.
     """
 
     task: str
@@ -99,6 +106,13 @@
     saved_ms: int = 0
     """Work that the checkpoint of the start held."""
 
+    work_seconds: float = math.inf
+    """How long it works at full speed."""
+
+    image: str = ""
+    target_ms: int = 0
+    spare_cores: float = 0.0
+
     def checkpoint(self, now: float) -> str:
         """Return what has been saved; only members of gangs save anything."""
         if self.gang is None:
@@ -112,6 +126,10 @@
         return f"{self.saved_ms + worked_ms:08d}" if self.saved_ms + worked_ms else ""
 
 
+def _key(run: _Run) -> tuple[str, int]:
+    return run.task, run.number
+
+
 @attrs.define
 class RunRecord:
     """A run as its worker saw it; times are on the monotonic clock, in seconds.
@@ -132,11 +150,29 @@
     is_lost: bool = False
     """Whether its incarnation ended before its end was acknowledged."""
 
+    speeds: list[tuple[float, int]] = attrs.field(factory=list)
+    """When its speed was changed, and to how many percent; it starts at full speed."""
+
+    def at_work(self) -> list[tuple[float, float, int]]:
+        """Return the spans in which it was not paused: from, until, percent of full speed."""
+        changes = [(self.started_at, FULL_SPEED_PERCENT), *self.speeds]
+        ends = [*(at for at, _ in changes[1:]), self.ended_at]
+        spans = zip(changes, ends, strict=True)
+        return [(at, until, percent) for (at, percent), until in spans if percent and until > at]
+
+    def worked_seconds(self, since: float, until: float) -> float:
+        """Return the work done in a span, as the time that it takes at full speed."""
+        return sum(
+            max(0.0, min(until, last) - max(since, first)) * percent / FULL_SPEED_PERCENT
+            for first, last, percent in self.at_work()
+        )
+
     def __str__(self) -> str:
         return (
             f"run {self.number} on {self.worker_id} incarnation {self.incarnation}, "
             f"{self.started_at:.3f} to {self.ended_at:.3f} s {self.outcome or 'at work'}"
             f"{', acknowledged' if self.is_acknowledged else ''}"
+            f"{''.join(f', {percent}% from {at:.3f}' for at, percent in self.speeds)}"
         )
 
 
@@ -165,8 +201,10 @@
     the run fails at once; if it is "lasts", the run does not end by itself.  With "then fails"
     the run fails at its end.  "... N cpu M mb" is what the run takes of the worker, which
     rejects a run that does not fit.  "... gang of N" makes the task a member of a gang of that many
-    tasks, on workers that share ``gangs``.  ``announce`` returns the address for its
-    heartbeats, given the one where it listens.
+    tasks, on workers that share ``gangs``.  "... serves IMAGE in T ms" makes the run report a tail
+    latency, which rises with its load and with the best-effort runs beside it: those of
+    "... fills as IMAGE", which take no processor time of what the worker has.  ``announce``
+    returns the address for its heartbeats, given the one where it listens.
     """
 
     def __init__(
@@ -185,6 +223,7 @@
         """Whether it sends no heartbeats."""
 
         self.incarnations: list[WorkerIncarnation] = []
+        self.made_at = time.monotonic()
         self._restarting = threading.Lock()
         server = _Server(address)
         self._listen_address = f"{server.server_address[0]}:{server.server_address[1]}"
@@ -299,6 +338,9 @@
         self._sequence = itertools.count(1)
         self._lock = threading.RLock()
         self._running: dict[tuple[str, int], _Run] = {}
+        self._best_effort: list[tuple[_Run, RunRecord]] = []
+        """Best-effort runs that have worked in the time that figures cover."""
+
         self._listed_ends: list[tuple[int, str, int, str, str]] = []
         """Ends that have not been acknowledged."""
 
@@ -396,6 +438,10 @@
         spec = body["taskSpec"]
         need = _NEED.search(spec)
         need = tuple(int(amount) for amount in need.groups()) if need else (0, 0)
+        serving, best_effort = _SERVING.search(spec), _BEST_EFFORT.search(spec)
+        spare_cores = need[0] / 1000 if best_effort else 0.0
+        if best_effort:
+            need = (0, need[1])
         if not self.has_room(need):
             return 409, {"reason": "room"}
         word = spec.split()[0]
@@ -403,7 +449,10 @@
         if seconds is None:
             seconds = int(word) / 1000
         fails = word == "fail" or "then fails" in spec
-        started = _Run(task, run, time.monotonic() + seconds, fails, need)
+        now = time.monotonic()
+        started = _Run(task, run, now + seconds, fails, need, work_seconds=seconds)
+        if serving:
+            started.image, started.target_ms = serving[1], int(serving[2])
         _, is_member, size = spec.partition("gang of ")
         if is_member:
             checkpoint = body.get("checkpoint", "")
@@ -411,9 +460,12 @@
             started.gang = self._worker.gangs.of(task, run, int(size))
             started.gang.join(task, checkpoint)
         self._running[task, run] = started
-        self.records[task, run] = RunRecord(
-            task, run, time.monotonic(), worker_id=self._worker.worker_id, incarnation=self.number
+        record = self.records[task, run] = RunRecord(
+            task, run, now, worker_id=self._worker.worker_id, incarnation=self.number
         )
+        if best_effort:
+            started.image, started.spare_cores = best_effort[1], spare_cores
+            self._best_effort.append((started, record))
         return 200, {}
 
     def _on_run_stop(self, body: dict) -> tuple[int, dict]:
@@ -426,6 +478,12 @@
         return 200, {}
 
     def _on_pace(self, body: dict) -> tuple[int, dict]:
+        run = self._running.get((body["task"], body["run"]))
+        if run is not None and run.gang is None:
+            now, percent, record = time.monotonic(), body["percent"], self.records[_key(run)]
+            record.speeds.append((now, percent))
+            left = run.work_seconds - record.worked_seconds(record.started_at, now)
+            run.ends_at = now + left * FULL_SPEED_PERCENT / percent if percent else math.inf
         return 200, {}
 
     def _on_hold(self, body: dict) -> tuple[int, dict]:
@@ -435,12 +493,37 @@
 
     def _lists(self) -> dict:
         self._end_due_runs()
-        # Task, run, checkpoint, progress in percent, gauge.
         now = time.monotonic()
-        running = [[r.task, r.number, r.checkpoint(now), 10, 0] for r in self._running.values()]
+        running = [self._row(run, now) for run in self._running.values()]
         ends = [list(end) for end in self._listed_ends[:MAX_LISTED_ENDS]]
         return {"running": running, "endedRuns": ends, "born": self.born_ms}
 
+    def _row(self, run: _Run, now: float) -> list:
+        """Return task, run, checkpoint, progress in percent, and the figure for the last moment."""
+        progress, figure, record = 10, 0, self.records[_key(run)]
+        if run.target_ms:
+            utilisation = load(run.task, now - self._worker.made_at)
+            utilisation += sum(
+                cores * added_per_core(image, run.image)
+                for image, cores in self._best_effort_cores(now)
+            )
+            figure = tail_ms(run.target_ms, utilisation)
+        elif run.spare_cores:
+            worked = record.worked_seconds(record.started_at, now)
+            progress = int(100 * worked / max(run.work_seconds, 0.001))
+            worked = record.worked_seconds(now - WINDOW_SECONDS, now)
+            figure = int(1000 * run.spare_cores * worked / WINDOW_SECONDS)
+        return [run.task, run.number, run.checkpoint(now), progress, figure]
+
+    def _best_effort_cores(self, now: float) -> list[tuple[str, float]]:
+        """Return the image of each best-effort run, and the cores that it used of late."""
+        since = now - WINDOW_SECONDS
+        self._best_effort = [each for each in self._best_effort if each[1].ended_at > since]
+        return [
+            (run.image, run.spare_cores * record.worked_seconds(since, now) / WINDOW_SECONDS)
+            for run, record in self._best_effort
+        ]
+
     def _wait_for_end(self, seconds: float) -> None:
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline and not self._is_over.wait(0.02):
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from standins.interference import added_per_core
 from standins.platform import PlatformWorker, RunRecord, doubled_runs
 
 TASK = "00000000000000aa.0.0.0"
@@ -129,6 +130,81 @@
     assert [record.outcome for record in worker.records] == ["stopped", "lapsed", "failed"]
 
 
+BEST_EFFORT = "1000 ms 3000 cpu 10 mb fills as batch"
+
+
+def row(connection, task=TASK):
+    listed = connection.call("hold", fencingToken=1, lastSeen=0)[1]["running"]
+    return next((each for each in listed if each[0] == task), None)
+
+
+def pace(connection, percent):
+    body = {"task": TASK, "run": 1, "percent": percent, "fencingToken": 1}
+    assert connection.call("pace", **body)[0] == 200
+
+
+def test_a_best_effort_run_progresses_at_its_speed_and_not_while_it_is_paused(worker):
+    connection = connect(worker)
+    start(connection, 1, 0, spec=BEST_EFFORT)
+    time.sleep(0.4)
+    pace(connection, 0)
+    paused = row(connection)
+    assert 40 <= paused[3] < 100
+    time.sleep(0.6)
+    # A run that is paused keeps its progress, and uses nothing.
+    assert row(connection)[3] == paused[3]
+    assert paused[4] > 1000 and row(connection)[4] == 0
+    pace(connection, 50)
+    time.sleep(0.1)
+    assert row(connection)[3] > paused[3]
+    deadline = time.monotonic() + 2.0
+    while row(connection) and time.monotonic() < deadline:
+        time.sleep(0.02)
+    (record,) = worker.records
+    assert record.outcome == "done"
+    assert record.worked_seconds(0.0, record.ended_at) == pytest.approx(1.0, abs=0.001)
+    assert [percent for *_, percent in record.at_work()] == [100, 50]
+    (first, last) = record.at_work()
+    assert first[0] == record.started_at and last[1] == record.ended_at
+    assert last[0] - first[1] >= 0.6
+
+
+def test_a_best_effort_run_takes_memory_of_its_worker_and_no_processor_time(worker):
+    connection = connect(worker)
+    assert start(connection, 1, 0, spec="lasts 4000 cpu 2000 mb")[0] == 200
+    fields = {"run": 1, "fencingToken": 1, "deadlineMs": 60_000}
+    spec = "900 ms 4000 cpu {} mb fills as batch"
+    fits = connection.call("run-start", task=f"{TASK}1", taskSpec=spec.format(2000), **fields)
+    assert fits[0] == 200 and not worker.has_room(0, 1)
+    rejected = connection.call("run-start", task=f"{TASK}2", taskSpec=spec.format(1), **fields)
+    assert (rejected[0], rejected[1]["reason"]) == (409, "room")
+
+
+def test_a_serving_run_reports_a_tail_that_rises_with_the_work_beside_it(worker, monkeypatch):
+    own_load = 0.3
+    monkeypatch.setattr("standins.platform.load", lambda task, seconds: own_load)
+    connection, serving = connect(worker), f"{TASK}1"
+    fields = {"run": 1, "fencingToken": 1, "deadlineMs": 60_000}
+    spec = "lasts 100 cpu 10 mb serves shop in 10000 ms"
+    connection.call("run-start", task=serving, taskSpec=spec, **fields)
+
+    def added():
+        """Return what the tail tells to be added to the task's own load."""
+        return 1 - 2000 / row(connection, serving)[4] - own_load
+
+    assert added() == pytest.approx(0.0, abs=0.01)
+    start(connection, 1, 0, spec="60000 ms 500 cpu 10 mb fills as batch")
+    time.sleep(0.6)
+    cores = 0.5 * added_per_core("batch", "shop")
+    assert added() == pytest.approx(cores, abs=0.02)
+    pace(connection, 50)
+    time.sleep(0.6)
+    assert added() == pytest.approx(cores / 2, abs=0.02)
+    pace(connection, 0)
+    time.sleep(0.6)
+    assert added() == pytest.approx(0.0, abs=0.01)
+
+
 @pytest.mark.parametrize("spec", ["lasts 2001 cpu 10 mb", "lasts 10 cpu 2001 mb"])
 def test_a_run_without_room_is_rejected(worker, spec):
     connection = connect(worker)
