--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -50,3 +50,19 @@
     result = run_soak(tmp_path, seed, seconds, "small", closings=True)
     assert result.seen.long_running_jobs()
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+SEEDS_WITH_BEST_EFFORT = [
+    # Best-effort runs are slowed down, paused and evicted beside serving ones, in a calm series.
+    (1, 6.0),
+]
+"""Best-effort jobs with nothing at work for 3 s, though there is room, would be found in these."""
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_BEST_EFFORT)
+def test_best_effort_jobs_go_on_beside_serving_ones(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", best_effort=True)
+    best_effort = [each for each in result.best_effort_runs() if each.speeds]
+    assert any(percent == 0 for run in best_effort for _, percent in run.speeds)
+    assert any(run.outcome == "stopped" for run in best_effort)
+    assert not result.findings, result.report(histories_per_kind=1)
