Soak: the report says when the soak itself stood still

Its stand-in workers answer nobody in such a span. Seen on a machine with load 24: 0.74 s, where the whole soak had used 3.9 s of processor time in 50 s; calls of workers timed out at such times. Nothing is judged otherwise.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -37,6 +37,10 @@
 SHARING_JUDGED_SECONDS = JUDGED_SECONDS + 10.0
 """The same where there is best-effort work: time for it to be evicted, and to wait."""
 
+LAG_CHECK_SECONDS = 0.05
+MIN_LAG_SECONDS = 0.3
+"""A longer time in which the soak itself stood still is reported: its workers answered nobody."""
+
 HISTORY_SECONDS = 6.0
 SIZES = {
     "small": {"entries": 3, "controls": 3, "workers": 7, "callers": 10},
@@ -54,6 +58,8 @@
     faults: list[Fault]
     seen: Observations
     findings: list[Finding]
+    lags: list[Span]
+    """When the soak itself stood still, for want of a processor."""
 
     def summary(self) -> str:
         """Return one line of figures."""
@@ -86,6 +92,8 @@
             times = " ".join(f"{name} {at - self.began_at:.2f}" for at, name in host.signals)
             ends = " ".join(f"{end.at - self.began_at:.2f}" for end in host.exits)
             lines.append(f"  {host.role} {host.ip}: {times}; ended at {ends}")
+        lags = " ".join(f"{a - self.began_at:.2f} to {b - self.began_at:.2f}" for a, b in self.lags)
+        lines.append(f"  the soak itself stood still: {lags or 'never'}")
         printed = collections.Counter()
         for finding in self.findings:
             printed[finding.kind] += 1
@@ -138,7 +146,9 @@
             callers.append(LongRunningCaller(caller_count, seed, deployment, balancer))
         sharing = [SharingCaller(seed, deployment, balancer)] if best_effort else []
         began_at = time.monotonic()
-        with _in_threads([(balancer.probe, host) for host in deployment.entries]):
+        lags: list[Span] = []
+        probes = [(balancer.probe, host) for host in deployment.entries]
+        with _in_threads([*probes, (_measure_lag, lags)]):
             with _in_threads([(caller.run,) for caller in sharing]):
                 with _in_threads([(caller.run,) for caller in callers]):
                     disturbed = _inject_all(deployment, faults, began_at)
@@ -166,7 +176,7 @@
                 _read_states(deployment, seen, seen.long_running_jobs())
             seen.ended_at = time.monotonic()
             # Before the workers end, since the end of a worker is a crash for its runs.
-            return SoakResult(seed, began_at, faults, seen, judge(seen))
+            return SoakResult(seed, began_at, faults, seen, judge(seen), lags)
 
 
 @contextlib.contextmanager
@@ -187,6 +197,15 @@
             thread.join()
 
 
+def _measure_lag(lags: list[Span], stopping: threading.Event) -> None:
+    last = time.monotonic()
+    while not stopping.wait(LAG_CHECK_SECONDS):
+        now = time.monotonic()
+        if now - last > MIN_LAG_SECONDS:
+            lags.append((last, now))
+        last = now
+
+
 def _inject_all(deployment: Deployment, faults: list[Fault], began_at: float) -> list[Span]:
     """Carry all faults out; return when each of them began and was over."""
     threads, spans = [], []
