--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -52,7 +52,7 @@
     MALFORMED: (RunOutcome.NEVER_RAN, 0.0),
     IN_DOUBT: (RunOutcome.NEVER_RAN, 2 * PASS_SECONDS),
     LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
-    EVICTED: (RunOutcome.STOPPED, PASS_SECONDS),
+    EVICTED: (RunOutcome.STOPPED, 2 * PASS_SECONDS),
 }
 """How a start ends, and after how many seconds; lasting runs that work go on."""
 
--- a/tests/dispatch/test_time_without_work.py
+++ b/tests/dispatch/test_time_without_work.py
@@ -78,13 +78,15 @@
 
 
 KINDS = {"finite": {"count": 200}, "lasting": {"lasting": True}}
+EVICTED_KINDS = KINDS | {"one finite": {"count": 1}}
+"""With a step of which no task is startable while its run exists: it is again after the end."""
 
 
 def run_held_back(site, hold, kind, seconds):
     """Let best-effort work wait for the last resort all the time; return the rests in it."""
     if hold == "interference":
         serve_everywhere(site, millicores=1500)
-    accept(site.ledger, step(**(BATCH | KINDS[kind])))
+    accept(site.ledger, step(**(BATCH | EVICTED_KINDS[kind])))
     began_at = site.now
     while site.now < began_at + seconds:
         if hold == "quarantine":
@@ -105,16 +107,18 @@
 
 each_hold = pytest.mark.parametrize("hold", ["quarantine", "interference"])
 each_kind = pytest.mark.parametrize("kind", KINDS)
+each_evicted_kind = pytest.mark.parametrize("kind", EVICTED_KINDS)
 each_refusal = pytest.mark.parametrize("refusal", [REJECTED, MALFORMED, IN_DOUBT])
 
 
 # Guards against a step that gets a moment of work and a whole wait in turn: a run that is evicted
 # starts the wait anew.
 @each_hold
-def test_evicted_runs_do_not_each_begin_a_whole_wait(hold):
+@pytest.mark.parametrize("kind", ["finite", "one finite"])
+def test_evicted_runs_do_not_each_begin_a_whole_wait(hold, kind):
     site = WorkedSite(EVICTED, interference=disturbing())
-    rests = run_held_back(site, hold, "finite", 3 * WINDOW_SECONDS)
-    require_no_long_rest(rests, "finite")
+    rests = run_held_back(site, hold, kind, 3 * WINDOW_SECONDS)
+    require_no_long_rest(rests, kind)
     worst = max(
         seconds_in(rests, since, since + WINDOW_SECONDS)
         for since, _ in rests
@@ -126,7 +130,7 @@
 
 # Guards against two waits of which each is bounded, and that follow each other without work.
 @each_hold
-@each_kind
+@each_evicted_kind
 @each_refusal
 def test_an_evicted_run_and_a_refused_start_in_turn_leave_no_long_rest(hold, kind, refusal):
     site = WorkedSite(EVICTED, refusal, interference=disturbing())
@@ -301,7 +305,7 @@
     with serving_group(weight=0.2, load=USUAL_LOAD) as group:
         submit_batch(group)
         group.wait_for(lambda: max(group.progress().values(), default=0) >= 85)
-        set_loads(group, 0.9)
+        set_loads(group, BUSY_LOAD)
         require_work(group, 10.0)
 
 
