Tests, failing: time at work of one run counts as time without, after another was refused or paused

3 of 3 fail: an overdue start 0.0 s after the last run ended, 1.5 s are the bound of a preference.

Cause: WaitingWork._update dates the begin of idleness by the run that has been idle for longest, or by a refused start's waiting_since, which is when the step began to be at work.

--- /dev/null
+++ b/tests/dispatch/test_review_47.py
@@ -0,0 +1,94 @@
+"""What counts as time without work, where runs of one step follow or overlap each other."""
+
+import pytest
+
+from savoryshelf.dispatch.health import FleetHealth
+from savoryshelf.dispatch.interference import InterferenceModel
+from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
+from savoryshelf.wire.generated.ttypes import RunOutcome
+
+from ..tasks.builders import JOB, accept, ledger, settle_run, step, worker
+
+PASS_SECONDS = 0.25
+NAME = JOB + ".0.0.{}"
+
+
+class Site:
+    """A leader that plans in passes; all workers are quarantined from ``quarantine`` on."""
+
+    def __init__(self):
+        self.ledger = ledger(worker("w1", millicores=2000))
+        accept(self.ledger, step(4))
+        self.placement, self.health = Placement(InterferenceModel()), FleetHealth()
+        self.now = 100.0
+        self.idle_since_by_run = {}
+
+    def quarantine(self):
+        for seconds_ago in (14.0, 14.0, 12.0, 8.0, 0.0):
+            self.health.record_outcome("w1", False, self.now - seconds_ago)
+
+    def run_pass(self):
+        """Plan once; return the names of the tasks that are started."""
+        idle = {run: self.now - since for run, since in self.idle_since_by_run.items()}
+        tracked = self.ledger.worker_by_incarnation["w1", 1]
+        view = WorkerView(tracked, True, {}, idle_seconds_by_run=idle)
+        wall_ms = int(1000 * self.now)
+        intents = self.placement.plan(self.ledger, [view], wall_ms, self.health, self.now)
+        assert self.ledger.record_intents(intents) == intents
+        self.now += PASS_SECONDS
+        return [intent.task for intent in intents]
+
+    def run(self, seconds):
+        """Plan passes for a while; return the names of the tasks that are started."""
+        until, started = self.now + seconds, []
+        while self.now < until:
+            started += self.run_pass()
+        return started
+
+    def seconds_until_start(self):
+        """Return how long passes go on until one starts something."""
+        began_at = self.now
+        while not self.run_pass():
+            assert self.now - began_at < 10.0
+        return self.now - PASS_SECONDS - began_at
+
+
+@pytest.fixture
+def site():
+    """Return a site on which tasks 0 and 1 of a step have been at work for 10 s."""
+    site = Site()
+    assert site.run(10.0) == [NAME.format(0), NAME.format(1)]
+    return site
+
+
+# Guards against the whole time at work of a step that counts as time without, after one refusal.
+def test_time_at_work_before_a_refused_start_does_not_count(site):
+    settle_run(site.ledger, NAME.format(0), RunOutcome.DONE)
+    assert site.run_pass() == [NAME.format(2)]
+    settle_run(site.ledger, NAME.format(2), RunOutcome.NEVER_RAN)
+    site.placement.record_refusal(NAME.format(2), 1)
+    settle_run(site.ledger, NAME.format(1), RunOutcome.DONE)
+    site.quarantine()
+    assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
+
+
+# Guards against the time at work of one run that counts as time without, since another is paused.
+def test_time_at_work_beside_a_paused_run_does_not_count(site):
+    site.idle_since_by_run = {(NAME.format(0), 1): site.now}
+    site.run(5.0)
+    settle_run(site.ledger, NAME.format(1), RunOutcome.DONE)
+    site.quarantine()
+    assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
+
+
+# Guards against the time at work of one run that counts as time without, since the start of
+# another is in doubt.
+def test_time_at_work_beside_a_start_in_doubt_does_not_count(site):
+    settle_run(site.ledger, NAME.format(0), RunOutcome.DONE)
+    assert site.run_pass() == [NAME.format(2)]
+    site.idle_since_by_run = {(NAME.format(2), 1): -float("inf")}
+    site.run(1.0)
+    settle_run(site.ledger, NAME.format(1), RunOutcome.DONE)
+    site.quarantine()
+    assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
