Count time without work of a step from when its last run was at work

What callers would see: best-effort runs that start beside serving runs they disturb, and finite ones that start on quarantined workers, the moment that the last run of a step ends, though nothing has waited yet; under a strain that pauses runs this holds for each step with a paused one.

Cause: the begin of idleness was the time for which the *longest* idle run had been idle, without a bound but the begin of the work, or a refused start's waiting_since, which for a step at work is when that began. So the time at work of the other runs counted as time without. The same value let a suspect of a crash whose start was refused count as waiting for as long as its step was at work, so it was not isolated.

Change: an account knows which runs count as at work. One that leaves was at work until now, less its idle time; one that was refused, or is in doubt, never was; members of a gang never were if one of them was refused.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -590,7 +590,7 @@
     def _record_starts(self, ledger: TaskLedger, intents: list[RunIntent], now: float) -> None:
         """Take note of planned starts, and of how long each has been waited for."""
         for intent in intents:
-            seconds = self.waiting.seconds_of_task(ledger.find_task(intent.task), now)
+            seconds = self.waiting.idle_seconds_of_task(ledger.find_task(intent.task), now)
             self._refused_starts.record_start(
                 intent.task, intent.run, intent.life.worker_id, now, waiting_since=now - seconds
             )
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -34,6 +34,9 @@
 LEADER_GRACE_SECONDS = 0.5
 """How long work without a run is not overdue for a new leader, which lacks reports of workers."""
 
+RunKey = tuple[str, int]
+"""The task name and the number of a run."""
+
 WorkKey = str | tuple
 """What waits as a whole: the name of a long-running task, or the key of a finite step."""
 
@@ -45,24 +48,17 @@
     answering: frozenset[IncarnationKey] = frozenset()
     """The workers that answer."""
 
-    idle_seconds_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
-    """The runs on them that are not at work, by task name and run number, and for how long."""
+    idle_seconds_by_run: dict[RunKey, float] = attrs.field(factory=dict)
+    """The runs on them that are not at work, and for how long."""
 
-    def runs(self, task: Task) -> list[int]:
-        """Return the numbers of the task's runs that are at work."""
+    def runs(self, task: Task) -> list[RunKey]:
+        """Return the task's runs that are at work."""
         return [
-            run
+            (task.name, run)
             for run, incarnation in task.incarnation_by_run.items()
             if incarnation in self.answering and (task.name, run) not in self.idle_seconds_by_run
         ]
 
-    def idle_seconds(self, task: Task) -> float:
-        """Return for how long a run of the task has been idle; 0 if it has none or is silent."""
-        return max(
-            (self.idle_seconds_by_run.get((task.name, r), 0.0) for r in task.incarnation_by_run),
-            default=0.0,
-        )
-
 
 @attrs.define
 class _LastResort:
@@ -83,8 +79,11 @@
     changed_at: float
     """When it changed last whether anything is at work, or makes up."""
 
-    idle_since: float | None
-    """Since when nothing has been at work; None if something is."""
+    worked_until: float
+    """Until when a run is known to have been at work, of those that are no longer."""
+
+    runs: set[RunKey] = attrs.field(factory=set)
+    """The runs that count as at work."""
 
     at_work_since: float = 0.0
     seconds: float = 0.0
@@ -95,28 +94,34 @@
 
     last_resort: _LastResort | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing is at work."""
+        return not self.runs
+
     def seconds_at(self, now: float) -> float:
         """Return the time without a run at work, less what was made up for."""
         elapsed = now - self.changed_at
-        if self.idle_since is not None:
+        if self.is_idle:
             return self.seconds + elapsed
         if not self.makes_up:
             return self.seconds
         return max(0.0, min(self.seconds, MAX_DEFERRAL_SECONDS) - elapsed)
 
-    def note_at_work(self, makes_up: bool, now: float) -> None:
-        """Take note that something is at work."""
-        if self.idle_since is not None or self.makes_up != makes_up:
+    def note_at_work(self, runs: set[RunKey], makes_up: bool, now: float) -> None:
+        """Take note of the runs that are at work, at least one."""
+        if self.is_idle or self.makes_up != makes_up:
             self.seconds, self.changed_at, self.makes_up = self.seconds_at(now), now, makes_up
-        if self.idle_since is not None:
-            self.idle_since, self.at_work_since = None, now
-
-    def note_idle(self, idle_since: float) -> None:
-        """Take note that nothing is at work, and since when, as is known now."""
-        if self.idle_since is None:
-            changed_at = max(idle_since, self.changed_at)
+        if self.is_idle:
+            self.at_work_since = now
+        self.runs = runs
+
+    def note_idle(self) -> None:
+        """Take note that nothing is at work, since ``worked_until`` as is known now."""
+        if not self.is_idle:
+            changed_at = max(self.worked_until, self.changed_at)
             self.seconds, self.changed_at = self.seconds_at(changed_at), changed_at
-            self.idle_since = idle_since
+            self.runs = set()
 
     def is_owed_work(self, now: float) -> bool:
         """Return whether its time is not made up for, or its newest start may yet be refused."""
@@ -169,7 +174,7 @@
             for key, tasks in _works(group):
                 account = accounts.pop(key, None)
                 if account is None:
-                    account = _Account(now, idle_since=now)
+                    account = _Account(now, worked_until=now)
                     if is_new:
                         account.seconds = _unseen_seconds(group, tasks, wall_ms)
                 self._update(account, tasks, refused_since_by_task, now)
@@ -185,32 +190,38 @@
     def _update(
         self, account: _Account, tasks: list[Task], refused_since_by_task: dict, now: float
     ) -> None:
-        with_runs = [task for task in tasks if task.incarnation_by_run]
-        at_work = [(task.name, run) for task in with_runs for run in self._runs_at_work.runs(task)]
+        at_work = {run for task in tasks for run in self._runs_at_work.runs(task)}
+        refused = {run for run in account.runs if run[0] in refused_since_by_task}
+        if refused and tasks[0].step.spec.gang:
+            # The other members have waited for it.
+            refused = account.runs
+        for run in account.runs - at_work:
+            if run not in refused:
+                idle_seconds = self._runs_at_work.idle_seconds_by_run.get(run, 0.0)
+                account.worked_until = max(account.worked_until, now - idle_seconds)
         if at_work:
-            account.note_at_work(_makes_up(account, at_work, tasks[0]), now)
-            return
-        idle_seconds = max(map(self._runs_at_work.idle_seconds, with_runs), default=0.0)
-        idle_since = max(now - idle_seconds, account.at_work_since)
-        if not with_runs and refused_since_by_task:
-            refused = (refused_since_by_task.get(task.name, now) for task in tasks)
-            idle_since = min(idle_since, *refused)
-        account.note_idle(idle_since)
+            account.note_at_work(at_work, _makes_up(account, at_work, tasks[0]), now)
+        else:
+            account.note_idle()
 
     def is_at_work(self, group: StepGroup) -> bool:
         """Return whether a run of the step is known to be at work."""
         return any(self._runs_at_work.runs(task) for task in group.tasks)
 
     def seconds_of_task(self, task: Task, now: float) -> float:
-        """Return how long nothing of a task, or of its finite step, has been at work.
+        """Return for how long a task, or its finite step, has been in its present state.
 
-        If something is, return since when.
+        That is since something is at work, or since nothing is.
         """
         account = self._account_by_key.get(_key(task))
         if account is None:
             return 0.0
-        since = account.at_work_since if account.idle_since is None else account.idle_since
-        return now - since
+        return now - (account.worked_until if account.is_idle else account.at_work_since)
+
+    def idle_seconds_of_task(self, task: Task, now: float) -> float:
+        """Return how long nothing of a task, or of its finite step, has been at work."""
+        account = self._account_by_key.get(_key(task))
+        return now - account.worked_until if account and account.is_idle else 0.0
 
     def seconds_without_work(self, task: Task, now: float) -> float:
         """Return for how long nothing of a task, or its finite step, was at work, summed up."""
@@ -229,7 +240,7 @@
 
     def _has_waited_too_long(self, key: WorkKey, now: float) -> bool:
         account = self._account_by_key.get(key)
-        if account is None or account.idle_since is None:
+        if account is None or not account.is_idle:
             return False
         return account.seconds_at(now) >= MAX_DEFERRAL_SECONDS
 
@@ -284,14 +295,15 @@
             task = ledger.find_task(intent.task)
             account = self._account_by_key.get(_key(task))
             if account is not None:
-                account.note_at_work(_makes_up(account, [(task.name, intent.run)], task), now)
+                runs = account.runs | {(task.name, intent.run)}
+                account.note_at_work(runs, _makes_up(account, runs, task), now)
 
 
 def _key(task: Task) -> WorkKey:
     return task.name if task.step.spec.lasting else task.step.key
 
 
-def _makes_up(account: _Account, runs: list[tuple[str, int]], task: Task) -> bool:
+def _makes_up(account: _Account, runs: set[RunKey], task: Task) -> bool:
     """Return whether runs of some work make up for time without: overdue ones don't, if finite."""
     last = account.last_resort
     return task.step.spec.lasting or any(not last or last.runs.get(t) != r for t, r in runs)
