--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -190,15 +190,16 @@
     def _update(
         self, account: _Account, tasks: list[Task], refused_since_by_task: dict, now: float
     ) -> None:
-        at_work = {run for task in tasks for run in self._runs_at_work.runs(task)}
-        refused = {run for run in account.runs if run[0] in refused_since_by_task}
+        with_runs = (task for task in tasks if task.incarnation_by_run)
+        at_work = {run for task in with_runs for run in self._runs_at_work.runs(task)}
+        left = account.runs - at_work
+        refused = {run for run in left if run[0] in refused_since_by_task}
         if refused and tasks[0].step.spec.gang:
             # The other members have waited for it.
-            refused = account.runs
-        for run in account.runs - at_work:
-            if run not in refused:
-                idle_seconds = self._runs_at_work.idle_seconds_by_run.get(run, 0.0)
-                account.worked_until = max(account.worked_until, now - idle_seconds)
+            refused = left
+        for run in left - refused:
+            idle_seconds = self._runs_at_work.idle_seconds_by_run.get(run, 0.0)
+            account.worked_until = max(account.worked_until, now - idle_seconds)
         if at_work:
             account.note_at_work(at_work, _makes_up(account, at_work, tasks[0]), now)
         else:
