Hold back an overdue long-running gang of which a member has failed

What callers would see: a long-running gang with a member that fails is started again each 0.5 s on workers that are avoided, and ends the work of the other members each time; 2 s is the pause after a failure.

Cause: each member has an account, and only the one that failed was held back; the gang started if any other was not.

Evidence: tests/dispatch/test_review_47.py, 0.5 s between starts without the change, 2 s at least with it. Finite gangs have one account and were held back before.

--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -258,19 +258,20 @@
         ``refusals`` returns how many starts of a task were refused of late.
         """
         if group.spec.lasting and not group.spec.gang:
-            return [task for task in tasks if self._may_start_anywhere(task.name, [task], now)]
-        works = _works(group) if group.spec.lasting else [(group.key, group.tasks)]
-        if not tasks or not any(self._may_start_anywhere(key, each, now) for key, each in works):
+            return [task for task in tasks if self._may_start_anywhere([(task.name, [task])], now)]
+        if not tasks or not self._may_start_anywhere(_works(group), now):
             return []
         if group.spec.gang:
             return tasks if len(tasks) == len(group.tasks) else []
         # The attempts of a finite task are limited, so its step uses them up evenly.
         return [min(tasks, key=lambda task: (task.failures + refusals(task), task.index))]
 
-    def _may_start_anywhere(self, key: WorkKey, tasks: list[Task], now: float) -> bool:
-        if not self._has_waited_too_long(key, now):
+    def _may_start_anywhere(self, works: list[tuple[WorkKey, list[Task]]], now: float) -> bool:
+        """Return whether any of the works is overdue, and no start of them is too recent."""
+        if not any(self._has_waited_too_long(key, now) for key, _ in works):
             return False
-        return not self._account_by_key[key].is_held(tasks, now)
+        accounts = ((self._account_by_key.get(key), tasks) for key, tasks in works)
+        return not any(account and account.is_held(tasks, now) for account, tasks in accounts)
 
     def record_starts(
         self,
--- a/tests/dispatch/test_review_47.py
+++ b/tests/dispatch/test_review_47.py
@@ -1,14 +1,18 @@
 """What counts as time without work, where runs of one step follow or overlap each other."""
 
+import itertools
+
 import pytest
 
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
-from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
+from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS, RETRY_AFTER_FAILURE_SECONDS
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import JOB, accept, ledger, settle_run, step, worker
+from .test_bounded_waits import FAILS, WORKS, work
+from .test_bounded_waits import Site as BoundedSite
 
 PASS_SECONDS = 0.25
 NAME = JOB + ".0.0.{}"
@@ -92,3 +96,19 @@
     settle_run(site.ledger, NAME.format(1), RunOutcome.DONE)
     site.quarantine()
     assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
+
+
+# Guards against a gang of which one member fails and that is started again as soon as the others
+# may be, on workers that are avoided.
+@pytest.mark.parametrize("kind", ["gang", "lasting gang"])
+def test_an_overdue_gang_with_a_failed_member_is_held_back(kind):
+    site = BoundedSite()
+    site.is_sound = False
+    site.fate = lambda task, worker_id: FAILS if task.index == 0 else WORKS
+    accept(site.ledger, work(kind))
+    for _ in range(40):
+        site.quarantine("w0", "w1", "w2", "w3")
+        site.run_pass()
+    times = sorted({at for at, _, _ in site.starts})
+    assert len(times) > 2
+    assert min(b - a for a, b in itertools.pairwise(times)) >= RETRY_AFTER_FAILURE_SECONDS
