--- a/tests/dispatch/test_review_47.py
+++ b/tests/dispatch/test_review_47.py
@@ -10,7 +10,7 @@
 from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS, RETRY_AFTER_FAILURE_SECONDS
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
-from ..tasks.builders import JOB, accept, ledger, settle_run, step, worker
+from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step, worker
 from .test_bounded_waits import FAILS, WORKS, work
 from .test_bounded_waits import Site as BoundedSite
 
@@ -112,3 +112,38 @@
     times = sorted({at for at, _, _ in site.starts})
     assert len(times) > 2
     assert min(b - a for a, b in itertools.pairwise(times)) >= RETRY_AFTER_FAILURE_SECONDS
+
+
+# Guards against accounts that are kept for good: the leader's memory would grow with each job.
+def test_work_that_has_long_been_at_work_has_no_account(site):
+    for index in range(2):
+        settle_run(site.ledger, NAME.format(index), RunOutcome.DONE)
+    assert site.run(2 * MAX_DEFERRAL_SECONDS) == [NAME.format(2), NAME.format(3)]
+    assert not site.placement.waiting._account_by_key
+
+
+# Guards against the same of jobs that are cancelled while they wait.
+def test_work_that_was_cancelled_while_it_waited_has_no_account(site):
+    for index in range(2):
+        settle_run(site.ledger, NAME.format(index), RunOutcome.DONE)
+    site.quarantine()
+    assert not site.run(2 * PASS_SECONDS)
+    site.ledger.cancel(JOB)
+    site.run_pass()
+    assert not site.placement.waiting._account_by_key
+
+
+# Guards against work that waited long for room, and is overdue for as long again once it has some.
+def test_a_long_wait_for_room_is_made_up_for_by_a_short_time_at_work():
+    site = Site()
+    other_job = "00000000000000b2"
+    accept(site.ledger, step(lasting=True, millicores=2000), job_id=other_job)
+    record_intent(site.ledger, other_job + ".0.0.0")
+    assert not site.run(60.0)
+    settle_run(site.ledger, other_job + ".0.0.0", RunOutcome.STOPPED)
+    site.ledger.cancel(other_job)
+    assert site.run(2 * MAX_DEFERRAL_SECONDS) == [NAME.format(0), NAME.format(1)]
+    for index in range(2):
+        settle_run(site.ledger, NAME.format(index), RunOutcome.DONE)
+    site.quarantine()
+    assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
