--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -187,6 +187,10 @@
             if known is None or known.state.fencing_token != record.fencing_token:
                 continue
             is_responsive = known.state.responsive and is_live_by_agent.get(record.agent_id, False)
+            unreported_seconds = 0.0
+            if not is_live_by_agent.get(record.agent_id, False):
+                agent = self._agent_by_id.get(record.agent_id)
+                unreported_seconds = now - agent.reported_at if agent else 0.0
             excluded = known.excluded_until_by_image
             idle_runs = known.state.idle_runs or ()
             views.append(
@@ -204,6 +208,7 @@
                         else math.inf
                         for idle in idle_runs
                     },
+                    unreported_seconds,
                 )
             )
         return views
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -128,6 +128,9 @@
     idle_seconds_by_run: dict[tuple[str, int], float] = attrs.field(factory=dict)
     """Runs that are not at work, such as paused ones, and for how long."""
 
+    unreported_seconds: float = 0.0
+    """For how long the worker's agent has not reported, unless it is live."""
+
     incarnation: IncarnationKey = attrs.field(init=False)
     """Key of the worker's incarnation."""
 
@@ -932,6 +935,10 @@
 def _runs_at_work(views: list[WorkerView]) -> RunsAtWork:
     idle_seconds_by_run: dict[tuple[str, int], float] = {}
     for view in views:
+        # An agent that is gone may not have sent its newest starts.
+        if view.unreported_seconds:
+            unreported = dict.fromkeys(view.worker.task_by_run, view.unreported_seconds)
+            idle_seconds_by_run.update(unreported)
         idle_seconds_by_run.update(view.idle_seconds_by_run)
     answering = frozenset(view.incarnation for view in views if view.is_responsive)
     return RunsAtWork(answering, idle_seconds_by_run)
--- a/tests/dispatch/test_agent_fleet.py
+++ b/tests/dispatch/test_agent_fleet.py
@@ -166,3 +166,13 @@
     for number in range(2 * MAX_REPLACED_IDS):
         fleet.record_report(report(agent_id=f"c1.disk/{number}"), 0.0)
     assert len(fleet._replaced_ids) == MAX_REPLACED_IDS
+
+
+# Guards against the time since an agent is gone that counts as work of the runs it never started.
+def test_views_tell_for_how_long_an_agent_that_is_gone_has_not_reported():
+    fleet = AgentFleet()
+    fleet.record_report(report(states=[state()]), 0.0)
+    (live,) = fleet.views([worker_with_token(1)], AGENT_TIMEOUT_SECONDS)
+    (gone,) = fleet.views([worker_with_token(1)], AGENT_TIMEOUT_SECONDS + 0.25)
+    assert (live.is_responsive, live.unreported_seconds) == (True, 0.0)
+    assert (gone.is_responsive, gone.unreported_seconds) == (False, AGENT_TIMEOUT_SECONDS + 0.25)
--- a/tests/dispatch/test_review_47.py
+++ b/tests/dispatch/test_review_47.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from savoryshelf.dispatch.agent_fleet import AGENT_TIMEOUT_SECONDS
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
@@ -15,30 +16,39 @@
 from .test_bounded_waits import Site as BoundedSite
 
 PASS_SECONDS = 0.25
+MAX_IDLE_SECONDS = 3.0
+"""RULES.md, LOST: for how long a submission with work that could run may have nothing running."""
+
 NAME = JOB + ".0.0.{}"
 
 
 class Site:
-    """A leader that plans in passes; all workers are quarantined from ``quarantine`` on."""
+    """A leader that plans in passes, and workers that may be quarantined."""
 
     def __init__(self):
         self.ledger = ledger(worker("w1", millicores=2000))
+        self.ledger.at_ms = 100_000
         accept(self.ledger, step(4))
         self.placement, self.health = Placement(InterferenceModel()), FleetHealth()
         self.now = 100.0
         self.idle_since_by_run = {}
+        self.reported_at = None
+        """When the agent of w1 has reported last; None if it is live."""
 
-    def quarantine(self):
+    def quarantine(self, worker_id="w1"):
         for seconds_ago in (14.0, 14.0, 12.0, 8.0, 0.0):
-            self.health.record_outcome("w1", False, self.now - seconds_ago)
+            self.health.record_outcome(worker_id, False, self.now - seconds_ago)
 
     def run_pass(self):
         """Plan once; return the names of the tasks that are started."""
         idle = {run: self.now - since for run, since in self.idle_since_by_run.items()}
-        tracked = self.ledger.worker_by_incarnation["w1", 1]
-        view = WorkerView(tracked, True, {}, idle_seconds_by_run=idle)
+        views = []
+        for tracked in self.ledger.worker_by_incarnation.values():
+            is_live = tracked.key[0] != "w1" or self.reported_at is None
+            unreported = 0.0 if is_live else self.now - self.reported_at
+            views.append(WorkerView(tracked, is_live, {}, {}, frozenset(), idle, unreported))
         wall_ms = int(1000 * self.now)
-        intents = self.placement.plan(self.ledger, [view], wall_ms, self.health, self.now)
+        intents = self.placement.plan(self.ledger, views, wall_ms, self.health, self.now)
         assert self.ledger.record_intents(intents) == intents
         self.now += PASS_SECONDS
         return [intent.task for intent in intents]
@@ -147,3 +157,22 @@
         settle_run(site.ledger, NAME.format(index), RunOutcome.DONE)
     site.quarantine()
     assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
+
+
+# Guards against a wait by preferences, and a whole one after a start that went to an agent that
+# is gone: each is within its bound, and their sum is not.
+def test_a_start_that_an_agent_never_sent_does_not_begin_the_wait_anew():
+    site = Site()
+    site.ledger.upsert_worker(worker("w2"))
+    site.quarantine("w1")
+    site.quarantine("w2")
+    began_at = site.now
+    assert not site.run(MAX_DEFERRAL_SECONDS - PASS_SECONDS)
+    # Now w1 is sound again, and its agent has just been lost.
+    site.health.record_outcome("w1", True, site.now)
+    lost_at = site.now
+    assert site.run_pass() == [NAME.format(0), NAME.format(1)]
+    assert not site.run(AGENT_TIMEOUT_SECONDS - PASS_SECONDS)
+    site.reported_at = lost_at
+    site.seconds_until_start()
+    assert site.now - PASS_SECONDS - began_at < MAX_IDLE_SECONDS
