Work that came to nothing makes up for no time without work

What callers would see: a step whose runs are evicted again and again waits as long as each of them worked, and never gets done what it waits for.

Cause: the time at work of a run that placement started by its preferences made up for time without, also if the run was evicted, lost or failed.

Change: only if one of the runs that end was done, or for long-running work.

--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -116,9 +116,13 @@
             self.at_work_since = now
         self.runs = runs
 
-    def note_idle(self) -> None:
-        """Take note that nothing is at work, since ``worked_until`` as is known now."""
+    def note_idle(self, has_progressed: bool) -> None:
+        """Take note that nothing is at work, since ``worked_until`` as is known now.
+
+        Work that came to nothing, such as that of an evicted run, makes up for nothing.
+        """
         if not self.is_idle:
+            self.makes_up = self.makes_up and has_progressed
             changed_at = max(self.worked_until, self.changed_at)
             self.seconds, self.changed_at = self.seconds_at(changed_at), changed_at
             self.runs = set()
@@ -203,7 +207,9 @@
         if at_work:
             account.note_at_work(at_work, _makes_up(account, at_work, tasks[0]), now)
         else:
-            account.note_idle()
+            ended = {name for name, _ in left}
+            is_done = any(task.done for task in tasks if task.name in ended)
+            account.note_idle(is_done or tasks[0].step.spec.lasting)
 
     def is_at_work(self, group: StepGroup) -> bool:
         """Return whether a run of the step is known to be at work."""
