Count the pause of an only run as time without work, and bound it

Cause: two bounds in a row. Work that has long been at work has no account, so a pause was not counted, and the wait began with the eviction; a pause had the time of the work so far as its only bound. Passes are also skipped while nothing at all is startable.

Change: an idle run that an agent reports opens an account; the leader plans while there are such runs; a pause lasts 1.5 s at most.

Evidence: test_the_pause_of_an_only_run_counts_after_its_eviction waits 1.5 s after the eviction without the change, and a pass with it; test_a_paused_run_without_others_leaves_no_long_rest has 3.00 s with nothing at work without it. The tests' views name their fields now: one of them had passed its seconds as another field.

--- a/src/savoryshelf/dispatch/agent_fleet.py
+++ b/src/savoryshelf/dispatch/agent_fleet.py
@@ -216,6 +216,10 @@
             )
         return views
 
+    def has_idle_runs(self) -> bool:
+        """Return whether any agent has reported a run that is not at work."""
+        return any(known.state.idle_runs for known in self._worker_by_incarnation.values())
+
     def forget(self, incarnations: set[IncarnationKey], now: float) -> None:
         """Drop all workers but these, and the agents that have not reported for long."""
         for key in self._worker_by_incarnation.keys() - incarnations:
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -249,7 +249,7 @@
         self._assign_workers()
         self._commit_weights()
         self._forget_old_jobs()
-        if not self.ledger.startable_group_by_key:
+        if not (self.ledger.startable_group_by_key or self._fleet.has_idle_runs()):
             return
         started_at = time.thread_time()
         views = self._fleet.views(self._live_workers(), self.now())
--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -35,6 +35,12 @@
 KEPT_PROGRESS_PERCENT = 50
 """Progress above which a run without checkpoints is paused rather than evicted at once."""
 
+MAX_PAUSE_SECONDS = 1.5
+"""Longest pause: a paused run is none for callers, who allow 3 s without one.
+
+The rest is for polls, the stop, and the start on another worker.
+"""
+
 FULL_SPEED_PERCENT = 100
 
 MAX_SLOW_SECONDS = 2.0
@@ -295,7 +301,8 @@
     """Return for how long a run may be paused: the time of its work so far, if it is kept."""
     if step.checkpointing or status.progress_percent <= KEPT_PROGRESS_PERCENT:
         return 0.0
-    return step.estimated_ms / 1000 * status.progress_percent / 100
+    worked_seconds = step.estimated_ms / 1000 * status.progress_percent / 100
+    return min(worked_seconds, MAX_PAUSE_SECONDS)
 
 
 def _speed_limits(interference, view, latency_ratios) -> dict[str, float]:
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -10,6 +10,7 @@
 work that placement starts by its preferences makes up for it.
 """
 
+import math
 from collections.abc import Callable
 
 import attrs
@@ -184,6 +185,8 @@
                 self._update(account, tasks, refused_since_by_task, now)
                 self._account_by_key[key] = account
         # Work of which all tasks have runs may have to start again.
+        for key, account in self._accounts_of_idle_runs(ledger, now).items():
+            accounts.setdefault(key, account)
         for key, account in accounts.items():
             tasks = _find_tasks(ledger, key)
             if tasks:
@@ -191,6 +194,19 @@
                 if account.is_owed_work(now):
                     self._account_by_key[key] = account
 
+    def _accounts_of_idle_runs(self, ledger: TaskLedger, now: float) -> dict[WorkKey, _Account]:
+        """Return new accounts of work without one that has a run which is not at work."""
+        accounts = {}
+        for (name, run), idle_seconds in self._runs_at_work.idle_seconds_by_run.items():
+            task = ledger.find_task(name)
+            if task is None or run not in task.incarnation_by_run:
+                continue
+            key = _key(task)
+            if key not in self._account_by_key:
+                seconds = 0.0 if math.isinf(idle_seconds) else idle_seconds
+                accounts[key] = _Account(now, worked_until=now - seconds, seconds=seconds)
+        return accounts
+
     def _update(
         self, account: _Account, tasks: list[Task], refused_since_by_task: dict, now: float
     ) -> None:
--- a/tests/dispatch/test_time_without_work.py
+++ b/tests/dispatch/test_time_without_work.py
@@ -318,6 +318,17 @@
         require_work(group, 10.0)
 
 
+# Guards against the only run of a step that is paused for long, and against a whole wait after it.
+def test_a_paused_run_without_others_leaves_no_long_rest():
+    with serving_group(weight=0.2, load=USUAL_LOAD) as group:
+        group.submit(
+            step(1, estimated_ms=LONG_MS, **(BATCH | {"millicores": 2000})), job_id=BATCH_JOB
+        )
+        group.wait_for(lambda: max(group.progress().values(), default=0) >= 85)
+        set_loads(group, BUSY_LOAD)
+        require_work(group, 10.0)
+
+
 # Guards against a start in doubt, or on a silent worker, that keeps the other tasks waiting.
 @pytest.mark.parametrize("impairment", [BUSY, SILENT])
 def test_starts_that_get_no_answer_leave_no_long_rest(impairment):
--- a/tests/dispatch/test_waiting_accounts.py
+++ b/tests/dispatch/test_waiting_accounts.py
@@ -25,10 +25,10 @@
 class Site:
     """A leader that plans in passes, and workers that may be quarantined."""
 
-    def __init__(self):
+    def __init__(self, count=4):
         self.ledger = ledger(worker("w1", millicores=2000))
         self.ledger.at_ms = 100_000
-        accept(self.ledger, step(4))
+        accept(self.ledger, step(count))
         self.placement, self.health = Placement(InterferenceModel()), FleetHealth()
         self.now = 100.0
         self.idle_since_by_run = {}
@@ -46,7 +46,11 @@
         for tracked in self.ledger.worker_by_incarnation.values():
             is_live = tracked.key[0] != "w1" or self.reported_at is None
             unreported = 0.0 if is_live else self.now - self.reported_at
-            views.append(WorkerView(tracked, is_live, {}, {}, frozenset(), idle, unreported))
+            views.append(
+                WorkerView(
+                    tracked, is_live, {}, idle_seconds_by_run=idle, unreported_seconds=unreported
+                )
+            )
         wall_ms = int(1000 * self.now)
         intents = self.placement.plan(self.ledger, views, wall_ms, self.health, self.now)
         assert self.ledger.record_intents(intents) == intents
@@ -176,3 +180,16 @@
     site.reported_at = lost_at
     site.seconds_until_start()
     assert site.now - PASS_SECONDS - began_at < MAX_IDLE_SECONDS
+
+
+# Guards against a step that has long been at work and begins to wait anew when its only run, which
+# was paused meanwhile, is evicted.
+def test_the_pause_of_an_only_run_counts_after_its_eviction():
+    site = Site(count=1)
+    assert site.run(10.0) == [NAME.format(0)]
+    site.quarantine()
+    site.idle_since_by_run = {(NAME.format(0), 1): site.now}
+    assert site.run(MAX_DEFERRAL_SECONDS - PASS_SECONDS) == []
+    settle_run(site.ledger, NAME.format(0), RunOutcome.STOPPED)
+    site.idle_since_by_run = {}
+    assert site.seconds_until_start() <= PASS_SECONDS
