--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -50,7 +50,7 @@
     """The workers that answer."""
 
     idle_seconds_by_run: dict[RunKey, float] = attrs.field(factory=dict)
-    """The runs on them that are not at work, and for how long."""
+    """The runs that are not at work, and for how long; infinite for a start in doubt."""
 
     def runs(self, task: Task) -> list[RunKey]:
         """Return the task's runs that are at work."""
@@ -63,11 +63,11 @@
 
 @attrs.define
 class _LastResort:
-    """The newest overdue start of some work."""
+    """The newest overdue start of some work, of one task or of a whole gang."""
 
     planned_at: float
     runs: dict[str, int]
-    """The run numbers by task name; several of a gang alone."""
+    """The run numbers by task name."""
 
     failures: int
     """How many runs of the work had failed by then."""
@@ -232,10 +232,7 @@
         return any(self._runs_at_work.runs(task) for task in group.tasks)
 
     def seconds_of_task(self, task: Task, now: float) -> float:
-        """Return for how long a task, or its finite step, has been in its present state.
-
-        That is since something is at work, or since nothing is.
-        """
+        """Return for how long something, or nothing, of a task or its finite step is at work."""
         account = self._account_by_key.get(_key(task))
         if account is None:
             return 0.0
