task:waits tells fragments from room that is used up

The log could not tell whether a task waits since finite runs have the room, or since long-running ones leave none on any worker: no_room counts both.

--- a/src/savoryshelf/dispatch/waiting_log.py
+++ b/src/savoryshelf/dispatch/waiting_log.py
@@ -14,7 +14,13 @@
 from .health import FleetHealth
 from .placement import Placement
 from .waiting import MAX_DEFERRAL_SECONDS
-from .waiting_reasons import ACCEPTS, WorkerSituation, count_by_reason, situations_by_service
+from .waiting_reasons import (
+    ACCEPTS,
+    WorkerSituation,
+    count_by_reason,
+    free_room,
+    situations_by_service,
+)
 
 LOOK_SECONDS = 1.0
 """Time between two looks: a step is named at most once in it."""
@@ -209,6 +215,7 @@
             label=spec.required_label, max_per_worker=spec.max_per_worker,
             service=group.job.queue.service_name, workers=len(situations),
             left_out=dict(left_out), accepts=accepting,
+            free=attrs.asdict(free_room(spec, situations)),
             gang_waits_for_members=spec.gang and len(group.startable_indexes) < len(group.tasks),
             is_suspect_apart=self._placement.is_isolated(task),
             never_ran=starts.count,
--- a/src/savoryshelf/dispatch/waiting_reasons.py
+++ b/src/savoryshelf/dispatch/waiting_reasons.py
@@ -170,6 +170,35 @@
     return situations
 
 
+@attrs.frozen
+class FreeRoom:
+    """What the workers of a service that may get runs have free, as seen by a step that waits."""
+
+    millicores: int
+    """The sum over the workers."""
+
+    most_millicores: int
+    most_memory_mb: int
+    """What the worker that has most of it has free."""
+
+    workers_without_long_running: int
+    fits_without_finite_runs: int
+    """Workers on which the step would fit if their finite runs were gone."""
+
+
+def free_room(step: StepSpec, situations: list[WorkerSituation]) -> FreeRoom:
+    """Return what is free on the workers that answer and do not drain."""
+    workers = [s.worker for s in situations if s.is_answering and s.worker.is_schedulable]
+    millicores = [max(0, w.record.millicores - w.used.millicores) for w in workers]
+    return FreeRoom(
+        sum(millicores),
+        max(millicores, default=0),
+        max((w.record.memory_mb - w.used.memory_mb for w in workers), default=0),
+        sum(not w.long_running_millicores for w in workers),
+        sum(w.fits_without_finite_runs(step) for w in workers),
+    )
+
+
 def count_by_reason(group: StepGroup, situations: list[WorkerSituation]) -> Counter[str]:
     """Return how many workers are left out for the step, by reason, and how many accept it."""
     run_counts = run_count_by_incarnation(group)
--- a/src/savoryshelf/tasks/worker.py
+++ b/src/savoryshelf/tasks/worker.py
@@ -29,6 +29,15 @@
         self.memory_mb += sign * step.memory_mb
         self.accelerators += sign * step.accelerators
 
+    def leaves_room(self, record: WorkerRecord, step: StepSpec) -> bool:
+        """Return whether one more run of that step fits on the worker beside what is used."""
+        needed = 0 if step.filling else step.millicores
+        return (
+            self.millicores + needed <= record.millicores
+            and self.memory_mb + step.memory_mb <= record.memory_mb
+            and self.accelerators + step.accelerators <= record.accelerators
+        )
+
 
 @attrs.define(eq=False)
 class Worker:
@@ -76,13 +85,15 @@
 
     def fits(self, step: StepSpec) -> bool:
         """Return whether the free resources suffice for one more run of that step."""
-        record, used = self.record, self.used
-        needed = 0 if step.filling else step.millicores
-        return (
-            used.millicores + needed <= record.millicores
-            and used.memory_mb + step.memory_mb <= record.memory_mb
-            and used.accelerators + step.accelerators <= record.accelerators
-        )
+        return self.used.leaves_room(self.record, step)
+
+    def fits_without_finite_runs(self, step: StepSpec) -> bool:
+        """Return whether one run of that step would fit if only the long-running ones were here."""
+        long_running = ResourceUsage()
+        for task in self.task_by_run.values():
+            if task.step.spec.lasting:
+                long_running.add(task.step.spec, 1)
+        return long_running.leaves_room(self.record, step)
 
     @property
     def is_over_capacity(self) -> bool:
--- a/tests/dispatch/test_waiting_log.py
+++ b/tests/dispatch/test_waiting_log.py
@@ -117,6 +117,8 @@
     assert [line[name] for name in needs] == [1000, 5000, 0, "a", 2]
     assert (line["waiting"], line["tasks"]) == (3, 3)
     assert (line["workers"], line["left_out"]) == (2, {"no_room": 1, "draining": 1})
+    free = line["free"]
+    assert (free["most_memory_mb"], free["fits_without_finite_runs"]) == (1000, 0)
     assert (line["accepts"], line["never_ran"], line["further_steps"]) == (0, 0, 0)
 
 
--- a/tests/dispatch/test_waiting_reasons.py
+++ b/tests/dispatch/test_waiting_reasons.py
@@ -7,7 +7,9 @@
 from savoryshelf.dispatch.waiting_reasons import (
     ACCEPTS,
     LEAVES_OUT_BY_REASON,
+    FreeRoom,
     count_by_reason,
+    free_room,
     situations_by_service,
 )
 from savoryshelf.registry import registry_decorator
@@ -175,3 +177,36 @@
     site.ledger.upsert_worker(worker("w1", born_ms=2))
     assert site.reason_of(LEFT_OUT) == ACCEPTS
     assert site.reason_of(("w1", 2)) == "state_not_reported"
+
+
+def test_free_room_tells_fragments_from_room_that_finite_runs_take():
+    site = Site()
+    long_running = step(2, millicores=2500, memory_mb=100, lasting=True)
+    accept(site.ledger, long_running, job_id=OTHER_JOB)
+    accept(site.ledger, step(millicores=1000, memory_mb=300), job_id=THIRD_JOB)
+    record_intent(site.ledger, f"{OTHER_JOB}.0.0.0", incarnation=LEFT_OUT)
+    record_intent(site.ledger, f"{THIRD_JOB}.0.0.0", incarnation=SOUND)
+    situations = situations_by_service(
+        site.ledger.worker_by_incarnation.values(),
+        site.fleet,
+        site.placement,
+        site.health,
+        site.now,
+    )["dispatch"]
+    # 1,500 and 3,000 of 4,000 are free; without the finite run the second one has all of it.
+    assert free_room(step(millicores=4000), situations) == FreeRoom(4500, 3000, 900, 1, 1)
+    assert free_room(step(millicores=1500), situations).fits_without_finite_runs == 2
+
+
+def test_a_worker_that_drains_or_does_not_answer_has_no_free_room():
+    site = Site()
+    site.record_of(LEFT_OUT).draining = True
+    site.report("w2", responsive=False)
+    situations = situations_by_service(
+        site.ledger.worker_by_incarnation.values(),
+        site.fleet,
+        site.placement,
+        site.health,
+        site.now,
+    )["dispatch"]
+    assert free_room(step(), situations) == FreeRoom(0, 0, 0, 0, 0)
