Reserve workers for large tasks that have room on none

Cause: placement passes by a task that fits nowhere and gives each share of a worker that comes free to whatever fits. Nothing is ever saved up for a large one, so a steady stream of small ones keeps it waiting without end. Why it works: a reserved worker empties within the estimates of its runs, and then the large task has room, whatever comes meanwhile.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -29,6 +29,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
 from .refused_starts import RefusedStarts
+from .reservations import Reservations, Room, is_large
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -283,6 +284,21 @@
     """Steps of which each candidate that has the room would slow others down with one more task."""
 
     _avoided: list[_Candidate] | None = None
+    _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
+    """Steps for which no candidate has room beside its long-running runs alone."""
+
+    def is_large(self, step: StepSpec) -> bool:
+        """Return whether a task needs a large part of any of the candidates."""
+        return is_large(step, (candidate.view.worker.record for candidate in self.candidates))
+
+    def is_hopeless(self, step: StepSpec) -> bool:
+        """Return whether a step that needs no more than this one has no room to wait for."""
+        return any(_needs_no_less(step, other) for other in self._hopeless_steps)
+
+    def record_hopeless(self, step: StepSpec) -> None:
+        """Record that no candidate has room for the step beside its long-running runs alone."""
+        if not step.max_per_worker:
+            self._hopeless_steps.append(step)
 
     def avoided_candidates(self) -> list[_Candidate]:
         """Return the candidates on which only overdue work is placed."""
@@ -395,14 +411,15 @@
     def __init__(
         self,
         placement: "Placement",
-        step: StepSpec,
+        group: StepGroup,
         candidates: list[_Candidate],
         run_counts: Counter,
         first: int = 0,
         sample_size: float = math.inf,
     ):
         self._placement = placement
-        self._step = step
+        self._group = group
+        self._step = group.spec
         self._run_counts = run_counts
         self._candidates = candidates
         self._first = first
@@ -464,6 +481,8 @@
         """Return the score and position of a candidate; None if it may not run the step."""
         candidate = self._candidates[position]
         run_count = self._run_counts.get(candidate.view.incarnation, 0)
+        if not self._placement.is_open_to(self._group, candidate):
+            return None
         if not self._placement.may_run(self._step, candidate, run_count):
             return None
         return self._placement.score(self._step, candidate, run_count), position
@@ -493,7 +512,7 @@
 
     Its only state is how long startable work has had no run at work, the starts that were refused
     of late, the worker from which on the next step is placed, and the workers kept for
-    tasks that may crash them.
+    tasks that may crash them or reserved for large ones.
     """
 
     def __init__(
@@ -507,6 +526,7 @@
         self._refused_starts = RefusedStarts()
         self._next_position = 0
         self._isolation = Isolation()
+        self._reservations = Reservations()
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -541,6 +561,8 @@
             if view.is_responsive and view.worker.is_schedulable
         ]
         preferred = [c for c in candidates if not c.is_avoided]
+        placeable = {c.view.incarnation for c in preferred}
+        self._reservations.begin_pass(ledger, placeable, now)
         suspects = self._isolation.begin_pass(ledger, now, refused_since_by_task)
         intents = self._plan_suspects(suspects, ledger, _Pools(preferred), now)
         suspects_by_step = _by_step(ledger, intents)
@@ -567,12 +589,37 @@
                 planned += overdue
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
+            self._reserve_workers(group, pool, suspect_starts + planned, now)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
+        self._reservations.record_starts(ledger, intents, now)
         self._record_starts(ledger, intents, now)
         self.waiting.record_starts(ledger, intents, last_resorts, now)
         return intents
 
+    def _reserve_workers(
+        self, group: StepGroup, pool: "_Pool", planned: list[RunIntent], now: float
+    ) -> None:
+        """Reserve workers for the tasks of a large finite step that have room on none.
+
+        ``planned`` holds the runs of the step that were planned in this pass.
+        """
+        step = group.spec
+        if step.lasting or step.filling:
+            return
+        count = len(group.startable_indexes) - len(planned)
+        if not count or pool.is_hopeless(step) or not pool.is_large(step):
+            self._reservations.release(group.key)
+            return
+        rooms = [Room(c.view.worker, c.planned) for c in pool.candidates]
+        run_counts = run_count_by_incarnation(group, planned)
+        if not self._reservations.reserve(group, rooms, run_counts, count, now):
+            pool.record_hopeless(step)
+
+    def is_open_to(self, group: StepGroup, candidate: _Candidate) -> bool:
+        """Return whether no worker is reserved for others, as far as a step has to mind it."""
+        return self._reservations.is_open_to(group, candidate.view.incarnation)
+
     def _with_overdue_before_refused(
         self, groups: list[StepGroup], ledger: TaskLedger, now: float
     ) -> list[StepGroup]:
@@ -638,7 +685,8 @@
             candidate_by_incarnation = {
                 c.view.incarnation: c
                 for c in candidates
-                if self.may_run(step, c, run_counts.get(c.view.incarnation, 0))
+                if self.is_open_to(task.step, c)
+                and self.may_run(step, c, run_counts.get(c.view.incarnation, 0))
             }
             score_by_worker = {
                 key: (c.view.worker, self.score(step, c, run_counts.get(key, 0)))
@@ -689,23 +737,27 @@
         now: float,
     ) -> list[RunIntent]:
         """Place tasks of a step; ``suspect_starts`` were planned for it before in this pass."""
-        step = group.spec
+        step, candidates = group.spec, pool.candidates
         if pool.is_exhausted_for(step):
-            return []
+            # Except for what is reserved for it.
+            reserved = set(self._reservations.workers_of(group.key))
+            candidates = (
+                [c for c in candidates if c.view.incarnation in reserved] if reserved else []
+            )
+            if not candidates:
+                return []
         tasks = self._startable_tasks(group)
         overdue = self._overdue_tasks(group, tasks, now)
         refused = [task for task in overdue if self._refused_starts.has_refusals(task.name)]
         run_counts = run_count_by_incarnation(group, suspect_starts)
         if step.gang:
-            return [] if refused else self._plan_gang(group, pool.candidates, run_counts)
+            return [] if refused else self._plan_gang(group, candidates, run_counts)
         # The best worker for a long-running task, or for data in a rack, may be any.
         sample_size = math.inf
         if not step.lasting and not step.data_rack:
             task_count = min(limit, len(group.startable_indexes))
             sample_size = max(MIN_SAMPLE_SIZE, SAMPLE_PER_TASK * task_count)
-        ranking = _Ranking(
-            self, step, pool.candidates, run_counts, self._next_position, sample_size
-        )
+        ranking = _Ranking(self, group, candidates, run_counts, self._next_position, sample_size)
         # What all these candidates have refused is left to those that are avoided otherwise.
         refused = [task for task in refused if self._is_refused_by_all(task, ranking)]
         if refused and not step.lasting:
@@ -769,18 +821,28 @@
             eligible = pool.candidates
         else:
             # The others have no room, or the task would have been placed there.
-            eligible = pool.avoided_candidates()
+            eligible = pool.avoided_candidates() + [
+                candidate
+                for candidate in pool.candidates
+                if not candidate.is_avoided and not self.is_open_to(group, candidate)
+            ]
+        # With so much free, work has to run soon whatever is reserved.
+        is_idle = not usage.is_busy(group.job.queue.service_name)
 
         def is_feasible(candidate: _Candidate) -> bool:
             if not candidate.fits(step):
                 return False
+            if not step.lasting and not self.is_open_to(group, candidate):
+                incarnation = candidate.view.incarnation
+                if not is_idle or self._reservations.is_recent(incarnation, now):
+                    return False
             if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
                 return False
             return may_interfere or not step.filling or candidate.may_add_best_effort(step)
 
         # Only the order of the worker that was chosen changes with each task.
         order_by_position = {
-            position: _overdue_order(candidate, step)
+            position: self._overdue_order(candidate, group)
             for position, candidate in enumerate(eligible)
             if is_feasible(candidate)
         }
@@ -795,7 +857,7 @@
             task_run = run if step.gang else task.runs + 1
             intents.append(self._assign(task, task_run, chosen, run_counts))
             if is_feasible(chosen):
-                order_by_position[position] = _overdue_order(chosen, step)
+                order_by_position[position] = self._overdue_order(chosen, group)
             else:
                 del order_by_position[position]
         if step.gang:
@@ -807,13 +869,32 @@
                 pool.record_disturbing(step)
         return intents
 
+    def _overdue_order(self, candidate: _Candidate, group: StepGroup) -> tuple:
+        """Return the sort key of the workers on which overdue tasks of a step may be placed.
+
+        Avoided and reserved ones come last.  Of the former, each is tried before one is tried twice
+        in a pass, the one that has not failed for longest first.  An image would be evicted again
+        at once where it just was, so the worker where that is longest ago comes first.
+        """
+        step = group.spec
+        return (
+            candidate.is_avoided,
+            candidate.planned_count if candidate.is_avoided else 0,
+            not self.is_open_to(group, candidate),
+            step.filling and step.image in candidate.view.excluded_images,
+            candidate.view.excluded_seconds_by_image.get(step.image, 0.0) if step.filling else 0.0,
+            candidate.interference_with(step) if step.filling else 0.0,
+            candidate.last_failure_at,
+            candidate.load_with(step),
+        )
+
     def _plan_gang(self, group, allowed, run_counts) -> list[RunIntent]:
         """Place all members or none: one that waits for others holds capacity and does no work."""
         if len(group.startable_indexes) < len(group.tasks):
             return []
         run = 1 + max(task.runs for task in group.tasks)
         trial = [candidate.copy() for candidate in allowed]
-        ranking = _Ranking(self, group.spec, trial, run_counts)
+        ranking = _Ranking(self, group, trial, run_counts)
         intents = []
         for task in group.tasks:
             chosen = ranking.best(task)
@@ -874,24 +955,6 @@
         return RunIntent(task.name, run, WorkerLife(*chosen.view.incarnation))
 
 
-def _overdue_order(candidate: _Candidate, step: StepSpec) -> tuple:
-    """Return the sort key of the workers on which overdue tasks of a step may be placed.
-
-    Avoided ones come last.  Of those, each is tried before one is tried twice in a pass, the one
-    that has not failed for longest first.  An image would be evicted again at once where it just
-    was, so the worker where that is longest ago comes first.
-    """
-    return (
-        candidate.is_avoided,
-        candidate.planned_count if candidate.is_avoided else 0,
-        step.filling and step.image in candidate.view.excluded_images,
-        candidate.view.excluded_seconds_by_image.get(step.image, 0.0) if step.filling else 0.0,
-        candidate.interference_with(step) if step.filling else 0.0,
-        candidate.last_failure_at,
-        candidate.load_with(step),
-    )
-
-
 def _first_for(
     task: Task,
     candidates: list[_Candidate],
--- a/src/savoryshelf/tasks/worker.py
+++ b/src/savoryshelf/tasks/worker.py
@@ -56,6 +56,9 @@
     long_running_millicores: int = 0
     """Processor time that long-running runs ask for."""
 
+    long_running: ResourceUsage = attrs.field(factory=ResourceUsage)
+    """What long-running runs reserve; part of ``used``."""
+
     task_by_run: dict[tuple[str, int], Task] = attrs.field(factory=dict)
     """Tasks of the runs that may exist here, by task name and run number."""
 
@@ -89,11 +92,7 @@
 
     def fits_without_finite_runs(self, step: StepSpec) -> bool:
         """Return whether one run of that step would fit if only the long-running ones were here."""
-        long_running = ResourceUsage()
-        for task in self.task_by_run.values():
-            if task.step.spec.lasting:
-                long_running.add(task.step.spec, 1)
-        return long_running.leaves_room(self.record, step)
+        return self.long_running.leaves_room(self.record, step)
 
     @property
     def is_over_capacity(self) -> bool:
@@ -121,6 +120,7 @@
         self.used.add(step, sign)
         if step.lasting:
             self.long_running_millicores += sign * step.millicores
+            self.long_running.add(step, sign)
         if step.target_ms:
             self.serving_millicores += sign * step.millicores
             _add(self.serving_run_count_by_image, step.image, sign)
