Leave whole workers to finite work where long-running runs are placed

Cause: a long-running run goes to the worker with the lowest load, away from other images and from best-effort runs that disturb it, and the share kept for finite work is a sum over the service. So a splinter stays free on each worker, where no large task fits; long-running runs never give it back. Smaller finite tasks break up the few whole workers as well. It is a preference: what has room nowhere else uses them in the same pass, so nothing waits for it. Fleets without long-running work place as before.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -19,6 +19,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import ResourceUsage, Worker, incarnation_key
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerLife
+from .finite_demand import FiniteDemand
 from .health import FleetHealth
 from .interference import (
     NEGLIGIBLE_UTILISATION,
@@ -76,6 +77,18 @@
 service is.
 """
 
+ROOM_FOR_FINITE_PENALTY = 45.0
+"""Applied to long-running runs on workers kept whole for finite ones.
+
+It outweighs four other serving images on a worker, not best-effort runs that would be disturbing.
+"""
+
+ROOM_FOR_LARGE_PENALTY = 2.0
+"""Applied to smaller finite runs there, as long as the others have long-running ones.
+
+It outweighs any load, and the other region.
+"""
+
 INTERFERENCE_WEIGHT = 3.0
 """Weight of predicted interference relative to load when a best-effort run is placed.
 
@@ -154,6 +167,12 @@
     """Whether placement prefers any other worker for now; only overdue work is placed here."""
 
     last_failure_at: float = -math.inf
+    is_kept_whole: bool = False
+    """Whether long-running runs leave it to finite ones as long as others have room."""
+
+    is_kept_for_large: bool = False
+    """Whether smaller finite runs leave it to large ones as well."""
+
     planned: ResourceUsage = attrs.field(factory=ResourceUsage)
     planned_count: int = 0
     long_running_millicores: int = 0
@@ -180,8 +199,9 @@
     def copy(self) -> "_Candidate":
         """Return an independent copy, for placing several runs all together or not at all."""
         copy = _Candidate(
-            self.view, self.interference, self.penalty, self.is_avoided, self.last_failure_at
-        )
+            self.view, self.interference, self.penalty, self.is_avoided, self.last_failure_at,
+            self.is_kept_whole, self.is_kept_for_large,
+        )  # fmt: skip
         copy.planned = attrs.evolve(self.planned)
         copy.planned_count = self.planned_count
         copy.expected_millicores = self.expected_millicores
@@ -205,6 +225,12 @@
         record = self.view.worker.record
         return (self.expected_millicores + _expected_millicores(step)) / max(1, record.millicores)
 
+    def free_share(self) -> float:
+        """Return the share of the processors that no run reserves."""
+        record = self.view.worker.record
+        reserved = self.view.worker.used.millicores + self.planned.millicores
+        return 1.0 - reserved / max(1, record.millicores)
+
     def may_add_best_effort(self, step: StepSpec) -> bool:
         """Return whether one more best-effort run may be placed here without slowing others down.
 
@@ -527,6 +553,7 @@
         self._next_position = 0
         self._isolation = Isolation()
         self._reservations = Reservations()
+        self._finite_demand = FiniteDemand()
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -568,6 +595,8 @@
         suspects_by_step = _by_step(ledger, intents)
         for candidate in preferred:
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
+        self._finite_demand.record(groups, ledger.worker_by_incarnation.values(), now)
+        _keep_whole_workers(preferred, self._finite_demand)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
         last_resorts: list[RunIntent] = []
@@ -927,7 +956,10 @@
     def score(self, step: StepSpec, candidate: _Candidate, run_count: int) -> float:
         """Return the score of the candidate for the step; the lowest one is chosen."""
         record = candidate.view.worker.record
-        score = candidate.penalty + candidate.load_with(step)
+        score = candidate.penalty
+        # Long-running runs fill up workers: what is left over on many of them holds no large task.
+        is_packed = step.lasting and not step.filling
+        score += candidate.free_share() if is_packed else candidate.load_with(step)
         if step.data_rack and step.data_rack != record.rack:
             score += REMOTE_DATA_PENALTY
         if step.filling:
@@ -936,6 +968,10 @@
             score += self._serving_score(step, candidate)
         if step.lasting:
             score += SAME_STEP_PENALTY * run_count
+        if is_packed:
+            score += ROOM_FOR_FINITE_PENALTY * candidate.is_kept_whole
+        elif candidate.is_kept_for_large and not step.filling:
+            score += ROOM_FOR_LARGE_PENALTY * (not is_large(step, [record]))
         return score
 
     def _serving_score(self, step: StepSpec, candidate: _Candidate) -> float:
@@ -990,6 +1026,28 @@
     )
 
 
+def _keep_whole_workers(candidates: list[_Candidate], demand: FiniteDemand) -> None:
+    """Keep workers without long-running runs for finite ones: as many as those use, largest first.
+
+    A sum of what is free on each worker would hold no large task.
+    """
+    candidates_by_service: dict[str, list[_Candidate]] = {}
+    for candidate in candidates:
+        service_name = candidate.view.worker.record.service_name
+        candidates_by_service.setdefault(service_name, []).append(candidate)
+    for service_name, members in candidates_by_service.items():
+        total = sum(candidate.view.worker.record.millicores for candidate in members)
+        kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
+        whole = [c for c in members if not c.view.worker.long_running_millicores]
+        whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
+        for candidate in whole:
+            if kept <= 0:
+                break
+            candidate.is_kept_whole = True
+            candidate.is_kept_for_large = len(whole) < len(members)
+            kept -= candidate.view.worker.record.millicores
+
+
 def is_limited(step: StepSpec) -> bool:
     """Return whether starts of the step are limited while the leader has no time to spare."""
     return step.filling and not step.lasting
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -4,7 +4,9 @@
 """
 
 import math
+import random
 
+import attrs
 import pytest
 
 from savoryshelf.dispatch.health import FleetHealth
@@ -220,3 +222,151 @@
     small = fleet.accept(step(28, **SMALL))
     fleet.plan()
     assert all(fleet.start_of(small, index) < math.inf for index in range(28))
+
+
+# Guards against long-running work on each worker, though there is room for it on fewer.
+def test_long_running_work_leaves_whole_workers_though_best_effort_runs_are_everywhere():
+    fleet = Fleet(*[WORKER_MILLICORES] * 40)
+    batch = {"millicores": 2_000, "memory_mb": 1_000, "filling": True, "image": "batch"}
+    fleet.accept(step(320, estimated_ms=60_000, **batch), prefix="/batch/")
+    fleet.plan()
+    for number in range(16):
+        serving = {"millicores": 1_500, "max_per_worker": 1, "image": f"s{number % 5}"}
+        fleet.accept(step(20, lasting=True, target_ms=50, **serving), prefix="/long/")
+    fleet.run(3.0)
+    workers = fleet.ledger.worker_by_incarnation.values()
+    assert sum(each.long_running_millicores for each in workers) == 480_000
+    large = fleet.accept(step(3, **LARGE))
+    fleet.plan()
+    assert all(fleet.start_of(large, index) < math.inf for index in range(3))
+
+
+def test_long_running_work_uses_the_workers_kept_whole_if_no_other_has_room():
+    fleet = Fleet(*[WORKER_MILLICORES] * 4)
+    lasting = fleet.accept(step(4, lasting=True, millicores=14_000), prefix="/long/")
+    fleet.run(3.0)
+    assert all(fleet.start_of(lasting, index) < math.inf for index in range(4))
+
+
+def test_small_tasks_leave_whole_workers_to_large_ones():
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    lasting = {"lasting": True, "max_per_worker": 1, "millicores": 8_000}
+    fleet.accept(step(6, **lasting), prefix="/long/")
+    fleet.run(2.0)
+    fleet.accept(step(20, **SMALL))
+    fleet.plan()
+    large = fleet.accept(step(2, **LARGE))
+    fleet.plan()
+    assert all(fleet.start_of(large, index) < math.inf for index in range(2))
+
+
+def draw(random_, mean, spread, largest):
+    """Return a value of a log-normal distribution as the users' site files have them."""
+    value = mean * math.exp(random_.gauss(0.0, spread) - spread**2 / 2)
+    return max(1, int(min(largest, value)))
+
+
+@attrs.define
+class Submission:
+    """A finite job of the day, and what its caller sees of it."""
+
+    job_id: str
+    accepted_at: float
+    work: int
+    objective_seconds: float
+
+
+class LargeSite(Fleet):
+    """A part of the large site: a day's sizes, rates and shares, without what makes days different.
+
+    Best-effort and long-running jobs come before the traffic, the latter until they have
+    ``long_running_share`` of the processors.
+    """
+
+    LEAD_SECONDS = 3.0
+
+    def __init__(self, seed, long_running_share, count=223):
+        super().__init__(*[24_000 if n % 3 == 2 else 16_000 for n in range(count)])
+        self.random = random.Random(seed)
+        self.submissions = []
+        workers = self.ledger.worker_by_incarnation.values()
+        self.millicores = sum(each.record.millicores for each in workers)
+        for _ in range(6):
+            self.accept_batch()
+        taken = 0
+        while taken < long_running_share * self.millicores:
+            taken += self.accept_long_running()
+        self.run(self.LEAD_SECONDS)
+
+    def accept_batch(self):
+        needs = {
+            "millicores": draw(self.random, 1_800, 0.3, 3_500),
+            "memory_mb": draw(self.random, 3_200, 0.3, 6_400),
+            "estimated_ms": draw(self.random, 2_200, 0.5, 5_400),
+            "image": f"batch-{self.random.randrange(30)}",
+        }
+        count = draw(self.random, 39, 0.6, 160)
+        self.accept(step(count, filling=True, **needs), prefix="/batch/")
+
+    def accept_long_running(self):
+        needs = {
+            "millicores": draw(self.random, 3_200, 0.25, 5_100),
+            "memory_mb": draw(self.random, 6_400, 0.3, 13_000),
+            "max_per_worker": self.random.randrange(2),
+            "image": f"serving-{self.random.randrange(8)}",
+        }
+        count = draw(self.random, 24, 0.4, 48)
+        self.accept(step(count, lasting=True, target_ms=50, **needs), prefix="/long/")
+        return count * needs["millicores"]
+
+    def accept_quote(self):
+        count = draw(self.random, 9.4, 0.8, 56)
+        needs = {
+            "millicores": draw(self.random, 5_300, 0.45, 16_000),
+            "memory_mb": draw(self.random, 11_000, 0.3, 21_000),
+            "estimated_ms": draw(self.random, 1_000, 0.5, 2_500),
+        }
+        work = count * needs["millicores"] * needs["estimated_ms"]
+        objective_seconds = 0.5 + 1.5 * needs["estimated_ms"] / 1000
+        job_id = self.accept(step(count, **needs))
+        self.submissions.append(Submission(job_id, self.now, work, objective_seconds))
+
+    def play(self, seconds):
+        """Play traffic, and wait until what has been accepted can be done."""
+
+        def traffic():
+            # A second: 5.2 quotes and 9.2 best-effort jobs on 446 workers.
+            share = len(self.ledger.worker_by_incarnation) / 446 * PASS_SECONDS
+            self.accept_some(self.accept_quote, 5.2 * share)
+            self.accept_some(self.accept_batch, 9.2 * share)
+
+        self.run(seconds, traffic)
+        self.run(3 * max(each.objective_seconds for each in self.submissions))
+
+    def accept_some(self, accept_one, mean):
+        """Accept jobs, so many in the mean."""
+        while self.random.random() < mean / (1 + mean):
+            accept_one()
+
+    def served_share(self, submissions):
+        """Return the share that is worth something to its callers: up to three objectives late."""
+        served = [
+            each
+            for each in submissions
+            if self.done_at_by_job.get(each.job_id, math.inf) - each.accepted_at
+            <= 3 * each.objective_seconds
+        ]
+        return len(served) / len(submissions)
+
+
+# Guards against SHORT: large jobs that wait until they are worth nothing, beside small ones.
+@pytest.mark.parametrize("long_running_share", [0.75, 0.8, 0.85])
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_the_largest_jobs_are_served_at_least_half_as_often_as_all(seed, long_running_share):
+    site = LargeSite(seed, long_running_share)
+    site.play(15.0)
+    by_work = sorted(site.submissions, key=lambda each: each.work)
+    tenth = len(by_work) // 10
+    all_of_them = site.served_share(by_work)
+    assert site.served_share(by_work[-tenth:]) >= 0.5 * all_of_them
+    assert site.served_share(by_work[-3 * tenth : -tenth]) >= 0.5 * all_of_them
