Reserve no worker on which runs do not end, nor for jobs worth nothing any more

Cause, by reading: a run beyond its estimate counted as about to end, so the workers that hang looked like those with room soonest, and what was reserved once stayed reserved; a step kept its workers though its job could not be in time any more; and a tenth of all workers could be most of the few that have no long-running runs. Change: a run beyond its estimate is taken to need as long again as it is over; the workers with room soonest are chosen anew in each pass; a tenth of those that can ever hold the task, but one; none for very late jobs; none where there is room already, as something else holds the step back then. test_a_large_task_gets_its_turn_though_nothing_ends_on_one_worker and test_no_worker_is_reserved_for_a_job_that_is_worth_ nothing_any_more fail before.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -28,7 +28,7 @@
     interference_headroom,
 )
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
-from .lateness import lateness_of
+from .lateness import VERY_LATE, lateness_of
 from .refused_starts import RefusedStarts
 from .reservations import Reservations, Room, is_large
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
@@ -618,7 +618,7 @@
                 planned += overdue
             if is_limited(group.spec):
                 best_effort_starts -= len(planned)
-            self._reserve_workers(group, pool, suspect_starts + planned, now)
+            self._reserve_workers(group, pool, suspect_starts + planned, wall_ms, now)
             intents += planned
         self._isolation.record_starts(ledger, intents, now)
         self._reservations.record_starts(ledger, intents, now)
@@ -627,17 +627,24 @@
         return intents
 
     def _reserve_workers(
-        self, group: StepGroup, pool: "_Pool", planned: list[RunIntent], now: float
+        self,
+        group: StepGroup,
+        pool: "_Pool",
+        planned: list[RunIntent],
+        wall_ms: int,
+        now: float,
     ) -> None:
         """Reserve workers for the tasks of a large finite step that have room on none.
 
-        ``planned`` holds the runs of the step that were planned in this pass.
+        A job that is worth nothing to its caller any more gets none.  ``planned`` holds the runs of
+        the step that were planned in this pass.
         """
         step = group.spec
         if step.lasting or step.filling:
             return
         count = len(group.startable_indexes) - len(planned)
-        if not count or pool.is_hopeless(step) or not pool.is_large(step):
+        is_of_use = count and lateness_of(group, wall_ms) != VERY_LATE
+        if not is_of_use or pool.is_hopeless(step) or not pool.is_large(step):
             self._reservations.release(group.key)
             return
         rooms = [Room(c.view.worker, c.planned) for c in pool.candidates]
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -26,11 +26,14 @@
 """
 
 MAX_RESERVED_SHARE = 0.1
-"""Share of a service's workers that may be reserved at one time, but one worker always may.
+"""Share of the workers that can ever hold a large task which may be reserved at one time.
 
-A reserved worker is partly idle until its runs have ended.
+One worker always may.  A reserved worker is partly idle until its runs have ended.
 """
 
+MIN_REMAINING_SECONDS = 0.05
+"""Shortest time that a run is expected to take still: its end has to be reported and committed."""
+
 FORGET_SECONDS = 5.0
 """Time between two looks for runs that are gone."""
 
@@ -112,9 +115,8 @@
         count: int,
         now: float,
     ) -> bool:
-        """Keep workers free until ``count`` more tasks of a step have room.
+        """Keep workers free until ``count`` more tasks of a step have room, where that is soonest.
 
-        Those that the step has come first, then those where there is room soonest.
         ``run_counts`` tells how many runs of the step each worker has.  Return whether any of the
         ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
         """
@@ -124,19 +126,20 @@
             for incarnation in self.workers_of(group.key)
         }
         self.release(group.key)
-        choices, is_possible = [], False
-        limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - len(self._reservation_by_worker)
-        for position, room in enumerate(rooms):
-            slots = room.slots_without_finite_runs(step, run_counts[room.worker.key])
-            if not slots:
-                continue
-            is_possible = True
-            if limit <= 0 or self.is_reserved(room.worker.key):
-                continue
-            seconds = self._seconds_until_room(room, step, now)
-            if seconds < math.inf:
-                is_new = room.worker.key not in since_by_kept
-                choices.append((is_new, seconds, position, slots))
+        slots_by_position = {
+            position: slots
+            for position, room in enumerate(rooms)
+            if (slots := room.slots_without_finite_runs(step, run_counts[room.worker.key]))
+        }
+        reserved_count = sum(self.is_reserved(rooms[p].worker.key) for p in slots_by_position)
+        limit = max(1, int(MAX_RESERVED_SHARE * len(slots_by_position))) - reserved_count
+        choices = []
+        for position, slots in slots_by_position.items() if limit > 0 else ():
+            worker = rooms[position].worker
+            seconds = self._seconds_until_room(rooms[position], step, now)
+            # Where there is room already, something else holds the step back.
+            if 0.0 < seconds < math.inf and not self.is_reserved(worker.key):
+                choices.append((seconds, worker.key not in since_by_kept, position, slots))
         chosen = []
         for _, _, position, slots in heapq.nsmallest(limit, choices):
             if count <= 0:
@@ -150,7 +153,7 @@
                     group.key, group.job.queue.priority, since_by_kept.get(incarnation, now)
                 )
             self._workers_by_group[group.key] = chosen
-        return is_possible
+        return bool(slots_by_position)
 
     def _seconds_until_room(self, room: "Room", step: StepSpec, now: float) -> float:
         """Return in how many seconds one task has room, by the estimates of the runs there.
@@ -172,8 +175,12 @@
         return math.inf
 
     def _remaining_seconds(self, run: RunKey, step: StepSpec, now: float) -> float:
+        """Return for how much longer a run takes; one beyond its estimate, as long again as beyond.
+
+        It may be on a slow worker, or on one where nothing ever ends.
+        """
         age = now - self._planned_at_by_run.get(run, now)
-        return max(0.0, step.estimated_ms / 1000 - age)
+        return max(abs(step.estimated_ms / 1000 - age), MIN_REMAINING_SECONDS)
 
     def record_starts(self, ledger: TaskLedger, intents: Iterable[RunIntent], now: float) -> None:
         """Take note of when runs were planned."""
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -112,6 +112,22 @@
     assert max(waits) <= count * (1.0 + 2 * PASS_SECONDS)
 
 
+# Guards against a large task that waits for a worker on which no run ever ends.
+def test_a_large_task_gets_its_turn_though_nothing_ends_on_one_worker():
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    hanging = fleet.accept(step(estimated_ms=200, **SMALL))
+    fleet.plan()
+    (key,) = fleet.ends_at_by_run
+    fleet.ends_at_by_run[key] = math.inf
+    stream = fleet.small_stream()
+    fleet.run(2.0, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE))
+    accepted_at = fleet.now
+    fleet.run(3.0, stream)
+    assert fleet.start_of(large) - accepted_at <= 1.0 + 2 * PASS_SECONDS
+    assert hanging not in fleet.done_at_by_job
+
+
 def test_a_task_of_a_whole_workers_memory_gets_its_turn_beside_best_effort_runs():
     fleet = Fleet(*[WORKER_MILLICORES] * 8)
     needs = {"millicores": 100, "memory_mb": 8_000, "filling": True, "image": "batch"}
@@ -162,6 +178,19 @@
     assert sum(started) >= 18 * 8
 
 
+def test_no_worker_is_reserved_for_a_job_that_is_worth_nothing_any_more():
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.accept(step(8, estimated_ms=60_000, **SMALL))
+    fleet.plan()
+    # 0.5 s and 1.5 times its estimate; three times that is very late.
+    fleet.accept(step(estimated_ms=1000, **LARGE))
+    fleet.run(6.0)
+    fleet.ends_at_by_run = dict.fromkeys(fleet.ends_at_by_run, fleet.now)
+    small = fleet.accept(step(8, **SMALL))
+    fleet.run(0.1)
+    assert all(fleet.start_of(small, index) < math.inf for index in range(8))
+
+
 @pytest.mark.parametrize("cause", ["ends", "drains", "has room elsewhere"])
 def test_a_worker_is_reserved_no_longer_than_needed(cause):
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
