--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -32,6 +32,7 @@
 _WORKER_SESSION = "dispatch/worker_session.py"
 _LEADER_TERM = "dispatch/leader_term.py"
 _PLACEMENT = "dispatch/placement.py"
+_LARGE_TASKS_TESTS = "tests/dispatch/test_large_tasks.py"
 _BOUNDED_WAITS_TESTS = "tests/dispatch/test_bounded_waits.py"
 _HTTP_POOL = "wire/http_pool.py"
 _TASK_SERVICE = "dispatch/task_service.py"
@@ -2165,4 +2166,74 @@
         "reserved_millicores += candidate.expected_millicores",
         _BOUNDED_WAITS_TESTS,
     ),
+    Mutant(
+        "smaller tasks leave a reserved worker to the step that it is reserved for",
+        "dispatch/placement.py",
+        "        if not self._placement.is_open_to(self._group, candidate):\n",
+        "        if False:\n",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "more urgent work goes before a reservation",
+        "dispatch/reservations.py",
+        "            or group.job.queue.priority < reservation.priority\n",
+        "",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "reserved workers are few",
+        "dispatch/reservations.py",
+        "limit = max(1, int(MAX_RESERVED_SHARE * len(slots_by_position))) - reserved_count",
+        "limit = len(slots_by_position) - reserved_count",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "the workers of a step that waits no longer are released",
+        "dispatch/reservations.py",
+        "            self.release(key)\n        for incarnation",
+        "            pass\n        for incarnation",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "a run beyond its estimate is not about to end",
+        "dispatch/reservations.py",
+        "max(abs(step.estimated_ms / 1000 - age), MIN_REMAINING_SECONDS)",
+        "max(step.estimated_ms / 1000 - age, MIN_REMAINING_SECONDS)",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "no worker is reserved for a job that is worth nothing any more",
+        "dispatch/placement.py",
+        "is_of_use = count and lateness_of(group, wall_ms) != VERY_LATE",
+        "is_of_use = count",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "overdue work of a service that is hardly used may use a reserved worker",
+        "dispatch/placement.py",
+        "if not is_idle or self._reservations.is_recent(incarnation, now):",
+        "if True:",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "long-running work leaves whole workers to finite work",
+        "dispatch/placement.py",
+        "            score += ROOM_FOR_FINITE_PENALTY * candidate.is_kept_whole\n",
+        "            pass\n",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "smaller finite tasks leave whole workers to large ones",
+        "dispatch/placement.py",
+        "            score += ROOM_FOR_LARGE_PENALTY * (not is_large(step, [record]))\n",
+        "            pass\n",
+        _LARGE_TASKS_TESTS,
+    ),
+    Mutant(
+        "what finite work needed fades",
+        "dispatch/finite_demand.py",
+        "remaining = math.exp2((self._recorded_at - now) / HALF_LIFE_SECONDS)",
+        "remaining = 1.0",
+        DISPATCH + "/test_finite_demand.py",
+    ),
 ]
