Reservations in turn delay overdue work of an idle service once

Cause: overdue finite work leaves a worker alone for 1.5 s after it was reserved, and each step that reserves it in turn begins the time anew. Evidence: test_reservations_in_turn_do_not_delay_work_of_an_idle_service_again_and_again fails before (never started, 6 s). Change: the time counts from when the worker was first reserved, as long as some step has it reserved in each pass.

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -46,6 +46,7 @@
     group: GroupKey
     priority: int
     since: float
+    """Since when the worker has been reserved, for this step or others in turn."""
 
 
 @attrs.define
@@ -57,10 +58,17 @@
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
 
+    _since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
+    """Since when the workers have been reserved that were when this pass began, for any steps."""
+
     _forgot_at: float = -math.inf
 
     def begin_pass(self, ledger: TaskLedger, placeable: set[IncarnationKey], now: float) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
+        self._since_by_worker = {
+            incarnation: reservation.since
+            for incarnation, reservation in self._reservation_by_worker.items()
+        }
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
@@ -119,10 +127,7 @@
         ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
         """
         step = group.spec
-        since_by_kept = {
-            incarnation: self._reservation_by_worker[incarnation].since
-            for incarnation in self.workers_of(group.key)
-        }
+        kept = set(self.workers_of(group.key))
         self.release(group.key)
         choices, is_possible = [], False
         limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - len(self._reservation_by_worker)
@@ -135,7 +140,7 @@
                 continue
             seconds = self._seconds_until_room(room, step, now)
             if seconds < math.inf:
-                is_new = room.worker.key not in since_by_kept
+                is_new = room.worker.key not in kept
                 choices.append((is_new, seconds, position, slots))
         chosen = []
         for _, _, position, slots in heapq.nsmallest(limit, choices):
@@ -147,7 +152,9 @@
         if chosen and not (step.gang and count > 0):
             for incarnation in chosen:
                 self._reservation_by_worker[incarnation] = _Reservation(
-                    group.key, group.job.queue.priority, since_by_kept.get(incarnation, now)
+                    group.key,
+                    group.job.queue.priority,
+                    self._since_by_worker.get(incarnation, now),
                 )
             self._workers_by_group[group.key] = chosen
         return is_possible
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -203,6 +203,27 @@
     assert fleet.start_of(large) == math.inf
 
 
+# Guards against LOST: reservations that follow one another, each of which delays work anew.
+def test_reservations_in_turn_do_not_delay_work_of_an_idle_service_again_and_again():
+    fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES, WORKER_MILLICORES)
+    for each in list(fleet.ledger.worker_by_incarnation.values())[1:]:
+        each.record.memory_mb = 50
+    fleet.accept(step(millicores=2_000, estimated_ms=60_000))
+    fleet.plan()
+    reserving = [fleet.accept(step(**LARGE))]
+    fleet.plan()
+    small = fleet.accept(step(**SMALL))
+    accepted_at = fleet.now
+
+    def replace_reservation():
+        if int(fleet.now - accepted_at) >= len(reserving):
+            fleet.ledger.cancel(reserving[-1])
+            reserving.append(fleet.accept(step(**LARGE)))
+
+    fleet.run(6.0, replace_reservation)
+    assert fleet.start_of(small) - accepted_at <= MAX_DEFERRAL_SECONDS + 2 * PASS_SECONDS
+
+
 def test_long_running_work_that_has_waited_too_long_ignores_reservations():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(7, estimated_ms=60_000, **SMALL))
