Reservations count against the limit of the workers that they are on

Cause: the limit is a tenth of the workers that may run the step, and what is taken from it are the reservations of all services. Evidence: test_reservations_elsewhere_do_not_count_against_a_service_or_label fails before for both (never started, 3 s). Change: only reservations on the candidates of the step count.

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -26,9 +26,9 @@
 """
 
 MAX_RESERVED_SHARE = 0.1
-"""Share of a service's workers that may be reserved at one time, but one worker always may.
+"""Share of the workers of a service, or of those with a label, that may be reserved at one time.
 
-A reserved worker is partly idle until its runs have ended.
+One worker always may.  A reserved worker is partly idle until its runs have ended.
 """
 
 FORGET_SECONDS = 5.0
@@ -130,7 +130,8 @@
         kept = set(self.workers_of(group.key))
         self.release(group.key)
         choices, is_possible = [], False
-        limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - len(self._reservation_by_worker)
+        reserved_count = sum(self.is_reserved(room.worker.key) for room in rooms)
+        limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - reserved_count
         for position, room in enumerate(rooms):
             slots = room.slots_without_finite_runs(step, run_counts[room.worker.key])
             if not slots:
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -13,7 +13,7 @@
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
 from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
-from savoryshelf.wire.generated.ttypes import RunOutcome
+from savoryshelf.wire.generated.ttypes import Manifest, RunOutcome, ServiceSpec
 
 from ..tasks.builders import accept, ledger, manifest, queue, settle_run, step, worker
 
@@ -163,6 +163,38 @@
     assert sum(started) >= 18 * 8
 
 
+# Guards against large tasks that wait without end, since others have reserved workers which
+# can't run them.
+@pytest.mark.parametrize("requirement", ["service", "label"])
+def test_reservations_elsewhere_do_not_count_against_a_service_or_label(requirement):
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    fields, prefix = {"required_label": "b"}, "/quotes/"
+    if requirement == "service":
+        fields, prefix = {}, "/other/"
+        queues = [queue(), queue("other", "/other/")]
+        queues[1].service_name = "other"
+        services = [ServiceSpec(each.service_name, True, False) for each in queues]
+        fleet.ledger.put_manifest(Manifest(3, queues, services, "{}"))
+    for n in range(4):
+        record = worker(f"b{n}", millicores=WORKER_MILLICORES, labels=("b",))
+        if requirement == "service":
+            record.service_name = "other"
+        fleet.ledger.upsert_worker(record)
+
+    def stream():
+        fleet.accept(step(8, estimated_ms=1000, **SMALL, **fields), prefix=prefix)
+
+    fleet.run(2.0, stream)
+    fleet.accept(step(8 * 20, estimated_ms=60_000, **SMALL))
+    fleet.run(0.1, stream)
+    fleet.accept(step(4, **LARGE))
+    fleet.run(0.1, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE, **fields), prefix=prefix)
+    accepted_at = fleet.now
+    fleet.run(3.0, stream)
+    assert fleet.start_of(large) - accepted_at <= 1.0 + 2 * PASS_SECONDS
+
+
 @pytest.mark.parametrize("cause", ["ends", "drains", "has room elsewhere"])
 def test_a_worker_is_reserved_no_longer_than_needed(cause):
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
