Large steps take what is reserved for steps of a lower rank

Cause: the limit counts the reservations of all steps alike, the step that came first keeps its own as long as it waits, and in the backlog that is what can't be served. More urgent small work is let onto a reserved worker, so that reservation is never used. Class: an order that one mechanism keeps and the next one does not know; 'Who comes first' (docs/DESIGN.md) is the order here. Change: a reservation has the rank of its step (priority, worth nothing any more), and holds against steps of the same or a lower one. Late jobs that are worth something keep theirs. The shortcut for rejected steps goes by the rank as well.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -30,7 +30,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
 from .refused_starts import RefusedStarts
-from .reservations import Reservations, Room, is_large
+from .reservations import Rank, Reservations, Room, is_large
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -303,8 +303,8 @@
     """The candidates of one service and label in one pass."""
 
     candidates: list[_Candidate]
-    _rejected_groups: list[StepGroup] = attrs.field(factory=list)
-    """Steps of which no candidate may run one more task."""
+    _rejected_steps: list[tuple[StepSpec, Rank]] = attrs.field(factory=list)
+    """Steps of which no candidate may run one more task, and their ranks."""
 
     _disturbing_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps of which each candidate that has the room would slow others down with one more task."""
@@ -332,24 +332,23 @@
             self._avoided = [c for c in self.candidates if c.is_avoided]
         return self._avoided
 
-    def is_exhausted_for(self, group: StepGroup) -> bool:
+    def is_exhausted_for(self, step: StepSpec, rank: Rank) -> bool:
         """Return whether a step that needs no more than this one has been rejected.
 
         Free capacity only shrinks during a pass, so the candidates reject this one too, unless
         it may use workers that are reserved for others and that one may not.
         """
-        step, priority = group.spec, group.job.queue.priority
         return any(
-            _needs_no_less(step, rejected.spec)
-            and rejected.job.queue.priority <= priority
-            and (rejected.spec.lasting or not step.lasting)
-            for rejected in self._rejected_groups
+            _needs_no_less(step, rejected)
+            and rejected_rank <= rank
+            and (rejected.lasting or not step.lasting)
+            for rejected, rejected_rank in self._rejected_steps
         )
 
-    def record_rejected(self, group: StepGroup) -> None:
+    def record_rejected(self, step: StepSpec, rank: Rank) -> None:
         """Record that no candidate may run one more task of the step."""
-        if not group.spec.max_per_worker:
-            self._rejected_groups.append(group)
+        if not step.max_per_worker:
+            self._rejected_steps.append((step, rank))
 
     def is_disturbed_by(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one slows others down everywhere.
@@ -596,7 +595,7 @@
         ]
         preferred = [c for c in candidates if not c.is_avoided]
         placeable = {c.view.incarnation for c in preferred}
-        self._reservations.begin_pass(ledger, placeable, now)
+        self._reservations.begin_pass(ledger, placeable, wall_ms, now)
         suspects = self._isolation.begin_pass(ledger, now, refused_since_by_task)
         intents = self._plan_suspects(suspects, ledger, _Pools(preferred), now)
         suspects_by_step = _by_step(ledger, intents)
@@ -774,7 +773,8 @@
     ) -> list[RunIntent]:
         """Place tasks of a step; ``suspect_starts`` were planned for it before in this pass."""
         step, candidates = group.spec, pool.candidates
-        if pool.is_exhausted_for(group):
+        rank = self._reservations.rank(group)
+        if pool.is_exhausted_for(step, rank):
             # Except for what is reserved for it.
             reserved = set(self._reservations.workers_of(group.key))
             candidates = (
@@ -806,7 +806,7 @@
                 continue
             chosen = ranking.best(task)
             if chosen is None:
-                pool.record_rejected(group)
+                pool.record_rejected(step, rank)
                 break
             intents.append(self._assign(task, task.runs + 1, chosen, run_counts))
             ranking.update(chosen)
@@ -843,9 +843,9 @@
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
         tasks = self._overdue_tasks(group, tasks, now)
-        step = group.spec
+        step, rank = group.spec, self._reservations.rank(group)
         has_refusals = any(self._refused_starts.has_refusals(task.name) for task in tasks)
-        if not tasks or (pool.is_exhausted_for(group) and not has_refusals):
+        if not tasks or (pool.is_exhausted_for(step, rank) and not has_refusals):
             return []
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
@@ -900,7 +900,7 @@
             return self._assign_gang(group, pool.candidates, intents)
         if len(intents) < len(tasks):
             if may_interfere or not step.filling:
-                pool.record_rejected(group)
+                pool.record_rejected(step, rank)
             else:
                 pool.record_disturbing(step)
         return intents
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -17,6 +17,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import ResourceUsage, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerRecord
+from .lateness import VERY_LATE, lateness_of
 from .waiting import MAX_DEFERRAL_SECONDS
 
 LARGE_SHARE = 0.5
@@ -40,11 +41,14 @@
 GroupKey = tuple[str, int, int]
 """The key of a step: job id, occurrence and number."""
 
+Rank = tuple[int, bool]
+"""The priority of a step, and whether its job can be worth nothing any more; less goes first."""
+
 
 @attrs.frozen
 class _Reservation:
     group: GroupKey
-    priority: int
+    rank: Rank
     since: float
     """Since when the worker has been reserved, for this step or others in turn."""
 
@@ -62,9 +66,15 @@
     """Since when the workers have been reserved that were when this pass began, for any steps."""
 
     _forgot_at: float = -math.inf
+    _wall_ms: int = 0
+    _rank_by_group: dict[GroupKey, Rank] = attrs.field(factory=dict)
+    """Ranks in this pass."""
 
-    def begin_pass(self, ledger: TaskLedger, placeable: set[IncarnationKey], now: float) -> None:
+    def begin_pass(
+        self, ledger: TaskLedger, placeable: set[IncarnationKey], wall_ms: int, now: float
+    ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
+        self._wall_ms, self._rank_by_group = wall_ms, {}
         self._since_by_worker = {
             incarnation: reservation.since
             for incarnation, reservation in self._reservation_by_worker.items()
@@ -72,8 +82,7 @@
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
-            key = self._reservation_by_worker.pop(incarnation).group
-            self._workers_by_group[key].remove(incarnation)
+            self._release_worker(incarnation)
         if now - self._forgot_at >= FORGET_SECONDS:
             self._forgot_at = now
             self._planned_at_by_run = {
@@ -87,26 +96,36 @@
         for incarnation in self._workers_by_group.pop(key, []):
             del self._reservation_by_worker[incarnation]
 
+    def _release_worker(self, incarnation: IncarnationKey) -> None:
+        reservation = self._reservation_by_worker.pop(incarnation, None)
+        if reservation is not None:
+            self._workers_by_group[reservation.group].remove(incarnation)
+
     def workers_of(self, key: GroupKey) -> list[IncarnationKey]:
         """Return the workers that are reserved for a step."""
         return self._workers_by_group.get(key, [])
 
-    def is_reserved(self, incarnation: IncarnationKey) -> bool:
-        """Return whether a worker is reserved for some step."""
-        return incarnation in self._reservation_by_worker
-
     def is_open_to(self, group: StepGroup, incarnation: IncarnationKey) -> bool:
         """Return whether reservations of others leave a worker to a step.
 
-        More urgent work goes before any reservation.
+        More urgent work goes before any reservation, and what can still be worth something before
+        one of a job that can't.
         """
         reservation = self._reservation_by_worker.get(incarnation)
         return (
             reservation is None
             or reservation.group == group.key
-            or group.job.queue.priority < reservation.priority
+            or self.rank(group) < reservation.rank
         )
 
+    def rank(self, group: StepGroup) -> Rank:
+        """Return the rank of a step in this pass."""
+        rank = self._rank_by_group.get(group.key)
+        if rank is None:
+            is_very_late = lateness_of(group, self._wall_ms) == VERY_LATE
+            rank = self._rank_by_group[group.key] = group.job.queue.priority, is_very_late
+        return rank
+
     def is_recent(self, incarnation: IncarnationKey, now: float) -> bool:
         """Return whether a worker has been reserved for less than preferences may delay a start."""
         reservation = self._reservation_by_worker.get(incarnation)
@@ -122,7 +141,9 @@
     ) -> bool:
         """Keep workers free until ``count`` more tasks of a step have room.
 
-        Those that the step has come first, then those where there is room soonest.
+        Those that the step has come first, then those where there is room soonest.  What is
+        reserved for steps of a lower rank may be taken, and does not count against the limit:
+        those come later in the pass, and give up what is too much then.
         ``run_counts`` tells how many runs of the step each worker has.  Return whether any of the
         ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
         """
@@ -130,14 +151,14 @@
         kept = set(self.workers_of(group.key))
         self.release(group.key)
         choices, is_possible = [], False
-        reserved_count = sum(self.is_reserved(room.worker.key) for room in rooms)
+        reserved_count = sum(not self.is_open_to(group, room.worker.key) for room in rooms)
         limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - reserved_count
         for position, room in enumerate(rooms):
             slots = room.slots_without_finite_runs(step, run_counts[room.worker.key])
             if not slots:
                 continue
             is_possible = True
-            if limit <= 0 or self.is_reserved(room.worker.key):
+            if limit <= 0 or not self.is_open_to(group, room.worker.key):
                 continue
             seconds = self._seconds_until_room(room, step, now)
             if seconds < math.inf:
@@ -152,9 +173,10 @@
         # The members of a gang start together, so less room than for all is of no use.
         if chosen and not (step.gang and count > 0):
             for incarnation in chosen:
+                self._release_worker(incarnation)
                 self._reservation_by_worker[incarnation] = _Reservation(
                     group.key,
-                    group.job.queue.priority,
+                    self.rank(group),
                     self._since_by_worker.get(incarnation, now),
                 )
             self._workers_by_group[group.key] = chosen
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -3,6 +3,7 @@
 A leader plans each pass on virtual time, without network; finite runs end after their estimate.
 """
 
+import itertools
 import math
 import random
 
@@ -84,12 +85,13 @@
             self.plan()
             self.now += PASS_SECONDS
 
-    def small_stream(self, steps_per_pass=2, **fields):
+    def small_stream(self, steps_per_pass=2, count=8, durations_ms=(1000,), **fields):
         """Return what accepts more small steps than the workers can run."""
+        durations = itertools.cycle(durations_ms)
 
         def each_pass():
             for _ in range(steps_per_pass):
-                self.accept(step(8, estimated_ms=1000, **(SMALL | fields)))
+                self.accept(step(count, estimated_ms=next(durations), **(SMALL | fields)))
 
         return each_pass
 
@@ -195,6 +197,38 @@
     assert fleet.start_of(large) - accepted_at <= 1.0 + 2 * PASS_SECONDS
 
 
+# Guards against large tasks that wait without end, since work that counts for less has reserved
+# all workers that may be.
+@pytest.mark.parametrize("holder", ["less urgent", "very late"])
+def test_a_large_task_takes_what_is_reserved_for_less_important_ones(holder):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    # So many of them that their ends are spread over the time.
+    stream = fleet.small_stream(4, count=1, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(2.0, stream)
+    if holder == "less urgent":
+        fleet.accept(step(**LARGE), prefix="/batch/")
+        fleet.run(0.2, stream)
+    else:
+        # Its objective is 2 s, and it is worth nothing after three times that.
+        fleet.accept(step(40, estimated_ms=1000, **LARGE))
+        fleet.run(6.0, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE))
+    accepted_at = fleet.now
+    fleet.run(3.0, stream)
+    assert fleet.start_of(large) - accepted_at <= 1.6 + 2 * PASS_SECONDS
+
+
+def test_what_can_still_be_in_time_goes_before_a_reservation_of_what_cannot():
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.accept(step(8, estimated_ms=8_000, **SMALL))
+    fleet.plan()
+    fleet.accept(step(estimated_ms=1000, **LARGE))
+    fleet.run(7.9)
+    small = fleet.accept(step(8, estimated_ms=8_000, **SMALL))
+    fleet.run(0.3)
+    assert all(fleet.start_of(small, index) < math.inf for index in range(8))
+
+
 @pytest.mark.parametrize("cause", ["ends", "drains", "has room elsewhere"])
 def test_a_worker_is_reserved_no_longer_than_needed(cause):
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
