Reserve workers without a look at all of them for each waiting step

Cause: each large step that waits looks at all candidates in each pass, for its own reservations and for others that it can't have, since the limit is reached or all are taken. Class: work for each pair of step and worker in one pass; the shortcuts of placement (exhausted, disturbed) exist for that reason. Change: a step looks at its own reservations first, and at the others only if the limit allows one; a step that found none speaks for those that need and may use no more, for the rest of the pass. Rooms are made once a pass.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -30,7 +30,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import lateness_of
 from .refused_starts import RefusedStarts
-from .reservations import Rank, Reservations, Room, is_large
+from .reservations import Rank, Reservations, Room, Rooms, is_large, needs_no_less
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -310,21 +310,15 @@
     """Steps of which each candidate that has the room would slow others down with one more task."""
 
     _avoided: list[_Candidate] | None = None
-    _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
-    """Steps for which no candidate has room beside its long-running runs alone."""
+    _rooms: Rooms | None = None
 
-    def is_large(self, step: StepSpec) -> bool:
-        """Return whether a task needs a large part of any of the candidates."""
-        return is_large(step, (candidate.view.worker.record for candidate in self.candidates))
-
-    def is_hopeless(self, step: StepSpec) -> bool:
-        """Return whether a step that needs no more than this one has no room to wait for."""
-        return any(_needs_no_less(step, other) for other in self._hopeless_steps)
-
-    def record_hopeless(self, step: StepSpec) -> None:
-        """Record that no candidate has room for the step beside its long-running runs alone."""
-        if not step.max_per_worker:
-            self._hopeless_steps.append(step)
+    def rooms(self) -> Rooms:
+        """Return the workers of the candidates, and what this pass has planned there so far."""
+        if self._rooms is None:
+            self._rooms = Rooms(
+                {c.view.incarnation: Room(c.view.worker, c.planned) for c in self.candidates}
+            )
+        return self._rooms
 
     def avoided_candidates(self) -> list[_Candidate]:
         """Return the candidates on which only overdue work is placed."""
@@ -339,7 +333,7 @@
         it may use workers that are reserved for others and that one may not.
         """
         return any(
-            _needs_no_less(step, rejected)
+            needs_no_less(step, rejected)
             and rejected_rank <= rank
             and (rejected.lasting or not step.lasting)
             for rejected, rejected_rank in self._rejected_steps
@@ -355,7 +349,7 @@
 
         Interference only rises during a pass.
         """
-        return any(_needs_no_less(step, other) for other in self._disturbing_steps)
+        return any(needs_no_less(step, other) for other in self._disturbing_steps)
 
     def record_disturbing(self, step: StepSpec) -> None:
         """Record that no candidate may run one more task of the step without slowing others."""
@@ -363,16 +357,6 @@
             self._disturbing_steps.append(step)
 
 
-def _needs_no_less(step: StepSpec, other: StepSpec) -> bool:
-    if step.filling != other.filling or (step.filling and step.image != other.image):
-        return False
-    return (
-        step.millicores >= other.millicores
-        and step.memory_mb >= other.memory_mb
-        and step.accelerators >= other.accelerators
-    )
-
-
 class _Pools:
     """The candidates of one pass, by service and required label."""
 
@@ -643,13 +627,11 @@
         if step.lasting or step.filling:
             return
         count = len(group.startable_indexes) - len(planned)
-        if not count or pool.is_hopeless(step) or not pool.is_large(step):
+        if not count or not pool.rooms().is_large(step):
             self._reservations.release(group.key)
             return
-        rooms = [Room(c.view.worker, c.planned) for c in pool.candidates]
-        run_counts = run_count_by_incarnation(group, planned)
-        if not self._reservations.reserve(group, rooms, run_counts, count, now):
-            pool.record_hopeless(step)
+        run_counts = run_count_by_incarnation(group, planned) if step.max_per_worker else Counter()
+        self._reservations.reserve(group, pool.rooms(), run_counts, count, now)
 
     def is_open_to(self, group: StepGroup, candidate: _Candidate) -> bool:
         """Return whether no worker is reserved for others, as far as a step has to mind it."""
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -134,53 +134,81 @@
     def reserve(
         self,
         group: StepGroup,
-        rooms: list["Room"],
+        rooms: "Rooms",
         run_counts: Counter[IncarnationKey],
         count: int,
         now: float,
-    ) -> bool:
+    ) -> None:
         """Keep workers free until ``count`` more tasks of a step have room.
 
         Those that the step has come first, then those where there is room soonest.  What is
         reserved for steps of a lower rank may be taken, and does not count against the limit:
         those come later in the pass, and give up what is too much then.
-        ``run_counts`` tells how many runs of the step each worker has.  Return whether any of the
-        ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
+        ``run_counts`` tells how many runs of the step each worker has.
         """
-        step = group.spec
-        kept = set(self.workers_of(group.key))
+        step, rank = group.spec, self.rank(group)
+        kept = self.workers_of(group.key)
         self.release(group.key)
-        choices, is_possible = [], False
-        reserved_count = sum(not self.is_open_to(group, room.worker.key) for room in rooms)
-        limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - reserved_count
-        for position, room in enumerate(rooms):
-            slots = room.slots_without_finite_runs(step, run_counts[room.worker.key])
-            if not slots:
-                continue
-            is_possible = True
-            if limit <= 0 or not self.is_open_to(group, room.worker.key):
-                continue
-            seconds = self._seconds_until_room(room, step, now)
-            if seconds < math.inf:
-                is_new = room.worker.key not in kept
-                choices.append((is_new, seconds, position, slots))
+        if rooms.is_hopeless(step):
+            return
+        limit = max(1, int(MAX_RESERVED_SHARE * len(rooms.room_by_incarnation)))
+        limit -= sum(
+            reservation.rank <= rank and incarnation in rooms.room_by_incarnation
+            for incarnation, reservation in self._reservation_by_worker.items()
+        )
         chosen = []
-        for _, _, position, slots in heapq.nsmallest(limit, choices):
-            if count <= 0:
+        for is_new in (False, True):
+            if limit <= len(chosen) or count <= 0:
+                break
+            if is_new and rooms.is_taken_for(step, rank):
                 break
-            chosen.append(rooms[position].worker.key)
-            count -= slots
+            incarnations = rooms.room_by_incarnation if is_new else kept
+            choices = self._choices(group, rooms, incarnations, run_counts, set(chosen), now)
+            if is_new and not choices:
+                rooms.record_taken(step, rank)
+            for _, _, slots, incarnation in heapq.nsmallest(limit - len(chosen), choices):
+                if count <= 0:
+                    break
+                chosen.append(incarnation)
+                count -= slots
         # The members of a gang start together, so less room than for all is of no use.
         if chosen and not (step.gang and count > 0):
             for incarnation in chosen:
                 self._release_worker(incarnation)
                 self._reservation_by_worker[incarnation] = _Reservation(
-                    group.key,
-                    self.rank(group),
-                    self._since_by_worker.get(incarnation, now),
+                    group.key, rank, self._since_by_worker.get(incarnation, now)
                 )
             self._workers_by_group[group.key] = chosen
-        return is_possible
+
+    def _choices(
+        self,
+        group: StepGroup,
+        rooms: "Rooms",
+        incarnations: Iterable[IncarnationKey],
+        run_counts: Counter[IncarnationKey],
+        chosen: set[IncarnationKey],
+        now: float,
+    ) -> list[tuple[float, int, int, IncarnationKey]]:
+        """Return when each of the workers has room, its position, its slots and its key.
+
+        Without those where there never is, and those reserved for others or already ``chosen``.
+        """
+        choices, is_possible = [], bool(chosen)
+        for position, incarnation in enumerate(incarnations):
+            room = rooms.room_by_incarnation.get(incarnation)
+            if room is None or incarnation in chosen:
+                continue
+            slots = room.slots_without_finite_runs(group.spec, run_counts[incarnation])
+            if not slots:
+                continue
+            is_possible = True
+            if self.is_open_to(group, incarnation):
+                seconds = self._seconds_until_room(room, group.spec, now)
+                if seconds < math.inf:
+                    choices.append((seconds, position, slots, incarnation))
+        if not is_possible and incarnations is rooms.room_by_incarnation:
+            rooms.record_hopeless(group.spec)
+        return choices
 
     def _seconds_until_room(self, room: "Room", step: StepSpec, now: float) -> float:
         """Return in how many seconds one task has room, by the estimates of the runs there.
@@ -251,6 +279,74 @@
         return slots
 
 
+@attrs.define
+class Rooms:
+    """The workers of one service and label in one pass, and which steps look for room in vain."""
+
+    room_by_incarnation: dict[IncarnationKey, Room]
+    _least: tuple[int, int, int] = attrs.field(init=False)
+    """The least millicores, memory and accelerators of any of the workers."""
+
+    _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
+    """Steps for which no worker has room beside its long-running runs alone."""
+
+    _steps_without_choice: list[tuple[StepSpec, Rank]] = attrs.field(factory=list)
+    """Steps for which all workers with such room are reserved, and their ranks."""
+
+    @_least.default
+    def _least_of_each(self) -> tuple[int, int, int]:
+        records = [room.worker.record for room in self.room_by_incarnation.values()]
+        return (
+            min((record.millicores for record in records), default=0),
+            min((record.memory_mb for record in records), default=0),
+            min((record.accelerators for record in records), default=0),
+        )
+
+    def is_large(self, step: StepSpec) -> bool:
+        """Return whether a task needs a large part of any of the workers."""
+        millicores, memory_mb, accelerators = self._least
+        return bool(self.room_by_incarnation) and (
+            step.millicores > LARGE_SHARE * millicores
+            or step.memory_mb > LARGE_SHARE * memory_mb
+            or step.accelerators > LARGE_SHARE * accelerators
+        )
+
+    def is_hopeless(self, step: StepSpec) -> bool:
+        """Return whether a step that needs no more than this one has no room to wait for."""
+        return any(needs_no_less(step, other) for other in self._hopeless_steps)
+
+    def record_hopeless(self, step: StepSpec) -> None:
+        """Record that no worker has room for the step beside its long-running runs alone."""
+        if not step.max_per_worker:
+            self._hopeless_steps.append(step)
+
+    def is_taken_for(self, step: StepSpec, rank: Rank) -> bool:
+        """Return whether a step that needs and may use no more than this one found no worker.
+
+        What a step gives up later in a pass is found in the next one.
+        """
+        return any(
+            needs_no_less(step, other) and other_rank <= rank
+            for other, other_rank in self._steps_without_choice
+        )
+
+    def record_taken(self, step: StepSpec, rank: Rank) -> None:
+        """Record that there is no worker left to reserve for the step."""
+        if not step.max_per_worker:
+            self._steps_without_choice.append((step, rank))
+
+
+def needs_no_less(step: StepSpec, other: StepSpec) -> bool:
+    """Return whether a worker that has no room for the other step has none for this one."""
+    if step.filling != other.filling or (step.filling and step.image != other.image):
+        return False
+    return (
+        step.millicores >= other.millicores
+        and step.memory_mb >= other.memory_mb
+        and step.accelerators >= other.accelerators
+    )
+
+
 def is_large(step: StepSpec, records: Iterable[WorkerRecord]) -> bool:
     """Return whether a task needs a large part of some of the workers."""
     return any(
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -13,6 +13,7 @@
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
+from savoryshelf.dispatch.reservations import Room
 from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
 from savoryshelf.wire.generated.ttypes import Manifest, RunOutcome, ServiceSpec
 
@@ -229,6 +230,32 @@
     assert all(fleet.start_of(small, index) < math.inf for index in range(8))
 
 
+# Guards against a leader without time to spare: passes that look at all workers for each of many
+# steps.
+@pytest.mark.parametrize("taken", [0, 38])
+def test_a_backlog_of_large_steps_is_planned_without_a_look_at_all_workers_for_each(
+    monkeypatch, taken
+):
+    fleet = Fleet(*[WORKER_MILLICORES] * 40)
+    if taken:
+        fleet.accept(step(taken, lasting=True, max_per_worker=1, **LARGE), prefix="/long/")
+    fleet.run(2.0)
+    fleet.accept(step(8 * (40 - taken), estimated_ms=60_000, **SMALL))
+    fleet.plan()
+    for number in range(100):
+        fleet.accept(step(2, millicores=9_000 + 37 * number % 1_000))
+    looks = []
+    look = Room.slots_without_finite_runs
+
+    def counted(room, step, run_count):
+        looks.append(room)
+        return look(room, step, run_count)
+
+    monkeypatch.setattr(Room, "slots_without_finite_runs", counted)
+    fleet.plan()
+    assert 0 < len(looks) <= 10 * 40
+
+
 @pytest.mark.parametrize("cause", ["ends", "drains", "has room elsewhere"])
 def test_a_worker_is_reserved_no_longer_than_needed(cause):
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
