Keep workers whole that have only best-effort long-running runs

Cause: a worker counts as whole if no long-running run asks for processors there; best-effort ones ask for some and reserve none. So none is kept whole, and long-running runs that do reserve are spread over all of them again. Class: what is asked for taken for what is reserved. What else reads long_running_millicores: the share of a service that long-running work may have at once (_long_running_share, by intention or not, as before) and the account of a candidate. Evidence: test_workers_with_best_effort_long_running_runs_are_kept_whole_as_well fails before (no room for three tasks of 16 cores, 15 or 9 of 16 reserved on each of the 40 workers). Change: the processors that long-running runs reserve. Result: the test passes, and the others of large tasks.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -1016,7 +1016,9 @@
 
 
 def _keep_whole_workers(candidates: list[_Candidate], demand: FiniteDemand) -> None:
-    """Keep workers without long-running runs for finite ones: as many as those use, largest first.
+    """Keep workers for finite runs: as many as those use, largest first.
+
+    Of those on which no long-running run reserves processors.
 
     A sum of what is free on each worker would hold no large task.
     """
@@ -1027,7 +1029,7 @@
     for service_name, members in candidates_by_service.items():
         total = sum(candidate.view.worker.record.millicores for candidate in members)
         kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
-        whole = [c for c in members if not c.view.worker.long_running_millicores]
+        whole = [c for c in members if not c.view.worker.long_running.millicores]
         whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
         for candidate in whole:
             if kept <= 0:
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -371,6 +371,20 @@
     assert all(fleet.start_of(large, index) < math.inf for index in range(3))
 
 
+def test_workers_with_best_effort_long_running_runs_are_kept_whole_as_well():
+    fleet = Fleet(*[WORKER_MILLICORES] * 40)
+    crawl = {"millicores": 2_000, "max_per_worker": 1, "lasting": True, "filling": True}
+    fleet.accept(step(40, image="crawl", **crawl), prefix="/batch/")
+    fleet.plan()
+    for number in range(16):
+        serving = {"millicores": 1_500, "max_per_worker": 1, "image": f"s{number % 5}"}
+        fleet.accept(step(20, lasting=True, target_ms=50, **serving), prefix="/long/")
+    fleet.run(3.0)
+    large = fleet.accept(step(3, **LARGE))
+    fleet.plan()
+    assert all(fleet.start_of(large, index) < math.inf for index in range(3))
+
+
 def test_long_running_work_uses_the_workers_kept_whole_if_no_other_has_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     lasting = fleet.accept(step(4, lasting=True, millicores=14_000), prefix="/long/")
