Merge the review of reservations: ranks, limits, shortcuts, waits in turn

Joined with: reservations are few among the workers that can ever hold the task, are chosen anew where room comes later than expected, and none is for a job worth nothing any more.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -30,7 +30,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import VERY_LATE, lateness_of
 from .refused_starts import RefusedStarts
-from .reservations import Reservations, Room, is_large
+from .reservations import Rank, Reservations, Room, Rooms, is_large, needs_no_less
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -303,28 +303,22 @@
     """The candidates of one service and label in one pass."""
 
     candidates: list[_Candidate]
-    _rejected_steps: list[StepSpec] = attrs.field(factory=list)
-    """Steps of which no candidate may run one more task."""
+    _rejected_steps: list[tuple[StepSpec, Rank]] = attrs.field(factory=list)
+    """Steps of which no candidate may run one more task, and their ranks."""
 
     _disturbing_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps of which each candidate that has the room would slow others down with one more task."""
 
     _avoided: list[_Candidate] | None = None
-    _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
-    """Steps for which no candidate has room beside its long-running runs alone."""
+    _rooms: Rooms | None = None
 
-    def is_large(self, step: StepSpec) -> bool:
-        """Return whether a task needs a large part of any of the candidates."""
-        return is_large(step, (candidate.view.worker.record for candidate in self.candidates))
-
-    def is_hopeless(self, step: StepSpec) -> bool:
-        """Return whether a step that needs no more than this one has no room to wait for."""
-        return any(_needs_no_less(step, other) for other in self._hopeless_steps)
-
-    def record_hopeless(self, step: StepSpec) -> None:
-        """Record that no candidate has room for the step beside its long-running runs alone."""
-        if not step.max_per_worker:
-            self._hopeless_steps.append(step)
+    def rooms(self) -> Rooms:
+        """Return the workers of the candidates, and what this pass has planned there so far."""
+        if self._rooms is None:
+            self._rooms = Rooms(
+                {c.view.incarnation: Room(c.view.worker, c.planned) for c in self.candidates}
+            )
+        return self._rooms
 
     def avoided_candidates(self) -> list[_Candidate]:
         """Return the candidates on which only overdue work is placed."""
@@ -332,24 +326,30 @@
             self._avoided = [c for c in self.candidates if c.is_avoided]
         return self._avoided
 
-    def is_exhausted_for(self, step: StepSpec) -> bool:
+    def is_exhausted_for(self, step: StepSpec, rank: Rank) -> bool:
         """Return whether a step that needs no more than this one has been rejected.
 
-        Free capacity only shrinks during a pass, so the candidates reject this one too.
+        Free capacity only shrinks during a pass, so the candidates reject this one too, unless
+        it may use workers that are reserved for others and that one may not.
         """
-        return any(_needs_no_less(step, rejected) for rejected in self._rejected_steps)
+        return any(
+            needs_no_less(step, rejected)
+            and rejected_rank <= rank
+            and (rejected.lasting or not step.lasting)
+            for rejected, rejected_rank in self._rejected_steps
+        )
 
-    def record_rejected(self, step: StepSpec) -> None:
+    def record_rejected(self, step: StepSpec, rank: Rank) -> None:
         """Record that no candidate may run one more task of the step."""
         if not step.max_per_worker:
-            self._rejected_steps.append(step)
+            self._rejected_steps.append((step, rank))
 
     def is_disturbed_by(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one slows others down everywhere.
 
         Interference only rises during a pass.
         """
-        return any(_needs_no_less(step, other) for other in self._disturbing_steps)
+        return any(needs_no_less(step, other) for other in self._disturbing_steps)
 
     def record_disturbing(self, step: StepSpec) -> None:
         """Record that no candidate may run one more task of the step without slowing others."""
@@ -357,16 +357,6 @@
             self._disturbing_steps.append(step)
 
 
-def _needs_no_less(step: StepSpec, other: StepSpec) -> bool:
-    if step.filling != other.filling or (step.filling and step.image != other.image):
-        return False
-    return (
-        step.millicores >= other.millicores
-        and step.memory_mb >= other.memory_mb
-        and step.accelerators >= other.accelerators
-    )
-
-
 class _Pools:
     """The candidates of one pass, by service and required label."""
 
@@ -589,7 +579,7 @@
         ]
         preferred = [c for c in candidates if not c.is_avoided]
         placeable = {c.view.incarnation for c in preferred}
-        self._reservations.begin_pass(ledger, placeable, now)
+        self._reservations.begin_pass(ledger, placeable, wall_ms, now)
         suspects = self._isolation.begin_pass(ledger, now, refused_since_by_task)
         intents = self._plan_suspects(suspects, ledger, _Pools(preferred), now)
         suspects_by_step = _by_step(ledger, intents)
@@ -644,13 +634,11 @@
             return
         count = len(group.startable_indexes) - len(planned)
         is_of_use = count and lateness_of(group, wall_ms) != VERY_LATE
-        if not is_of_use or pool.is_hopeless(step) or not pool.is_large(step):
+        if not is_of_use or not pool.rooms().is_large(step):
             self._reservations.release(group.key)
             return
-        rooms = [Room(c.view.worker, c.planned) for c in pool.candidates]
-        run_counts = run_count_by_incarnation(group, planned)
-        if not self._reservations.reserve(group, rooms, run_counts, count, now):
-            pool.record_hopeless(step)
+        run_counts = run_count_by_incarnation(group, planned) if step.max_per_worker else Counter()
+        self._reservations.reserve(group, pool.rooms(), run_counts, count, now)
 
     def is_open_to(self, group: StepGroup, candidate: _Candidate) -> bool:
         """Return whether no worker is reserved for others, as far as a step has to mind it."""
@@ -774,7 +762,8 @@
     ) -> list[RunIntent]:
         """Place tasks of a step; ``suspect_starts`` were planned for it before in this pass."""
         step, candidates = group.spec, pool.candidates
-        if pool.is_exhausted_for(step):
+        rank = self._reservations.rank(group)
+        if pool.is_exhausted_for(step, rank):
             # Except for what is reserved for it.
             reserved = set(self._reservations.workers_of(group.key))
             candidates = (
@@ -806,7 +795,7 @@
                 continue
             chosen = ranking.best(task)
             if chosen is None:
-                pool.record_rejected(step)
+                pool.record_rejected(step, rank)
                 break
             intents.append(self._assign(task, task.runs + 1, chosen, run_counts))
             ranking.update(chosen)
@@ -843,9 +832,9 @@
         planned_names = {intent.task for intent in planned}
         tasks = [task for task in self._startable_tasks(group) if task.name not in planned_names]
         tasks = self._overdue_tasks(group, tasks, now)
-        step = group.spec
+        step, rank = group.spec, self._reservations.rank(group)
         has_refusals = any(self._refused_starts.has_refusals(task.name) for task in tasks)
-        if not tasks or (pool.is_exhausted_for(step) and not has_refusals):
+        if not tasks or (pool.is_exhausted_for(step, rank) and not has_refusals):
             return []
         may_interfere = step.lasting or not usage.is_busy(group.job.queue.service_name)
         if step.filling and not may_interfere and pool.is_disturbed_by(step):
@@ -900,7 +889,7 @@
             return self._assign_gang(group, pool.candidates, intents)
         if len(intents) < len(tasks):
             if may_interfere or not step.filling:
-                pool.record_rejected(step)
+                pool.record_rejected(step, rank)
             else:
                 pool.record_disturbing(step)
         return intents
@@ -1034,7 +1023,9 @@
 
 
 def _keep_whole_workers(candidates: list[_Candidate], demand: FiniteDemand) -> None:
-    """Keep workers without long-running runs for finite ones: as many as those use, largest first.
+    """Keep workers for finite runs: as many as those use, largest first.
+
+    Of those on which no long-running run reserves processors.
 
     A sum of what is free on each worker would hold no large task.
     """
@@ -1045,7 +1036,7 @@
     for service_name, members in candidates_by_service.items():
         total = sum(candidate.view.worker.record.millicores for candidate in members)
         kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
-        whole = [c for c in members if not c.view.worker.long_running_millicores]
+        whole = [c for c in members if not c.view.worker.long_running.millicores]
         whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
         for candidate in whole:
             if kept <= 0:
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -7,9 +7,10 @@
 """
 
 import heapq
+import itertools
 import math
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 import attrs
 
@@ -17,6 +18,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import ResourceUsage, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerRecord
+from .lateness import VERY_LATE, lateness_of
 from .waiting import MAX_DEFERRAL_SECONDS
 
 LARGE_SHARE = 0.5
@@ -34,6 +36,9 @@
 MIN_REMAINING_SECONDS = 0.05
 """Shortest time that a run is expected to take still: its end has to be reported and committed."""
 
+ROOM_GRACE_SECONDS = 0.25
+"""How much later than expected a reserved worker may have room before another one is chosen."""
+
 FORGET_SECONDS = 5.0
 """Time between two looks for runs that are gone."""
 
@@ -43,12 +48,19 @@
 GroupKey = tuple[str, int, int]
 """The key of a step: job id, occurrence and number."""
 
+Rank = tuple[int, bool]
+"""The priority of a step, and whether its job can be worth nothing any more; less goes first."""
+
 
 @attrs.frozen
 class _Reservation:
     group: GroupKey
-    priority: int
+    rank: Rank
     since: float
+    """Since when the worker has been reserved, for this step or others in turn."""
+
+    room_at: float
+    """When the worker was expected to have room, as the step reserved it."""
 
 
 @attrs.define
@@ -60,15 +72,27 @@
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
 
+    _since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
+    """Since when the workers have been reserved that were when this pass began, for any steps."""
+
     _forgot_at: float = -math.inf
+    _wall_ms: int = 0
+    _rank_by_group: dict[GroupKey, Rank] = attrs.field(factory=dict)
+    """Ranks in this pass."""
 
-    def begin_pass(self, ledger: TaskLedger, placeable: set[IncarnationKey], now: float) -> None:
+    def begin_pass(
+        self, ledger: TaskLedger, placeable: set[IncarnationKey], wall_ms: int, now: float
+    ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
+        self._wall_ms, self._rank_by_group = wall_ms, {}
+        self._since_by_worker = {
+            incarnation: reservation.since
+            for incarnation, reservation in self._reservation_by_worker.items()
+        }
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
-            key = self._reservation_by_worker.pop(incarnation).group
-            self._workers_by_group[key].remove(incarnation)
+            self._release_worker(incarnation)
         if now - self._forgot_at >= FORGET_SECONDS:
             self._forgot_at = now
             self._planned_at_by_run = {
@@ -82,26 +106,36 @@
         for incarnation in self._workers_by_group.pop(key, []):
             del self._reservation_by_worker[incarnation]
 
+    def _release_worker(self, incarnation: IncarnationKey) -> None:
+        reservation = self._reservation_by_worker.pop(incarnation, None)
+        if reservation is not None:
+            self._workers_by_group[reservation.group].remove(incarnation)
+
     def workers_of(self, key: GroupKey) -> list[IncarnationKey]:
         """Return the workers that are reserved for a step."""
         return self._workers_by_group.get(key, [])
 
-    def is_reserved(self, incarnation: IncarnationKey) -> bool:
-        """Return whether a worker is reserved for some step."""
-        return incarnation in self._reservation_by_worker
-
     def is_open_to(self, group: StepGroup, incarnation: IncarnationKey) -> bool:
         """Return whether reservations of others leave a worker to a step.
 
-        More urgent work goes before any reservation.
+        More urgent work goes before any reservation, and what can still be worth something before
+        one of a job that can't.
         """
         reservation = self._reservation_by_worker.get(incarnation)
         return (
             reservation is None
             or reservation.group == group.key
-            or group.job.queue.priority < reservation.priority
+            or self.rank(group) < reservation.rank
         )
 
+    def rank(self, group: StepGroup) -> Rank:
+        """Return the rank of a step in this pass."""
+        rank = self._rank_by_group.get(group.key)
+        if rank is None:
+            is_very_late = lateness_of(group, self._wall_ms) == VERY_LATE
+            rank = self._rank_by_group[group.key] = group.job.queue.priority, is_very_late
+        return rank
+
     def is_recent(self, incarnation: IncarnationKey, now: float) -> bool:
         """Return whether a worker has been reserved for less than preferences may delay a start."""
         reservation = self._reservation_by_worker.get(incarnation)
@@ -110,50 +144,122 @@
     def reserve(
         self,
         group: StepGroup,
-        rooms: list["Room"],
+        rooms: "Rooms",
         run_counts: Counter[IncarnationKey],
         count: int,
         now: float,
-    ) -> bool:
-        """Keep workers free until ``count`` more tasks of a step have room, where that is soonest.
+    ) -> None:
+        """Keep workers free until ``count`` more tasks of a step have room.
 
-        ``run_counts`` tells how many runs of the step each worker has.  Return whether any of the
-        ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
+        Those that the step has come first, then those where there is room soonest.  What is
+        reserved for steps of a lower rank may be taken, and does not count against the limit:
+        those come later in the pass, and give up what is too much then.
+        ``run_counts`` tells how many runs of the step each worker has.
         """
         step = group.spec
-        since_by_kept = {
-            incarnation: self._reservation_by_worker[incarnation].since
+        reservation_by_kept = {
+            incarnation: self._reservation_by_worker[incarnation]
             for incarnation in self.workers_of(group.key)
         }
         self.release(group.key)
-        slots_by_position = {
-            position: slots
-            for position, room in enumerate(rooms)
+        if rooms.is_hopeless(step):
+            return
+        chosen = self._keep(group, rooms, reservation_by_kept, run_counts, count, now)
+        count -= sum(slots for slots, _ in chosen.values())
+        chosen |= self._choose(group, rooms, chosen.keys(), run_counts, count, now)
+        # The members of a gang start together, so less room than for all is of no use.
+        if not chosen or (
+            step.gang and sum(slots for slots, _ in chosen.values()) < group.spec.count
+        ):
+            return
+        for incarnation, (_, room_at) in chosen.items():
+            self._release_worker(incarnation)
+            since = self._since_by_worker.get(incarnation, now)
+            self._reservation_by_worker[incarnation] = _Reservation(
+                group.key, self.rank(group), since, room_at
+            )
+        self._workers_by_group[group.key] = list(chosen)
+
+    def _keep(
+        self,
+        group: StepGroup,
+        rooms: "Rooms",
+        reservation_by_kept: dict[IncarnationKey, _Reservation],
+        run_counts: Counter[IncarnationKey],
+        count: int,
+        now: float,
+    ) -> dict[IncarnationKey, tuple[int, float]]:
+        """Return the slots, and the time when there is room, where a step keeps its reservations.
+
+        Those that are late, since runs there take longer than estimated, are not among them.
+        """
+        kept = {}
+        for incarnation, reservation in reservation_by_kept.items():
+            room = rooms.room_by_incarnation.get(incarnation)
+            if room is None or count <= 0 or now > reservation.room_at + ROOM_GRACE_SECONDS:
+                continue
+            slots = room.slots_without_finite_runs(group.spec, run_counts[incarnation])
+            if slots and self._is_of_use(group, room, now):
+                kept[incarnation] = slots, reservation.room_at
+                count -= slots
+        return kept
+
+    def _choose(
+        self,
+        group: StepGroup,
+        rooms: "Rooms",
+        kept: Set[IncarnationKey],
+        run_counts: Counter[IncarnationKey],
+        count: int,
+        now: float,
+    ) -> dict[IncarnationKey, tuple[int, float]]:
+        """Return the same of further workers: those that have room soonest, as the limit allows."""
+        step, rank = group.spec, self.rank(group)
+        reserved = {
+            incarnation
+            for incarnation, reservation in self._reservation_by_worker.items()
+            if reservation.rank <= rank and incarnation in rooms.room_by_incarnation
+        } | kept
+        most = max(1, int(MAX_RESERVED_SHARE * len(rooms.room_by_incarnation)))
+        if count <= 0 or len(reserved) >= most or rooms.is_taken_for(step, rank):
+            return {}
+        slots_by_incarnation = {
+            room.worker.key: slots
+            for room in rooms.without_finite_runs(step)
             if (slots := room.slots_without_finite_runs(step, run_counts[room.worker.key]))
         }
-        reserved_count = sum(self.is_reserved(rooms[p].worker.key) for p in slots_by_position)
-        limit = max(1, int(MAX_RESERVED_SHARE * len(slots_by_position))) - reserved_count
+        if not slots_by_incarnation:
+            rooms.record_hopeless(step)
+            return {}
+        limit = max(1, int(MAX_RESERVED_SHARE * len(slots_by_incarnation)))
+        limit -= len(reserved & slots_by_incarnation.keys())
+        if limit <= 0:
+            return {}
         choices = []
-        for position, slots in slots_by_position.items() if limit > 0 else ():
-            worker = rooms[position].worker
-            seconds = self._seconds_until_room(rooms[position], step, now)
-            # Where there is room already, something else holds the step back.
-            if 0.0 < seconds < math.inf and not self.is_reserved(worker.key):
-                choices.append((seconds, worker.key not in since_by_kept, position, slots))
-        chosen = []
-        for _, _, position, slots in heapq.nsmallest(limit, choices):
+        for position, incarnation in enumerate(slots_by_incarnation):
+            room = rooms.room_by_incarnation[incarnation]
+            if incarnation in kept or not self.is_open_to(group, incarnation):
+                continue
+            if self._is_of_use(group, room, now):
+                choices.append((self._seconds_until_room(room, step, now), position, incarnation))
+        if not choices:
+            rooms.record_taken(step, rank)
+        chosen = {}
+        for seconds, _, incarnation in heapq.nsmallest(limit, choices):
             if count <= 0:
                 break
-            chosen.append(rooms[position].worker.key)
-            count -= slots
-        # The members of a gang start together, so less room than for all is of no use.
-        if chosen and not (step.gang and count > 0):
-            for incarnation in chosen:
-                self._reservation_by_worker[incarnation] = _Reservation(
-                    group.key, group.job.queue.priority, since_by_kept.get(incarnation, now)
-                )
-            self._workers_by_group[group.key] = chosen
-        return bool(slots_by_position)
+            chosen[incarnation] = slots_by_incarnation[incarnation], now + seconds
+            count -= slots_by_incarnation[incarnation]
+        return chosen
+
+    def _is_of_use(self, group: StepGroup, room: "Room", now: float) -> bool:
+        """Return whether a step has to wait for room there, and there will be some.
+
+        Where there is room already, something else holds the step back; but the members of a gang
+        wait for each other's.
+        """
+        seconds = self._seconds_until_room(room, group.spec, now)
+        return seconds < math.inf and (seconds > 0.0 or group.spec.gang)
 
     def _seconds_until_room(self, room: "Room", step: StepSpec, now: float) -> float:
         """Return in how many seconds one task has room, by the estimates of the runs there.
@@ -205,6 +311,10 @@
             used.accelerators + planned.accelerators,
         )
 
+    def millicores_without_finite_runs(self) -> int:
+        """Return the processors that long-running runs leave."""
+        return self.worker.record.millicores - self.worker.long_running.millicores
+
     def slots_without_finite_runs(self, step: StepSpec, run_count: int) -> int:
         """Return how many tasks of a step fit beside the long-running runs alone.
 
@@ -228,6 +338,87 @@
         return slots
 
 
+@attrs.define
+class Rooms:
+    """The workers of one service and label in one pass, and which steps look for room in vain."""
+
+    room_by_incarnation: dict[IncarnationKey, Room]
+    _least: tuple[int, int, int] = attrs.field(init=False)
+    """The least millicores, memory and accelerators of any of the workers."""
+
+    _by_millicores: list[Room] | None = None
+    _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
+    """Steps for which no worker has room beside its long-running runs alone."""
+
+    _steps_without_choice: list[tuple[StepSpec, Rank]] = attrs.field(factory=list)
+    """Steps for which all workers with such room are reserved, and their ranks."""
+
+    @_least.default
+    def _least_of_each(self) -> tuple[int, int, int]:
+        records = [room.worker.record for room in self.room_by_incarnation.values()]
+        return (
+            min((record.millicores for record in records), default=0),
+            min((record.memory_mb for record in records), default=0),
+            min((record.accelerators for record in records), default=0),
+        )
+
+    def without_finite_runs(self, step: StepSpec) -> Iterable[Room]:
+        """Yield those with the processors for a step, but for finite runs."""
+        if self._by_millicores is None:
+            self._by_millicores = sorted(
+                self.room_by_incarnation.values(), key=Room.millicores_without_finite_runs,
+                reverse=True,
+            )  # fmt: skip
+        return itertools.takewhile(
+            lambda room: room.millicores_without_finite_runs() >= step.millicores,
+            self._by_millicores,
+        )
+
+    def is_large(self, step: StepSpec) -> bool:
+        """Return whether a task needs a large part of any of the workers."""
+        millicores, memory_mb, accelerators = self._least
+        return bool(self.room_by_incarnation) and (
+            step.millicores > LARGE_SHARE * millicores
+            or step.memory_mb > LARGE_SHARE * memory_mb
+            or step.accelerators > LARGE_SHARE * accelerators
+        )
+
+    def is_hopeless(self, step: StepSpec) -> bool:
+        """Return whether a step that needs no more than this one has no room to wait for."""
+        return any(needs_no_less(step, other) for other in self._hopeless_steps)
+
+    def record_hopeless(self, step: StepSpec) -> None:
+        """Record that no worker has room for the step beside its long-running runs alone."""
+        if not step.max_per_worker:
+            self._hopeless_steps.append(step)
+
+    def is_taken_for(self, step: StepSpec, rank: Rank) -> bool:
+        """Return whether a step that needs and may use no more than this one found no worker.
+
+        What a step gives up later in a pass is found in the next one.
+        """
+        return any(
+            needs_no_less(step, other) and other_rank <= rank
+            for other, other_rank in self._steps_without_choice
+        )
+
+    def record_taken(self, step: StepSpec, rank: Rank) -> None:
+        """Record that there is no worker left to reserve for the step."""
+        if not step.max_per_worker:
+            self._steps_without_choice.append((step, rank))
+
+
+def needs_no_less(step: StepSpec, other: StepSpec) -> bool:
+    """Return whether a worker that has no room for the other step has none for this one."""
+    if step.filling != other.filling or (step.filling and step.image != other.image):
+        return False
+    return (
+        step.millicores >= other.millicores
+        and step.memory_mb >= other.memory_mb
+        and step.accelerators >= other.accelerators
+    )
+
+
 def is_large(step: StepSpec, records: Iterable[WorkerRecord]) -> bool:
     """Return whether a task needs a large part of some of the workers."""
     return any(
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -3,6 +3,7 @@
 A leader plans each pass on virtual time, without network; finite runs end after their estimate.
 """
 
+import itertools
 import math
 import random
 
@@ -12,7 +13,9 @@
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
-from savoryshelf.wire.generated.ttypes import RunOutcome
+from savoryshelf.dispatch.reservations import Room
+from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
+from savoryshelf.wire.generated.ttypes import Manifest, RunOutcome, ServiceSpec
 
 from ..tasks.builders import accept, ledger, manifest, queue, settle_run, step, worker
 
@@ -83,12 +86,13 @@
             self.plan()
             self.now += PASS_SECONDS
 
-    def small_stream(self, steps_per_pass=2, **fields):
+    def small_stream(self, steps_per_pass=2, count=8, durations_ms=(1000,), **fields):
         """Return what accepts more small steps than the workers can run."""
+        durations = itertools.cycle(durations_ms)
 
         def each_pass():
             for _ in range(steps_per_pass):
-                self.accept(step(8, estimated_ms=1000, **(SMALL | fields)))
+                self.accept(step(count, estimated_ms=next(durations), **(SMALL | fields)))
 
         return each_pass
 
@@ -191,6 +195,96 @@
     assert all(fleet.start_of(small, index) < math.inf for index in range(8))
 
 
+# Guards against large tasks that wait without end, since others have reserved workers which
+# can't run them.
+@pytest.mark.parametrize("requirement", ["service", "label"])
+def test_reservations_elsewhere_do_not_count_against_a_service_or_label(requirement):
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    fields, prefix = {"required_label": "b"}, "/quotes/"
+    if requirement == "service":
+        fields, prefix = {}, "/other/"
+        queues = [queue(), queue("other", "/other/")]
+        queues[1].service_name = "other"
+        services = [ServiceSpec(each.service_name, True, False) for each in queues]
+        fleet.ledger.put_manifest(Manifest(3, queues, services, "{}"))
+    for n in range(4):
+        record = worker(f"b{n}", millicores=WORKER_MILLICORES, labels=("b",))
+        if requirement == "service":
+            record.service_name = "other"
+        fleet.ledger.upsert_worker(record)
+
+    def stream():
+        fleet.accept(step(8, estimated_ms=1000, **SMALL, **fields), prefix=prefix)
+
+    fleet.run(2.0, stream)
+    fleet.accept(step(8 * 20, estimated_ms=60_000, **SMALL))
+    fleet.run(0.1, stream)
+    fleet.accept(step(4, **LARGE))
+    fleet.run(0.1, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE, **fields), prefix=prefix)
+    accepted_at = fleet.now
+    fleet.run(3.0, stream)
+    assert fleet.start_of(large) - accepted_at <= 1.0 + 2 * PASS_SECONDS
+
+
+# Guards against large tasks that wait without end, since work that counts for less has reserved
+# all workers that may be.
+@pytest.mark.parametrize("holder", ["less urgent", "very late"])
+def test_a_large_task_takes_what_is_reserved_for_less_important_ones(holder):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    # So many of them that their ends are spread over the time.
+    stream = fleet.small_stream(4, count=1, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(2.0, stream)
+    if holder == "less urgent":
+        fleet.accept(step(**LARGE), prefix="/batch/")
+        fleet.run(0.2, stream)
+    else:
+        # Its objective is 2 s, and it is worth nothing after three times that.
+        fleet.accept(step(40, estimated_ms=1000, **LARGE))
+        fleet.run(6.0, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE))
+    accepted_at = fleet.now
+    fleet.run(3.0, stream)
+    assert fleet.start_of(large) - accepted_at <= 1.6 + 2 * PASS_SECONDS
+
+
+def test_what_can_still_be_in_time_goes_before_a_reservation_of_what_cannot():
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.accept(step(8, estimated_ms=8_000, **SMALL))
+    fleet.plan()
+    fleet.accept(step(estimated_ms=1000, **LARGE))
+    fleet.run(7.9)
+    small = fleet.accept(step(8, estimated_ms=8_000, **SMALL))
+    fleet.run(0.3)
+    assert all(fleet.start_of(small, index) < math.inf for index in range(8))
+
+
+# Guards against a leader without time to spare: passes that look at all workers for each of many
+# steps.
+@pytest.mark.parametrize("taken", [0, 38])
+def test_a_backlog_of_large_steps_is_planned_without_a_look_at_all_workers_for_each(
+    monkeypatch, taken
+):
+    fleet = Fleet(*[WORKER_MILLICORES] * 40)
+    if taken:
+        fleet.accept(step(taken, lasting=True, max_per_worker=1, **LARGE), prefix="/long/")
+    fleet.run(2.0)
+    fleet.accept(step(8 * (40 - taken), estimated_ms=60_000, **SMALL))
+    fleet.plan()
+    for number in range(100):
+        fleet.accept(step(2, millicores=9_000 + 37 * number % 1_000))
+    looks = []
+    look = Room.slots_without_finite_runs
+
+    def counted(room, step, run_count):
+        looks.append(room)
+        return look(room, step, run_count)
+
+    monkeypatch.setattr(Room, "slots_without_finite_runs", counted)
+    fleet.plan()
+    assert 0 < len(looks) <= 10 * 40
+
+
 @pytest.mark.parametrize("cause", ["ends", "drains", "has room elsewhere"])
 def test_a_worker_is_reserved_no_longer_than_needed(cause):
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
@@ -231,6 +325,27 @@
     assert fleet.start_of(large) == math.inf
 
 
+# Guards against LOST: reservations that follow one another, each of which delays work anew.
+def test_reservations_in_turn_do_not_delay_work_of_an_idle_service_again_and_again():
+    fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES, WORKER_MILLICORES)
+    for each in list(fleet.ledger.worker_by_incarnation.values())[1:]:
+        each.record.memory_mb = 50
+    fleet.accept(step(millicores=2_000, estimated_ms=60_000))
+    fleet.plan()
+    reserving = [fleet.accept(step(**LARGE))]
+    fleet.plan()
+    small = fleet.accept(step(**SMALL))
+    accepted_at = fleet.now
+
+    def replace_reservation():
+        if int(fleet.now - accepted_at) >= len(reserving):
+            fleet.ledger.cancel(reserving[-1])
+            reserving.append(fleet.accept(step(**LARGE)))
+
+    fleet.run(6.0, replace_reservation)
+    assert fleet.start_of(small) - accepted_at <= MAX_DEFERRAL_SECONDS + 2 * PASS_SECONDS
+
+
 def test_long_running_work_that_has_waited_too_long_ignores_reservations():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(7, estimated_ms=60_000, **SMALL))
@@ -242,6 +357,21 @@
     assert fleet.start_of(lasting) < math.inf
 
 
+# Guards against LOST: long-running work kept off a reserved worker, since finite work is.
+def test_long_running_work_ignores_reservations_after_finite_work_was_kept_out():
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.accept(step(7, estimated_ms=60_000, **SMALL))
+    fleet.plan()
+    fleet.accept(step(**LARGE))
+    fleet.plan()
+    small = fleet.accept(step(estimated_ms=60_000, **SMALL))
+    lasting = fleet.accept(step(lasting=True, **SMALL), prefix="/batch/")
+    accepted_at = fleet.now
+    fleet.run(3.0)
+    assert fleet.start_of(small) == math.inf
+    assert fleet.start_of(lasting) - accepted_at <= MAX_DEFERRAL_SECONDS + 2 * PASS_SECONDS
+
+
 def test_no_worker_is_reserved_where_long_running_work_leaves_no_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     fleet.accept(step(4, lasting=True, max_per_worker=1, **SMALL), prefix="/long/")
@@ -270,6 +400,20 @@
     assert all(fleet.start_of(large, index) < math.inf for index in range(3))
 
 
+def test_workers_with_best_effort_long_running_runs_are_kept_whole_as_well():
+    fleet = Fleet(*[WORKER_MILLICORES] * 40)
+    crawl = {"millicores": 2_000, "max_per_worker": 1, "lasting": True, "filling": True}
+    fleet.accept(step(40, image="crawl", **crawl), prefix="/batch/")
+    fleet.plan()
+    for number in range(16):
+        serving = {"millicores": 1_500, "max_per_worker": 1, "image": f"s{number % 5}"}
+        fleet.accept(step(20, lasting=True, target_ms=50, **serving), prefix="/long/")
+    fleet.run(3.0)
+    large = fleet.accept(step(3, **LARGE))
+    fleet.plan()
+    assert all(fleet.start_of(large, index) < math.inf for index in range(3))
+
+
 def test_long_running_work_uses_the_workers_kept_whole_if_no_other_has_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     lasting = fleet.accept(step(4, lasting=True, millicores=14_000), prefix="/long/")
