Let long-running work ignore reservations that finite work minds

Callers may see: LOST, a long-running task that could run and does not, for as long as a finite step waits behind a reservation. Cause: placement takes it within a pass that what one step was rejected for has no room for a step that needs as much. Since reservations an overdue finite step is also rejected where all that would have room is reserved, which overdue long-running work ignores by design: it was passed over as "exhausted" without a look at any worker. The class: a rejection that is remembered without its reason. It could act likewise on a step that was refused and is more urgent than an overdue one moved before it (one pass; not changed), and between best-effort steps of one image. Evidence: test_long_running_work_ignores_reservations_behind_finite_work_that_minds_them failed on (never started). Change: a finite step that was rejected says nothing of long-running ones; the other way round it does.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -335,9 +335,13 @@
     def is_exhausted_for(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one has been rejected.
 
-        Free capacity only shrinks during a pass, so the candidates reject this one too.
+        Free capacity only shrinks during a pass, so the candidates reject this one too.  A finite
+        step may have been rejected for reservations that long-running work ignores.
         """
-        return any(_needs_no_less(step, rejected) for rejected in self._rejected_steps)
+        return any(
+            _needs_no_less(step, rejected) and (rejected.lasting or not step.lasting)
+            for rejected in self._rejected_steps
+        )
 
     def record_rejected(self, step: StepSpec) -> None:
         """Record that no candidate may run one more task of the step."""
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -213,6 +213,21 @@
     assert fleet.start_of(lasting) < math.inf
 
 
+# Guards against LOST: an overdue finite step that minds a reservation was taken to show that the
+# service has no room for long-running work either.
+def test_long_running_work_ignores_reservations_behind_finite_work_that_minds_them():
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.accept(step(7, estimated_ms=60_000, **SMALL))
+    fleet.plan()
+    fleet.accept(step(**LARGE))
+    fleet.plan()
+    small = fleet.accept(step(estimated_ms=60_000, **SMALL))
+    lasting = fleet.accept(step(lasting=True, **SMALL), prefix="/long/")
+    fleet.run(3.0)
+    assert fleet.start_of(small) == math.inf
+    assert fleet.start_of(lasting) < math.inf
+
+
 def test_no_worker_is_reserved_where_long_running_work_leaves_no_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     fleet.accept(step(4, lasting=True, max_per_worker=1, **SMALL), prefix="/long/")
