Bound the wait behind several reservations of a worker in a row

Callers may see: LOST, a job with nothing running while a reserved worker has room for it several times over and under half of the service is in use, for as long as large tasks follow each other. Cause: overdue work of an idle service may use a worker that has been reserved for 1.5 s, and each step that took over the reservation set that time back to 0. If large tasks start elsewhere sooner than their worker is empty, as where a run takes longer than its estimate, the next one reserves it within 1.5 s each time. It could act elsewhere where a preference is held by one task after another: a worker kept for suspects of a crash (overdue work ignores that, so it can't). Change: the time counts from when the worker was first reserved, for whatever steps in a row.

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -54,6 +54,9 @@
 
     _reservation_by_worker: dict[IncarnationKey, _Reservation] = attrs.field(factory=dict)
     _workers_by_group: dict[GroupKey, list[IncarnationKey]] = attrs.field(factory=dict)
+    _since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
+    """Since when those reserved before this pass have been so, for whatever steps."""
+
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
 
@@ -61,6 +64,11 @@
 
     def begin_pass(self, ledger: TaskLedger, placeable: set[IncarnationKey], now: float) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
+        self._since_by_worker = {
+            incarnation: reservation.since
+            for incarnation, reservation in self._reservation_by_worker.items()
+            if incarnation in placeable
+        }
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
@@ -100,7 +108,10 @@
         )
 
     def is_recent(self, incarnation: IncarnationKey, now: float) -> bool:
-        """Return whether a worker has been reserved for less than preferences may delay a start."""
+        """Return whether a worker has been reserved for less than preferences may delay a start.
+
+        What counts is the whole time, for one step or several in a row.
+        """
         reservation = self._reservation_by_worker.get(incarnation)
         return reservation is not None and now - reservation.since < MAX_DEFERRAL_SECONDS
 
@@ -119,10 +130,7 @@
         ``rooms``, reserved or not, can ever hold one of the tasks beside its long-running runs.
         """
         step = group.spec
-        since_by_kept = {
-            incarnation: self._reservation_by_worker[incarnation].since
-            for incarnation in self.workers_of(group.key)
-        }
+        kept = set(self.workers_of(group.key))
         self.release(group.key)
         choices, is_possible = [], False
         limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - len(self._reservation_by_worker)
@@ -135,7 +143,7 @@
                 continue
             seconds = self._seconds_until_room(room, step, now)
             if seconds < math.inf:
-                is_new = room.worker.key not in since_by_kept
+                is_new = room.worker.key not in kept
                 choices.append((is_new, seconds, position, slots))
         chosen = []
         for _, _, position, slots in heapq.nsmallest(limit, choices):
@@ -146,8 +154,10 @@
         # The members of a gang start together, so less room than for all is of no use.
         if chosen and not (step.gang and count > 0):
             for incarnation in chosen:
+                # The next step's reservation goes on with the time: others must not wait anew.
+                since = self._since_by_worker.get(incarnation, now)
                 self._reservation_by_worker[incarnation] = _Reservation(
-                    group.key, group.job.queue.priority, since_by_kept.get(incarnation, now)
+                    group.key, group.job.queue.priority, since
                 )
             self._workers_by_group[group.key] = chosen
         return is_possible
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -15,6 +15,7 @@
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import accept, ledger, manifest, queue, settle_run, step, worker
+from .startable_group import MAX_WAIT_SECONDS
 
 PASS_SECONDS = 0.05
 WORKER_MILLICORES = 16_000
@@ -228,6 +229,27 @@
     assert fleet.start_of(lasting) < math.inf
 
 
+# Guards against LOST: each step that reserved the only worker with room began the wait anew.
+def test_work_that_has_waited_too_long_waits_for_one_of_several_reservations_in_a_row():
+    fleet = Fleet(*[WORKER_MILLICORES] * 4)
+    for each in list(fleet.ledger.worker_by_incarnation.values())[2:]:
+        each.record.memory_mb = 50
+    endless = fleet.accept(step(estimated_ms=1_000, **SMALL))
+    fleet.accept(step(estimated_ms=1_100, **LARGE))
+    fleet.plan()
+    # Longer than estimated, so its worker is reserved and the large tasks start on the other.
+    for key in fleet.ends_at_by_run:
+        if key[0].startswith(endless):
+            fleet.ends_at_by_run[key] = math.inf
+    for _ in range(8):
+        fleet.accept(step(estimated_ms=1_000, **LARGE))
+    fleet.plan()
+    small = fleet.accept(step(**SMALL))
+    accepted_at = fleet.now
+    fleet.run(6.0)
+    assert fleet.start_of(small) - accepted_at < MAX_WAIT_SECONDS
+
+
 def test_no_worker_is_reserved_where_long_running_work_leaves_no_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     fleet.accept(step(4, lasting=True, max_per_worker=1, **SMALL), prefix="/long/")
