Keep rooms for large tasks only where some came of late

Smaller finite tasks left whole workers to large ones on sites that have none (sites' quotes of 1.6 cores of 16), and so went to fewer workers for nothing. What the largest waiting task needed is learned, and fades like the demand.

--- a/src/savoryshelf/dispatch/finite_demand.py
+++ b/src/savoryshelf/dispatch/finite_demand.py
@@ -23,11 +23,15 @@
     """
 
     _peak_by_service: dict[str, float] = attrs.field(factory=dict)
+    _largest_by_service: dict[str, float] = attrs.field(factory=dict)
+    """The most that one waiting task needed."""
+
     _recorded_at: float = 0.0
 
     def record(self, groups: Iterable[StepGroup], workers: Iterable[Worker], now: float) -> None:
         """Take note of what runs and of the startable steps; ``now`` is monotonic, in seconds."""
         demand_by_service: dict[str, float] = {}
+        largest_by_service: dict[str, float] = {}
         for worker in workers:
             finite = worker.used.millicores - worker.long_running.millicores
             if finite and not worker.has_ended:
@@ -38,12 +42,23 @@
                 name = group.job.queue.service_name
                 waiting = group.spec.millicores * len(group.startable_indexes)
                 demand_by_service[name] = demand_by_service.get(name, 0) + waiting
+                largest = max(group.spec.millicores, largest_by_service.get(name, 0))
+                largest_by_service[name] = largest
         remaining = math.exp2((self._recorded_at - now) / HALF_LIFE_SECONDS)
         self._recorded_at = now
-        for name in demand_by_service.keys() | self._peak_by_service.keys():
-            faded = self._peak_by_service.get(name, 0.0) * remaining
-            self._peak_by_service[name] = max(faded, demand_by_service.get(name, 0))
+        _update(self._peak_by_service, demand_by_service, remaining)
+        _update(self._largest_by_service, largest_by_service, remaining)
 
     def peak_millicores(self, service_name: str) -> float:
         """Return the peak of a service in thousandths of a processor."""
         return self._peak_by_service.get(service_name, 0.0)
+
+    def largest_millicores(self, service_name: str) -> float:
+        """Return what the largest task of a service needed, in thousandths of a processor."""
+        return self._largest_by_service.get(service_name, 0.0)
+
+
+def _update(peaks: dict[str, float], values: dict[str, float], remaining: float) -> None:
+    """Let peaks fade to the share that remains, and raise them to new values."""
+    for name in peaks.keys() | values.keys():
+        peaks[name] = max(peaks.get(name, 0.0) * remaining, values.get(name, 0))
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -30,7 +30,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import VERY_LATE, lateness_of
 from .refused_starts import RefusedStarts
-from .reservations import Rank, Reservations, Room, Rooms, is_large, needs_no_less
+from .reservations import LARGE_SHARE, Rank, Reservations, Room, Rooms, is_large, needs_no_less
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -84,7 +84,7 @@
 """
 
 ROOM_FOR_LARGE_PENALTY = 2.0
-"""Applied to smaller finite runs there, as long as the others have long-running ones.
+"""Applied to smaller finite runs there, if large ones came of late and other workers are not whole.
 
 It outweighs any load, and the other region.
 """
@@ -1036,14 +1036,18 @@
     for service_name, members in candidates_by_service.items():
         total = sum(candidate.view.worker.record.millicores for candidate in members)
         kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
+        largest = demand.largest_millicores(service_name)
         whole = [c for c in members if not c.view.worker.long_running.millicores]
         whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
         for candidate in whole:
             if kept <= 0:
                 break
+            record = candidate.view.worker.record
             candidate.is_kept_whole = True
-            candidate.is_kept_for_large = len(whole) < len(members)
-            kept -= candidate.view.worker.record.millicores
+            candidate.is_kept_for_large = (
+                len(whole) < len(members) and largest > LARGE_SHARE * record.millicores
+            )
+            kept -= record.millicores
 
 
 def is_limited(step: StepSpec) -> bool:
--- a/tests/dispatch/test_finite_demand.py
+++ b/tests/dispatch/test_finite_demand.py
@@ -36,3 +36,15 @@
 
 def test_a_service_without_finite_work_has_no_peak():
     assert recorded(FiniteDemand(), ledger()) == 0.0
+
+
+def test_the_largest_waiting_task_counts_and_fades():
+    demand, task_ledger = FiniteDemand(), ledger(worker(millicores=16_000))
+    accept(task_ledger, step(4, millicores=2_000))
+    accept(task_ledger, step(1, millicores=9_000), job_id=OTHER_JOB)
+    accept(task_ledger, step(1, millicores=12_000, lasting=True), job_id=THIRD_JOB)
+    recorded(demand, task_ledger)
+    assert demand.largest_millicores("dispatch") == 9_000
+    task_ledger.cancel(OTHER_JOB)
+    recorded(demand, task_ledger, HALF_LIFE_SECONDS)
+    assert demand.largest_millicores("dispatch") == 4_500
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -447,6 +447,7 @@
     fleet = Fleet(*[WORKER_MILLICORES] * 8)
     lasting = {"lasting": True, "max_per_worker": 1, "millicores": 8_000}
     fleet.accept(step(6, **lasting), prefix="/long/")
+    fleet.accept(step(**LARGE))
     fleet.run(2.0)
     fleet.accept(step(20, **SMALL))
     fleet.plan()
