HTTP server test: an idle wait is judged by its own thread and by what it does

Cause: the test measured the processor time of the whole test process, with the green and native threads that earlier tests had left in it.

Change: the test has a hub of its own, so that only its green threads run, and counts the processor time of this thread alone; the bound stays. A machine that is busy gives even a loop without a pause little of it, so it also counts the looks at the callers, at most one per DRAIN_POLL_SECONDS, and the rounds of the hub. tests/virtual_time.py: own_hub, which virtual_time uses; a hub that never ran is not run at the end any more; a loop that never waits fails instead of hanging.

Class: a process-wide measure taken for that of one object. Whatever measures process_time or counts threads in a test could be wrong in this way.

--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -11,6 +11,8 @@
 from savoryshelf import http_server
 from savoryshelf.http_server import HttpServer
 
+from .virtual_time import own_hub
+
 REQUEST = b"POST /path HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
 LIMIT_SECONDS = 5.0
 
@@ -224,13 +226,34 @@
     assert server.in_progress == 1
 
 
+# Guards against a server that looks without a pause for callers that it cannot accept.
 def test_waiting_until_answered_leaves_the_processor_idle_at_the_maximum_of_connections(
-    application,
+    application, monkeypatch
 ):
-    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
-    clients = [connect(server) for _ in range(3)]
-    let_server_run()
-    used_before = time.process_time()
-    server.wait_until_answered(1.0)
-    assert time.process_time() - used_before < 0.3
+    looks, waits = [], []
+    # Green threads that earlier tests have left would use processor time as well.
+    with own_hub() as hub:
+        server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
+        clients = [connect(server) for _ in range(3)]
+        let_server_run()
+        count_calls(monkeypatch, http_server, "_is_readable", looks)
+        count_calls(monkeypatch, hub, "wait", waits)
+        used_before = time.thread_time()
+        server.wait_until_answered(1.0)
+        assert time.thread_time() - used_before < 0.3
+    # A busy machine leaves little processor time even to a loop without a pause.
+    looks_at_callers = [each for each in looks if each == (server._listener,)]
+    assert 0 < len(looks_at_callers) <= 1.0 / http_server.DRAIN_POLL_SECONDS + 1
+    # The hub may wake up a little early, and waits once more then.
+    assert len(waits) <= 3 * len(looks_at_callers)
     assert len(clients) == 3
+
+
+def count_calls(monkeypatch, owner, name, calls):
+    real = getattr(owner, name)
+
+    def call(*arguments):
+        calls.append(arguments)
+        return real(*arguments)
+
+    monkeypatch.setattr(owner, name, call)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -18,11 +18,14 @@
 """How far apart two readings of the clock are at least: the product takes equal times as unclear.
 """
 
+MAX_ROUNDS_AT_ONE_TIME = 100_000
+"""Rounds of the hub without a wait after which something goes on for good."""
+
 WALL_OFFSET_MS = 1_700_000_000_000
 
 
 class Stuck(Exception):
-    """Everything waits for something else, so that no timer would ever end it."""
+    """Time does not pass: no timer is set, or what is ready never waits."""
 
 
 class _DueTime(float):
@@ -49,6 +52,9 @@
 
     def __init__(self):
         self.now = BEGINNING_SECONDS
+        self._rounds = 0
+        """How many times this hub has gone on without a wait."""
+
         self._numbers = itertools.count()
         super().__init__(lambda: self.now)
 
@@ -67,7 +73,11 @@
         """Jump to the time of the next timer."""
         if not self.timers:
             raise Stuck("no timer is set")
-        self.now = max(self.now, float(self.timers[0][0]))
+        due = float(self.timers[0][0])
+        self._rounds = 0 if due > self.now else self._rounds + 1
+        if self._rounds > MAX_ROUNDS_AT_ONE_TIME:
+            raise Stuck(f"{self._rounds} rounds without a wait")
+        self.now = max(self.now, due)
 
 
 class VirtualClock:
@@ -92,17 +102,31 @@
 
 
 @contextlib.contextmanager
-def virtual_time(seed=0):
-    """Run the green threads of this thread on virtual time in the block; yield its clock."""
-    kept, random_state = dict(vars(hubs._threadlocal)), random.getstate()
-    hubs.use_hub(VirtualHub)
-    random.seed(seed)
+def own_hub(hub_class=None):
+    """Run only green threads that the block starts, on a hub of its own; yield that hub.
+
+    Without a class, it is one of the system's default.
+    """
+    kept = dict(vars(hubs._threadlocal))
+    hubs.use_hub(hub_class)
     hub = hubs.get_hub()
     try:
-        yield VirtualClock(hub)
+        yield hub
     finally:
-        if not hub.greenlet.dead:
+        # False before its first switch, too.
+        if hub.greenlet:
             hub.abort(wait=True)
         vars(hubs._threadlocal).clear()
         vars(hubs._threadlocal).update(kept)
-        random.setstate(random_state)
+
+
+@contextlib.contextmanager
+def virtual_time(seed=0):
+    """Run the green threads of this thread on virtual time in the block; yield its clock."""
+    random_state = random.getstate()
+    with own_hub(VirtualHub) as hub:
+        random.seed(seed)
+        try:
+            yield VirtualClock(hub)
+        finally:
+            random.setstate(random_state)
