Worker session and incarnation tests: virtual time, so that a pause lapses no lease

Cause: the tests, not the product.

Change: the fixture on_virtual_time, used by test_worker_session, test_worker_incarnations and test_unsettled_runs: the hub of virtual_time, and the system's clock with its time. No bound is changed. One busy wait of 50 ms is now a wait of the green thread.

Class: a test that takes time from a machine it does not have to itself. The other users of FakeGroup on real time: test_agent, test_restart, test_evidence_of_incarnations, test_crashing_tasks, test_waiting_log.

--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -1,9 +1,8 @@
 """In-memory fakes of an agent and of a worker, for tests of worker sessions."""
 
-import time
-
 import eventlet
 
+from savoryshelf.clock import SystemClock
 from savoryshelf.dispatch.worker_api import (
     EndedRun,
     Fenced,
@@ -17,6 +16,9 @@
 from savoryshelf.wire.generated.ttypes import AgentAssignment, RunEnd, RunOutcome
 
 LEASE_MS = 600
+CLOCK = SystemClock()
+"""The clock of all fakes; the fixture ``on_virtual_time`` replaces its time."""
+
 MAX_LISTED_ENDS = 500
 """Ends that one poll lists at most, as the platform's pages say."""
 
@@ -64,7 +66,7 @@
         """Whether a long poll lists the runs as of its arrival instead of its answer."""
 
     def clock_ms(self):
-        return int(time.monotonic() * 1000)
+        return int(CLOCK.monotonic() * 1000)
 
     def _record_call(self, name):
         self.calls.append(name)
@@ -164,7 +166,7 @@
         self.has_permission = True
 
     def now(self):
-        return time.monotonic()
+        return CLOCK.monotonic()
 
     def may_call_workers(self):
         return self.has_permission
@@ -204,7 +206,7 @@
 
 
 def wait_until(condition, seconds=5.0):
-    deadline = time.monotonic() + seconds
+    deadline = CLOCK.monotonic() + seconds
     while not condition():
-        assert time.monotonic() < deadline, f"the condition was not met within {seconds} s"
+        assert CLOCK.monotonic() < deadline, f"the condition was not met within {seconds} s"
         eventlet.sleep(0.02)
--- a/tests/dispatch/test_unsettled_runs.py
+++ b/tests/dispatch/test_unsettled_runs.py
@@ -1,7 +1,6 @@
 """Lines on runs that may exist and are not listed: what they name, and how many there are."""
 
 import contextlib
-import time
 
 import eventlet
 import pytest
@@ -21,9 +20,10 @@
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step, worker
-from .fakes import MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
+from .fakes import CLOCK, MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
 from .group import FakeGroup
 
+pytestmark = pytest.mark.usefixtures("on_virtual_time")
 TASK = f"{JOB}.0.0.0"
 RUN = (TASK, 1)
 
@@ -112,7 +112,7 @@
 def _answer_neither_start_nor_stop(site):
     site.worker.unanswered_calls = {"start", "stop", "poll"}
     wait_until(lambda: site.session.is_unresponsive)
-    site.session.clock.record_reading(site.worker.clock_ms(), time.monotonic())
+    site.session.clock.record_reading(site.worker.clock_ms(), CLOCK.monotonic())
     site.session.start(*RUN)
 
 
--- a/tests/dispatch/test_worker_incarnations.py
+++ b/tests/dispatch/test_worker_incarnations.py
@@ -26,6 +26,7 @@
 from .fakes import wait_until
 from .group import LEASE_MS, FakeGroup
 
+pytestmark = pytest.mark.usefixtures("on_virtual_time")
 TASK = f"{JOB}.0.0.0"
 OTHER_JOB = "00000000000000b2"
 EARLIER, LATER = ("w1", 1), ("w1", 2)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -1,5 +1,3 @@
-import time
-
 import attrs
 import eventlet
 import pytest
@@ -26,8 +24,9 @@
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step
 from ..tasks.builders import worker as a_worker
-from .fakes import LEASE_MS, MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
+from .fakes import CLOCK, LEASE_MS, MAX_LISTED_ENDS, FakeWorker, make_session, wait_until
 
+pytestmark = pytest.mark.usefixtures("on_virtual_time")
 TASK = f"{JOB}.0.0.0"
 
 
@@ -79,9 +78,9 @@
     session.start(TASK, 1)
     wait_until(lambda: worker.running and worker.deadlines)
     worker.unanswered_calls = {"poll", "start", "stop"}
-    unresponsive_from = time.monotonic()
+    unresponsive_from = CLOCK.monotonic()
     wait_until(lambda: agent.end_reasons)
-    assert (time.monotonic() - unresponsive_from) * 1000 > LEASE_MS
+    assert (CLOCK.monotonic() - unresponsive_from) * 1000 > LEASE_MS
     assert worker.clock_ms() > max(worker.deadlines)
     assert not task_ledger.find_task(TASK).incarnation_by_run
 
@@ -485,8 +484,7 @@
     assert session.worked_ms_by_run() == {}
     session.start(TASK, 1)
     wait_until(lambda: worker.running and session.worked_ms_by_run())
-    time.sleep(0.05)
-    eventlet.sleep(0)
+    eventlet.sleep(0.05)
     session._poll_now()
     assert session.worked_ms_by_run()[TASK, 1] >= 50
 
@@ -670,8 +668,8 @@
     record_intent(task_ledger, TASK)
     worker.unanswered_calls, worker.unreadable_runs = {"poll"}, 1
     session, _ = make_session(task_ledger, worker)
-    session.clock.record_reading(worker.clock_ms(), time.monotonic())
-    session.clock.extend_deadline(time.monotonic(), 60_000)
+    session.clock.record_reading(worker.clock_ms(), CLOCK.monotonic())
+    session.clock.extend_deadline(CLOCK.monotonic(), 60_000)
     eventlet.sleep(MAX_DOUBT_SECONDS + RETRY_SECONDS)
     worker.unanswered_calls = set()
     wait_until(lambda: session.is_state_known)
@@ -1105,13 +1103,13 @@
     def __init__(self, agent):
         self._agent = agent
         self._paused_seconds = 0.0
-        self._valid_until = time.monotonic() + 1.0
+        self._valid_until = CLOCK.monotonic() + 1.0
 
     def __getattr__(self, name):
         return getattr(self._agent, name)
 
     def now(self):
-        return time.monotonic() + self._paused_seconds
+        return CLOCK.monotonic() + self._paused_seconds
 
     def may_call_workers(self):
         if self.now() >= self._valid_until:
