State machine: large finite steps beside a stream of small ones

Cause (a class): a judge that asks only for work with room twice over never sees work that gets no room because whatever is smaller takes each share that comes free. It could act on memory and on accelerators as well; steps with a need of memory are drawn, accelerators are not.

Change: once all is calm, one or two large steps (2,500 to 4,000 of 4,000 thousandths, or 700 of 1,000 MB; with a limit per worker, with a label) wait beside long-running and best-effort work and small steps without end. Meanwhile a worker drains, leaves, crashes, restarts or is added, the leader changes, or all hosts lose power. A step that some worker has had room for but for finite runs has to start within the longest estimate plus the 3 s of RULES.md, LOST, for each large task. TWICE, LIMIT and what is asked of work at rest are judged all the while, as before.

--- a/tests/dispatch/startable_group.py
+++ b/tests/dispatch/startable_group.py
@@ -4,6 +4,7 @@
 between a commit and what follows it as well, and workers go on alone meanwhile.
 """
 
+import math
 from collections import Counter
 
 import attrs
@@ -55,6 +56,9 @@
 LOOK_SECONDS = 0.2
 """How often the judge looks which work could start."""
 
+BACKLOG_MILLICORES = 32_000
+"""What the small tasks of a stream that wait need at least: more than all workers have."""
+
 MAX_WAIT_SECONDS = 3.0
 """RULES.md, LOST: how long startable work may have nothing running."""
 
@@ -400,6 +404,87 @@
         self.submit(calm_step, job_id=job_id)
         return job_id
 
+    def late_large_steps(self, large_steps, small_step, event, event_seconds):
+        """Submit large finite steps, and small ones without end; return which wait too long.
+
+        A large one has to start within a bound if at any time some worker has room for it but for
+        finite runs, each of which ends within its estimate.  ``event`` happens in the meantime.
+        """
+        began_at, bounds = self.clock.monotonic(), bounds_of_waits()
+        # A worker is free once its finite runs have ended; then it is work that has room.
+        seconds = self._longest_estimate_seconds([*large_steps, small_step]) + MAX_WAIT_SECONDS
+        bound = seconds * sum(step.count for step in large_steps)
+        until = began_at + event_seconds + bounds.until_used + bound + MAX_WAIT_SECONDS
+        stream = set()
+        self._keep_backlog(small_step, stream)
+        job_ids = {self._submit_calm_step(large_step) for large_step in large_steps}
+        judged_from, since, lines = began_at, {}, []
+        while not lines and (now := self.clock.monotonic()) < until:
+            if event is not None and now >= began_at + event_seconds:
+                event()
+                # What it begins or ends may keep workers from being used for so long.
+                event, judged_from = None, now + bounds.until_used
+            self._keep_backlog(small_step, stream)
+            groups = [
+                group
+                for group in self.ledger.startable_group_by_key.values()
+                if group.job.job_id in job_ids
+            ]
+            if not groups and event is None:
+                break
+            groups = [group for group in groups if self._has_room_but_for_finite_runs(group)]
+            since = {group.key: since.get(group.key, now) for group in groups}
+            lines = [
+                f"{group.spec} has had room but for finite runs for {waited:.2f} s: "
+                + "; ".join(f"{w} runs {sorted(w.running)}" for w in self._live_workers())
+                for group in groups
+                if (waited := now - max(since[group.key], judged_from)) > bound
+            ]
+            eventlet.sleep(LOOK_SECONDS)
+        for job_id in stream | job_ids:
+            self.cancel(job_id)
+        return lines
+
+    def _longest_estimate_seconds(self, steps):
+        running = [
+            self.judge.spec_by_task[task] for w in self._live_workers() for task, _ in w.running
+        ]
+        return max(s.estimated_ms for s in [*steps, *running] if not s.lasting) / 1000
+
+    def _keep_backlog(self, small_step, stream):
+        """Submit small steps until more of them wait than all workers have room for."""
+        waiting = sum(
+            len(group.startable_indexes) * group.spec.millicores
+            for group in self.ledger.startable_group_by_key.values()
+            if group.job.job_id in stream
+        )
+        needed = small_step.count * small_step.millicores
+        for _ in range(math.ceil((BACKLOG_MILLICORES - waiting) / needed)):
+            stream.add(self._submit_calm_step(small_step))
+
+    def _has_room_but_for_finite_runs(self, group):
+        """Return whether a task, or the whole gang, fits beside what may not end in its time.
+
+        That is long-running work, and best-effort runs, which may be slowed down.
+        """
+        spec, room = group.spec, 0
+        for worker in self._live_workers():
+            known = self.ledger.worker_by_incarnation.get((worker.worker_id, worker.born_ms))
+            if known is None or not known.is_schedulable:
+                continue
+            record = known.record
+            if spec.required_label and spec.required_label not in record.labels:
+                continue
+            others = [task.step.spec for task in known.task_by_run.values()]
+            others = [other for other in others if other.lasting or other.filling]
+            reserved = sum(other.millicores for other in others if not other.filling)
+            slots = min(
+                (record.millicores - reserved) // spec.millicores,
+                (record.memory_mb - sum(other.memory_mb for other in others)) // spec.memory_mb,
+            )
+            room += min(slots, spec.max_per_worker or slots)
+        return room >= (len(group.tasks) if spec.gang else 1)
+
     def work_at_rest(self, seconds):
         """Let time pass; return what had nothing at work for too long in it, and what it harmed.
 
--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -17,6 +17,7 @@
 
 from savoryshelf.dispatch import assignment, throttling
 from savoryshelf.dispatch.placement import Placement
+from savoryshelf.dispatch.reservations import Reservations
 from savoryshelf.dispatch.worker_api import StartResult
 from savoryshelf.dispatch.worker_session import WorkerSession
 from savoryshelf.tasks.ledger import TaskLedger
@@ -48,6 +49,28 @@
     "long best-effort": {"estimated_ms": 4000, **BEST_EFFORT, "millicores": 2000},
     "lasting best-effort": {"lasting": True, **BEST_EFFORT},
 }
+WHOLE_WORKER = {"estimated_ms": 700, "millicores": 4000}
+LARGE_STEPS = {
+    "whole": (1, WHOLE_WORKER),
+    "two whole": (2, WHOLE_WORKER),
+    "over half": (2, WHOLE_WORKER | {"millicores": 3000}),
+    "long": (1, {"estimated_ms": 4000, "millicores": 2500}),
+    "memory": (1, {"estimated_ms": 700, "memory_mb": 700}),
+    "spread": (2, WHOLE_WORKER | {"max_per_worker": 1}),
+    "labelled": (1, WHOLE_WORKER | {"required_label": "b"}),
+}
+"""Large steps: how many tasks, and what they need."""
+
+STREAMS = {
+    "short": (6, {"estimated_ms": 700}),
+    "long": (8, {"estimated_ms": 4000, "millicores": 500}),
+    "a third": (3, {"estimated_ms": 1000, "millicores": 1500}),
+}
+"""What is submitted without end beside large steps: how many tasks, and what they need."""
+
+EVENTS = ["none", "drain", "leave", "crash", "restart", "add", "change_leader", "lose_power"]
+"""What may happen while large steps wait."""
+
 WEIGHTS = [0.15, 0.35, 0.8]
 """What a core of the best-effort image adds to the load of serving runs: 0.3 is the most that they
 tolerate."""
@@ -85,8 +108,25 @@
         serves=st.booleans(),
         calm_kinds=st.sampled_from([["best-effort"], ["long best-effort"]]),
         calm_load=st.sampled_from(LOADS),
+        large_kinds=st.lists(st.sampled_from(sorted(LARGE_STEPS)), min_size=1, max_size=2),
+        stream=st.sampled_from(sorted(STREAMS)),
+        event=st.sampled_from(EVENTS),
+        event_seconds=st.sampled_from([0.1, 0.5, 2.0]),
     )
-    def begin(self, leader_calls, kinds, weight, serves, calm_kinds, calm_load, **fields):
+    def begin(
+        self,
+        leader_calls,
+        kinds,
+        weight,
+        serves,
+        calm_kinds,
+        calm_load,
+        large_kinds,
+        stream,
+        event,
+        event_seconds,
+        **fields,
+    ):
         self.max_workers_of_leader = assignment.MAX_WORKERS_OF_LEADER
         assignment.MAX_WORKERS_OF_LEADER = 64 if leader_calls else 0
         self.time = virtual_time()
@@ -95,6 +135,8 @@
         self.group = StartableGroup(self.clock)
         self.group.judge.weight_by_pair["batch", "shop"] = weight
         self.calm_kinds, self.calm_load = calm_kinds, calm_load
+        self.large_kinds, self.stream = large_kinds, stream
+        self.event, self.event_seconds = event, event_seconds
         self.jobs = []
         self.has_been_calm = False
         for worker_id in WORKERS:
@@ -371,6 +413,42 @@
         assert not waiting, "\n".join(waiting)
         phantoms = self.group.lasting_phantom_runs()
         assert not phantoms, "\n".join(phantoms)
+        self.require_large_steps_beside_stream()
+
+    def require_large_steps_beside_stream(self):
+        large_steps = [
+            step(count, **fields) for count, fields in map(LARGE_STEPS.get, self.large_kinds)
+        ]
+        count, fields = STREAMS[self.stream]
+        event = None if self.event == "none" else self.let_happen
+        late = self.group.late_large_steps(
+            large_steps, step(count, **fields), event, self.event_seconds
+        )
+        assert not late, "\n".join(late)
+
+    def let_happen(self):
+        """Let the event happen, to the worker that runs most if to one."""
+        up = [each for each in WORKERS if self.worker(each).is_up]
+        worker_id = max(up, key=lambda each: len(self.worker(each).running))
+        if self.event in ("drain", "leave"):
+            self.drain(worker_id, 0.05)
+        if self.event == "leave":
+            self.leave(worker_id, 0.3)
+        elif self.event == "crash":
+            self.crash(worker_id)
+        elif self.event == "restart":
+            self.restart_worker(worker_id, False, True)
+        elif self.event == "add":
+            self.add_worker()
+        elif self.event == "change_leader":
+            self.group.change_leader(next(h for h in HOSTS if h != self.group.leader))
+        elif self.event == "lose_power":
+            self.group.lose_power()
+            self.group.restart(HOSTS[0])
+
+    def add_worker(self):
+        worker_id = f"w{len(self.group.worker_by_id) + 1}"
+        self.group.start_worker(worker_id, 1, labels=["a", "b"], **self.fields)
 
 
 class BrieflyImpairedWork(StartableWork):
@@ -430,9 +508,22 @@
     monkeypatch.setattr(throttling, "_max_pause_seconds", lambda step, status: math.inf)
 
 
+def _share_reserved_workers(monkeypatch):
+    """Let any step use the workers that are reserved for another one."""
+    monkeypatch.setattr(Reservations, "is_open_to", lambda reservations, group, incarnation: True)
+
+
+def _keep_reservations(monkeypatch):
+    """Let no reservation ever be released."""
+    monkeypatch.setattr(Reservations, "begin_pass", lambda *arguments: None)
+    monkeypatch.setattr(Reservations, "release", lambda reservations, key: None)
+
+
 @pytest.mark.parametrize(
     ("plant", "finding"),
     [
+        (_share_reserved_workers, "room but for finite runs"),
+        (_keep_reservations, "room but for finite runs"),
         (_keep_draining, "waits|may exist"),
         (_forget_earlier_runs, "waits|may exist"),
         (_wait_anew_after_each_start, "waits for|nothing at work"),
