--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -173,6 +173,9 @@
     is_kept_for_large: bool = False
     """Whether smaller finite runs leave it to large ones as well."""
 
+    fills_up: bool = False
+    """Whether long-running runs go to it the sooner, the less is free."""
+
     planned: ResourceUsage = attrs.field(factory=ResourceUsage)
     planned_count: int = 0
     long_running_millicores: int = 0
@@ -200,7 +203,7 @@
         """Return an independent copy, for placing several runs all together or not at all."""
         copy = _Candidate(
             self.view, self.interference, self.penalty, self.is_avoided, self.last_failure_at,
-            self.is_kept_whole, self.is_kept_for_large,
+            self.is_kept_whole, self.is_kept_for_large, self.fills_up,
         )  # fmt: skip
         copy.planned = attrs.evolve(self.planned)
         copy.planned_count = self.planned_count
@@ -953,9 +956,12 @@
         """Return the score of the candidate for the step; the lowest one is chosen."""
         record = candidate.view.worker.record
         score = candidate.penalty
-        # Long-running runs fill up workers: what is left over on many of them holds no large task.
+        # What long-running runs leave over on many workers holds no large task.
         is_packed = step.lasting and not step.filling
-        score += candidate.free_share() if is_packed else candidate.load_with(step)
+        if is_packed and candidate.fills_up:
+            score += candidate.free_share()
+        else:
+            score += candidate.load_with(step)
         if step.data_rack and step.data_rack != record.rack:
             score += REMOTE_DATA_PENALTY
         if step.filling:
@@ -1037,6 +1043,8 @@
         total = sum(candidate.view.worker.record.millicores for candidate in members)
         kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
         largest = demand.largest_millicores(service_name)
+        for candidate in members:
+            candidate.fills_up = largest > LARGE_SHARE * candidate.view.worker.record.millicores
         whole = [c for c in members if not c.view.worker.long_running.millicores]
         whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
         for candidate in whole:
@@ -1044,9 +1052,7 @@
                 break
             record = candidate.view.worker.record
             candidate.is_kept_whole = True
-            candidate.is_kept_for_large = (
-                len(whole) < len(members) and largest > LARGE_SHARE * record.millicores
-            )
+            candidate.is_kept_for_large = candidate.fills_up and len(whole) < len(members)
             kept -= record.millicores
 
 
