Reserve workers for tasks that need far more than the runs around them

Cause: only tasks of more than half of a worker get reservations, since below it the ends of a few runs make room. Where runs are small that takes several ends on one worker within a pass: with tasks of one core and 0.875 of 20 workers of 16 cores in use, one of 6 or 8 cores waits without end. Class: a threshold relative to the worker where what counts is relative to the runs there. Evidence: test_a_task_of_up_to_half_a_worker_is_in_time_beside_small_ones fails before in five of six cases. Change: a task is large as well if it needs more than two finite runs have in the mean. Not covered: memory taken by best-effort runs that are small against the task.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -627,11 +627,12 @@
         if step.lasting or step.filling:
             return
         count = len(group.startable_indexes) - len(planned)
-        if not count or not pool.rooms().is_large(step):
+        rooms = pool.rooms()
+        if not count or not rooms.is_large(step):
             self._reservations.release(group.key)
             return
         run_counts = run_count_by_incarnation(group, planned) if step.max_per_worker else Counter()
-        self._reservations.reserve(group, pool.rooms(), run_counts, count, now)
+        self._reservations.reserve(group, rooms, run_counts, count, now)
 
     def is_open_to(self, group: StepGroup, candidate: _Candidate) -> bool:
         """Return whether no worker is reserved for others, as far as a step has to mind it."""
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -23,7 +23,14 @@
 LARGE_SHARE = 0.5
 """Share of a worker's resources above which a task is large: no two fit beside each other.
 
-Below it the end of one run, or of a few, makes room for it on some worker.
+Below it the ends of a few runs make room for it on some worker, as long as those are not small.
+"""
+
+LARGE_MULTIPLE = 2.0
+"""Multiple of what finite runs have in the mean above which a task is large as well.
+
+So many of them, or more, have to end on one worker at a time.  Best-effort runs don't count: most
+of what callers wait for may have more memory than those.
 """
 
 MAX_RESERVED_SHARE = 0.1
@@ -287,6 +294,7 @@
     _least: tuple[int, int, int] = attrs.field(init=False)
     """The least millicores, memory and accelerators of any of the workers."""
 
+    _mean: tuple[float, float, float] | None = None
     _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps for which no worker has room beside its long-running runs alone."""
 
@@ -303,14 +311,32 @@
         )
 
     def is_large(self, step: StepSpec) -> bool:
-        """Return whether a task needs a large part of any of the workers."""
-        millicores, memory_mb, accelerators = self._least
-        return bool(self.room_by_incarnation) and (
-            step.millicores > LARGE_SHARE * millicores
-            or step.memory_mb > LARGE_SHARE * memory_mb
-            or step.accelerators > LARGE_SHARE * accelerators
+        """Return whether a task needs a large part of any of the workers, or far more than most."""
+        if not self.room_by_incarnation:
+            return False
+        return _exceeds(step, LARGE_SHARE, self._least) or _exceeds(
+            step, LARGE_MULTIPLE, self._mean_of_finite_runs()
         )
 
+    def _mean_of_finite_runs(self) -> tuple[float, float, float]:
+        """Return the mean millicores, memory and accelerators of the finite runs.
+
+        Best-effort runs are left out; infinite where no run has any.
+        """
+        if self._mean is None:
+            steps = [
+                task.step.spec
+                for room in self.room_by_incarnation.values()
+                for task in room.worker.task_by_run.values()
+                if not task.step.spec.lasting and not task.step.spec.filling
+            ]
+            self._mean = (
+                _mean(step.millicores for step in steps),
+                _mean(step.memory_mb for step in steps),
+                _mean(step.accelerators for step in steps),
+            )
+        return self._mean
+
     def is_hopeless(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one has no room to wait for."""
         return any(needs_no_less(step, other) for other in self._hopeless_steps)
@@ -336,6 +362,22 @@
             self._steps_without_choice.append((step, rank))
 
 
+def _exceeds(step: StepSpec, factor: float, amounts: tuple[float, float, float]) -> bool:
+    """Return whether a task needs more than a multiple of any of the amounts."""
+    millicores, memory_mb, accelerators = amounts
+    return (
+        step.millicores > factor * millicores
+        or step.memory_mb > factor * memory_mb
+        or step.accelerators > factor * accelerators
+    )
+
+
+def _mean(amounts: Iterable[int]) -> float:
+    """Return the mean of the amounts that are not 0; infinity if all are."""
+    counted = [amount for amount in amounts if amount]
+    return sum(counted) / len(counted) if counted else math.inf
+
+
 def needs_no_less(step: StepSpec, other: StepSpec) -> bool:
     """Return whether a worker that has no room for the other step has none for this one."""
     if step.filling != other.filling or (step.filling and step.image != other.image):
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -116,6 +116,28 @@
     assert max(waits) <= count * (1.0 + 2 * PASS_SECONDS)
 
 
+# Guards against tasks of a quarter to half of a worker that wait without end, since several of the
+# smaller runs never end at the same time.
+@pytest.mark.parametrize("millicores", [4_000, 6_000, 8_000])
+@pytest.mark.parametrize("load", [0.875, 1.125])
+def test_a_task_of_up_to_half_a_worker_is_in_time_beside_small_ones(millicores, load):
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    random_ = random.Random(1)
+    small_per_pass = load * 20 * PASS_SECONDS * WORKER_MILLICORES / 1_000
+
+    def stream():
+        for _ in range(int(small_per_pass / 4 + random_.random())):
+            duration_ms = random_.randint(500, 1_500)
+            fleet.accept(step(4, estimated_ms=duration_ms, millicores=1_000))
+
+    fleet.run(3.0, stream)
+    task = fleet.accept(step(estimated_ms=1000, millicores=millicores))
+    accepted_at = fleet.now
+    fleet.run(6.0, stream)
+    # It is worth something for three times its objective.
+    assert fleet.start_of(task) + 1.0 - accepted_at <= 3 * (0.5 + 1.5 * 1.0)
+
+
 def test_a_task_of_a_whole_workers_memory_gets_its_turn_beside_best_effort_runs():
     fleet = Fleet(*[WORKER_MILLICORES] * 8)
     needs = {"millicores": 100, "memory_mb": 8_000, "filling": True, "image": "batch"}
