Reserve workers for gangs of small tasks

Cause: each member is small, so the step gets no reservation; but all of them need room at the same time, and that is never there. Evidence: test_a_gang_of_small_tasks_gets_its_turn_whole fails before (never started, 4 s). Change: a gang counts as large. Result: the test passes (1.7 s at most).

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -311,11 +311,16 @@
         )
 
     def is_large(self, step: StepSpec) -> bool:
-        """Return whether a task needs a large part of any of the workers, or far more than most."""
+        """Return whether a task needs a large part of any of the workers, or far more than most.
+
+        A gang does as a whole: all its members need room at the same time.
+        """
         if not self.room_by_incarnation:
             return False
-        return _exceeds(step, LARGE_SHARE, self._least) or _exceeds(
-            step, LARGE_MULTIPLE, self._mean_of_finite_runs()
+        return (
+            step.gang
+            or _exceeds(step, LARGE_SHARE, self._least)
+            or _exceeds(step, LARGE_MULTIPLE, self._mean_of_finite_runs())
         )
 
     def _mean_of_finite_runs(self) -> tuple[float, float, float]:
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -164,6 +164,20 @@
     assert starts.pop() - accepted_at <= 1.0 + 2 * PASS_SECONDS
 
 
+# Guards against a gang of small tasks that waits without end: each of them has room, and not all
+# at the same time.
+def test_a_gang_of_small_tasks_gets_its_turn_whole():
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    stream = fleet.small_stream(7, count=4, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(3.0, stream)
+    gang = fleet.accept(step(10, gang=True, **SMALL))
+    accepted_at = fleet.now
+    fleet.run(4.0, stream)
+    starts = {fleet.start_of(gang, index) for index in range(10)}
+    assert len(starts) == 1
+    assert starts.pop() - accepted_at <= 1.6 + 2 * PASS_SECONDS
+
+
 def test_more_urgent_work_goes_before_a_reservation():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(8, estimated_ms=1000, **SMALL))
