Reserve workers near the data of a step first

Cause: the worker where room comes soonest is reserved, wherever it is, while placement takes another rack as a last resort. Class: a preference of placement that reservations don't know. Others: a worker where the task failed last, or that has refused it; those are left by their quarantine, after two failures, or back-off, and were not changed. Evidence: test_a_worker_in_the_rack_of_the_data_is_reserved_first fails before (started in the other rack). Change: workers near the data come first. Result: the test passes, and the others of large tasks.

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -148,9 +148,9 @@
     ) -> None:
         """Keep workers free until ``count`` more tasks of a step have room.
 
-        Those that the step has come first, then those where there is room soonest.  What is
-        reserved for steps of a lower rank may be taken, and does not count against the limit:
-        those come later in the pass, and give up what is too much then.
+        Those that the step has come first, then those near its data where there is room soonest.
+        What is reserved for steps of a lower rank may be taken, and does not count against the
+        limit: those come later in the pass, and give up what is too much then.
         ``run_counts`` tells how many runs of the step each worker has.
         """
         step, rank = group.spec, self.rank(group)
@@ -173,7 +173,7 @@
             choices = self._choices(group, rooms, incarnations, run_counts, set(chosen), now)
             if is_new and not choices:
                 rooms.record_taken(step, rank)
-            for _, _, slots, incarnation in heapq.nsmallest(limit - len(chosen), choices):
+            for *_, slots, incarnation in heapq.nsmallest(limit - len(chosen), choices):
                 if count <= 0:
                     break
                 chosen.append(incarnation)
@@ -195,9 +195,10 @@
         run_counts: Counter[IncarnationKey],
         chosen: set[IncarnationKey],
         now: float,
-    ) -> list[tuple[float, int, int, IncarnationKey]]:
-        """Return when each of the workers has room, its position, its slots and its key.
+    ) -> list[tuple[bool, float, int, int, IncarnationKey]]:
+        """Return whether each of the workers is far from the data, when it has room, and its key.
 
+        Between those are its position, which decides among equals, and its slots.
         Without those where there never is, and those reserved for others or already ``chosen``.
         """
         choices, is_possible = [], bool(chosen)
@@ -212,7 +213,9 @@
             if self.is_open_to(group, incarnation):
                 seconds = self._seconds_until_room(room, group.spec, now)
                 if seconds < math.inf:
-                    choices.append((seconds, position, slots, incarnation))
+                    rack = group.spec.data_rack
+                    is_far = bool(rack) and rack != room.worker.record.rack
+                    choices.append((is_far, seconds, position, slots, incarnation))
         if not is_possible and incarnations is rooms.room_by_incarnation:
             rooms.record_hopeless(group.spec)
         return choices
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -178,6 +178,24 @@
     assert starts.pop() - accepted_at <= 1.6 + 2 * PASS_SECONDS
 
 
+# Guards against a large task that runs several times longer, since the worker that is kept for it
+# is far from its data.
+def test_a_worker_in_the_rack_of_the_data_is_reserved_first():
+    fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
+    records = [each.record for each in fleet.ledger.worker_by_incarnation.values()]
+    records[1].rack = "r2"
+    fleet.accept(step(8, data_rack="r2", estimated_ms=1_300, **SMALL))
+    for number in range(8):
+        near = {"data_rack": "r1", "estimated_ms": 300 + 100 * number}
+        fleet.accept(step(1, **near, **SMALL))
+    fleet.plan()
+    large = fleet.accept(step(data_rack="r2", estimated_ms=5_000, **LARGE))
+    fleet.accept(step(32, data_rack="r1", estimated_ms=2_000, **SMALL))
+    fleet.run(1.5)
+    (run,) = (run for run in fleet.ends_at_by_run if run[0].startswith(large))
+    assert run[2][0] == records[1].life.worker_id
+
+
 def test_more_urgent_work_goes_before_a_reservation():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(8, estimated_ms=1000, **SMALL))
