task:waits tells of workers that are reserved for other steps

Cause: reservations came without a reason in waiting_reasons.py. Class: a preference of placement without a reason in the log; the others of the table in docs/DESIGN.md that concern single workers have one. Evidence: test_a_worker_counts_under_the_reason_it_is_left_out_for fails before with the new reason ('accepts'). Change: a reason 'reserved'; reasons are asked for the step with its job, since a reservation depends on its rank. Result: the tests of the reasons, the log and the leader's term pass.

--- a/src/savoryshelf/dispatch/waiting_reasons.py
+++ b/src/savoryshelf/dispatch/waiting_reasons.py
@@ -2,7 +2,7 @@
 
 Only the log reads this; placement decides by itself.  Overdue work ignores the reasons that are
 preferences: a worker kept for a suspect, quarantined, backed off, an excluded image and, unless
-the service is busy, interference.
+the service is busy, interference and a reservation; long-running work ignores that in any case.
 """
 
 from collections import Counter
@@ -43,6 +43,9 @@
     is_kept: bool
     """Whether it is kept for a suspect of a crash."""
 
+    is_open_to: Callable[[StepGroup, _Candidate], bool]
+    """Returns whether no reservation for others keeps a step off a worker."""
+
     is_quarantined: bool
     is_backed_off: bool
 
@@ -52,7 +55,7 @@
         return self.candidate is not None and self.candidate.view.is_responsive
 
 
-LEAVES_OUT_BY_REASON: dict[str, Callable[[WorkerSituation, StepSpec, int], bool]] = {}
+LEAVES_OUT_BY_REASON: dict[str, Callable[[WorkerSituation, StepGroup, int], bool]] = {}
 _reason = registry_decorator(LEAVES_OUT_BY_REASON)
 """Registers whether a reason leaves a worker out; the first one that applies is counted.
 
@@ -61,68 +64,74 @@
 
 
 @_reason("other_incarnation")
-def _has_successor(situation, step, run_count) -> bool:
+def _has_successor(situation, group, run_count) -> bool:
     return situation.has_successor and not situation.is_answering
 
 
 @_reason("state_not_reported")
-def _is_not_reported(situation, step, run_count) -> bool:
+def _is_not_reported(situation, group, run_count) -> bool:
     return situation.candidate is None
 
 
 @_reason("agent_not_live")
-def _has_no_live_agent(situation, step, run_count) -> bool:
+def _has_no_live_agent(situation, group, run_count) -> bool:
     return not situation.is_agent_live
 
 
 @_reason("not_answering")
-def _does_not_answer(situation, step, run_count) -> bool:
+def _does_not_answer(situation, group, run_count) -> bool:
     return not situation.is_answering
 
 
 @_reason("leaving")
-def _is_leaving(situation, step, run_count) -> bool:
+def _is_leaving(situation, group, run_count) -> bool:
     return bool(situation.worker.record.leaving)
 
 
 @_reason("draining")
-def _is_draining(situation, step, run_count) -> bool:
+def _is_draining(situation, group, run_count) -> bool:
     return not situation.worker.is_schedulable
 
 
 @_reason("label")
-def _lacks_label(situation, step, run_count) -> bool:
-    label = step.required_label
+def _lacks_label(situation, group, run_count) -> bool:
+    label = group.spec.required_label
     return bool(label) and label not in situation.worker.record.labels
 
 
 @_reason("no_room")
-def _has_no_room(situation, step, run_count) -> bool:
-    return not situation.candidate.fits(step)
+def _has_no_room(situation, group, run_count) -> bool:
+    return not situation.candidate.fits(group.spec)
 
 
 @_reason("limit_per_worker")
-def _is_at_limit(situation, step, run_count) -> bool:
-    return is_at_limit(step, run_count)
+def _is_at_limit(situation, group, run_count) -> bool:
+    return is_at_limit(group.spec, run_count)
 
 
 @_reason("kept_for_suspect")
-def _is_kept(situation, step, run_count) -> bool:
+def _is_kept(situation, group, run_count) -> bool:
     return situation.is_kept
 
 
+@_reason("reserved")
+def _is_reserved(situation, group, run_count) -> bool:
+    return not situation.is_open_to(group, situation.candidate)
+
+
 @_reason("quarantined")
-def _is_quarantined(situation, step, run_count) -> bool:
+def _is_quarantined(situation, group, run_count) -> bool:
     return situation.is_quarantined
 
 
 @_reason("backed_off")
-def _is_backed_off(situation, step, run_count) -> bool:
+def _is_backed_off(situation, group, run_count) -> bool:
     return situation.is_backed_off
 
 
 @_reason("interference")
-def _would_interfere(situation, step, run_count) -> bool:
+def _would_interfere(situation, group, run_count) -> bool:
+    step = group.spec
     if not step.filling:
         return False
     candidate = situation.candidate
@@ -131,7 +140,8 @@
 
 
 @_reason("excluded_image")
-def _excludes_image(situation, step, run_count) -> bool:
+def _excludes_image(situation, group, run_count) -> bool:
+    step = group.spec
     return step.filling and step.image in situation.candidate.view.excluded_images
 
 
@@ -163,6 +173,7 @@
             has_successor=newest_born_by_id[worker_id] > born_ms,
             is_agent_live=is_live_by_agent[worker.record.agent_id],
             is_kept=placement.is_kept(worker.key),
+            is_open_to=placement.is_open_to,
             is_quarantined=health.is_quarantined(worker_id, now),
             is_backed_off=health.is_backed_off(worker_id, now),
         )
@@ -203,13 +214,13 @@
     """Return how many workers are left out for the step, by reason, and how many accept it."""
     run_counts = run_count_by_incarnation(group)
     return Counter(
-        _reason_for(situation, group.spec, run_counts.get(situation.worker.key, 0))
+        _reason_for(situation, group, run_counts.get(situation.worker.key, 0))
         for situation in situations
     )
 
 
-def _reason_for(situation: WorkerSituation, step: StepSpec, run_count: int) -> str:
+def _reason_for(situation: WorkerSituation, group: StepGroup, run_count: int) -> str:
     for reason, leaves_out in LEAVES_OUT_BY_REASON.items():
-        if leaves_out(situation, step, run_count):
+        if leaves_out(situation, group, run_count):
             return reason
     return ACCEPTS
--- a/tests/dispatch/test_waiting_reasons.py
+++ b/tests/dispatch/test_waiting_reasons.py
@@ -1,9 +1,12 @@
 """Each worker that is left out for a step that waits counts under the first reason that applies."""
 
+from collections import Counter
+
 from savoryshelf.dispatch.agent_fleet import AGENT_TIMEOUT_SECONDS, AgentFleet
 from savoryshelf.dispatch.health import FAILURES_BEFORE_QUARANTINE, FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement
+from savoryshelf.dispatch.reservations import Room, Rooms
 from savoryshelf.dispatch.waiting_reasons import (
     ACCEPTS,
     LEAVES_OUT_BY_REASON,
@@ -13,12 +16,13 @@
     situations_by_service,
 )
 from savoryshelf.registry import registry_decorator
+from savoryshelf.tasks.worker import ResourceUsage
 from savoryshelf.wire.generated.ttypes import AgentReport, WorkerLife, WorkerState
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, step, worker
 
 AGENT = "c1.disk/1"
-OTHER_JOB, THIRD_JOB = "00000000000000b2", "00000000000000c3"
+OTHER_JOB, THIRD_JOB, FOURTH_JOB = "00000000000000b2", "00000000000000c3", "00000000000000d4"
 LEFT_OUT, SOUND = ("w1", 1), ("w2", 1)
 
 
@@ -122,6 +126,14 @@
     site.placement._isolation._kept_until_by_worker[LEFT_OUT] = site.now + 1.0
 
 
+@prepares("reserved")
+def _reserve_for_another_step(site):
+    accept(site.ledger, step(), job_id=FOURTH_JOB)
+    group = site.ledger.job_by_id[FOURTH_JOB].groups[0, 0]
+    rooms = Rooms({LEFT_OUT: Room(site.ledger.worker_by_incarnation[LEFT_OUT], ResourceUsage())})
+    site.placement._reservations.reserve(group, rooms, Counter(), 1, site.now)
+
+
 @prepares("quarantined")
 def _fail_runs(site):
     for _ in range(FAILURES_BEFORE_QUARANTINE):
