Test that a refused large task gets another worker

It passes on the code as it is, with and without a back-off: the worker that refuses it is free, so another one is reserved.

--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -71,6 +71,15 @@
                 self.ends_at_by_run[intent.task, intent.run, incarnation] = ends_at
         return intents
 
+    def refuse(self, intent, is_backed_off):
+        """Let a worker refuse a planned start, for lack of room or for another reason."""
+        incarnation = intent.life.worker_id, intent.life.born_ms
+        del self.ends_at_by_run[intent.task, intent.run, incarnation]
+        settle_run(self.ledger, intent.task, RunOutcome.NEVER_RAN, intent.run, incarnation)
+        self.placement.record_refusal(intent.task, intent.run)
+        if is_backed_off:
+            self.health.record_rejection(intent.life.worker_id, self.now)
+
     def _end(self, task, run, incarnation):
         del self.ends_at_by_run[task, run, incarnation]
         job = self.ledger.find_task(task).step.job
@@ -196,6 +205,28 @@
     assert run[2][0] == records[1].life.worker_id
 
 
+# Guards against a large task for which the worker that refuses it is kept again and again.
+@pytest.mark.parametrize("is_backed_off", [True, False])
+def test_another_worker_is_reserved_after_one_has_refused_the_task(is_backed_off):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    stream = fleet.small_stream(4, count=1, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(2.0, stream)
+    large = fleet.accept(step(estimated_ms=8_000, **LARGE))
+    accepted_at, refusing, done = fleet.now, "", False
+    while not done and fleet.now - accepted_at < 6.0:
+        stream()
+        for intent in fleet.plan():
+            if intent.task.startswith(large):
+                refusing = refusing or intent.life.worker_id
+                done = intent.life.worker_id != refusing
+                if not done:
+                    fleet.refuse(intent, is_backed_off)
+        fleet.now += PASS_SECONDS
+    assert done
+    # Two workers have to become free.
+    assert fleet.now - accepted_at <= 2 * (1.6 + 2 * PASS_SECONDS)
+
+
 def test_more_urgent_work_goes_before_a_reservation():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(8, estimated_ms=1000, **SMALL))
