A reservation does not add to what other preferences have delayed on a free worker

Cause: overdue work leaves a reserved worker alone for 1.5 s from the reservation, whatever it has waited there before; so the two bounds add up to 3 s, and the start call comes on top. Class: bounds that follow one another, as in 'Reservations in turn delay overdue work of an idle service once'. Change: the 1.5 s hold only for steps for which the worker had no room when it was reserved: those have not been kept off it before.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -852,8 +852,8 @@
             if not candidate.fits(step):
                 return False
             if not step.lasting and not self.is_open_to(group, candidate):
-                incarnation = candidate.view.incarnation
-                if not is_idle or self._reservations.is_recent(incarnation, now):
+                worker = candidate.view.worker
+                if not is_idle or self._reservations.is_recent(worker, step, now):
                     return False
             if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
                 return False
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -59,6 +59,9 @@
     since: float
     """Since when the worker has been reserved, for this step or others in turn."""
 
+    used: ResourceUsage
+    """What its runs reserved then."""
+
 
 @attrs.define
 class Reservations:
@@ -69,8 +72,8 @@
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
 
-    _since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
-    """Since when the workers have been reserved that were when this pass began, for any steps."""
+    _earlier_by_worker: dict[IncarnationKey, _Reservation] = attrs.field(factory=dict)
+    """The reservations that there were when this pass began."""
 
     _forgot_at: float = -math.inf
     _wall_ms: int = 0
@@ -82,10 +85,7 @@
     ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
         self._wall_ms, self._rank_by_group = wall_ms, {}
-        self._since_by_worker = {
-            incarnation: reservation.since
-            for incarnation, reservation in self._reservation_by_worker.items()
-        }
+        self._earlier_by_worker = dict(self._reservation_by_worker)
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
@@ -133,10 +133,17 @@
             rank = self._rank_by_group[group.key] = group.job.queue.priority, is_very_late
         return rank
 
-    def is_recent(self, incarnation: IncarnationKey, now: float) -> bool:
-        """Return whether a worker has been reserved for less than preferences may delay a start."""
-        reservation = self._reservation_by_worker.get(incarnation)
-        return reservation is not None and now - reservation.since < MAX_DEFERRAL_SECONDS
+    def is_recent(self, worker: Worker, step: StepSpec, now: float) -> bool:
+        """Return whether a worker has been reserved for less than preferences may delay a start.
+
+        Not for a step for which it had room before: other preferences have delayed that already.
+        """
+        reservation = self._reservation_by_worker.get(worker.key)
+        return (
+            reservation is not None
+            and now - reservation.since < MAX_DEFERRAL_SECONDS
+            and not reservation.used.leaves_room(worker.record, step)
+        )
 
     def reserve(
         self,
@@ -182,9 +189,13 @@
         if chosen and not (step.gang and count > 0):
             for incarnation in chosen:
                 self._release_worker(incarnation)
-                self._reservation_by_worker[incarnation] = _Reservation(
-                    group.key, rank, self._since_by_worker.get(incarnation, now)
-                )
+                earlier = self._earlier_by_worker.get(incarnation)
+                if earlier is None:
+                    used = rooms.room_by_incarnation[incarnation].used_and_planned()
+                    reservation = _Reservation(group.key, rank, now, used)
+                else:
+                    reservation = attrs.evolve(earlier, group=group.key, rank=rank)
+                self._reservation_by_worker[incarnation] = reservation
             self._workers_by_group[group.key] = chosen
 
     def _choices(
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -43,6 +43,7 @@
         self.started_at_by_task = {}
         self.done_at_by_job = {}
         self.accepted_count = 0
+        self.excluded_images = frozenset()
 
     def accept(self, *steps, prefix="/quotes/"):
         """Accept a job; return its id."""
@@ -59,7 +60,8 @@
         for key, ends_at in list(self.ends_at_by_run.items()):
             if ends_at <= self.now:
                 self._end(*key)
-        views = [WorkerView(each, True, {}) for each in workers]
+        excluded = {"excluded_images": self.excluded_images}
+        views = [WorkerView(each, True, {}, **excluded) for each in workers]
         intents = self.placement.plan(self.ledger, views, self.ledger.at_ms, self.health, self.now)
         self.ledger.record_intents(intents)
         for intent in intents:
@@ -381,6 +383,22 @@
     assert fleet.start_of(large) == math.inf
 
 
+# Guards against LOST: a preference that keeps work off a free worker, and then a reservation that
+# does so as long again.
+@pytest.mark.parametrize("seconds", [0.5, 1.0, 1.4])
+def test_a_reservation_does_not_add_to_the_time_that_work_was_kept_off_a_free_worker(seconds):
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.excluded_images = frozenset(["batch"])
+    fleet.accept(step(millicores=2_000, estimated_ms=60_000))
+    fleet.plan()
+    best_effort = step(millicores=500, filling=True, image="batch")
+    job_id, accepted_at = fleet.accept(best_effort, prefix="/batch/"), fleet.now
+    fleet.run(seconds)
+    fleet.accept(step(**LARGE))
+    fleet.run(3.0)
+    assert fleet.start_of(job_id) - accepted_at <= MAX_DEFERRAL_SECONDS + 2 * PASS_SECONDS
+
+
 # Guards against LOST: reservations that follow one another, each of which delays work anew.
 def test_reservations_in_turn_do_not_delay_work_of_an_idle_service_again_and_again():
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES, WORKER_MILLICORES)
