--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -637,11 +637,12 @@
             return
         count = len(group.startable_indexes) - len(planned)
         is_of_use = count and lateness_of(group, wall_ms) != VERY_LATE
-        if not is_of_use or not pool.rooms().is_large(step):
+        rooms = pool.rooms()
+        if not is_of_use or not rooms.is_large(step):
             self._reservations.release(group.key)
             return
         run_counts = run_count_by_incarnation(group, planned) if step.max_per_worker else Counter()
-        self._reservations.reserve(group, pool.rooms(), run_counts, count, now)
+        self._reservations.reserve(group, rooms, run_counts, count, now)
 
     def is_open_to(self, group: StepGroup, candidate: _Candidate) -> bool:
         """Return whether no worker is reserved for others, as far as a step has to mind it."""
@@ -861,8 +862,8 @@
             if not candidate.fits(step):
                 return False
             if not step.lasting and not self.is_open_to(group, candidate):
-                incarnation = candidate.view.incarnation
-                if not is_idle or self._reservations.is_recent(incarnation, now):
+                worker = candidate.view.worker
+                if not is_idle or self._reservations.is_recent(worker, step, now):
                     return False
             if is_at_limit(step, run_counts.get(candidate.view.incarnation, 0)):
                 return False
@@ -1029,11 +1030,10 @@
 
 
 def _keep_whole_workers(candidates: list[_Candidate], demand: FiniteDemand) -> None:
-    """Keep workers for finite runs: as many as those use, largest first.
+    """Keep workers for finite runs, largest first: as many as those use, if some need a large part.
 
-    Of those on which no long-running run reserves processors.
-
-    A sum of what is free on each worker would hold no large task.
+    Of those on which no long-running run reserves processors.  A sum of what is free on each worker
+    would hold no large task.  Before there is any finite work, it may be large.
     """
     candidates_by_service: dict[str, list[_Candidate]] = {}
     for candidate in candidates:
@@ -1051,7 +1051,7 @@
             if kept <= 0:
                 break
             record = candidate.view.worker.record
-            candidate.is_kept_whole = True
+            candidate.is_kept_whole = candidate.fills_up or not largest
             candidate.is_kept_for_large = candidate.fills_up and len(whole) < len(members)
             kept -= record.millicores
 
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -24,7 +24,14 @@
 LARGE_SHARE = 0.5
 """Share of a worker's resources above which a task is large: no two fit beside each other.
 
-Below it the end of one run, or of a few, makes room for it on some worker.
+Below it the ends of a few runs make room for it on some worker, as long as those are not small.
+"""
+
+LARGE_MULTIPLE = 2.0
+"""Multiple of what finite runs have in the mean above which a task is large as well.
+
+So many of them, or more, have to end on one worker at a time.  Best-effort runs don't count: most
+of what callers wait for may have more memory than those.
 """
 
 MAX_RESERVED_SHARE = 0.1
@@ -59,6 +66,9 @@
     since: float
     """Since when the worker has been reserved, for this step or others in turn."""
 
+    used: ResourceUsage
+    """What its runs reserved then."""
+
     room_at: float
     """When the worker was expected to have room, as the step reserved it."""
 
@@ -72,8 +82,8 @@
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
 
-    _since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
-    """Since when the workers have been reserved that were when this pass began, for any steps."""
+    _earlier_by_worker: dict[IncarnationKey, _Reservation] = attrs.field(factory=dict)
+    """The reservations that there were when this pass began."""
 
     _forgot_at: float = -math.inf
     _wall_ms: int = 0
@@ -85,10 +95,7 @@
     ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
         self._wall_ms, self._rank_by_group = wall_ms, {}
-        self._since_by_worker = {
-            incarnation: reservation.since
-            for incarnation, reservation in self._reservation_by_worker.items()
-        }
+        self._earlier_by_worker = dict(self._reservation_by_worker)
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
@@ -136,10 +143,17 @@
             rank = self._rank_by_group[group.key] = group.job.queue.priority, is_very_late
         return rank
 
-    def is_recent(self, incarnation: IncarnationKey, now: float) -> bool:
-        """Return whether a worker has been reserved for less than preferences may delay a start."""
-        reservation = self._reservation_by_worker.get(incarnation)
-        return reservation is not None and now - reservation.since < MAX_DEFERRAL_SECONDS
+    def is_recent(self, worker: Worker, step: StepSpec, now: float) -> bool:
+        """Return whether a worker has been reserved for less than preferences may delay a start.
+
+        Not for a step for which it had room before: other preferences have delayed that already.
+        """
+        reservation = self._reservation_by_worker.get(worker.key)
+        return (
+            reservation is not None
+            and now - reservation.since < MAX_DEFERRAL_SECONDS
+            and not reservation.used.leaves_room(worker.record, step)
+        )
 
     def reserve(
         self,
@@ -151,9 +165,9 @@
     ) -> None:
         """Keep workers free until ``count`` more tasks of a step have room.
 
-        Those that the step has come first, then those where there is room soonest.  What is
-        reserved for steps of a lower rank may be taken, and does not count against the limit:
-        those come later in the pass, and give up what is too much then.
+        Those that the step has come first, then those near its data where there is room soonest.
+        What is reserved for steps of a lower rank may be taken, and does not count against the
+        limit: those come later in the pass, and give up what is too much then.
         ``run_counts`` tells how many runs of the step each worker has.
         """
         step = group.spec
@@ -174,9 +188,12 @@
             return
         for incarnation, (_, room_at) in chosen.items():
             self._release_worker(incarnation)
-            since = self._since_by_worker.get(incarnation, now)
+            earlier = self._earlier_by_worker.get(incarnation)
+            since, used = now, rooms.room_by_incarnation[incarnation].used_and_planned()
+            if earlier is not None:
+                since, used = earlier.since, earlier.used
             self._reservation_by_worker[incarnation] = _Reservation(
-                group.key, self.rank(group), since, room_at
+                group.key, self.rank(group), since, used, room_at
             )
         self._workers_by_group[group.key] = list(chosen)
 
@@ -241,11 +258,13 @@
             if incarnation in kept or not self.is_open_to(group, incarnation):
                 continue
             if self._is_of_use(group, room, now):
-                choices.append((self._seconds_until_room(room, step, now), position, incarnation))
+                is_far = bool(step.data_rack) and step.data_rack != room.worker.record.rack
+                seconds = self._seconds_until_room(room, step, now)
+                choices.append((is_far, seconds, position, incarnation))
         if not choices:
             rooms.record_taken(step, rank)
         chosen = {}
-        for seconds, _, incarnation in heapq.nsmallest(limit, choices):
+        for _, seconds, _, incarnation in heapq.nsmallest(limit, choices):
             if count <= 0:
                 break
             chosen[incarnation] = slots_by_incarnation[incarnation], now + seconds
@@ -346,6 +365,7 @@
     _least: tuple[int, int, int] = attrs.field(init=False)
     """The least millicores, memory and accelerators of any of the workers."""
 
+    _mean: tuple[float, float, float] | None = None
     _by_millicores: list[Room] | None = None
     _hopeless_steps: list[StepSpec] = attrs.field(factory=list)
     """Steps for which no worker has room beside its long-running runs alone."""
@@ -375,14 +395,37 @@
         )
 
     def is_large(self, step: StepSpec) -> bool:
-        """Return whether a task needs a large part of any of the workers."""
-        millicores, memory_mb, accelerators = self._least
-        return bool(self.room_by_incarnation) and (
-            step.millicores > LARGE_SHARE * millicores
-            or step.memory_mb > LARGE_SHARE * memory_mb
-            or step.accelerators > LARGE_SHARE * accelerators
+        """Return whether a task needs a large part of any of the workers, or far more than most.
+
+        A gang does as a whole: all its members need room at the same time.
+        """
+        if not self.room_by_incarnation:
+            return False
+        return (
+            step.gang
+            or _exceeds(step, LARGE_SHARE, self._least)
+            or _exceeds(step, LARGE_MULTIPLE, self._mean_of_finite_runs())
         )
 
+    def _mean_of_finite_runs(self) -> tuple[float, float, float]:
+        """Return the mean millicores, memory and accelerators of the finite runs.
+
+        Best-effort runs are left out; infinite where no run has any.
+        """
+        if self._mean is None:
+            steps = [
+                task.step.spec
+                for room in self.room_by_incarnation.values()
+                for task in room.worker.task_by_run.values()
+                if not task.step.spec.lasting and not task.step.spec.filling
+            ]
+            self._mean = (
+                _mean(step.millicores for step in steps),
+                _mean(step.memory_mb for step in steps),
+                _mean(step.accelerators for step in steps),
+            )
+        return self._mean
+
     def is_hopeless(self, step: StepSpec) -> bool:
         """Return whether a step that needs no more than this one has no room to wait for."""
         return any(needs_no_less(step, other) for other in self._hopeless_steps)
@@ -408,6 +451,22 @@
             self._steps_without_choice.append((step, rank))
 
 
+def _exceeds(step: StepSpec, factor: float, amounts: tuple[float, float, float]) -> bool:
+    """Return whether a task needs more than a multiple of any of the amounts."""
+    millicores, memory_mb, accelerators = amounts
+    return (
+        step.millicores > factor * millicores
+        or step.memory_mb > factor * memory_mb
+        or step.accelerators > factor * accelerators
+    )
+
+
+def _mean(amounts: Iterable[int]) -> float:
+    """Return the mean of the amounts that are not 0; infinity if all are."""
+    counted = [amount for amount in amounts if amount]
+    return sum(counted) / len(counted) if counted else math.inf
+
+
 def needs_no_less(step: StepSpec, other: StepSpec) -> bool:
     """Return whether a worker that has no room for the other step has none for this one."""
     if step.filling != other.filling or (step.filling and step.image != other.image):
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -44,6 +44,7 @@
         self.started_at_by_task = {}
         self.done_at_by_job = {}
         self.accepted_count = 0
+        self.excluded_images = frozenset()
 
     def accept(self, *steps, prefix="/quotes/"):
         """Accept a job; return its id."""
@@ -60,7 +61,8 @@
         for key, ends_at in list(self.ends_at_by_run.items()):
             if ends_at <= self.now:
                 self._end(*key)
-        views = [WorkerView(each, True, {}) for each in workers]
+        excluded = {"excluded_images": self.excluded_images}
+        views = [WorkerView(each, True, {}, **excluded) for each in workers]
         intents = self.placement.plan(self.ledger, views, self.ledger.at_ms, self.health, self.now)
         self.ledger.record_intents(intents)
         for intent in intents:
@@ -72,6 +74,15 @@
                 self.ends_at_by_run[intent.task, intent.run, incarnation] = ends_at
         return intents
 
+    def refuse(self, intent, is_backed_off):
+        """Let a worker refuse a planned start, for lack of room or for another reason."""
+        incarnation = intent.life.worker_id, intent.life.born_ms
+        del self.ends_at_by_run[intent.task, intent.run, incarnation]
+        settle_run(self.ledger, intent.task, RunOutcome.NEVER_RAN, intent.run, incarnation)
+        self.placement.record_refusal(intent.task, intent.run)
+        if is_backed_off:
+            self.health.record_rejection(intent.life.worker_id, self.now)
+
     def _end(self, task, run, incarnation):
         del self.ends_at_by_run[task, run, incarnation]
         job = self.ledger.find_task(task).step.job
@@ -133,6 +144,28 @@
     assert hanging not in fleet.done_at_by_job
 
 
+# Guards against tasks of a quarter to half of a worker that wait without end, since several of the
+# smaller runs never end at the same time.
+@pytest.mark.parametrize("millicores", [4_000, 6_000, 8_000])
+@pytest.mark.parametrize("load", [0.875, 1.125])
+def test_a_task_of_up_to_half_a_worker_is_in_time_beside_small_ones(millicores, load):
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    random_ = random.Random(1)
+    small_per_pass = load * 20 * PASS_SECONDS * WORKER_MILLICORES / 1_000
+
+    def stream():
+        for _ in range(int(small_per_pass / 4 + random_.random())):
+            duration_ms = random_.randint(500, 1_500)
+            fleet.accept(step(4, estimated_ms=duration_ms, millicores=1_000))
+
+    fleet.run(3.0, stream)
+    task = fleet.accept(step(estimated_ms=1000, millicores=millicores))
+    accepted_at = fleet.now
+    fleet.run(6.0, stream)
+    # It is worth something for three times its objective.
+    assert fleet.start_of(task) + 1.0 - accepted_at <= 3 * (0.5 + 1.5 * 1.0)
+
+
 def test_a_task_of_a_whole_workers_memory_gets_its_turn_beside_best_effort_runs():
     fleet = Fleet(*[WORKER_MILLICORES] * 8)
     needs = {"millicores": 100, "memory_mb": 8_000, "filling": True, "image": "batch"}
@@ -159,6 +192,60 @@
     assert starts.pop() - accepted_at <= 1.0 + 2 * PASS_SECONDS
 
 
+# Guards against a gang of small tasks that waits without end: each of them has room, and not all
+# at the same time.
+def test_a_gang_of_small_tasks_gets_its_turn_whole():
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    stream = fleet.small_stream(7, count=4, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(3.0, stream)
+    gang = fleet.accept(step(10, gang=True, **SMALL))
+    accepted_at = fleet.now
+    fleet.run(4.0, stream)
+    starts = {fleet.start_of(gang, index) for index in range(10)}
+    assert len(starts) == 1
+    assert starts.pop() - accepted_at <= 1.6 + 2 * PASS_SECONDS
+
+
+# Guards against a large task that runs several times longer, since the worker that is kept for it
+# is far from its data.
+def test_a_worker_in_the_rack_of_the_data_is_reserved_first():
+    fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES)
+    records = [each.record for each in fleet.ledger.worker_by_incarnation.values()]
+    records[1].rack = "r2"
+    fleet.accept(step(8, data_rack="r2", estimated_ms=1_300, **SMALL))
+    for number in range(8):
+        near = {"data_rack": "r1", "estimated_ms": 300 + 100 * number}
+        fleet.accept(step(1, **near, **SMALL))
+    fleet.plan()
+    large = fleet.accept(step(data_rack="r2", estimated_ms=5_000, **LARGE))
+    fleet.accept(step(32, data_rack="r1", estimated_ms=2_000, **SMALL))
+    fleet.run(1.5)
+    (run,) = (run for run in fleet.ends_at_by_run if run[0].startswith(large))
+    assert run[2][0] == records[1].life.worker_id
+
+
+# Guards against a large task for which the worker that refuses it is kept again and again.
+@pytest.mark.parametrize("is_backed_off", [True, False])
+def test_another_worker_is_reserved_after_one_has_refused_the_task(is_backed_off):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    stream = fleet.small_stream(4, count=1, durations_ms=[700, 1300, 1000, 1600, 850])
+    fleet.run(2.0, stream)
+    large = fleet.accept(step(estimated_ms=8_000, **LARGE))
+    accepted_at, refusing, done = fleet.now, "", False
+    while not done and fleet.now - accepted_at < 6.0:
+        stream()
+        for intent in fleet.plan():
+            if intent.task.startswith(large):
+                refusing = refusing or intent.life.worker_id
+                done = intent.life.worker_id != refusing
+                if not done:
+                    fleet.refuse(intent, is_backed_off)
+        fleet.now += PASS_SECONDS
+    assert done
+    # Two workers have to become free.
+    assert fleet.now - accepted_at <= 2 * (1.6 + 2 * PASS_SECONDS)
+
+
 def test_more_urgent_work_goes_before_a_reservation():
     fleet = Fleet(WORKER_MILLICORES)
     fleet.accept(step(8, estimated_ms=1000, **SMALL))
@@ -326,6 +413,22 @@
     assert fleet.start_of(large) == math.inf
 
 
+# Guards against LOST: a preference that keeps work off a free worker, and then a reservation that
+# does so as long again.
+@pytest.mark.parametrize("seconds", [0.5, 1.0, 1.4])
+def test_a_reservation_does_not_add_to_the_time_that_work_was_kept_off_a_free_worker(seconds):
+    fleet = Fleet(WORKER_MILLICORES)
+    fleet.excluded_images = frozenset(["batch"])
+    fleet.accept(step(millicores=2_000, estimated_ms=60_000))
+    fleet.plan()
+    best_effort = step(millicores=500, filling=True, image="batch")
+    job_id, accepted_at = fleet.accept(best_effort, prefix="/batch/"), fleet.now
+    fleet.run(seconds)
+    fleet.accept(step(**LARGE))
+    fleet.run(3.0)
+    assert fleet.start_of(job_id) - accepted_at <= MAX_DEFERRAL_SECONDS + 2 * PASS_SECONDS
+
+
 # Guards against LOST: reservations that follow one another, each of which delays work anew.
 def test_reservations_in_turn_do_not_delay_work_of_an_idle_service_again_and_again():
     fleet = Fleet(WORKER_MILLICORES, WORKER_MILLICORES, WORKER_MILLICORES)
