Whole path test: the second entry host is asked once it is ready

Cause: the test, not the product. It waited for the job at the first entry host and asked the second one once, which may not have started: a refused connection gave the state None. Shown by a run: with the second entry host started 6 s late, "None == 'completed'" as seen, from "Connection refused".

Change: the test waits until the second host is ready, as the load balancer does, and then expects its first answer to be 200 with the state; a failure shows the status. A refused connection has a status of its own (REFUSED), apart from a missing answer.

Class: a test that takes a process for started since another one has.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -38,6 +38,9 @@
 """Time for which an entry host that stops still accepts connections."""
 
 
+REFUSED = "refused"
+"""Status of a call whose connection was refused: its request did not arrive."""
+
 class Deployment:
     """Three control hosts, two entry hosts, and the workers that a test adds."""
 
@@ -77,14 +80,20 @@
         return worker
 
     def call(self, method, path, body=None, ip=FRONTS[0], seconds=3.0):
-        """Return the status and body of a caller's request; (0, {}) if it failed."""
+        """Return the status and body of a caller's request.
+
+        They are (REFUSED, {}) if no connection was accepted, and (0, {}) if it had no answer.
+        """
         headers = {"Host": "h.example", "X-Deadline-Ms": str(int(seconds * 1000))}
         data = json.dumps(body) if body is not None else None
         url = f"http://{ip}:{PORTS['front']}{path}"
-        with contextlib.suppress(urllib3.exceptions.HTTPError):
+        try:
             answer = self.http.request(method, url, body=data, headers=headers, timeout=seconds)
             return answer.status, json.loads(answer.data)
-        return 0, {}
+        except urllib3.exceptions.NewConnectionError:
+            return REFUSED, {}
+        except urllib3.exceptions.HTTPError:
+            return 0, {}
 
     def call_operator(self, method, path, body=None):
         """Return the status and body of an operator's call, from the first host that answers."""
@@ -109,15 +118,25 @@
         return self.call("GET", path, ip=ip)[1].get("state")
 
     def leader_ip(self):
+    def is_ready(self, ip):
+        """Return whether an entry host may get requests, as the load balancer sees it."""
+        url = f"http://{ip}:{PORTS['ready']}/savoryshelf/readiness"
+        with contextlib.suppress(urllib3.exceptions.HTTPError):
+            return self.http.request("GET", url).status == 200
+        return False
+
+    def logged(self, event, ips):
+        """Return the lines of an event in the logs of these hosts."""
+        texts = [(self.folder / f"{ip}.log").read_text() for ip in ips]
+        # A last line without its end is still being written.
+        lines = [line for text in texts for line in text.split("\n")[:-1]]
+        return [json.loads(line) for line in lines if f'"{event}"' in line]
+
         """Return the control host whose log holds the latest ``term:begins`` event."""
-        times = []
-        for ip in self.process_by_ip.keys() & self.control_ips:
-            text = (self.folder / f"{ip}.log").read_text()
-            position = text.rfind('"term:begins"')
-            if position >= 0:
-                # The line up to the event's name, which is completed to valid JSON.
-                line = text[:position].rpartition("\n")[2]
-                times.append((json.loads(line + '"term:begins"}')["timestamp"], ip))
+        hosts = self.process_by_ip.keys() & self.control_ips
+        times = [
+            (line["timestamp"], ip) for ip in hosts for line in self.logged("term:begins", [ip])
+        ]
         return max(times)[1]
 
 
@@ -180,7 +199,9 @@
 def test_tasks_run_once_and_every_entry_host_reports_their_job(deployment):
     path = deployment.submit(1, "100 ms", count=6)
     wait_until(lambda: deployment.state(path) == "completed")
-    assert deployment.state(path, FRONTS[1]) == "completed"
+    wait_until(lambda: deployment.is_ready(FRONTS[1]))
+    status, answer = deployment.call("GET", path, ip=FRONTS[1])
+    assert (status, answer.get("state")) == (200, "completed")
     assert len(completed_runs(deployment)) == len(set(completed_runs(deployment))) == 6
     assert deployment.call("GET", "/q/00000000000000ff")[0] == 410
     assert deployment.call("GET", "/nowhere/")[0] == 404
