Whole path test: the attempts of a job are those that reached a worker

Cause: the test, not the product. It expected the runs [1, 2]. A start that does not reach its worker takes a number too: the worker does not list it, the run is settled as never ran, and the next one has the next number. Shown by runs: one start whose connection is closed before the worker has taken it gives [2, 3] if it is the first, [1, 3] if it is the second, as seen; the log has run:in_doubt, run:missing and run:ended with "never_ran".

Change: two distinct runs reach workers, the attempts that the route allows, and every number below the last is one of them or ended as never ran by the log. A number that is skipped without that fails.

Class: a test that takes a run number for an attempt.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -37,11 +37,11 @@
 STOP_ANNOUNCE_SECONDS = 2.6
 """Time for which an entry host that stops still accepts connections."""
 
-
 REFUSED = "refused"
 """Status of a call whose connection was refused: its request did not arrive."""
 
 class Deployment:
+
     """Three control hosts, two entry hosts, and the workers that a test adds."""
 
     def __init__(self, folder: pathlib.Path, control_ips: list[str] = SEEDS):
@@ -117,7 +117,6 @@
     def state(self, path, ip=FRONTS[0]):
         return self.call("GET", path, ip=ip)[1].get("state")
 
-    def leader_ip(self):
     def is_ready(self, ip):
         """Return whether an entry host may get requests, as the load balancer sees it."""
         url = f"http://{ip}:{PORTS['ready']}/savoryshelf/readiness"
@@ -133,6 +132,7 @@
         return [json.loads(line) for line in lines if f'"{event}"' in line]
 
         """Return the control host whose log holds the latest ``term:begins`` event."""
+    def leader_ip(self):
         hosts = self.process_by_ip.keys() & self.control_ips
         times = [
             (line["timestamp"], ip) for ip in hosts for line in self.logged("term:begins", [ip])
@@ -216,7 +216,15 @@
     wait_until(lambda: deployment.state(failing) == "failed")
     # A task's name starts with the id of its job, the path without "/q/".
     attempts = [s for w in deployment.workers for s in w.starts if s[0].startswith(failing[3:])]
-    assert [run for _, run in sorted(attempts, key=lambda each: each[1])] == [1, 2]
+    runs = sorted(run for _, run in attempts)
+    assert len(runs) == len(set(runs)) == ROUTE["maxAttempts"]
+    # A start that does not reach its worker takes a number too, and is no attempt.
+    ended = [
+        line for line in deployment.logged("run:ended", SEEDS) if line["task"] == attempts[0][0]
+    ]
+    never_ran = {line["run"] for line in ended if line["how"] == "never_ran"}
+    assert sorted({*runs, *never_ran}) == list(range(1, runs[-1] + 1))
+    assert not never_ran.intersection(runs)
     wait_until(lambda: deployment.state(long_running) == "running")
     assert deployment.call("DELETE", long_running)[0] == 200
     stopped = lambda: [e for w in deployment.workers for e in w.ends if e[3] == "stopped"]  # noqa: E731
