Transport tests: a pause of the test process makes no message old

Cause: the test, not the product. A message is dropped once it is older than 0.6 s, by design, and its age and the test's limits were on the clock of the system: a process that stands still for so long drops the message by itself.

Change: the age of the messages and the limits are in the time in which the process ran (tests/loop_time.py); the limits are as before.

Class: an age that grows while the process is suspended, in a test that has no suspended process as its subject.

--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket
-import time
+import types
 
 import attrs
 import eventlet
@@ -14,6 +14,8 @@
 from savoryshelf.wire.generated.ttypes import RaftMessage, RaftPayload, VoteReply
 from savoryshelf.wire.peers import PeerHandler, PeerServer
 
+from ..loop_time import counting_loop_time
+
 KEY = "the-cluster-key-of-tests"
 DELIVERY_LIMIT_SECONDS = 0.8
 """From the return of a host until it gets a message: less than an election timeout."""
@@ -84,18 +86,24 @@
 
 @contextlib.contextmanager
 def running_transport():
+    """Yield a transport, by whose clock a pause of this process makes no message old."""
     transport = PeerTransport(KEY)
-    yield transport
-    transport.close()
+    with counting_loop_time() as loop_time:
+        transport._clock = types.SimpleNamespace(monotonic=lambda: loop_time.seconds)
+        yield transport
+        transport.close()
 
 
 def wait_until(is_true, seconds):
-    """Return the time until the condition holds, infinite if it does not within ``seconds``."""
-    began_at = time.monotonic()
-    while time.monotonic() - began_at < seconds:
-        if is_true():
-            return time.monotonic() - began_at
-        eventlet.sleep(0.005)
+    """Return the time until the condition holds, infinite if it does not within ``seconds``.
+
+    It is that in which this process ran.
+    """
+    with counting_loop_time() as loop_time:
+        while loop_time.seconds < seconds:
+            if is_true():
+                return loop_time.seconds
+            eventlet.sleep(0.005)
     return float("inf")
 
 
