Stand-in test: heartbeats are judged by the pauses asked for and by their own clock

Cause: the test counted the heartbeats of 0.7 s, the third of which comes after 0.6 s, and timed the first one after a restart by its arrival.

Change: it waits for three heartbeats, compares the pauses that the worker asks for with the interval, exactly, and the time of the first heartbeat of an incarnation on that incarnation's clock, at least 0.6 s.

Class: counting what happens in a time of the wall clock.

--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -5,12 +5,20 @@
 import json
 import threading
 import time
+import types
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 
+from standins import platform
 from standins.interference import added_per_core
-from standins.platform import PlatformWorker, RunRecord, doubled_runs
+from standins.platform import (
+    FIRST_CLOCK_MS,
+    HEARTBEAT_SECONDS,
+    PlatformWorker,
+    RunRecord,
+    doubled_runs,
+)
 
 TASK = "00000000000000aa.0.0.0"
 
@@ -220,36 +228,52 @@
     assert start(connection, 2, 0, spec=spec)[0] == 200
 
 
-def test_the_first_heartbeat_of_an_incarnation_comes_when_chosen():
-    beats = []
+def test_the_first_heartbeat_of_an_incarnation_comes_when_chosen(monkeypatch):
+    beats, has_come, waits = [], threading.Semaphore(0), []
 
     class Control(BaseHTTPRequestHandler):
         def do_POST(self):  # noqa: N802
-            body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-            beats.append((time.monotonic(), body))
+            beats.append(json.loads(self.rfile.read(int(self.headers["Content-Length"]))))
             self.send_response(200)
             self.end_headers()
+            has_come.release()
 
         def log_message(self, *arguments):
             pass
 
+    class RecordedEvent(threading.Event):
+        """Records for how long it is waited for; no call or run waits here but heartbeats."""
+
+        def wait(self, timeout=None):
+            waits.append(timeout)
+            return super().wait(timeout)
+
+    def wait_for_beats(born, count):
+        while len(found := [beat for beat in beats if beat["born"] >= born]) < count:
+            assert has_come.acquire(timeout=10.0)
+        return found[:count]
+
+    recorded = types.SimpleNamespace(**vars(threading) | {"Event": RecordedEvent})
+    monkeypatch.setattr(platform, "threading", recorded)
     server = ThreadingHTTPServer(("127.0.0.1", 0), Control)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     worker = PlatformWorker("w1", [f"127.0.0.1:{server.server_address[1]}"])
     try:
-        time.sleep(0.7)
-        assert [beat["sequence"] for _, beat in beats] == [1, 2, 3]
+        first = wait_for_beats(0, 3)
+        assert [beat["sequence"] for beat in first] == [1, 2, 3]
+        assert waits[0] <= 0.0 and set(waits[1:]) == {HEARTBEAT_SECONDS}
         worker.restart(0.02, heartbeat_after_seconds=0.6)
-        restarted_at, count = time.monotonic(), len(beats)
-        time.sleep(0.8)
+        (beat,) = wait_for_beats(first[0]["born"] + 1, 1)
     finally:
         worker.close()
         server.shutdown()
         server.server_close()
-    at, beat = beats[count]
-    assert at - restarted_at > 0.5
-    assert beat["sequence"] == 1 and beat["born"] > beats[0][1]["born"]
-    assert beat["address"] == beats[0][1]["address"]
+    # By the clock of the incarnation, which begins with it.
+    assert beat["clockMs"] - FIRST_CLOCK_MS >= 600
+    (before_first,) = set(waits[1:]) - {HEARTBEAT_SECONDS}
+    assert before_first <= 0.6
+    assert beat["sequence"] == 1
+    assert beat["address"] == first[0]["address"]
 
 
 @pytest.mark.parametrize(
