Worker incarnation tests of the platform: an ended fake worker accepts nothing more

Cause: the fake of the test. Its crash closed the listener while the thread that accepts there went on; when the next fake's listener got the same file descriptor, that thread accepted its connections and answered as the earlier fake. The call returned, and the worker that was meant had no request ("0 == 1").

Change: the crash waits for that thread before it closes the listener.

Class: a file descriptor that is closed while another thread may still use its number. Also looked at: tests/platform/test_worker_calls.py shuts a listener down in the same way; not changed.

--- a/tests/platform/test_worker_incarnations.py
+++ b/tests/platform/test_worker_incarnations.py
@@ -54,10 +54,14 @@
         self.requests = []
         self._listener = socket.create_server(("127.0.0.1", self._port))
         self._port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+        self._accepting = threading.Thread(target=self._accept, args=(self._listener,), daemon=True)
+        self._accepting.start()
 
     def crash(self):
         self._listener.shutdown(socket.SHUT_RDWR)
+        # Before the close: the thread could go on to accept at the next listener, which may have
+        # the same file descriptor.
+        self._accepting.join()
         self._listener.close()
         self.drop_connections()
 
