Soak: large tasks beside small, long-running and best-effort ones

Cause (a class): no contention for rooms, and a judge that excuses any wait while half of the service is used.

Change: one large job at a time (over half of a worker), from the beginning on. Once the work after the recovery has been judged, two callers submit jobs of one kind for 20 s, of all sizes or up to half of a worker, at one of two paces; which follows from the seed. LARGE: a large job has to start within the longest finite run there plus the 3 s of RULES.md, LOST, while a worker has room but for finite runs (the crowd has no large ones, or is over).

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -18,6 +18,7 @@
 @click.option("--size", type=click.Choice(list(SIZES)), default="usual")
 @click.option("--closings/--no-closings", default=True, help="All hosts end at once, or never.")
 @click.option("--best-effort/--no-best-effort", default=True, help="Runs that share workers.")
+@click.option("--large/--no-large", default=True, help="Tasks of over half of a worker.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(
     seed: int,
@@ -26,6 +27,7 @@
     size: str,
     closings: bool,
     best_effort: bool,
+    large: bool,
     logs: str,
 ) -> None:
     """Run a series of faults for each seed, and print what was broken."""
@@ -35,7 +37,7 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        result = run_soak(pathlib.Path(folder), number, seconds, size, closings, best_effort)
+        result = run_soak(pathlib.Path(folder), number, seconds, size, closings, best_effort, large)
         click.echo(result.summary())
         if not result.findings:
             shutil.rmtree(folder)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -3,6 +3,7 @@
 import collections
 import http.client
 import json
+import math
 import random
 import threading
 import time
@@ -68,6 +69,26 @@
 SHARING_CALLER = 1000
 """Its number, so that all others keep theirs; it connects directly."""
 
+LARGE_CALLER = 2000
+CROWD_CALLERS = (2002, 2003)
+"""Numbers of callers that connect directly."""
+
+LARGE_CPU = CAPACITY["cpu"] // 2
+"""More than this is large: no two such runs fit on a worker."""
+
+MAX_LARGE_CPU = 3400
+"""Serving runs leave so much of most workers."""
+
+LARGE_MS = (300, 1500)
+LARGE_PAUSE_SECONDS = (0.1, 0.3)
+CROWD_MEAN_CPU = 900
+CROWD_CPU_SPREAD = 0.6
+"""Of the logarithms of a log-normal distribution."""
+
+CROWD_MS = (300, 1200)
+CROWD_PAUSES_SECONDS = ((0.15, 0.3), (0.25, 0.5))
+"""At the first the workers are as good as full, at the second about two thirds of that."""
+
 SUBMIT, READ, CANCEL = "POST", "GET", "DELETE"
 
 
@@ -87,12 +108,26 @@
     image: str = ""
     target_ms: int = 0
     best_effort_ms: int = 0
+    estimated_ms: int = 0
+
+    @property
+    def work_ms(self) -> int:
+        """Return how long a finite run works at full speed, 0 for others."""
+        amount = self.work.split()[0]
+        return int(amount) if amount.isdigit() else 0
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether it is finite, and its runs need over half of a worker."""
+        return self.cpu > LARGE_CPU and not (self.is_long_running or self.best_effort_ms)
 
     def body(self) -> str:
         """Return the body of the request that hands the job in."""
         step = {"count": self.count, "cpu": self.cpu, "memMb": self.memory_mb}
         if self.is_long_running:
             step["longRunning"] = True
+        if self.estimated_ms:
+            step["estimatedMs"] = self.estimated_ms
         if self.max_per_worker:
             step["antiAffinity"] = self.max_per_worker
         task_spec = f"{self.work} {self.cpu} cpu {self.memory_mb} mb"
@@ -340,3 +375,58 @@
             best_effort_ms=best_effort_ms,
         )
         return job_id
+
+
+class LargeCaller(Caller):
+    """Submits jobs of one large task, the next one once the last has ended."""
+
+    def __init__(self, seed: int, deployment: Deployment, balancer: Balancer):
+        super().__init__(LARGE_CALLER, seed, deployment, balancer)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        is_open = False
+        while not stopping.wait(self._rng.uniform(*LARGE_PAUSE_SECONDS)):
+            if self._unclear:
+                self._submit(self._unclear.pop(0))
+            elif is_open:
+                is_open = self._call(READ, self._accepted[-1]).state not in ("completed", "failed")
+            else:
+                accepted_count = len(self._accepted)
+                self._submit(self._new_job())
+                is_open = len(self._accepted) > accepted_count
+        self.disconnect()
+
+    def _new_job(self, count: int = 1, cpu: int = 0) -> str:
+        cpu = cpu or self._rng.randint(LARGE_CPU + 1, MAX_LARGE_CPU)
+        return self._new_finite_job(count, cpu, self._rng.randint(*LARGE_MS))
+
+    def _new_finite_job(self, count: int, cpu: int, estimated_ms: int) -> str:
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        self.spec_by_job[job_id] = JobSpec(
+            count, cpu, work=f"{estimated_ms} ms", estimated_ms=estimated_ms
+        )
+        return job_id
+
+
+class CrowdCaller(LargeCaller):
+    """Submits jobs of one kind, up to a size, without waiting for them."""
+
+    def __init__(self, number: int, seed: int, deployment: Deployment, balancer: Balancer):
+        Caller.__init__(self, number, seed, deployment, balancer)
+        draws = random.Random(f"crowd of {seed}")
+        self._max_cpu = draws.choice([LARGE_CPU, MAX_LARGE_CPU])
+        self._pause_seconds = draws.choice(CROWD_PAUSES_SECONDS)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        while not stopping.wait(self._rng.uniform(*self._pause_seconds)):
+            self._submit(self._unclear.pop(0) if self._unclear else self._new_job())
+        self.disconnect()
+
+    def _new_job(self, count: int = 0, cpu: int = 0) -> str:
+        rng = self._rng
+        draw = rng.lognormvariate(math.log(CROWD_MEAN_CPU), CROWD_CPU_SPREAD)
+        cpu = cpu or min(self._max_cpu, max(100, int(draw)))
+        count = count or (1 if cpu > LARGE_CPU else rng.randint(1, MAX_TASKS))
+        return self._new_finite_job(count, cpu, rng.randint(*CROWD_MS))
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -11,8 +11,18 @@
 from savoryshelf.registry import registry_decorator
 
 from ..platform import CAPACITY, RunRecord, doubled_runs
-from .callers import CANCEL, DEADLINE_SECONDS, NOT_RUN, READ, SUBMIT, Call, JobSpec
-from .deployment import GRACE_SECONDS, Deployment
+from .callers import (
+    CANCEL,
+    CROWD_CALLERS,
+    DEADLINE_SECONDS,
+    LARGE_CALLER,
+    NOT_RUN,
+    READ,
+    SUBMIT,
+    Call,
+    JobSpec,
+)
+from .deployment import GRACE_SECONDS, ROUTE, Deployment
 from .waits import (
     CONTACT_SECONDS,
     MAX_WAIT_SECONDS,
@@ -38,6 +48,13 @@
 """A task may be given up once so many incarnations of workers have ended with its run, or with the
 end of its run unread: callers of the worker can't tell which of the two."""
 
+VERY_LATE_FACTOR = 3.0
+"""RULES.md, Benefit: a job that ends after so many objectives is not served."""
+
+MAX_CHANCE = 0.01
+"""Largest probability of so few served jobs of a size, were they served half as often as all, at
+which the figure means something."""
+
 CLOCK_SLACK_SECONDS = 0.05
 PLANNED_SIGNALS = ("SIGTERM", "SIGHUP")
 STATUSES_BY_VERB = {
@@ -78,6 +95,9 @@
     ended_at: float = 0.0
     """When the observation ended."""
 
+    crowd: Span | None = None
+    """When jobs of one kind contended for the workers, with nothing impaired."""
+
     def calls_of(self, verb: str) -> list[Call]:
         """Return the calls of a verb in the order of their answers."""
         return sorted((c for c in self.calls if c.verb == verb), key=lambda c: c.ended_at)
@@ -106,12 +126,12 @@
     def may_stay(self, job_id: str, state: str) -> bool:
         """Return whether a job may be in this state at the end.
 
-        A long-running one goes on, and best-effort work ends when serving work lets it: the users
-        ask only whether it waits.
+        A long-running one goes on, best-effort work ends when serving work lets it, and a large job
+        when long-running work does: the users ask only whether it waits.
         """
         if state in ("running", "queued"):
             spec = self.spec_by_job[job_id]
-            return spec.is_long_running or bool(spec.best_effort_ms)
+            return spec.is_long_running or spec.is_large or bool(spec.best_effort_ms)
         return state in ("completed", "cancelled", "failed")
 
     def given_up_at_by_job(self) -> dict[str, float]:
@@ -250,13 +270,17 @@
         spans += [(at, at) for at in times]
     spans += _final_losses_of_the_core(seen)
     judged = [*calm_spans(spans, seen.ended_at), (seen.recovered_at, seen.ended_at)]
-    for wait in unmet_demands(_demands(seen), workers, uses, judged):
-        name, since = wait.demand.name, wait.since
+    demands = itertools.chain(_demands(seen), _large_demands(seen))
+    for wait in unmet_demands(demands, workers, uses, judged):
+        name, since, seconds = wait.demand.name, wait.since, wait.demand.max_wait_seconds
         earlier = [record for record in seen.records(name) if record.started_at < since]
         last = max(earlier, key=lambda record: record.started_at, default="none")
-        text = f"{name} has nothing at work for {MAX_WAIT_SECONDS} s from {since:.3f} s on, owed "
+        text = f"{name} has nothing at work for {seconds} s from {since:.3f} s on, owed "
         text += f"from {wait.demand.owed[0]:.3f} s on; last {last}; room on {wait.free}"
-        yield Finding("LOST task", since + MAX_WAIT_SECONDS, text)
+        kind = "LOST task"
+        if wait.demand.waits_for_finite_runs:
+            kind, text = "LARGE task", f"{text} but for finite runs"
+        yield Finding(kind, since + seconds, text)
 
 
 def _final_losses_of_the_core(seen: Observations) -> Iterator[Span]:
@@ -284,7 +308,9 @@
     span = record.started_at, record.ended_at
     is_best_effort = bool(spec.best_effort_ms)
     cpu = 0 if is_best_effort else spec.cpu
-    return Use(record.worker_id, f"{job_id}.{step}", cpu, spec.memory_mb, span, is_best_effort)
+    is_finite = not (spec.is_long_running or is_best_effort)
+    name = f"{job_id}.{step}"
+    return Use(record.worker_id, name, cpu, spec.memory_mb, span, is_best_effort, is_finite)
 
 
 def _demands(seen: Observations) -> Iterator[Demand]:
@@ -317,6 +343,64 @@
                 yield Demand(task, step, *needs, spans[task], TASK_SLACK_SECONDS)
 
 
+def _large_demands(seen: Observations) -> Iterator[Demand]:
+    """Return what the jobs of one large task are owed, as long as there is one at a time.
+
+    A worker is free for it once its finite runs have ended; then it is work that has room.
+    """
+    finite = [spec for spec in seen.spec_by_job.values() if not spec.is_long_running]
+    longest_ms = max((spec.work_ms for spec in finite if not spec.best_effort_ms), default=0)
+    callers = {call.job_id: call.caller for call in seen.calls_of(SUBMIT)}
+    crowd = (seen.spec_by_job[job] for job, caller in callers.items() if caller in CROWD_CALLERS)
+    is_alone_until = seen.crowd[0] if any(spec.is_large for spec in crowd) else math.inf
+    for demand in _demands(seen):
+        if callers[demand.name.partition(".")[0]] == LARGE_CALLER:
+            yield attrs.evolve(
+                demand,
+                owed=(demand.owed[0], min(demand.owed[1], is_alone_until)),
+                max_wait_seconds=longest_ms / 1000 + MAX_WAIT_SECONDS,
+                waits_for_finite_runs=True,
+            )
+
+
+@_check("large jobs that are served less than half as often as all of their kind")
+def _sizes(seen: Observations) -> Iterator[Finding]:
+    """RULES.md, Sizes: of the largest tenth, and of the fifth below it."""
+    jobs = [
+        (seen.spec_by_job[call.job_id], call)
+        for call in seen.calls_of(SUBMIT)
+        if call.caller in CROWD_CALLERS and call.status == 200
+    ]
+    jobs.sort(key=lambda each: each[0].cpu * each[0].count * each[0].work_ms)
+    if not jobs:
+        return
+    tenth, all_served = len(jobs) // 10, _served_count(seen, jobs)
+    groups = {"tenth": jobs[len(jobs) - tenth :], "fifth below": jobs[-3 * tenth : -tenth]}
+    for name, group in groups.items():
+        served = _served_count(seen, group)
+        if _chance_of_at_most(served, len(group), 0.5 * all_served / len(jobs)) < MAX_CHANCE:
+            text = f"of the largest {name}, {len(group)} jobs, {served} are served, "
+            yield Finding("SIZES", seen.crowd[1], f"{text}of all {len(jobs)} {all_served}")
+
+
+def _chance_of_at_most(served: int, count: int, share: float) -> float:
+    """Return the probability that so few of some jobs are served, each with that probability."""
+    return sum(
+        math.comb(count, n) * share**n * (1 - share) ** (count - n) for n in range(served + 1)
+    )
+
+
+def _served_count(seen: Observations, jobs: list[tuple[JobSpec, Call]]) -> int:
+    """Return how many jobs are worth something: up to three objectives late."""
+    served = 0
+    for spec, call in jobs:
+        objective = (ROUTE["targetLatencyMs"] + ROUTE["stretch"] * spec.work_ms) / 1000
+        ends = [r.ended_at for r in seen.records(call.job_id) if r.outcome == "done"]
+        is_done = len(ends) == spec.count
+        served += is_done and max(ends) - call.began_at <= VERY_LATE_FACTOR * objective
+    return served
+
+
 def _done_at(records: list[RunRecord], state: str) -> float:
     """Return when a task was done; an end that was lost counts if its job was completed."""
     done = (r for r in records if r.outcome == "done" and (state == "completed" or not r.is_lost))
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -14,11 +14,14 @@
 from ..platform import FULL_SPEED_PERCENT, RunRecord
 from .callers import (
     CPU_OF_USE,
+    CROWD_CALLERS,
     DEADLINE_SECONDS,
     READ,
     Balancer,
     Call,
     Caller,
+    CrowdCaller,
+    LargeCaller,
     LongRunningCaller,
     SharingCaller,
 )
@@ -37,6 +40,9 @@
 SHARING_JUDGED_SECONDS = JUDGED_SECONDS + 10.0
 """The same where there is best-effort work: time for it to be evicted, and to wait."""
 
+CROWD_SECONDS = 20.0
+"""Time after that in which jobs of one kind, of all sizes, contend for the workers."""
+
 LAG_CHECK_SECONDS = 0.05
 MIN_LAG_SECONDS = 0.3
 """A longer time in which the soak itself stood still is reported: its workers answered nobody."""
@@ -127,12 +133,15 @@
     size: str,
     closings: bool = False,
     best_effort: bool = False,
+    large: bool = False,
 ) -> SoakResult:
     """Run the series of a seed and return the verdict; logs are written to the folder.
 
     With ``closings``, all hosts end at once in the series, and there are long-running jobs.
     With ``best_effort``, there are jobs that serve and best-effort jobs beside them, which go on
-    until the work after the recovery has been judged.
+    until the work after the recovery has been judged.  With ``large``, there is one large job at a
+    time, and once that has been judged, jobs of one kind contend for the workers: of all sizes,
+    or of all but large ones.
     """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
@@ -145,6 +154,10 @@
         if closings:
             callers.append(LongRunningCaller(caller_count, seed, deployment, balancer))
         sharing = [SharingCaller(seed, deployment, balancer)] if best_effort else []
+        crowd, crowd_span = [], None
+        if large:
+            sharing.append(LargeCaller(seed, deployment, balancer))
+            crowd = [CrowdCaller(n, seed, deployment, balancer) for n in CROWD_CALLERS]
         began_at = time.monotonic()
         lags: list[Span] = []
         probes = [(balancer.probe, host) for host in deployment.entries]
@@ -156,13 +169,17 @@
                 for host in deployment.hosts:
                     host.send(signal.SIGCONT)
                 recovered_at = time.monotonic() + RECOVERY_SECONDS
-                if closings or best_effort:
+                if closings or best_effort or large:
                     # Before the service is filled, since work may wait while half of it is in use.
                     judged = SHARING_JUDGED_SECONDS if best_effort else JUDGED_SECONDS
                     time.sleep(max(0.0, recovered_at + judged - time.monotonic()))
+                if large:
+                    crowd_span = time.monotonic(), time.monotonic() + CROWD_SECONDS
+                    with _in_threads([(caller.run,) for caller in crowd]):
+                        time.sleep(CROWD_SECONDS)
             callers.append(Caller(len(callers), seed, deployment, balancer))
             unused = _use_workers(deployment, callers[-1])
-            callers += sharing
+            callers += sharing + crowd
             seen = Observations(
                 deployment,
                 [call for caller in callers for call in caller.calls],
@@ -170,6 +187,7 @@
                 unused_workers=unused,
                 disturbed=disturbed,
                 recovered_at=recovered_at,
+                crowd=crowd_span,
             )
             _recover(deployment, seen)
             if closings or best_effort:
--- a/standins/soak/waits.py
+++ b/standins/soak/waits.py
@@ -40,6 +40,9 @@
     owed: Span
     runs: list[Span]
     slack_seconds: float = 0.0
+    max_wait_seconds: float = MAX_WAIT_SECONDS
+    waits_for_finite_runs: bool = False
+    """Whether it has room as soon as one worker has, were no finite runs there."""
 
 
 @attrs.frozen
@@ -54,6 +57,9 @@
     is_best_effort: bool = False
     """Whether it counts for nothing in the share of the service's capacity in use."""
 
+    is_finite: bool = False
+    """Whether it ends within its estimate; a best-effort run may be slowed down."""
+
 
 @attrs.frozen
 class WorkerTimes:
@@ -95,7 +101,7 @@
             for since, until in (
                 (max(waits_from, first), min(waits_until, last)) for first, last in judged
             )
-            if until - since >= MAX_WAIT_SECONDS
+            if until - since >= demand.max_wait_seconds
         )
         for span in long_waits:
             found = _first_wait_with_room(demand, span, workers, uses)
@@ -129,7 +135,7 @@
             since = None
             continue
         since = at if since is None else since
-        if until - since >= MAX_WAIT_SECONDS:
+        if until - since >= demand.max_wait_seconds:
             return Wait(demand, since, free)
     return None
 
@@ -137,9 +143,15 @@
 def _free_workers(
     demand: Demand, at: float, workers: list[WorkerTimes], uses: list[Use]
 ) -> list[str]:
-    """Return the workers that have room; none unless there is room twice over, half unused."""
+    """Return the workers that have room; none unless there is room twice over, half unused.
+
+    For a demand that waits for finite runs to end, those that have room without them.
+    """
     up = [each for each in workers if any(first <= at < last for first, last in each.up)]
     active = [use for use in uses if use.span[0] <= at < use.span[1]]
+    if demand.waits_for_finite_runs:
+        lasting = [use for use in active if not use.is_finite]
+        return [worker.worker_id for worker in up if _places_on(worker, demand, lasting)]
     reserved = [use for use in active if not use.is_best_effort]
     if not up or any(
         sum(getattr(use, kind) for use in reserved)
@@ -147,19 +159,15 @@
         for kind in ("cpu", "memory_mb")
     ):
         return []
-    places_by_worker = {
-        worker.worker_id: _places(
-            demand, worker, [use for use in active if use.worker_id == worker.worker_id]
-        )
-        for worker in up
-    }
+    places_by_worker = {worker.worker_id: _places_on(worker, demand, active) for worker in up}
     if sum(places_by_worker.values()) < MIN_PLACES:
         return []
     return [worker_id for worker_id, places in places_by_worker.items() if places]
 
 
-def _places(demand: Demand, worker: WorkerTimes, uses: list[Use]) -> int:
+def _places_on(worker: WorkerTimes, demand: Demand, active: list[Use]) -> int:
     """Return how many runs of the demand's step the worker could start."""
+    uses = [use for use in active if use.worker_id == worker.worker_id]
     places = [
         (getattr(worker, kind) - sum(getattr(use, kind) for use in uses)) // getattr(demand, kind)
         for kind in ("cpu", "memory_mb")
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -66,3 +66,20 @@
     assert any(percent == 0 for run in best_effort for _, percent in run.speeds)
     assert any(run.outcome == "stopped" for run in best_effort)
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+SEEDS_WITH_LARGE_TASKS = [
+    # A crowd that takes nearly all that long-running work leaves: on the code before
+    # reservations, a large job got its turn only when the crowd had ended.
+    (50103, 5.0),
+]
+"""Large tasks that get no turn beside smaller ones would be found in these."""
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_LARGE_TASKS)
+def test_large_tasks_get_their_turn_beside_small_ones(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", closings=True, large=True)
+    jobs = [job for job, spec in result.seen.spec_by_job.items() if spec.is_large]
+    crowd_from = result.seen.crowd[0]
+    assert any(r.started_at > crowd_from for job in jobs for r in result.seen.records(job))
+    assert not result.findings, result.report(histories_per_kind=1)
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -7,12 +7,13 @@
 import pytest
 
 from standins.platform import RunRecord
-from standins.soak.callers import CANCEL, READ, SUBMIT, Call, JobSpec
+from standins.soak.callers import CANCEL, CROWD_CALLERS, LARGE_CALLER, READ, SUBMIT, Call, JobSpec
 from standins.soak.deployment import Exit, Host
 from standins.soak.judge import Observations, judge
 from standins.soak.waits import Demand, Use, WorkerTimes, calm_spans, unmet_demands
 
 JOB = "00000000000000aa"
+OTHER_JOB = "00000000000000ab"
 
 
 def kinds(
@@ -329,3 +330,93 @@
 def test_a_long_running_job_does_not_end_by_itself():
     assert kinds(state="completed", spec=LASTING) == ["LOST job", "MIXED"]
     assert kinds(state="running", spec=LASTING) == []
+
+
+# Guards against large tasks that wait without end, since smaller ones take what comes free.
+def test_a_large_task_waits_where_it_has_room_but_for_finite_runs():
+    large = {"cpu": 3000, "max_wait_seconds": 7.0, "waits_for_finite_runs": True}
+    small = [Use(f"w{n}", "another", 4000, 4000, ALWAYS, is_finite=True) for n in range(2)]
+    assert waits(uses=small, **large) == [(TASK, 1.0, ["w0", "w1"])]
+    assert waits(uses=small, runs=[(7.9, 99.0)], **large) == []
+    assert waits(uses=small, runs=[(8.1, 99.0)], **large) == [(TASK, 1.0, ["w0", "w1"])]
+    lasting = [attrs.evolve(use, cpu=1001, is_finite=False) for use in small]
+    assert waits(uses=lasting, **large) == []
+    # One worker is enough, however full the others are.
+    assert waits(uses=lasting[:1], **large) == [(TASK, 1.0, ["w1"])]
+    best_effort = [attrs.evolve(use, cpu=0, is_finite=False, is_best_effort=True) for use in small]
+    assert waits(uses=best_effort, **large) == []
+
+
+LARGE = JobSpec(1, 3000, work="1000 ms", estimated_ms=1000)
+
+
+@pytest.mark.parametrize(
+    ("caller", "run_from", "crowd", "found"),
+    [
+        # The longest estimate is its own, 1 s, and work that has room has to start in 3 s.
+        (LARGE_CALLER, 5.0, None, 0),
+        (LARGE_CALLER, 5.2, None, 1),
+        (0, 5.2, None, 0),
+        # Others of a crowd may be before it.
+        (LARGE_CALLER, 30.0, (4.0, 99.0), 0),
+        (LARGE_CALLER, 30.0, (9.0, 99.0), 1),
+    ],
+)
+def test_one_large_job_at_a_time_starts_in_time(caller, run_from, crowd, found):
+    call = Call(caller, SUBMIT, OTHER_JOB, "ip", False, 1.0, 1.0, 1.1, 200)
+    records = [RunRecord(f"{OTHER_JOB}.0.0.0", 1, run_from, run_from + 1, "done", 1, True)]
+    seen = observed([call], records, {OTHER_JOB: LARGE})
+    if crowd:
+        seen.spec_by_job[JOB] = LARGE
+        seen.calls.append(attrs.evolve(call, caller=CROWD_CALLERS[0], job_id=JOB, status=503))
+    seen.crowd, seen.recovered_at, seen.ended_at = crowd, 0.0, 99.0
+    assert [each.kind for each in judge(seen)].count("LARGE task") == found
+
+
+def observed(calls, records, spec_by_job):
+    """Return what was seen of one worker that was always up."""
+    worker = types.SimpleNamespace(worker_id="w1", records=records, up=[(0.0, 99.0)])
+    deployment = types.SimpleNamespace(
+        entries=[], hosts=[], workers=[worker], acknowledged_version=0
+    )
+    return Observations(deployment, calls, spec_by_job)
+
+
+# Guards against SHORT: large jobs that are worth nothing to their callers, beside small ones.
+@pytest.mark.parametrize(
+    ("unserved", "found"),
+    [
+        (range(0), 0),
+        (range(0, 30), 0),
+        (range(270, 300), 1),
+        (range(210, 270), 1),
+        (range(210, 300), 2),
+        # With 0.92 of all served, 0.46 would do: 11 of 30 come by chance, not 6.
+        (range(270, 289), 0),
+        (range(270, 294), 1),
+    ],
+)
+def test_the_largest_jobs_of_a_kind_are_served_half_as_often_as_all(unserved, found):
+    calls, records, spec_by_job = [], [], {}
+    for number in range(300):
+        job_id = f"{number:016x}"
+        spec_by_job[job_id] = JobSpec(1, 1000 + number, work="1000 ms")
+        calls.append(Call(CROWD_CALLERS[0], SUBMIT, job_id, "ip", False, 1.0, 1.0, 1.1, 200))
+        # Three objectives: three times 500 ms and 1.5 times the work.
+        ended_at = 1.0 + 6.1 if number in unserved else 1.0 + 5.9
+        records.append(RunRecord(f"{job_id}.0.0.0", 1, ended_at - 1, ended_at, "done", 1, True))
+    seen = observed(calls, records, spec_by_job)
+    seen.crowd = 0.0, 20.0
+    assert [each.kind for each in judge(seen)].count("SIZES") == found
+
+
+def test_the_sizes_of_few_jobs_mean_nothing():
+    calls = [
+        Call(CROWD_CALLERS[0], SUBMIT, f"{n:016x}", "ip", False, 1.0, 1.0, 1.1, 200)
+        for n in range(20)
+    ]
+    specs = {call.job_id: JobSpec(1, 1000 + n, work="9 ms") for n, call in enumerate(calls)}
+    records = [RunRecord(f"{c.job_id}.0.0.0", 1, 2.0, 2.1, "done", 1, True) for c in calls[:18]]
+    seen = observed(calls, records, specs)
+    seen.crowd = 0.0, 20.0
+    assert [each.kind for each in judge(seen)].count("SIZES") == 0
