Reserve workers for a gang that is wider than the reserved share

Cause (a class): a reservation for less than the whole gang is of no use and is not made, and at most a tenth of a service's workers is reserved. So a gang of two large tasks waited without end on fewer than 20 workers, whatever was free but for finite runs. The same could act on any step that needs several workers at once; gangs are the only ones.

Change: while no other step has a reservation, a gang may have as many workers as it needs.

The property of the reserved share now allows one gang alone what it needs.

Not mended: a gang waits as long as large tasks of other steps have reservations. Where a gang takes over half of a service, overdue work may still use its workers once these are reserved for 1.5 s (LOST goes before Sizes).

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -26,8 +26,9 @@
 """
 
 MAX_RESERVED_SHARE = 0.1
-"""Share of a service's workers that may be reserved at one time, but one worker always may.
+"""Share of a service's workers that may be reserved at one time.
 
+One worker, or one gang's, always may: a gang that is wider than the share would wait without end.
 A reserved worker is partly idle until its runs have ended.
 """
 
@@ -126,6 +127,8 @@
         self.release(group.key)
         choices, is_possible = [], False
         limit = max(1, int(MAX_RESERVED_SHARE * len(rooms))) - len(self._reservation_by_worker)
+        if step.gang and not self._reservation_by_worker:
+            limit = max(limit, count)
         for position, room in enumerate(rooms):
             slots = room.slots_without_finite_runs(step, run_counts[room.worker.key])
             if not slots:
--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -58,6 +58,7 @@
     "memory": (1, {"estimated_ms": 700, "memory_mb": 700}),
     "spread": (2, WHOLE_WORKER | {"max_per_worker": 1}),
     "labelled": (1, WHOLE_WORKER | {"required_label": "b"}),
+    "gang": (2, WHOLE_WORKER | {"gang": True}),
 }
 """Large steps: how many tasks, and what they need."""
 
