--- a/tests/dispatch/test_startable_work_stateful.py
+++ b/tests/dispatch/test_startable_work_stateful.py
@@ -537,3 +537,37 @@
         run_state_machine_as_test(
             StartableWork, settings=settings(TestStartableWork.settings, phases=[Phase.generate])
         )
+
+
+# Guards against waits of a suspect that add up: paused, then evicted, then kept for a worker of its
+# own, each within its bound.
+def test_a_best_effort_suspect_that_is_evicted_goes_on_in_time():
+    state = StartableWork()
+    state.begin(
+        leader_calls=False,
+        kinds=["finite and labelled", "best-effort"],
+        weight=0.35,
+        serves=True,
+        calm_kinds=["best-effort"],
+        calm_load=0.9,
+        large_kinds=["memory"],
+        stream="long",
+        event="none",
+        event_seconds=2.0,
+        guards_capacity=True,
+        clock_rate=1.0,
+        clock_offset_ms=10**9,
+    )
+    try:
+        state.crash(worker_id="w2")
+        state.lose_power_after(name="settle_batch")
+        state.lose_power_on_start(
+            kind="lasting", name="intend_runs", seconds=0.01, leader="c2", uses_snapshot=True
+        )
+        state.fall_silent(host="c2")
+        state.be_late(worker_id="w1", seconds=8.0)
+        state.stall(host="c1")
+        state.impair(worker_id="w1", impairment=BUSY, seconds=0.01)
+        state.stall(host="c0")
+    finally:
+        state.teardown()
