--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -37,7 +37,8 @@
 MAX_RESERVED_SHARE = 0.1
 """Share of the workers that can ever hold a large task which may be reserved at one time.
 
-One worker always may.  A reserved worker is partly idle until its runs have ended.
+One worker, or one gang's, always may: a gang that is wider than the share would wait without end.
+A reserved worker is partly idle until its runs have ended.
 """
 
 MIN_REMAINING_SECONDS = 0.05
@@ -182,6 +183,8 @@
         count -= sum(slots for slots, _ in chosen.values())
         chosen |= self._choose(group, rooms, chosen.keys(), run_counts, count, now)
         # The members of a gang start together, so less room than for all is of no use.
+        if step.gang and len(chosen) > max(1, self._most(group, rooms, chosen.keys())):
+            return
         if not chosen or (
             step.gang and sum(slots for slots, _ in chosen.values()) < group.spec.count
         ):
@@ -232,12 +235,8 @@
     ) -> dict[IncarnationKey, tuple[int, float]]:
         """Return the same of further workers: those that have room soonest, as the limit allows."""
         step, rank = group.spec, self.rank(group)
-        reserved = {
-            incarnation
-            for incarnation, reservation in self._reservation_by_worker.items()
-            if reservation.rank <= rank and incarnation in rooms.room_by_incarnation
-        } | kept
-        most = max(1, int(MAX_RESERVED_SHARE * len(rooms.room_by_incarnation)))
+        reserved = self._reserved_before(group, rooms) | kept
+        most = self._most(group, rooms, kept)
         if count <= 0 or len(reserved) >= most or rooms.is_taken_for(step, rank):
             return {}
         slots_by_incarnation = {
@@ -249,6 +248,8 @@
             rooms.record_hopeless(step)
             return {}
         limit = max(1, int(MAX_RESERVED_SHARE * len(slots_by_incarnation)))
+        if step.gang and not reserved - kept:
+            limit = max(limit, group.spec.count)
         limit -= len(reserved & slots_by_incarnation.keys())
         if limit <= 0:
             return {}
@@ -271,6 +272,21 @@
             count -= slots_by_incarnation[incarnation]
         return chosen
 
+    def _reserved_before(self, group: StepGroup, rooms: "Rooms") -> set[IncarnationKey]:
+        """Return the workers that are reserved for other steps of no lower rank."""
+        rank = self.rank(group)
+        return {
+            incarnation
+            for incarnation, reservation in self._reservation_by_worker.items()
+            if reservation.rank <= rank and incarnation in rooms.room_by_incarnation
+        }
+
+    def _most(self, group: StepGroup, rooms: "Rooms", own: Set[IncarnationKey]) -> int:
+        """Return how many workers may be reserved at one time, with those of a step's own."""
+        most = max(1, int(MAX_RESERVED_SHARE * len(rooms.room_by_incarnation)))
+        is_alone = not self._reserved_before(group, rooms) - own
+        return max(most, group.spec.count) if group.spec.gang and is_alone else most
+
     def _is_of_use(self, group: StepGroup, room: "Room", now: float) -> bool:
         """Return whether a step has to wait for room there, and there will be some.
 
