Count the wait behind reservations through passes that begin and end without one

Cause: the time for which a worker is closed to others began anew if no step had it at the end of a pass, though one had it before its start in that pass, and the next one from its turn on. A step whose turn came after the one and before the other never saw the worker open. The class: a wait that begins anew. Change: the time ends with a whole pass in which the worker is neither avoided nor reserved at any time.

--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -54,9 +54,10 @@
     _reservation_by_worker: dict[IncarnationKey, _Reservation] = attrs.field(factory=dict)
     _workers_by_group: dict[GroupKey, list[IncarnationKey]] = attrs.field(factory=dict)
     _closed_since_by_worker: dict[IncarnationKey, float] = attrs.field(factory=dict)
-    """Since when others could not use a worker: avoided or reserved, without a break."""
+    """Since when a worker was avoided or reserved, with no pass in which it was neither."""
 
-    _avoided: set[IncarnationKey] = attrs.field(factory=set)
+    _closed: set[IncarnationKey] = attrs.field(factory=set)
+    """The workers that were avoided or reserved at any time in the newest pass."""
 
     _planned_at_by_run: dict[RunKey, float] = attrs.field(factory=dict)
     """When the finite runs were planned, as far as this leader did it."""
@@ -74,13 +75,12 @@
 
         ``avoided`` are those on which only overdue work is placed now.
         """
-        closed = self._reservation_by_worker.keys() | self._avoided
-        self._avoided = avoided
         self._closed_since_by_worker = dict.fromkeys(avoided, now) | {
             incarnation: since
             for incarnation, since in self._closed_since_by_worker.items()
-            if incarnation in closed
+            if incarnation in self._closed
         }
+        self._closed = self._reservation_by_worker.keys() | avoided
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
         for incarnation in self._reservation_by_worker.keys() - placeable:
@@ -171,6 +171,7 @@
                 )
                 # Others must not wait anew.
                 self._closed_since_by_worker.setdefault(incarnation, now)
+                self._closed.add(incarnation)
             self._workers_by_group[group.key] = chosen
         return is_possible
 
--- a/tests/dispatch/test_urgent_work.py
+++ b/tests/dispatch/test_urgent_work.py
@@ -5,11 +5,12 @@
 """
 
 import math
+import random
 
 import attrs
 import pytest
 
-from savoryshelf.dispatch.health import FleetHealth
+from savoryshelf.dispatch.health import FAILURES_BEFORE_QUARANTINE, FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
 from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
@@ -64,7 +65,7 @@
     "unanswered": Fate(RunOutcome.NEVER_RAN, 4.0, backs_off_after=1.0),
     # The worker is gone; its lease and some tries of a poll are the bound.
     "lost": Fate(RunOutcome.LOST, 7.1),
-}
+} | {f"works for {s}": Fate(RunOutcome.DONE, s, s) for s in (0.3, 1.0, 6.0)}
 """By name, so that tests name what happens."""
 
 REFUSALS = ["no room", "invalid", "unhealthy"]
@@ -194,7 +195,7 @@
             if fate.outcome == RunOutcome.NEVER_RAN:
                 self.placement.record_refusal(name, number)
             if run.fate == "unhealthy" or fate.outcome != RunOutcome.NEVER_RAN:
-                self.health.record_outcome(worker_id, run.fate == "works", self.now)
+                self.health.record_outcome(worker_id, run.fate.startswith("works"), self.now)
 
     def crash(self, worker_id):
         """Crash a worker on the starts of all that runs there; it comes back at once."""
@@ -452,3 +453,66 @@
     site.run(6.5)
     site.quarantine(*[f"w{n}" for n in range(8)])
     assert site.run(8.0) < MAX_IDLE_SECONDS + LONG_RUNNING_GRACE_SECONDS
+
+
+# ------------------------------------------------------------------- large and small
+
+
+class MixedSite(Site):
+    """A site of which few workers have memory, with runs that end after any time.
+
+    So the service is idle by its processors, and a reserved worker may be the only one with room.
+    """
+
+    SECONDS = 25.0
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        super().__init__(self.random.choice([2, 3, 4, 6]))
+        workers = list(self.ledger.worker_by_incarnation.values())
+        self.worker_ids = [each.key[0] for each in workers]
+        for each in workers[self.random.choice([1, 2]) :]:
+            each.record.memory_mb = 50
+        self.submitted_count = 0
+        self._fate_by_task = {}
+        self.fate = self._draw_fate
+
+    def _draw_fate(self, task, worker_id):
+        if task.name not in self._fate_by_task:
+            seconds = [0.3, 1.0] if task.step.spec.millicores > 8_000 else [0.3, 1.0, 6.0]
+            self._fate_by_task[task.name] = f"works for {self.random.choice(seconds)}"
+        return self._fate_by_task[task.name]
+
+    def submit_some(self):
+        """Submit a job of one or two tasks, and let runs fail on a worker at times."""
+        self.submitted_count += 1
+        needs = {"millicores": self.random.choice([500, 2_000, 10_000, 16_000, 16_000])}
+        if needs["millicores"] == 500 and self.random.random() < 0.3:
+            needs["lasting"] = True
+        count, estimated_ms = self.random.randint(1, 2), self.random.choice([1_000, 3_000])
+        job_id = f"{self.submitted_count:016x}"
+        self.submit(count, job_id, memory_mb=100, estimated_ms=estimated_ms, **needs)
+        if self.random.random() < 0.3:
+            worker_id = self.random.choice(self.worker_ids[:2])
+            for _ in range(FAILURES_BEFORE_QUARANTINE):
+                self.health.record_outcome(worker_id, False, self.now)
+
+    def _has_room_twice(self, group, working):
+        # Runs may take any time, but each of them works.
+        fate, self.fate = self.fate, lambda task, worker_id: "works"
+        try:
+            return super()._has_room_twice(group, working)
+        finally:
+            self.fate = fate
+
+
+# Guards against small work that waits behind reservations for large tasks, whatever it has waited
+# for before, though callers are owed a run.
+@pytest.mark.parametrize("seed", [*range(30), 144, 153, 273, 419, 562, 614, 1135])
+def test_random_large_tasks_keep_no_small_work_waiting(seed):
+    site = MixedSite(seed)
+    for _ in range(int(MixedSite.SECONDS / PASS_SECONDS)):
+        if site.random.random() < 0.3:
+            site.submit_some()
+        site.run_pass()
+    assert max(site.idle_seconds.values(), default=0.0) < MAX_IDLE_SECONDS
