--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -149,6 +149,22 @@
     assert hanging not in fleet.done_at_by_job
 
 
+# Guards against a large task that keeps the worker it once chose, though its run hangs there.
+def test_a_large_task_gets_another_worker_if_room_comes_later_than_expected():
+    fleet = Fleet(*[WORKER_MILLICORES] * 2)
+    fleet.accept(step(estimated_ms=300, millicores=16_000))
+    fleet.plan()
+    (hanging,) = fleet.ends_at_by_run
+    fleet.ends_at_by_run[hanging] = math.inf
+    stream = fleet.small_stream()
+    fleet.run(0.2, stream)
+    large = fleet.accept(step(estimated_ms=1000, **LARGE))
+    accepted_at = fleet.now
+    fleet.run(4.0, stream)
+    # It is worth something for three times its objective.
+    assert fleet.start_of(large) + 1.0 - accepted_at <= 3 * (0.5 + 1.5 * 1.0)
+
+
 # Guards against tasks of a quarter to half of a worker that wait without end, since several of the
 # smaller runs never end at the same time.
 @pytest.mark.parametrize("millicores", [4_000, 6_000, 8_000])
