Keep whole workers of all sizes if a task needs a large part of the smallest

Cause, by reading what changed between the two: a worker was kept whole only if the largest task of late needs over half of that very worker. Workers of 24 cores come first and need a task of 12 cores for it, but used up what is to be kept all the same; so long-running runs took them. Change: large is what needs over half of the smallest worker, for all of a service, as reservations have it. test_workers_of_all_sizes_are_kept_whole_if_a_task_needs_half_of_the_smallest fails before.

--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -1043,17 +1043,18 @@
         total = sum(candidate.view.worker.record.millicores for candidate in members)
         kept = max((1.0 - MAX_LONG_RUNNING_SHARE) * total, demand.peak_millicores(service_name))
         largest = demand.largest_millicores(service_name)
+        least = min(candidate.view.worker.record.millicores for candidate in members)
+        has_large = largest > LARGE_SHARE * least
         for candidate in members:
-            candidate.fills_up = largest > LARGE_SHARE * candidate.view.worker.record.millicores
+            candidate.fills_up = has_large
         whole = [c for c in members if not c.view.worker.long_running.millicores]
         whole.sort(key=lambda candidate: -candidate.view.worker.record.millicores)
         for candidate in whole:
             if kept <= 0:
                 break
-            record = candidate.view.worker.record
-            candidate.is_kept_whole = candidate.fills_up or not largest
-            candidate.is_kept_for_large = candidate.fills_up and len(whole) < len(members)
-            kept -= record.millicores
+            candidate.is_kept_whole = has_large or not largest
+            candidate.is_kept_for_large = has_large and len(whole) < len(members)
+            kept -= candidate.view.worker.record.millicores
 
 
 def is_limited(step: StepSpec) -> bool:
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -579,6 +579,20 @@
     assert all(fleet.start_of(large, index) < math.inf for index in range(3))
 
 
+# Guards against whole workers that are given up since no task needs half of the largest ones.
+def test_workers_of_all_sizes_are_kept_whole_if_a_task_needs_half_of_the_smallest():
+    fleet = Fleet(*[24_000] * 4, *[WORKER_MILLICORES] * 36)
+    fleet.accept(step(millicores=9_000, estimated_ms=100))
+    fleet.run(0.5)
+    for number in range(16):
+        serving = {"millicores": 1_500, "max_per_worker": 1, "image": f"s{number % 5}"}
+        fleet.accept(step(20, lasting=True, target_ms=50, **serving), prefix="/long/")
+    fleet.run(3.0)
+    workers = list(fleet.ledger.worker_by_incarnation.values())
+    # A twelfth of the processors, at least.
+    assert sum(not each.long_running_millicores for each in workers) >= 3
+
+
 def test_long_running_work_uses_the_workers_kept_whole_if_no_other_has_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     lasting = fleet.accept(step(4, lasting=True, millicores=14_000), prefix="/long/")
