Reservations read again: one test of what is large, one of what suffices for a gang

No change of behaviour: what is compared with a share of a worker was written twice, two conditions on gangs stood one after the other, and a docstring began in the middle.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2239,7 +2239,7 @@
     Mutant(
         "smaller finite tasks leave whole workers to large ones",
         "dispatch/placement.py",
-        "            score += ROOM_FOR_LARGE_PENALTY * (not is_large(step, [record]))\n",
+        "            score += ROOM_FOR_LARGE_PENALTY * (not is_large_on(step, record))\n",
         "            pass\n",
         _LARGE_TASKS_TESTS,
     ),
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -30,7 +30,7 @@
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
 from .lateness import VERY_LATE, lateness_of
 from .refused_starts import RefusedStarts
-from .reservations import LARGE_SHARE, Rank, Reservations, Room, Rooms, is_large, needs_no_less
+from .reservations import LARGE_SHARE, Rank, Reservations, Room, Rooms, is_large_on, needs_no_less
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
 
 REMOTE_DATA_PENALTY = 100.0
@@ -974,7 +974,7 @@
         if is_packed:
             score += ROOM_FOR_FINITE_PENALTY * candidate.is_kept_whole
         elif candidate.is_kept_for_large and not step.filling:
-            score += ROOM_FOR_LARGE_PENALTY * (not is_large(step, [record]))
+            score += ROOM_FOR_LARGE_PENALTY * (not is_large_on(step, record))
         return score
 
     def _serving_score(self, step: StepSpec, candidate: _Candidate) -> float:
@@ -1030,10 +1030,10 @@
 
 
 def _keep_whole_workers(candidates: list[_Candidate], demand: FiniteDemand) -> None:
-    """Keep workers for finite runs, largest first: as many as those use, if some need a large part.
+    """Keep workers without long-running runs for finite ones: as many as those use, largest first.
 
-    Of those on which no long-running run reserves processors.  A sum of what is free on each worker
-    would hold no large task.  Before there is any finite work, it may be large.
+    Only if some finite tasks need a large part of a worker, since a sum of what is free on each
+    would hold none of them; before there is any finite work, it may be large.
     """
     candidates_by_service: dict[str, list[_Candidate]] = {}
     for candidate in candidates:
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -57,7 +57,7 @@
 """The key of a step: job id, occurrence and number."""
 
 Rank = tuple[int, bool]
-"""The priority of a step, and whether its job can be worth nothing any more; less goes first."""
+"""The priority of a step, and whether its job is worth nothing any more; less goes first."""
 
 
 @attrs.frozen
@@ -182,12 +182,7 @@
         chosen = self._keep(group, rooms, reservation_by_kept, run_counts, count, now)
         count -= sum(slots for slots, _ in chosen.values())
         chosen |= self._choose(group, rooms, chosen.keys(), run_counts, count, now)
-        # The members of a gang start together, so less room than for all is of no use.
-        if step.gang and len(chosen) > max(1, self._most(group, rooms, chosen.keys())):
-            return
-        if not chosen or (
-            step.gang and sum(slots for slots, _ in chosen.values()) < group.spec.count
-        ):
+        if not chosen or (step.gang and not self._suffices_for_gang(group, rooms, chosen)):
             return
         for incarnation, (_, room_at) in chosen.items():
             self._release_worker(incarnation)
@@ -287,6 +282,13 @@
         is_alone = not self._reserved_before(group, rooms) - own
         return max(most, group.spec.count) if group.spec.gang and is_alone else most
 
+    def _suffices_for_gang(
+        self, group: StepGroup, rooms: "Rooms", chosen: dict[IncarnationKey, tuple[int, float]]
+    ) -> bool:
+        """Return whether all members, which start together, have room on workers they may have."""
+        has_room = sum(slots for slots, _ in chosen.values()) >= group.spec.count
+        return has_room and len(chosen) <= self._most(group, rooms, chosen.keys())
+
     def _is_of_use(self, group: StepGroup, room: "Room", now: float) -> bool:
         """Return whether a step has to wait for room there, and there will be some.
 
@@ -494,11 +496,6 @@
     )
 
 
-def is_large(step: StepSpec, records: Iterable[WorkerRecord]) -> bool:
-    """Return whether a task needs a large part of some of the workers."""
-    return any(
-        step.millicores > LARGE_SHARE * record.millicores
-        or step.memory_mb > LARGE_SHARE * record.memory_mb
-        or step.accelerators > LARGE_SHARE * record.accelerators
-        for record in records
-    )
+def is_large_on(step: StepSpec, record: WorkerRecord) -> bool:
+    """Return whether a task needs a large part of a worker."""
+    return _exceeds(step, LARGE_SHARE, (record.millicores, record.memory_mb, record.accelerators))
--- a/tests/dispatch/test_waiting_reasons.py
+++ b/tests/dispatch/test_waiting_reasons.py
@@ -56,14 +56,17 @@
     def record_of(self, key):
         return self.ledger.worker_by_incarnation[key].record
 
+    def situations(self):
+        """Return the situations of the workers."""
+        workers = self.ledger.worker_by_incarnation.values()
+        return situations_by_service(workers, self.fleet, self.placement, self.health, self.now)[
+            "dispatch"
+        ]
+
     def reason_of(self, key):
         """Return the one reason under which a worker counts."""
         group = self.ledger.job_by_id[JOB].groups[0, 0]
-        workers = self.ledger.worker_by_incarnation.values()
-        situations = situations_by_service(
-            workers, self.fleet, self.placement, self.health, self.now
-        )
-        (situation,) = [s for s in situations["dispatch"] if s.worker.key == key]
+        (situation,) = [s for s in self.situations() if s.worker.key == key]
         ((reason, count),) = count_by_reason(group, [situation]).items()
         assert count == 1
         return reason
@@ -199,13 +202,7 @@
     accept(site.ledger, step(millicores=1000, memory_mb=300), job_id=THIRD_JOB)
     record_intent(site.ledger, f"{OTHER_JOB}.0.0.0", incarnation=LEFT_OUT)
     record_intent(site.ledger, f"{THIRD_JOB}.0.0.0", incarnation=SOUND)
-    situations = situations_by_service(
-        site.ledger.worker_by_incarnation.values(),
-        site.fleet,
-        site.placement,
-        site.health,
-        site.now,
-    )["dispatch"]
+    situations = site.situations()
     # 1,500 and 3,000 of 4,000 are free; without the finite run the second one has all of it.
     assert free_room(step(millicores=4000), situations) == FreeRoom(4500, 3000, 900, 1, 1)
     assert free_room(step(millicores=1500), situations).fits_without_finite_runs == 2
@@ -215,11 +212,5 @@
     site = Site()
     site.record_of(LEFT_OUT).draining = True
     site.report("w2", responsive=False)
-    situations = situations_by_service(
-        site.ledger.worker_by_incarnation.values(),
-        site.fleet,
-        site.placement,
-        site.health,
-        site.now,
-    )["dispatch"]
+    situations = site.situations()
     assert free_room(step(), situations) == FreeRoom(0, 0, 0, 0, 0)
