Large jobs that are worth nothing any more get their turn as well

Cause: such a job gets no reservation, so whatever is smaller takes each share of a worker that comes free.

One that has been very late for twice that long has one worker of its service at a time (a gang its own) reserved for it, before the reservations of the pass and beside their limit. What can be in time yields one worker at most.

--- a/src/savoryshelf/dispatch/lateness.py
+++ b/src/savoryshelf/dispatch/lateness.py
@@ -6,6 +6,8 @@
 cannot be on time any more would only make others late too.
 """
 
+import math
+
 from ..tasks.job import Job, StepGroup
 
 VERY_LATE_FACTOR = 3.0
@@ -14,6 +16,9 @@
 This is a requirement of the users.
 """
 
+YIELD_FACTOR = 2.0 * VERY_LATE_FACTOR
+"""Multiple of its objective up to which a very late job yields to all that can still be in time."""
+
 ON_TIME, LATE, VERY_LATE = range(3)
 
 
@@ -35,16 +40,32 @@
 
     A job with a long-running step is always ON_TIME.
     """
+    multiple = _multiple_of_objective(group, wall_ms)
+    if multiple <= 1.0:
+        return ON_TIME
+    return LATE if multiple <= VERY_LATE_FACTOR else VERY_LATE
+
+
+def has_yielded_long(group: StepGroup, wall_ms: int) -> bool:
+    """Return whether a job has been very late for so long that it yields no more."""
+    return _multiple_of_objective(group, wall_ms) > YIELD_FACTOR
+
+
+def _multiple_of_objective(group: StepGroup, wall_ms: int) -> float:
+    """Return the earliest end of the job after a step, as a multiple of its objective.
+
+    0 for a job with a long-running step, which has none.
+    """
     job = group.job
     if any(step.lasting for step in job.spec.steps):
-        return ON_TIME
+        return 0.0
     age_ms = wall_ms - max(job.accepted_ms, job.due_ms(group.occurrence))
     remaining_ms = _remaining_ms_by_step(job)
     earliest_end_ms = age_ms + remaining_ms[group.number]
     objective_ms = job.queue.target_latency_ms + job.queue.stretch * max(remaining_ms)
     if earliest_end_ms <= objective_ms:
-        return ON_TIME
-    return LATE if earliest_end_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
+        return 0.0
+    return earliest_end_ms / objective_ms if objective_ms > 0 else math.inf
 
 
 def _remaining_ms_by_step(job: Job) -> list[int]:
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -28,7 +28,7 @@
     interference_headroom,
 )
 from .isolation import MAX_CHOICES_PER_PASS, MAX_ISOLATED_SHARE, Isolation
-from .lateness import VERY_LATE, lateness_of
+from .lateness import VERY_LATE, has_yielded_long, lateness_of
 from .refused_starts import RefusedStarts
 from .reservations import LARGE_SHARE, Rank, Reservations, Room, Rooms, is_large_on, needs_no_less
 from .waiting import MAX_DEFERRAL_SECONDS, RunsAtWork, WaitingWork
@@ -594,6 +594,7 @@
         usage = _ServiceUsage(candidates, views)
         last_resorts: list[RunIntent] = []
         groups.sort(key=lambda group: _scheduling_order(group, wall_ms))
+        self._give_turns(groups, pools, wall_ms, now)
         for group in self._with_overdue_before_refused(groups, ledger, now):
             pool = pools.pool_of(group)
             if self._must_leave_capacity(group, pool.candidates, wall_ms, now):
@@ -619,6 +620,23 @@
         self.waiting.record_starts(ledger, intents, last_resorts, now)
         return intents
 
+    def _give_turns(self, groups: list[StepGroup], pools: _Pools, wall_ms: int, now: float) -> None:
+        """Reserve a worker of each service for the large step that has yielded for longest.
+
+        Otherwise it would wait without end beside a stream of jobs that can still be in time.
+        """
+        services: set[str] = set()
+        for group in groups:
+            step, service_name = group.spec, group.job.queue.service_name
+            if step.lasting or step.filling or service_name in services:
+                continue
+            if not has_yielded_long(group, wall_ms):
+                continue
+            rooms = pools.pool_of(group).rooms()
+            run_counts = run_count_by_incarnation(group) if step.max_per_worker else Counter()
+            if rooms.is_large(step) and self._reservations.give_turn(group, rooms, run_counts, now):
+                services.add(service_name)
+
     def _reserve_workers(
         self,
         group: StepGroup,
@@ -629,14 +647,15 @@
     ) -> None:
         """Reserve workers for the tasks of a large finite step that have room on none.
 
-        A job that is worth nothing to its caller any more gets none.  ``planned`` holds the runs of
-        the step that were planned in this pass.
+        A job that is worth nothing to its caller any more gets none, unless it is its turn.
+        ``planned`` holds the runs of the step that were planned in this pass.
         """
         step = group.spec
         if step.lasting or step.filling:
             return
         count = len(group.startable_indexes) - len(planned)
-        is_of_use = count and lateness_of(group, wall_ms) != VERY_LATE
+        has_turn = self._reservations.has_turn(group)
+        is_of_use = count and (has_turn or lateness_of(group, wall_ms) != VERY_LATE)
         rooms = pool.rooms()
         if not is_of_use or not rooms.is_large(step):
             self._reservations.release(group.key)
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -91,11 +91,14 @@
     _rank_by_group: dict[GroupKey, Rank] = attrs.field(factory=dict)
     """Ranks in this pass."""
 
+    _turns: set[GroupKey] = attrs.field(factory=set)
+    """The steps that get a turn in this pass though their jobs are worth nothing any more."""
+
     def begin_pass(
         self, ledger: TaskLedger, placeable: set[IncarnationKey], wall_ms: int, now: float
     ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
-        self._wall_ms, self._rank_by_group = wall_ms, {}
+        self._wall_ms, self._rank_by_group, self._turns = wall_ms, {}, set()
         self._earlier_by_worker = dict(self._reservation_by_worker)
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
@@ -140,10 +143,31 @@
         """Return the rank of a step in this pass."""
         rank = self._rank_by_group.get(group.key)
         if rank is None:
-            is_very_late = lateness_of(group, self._wall_ms) == VERY_LATE
-            rank = self._rank_by_group[group.key] = group.job.queue.priority, is_very_late
+            yields = not self.has_turn(group) and lateness_of(group, self._wall_ms) == VERY_LATE
+            rank = self._rank_by_group[group.key] = group.job.queue.priority, yields
         return rank
 
+    def has_turn(self, group: StepGroup) -> bool:
+        """Return whether a worker is reserved in this pass for a step that has yielded for long."""
+        return group.key in self._turns
+
+    def give_turn(
+        self, group: StepGroup, rooms: "Rooms", run_counts: Counter[IncarnationKey], now: float
+    ) -> bool:
+        """Reserve a worker for one task, or one gang, of a step that has yielded for long.
+
+        This goes before the reservations of this pass, and counts against no limit of theirs.
+        Returns whether there is a worker to reserve.
+        """
+        self._turns.add(group.key)
+        self._rank_by_group.pop(group.key, None)
+        self.reserve(group, rooms, run_counts, len(group.startable_indexes), now)
+        if self.workers_of(group.key):
+            return True
+        self._turns.discard(group.key)
+        self._rank_by_group.pop(group.key, None)
+        return False
+
     def is_recent(self, worker: Worker, step: StepSpec, now: float) -> bool:
         """Return whether a worker has been reserved for less than preferences may delay a start.
 
@@ -172,6 +196,8 @@
         ``run_counts`` tells how many runs of the step each worker has.
         """
         step = group.spec
+        if self.has_turn(group) and not step.gang:
+            count = min(count, 1)
         reservation_by_kept = {
             incarnation: self._reservation_by_worker[incarnation]
             for incarnation in self.workers_of(group.key)
@@ -214,7 +240,8 @@
             if room is None or count <= 0 or now > reservation.room_at + ROOM_GRACE_SECONDS:
                 continue
             slots = room.slots_without_finite_runs(group.spec, run_counts[incarnation])
-            if slots and self._is_of_use(group, room, now):
+            # A turn comes before this pass has planned anything, so there may be room by now.
+            if slots and (self.has_turn(group) or self._is_of_use(group, room, now)):
                 kept[incarnation] = slots, reservation.room_at
                 count -= slots
         return kept
@@ -268,12 +295,16 @@
         return chosen
 
     def _reserved_before(self, group: StepGroup, rooms: "Rooms") -> set[IncarnationKey]:
-        """Return the workers that are reserved for other steps of no lower rank."""
+        """Return the workers reserved for other steps of no lower rank, as far as they count."""
+        if self.has_turn(group):
+            return set()
         rank = self.rank(group)
         return {
             incarnation
             for incarnation, reservation in self._reservation_by_worker.items()
-            if reservation.rank <= rank and incarnation in rooms.room_by_incarnation
+            if reservation.rank <= rank
+            and reservation.group not in self._turns
+            and incarnation in rooms.room_by_incarnation
         }
 
     def _most(self, group: StepGroup, rooms: "Rooms", own: Set[IncarnationKey]) -> int:
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -16,6 +16,7 @@
     FleetHealth,
 )
 from savoryshelf.dispatch.interference import InterferenceModel
+from savoryshelf.dispatch.lateness import YIELD_FACTOR
 from savoryshelf.dispatch.placement import Placement, WorkerView
 from savoryshelf.dispatch.reservations import Room
 from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS
@@ -306,6 +307,38 @@
     assert all(fleet.start_of(small, index) < math.inf for index in range(8))
 
 
+# Guards against a large task that waits without end once its job is worth nothing any more, since
+# it yields to a stream of jobs that can still be in time.
+@pytest.mark.parametrize(
+    "spec",
+    [step(estimated_ms=1000, **LARGE), step(2, estimated_ms=1000, gang=True, **LARGE)],
+    ids=["a task", "a gang"],
+)
+def test_a_job_that_is_worth_nothing_any_more_gets_its_turn_at_last(spec):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    fleet.accept(step(64, estimated_ms=10_000, **SMALL))
+    fleet.plan()
+    stream = fleet.small_stream(4)
+    large = fleet.accept(spec)
+    accepted_at = fleet.now
+    fleet.run(14.0, stream)
+    # Its objective is 2 s, and the runs on a worker take 1 s.
+    assert fleet.start_of(large) - accepted_at <= YIELD_FACTOR * 2.0 + 1.0 + 2 * PASS_SECONDS
+
+
+# Guards against a service that is idle for jobs that are worth nothing any more.
+def test_jobs_that_are_worth_nothing_any_more_have_one_worker_at_a_time():
+    fleet = Fleet(*[WORKER_MILLICORES] * 20)
+    fleet.accept(step(160, estimated_ms=14_000, **SMALL))
+    fleet.plan()
+    for _ in range(4):
+        fleet.accept(step(5, estimated_ms=1000, **LARGE))
+    fleet.run(13.8)
+    small = fleet.accept(step(160, estimated_ms=8000, **SMALL))
+    fleet.run(0.3)
+    assert sum(fleet.start_of(small, index) < math.inf for index in range(160)) == 19 * 8
+
+
 # Guards against large tasks that wait without end, since others have reserved workers which
 # can't run them.
 @pytest.mark.parametrize("requirement", ["service", "label"])
@@ -340,7 +373,7 @@
 
 # Guards against large tasks that wait without end, since work that counts for less has reserved
 # all workers that may be.
-@pytest.mark.parametrize("holder", ["less urgent", "very late"])
+@pytest.mark.parametrize("holder", ["less urgent", "very late", "very late for long"])
 def test_a_large_task_takes_what_is_reserved_for_less_important_ones(holder):
     fleet = Fleet(*[WORKER_MILLICORES] * 8)
     # So many of them that their ends are spread over the time.
@@ -352,7 +385,7 @@
     else:
         # Its objective is 2 s, and it is worth nothing after three times that.
         fleet.accept(step(40, estimated_ms=1000, **LARGE))
-        fleet.run(6.0, stream)
+        fleet.run(6.0 if holder == "very late" else 13.0, stream)
     large = fleet.accept(step(estimated_ms=1000, **LARGE))
     accepted_at = fleet.now
     fleet.run(3.0, stream)
