A control host waits for a disk that refuses writes

Cause: every failed write ended the process, whatever the error. A write that is refused for lack of space has changed nothing but a part of a record at the end of the file, which is taken back; it is repeated until the disk takes it, as if the disk were slow. After any other error, and after a failed sync, the process ends as before, since what is on the disk is not known then.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2187,6 +2187,27 @@
         "limit = len(slots_by_incarnation)",
         _LARGE_TASKS_TESTS,
     ),
+    Mutant(
+        "what a disk has taken of a refused record is taken back",
+        "disk.py",
+        "            os.ftruncate(self._open_fd, size)\n",
+        "",
+        "tests/test_disk.py tests/replication/test_refusing_disk.py",
+    ),
+    Mutant(
+        "a sync that failed is not repeated",
+        "disk.py",
+        "        os.fdatasync(self._open_fd)\n",
+        "        with _refusable():\n            os.fdatasync(self._open_fd)\n",
+        "tests/test_disk.py",
+    ),
+    Mutant(
+        "a host waits for a disk that refuses bytes",
+        "disk.py",
+        "if error.errno in REFUSED_ERRNOS:",
+        "if False:",
+        "tests/test_disk.py",
+    ),
     Mutant(
         "a large job that is worth nothing any more gets a turn",
         "dispatch/placement.py",
--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -1,11 +1,23 @@
 """The interface to a data folder; written data is synced before the call returns."""
 
+import contextlib
+import errno
 import os
+import time
 from typing import Protocol
 
+import eventlet
 from eventlet import tpool
 
 from .errors import DiskFailed
+from .observability import metrics
+from .observability.logs import log_event
+
+REFUSED_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT})
+"""Errors of a disk that takes no bytes for now, and has lost none that it took."""
+
+REFUSAL_RETRY_SECONDS = 0.1
+"""Pause between attempts to write to a disk that refuses bytes."""
 
 
 class Disk(Protocol):
@@ -37,8 +49,9 @@
     """A folder in a local file system.
 
     Writes run in a native thread, since a slow disk would otherwise block
-    every green thread, including the one that sends heartbeats.  A failed
-    write raises DiskFailed.
+    every green thread, including the one that sends heartbeats.  A write that
+    is refused for lack of space is repeated until the disk takes it, as if the
+    disk were slow; any other failure raises DiskFailed.
     """
 
     def __init__(self, folder: str):
@@ -77,10 +90,22 @@
         self._run_in_native_thread("sync", self._sync, names)
 
     def _run_in_native_thread(self, operation: str, function, *arguments) -> None:
-        try:
-            tpool.execute(function, *arguments)
-        except OSError as error:
-            raise DiskFailed(operation, error) from error
+        refused_since = None
+        while True:
+            try:
+                tpool.execute(function, *arguments)
+                break
+            except _Refused as error:
+                if refused_since is None:
+                    refused_since = time.monotonic()
+                    log_event("disk:refuses", operation=operation, why=str(error))
+            except OSError as error:
+                raise DiskFailed(operation, error) from error
+            metrics.DISK_REFUSALS.inc()
+            eventlet.sleep(REFUSAL_RETRY_SECONDS)
+        if refused_since is not None:
+            seconds = round(time.monotonic() - refused_since, 2)
+            log_event("disk:accepts", operation=operation, seconds=seconds)
 
     def _path(self, name: str) -> str:
         return os.path.join(self._folder, name)
@@ -89,23 +114,33 @@
         if name != self._open_name:
             self._close()
             is_new = not os.path.exists(self._path(name))
-            self._open_fd = os.open(self._path(name), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+            with _refusable():
+                self._open_fd = os.open(self._path(name), os.O_WRONLY | os.O_CREAT | os.O_APPEND)
             self._open_name = name
             if is_new:
                 self._sync_folder()
-        while data:
-            data = data[os.write(self._open_fd, data) :]
+        size = os.fstat(self._open_fd).st_size
+        try:
+            with _refusable():
+                while data:
+                    data = data[os.write(self._open_fd, data) :]
+        except _Refused:
+            # What was taken of this record would come twice.
+            os.ftruncate(self._open_fd, size)
+            raise
+        # What a failed sync has left on the disk is not known, so that is not repeated.
         os.fdatasync(self._open_fd)
 
     def _replace(self, name: str, data: bytes) -> None:
         if name == self._open_name:
             self._close()
         temporary = self._path(name + ".tmp")
-        with open(temporary, "wb") as file:
+        with _refusable(), open(temporary, "wb") as file:
             file.write(data)
             file.flush()
             os.fsync(file.fileno())
-        os.replace(temporary, self._path(name))
+        with _refusable():
+            os.replace(temporary, self._path(name))
         self._sync_folder()
 
     def _remove(self, name: str) -> None:
@@ -135,3 +170,18 @@
         if self._open_fd >= 0:
             os.close(self._open_fd)
         self._open_fd, self._open_name = -1, None
+
+
+class _Refused(Exception):
+    """The disk takes no bytes for now; nothing was changed."""
+
+
+@contextlib.contextmanager
+def _refusable():
+    """Turn the errors of a disk that takes no bytes into _Refused."""
+    try:
+        yield
+    except OSError as error:
+        if error.errno in REFUSED_ERRNOS:
+            raise _Refused(str(error)) from error
+        raise
--- a/src/savoryshelf/errors.py
+++ b/src/savoryshelf/errors.py
@@ -65,7 +65,7 @@
 
 
 class DiskFailed(SavoryshelfError):
-    """Writing to the data folder failed.
+    """Writing to the data folder failed, other than for lack of space.
 
     The replica stops, so that it never acknowledges data that is not on disk.
     """
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -32,6 +32,11 @@
 LOG_WRITES = Counter(
     "savoryshelf_log_writes", "Synced writes of the log (group commits).", registry=REGISTRY
 )
+DISK_REFUSALS = Counter(
+    "savoryshelf_disk_refusals",
+    "Attempts to write that the disk refused for lack of space; they are repeated.",
+    registry=REGISTRY,
+)
 RUN_ENDS = Counter(
     "savoryshelf_run_ends", "Ends of runs of tasks, by outcome.", ["outcome"], registry=REGISTRY
 )
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,6 +1,14 @@
+import builtins
+import errno
 import os
+import time
+
+import eventlet
+import pytest
 
 from savoryshelf.disk import LocalDisk
+from savoryshelf.errors import DiskFailed
+from savoryshelf.observability import metrics
 
 
 def test_sync_reaches_the_files_and_the_folder(tmp_path, monkeypatch):
@@ -15,3 +23,78 @@
     monkeypatch.setattr(os, "fsync", record)
     LocalDisk(str(tmp_path)).sync(["a"])
     assert synced == ["a", tmp_path.name]
+
+
+@pytest.fixture
+def refusing(monkeypatch):
+    """Let every write fail after its first three bytes; return a call that ends this."""
+    write = os.write
+
+    def refuse(descriptor, data):
+        if not os.readlink(f"/proc/self/fd/{descriptor}").endswith(("/a", "/a.tmp")):
+            return write(descriptor, data)
+        if len(data) > 3:
+            return write(descriptor, data[:3])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "write", refuse)
+    return lambda: monkeypatch.setattr(os, "write", write)
+
+
+# Guards against a control host that ends whenever its disk refuses writes for a moment.
+def test_an_append_that_is_refused_is_repeated_whole(tmp_path, refusing):
+    disk = LocalDisk(str(tmp_path))
+    before = metrics.DISK_REFUSALS._value.get()
+    eventlet.spawn_after(0.3, refusing)
+    began_at = time.monotonic()
+    disk.append("a", b"record")
+    assert time.monotonic() - began_at >= 0.3
+    disk.append("a", b"next")
+    assert disk.read("a") == b"recordnext"
+    assert metrics.DISK_REFUSALS._value.get() > before
+
+
+def test_a_record_that_was_torn_by_a_refusal_is_taken_back(tmp_path, refusing):
+    disk = LocalDisk(str(tmp_path))
+    with eventlet.Timeout(0.25, False):
+        disk.append("a", b"record")
+    assert disk.read("a") == b""
+
+
+@pytest.mark.parametrize("function", ["open", "replace"])
+def test_a_replacement_that_is_refused_is_repeated(tmp_path, monkeypatch, function):
+    disk = LocalDisk(str(tmp_path))
+    disk.append("a", b"old")
+    module = builtins if function == "open" else os
+    original, refusals = getattr(module, function), []
+
+    def refuse(path, *arguments):
+        if len(refusals) < 2 and str(path).endswith("a.tmp"):
+            refusals.append(path)
+            raise OSError(errno.EDQUOT, "Disk quota exceeded")
+        return original(path, *arguments)
+
+    monkeypatch.setattr(module, function, refuse)
+    disk.replace("a", b"new")
+    assert len(refusals) == 2
+    assert disk.read("a") == b"new"
+
+
+# Guards against acknowledging what a sync has not written: a second one may succeed without it.
+@pytest.mark.parametrize("number", [errno.EIO, errno.ENOSPC])
+def test_a_failed_sync_is_not_repeated(tmp_path, monkeypatch, number):
+    def fail(descriptor):
+        raise OSError(number, os.strerror(number))
+
+    monkeypatch.setattr(os, "fdatasync", fail)
+    with pytest.raises(DiskFailed, match="append"):
+        LocalDisk(str(tmp_path)).append("a", b"record")
+
+
+def test_an_error_of_the_disk_is_not_a_refusal(tmp_path, monkeypatch):
+    def fail(descriptor, data):
+        raise OSError(errno.EIO, "Input/output error")
+
+    monkeypatch.setattr(os, "write", fail)
+    with pytest.raises(DiskFailed, match="append"):
+        LocalDisk(str(tmp_path)).append("a", b"record")
