--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1586,6 +1586,27 @@
         "]",
         DISPATCH + "/test_isolation.py",
     ),
+    Mutant(
+        "a crash: what its work goes without counts towards the wait of a suspect",
+        "dispatch/isolation.py",
+        "max(without_work_since(task), self._crash_known_since(ledger, task, now))",
+        "now",
+        DISPATCH + "/test_isolation.py",
+    ),
+    Mutant(
+        "a crash: what came before it was known is no wait of a suspect",
+        "dispatch/isolation.py",
+        "max(without_work_since(task), self._crash_known_since(ledger, task, now))",
+        "without_work_since(task)",
+        DISPATCH + "/test_isolation.py",
+    ),
+    Mutant(
+        "a crash: a new leader knows how long ago it was",
+        "dispatch/isolation.py",
+        "_KnownCrash(crash.run, now - seconds)",
+        "_KnownCrash(crash.run, now)",
+        DISPATCH + "/test_isolation.py",
+    ),
     Mutant(
         "a crash: a start that could not be sent is reported as such",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/isolation.py
+++ b/src/savoryshelf/dispatch/isolation.py
@@ -3,8 +3,14 @@
 A suspect is started on a worker that has had no start for a while and gets none for a while
 after, so that a crash tells which task caused it.  This only delays starts: a suspect that has
 waited long is placed like any other task.
+
+Callers see the sum of all waits.  So a suspect has waited for as long as nothing of its work has
+been at work, through pauses, evictions, refused starts and earlier leaders.  What came before its
+newest crash was known does not count: after the lease of a lost worker no suspect would be apart.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from ..tasks.crashes import is_suspect
@@ -42,11 +48,20 @@
 """Time for which a worker that has crashed is the last choice for a suspect, in ms."""
 
 
+@attrs.frozen
+class _KnownCrash:
+    """The newest crash under a suspect, and since when it is known."""
+
+    run: int
+    since: float
+
+
 @attrs.define
 class Isolation:
     """The workers kept for suspects, and since when each suspect waits, in one leader's term."""
 
     _waiting_since_by_task: dict[str, float] = attrs.field(factory=dict)
+    _known_crash_by_task: dict[str, _KnownCrash] = attrs.field(factory=dict)
     _isolated_tasks: set[str] = attrs.field(factory=set)
     """The waiting suspects that have not waited too long."""
 
@@ -63,12 +78,16 @@
     """The workers that have crashed of late."""
 
     def begin_pass(
-        self, ledger: TaskLedger, now: float, refused_since_by_task: dict[str, float]
+        self,
+        ledger: TaskLedger,
+        now: float,
+        refused_since_by_task: dict[str, float],
+        without_work_since: Callable[[Task], float],
     ) -> list[Task]:
         """Return the suspects to isolate in this pass, the longest waiting first.
 
         ``refused_since_by_task`` holds since when the tasks wait of which the newest start did
-        not become a run.
+        not become a run; ``without_work_since`` returns since when nothing of a task is at work.
         """
         self._kept_until_by_worker = {
             key: until for key, until in self._kept_until_by_worker.items() if now < until
@@ -83,8 +102,19 @@
             and not task.step.spec.gang
             and is_suspect(task)
         ]
+        self._known_crash_by_task = {
+            name: crash
+            for name, crash in self._known_crash_by_task.items()
+            if name in ledger.crashed_task_by_name
+        }
         since = refused_since_by_task | self._waiting_since_by_task
-        self._waiting_since_by_task = {task.name: since.get(task.name, now) for task in waiting}
+        self._waiting_since_by_task = {
+            task.name: min(
+                since.get(task.name, now),
+                max(without_work_since(task), self._crash_known_since(ledger, task, now)),
+            )
+            for task in waiting
+        }
         since = self._waiting_since_by_task
         suspects = [task for task in waiting if now - since[task.name] < MAX_WAIT_SECONDS]
         self._isolated_tasks = {task.name for task in suspects}
@@ -99,6 +129,17 @@
             }
         return sorted(suspects, key=lambda task: (since[task.name], task.name))
 
+    def _crash_known_since(self, ledger: TaskLedger, task: Task, now: float) -> float:
+        """Return since when the newest crash under a suspect is known, to whoever led then."""
+        crash = task.crashes[-1]
+        known = self._known_crash_by_task.get(task.name)
+        if known is None or known.run != crash.run:
+            # A worker that is not known any more has crashed long ago.
+            worker = ledger.worker_by_incarnation.get(crash.incarnation)
+            seconds = (ledger.at_ms - (worker.crashed_ms if worker else 0)) / 1000
+            known = self._known_crash_by_task[task.name] = _KnownCrash(crash.run, now - seconds)
+        return known.since
+
     def is_isolated(self, task: Task) -> bool:
         """Return whether a task waits for a worker of its own, and is to be placed on no other."""
         return task.name in self._isolated_tasks
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -583,7 +583,9 @@
         preferred = [c for c in candidates if not c.is_avoided]
         placeable = {c.view.incarnation for c in preferred}
         self._reservations.begin_pass(ledger, placeable, wall_ms, now)
-        suspects = self._isolation.begin_pass(ledger, now, refused_since_by_task)
+        suspects = self._isolation.begin_pass(
+            ledger, now, refused_since_by_task, lambda t: self.waiting.without_work_since(t, now)
+        )
         intents = self._plan_suspects(suspects, ledger, _Pools(preferred), now)
         suspects_by_step = _by_step(ledger, intents)
         for candidate in preferred:
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -248,6 +248,14 @@
         account = self._account_by_key.get(_key(task))
         return account.seconds_at(now) if account else 0.0
 
+    def without_work_since(self, task: Task, now: float) -> float:
+        """Return since when nothing of a task, or of its finite step, is at work.
+
+        It is the earlier, the less was made up for of the time without work before.
+        """
+        account = self._account_by_key.get(_key(task))
+        return now - account.seconds_at(now) if account and account.is_idle else now
+
     def is_last_resort(self, task: Task, run: int) -> bool:
         """Return whether a run is the newest overdue start of a task, or of its finite step."""
         account = self._account_by_key.get(_key(task))
--- a/tests/dispatch/test_time_without_work.py
+++ b/tests/dispatch/test_time_without_work.py
@@ -14,7 +14,7 @@
 from savoryshelf.dispatch.worker_api import StartResult
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
-from ..tasks.builders import JOB, accept, step
+from ..tasks.builders import JOB, accept, record_intent, step
 from ..virtual_time import virtual_time
 from .protocol_worker import BUSY, SILENT, USUAL_LOAD
 from .startable_group import LASTING_WAIT_SECONDS, MAX_WAIT_SECONDS, StartableGroup
@@ -82,11 +82,12 @@
 """With a step of which no task is startable while its run exists: it is again after the end."""
 
 
-def run_held_back(site, hold, kind, seconds):
+def run_held_back(site, hold, kind, seconds, before=lambda site: None):
     """Let best-effort work wait for the last resort all the time; return the rests in it."""
+    accept(site.ledger, step(**(BATCH | EVICTED_KINDS[kind])))
+    before(site)
     if hold == "interference":
         serve_everywhere(site, millicores=1500)
-    accept(site.ledger, step(**(BATCH | EVICTED_KINDS[kind])))
     began_at = site.now
     while site.now < began_at + seconds:
         if hold == "quarantine":
@@ -155,6 +156,36 @@
     require_no_long_rest(run_held_back(site, hold, kind, 2 * WINDOW_SECONDS), kind)
 
 
+def become_suspect(site):
+    """Let a worker have crashed under the first run of ``JOB``, and be gone."""
+    record_intent(site.ledger, f"{JOB}.0.0.0", 1, ("w0", 1))
+    site.ledger.at_ms = site.wall_ms
+    site.crash("w0", returns=False)
+
+
+# Guards against a whole wait for a worker of its own after each run of a suspect of a crash, and
+# after each start that was refused.
+@each_hold
+@pytest.mark.parametrize("kind", ["lasting", "one finite"])
+@pytest.mark.parametrize(
+    "fates",
+    [[EVICTED], [EVICTED, REJECTED], [EVICTED, MALFORMED], [EVICTED, IN_DOUBT]],
+    ids=["evicted", "rejected", "malformed", "in doubt"],
+)
+def test_runs_of_a_suspect_do_not_each_begin_a_whole_wait(hold, kind, fates):
+    site = WorkedSite(*fates, interference=disturbing())
+    rests = run_held_back(site, hold, kind, 3 * WINDOW_SECONDS, before=become_suspect)
+    require_no_long_rest(rests, "finite")
+    # The work of long-running tasks makes up for their waits, whether they are suspects or not.
+    if fates == [EVICTED] and kind == "one finite":
+        worst = max(
+            seconds_in(rests, since, since + WINDOW_SECONDS)
+            for since, _ in rests
+            if since + WINDOW_SECONDS <= site.now
+        )
+        assert worst <= MAX_START_SECONDS, f"{worst:.2f} s without work in {WINDOW_SECONDS} s"
+
+
 # ------------------------------------------- hosts and workers, by what the workers run
 
 SERVING_JOB, BATCH_JOB = "00000000000000d1", "00000000000000e1"
