--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -632,7 +632,7 @@
             step, service_name = group.spec, group.job.queue.service_name
             if step.lasting or step.filling or service_name in services:
                 continue
-            if not has_yielded_long(group, wall_ms):
+            if not self._reservations.yields(group) or not has_yielded_long(group, wall_ms):
                 continue
             rooms = pools.pool_of(group).rooms()
             run_counts = run_count_by_incarnation(group) if step.max_per_worker else Counter()
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -147,6 +147,10 @@
             rank = self._rank_by_group[group.key] = group.job.queue.priority, yields
         return rank
 
+    def yields(self, group: StepGroup) -> bool:
+        """Return whether a step yields to those of its priority that can still be in time."""
+        return self.rank(group)[1]
+
     def has_turn(self, group: StepGroup) -> bool:
         """Return whether a worker is reserved in this pass for a step that has yielded for long."""
         return group.key in self._turns
