A failed power-loss test shows the last answers, the group's changes and the ends of all logs

Change: explained adds to a failed check of the service the number of answers and the last of them, the changes of the members, and of each host whether its process runs and its last lines.

--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -1,5 +1,6 @@
 """All hosts lose power at once, and two of the control hosts their disks."""
 
+import contextlib
 import shutil
 import signal
 import time
@@ -30,6 +31,13 @@
 RECOVERY_SECONDS = 12.0
 """Time from the start of the last process within which callers have to be served."""
 
+LAST_ANSWERS = 4
+LAST_LINES = 6
+"""What a failure shows of the answers to one entry host, and of each log."""
+
+NO_CONNECTION = "Could not connect to any of"
+"""In the lines of thrift's own logger, one for each attempt to call a host that is down."""
+
 
 @pytest.fixture
 def deployment(tmp_path):
@@ -131,8 +139,44 @@
     body = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
     for number, front in enumerate(FRONTS):
         new_path = f"/q/{number + 16:016x}"
-        wait_until(
-            lambda path=new_path, ip=front: deployment.call("POST", path, body, ip=ip)[0] == 200
-        )
-        assert deployment.state(path, front) in ("queued", "running", "completed")
-    assert time.monotonic() - began_at < RECOVERY_SECONDS
+        answers = []
+
+        def is_accepted(path=new_path, ip=front, answers=answers):
+            answers.append(deployment.call("POST", path, body, ip=ip))
+            return answers[-1][0] == 200
+
+        with explained(deployment, answers):
+            wait_until(is_accepted)
+            assert deployment.state(path, front) in ("queued", "running", "completed")
+            assert time.monotonic() - began_at < RECOVERY_SECONDS
+
+
+@contextlib.contextmanager
+def explained(deployment, answers):
+    """Add the last answers, the group's changes, and the ends of all logs to a failure."""
+    try:
+        yield
+    except AssertionError as error:
+        logs = sorted(deployment.folder.glob("*.log"))
+        changes = deployment.logged("group:changed", [path.stem for path in logs])
+        shown = [str(error), f"{len(answers)} answers, the last: {answers[-LAST_ANSWERS:]}"]
+        shown += [f"{change['change']} {change['replica']}" for change in changes]
+        for path in logs:
+            process = deployment.process_by_ip.get(path.stem)
+            shown.append(
+                f"{path.stem}: {'runs' if process and process.poll() is None else 'ended'}"
+            )
+            lines = [line for line in path.read_text().splitlines() if NO_CONNECTION not in line]
+            shown += lines[-LAST_LINES:]
+        raise AssertionError("\n".join(shown)) from error
+
+
+def test_a_failure_shows_the_last_answers_and_the_ends_of_the_logs(tmp_path):
+    deployment = Deployment(tmp_path)
+    lines = [f"line {number}" for number in range(9)]
+    (tmp_path / f"{FRONTS[0]}.log").write_text("\n".join([*lines, f"{NO_CONNECTION}: x", ""]))
+    with pytest.raises(AssertionError) as failure, explained(deployment, [(200, {}), (503, {})]):
+        raise AssertionError("not met")
+    text = str(failure.value)
+    assert "not met\n2 answers, the last: [(200, {}), (503, {})]" in text
+    assert f"{FRONTS[0]}: ended\nline 3\n" in text and text.endswith("line 8")
