--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1586,6 +1586,20 @@
         "]",
         DISPATCH + "/test_isolation.py",
     ),
+    Mutant(
+        "a new leader counts the pause of a run beside startable tasks",
+        "dispatch/waiting.py",
+        "min(idle_seconds_by_run.get(run, 0.0) for run in runs)",
+        "0.0",
+        DISPATCH + "/test_waiting_accounts.py",
+    ),
+    Mutant(
+        "a start in doubt has no known time without work for a new leader",
+        "dispatch/waiting.py",
+        "            return 0.0 if math.isinf(seconds) else seconds\n",
+        "            return seconds\n",
+        DISPATCH + "/test_waiting_accounts.py",
+    ),
     Mutant(
         "a crash: what its work goes without counts towards the wait of a suspect",
         "dispatch/isolation.py",
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -181,7 +181,7 @@
                 if account is None:
                     account = _Account(now, worked_until=now)
                     if is_new:
-                        account.seconds = _unseen_seconds(group, tasks, wall_ms)
+                        account.seconds = self._unseen_seconds(group, tasks, wall_ms)
                 self._update(account, tasks, refused_since_by_task, now)
                 self._account_by_key[key] = account
         # Work of which all tasks have runs may have to start again.
@@ -194,6 +194,17 @@
                 if account.is_owed_work(now):
                     self._account_by_key[key] = account
 
+    def _unseen_seconds(self, group: StepGroup, tasks: list[Task], wall_ms: int) -> float:
+        """Return how long work may have waited under earlier leaders, less what reports take."""
+        runs = [(task.name, run) for task in tasks for run in task.incarnation_by_run]
+        if runs:
+            idle_seconds_by_run = self._runs_at_work.idle_seconds_by_run
+            seconds = min(idle_seconds_by_run.get(run, 0.0) for run in runs)
+            return 0.0 if math.isinf(seconds) else seconds
+        since_ms = max(group.job.accepted_ms, group.job.due_ms(group.occurrence))
+        longest = MAX_DEFERRAL_SECONDS - LEADER_GRACE_SECONDS
+        return min(longest, max(0.0, (wall_ms - since_ms) / 1000))
+
     def _accounts_of_idle_runs(self, ledger: TaskLedger, now: float) -> dict[WorkKey, _Account]:
         """Return new accounts of work without one that has a run which is not at work."""
         accounts = {}
@@ -363,12 +374,3 @@
 
 def _failures(tasks: list[Task]) -> int:
     return sum(task.failures for task in tasks)
-
-
-def _unseen_seconds(group: StepGroup, tasks: list[Task], wall_ms: int) -> float:
-    """Return how long work may have waited under earlier leaders, less what reports take."""
-    if any(task.incarnation_by_run for task in tasks):
-        return 0.0
-    since_ms = max(group.job.accepted_ms, group.job.due_ms(group.occurrence))
-    longest = MAX_DEFERRAL_SECONDS - LEADER_GRACE_SECONDS
-    return min(longest, max(0.0, (wall_ms - since_ms) / 1000))
--- a/tests/dispatch/test_waiting_accounts.py
+++ b/tests/dispatch/test_waiting_accounts.py
@@ -1,6 +1,7 @@
 """What counts as time without work, where runs of one step follow or overlap each other."""
 
 import itertools
+import math
 
 import pytest
 
@@ -8,7 +9,11 @@
 from savoryshelf.dispatch.health import FleetHealth
 from savoryshelf.dispatch.interference import InterferenceModel
 from savoryshelf.dispatch.placement import Placement, WorkerView
-from savoryshelf.dispatch.waiting import MAX_DEFERRAL_SECONDS, RETRY_AFTER_FAILURE_SECONDS
+from savoryshelf.dispatch.waiting import (
+    LEADER_GRACE_SECONDS,
+    MAX_DEFERRAL_SECONDS,
+    RETRY_AFTER_FAILURE_SECONDS,
+)
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step, worker
@@ -193,3 +198,28 @@
     settle_run(site.ledger, NAME.format(0), RunOutcome.STOPPED)
     site.idle_since_by_run = {}
     assert site.seconds_until_start() <= PASS_SECONDS
+
+
+# Guards against a new leader that begins the wait anew: a run that is paused counted as one at work
+# if other tasks of its step could start.
+def test_a_new_leader_counts_the_pause_of_a_run_beside_startable_tasks(site):
+    site.ledger.upsert_worker(worker("w2"))
+    site.quarantine("w1")
+    site.quarantine("w2")
+    paused_at = site.now
+    settle_run(site.ledger, NAME.format(1), RunOutcome.STOPPED)
+    site.idle_since_by_run = {(NAME.format(0), 1): paused_at}
+    assert not site.run(MAX_DEFERRAL_SECONDS - PASS_SECONDS)
+    site.placement = Placement(InterferenceModel())
+    assert site.seconds_until_start() <= LEADER_GRACE_SECONDS
+
+
+# Guards against a new leader that takes a step for overdue: a start in doubt has no known time.
+def test_a_new_leader_counts_no_time_of_a_start_in_doubt(site):
+    site.ledger.upsert_worker(worker("w2"))
+    site.quarantine("w1")
+    site.quarantine("w2")
+    settle_run(site.ledger, NAME.format(1), RunOutcome.STOPPED)
+    site.idle_since_by_run = {(NAME.format(0), 1): -math.inf}
+    site.placement = Placement(InterferenceModel())
+    assert site.seconds_until_start() >= MAX_DEFERRAL_SECONDS - PASS_SECONDS
