--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -43,6 +43,7 @@
 
 WORKS, FAILS, REJECTED, UNHEALTHY, LAPSES = "works", "fails", "rejected", "unhealthy", "lapses"
 MALFORMED, IN_DOUBT, EVICTED = "malformed", "in doubt", "evicted"
+PAUSED = "paused and evicted"
 
 END_BY_FATE = {
     WORKS: (RunOutcome.DONE, RUN_SECONDS),
@@ -53,6 +54,7 @@
     IN_DOUBT: (RunOutcome.NEVER_RAN, 2 * PASS_SECONDS),
     LAPSES: (RunOutcome.LAPSED, RUN_SECONDS),
     EVICTED: (RunOutcome.STOPPED, 2 * PASS_SECONDS),
+    PAUSED: (RunOutcome.STOPPED, RUN_SECONDS + 5 * PASS_SECONDS),
 }
 """How a start ends, and after how many seconds; lasting runs that work go on."""
 
--- a/tests/dispatch/test_time_without_work.py
+++ b/tests/dispatch/test_time_without_work.py
@@ -7,7 +7,9 @@
 import contextlib
 import itertools
 import math
+import random
 
+import attrs
 import eventlet
 import pytest
 
@@ -25,7 +27,9 @@
     IN_DOUBT,
     MALFORMED,
     MAX_START_SECONDS,
+    PAUSED,
     REJECTED,
+    RUN_SECONDS,
     WORKS,
     Site,
     disturbing,
@@ -186,6 +190,56 @@
         assert worst <= MAX_START_SECONDS, f"{worst:.2f} s without work in {WINDOW_SECONDS} s"
 
 
+REFUSALS = {REJECTED, MALFORMED, IN_DOUBT}
+FATES_OF_SUSPECTS = [
+    [EVICTED, *sorted(REFUSALS)],
+    [PAUSED, *sorted(REFUSALS)],
+    [EVICTED, PAUSED],
+    [EVICTED, PAUSED, *sorted(REFUSALS)],
+]
+
+
+class SuspectSite(WorkedSite):
+    """A site of which starts end in random ways, without two refusals in a row."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        fates, drawn = self.random.choice(FATES_OF_SUSPECTS), [EVICTED]
+        while len(drawn) < 300:
+            fate = self.random.choice(fates)
+            if not {fate, drawn[-1]} <= REFUSALS:
+                drawn.append(fate)
+        self._paused_at_by_run = {}
+        super().__init__(*drawn, interference=disturbing())
+        plan = self.placement.plan
+        self.placement.plan = lambda ledger, views, *arguments: plan(
+            ledger, [self._with_pauses(view) for view in views], *arguments
+        )
+
+    def _next_fate(self, task, worker_id):
+        fate = super()._next_fate(task, worker_id)
+        if fate == PAUSED:
+            paused_at = self.now + RUN_SECONDS
+            self.spans.append((self.now, paused_at))
+            self._paused_at_by_run[task.name, task.runs] = paused_at
+        return fate
+
+    def _with_pauses(self, view):
+        paused = {run: self.now - at for run, at in self._paused_at_by_run.items()}
+        idle = {run: seconds for run, seconds in paused.items() if seconds >= 0.0}
+        return attrs.evolve(view, idle_seconds_by_run=idle)
+
+
+# Guards against waits of a suspect that add up in any order.
+@each_hold
+@pytest.mark.parametrize("kind", ["lasting", "one finite"])
+@pytest.mark.parametrize("seed", range(12))
+def test_random_ends_of_a_suspects_runs_leave_no_long_rest(hold, kind, seed):
+    site = SuspectSite(seed)
+    rests = run_held_back(site, hold, kind, 3 * WINDOW_SECONDS, before=become_suspect)
+    require_no_long_rest(rests, "finite")
+
+
 # ------------------------------------------- hosts and workers, by what the workers run
 
 SERVING_JOB, BATCH_JOB = "00000000000000d1", "00000000000000e1"
