--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -38,7 +38,7 @@
     without_member,
 )
 from .snapshot_transfer import IncomingSnapshot, next_chunk
-from .types import NotLeading, Ready, RecoveredState, Role, Timing
+from .types import EndedLeadership, NotLeading, Ready, RecoveredState, Role, Timing
 
 FIRST_RETRY_FACTOR = 0.3
 """A first campaign that fails is repeated after this share of the usual time.
@@ -96,6 +96,9 @@
         self.log = self._recovered_log(initial_membership, recovered)
         self.commit_index = self.log.base_index
         self.leader_state: LeaderState | None = None
+        self.ended_leadership: EndedLeadership | None = None
+        """The latest leadership of this replica that has ended."""
+
         self._rng = rng
         self._now = now
         self._last_leader_contact_at = float("-inf")
@@ -324,6 +327,11 @@
             return float("inf")
         return now - self.leader_state.quorum_contact_at(self.replica_id, now, self.log.membership)
 
+    @property
+    def is_first_campaign(self) -> bool:
+        """Return whether this replica campaigns for the first time since a leader's message."""
+        return self.role is Role.PRE_CANDIDATE and self._campaigns == 1
+
     @property
     def applied_index(self) -> int:
         """Return the index of the last entry that was returned as committed."""
@@ -425,7 +433,11 @@
         if is_quorum(self.log.membership, self._votes):
             self._handle_won_vote()
 
-    def _become_follower(self, term: int, leader_id: str | None) -> None:
+    def _become_follower(self, term: int, leader_id: str | None, why: str = "") -> None:
+        if self.leader_state is not None:
+            why = why or f"term {term} has begun"
+            membership = self.log.membership
+            self.ended_leadership = self.leader_state.ended(self.term, why, self._now, membership)
         if term > self.term:
             self._set_hard_state(term, "")
         if self.role is not Role.FOLLOWER:
@@ -446,7 +458,7 @@
         contact_at = self.leader_state.quorum_contact_at(self.replica_id, self._now, membership)
         if self._now - contact_at > self.timing.election_timeout:
             # This leader may be partitioned and another one already elected.
-            self._become_follower(self.term, None)
+            self._become_follower(self.term, None, "no majority has replied in time")
 
     # ------------------------------------------------------------- replication
 
@@ -662,7 +674,7 @@
             self._unannounced_commit = True
             self._confirm_reads()
             if find_member(self.log.membership_at(index), self.replica_id) is None:
-                self._become_follower(self.term, None)
+                self._become_follower(self.term, None, "removed from the group")
 
     def _commit_up_to(self, index: int) -> None:
         if index > self.log.last_index:
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -3,7 +3,8 @@
 import attrs
 
 from ..wire.generated.ttypes import Membership, SnapshotFile
-from .membership import quorum_value
+from .membership import quorum_value, voter_ids
+from .types import EndedLeadership
 
 MAX_KEPT_ROUNDS = 4096
 """Heartbeat rounds whose send time is kept: those of several seconds on a busy leader."""
@@ -133,6 +134,20 @@
         contact_at_by_id[replica_id] = now
         return quorum_value(membership, contact_at_by_id)
 
+    def ended(self, term: int, why: str, now: float, membership: Membership) -> EndedLeadership:
+        """Return the record of this leadership, which ends now."""
+        progress_by_id = {
+            voter: self.progress_by_id[voter]
+            for voter in voter_ids(membership)
+            if voter in self.progress_by_id
+        }
+        return EndedLeadership(
+            term,
+            why,
+            {key: now - max(p.contact_at, self.elected_at) for key, p in progress_by_id.items()},
+            {key: now - p.acked_at for key, p in progress_by_id.items()},
+        )
+
     def take_confirmed_reads(self, replica_id: str, membership: Membership) -> list[int]:
         """Remove and return the ids of the reads confirmed by a round that began after them."""
         confirmed = self.quorum_acked_round(replica_id, membership)
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -5,6 +5,8 @@
 gives group commit.
 """
 
+import contextlib
+import math
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -17,6 +19,7 @@
 from ..clock import Clock
 from ..errors import SavoryshelfError
 from ..observability import metrics
+from ..observability.logs import log_event
 from ..wire.generated.ttypes import (
     EntryKind,
     LogEntry,
@@ -27,9 +30,10 @@
 )
 from .bootstrap import host_name
 from .core import Replica
+from .delays import Delay, RecentDelays, StandstillWatch
 from .membership import MembershipChangeRefused, find_member
 from .storage import ReplicaStorage
-from .types import NotLeading, Ready, Role, Timing
+from .types import EndedLeadership, NotLeading, Ready, Role, Timing
 
 TICK_SECONDS = 0.05
 SNAPSHOT_INTERVAL_ENTRIES = 5000
@@ -124,12 +128,19 @@
         self._pending_proposal_by_index: dict[int, _PendingProposal] = {}
         self._pending_read_by_id: dict[int, Event] = {}
         self._apply_events: list[Event] = []
+        self._standstills = StandstillWatch(clock)
+        self._syncs = RecentDelays()
+        self._last_sync: Delay | None = None
+        self._logged_leadership: EndedLeadership | None = None
+        self._was_first_campaign = False
         self._thread = None
+        self._watch_thread = None
 
     # ------------------------------------------------- called by other threads
 
     def start(self) -> None:
-        """Start the green thread that runs the replica."""
+        """Start the green threads that run the replica and watch for standstills."""
+        self._watch_thread = eventlet.spawn(self._standstills.run)
         self._thread = eventlet.spawn(self._run)
 
     def wait(self) -> None:
@@ -138,6 +149,7 @@
 
     def stop(self, error: Exception | None = None) -> None:
         """Stop the replica abruptly, as a crash would; ``wait`` raises ``error`` if given."""
+        self._watch_thread.kill()
         self._thread.kill(*([error] if error else []))
 
     def deliver(self, messages: list[RaftMessage]) -> None:
@@ -211,6 +223,7 @@
             for event in self._take_mailbox_batch():
                 self._handle(event)
             self.core.tick(self._clock.monotonic())
+            self._log_lost_contact()
             self._process_all_ready()
             if self._announces_commits and self._mailbox.empty():
                 # With more proposals waiting, their entries carry the commit index.
@@ -218,6 +231,46 @@
                 self._process_all_ready()
             self._fail_pending_unless_leader()
 
+    def _log_lost_contact(self) -> None:
+        """Log that this leadership has ended, or that a leader is missed, and what may be why."""
+        core, ended = self.core, self.core.ended_leadership
+        if ended is not None and ended is not self._logged_leadership:
+            self._logged_leadership = ended
+            log_event(
+                "replica:leadership_ended", term=ended.term, why=ended.why,
+                contact_s=_rounded_by_host(ended.contact_ages),
+                reply_s=_rounded_by_host(ended.reply_ages), **self._recent_delays(),
+            )  # fmt: skip
+        if core.is_first_campaign and not self._was_first_campaign:
+            contact_age = core.seconds_since_leader_contact(core.now)
+            contact = {} if math.isinf(contact_age) else {"leader_contact_s": round(contact_age, 2)}
+            log_event("replica:campaigns", term=core.term + 1, **contact, **self._recent_delays())
+        self._was_first_campaign = core.is_first_campaign
+
+    def _recent_delays(self) -> dict[str, float]:
+        """Return what this host was kept waiting by in the last seconds, for a log line."""
+        now = self._clock.monotonic()
+        standstill, sync = self._standstills.longest(now), self._syncs.longest(now)
+        delays = {
+            "stood_still_s": standstill.seconds,
+            "stood_still_processor_s": standstill.processor_seconds,
+            "longest_sync_s": sync.seconds,
+        }
+        if standstill.seconds:
+            delays["stood_still_s_ago"] = now - standstill.ended_at
+        if self._last_sync is not None:
+            delays["last_sync_s"] = self._last_sync.seconds
+            delays["last_sync_s_ago"] = now - self._last_sync.ended_at
+        return {key: round(seconds, 3) for key, seconds in delays.items()}
+
+    @contextlib.contextmanager
+    def _measured_sync(self):
+        began_at = self._clock.monotonic()
+        yield
+        now = self._clock.monotonic()
+        self._last_sync = Delay(now, now - began_at)
+        self._syncs.record(self._last_sync)
+
     def _process_all_ready(self) -> None:
         while not (ready := self.core.take_ready()).is_empty():
             self._process_ready(ready)
@@ -261,7 +314,8 @@
         if ready.snapshot_to_install:
             self._install(ready.snapshot_to_install)
         if ready.record:
-            self._storage.write(ready.record)
+            with self._measured_sync():
+                self._storage.write(ready.record)
             metrics.LOG_WRITES.inc()
         self.core.advance(ready)
         self._send_all(ready.messages)
@@ -287,7 +341,8 @@
             proposal.completion.send_exception(OutcomeUnknown())
 
     def _install(self, snapshot: SnapshotFile) -> None:
-        self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, [])
+        with self._measured_sync():
+            self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, [])
         self.state_machine.restore(snapshot.state)
         self.send_apply_events()
 
@@ -300,7 +355,9 @@
             applied, log.term_at(applied), log.membership_at(applied), self.state_machine.snapshot()
         )
         later_entries = log.entries(applied + 1, log.last_index)
-        self._storage.write_snapshot(snapshot, self.core.term, self.core.voted_for, later_entries)
+        term, voted_for = self.core.term, self.core.voted_for
+        with self._measured_sync():
+            self._storage.write_snapshot(snapshot, term, voted_for, later_entries)
         self.core.compact(snapshot, min(TRAILING_ENTRIES, self._snapshot_every))
 
     def _fail_pending_unless_leader(self) -> None:
@@ -328,3 +385,7 @@
             return configured
         member: Member | None = find_member(self.core.log.membership, replica_id)
         return member.address if member is not None else ""
+
+
+def _rounded_by_host(seconds_by_id: dict[str, float]) -> dict[str, float]:
+    return {host_name(key): round(seconds, 2) for key, seconds in seconds_by_id.items()}
--- a/src/savoryshelf/replication/types.py
+++ b/src/savoryshelf/replication/types.py
@@ -34,6 +34,19 @@
     """An election starts after a random time of one to two timeouts without leader contact."""
 
 
+@attrs.frozen
+class EndedLeadership:
+    """A leadership that has ended; ages are in seconds, by the replica id of the other voters."""
+
+    term: int
+    why: str
+    contact_ages: dict[str, float]
+    """Since the leader sent what the voter has replied to last."""
+
+    reply_ages: dict[str, float]
+    """Since the leader read that reply."""
+
+
 @attrs.define
 class RecoveredState:
     """The persistent state of a replica, as recovered from its disk at start."""
