Replication: a process that stood still takes that time for nobody's silence

Cause: a replica that went on after a standstill, without a processor or behind its disk, judged the age of its contacts at once: a leader stepped down before it had sent anything or read what had come, a voter campaigned though the leader's messages lay unread in its socket. After a standstill of 0.9 s of all hosts a healthy group changed its leader.

Change: a leader that stood still (no tick for over a heartbeat interval) waits three heartbeat intervals for replies to what it sends then, unless the silence exceeds two election timeouts, by which any voter that ran has campaigned. A voter puts off its campaign by one heartbeat interval, once. What needs a confirmed leader (reads, reports, leases) still counts the true age of the contact.

The same class could act where votes are answered: a voter that has just gone on may grant one before it reads what its leader sent. Not changed here.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -66,7 +66,13 @@
 """Round of an append request that needs no reply; heartbeat rounds count from 1."""
 
 MAX_MISSED_HEARTBEATS = 3
-"""A member that has not replied for this many heartbeat intervals gets no entries until it does."""
+"""A member that has not replied for this many heartbeat intervals gets no entries until it does.
+
+A leader that stood still waits as long for replies to what it sends then.
+"""
+
+LONGEST_CAMPAIGN_DELAY_FACTOR = 2.0
+"""A voter that hears of no leader campaigns within this many election timeouts."""
 
 
 class Replica:
@@ -101,6 +107,12 @@
 
         self._rng = rng
         self._now = now
+        self._ticked_at = float("inf")
+        """The time of the latest tick; a replica that has not run yet has not stood still."""
+
+        self._resumed_at = float("-inf")
+        """When this replica went on after it had stood still for over a heartbeat interval."""
+
         self._last_leader_contact_at = float("-inf")
         self._votes: set[str] = set()
         self._campaigns = 0
@@ -111,6 +123,7 @@
         """The leader that this replica heard of last, other than itself."""
 
         self._deadline = now
+        self._postponed_deadline: float | None = None
         self._next_read_id = 1
         self._broadcast_pending = False
         self._unannounced_commit = False
@@ -141,6 +154,9 @@
     def tick(self, now: float) -> None:
         """Advance the time; send a heartbeat, check the quorum or start an election if due."""
         self._now = now
+        if now - self._ticked_at > self.timing.heartbeat_interval:
+            self._resume()
+        self._ticked_at = now
         if self.role is Role.LEADER:
             self._check_quorum()
         if now < self._deadline:
@@ -154,6 +170,17 @@
             self.leader_id = None
             self._reset_election_deadline()
 
+    def _resume(self) -> None:
+        """Go on after a standstill: the time in which nothing was read is nobody's silence."""
+        self._resumed_at = self._now
+        postponed = self._now + self.timing.heartbeat_interval
+        if self.role is Role.LEADER or self._deadline == self._postponed_deadline:
+            # No deadline is postponed twice: some processes stand still again and again.
+            return
+        if self._deadline < postponed:
+            # What a leader has sent meanwhile is unread, and one that stood still sends soon.
+            self._deadline = self._postponed_deadline = postponed
+
     def receive(self, message: RaftMessage, now: float) -> None:
         """Handle one message from another replica."""
         if message.recipient != self.replica_id or message.shard != self.shard:
@@ -456,7 +483,15 @@
     def _check_quorum(self) -> None:
         membership = self.log.membership
         contact_at = self.leader_state.quorum_contact_at(self.replica_id, self._now, membership)
-        if self._now - contact_at > self.timing.election_timeout:
+        silence, timeout = self._now - contact_at, self.timing.election_timeout
+        reply_seconds = MAX_MISSED_HEARTBEATS * self.timing.heartbeat_interval
+        if (
+            self._now - self._resumed_at <= reply_seconds
+            and silence <= LONGEST_CAMPAIGN_DELAY_FACTOR * timeout
+        ):
+            # The voters may have heard nothing either, and elected nobody.
+            return
+        if silence > timeout:
             # This leader may be partitioned and another one already elected.
             self._become_follower(self.term, None, "no majority has replied in time")
 
@@ -712,7 +747,7 @@
             self._hard_state_changed = True
 
     def _reset_election_deadline(self, factor: float = 1.0) -> None:
-        jitter = self._rng.uniform(1.0, 2.0)
+        jitter = self._rng.uniform(1.0, LONGEST_CAMPAIGN_DELAY_FACTOR)
         self._deadline = self._now + self.timing.election_timeout * jitter * factor
 
     def _take_record(self) -> WalRecord | None:
--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -37,9 +37,7 @@
 
     def send(self, address, message):
         if not {self._name, address} & self._group.cut_off:
-            eventlet.spawn_after(
-                DELAY_SECONDS, self._group.service_by_name[address].deliver, [message]
-            )
+            eventlet.spawn_after(DELAY_SECONDS, self._group.deliver, address, message)
 
 
 class _Counter:
@@ -95,6 +93,11 @@
                 return name
         return None
 
+    def deliver(self, name, message):
+        """Hand a message to a host, unless that is gone."""
+        if name in self.service_by_name:
+            self.service_by_name[name].deliver([message])
+
     def propose(self, name):
         """Propose a command to a host, and do not wait for its commit."""
         eventlet.spawn(self._propose, name)
@@ -107,6 +110,10 @@
         """Let time pass in which no green thread of any host runs."""
         hubs.get_hub().now += seconds
 
+    def term(self):
+        """Return the latest term of any host."""
+        return max(service.core.term for service in self.service_by_name.values())
+
     def wait_for_leader(self):
         """Return the name of the leader once there is one."""
         while (name := self.leader_name()) is None:
