Two removed guards that no test saw are seen: a lost worker, and the lease of a start

Cause: in test_nothing_is_started_on_a_worker_that_was_reported_as_lost the loss was applied before the start, which takes the token away, so the check of the token held back what the guard should. A real agent reports the loss first, and has the token until that is committed. In test_no_lease_counts_from_later_than_the_check_of_the_permission the process paused after the first check of a start, and the second one refused the rest, so the last one was never asked.

Change: the first test runs with the loss applied, as before, and not yet applied; it counts all calls. The second pauses after the first check, as before, and after the second and third.

--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -303,18 +303,30 @@
     assert len(worker.calls) == calls
 
 
-# The start of a run that the log counts as lost would run beside the one that replaces it.
-def test_nothing_is_started_on_a_worker_that_was_reported_as_lost(running_session):
+# The start of a run that the log counts as lost would run beside the one that replaces it.  Until
+# the loss is applied, the session has the token of the worker's agent.
+@pytest.mark.parametrize("is_applied", [False, True])
+def test_nothing_is_started_on_a_worker_that_was_reported_as_lost(
+    running_session, monkeypatch, is_applied
+):
     task_ledger, worker, session, agent = running_session
+    if not is_applied:
+        monkeypatch.setattr(
+            agent, "incarnation_ended", lambda _, why: agent.end_reasons.append(why)
+        )
     worker.unanswered_calls = {"poll", "start", "stop"}
     wait_until(lambda: agent.end_reasons)
     worker.unanswered_calls = set()
+    calls = len(worker.calls)
     accept(task_ledger, step(), job_id="00000000000000b2")
     task_ledger.worker_by_incarnation["w1", 1].has_ended = False
-    record_intent(task_ledger, "00000000000000b2.0.0.0")
+    assert record_intent(task_ledger, "00000000000000b2.0.0.0")
     session.start("00000000000000b2.0.0.0", 1)
-    eventlet.sleep(0.2)
+    session.stop(TASK, 1)
+    session.set_speed(TASK, 1, 50)
+    eventlet.sleep(0.5)
     assert worker.starts == []
+    assert len(worker.calls) == calls
 
 
 # A host that was paused, or has lost its leader, changed the speed of runs that it does not
@@ -1098,10 +1110,14 @@
 
 
 class PausedAgent:
-    """Stops its process for 20 s right after each check of the permission that it passes."""
+    """Stops its process for 20 s right after a check of the permission, and those that follow.
 
-    def __init__(self, agent):
+    ``checks_before`` of them come before it.
+    """
+
+    def __init__(self, agent, checks_before):
         self._agent = agent
+        self._checks_before = checks_before
         self._paused_seconds = 0.0
         self._valid_until = CLOCK.monotonic() + 1.0
 
@@ -1114,22 +1130,27 @@
     def may_call_workers(self):
         if self.now() >= self._valid_until:
             return False
-        self._paused_seconds += 20.0
+        self._checks_before -= 1
+        if self._checks_before < 0:
+            self._paused_seconds += 20.0
         return True
 
 
 # Guards against two runs of a task: a process that is stopped between the check of its permission
 # and its look at the clock grants a lease from when it goes on, long after the worker's next agent,
 # which may not reach it, has taken it for lost.
+@pytest.mark.parametrize("checks_before", [0, 1, 2])
 @pytest.mark.parametrize("call", ["start", "poll", "renewal"])
-def test_no_lease_counts_from_later_than_the_check_of_the_permission(running_session, call):
+def test_no_lease_counts_from_later_than_the_check_of_the_permission(
+    running_session, call, checks_before
+):
     task_ledger, worker, session, agent = running_session
     wait_until(lambda: session.clock.has_recent_reading(agent.now()))
     wait_until(lambda: not session.worker.task_by_run)
     session._threads[0].kill()
     assert record_intent(task_ledger, TASK, 2)
     worker.deadlines.clear()
-    session._agent = PausedAgent(agent)
+    session._agent = PausedAgent(agent, checks_before)
     if call == "start":
         session._call_start(TASK, 2, "")
     elif call == "poll":
