No worker is reserved for a large step where there is room only when its job is worth nothing

Cause: a reservation was bounded by what the job was worth when it was made, not by when the worker would have room. A worker beside whose smaller runs one goes on for a minute was kept idle for a job that has to start within 5 s; a step with data in a rack waited for the only worker there, full for a minute, though others would have had room within a second: it never started.

Change: a worker is reserved, and stays so, only if the step can start there before its job is worth nothing.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2215,6 +2215,13 @@
         "or False:",
         _LARGE_TASKS_TESTS,
     ),
+    Mutant(
+        "no worker is reserved where there is room only when the job is worth nothing",
+        "dispatch/reservations.py",
+        "seconds < math.inf and seconds <= self._worth_seconds(group)",
+        "seconds < math.inf",
+        _LARGE_TASKS_TESTS,
+    ),
     Mutant(
         "reservations in turn delay overdue work once",
         "dispatch/reservations.py",
--- a/src/savoryshelf/dispatch/lateness.py
+++ b/src/savoryshelf/dispatch/lateness.py
@@ -6,6 +6,8 @@
 cannot be on time any more would only make others late too.
 """
 
+import math
+
 from ..tasks.job import Job, StepGroup
 
 VERY_LATE_FACTOR = 3.0
@@ -35,16 +37,27 @@
 
     A job with a long-running step is always ON_TIME.
     """
+    earliest_end_ms, objective_ms = _earliest_end_and_objective_ms(group, wall_ms)
+    if earliest_end_ms <= objective_ms:
+        return ON_TIME
+    return LATE if earliest_end_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
+
+
+def seconds_of_worth(group: StepGroup, wall_ms: int) -> float:
+    """Return within how many seconds the step has to start for its job not to be VERY_LATE."""
+    earliest_end_ms, objective_ms = _earliest_end_and_objective_ms(group, wall_ms)
+    return (VERY_LATE_FACTOR * objective_ms - earliest_end_ms) / 1000
+
+
+def _earliest_end_and_objective_ms(group: StepGroup, wall_ms: int) -> tuple[float, float]:
+    """Return the age at which the job can end if the step starts now, and its objective."""
     job = group.job
     if any(step.lasting for step in job.spec.steps):
-        return ON_TIME
+        return 0.0, math.inf
     age_ms = wall_ms - max(job.accepted_ms, job.due_ms(group.occurrence))
     remaining_ms = _remaining_ms_by_step(job)
-    earliest_end_ms = age_ms + remaining_ms[group.number]
     objective_ms = job.queue.target_latency_ms + job.queue.stretch * max(remaining_ms)
-    if earliest_end_ms <= objective_ms:
-        return ON_TIME
-    return LATE if earliest_end_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
+    return age_ms + remaining_ms[group.number], objective_ms
 
 
 def _remaining_ms_by_step(job: Job) -> list[int]:
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -18,7 +18,7 @@
 from ..tasks.ledger import TaskLedger
 from ..tasks.worker import ResourceUsage, Worker
 from ..wire.generated.ttypes import RunIntent, StepSpec, WorkerRecord
-from .lateness import VERY_LATE, lateness_of
+from .lateness import VERY_LATE, lateness_of, seconds_of_worth
 from .waiting import MAX_DEFERRAL_SECONDS
 
 LARGE_SHARE = 0.5
@@ -91,11 +91,14 @@
     _rank_by_group: dict[GroupKey, Rank] = attrs.field(factory=dict)
     """Ranks in this pass."""
 
+    _worth_seconds_by_group: dict[GroupKey, float] = attrs.field(factory=dict)
+    """Within how many seconds of this pass a step has to start to be worth anything."""
+
     def begin_pass(
         self, ledger: TaskLedger, placeable: set[IncarnationKey], wall_ms: int, now: float
     ) -> None:
         """Release what steps that wait no longer had, and workers that get no runs any more."""
-        self._wall_ms, self._rank_by_group = wall_ms, {}
+        self._wall_ms, self._rank_by_group, self._worth_seconds_by_group = wall_ms, {}, {}
         self._earlier_by_worker = dict(self._reservation_by_worker)
         for key in self._workers_by_group.keys() - ledger.startable_group_by_key.keys():
             self.release(key)
@@ -290,13 +293,21 @@
         return has_room and len(chosen) <= self._most(group, rooms, chosen.keys())
 
     def _is_of_use(self, group: StepGroup, room: "Room", now: float) -> bool:
-        """Return whether a step has to wait for room there, and there will be some.
+        """Return whether a step has to wait for room there, and there will be some in time.
 
         Where there is room already, something else holds the step back; but the members of a gang
         wait for each other's.
         """
         seconds = self._seconds_until_room(room, group.spec, now)
-        return seconds < math.inf and (seconds > 0.0 or group.spec.gang)
+        is_in_time = seconds < math.inf and seconds <= self._worth_seconds(group)
+        return is_in_time and (seconds > 0.0 or group.spec.gang)
+
+    def _worth_seconds(self, group: StepGroup) -> float:
+        seconds = self._worth_seconds_by_group.get(group.key)
+        if seconds is None:
+            seconds = seconds_of_worth(group, self._wall_ms)
+            self._worth_seconds_by_group[group.key] = seconds
+        return seconds
 
     def _seconds_until_room(self, room: "Room", step: StepSpec, now: float) -> float:
         """Return in how many seconds one task has room, by the estimates of the runs there.
