--- a/src/savoryshelf/dispatch/lateness.py
+++ b/src/savoryshelf/dispatch/lateness.py
@@ -40,32 +40,33 @@
 
     A job with a long-running step is always ON_TIME.
     """
-    multiple = _multiple_of_objective(group, wall_ms)
-    if multiple <= 1.0:
+    earliest_end_ms, objective_ms = _earliest_end_and_objective_ms(group, wall_ms)
+    if earliest_end_ms <= objective_ms:
         return ON_TIME
-    return LATE if multiple <= VERY_LATE_FACTOR else VERY_LATE
+    return LATE if earliest_end_ms <= VERY_LATE_FACTOR * objective_ms else VERY_LATE
 
 
 def has_yielded_long(group: StepGroup, wall_ms: int) -> bool:
     """Return whether a job has been very late for so long that it yields no more."""
-    return _multiple_of_objective(group, wall_ms) > YIELD_FACTOR
+    earliest_end_ms, objective_ms = _earliest_end_and_objective_ms(group, wall_ms)
+    return earliest_end_ms > YIELD_FACTOR * objective_ms
 
 
-def _multiple_of_objective(group: StepGroup, wall_ms: int) -> float:
-    """Return the earliest end of the job after a step, as a multiple of its objective.
+def seconds_of_worth(group: StepGroup, wall_ms: int) -> float:
+    """Return within how many seconds the step has to start for its job not to be VERY_LATE."""
+    earliest_end_ms, objective_ms = _earliest_end_and_objective_ms(group, wall_ms)
+    return (VERY_LATE_FACTOR * objective_ms - earliest_end_ms) / 1000
 
-    0 for a job with a long-running step, which has none.
-    """
+
+def _earliest_end_and_objective_ms(group: StepGroup, wall_ms: int) -> tuple[float, float]:
+    """Return the age at which the job can end if the step starts now, and its objective."""
     job = group.job
     if any(step.lasting for step in job.spec.steps):
-        return 0.0
+        return 0.0, math.inf
     age_ms = wall_ms - max(job.accepted_ms, job.due_ms(group.occurrence))
     remaining_ms = _remaining_ms_by_step(job)
-    earliest_end_ms = age_ms + remaining_ms[group.number]
     objective_ms = job.queue.target_latency_ms + job.queue.stretch * max(remaining_ms)
-    if earliest_end_ms <= objective_ms:
-        return 0.0
-    return earliest_end_ms / objective_ms if objective_ms > 0 else math.inf
+    return age_ms + remaining_ms[group.number], objective_ms
 
 
 def _remaining_ms_by_step(job: Job) -> list[int]:
