Finite work that is kept for is no more than the workers can hold

Cause: the peak of finite demand counted all that waits: what fits on no worker, and any multiple of the service. Such a backlog kept all workers without long-running runs, so that tasks of a long-running step shared a worker while others were free, and its peak faded by half in 30 s, from 100 times the service as from any other.

Change: a waiting task counts if no resource that it needs exceeds what any worker with its label has, those of one label up to what its workers have, and all together up to what the service has.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2250,6 +2250,27 @@
         "            pass\n",
         _LARGE_TASKS_TESTS,
     ),
+    Mutant(
+        "finite work needs no more of a service than it has",
+        "dispatch/finite_demand.py",
+        'min(demand, capacities.total_millicores(name, ""))',
+        "demand",
+        DISPATCH + "/test_finite_demand.py",
+    ),
+    Mutant(
+        "finite work that needs a label needs no more than the workers that have it",
+        "dispatch/finite_demand.py",
+        "+ min(waiting, most)",
+        "+ waiting",
+        DISPATCH + "/test_finite_demand.py",
+    ),
+    Mutant(
+        "finite work that fits on no worker keeps none",
+        "dispatch/finite_demand.py",
+        " or not capacities.may_hold(step, requirement):",
+        ":",
+        DISPATCH + "/test_finite_demand.py",
+    ),
     Mutant(
         "what finite work needed fades",
         "dispatch/finite_demand.py",
--- a/src/savoryshelf/dispatch/finite_demand.py
+++ b/src/savoryshelf/dispatch/finite_demand.py
@@ -10,6 +10,7 @@
 
 from ..tasks.job import StepGroup
 from ..tasks.worker import Worker
+from ..wire.generated.ttypes import StepSpec
 
 HALF_LIFE_SECONDS = 30.0
 """Time in which a peak loses half of its weight: bursts come again, at other times."""
@@ -29,21 +30,35 @@
     _recorded_at: float = 0.0
 
     def record(self, groups: Iterable[StepGroup], workers: Iterable[Worker], now: float) -> None:
-        """Take note of what runs and of the startable steps; ``now`` is monotonic, in seconds."""
+        """Take note of what runs and of the startable steps; ``now`` is monotonic, in seconds.
+
+        Only what the workers can hold counts: more of it would keep no more of them, for longer.
+        """
+        workers = [worker for worker in workers if not worker.has_ended]
+        capacities = _Capacities(workers)
         demand_by_service: dict[str, float] = {}
         largest_by_service: dict[str, float] = {}
         for worker in workers:
             finite = worker.used.millicores - worker.long_running.millicores
-            if finite and not worker.has_ended:
+            if finite:
                 name = worker.record.service_name
                 demand_by_service[name] = demand_by_service.get(name, 0) + finite
+        waiting_by_requirement: dict[tuple[str, str], float] = {}
         for group in groups:
-            if not group.spec.lasting and not group.spec.filling:
-                name = group.job.queue.service_name
-                waiting = group.spec.millicores * len(group.startable_indexes)
-                demand_by_service[name] = demand_by_service.get(name, 0) + waiting
-                largest = max(group.spec.millicores, largest_by_service.get(name, 0))
-                largest_by_service[name] = largest
+            step = group.spec
+            requirement = group.job.queue.service_name, step.required_label
+            if step.lasting or step.filling or not capacities.may_hold(step, requirement):
+                continue
+            waiting = step.millicores * len(group.startable_indexes)
+            waiting += waiting_by_requirement.get(requirement, 0)
+            waiting_by_requirement[requirement] = waiting
+            name, _ = requirement
+            largest_by_service[name] = max(step.millicores, largest_by_service.get(name, 0))
+        for (name, label), waiting in waiting_by_requirement.items():
+            most = capacities.total_millicores(name, label)
+            demand_by_service[name] = demand_by_service.get(name, 0) + min(waiting, most)
+        for name, demand in demand_by_service.items():
+            demand_by_service[name] = min(demand, capacities.total_millicores(name, ""))
         remaining = math.exp2((self._recorded_at - now) / HALF_LIFE_SECONDS)
         self._recorded_at = now
         _update(self._peak_by_service, demand_by_service, remaining)
@@ -62,3 +77,42 @@
     """Let peaks fade to the share that remains, and raise them to new values."""
     for name in peaks.keys() | values.keys():
         peaks[name] = max(peaks.get(name, 0.0) * remaining, values.get(name, 0))
+
+
+class _Capacities:
+    """What the workers of each service and required label have."""
+
+    def __init__(self, workers: list[Worker]):
+        self._records = [worker.record for worker in workers]
+        self._by_requirement: dict[tuple[str, str], tuple[int, int, int, int]] = {}
+
+    def total_millicores(self, service_name: str, label: str) -> int:
+        """Return the processors of all workers with that label, in thousandths."""
+        return self._of((service_name, label))[0]
+
+    def may_hold(self, step: StepSpec, requirement: tuple[str, str]) -> bool:
+        """Return whether no resource that one task needs exceeds what any worker has of it."""
+        _, millicores, memory_mb, accelerators = self._of(requirement)
+        return (
+            step.millicores <= millicores
+            and step.memory_mb <= memory_mb
+            and step.accelerators <= accelerators
+        )
+
+    def _of(self, requirement: tuple[str, str]) -> tuple[int, int, int, int]:
+        """Return the processors of all of them, and the most that one has of each resource."""
+        capacity = self._by_requirement.get(requirement)
+        if capacity is None:
+            service_name, label = requirement
+            records = [
+                record
+                for record in self._records
+                if record.service_name == service_name and (not label or label in record.labels)
+            ]
+            capacity = self._by_requirement[requirement] = (
+                sum(record.millicores for record in records),
+                max((record.millicores for record in records), default=0),
+                max((record.memory_mb for record in records), default=0),
+                max((record.accelerators for record in records), default=0),
+            )
+        return capacity
--- a/tests/dispatch/test_finite_demand.py
+++ b/tests/dispatch/test_finite_demand.py
@@ -1,5 +1,7 @@
 """What finite work has needed of a service of late."""
 
+import pytest
+
 from savoryshelf.dispatch.finite_demand import HALF_LIFE_SECONDS, FiniteDemand
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, step, worker
@@ -48,3 +50,32 @@
     task_ledger.cancel(OTHER_JOB)
     recorded(demand, task_ledger, HALF_LIFE_SECONDS)
     assert demand.largest_millicores("dispatch") == 4_500
+
+
+# Guards against workers that are kept for minutes after a backlog of a multiple of the service.
+def test_a_backlog_counts_for_no_more_than_the_workers_have():
+    demand, task_ledger = FiniteDemand(), ledger(worker(millicores=16_000))
+    accept(task_ledger, step(800, millicores=2_000))
+    record_intent(task_ledger, f"{JOB}.0.0.0")
+    assert recorded(demand, task_ledger) == 16_000
+    task_ledger.cancel(JOB)
+    assert recorded(demand, task_ledger, HALF_LIFE_SECONDS) == 8_000
+
+
+# Guards against workers that are kept for what none of them can run.
+@pytest.mark.parametrize(
+    "fields", [{"millicores": 17_000}, {"memory_mb": 1_001}, {"required_label": "none"}]
+)
+def test_tasks_that_fit_on_no_worker_do_not_count(fields):
+    demand, task_ledger = FiniteDemand(), ledger(worker(millicores=16_000))
+    accept(task_ledger, step(4, **({"millicores": 9_000} | fields)))
+    assert recorded(demand, task_ledger) == 0.0
+    assert demand.largest_millicores("dispatch") == 0.0
+
+
+def test_tasks_that_need_a_label_count_for_no_more_than_the_workers_that_have_it():
+    workers = [worker("w1", millicores=16_000), worker("w2", millicores=4_000, labels=("b",))]
+    demand, task_ledger = FiniteDemand(), ledger(*workers)
+    accept(task_ledger, step(9, millicores=2_000, required_label="b"))
+    accept(task_ledger, step(3, millicores=2_000), job_id=OTHER_JOB)
+    assert recorded(demand, task_ledger) == 10_000
--- a/tests/dispatch/test_large_tasks.py
+++ b/tests/dispatch/test_large_tasks.py
@@ -115,6 +115,10 @@
 
         return each_pass
 
+    def runs_on(self, worker_id):
+        """Return the runs that a worker has, by task name and run number."""
+        return list(self.ledger.worker_by_incarnation[worker_id, 1].task_by_run)
+
     def start_of(self, job_id, index=0):
         """Return when a task of a job was first started, infinity for never."""
         return self.started_at_by_task.get(f"{job_id}.0.0.{index}", math.inf)
@@ -630,6 +634,25 @@
     assert sum(not each.long_running_millicores for each in workers) >= 3
 
 
+# Guards against a worker whose loss ends all tasks of a step, since the others are kept for what
+# none of them can run.
+@pytest.mark.parametrize("fields", [{"millicores": 32_000}, LARGE | {"required_label": "none"}])
+def test_long_running_tasks_are_spread_beside_a_backlog_that_fits_nowhere(fields):
+    fleet = Fleet(*[WORKER_MILLICORES] * 8)
+    fleet.accept(step(lasting=True, millicores=1_000), prefix="/long/")
+    fleet.run(2.0)
+    fleet.accept(step(100, estimated_ms=60_000, **fields))
+    fleet.run(1.0)
+    lasting = fleet.accept(step(4, lasting=True, **SMALL), prefix="/long/")
+    fleet.run(2.0)
+    workers = [
+        worker_id
+        for worker_id, _ in fleet.ledger.worker_by_incarnation
+        if any(task.startswith(lasting) for task, _ in fleet.runs_on(worker_id))
+    ]
+    assert len(workers) == 4
+
+
 def test_long_running_work_uses_the_workers_kept_whole_if_no_other_has_room():
     fleet = Fleet(*[WORKER_MILLICORES] * 4)
     lasting = fleet.accept(step(4, lasting=True, millicores=14_000), prefix="/long/")
