Known fault: the own interface's placement keeps a large job waiting without end

The new test fails (in 0.4 s, always): the job waits for 50 run times. Not mended here: that placement knows no run times, so it can't tell where room comes soonest, and a worker that is kept may be idle for as long as its longest job lasts.

--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -82,6 +82,29 @@
     assert placed([demand("a", cores=32.0)], capacities) == [("a", "large")]
 
 
+# Guards against a large job that waits without end: each round passes it by, and younger ones take
+# whatever comes free on each worker.
+def test_a_job_that_needs_a_whole_worker_gets_its_turn_beside_a_stream_of_small_ones():
+    seconds_by_run, run_seconds, waiting = {}, 4, []
+    for round_ in range(50 * run_seconds):
+        waiting += [demand(f"{round_}-{n}", cores=2.0, submitted_ms=round_) for n in range(3)]
+        if round_ == run_seconds:
+            waiting.append(demand("large", cores=8.0, submitted_ms=round_ - 1))
+        capacities = [free_capacity(f"w{n}", slots=4) for n in range(2)]
+        for (job, worker_id), left in list(seconds_by_run.items()):
+            if left > 1:
+                seconds_by_run[job, worker_id] = left - 1
+                capacities[int(worker_id[1:])].allocate(demand(job, cores=2.0))
+            else:
+                del seconds_by_run[job, worker_id]
+        started = placed(waiting, capacities)
+        seconds_by_run |= dict.fromkeys(started, run_seconds)
+        waiting = [each for each in waiting if each.job_id not in jobs(started)]
+        if "large" in jobs(started):
+            return
+    raise AssertionError(f"it waits for {50 * run_seconds} s, while runs take {run_seconds} s")
+
+
 @given(
     sizes=st.lists(st.floats(0.1, 6), max_size=30),
     slots=st.lists(st.integers(0, 4), min_size=1, max_size=6),
