--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -124,7 +124,7 @@
 
 # Guards against a group that keeps the vote of a host which was stopped for good once its
 # successor was there: two lost disks left three voters of six, and no leader was elected again.
-@pytest.mark.parametrize("stops_leader", [True, False], ids=["the leader stops", "another stops"])
+@pytest.mark.parametrize("stops_leader", [True, False], ids=["leader-stops", "another-stops"])
 def test_a_power_loss_right_after_a_planned_replacement_is_survived(deployment, stops_leader):
     path = deployment.submit(1, "50 ms")
     deployment.start(NEW_IP)
