--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -176,7 +176,7 @@
     Mutant(
         "a leader without a quorum steps down",
         _CORE,
-        "if self._now - contact_at > self.timing.election_timeout:",
+        "if silence > timeout:",
         "if False:",
         REPLICATION,
     ),
@@ -1281,8 +1281,8 @@
     Mutant(
         "a job that cannot be on time yields to those that can",
         "dispatch/lateness.py",
-        "earliest_end_ms = age_ms + remaining_ms[group.number]",
-        "earliest_end_ms = age_ms",
+        "return age_ms + remaining_ms[group.number], objective_ms",
+        "return age_ms, objective_ms",
         DISPATCH,
     ),
     Mutant(
@@ -2330,8 +2330,8 @@
     Mutant(
         "no worker is reserved where there is room only when the job is worth nothing",
         "dispatch/reservations.py",
-        "seconds < math.inf and seconds <= self._worth_seconds(group)",
-        "seconds < math.inf",
+        "return self.has_turn(group) or seconds <= self._worth_seconds(group)",
+        "return True",
         _LARGE_TASKS_TESTS,
     ),
     Mutant(
--- a/src/savoryshelf/dispatch/reservations.py
+++ b/src/savoryshelf/dispatch/reservations.py
@@ -57,7 +57,7 @@
 """The key of a step: job id, occurrence and number."""
 
 Rank = tuple[int, bool]
-"""The priority of a step, and whether its job is worth nothing any more; less goes first."""
+"""The priority of a step, and whether it yields to others of that priority; less goes first."""
 
 
 @attrs.frozen
@@ -335,9 +335,9 @@
         wait for each other's.
         """
         seconds = self._seconds_until_room(room, group.spec, now)
-        is_in_time = self.has_turn(group) or seconds <= self._worth_seconds(group)
-        is_in_time = is_in_time and seconds < math.inf
-        return is_in_time and (seconds > 0.0 or group.spec.gang)
+        if math.isinf(seconds) or (seconds <= 0.0 and not group.spec.gang):
+            return False
+        return self.has_turn(group) or seconds <= self._worth_seconds(group)
 
     def _worth_seconds(self, group: StepGroup) -> float:
         seconds = self._worth_seconds_by_group.get(group.key)
