--- a/src/savoryshelf/scheduling/placement.py
+++ b/src/savoryshelf/scheduling/placement.py
@@ -2,7 +2,9 @@
 
 Attempts are placed in this order: urgent ones first, then those of the team
 that uses the smallest share of its quota, then the oldest.  A job that fits
-on no worker now is skipped, and does not block the jobs behind it.
+on no worker now reserves one, which the jobs behind it then leave alone;
+otherwise smaller ones could take whatever comes free, and it would wait without
+end.  Once as many workers are reserved as may be, such a job is skipped.
 """
 
 import heapq
@@ -17,6 +19,13 @@
 MAX_STARTS_PER_ROUND = 256
 MAX_SAMPLED_WORKERS = 64
 
+MAX_RESERVED_SHARE = 0.1
+"""Share of the workers that may be reserved in one round for jobs that fit on none; one always may.
+
+A reserved worker is partly idle until enough of its runs have ended; how long that takes is not
+known here.
+"""
+
 
 @attrs.define
 class FreeCapacity:
@@ -62,6 +71,22 @@
             and self.accelerators >= demand.accelerators
         )
 
+    def shortage(self, demand: "Demand") -> float:
+        """Return what is missing for the demand, as the largest share of any whole resource.
+
+        Only for workers that could ever fit it; 0 or less if it fits now.
+        """
+        cores, memory_mb, accelerators = self._whole
+        missing = [(1 - self.slots) / self.max_slots]
+        for needed, free, whole in (
+            (demand.cores, self.cores, cores),
+            (demand.memory_mb, self.memory_mb, memory_mb),
+            (demand.accelerators, self.accelerators, accelerators),
+        ):
+            if needed:
+                missing.append((needed - free) / whole)
+        return max(missing)
+
     def allocate(self, demand: "Demand") -> None:
         """Subtract the demand from the free resources."""
         self.slots -= 1
@@ -150,12 +175,20 @@
     """Return at most ``MAX_STARTS_PER_ROUND`` placements, and subtract them from ``capacities``."""
     running = defaultdict(int, running_by_team)
     available = [capacity for capacity in capacities if capacity.slots > 0]
+    reserved_ids: set[str] = set()
+    max_reserved = max(1, int(MAX_RESERVED_SHARE * len(capacities)))
     placements: list[Placement] = []
     for demand in _in_priority_order(demands, running, quota_by_team):
         if len(placements) >= MAX_STARTS_PER_ROUND or not available:
             break
         fitting = _fitting_capacities(demand, available, rng)
         if not fitting:
+            if len(reserved_ids) < max_reserved:
+                unreserved = [c for c in capacities if c.worker_id not in reserved_ids]
+                nearest = _nearest_to_fit(demand, unreserved)
+                if nearest is not None:
+                    reserved_ids.add(nearest.worker_id)
+                    available = [c for c in available if c.worker_id != nearest.worker_id]
             continue
         capacity = choose(demand, fitting, rng)
         capacity.allocate(demand)
@@ -186,6 +219,22 @@
     return [capacity for capacity in capacities if capacity.fits(demand)]
 
 
+def _nearest_to_fit(demand: Demand, capacities: list[FreeCapacity]) -> FreeCapacity | None:
+    """Return the worker that lacks least for the demand, of those that could ever fit it.
+
+    While it is reserved it only gains room, so the next round chooses it again, or a better one.
+    """
+    return min(
+        (capacity for capacity in capacities if capacity.could_ever_fit(demand)),
+        key=lambda capacity: (
+            capacity.shortage(demand),
+            capacity.worker_id == demand.avoid_worker_id,
+            capacity.worker_id,
+        ),
+        default=None,
+    )
+
+
 def _in_priority_order(
     demands: list[Demand], running: dict[str, int], quota_by_team: dict[str, int]
 ):
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from savoryshelf.scheduling.placement import (
+    MAX_RESERVED_SHARE,
     MAX_SAMPLED_WORKERS,
     POLICIES,
     Demand,
@@ -105,6 +106,76 @@
     raise AssertionError(f"it waits for {50 * run_seconds} s, while runs take {run_seconds} s")
 
 
+def test_urgent_work_may_use_a_reserved_worker():
+    waiting = [
+        demand("large", cores=8.0, submitted_ms=1),
+        demand("urgent", urgent=True, submitted_ms=2),
+        demand("small", submitted_ms=3),
+    ]
+    assert jobs(placed(waiting, [free_capacity("w0", cores=8.0)])) == ["urgent"]
+
+
+def test_a_job_that_no_worker_can_ever_run_reserves_none():
+    waiting = [demand(f"huge{n}", cores=9.0, submitted_ms=n) for n in range(20)]
+    waiting.append(demand("small", submitted_ms=30))
+    assert jobs(placed(waiting, [free_capacity("w0")])) == ["small"]
+
+
+# Guards against idle workers: a backlog of large jobs must leave most of the fleet to small ones.
+def test_a_backlog_of_large_jobs_reserves_a_limited_share_of_the_workers():
+    capacities = [free_capacity(f"w{n:02}", slots=4) for n in range(20)]
+    for capacity in capacities:
+        capacity.allocate(demand("running", cores=4.0))
+    waiting = [demand(f"large{n}", cores=8.0, submitted_ms=n) for n in range(20)]
+    waiting += [demand(f"small{n}", cores=4.0, submitted_ms=30) for n in range(20)]
+    started = placed(waiting, capacities)
+    assert len(started) == len(capacities) - int(MAX_RESERVED_SHARE * len(capacities))
+    assert all(job.startswith("small") for job in jobs(started))
+
+
+def test_the_worker_that_lacks_least_is_reserved():
+    capacities = [free_capacity(f"w{n}", slots=4) for n in range(3)]
+    for capacity, cores in zip(capacities, (4.0, 2.0, 6.0), strict=True):
+        capacity.allocate(demand("running", cores=cores))
+    waiting = [demand("large", cores=8.0)]
+    waiting += [demand(f"small{n}", cores=2.0, submitted_ms=1) for n in range(6)]
+    assert {worker_id for _, worker_id in placed(waiting, capacities)} == {"w0", "w2"}
+
+
+# Guards against a job that waits without end because it needs much of one resource of a worker.
+@given(
+    needs=st.lists(
+        st.tuples(st.floats(0.1, 8), st.integers(1, 100), st.integers(1, 4)),
+        min_size=1,
+        max_size=12,
+    ),
+    worker_count=st.integers(1, 4),
+    policy=st.sampled_from(sorted(POLICIES)),
+)
+def test_each_job_starts_once_those_ahead_of_it_have(needs, worker_count, policy):
+    longest = 4
+    waiting = [
+        Demand(str(n), 1, "team", False, n, cores, memory_mb, 0)
+        for n, (cores, memory_mb, _) in enumerate(needs)
+    ]
+    running = {}
+    for round_ in range(longest * (len(needs) + 1)):
+        waiting.append(demand(f"younger{round_}", cores=0.5, submitted_ms=100 + round_))
+        capacities = [free_capacity(f"w{n}", slots=8) for n in range(worker_count)]
+        running = {each: left - 1 for each, left in running.items() if left > 1}
+        for each, worker_id in running:
+            capacities[int(worker_id[1:])].allocate(each)
+        started = place(
+            waiting, capacities, {}, {"team": 1000}, POLICIES[policy], random.Random(round_)
+        )
+        for each in started:
+            job_id = each.demand.job_id
+            seconds = needs[int(job_id)][2] if job_id.isdigit() else longest
+            running[each.demand, each.worker_id] = seconds
+            waiting.remove(each.demand)
+    assert all(each.job_id.startswith("younger") for each in waiting)
+
+
 @given(
     sizes=st.lists(st.floats(0.1, 6), max_size=30),
     slots=st.lists(st.integers(0, 4), min_size=1, max_size=6),
