--- a/src/savoryshelf/dispatch/finite_demand.py
+++ b/src/savoryshelf/dispatch/finite_demand.py
@@ -15,6 +15,9 @@
 HALF_LIFE_SECONDS = 30.0
 """Time in which a peak loses half of its weight: bursts come again, at other times."""
 
+RECENT_HALF_LIFE_SECONDS = 5.0
+"""The same for what decides whether more work is accepted: room that is free again is offered."""
+
 
 @attrs.define
 class FiniteDemand:
@@ -24,6 +27,7 @@
     """
 
     _peak_by_service: dict[str, float] = attrs.field(factory=dict)
+    _recent_by_service: dict[str, float] = attrs.field(factory=dict)
     _largest_by_service: dict[str, float] = attrs.field(factory=dict)
     """The most that one waiting task needed."""
 
@@ -59,8 +63,13 @@
             demand_by_service[name] = demand_by_service.get(name, 0) + min(waiting, most)
         for name, demand in demand_by_service.items():
             demand_by_service[name] = min(demand, capacities.total_millicores(name, ""))
-        remaining = math.exp2((self._recorded_at - now) / HALF_LIFE_SECONDS)
-        self._recorded_at = now
+        elapsed, self._recorded_at = now - self._recorded_at, now
+        remaining = math.exp2(-elapsed / HALF_LIFE_SECONDS)
+        _update(
+            self._recent_by_service,
+            demand_by_service,
+            math.exp2(-elapsed / RECENT_HALF_LIFE_SECONDS),
+        )
         _update(self._peak_by_service, demand_by_service, remaining)
         _update(self._largest_by_service, largest_by_service, remaining)
 
@@ -68,6 +77,14 @@
         """Return the peak of a service in thousandths of a processor."""
         return self._peak_by_service.get(service_name, 0.0)
 
+    def recent_millicores(self, service_name: str, now: float) -> float:
+        """Return the peak of a service in the last seconds, in thousandths of a processor.
+
+        It fades between two records too: nothing is recorded while nothing waits.
+        """
+        faded = math.exp2((self._recorded_at - now) / RECENT_HALF_LIFE_SECONDS)
+        return self._recent_by_service.get(service_name, 0.0) * faded
+
     def largest_millicores(self, service_name: str) -> float:
         """Return what the largest task of a service needed, in thousandths of a processor."""
         return self._largest_by_service.get(service_name, 0.0)
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -265,6 +265,7 @@
                 self.replica, self.state_machine, self._clock, self._settings.dispatch
             )
             self.task_service.on_change = term.wake
+            self.task_service.occupancy_without_room = term.occupancy_without_room
             self._term = term
             seconds = round(self._clock.monotonic() - self._started_at, 2)
             log_event("control:leads", term=core.term, seconds_since_start=seconds)
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -36,7 +36,9 @@
     EndLives,
     ForgetJobs,
     IntendRuns,
+    JobSpec,
     NoteWeights,
+    QueueSpec,
     RejectionKind,
     RunEnd,
     RunIntent,
@@ -48,6 +50,7 @@
     TaskCommandBody,
     WorkerLife,
 )
+from .admission import Occupancy, occupancy_without_room
 from .agent_fleet import AgentFleet
 from .agent_id import replica_of
 from .assignment import AssignableAgent, AssignableWorker, plan_assignments
@@ -187,6 +190,11 @@
             return False
         return core.seconds_since_quorum_contact(self.now()) < MAX_QUORUM_CONTACT_AGE_SECONDS
 
+    def occupancy_without_room(self, queue: QueueSpec, spec: JobSpec) -> Occupancy | None:
+        """Return why a job is not accepted now, or None if there is room for it."""
+        demand = self._placement.finite_demand
+        return occupancy_without_room(self.ledger, demand, queue, spec, self.now())
+
     # ------------------------------------------------------------------------ loop
 
     def run(self) -> None:
--- a/src/savoryshelf/dispatch/placement.py
+++ b/src/savoryshelf/dispatch/placement.py
@@ -546,7 +546,7 @@
         self._next_position = 0
         self._isolation = Isolation()
         self._reservations = Reservations()
-        self._finite_demand = FiniteDemand()
+        self.finite_demand = FiniteDemand()
         self._home_region = home_region
         self._region_by_domain = region_by_domain or {}
 
@@ -590,8 +590,8 @@
         suspects_by_step = _by_step(ledger, intents)
         for candidate in preferred:
             candidate.is_avoided = self._isolation.is_kept(candidate.view.incarnation)
-        self._finite_demand.record(groups, ledger.worker_by_incarnation.values(), now)
-        _keep_whole_workers(preferred, self._finite_demand)
+        self.finite_demand.record(groups, ledger.worker_by_incarnation.values(), now)
+        _keep_whole_workers(preferred, self.finite_demand)
         all_pools, pools = _Pools(candidates), _Pools([c for c in preferred if not c.is_avoided])
         usage = _ServiceUsage(candidates, views)
         last_resorts: list[RunIntent] = []
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -4,6 +4,8 @@
 ``ttypes.Unavailable`` if this host cannot do so.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from ..clock import Clock
@@ -28,14 +30,17 @@
     JobAnswer,
     JobAnswerKind,
     JobCall,
+    JobSpec,
     JobVerb,
     Manifest,
     NoteWorkers,
+    QueueSpec,
     TaskCommand,
     TaskCommandBody,
     WorkerLife,
     WorkerRecord,
 )
+from .admission import Occupancy
 from .agent_id import replica_of
 from .ignored_heartbeats import IgnoredHeartbeats
 
@@ -55,6 +60,12 @@
 One election timeout.
 """
 
+NO_ROOM_RETRY_AFTER_MS = 5000
+"""When a caller may come back whose long-running job has no room, in ms.
+
+Room comes with the ends of other long-running jobs, or when finite work needs less.
+"""
+
 MAX_LOGGED_AS_IGNORED = 1000
 """Number of ignored heartbeats that are remembered as logged."""
 
@@ -95,6 +106,14 @@
         self.on_change = lambda: None
         """Called after commands that may give the leader's term work to do."""
 
+        self.occupancy_without_room: Callable[[QueueSpec, JobSpec], Occupancy | None] = (
+            lambda queue, spec: None
+        )
+        """Returns why the leader's term has no room for a job, or None."""
+
+        self._proposed_job_ids: set[str] = set()
+        """Jobs whose acceptance was proposed here, and may yet be committed."""
+
     # ------------------------------------------------------------------------ callers
 
     def job_call(self, call: JobCall) -> JobAnswer:
@@ -107,7 +126,12 @@
         job_id = job_id_from_path(call.path)
         if job_id in self._state_machine.ledger.job_by_id:
             return JobAnswer(JobAnswerKind.ACCEPTED, reason="resend")
+        refusal = self._refuse_without_room(call, job_id)
+        if refusal is not None:
+            return refusal
+        self._proposed_job_ids.add(job_id)
         outcome = self._commit(accept_tasks=AcceptTasks(job_id, call.host, call.path, call.spec))
+        self._proposed_job_ids.discard(job_id)
         if isinstance(outcome, Refusal):
             metrics.REFUSALS.labels(outcome.reason).inc()
             return self._no_queue(call)
@@ -119,6 +143,30 @@
         self.on_change()
         return JobAnswer(JobAnswerKind.ACCEPTED)
 
+    def _refuse_without_room(self, call: JobCall, job_id: str) -> JobAnswer | None:
+        """Refuse a job that has no room, unless it is or may have been accepted already."""
+        ledger = self._state_machine.ledger
+        queue = find_queue(ledger.manifest, call.host, call.path)
+        if queue is None or self.occupancy_without_room(queue, call.spec) is None:
+            return None
+        # Another leader may have accepted it.
+        self.confirm_leadership()
+        occupancy = self.occupancy_without_room(queue, call.spec)
+        may_be_accepted = job_id in self._proposed_job_ids or job_id in ledger.job_by_id
+        if occupancy is None or may_be_accepted:
+            return None
+        metrics.REFUSALS.labels("no_room").inc()
+        log_event(
+            "job:refused", job=job_id, trace=call.trace_id, queue=queue.name,
+            tasks=sum(step.count for step in call.spec.steps),
+            long_running=occupancy.long_running, kept=round(occupancy.kept),
+            total=occupancy.total,
+        )  # fmt: skip
+        return JobAnswer(
+            JobAnswerKind.REFUSED, retry_after_ms=NO_ROOM_RETRY_AFTER_MS,
+            reason="not run: finite work needs the room that is left",
+        )  # fmt: skip
+
     def read(self, call: JobCall) -> JobAnswer:
         """Return a job's state."""
         self._require_recent_quorum_contact()
--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -16,7 +16,7 @@
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..wire.generated import ControlService, ttypes
-from ..wire.generated.ttypes import JobAnswer, JobCall
+from ..wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall
 from ..wire.peers import PeerPool
 from .addresses import AddressBook
 
@@ -102,6 +102,9 @@
             try:
                 answer = self._ask(address, "job_call", request, remaining)
                 self._record_leader(address)
+                if outcome_is_unknown and answer.kind == JobAnswerKind.REFUSED:
+                    # An earlier attempt may still arrive, and be accepted.
+                    raise LeaderUnavailable(True, f"refused after an attempt: {answer.reason}")
                 return answer
             except ttypes.NotLeader as error:
                 self._update_leader_hint(address, error.leader_address or "")
--- a/tests/dispatch/applying_replica.py
+++ b/tests/dispatch/applying_replica.py
@@ -15,11 +15,17 @@
         self.is_leader = is_leader
         self.commits = 0
         self.leader_contact_age = 0.0
+        self.on_confirm = lambda: None
+        """Called while leadership is confirmed."""
+
         self.core = types.SimpleNamespace(
             seconds_since_quorum_contact=lambda now: 0.0,
             seconds_since_leader_contact=lambda now: self.leader_contact_age,
         )
 
+    def confirm_leadership(self):
+        self.on_confirm()
+
     def propose(self, payload):
         self.commits += 1
         return self._state_machine.apply(payload)
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -4,20 +4,32 @@
 
 from savoryshelf.clock import SystemClock
 from savoryshelf.dispatch import task_service
+from savoryshelf.dispatch.admission import Occupancy
 from savoryshelf.dispatch.task_service import (
     MAX_FUTURE_MS,
     MAX_LOGGED_AS_IGNORED,
+    NO_ROOM_RETRY_AFTER_MS,
     ImplausibleHeartbeat,
     TaskService,
     WorkerHeartbeat,
 )
 from savoryshelf.replication.service import OutcomeUnknown
+from savoryshelf.replication.types import NotLeading
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated import ttypes
-from savoryshelf.wire.generated.ttypes import AgentAssignment, Manifest, ServiceSpec, WorkerLife
+from savoryshelf.wire.generated.ttypes import (
+    AgentAssignment,
+    JobAnswerKind,
+    JobCall,
+    JobSpec,
+    JobVerb,
+    Manifest,
+    ServiceSpec,
+    WorkerLife,
+)
 
-from ..tasks.builders import JOB, accept, manifest, queue, record_intent, step, worker
+from ..tasks.builders import HOST, JOB, accept, manifest, queue, record_intent, step, worker
 from .applying_replica import FakeClock, FakeReplica
 
 
@@ -833,3 +845,80 @@
     assert entry(state_machine).has_ended
     (line,) = ignored(logged)
     assert line["why"] == "this life has left and ended"
+
+
+LONG_RUNNING = JobSpec("work", [step(6, lasting=True)], 0, 0, 1000)
+
+
+def submission(job_id=JOB, spec=LONG_RUNNING):
+    return JobCall(JobVerb.SUBMIT, HOST, f"/quotes/{job_id}", spec, "trace")
+
+
+def full_host(state_machine):
+    """A leader without room for any job, and its replica."""
+    state_machine.ledger.put_manifest(manifest())
+    replica, service = host(state_machine)
+    service.occupancy_without_room = lambda queue, spec: Occupancy(4_000, 4_000, 2_000.0)
+    return replica, service
+
+
+def test_a_job_without_room_is_refused_at_once_and_never_runs(state_machine, logged):
+    replica, service = full_host(state_machine)
+    answer = service.job_call(submission())
+    assert (answer.kind, answer.retry_after_ms) == (JobAnswerKind.REFUSED, NO_ROOM_RETRY_AFTER_MS)
+    assert not replica.commits
+    assert not state_machine.ledger.job_by_id
+    ((name, values),) = logged
+    assert name == "job:refused"
+    assert (values["long_running"], values["kept"], values["total"]) == (4_000, 2_000, 4_000)
+
+
+def test_a_refused_job_is_accepted_once_there_is_room(state_machine):
+    _, service = full_host(state_machine)
+    service.job_call(submission())
+    service.occupancy_without_room = lambda queue, spec: None
+    assert service.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+
+
+# Guards against a "not run" that is not true: the answer to the first attempt was lost.
+def test_a_resend_of_an_accepted_job_is_accepted_without_room(state_machine):
+    _, service = full_host(state_machine)
+    accept(state_machine.ledger, step(lasting=True))
+    assert service.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+
+
+# Guards against the same: an earlier leader accepted it, and this one had not applied that.
+def test_a_job_that_turns_out_to_be_accepted_is_not_refused(state_machine):
+    replica, service = full_host(state_machine)
+    replica.on_confirm = lambda: accept(state_machine.ledger, step(lasting=True))
+    assert service.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+
+
+# Guards against the same: the acceptance may still be committed.
+def test_a_job_of_which_the_outcome_is_unknown_is_not_refused(state_machine):
+    replica, service = full_host(state_machine)
+    state_without_room, propose = service.occupancy_without_room, replica.propose
+    service.occupancy_without_room = lambda queue, spec: None
+
+    def lose_outcome(payload):
+        raise OutcomeUnknown()
+
+    replica.propose = lose_outcome
+    with pytest.raises(ttypes.Unavailable):
+        service.job_call(submission())
+    service.occupancy_without_room, replica.propose = state_without_room, propose
+    assert service.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+    other = submission("00000000000000a2")
+    assert service.job_call(other).kind == JobAnswerKind.REFUSED
+
+
+# Guards against a refusal by a host that has been replaced as leader without knowing it.
+def test_a_job_is_refused_by_a_confirmed_leader_only(state_machine):
+    replica, service = full_host(state_machine)
+
+    def depose():
+        raise NotLeading(None)
+
+    replica.on_confirm = depose
+    with pytest.raises(ttypes.NotLeader):
+        service.job_call(submission())
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -90,6 +90,22 @@
     assert client.call(CALL, 1.0) == ACCEPTED
 
 
+# Guards against a "not run" that is not true: the first attempt may still arrive, and be accepted.
+@pytest.mark.parametrize(("sent", "is_unknown"), [(True, True), (False, False)])
+def test_a_refusal_after_an_attempt_that_may_arrive_is_no_certain_one(
+    client, monkeypatch, sent, is_unknown
+):
+    refused = JobAnswer(JobAnswerKind.REFUSED, retry_after_ms=5000, reason="no room")
+    outcomes = iter([PeerUnreachable("a", "reset", sent=sent)])
+    script_answers(client, monkeypatch, dict.fromkeys("ab", lambda: next(outcomes, refused)))
+    if not is_unknown:
+        assert client.call(CALL, 1.0) == refused
+        return
+    with pytest.raises(LeaderUnavailable) as caught:
+        client.call(CALL, 1.0)
+    assert caught.value.outcome_unknown
+
+
 # Guards against a process that is killed while it still waits for the leader.
 def test_a_call_in_progress_ends_at_the_stop_with_an_unknown_outcome(client, monkeypatch):
     timed_out = lambda: PeerUnreachable("a", "timed out", sent=True)  # noqa: E731
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,9 +1,20 @@
 """Headers of callers with odd numbers."""
 
+import io
+import types
+
+import orjson
 import pytest
-from savoryshelf_platform.front import DEFAULT_WAIT_SECONDS, MAX_WAIT_SECONDS, _remaining_seconds
+from savoryshelf_platform.front import (
+    DEFAULT_WAIT_SECONDS,
+    MAX_WAIT_SECONDS,
+    Front,
+    _remaining_seconds,
+)
 from savoryshelf_platform.http import read_body
 
+from savoryshelf.wire.generated.ttypes import JobAnswer, JobAnswerKind
+
 
 # Guards against an answer that says the outcome is unknown: an odd header raised ValueError.
 @pytest.mark.parametrize("deadline", ["\u00b2", "9" * 5000, "9" * 30, "-5", "", "5.5", "1e9"])
@@ -16,3 +27,20 @@
 @pytest.mark.parametrize("length", ["\u00b2", "9" * 5000, "9" * 30, "-5", "x"])
 def test_an_odd_content_length_is_refused(length):
     assert read_body({"CONTENT_LENGTH": length}, 1000) is None
+
+
+# Guards against callers that come back at once to a service that has no room for their work.
+def test_a_refused_submission_is_answered_with_the_time_to_come_back():
+    refused = JobAnswer(JobAnswerKind.REFUSED, retry_after_ms=4_200, reason="not run: no room")
+    front = Front(types.SimpleNamespace(call=lambda call, seconds: refused))
+    body = orjson.dumps({"taskSpec": "work", "steps": [{"count": 1, "cpu": 1000}]})
+    reply = front.answer(
+        {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/q/00000000000000a1",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+    )
+    assert (reply.status, reply.headers) == (503, (("Retry-After", "5"),))
+    assert orjson.loads(reply.body) == {"error": "not run: no room"}
