--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -714,6 +714,20 @@
         "",
         "tests/control/test_leader_loop.py",
     ),
+    Mutant(
+        "work that was at work too shortly to be seen is overdue",
+        "dispatch/waiting.py",
+        "waited = max(self.seconds_at(now), now - self.seen_until)",
+        "waited = self.seconds_at(now)",
+        "tests/dispatch/test_looks_at_work.py",
+    ),
+    Mutant(
+        "overdue runs that are too short to be seen overlap",
+        "dispatch/waiting.py",
+        "        if self.is_idle or self.makes_up or last is None:\n",
+        "        if True:\n",
+        "tests/dispatch/test_looks_at_work.py",
+    ),
     Mutant(
         "a job that fits on no worker reserves one",
         "scheduling/placement.py",
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -8,6 +8,9 @@
 Callers see the time in which nothing is at work, whatever was planned meanwhile.  So that time is
 summed up, through starts that are refused or in doubt and runs that are evicted or paused; only
 work that placement starts by its preferences makes up for it.
+
+They look from time to time, so they may miss runs that are shorter than the time between two looks.
+Work of which only such runs were at work is therefore overdue as well.
 """
 
 import math
@@ -26,6 +29,12 @@
 goes unanswered for a second, and for passes and commits.
 """
 
+MIN_VISIBLE_SECONDS = 1.1
+"""How long something has to be at work without a pause so that callers see it for certain.
+
+They look each second; the rest is for the time from a planned start to the run.
+"""
+
 RETRY_SECONDS = 0.25
 """Shortest time between two overdue starts of the same work, unless the first one is done."""
 
@@ -67,7 +76,7 @@
 
     planned_at: float
     runs: dict[str, int]
-    """The run numbers by task name."""
+    """The run numbers by task name, with those of earlier ones that are still at work."""
 
     failures: int
     """How many runs of the work had failed by then."""
@@ -83,6 +92,9 @@
     worked_until: float
     """Until when a run is known to have been at work, of those that are no longer."""
 
+    seen_until: float
+    """Until when something was last at work for long enough to be seen, or since when it waits."""
+
     runs: set[RunKey] = attrs.field(factory=set)
     """The runs that count as at work."""
 
@@ -125,9 +137,28 @@
         if not self.is_idle:
             self.makes_up = self.makes_up and has_progressed
             changed_at = max(self.worked_until, self.changed_at)
+            if changed_at - self.at_work_since >= MIN_VISIBLE_SECONDS:
+                self.seen_until = changed_at
             self.seconds, self.changed_at = self.seconds_at(changed_at), changed_at
             self.runs = set()
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether nothing is at work, and that has to change whatever preferences say."""
+        waited = max(self.seconds_at(now), now - self.seen_until)
+        return self.is_idle and waited >= MAX_DEFERRAL_SECONDS
+
+    def needs_overlap(self, estimated_seconds: float, now: float) -> bool:
+        """Return whether a further overdue run has to follow the present one without a pause.
+
+        That is if overdue runs alone are at work, none has been seen yet, and they end too soon.
+        """
+        last = self.last_resort
+        if self.is_idle or self.makes_up or last is None:
+            return False
+        if now - self.at_work_since >= MIN_VISIBLE_SECONDS:
+            return False
+        return now - last.planned_at >= max(RETRY_SECONDS, estimated_seconds / 2)
+
     def is_owed_work(self, now: float) -> bool:
         """Return whether its time is not made up for, or its newest start may yet be refused."""
         return self.seconds_at(now) > 0.0 or now - self.at_work_since < MAX_DEFERRAL_SECONDS
@@ -179,9 +210,10 @@
             for key, tasks in _works(group):
                 account = accounts.pop(key, None)
                 if account is None:
-                    account = _Account(now, worked_until=now)
+                    account = _Account(now, worked_until=now, seen_until=now)
                     if is_new:
                         account.seconds = self._unseen_seconds(group, tasks, wall_ms)
+                        account.seen_until -= account.seconds
                 self._update(account, tasks, refused_since_by_task, now)
                 self._account_by_key[key] = account
         # Work of which all tasks have runs may have to start again.
@@ -215,7 +247,8 @@
             key = _key(task)
             if key not in self._account_by_key:
                 seconds = 0.0 if math.isinf(idle_seconds) else idle_seconds
-                accounts[key] = _Account(now, worked_until=now - seconds, seconds=seconds)
+                worked_until = now - seconds
+                accounts[key] = _Account(now, worked_until, worked_until, seconds=seconds)
         return accounts
 
     def _update(
@@ -279,9 +312,7 @@
 
     def _has_waited_too_long(self, key: WorkKey, now: float) -> bool:
         account = self._account_by_key.get(key)
-        if account is None or not account.is_idle:
-            return False
-        return account.seconds_at(now) >= MAX_DEFERRAL_SECONDS
+        return account is not None and account.is_overdue(now)
 
     def overdue_tasks(
         self,
@@ -292,12 +323,20 @@
     ) -> list[Task]:
         """Return those of the startable tasks of a step that are to be started on any worker.
 
-        Of a finite step this is one task, or the whole gang, and none while a run is at work.
-        ``refusals`` returns how many starts of a task were refused of late.
+        Of a finite step this is one task, or the whole gang, and none while a run is at work that
+        callers see.  ``refusals`` returns how many starts of a task were refused of late.
         """
         if group.spec.lasting and not group.spec.gang:
             return [task for task in tasks if self._may_start_anywhere([(task.name, [task])], now)]
-        if not tasks or not self._may_start_anywhere(_works(group), now):
+        if not tasks:
+            return []
+        account = self._account_by_key.get(group.key)
+        overlaps = (
+            account is not None
+            and not group.spec.gang
+            and account.needs_overlap(group.spec.estimated_ms / 1000, now)
+        )
+        if not overlaps and not self._may_start_anywhere(_works(group), now):
             return []
         if group.spec.gang:
             return tasks if len(tasks) == len(group.tasks) else []
@@ -330,7 +369,11 @@
             account = self._account_by_key.get(key)
             if account is not None:
                 failures = _failures(_find_tasks(ledger, key))
-                account.last_resort = _LastResort(now, runs, failures)
+                last = account.last_resort
+                at_work = (
+                    {t: r for t, r in last.runs.items() if (t, r) in account.runs} if last else {}
+                )
+                account.last_resort = _LastResort(now, at_work | runs, failures)
         for intent in intents:
             task = ledger.find_task(intent.task)
             account = self._account_by_key.get(_key(task))
