--- a/src/savoryshelf/dispatch/finite_demand.py
+++ b/src/savoryshelf/dispatch/finite_demand.py
@@ -63,13 +63,10 @@
             demand_by_service[name] = demand_by_service.get(name, 0) + min(waiting, most)
         for name, demand in demand_by_service.items():
             demand_by_service[name] = min(demand, capacities.total_millicores(name, ""))
-        elapsed, self._recorded_at = now - self._recorded_at, now
-        remaining = math.exp2(-elapsed / HALF_LIFE_SECONDS)
-        _update(
-            self._recent_by_service,
-            demand_by_service,
-            math.exp2(-elapsed / RECENT_HALF_LIFE_SECONDS),
-        )
+        remaining = math.exp2((self._recorded_at - now) / HALF_LIFE_SECONDS)
+        recent = math.exp2((self._recorded_at - now) / RECENT_HALF_LIFE_SECONDS)
+        self._recorded_at = now
+        _update(self._recent_by_service, demand_by_service, recent)
         _update(self._peak_by_service, demand_by_service, remaining)
         _update(self._largest_by_service, largest_by_service, remaining)
 
--- a/src/savoryshelf/dispatch/waiting.py
+++ b/src/savoryshelf/dispatch/waiting.py
@@ -159,6 +159,12 @@
             return False
         return now - last.planned_at >= max(RETRY_SECONDS, estimated_seconds / 2)
 
+    def record_last_resort(self, runs: dict[str, int], failures: int, now: float) -> None:
+        """Take note of overdue starts, beside earlier ones that are still at work."""
+        earlier = self.last_resort.runs.items() if self.last_resort else ()
+        at_work = {task: run for task, run in earlier if (task, run) in self.runs}
+        self.last_resort = _LastResort(now, at_work | runs, failures)
+
     def is_owed_work(self, now: float) -> bool:
         """Return whether its time is not made up for, or its newest start may yet be refused."""
         return self.seconds_at(now) > 0.0 or now - self.at_work_since < MAX_DEFERRAL_SECONDS
@@ -368,12 +374,7 @@
         for key, runs in runs_by_key.items():
             account = self._account_by_key.get(key)
             if account is not None:
-                failures = _failures(_find_tasks(ledger, key))
-                last = account.last_resort
-                at_work = (
-                    {t: r for t, r in last.runs.items() if (t, r) in account.runs} if last else {}
-                )
-                account.last_resort = _LastResort(now, at_work | runs, failures)
+                account.record_last_resort(runs, _failures(_find_tasks(ledger, key)), now)
         for intent in intents:
             task = ledger.find_task(intent.task)
             account = self._account_by_key.get(_key(task))
