--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -386,8 +386,11 @@
         incarnation = WorkerLife(session.incarnation.worker_id, session.incarnation.born_ms)
         worked_ms_by_run = session.worked_ms_by_run()
         newest = sorted(worked_ms_by_run, key=worked_ms_by_run.get)[:MAX_LOGGED_RUNS]
+        loss = session.contact_loss()
         log_event(
             "worker:life_over", worker=incarnation.worker_id, born=incarnation.born_ms, why=why,
+            evidence=session.end_evidence.name.lower(), heard_ms=loss.heard_ms,
+            unanswered_ms=loss.unanswered_ms,
             runs=len(session.worker.task_by_run), started=len(worked_ms_by_run),
             newest_worked_ms={f"{task}:{run}": worked_ms_by_run[task, run] for task, run in newest},
         )  # fmt: skip
@@ -403,6 +406,8 @@
                 [session.fencing_token],
                 not session.worker.record.leaving,
                 [RunAge(*run, worked_ms) for run, worked_ms in worked_ms_by_run.items()],
+                session.end_evidence,
+                [loss],
             )  # fmt: skip
         )
         self._wake_up_report()
--- a/src/savoryshelf/dispatch/crash_log.py
+++ b/src/savoryshelf/dispatch/crash_log.py
@@ -5,7 +5,8 @@
 import attrs
 
 from ..observability.logs import log_event
-from ..tasks.ledger import IncarnationEnd
+from ..tasks.job import Crash
+from ..tasks.ledger import IncarnationEnd, TaskLedger
 
 RUNS_PER_LINE = 40
 MAX_LINES = 25
@@ -13,10 +14,35 @@
 
 
 def log_crash_notes(ends: Iterable[IncarnationEnd]) -> None:
-    """Log each task for which a crash was counted, and each that was given up for it."""
+    """Log each task for which a crash was counted."""
     for end in ends:
         for note in end.crash_notes:
-            log_event("task:given_up" if note.gave_up else "task:suspected", **attrs.asdict(note))
+            log_event("task:suspected", **attrs.asdict(note))
+
+
+def log_given_up(name: str, crashes: Iterable[Crash], ledger: TaskLedger) -> None:
+    """Log a task whose job has failed for the crashes of workers, with what each crash was."""
+    log_event("task:given_up", task=name, crashes=describe_crashes(crashes, ledger))
+
+
+def describe_crashes(crashes: Iterable[Crash], ledger: TaskLedger) -> list[dict]:
+    """Return what is known of crashes, for the log."""
+    described = []
+    for crash in crashes:
+        worker = ledger.worker_by_incarnation.get(crash.incarnation)
+        described.append(
+            {
+                "worker": crash.incarnation[0],
+                "born": crash.incarnation[1],
+                "run": crash.run,
+                "on_start": crash.on_start,
+                "sole": crash.is_sole,
+                "certain": crash.is_certain,
+                "proven": crash.is_proven,
+                "lost_with": worker.record.lost_with if worker else None,
+            }
+        )
+    return described
 
 
 def log_incarnation_ends(ends: Iterable[IncarnationEnd]) -> None:
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -33,8 +33,11 @@
     AgentReply,
     AgentReport,
     AssignAgents,
+    ContactLoss,
+    EndEvidence,
     EndLives,
     ForgetJobs,
+    GiveUpTasks,
     IntendRuns,
     JobSpec,
     NoteWeights,
@@ -48,14 +51,16 @@
     StartRejection,
     TaskCommand,
     TaskCommandBody,
+    WithdrawCrashes,
     WorkerLife,
 )
 from .admission import Occupancy, occupancy_without_room
 from .agent_fleet import AgentFleet
 from .agent_id import replica_of
 from .assignment import AssignableAgent, AssignableWorker, plan_assignments
-from .crash_log import log_crash_notes
+from .crash_log import log_crash_notes, log_given_up
 from .health import FleetHealth
+from .held_tasks import HeldTasks
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .not_startable import NotStartable
@@ -166,6 +171,7 @@
         )
         self._waiting_log = WaitingLog(self._placement, self._fleet, self.health)
         self._not_startable = NotStartable()
+        self._held_tasks = HeldTasks()
         self._start_rate = StartRate()
         self._settlements: list[SettleRuns] = []
         self._ended_incarnations: list[EndLives] = []
@@ -253,7 +259,9 @@
             eventlet.sleep(max(BATCH_DELAY_SECONDS, min(pass_seconds, MAX_PASS_INTERVAL_SECONDS)))
 
     def _run_pass(self) -> None:
+        self._withdraw_crashes()
         self._end_replaced_incarnations(self.now())
+        self._give_up_tasks(self.now())
         self._assign_workers()
         self._commit_weights()
         self._forget_old_jobs()
@@ -436,7 +444,43 @@
         for incarnation in due:
             log_event("worker:replaced", worker=incarnation.worker_id, born=incarnation.born_ms)
         self._note_lost_runs(due)
-        log_crash_notes(self.commit(end_lives=EndLives(due, [], crashed=True)))
+        ended = EndLives(due, [], crashed=True, evidence=EndEvidence.REPLACED)
+        log_crash_notes(self.commit(end_lives=ended))
+
+    def _withdraw_crashes(self) -> None:
+        """Withdraw what silent incarnations were taken to have crashed under once they answer.
+
+        A heartbeat alone tells less: it may have been sent before the crash.
+        """
+        if not self._have_states_changed or not self.ledger.crashed_task_by_name:
+            return
+        silent = {
+            crash.incarnation
+            for task in self.ledger.crashed_task_by_name.values()
+            for crash in task.crashes
+            if not crash.is_proven
+        }
+        answering = [
+            WorkerLife(*key)
+            for key in sorted(silent)
+            if (worker := self.ledger.worker_by_incarnation.get(key)) is not None
+            and not worker.has_ended
+            and self._fleet.answers(worker)
+        ]
+        if answering:
+            log_event("worker:crash_withdrawn", workers=[life.worker_id for life in answering])
+            self.commit(withdraw_crashes=WithdrawCrashes(answering))
+
+    def _give_up_tasks(self, now: float) -> None:
+        """Fail the jobs of tasks that are known to crash their workers."""
+        names = self._held_tasks.look(self.ledger, self._count_silent_workers, now)
+        if names:
+            crashes_by_task = {name: self.ledger.find_task(name).crashes for name in names}
+            for name in self.commit(give_up_tasks=GiveUpTasks(names)):
+                log_given_up(name, crashes_by_task[name], self.ledger)
+
+    def _count_silent_workers(self) -> int:
+        return sum(self._fleet.is_silent(worker) for worker in self._live_workers())
 
     def _may_still_report(self, agent_id: str | None, agent_ids: set[str], now: float) -> bool:
         """Return whether to wait for the first reports of this term.
@@ -594,14 +638,18 @@
 def _merged(ended_incarnations: list[EndLives]) -> list[EndLives]:
     """Return the same ends in as few commands as possible: each costs a round trip.
 
-    The incarnations of one command have all crashed or none, and all have a token or none.
+    The incarnations of one command have all crashed or none, on the same kind of evidence, and
+    all have a token or none.
     """
-    merged: dict[tuple[bool, bool], EndLives] = {}
+    merged: dict[tuple, EndLives] = {}
     for each in ended_incarnations:
-        key = bool(each.fencing_tokens), bool(each.crashed)
-        command = merged.setdefault(key, EndLives([], [], [], crashed=key[1], worked=[]))
+        key = bool(each.fencing_tokens), bool(each.crashed), each.evidence
+        command = merged.setdefault(
+            key, EndLives([], [], [], key[1], worked=[], evidence=each.evidence, losses=[])
+        )
         command.lives += each.lives
         command.checkpoints += each.checkpoints
         command.fencing_tokens += each.fencing_tokens or []
         command.worked += each.worked or []
+        command.losses += each.losses or [ContactLoss(-1, -1)] * len(each.lives)
     return list(merged.values())
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -27,7 +27,7 @@
 from ..observability.logs import log_event
 from ..tasks.crashes import SURVIVAL_MS, is_suspect
 from ..tasks.worker import Worker
-from ..wire.generated.ttypes import RunEnd, RunOutcome
+from ..wire.generated.ttypes import ContactLoss, EndEvidence, RunEnd, RunOutcome
 from .placement import WorkerView
 from .throttling import PAUSED, ColocationHistory
 from .unsettled_runs import UnsettledState
@@ -167,6 +167,12 @@
         self._alive_at = float("-inf")
         """When the newest poll that this incarnation answered was sent, in monotonic seconds."""
 
+        self._heard_at = float("-inf") if previous is None else previous._heard_at
+        """When this incarnation last answered a call of any kind, in monotonic seconds."""
+
+        self._unanswered_since: float | None = None
+        """When the first call since then went unanswered."""
+
         self.is_unresponsive = previous is not None and previous.is_unresponsive
         self.is_state_known = False
         """Whether this incarnation has answered a poll, so that its runs are known.
@@ -177,6 +183,9 @@
         self.has_ended = False
         """Whether the incarnation was reported as ended; no call may be made after that."""
 
+        self.end_evidence = EndEvidence.SILENT
+        """What that rests on."""
+
         self._lease_ms = lease_ms
         self._taken_over_at = agent.now() if previous is None else previous._taken_over_at
         self._confirmed_at_by_run: dict[tuple[str, int], float] = {
@@ -354,6 +363,14 @@
                 worked_ms_by_run[key] = -1
         return worked_ms_by_run
 
+    def contact_loss(self) -> ContactLoss:
+        """Return when contact was lost; a negative time if this incarnation has never answered."""
+        now = self._agent.now()
+        if math.isinf(self._heard_at):
+            return ContactLoss(-1, -1)
+        unanswered_since = now if self._unanswered_since is None else self._unanswered_since
+        return ContactLoss(int(1000 * (now - self._heard_at)), int(1000 * (now - unanswered_since)))
+
     def lease_has_expired(self) -> bool:
         """Return whether no run started before now can still be running in this incarnation."""
         now = self._agent.now()
@@ -451,13 +468,14 @@
         has_shut_down = self.worker.record.leaving and not isinstance(error, CallRejected)
         if not has_shut_down and not self.lease_has_expired():
             return False
-        self._end_incarnation("worker shut down" if has_shut_down else "lease expired")
+        why = "worker shut down" if has_shut_down else "lease expired"
+        self._end_incarnation(why, EndEvidence.SILENT)
         return True
 
-    def _end_incarnation(self, why: str) -> None:
+    def _end_incarnation(self, why: str, evidence: EndEvidence = EndEvidence.REPLACED) -> None:
         if self.has_ended:
             return
-        self.has_ended = True
+        self.has_ended, self.end_evidence = True, evidence
         if self._starts_in_flight:
             eventlet.spawn_n(self._report_end, why)
         else:
@@ -550,9 +568,7 @@
             return
         sent_at, seen_end = self._agent.now(), self.worker.record.seen_end
         try:
-            result = self._agent.worker_api.poll(
-                self.incarnation, self.fencing_token, seen_end, 0, 0
-            )
+            result = self._call("poll", self.fencing_token, seen_end, 0, 0)
         except NotDelivered as error:
             self._mark_unresponsive(error)
         except IncarnationReplaced as error:
@@ -758,15 +774,29 @@
         It may come from what the worker, or another writer in its place, has said of itself.
         """
         try:
-            return getattr(self._agent.worker_api, method)(self.incarnation, *arguments)
-        except (WorkerUnresponsive, IncarnationReplaced, CallRejected):
+            answer = getattr(self._agent.worker_api, method)(self.incarnation, *arguments)
+        except CallRejected:
+            self._note_answer()
+            raise
+        except (WorkerUnresponsive, IncarnationReplaced):
+            self._note_no_answer()
             raise
         except Exception as error:
             log_event(
                 "worker:call_failed", worker=self.incarnation.worker_id, call=method,
                 why=repr(error),
             )  # fmt: skip
+            self._note_no_answer()
             raise WorkerUnresponsive(repr(error)) from error
+        self._note_answer()
+        return answer
+
+    def _note_answer(self) -> None:
+        self._heard_at, self._unanswered_since = self._agent.now(), None
+
+    def _note_no_answer(self) -> None:
+        if self._unanswered_since is None:
+            self._unanswered_since = self._agent.now()
 
     def _send_start(self, task: str, run: int, checkpoint: str) -> None:
         key, queued_at = (task, run), self._agent.now()
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -69,6 +69,11 @@
     ["state"],
     registry=REGISTRY,
 )
+HELD_TASKS = Gauge(
+    "savoryshelf_held_tasks",
+    "Tasks that are not started for the crashes of workers under them.",
+    registry=REGISTRY,
+)
 START_RATE = Gauge(
     "savoryshelf_best_effort_start_rate",
     "Best-effort starts per second that the leader allows.",
--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -3,13 +3,17 @@
 A task that crashes the workers that start it leaves the same trace each time: the worker ends
 soon after the start.  Runs that a worker has outlived for a while are not suspected of a crash
 on starting, but a task under which worker after worker crashes is given up in the end, too.
+
+Giving up is final, so only crashes that are proven count for it.  A worker that has been silent
+beyond its lease may only have been cut off; its crash keeps a task from being started too often,
+until the worker answers again.  Workers that were lost at the same time have a common cause.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
-from ..wire.generated.ttypes import RunAge
+from ..wire.generated.ttypes import ContactLoss, RunAge
 from .job import Crash, IncarnationKey, Task, gang_members
 from .worker import Worker
 
@@ -40,6 +44,18 @@
 MAX_LATER_CRASHES = 2
 """Crashes under a task after those of ``MAX_CRASHES`` workers, until it is given up."""
 
+MIN_LOST_TOGETHER = 3
+"""Workers lost at the same time whose crashes are put down to a common cause.
+
+Two tasks that crash their workers may be started in one pass.
+"""
+
+MAX_LOSS_SPAN_MS = 3000
+"""Longest time taken to pass between the crash of a worker and the first call that shows it, in ms.
+
+A long poll and its timeout; a worker without runs is asked nothing for longer than that.
+"""
+
 
 @attrs.frozen
 class CrashNote:
@@ -50,17 +66,36 @@
     on_start: bool
     is_sole: bool
     is_certain: bool
+    is_proven: bool
     suspects: int
     """How many tasks or gangs are suspects of this crash."""
 
+    lost_with: int | None
+    """How many other workers were lost at the same time, as far as known yet; None if unknown."""
+
     crashes: int
     workers: int
     """How many crashes count for the task, or for its gang, and of how many workers."""
 
-    gave_up: bool = False
+
+def record_loss(worker: Worker, loss: ContactLoss, at_ms: int, workers: Iterable[Worker]) -> None:
+    """Record when contact with an incarnation was lost, and which others were lost with it."""
+    record = worker.record
+    record.lost_before_ms = at_ms - loss.unanswered_ms
+    record.lost_after_ms = max(at_ms - loss.heard_ms, record.lost_before_ms - MAX_LOSS_SPAN_MS)
+    record.lost_with = 0
+    for other in workers:
+        if other.record.lost_with is None or other.key[0] == worker.key[0]:
+            continue
+        if (
+            record.lost_after_ms <= other.record.lost_before_ms
+            and other.record.lost_after_ms <= record.lost_before_ms
+        ):
+            record.lost_with += 1
+            other.record.lost_with += 1
 
 
-def record_crash(worker: Worker, worked: Iterable[RunAge]) -> list[CrashNote]:
+def record_crash(worker: Worker, worked: Iterable[RunAge], is_proven: bool) -> list[CrashNote]:
     """Count a worker's crash for the tasks whose runs it ended; return what that changed.
 
     Runs that are not in ``worked`` are suspects, but whether they had started is not known.
@@ -90,14 +125,14 @@
             continue
         is_sole = on_start and len(suspects) == 1
         is_certain = (task.name, run) in worked_ms_by_run
-        task.crashes.append(Crash(run, worker.key, on_start, is_sole, is_certain))
+        task.crashes.append(Crash(run, worker.key, on_start, is_sole, is_certain, is_proven))
         if on_start:
             task.failed_on = worker.key[0]
         counted = _crashes_of_unit(task)
         notes.append(
             CrashNote(
-                task.name, run, on_start, is_sole, is_certain, len(suspects), len(counted),
-                _worker_count(counted), must_give_up(task),
+                task.name, run, on_start, is_sole, is_certain, is_proven, len(suspects),
+                worker.record.lost_with, len(counted), _worker_count(counted),
             )
         )  # fmt: skip
     return notes
@@ -110,8 +145,10 @@
 
 
 def withdraw_crash(task: Task, incarnation: IncarnationKey) -> None:
-    """Drop a crash of an incarnation that has turned out not to have ended."""
-    task.crashes = [crash for crash in task.crashes if crash.incarnation != incarnation]
+    """Drop an unproven crash of an incarnation that has turned out not to have ended."""
+    task.crashes = [
+        crash for crash in task.crashes if crash.is_proven or crash.incarnation != incarnation
+    ]
 
 
 def is_suspect(task: Task) -> bool:
@@ -119,20 +156,60 @@
     return any(crash.on_start for member in gang_members(task) for crash in member.crashes)
 
 
-def must_give_up(task: Task) -> bool:
-    """Return whether so many workers have crashed under a task that it must not start again."""
+def must_give_up(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
+    """Return whether so many workers are known to have crashed under a task that its job fails."""
+    proven = [crash for crash in _crashes_of_unit(task) if crash.is_proven]
+    alone = [crash for crash in proven if _was_lost_alone(crash, worker_by_incarnation)]
+    return _is_attributed(alone) or _are_too_many(_counting(proven, worker_by_incarnation))
+
+
+def must_hold(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
+    """Return whether a task must not be started, at least until less is held against it."""
+    crashes = _crashes_of_unit(task)
+    if not crashes:
+        return False
+    crashes = _counting(crashes, worker_by_incarnation)
+    return _are_too_many(crashes) or must_give_up(task, worker_by_incarnation)
+
+
+def must_give_up_without_evidence(task: Task) -> bool:
+    """Return what earlier versions decided, to which all crashes were alike."""
     crashes = _crashes_of_unit(task)
+    return _is_attributed(crashes) or _are_too_many(crashes)
+
+
+def _was_lost_alone(crash: Crash, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
+    """Return whether a crash is known not to be one of several at the same time."""
+    worker = worker_by_incarnation.get(crash.incarnation)
+    lost_with = None if worker is None else worker.record.lost_with
+    return lost_with is not None and lost_with + 1 < MIN_LOST_TOGETHER
+
+
+def _counting(
+    crashes: list[Crash], worker_by_incarnation: Mapping[IncarnationKey, Worker]
+) -> list[Crash]:
+    """Return the crashes without those that others share and whose run had worked before."""
+    return [
+        crash
+        for crash in crashes
+        if crash.on_start or _was_lost_alone(crash, worker_by_incarnation)
+    ]
+
+
+def _is_attributed(crashes: list[Crash]) -> bool:
+    """Return whether a task explains these crashes better than the other suspects do."""
     on_start = [crash for crash in crashes if crash.on_start]
     limit = MAX_SUSPECTED_CRASHES
     if on_start and on_start[-1].is_sole:
         limit = MAX_ATTRIBUTED_CRASHES
-    certain = [crash for crash in crashes if crash.is_certain]
-    has_certain = _worker_count(certain) >= MIN_CERTAIN_CRASHES
-    if not has_certain:
+    if not _has_certain(crashes):
         limit = MAX_UNCERTAIN_CRASHES
-    if _worker_count(on_start) >= limit:
-        return True
-    if has_certain and len(crashes) >= MAX_CRASHES + MAX_LATER_CRASHES:
+    return _worker_count(on_start) >= limit
+
+
+def _are_too_many(crashes: list[Crash]) -> bool:
+    """Return whether no further start may follow these crashes, whatever explains them."""
+    if _has_certain(crashes) and len(crashes) >= MAX_CRASHES + MAX_LATER_CRASHES:
         # The workers that may run the task may be two that come back each time.
         return True
     for position in range(len(crashes)):
@@ -141,6 +218,11 @@
     return False
 
 
+def _has_certain(crashes: list[Crash]) -> bool:
+    certain = [crash for crash in crashes if crash.is_certain]
+    return _worker_count(certain) >= MIN_CERTAIN_CRASHES
+
+
 def _unit(task: Task) -> tuple:
     """Return what a crash is counted for: a task, or the gang that starts together with it."""
     return (*task.step.key, -1 if task.step.spec.gang else task.index)
@@ -162,7 +244,7 @@
 
 
 def _weight(crash: Crash) -> tuple:
-    return crash.is_certain, crash.on_start, crash.is_sole
+    return crash.is_proven, crash.is_certain, crash.on_start, crash.is_sole
 
 
 def _worker_count(crashes: list[Crash]) -> int:
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -35,6 +35,9 @@
     is_certain: bool
     """Whether the run is known to have started there, rather than to have been sent there."""
 
+    is_proven: bool = False
+    """Whether the worker is known to have ended, rather than to have been silent for long."""
+
 
 @attrs.define(eq=False)
 class Task:
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -14,6 +14,8 @@
 from ..wire.generated.ttypes import (
     AcceptTasks,
     AgentAssignment,
+    ContactLoss,
+    EndEvidence,
     Manifest,
     PairWeight,
     RunAge,
@@ -23,7 +25,15 @@
     WorkerLife,
     WorkerRecord,
 )
-from .crashes import CrashNote, record_crash, withdraw_crash
+from .crashes import (
+    CrashNote,
+    must_give_up,
+    must_give_up_without_evidence,
+    must_hold,
+    record_crash,
+    record_loss,
+    withdraw_crash,
+)
 from .job import IncarnationKey, Job, StepGroup, Task, gang_members, new_job
 from .manifest import find_queue
 from .names import MalformedTaskName, parse_task_name
@@ -92,6 +102,9 @@
     crashed_task_by_name: dict[str, Task] = attrs.field(factory=dict)
     """The tasks of jobs that have not ended under whose runs workers have crashed."""
 
+    held_task_by_name: dict[str, Task] = attrs.field(factory=dict)
+    """The tasks that would be startable if less was held against them; see ``must_hold``."""
+
     weight_by_pair: dict[tuple[str, str], float] = attrs.field(factory=dict)
     """Interference weights by best-effort image and serving image.
 
@@ -145,15 +158,15 @@
         """Add an incarnation of a worker, or update its record.
 
         An incarnation that was recorded as ended and reports again is schedulable again; one that
-        had announced its exit has ended for good.  A record older than the known one is ignored,
-        and so is one that contradicts what is fixed before the incarnation has ended, unless it
-        ``may_correct`` that.
+        had announced its exit has ended for good.  What it is taken to have crashed under stays
+        until it has answered: a heartbeat may come late.  A record older than the known one is
+        ignored, and so is one that contradicts what is fixed before the incarnation has ended,
+        unless it ``may_correct`` that.
         """
         existing = self.worker_by_incarnation.get(incarnation_key(record.life))
         if existing is None:
-            # Snapshots of earlier versions lack the incarnations that have ended.
-            self._withdraw_crashes(incarnation_key(record.life))
             record.agent_id, record.fencing_token = None, 0
+            record.lost_after_ms = record.lost_before_ms = record.lost_with = None
             self.worker_by_incarnation[incarnation_key(record.life)] = Worker(record)
             return
         known = existing.record
@@ -162,11 +175,13 @@
         if existing.has_ended and known.leaving:
             # What it lists was settled as lost, and must not be acknowledged.
             return
-        if existing.has_ended:
-            self._withdraw_crashes(existing.key)
-        elif contradicted_fields(known, record) and not may_correct(known, record):
+        if not existing.has_ended and (
+            contradicted_fields(known, record) and not may_correct(known, record)
+        ):
             return
         record.seen_end = known.seen_end
+        record.lost_after_ms, record.lost_before_ms = known.lost_after_ms, known.lost_before_ms
+        record.lost_with = known.lost_with
         record.agent_id, record.fencing_token = known.agent_id, known.fencing_token
         if known.leaving:
             record.leaving = record.draining = True
@@ -232,53 +247,107 @@
         fencing_tokens: list[int] | None = None,
         crashed: bool = False,
         worked: list[RunAge] | None = None,
+        evidence: EndEvidence | None = None,
+        losses: list[ContactLoss] | None = None,
     ) -> list[IncarnationEnd]:
         """Record that incarnations have ended; their remaining runs are settled as lost.
 
         With ``crashed``, the crash counts for the tasks of these runs, unless the incarnation
-        was draining; ``worked`` says which runs it had outlived, and by how much.
+        was draining; ``worked`` says which runs it had outlived, and by how much, ``evidence``
+        what the end rests on, and ``losses`` when contact was lost.  A crash in a log of an
+        earlier version has no evidence; what that version gave up for it stays given up.
 
         ``checkpoints`` holds the last known checkpoints of these runs.  With
         ``fencing_tokens``, one for each incarnation, those that have another agent meanwhile
         are left as they are.
         """
         checkpoint_by_run = {(end.task, end.run): end.checkpoint for end in checkpoints}
-        ends = []
+        ended: list[Worker] = []
         for position, incarnation in enumerate(incarnations):
             worker = self.worker_by_incarnation.get(incarnation_key(incarnation))
             if worker is None:
                 continue
             if fencing_tokens and worker.record.fencing_token != fencing_tokens[position]:
                 continue
+            ended.append(worker)
+            if crashed and losses and losses[position].heard_ms >= 0 and not worker.has_ended:
+                record_loss(
+                    worker, losses[position], self.at_ms, self.worker_by_incarnation.values()
+                )
+        ends = []
+        for worker in ended:
             worker.has_ended = True
             agent_id = worker.record.agent_id if fencing_tokens else None
             worker.record.agent_id, worker.record.fencing_token = None, 0
             notes = []
             if crashed and not worker.record.draining:
-                notes = self._record_crash(worker, worked or [])
+                notes = self._record_crash(worker, worked or [], evidence)
             released_runs = list(worker.task_by_run)
             announced = bool(worker.record.leaving)
             ends.append(IncarnationEnd(worker.key, agent_id, announced, released_runs, notes))
             for name, run in released_runs:
                 checkpoint = checkpoint_by_run.get((name, run), "")
                 self._settle_run(RunEnd(name, run, RunOutcome.LOST, checkpoint, 0), worker.key)
+        self._release_held_tasks()
         return ends
 
-    def _record_crash(self, worker: Worker, worked: list[RunAge]) -> list[CrashNote]:
-        """Count a crash for the tasks whose runs it ended; fail the jobs of those to give up."""
+    def _record_crash(
+        self, worker: Worker, worked: list[RunAge], evidence: EndEvidence | None
+    ) -> list[CrashNote]:
+        """Count a crash for the tasks whose runs it ended."""
         worker.crashed_ms = self.at_ms
-        notes = record_crash(worker, worked)
-        for note in notes:
-            self.crashed_task_by_name[note.task] = self.find_task(note.task)
-        for note in notes:
-            if note.gave_up:
-                self.fail_job(self.find_task(note.task).step.job)
+        notes = record_crash(worker, worked, evidence == EndEvidence.REPLACED)
+        tasks = [self.find_task(note.task) for note in notes]
+        for task in tasks:
+            self.crashed_task_by_name[task.name] = task
+            self._hold_startable_members(task)
+        if evidence is None:
+            for task in tasks:
+                if must_give_up_without_evidence(task):
+                    self.fail_job(task.step.job)
         return notes
 
-    def _withdraw_crashes(self, incarnation: IncarnationKey) -> None:
-        """Drop the crash of an incarnation that reports again: it was only cut off."""
+    def withdraw_crashes(self, incarnations: list[WorkerLife]) -> None:
+        """Drop the crashes of incarnations that have answered since: they were only silent."""
         for task in self.crashed_task_by_name.values():
-            withdraw_crash(task, incarnation)
+            for incarnation in incarnations:
+                withdraw_crash(task, incarnation_key(incarnation))
+        self._release_held_tasks()
+
+    def give_up(self, names: list[str]) -> list[str]:
+        """Fail the jobs of those tasks under which enough workers are known to have crashed.
+
+        Return the names of these tasks.
+        """
+        given_up = []
+        for name in names:
+            task = self.find_task(name)
+            if task is None or task.done or task.step.job.is_ended:
+                continue
+            if must_give_up(task, self.worker_by_incarnation):
+                self.fail_job(task.step.job)
+                given_up.append(name)
+        return given_up
+
+    def _is_held(self, task: Task) -> bool:
+        return must_hold(task, self.worker_by_incarnation)
+
+    def _hold_startable_members(self, task: Task) -> None:
+        """Hold the members of a gang that were startable before the crash of another one."""
+        group = task.step
+        if not group.startable_indexes or not group.spec.gang or not self._is_held(task):
+            return
+        for index in group.startable_indexes:
+            self.held_task_by_name[group.tasks[index].name] = group.tasks[index]
+        group.startable_indexes.clear()
+        self._update_startable_groups(group)
+
+    def _release_held_tasks(self) -> None:
+        """Make the tasks startable that are held no more."""
+        for name, task in list(self.held_task_by_name.items()):
+            if task.done or task.step.job.is_ended or not self._is_held(task):
+                del self.held_task_by_name[name]
+                self._make_startable_if_idle(task)
 
     def delete_ended_jobs(self, ended_before_ms: int) -> int:
         """Delete jobs that ended before that time and have no run left; return how many."""
@@ -334,6 +403,8 @@
         group = task.step
         if group.job.is_ended or task.done or not group.is_unblocked or intent.run <= task.runs:
             return False
+        if self._is_held(task):
+            return False
         return group.spec.allow_duplicates or not task.incarnation_by_run
 
     def _record_intent(self, intent: RunIntent, task: Task) -> None:
@@ -405,6 +476,10 @@
         group = task.step
         if task.done or task.incarnation_by_run or group.job.is_ended or not group.is_unblocked:
             return
+        if self._is_held(task):
+            self.held_task_by_name[task.name] = task
+            return
+        self.held_task_by_name.pop(task.name, None)
         group.startable_indexes.add(task.index)
         self._update_startable_groups(group)
 
@@ -431,6 +506,7 @@
         group.startable_indexes.discard(task.index)
         self._update_startable_groups(group)
         self.crashed_task_by_name.pop(task.name, None)
+        self.held_task_by_name.pop(task.name, None)
         group.unfinished -= 1
         job.unfinished -= 1
         for run, key in task.incarnation_by_run.items():
@@ -457,6 +533,7 @@
             self._update_startable_groups(group)
             for task in group.tasks:
                 self.crashed_task_by_name.pop(task.name, None)
+                self.held_task_by_name.pop(task.name, None)
                 for run, key in task.incarnation_by_run.items():
                     self.runs_to_stop[task.name, run] = key
 
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -82,6 +82,7 @@
             crash.on_start,
             crash.is_sole,
             crash.is_certain,
+            crash.is_proven,
         )
         for crash in task.crashes
     ]
@@ -116,7 +117,9 @@
     task.checkpoint_run = task_record.checkpoint_run or 0
     for crash in task_record.crashes or []:
         key = incarnation_key(crash.life)
-        task.crashes.append(Crash(crash.run, key, crash.on_start, crash.sole, crash.certain))
+        task.crashes.append(
+            Crash(crash.run, key, crash.on_start, crash.sole, crash.certain, bool(crash.proven))
+        )
     if task.crashes:
         ledger.crashed_task_by_name[task.name] = task
     for placed in task_record.placed:
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -100,10 +100,21 @@
 def _end_incarnations(ledger: TaskLedger, command):
     return ledger.end_incarnations(
         command.lives, command.checkpoints, command.fencing_tokens, bool(command.crashed),
-        command.worked,
+        command.worked, command.evidence, command.losses,
     )  # fmt: skip
 
 
+@_handles_command("withdraw_crashes")
+def _withdraw_crashes(ledger: TaskLedger, command):
+    ledger.withdraw_crashes(command.lives)
+    return Accepted()
+
+
+@_handles_command("give_up_tasks")
+def _give_up_tasks(ledger: TaskLedger, command):
+    return ledger.give_up(command.tasks)
+
+
 @_handles_command("assign_agents")
 def _assign_agents(ledger: TaskLedger, command):
     ledger.assign_agents(command.assignments, command.min_token)
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -271,7 +271,12 @@
   /** The incarnation has announced its exit; `draining` is set as well, and neither is reset. */
   13: bool leaving,
   /** The control host that calls this worker, if any, and the fencing token of its calls. */
-  14: optional string agent_id, 15: i64 fencing_token
+  14: optional string agent_id, 15: i64 fencing_token,
+  /**
+   * Between which wall-clock times, in ms, contact with this incarnation was lost when it was last
+   * recorded as ended without an announcement, and how many others lost theirs at the same time.
+   */
+  16: optional i64 lost_after_ms, 17: optional i64 lost_before_ms, 18: optional i32 lost_with
 }
 
 struct NoteWorkers { 1: list<WorkerRecord> workers }
@@ -309,18 +314,36 @@
 struct RunAge { 1: string task, 2: i32 run, 3: i64 worked_ms }
 
 /**
- * Worker incarnations that are certain to have ended: all runs on them are lost.
+ * What the end of an incarnation rests on.  `REPLACED`: another one answers at its address, so it has
+ * ended for good.  `SILENT`: its lease has expired, so no run is left there, but it may have been cut
+ * off and answer again.
+ */
+enum EndEvidence { REPLACED = 1, SILENT = 2 }
+
+/** How long ago, in ms, an incarnation was last heard of, and a call to it first went unanswered. */
+struct ContactLoss { 1: i64 heard_ms, 2: i64 unanswered_ms }
+
+/**
+ * Worker incarnations that run nothing any more: all runs on them are lost.
  *
  * `checkpoints` holds the last known checkpoints of these runs.  An incarnation is left as it is
  * unless its item in `fencing_tokens`, if there is one, is the token of the worker's agent.
  * `crashed`: the incarnations did not announce their exit.  Whether a run that is not in `worked` had
- * started is not known.
+ * started is not known.  `evidence` is absent in logs of earlier versions, and if they announced it.
+ * `losses` has an item for each incarnation, or none.
  */
 struct EndLives {
   1: list<WorkerLife> lives, 2: list<RunEnd> checkpoints, 3: list<i64> fencing_tokens,
-  4: optional bool crashed, 5: optional list<RunAge> worked
+  4: optional bool crashed, 5: optional list<RunAge> worked, 6: optional EndEvidence evidence,
+  7: optional list<ContactLoss> losses
 }
 
+/** Incarnations that were recorded as ended for their silence, and have answered since. */
+struct WithdrawCrashes { 1: list<WorkerLife> lives }
+
+/** Tasks whose jobs fail if enough workers have crashed under them. */
+struct GiveUpTasks { 1: list<string> tasks }
+
 struct AgentAssignment { 1: WorkerLife life, 2: string agent_id }
 
 /**
@@ -345,7 +368,8 @@
   1: Manifest put_manifest, 2: AcceptTasks accept_tasks, 3: CancelTasks cancel_tasks,
   4: NoteWorkers note_workers, 5: IntendRuns intend_runs, 6: SettleRuns settle_runs,
   7: EndLives end_lives, 8: ForgetJobs forget_jobs, 9: NoteWeights note_weights,
-  10: SettleBatch settle_batch, 11: AssignAgents assign_agents
+  10: SettleBatch settle_batch, 11: AssignAgents assign_agents,
+  12: WithdrawCrashes withdraw_crashes, 13: GiveUpTasks give_up_tasks
 }
 
 struct TaskCommand { 1: i64 at_ms, 2: TaskCommandBody body }
@@ -356,8 +380,12 @@
 /**
  * A crash of a worker under a run.  `on_start`: the worker is not known to have outlived the start
  * of the run; `sole`: and no other task's run was like that there.  `certain`: the run had started.
+ * `proven`: the worker is known to have ended; absent in snapshots of earlier versions.
  */
-struct CrashRecord { 1: i32 run, 2: WorkerLife life, 3: bool on_start, 4: bool sole, 5: bool certain }
+struct CrashRecord {
+  1: i32 run, 2: WorkerLife life, 3: bool on_start, 4: bool sole, 5: bool certain,
+  6: optional bool proven
+}
 
 /** `failed_on` is the id of the worker on which the task failed last, or crashed it; `checkpoint_run`
     is the number of the run that the checkpoint came from. */
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -74,6 +74,7 @@
         eventlet.sleep(RESTART_SECONDS)
         FakeWorker.__init__(self)
         self.is_down, self.born_ms = False, self.born_ms + 1
+        self.group.born_by_id[self.worker_id] = self.born_ms
         if self.group.leader:
             record = worker(self.worker_id, self.born_ms)
             self.group.append_command(note_workers=NoteWorkers([record]))
