Replay: a heartbeat in the log of an earlier version withdraws a crash again

Cause: earlier versions withdrew the crash of an incarnation with the next heartbeat that it sent. Since heartbeats withdraw nothing any more, the crash stayed on replay, and counted together with a later one by the rule for ends without evidence.

--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -66,7 +66,7 @@
     on_start: bool
     is_sole: bool
     is_certain: bool
-    is_proven: bool
+    is_proven: bool | None
     suspects: int
     """How many tasks or gangs are suspects of this crash."""
 
@@ -95,7 +95,9 @@
             other.record.lost_with += 1
 
 
-def record_crash(worker: Worker, worked: Iterable[RunAge], is_proven: bool) -> list[CrashNote]:
+def record_crash(
+    worker: Worker, worked: Iterable[RunAge], is_proven: bool | None
+) -> list[CrashNote]:
     """Count a worker's crash for the tasks whose runs it ended; return what that changed.
 
     Runs that are not in ``worked`` are suspects, but whether they had started is not known.
@@ -151,6 +153,15 @@
     ]
 
 
+def withdraw_unclassified_crash(task: Task, incarnation: IncarnationKey) -> None:
+    """Drop a crash of an incarnation that an earlier version recorded."""
+    task.crashes = [
+        crash
+        for crash in task.crashes
+        if crash.is_proven is not None or crash.incarnation != incarnation
+    ]
+
+
 def is_suspect(task: Task) -> bool:
     """Return whether the task may have crashed a worker on starting there."""
     return any(crash.on_start for member in gang_members(task) for crash in member.crashes)
@@ -244,7 +255,7 @@
 
 
 def _weight(crash: Crash) -> tuple:
-    return crash.is_proven, crash.is_certain, crash.on_start, crash.is_sole
+    return bool(crash.is_proven), crash.is_certain, crash.on_start, crash.is_sole
 
 
 def _worker_count(crashes: list[Crash]) -> int:
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -35,8 +35,11 @@
     is_certain: bool
     """Whether the run is known to have started there, rather than to have been sent there."""
 
-    is_proven: bool = False
-    """Whether the worker is known to have ended, rather than to have been silent for long."""
+    is_proven: bool | None = False
+    """Whether the worker is known to have ended, rather than to have been silent for long.
+
+    None if an earlier version recorded the crash, which did not tell these apart.
+    """
 
 
 @attrs.define(eq=False)
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -33,6 +33,7 @@
     record_crash,
     record_loss,
     withdraw_crash,
+    withdraw_unclassified_crash,
 )
 from .job import IncarnationKey, Job, StepGroup, Task, gang_members, new_job
 from .manifest import find_queue
@@ -159,12 +160,15 @@
 
         An incarnation that was recorded as ended and reports again is schedulable again; one that
         had announced its exit has ended for good.  What it is taken to have crashed under stays
-        until it has answered: a heartbeat may come late.  A record older than the known one is
-        ignored, and so is one that contradicts what is fixed before the incarnation has ended,
-        unless it ``may_correct`` that.
+        until it has answered: a heartbeat may come late.  Earlier versions withdrew it at once; so
+        their logs have the same effect again.  A record older than the known one is ignored, and
+        so is one that contradicts what is fixed before the incarnation has ended, unless it
+        ``may_correct`` that.
         """
         existing = self.worker_by_incarnation.get(incarnation_key(record.life))
         if existing is None:
+            # Snapshots of earlier versions may lack the incarnations that have ended.
+            self._withdraw_unclassified_crashes(incarnation_key(record.life))
             record.agent_id, record.fencing_token = None, 0
             record.lost_after_ms = record.lost_before_ms = record.lost_with = None
             self.worker_by_incarnation[incarnation_key(record.life)] = Worker(record)
@@ -175,9 +179,9 @@
         if existing.has_ended and known.leaving:
             # What it lists was settled as lost, and must not be acknowledged.
             return
-        if not existing.has_ended and (
-            contradicted_fields(known, record) and not may_correct(known, record)
-        ):
+        if existing.has_ended:
+            self._withdraw_unclassified_crashes(existing.key)
+        elif contradicted_fields(known, record) and not may_correct(known, record):
             return
         record.seen_end = known.seen_end
         record.lost_after_ms, record.lost_before_ms = known.lost_after_ms, known.lost_before_ms
@@ -296,7 +300,8 @@
     ) -> list[CrashNote]:
         """Count a crash for the tasks whose runs it ended."""
         worker.crashed_ms = self.at_ms
-        notes = record_crash(worker, worked, evidence == EndEvidence.REPLACED)
+        is_proven = None if evidence is None else evidence == EndEvidence.REPLACED
+        notes = record_crash(worker, worked, is_proven)
         tasks = [self.find_task(note.task) for note in notes]
         for task in tasks:
             self.crashed_task_by_name[task.name] = task
@@ -307,6 +312,12 @@
                     self.fail_job(task.step.job)
         return notes
 
+    def _withdraw_unclassified_crashes(self, incarnation: IncarnationKey) -> None:
+        """Drop the crashes of an incarnation that an earlier version recorded."""
+        for task in self.crashed_task_by_name.values():
+            withdraw_unclassified_crash(task, incarnation)
+        self._release_held_tasks()
+
     def withdraw_crashes(self, incarnations: list[WorkerLife]) -> None:
         """Drop the crashes of incarnations that have answered since: they were only silent."""
         for task in self.crashed_task_by_name.values():
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -118,7 +118,7 @@
     for crash in task_record.crashes or []:
         key = incarnation_key(crash.life)
         task.crashes.append(
-            Crash(crash.run, key, crash.on_start, crash.sole, crash.certain, bool(crash.proven))
+            Crash(crash.run, key, crash.on_start, crash.sole, crash.certain, crash.proven)
         )
     if task.crashes:
         ledger.crashed_task_by_name[task.name] = task
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -299,6 +299,21 @@
     assert state(task_ledger) == ("failed" if evidence is NOT_RECORDED else "running")
 
 
+# Guards against LOST: a host that replayed the log of an earlier version, which a heartbeat made
+# withdraw a crash, kept the crash and failed a job that had gone on.
+@pytest.mark.parametrize("is_restored", [False, True], ids=["log", "snapshot"])
+def test_a_heartbeat_in_the_log_of_an_earlier_version_withdraws_a_crash(is_restored):
+    task_ledger = make_ledger(NOT_RECORDED)
+    start_and_crash(task_ledger, "w0", DEADLY)
+    if is_restored:
+        task_ledger = snapshot.load(snapshot.save(task_ledger))
+        EVIDENCE_BY_LEDGER[task_ledger] = NOT_RECORDED
+    task_ledger.upsert_worker(worker("w0"))
+    start_and_crash(task_ledger, "w1", DEADLY)
+    assert state(task_ledger) != "failed"
+    assert record_intent(task_ledger, DEADLY, 3, ("w2", 1))
+
+
 def test_a_snapshot_keeps_what_a_crash_rests_on():
     task_ledger = make_ledger()
     start_and_crash(task_ledger, "w0", DEADLY)
