Crashes: a replaced worker whose lease may be over has not crashed for certain

A job could be shown as failed, for workers whose runs had lapsed before they ended: by a cut or a time without a leader of about a lease, and a restart after it. That is no crash under a task.

Cause: an incarnation that another one replaced counted as crashed, whenever that was found. A host without permission asks nothing, and its first call afterwards extends the newest deadline before it finds the other incarnation; so does a call that never arrives. The newest deadline sent tells when a lease is over at the latest, and not how long it holds for certain.

Why it works: the clock of a worker keeps until when a lease holds by the calls that were answered, on the fastest clock; a replacement found later is evidence of silence only.

One test of a task that crashes its workers while it works has leases as long as on the platform now: with 0.6 s, shorter than a poll, its runs would have lapsed.

--- a/src/savoryshelf/dispatch/worker_clock.py
+++ b/src/savoryshelf/dispatch/worker_clock.py
@@ -41,6 +41,9 @@
     latest_deadline_ms: int = 0
     """The latest deadline sent to the worker, whether or not the call was answered."""
 
+    _held_until: float | None = None
+    """Until when a lease whose call was answered holds at least; None if none was answered."""
+
     def record_reading(self, clock_ms: int, received_at: float) -> None:
         """Record a reading received at ``received_at``, unless the known bound is higher."""
         self._newest_at = max(self._newest_at, received_at)
@@ -65,6 +68,18 @@
         self.latest_deadline_ms = max(self.latest_deadline_ms, self.lower_bound_ms(now) + lease_ms)
         return self.latest_deadline_ms
 
+    def confirm_deadline(self, deadline_ms: int, sent_at: float) -> None:
+        """Take note that the worker has answered a call that carried a deadline."""
+        left_seconds = (deadline_ms - self.lower_bound_ms(sent_at)) / 1000
+        # The clock may be that far above its lower bound.
+        left_seconds -= (1 - MIN_CLOCK_RATE) * max(0.0, sent_at - self._newest_at)
+        held_until = sent_at + left_seconds
+        self._held_until = max(held_until, self._held_until or held_until)
+
+    def holds_lease(self, now: float) -> bool | None:
+        """Return whether a lease is certain to hold still; None if no call has granted one."""
+        return None if self._held_until is None else now < self._held_until
+
     def all_deadlines_passed(self, now: float) -> bool:
         """Return whether every deadline sent has passed, even on the slowest clock."""
         if self._reading_ms is None:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -475,12 +475,20 @@
     def _end_incarnation(self, why: str, evidence: EndEvidence = EndEvidence.REPLACED) -> None:
         if self.has_ended:
             return
+        if self._may_have_lapsed():
+            # Its runs may have ended before it did, so that it has not crashed under them.
+            evidence = EndEvidence.SILENT
         self.has_ended, self.end_evidence = True, evidence
         if self._starts_in_flight:
             eventlet.spawn_n(self._report_end, why)
         else:
             self._agent.incarnation_ended(self, why)
 
+    def _may_have_lapsed(self) -> bool:
+        """Return whether the lease of this incarnation may be over."""
+        holds_lease = self.clock.holds_lease(self._agent.now())
+        return self.lease_has_expired() if holds_lease is None else not holds_lease
+
     def _report_end(self, why: str) -> None:
         """Report the end of the incarnation once the starts under way tell if they reached it."""
         with eventlet.Timeout(MAX_REPORT_DELAY_SECONDS, False):
@@ -532,6 +540,8 @@
         deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
         result = self._call("poll", self.fencing_token, seen_end, deadline_ms, wait_ms)
+        if deadline_ms:
+            self.clock.confirm_deadline(deadline_ms, sent_at)
         now = self._agent.now()
         self.last_contact_at = now
         self._note_alive(result, sent_at)
@@ -561,6 +571,7 @@
         deadline_ms = self.clock.extend_deadline(now, self._lease_ms)
         seen_end = self.worker.record.seen_end
         self._call("poll", self.fencing_token, seen_end, deadline_ms, 0)
+        self.clock.confirm_deadline(deadline_ms, now)
 
     def _note_survivors(self) -> None:
         """Ask the worker which runs it has outlived; leaves ends to the polls of the session."""
@@ -911,6 +922,8 @@
         )
         self._undelivered_starts.discard((task, run))
         result, clock_ms = self._call("start", request)
+        if result is StartResult.STARTED:
+            self.clock.confirm_deadline(request.deadline_ms, now)
         if clock_ms is not None:
             self.clock.record_reading(clock_ms, self._agent.now())
         return result
--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -11,6 +11,7 @@
 from savoryshelf.wire.generated.ttypes import NoteWorkers, RunOutcome
 
 from ..tasks.builders import step, worker
+from . import group as group_module
 from .fakes import FakeWorker, wait_until
 from .group import FakeGroup
 
@@ -18,6 +19,8 @@
 CRASH_SECONDS = 0.01
 RESTART_SECONDS = 0.5
 RUN_SECONDS = 0.15
+LONG_LEASE_MS = 6000
+"""Longer than a poll and a restart, so that a run has not lapsed when its worker crashes."""
 
 
 def job_id(number):
@@ -104,6 +107,11 @@
         return {job_id: job.state.value for job_id, job in self.ledger.job_by_id.items()}
 
 
+@pytest.fixture
+def long_leases(monkeypatch):
+    monkeypatch.setattr(group_module, "LEASE_MS", LONG_LEASE_MS)
+
+
 @pytest.fixture
 def group(monkeypatch):
     monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
@@ -134,6 +142,7 @@
     assert all(n <= 2 for task, n in losses_by_task.items() if task[:16] not in deadly)
 
 
+@pytest.mark.usefixtures("long_leases")
 def test_a_task_that_crashes_its_workers_while_it_works_is_given_up(group):
     """Guards against BUDGET, by tasks that the worker outlives for a while."""
     group.crash_seconds_by_job = {job_id(1): 0.6}
--- a/tests/dispatch/test_worker_clock.py
+++ b/tests/dispatch/test_worker_clock.py
@@ -29,6 +29,26 @@
     assert clock.lower_bound_ms(100.0) == 10_000
 
 
+def test_a_lease_holds_until_the_fastest_clock_is_past_its_deadline():
+    clock = WorkerClock()
+    assert clock.holds_lease(100.0) is None
+    clock.record_reading(10_000, 100.0)
+    deadline_ms = clock.extend_deadline(110.0, 6000)
+    clock.confirm_deadline(deadline_ms, 110.0)
+    lapses_at = 100.0 + (deadline_ms - 10_000) / 1000
+    assert clock.holds_lease(lapses_at - 0.01)
+    assert not clock.holds_lease(lapses_at + 0.01)
+
+
+def test_an_earlier_call_that_is_answered_late_shortens_no_lease():
+    clock = WorkerClock()
+    clock.record_reading(10_000, 100.0)
+    earlier_ms = clock.extend_deadline(100.0, 6000)
+    clock.confirm_deadline(clock.extend_deadline(102.0, 6000), 102.0)
+    clock.confirm_deadline(earlier_ms, 100.0)
+    assert clock.holds_lease(107.0)
+
+
 def test_no_deadline_has_passed_without_a_reading():
     assert not WorkerClock().all_deadlines_passed(1e9)
 
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -6,6 +6,7 @@
 from savoryshelf.dispatch import worker_session
 from savoryshelf.dispatch.worker_api import (
     CallRejected,
+    IncarnationReplaced,
     NotDelivered,
     RunStatus,
     StartResult,
@@ -20,7 +21,13 @@
 )
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
-from savoryshelf.wire.generated.ttypes import AgentAssignment, RunIntent, RunOutcome, WorkerLife
+from savoryshelf.wire.generated.ttypes import (
+    AgentAssignment,
+    EndEvidence,
+    RunIntent,
+    RunOutcome,
+    WorkerLife,
+)
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step
 from ..tasks.builders import worker as a_worker
@@ -94,6 +101,50 @@
     assert task_ledger.worker_by_incarnation["w1", 1].has_ended
 
 
+def test_an_incarnation_that_is_replaced_while_its_lease_holds_has_crashed(
+    running_session, monkeypatch
+):
+    _, worker, session, agent = running_session
+    monkeypatch.setattr(worker_session, "POLL_WAIT_MS", 100)
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running)
+    worker.is_replaced = True
+    wait_until(lambda: agent.end_reasons)
+    assert session.end_evidence is EndEvidence.REPLACED
+
+
+# Guards against LOST: a worker whose runs had lapsed before it was replaced counted as crashed
+# under them, since nobody could ask it meanwhile, and jobs failed for such crashes.
+def test_an_incarnation_that_is_replaced_after_its_lease_is_not_known_to_have_crashed(
+    running_session,
+):
+    _, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    agent.has_permission = False
+    wait_until(session.lease_has_expired)
+    worker.is_replaced = agent.has_permission = True
+    wait_until(lambda: agent.end_reasons)
+    assert session.end_evidence is EndEvidence.SILENT
+
+
+# Guards against LOST: a lease that no answer has confirmed counted as granted, so that a worker
+# counted as crashed under runs that had lapsed.
+def test_only_an_answered_call_shows_that_a_lease_holds(running_session, monkeypatch):
+    _, worker, session, agent = running_session
+    monkeypatch.setattr(worker_session, "POLL_WAIT_MS", 100)
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and len(worker.deadlines) > 30)
+
+    def lose(*arguments):
+        eventlet.sleep((LEASE_MS - 50) / 1000)
+        raise IncarnationReplaced("another incarnation")
+
+    worker.poll = lose
+    wait_until(lambda: agent.end_reasons)
+    assert session.end_evidence is EndEvidence.SILENT
+
+
 def test_a_run_missing_from_the_first_poll_after_a_takeover_is_settled(running_session):
     task_ledger, worker, session, _ = running_session
     assert not session.is_state_known
