Crashes: an end reported twice in one command is one loss

A task that crashes its workers could be started up to three times more, since its crashes passed for some that had a common cause.

Cause: an agent reports an end until it is applied on its host, and the leader commits all reports that have come meanwhile in one command. Each of the two counted the worker once more as lost at the same time as others, so that two workers looked like three.

Evidence: test_a_loss_that_one_command_reports_twice_counts_once failed (two ends for one incarnation).

Why it works: an incarnation ends once in a command.

--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -269,7 +269,8 @@
         ended: list[Worker] = []
         for position, incarnation in enumerate(incarnations):
             worker = self.worker_by_incarnation.get(incarnation_key(incarnation))
-            if worker is None:
+            if worker is None or worker in ended:
+                # An agent reports an end until it is applied, and reports may share a command.
                 continue
             if fencing_tokens and worker.record.fencing_token != fencing_tokens[position]:
                 continue
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -253,6 +253,23 @@
     assert record_intent(task_ledger, DEADLY, 3, ("w4", 1))
 
 
+# Guards against BUDGET: of two workers lost at once, one whose end was reported twice in a command
+# counted as two others, and the crash as one that a task had not caused.
+def test_a_loss_that_one_command_reports_twice_counts_once():
+    task_ledger = make_ledger()
+    start_and_crash(task_ledger, "w0", DEADLY)
+    start(task_ledger, DEADLY, "w1")
+    crash(task_ledger, "w1")
+    other = WorkerLife("w2", 1)
+    task_ledger.at_ms += 5
+    ends = task_ledger.end_incarnations(
+        [other, other], [], None, True, [], REPLACED, [ContactLoss(20, 0)] * 2
+    )
+    assert len(ends) == 1
+    assert task_ledger.worker_by_incarnation["w1", 1].record.lost_with == 1
+    assert state(task_ledger) == "failed"
+
+
 # Guards against BUDGET by tasks that crash their workers at the same moment.
 def test_a_task_whose_crashes_all_coincide_with_others_is_given_up_after_five():
     task_ledger = make_ledger()
