Crashes: a late report tells when contact with a worker was lost

Jobs could fail for restarts of several workers at once, from outside, of which some became known under one leader and some under the next.

Cause: an end is reported until it is applied, with the time since the worker was last heard of as it was when the end was found. Taken back from the time of the commit, a report that had waited for a leader told of a loss that much later, which overlapped with no other.

Evidence: test_a_report_that_comes_late_tells_when_contact_was_lost failed (the same times after 0.75 s).

Why it works: the message is made anew each time that it is sent, and its times grow by what has passed since.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -6,6 +6,7 @@
 answers renews the agent's permission to call workers.
 """
 
+import copy
 import math
 
 import attrs
@@ -27,6 +28,7 @@
 from ..wire.generated.ttypes import (
     AgentReply,
     AgentReport,
+    ContactLoss,
     EndLives,
     IdleRun,
     RejectionKind,
@@ -131,9 +133,24 @@
 class _EndedIncarnation:
     """The end of an incarnation, until it is applied on this host."""
 
-    message: EndLives
+    ended_message: EndLives
+    """The message as of ``ended_at``."""
+
+    ended_at: float
     sent_at: float = float("-inf")
 
+    def message(self) -> EndLives:
+        """Return the message as of when it is sent: what it tells of time is relative to that."""
+        waited_ms = int(1000 * (self.sent_at - self.ended_at))
+        message = copy.copy(self.ended_message)
+        message.losses = [
+            ContactLoss(loss.heard_ms + waited_ms, loss.unanswered_ms + waited_ms)
+            if loss.heard_ms >= 0
+            else loss
+            for loss in message.losses
+        ]
+        return message
+
 
 class Agent:
     """The sessions with this host's workers, and the reports on them to the leader.
@@ -408,8 +425,9 @@
                 [RunAge(*run, worked_ms) for run, worked_ms in worked_ms_by_run.items()],
                 session.end_evidence,
                 [loss],
-            )  # fmt: skip
-        )
+            ),
+            self.now(),
+        )  # fmt: skip
         self._wake_up_report()
 
     def state_changed(self, session: WorkerSession) -> None:
@@ -536,7 +554,7 @@
             timer_lag_seconds=self._mean_lag,
             states=states,
             settlements=[each.message() for each in due if isinstance(each, _Settlement)],
-            ended_lives=[each.message for each in due if isinstance(each, _EndedIncarnation)],
+            ended_lives=[each.message() for each in due if isinstance(each, _EndedIncarnation)],
             rejections=rejections,
             weights=self.interference.take_learned_weights(),
             region=self._settings.home_region,
--- a/tests/dispatch/test_silent_workers.py
+++ b/tests/dispatch/test_silent_workers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from savoryshelf.dispatch import assignment
+from savoryshelf.dispatch.agent import NoLeader
 from savoryshelf.dispatch.worker_api import IncarnationReplaced, NotDelivered, WorkerUnresponsive
 from savoryshelf.wire.generated.ttypes import NoteWorkers, RunOutcome
 
@@ -152,6 +153,29 @@
     assert {group.state(job_id) for job_id in group.ledger.job_by_id} == {"completed"}
 
 
+# Guards against jobs that fail for restarts of all workers at once: a report that waited for a
+# leader told that a worker had been lost so much later, and alone.
+def test_a_report_that_comes_late_tells_when_contact_was_lost(group):
+    group.submit(step())
+    wait_until(lambda: group.started_on)
+    lost = group.worker_by_id[group.started_on[0][2]]
+    agent = group.agent_by_host[group.agent_host(lost.worker_id)]
+    told = []
+
+    def lose_report(report):
+        told.extend((agent.now(), ended.losses[0]) for ended in report.ended_lives)
+        raise NoLeader("no leader")
+
+    agent._report_to_leader = lose_report
+    lost.crash()
+    wait_until(lambda: len(told) > 3)
+    (first_at, first), (last_at, last) = told[0], told[-1]
+    passed_ms = 1000 * (last_at - first_at)
+    assert passed_ms > 100
+    assert last.heard_ms - first.heard_ms == pytest.approx(passed_ms, abs=1)
+    assert last.unanswered_ms - first.unanswered_ms == pytest.approx(passed_ms, abs=1)
+
+
 # Guards against BUDGET: no later incarnation ever tells that the worker has crashed.
 def test_a_task_whose_workers_never_come_back_is_started_twice_after_three(group):
     group.after_start = lambda each: each.crash(is_back=False)
