Crashes: a new token does not change when contact with a worker was lost

Jobs could fail for restarts of several workers at once, from outside, if one of them was given a new fencing token while it did not answer.

Cause: the session under the new token took over when the worker had last answered, and not since when it no longer did. The loss was told to have come after the token, which overlapped with no other.

Evidence: test_a_new_token_does_not_change_when_contact_was_lost failed (99 ms instead of 419 ms).

Why it works: both times are taken over from the session before.

Result: test_worker_session: 85 passed.

--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -170,7 +170,7 @@
         self._heard_at = float("-inf") if previous is None else previous._heard_at
         """When this incarnation last answered a call of any kind, in monotonic seconds."""
 
-        self._unanswered_since: float | None = None
+        self._unanswered_since = None if previous is None else previous._unanswered_since
         """When the first call since then went unanswered."""
 
         self.is_unresponsive = previous is not None and previous.is_unresponsive
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -145,6 +145,27 @@
     assert session.end_evidence is EndEvidence.SILENT
 
 
+# Guards against jobs that fail for restarts of all workers at once: a worker that got a new token
+# while it did not answer seemed to have been lost only then, and alone.
+def test_a_new_token_does_not_change_when_contact_was_lost(running_session):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running)
+    worker.has_crashed = True
+    wait_until(lambda: session.is_unresponsive)
+    eventlet.sleep(0.3)
+    session.close()
+    task_ledger.assign_agents([AgentAssignment(session.worker.record.life, "c0.disk/1")], 9)
+    before = session.contact_loss()
+    following = worker_session.WorkerSession(agent, session.worker, LEASE_MS, previous=session)
+    try:
+        eventlet.sleep(0.1)
+        assert following.contact_loss().unanswered_ms >= before.unanswered_ms + 100
+        assert following.contact_loss().heard_ms >= before.heard_ms + 100
+    finally:
+        following.close()
+
+
 def test_a_run_missing_from_the_first_poll_after_a_takeover_is_settled(running_session):
     task_ledger, worker, session, _ = running_session
     assert not session.is_state_known
