--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1252,8 +1252,8 @@
     Mutant(
         "the ledger keeps what is fixed in an incarnation that has not ended",
         "tasks/ledger.py",
-        "            contradicted_fields(known, record) and not may_correct(known, record)\n",
-        "            False\n",
+        "elif contradicted_fields(known, record) and not may_correct(known, record):",
+        "elif False:",
         "tests/tasks/test_ledger.py",
     ),
     Mutant(
@@ -1565,6 +1565,34 @@
         "if False:",
         "tests/dispatch/test_held_tasks.py",
     ),
+    Mutant(
+        "a crash: one that an earlier version recorded is withdrawn as that version did",
+        _TASKS,
+        "            self._withdraw_unclassified_crashes(existing.key)",
+        "            pass",
+        TASKS,
+    ),
+    Mutant(
+        "a crash: a loss that is reported twice in one command counts once",
+        _TASKS,
+        "if worker is None or worker in ended:",
+        "if worker is None:",
+        TASKS,
+    ),
+    Mutant(
+        "a crash: a worker that is replaced after its lease is no proof",
+        _WORKER_SESSION,
+        "        if self._may_have_lapsed():",
+        "        if False:",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "a crash: the times of a loss are those of when it is told",
+        "dispatch/agent.py",
+        "waited_ms = int(1000 * (self.sent_at - self.ended_at))",
+        "waited_ms = 0",
+        "tests/dispatch/test_silent_workers.py",
+    ),
     Mutant(
         "a crash: the end of a lease is reported as silence",
         _WORKER_SESSION,
