--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -121,10 +121,13 @@
         return _HANDLER_BY_VERB[call.verb](self, call)
 
     def submit(self, call: JobCall) -> JobAnswer:
-        """Accept a job durably; idempotent, so a resend is accepted as well."""
+        """Accept a job durably; idempotent, so a resend is accepted while its queue is there."""
         self._require_recent_quorum_contact()
+        ledger = self._state_machine.ledger
         job_id = job_id_from_path(call.path)
-        if job_id in self._state_machine.ledger.job_by_id:
+        if job_id in ledger.job_by_id:
+            if find_queue(ledger.manifest, call.host, call.path) is None:
+                return self._no_queue(call)
             return JobAnswer(JobAnswerKind.ACCEPTED, reason="resend")
         refusal = self._refuse_without_room(call, job_id)
         if refusal is not None:
--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -16,7 +16,7 @@
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..wire.generated import ControlService, ttypes
-from ..wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall
+from ..wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall, JobVerb
 from ..wire.peers import PeerPool
 from .addresses import AddressBook
 
@@ -102,9 +102,10 @@
             try:
                 answer = self._ask(address, "job_call", request, remaining)
                 self._record_leader(address)
-                if outcome_is_unknown and answer.kind == JobAnswerKind.REFUSED:
-                    # An earlier attempt may still arrive, and be accepted.
-                    raise LeaderUnavailable(True, f"refused after an attempt: {answer.reason}")
+                if outcome_is_unknown and _says_not_accepted(request, answer):
+                    # An earlier attempt may have been accepted, or may still arrive.
+                    kind = answer.kind.name.lower()
+                    raise LeaderUnavailable(True, f"{kind} after an attempt: {answer.reason}")
                 return answer
             except ttypes.NotLeader as error:
                 self._update_leader_hint(address, error.leader_address or "")
@@ -229,3 +230,8 @@
             return
         if leader_address == address or not self._addresses.has_failed(leader_address):
             self._leader = leader_address
+
+
+def _says_not_accepted(request: JobCall, answer: JobAnswer) -> bool:
+    kinds = (JobAnswerKind.REFUSED, JobAnswerKind.NO_QUEUE)
+    return request.verb == JobVerb.SUBMIT and answer.kind in kinds
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -922,3 +922,14 @@
     replica.on_confirm = depose
     with pytest.raises(ttypes.NotLeader):
         service.job_call(submission())
+
+
+# Guards against a success on a dropped queue: the job had been accepted before the drop, and its
+# resend came after it (rule CONFIG, issue 52).
+def test_a_resend_of_an_accepted_job_to_a_dropped_queue_finds_no_queue(state_machine):
+    state_machine.ledger.put_manifest(manifest())
+    _, service = host(state_machine)
+    assert service.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+    service.put_manifest(Manifest(2, [], [ServiceSpec("svc", False, False)], "{}"))
+    assert service.job_call(submission()).kind == JobAnswerKind.NO_QUEUE
+    assert list(state_machine.ledger.job_by_id) == [JOB]
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -106,6 +106,26 @@
     assert caught.value.outcome_unknown
 
 
+# Guards against a "no such queue" for work that runs: its first attempt was accepted before the
+# queue was dropped.  Reads change nothing, so what they are told is certain.
+@pytest.mark.parametrize(
+    ("verb", "is_unknown"), [(JobVerb.SUBMIT, True), (JobVerb.COUNT, False), (JobVerb.READ, False)]
+)
+def test_no_queue_after_an_attempt_that_may_have_arrived_is_certain_only_of_reads(
+    client, monkeypatch, verb, is_unknown
+):
+    no_queue = JobAnswer(JobAnswerKind.NO_QUEUE)
+    outcomes = iter([PeerUnreachable("a", "reset", sent=True)])
+    script_answers(client, monkeypatch, dict.fromkeys("ab", lambda: next(outcomes, no_queue)))
+    call = JobCall(verb, CALL.host, CALL.path, trace_id="t")
+    if not is_unknown:
+        assert client.call(call, 1.0) == no_queue
+        return
+    with pytest.raises(LeaderUnavailable) as caught:
+        client.call(call, 1.0)
+    assert caught.value.outcome_unknown
+
+
 # Guards against a process that is killed while it still waits for the leader.
 def test_a_call_in_progress_ends_at_the_stop_with_an_unknown_outcome(client, monkeypatch):
     timed_out = lambda: PeerUnreachable("a", "timed out", sent=True)  # noqa: E731
