--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -224,14 +224,20 @@
             self._commit(put_manifest=manifest)
         else:
             self.confirm_leadership()
-        log_event("manifest:put", version=manifest.version, held_before=current_version)
+        in_force = self._state_machine.ledger.manifest.version
+        log_event(
+            "manifest:put", version=manifest.version, held_before=current_version,
+            in_force=in_force, queues=len(manifest.queues),
+        )  # fmt: skip
         self.on_change()
-        return self._state_machine.ledger.manifest.version
+        return in_force
 
     def manifest(self) -> Manifest:
         """Return the manifest in force by a linearizable read; raises NotLeader elsewhere."""
         self.confirm_leadership()
-        return self._state_machine.ledger.manifest
+        manifest = self._state_machine.ledger.manifest
+        log_event("manifest:read", version=manifest.version)
+        return manifest
 
     # ------------------------------------------------------------------------ workers
 
