--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -63,6 +63,38 @@
         decode_manifest(body)
 
 
+# Guards against a manifest in force of which a part was not understood (rule CONFIG, issue 52).
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"limits": None},
+        {"limits": []},
+        {"limits": {"idleTimeoutMs": "15000"}},
+        {"limits": {"maxBodyBytes": -1}},
+        {"routes": [ROUTE | {"kind": 4}]},
+        {"services": [SERVICE | {"healthPath": 4}]},
+        {"services": [SERVICE | {"maxConnections": "64"}]},
+        {"services": [SERVICE | {"tls": "no"}]},
+        {"services": [SERVICE | {"protocol": 1}]},
+    ],
+    ids=str,
+)
+def test_a_manifest_of_which_any_known_part_is_odd_is_rejected(changes):
+    with pytest.raises(Malformed):
+        decode_manifest(encoded(MANIFEST, **changes))
+
+
+def test_unknown_fields_of_a_manifest_are_passed_over():
+    unknown = {"new": {"a": [1]}}
+    body = encoded(
+        MANIFEST | unknown,
+        routes=[ROUTE | unknown],
+        services=[SERVICE | unknown],
+        limits={"idleTimeoutMs": 15000} | unknown,
+    )
+    assert decode_manifest(body).version == 7
+
+
 def test_a_heartbeat_is_decoded_with_rack_and_capacity():
     record = decode_heartbeat("i-1", encoded(HEARTBEAT, state="draining")).record
     assert (record.rack, record.millicores, record.draining) == ("r1-3", 16000, True)
