--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -63,6 +63,13 @@
         decode_manifest(body)
 
 
+def test_hosts_of_routes_differ_by_more_than_their_case():
+    other = ROUTE | {"name": "other", "host": "H.Example"}
+    assert decode_manifest(encoded(MANIFEST, routes=[other])).queues[0].host == "h.example"
+    with pytest.raises(Malformed):
+        decode_manifest(encoded(MANIFEST, routes=[ROUTE, other]))
+
+
 # Guards against a manifest in force of which a part was not understood (rule CONFIG, issue 52).
 @pytest.mark.parametrize(
     "changes",
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -44,3 +44,27 @@
     )
     assert (reply.status, reply.headers) == (503, (("Retry-After", "5"),))
     assert orjson.loads(reply.body) == {"error": "not run: no room"}
+
+
+# Guards against a route that is there and not found: HTTP lets a request name its host with a port,
+# in any case, and in the request line (rule CONFIG, issue 52).
+@pytest.mark.parametrize(
+    ("host", "path"),
+    [
+        ("h.example", "/q/"),
+        ("h.example:8161", "/q/"),
+        ("H.Example", "/q/"),
+        ("10.0.0.1:8161", "http://h.example/q/"),
+        ("10.0.0.1:8161", "http://H.example:8161/q/"),
+    ],
+)
+def test_a_route_is_found_however_http_lets_its_host_be_written(host, path):
+    calls = []
+
+    def record(call, seconds):
+        calls.append(call)
+        return JobAnswer(JobAnswerKind.COUNTED, waiting=0)
+
+    front = Front(types.SimpleNamespace(call=record))
+    front.answer({"REQUEST_METHOD": "GET", "PATH_INFO": path, "HTTP_HOST": host})
+    assert [(call.host, call.path) for call in calls] == [("h.example", "/q/")]
