--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -121,10 +121,13 @@
         return _HANDLER_BY_VERB[call.verb](self, call)
 
     def submit(self, call: JobCall) -> JobAnswer:
-        """Accept a job durably; idempotent, so a resend is accepted as well."""
+        """Accept a job durably; idempotent, so a resend is accepted while its queue is there."""
         self._require_recent_quorum_contact()
+        ledger = self._state_machine.ledger
         job_id = job_id_from_path(call.path)
-        if job_id in self._state_machine.ledger.job_by_id:
+        if job_id in ledger.job_by_id:
+            if find_queue(ledger.manifest, call.host, call.path) is None:
+                return self._no_queue(call)
             return JobAnswer(JobAnswerKind.ACCEPTED, reason="resend")
         refusal = self._refuse_without_room(call, job_id)
         if refusal is not None:
@@ -221,14 +224,20 @@
             self._commit(put_manifest=manifest)
         else:
             self.confirm_leadership()
-        log_event("manifest:put", version=manifest.version, held_before=current_version)
+        in_force = self._state_machine.ledger.manifest.version
+        log_event(
+            "manifest:put", version=manifest.version, held_before=current_version,
+            in_force=in_force, queues=len(manifest.queues),
+        )  # fmt: skip
         self.on_change()
-        return self._state_machine.ledger.manifest.version
+        return in_force
 
     def manifest(self) -> Manifest:
         """Return the manifest in force by a linearizable read; raises NotLeader elsewhere."""
         self.confirm_leadership()
-        return self._state_machine.ledger.manifest
+        manifest = self._state_machine.ledger.manifest
+        log_event("manifest:read", version=manifest.version)
+        return manifest
 
     # ------------------------------------------------------------------------ workers
 
