A worker that is back under its id refuses the starts that its former life left unanswered

Cause: a start that went unanswered is settled by a stop that the same life confirms. The next life knows neither the stop nor a token, and its clock has begun anew, so it takes the order until a call shows it a higher token. The first calls came late (an idle session polls nothing, a silent worker was asked again after 0.25 s, the next session needs a heartbeat and a commit), and those of the former life's session showed the token that the order had too. What it ran then was stopped by the next life's session only, after its task could have started elsewhere. The class: evidence that belongs to one life settles what outlives it.

Change: where a start went unanswered, for 15 s, the session polls an idle worker as well, looks for the next life in intervals of 20 ms or 5% of the time of silence, and raises the token of all later calls above those of the unanswered starts (the token on the wire is the ledger's times 1,000 plus the number of raises). Before the end of the life is reported, what the next one runs and the ledger does not have there is stopped, for 0.75 s at most; a life counts as one that answers only after that as well. A start or poll that a higher token of its own session overtakes is no fence.

Changed tests: test_a_fenced_session_makes_no_more_calls and test_a_worker_that_rejects_its_agents_token_gets_a_new_one take a token above those on the wire, which are higher now. Two tests of unanswered starts expect that the late start is refused by its token, and still by its run under any token. FakeWorker.is_fenced is public for the group's fake.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -42,6 +42,7 @@
 from .crash_log import log_incarnation_ends
 from .interference import InterferenceModel
 from .lag import measure_lag
+from .late_starts import LateStarts
 from .permission import PERMISSION_SECONDS, Permission
 from .placement import WorkerView
 from .throttling import (
@@ -165,6 +166,7 @@
         self._continued_incarnations: set[IncarnationKey] = set()
         """The incarnations that have had no other agent, and no end, since their session began."""
 
+        self.late_starts = LateStarts()
         self.interference = InterferenceModel()
         self.is_leaving = False
         self._permission = Permission()
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -19,6 +19,9 @@
     FENCED = "fenced"
     """The worker has seen a higher fencing token, so another agent has taken over."""
 
+    OVERTAKEN = "overtaken"
+    """The worker has seen a higher token of the same session, which goes on."""
+
     STALE_RUN = "run too low"
     """The run's number is too low: this run or a later one of its task was stopped there."""
 
@@ -41,9 +44,23 @@
     """No connection to the worker could be made, so the call has not reached it."""
 
 
+@attrs.frozen
+class WorkerIncarnation:
+    """One incarnation of a worker and its address; ``born_ms`` is its start on the wall clock."""
+
+    worker_id: str
+    born_ms: int
+    address: str
+
+
 class IncarnationReplaced(SavoryshelfError):
     """Another incarnation answers at the worker's address, so this one has ended."""
 
+    def __init__(self, message: str, successor: WorkerIncarnation | None = None):
+        """Take the incarnation that answers, if it is one of the same worker."""
+        super().__init__(message)
+        self.successor = successor
+
 
 class CallRejected(SavoryshelfError):
     """The worker rejected a call without effect, for example because it is unhealthy."""
@@ -53,13 +70,8 @@
     """The worker has seen a higher fencing token: another agent is responsible for it."""
 
 
-@attrs.frozen
-class WorkerIncarnation:
-    """One incarnation of a worker and its address; ``born_ms`` is its start on the wall clock."""
-
-    worker_id: str
-    born_ms: int
-    address: str
+class Overtaken(CallRejected):
+    """The worker has seen a higher token of the same session, so it did nothing."""
 
 
 @attrs.frozen
@@ -130,7 +142,8 @@
     """Calls to a worker, each made to one incarnation: it reaches that one or none.
 
     All but ``disconnect`` raise WorkerUnresponsive if there is no complete answer, and
-    IncarnationReplaced, without any effect, if another incarnation is at the address.
+    IncarnationReplaced if another incarnation is at the address: without any effect, but that
+    this one refuses all calls under a lower token from then on.
     """
 
     def start(
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -28,6 +28,7 @@
 from ..tasks.crashes import SURVIVAL_MS, is_suspect
 from ..tasks.worker import Worker
 from ..wire.generated.ttypes import RunEnd, RunOutcome
+from .late_starts import CALL_TOKENS, call_token, look_pause
 from .placement import WorkerView
 from .throttling import PAUSED, ColocationHistory
 from .unsettled_runs import UnsettledState
@@ -36,6 +37,7 @@
     Fenced,
     IncarnationReplaced,
     NotDelivered,
+    Overtaken,
     PollResult,
     RunStatus,
     StartRequest,
@@ -103,6 +105,15 @@
 A run whose start did not reach it is no suspect of a crash; a round trip or two tell.
 """
 
+MAX_CLEARING_SECONDS = 0.75
+"""How long the end of an incarnation is not reported while the next one runs late starts.
+
+A task whose run is stopped there does not start beside it: a stop takes up to 0.2 s.
+"""
+
+CLEARING_CHECK_SECONDS = 0.05
+"""How often to ask whether late runs have ended, in seconds."""
+
 REPORT_CHECK_SECONDS = 0.01
 """How often to look whether starts are still under way, in seconds."""
 
@@ -134,7 +145,10 @@
         self.worker = worker
         record = worker.record
         self.fencing_token = record.fencing_token
-        """Token of all calls of this session: another assignment makes another session."""
+        """The ledger's token of this session: another assignment makes another session."""
+
+        self._raises = 0
+        """How often the token of the calls was raised above those of unanswered starts."""
 
         self.is_fenced = False
         """Whether the worker has rejected the token; it is not called any more then."""
@@ -168,15 +182,25 @@
         """When the newest poll that this incarnation answered was sent, in monotonic seconds."""
 
         self.is_unresponsive = previous is not None and previous.is_unresponsive
+        self._silent_since = agent.now()
+        """Since when the worker has been unresponsive, if it is, in monotonic seconds."""
+
         self.is_state_known = False
         """Whether this incarnation has answered a poll, so that its runs are known.
 
-        Until then nothing but a heartbeat says that it exists.
+        Until then nothing but a heartbeat says that it exists.  Late starts that it runs on orders
+        for an earlier incarnation end first: as long as it is not known, it replaces no other.
         """
 
+        self._answered_at: float | None = None
+        """When the first poll was answered, in monotonic seconds."""
+
         self.has_ended = False
         """Whether the incarnation was reported as ended; no call may be made after that."""
 
+        self._successor: WorkerIncarnation | None = None
+        """The incarnation that was found in place of this one."""
+
         self._lease_ms = lease_ms
         self._taken_over_at = agent.now() if previous is None else previous._taken_over_at
         self._confirmed_at_by_run: dict[tuple[str, int], float] = {
@@ -267,6 +291,7 @@
 
         A call on an open connection may have to wait for its timeout to tell.
         """
+        self._overtake_starts()
         self._agent.worker_api.disconnect(self.incarnation)
         eventlet.spawn_n(self._poll_now)
 
@@ -435,7 +460,7 @@
             except WorkerUnresponsive as error:
                 if self._is_over_without_answer(error):
                     return
-                self._wait_before_retry()
+                self._wait_for_answer()
             except Exception as error:
                 # Without this thread the worker's runs would never end.
                 log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=repr(error))
@@ -458,7 +483,7 @@
         if self.has_ended:
             return
         self.has_ended = True
-        if self._starts_in_flight:
+        if self._starts_in_flight or self._has_to_clear_successor():
             eventlet.spawn_n(self._report_end, why)
         else:
             self._agent.incarnation_ended(self, why)
@@ -468,10 +493,76 @@
         with eventlet.Timeout(MAX_REPORT_DELAY_SECONDS, False):
             while self._starts_in_flight:
                 eventlet.sleep(REPORT_CHECK_SECONDS)
+        if self._has_to_clear_successor():
+            with eventlet.Timeout(MAX_CLEARING_SECONDS, False):
+                self._stop_late_runs(self._successor)
         self._agent.incarnation_ended(self, why)
 
+    def _has_to_clear_successor(self) -> bool:
+        """Return whether the next incarnation may run starts that were sent to this one."""
+        return self._successor is not None and self._may_have_late_starts()
+
+    def _stop_late_runs(self, successor: WorkerIncarnation) -> None:
+        """Stop what the next incarnation runs on orders that were meant for another one.
+
+        Its first answer to a token above those of all such orders lists them, and no more follow.
+        Runs that the ledger has there are its own.
+        """
+        token = call_token(self.fencing_token, CALL_TOKENS - 1)
+        key, api, stopped = (successor.worker_id, successor.born_ms), self._agent.worker_api, set()
+        try:
+            while self._has_permission():
+                result = api.poll(successor, token, 0, 0, 0)
+                worker = self._agent.ledger.worker_by_incarnation.get(key)
+                assigned = worker.task_by_run if worker is not None else {}
+                late = {(status.task, status.run) for status in result.running} - assigned.keys()
+                for task, run in late - stopped:
+                    log_event("run:late", task=task, run=run, worker=key[0], born=key[1])
+                    api.stop(successor, task, run, token)
+                stopped |= late
+                if not late:
+                    break
+                eventlet.sleep(CLEARING_CHECK_SECONDS)
+        except Exception as error:
+            # The next incarnation's own session stops them.
+            log_event("worker:not_cleared", worker=key[0], born=key[1], why=repr(error))
+        finally:
+            if key not in self._agent.session_by_incarnation:
+                api.disconnect(successor)
+
+    def _may_have_late_starts(self) -> bool:
+        """Return whether starts that went unanswered may be carried out by the next incarnation."""
+        late_starts, worker_id = self._agent.late_starts, self.incarnation.worker_id
+        return (
+            late_starts.are_possible(worker_id, self._agent.now()) or self._has_unanswered_start()
+        )
+
+    def _has_unanswered_start(self) -> bool:
+        return bool(self._starts_in_flight - self._undelivered_starts)
+
+    @property
+    def call_token(self) -> int:
+        """Return the token of the calls that are sent now."""
+        return call_token(self.fencing_token, self._raises)
+
+    def _overtake_starts(self) -> None:
+        """Raise the token of all later calls above those of the starts without an answer so far."""
+        if self._has_unanswered_start():
+            self._raise_token()
+
+    def _raise_token(self) -> None:
+        # The last one is that of the calls to the next incarnation.
+        if self._raises < CALL_TOKENS - 2:
+            self._raises += 1
+        elif not self.needs_new_token:
+            self.needs_new_token = True
+            self._agent.state_changed(self)
+
     def _may_call(self) -> bool:
-        if self.is_closed or self.has_ended or self.is_fenced:
+        return not self.has_ended and self._has_permission()
+
+    def _has_permission(self) -> bool:
+        if self.is_closed or self.is_fenced:
             return False
         # The worker may have another agent already, before this session is closed for it.
         if self.worker.record.fencing_token != self.fencing_token:
@@ -493,6 +584,7 @@
             and self.is_state_known
             and self.clock.has_reading
             and not self.is_unresponsive
+            and not self._may_have_late_starts()
         )
 
     def _wait_for_work(self) -> None:
@@ -504,6 +596,13 @@
     def _wait_before_retry(self) -> None:
         eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
+    def _wait_for_answer(self) -> None:
+        """Wait before the next look at a silent worker: shorter if late starts may reach it."""
+        seconds = RETRY_SECONDS * random.uniform(0.5, 1.5)
+        if self._may_have_late_starts():
+            seconds = min(seconds, look_pause(self._agent.now() - self._silent_since))
+        eventlet.sleep(seconds)
+
     def _poll(self, wait_ms: int) -> None:
         sent_at = self._agent.now()
         # The lease of an unresponsive worker must be able to expire, so it is not
@@ -513,7 +612,7 @@
         renews_lease = renews_lease and self._may_call()
         deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
-        result = self._call("poll", self.fencing_token, seen_end, deadline_ms, wait_ms)
+        result = self._call("poll", self.call_token, seen_end, deadline_ms, wait_ms)
         now = self._agent.now()
         self.last_contact_at = now
         self._note_alive(result, sent_at)
@@ -532,6 +631,8 @@
         self._process_poll(result, sent_at)
         if renewal_error is not None:
             raise renewal_error
+        if not self.is_state_known:
+            eventlet.sleep(CLEARING_CHECK_SECONDS)
         if result.unreadable_runs or result.unreadable_ends:
             # A worker answers at once while an end is not acknowledged.
             self._wait_before_retry()
@@ -542,7 +643,7 @@
             return
         deadline_ms = self.clock.extend_deadline(now, self._lease_ms)
         seen_end = self.worker.record.seen_end
-        self._call("poll", self.fencing_token, seen_end, deadline_ms, 0)
+        self._call("poll", self.call_token, seen_end, deadline_ms, 0)
 
     def _note_survivors(self) -> None:
         """Ask the worker which runs it has outlived; leaves ends to the polls of the session."""
@@ -550,12 +651,11 @@
             return
         sent_at, seen_end = self._agent.now(), self.worker.record.seen_end
         try:
-            result = self._agent.worker_api.poll(
-                self.incarnation, self.fencing_token, seen_end, 0, 0
-            )
+            result = self._agent.worker_api.poll(self.incarnation, self.call_token, seen_end, 0, 0)
         except NotDelivered as error:
             self._mark_unresponsive(error)
         except IncarnationReplaced as error:
+            self._successor = error.successor
             self._end_incarnation(str(error))
         except (WorkerUnresponsive, CallRejected) as error:
             log_event("worker:poll_failed", worker=self.incarnation.worker_id, why=str(error))
@@ -592,12 +692,20 @@
         self._reported_ends = ended_runs | {(end.task, end.run) for end in ends}
         if ends:
             self._agent.settle_ends(self, seen_end, ends)
-        self.is_state_known = True
+        self.is_state_known = self.is_state_known or not self._has_late_runs()
         self._stop_hidden_runs(ended_runs, sent_at)
         self._stop_unexpected_runs(ended_runs)
         self._expire_exclusions()
         self._agent.poll_completed(self, self._history)
 
+    def _has_late_runs(self) -> bool:
+        """Return whether the newest of the first polls lists runs that the ledger has elsewhere."""
+        if self._answered_at is None:
+            self._answered_at = self._agent.now()
+        if self._agent.now() - self._answered_at >= MAX_CLEARING_SECONDS:
+            return False
+        return bool(self.status_by_run.keys() - self.worker.task_by_run.keys())
+
     def _log_unknown_runs(self, ends: list[RunEnd]) -> None:
         """Log, once each, the listed runs and ends that the ledger does not have here."""
         how_by_run = dict.fromkeys(self.status_by_run, "running")
@@ -737,6 +845,7 @@
 
     def _mark_unresponsive(self, error: Exception) -> None:
         if not self.is_unresponsive:
+            self._silent_since = self._agent.now()
             log_event("worker:silent", worker=self.incarnation.worker_id, why=str(error))
         self.is_unresponsive = True
         self._agent.state_changed(self)
@@ -757,11 +866,23 @@
 
         It may come from what the worker, or another writer in its place, has said of itself.
         """
+        token = self.call_token
         try:
             return getattr(self._agent.worker_api, method)(self.incarnation, *arguments)
-        except (WorkerUnresponsive, IncarnationReplaced, CallRejected):
+        except Fenced as error:
+            if token < self.call_token:
+                raise Overtaken(str(error)) from error
+            raise
+        except IncarnationReplaced as error:
+            self._successor = error.successor
+            raise
+        except CallRejected:
+            raise
+        except WorkerUnresponsive:
+            self._overtake_starts()
             raise
         except Exception as error:
+            self._overtake_starts()
             log_event(
                 "worker:call_failed", worker=self.incarnation.worker_id, call=method,
                 why=repr(error),
@@ -796,6 +917,9 @@
             self._starts_in_flight.discard(key)
             self._mark_fenced(error)
             return
+        except Overtaken:
+            # Of the poll before the start, as in the next case.
+            result = StartResult.OVERTAKEN
         except CallRejected:
             # Of the poll before the start, which was not sent.
             result = StartResult.UNHEALTHY
@@ -839,6 +963,7 @@
     def _start_unanswered(self, task: str, run: int, error: Exception) -> None:
         """Stop a run whose start may still arrive: only a confirmed stop rules that out."""
         self._start_unanswered_at = self._agent.now()
+        self._agent.late_starts.note(self.incarnation.worker_id, self._agent.now())
         metrics.RETRIES.labels("start unanswered").inc()
         log_event(
             "run:in_doubt", task=task, run=run, worker=self.incarnation.worker_id, why=str(error)
@@ -876,13 +1001,15 @@
             run=run,
             body=assigned_task.step.job.spec.body,
             deadline_ms=self.clock.extend_deadline(now, self._lease_ms),
-            fencing_token=self.fencing_token,
+            fencing_token=self.call_token,
             checkpoint=checkpoint,
         )
         self._undelivered_starts.discard((task, run))
         result, clock_ms = self._call("start", request)
         if clock_ms is not None:
             self.clock.record_reading(clock_ms, self._agent.now())
+        if result is StartResult.FENCED and request.fencing_token < self.call_token:
+            return StartResult.OVERTAKEN
         return result
 
     def _send_stop(self, task: str, run: int) -> None:
@@ -912,7 +1039,7 @@
                 continue
             sent_at = self._agent.now()
             try:
-                self._call("stop", task, run, self.fencing_token)
+                self._call("stop", task, run, self.call_token)
                 return True
             except Fenced as error:
                 self._mark_fenced(error)
@@ -984,7 +1111,7 @@
             self.speed_percent_by_run.pop((task, run), None)
             return
         try:
-            self._call("set_speed", task, run, speed_percent, self.fencing_token)
+            self._call("set_speed", task, run, speed_percent, self.call_token)
         except IncarnationReplaced as error:
             self._end_incarnation(str(error))
         except (WorkerUnresponsive, CallRejected) as error:
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from savoryshelf.clock import SystemClock
+from savoryshelf.dispatch.late_starts import LateStarts
 from savoryshelf.dispatch.worker_api import (
     EndedRun,
     Fenced,
@@ -83,14 +84,15 @@
         self.requests.append(request)
         return self.apply_start(request), self.clock_ms()
 
-    def _is_fenced(self, fencing_token):
+    def is_fenced(self, fencing_token):
+        """Take note of the token of a call; return whether the call is refused for it."""
         if fencing_token < self.fencing_token:
             return True
         self.fencing_token = fencing_token
         return False
 
     def apply_start(self, request):
-        if self._is_fenced(request.fencing_token):
+        if self.is_fenced(request.fencing_token):
             return StartResult.FENCED
         if request.run <= self.stopped.get(request.task, 0):
             return StartResult.STALE_RUN
@@ -102,7 +104,7 @@
         self._record_call("stop")
         if "stop" in self.unanswered_calls:
             raise WorkerUnresponsive("no answer")
-        if self._is_fenced(fencing_token):
+        if self.is_fenced(fencing_token):
             raise Fenced("stop")
         self.stopped[task] = max(run, self.stopped.get(task, 0))
         if self.running.pop((task, run), None):
@@ -116,7 +118,7 @@
         self._record_call("poll")
         if "poll" in self.unanswered_calls:
             raise WorkerUnresponsive("no answer")
-        if self._is_fenced(fencing_token):
+        if self.is_fenced(fencing_token):
             raise Fenced("poll")
         if self.poll_error is not None:
             raise self.poll_error
@@ -160,6 +162,8 @@
     def __init__(self, ledger, worker_api):
         self.ledger = ledger
         self.worker_api = worker_api
+        self.session_by_incarnation = {}
+        self.late_starts = LateStarts()
         self.end_reasons = []
         self.rejections = []
         self.settled_ends = []
--- a/tests/dispatch/group.py
+++ b/tests/dispatch/group.py
@@ -2,12 +2,13 @@
 
 import types
 
+import attrs
 import eventlet
 
 from savoryshelf.clock import SystemClock
 from savoryshelf.dispatch.agent import Agent, NoLeader
 from savoryshelf.dispatch.leader_term import DispatchSettings, LeaderTerm
-from savoryshelf.dispatch.worker_api import IncarnationReplaced
+from savoryshelf.dispatch.worker_api import Fenced, IncarnationReplaced
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import (
@@ -78,6 +79,9 @@
         self.born_by_id = dict.fromkeys(worker_ids, 1)
         """Which incarnation of each worker is up; calls to any other find this one there."""
 
+        self.do_questions_carry_tokens = False
+        """Whether a call that finds another incarnation shows that one its token."""
+
         self.error_by_incarnation = {}
         """Errors that calls to an incarnation raise instead, by its key."""
 
@@ -199,7 +203,8 @@
         if key in self.error_by_incarnation:
             raise self.error_by_incarnation[key]
         if self.born_by_id[key[0]] != key[1]:
-            raise IncarnationReplaced("another incarnation answers")
+            successor = attrs.evolve(incarnation, born_ms=self.born_by_id[key[0]])
+            raise IncarnationReplaced("another incarnation answers", successor)
         return self.worker_by_id[key[0]]
 
     def restart_worker(self, worker_id, born_ms):
@@ -217,16 +222,27 @@
         self.term.wake()
 
     def start(self, incarnation, request):
-        return self._worker(incarnation).start(incarnation, request)
+        return self._called(incarnation, request.fencing_token).start(incarnation, request)
+
+    def stop(self, incarnation, task, run, token):
+        return self._called(incarnation, token).stop(incarnation, task, run, token)
 
-    def stop(self, incarnation, *arguments):
-        return self._worker(incarnation).stop(incarnation, *arguments)
+    def poll(self, incarnation, token, *arguments):
+        return self._called(incarnation, token).poll(incarnation, token, *arguments)
 
-    def poll(self, incarnation, *arguments):
-        return self._worker(incarnation).poll(incarnation, *arguments)
+    def set_speed(self, incarnation, task, run, percent, token):
+        worker = self._called(incarnation, token)
+        return worker.set_speed(incarnation, task, run, percent, token)
 
-    def set_speed(self, incarnation, *arguments):
-        return self._worker(incarnation).set_speed(incarnation, *arguments)
+    def _called(self, incarnation, token):
+        """Return the worker that a call reaches; another incarnation may be shown the token."""
+        try:
+            return self._worker(incarnation)
+        except IncarnationReplaced:
+            worker = self.worker_by_id[incarnation.worker_id]
+            if self.do_questions_carry_tokens and worker.is_fenced(token):
+                raise Fenced("poll") from None
+            raise
 
     def disconnect(self, incarnation):
         pass
--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -6,6 +6,7 @@
 
 from savoryshelf.dispatch import assignment, crash_log, leader_term, refused_starts
 from savoryshelf.dispatch.agent import REPORT_INTERVAL_SECONDS, TAKEOVER_SLACK_MS
+from savoryshelf.dispatch.late_starts import call_token
 from savoryshelf.dispatch.leader_term import FIRST_REPORT_SECONDS
 from savoryshelf.dispatch.permission import PERMISSION_SECONDS
 from savoryshelf.dispatch.worker_api import StartResult, WorkerUnresponsive
@@ -215,7 +216,7 @@
 
 def test_a_worker_that_rejects_its_agents_token_gets_a_new_one(large_group):
     group, worker = large_group, only_worker(large_group)
-    worker.fencing_token = 50
+    worker.fencing_token = call_token(50, 0)
     group.submit()
     record = group.ledger.worker_by_incarnation["w1", 1].record
     token = record.fencing_token
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -41,6 +41,13 @@
     session.close()
 
 
+def assert_is_refused_for_good(worker, order):
+    """Check that a late start is refused by its token, and by its run under any token."""
+    assert worker.apply_start(order) is StartResult.FENCED
+    order = attrs.evolve(order, fencing_token=worker.fencing_token)
+    assert worker.apply_start(order) is StartResult.STALE_RUN
+
+
 def test_a_run_that_starts_and_ends_is_settled(running_session):
     task_ledger, worker, session, _ = running_session
     session.start(TASK, 1)
@@ -58,7 +65,7 @@
     assert task_ledger.find_task(TASK).incarnation_by_run
     worker.unanswered_calls = set()
     wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
-    assert worker.apply_start(worker.delayed_starts[0]) is StartResult.STALE_RUN
+    assert_is_refused_for_good(worker, worker.delayed_starts[0])
 
 
 def test_a_delayed_start_that_took_effect_is_stopped(running_session):
@@ -293,7 +300,7 @@
     _, worker, session, _ = running_session
     session.start(TASK, 1)
     wait_until(lambda: worker.running)
-    worker.fencing_token = 100
+    worker.fencing_token = 2 * session.call_token
     worker.end("another.0.0.0", 1, RunOutcome.DONE)
     wait_until(lambda: session.is_fenced)
     calls = len(worker.calls)
@@ -450,7 +457,7 @@
         wait_until(lambda: len(refused) >= 3)
         assert task_ledger.find_task(TASK).incarnation_by_run, "the run may still start"
     wait_until(lambda: not task_ledger.find_task(TASK).incarnation_by_run)
-    assert worker.apply_start(worker.delayed_starts[0]) is StartResult.STALE_RUN
+    assert_is_refused_for_good(worker, worker.delayed_starts[0])
 
 
 def test_a_stop_that_another_incarnation_answers_ends_the_session(running_session):
--- a/tests/platform/test_worker_incarnations.py
+++ b/tests/platform/test_worker_incarnations.py
@@ -162,6 +162,23 @@
     assert len(orders(worker)) == 1
 
 
+# Guards against TWICE: the next incarnation took starts for the earlier one, since the question
+# on a new connection showed it a token that these had too.
+def test_the_question_on_a_new_connection_shows_the_highest_token(worker):
+    api, earlier = HttpWorkerApi(), worker.incarnation()
+    api.poll(earlier, 7, 0, 0, 0)
+    api.poll(earlier, 9, 0, 0, 0)
+    assert len(worker.requests) == 3, "a higher token needs no new connection"
+    api.poll(earlier, 7, 0, 0, 0)
+    worker.restart(born=2)
+    with pytest.raises((IncarnationReplaced, WorkerUnresponsive)):
+        api.poll(earlier, 7, 0, 0, 0)
+    with pytest.raises(IncarnationReplaced) as caught:
+        api.poll(earlier, 7, 0, 0, 0)
+    assert {body["fencingToken"] for _, body in worker.requests} == {9}
+    assert caught.value.successor == worker.incarnation()
+
+
 @each_call
 def test_the_end_of_an_earlier_incarnation_leaves_the_connections_to_the_next_one(worker, call):
     api, earlier = HttpWorkerApi(), worker.incarnation()
