--- a/specification/incarnations.py
+++ b/specification/incarnations.py
@@ -7,6 +7,10 @@
 incarnation under one token.  Calls of earlier sessions may still arrive, but no new ones are
 sent: that takes the permission of ``agents.py``.
 
+Where calls outlive their process, starts that went unanswered may be carried out by the next
+one, which takes them until a call shows it a higher token.  What is carried out before the first
+call there, of a run that has been settled, is left out: no guard rules that out.
+
 The models share these steps; each has the parts that its guards need.  Where there are leaves,
 two things are assumed.  Nothing runs or starts in a process from its leave on.  And a leave of
 a process whose draining was never noted does not meet a later incarnation that drains.
@@ -42,6 +46,9 @@
 IGNORE_EARLIER = (
     "the heartbeat of an incarnation that was born earlier is ignored while a later one is there"
 )
+RAISED = "the question on a new connection shows a higher token than those of all starts before"
+CLEARED = "late runs of the next incarnation end before the end of the earlier one is reported"
+EMPTY = "an incarnation counts as one that answers once it runs nothing meant for an earlier one"
 STARTS_GUARDS = (CONNECTION, NEW_TOKEN, CONFIRMED_FIRST, WAIT_FOR_LEASE, LATER)
 REPORTS_GUARDS = (CURRENT_REPORT, NO_MORE_CALLS)
 ENDS_GUARDS = (CONNECTION, QUESTION, COMMIT_FIRST)
@@ -49,6 +56,7 @@
 LEAVES_GUARDS = (ALONE, DRAINS)
 LEFT_GUARDS = (STAYS_ENDED,)
 CLOCKS_GUARDS = (IGNORE_EARLIER,)
+CALLS_GUARDS = (RAISED, CLEARED, EMPTY)
 UNNAMED_GUARDS = (UNNAMED,)
 GUARDS = frozenset(
     (
@@ -59,6 +67,7 @@
         *LEAVES_GUARDS,
         *LEFT_GUARDS,
         *CLOCKS_GUARDS,
+        *CALLS_GUARDS,
         *UNNAMED_GUARDS,
     )
 )
@@ -83,6 +92,9 @@
 
     has_late_reports: bool = False
 
+    has_late_calls: bool = False
+    """Whether starts outlive the process that they were sent to, and may reach the next one."""
+
     has_ends: bool = False
     has_writers: bool = False
     has_leaves: bool = False
@@ -111,6 +123,11 @@
     """What the process that is up knows; nothing of it outlives the process."""
 
     seen_token: int = 0
+    """As it is shown to workers: between the tokens of two sessions there is a raised one."""
+
+    is_asked: bool = False
+    """Whether it has answered a call; known only where starts outlive their process."""
+
     running: tuple[int, ...] = ()
     ends: tuple[tuple[int, int], ...] = ()
     """Run and kind of each end, in the order of their numbers."""
@@ -243,7 +260,7 @@
     if not state.up and state.boot < scope.processes:
         yield "a process starts", state._replace(boot=state.boot + 1, up=True)
     if state.up:
-        is_bound = CONNECTION in scope.guards
+        is_bound = CONNECTION in scope.guards and not scope.has_late_calls
         yield (
             "the process ends",
             state._replace(
@@ -262,7 +279,7 @@
                 yield f"run {run} ends {title}", state._replace(process=ended)
     if state.up:
         for order in state.flight:
-            yield from _late_start(state, order)
+            yield from _late_start(state, order, scope)
     yield "the leases run out", _after_leases(state)
 
 
@@ -288,23 +305,36 @@
     )
 
 
-def _late_start(state, order):
+def _late_start(state, order, scope):
     run, number, token = order
     process = state.process
+    is_settled = (state.place, state.run) != (number, run)
+    if scope.has_late_calls and not process.is_asked and is_settled and number != state.boot:
+        return
     after = state._replace(flight=tuple(each for each in state.flight if each != order))
-    is_refused = token < process.seen_token or run <= process.refused or state.boot in state.left
+    is_refused = (
+        _shown(token) < process.seen_token or run <= process.refused or state.boot in state.left
+    )
     if is_refused or run in process.running:
         yield f"the start of run {run} is refused", after
         return
     started = _started(after, run, token)
     yield f"the start of run {run} is carried out without an answer", started
+    if scope.has_late_calls and number != state.boot:
+        # The connection for the answer has ended.
+        return
     if (state.place, state.run, state.incarnations[number - 1].token) == (number, run, token):
         yield f"the start of run {run} is carried out", started._replace(start=CONFIRMED)
 
 
 def _started(state, run, token):
     running = tuple(sorted((*state.process.running, run)))
-    return _with_process(_note_start(state), seen_token=token, running=running)
+    return _with_process(_note_start(state), seen_token=_shown(token), running=running)
+
+
+def _shown(token, is_raised=False):
+    """Return the token that workers are shown by calls of a session, or by its raised ones."""
+    return 2 * token + is_raised
 
 
 def _ledger(state, scope):
@@ -421,9 +451,11 @@
         return _end_incarnation(state, number)
     running, ends, expected = answer
     is_current = incarnation.token == token
+    has_late_runs = scope.has_late_calls and EMPTY in scope.guards and set(running) - {expected}
+    has_answered = is_current and not has_late_runs
     state = _with_incarnation(
-        state, number,
-        answered=incarnation.answered or is_current, seen_end=max(incarnation.seen_end, len(ends)),
+        state, number, answered=incarnation.answered or has_answered,
+        seen_end=max(incarnation.seen_end, len(ends)),
     )  # fmt: skip
     for run, kind in ends[incarnation.seen_end :]:
         state = state._replace(done=state.done or kind != OTHER)
@@ -467,11 +499,14 @@
         yield f"incarnation {number} is not reached", _release(state, number, state.run)
     if not state.up:
         return
-    if incarnation.token < state.process.seen_token:
+    is_meant = scope.is_meant(number, state.boot)
+    is_raised = scope.has_late_calls and RAISED in scope.guards and not is_meant
+    shown = _shown(incarnation.token, is_raised)
+    if shown < state.process.seen_token:
         return
     # Each call may be the first of a connection, whose question shows the token.
-    state = _with_process(state, seen_token=incarnation.token)
-    if not scope.is_meant(number, state.boot):
+    state = _with_process(state, seen_token=shown, is_asked=scope.has_late_calls)
+    if not is_meant:
         yield from _meets_another(state, number, scope)
         if CONNECTION in scope.guards:
             return
@@ -489,7 +524,12 @@
     if not {CONNECTION, QUESTION} <= scope.guards:
         state = _acknowledge(state, incarnation.seen_end)
     over = number, incarnation.token, None
-    yield from _reported(f"another answers for incarnation {number}", state, over, scope)
+    cleared = state
+    if scope.has_late_calls and CLEARED in scope.guards:
+        for run in state.process.running:
+            if (state.place, state.run) != (state.boot, run):
+                cleared = cleared._replace(process=_end_run(cleared.process, run, OTHER, scope))
+    yield from _reported(f"another answers for incarnation {number}", cleared, over, scope)
     yield f"another answers for incarnation {number}, and its answer is lost", state
 
 
@@ -625,6 +665,15 @@
     max_run=bound(2, 1),
     has_leaves=True,
 )
+_model(
+    "incarnations-calls",
+    CALLS_GUARDS,
+    processes=2,
+    max_token=bound(3, 2),
+    max_run=bound(2, 1),
+    has_late_starts=True,
+    has_late_calls=True,
+)
 _model(
     "incarnations-clocks",
     CLOCKS_GUARDS,
