Crashes: those of one member of a gang count by themselves as well

A task of a gang could be started more than twice after three workers had crashed under it.

Cause: of several crashes under one run of a gang one counts, the first of the best proven. That may be of the same worker each time, which restarts, while another member is started on one worker after the other. One worker is no reason to hold the gang.

Evidence: test_no_member_of_a_gang_is_started_three_times_after_three_crashes failed (not held after five crashes of five workers under one member), whether or not these were proven.

Why it works: the bound on all crashes holds for each member too.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1598,8 +1598,8 @@
     Mutant(
         "a crash: workers lost together have a common cause",
         _CRASHES,
-        "return _is_attributed(alone) or",
-        "return _is_attributed(proven) or",
+        "if _is_attributed(alone) or",
+        "if _is_attributed(proven) or",
         TASKS,
     ),
     Mutant(
@@ -1612,8 +1612,8 @@
     Mutant(
         "a crash: silent workers hold a task back",
         _CRASHES,
-        "return _are_too_many(crashes) or must_give_up(task, worker_by_incarnation)",
-        "return must_give_up(task, worker_by_incarnation)",
+        "for crashes in lists\n    ) or must_give_up(task, worker_by_incarnation)",
+        "for crashes in []\n    ) or must_give_up(task, worker_by_incarnation)",
         TASKS,
     ),
     Mutant(
@@ -1658,6 +1658,13 @@
         "self._unanswered_since = None",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a crash: those of a gang's member count by themselves as well",
+        _CRASHES,
+        "    if not task.step.spec.gang:\n        return []\n",
+        "    return []\n",
+        TASKS,
+    ),
     Mutant(
         "a crash: a held task gets no start",
         _TASKS,
--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -171,7 +171,12 @@
     """Return whether so many workers are known to have crashed under a task that its job fails."""
     proven = [crash for crash in _crashes_of_unit(task) if crash.is_proven]
     alone = [crash for crash in proven if _was_lost_alone(crash, worker_by_incarnation)]
-    return _is_attributed(alone) or _are_too_many(_counting(proven, worker_by_incarnation))
+    if _is_attributed(alone) or _are_too_many(_counting(proven, worker_by_incarnation)):
+        return True
+    return any(
+        _are_too_many(_counting([c for c in crashes if c.is_proven], worker_by_incarnation))
+        for crashes in _crashes_by_member(task)
+    )
 
 
 def must_hold(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
@@ -179,8 +184,10 @@
     crashes = _crashes_of_unit(task)
     if not crashes:
         return False
-    crashes = _counting(crashes, worker_by_incarnation)
-    return _are_too_many(crashes) or must_give_up(task, worker_by_incarnation)
+    lists = [crashes, *_crashes_by_member(task)]
+    return any(
+        _are_too_many(_counting(crashes, worker_by_incarnation)) for crashes in lists
+    ) or must_give_up(task, worker_by_incarnation)
 
 
 def must_give_up_without_evidence(task: Task) -> bool:
@@ -254,6 +261,20 @@
     return [crash for _, crash in sorted(crash_by_run.items())]
 
 
+def _crashes_by_member(task: Task) -> list[list[Crash]]:
+    """Return the crashes of each member of a gang, if the task is one; empty otherwise.
+
+    Which crash counts for the gang may be of one worker in each run, and those of a member not.
+    Earlier versions went by the gang alone, which their logs must not tell otherwise.
+    """
+    if not task.step.spec.gang:
+        return []
+    return [
+        [crash for crash in member.crashes if crash.is_proven is not None]
+        for member in gang_members(task)
+    ]
+
+
 def _weight(crash: Crash) -> tuple:
     return bool(crash.is_proven), crash.is_certain, crash.on_start, crash.is_sole
 
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -342,6 +342,24 @@
     assert state(restored) == "failed"
 
 
+# Guards against BUDGET: of the crashes under one run of a gang only those of a worker that restarts
+# each time counted, while another member was started on one worker after the other.
+@pytest.mark.parametrize("evidence_of_others", [REPLACED, SILENT])
+def test_no_member_of_a_gang_is_started_three_times_after_three_crashes(evidence_of_others):
+    task_ledger = make_ledger()
+    accept(task_ledger, step(2, gang=True), job_id=OTHER_JOB)
+    members = [f"{OTHER_JOB}.0.0.{index}" for index in range(2)]
+    for run in range(1, 6):
+        task_ledger.upsert_worker(worker("w0", run))
+        intents = [(members[0], "w0", run), (members[1], f"w{run}", 1)]
+        assert all(record_intent(task_ledger, m, run, (w, born)) for m, w, born in intents)
+        crash(task_ledger, "w0", born_ms=run)
+        crash(task_ledger, f"w{run}", evidence=evidence_of_others, after_ms=5)
+    assert members[1] in task_ledger.held_task_by_name
+    expected = "failed" if evidence_of_others is REPLACED else "running"
+    assert state(task_ledger, OTHER_JOB) == expected
+
+
 def test_startable_members_of_a_gang_are_held_with_the_others():
     task_ledger = ledger(*(worker(f"w{number}") for number in range(8)))
     EVIDENCE_BY_LEDGER[task_ledger] = REPLACED
