--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -52,8 +52,8 @@
     Mutant(
         "a call without an answer raises the token above those of unanswered starts",
         _WORKER_SESSION,
-        "        except WorkerUnresponsive:\n            self._overtake_starts()\n",
-        "        except WorkerUnresponsive:\n",
+        "            self._note_no_answer()\n            self._overtake_starts()\n",
+        "            self._note_no_answer()\n",
         _LATE_STARTS_TESTS,
     ),
     Mutant(
