--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,7 @@
 import urllib3
 
 from .interference import WINDOW_SECONDS, added_per_core, load, tail_ms
+from .late_orders import HeldOrder, LateOrders
 
 HEARTBEAT_SECONDS = 0.3
 MAX_HOLD_MS = 3000
@@ -40,12 +41,19 @@
 FIRST_CLOCK_MS = 1000
 """Time on the clock of an incarnation when it begins."""
 
+DOWN_SECONDS = 0.5
+"""How long a worker is down that a run has crashed, unless told otherwise."""
+
+UNANSWERED_SECONDS = 5.0
+"""How long the connection of a call without an answer stays open; callers wait for less."""
+
 CAPACITY = {"cpu": 4000, "memMb": 4000, "gpu": 0}
 _NEED = re.compile(r"(\d+) cpu (\d+) mb")
 """What a run takes of its worker, in its ``taskSpec``."""
 
 _SERVING = re.compile(r"serves (\S+) in (\d+) ms")
 _BEST_EFFORT = re.compile(r"fills as (\S+)")
+_DEADLY = re.compile(r"crashes its worker in (\d+) ms")
 FULL_SPEED_PERCENT = 100
 
 _LINGER_ZERO = struct.pack("ii", 1, 0)
@@ -150,9 +158,25 @@
     is_lost: bool = False
     """Whether its incarnation ended before its end was acknowledged."""
 
+    lost_at: float = 0.0
+    workers_down: int = 1
+    """When that was, and how many workers went down in the event that ended the incarnation."""
+
+    fencing_token: int = 0
+    ordered_in: int = 0
+    ordered_at: float = 0.0
+    """The token of its order, the incarnation that received this, and when; 0 for its own, and
+    for its start.
+    """
+
     speeds: list[tuple[float, int]] = attrs.field(factory=list)
     """When its speed was changed, and to how many percent; it starts at full speed."""
 
+    @property
+    def is_late(self) -> bool:
+        """Return whether its order was meant for an earlier incarnation of the worker."""
+        return 0 < self.ordered_in < self.incarnation
+
     def at_work(self) -> list[tuple[float, float, int]]:
         """Return the spans in which it was not paused: from, until, percent of full speed."""
         changes = [(self.started_at, FULL_SPEED_PERCENT), *self.speeds]
@@ -172,6 +196,9 @@
             f"run {self.number} on {self.worker_id} incarnation {self.incarnation}, "
             f"{self.started_at:.3f} to {self.ended_at:.3f} s {self.outcome or 'at work'}"
             f"{', acknowledged' if self.is_acknowledged else ''}"
+            f"{', unread' if self.is_lost and self.outcome != 'crashed' else ''}"
+            f"{f', {self.workers_down} workers down' if self.workers_down > 1 else ''}"
+            f"{f', ordered in incarnation {self.ordered_in}' if self.is_late else ''}"
             f"{''.join(f', {percent}% from {at:.3f}' for at, percent in self.speeds)}"
         )
 
@@ -203,8 +230,9 @@
     rejects a run that does not fit.  "... gang of N" makes the task a member of a gang of that many
     tasks, on workers that share ``gangs``.  "... serves IMAGE in T ms" makes the run report a tail
     latency, which rises with its load and with the best-effort runs beside it: those of
-    "... fills as IMAGE", which take no processor time of what the worker has.  ``announce``
-    returns the address for its heartbeats, given the one where it listens.
+    "... fills as IMAGE", which take no processor time of what the worker has.  "... crashes its
+    worker in T ms" does that; the worker is down for ``down_seconds_after_crash()`` then.
+    ``announce`` returns the address for its heartbeats, given the one where it listens.
     """
 
     def __init__(
@@ -222,9 +250,14 @@
         self.is_silent = False
         """Whether it sends no heartbeats."""
 
+        self.late_orders: LateOrders | None = None
+        """What it leaves unanswered; it answers all calls without."""
+
+        self.down_seconds_after_crash: Callable[[], float] = lambda: DOWN_SECONDS
         self.incarnations: list[WorkerIncarnation] = []
         self.made_at = time.monotonic()
         self._restarting = threading.Lock()
+        self._is_closed = False
         server = _Server(address)
         self._listen_address = f"{server.server_address[0]}:{server.server_address[1]}"
         self.address = announce(self._listen_address)
@@ -254,24 +287,63 @@
         """Return whether one more run would fit."""
         return self.incarnations[-1].has_room((cpu, memory_mb))
 
-    def restart(self, down_seconds: float, heartbeat_after_seconds: float = 0.0) -> None:
-        """Crash and start again; the new incarnation listens so long before its first heartbeat."""
+    def answers(self, incarnation: int) -> list[tuple[float, str, int]]:
+        """Return the calls that an incarnation answered, and its heartbeats that were answered.
+
+        Each as (when, kind, token), the token of a heartbeat is 0.
+        """
+        return list(self.incarnations[incarnation - 1].answers)
+
+    def restart(
+        self,
+        down_seconds: float,
+        heartbeat_after_seconds: float = 0.0,
+        workers_down: int = 1,
+        incarnation: int = 0,
+    ) -> None:
+        """Crash and start again; the new incarnation listens so long before its first heartbeat.
+
+        ``workers_down`` is the number of workers that go down at this moment.  If ``incarnation``
+        is given, nothing happens unless that one is up.
+        """
         with self._restarting:
-            self.crash()
+            if incarnation and not self.incarnations[incarnation - 1].is_up:
+                return
+            self.crash(workers_down)
             time.sleep(down_seconds)
+            if self._is_closed:
+                return
             self.draining = False
             server = _Server(self._listen_address)
             self.incarnations.append(WorkerIncarnation(self, server, heartbeat_after_seconds))
+            if self.late_orders is not None:
+                self.late_orders.pass_on(self.incarnations[-1])
 
-    def crash(self) -> None:
+    def crash(self, workers_down: int = 1) -> None:
         """End this incarnation: its connections are reset, and nothing of it goes on."""
-        self.incarnations[-1].end()
+        self.incarnations[-1].end(workers_down)
 
     def close(self) -> None:
         """Stop answering, as after a crash."""
+        self._is_closed = True
         self.crash()
 
 
+def restart_together(
+    workers: Iterable[PlatformWorker], seconds: Callable[[], tuple[float, float]]
+) -> None:
+    """Restart those of the workers that are up at the same moment, and wait until all listen.
+
+    ``seconds`` returns how long a worker is down, and then sends no heartbeat.
+    """
+    up = [worker for worker in workers if worker.incarnations[-1].is_up]
+    threads = [threading.Thread(target=worker.restart, args=(*seconds(), len(up))) for worker in up]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
 class _Server(ThreadingHTTPServer):
     """The listener of one incarnation, with its connections."""
 
@@ -344,6 +416,9 @@
         self._listed_ends: list[tuple[int, str, int, str, str]] = []
         """Ends that have not been acknowledged."""
 
+        self.answers: list[tuple[float, str, int]] = []
+        """The calls that were carried out, and the heartbeats that were acknowledged."""
+
         self._max_rejected_run_by_task: dict[str, int] = {}
         self._fencing_token = 0
         self._lease_expires_ms = 0
@@ -361,22 +436,30 @@
         """Return whether this incarnation goes on."""
         return not self._is_over.is_set()
 
-    def end(self) -> None:
-        """Crash: what runs ends now, and is listed nowhere."""
+    def wait_for_end(self, seconds: float) -> bool:
+        """Wait for the end of this incarnation, so long at most; return whether it came."""
+        return self._is_over.wait(seconds)
+
+    def end(self, workers_down: int = 1) -> None:
+        """Crash: what runs ends now, and is listed nowhere.
+
+        ``workers_down`` is the number of workers that go down in the same event.
+        """
         with self._lock:
             if self._is_over.is_set():
                 return
             self._end_due_runs()
             self._is_over.set()
             self.ended_at = now = time.monotonic()
+            unread = [self.records[task, number] for _, task, number, *_ in self._listed_ends]
             for run in self._running.values():
-                record = self.records[run.task, run.number]
-                record.ended_at, record.outcome, record.is_lost = now, "crashed", True
+                unread.append(self.records[run.task, run.number])
+                unread[-1].ended_at, unread[-1].outcome = now, "crashed"
                 if run.gang is not None:
                     run.gang.break_off(now)
             self._running.clear()
-            for _, task, number, *_ in self._listed_ends:
-                self.records[task, number].is_lost = True
+            for record in unread:
+                record.is_lost, record.lost_at, record.workers_down = True, now, workers_down
         self._server.reset_all(self._accepting)
 
     def settled_records(self) -> list[RunRecord]:
@@ -402,8 +485,13 @@
 
     # ------------------------------------------------------------------------- calls
 
-    def answer(self, expected_id: str | None, path: str, body: dict) -> tuple[int, dict] | None:
-        """Carry a call out; return its status and reply, None if this incarnation has ended."""
+    def answer(
+        self, expected_id: str | None, path: str, body: dict, held: HeldOrder | None = None
+    ) -> tuple[int, dict] | None:
+        """Carry a call out; return its status and reply, None if this incarnation has ended.
+
+        ``held`` tells which order is carried out late, if it is one.
+        """
         kind = path.rpartition("/")[2]
         with self._lock:
             if self._is_over.is_set():
@@ -415,7 +503,8 @@
                 status, reply = 409, {"reason": "fence"}
             else:
                 self._fencing_token = body.get("fencingToken", 0)
-                status, reply = getattr(self, "_on_" + kind.replace("-", "_"))(body)
+                arguments = (body, held) if kind == "run-start" else (body,)
+                status, reply = getattr(self, "_on_" + kind.replace("-", "_"))(*arguments)
         if kind == "hold" and status == 200 and body.get("waitMs"):
             # Without the lock, so that other calls are answered during the long poll.
             self._wait_for_end(body["waitMs"] / 1000)
@@ -424,9 +513,21 @@
                 return None
             if kind == "hold" and status == 200:
                 reply = self._lists()
+            if status == 200 and held is None:
+                self.answers.append((time.monotonic(), kind, body.get("fencingToken", 0)))
         return status, reply | {"clockMs": self.clock_ms()}
 
-    def _on_run_start(self, body: dict) -> tuple[int, dict]:
+    def answer_or_hold(
+        self, expected_id: str | None, path: str, body: dict
+    ) -> tuple[int, dict] | None:
+        """Carry a call out unless it is held back: then no answer comes, and None is returned."""
+        late_orders = self._worker.late_orders
+        if late_orders is None or not late_orders.hold(self, expected_id, path, body):
+            return self.answer(expected_id, path, body)
+        self.wait_for_end(UNANSWERED_SECONDS)
+        return None
+
+    def _on_run_start(self, body: dict, held: HeldOrder | None) -> tuple[int, dict]:
         task, run = body["task"], body["run"]
         self._extend_lease(body["deadlineMs"])
         if (task, run) in self._running:
@@ -461,13 +562,23 @@
             started.gang.join(task, checkpoint)
         self._running[task, run] = started
         record = self.records[task, run] = RunRecord(
-            task, run, now, worker_id=self._worker.worker_id, incarnation=self.number
-        )
+            task, run, now, worker_id=self._worker.worker_id, incarnation=self.number,
+            fencing_token=self._fencing_token, ordered_in=held.incarnation if held else self.number,
+            ordered_at=held.at if held else now,
+        )  # fmt: skip
+        if deadly := _DEADLY.search(spec):
+            arguments = (int(deadly[1]) / 1000,)
+            threading.Thread(target=self._crash_after, args=arguments, daemon=True).start()
         if best_effort:
             started.image, started.spare_cores = best_effort[1], spare_cores
             self._best_effort.append((started, record))
         return 200, {}
 
+    def _crash_after(self, seconds: float) -> None:
+        if not self.wait_for_end(seconds):
+            down_seconds = self._worker.down_seconds_after_crash()
+            self._worker.restart(down_seconds, incarnation=self.number)
+
     def _on_run_stop(self, body: dict) -> tuple[int, dict]:
         key = body["task"], body["run"]
         if key in self._running:
@@ -597,11 +708,10 @@
                 sequence=next(self._sequence),
             )
             for address in self._worker.control_addresses:
-                if (
-                    not self.is_up
-                    or self._worker.is_silent
-                    or send_heartbeat(pool, address, self._worker.worker_id, body)
-                ):
+                if not self.is_up or self._worker.is_silent:
+                    break
+                if send_heartbeat(pool, address, self._worker.worker_id, body):
+                    self.answers.append((time.monotonic(), "heartbeat", 0))
                     break
             self._is_over.wait(HEARTBEAT_SECONDS)
 
@@ -613,7 +723,9 @@
 
             def do_POST(self):  # noqa: N802
                 body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-                answer = incarnation.answer(self.headers.get("X-Expect-Instance"), self.path, body)
+                answer = incarnation.answer_or_hold(
+                    self.headers.get("X-Expect-Instance"), self.path, body
+                )
                 if answer is None:
                     self.close_connection = True
                     return
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -57,6 +57,10 @@
         self.delay_s = delay_s
         self._bytes_per_s = bytes_per_s
         self._forwarding_by_direction = {way: threading.Event() for way in BOTH_WAYS}
+        self.partitions: list[tuple[float, float]] = []
+        """When it did not forward: from, until, on the monotonic clock, in seconds."""
+
+        self._partitioned_at: float | None = None
         self.heal()
         self._connections: set[_Connection] = set()
         self._listener = socket.create_server((ip, 0))
@@ -65,11 +69,16 @@
 
     def partition(self, directions: tuple[str, ...] = BOTH_WAYS) -> None:
         """Stop forwarding; connections stay open, and no error reaches either side."""
+        if self._partitioned_at is None:
+            self._partitioned_at = time.monotonic()
         for direction in directions:
             self._forwarding_by_direction[direction].clear()
 
     def heal(self) -> None:
         """Resume forwarding; connections that lost bytes in the partition are closed."""
+        if self._partitioned_at is not None:
+            self.partitions.append((self._partitioned_at, time.monotonic()))
+            self._partitioned_at = None
         for forwarding in self._forwarding_by_direction.values():
             forwarding.set()
 
