--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -23,6 +23,7 @@
     JobSpec,
 )
 from .deployment import GRACE_SECONDS, ROUTE, Deployment
+from .lives import given_up_at, late_pairs, starts_beyond_budget
 from .waits import (
     CONTACT_SECONDS,
     MAX_WAIT_SECONDS,
@@ -44,10 +45,6 @@
 VISIBLE_SECONDS = 3.0
 """An accepted job must be known to every host after this time."""
 
-CRASHES_UNTIL_GIVEN_UP = 2
-"""A task may be given up once so many incarnations of workers have ended with its run, or with the
-end of its run unread: callers of the worker can't tell which of the two."""
-
 VERY_LATE_FACTOR = 3.0
 """RULES.md, Benefit: a job that ends after so many objectives is not served."""
 
@@ -135,18 +132,21 @@
         return state in ("completed", "cancelled", "failed")
 
     def given_up_at_by_job(self) -> dict[str, float]:
-        """Return from when on jobs with a task under which several workers crashed may fail."""
-        crashed_at_by_task = collections.defaultdict(list)
-        for record in self.records():
-            if record.is_lost:
-                crashed_at_by_task[record.task].append(record.ended_at)
+        """Return from when on jobs with a task under which workers crashed may fail."""
         times: dict[str, float] = {}
-        for task, crashed_at in crashed_at_by_task.items():
-            if len(crashed_at) >= CRASHES_UNTIL_GIVEN_UP:
-                job_id, at = task.partition(".")[0], sorted(crashed_at)[CRASHES_UNTIL_GIVEN_UP - 1]
-                times[job_id] = min(at, times.get(job_id, at))
+        for task, records in self.records_by_task().items():
+            job_id, at = task.partition(".")[0], given_up_at(records)
+            if at < times.get(job_id, math.inf):
+                times[job_id] = at
         return times
 
+    def records_by_task(self) -> dict[str, list[RunRecord]]:
+        """Return the runs of each task."""
+        records_by_task = collections.defaultdict(list)
+        for record in self.records():
+            records_by_task[record.task].append(record)
+        return records_by_task
+
     def cancel_began_by_job(self) -> dict[str, float]:
         """Return when each cancelled job's first cancel began, whether it was answered or not."""
         times: dict[str, float] = {}
@@ -222,11 +222,31 @@
 @_check("tasks that run twice")
 def _doubled_tasks(seen: Observations) -> Iterator[Finding]:
     for earlier, later in doubled_runs(seen.records()):
+        if earlier.is_late or later.is_late:
+            continue
         overlap = min(earlier.ended_at, later.ended_at) - later.started_at
         text = f"{later.task}: {earlier}; {later}; at once for {max(0.0, overlap):.3f} s"
         yield Finding("TWICE", later.started_at, text)
 
 
+@_check("tasks that run twice since an order outlived the life it was meant for")
+def _tasks_doubled_by_late_orders(seen: Observations) -> Iterator[Finding]:
+    for pair in late_pairs(seen):
+        if pair.reason:
+            text = f"{pair.late.task}: {pair.late}; {pair.other}; at once for "
+            text += f"{pair.overlap_seconds:.3f} s; {pair.reason}"
+            at = max(pair.late.started_at, pair.other.started_at)
+            yield Finding("TWICE LATE", at, text)
+
+
+@_check("starts after crashes of several workers under a task")
+def _starts_beyond_budget(seen: Observations) -> Iterator[Finding]:
+    for task, records in seen.records_by_task().items():
+        for record in starts_beyond_budget(records):
+            text = f"{task}: {record}; " + "; ".join(map(str, records))
+            yield Finding("BUDGET", record.started_at, text)
+
+
 @_check("workers that live and are not used")
 def _unused_workers(seen: Observations) -> Iterator[Finding]:
     last = max((call.ended_at for call in seen.calls), default=0.0)
@@ -268,6 +288,10 @@
         signals = [at for at, name in host.signals if name != "SIGCONT"]
         times = [*signals, *(end.at for end in host.exits), *host.starts]
         spans += [(at, at) for at in times]
+    for worker in workers:
+        # A run may crash its worker at any time; other crashes are within their faults.
+        ups = sorted(worker.up)
+        spans += [(end, boot) for (_, end), (boot, _) in itertools.pairwise(ups)]
     spans += _final_losses_of_the_core(seen)
     judged = [*calm_spans(spans, seen.ended_at), (seen.recovered_at, seen.ended_at)]
     demands = itertools.chain(_demands(seen), _large_demands(seen))
@@ -319,9 +343,7 @@
     A run that is paused counts as none.
     """
     cancel_began, given_up_at = seen.cancel_began_by_job(), seen.given_up_at_by_job()
-    records_by_task = collections.defaultdict(list)
-    for record in seen.records():
-        records_by_task[record.task].append(record)
+    records_by_task = seen.records_by_task()
     for job_id, accepted_at in seen.accepted_at_by_job().items():
         spec, state = seen.spec_by_job[job_id], seen.state_by_job.get(job_id, "")
         step = f"{job_id}.0.0"
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -98,14 +98,33 @@
 
 def test_a_job_is_given_up_only_after_crashes_of_several_workers():
     crashes = [
-        RunRecord(f"{JOB}.0.0.0", 1, 0.1, 0.2, "crashed", is_lost=True),
-        RunRecord(f"{JOB}.0.0.0", 2, 0.3, 0.4, "done", is_lost=True),
+        RunRecord(f"{JOB}.0.0.0", 1, 0.1, 0.2, "crashed", worker_id="w1", is_lost=True),
+        RunRecord(f"{JOB}.0.0.0", 2, 0.3, 0.4, "done", worker_id="w2", is_lost=True),
     ]
     shown = Call(0, READ, JOB, "ip", False, 4.0, 4.0, 4.1, 200, "failed")
     assert kinds(calls=[shown], records=crashes, state="failed") == []
     assert kinds(calls=[shown], records=crashes[:1], state="failed") == ["LOST job"] * 2
-    other = RunRecord(f"{JOB}.0.0.1", 1, 0.1, 0.2, "crashed", is_lost=True)
+    other = RunRecord(f"{JOB}.0.0.1", 1, 0.1, 0.2, "crashed", worker_id="w2", is_lost=True)
     assert kinds(records=[crashes[0], other], state="failed") == ["LOST job"]
+    # Two lives of one worker, and workers that were restarted together.
+    same = [attrs.evolve(crash, worker_id="w1") for crash in crashes]
+    assert kinds(calls=[shown], records=same, state="failed") == ["LOST job"] * 2
+    together = [attrs.evolve(crash, workers_down=3) for crash in crashes]
+    assert kinds(calls=[shown], records=together, state="failed") == ["LOST job"] * 2
+    # A cut ends no life.
+    cut_off = [crashes[0], RunRecord(f"{JOB}.0.0.0", 2, 0.3, 0.4, "lapsed", worker_id="w2")]
+    assert kinds(calls=[shown], records=cut_off, state="failed") == ["LOST job"] * 2
+
+
+# Guards against tasks that crash worker after worker without end.
+def test_a_deadly_task_is_started_five_times_at_most():
+    crashes = [
+        RunRecord(f"{JOB}.0.0.0", n, n, n + 0.02, "crashed", worker_id=f"w{n}", is_lost=True)
+        for n in range(10, 17)
+    ]
+    fields = {"state": "failed", "first_outcome": "stopped"}
+    assert kinds(records=crashes[:5], **fields) == []
+    assert kinds(records=crashes, **fields) == ["BUDGET"] * 2
 
 
 def test_a_live_worker_must_be_used():
@@ -321,7 +340,9 @@
     ends = {"disturbed": [(0.0, 20.0)], "recovered_at": 20.0, "ended_at": 24.0, "spec": LASTING}
     cancelled = Call(0, CANCEL, JOB, "ip", False, 10.0, 10.0, 10.1)
     assert kinds(calls=[cancelled], state="running", **ends) == []
-    crashes = [RunRecord(TASK, n, n, n + 0.5, "crashed", is_lost=True) for n in (4, 5)]
+    crashes = [
+        RunRecord(TASK, n, n, n + 0.5, "crashed", worker_id=f"w{n}", is_lost=True) for n in (4, 5)
+    ]
     assert kinds(records=crashes, state="failed", **ends) == []
     assert kinds(records=crashes, state="running", **ends) == ["LOST task"] * 2
     assert kinds(records=crashes[:1], state="failed", **ends) == ["LOST job"] + ["LOST task"] * 2
