--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -19,6 +19,7 @@
 @click.option("--closings/--no-closings", default=True, help="All hosts end at once, or never.")
 @click.option("--best-effort/--no-best-effort", default=True, help="Runs that share workers.")
 @click.option("--large/--no-large", default=True, help="Tasks of over half of a worker.")
+@click.option("--crashes/--no-crashes", default=True, help="Workers lost together, late orders.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(
     seed: int,
@@ -28,6 +29,7 @@
     closings: bool,
     best_effort: bool,
     large: bool,
+    crashes: bool,
     logs: str,
 ) -> None:
     """Run a series of faults for each seed, and print what was broken."""
@@ -37,7 +39,8 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        result = run_soak(pathlib.Path(folder), number, seconds, size, closings, best_effort, large)
+        kinds = closings, best_effort, large, crashes
+        result = run_soak(pathlib.Path(folder), number, seconds, size, *kinds)
         click.echo(result.summary())
         if not result.findings:
             shutil.rmtree(folder)
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -73,6 +73,23 @@
 CROWD_CALLERS = (2002, 2003)
 """Numbers of callers that connect directly."""
 
+DEADLY_CALLER = 3001
+"""Its number; it connects directly."""
+
+LONG_TASKS_CALLER = 3002
+LONG_TASKS_MS = (800, 2500)
+LONG_TASKS_PAUSE_SECONDS = (0.15, 0.35)
+"""The same of the caller whose tasks are at work for most of the time between two losses."""
+
+DEADLY_JOBS = 2
+DEADLY_MS = (10, 30)
+"""How soon a deadly run crashes its worker."""
+
+DEADLY_PAUSE_SECONDS = (1.0, 6.0)
+DEADLY_READ_SECONDS = 0.2
+LAST_DEADLY_SECONDS = 5.0
+"""Time before the end of a series in which no deadly job is submitted any more."""
+
 LARGE_CPU = CAPACITY["cpu"] // 2
 """More than this is large: no two such runs fit on a worker."""
 
@@ -109,6 +126,8 @@
     target_ms: int = 0
     best_effort_ms: int = 0
     estimated_ms: int = 0
+    crashes_after_ms: int = 0
+    """How soon its runs crash their workers; 0 for never."""
 
     @property
     def work_ms(self) -> int:
@@ -131,6 +150,8 @@
         if self.max_per_worker:
             step["antiAffinity"] = self.max_per_worker
         task_spec = f"{self.work} {self.cpu} cpu {self.memory_mb} mb"
+        if self.crashes_after_ms:
+            task_spec += f" crashes its worker in {self.crashes_after_ms} ms"
         if self.target_ms:
             step |= {"image": self.image, "targetMs": self.target_ms}
             task_spec += f" serves {self.image} in {self.target_ms} ms"
@@ -430,3 +451,54 @@
         cpu = cpu or min(self._max_cpu, max(100, int(draw)))
         count = count or (1 if cpu > LARGE_CPU else rng.randint(1, MAX_TASKS))
         return self._new_finite_job(count, cpu, rng.randint(*CROWD_MS))
+
+
+class DeadlyCaller(Caller):
+    """Submits jobs of one task that crashes each worker that starts it, the next after the last."""
+
+    def __init__(self, seed: int, deployment: Deployment, balancer: Balancer):
+        super().__init__(DEADLY_CALLER, seed, deployment, balancer)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        is_open, pause = False, self._rng.uniform(*DEADLY_PAUSE_SECONDS)
+        while not stopping.wait(pause):
+            pause = DEADLY_READ_SECONDS
+            last_at = self._deployment.series_until - LAST_DEADLY_SECONDS
+            if self._unclear:
+                accepted_count = len(self._accepted)
+                self._submit(self._unclear.pop(0))
+                is_open = len(self._accepted) > accepted_count
+            elif is_open:
+                is_open = self._call(READ, self._accepted[-1]).state not in ("failed", "completed")
+                if not is_open:
+                    pause = self._rng.uniform(*DEADLY_PAUSE_SECONDS)
+            elif len(self._accepted) < DEADLY_JOBS and time.monotonic() < last_at:
+                accepted_count = len(self._accepted)
+                self._submit(self._new_job())
+                is_open = len(self._accepted) > accepted_count
+        self.disconnect()
+
+    def _new_job(self, count: int = 1, cpu: int = 100) -> str:
+        job_id = f"{self._rng.getrandbits(64):016x}"
+        self.spec_by_job[job_id] = JobSpec(
+            count, cpu, crashes_after_ms=self._rng.randint(*DEADLY_MS)
+        )
+        return job_id
+
+
+class LongTasksCaller(LargeCaller):
+    """Submits jobs of long tasks, without waiting for them."""
+
+    def __init__(self, seed: int, deployment: Deployment, balancer: Balancer):
+        Caller.__init__(self, LONG_TASKS_CALLER, seed, deployment, balancer)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until told to stop."""
+        while not stopping.wait(self._rng.uniform(*LONG_TASKS_PAUSE_SECONDS)):
+            self._submit(self._unclear.pop(0) if self._unclear else self._new_job())
+        self.disconnect()
+
+    def _new_job(self, count: int = 0, cpu: int = 200) -> str:
+        count = count or self._rng.randint(1, MAX_TASKS)
+        return self._new_finite_job(count, cpu, self._rng.randint(*LONG_TASKS_MS))
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import json
+import math
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -15,7 +17,8 @@
 import attrs
 import urllib3
 
-from ..platform import PlatformWorker, platform_settings, send_heartbeat, send_leave
+from ..late_orders import LateOrders
+from ..platform import MAX_HOLD_MS, PlatformWorker, platform_settings, send_heartbeat, send_leave
 from ..relay import Relay
 from ..site import loopback_address
 
@@ -27,6 +30,9 @@
 
 RESTART_SECONDS = 0.5
 START_TIMEOUT_SECONDS = 30.0
+DOWN_SPANS_SECONDS = ((0.1, 2.0), (MAX_HOLD_MS / 1000, 6.0), (math.inf, math.inf))
+"""How long workers are down that a run has crashed: for less than a lease, for more, for good."""
+
 ROUTE = {
     "name": "r", "host": "h.example", "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000,
     "targetLatencyMs": 500, "priority": 0, "service": "svc", "maxAttempts": 2, "stretch": 1.5,
@@ -157,6 +163,9 @@
         self.lull_count = 0
         """Callers but the first few pause unless this is 0."""
 
+        self.series_until = 0.0
+        """When the series of faults ends, on the monotonic clock."""
+
         self._worker_count = workers
         self._worker_relays: list[Relay] = []
         self._next_version = 1
@@ -256,6 +265,26 @@
         """Return the relay of a worker."""
         return self._worker_relays[number % len(self._worker_relays)]
 
+    def let_workers_crash(self, seed: int) -> None:
+        """Let workers hold back orders when told to, and be down for a while after a deadly run.
+
+        Some are down for less than a lease, some for more, some until the series ends.
+        """
+        rng = random.Random(f"crashed workers of {seed}")
+
+        def down_seconds() -> float:
+            left = max(0.0, self.series_until - time.monotonic())
+            return min(left, rng.choice([rng.uniform(*span) for span in DOWN_SPANS_SECONDS]))
+
+        for worker in self.workers:
+            worker.late_orders = LateOrders(random.Random(f"{rng.random()} {worker.worker_id}"))
+            worker.down_seconds_after_crash = down_seconds
+
+    def partitions_of(self, worker_id: str) -> list[tuple[float, float]]:
+        """Return when a worker was cut off: from, until, on the monotonic clock."""
+        workers = zip(self.workers, self._worker_relays, strict=True)
+        return next(r.partitions for worker, r in workers if worker.worker_id == worker_id)
+
     @contextlib.contextmanager
     def lull(self):
         """Let most callers pause."""
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -11,7 +11,7 @@
 
 from savoryshelf.registry import registry_decorator
 
-from ..platform import heartbeat
+from ..platform import MAX_HOLD_MS, heartbeat, restart_together
 from ..relay import BOTH_WAYS, TO_CLIENT, TO_UPSTREAM
 
 QUIET_SECONDS = 2.0
@@ -57,6 +57,25 @@
 HEAL_AFTER_SECONDS = (-0.5, 3.0)
 """When a worker that is cut while all hosts are dark is reached again, from their start on."""
 
+CRASH_SERIES = ("together", "unanswered", "both")
+TOGETHER_INTERVAL_SECONDS = (5.0, 9.0)
+TOGETHER_SECONDS = 6.0
+"""Time before the end of a series in which workers are not lost together any more."""
+
+RESTARTS_TOGETHER = (1, 3)
+TOGETHER_DOWN_SECONDS = (0.1, 0.8)
+NEXT_LOSS_SECONDS = (0.5, 3.0)
+"""When the workers that restarted together do so again, or are cut off, from the restart on."""
+
+CUT_BEYOND_LEASE_SECONDS = (0.3, 3.0)
+UNANSWERED_INTERVAL_SECONDS = (1.5, 4.0)
+UNANSWERED_SHARE = (0.4, 1.0)
+UNANSWERED_WORKERS = (2, 4)
+SHARE_IN_TURN = (0.1, 0.4)
+RESTARTS_IN_TURN = (5, 9)
+TURN_SECONDS = (0.2, 0.8)
+SOON_DOWN_SECONDS = (0.02, 0.6)
+
 _KINDS: dict[str, Callable] = {}
 """Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
 
@@ -69,10 +88,18 @@
 _RARE_CLOSING_KINDS: dict[str, Callable] = {}
 """The same for those of which a series has one at most."""
 
+_TOGETHER_KINDS: dict[str, Callable] = {}
+"""The same for workers that are lost together, with a generator shared with the next ones."""
+
+_UNANSWERED_KINDS: dict[str, Callable] = {}
+"""The same for orders without an answer that outlive the life they were meant for."""
+
 _kind = registry_decorator(_KINDS)
 _worker_kind = registry_decorator(_WORKER_KINDS)
 _closing_kind = registry_decorator(_CLOSING_KINDS)
 _rare_closing_kind = registry_decorator(_RARE_CLOSING_KINDS)
+_together_kind = registry_decorator(_TOGETHER_KINDS)
+_unanswered_kind = registry_decorator(_UNANSWERED_KINDS)
 
 
 @attrs.frozen
@@ -145,9 +172,34 @@
     return sorted([*kept, *closings], key=lambda fault: fault.at)
 
 
+def draw_crashes(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+    """Return the series with workers that are lost together, and orders that outlive lives."""
+    rng = random.Random(f"crashes of {seed}")
+    series, added = rng.choice(CRASH_SERIES), []
+    if series != "unanswered":
+        until = seconds - TOGETHER_SECONDS
+        added += _draw_each(rng, _TOGETHER_KINDS, TOGETHER_INTERVAL_SECONDS, until)
+    if series != "together":
+        until = seconds - QUIET_SECONDS
+        added += _draw_each(rng, _UNANSWERED_KINDS, UNANSWERED_INTERVAL_SECONDS, until)
+    return sorted([*faults, *added], key=lambda fault: fault.at)
+
+
+def _draw_each(
+    rng: random.Random, kinds: dict, interval_seconds: tuple[float, float], until: float
+) -> list[Fault]:
+    faults, at = [], QUIET_SECONDS + rng.uniform(0, interval_seconds[0])
+    while at < until:
+        lasts = round(rng.uniform(*FAULT_SECONDS), 2)
+        faults.append(Fault(round(at, 2), rng.choice(list(kinds)), rng.randrange(100), lasts))
+        at += rng.uniform(*interval_seconds)
+    return faults
+
+
 def inject(deployment, fault: Fault) -> None:
     """Carry out a fault and wait until it is over."""
     kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
+    kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS
     kinds[fault.kind](deployment, fault)
 
 
@@ -334,6 +386,73 @@
     relay.heal()
 
 
+@_together_kind("all_workers_lost")
+def _lose_all_workers(deployment, fault) -> None:
+    _lose_together(deployment, fault, len(deployment.workers))
+
+
+@_together_kind("half_of_workers_lost")
+def _lose_half_of_workers(deployment, fault) -> None:
+    """Lose the workers of one failure domain."""
+    _lose_together(deployment, fault, (len(deployment.workers) + 1) // 2)
+
+
+def _lose_together(deployment, fault, count: int) -> None:
+    """Restart workers at the same moment, some times, and then cut them off while they go on."""
+    rng = _details(fault)
+    numbers = range(fault.target, fault.target + count)
+    for _ in range(rng.randint(*RESTARTS_TOGETHER)):
+        next_at = time.monotonic() + rng.uniform(*NEXT_LOSS_SECONDS)
+        restart_together(
+            [deployment.worker(number) for number in numbers],
+            lambda: (rng.uniform(*TOGETHER_DOWN_SECONDS), rng.uniform(*HEARTBEAT_LATE_SECONDS)),
+        )
+        time.sleep(max(0.0, next_at - time.monotonic()))
+    for number in numbers:
+        deployment.worker_relay(number).partition()
+    time.sleep(MAX_HOLD_MS / 1000 + rng.uniform(*CUT_BEYOND_LEASE_SECONDS))
+    for number in numbers:
+        deployment.worker_relay(number).heal()
+
+
+@_unanswered_kind("starts_unanswered")
+def _leave_starts_unanswered(deployment, fault) -> None:
+    """Let workers answer only some orders to start, and restart each after a while."""
+    rng = _details(fault)
+    threads = [
+        threading.Thread(
+            target=_hold_back_and_restart,
+            args=(deployment.worker(fault.target + n), random.Random(rng.random()), fault.seconds),
+        )
+        for n in range(rng.randint(*UNANSWERED_WORKERS))
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@_unanswered_kind("starts_unanswered_in_turn")
+def _leave_starts_unanswered_in_turn(deployment, fault) -> None:
+    """Let all workers leave some orders to start unanswered, and restart one after the other."""
+    rng = _details(fault)
+    for worker in deployment.workers:
+        worker.late_orders.share = rng.uniform(*SHARE_IN_TURN)
+    for number in range(rng.randint(*RESTARTS_IN_TURN)):
+        time.sleep(rng.uniform(*TURN_SECONDS))
+        worker = deployment.worker(fault.target + number)
+        worker.restart(rng.uniform(*SOON_DOWN_SECONDS), rng.uniform(*HEARTBEAT_LATE_SECONDS))
+    for worker in deployment.workers:
+        worker.late_orders.share = 0.0
+
+
+def _hold_back_and_restart(worker, rng: random.Random, seconds: float) -> None:
+    worker.late_orders.share = rng.uniform(*UNANSWERED_SHARE)
+    time.sleep(rng.uniform(FAULT_SECONDS[0], seconds))
+    worker.restart(rng.uniform(*SOON_DOWN_SECONDS), rng.uniform(*HEARTBEAT_LATE_SECONDS))
+    worker.late_orders.share = 0.0
+
+
 @_closing_kind("all_ended")
 def _end_all(deployment, fault) -> None:
     """End all hosts at the same moment, while workers go on, crash, are cut or silent."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -21,13 +21,16 @@
     Call,
     Caller,
     CrowdCaller,
+    DeadlyCaller,
     LargeCaller,
     LongRunningCaller,
+    LongTasksCaller,
     SharingCaller,
 )
 from .deployment import PORTS, Deployment
-from .faults import Fault, draw_closings, draw_faults, inject
+from .faults import Fault, draw_closings, draw_crashes, draw_faults, inject
 from .judge import Finding, Observations, judge
+from .lives import LatePair, late_pairs
 from .waits import MAX_WAIT_SECONDS, Span
 
 FINISH_SECONDS = 14.0
@@ -43,6 +46,7 @@
 CROWD_SECONDS = 20.0
 """Time after that in which jobs of one kind, of all sizes, contend for the workers."""
 
+CRASH_CALLERS = (DeadlyCaller, LongTasksCaller)
 LAG_CHECK_SECONDS = 0.05
 MIN_LAG_SECONDS = 0.3
 """A longer time in which the soak itself stood still is reported: its workers answered nobody."""
@@ -67,6 +71,8 @@
     lags: list[Span]
     """When the soak itself stood still, for want of a processor."""
 
+    late_pairs: list[LatePair]
+
     def summary(self) -> str:
         """Return one line of figures."""
         calls = self.seen.calls
@@ -74,7 +80,7 @@
         counts = collections.Counter(finding.kind for finding in self.findings)
         return (
             f"seed {self.seed}: {len(self.faults)} faults, {len(calls)} calls {dict(statuses)}, "
-            f"{len(self.seen.state_by_job)} jobs accepted, {self._throttling()}, "
+            f"{len(self.seen.state_by_job)} jobs accepted, {self._throttling()}, {self._late()}, "
             f"findings {dict(counts)}"
         )
 
@@ -83,6 +89,18 @@
         jobs = {job for job, spec in self.seen.spec_by_job.items() if spec.best_effort_ms}
         return [run for run in self.seen.records() if run.task.partition(".")[0] in jobs]
 
+    def _late(self) -> str:
+        """Return how many runs a former life's order started, and what no caller could prevent."""
+        count = sum(record.is_late for record in self.seen.records())
+        allowed = [pair for pair in self.late_pairs if not pair.reason]
+        soon = sum(pair.was_called_before for pair in allowed)
+        longest = max((pair.overlap_seconds for pair in allowed), default=0.0)
+        return (
+            f"{count} starts ordered of former lives (runs twice that no caller could prevent: "
+            f"{len(allowed)}, {soon} right after the life's first answer, at once for "
+            f"{longest:.2f} s at most)"
+        )
+
     def _throttling(self) -> str:
         runs = self.best_effort_runs()
         slowed = sum(any(percent < FULL_SPEED_PERCENT for _, percent in r.speeds) for r in runs)
@@ -100,6 +118,10 @@
             lines.append(f"  {host.role} {host.ip}: {times}; ended at {ends}")
         lags = " ".join(f"{a - self.began_at:.2f} to {b - self.began_at:.2f}" for a, b in self.lags)
         lines.append(f"  the soak itself stood still: {lags or 'never'}")
+        for pair in self.late_pairs:
+            if not pair.reason:
+                at = max(pair.late.started_at, pair.other.started_at) - self.began_at
+                lines.append(f"allowed at {at:.2f} s: {pair.late.task}: {pair.late}; {pair.other}")
         printed = collections.Counter()
         for finding in self.findings:
             printed[finding.kind] += 1
@@ -134,6 +156,7 @@
     closings: bool = False,
     best_effort: bool = False,
     large: bool = False,
+    crashes: bool = False,
 ) -> SoakResult:
     """Run the series of a seed and return the verdict; logs are written to the folder.
 
@@ -141,13 +164,16 @@
     With ``best_effort``, there are jobs that serve and best-effort jobs beside them, which go on
     until the work after the recovery has been judged.  With ``large``, there is one large job at a
     time, and once that has been judged, jobs of one kind contend for the workers: of all sizes,
-    or of all but large ones.
+    or of all but large ones.  With ``crashes``, workers are lost together, orders outlive the life
+    of the worker that they were meant for, and there are tasks that crash their workers.
     """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
     faults = draw_faults(seed, seconds)
     if closings:
         faults = draw_closings(seed, seconds, faults)
+    if crashes:
+        faults = draw_crashes(seed, seconds, faults)
     with Deployment(folder, **shape).running() as deployment:
         balancer = Balancer(deployment)
         callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
@@ -159,6 +185,10 @@
             sharing.append(LargeCaller(seed, deployment, balancer))
             crowd = [CrowdCaller(n, seed, deployment, balancer) for n in CROWD_CALLERS]
         began_at = time.monotonic()
+        deployment.series_until = began_at + seconds
+        if crashes:
+            deployment.let_workers_crash(seed)
+            callers += [kind(seed, deployment, balancer) for kind in CRASH_CALLERS]
         lags: list[Span] = []
         probes = [(balancer.probe, host) for host in deployment.entries]
         with _in_threads([*probes, (_measure_lag, lags)]):
@@ -169,7 +199,7 @@
                 for host in deployment.hosts:
                     host.send(signal.SIGCONT)
                 recovered_at = time.monotonic() + RECOVERY_SECONDS
-                if closings or best_effort or large:
+                if closings or best_effort or large or crashes:
                     # Before the service is filled, since work may wait while half of it is in use.
                     judged = SHARING_JUDGED_SECONDS if best_effort else JUDGED_SECONDS
                     time.sleep(max(0.0, recovered_at + judged - time.monotonic()))
@@ -194,7 +224,9 @@
                 _read_states(deployment, seen, seen.long_running_jobs())
             seen.ended_at = time.monotonic()
             # Before the workers end, since the end of a worker is a crash for its runs.
-            return SoakResult(seed, began_at, faults, seen, judge(seen), lags)
+            return SoakResult(
+                seed, began_at, faults, seen, judge(seen), lags, list(late_pairs(seen))
+            )
 
 
 @contextlib.contextmanager
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,8 +1,10 @@
 """A short soak with fixed seeds: promises hold while faults overlap."""
 
+import collections
+
 import pytest
 
-from standins.soak.faults import draw_closings, draw_faults
+from standins.soak.faults import draw_closings, draw_crashes, draw_faults
 from standins.soak.run import run_soak
 
 SEEDS = [
@@ -39,6 +41,26 @@
         assert closings.count("all_ended_and_a_disk_lost") <= 1
 
 
+def test_each_series_with_crashes_keeps_the_other_faults_and_loses_workers_together():
+    seen = set()
+    for seed in range(1, 50):
+        without = draw_faults(seed, 20.0)
+        series = draw_crashes(seed, 20.0, without)
+        assert series == draw_crashes(seed, 20.0, without)
+        added = collections.Counter(f.kind for f in series) - collections.Counter(
+            f.kind for f in without
+        )
+        assert added and added.total() == len(series) - len(without)
+        seen |= added.keys()
+        assert [fault for fault in series if fault.kind not in added] == without
+    assert seen == {
+        "all_workers_lost",
+        "half_of_workers_lost",
+        "starts_unanswered",
+        "starts_unanswered_in_turn",
+    }
+
+
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_no_promise_is_broken_while_faults_overlap(tmp_path, seed, seconds):
     result = run_soak(tmp_path, seed, seconds, "small")
@@ -83,3 +105,22 @@
     crowd_from = result.seen.crowd[0]
     assert any(r.started_at > crowd_from for job in jobs for r in result.seen.records(job))
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+SEEDS_WITH_CRASHES = [
+    # Workers restart together, and are then cut off for longer than a lease: jobs were given up.
+    (55112, 14.0),
+    # Orders without an answer are carried out by the next incarnation, while their tasks run
+    # elsewhere.
+    (55113, 14.0),
+]
+"""Jobs that fail for crashes that none of their tasks caused, and runs twice that callers could
+have prevented, would be found in these."""
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_CRASHES)
+def test_no_promise_is_broken_when_workers_crash_and_orders_come_late(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", crashes=True)
+    assert any(record.workers_down > 2 or record.is_late for record in result.seen.records())
+    assert any(spec.crashes_after_ms for spec in result.seen.spec_by_job.values())
+    assert not result.findings, result.report(histories_per_kind=1)
