--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -104,8 +104,8 @@
                 self._record_leader(address)
                 if outcome_is_unknown and _says_not_accepted(request, answer):
                     # An earlier attempt may have been accepted, or may still arrive.
-                    kind = answer.kind.name.lower()
-                    raise LeaderUnavailable(True, f"{kind} after an attempt: {answer.reason}")
+                    why = answer.reason or "no such queue"
+                    raise LeaderUnavailable(True, f"refused after an attempt: {why}")
                 return answer
             except ttypes.NotLeader as error:
                 self._update_leader_hint(address, error.leader_address or "")
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -6,6 +6,7 @@
 from savoryshelf.errors import PeerUnreachable
 from savoryshelf.gateway import leader as module
 from savoryshelf.gateway.leader import LeaderClient, LeaderUnavailable
+from savoryshelf.wire import codec
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall, JobVerb
 
@@ -114,7 +115,8 @@
 def test_no_queue_after_an_attempt_that_may_have_arrived_is_certain_only_of_reads(
     client, monkeypatch, verb, is_unknown
 ):
-    no_queue = JobAnswer(JobAnswerKind.NO_QUEUE)
+    # As it arrives: without the type of its kind.
+    no_queue = codec.decode(JobAnswer, codec.encode(JobAnswer(JobAnswerKind.NO_QUEUE)))
     outcomes = iter([PeerUnreachable("a", "reset", sent=True)])
     script_answers(client, monkeypatch, dict.fromkeys("ab", lambda: next(outcomes, no_queue)))
     call = JobCall(verb, CALL.host, CALL.path, trace_id="t")
