Crashes: losses of workers are told apart after a clock was ahead

A task that crashes its workers could be started up to three times more, and one that does so while it works without end.

Cause: when contact was lost is reckoned back from the time of the ledger, which never goes back. After a leader whose clock was ahead it stands still, for as long as that clock was ahead, and all workers seem to be lost at that moment.

Evidence: test_losses_are_told_apart_after_a_clock_was_ahead failed (three losses, 10 s apart, each together with the two others).

Why it works: the time of the command itself is taken for that, which goes on.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1665,6 +1665,13 @@
         "    return []\n",
         TASKS,
     ),
+    Mutant(
+        "a crash: losses are told apart after a clock was ahead",
+        _TASKS,
+        "now_ms = self.at_ms - self.behind_ms",
+        "now_ms = self.at_ms",
+        TASKS,
+    ),
     Mutant(
         "a crash: a held task gets no start",
         _TASKS,
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -115,6 +115,9 @@
     newest_token: int = 0
     """The newest fencing token that an agent was given."""
 
+    behind_ms: int = 0
+    """How far the clock of the newest command is behind ``at_ms``; no part of the state."""
+
     # ------------------------------------------------------------------- commands
 
     def put_manifest(self, manifest: Manifest) -> Accepted:
@@ -276,9 +279,9 @@
                 continue
             ended.append(worker)
             if crashed and losses and losses[position].heard_ms >= 0 and not worker.has_ended:
-                record_loss(
-                    worker, losses[position], self.at_ms, self.worker_by_incarnation.values()
-                )
+                # ``at_ms`` stands still after a clock was ahead, and cannot tell losses apart then.
+                now_ms = self.at_ms - self.behind_ms
+                record_loss(worker, losses[position], now_ms, self.worker_by_incarnation.values())
         ends = []
         for worker in ended:
             worker.has_ended = True
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -39,6 +39,7 @@
         command = codec.decode(TaskCommand, payload)
         # A wall clock may step back; the times in records must not.
         self.ledger.at_ms = max(self.ledger.at_ms, command.at_ms)
+        self.ledger.behind_ms = self.ledger.at_ms - command.at_ms
         name, body = codec.sole_field(command.body)
         outcome = _HANDLER_BY_COMMAND[name](self.ledger, body)
         if self.observer is not None:
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -6,11 +6,17 @@
 
 from savoryshelf.tasks import snapshot
 from savoryshelf.tasks.crashes import ACQUITTAL_MS, SURVIVAL_MS
+from savoryshelf.tasks.state_machine import TaskStateMachine
+from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import (
     ContactLoss,
     EndEvidence,
+    EndLives,
+    NoteWorkers,
     RunAge,
     RunOutcome,
+    TaskCommand,
+    TaskCommandBody,
     WorkerLife,
 )
 
@@ -253,6 +259,25 @@
     assert record_intent(task_ledger, DEADLY, 3, ("w4", 1))
 
 
+# Guards against BUDGET: once a clock had been ahead, the time of the ledger stood still, so that
+# all workers seemed to be lost at the same moment, and no task had caused a crash.
+def test_losses_are_told_apart_after_a_clock_was_ahead():
+    state_machine = TaskStateMachine()
+
+    def apply(at_ms, **body):
+        state_machine.apply(codec.encode(TaskCommand(at_ms, TaskCommandBody(**body))))
+
+    records = [worker(f"w{number}") for number in range(3)]
+    apply(100 * BETWEEN_CRASHES_MS, note_workers=NoteWorkers(records))
+    for number, record in enumerate(records):
+        ending = EndLives(
+            [record.life], [], None, True, [], REPLACED, [ContactLoss(BETWEEN_CRASHES_MS, 0)]
+        )
+        apply(number * BETWEEN_CRASHES_MS, end_lives=ending)
+    workers = state_machine.ledger.worker_by_incarnation.values()
+    assert [each.record.lost_with for each in workers] == [0, 0, 0]
+
+
 # Guards against BUDGET: of two workers lost at once, one whose end was reported twice in a command
 # counted as two others, and the crash as one that a task had not caused.
 def test_a_loss_that_one_command_reports_twice_counts_once():
