--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -274,6 +274,9 @@
     assert before_first <= 0.6
     assert beat["sequence"] == 1
     assert beat["address"] == first[0]["address"]
+    # Those that were acknowledged are on record.
+    assert {(kind, token) for _, kind, token in worker.answers(2)} <= {("heartbeat", 0)}
+    assert [kind for _, kind, _ in worker.answers(1)][:2] == ["heartbeat"] * 2
 
 
 @pytest.mark.parametrize(
