--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 import subprocess
+import sys
 import tomllib
 
 import pytest
@@ -14,6 +15,13 @@
 DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
 
 
+def build(root):
+    # Byte code is of the interpreter that runs the test.
+    path = os.pathsep.join([os.path.dirname(sys.executable), os.environ["PATH"]])
+    command = ["/bin/sh", "-c", DEPLOY["build"]]
+    subprocess.run(command, cwd=root, env=os.environ | {"PATH": path}, check=True)
+
+
 @pytest.fixture(scope="module")
 def built(tmp_path_factory):
     """A copy of the sources after a build; its libraries are there already."""
@@ -24,7 +32,7 @@
     libraries.mkdir(parents=True)
     # Newer than the requirements, so that nothing is installed.
     os.utime(libraries, (2**31 - 2, 2**31 - 2))
-    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=root, check=True)
+    build(root)
     return root
 
 
@@ -50,4 +58,4 @@
     shutil.rmtree(folder / "__pycache__", ignore_errors=True)
     # A file in place of the folder also stops a user who may write everywhere.
     (folder / "__pycache__").write_text("")
-    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=built, check=True)
+    build(built)
