Crashes: a start that goes unanswered holds a lease if it arrives

A task that crashes its worker before the start is answered was held for good instead of being given up, on a worker that had run nothing before.

Cause: only answered calls counted as granting a lease, and the last of these was long over on an idle worker.

Evidence: test_a_start_that_goes_unanswered_holds_a_lease_if_it_arrives failed (the evidence was SILENT).

Why it works: a run that comes from the start has the lease that the start grants.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1651,6 +1651,13 @@
         "return self.lease_has_expired()",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a crash: a start that goes unanswered holds a lease if it arrives",
+        _WORKER_SESSION,
+        "        if not self.clock.holds_lease(now):\n",
+        "        if False:\n",
+        "tests/dispatch/test_worker_session.py",
+    ),
     Mutant(
         "a crash: a late report tells when contact was lost",
         "dispatch/agent.py",
--- a/src/savoryshelf/dispatch/worker_clock.py
+++ b/src/savoryshelf/dispatch/worker_clock.py
@@ -42,7 +42,7 @@
     """The latest deadline sent to the worker, whether or not the call was answered."""
 
     _held_until: float | None = None
-    """Until when a lease whose call was answered holds at least; None if none was answered."""
+    """Until when whatever runs on the worker holds a lease at least; None if that is not known."""
 
     def record_reading(self, clock_ms: int, received_at: float) -> None:
         """Record a reading received at ``received_at``, unless the known bound is higher."""
@@ -69,7 +69,7 @@
         return self.latest_deadline_ms
 
     def confirm_deadline(self, deadline_ms: int, sent_at: float) -> None:
-        """Take note that the worker has answered a call that carried a deadline."""
+        """Take note of a deadline under which whatever runs on the worker is certain to run."""
         left_seconds = (deadline_ms - self.lower_bound_ms(sent_at)) / 1000
         # The clock may be that far above its lower bound.
         left_seconds -= (1 - MIN_CLOCK_RATE) * max(0.0, sent_at - self._newest_at)
@@ -77,7 +77,7 @@
         self._held_until = max(held_until, self._held_until or held_until)
 
     def holds_lease(self, now: float) -> bool | None:
-        """Return whether a lease is certain to hold still; None if no call has granted one."""
+        """Return whether what runs on the worker is certain to hold a lease; None if not known."""
         return None if self._held_until is None else now < self._held_until
 
     def all_deadlines_passed(self, now: float) -> bool:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -1048,6 +1048,9 @@
             checkpoint=checkpoint,
         )
         self._undelivered_starts.discard((task, run))
+        if not self.clock.holds_lease(now):
+            # Nothing else runs there, and what this call starts has the lease that it grants.
+            self.clock.confirm_deadline(request.deadline_ms, now)
         result, clock_ms = self._call("start", request)
         if result is StartResult.STARTED:
             self.clock.confirm_deadline(request.deadline_ms, now)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -152,6 +152,24 @@
     assert session.end_evidence is EndEvidence.SILENT
 
 
+# Guards against BUDGET: a task that crashes its worker before the start is answered was held, and
+# never given up, since the worker had held no lease before.
+def test_a_start_that_goes_unanswered_holds_a_lease_if_it_arrives(running_session):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running)
+    worker.end(TASK, 1, RunOutcome.STOPPED)
+    wait_until(lambda: not session.worker.task_by_run)
+    eventlet.sleep(2 * LEASE_MS / 1000)
+    record_intent(task_ledger, TASK, 2)
+    worker.unanswered_calls = {"start", "stop", "poll"}
+    session.start(TASK, 2)
+    wait_until(lambda: worker.delayed_starts)
+    worker.is_replaced = True
+    wait_until(lambda: agent.end_reasons)
+    assert session.end_evidence is EndEvidence.REPLACED
+
+
 # Guards against jobs that fail for restarts of all workers at once: a worker that got a new token
 # while it did not answer seemed to have been lost only then, and alone.
 def test_a_new_token_does_not_change_when_contact_was_lost(running_session):
