--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -643,9 +643,13 @@
     """
     merged: dict[tuple, EndLives] = {}
     for each in ended_incarnations:
-        key = bool(each.fencing_tokens), bool(each.crashed), each.evidence
+        evidence = each.evidence
+        if each.crashed and evidence is None:
+            # Agents of earlier versions do not tell, and the ledger would go by their rule.
+            evidence = EndEvidence.SILENT
+        key = bool(each.fencing_tokens), bool(each.crashed), evidence
         command = merged.setdefault(
-            key, EndLives([], [], [], key[1], worked=[], evidence=each.evidence, losses=[])
+            key, EndLives([], [], [], key[1], worked=[], evidence=evidence, losses=[])
         )
         command.lives += each.lives
         command.checkpoints += each.checkpoints
--- a/tests/dispatch/test_leader_term.py
+++ b/tests/dispatch/test_leader_term.py
@@ -11,6 +11,8 @@
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated.ttypes import (
     AgentReport,
+    ContactLoss,
+    EndEvidence,
     EndLives,
     RunAge,
     RunEnd,
@@ -37,6 +39,7 @@
         self.names = []
         self.ended = []
         self.worked = []
+        self.evidence = {}
         self.core = types.SimpleNamespace(term=1, seconds_since_quorum_contact=lambda now: 0.0)
 
     def propose(self, payload):
@@ -50,6 +53,8 @@
                 for incarnation, token in zip(body.lives, tokens, strict=True)
             ]
             self.worked += body.worked or []
+            self.evidence |= {life.worker_id: body.evidence for life in body.lives}
+            assert len(body.losses or body.lives) == len(body.lives)
         return []
 
 
@@ -99,3 +104,22 @@
     by_worker = sorted(replica.ended, key=lambda each: each[0].worker_id)
     assert by_worker == list(zip(incarnations, tokens, crashed, strict=True))
     assert sorted(replica.worked, key=lambda age: age.task) == ages
+
+
+# Guards against LOST by an agent of an earlier version: without evidence, the ledger fails jobs
+# by the rule of that version.
+def test_ends_are_committed_with_what_they_rest_on(committing_term):
+    replica, term = committing_term
+    reported = [EndEvidence.REPLACED, EndEvidence.SILENT, EndEvidence.REPLACED, None]
+    ended = [
+        EndLives(
+            [WorkerLife(f"w{number}", 1)], [], [7], True, evidence=evidence,
+            losses=[ContactLoss(2, 1)] if evidence else None,
+        )
+        for number, evidence in enumerate(reported)
+    ]  # fmt: skip
+    ended.append(EndLives([WorkerLife("w4", 1)], [], [7]))
+    term.receive_report(report(1, ended))
+    eventlet.sleep(10 * COMMIT_SECONDS)
+    expected = [*reported[:3], EndEvidence.SILENT, None]
+    assert replica.evidence == {f"w{number}": each for number, each in enumerate(expected)}
