--- a/standins/late_orders.py
+++ b/standins/late_orders.py
@@ -34,6 +34,7 @@
 
     def __init__(self, rng: random.Random):
         self.share = 0.0
+        self.held_count = 0
         self._rng = rng
         self._held: list[HeldOrder] = []
         self._lock = threading.Lock()
@@ -47,6 +48,7 @@
                 return False
             order = HeldOrder(expected_id, path, body, time.monotonic(), incarnation.number)
             self._held.append(order)
+            self.held_count += 1
             is_carried_out = self._rng.random() < SAME_INCARNATION_SHARE
             seconds = self._rng.uniform(*LATE_SECONDS)
         if is_carried_out:
--- a/tests/standins/test_late_orders.py
+++ b/tests/standins/test_late_orders.py
@@ -59,9 +59,12 @@
 
 def hold_back(worker, **fields):
     """Order a start that gets no answer."""
+    count = worker.late_orders.held_count
     worker.late_orders.share = 1.0
     with pytest.raises(TimeoutError):
         start(worker, timeout=0.1, **fields)
+    # It may be read later than that.
+    assert eventually(lambda: worker.late_orders.held_count == count + 1)
     worker.late_orders.share = 0.0
 
 
@@ -80,6 +83,7 @@
     assert eventually(lambda: listed(worker)) == [(TASK, 1)]
     (record,) = worker.records
     assert record.is_late
+    assert worker.late_orders.held_count == 1
     assert (record.ordered_in, record.incarnation, record.fencing_token) == (1, 2, 1)
     assert record.started_at - record.ordered_at > CARRIED_OUT_SECONDS
     # Once: the one after that gets nothing.
