--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -171,23 +171,21 @@
     """Return whether so many workers are known to have crashed under a task that its job fails."""
     proven = [crash for crash in _crashes_of_unit(task) if crash.is_proven]
     alone = [crash for crash in proven if _was_lost_alone(crash, worker_by_incarnation)]
-    if _is_attributed(alone) or _are_too_many(_counting(proven, worker_by_incarnation)):
+    if _is_attributed(alone):
         return True
-    return any(
-        _are_too_many(_counting([c for c in crashes if c.is_proven], worker_by_incarnation))
-        for crashes in _crashes_by_member(task)
-    )
+    # Without a start nothing more would ever be proven, so a task that is held is given up as
+    # soon as that may be.
+    on_start = [crash for crash in proven if crash.on_start]
+    has_crashed_workers = _has_certain(on_start) and _has_too_many(task, worker_by_incarnation)
+    return has_crashed_workers or _has_too_many(task, worker_by_incarnation, only_proven=True)
 
 
 def must_hold(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
     """Return whether a task must not be started, at least until less is held against it."""
-    crashes = _crashes_of_unit(task)
-    if not crashes:
+    if not _crashes_of_unit(task):
         return False
-    lists = [crashes, *_crashes_by_member(task)]
-    return any(
-        _are_too_many(_counting(crashes, worker_by_incarnation)) for crashes in lists
-    ) or must_give_up(task, worker_by_incarnation)
+    too_many = _has_too_many(task, worker_by_incarnation)
+    return too_many or must_give_up(task, worker_by_incarnation)
 
 
 def must_give_up_without_evidence(task: Task) -> bool:
@@ -196,6 +194,24 @@
     return _is_attributed(crashes) or _are_too_many(crashes)
 
 
+def _has_too_many(
+    task: Task,
+    worker_by_incarnation: Mapping[IncarnationKey, Worker],
+    only_proven: bool = False,
+) -> bool:
+    """Return whether no further start may follow what is held against a task."""
+    return any(
+        _are_too_many(
+            [
+                crash
+                for crash in _counting(crashes, worker_by_incarnation)
+                if crash.is_proven or not only_proven
+            ]
+        )
+        for crashes in (_crashes_of_unit(task), *_crashes_by_member(task))
+    )
+
+
 def _was_lost_alone(crash: Crash, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
     """Return whether a crash is known not to be one of several at the same time."""
     worker = worker_by_incarnation.get(crash.incarnation)
@@ -206,11 +222,14 @@
 def _counting(
     crashes: list[Crash], worker_by_incarnation: Mapping[IncarnationKey, Worker]
 ) -> list[Crash]:
-    """Return the crashes without those that others share and whose run had worked before."""
+    """Return the crashes without those that others share, unless the task may be their cause.
+
+    It may be if the worker has crashed for certain, soon after the start.
+    """
     return [
         crash
         for crash in crashes
-        if crash.on_start or _was_lost_alone(crash, worker_by_incarnation)
+        if (crash.on_start and crash.is_proven) or _was_lost_alone(crash, worker_by_incarnation)
     ]
 
 
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -510,3 +510,31 @@
     task_ledger.upsert_worker(stale)
     assert task_ledger.worker_by_incarnation["w0", 1].has_ended
     assert len(task_ledger.find_task(DEADLY).crashes) == 1
+
+
+# Guards against LOST: without a start nothing more is ever proven, so the task waited for good.
+def test_a_held_task_with_proven_crashes_of_two_workers_is_given_up():
+    task_ledger = make_ledger()
+    accept(task_ledger, step(3), job_id=OTHER_JOB)
+    for number, each in enumerate([SILENT, REPLACED, SILENT, REPLACED, SILENT]):
+        assert state(task_ledger) != "failed"
+        start(task_ledger, DEADLY, f"w{number}")
+        if number % 2:
+            start(task_ledger, f"{OTHER_JOB}.0.0.{number // 2}", f"w{number}")
+        crash(task_ledger, f"w{number}", evidence=each)
+    assert DEADLY in task_ledger.held_task_by_name
+    assert state(task_ledger) == "failed"
+
+
+# Guards against LOST: workers that were cut off together held a task back, and came back restarted.
+def test_silence_of_several_workers_at_once_holds_no_task():
+    task_ledger = make_ledger()
+    for born_ms in range(1, 8):
+        for number in range(8):
+            task_ledger.upsert_worker(worker(f"w{number}", born_ms))
+        start(task_ledger, DEADLY, f"w{born_ms}", born_ms)
+        for number in range(8):
+            crash(task_ledger, f"w{number}", 0, born_ms, evidence=SILENT, after_ms=1)
+        task_ledger.at_ms += BETWEEN_CRASHES_MS
+    assert not task_ledger.held_task_by_name
+    assert state(task_ledger) != "failed"
--- a/tests/tasks/test_crashes_stateful.py
+++ b/tests/tasks/test_crashes_stateful.py
@@ -210,7 +210,7 @@
             history = self.history(self.ledger.find_task(name))
             assert len(history.worker_ids) >= 2, name
             is_innocent = name.partition(".")[0] in (INNOCENT, INNOCENT_GANG)
-            # Five crashes right after starts are too many, whatever explains them.
+            # Five losses right after starts are too many, whatever explains them.
             assert not is_innocent or history.crashes_by_itself >= 2 or history.on_start >= 5, name
 
     @rule(worker_id=st.sampled_from(WORKER_IDS), is_known=st.booleans(), is_gone=st.booleans())
