--- a/tests/platform/test_manifests_in_force.py
+++ b/tests/platform/test_manifests_in_force.py
@@ -49,6 +49,8 @@
         for ip in [*SEEDS, *FRONTS]:
             started.start(ip)
         started.add_worker("w1")
+        # A seed that is killed before it has come to its disk would return as another replica.
+        wait_until(lambda: len(started.logged("control:started", SEEDS)) == len(SEEDS))
         yield started
     finally:
         for process in started.process_by_ip.values():
--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -46,6 +46,8 @@
         for ip in [*CONTROL_IPS, *FRONTS]:
             started.start(ip)
         started.add_worker("w1")
+        # Until then a seed's disk is empty, and would be lost beside the two that a test takes.
+        wait_until(lambda: len(started.logged("control:started", CONTROL_IPS)) == len(CONTROL_IPS))
         wait_until(lambda: started.call_operator("POST", "put", MANIFEST)[0] == 200)
         wait_until(lambda: len(promoted_ids(started)) == 2)
         yield started
