--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -32,7 +32,10 @@
 """How long a new agent waits for the leases that an earlier one may have granted."""
 
 
-@pytest.fixture(params=["the leader calls the workers", "the other hosts call them"])
+@pytest.fixture(
+    params=["the leader calls the workers", "the other hosts call them"],
+    ids=["leader-calls", "others-call"],
+)
 def group(request, monkeypatch):
     if request.param == "the other hosts call them":
         monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
