--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1619,8 +1619,8 @@
     Mutant(
         "a crash: a held task with proven crashes is given up",
         _CRASHES,
-        "    has_crashed_workers = _has_certain(on_start) and ",
-        "    has_crashed_workers = False and ",
+        "only_proven=not has_crashed_workers",
+        "only_proven=True",
         TASKS,
     ),
     Mutant(
--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -176,8 +176,8 @@
     # Without a start nothing more would ever be proven, so a task that is held is given up as
     # soon as that may be.
     on_start = [crash for crash in proven if crash.on_start]
-    has_crashed_workers = _has_certain(on_start) and _has_too_many(task, worker_by_incarnation)
-    return has_crashed_workers or _has_too_many(task, worker_by_incarnation, only_proven=True)
+    has_crashed_workers = _has_certain(on_start) or _worker_count(on_start) >= MAX_CRASHES
+    return _has_too_many(task, worker_by_incarnation, only_proven=not has_crashed_workers)
 
 
 def must_hold(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
