--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1612,7 +1612,7 @@
     Mutant(
         "a crash: one that others share does not count for a run that had worked",
         _CRASHES,
-        "if (crash.on_start and crash.is_proven) or _was_lost_alone(crash, worker_by_incarnation)",
+        "if crash.on_start or _was_lost_alone(crash, worker_by_incarnation)",
         "if True",
         TASKS,
     ),
@@ -1624,10 +1624,10 @@
         TASKS,
     ),
     Mutant(
-        "a crash: silence of several workers at once holds no task back",
+        "a crash: silence right after a start holds a task back, whoever was lost with the worker",
         _CRASHES,
-        "if (crash.on_start and crash.is_proven) or",
-        "if crash.on_start or",
+        "if crash.on_start or _was_lost_alone",
+        "if _was_lost_alone",
         TASKS,
     ),
     Mutant(
--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -225,14 +225,11 @@
 def _counting(
     crashes: list[Crash], worker_by_incarnation: Mapping[IncarnationKey, Worker]
 ) -> list[Crash]:
-    """Return the crashes without those that others share, unless the task may be their cause.
-
-    It may be if the worker has crashed for certain, soon after the start.
-    """
+    """Return the crashes without those that others share and whose run had worked before."""
     return [
         crash
         for crash in crashes
-        if (crash.on_start and crash.is_proven) or _was_lost_alone(crash, worker_by_incarnation)
+        if crash.on_start or _was_lost_alone(crash, worker_by_incarnation)
     ]
 
 
