--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -178,8 +178,8 @@
         return True
     # Without a start nothing more would ever be proven, so a task that is held is given up as
     # soon as that may be.
-    on_start = [crash for crash in proven if crash.on_start]
-    has_crashed_workers = _worker_count(on_start) >= MIN_CERTAIN_CRASHES
+    counting = _counting(proven, worker_by_incarnation)
+    has_crashed_workers = _worker_count(counting) >= MIN_CERTAIN_CRASHES
     return _has_too_many(task, worker_by_incarnation, only_proven=not has_crashed_workers)
 
 
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -513,7 +513,9 @@
 
 
 # Guards against LOST: without a start nothing more is ever proven, so the task waited for good.
-@pytest.mark.parametrize("worked_ms", [0, IN_DOUBT], ids=["started", "in-doubt"])
+@pytest.mark.parametrize(
+    "worked_ms", [0, IN_DOUBT, SURVIVAL_MS], ids=["started", "in-doubt", "worked"]
+)
 def test_a_held_task_with_proven_crashes_of_two_workers_is_given_up(worked_ms):
     task_ledger = make_ledger()
     accept(task_ledger, step(5), job_id=OTHER_JOB)
