Committed entries are applied a few at a time, and messages and ticks go before the rest

Cause: a replica knows what is committed only after an election, so up to SNAPSHOT_INTERVAL_ENTRIES entries become appliable at one moment, on the leader with the first commit of its term and on all voters with the first message that tells them of it. `ReplicaService` applied them at one go: no heartbeat was sent, no reply read and no message answered meanwhile. Where hosts share processors, the voters do this at the same time, and together for longer than the leader waits. Class: what keeps a leader in office shares a thread with the work of the office.

Evidence: the new test starts five hosts on one virtual processor with 4,000 entries of 0.2 ms. Bounds: the replica runs each heartbeat interval, and nobody loses office.

Now a `Ready` holds at most 64 entries and 64 KiB, and the driver reads its mailbox and ticks before the next.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -26,7 +26,7 @@
     VoteRequest,
     WalRecord,
 )
-from .leader_state import LeaderState, PendingRead, Progress
+from .leader_state import ConfirmedRead, LeaderState, PendingRead, Progress
 from .log import RaftLog
 from .membership import (
     MembershipChangeRefused,
@@ -62,6 +62,14 @@
 With snapshots every 5,000 entries a member may take four times that long to load one.
 """
 
+MAX_READY_ENTRIES = 64
+MAX_READY_BYTES = 64 * 1024
+"""Limits on the committed entries of one ``Ready`` and their payload; a larger one comes alone.
+
+After a restart thousands of entries are committed at once.  To apply this many takes a small part
+of a heartbeat interval, and messages and ticks go before the others.
+"""
+
 NO_ROUND = 0
 """Round of an append request that needs no reply; heartbeat rounds count from 1."""
 
@@ -135,7 +143,7 @@
         self._messages: list[RaftMessage] = []
         self._unsynced: list[LogEntry] = []
         self._hard_state_changed = False
-        self._confirmed_reads: list[int] = []
+        self._confirmed_reads: list[ConfirmedRead] = []
         self._reset_election_deadline()
 
     @staticmethod
@@ -256,9 +264,9 @@
             record=self._take_record(),
             messages=self._messages,
             committed=self._take_committed(),
-            confirmed_reads=self._confirmed_reads,
+            confirmed_reads=self._take_confirmed_reads(),
         )
-        self._messages_before_sync, self._messages, self._confirmed_reads = [], [], []
+        self._messages_before_sync, self._messages = [], []
         self._snapshot_to_install = None
         return ready
 
@@ -364,6 +372,17 @@
         """Return the index of the last entry that was returned as committed."""
         return self._applied_index
 
+    @property
+    def has_more_committed(self) -> bool:
+        """Return whether committed entries have not been returned yet."""
+        return self._applied_index < self._last_appliable_index
+
+    @property
+    def _last_appliable_index(self) -> int:
+        # Only entries synced on this disk are returned, so that the applied
+        # state is never ahead of what a restart would recover.
+        return min(self.commit_index, self._synced_index)
+
     # --------------------------------------------------------------- elections
 
     def _is_voter(self) -> bool:
@@ -472,6 +491,7 @@
         self.role = Role.FOLLOWER
         self.leader_id = leader_id
         self.leader_state = None
+        self._confirmed_reads = []
 
     def _become_leader(self) -> None:
         self.role = Role.LEADER
@@ -575,13 +595,7 @@
         )
 
     def _batch_from(self, first: int) -> list[LogEntry]:
-        batch, size = [], 0
-        for entry in self.log.entries(first, self.log.last_index):
-            size += len(entry.payload)
-            if batch and size > MAX_APPEND_BYTES:
-                break
-            batch.append(entry)
-        return batch
+        return _leading_entries(self.log.entries(first, self.log.last_index), MAX_APPEND_BYTES)
 
     def _is_chunk_in_flight(self, progress: Progress) -> bool:
         """Return whether the next chunk was sent so recently that it need not be repeated."""
@@ -693,9 +707,12 @@
 
     def _confirm_reads(self) -> None:
         if self.has_committed_in_term:
-            self._confirmed_reads += self.leader_state.take_confirmed_reads(
-                self.replica_id, self.log.membership
-            )
+            self._confirmed_reads += [
+                ConfirmedRead(read_id, self.commit_index)
+                for read_id in self.leader_state.take_confirmed_reads(
+                    self.replica_id, self.log.membership
+                )
+            ]
 
     def _advance_commit(self) -> None:
         index = self.leader_state.quorum_match_index(
@@ -758,15 +775,18 @@
         return record
 
     def _take_committed(self) -> list[LogEntry]:
-        # Only entries synced on this disk are returned, so that the applied
-        # state is never ahead of what a restart would recover.
-        last = min(self.commit_index, self._synced_index)
-        if last <= self._applied_index:
-            return []
-        committed = self.log.entries(self._applied_index + 1, last)
-        self._applied_index = last
+        first = self._applied_index + 1
+        last = min(self._last_appliable_index, first + MAX_READY_ENTRIES - 1)
+        committed = _leading_entries(self.log.entries(first, last), MAX_READY_BYTES)
+        self._applied_index += len(committed)
         return committed
 
+    def _take_confirmed_reads(self) -> list[int]:
+        """Return the reads that may be served once what was committed for them is applied."""
+        reads = self._confirmed_reads
+        self._confirmed_reads = [read for read in reads if read.commit_index > self._applied_index]
+        return [read.read_id for read in reads if read.commit_index <= self._applied_index]
+
     def _message(self, recipient: str, term: int, payload: dict) -> RaftMessage:
         return RaftMessage(self.replica_id, recipient, term, RaftPayload(**payload), self.shard)
 
@@ -775,3 +795,14 @@
 
     def _send_before_sync(self, recipient: str, **payload) -> None:
         self._messages_before_sync.append(self._message(recipient, self.term, payload))
+
+
+def _leading_entries(entries: list[LogEntry], max_bytes: int) -> list[LogEntry]:
+    """Return the first entries with no more payload than that, or the first one alone."""
+    leading, size = [], 0
+    for entry in entries:
+        size += len(entry.payload)
+        if leading and size > max_bytes:
+            break
+        leading.append(entry)
+    return leading
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -60,6 +60,14 @@
     after_round: int
 
 
+@attrs.frozen
+class ConfirmedRead:
+    """A read that waits until the entries are applied that were committed when it was confirmed."""
+
+    read_id: int
+    commit_index: int
+
+
 @attrs.frozen
 class _Round:
     """A heartbeat round: when it was sent, and the last index that was committed by then."""
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -272,14 +272,20 @@
         self._syncs.record(self._last_sync)
 
     def _process_all_ready(self) -> None:
+        """Do what is due; messages and ticks go before entries that are left to be applied."""
         while not (ready := self.core.take_ready()).is_empty():
             self._process_ready(ready)
+            if self.core.has_more_committed:
+                return
 
     def _take_mailbox_batch(self) -> list:
-        try:
-            events = [self._mailbox.get(timeout=TICK_SECONDS)]
-        except Empty:
-            return []
+        events = []
+        if self.core.has_more_committed:
+            # Lets messages in.
+            eventlet.sleep()
+        else:
+            with contextlib.suppress(Empty):
+                events.append(self._mailbox.get(timeout=TICK_SECONDS))
         while len(events) < MAX_MAILBOX_BATCH and not self._mailbox.empty():
             events.append(self._mailbox.get_nowait())
         return events
--- a/src/savoryshelf/replication/types.py
+++ b/src/savoryshelf/replication/types.py
@@ -74,7 +74,7 @@
     """Messages to send after the sync."""
 
     committed: list[LogEntry]
-    """Entries to apply."""
+    """Entries to apply: the first of those that are committed, others come with the next one."""
 
     confirmed_reads: list[int]
     """Ids of the reads that may be served once ``committed`` is applied."""
--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -41,12 +41,14 @@
 
 
 class _Counter:
-    """A state machine that counts its commands."""
+    """A state machine that counts its commands; each takes the group's ``apply_seconds``."""
 
-    def __init__(self):
+    def __init__(self, group):
         self.count = 0
+        self._group = group
 
     def apply(self, payload):
+        self._group.stand_still(self._group.apply_seconds)
         self.count += 1
         return self.count
 
@@ -63,7 +65,14 @@
     def __init__(self, clock, count=3, seed=0):
         self.clock = clock
         self.cut_off: set[str] = set()
+        self.apply_seconds = 0.0
+        """Processor time of one command; all hosts share one processor."""
+
+        self._seed = seed
         self.disk_by_name = {f"c{n}": SlowDisk(clock) for n in range(count)}
+        self._start()
+
+    def _start(self):
         storages = {name: ReplicaStorage(disk) for name, disk in self.disk_by_name.items()}
         ids = {
             name: each.load_or_create_identity(name).replica_id for name, each in storages.items()
@@ -74,18 +83,24 @@
                 replica_id=ids[name],
                 initial_membership=membership,
                 storage=storage,
-                state_machine=_Counter(),
+                state_machine=_Counter(self),
                 transport=_Transport(self, name),
                 address_by_host={},
-                clock=clock,
+                clock=self.clock,
                 timing=TIMING,
-                rng=random.Random(f"{seed}-{name}"),
+                rng=random.Random(f"{self._seed}-{name}"),
             )
             for name, storage in storages.items()
         }
         for service in self.service_by_name.values():
             service.start()
 
+    def restart(self):
+        """End all hosts at once, and start them with their disks."""
+        for service in self.service_by_name.values():
+            service.stop()
+        self._start()
+
     def leader_name(self):
         """Return the name of the leader that can serve, or None."""
         for name, service in self.service_by_name.items():
--- /dev/null
+++ b/tests/replication/test_long_backlog.py
@@ -0,0 +1,89 @@
+"""A replica that has much to apply goes on with its heartbeats and replies meanwhile."""
+
+import itertools
+
+import eventlet
+import pytest
+
+from savoryshelf.replication import service
+
+from .group import TIMING
+from .service_group import running_services
+
+COMMANDS = 4000
+APPLY_SECONDS = 0.0002
+"""All of them take longer than a leader may go without a majority."""
+
+APPLIED_IN = 3 * 5 * COMMANDS * APPLY_SECONDS
+"""Five hosts on one processor, and as long again for an election and for what else they do."""
+
+
+@pytest.fixture(name="events")
+def logged_events(monkeypatch):
+    events = []
+    monkeypatch.setattr(service, "log_event", lambda event, **fields: events.append(event))
+    return events
+
+
+def longest_pause(times):
+    """Return the longest time between two of these."""
+    return max(later - earlier for earlier, later in itertools.pairwise(times))
+
+
+def watched_ticks(monkeypatch, group):
+    """Return the times of the ticks of each replica from now on, by host name."""
+    times_by_name = {name: [] for name in group.service_by_name}
+    for name, each in group.service_by_name.items():
+
+        def tick(now, name=name, original=each.core.tick):
+            times_by_name[name].append(now)
+            original(now)
+
+        monkeypatch.setattr(each.core, "tick", tick)
+    return times_by_name
+
+
+def committed_group(group):
+    """Commit the commands, so that all disks hold them."""
+    leader = group.leader_name()
+    for _ in range(COMMANDS):
+        group.propose(leader)
+    group.clock.sleep(5.0)
+
+
+# Guards against CONFIG and RECOVER by leaders that apply a log at one go, and lose their office.
+@pytest.mark.parametrize("seed", range(8))
+def test_the_first_leader_after_a_restart_stays(monkeypatch, events, seed):
+    with running_services(count=5, seed=seed) as group:
+        committed_group(group)
+        group.restart()
+        group.apply_seconds = APPLY_SECONDS
+        times_by_name = watched_ticks(monkeypatch, group)
+        began_at = group.clock.monotonic()
+        events.clear()
+        while group.clock.monotonic() < began_at + APPLIED_IN:
+            group.clock.sleep(0.01)
+        assert "replica:leadership_ended" not in events
+        assert [each.state_machine.count for each in group.service_by_name.values()] == (
+            [COMMANDS] * 5
+        )
+        assert max(map(longest_pause, times_by_name.values())) < TIMING.heartbeat_interval
+
+
+# Guards against a read that is answered from a state which lacks what was committed before it.
+def test_a_read_waits_until_all_that_was_committed_before_is_applied():
+    with running_services(count=3) as group:
+        committed_group(group)
+        group.restart()
+        group.apply_seconds = APPLY_SECONDS
+        while not (leaders := [each for each in group.service_by_name.values() if each.is_leader]):
+            group.clock.sleep(0.01)
+        leader, counts = leaders[0], []
+
+        def read():
+            leader.confirm_leadership()
+            counts.append(leader.state_machine.count)
+
+        eventlet.spawn(read)
+        group.clock.sleep(10.0)
+        assert counts == [COMMANDS]
