The log names what a process did while it stood still

`stood_still_in` names the longest activities of the longest standstill in `replica:leadership_ended` and `replica:campaigns`, and `process:stood_still` each 5 s at most the longest standstill of 0.2 s and more.

Without the watch the two new tests fail: the lines and fields are new.

--- a/src/savoryshelf/replication/delays.py
+++ b/src/savoryshelf/replication/delays.py
@@ -6,6 +6,8 @@
 import attrs
 
 from ..clock import Clock
+from ..observability.logs import log_event
+from .activities import LongTurns
 
 CHECK_SECONDS = 0.05
 """Length of the timer that shows whether the green threads of this process run on time."""
@@ -16,6 +18,12 @@
 KEPT_SECONDS = 5.0
 """How long a delay is kept; contact is lost after two election timeouts at most."""
 
+LOGGED_STANDSTILL_SECONDS = 0.2
+"""Standstills of this length are logged: no heartbeat was sent for longer than its interval."""
+
+LOG_INTERVAL_SECONDS = 5.0
+"""Shortest time between two such lines; the second tells the longest standstill since."""
+
 
 @attrs.frozen
 class Delay:
@@ -29,6 +37,8 @@
     ended_at: float
     seconds: float
     processor_seconds: float = 0.0
+    seconds_by_activity: dict[str, float] = attrs.field(factory=dict)
+    """What the process did meanwhile, as far as it ran."""
 
 
 NO_DELAY = Delay(float("-inf"), 0.0)
@@ -60,16 +70,35 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._recent = RecentDelays()
+        self._turns = LongTurns(clock)
+        self._unlogged = NO_DELAY
+        self._logged_at = float("-inf")
         self._due_at = clock.monotonic() + CHECK_SECONDS
         self._processor_at = time.thread_time()
 
     def run(self) -> None:
         """Look for standstills, without end; to be called in a green thread of its own."""
-        while True:
-            self._due_at = self._clock.monotonic() + CHECK_SECONDS
-            self._processor_at = time.thread_time()
-            self._clock.sleep(CHECK_SECONDS)
-            self._recent.record(self._current(self._clock.monotonic()))
+        with self._turns.watched():
+            while True:
+                self._due_at = self._clock.monotonic() + CHECK_SECONDS
+                self._processor_at = time.thread_time()
+                self._clock.sleep(CHECK_SECONDS)
+                delay = self._current(self._clock.monotonic())
+                self._recent.record(delay)
+                self._log_if_long(delay)
+
+    def _log_if_long(self, delay: Delay) -> None:
+        if delay.seconds >= LOGGED_STANDSTILL_SECONDS and delay.seconds > self._unlogged.seconds:
+            self._unlogged = delay
+        now, longest = self._clock.monotonic(), self._unlogged
+        if longest.seconds and now - self._logged_at >= LOG_INTERVAL_SECONDS:
+            self._unlogged, self._logged_at = NO_DELAY, now
+            log_event(
+                "process:stood_still", seconds=round(longest.seconds, 3),
+                processor_s=round(longest.processor_seconds, 3),
+                seconds_ago=round(now - longest.ended_at, 3),
+                activities=longest.seconds_by_activity,
+            )  # fmt: skip
 
     def longest(self, now: float) -> Delay:
         """Return the longest standstill of the last seconds, also if it has ended just now."""
@@ -77,4 +106,8 @@
 
     def _current(self, now: float) -> Delay:
         processor_seconds = time.thread_time() - self._processor_at
-        return Delay(now, max(0.0, now - self._due_at), processor_seconds)
+        seconds = max(0.0, now - self._due_at)
+        if seconds < MIN_DELAY_SECONDS:
+            return Delay(now, seconds, processor_seconds)
+        activities = self._turns.seconds_by_activity(self._due_at)
+        return Delay(now, seconds, processor_seconds, activities)
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -247,7 +247,7 @@
             log_event("replica:campaigns", term=core.term + 1, **contact, **self._recent_delays())
         self._was_first_campaign = core.is_first_campaign
 
-    def _recent_delays(self) -> dict[str, float]:
+    def _recent_delays(self) -> dict:
         """Return what this host was kept waiting by in the last seconds, for a log line."""
         now = self._clock.monotonic()
         standstill, sync = self._standstills.longest(now), self._syncs.longest(now)
@@ -261,7 +261,10 @@
         if self._last_sync is not None:
             delays["last_sync_s"] = self._last_sync.seconds
             delays["last_sync_s_ago"] = now - self._last_sync.ended_at
-        return {key: round(seconds, 3) for key, seconds in delays.items()}
+        rounded = {key: round(seconds, 3) for key, seconds in delays.items()}
+        if standstill.seconds_by_activity:
+            rounded["stood_still_in"] = standstill.seconds_by_activity
+        return rounded
 
     @contextlib.contextmanager
     def _measured_sync(self):
--- a/tests/replication/test_lost_contact.py
+++ b/tests/replication/test_lost_contact.py
@@ -5,7 +5,14 @@
 import pytest
 
 from savoryshelf.replication import delays, service
-from savoryshelf.replication.delays import KEPT_SECONDS, Delay, RecentDelays, StandstillWatch
+from savoryshelf.replication.delays import (
+    KEPT_SECONDS,
+    LOG_INTERVAL_SECONDS,
+    LOGGED_STANDSTILL_SECONDS,
+    Delay,
+    RecentDelays,
+    StandstillWatch,
+)
 
 from ..virtual_time import virtual_time
 from .group import TIMING
@@ -126,3 +133,36 @@
     assert recent.longest(10.0 + KEPT_SECONDS).seconds == 3.0
     assert recent.longest(10.1 + KEPT_SECONDS).seconds == 2.0
     assert recent.longest(14.0 + KEPT_SECONDS).seconds == 0.0
+
+
+# Guards against a standstill of which no line tells what the process was doing.
+def test_a_process_that_stood_still_names_what_kept_it_and_writes_few_lines(monkeypatch):
+    lines = []
+    monkeypatch.setattr(delays, "log_event", lambda event, **fields: lines.append((event, fields)))
+    with running_services(count=1) as group:
+        group.clock.sleep(LOG_INTERVAL_SECONDS)
+        assert lines == []
+        group.apply_seconds = STALL_SECONDS
+        group.propose("c0")
+        group.clock.sleep(1.0)
+        stood_still = fields_of(lines, "process:stood_still")
+        assert stood_still["seconds"] == pytest.approx(STALL_SECONDS, abs=0.1)
+        (activity, seconds), *_ = stood_still["activities"].items()
+        assert activity.startswith("ReplicaService._run")
+        assert seconds == pytest.approx(STALL_SECONDS, abs=0.1)
+        group.apply_seconds = 2 * LOGGED_STANDSTILL_SECONDS
+        began_at = group.clock.monotonic()
+        while group.clock.monotonic() < began_at + 4 * LOG_INTERVAL_SECONDS:
+            group.propose("c0")
+            group.clock.sleep(0.1)
+        assert 4 <= len(lines) <= 6
+
+
+def test_a_leader_that_ends_names_what_kept_it(lines):
+    with running_services() as group:
+        lines.clear()
+        group.apply_seconds = STALL_SECONDS
+        group.propose(group.leader_name())
+        group.clock.sleep(3.0)
+    ended = fields_of(lines, "replica:leadership_ended")
+    assert next(iter(ended["stood_still_in"])).startswith("ReplicaService._run")
