--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -247,7 +247,7 @@
             log_event("replica:campaigns", term=core.term + 1, **contact, **self._recent_delays())
         self._was_first_campaign = core.is_first_campaign
 
-    def _recent_delays(self) -> dict[str, float]:
+    def _recent_delays(self) -> dict:
         """Return what this host was kept waiting by in the last seconds, for a log line."""
         now = self._clock.monotonic()
         standstill, sync = self._standstills.longest(now), self._syncs.longest(now)
@@ -261,7 +261,10 @@
         if self._last_sync is not None:
             delays["last_sync_s"] = self._last_sync.seconds
             delays["last_sync_s_ago"] = now - self._last_sync.ended_at
-        return {key: round(seconds, 3) for key, seconds in delays.items()}
+        rounded = {key: round(seconds, 3) for key, seconds in delays.items()}
+        if standstill.seconds_by_activity:
+            rounded["stood_still_in"] = standstill.seconds_by_activity
+        return rounded
 
     @contextlib.contextmanager
     def _measured_sync(self):
@@ -272,14 +275,20 @@
         self._syncs.record(self._last_sync)
 
     def _process_all_ready(self) -> None:
+        """Do what is due; messages and ticks go before entries that are left to be applied."""
         while not (ready := self.core.take_ready()).is_empty():
             self._process_ready(ready)
+            if self.core.has_more_committed:
+                return
 
     def _take_mailbox_batch(self) -> list:
-        try:
-            events = [self._mailbox.get(timeout=TICK_SECONDS)]
-        except Empty:
-            return []
+        events = []
+        if self.core.has_more_committed:
+            # Lets messages in.
+            eventlet.sleep()
+        else:
+            with contextlib.suppress(Empty):
+                events.append(self._mailbox.get(timeout=TICK_SECONDS))
         while len(events) < MAX_MAILBOX_BATCH and not self._mailbox.empty():
             events.append(self._mailbox.get_nowait())
         return events
