An election that fails says who granted, who refused and why, and who did not answer

The cause, a class of fault: a refusal had no reason, and a voter in contact with its leader, or a leader, sent no reply at all, so that it looked like a link that is cut.

Now each vote request is answered, with a reason if it is refused (VoteReply.why, an optional field), and a candidate logs replica:election_failed when its next campaign begins and it has heard of no leader: term, vote or pre-vote, granted, refused with reasons, unanswered, and whom it yielded to; once for each change, not for each campaign. replica:leadership_ended has in `heard` the message that told of a later term, and its sender.

A refusal of a voter in an earlier term is recorded and otherwise ignored as before; one in a later term lets the candidate campaign in the term after it, as other refusals did.

A test was changed: "a replica in contact with its leader ignores vote requests" demanded that nothing is sent. In its place: it grants nothing, keeps term and vote, writes nothing, and its one reply refuses in its own term.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -227,8 +227,8 @@
     Mutant(
         "of two pre-candidates at once one yields, so that they do not split the votes",
         _CORE,
-        "granted = not self._has_precedence_over(message, request)",
-        "pass",
+        "if self._has_precedence_over(message, request):",
+        "if False:",
         "tests/replication/test_elections.py",
     ),
     Mutant(
@@ -248,8 +248,8 @@
     Mutant(
         "a replica votes at most once per term",
         _CORE,
-        'return message.term == self.term and self.voted_for in ("", message.sender)',
-        "return message.term == self.term",
+        'if self.voted_for in ("", message.sender):',
+        "if True:",
         REPLICATION,
     ),
     Mutant(
@@ -262,10 +262,26 @@
     Mutant(
         "a replica in recent contact with its leader ignores campaigns",
         _CORE,
-        "if has_recent_leader or self.role is Role.LEADER:",
-        "if False:",
+        """if self._now - self._last_leader_contact_at < self.timing.election_timeout:
+            return""",
+        """if False:
+            return""",
         REPLICATION,
     ),
+    Mutant(
+        "a leader refuses campaigns",
+        _CORE,
+        "if self.role is Role.LEADER:\n            return",
+        "if False:\n            return",
+        "tests/replication/test_failed_elections.py",
+    ),
+    Mutant(
+        "a candidate learns why a voter in an earlier term refuses",
+        _CORE,
+        'if kind == "vote_reply" and not payload.granted:',
+        'if kind == "vote_reply" and not payload.granted and message.term >= self.term:',
+        "tests/replication/test_failed_elections.py",
+    ),
     Mutant(
         "a campaign starts with a pre-vote, which does not raise the term",
         _CORE,
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -33,12 +33,13 @@
     find_member,
     is_quorum,
     is_single_step,
+    voter_ids,
     with_learner,
     with_promoted_learner,
     without_member,
 )
 from .snapshot_transfer import IncomingSnapshot, next_chunk
-from .types import EndedLeadership, NotLeading, Ready, RecoveredState, Role, Timing
+from .types import Election, EndedLeadership, NotLeading, Ready, RecoveredState, Role, Timing
 
 FIRST_RETRY_FACTOR = 0.3
 """A first campaign that fails is repeated after this share of the usual time.
@@ -105,6 +106,9 @@
         self.ended_leadership: EndedLeadership | None = None
         """The latest leadership of this replica that has ended."""
 
+        self.failed_election: Election | None = None
+        """The latest election that this replica lost, if it has heard of no leader since."""
+
         self._rng = rng
         self._now = now
         self._ticked_at = float("inf")
@@ -114,7 +118,9 @@
         """When this replica went on after it had stood still for over a heartbeat interval."""
 
         self._last_leader_contact_at = float("-inf")
-        self._votes: set[str] = set()
+        self._election: Election | None = None
+        """The latest election in which this replica stood, if it has heard of no leader since."""
+
         self._campaigns = 0
         """Campaigns since the last contact with a leader."""
 
@@ -193,8 +199,10 @@
             return
         # A granted pre-vote carries the term of the proposed election, which
         # this replica has not entered; ``_on_vote_reply`` handles a rejected one.
+        if kind == "vote_reply" and not payload.granted:
+            self._record_refusal(message.sender, payload)
         if message.term > self.term and not (kind == "vote_reply" and payload.pre_vote):
-            self._become_follower(message.term, None)
+            self._become_follower(message.term, None, heard=f"{kind} of {message.sender}")
         if message.term < self.term:
             self._reject_stale(message, kind)
             return
@@ -372,6 +380,7 @@
 
     def _campaign(self, pre_vote: bool) -> None:
         if pre_vote:
+            self.failed_election = self._election
             self.role = Role.PRE_CANDIDATE
             self._campaign_began_at = self._now
             term = self.term + 1
@@ -380,16 +389,16 @@
             self._set_hard_state(self.term + 1, self.replica_id)
             term = self.term
         self.leader_id = None
-        self._votes = {self.replica_id}
+        others = [each for each in voter_ids(self.log.membership) if each != self.replica_id]
+        self._election = Election(term, pre_vote, {self.replica_id}, set(others))
         self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**self._campaigns))
         self._campaigns += pre_vote
-        if is_quorum(self.log.membership, self._votes):
+        if is_quorum(self.log.membership, self._election.granted):
             self._handle_won_vote()
             return
         request = VoteRequest(self.log.last_index, self.log.last_term, pre_vote)
-        for member in self.log.membership.members:
-            if member.voter and member.replica_id != self.replica_id:
-                self._send(member.replica_id, term, vote_request=request)
+        for voter in others:
+            self._send(voter, term, vote_request=request)
 
     def _handle_won_vote(self) -> None:
         if self.role is Role.PRE_CANDIDATE:
@@ -398,37 +407,52 @@
             self._become_leader()
 
     def _on_vote_request(self, message: RaftMessage, request: VoteRequest) -> None:
-        # A replica in contact with its leader ignores vote requests, so that a
-        # replica which returns from a network partition cannot depose a leader
-        # that serves a majority.
-        has_recent_leader = self._now - self._last_leader_contact_at < self.timing.election_timeout
-        if has_recent_leader or self.role is Role.LEADER:
-            return
-        if message.term > self.term and not request.pre_vote:
-            self._become_follower(message.term, None)
-        granted = self._should_grant_vote(message, request)
-        if granted and request.pre_vote and self.role is Role.PRE_CANDIDATE:
-            granted = not self._has_precedence_over(message, request)
-            if granted:
+        why = self._reason_to_ignore(message, request)
+        if not why and message.term > self.term and not request.pre_vote:
+            self._become_follower(message.term, None, heard=f"vote_request of {message.sender}")
+        why = why or self._reason_to_refuse(message, request)
+        if not why and request.pre_vote and self.role is Role.PRE_CANDIDATE:
+            if self._has_precedence_over(message, request):
+                why = "campaigns itself"
+            else:
                 # Keeps its deadline, so it campaigns again soon if the other one fails.
                 self.role = Role.FOLLOWER
+                self._election.yielded_to = message.sender
+        granted = not why
         if granted and not request.pre_vote:
             self._set_hard_state(self.term, message.sender)
             self._reset_election_deadline()
         term = message.term if granted else self.term
-        self._send(message.sender, term, vote_reply=VoteReply(granted, request.pre_vote))
+        reply = VoteReply(granted, request.pre_vote, why or None)
+        self._send(message.sender, term, vote_reply=reply)
 
-    def _should_grant_vote(self, message: RaftMessage, request: VoteRequest) -> bool:
+    def _reason_to_ignore(self, message: RaftMessage, request: VoteRequest) -> str:
+        """Return why a vote request changes nothing here, not even the term; empty if it may."""
+        # A replica in contact with its leader ignores vote requests, so that a
+        # replica which returns from a network partition cannot depose a leader
+        # that serves a majority.
+        if self.role is Role.LEADER:
+            return "leads"
+        if self._now - self._last_leader_contact_at < self.timing.election_timeout:
+            return f"in contact with the leader {self.previous_leader_id}"
+        return ""
+
+    def _reason_to_refuse(self, message: RaftMessage, request: VoteRequest) -> str:
+        """Return why this replica does not vote for the sender; empty if it does."""
         if not self.log.membership.members:
             # This disk has not received a log yet.  Its vote could elect a
             # leader that lacks entries which the lost disk had acknowledged.
-            return False
+            return "has not received the log"
         candidate_log = (request.last_term, request.last_index)
         if candidate_log < (self.log.last_term, self.log.last_index):
-            return False
+            return "holds a later log"
         if request.pre_vote:
-            return message.term > self.term
-        return message.term == self.term and self.voted_for in ("", message.sender)
+            return "" if message.term > self.term else "is in a later term"
+        if message.term != self.term:
+            return "is in a later term"
+        if self.voted_for in ("", message.sender):
+            return ""
+        return f"has voted for {self.voted_for}"
 
     def _has_precedence_over(self, message: RaftMessage, request: VoteRequest) -> bool:
         """Return whether this pre-candidate goes on, and the sender of a pre-vote request yields.
@@ -444,27 +468,35 @@
             and lasted < FIRST_RETRY_FACTOR * self.timing.election_timeout
         )
 
+    def _record_refusal(self, voter: str, reply: VoteReply) -> None:
+        election = self._election
+        if election is not None and election.pre_vote == reply.pre_vote and voter in election.asked:
+            election.why_by_refuser[voter] = reply.why or "no reason given"
+
     def _on_vote_reply(self, message: RaftMessage, reply: VoteReply) -> None:
         if reply.pre_vote and not reply.granted:
             if message.term > self.term:
                 # Keeps its deadline: the next campaign, in the later term, is due soon.
                 deadline = self._deadline
-                self._become_follower(message.term, None)
+                self._become_follower(message.term, None, heard=f"vote_reply of {message.sender}")
                 self._deadline = deadline
             return
         expected_role = Role.PRE_CANDIDATE if reply.pre_vote else Role.CANDIDATE
         is_expected_term = message.term == self.term + (1 if reply.pre_vote else 0)
         if self.role is not expected_role or not is_expected_term or not reply.granted:
             return
-        self._votes.add(message.sender)
-        if is_quorum(self.log.membership, self._votes):
+        self._election.granted.add(message.sender)
+        if is_quorum(self.log.membership, self._election.granted):
             self._handle_won_vote()
 
-    def _become_follower(self, term: int, leader_id: str | None, why: str = "") -> None:
+    def _become_follower(
+        self, term: int, leader_id: str | None, why: str = "", heard: str = ""
+    ) -> None:
+        """Follow the leader, if one is known; ``heard`` is the message that told of the term."""
         if self.leader_state is not None:
-            why = why or f"term {term} has begun"
-            membership = self.log.membership
-            self.ended_leadership = self.leader_state.ended(self.term, why, self._now, membership)
+            self.ended_leadership = self.leader_state.ended(
+                self.term, why or f"term {term} has begun", heard, self._now, self.log.membership
+            )
         if term > self.term:
             self._set_hard_state(term, "")
         if self.role is not Role.FOLLOWER:
@@ -476,6 +508,7 @@
     def _become_leader(self) -> None:
         self.role = Role.LEADER
         self.leader_id = self.replica_id
+        self._election = self.failed_election = None
         self.leader_state = LeaderState(self._now, self.log.last_index + 1)
         self._update_progress()
         self._append(EntryKind.NOOP, b"")
@@ -728,6 +761,7 @@
         self._become_follower(message.term, message.sender)
         self.previous_leader_id = message.sender
         self._campaigns = 0
+        self._election = self.failed_election = None
         self._last_leader_contact_at = self._now
         self._reset_election_deadline()
 
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -134,7 +134,9 @@
         contact_at_by_id[replica_id] = now
         return quorum_value(membership, contact_at_by_id)
 
-    def ended(self, term: int, why: str, now: float, membership: Membership) -> EndedLeadership:
+    def ended(
+        self, term: int, why: str, heard: str, now: float, membership: Membership
+    ) -> EndedLeadership:
         """Return the record of this leadership, which ends now."""
         progress_by_id = {
             voter: self.progress_by_id[voter]
@@ -146,6 +148,7 @@
             why,
             {key: now - max(p.contact_at, self.elected_at) for key, p in progress_by_id.items()},
             {key: now - p.acked_at for key, p in progress_by_id.items()},
+            heard,
         )
 
     def take_confirmed_reads(self, replica_id: str, membership: Membership) -> list[int]:
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -133,6 +133,9 @@
         self._last_sync: Delay | None = None
         self._logged_leadership: EndedLeadership | None = None
         self._was_first_campaign = False
+        self._logged_refusals: dict | None = None
+        """What was logged last of a failed election, since a leader was heard."""
+
         self._thread = None
         self._watch_thread = None
 
@@ -240,12 +243,33 @@
                 "replica:leadership_ended", term=ended.term, why=ended.why,
                 contact_s=_rounded_by_host(ended.contact_ages),
                 reply_s=_rounded_by_host(ended.reply_ages), **self._recent_delays(),
+                **({"heard": ended.heard} if ended.heard else {}),
             )  # fmt: skip
         if core.is_first_campaign and not self._was_first_campaign:
             contact_age = core.seconds_since_leader_contact(core.now)
             contact = {} if math.isinf(contact_age) else {"leader_contact_s": round(contact_age, 2)}
             log_event("replica:campaigns", term=core.term + 1, **contact, **self._recent_delays())
         self._was_first_campaign = core.is_first_campaign
+        self._log_failed_election()
+
+    def _log_failed_election(self) -> None:
+        """Log who did not vote for this replica, once for each change while no leader is heard."""
+        election = self.core.failed_election
+        if election is None:
+            self._logged_refusals = None
+            return
+        refusals = {host_name(key): why for key, why in election.refusals.items()}
+        outcome = {
+            "vote": "pre-vote" if election.pre_vote else "vote",
+            "granted": sorted(host_name(each) for each in election.granted),
+            "refused": dict(sorted(refusals.items())),
+            "unanswered": sorted(host_name(each) for each in election.unanswered),
+        }
+        if election.yielded_to:
+            outcome["yielded_to"] = host_name(election.yielded_to)
+        if outcome != self._logged_refusals:
+            self._logged_refusals = outcome
+            log_event("replica:election_failed", term=election.term, **outcome)
 
     def _recent_delays(self) -> dict[str, float]:
         """Return what this host was kept waiting by in the last seconds, for a log line."""
--- a/src/savoryshelf/replication/types.py
+++ b/src/savoryshelf/replication/types.py
@@ -46,6 +46,32 @@
     reply_ages: dict[str, float]
     """Since the leader read that reply."""
 
+    heard: str = ""
+    """Kind and sender of the message that told of a later term, if one did."""
+
+
+@attrs.define
+class Election:
+    """An election in which this replica stands, as far as voters have answered."""
+
+    term: int
+    pre_vote: bool
+    granted: set[str]
+    asked: set[str]
+    why_by_refuser: dict[str, str] = attrs.field(factory=dict)
+    yielded_to: str = ""
+    """The other candidate that this replica has granted a pre-vote meanwhile."""
+
+    @property
+    def refusals(self) -> dict[str, str]:
+        """Return why voters refused that have not granted their vote since."""
+        return {k: why for k, why in self.why_by_refuser.items() if k not in self.granted}
+
+    @property
+    def unanswered(self) -> set[str]:
+        """Return the voters that have not answered."""
+        return self.asked - self.granted - self.why_by_refuser.keys()
+
 
 @attrs.define
 class RecoveredState:
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -25,7 +25,8 @@
 /** Requests a vote; a pre-vote (`pre_vote`) changes no member's term. */
 struct VoteRequest { 1: i64 last_index, 2: i64 last_term, 3: bool pre_vote }
 
-struct VoteReply { 1: bool granted, 2: bool pre_vote }
+/** `why` tells why a vote was refused; hosts of earlier versions do not set it. */
+struct VoteReply { 1: bool granted, 2: bool pre_vote, 3: optional string why }
 
 /** Replicates log entries; without entries it is a heartbeat. `round` counts the leader's heartbeats. */
 struct AppendRequest {
--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -36,7 +36,8 @@
         self._group, self._name = group, name
 
     def send(self, address, message):
-        if not {self._name, address} & self._group.cut_off:
+        is_cut = (self._name, address) in self._group.cut_links
+        if not is_cut and not {self._name, address} & self._group.cut_off:
             eventlet.spawn_after(DELAY_SECONDS, self._group.deliver, address, message)
 
 
@@ -58,11 +59,15 @@
 
 
 class ServiceGroup:
-    """Running replicas by name; those in ``cut_off`` neither send nor receive."""
+    """Running replicas by name; those in ``cut_off`` neither send nor receive.
+
+    ``cut_links`` has pairs of a sender and a recipient whom its messages do not reach.
+    """
 
     def __init__(self, clock, count=3, seed=0):
         self.clock = clock
         self.cut_off: set[str] = set()
+        self.cut_links: set[tuple[str, str]] = set()
         self.disk_by_name = {f"c{n}": SlowDisk(clock) for n in range(count)}
         storages = {name: ReplicaStorage(disk) for name, disk in self.disk_by_name.items()}
         ids = {
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -296,7 +296,7 @@
     assert granted == [True, False, True]
 
 
-def test_a_replica_in_contact_with_its_leader_ignores_vote_requests():
+def test_a_replica_in_contact_with_its_leader_refuses_vote_requests_and_stays_in_its_term():
     group = group_with_leader()
     leader = group.leader()
     follower, other = (h for h in group.host_by_name.values() if not h.is_leader)
@@ -306,7 +306,11 @@
     )
     follower.core.receive(vote_message, group.now)
     assert follower.core.term == leader.core.term
-    assert follower.core.take_ready().messages == []
+    assert follower.core.voted_for != other.replica_id
+    ready = follower.core.take_ready()
+    assert ready.record is None
+    assert [m.term for m in ready.messages] == [leader.core.term]
+    assert [m.payload.vote_reply.granted for m in ready.messages] == [False]
 
 
 def test_a_reply_is_sent_only_after_the_entries_it_acknowledges_are_written():
--- a/tests/replication/test_lost_contact.py
+++ b/tests/replication/test_lost_contact.py
@@ -6,6 +6,7 @@
 
 from savoryshelf.replication import delays, service
 from savoryshelf.replication.delays import KEPT_SECONDS, Delay, RecentDelays, StandstillWatch
+from savoryshelf.wire.generated.ttypes import AppendReply, RaftMessage, RaftPayload
 
 from ..virtual_time import virtual_time
 from .group import TIMING
@@ -95,6 +96,18 @@
     assert ended["why"] == f"term {term + 1} has begun"
 
 
+def test_a_leader_that_hears_of_a_later_term_logs_from_whom(lines):
+    with running_services() as group:
+        lines.clear()
+        name = group.leader_name()
+        leader, other = group.service_by_name[name].core, sorted({"c0", "c1", "c2"} - {name})[0]
+        sender = group.service_by_name[other].core.replica_id
+        payload = RaftPayload(append_reply=AppendReply(False, 0, 0))
+        group.deliver(name, RaftMessage(sender, leader.replica_id, leader.term + 1, payload, 0))
+        group.clock.sleep(0.1)
+    assert fields_of(lines, "replica:leadership_ended")["heard"] == f"append_reply of {sender}"
+
+
 def test_a_voter_that_misses_its_leader_logs_only_the_first_of_its_campaigns(lines):
     with running_services() as group:
         lines.clear()
