A voter that has just started grants no vote while a leader it has heard may still answer callers

What callers could see: two leaders that both answer, one of them from an older state, for up to one election timeout. The cause, a class of fault: a promise that is kept in memory alone. A leader answers by contact for one election timeout after it sent what a voter has replied to; the voter keeps that promise by refusing votes for as long after it heard the leader, and forgot it at its restart.

A voter with a term on its disk now refuses (and changes no term) before one election timeout after its program began: whatever answered the leader had ended by then. platform/run.py already hands over when that was; the host passes it on as an age, since the product's clock includes suspensions and that one does not. A voter without a term has answered no leader. The other interface counts from the creation of the replica, which is later, so safe.

Where else: the vote itself and the term are synced; permission of agents and leases of workers restart at zero.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -268,6 +268,20 @@
             return""",
         REPLICATION,
     ),
+    Mutant(
+        "a voter that has just started elects nobody while a leader it has heard may still answer",
+        _CORE,
+        "if self._now < self._votes_from:",
+        "if False:",
+        "tests/replication/test_elections.py",
+    ),
+    Mutant(
+        "a voter counts the time without a vote from when its program began",
+        "dispatch/host.py",
+        "began_at=self._started_at - program_age_seconds,",
+        "began_at=self._started_at,",
+        "tests/dispatch/test_joining.py",
+    ),
     Mutant(
         "a leader refuses campaigns",
         _CORE,
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -95,9 +95,14 @@
 
 
 class TaskControlHost:
-    """One control host: its replica, its agent, and the leader's work while it leads."""
+    """One control host: its replica, its agent, and the leader's work while it leads.
 
-    def __init__(self, settings: TaskControlSettings, worker_api: WorkerApi):
+    ``program_age_seconds`` is for how long its program has run: imports may take seconds.
+    """
+
+    def __init__(
+        self, settings: TaskControlSettings, worker_api: WorkerApi, program_age_seconds: float = 0.0
+    ):
         self._settings = settings
         self._term: LeaderTerm | None = None
         self._leader_client: PeerClient | None = None
@@ -129,6 +134,7 @@
             rng=random.Random(),
             # Agents start runs once they know that the intents are committed.
             announces_commits=True,
+            began_at=self._started_at - program_age_seconds,
         )
         self.agent = Agent(
             self.replica,
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -79,7 +79,8 @@
 class Replica:
     """One Raft replica: a member of a control group, or a host that is waiting to be added.
 
-    ``shard`` is the number of the control group.
+    ``shard`` is the number of the control group.  ``began_at`` is when the program that runs this
+    replica began: whatever ran it before had ended by then.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         rng: random.Random,
         now: float,
         shard: int = 0,
+        began_at: float | None = None,
     ):
         self.replica_id = replica_id
         self.shard = shard
@@ -118,6 +120,14 @@
         """When this replica went on after it had stood still for over a heartbeat interval."""
 
         self._last_leader_contact_at = float("-inf")
+        self._votes_from = float("-inf")
+        """When a leader that this replica heard of before it was started has no contact any more.
+
+        A replica without a term on its disk has answered none.
+        """
+
+        if recovered.term:
+            self._votes_from = (now if began_at is None else began_at) + timing.election_timeout
         self._election: Election | None = None
         """The latest election in which this replica stood, if it has heard of no leader since."""
 
@@ -435,6 +445,9 @@
             return "leads"
         if self._now - self._last_leader_contact_at < self.timing.election_timeout:
             return f"in contact with the leader {self.previous_leader_id}"
+        if self._now < self._votes_from:
+            # It may have heard a leader just before it was started.
+            return "has just started"
         return ""
 
     def _reason_to_refuse(self, message: RaftMessage, request: VoteRequest) -> str:
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -95,7 +95,10 @@
 
 
 class ReplicaService:
-    """Runs one replica of a control group in this process."""
+    """Runs one replica of a control group in this process.
+
+    ``began_at`` is when this program began on the clock, if that is known.
+    """
 
     def __init__(
         self,
@@ -110,10 +113,17 @@
         rng: random.Random,
         snapshot_every: int = SNAPSHOT_INTERVAL_ENTRIES,
         announces_commits: bool = False,
+        began_at: float | None = None,
     ):
         recovered = storage.recover()
         self.core = Replica(
-            replica_id, initial_membership, recovered, timing, rng, clock.monotonic()
+            replica_id,
+            initial_membership,
+            recovered,
+            timing,
+            rng,
+            clock.monotonic(),
+            began_at=began_at,
         )
         self.state_machine = state_machine
         if recovered.snapshot:
--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -5,12 +5,14 @@
 import eventlet
 import pytest
 
+from savoryshelf.disk import LocalDisk
 from savoryshelf.dispatch import joining
 from savoryshelf.dispatch.handler import TaskControlHandler
 from savoryshelf.dispatch.host import TaskControlHost, TaskControlSettings
 from savoryshelf.dispatch.leader_term import DispatchSettings
 from savoryshelf.errors import PeerUnreachable
 from savoryshelf.replication.log import RaftLog
+from savoryshelf.replication.storage import ReplicaStorage
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import (
     Member,
@@ -18,6 +20,7 @@
     RaftMessage,
     RaftPayload,
     VoteRequest,
+    WalRecord,
 )
 
 from ..loop_time import counting_loop_time
@@ -61,17 +64,28 @@
 
 @pytest.fixture
 def make_host(tmp_path):
-    def make(seed_ips):
+    def make(seed_ips, **options):
         settings = TaskControlSettings(
             ip=OWN_IP, peer_port=PORT, failure_domain="north-a", seed_ips=seed_ips,
             is_first_start=False, data_folder=str(tmp_path), cluster_key="key",
             dispatch=DispatchSettings(lease_ms=6000),
         )  # fmt: skip
-        return TaskControlHost(settings, worker_api=None)
+        return TaskControlHost(settings, worker_api=None, **options)
 
     return make
 
 
+# Guards against a voter that waits out its own imports once more before it may vote.
+def test_a_host_counts_the_time_without_a_vote_from_the_beginning_of_its_program(
+    make_host, tmp_path
+):
+    storage = ReplicaStorage(LocalDisk(str(tmp_path)))
+    storage.load_or_create_identity(OWN_IP)
+    storage.write(WalRecord(3, "", []))
+    host = make_host(["10.0.0.8"], program_age_seconds=0.9)
+    assert host.replica.core._votes_from - host._started_at == pytest.approx(0.1)
+
+
 def seconds_until_accepted(host, peers, limit_seconds):
     with counting_loop_time() as counted:
         thread = eventlet.spawn(host._maintain_membership)
--- a/tests/replication/test_elections.py
+++ b/tests/replication/test_elections.py
@@ -133,3 +133,31 @@
             host.start()
         seconds = seconds_until_led(group)
         assert seconds < MAX_LEADERLESS_SECONDS, f"seed {seed}"
+
+
+def is_answering_by_contact(host, now):
+    """Return whether a leader still answers callers without asking a quorum."""
+    return host.is_leader and host.core.seconds_since_quorum_contact(now) < TIMING.election_timeout
+
+
+# Guards against a voter that forgets at its start whom it has just heard, and elects another leader
+# while the former one still answers callers.
+@pytest.mark.parametrize("start_seconds", [0.0, 0.2, 0.7, 0.95])
+def test_a_voter_that_restarts_elects_no_other_leader_while_the_former_one_answers(start_seconds):
+    for seed in SEEDS:
+        group = Group(3, seed, tick_seconds=0.01)
+        group.run_for(4.0)
+        former = group.leader()
+        restarted, other = (host for host in group.host_by_name.values() if host is not former)
+        group.blocked_links |= {(former.name, other.name), (other.name, former.name)}
+        group.run_for(3.0 + 0.5 * group.rng.random())
+        assert is_answering_by_contact(former, group.now)
+        restarted.core = None
+        group.isolate(former.name)
+        group.run_for(start_seconds)
+        restarted.start()
+        while is_answering_by_contact(former, group.now):
+            assert not other.is_leader, f"seed {seed}"
+            assert not restarted.is_leader, f"seed {seed}"
+            group.run_for(0.01)
+        assert seconds_until_led(group) < MAX_LEADERLESS_SECONDS, f"seed {seed}"
--- a/tests/replication/test_replication_stateful.py
+++ b/tests/replication/test_replication_stateful.py
@@ -13,7 +13,7 @@
 from savoryshelf.replication.types import NotLeading
 from savoryshelf.wire.generated.ttypes import Member
 
-from .group import TICK_SECONDS, Group
+from .group import TICK_SECONDS, TIMING, Group
 
 NAMES = ["c0", "c1", "c2"]
 names = st.sampled_from(NAMES)
@@ -116,6 +116,24 @@
         if self.host(name).core is None:
             self.host(name).start()
 
+    @rule(name=names)
+    def restart_at_once(self, name):
+        self.host(name).core = None
+        self.host(name).start()
+
+    @rule(seconds=st.sampled_from([0.2, 0.5, 0.8]))
+    def restart_the_last_follower_of_a_leader_at_once(self, seconds):
+        leader = self.group.leader()
+        if leader is None:
+            return
+        last, other = (self.host(name) for name in NAMES if name != leader.name)
+        self.group.blocked_links |= {(leader.name, other.name), (other.name, leader.name)}
+        self.group.run_for(3.0)
+        self.group.isolate(leader.name)
+        last.core = None
+        last.start()
+        self.group.run_for(seconds)
+
     def is_fully_replicated(self):
         """Return whether every voter runs on its own disk and holds all committed entries."""
         leader = self.group.leader()
@@ -187,6 +205,13 @@
                 leader_id = self.leader_by_term.setdefault(host.core.term, host.replica_id)
                 assert leader_id == host.replica_id
 
+    @invariant()
+    def no_later_leader_while_one_answers_by_contact(self):
+        leaders = [host for host in self.group.host_by_name.values() if host.is_leader]
+        for host in leaders:
+            if host.core.seconds_since_quorum_contact(self.group.now) < TIMING.election_timeout:
+                assert all(other.core.term <= host.core.term for other in leaders)
+
     @invariant()
     def all_replicas_applied_the_same_commands(self):
         applied = [h.applied for h in self.group.host_by_name.values() if h.core is not None]
