--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -36,7 +36,8 @@
         self._group, self._name = group, name
 
     def send(self, address, message):
-        if not {self._name, address} & self._group.cut_off:
+        is_cut = (self._name, address) in self._group.cut_links
+        if not is_cut and not {self._name, address} & self._group.cut_off:
             eventlet.spawn_after(DELAY_SECONDS, self._group.deliver, address, message)
 
 
@@ -60,7 +61,10 @@
 
 
 class ServiceGroup:
-    """Running replicas by name; those in ``cut_off`` neither send nor receive."""
+    """Running replicas by name; those in ``cut_off`` neither send nor receive.
+
+    ``cut_links`` has pairs of a sender and a recipient whom its messages do not reach.
+    """
 
     def __init__(self, clock, count=3, seed=0):
         self.clock = clock
@@ -68,6 +72,7 @@
         self.apply_seconds = 0.0
         """Processor time of one command; all hosts share one processor."""
 
+        self.cut_links: set[tuple[str, str]] = set()
         self._seed = seed
         self.disk_by_name = {f"c{n}": SlowDisk(clock) for n in range(count)}
         self._start()
