An address is an IP address: names in heartbeats, seeds and settings are refused before any look-up

What callers saw: nothing yet. A heartbeat whose address has a host name was accepted, and each call to that worker looked the name up.

Cause: is_address accepted host names, though the platform has no name lookups. Class of fault: what comes from outside is used in a call that may block for as long as somebody else likes.

Change: is_address accepts IP addresses only; heartbeats, seeds, the process's own ip and the addresses it listens on go through it. A record on disk from before is refused when its connection would be opened.

Looked for elsewhere: peers call each other's ip of the settings (checked now) over authenticated connections; redirects of workers are not followed (retries=False); nothing on the platform calls an address of the cloud's list.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1303,10 +1303,31 @@
     Mutant(
         "the host of a worker can be called",
         _PLATFORM_ADDRESSES,
-        'return port_of(text) is not None and _is_host(text.rpartition(":")[0])',
+        'return port_of(text) is not None and is_ip(text.rpartition(":")[0])',
         "return port_of(text) is not None",
         "tests/platform/test_heartbeats.py",
     ),
+    Mutant(
+        "the address of a worker's record is checked when it is called",
+        _PLATFORM_WORKERS,
+        "if not is_address(incarnation.address):",
+        "if False:",
+        "tests/platform/test_worker_calls.py",
+    ),
+    Mutant(
+        "a process listens on IP addresses only",
+        "../../platform/savoryshelf_platform/settings.py",
+        "if address and not is_address(address):",
+        "if False:",
+        "tests/platform/test_settings.py",
+    ),
+    Mutant(
+        "the address of a process itself is an IP address",
+        "../../platform/savoryshelf_platform/settings.py",
+        "if not is_ip(ip):",
+        "if False:",
+        "tests/platform/test_settings.py",
+    ),
     Mutant(
         "an odd start time in a poll is no other incarnation",
         _PLATFORM_WORKERS,
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -8,9 +8,12 @@
 from .test_decoding import HEARTBEAT, encoded
 
 MAX_MESSAGE_LENGTH = 400
+NAMES = ["w-1.example:80", "w_1:80", "localhost:80", "0x7f.1:80", "10.0.9:80", "167772169:80"]
+"""Hosts that have to be looked up, or are numbers in a form that only some programs read."""
 
 
-# Guards against entries of another writer that no call can be made to.
+# Guards against entries of another writer that no call can be made to, and against look-ups of
+# names, which block the whole process.
 @pytest.mark.parametrize(
     "address",
     [
@@ -18,7 +21,7 @@
         "10.0.0.9:\u0663\u0664", "10.0.0.9:\u00b2", "10.0.0.9:+8", ":80", "a\nb:80", "a b:80",
         "a\x00b:80", "[::1:80", "::1:80", "[10.0.0.9]:80", "[fe80::1%25x]:80", "a..b:80",
         "x" * 64 + ".example:80", "x." * 200 + "x:80", "\u00e9.example:80", "http://x:80", "a/b:80",
-        "300.0.0.1:80", "-a:80", "x" * 10**6,
+        "300.0.0.1:80", "-a:80", "x" * 10**6, *NAMES,
     ],
     ids=lambda address: repr(address[:20]),
 )  # fmt: skip
@@ -30,7 +33,7 @@
 
 @pytest.mark.parametrize(
     "address",
-    ["10.0.0.9:80", "10.0.0.9:65535", "10.0.0.9:1", "[2001:db8::1]:80", "w-1.example:80", "w_1:80"],
+    ["10.0.0.9:80", "10.0.0.9:65535", "10.0.0.9:1", "[2001:db8::1]:80"],
 )
 def test_an_address_that_can_be_called_is_accepted(address):
     assert decode_heartbeat("i-1", encoded(HEARTBEAT, address=address)).record.address == address
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,8 +43,30 @@
 
 # Guards against hosts that follow no list of seeds after one odd entry in it.
 @pytest.mark.parametrize(
-    "seed", [5, None, "", "10.0.0.3:99999", ":80", "a\x00b:80", "é" * 80 + ":80", ["x"], "a\nb:80"]
+    "seed",
+    [
+        5,
+        None,
+        "",
+        "10.0.0.3:99999",
+        ":80",
+        "a\x00b:80",
+        "é" * 80 + ":80",
+        ["x"],
+        "a\nb:80",
+        "localhost:80",
+        "control-1.example:80",
+    ],
 )
 def test_an_odd_seed_is_left_out(seed):
     decoded = decode_settings(json.loads(json.dumps(FIELDS | {"seeds": [seed, *FIELDS["seeds"]]})))
     assert decoded.seed_ips == SEEDS
+
+
+# Guards against a name in place of an address, whose look-up blocks the whole process.
+@pytest.mark.parametrize("name", ["localhost", "host.example", "10.1", ""])
+@pytest.mark.parametrize("place", ["ip", "control", "front", "ready"])
+def test_a_name_in_place_of_an_address_is_refused(place, name):
+    changes = {"ip": name} if place == "ip" else {"listen": {place: f"{name}:80"}}
+    with pytest.raises(InvalidSetting, match=place):
+        decode_settings(copy.deepcopy(FIELDS | changes))
--- a/tests/platform/test_worker_calls.py
+++ b/tests/platform/test_worker_calls.py
@@ -24,7 +24,7 @@
 ODD_ADDRESSES = [
     "127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:" + "9" * 5000, "127.0.0.1:" + "9" * 30,
     "127.0.0.1:\u00b2", "127.0.0.1", ":80", "a\nb:80", "a\x00b:80", "[::1:80",
-    "\u00e9" * 80 + ":80",
+    "\u00e9" * 80 + ":80", "localhost:1",
 ]  # fmt: skip
 REQUEST = StartRequest(TASK, 1, "work", 1, 1)
 EMPTY_LIST = {"clockMs": 5, "running": [], "endedRuns": []}
@@ -54,6 +54,18 @@
     api.disconnect(WorkerIncarnation("w1", 1, text))
 
 
+# Guards against a look-up that blocks the whole process, for an entry of an earlier landing.
+def test_the_name_of_a_worker_is_not_looked_up(monkeypatch):
+    looked_up = []
+    monkeypatch.setattr(
+        socket, "getaddrinfo", lambda host, *rest, **options: looked_up.append(host)
+    )
+    for call in calls(HttpWorkerApi(), WorkerIncarnation("w1", 1, "localhost:1")):
+        with pytest.raises(WorkerUnresponsive):
+            call()
+    assert looked_up == []
+
+
 @odd(["w\n1", "w\u4e00"])
 def test_a_worker_with_an_odd_id_is_unresponsive(text):
     for call in calls(HttpWorkerApi(), WorkerIncarnation(text, 1, "127.0.0.1:1")):
