The soak cuts links between hosts, and takes power from some

So far its relays stood before entry hosts and workers only. Now all hosts reach five control hosts over links, 20 ms one way between two regions, and each series has, drawn from the seed beside what there was: two hosts cut off from the other three, one or the leader from all, one direction, half of the entry hosts from the leader and another host, and two hosts that lose power, so that connections to them stay half-open, once a series with their disks. Faults that would make more than two control hosts unavailable at once are left out. --no-links plays seeds as before.

The judge bounds nothing wider for calm times: cuts count as faults from their beginning until they are healed, and for late orders of workers cuts between control hosts count as times out of touch.

--- a/standins/links.py
+++ b/standins/links.py
@@ -127,11 +127,12 @@
         finally:
             self.heal(ways)
 
-    def cuts_of(self, ip: str) -> list[tuple[float, float]]:
-        """Return when a host was cut off from any other: from, until."""
+    def cuts_between(self, ip: str, others: Iterable[str]) -> list[tuple[float, float]]:
+        """Return when a host was cut off from one of the others, one way at least: from, until."""
         with self._lock:
             lasting = [(way, at, time.monotonic()) for way, at in self._cut_at_by_way.items()]
-            return [(at, until) for way, at, until in [*self.cuts, *lasting] if ip in way]
+        ways = set(ways_between([ip], others))
+        return [(at, until) for way, at, until in [*self.cuts, *lasting] if way in ways]
 
     def close(self) -> None:
         """End all connections."""
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -20,6 +20,7 @@
 @click.option("--best-effort/--no-best-effort", default=True, help="Runs that share workers.")
 @click.option("--large/--no-large", default=True, help="Tasks of over half of a worker.")
 @click.option("--crashes/--no-crashes", default=True, help="Workers lost together, late orders.")
+@click.option("--links/--no-links", default=True, help="Links cut between hosts, power lost.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(
     seed: int,
@@ -30,6 +31,7 @@
     best_effort: bool,
     large: bool,
     crashes: bool,
+    links: bool,
     logs: str,
 ) -> None:
     """Run a series of faults for each seed, and print what was broken."""
@@ -39,7 +41,7 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        kinds = closings, best_effort, large, crashes
+        kinds = closings, best_effort, large, crashes, links
         result = run_soak(pathlib.Path(folder), number, seconds, size, *kinds)
         click.echo(result.summary())
         if not result.findings:
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -18,6 +18,7 @@
 import urllib3
 
 from ..late_orders import LateOrders
+from ..links import Links
 from ..platform import MAX_HOLD_MS, PlatformWorker, platform_settings, send_heartbeat, send_leave
 from ..relay import Relay
 from ..site import loopback_address
@@ -30,6 +31,9 @@
 
 RESTART_SECONDS = 0.5
 START_TIMEOUT_SECONDS = 30.0
+FAR_SECONDS = 0.02
+"""The delay of each way between the two regions."""
+
 DOWN_SPANS_SECONDS = ((0.1, 2.0), (MAX_HOLD_MS / 1000, 6.0), (math.inf, math.inf))
 """How long workers are down that a run has crashed: for less than a lease, for more, for good."""
 
@@ -70,6 +74,8 @@
     dark_until: float = 0.0
     """The process is not started again before this time."""
 
+    environment: dict[str, str] = attrs.field(factory=dict)
+
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
@@ -84,7 +90,8 @@
 
     def start(self) -> None:
         """Start the process, unless it is dark; its output is appended to a log."""
-        environment = os.environ | {"SAVORYSHELF_CONFIG": str(self.settings_path)}
+        environment = os.environ | self.environment
+        environment["SAVORYSHELF_CONFIG"] = str(self.settings_path)
         command = [sys.executable, "platform/run.py", self.role]
         with open(self.folder / f"{self.ip}.log", "ab") as log, self.lock:
             if time.monotonic() < self.dark_until:
@@ -148,14 +155,26 @@
 
 
 class Deployment:
-    """Control hosts, entry hosts with a relay each, and workers behind relays."""
+    """Control hosts, entry hosts with a relay each, and workers behind relays.
+
+    With ``are_linked``, hosts reach control hosts over links, across two regions.
+    """
 
-    def __init__(self, folder: pathlib.Path, entries: int, controls: int, workers: int):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        entries: int,
+        controls: int,
+        workers: int,
+        are_linked: bool = False,
+    ):
         self._folder = folder
         self._ip = loopback_address()
         self.controls = [Host(loopback_address(), "core", folder) for _ in range(controls)]
         self.entries = [Host(loopback_address(), "front", folder) for _ in range(entries)]
         self.hosts = [*self.controls, *self.entries]
+        self.links: Links | None = None
+        self._are_linked = are_linked
         self.relays: list[Relay] = []
         self.workers: list[PlatformWorker] = []
         self.acknowledged_version = 0
@@ -180,6 +199,8 @@
         """Start everything, wait until a manifest is accepted, and end it all afterwards."""
         supervisors = []
         try:
+            if self._are_linked:
+                self._lay_links()
             for host in self.hosts:
                 self.write_settings(host)
                 host.start()
@@ -192,6 +213,8 @@
             for number in range(self._worker_count):
                 self._add_worker(f"w{number}")
             self.wait_for(lambda: self.change_manifest(), "a manifest to be accepted")
+            # Until then, two lost disks may be too many.
+            self.wait_for(self._all_vote, "all control hosts to have a vote")
             self._is_first_start = False
             for host in self.hosts:
                 self.write_settings(host)
@@ -205,6 +228,25 @@
                 host.kill()
             for each in [*self.workers, *self.relays, *self._worker_relays]:
                 each.close()
+            if self.links:
+                self.links.close()
+
+    def _lay_links(self) -> None:
+        """Let all hosts call control hosts over links; the smaller half is in a far region."""
+        far = {
+            host.ip
+            for hosts in (self.controls, self.entries)
+            for host in hosts[(len(hosts) + 1) // 2 :]
+        }
+        self.links = Links(
+            self._folder,
+            [host.ip for host in self.hosts],
+            [host.ip for host in self.controls],
+            [PORTS["control"], PORTS["peers"]],
+            lambda *way: FAR_SECONDS if len(far.intersection(way)) == 1 else 0.0,
+        )
+        for host in self.hosts:
+            host.environment = self.links.environment(host.ip)
 
     def _add_worker(self, name: str) -> None:
         addresses = [f"{host.ip}:{PORTS['control']}" for host in self.controls]
@@ -315,6 +357,24 @@
         for host in self.hosts:
             host.send(signal.SIGKILL)
 
+    def lose_power_of(self, hosts: list[Host], seconds: float, are_disks_lost: bool) -> None:
+        """End hosts without a last word to the others, and start them again after a while."""
+        until = time.monotonic() + seconds
+        for host in hosts:
+            host.dark_until = max(until, host.dark_until)
+        dark = self.links.lose_power([host.ip for host in hosts])
+        for host in hosts:
+            host.send(signal.SIGKILL)
+            if are_disks_lost:
+                host.lose_disk()
+        time.sleep(max(0.0, until - time.monotonic()))
+        self.links.heal(dark)
+
+    def cuts_of(self, host: Host) -> list[tuple[float, float]]:
+        """Return when a host was cut off from a control host: from, until."""
+        controls = [each.ip for each in self.controls]
+        return self.links.cuts_between(host.ip, controls) if self.links else []
+
     def leader(self) -> Host:
         """Return the control host that answers reads of the manifest itself, or else the first."""
         for host in self.controls:
@@ -361,5 +421,14 @@
             return self.http.request("GET", url).status == 200
         return False
 
+    def _all_vote(self) -> bool:
+        """Return whether all control hosts that are no seeds were promoted, as the logs have it."""
+        logs = [(self._folder / f"{host.ip}.log").read_text() for host in self.controls]
+        # A last line without its end is still being written.
+        lines = [line for log in logs for line in log.split("\n")[:-1] if "group:changed" in line]
+        changes = map(json.loads, lines)
+        promoted = {each["replica"] for each in changes if each["change"] == "promote"}
+        return len(promoted) >= len(self.controls) - SEED_COUNT
+
     def _all_ready(self) -> bool:
         return all(self.is_ready(host) for host in self.entries)
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -11,6 +11,7 @@
 
 from savoryshelf.registry import registry_decorator
 
+from ..links import ways_between
 from ..platform import MAX_HOLD_MS, heartbeat, restart_together
 from ..relay import BOTH_WAYS, TO_CLIENT, TO_UPSTREAM
 
@@ -76,6 +77,20 @@
 TURN_SECONDS = (0.2, 0.8)
 SOON_DOWN_SECONDS = (0.02, 0.6)
 
+CUT_SECONDS = (2.0, 9.0)
+POWER_LOST_SECONDS = (0.5, 3.0)
+NEXT_CUT_SECONDS = (1.0, 5.0)
+"""When the next links are cut after the last ones were healed."""
+
+CATCH_UP_SECONDS = 8.0
+"""Time in which no link is cut after hosts came back with empty disks."""
+
+AWAY_SECONDS = 4.0
+"""How long a control host counts as unavailable after it was stopped, killed or reached again."""
+
+MAX_CONTROLS_AWAY = 2
+"""Control hosts that are unavailable at once, where links are laid."""
+
 _KINDS: dict[str, Callable] = {}
 """Functions by kind of fault; arguments are the deployment and the fault.  They run in a thread."""
 
@@ -94,12 +109,32 @@
 _UNANSWERED_KINDS: dict[str, Callable] = {}
 """The same for orders without an answer that outlive the life they were meant for."""
 
+_LINK_KINDS: dict[str, Callable] = {}
+"""The same for links between hosts that are cut."""
+
+_POWER_KINDS: dict[str, Callable] = {}
+"""The same for hosts that lose power."""
+
+_DISK_KINDS: dict[str, Callable] = {}
+"""The same for those of which a series has one at most, as they take disks."""
+
 _kind = registry_decorator(_KINDS)
 _worker_kind = registry_decorator(_WORKER_KINDS)
 _closing_kind = registry_decorator(_CLOSING_KINDS)
 _rare_closing_kind = registry_decorator(_RARE_CLOSING_KINDS)
 _together_kind = registry_decorator(_TOGETHER_KINDS)
 _unanswered_kind = registry_decorator(_UNANSWERED_KINDS)
+_link_kind = registry_decorator(_LINK_KINDS)
+_power_kind = registry_decorator(_POWER_KINDS)
+_disk_kind = registry_decorator(_DISK_KINDS)
+
+_CONTROLS_AWAY = {
+    "control_stopped": 1, "control_killed": 1, "control_paused": 1,
+    "leader_stopped": 1, "leader_killed": 1, "leader_paused": 1,
+    "core_cut_in_two": 2, "core_cut_alone": 1, "core_cut_leader": 1, "core_cut_one_way": 1,
+    "entries_cut_from_core": 1, "power_lost": 2, "power_and_disks_lost": 2,
+}  # fmt: skip
+"""How many control hosts a fault makes unavailable; a cut of entry hosts counts as one."""
 
 
 @attrs.frozen
@@ -196,10 +231,43 @@
     return faults
 
 
+def draw_cuts(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+    """Return the series with links that are cut and power that is lost, one after the other.
+
+    Other faults of control hosts are left out where too many would be unavailable at once.
+    """
+    rng = random.Random(f"cuts of {seed}")
+    kept: list[Fault] = []
+    may_lose_disks = all(fault.kind not in _RARE_CLOSING_KINDS for fault in faults)
+    at, away_until = QUIET_SECONDS + rng.uniform(0, NEXT_CUT_SECONDS[0]), 0.0
+    while at < seconds - QUIET_SECONDS:
+        kind = rng.choice([*_LINK_KINDS, *_POWER_KINDS, *(_DISK_KINDS if may_lose_disks else ())])
+        lasts = rng.uniform(*(CUT_SECONDS if kind in _LINK_KINDS else POWER_LOST_SECONDS))
+        if kept and _CONTROLS_AWAY[kept[-1].kind] + _CONTROLS_AWAY[kind] > MAX_CONTROLS_AWAY:
+            at = max(at, away_until)
+        kept.append(Fault(round(at, 2), kind, rng.randrange(100), round(lasts, 2)))
+        away_until = at + lasts + AWAY_SECONDS
+        at += lasts + rng.uniform(*NEXT_CUT_SECONDS)
+        if kind in _DISK_KINDS:
+            may_lose_disks = False
+            at += CATCH_UP_SECONDS
+    for fault in faults:
+        near = (each for each in kept if _may_be_away_at_once(each, fault))
+        away = sum(_CONTROLS_AWAY.get(each.kind, 0) for each in near)
+        if fault.kind not in _CONTROLS_AWAY or away < MAX_CONTROLS_AWAY:
+            kept.append(fault)
+    return sorted(kept, key=lambda fault: fault.at)
+
+
+def _may_be_away_at_once(one: Fault, other: Fault) -> bool:
+    first, second = sorted((one, other), key=lambda fault: fault.at)
+    return second.at < first.at + first.seconds + AWAY_SECONDS
+
+
 def inject(deployment, fault: Fault) -> None:
     """Carry out a fault and wait until it is over."""
     kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
-    kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS
+    kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS | _LINK_KINDS | _POWER_KINDS | _DISK_KINDS
     kinds[fault.kind](deployment, fault)
 
 
@@ -453,6 +521,66 @@
     worker.late_orders.share = 0.0
 
 
+@_link_kind("core_cut_in_two")
+def _cut_core_in_two(deployment, fault) -> None:
+    """Cut two control hosts off from the others, half of the time from some entry hosts too."""
+    some = _two_controls(deployment, fault)
+    others = [host for host in deployment.controls if host not in some]
+    others += deployment.entries[::2] if fault.target % 2 else []
+    _cut_links(deployment, fault, some, others)
+
+
+@_link_kind("core_cut_alone")
+def _cut_one_control(deployment, fault) -> None:
+    _cut_links(deployment, fault, [deployment.control(fault.target)], deployment.hosts)
+
+
+@_link_kind("core_cut_leader")
+def _cut_leader(deployment, fault) -> None:
+    _cut_links(deployment, fault, [deployment.leader()], deployment.hosts)
+
+
+@_link_kind("core_cut_one_way")
+def _cut_one_way(deployment, fault) -> None:
+    """Let nothing reach a control host, the leader for half of the targets, or nothing leave it."""
+    is_leader, is_deaf = fault.target % 2, fault.target // 2 % 2
+    host = deployment.leader() if is_leader else deployment.control(fault.target)
+    ways = deployment.links.ways_of([host.ip])
+    with deployment.links.are_cut(way for way in ways if way[is_deaf] == host.ip):
+        time.sleep(fault.seconds)
+
+
+@_link_kind("entries_cut_from_core")
+def _cut_entries(deployment, fault) -> None:
+    """Cut half of the entry hosts off from the leader and another control host."""
+    entries = deployment.entries[fault.target % 2 :: 2]
+    _cut_links(deployment, fault, entries, _two_controls(deployment, fault, with_leader=True))
+
+
+def _two_controls(deployment, fault: Fault, with_leader: bool = False) -> list:
+    first = deployment.leader() if with_leader else deployment.control(fault.target)
+    others = [host for host in deployment.controls if host is not first]
+    return [first, _details(fault).choice(others)]
+
+
+def _cut_links(deployment, fault: Fault, some: list, others: list) -> None:
+    ways = ways_between([host.ip for host in some], [host.ip for host in others])
+    with deployment.links.are_cut(dict.fromkeys(ways)):
+        time.sleep(fault.seconds)
+
+
+@_power_kind("power_lost")
+def _lose_power(deployment, fault, are_disks_lost: bool = False) -> None:
+    """Let two control hosts lose power, one of them the leader for half of the targets."""
+    hosts = _two_controls(deployment, fault, with_leader=bool(fault.target % 2))
+    deployment.lose_power_of(hosts, fault.seconds, are_disks_lost)
+
+
+@_disk_kind("power_and_disks_lost")
+def _lose_power_and_disks(deployment, fault) -> None:
+    _lose_power(deployment, fault, are_disks_lost=True)
+
+
 @_closing_kind("all_ended")
 def _end_all(deployment, fault) -> None:
     """End all hosts at the same moment, while workers go on, crash, are cut or silent."""
--- a/standins/soak/lives.py
+++ b/standins/soak/lives.py
@@ -109,6 +109,9 @@
     """Yield when a control host was not in touch; the last SIGCONT of a series goes to all."""
     for host in seen.deployment.hosts:
         if host.role == "core":
+            for since, until in seen.deployment.cuts_of(host):
+                yield from (since + CALL_SECONDS * n for n in range(int(until - since) + 1))
+                yield until
             yield from (end.at for end in host.exits)
             yield from host.starts
             names = ["", *(name for _, name in host.signals)]
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -28,7 +28,7 @@
     SharingCaller,
 )
 from .deployment import PORTS, Deployment
-from .faults import Fault, draw_closings, draw_crashes, draw_faults, inject
+from .faults import Fault, draw_closings, draw_crashes, draw_cuts, draw_faults, inject
 from .judge import Finding, Observations, judge
 from .lives import LatePair, late_pairs
 from .waits import MAX_WAIT_SECONDS, Span
@@ -46,6 +46,9 @@
 CROWD_SECONDS = 20.0
 """Time after that in which jobs of one kind, of all sizes, contend for the workers."""
 
+LINKED_CONTROLS = 5
+"""Control hosts where links are cut: two of them may be unavailable."""
+
 CRASH_CALLERS = (DeadlyCaller, LongTasksCaller)
 LAG_CHECK_SECONDS = 0.05
 MIN_LAG_SECONDS = 0.3
@@ -112,6 +115,10 @@
         """Return the series of faults and the findings, the first ones with their histories."""
         lines = [f"seed {self.seed}, faults:"]
         lines += [f"  {f.at:6.2f} s {f.kind} {f.target} for {f.seconds} s" for f in self.faults]
+        links = self.seen.deployment.links
+        for (source, target), since, until in links.cuts if links else ():
+            since, until = since - self.began_at, until - self.began_at
+            lines.append(f"  {source} to {target} cut from {since:.2f} to {until:.2f}")
         for host in self.seen.deployment.hosts:
             times = " ".join(f"{name} {at - self.began_at:.2f}" for at, name in host.signals)
             ends = " ".join(f"{end.at - self.began_at:.2f}" for end in host.exits)
@@ -157,6 +164,7 @@
     best_effort: bool = False,
     large: bool = False,
     crashes: bool = False,
+    links: bool = False,
 ) -> SoakResult:
     """Run the series of a seed and return the verdict; logs are written to the folder.
 
@@ -165,7 +173,8 @@
     until the work after the recovery has been judged.  With ``large``, there is one large job at a
     time, and once that has been judged, jobs of one kind contend for the workers: of all sizes,
     or of all but large ones.  With ``crashes``, workers are lost together, orders outlive the life
-    of the worker that they were meant for, and there are tasks that crash their workers.
+    of the worker that they were meant for, and there are tasks that crash their workers.  With
+    ``links``, the hosts reach five control hosts over links that are cut, and some lose power.
     """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
@@ -174,7 +183,10 @@
         faults = draw_closings(seed, seconds, faults)
     if crashes:
         faults = draw_crashes(seed, seconds, faults)
-    with Deployment(folder, **shape).running() as deployment:
+    if links:
+        faults = draw_cuts(seed, seconds, faults)
+        shape["controls"] = LINKED_CONTROLS
+    with Deployment(folder, **shape, are_linked=links).running() as deployment:
         balancer = Balancer(deployment)
         callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
         if closings:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -1,10 +1,11 @@
 """A short soak with fixed seeds: promises hold while faults overlap."""
 
 import collections
+import itertools
 
 import pytest
 
-from standins.soak.faults import draw_closings, draw_crashes, draw_faults
+from standins.soak.faults import draw_closings, draw_crashes, draw_cuts, draw_faults
 from standins.soak.run import run_soak
 
 SEEDS = [
@@ -61,6 +62,33 @@
     }
 
 
+def test_each_series_with_cuts_leaves_three_control_hosts_in_touch_and_loses_two_disks_at_most():
+    kinds = collections.Counter()
+    for seed in range(1, 200):
+        without = draw_closings(seed, 30.0, draw_faults(seed, 30.0))
+        series = draw_cuts(seed, 30.0, without)
+        assert series == draw_cuts(seed, 30.0, without)
+        added = [fault for fault in series if fault not in without]
+        assert added and all(a.at + a.seconds < b.at for a, b in itertools.pairwise(added))
+        left_out = [fault for fault in without if fault not in series]
+        assert all("control" in fault.kind or "leader" in fault.kind for fault in left_out)
+        lost = [fault.kind for fault in series if "disk" in fault.kind]
+        assert len(lost) <= 1
+        kinds.update(fault.kind for fault in added)
+        for moment in (fault.at for fault in series):
+            assert sum(controls_away(fault, moment) for fault in series) <= 2, (seed, moment)
+    assert len(kinds) == 7 and min(kinds.values()) > 50
+
+
+def controls_away(fault, moment):
+    """Return how many control hosts a fault of a series takes at a moment, with some time more."""
+    if not fault.at <= moment < fault.at + fault.seconds + 2.0:
+        return 0
+    if fault.kind in ("core_cut_in_two", "power_lost", "power_and_disks_lost"):
+        return 2
+    return fault.kind.startswith(("core", "control", "leader", "entries_cut"))
+
+
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_no_promise_is_broken_while_faults_overlap(tmp_path, seed, seconds):
     result = run_soak(tmp_path, seed, seconds, "small")
@@ -125,3 +153,18 @@
     assert sum(held) or any(record.workers_down > 2 for record in result.seen.records())
     assert any(spec.crashes_after_ms for spec in result.seen.spec_by_job.values())
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+SEEDS_WITH_LINKS = [
+    # The leader is cut off, the core falls in two, and two hosts lose power, beside restarts.
+    (58001, 14.0),
+]
+"""Manifests that are read back old, and work that rests after a change of the leader, would be
+found in these."""
+
+
+@pytest.mark.parametrize(("seed", "seconds"), SEEDS_WITH_LINKS)
+def test_no_promise_is_broken_when_links_between_hosts_are_cut(tmp_path, seed, seconds):
+    result = run_soak(tmp_path, seed, seconds, "small", closings=True, links=True)
+    assert result.seen.deployment.links.cuts
+    assert not result.findings, result.report(histories_per_kind=1)
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -39,8 +39,9 @@
     ended = RunRecord(f"{JOB}.0.0.0", 1, 2.0, 3.0, outcome, 1, True)
     worker = types.SimpleNamespace(worker_id="w1", records=[ended, *records], up=[(0.0, 99.0)])
     deployment = types.SimpleNamespace(
-        entries=[host], hosts=[host], workers=[worker], acknowledged_version=acknowledged
-    )
+        entries=[host], hosts=[host], workers=[worker], acknowledged_version=acknowledged,
+        cuts_of=lambda host: [],
+    )  # fmt: skip
     submitted = Call(0, SUBMIT, JOB, "ip", False, 1.0, 1.0, 1.1, 200)
     seen = Observations(
         deployment, [submitted, *calls], {JOB: spec}, {JOB: state}, 1, unused_workers, **times
--- a/tests/standins/test_soak_lives.py
+++ b/tests/standins/test_soak_lives.py
@@ -92,7 +92,7 @@
     assert [record.number for record in starts_beyond_budget(records)] == found
 
 
-def observed(records, answers=(), cuts=(), core=()):
+def observed(records, answers=(), cuts=(), core=(), core_cuts=()):
     """Return what was seen of the runs; w1 is in its second life, with these answers."""
     host = Host("ip", "core", pathlib.Path(), signals=[(at, "SIGKILL") for at in core])
     host.exits += [Exit(at, -9, None, True) for at in core]
@@ -107,7 +107,7 @@
     ]
     deployment = types.SimpleNamespace(
         entries=[], hosts=[host], workers=workers, acknowledged_version=0,
-        partitions_of=lambda worker_id: list(cuts),
+        partitions_of=lambda worker_id: list(cuts), cuts_of=lambda host: list(core_cuts),
     )  # fmt: skip
     return Observations(deployment, [], {})
 
@@ -201,20 +201,24 @@
 
 
 @pytest.mark.parametrize(
-    ("cuts", "core", "is_found"),
+    ("cuts", "core", "core_cuts", "is_found"),
     [
-        ([], [], True),
+        ([], [], [], True),
         # Cut off, or the leader lost, before a stop could come: the next list counts.
-        ([(50.5, 56.0)], [], False),
-        ([(50.5, 56.0)], [45.0], False),
-        ([(40.0, 49.0), (60.0, 61.0)], [], True),
-        ([], [51.5], False),
-        ([], [53.0], True),
-        ([], [47.0], False),
-        ([], [45.0], True),
+        ([(50.5, 56.0)], [], [], False),
+        ([(50.5, 56.0)], [45.0], [], False),
+        ([(40.0, 49.0), (60.0, 61.0)], [], [], True),
+        ([], [51.5], [], False),
+        ([], [53.0], [], True),
+        ([], [47.0], [], False),
+        ([], [45.0], [], True),
+        # Control hosts are cut off from each other: so long before, and all the while.
+        ([], [], [(40.0, 47.0)], False),
+        ([], [], [(40.0, 58.0)], False),
+        ([], [], [(40.0, 45.9), (53.0, 58.0)], True),
     ],
 )
-def test_time_bounds_hold_while_callers_are_in_touch(cuts, core, is_found):
+def test_time_bounds_hold_while_callers_are_in_touch(cuts, core, core_cuts, is_found):
     records = [other(45.0, 80.0), late(49.95, 55.5)]
-    (pair,) = late_pairs(observed(records, HELD, cuts, core))
+    (pair,) = late_pairs(observed(records, HELD, cuts, core, core_cuts))
     assert bool(pair.reason) == is_found
