CONFIG on real processes while links between hosts are cut

tests/platform judged every read and request at every host while processes are killed, stopped and paused, but never with hosts cut off from each other. A second test does so with five control hosts over links: the core in two parts, with entry hosts on either side, the leader or an entry host cut off from some or nearly all others, one direction only, and a loss of power that leaves connections half-open. Cuts last 2 to 9 s, so for less and for more than what makes machines count as in touch; the bounds are as before. The operator also sends other content under versions that were acknowledged.

--- a/tests/platform/manifest_changes.py
+++ b/tests/platform/manifest_changes.py
@@ -137,6 +137,10 @@
         self.changes: list[Change] = []
         self.invalid: list[tuple[str, Change]] = []
 
+    def acknowledged(self) -> list[Change]:
+        """Return the changes that were acknowledged."""
+        return [change for change in self.changes if change.acknowledged_at is not None]
+
     def next_version(self) -> int:
         """Return a version that is higher than all before it, by an uneven step."""
         with self._lock:
@@ -183,6 +187,11 @@
         if status in REFUSING_STATUSES:
             change.refused_with = status
 
+    def send_other_content(self, change: Change) -> None:
+        """Send other content under the version of a change; it may not be in force."""
+        body = change.body | {"routes": self.manifest(change.version)["routes"]}
+        operate(self._rng.choice(self._control_ips), "POST", "put", body)
+
     def send_invalid(self, defect: str) -> None:
         """Send a manifest with a higher version that no host may accept."""
         version = self.next_version()
--- a/tests/platform/test_manifests_in_force.py
+++ b/tests/platform/test_manifests_in_force.py
@@ -1,6 +1,7 @@
 """Manifests that change in series on real processes, while these are stopped, killed and paused."""
 
 import collections
+import contextlib
 import random
 import signal
 import threading
@@ -8,6 +9,8 @@
 
 import pytest
 
+from standins.links import Links, ways_between
+
 from .manifest_changes import (
     CONFIG_APPLY_SECONDS,
     DEFECTS,
@@ -20,12 +23,20 @@
     broken_rules,
     operate,
 )
-from .test_whole_path import FRONTS, SEEDS, Deployment, wait_until
+from .test_power_loss import CONTROL_IPS, promoted_ids
+from .test_whole_path import FRONTS, PORTS, SEEDS, Deployment, wait_until
 
 SERIES_SECONDS = 15.0
 MEAN_GAP_SECONDS = 0.4
 LONGEST_PAUSE_SECONDS = 3.0
 RESTART_SECONDS = 0.5
+CUTS_SECONDS = 30.0
+CUT_SECONDS = (2.0, 9.0)
+"""How long links are cut: for less and for more than what makes machines count as in touch."""
+
+FAR_SECONDS = 0.02
+"""The delay of each way between the two regions."""
+
 POWER_OFF_SECONDS = 1.4
 """Time between the end of all processes and their start, as on the platform's days."""
 
@@ -33,8 +44,8 @@
 class CountingDeployment(Deployment):
     """Counts the processes that each host has had."""
 
-    def __init__(self, folder):
-        super().__init__(folder)
+    def __init__(self, folder, control_ips=SEEDS):
+        super().__init__(folder, control_ips)
         self.boot_by_ip = collections.Counter()
 
     def start(self, ip):
@@ -44,13 +55,35 @@
 
 @pytest.fixture
 def deployment(tmp_path):
-    started = CountingDeployment(tmp_path)
+    with running(CountingDeployment(tmp_path)) as started:
+        yield started
+
+
+@pytest.fixture
+def linked_deployment(tmp_path):
+    """Five control hosts, which all hosts reach over links, across two regions."""
+    made = CountingDeployment(tmp_path, CONTROL_IPS)
+    far = {*CONTROL_IPS[3:], FRONTS[1]}
+    made.links = Links(
+        tmp_path, [*CONTROL_IPS, *FRONTS], CONTROL_IPS, [PORTS["control"], PORTS["peers"]],
+        lambda *way: FAR_SECONDS if len(far.intersection(way)) == 1 else 0.0,
+    )  # fmt: skip
+    try:
+        with running(made) as started:
+            yield started
+    finally:
+        made.links.close()
+
+
+@contextlib.contextmanager
+def running(started):
+    control_ips = started.control_ips
     try:
-        for ip in [*SEEDS, *FRONTS]:
+        for ip in [*control_ips, *FRONTS]:
             started.start(ip)
         started.add_worker("w1")
         # A seed that is killed before it has come to its disk would return as another replica.
-        wait_until(lambda: len(started.logged("control:started", SEEDS)) == len(SEEDS))
+        wait_until(lambda: len(started.logged("control:started", control_ips)) == len(control_ips))
         yield started
     finally:
         for process in started.process_by_ip.values():
@@ -69,6 +102,8 @@
             operator.send_invalid(rng.choice(sorted(DEFECTS)))
         elif kind < 0.3:
             operator.send_again(rng.choice(operator.changes))
+        elif kind < 0.4:
+            operator.send_other_content(rng.choice(operator.acknowledged()))
         else:
             operator.change()
 
@@ -97,12 +132,85 @@
     return None
 
 
+def apart(some):
+    """Return the ways between some hosts and all others."""
+    return ways_between(some, {*CONTROL_IPS, *FRONTS} - {*some})
+
+
+def with_another(leader, rng):
+    """Return the leader and another control host."""
+    return {leader, rng.choice([ip for ip in CONTROL_IPS if ip != leader])}
+
+
+CUTS = {
+    "core in two": lambda links, leader, rng: ways_between(
+        some := rng.sample(CONTROL_IPS, 2), {*CONTROL_IPS} - {*some}
+    ),
+    "smaller part from all": lambda links, leader, rng: apart(rng.sample(CONTROL_IPS, 2)),
+    "smaller part with the leader and an entry host": lambda links, leader, rng: apart(
+        {*with_another(leader, rng), rng.choice(FRONTS)}
+    ),
+    "leader from all": lambda links, leader, rng: links.ways_of([leader]),
+    "to or from one": lambda links, leader, rng: one_way(links, [rng.choice(CONTROL_IPS)], rng),
+    "to or from the leader": lambda links, leader, rng: one_way(links, [leader], rng),
+    "to or from entry hosts": lambda links, leader, rng: one_way(links, FRONTS, rng),
+    "entry host from the leader": lambda links, leader, rng: ways_between(
+        [rng.choice(FRONTS)], [leader]
+    ),
+    "entry host from all but one": lambda links, leader, rng: ways_between(
+        [rng.choice(FRONTS)], rng.sample(CONTROL_IPS, 4)
+    ),
+}
+"""The ways that are cut, as functions of all links and the leader."""
+
+
+def one_way(links, ips, rng):
+    """Return all ways that lead to these hosts, or all that lead from them."""
+    end = rng.randrange(2)
+    return [way for way in links.ways if way[end] in ips]
+
+
+def disturb_links(deployment, rng):
+    """Cut links for a while, or let two hosts lose power."""
+    leader, kind = deployment.leader_ip(), rng.choice([*sorted(CUTS), "power"])
+    if kind == "power":
+        lose_power(deployment, with_another(leader, rng), rng)
+    else:
+        with deployment.links.are_cut(set(CUTS[kind](deployment.links, leader, rng))):
+            time.sleep(rng.uniform(*CUT_SECONDS))
+
+
+def lose_power(deployment, ips, rng):
+    """End hosts without a last word: what the others have open to them stays half-open."""
+    dark = deployment.links.lose_power(ips)
+    for ip in ips:
+        deployment.stop(ip)
+    time.sleep(rng.uniform(0.5, LONGEST_PAUSE_SECONDS))
+    deployment.links.heal(dark)
+    for ip in ips:
+        deployment.start(ip)
+
+
 # Guards against a change that is not in force in time, is taken back or refused, and against a
 # success on a dropped route, such as that of a resend (rule CONFIG, issue 52).
 @pytest.mark.parametrize("seed", [1, 2])
 def test_acknowledged_manifests_stay_in_force_on_every_host(deployment, seed):
-    rng = random.Random(seed)
-    operator, stopping = Operator(SEEDS, rng), threading.Event()
+    check_series(deployment, seed, SERIES_SECONDS, disturb)
+
+
+# Guards against hosts that go by an old manifest, or read it back, while links to them are cut or
+# others have lost power (rule CONFIG, issue 58).
+@pytest.mark.parametrize("seed", [1])
+def test_acknowledged_manifests_stay_in_force_while_links_are_cut(linked_deployment, seed):
+    # Until then, two hosts that lose power may be too many.
+    wait_until(lambda: len(promoted_ids(linked_deployment)) == len(CONTROL_IPS) - len(SEEDS))
+    check_series(linked_deployment, seed, CUTS_SECONDS, disturb_links)
+
+
+def check_series(deployment, seed, seconds, disturb):
+    """Change manifests while hosts are disturbed, end all hosts, and judge what was seen."""
+    rng, control_ips = random.Random(seed), deployment.control_ips
+    operator, stopping = Operator(control_ips, rng), threading.Event()
     operator.change()
     deployment.is_first_start = False
     wait_until(lambda: all(deployment.is_ready(ip) for ip in FRONTS))
@@ -115,7 +223,7 @@
     with Observers(deployment, deployment.boot_by_ip) as observers:
         for each in operators:
             each.start()
-        ends_at = time.monotonic() + SERIES_SECONDS
+        ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
             disturb(deployment, rng)
             time.sleep(rng.uniform(0.2, 2.0))
@@ -130,7 +238,7 @@
         time.sleep(POWER_OFF_SECONDS)
         for ip in hosts:
             deployment.start(ip)
-        wait_until(lambda: newest_read(SEEDS))
+        wait_until(lambda: newest_read(control_ips))
         wait_until(lambda: all(deployment.is_ready(ip) for ip in FRONTS))
         time.sleep(1.0)
     assert broken_rules(operator, observers.reads, observers.requests) == []
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -50,6 +50,7 @@
         self.control_ips = control_ips
         self.seeds = SEEDS
         self.is_first_start = True
+        self.links = None
         self.process_by_ip = {}
         self.workers = []
         self.gangs = Gangs()
@@ -63,6 +64,8 @@
         settings = platform_settings(role, ip, PORTS, self.seeds, str(data))
         path.write_text(json.dumps(settings | {"bootstrap": self.is_first_start}))
         environment = os.environ | {"SAVORYSHELF_CONFIG": str(path)}
+        if self.links:
+            environment |= self.links.environment(ip)
         command = [sys.executable, "platform/run.py", role]
         with open(self.folder / f"{ip}.log", "ab") as log:
             self.process_by_ip[ip] = subprocess.Popen(
