A start imports only what its process uses: no resolver of names, no modules of the other role

Cause: eventlet loads dnspython unless told otherwise, the metrics endpoint of three paths loaded werkzeug with its test client and development server, and each role imported the other's modules. Class of fault: what is imported is decided by what is convenient for the program, not by what the process uses.

Evidence: test_a_start_imports_only_what_its_process_uses failed for both roles before (dns.*), and guards the set of modules without a clock; a mutant removes the switch. 79 tests of tests/platform (whole path, front, http, start, main, build) and tests/entry/http pass. test_main follows watch_settings to its new module, unchanged otherwise.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1314,6 +1314,13 @@
         "if False:",
         "tests/platform/test_worker_calls.py",
     ),
+    Mutant(
+        "a start does not import the resolver of names",
+        "../../platform/run.py",
+        'os.environ["EVENTLET_NO_GREENDNS"] = "yes"',
+        "pass",
+        "tests/platform/test_start.py",
+    ),
     Mutant(
         "a process listens on IP addresses only",
         "../../platform/savoryshelf_platform/settings.py",
--- a/src/savoryshelf/entry/http/app.py
+++ b/src/savoryshelf/entry/http/app.py
@@ -13,7 +13,7 @@
 from ...clock import Clock
 from ...errors import Certainty, ControlUnavailable, RefusedByControl, RequestRefused
 from ...observability import metrics
-from ...observability.http import operations_response
+from ...observability.http import operations_reply
 from ...observability.logs import log_event
 from ...tokens import Bearer, InvalidToken, verify
 from ..batch import BatchDispatch
@@ -77,9 +77,11 @@
     def __call__(self, environ, start_response):
         """Answer one HTTP request."""
         request = Request(environ)
-        response = operations_response(request.path, self._is_ready)
-        if response is None:
+        reply = operations_reply(request.path, self._is_ready)
+        if reply is None:
             response = self._counted_answer(request)
+        else:
+            response = Response(reply.body, reply.status, content_type=reply.content_type)
         if self._context.state.is_stopping:
             # Callers must not reuse a connection that is about to close.
             response.headers["Connection"] = "close"
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -4,7 +4,7 @@
 
 import eventlet
 import pytest
-from savoryshelf_platform import main as module
+from savoryshelf_platform import process as module
 from savoryshelf_platform.settings import read_settings
 
 from standins.platform import platform_settings
@@ -44,7 +44,7 @@
     initial = settings_file(SEEDS[:2])
     settings_file(SEEDS)
     applied = []
-    watching = eventlet.spawn(module._watch_settings, initial, applied.append)
+    watching = eventlet.spawn(module.watch_settings, initial, applied.append)
     eventlet.sleep(0.1)
     watching.kill()
     assert [settings.seed_ips for settings in applied] == [SEEDS]
@@ -60,7 +60,7 @@
         if len(applied) == 1:
             raise ValueError("cannot be applied")
 
-    watching = eventlet.spawn(module._watch_settings, initial, apply)
+    watching = eventlet.spawn(module.watch_settings, initial, apply)
     for content in (b'{"listen":[]}', b"[" * 100_000, b"[]"):
         (tmp_path / "settings.json").write_bytes(content)
         eventlet.sleep(0.05)
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,13 +1,17 @@
-"""Signals that arrive while a process starts."""
+"""What a process imports when it starts, and signals that arrive meanwhile."""
 
 import contextlib
+import os
 import pathlib
 import signal
+import subprocess
+import sys
 
 import pytest
 import urllib3
+from savoryshelf_platform.settings import PATH_VARIABLE
 
-from .test_whole_path import FRONTS, PORTS, SEEDS, Deployment, wait_until
+from .test_whole_path import FRONTS, PORTS, ROOT, SEEDS, Deployment, wait_until
 
 
 def is_importing(process):
@@ -36,3 +40,45 @@
     finally:
         process.kill()
         process.wait(10)
+
+
+def modules_of_a_start(role):
+    """Return the modules that a process of a role imports before it reads its settings."""
+    program = (
+        "import runpy, sys\n"
+        f"sys.argv = ['run.py', {role!r}]\n"
+        "try:\n"
+        "    runpy.run_path('platform/run.py', run_name='__main__')\n"
+        "finally:\n"
+        "    print(*sys.modules)\n"
+    )
+    environment = {key: value for key, value in os.environ.items() if key != PATH_VARIABLE}
+    result = subprocess.run(
+        [sys.executable, "-c", program], cwd=ROOT, env=environment, capture_output=True, text=True
+    )
+    assert f"InvalidSetting: {PATH_VARIABLE}" in result.stderr
+    return set(result.stdout.split())
+
+
+UNUSED = ["dns", "werkzeug", "cattrs", "yaml", "savoryshelf.configuration", "savoryshelf.entry"]
+"""What neither role uses: above all the resolver of names, a quarter of a start."""
+
+
+# Guards against starts that take longer, and with them each way back after a loss of power, for
+# modules that the process does not use.
+@pytest.mark.parametrize(
+    ("role", "used", "unused"),
+    [
+        (
+            "front", "savoryshelf.gateway.leader",
+            ["savoryshelf.dispatch", "savoryshelf.replication", "savoryshelf.tasks", "urllib3"],
+        ),
+        ("core", "savoryshelf.dispatch.host", ["savoryshelf.gateway"]),
+    ],
+    ids=["entry", "control"],
+)  # fmt: skip
+def test_a_start_imports_only_what_its_process_uses(role, used, unused):
+    modules = modules_of_a_start(role)
+    assert used in modules
+    for name in [*UNUSED, *unused]:
+        assert not [each for each in modules if each == name or each.startswith(f"{name}.")]
