--- a/Makefile
+++ b/Makefile
@@ -34,13 +34,14 @@
 mutants: $(VENV)/.ready
 	$(BIN)/python -m proofs
 
-# Speed of the critical path, the cost of a commit, and how long recoveries take.
+# Speed of the critical path, the cost of a commit, how long recoveries take, and starts.
 bench: $(VENV)/.ready
 	$(BIN)/python -m benchmarks.speed
 	$(BIN)/python -m benchmarks.commits
 	$(BIN)/python -m benchmarks.failover
 	$(BIN)/python -m benchmarks.recovery
 	$(BIN)/python -m benchmarks.passes
+	$(BIN)/python -m benchmarks.start
 
 # The slopes behind docs/CAPACITY.md.
 capacity: $(VENV)/.ready
