Test: a stalled leader's voters are postponed after they have drawn their time to campaign

The test was wrong, not the product: it postponed the campaigns before the command was proposed, and the command, which reaches the voters before the sync that stalls, lets each draw a new time. So its premise, that no voter campaigns, held by the draw of one seed.

--- a/tests/replication/test_standstill.py
+++ b/tests/replication/test_standstill.py
@@ -41,15 +41,17 @@
 
 
 # Guards against a leader that takes the silence of its own stalled disk for that of the voters.
+@pytest.mark.parametrize("seed", range(8))
 @pytest.mark.parametrize("seconds", STALLS)
-def test_a_leader_behind_a_stalled_disk_goes_on_if_no_voter_has_campaigned(events, seconds):
-    with running_services() as group:
+def test_a_leader_behind_a_stalled_disk_goes_on_if_no_voter_has_campaigned(events, seconds, seed):
+    with running_services(seed=seed) as group:
         events.clear()
         leader, term = group.leader_name(), group.term()
-        postpone_campaigns(group, seconds)
         group.disk_by_name[leader].sync_seconds = seconds
         group.propose(leader)
         group.clock.sleep(0.1)
+        # The command has reached the voters, each of which has drawn a new time to campaign.
+        postpone_campaigns(group, seconds)
         group.disk_by_name[leader].sync_seconds = 0.0
         group.clock.sleep(seconds + SETTLED_SECONDS)
         assert (group.leader_name(), group.term()) == (leader, term)
