An agent begins a few sessions at a time, and leaves time for heartbeats between them

Evidence: the new test charges 3 ms for each first poll, on virtual time.

A session that ends for another of the same agent is kept until that one begins, since it hands on its clock and what it knows of the contact.

Looked for elsewhere: the start calls of one pass, which all become ready when their intents are applied.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -79,6 +79,16 @@
 MAINTENANCE_INTERVAL_SECONDS = 0.25
 """Longest time between two looks for workers to take over and for runs to stop."""
 
+MAX_SESSIONS_AT_ONCE = 8
+"""Sessions that begin before all other green threads have had a turn.
+
+Each connects to its worker and polls it.  A new leader may have the sessions of a whole fleet to
+begin, and has to send its heartbeats meanwhile.
+"""
+
+SESSION_PAUSE_SECONDS = 0.01
+"""Pause after these: about what they take."""
+
 MAX_LOGGED_RUNS = 8
 """Runs named in the log line of an incarnation's end: those that worked there least long."""
 
@@ -183,6 +193,9 @@
         self._continued_incarnations: set[IncarnationKey] = set()
         """The incarnations that have had no other agent, and no end, since their session began."""
 
+        self._replaced_session_by_incarnation: dict[IncarnationKey, WorkerSession] = {}
+        """The sessions that ended, of incarnations of which another of this agent is to begin."""
+
         self.late_starts = LateStarts()
         self.interference = InterferenceModel()
         self.is_leaving = False
@@ -244,6 +257,7 @@
         self.agent_id = new_agent_id(self._replica.core.replica_id)
         for key in list(self.session_by_incarnation):
             self._drop_session(key)
+        self._replaced_session_by_incarnation.clear()
         self._number, self._is_full_report_due = 0, True
         self._assignments_changed = True
 
@@ -315,29 +329,35 @@
                 self._assignments_changed = False
                 self._update_sessions()
             self._stop_runs()
+            if self._assignments_changed:
+                self._wake_up_maintenance()
+                self._clock.sleep(SESSION_PAUSE_SECONDS)
 
     def _update_sessions(self) -> None:
+        """End the sessions with workers of other agents, and begin some of those that are due."""
         assigned: dict[IncarnationKey, Worker] = {
             key: worker
             for key, worker in self.ledger.worker_by_incarnation.items()
             if worker.record.agent_id == self.agent_id and not worker.has_ended
         }
-        replaced: dict[IncarnationKey, WorkerSession] = {}
         for key, session in list(self.session_by_incarnation.items()):
             worker = assigned.get(key)
             if worker is None or worker.record.fencing_token != session.fencing_token:
                 self._drop_session(key)
-                if worker is not None and key in self._continued_incarnations:
-                    replaced[key] = session
-        for key, worker in assigned.items():
-            if key not in self.session_by_incarnation:
-                session = WorkerSession(
-                    self, worker, self._settings.lease_ms, previous=replaced.get(key)
-                )
-                self.session_by_incarnation[key] = session
-                self._continued_incarnations.add(key)
-                self.state_changed(session)
-        self._continued_incarnations &= self.session_by_incarnation.keys()
+                self._replaced_session_by_incarnation[key] = session
+        replaced = self._replaced_session_by_incarnation
+        for key in replaced.keys() - (assigned.keys() & self._continued_incarnations):
+            del replaced[key]
+        due = [key for key in assigned if key not in self.session_by_incarnation]
+        for key in due[:MAX_SESSIONS_AT_ONCE]:
+            session = WorkerSession(
+                self, assigned[key], self._settings.lease_ms, previous=replaced.pop(key, None)
+            )
+            self.session_by_incarnation[key] = session
+            self._continued_incarnations.add(key)
+            self.state_changed(session)
+        self._assignments_changed |= len(due) > MAX_SESSIONS_AT_ONCE
+        self._continued_incarnations &= self.session_by_incarnation.keys() | replaced.keys()
 
     def _drop_session(self, key: IncarnationKey) -> None:
         session = self.session_by_incarnation.pop(key)
--- /dev/null
+++ b/tests/dispatch/test_beginning_of_term.py
@@ -0,0 +1,71 @@
+"""The work of a new leader leaves the processor to replication again and again."""
+
+import eventlet
+import pytest
+from eventlet import hubs
+
+from savoryshelf.replication.types import Timing
+
+from .group import FakeGroup
+
+POLL_SECONDS = 0.003
+"""Processor time of a session's first poll, with the connection; calls cost 2 to 5 ms."""
+
+TICK_SECONDS = 0.05
+
+BEGUN_IN_SECONDS = 3.0
+"""Long-running work that lost its host has to run again after this time."""
+
+pytestmark = pytest.mark.usefixtures("on_virtual_time")
+
+
+def use_processor(seconds):
+    """Let time pass in which no other green thread runs."""
+    hubs.get_hub().now += seconds
+
+
+class CostlyGroup(FakeGroup):
+    """A group in which each first call to a worker takes processor time."""
+
+    def __init__(self, *arguments):
+        self._called_workers = set()
+        super().__init__(*arguments)
+
+    def poll(self, incarnation, *arguments):
+        if incarnation.worker_id not in self._called_workers:
+            self._called_workers.add(incarnation.worker_id)
+            use_processor(POLL_SECONDS)
+        return super().poll(incarnation, *arguments)
+
+
+@pytest.fixture(name="lags")
+def timer_lags(on_virtual_time):
+    """Yield a list of how late a green thread runs that ticks as a replica does."""
+    lags = []
+
+    def tick():
+        while True:
+            began_at = on_virtual_time.monotonic()
+            eventlet.sleep(TICK_SECONDS)
+            lags.append(on_virtual_time.monotonic() - began_at - TICK_SECONDS)
+
+    thread = eventlet.spawn(tick)
+    yield lags
+    thread.kill()
+
+
+# Guards against CONFIG and RECOVER by a leader that begins all its sessions at one go: no heartbeat
+# is sent meanwhile.
+@pytest.mark.parametrize("workers", [33, 64, 446])
+def test_the_sessions_with_a_whole_fleet_leave_time_for_heartbeats(lags, on_virtual_time, workers):
+    group = CostlyGroup(["c0"], [f"w{number}" for number in range(workers)])
+    agent = group.agent_by_host["c0"]
+    began_at = on_virtual_time.monotonic()
+    while not all(session.is_responsive for session in agent.session_by_incarnation.values()) or (
+        len(agent.session_by_incarnation) < workers
+    ):
+        assert on_virtual_time.monotonic() < began_at + BEGUN_IN_SECONDS
+        eventlet.sleep(TICK_SECONDS)
+    group.close()
+    assert group.failures == []
+    assert max(lags) < Timing().heartbeat_interval / 2
