The start calls of a backlog begin a few at a time

The first pass after a restart plans a whole backlog.

Now an agent lets 16 calls begin before all others have had a turn, in the order of the intents; with nothing else due this adds no wait.

--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -41,6 +41,7 @@
     WorkerState,
 )
 from .agent_id import new_agent_id
+from .call_queue import CallQueue
 from .crash_log import log_incarnation_ends
 from .interference import InterferenceModel
 from .lag import measure_lag
@@ -197,6 +198,7 @@
         """The sessions that ended, of incarnations of which another of this agent is to begin."""
 
         self.late_starts = LateStarts()
+        self.start_calls = CallQueue()
         self.interference = InterferenceModel()
         self.is_leaving = False
         self._permission = Permission()
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -344,7 +344,7 @@
         self.wake()
         assigned_task = self.worker.task_by_run.get((task, run))
         checkpoint = assigned_task.checkpoint if assigned_task is not None else ""
-        eventlet.spawn_n(self._send_start, task, run, checkpoint)
+        self._agent.start_calls.add(self._send_start, task, run, checkpoint)
 
     def stop(self, task: str, run: int) -> None:
         """Stop a run; an unanswered call is retried until the session or the term ends.
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -3,6 +3,7 @@
 import eventlet
 
 from savoryshelf.clock import SystemClock
+from savoryshelf.dispatch.call_queue import CallQueue
 from savoryshelf.dispatch.late_starts import LateStarts
 from savoryshelf.dispatch.worker_api import (
     EndedRun,
@@ -164,6 +165,7 @@
         self.worker_api = worker_api
         self.session_by_incarnation = {}
         self.late_starts = LateStarts()
+        self.start_calls = CallQueue()
         self.end_reasons = []
         self.rejections = []
         self.settled_ends = []
