The soak reads the manifest back at every control host

It judged only the last read after the recovery, so a host that answers from what it holds, without asking a quorum, was found by no run. Each control host is now read all the while, in touch or not, and a version older than one acknowledged 2.5 s before is a finding (CONFIG).

--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -34,6 +34,7 @@
 FAR_SECONDS = 0.02
 """The delay of each way between the two regions."""
 
+READ_PAUSE_SECONDS = 0.2
 DOWN_SPANS_SECONDS = ((0.1, 2.0), (MAX_HOLD_MS / 1000, 6.0), (math.inf, math.inf))
 """How long workers are down that a run has crashed: for less than a lease, for more, for good."""
 
@@ -58,6 +59,15 @@
     was_listening: bool
 
 
+@attrs.frozen
+class ManifestRead:
+    """A manifest that a control host gave; ``sent_at`` is when it was asked."""
+
+    ip: str
+    sent_at: float
+    version: int
+
+
 @attrs.define
 class Host:
     """One host: its process is restarted whenever it ends."""
@@ -178,6 +188,8 @@
         self.relays: list[Relay] = []
         self.workers: list[PlatformWorker] = []
         self.acknowledged_version = 0
+        self.acknowledged_at_by_version: dict[int, float] = {}
+        self.manifest_reads: list[ManifestRead] = []
         self.job_accepted = threading.Event()
         self.lull_count = 0
         """Callers but the first few pause unless this is 0."""
@@ -395,9 +407,19 @@
             if self._operate(host, "POST", "put", manifest | {"limits": {}})[0] == 200:
                 with self._lock:
                     self.acknowledged_version = max(self.acknowledged_version, version)
+                    self.acknowledged_at_by_version[version] = time.monotonic()
                 return True
         return False
 
+    def read_manifests(self, host: Host, stopping: threading.Event) -> None:
+        """Read the manifest at a control host, again and again."""
+        while not stopping.wait(READ_PAUSE_SECONDS):
+            sent_at = time.monotonic()
+            status, body = self._operate(host, "GET", "get")
+            if status == 200:
+                version = json.loads(body)["version"]
+                self.manifest_reads.append(ManifestRead(host.ip, sent_at, version))
+
     def manifest_version(self) -> int:
         """Return the version that the leader reads back, 0 if there is no answer."""
         for host in self.controls:
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -36,6 +36,9 @@
     unmet_demands,
 )
 
+CONFIG_APPLY_SECONDS = 2.5
+"""Time from the acknowledgement of a manifest until no host reads back an older one."""
+
 LOSS_SLACK_SECONDS = 0.2
 """A request whose connection ends sooner after it was sent may not have been read."""
 
@@ -447,6 +450,17 @@
                 yield Finding("EXIT", end.at, text)
 
 
+@_check("manifests that are read back although a newer one is in force")
+def _older_manifests(seen: Observations) -> Iterator[Finding]:
+    acknowledged = seen.deployment.acknowledged_at_by_version
+    for read in seen.deployment.manifest_reads:
+        since = read.sent_at - CONFIG_APPLY_SECONDS
+        in_force = max((version for version, at in acknowledged.items() if at < since), default=0)
+        if read.version < in_force:
+            text = f"{read.ip} gives version {read.version}, {in_force} is in force"
+            yield Finding("CONFIG", read.sent_at, text)
+
+
 @_check("manifests that were acknowledged and are gone")
 def _lost_manifests(seen: Observations) -> Iterator[Finding]:
     acknowledged = seen.deployment.acknowledged_version
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -84,6 +84,7 @@
         return (
             f"seed {self.seed}: {len(self.faults)} faults, {len(calls)} calls {dict(statuses)}, "
             f"{len(self.seen.state_by_job)} jobs accepted, {self._throttling()}, {self._late()}, "
+            f"{len(self.seen.deployment.manifest_reads)} manifests read, "
             f"findings {dict(counts)}"
         )
 
@@ -203,6 +204,7 @@
             callers += [kind(seed, deployment, balancer) for kind in CRASH_CALLERS]
         lags: list[Span] = []
         probes = [(balancer.probe, host) for host in deployment.entries]
+        probes += [(deployment.read_manifests, host) for host in deployment.controls]
         with _in_threads([*probes, (_measure_lag, lags)]):
             with _in_threads([(caller.run,) for caller in sharing]):
                 with _in_threads([(caller.run,) for caller in callers]):
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -8,7 +8,7 @@
 
 from standins.platform import RunRecord
 from standins.soak.callers import CANCEL, CROWD_CALLERS, LARGE_CALLER, READ, SUBMIT, Call, JobSpec
-from standins.soak.deployment import Exit, Host
+from standins.soak.deployment import Exit, Host, ManifestRead
 from standins.soak.judge import Observations, judge
 from standins.soak.waits import Demand, Use, WorkerTimes, calm_spans, unmet_demands
 
@@ -28,6 +28,7 @@
     spec=None,
     unused_workers=(),
     first_outcome="done",
+    reads=(),
     **times,
 ):
     """Return the kinds of findings in a run with one accepted job, whose task ran once."""
@@ -40,7 +41,8 @@
     worker = types.SimpleNamespace(worker_id="w1", records=[ended, *records], up=[(0.0, 99.0)])
     deployment = types.SimpleNamespace(
         entries=[host], hosts=[host], workers=[worker], acknowledged_version=acknowledged,
-        cuts_of=lambda host: [],
+        cuts_of=lambda host: [], manifest_reads=list(reads),
+        acknowledged_at_by_version={1: 0.0, 2: 10.0, 3: 20.0},
     )  # fmt: skip
     submitted = Call(0, SUBMIT, JOB, "ip", False, 1.0, 1.0, 1.1, 200)
     seen = Observations(
@@ -395,12 +397,29 @@
     assert [each.kind for each in judge(seen)].count("LARGE task") == found
 
 
+# Guards against an old manifest at any host, in touch or not (rule CONFIG).
+@pytest.mark.parametrize(
+    ("sent_at", "version", "found"),
+    [
+        (12.4, 1, []),
+        (12.6, 1, ["CONFIG"]),
+        (12.6, 2, []),
+        (20.1, 3, []),
+        (40.0, 2, ["CONFIG"]),
+        (40.0, 3, []),
+    ],
+)
+def test_a_manifest_that_is_read_back_old_is_found(sent_at, version, found):
+    assert kinds(reads=[ManifestRead("ip", sent_at, version)]) == found
+
+
 def observed(calls, records, spec_by_job):
     """Return what was seen of one worker that was always up."""
     worker = types.SimpleNamespace(worker_id="w1", records=records, up=[(0.0, 99.0)])
     deployment = types.SimpleNamespace(
-        entries=[], hosts=[], workers=[worker], acknowledged_version=0
-    )
+        entries=[], hosts=[], workers=[worker], acknowledged_version=0, manifest_reads=[],
+        acknowledged_at_by_version={},
+    )  # fmt: skip
     return Observations(deployment, calls, spec_by_job)
 
 
--- a/tests/standins/test_soak_lives.py
+++ b/tests/standins/test_soak_lives.py
@@ -107,6 +107,7 @@
     ]
     deployment = types.SimpleNamespace(
         entries=[], hosts=[host], workers=workers, acknowledged_version=0,
+        acknowledged_at_by_version={}, manifest_reads=[],
         partitions_of=lambda worker_id: list(cuts), cuts_of=lambda host: list(core_cuts),
     )  # fmt: skip
     return Observations(deployment, [], {})
