Voters that have just started campaign as soon as they may vote

The cause, a class of fault: a wait that protects what is not there. A voter waited one to two election timeouts from the creation of its replica, as if a leader were to be protected; but pre-votes protect it already, as voters in contact refuse.

A voter now campaigns within 0.3 s after it may vote (one election timeout after its program began, and at least one heartbeat after its replica was made, so that a leader that is there is mostly heard first). A pre-vote request that comes before a voter may vote is refused with that reason, kept (the last of each sender), and answered once it may.

Evidence: test_a_leader_comes_soon_after_the_last_needed_voter_may_vote fails on the code before, and without either guard.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -282,6 +282,20 @@
         "began_at=self._started_at,",
         "tests/dispatch/test_joining.py",
     ),
+    Mutant(
+        "a voter that has just started campaigns soon",
+        _CORE,
+        "        self._set_first_deadline()\n",
+        "        self._reset_election_deadline()\n",
+        "tests/replication/test_elections.py",
+    ),
+    Mutant(
+        "a pre-vote request that comes before a voter may vote is answered then",
+        _CORE,
+        "self._deferred_pre_vote_by_sender[message.sender] = message",
+        "pass",
+        "tests/replication/test_elections.py",
+    ),
     Mutant(
         "a leader refuses campaigns",
         _CORE,
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -72,6 +72,12 @@
 A leader that stood still waits as long for replies to what it sends then.
 """
 
+FIRST_CAMPAIGN_SPREAD_FACTOR = 0.3
+"""Voters that start together campaign within this share of an election timeout.
+
+Several round trips between regions, so that the first to ask mostly finds the others waiting.
+"""
+
 LONGEST_CAMPAIGN_DELAY_FACTOR = 2.0
 """A voter that hears of no leader campaigns within this many election timeouts."""
 
@@ -152,7 +158,10 @@
         self._unsynced: list[LogEntry] = []
         self._hard_state_changed = False
         self._confirmed_reads: list[int] = []
-        self._reset_election_deadline()
+        self._deferred_pre_vote_by_sender: dict[str, RaftMessage] = {}
+        """Requests that came before this replica might vote; they are answered once it may."""
+
+        self._set_first_deadline()
 
     @staticmethod
     def _recovered_log(initial_membership: Membership, recovered: RecoveredState) -> RaftLog:
@@ -173,6 +182,8 @@
         if now - self._ticked_at > self.timing.heartbeat_interval:
             self._resume()
         self._ticked_at = now
+        if self._deferred_pre_vote_by_sender and now >= self._votes_from:
+            self._answer_deferred_pre_votes()
         if self.role is Role.LEADER:
             self._check_quorum()
         if now < self._deadline:
@@ -416,7 +427,20 @@
         else:
             self._become_leader()
 
+    def _set_first_deadline(self) -> None:
+        """Campaign soon: pre-votes depose no leader, and one that is there sends meanwhile."""
+        may_vote_at = max(self._votes_from, self._now + self.timing.heartbeat_interval)
+        spread = FIRST_CAMPAIGN_SPREAD_FACTOR * self.timing.election_timeout
+        self._deadline = may_vote_at + self._rng.uniform(0.0, spread)
+
+    def _answer_deferred_pre_votes(self) -> None:
+        deferred, self._deferred_pre_vote_by_sender = self._deferred_pre_vote_by_sender, {}
+        for message in deferred.values():
+            self._on_vote_request(message, message.payload.vote_request)
+
     def _on_vote_request(self, message: RaftMessage, request: VoteRequest) -> None:
+        if request.pre_vote and self._now < self._votes_from:
+            self._deferred_pre_vote_by_sender[message.sender] = message
         why = self._reason_to_ignore(message, request)
         if not why and message.term > self.term and not request.pre_vote:
             self._become_follower(message.term, None, heard=f"vote_request of {message.sender}")
--- a/tests/replication/group.py
+++ b/tests/replication/group.py
@@ -58,7 +58,7 @@
         self._synced_at = 0.0
         self._inbox = []
 
-    def start(self, initial_membership=None):
+    def start(self, initial_membership=None, program_age_seconds=0.0):
         self.storage = ReplicaStorage(self.disk)
         identity = self.storage.load_or_create_identity(self.name)
         if initial_membership is not None and identity.genesis is None:
@@ -75,6 +75,7 @@
             TIMING,
             self.group.rng,
             self.group.now,
+            began_at=self.group.now - program_age_seconds,
         )
 
     @property
--- a/tests/replication/test_elections.py
+++ b/tests/replication/test_elections.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from savoryshelf.replication.core import FIRST_CAMPAIGN_SPREAD_FACTOR, FIRST_RETRY_FACTOR
 from savoryshelf.wire.generated.ttypes import WalRecord
 
 from .group import FAR_DELAY_SECONDS, TIMING, Group
@@ -161,3 +162,84 @@
             assert not restarted.is_leader, f"seed {seed}"
             group.run_for(0.01)
         assert seconds_until_led(group) < MAX_LEADERLESS_SECONDS, f"seed {seed}"
+
+
+def start_after_power_loss(group, rng, lost_disks, spread_seconds, age_seconds):
+    """Start all hosts, in a random order; return once the last one of a majority has started."""
+    hosts = rng.sample(list(group.host_by_name.values()), len(group.host_by_name))
+    for host in hosts[:lost_disks]:
+        host.disk.content_by_name.clear()
+    began_at = group.now
+    delay_by_host = {host: rng.uniform(0.0, spread_seconds) for host in hosts}
+    needed = sorted(delay_by_host[host] for host in hosts[lost_disks:])[len(hosts) // 2]
+    for host, delay in sorted(delay_by_host.items(), key=lambda item: item[1]):
+        if delay > needed:
+            break
+        group.run_for(began_at + delay - group.now)
+        host.start(program_age_seconds=age_seconds)
+
+
+# Guards against voters that have just started and wait as if a leader were there to protect: after
+# a restart of all, a leader came one to two seconds after the processes were up.
+@pytest.mark.parametrize("age_seconds", [0.0, 0.4, 0.8, 3.0])
+@pytest.mark.parametrize("spread_seconds", [0.3, 2.0])
+@pytest.mark.parametrize("count, lost_disks", [(3, 0), (3, 1), (5, 0), (5, 2)])
+def test_a_leader_comes_soon_after_the_last_needed_voter_may_vote(
+    count, lost_disks, spread_seconds, age_seconds
+):
+    may_vote_seconds = max(TIMING.election_timeout - age_seconds, TIMING.heartbeat_interval)
+    campaign_seconds = FIRST_CAMPAIGN_SPREAD_FACTOR * TIMING.election_timeout
+    retry_seconds = 2 * FIRST_RETRY_FACTOR * TIMING.election_timeout
+    limit = may_vote_seconds + campaign_seconds + retry_seconds + ELECTION_SECONDS
+    for seed in SEEDS:
+        group, rng = Group(count, seed, tick_seconds=0.004), random.Random(seed)
+        group.run_for(2.5)
+        group.far_names = set(group.host_by_name)
+        for host in group.host_by_name.values():
+            host.sync_seconds = SYNC_SECONDS
+        group.run_for(1.0)
+        group.lose_power()
+        start_after_power_loss(group, rng, lost_disks, spread_seconds, age_seconds)
+        assert seconds_until_led(group) < limit, f"seed {seed}"
+
+
+# Guards against hosts that campaign soon after their start and depose a leader that does not reach
+# them yet.
+@pytest.mark.parametrize("unreached_seconds", [0.0, 0.5, 1.5, 4.0])
+@pytest.mark.parametrize("count, restarted", [(3, 1), (5, 1), (5, 2)])
+def test_hosts_that_restart_beside_a_leader_never_depose_it(count, restarted, unreached_seconds):
+    for seed in SEEDS:
+        group, rng = Group(count, seed, tick_seconds=0.004), random.Random(seed)
+        group.far_names = set(group.host_by_name)
+        group.run_for(2.5)
+        group.commands_per_s = COMMANDS_PER_S / 10
+        leader = group.leader()
+        term = leader.core.term
+        followers = [host for host in group.host_by_name.values() if host is not leader]
+        for host in rng.sample(followers, restarted):
+            host.core = None
+            group.blocked_links.add((leader.name, host.name))
+            group.run_for(rng.uniform(0.0, 0.5))
+            host.start(program_age_seconds=rng.choice([0.0, 0.8, 3.0]))
+        group.run_for(unreached_seconds)
+        group.heal_partitions()
+        group.run_for(2.0)
+        assert leader.is_leader, f"seed {seed}"
+        assert {host.core.term for host in group.host_by_name.values()} == {term}, f"seed {seed}"
+
+
+# Guards against a candidate that asks a voter which has just started, and asks again seconds later.
+def test_a_pre_vote_request_that_came_too_early_is_answered_once_the_voter_may_vote():
+    group = Group(3, tick_seconds=0.01)
+    group.run_for(2.5)
+    group.lose_power()
+    first, second, _ = group.host_by_name.values()
+    first.start(program_age_seconds=5.0)
+    group.run_for(0.1)
+    second.start()
+    second.core._deadline = group.now + 10.0
+    first.core._deadline = group.now
+    group.run_for(0.1)
+    first.core._deadline = group.now + 10.0
+    assert seconds_until_led(group) == pytest.approx(TIMING.election_timeout - 0.1, abs=0.05)
+    assert first.is_leader
