A held task is given up once its silent workers are known to have been replaced

Callers saw a job, finite or long-running, that is neither done nor failed nor started again: its task had crashed workers that were away for longer than their leases, so that their crashes stayed unproven; after five it was held until one of these incarnations answered, which none can once a later one has.

Cause, as a class: evidence that can only be taken back is waited for after it no longer can be. The ledger did not record that.

A heartbeat alone is no evidence. A held task is given up, by the same command and after the same delay as before, once the proven and the final crashes alone are too many, and two workers have crashed for certain or were lost alone. Silence of workers that were lost together still fails no job. Logs of earlier versions have no such command, so nothing is decided otherwise on replay: without the marks the new condition is implied by the old one.

What stays held, until cancelled: a task that needs the crash of a worker that never comes back, or at another address; one all but one of whose workers were lost with others each time. A worker that was cut off alone and restarted meanwhile counts as crashed; nobody can tell when it ended.

The state machine of crashes has later incarnations that answer, and workers that fall silent together.

Looked for elsewhere: proven crashes (decided at once), crashes of earlier versions (count only if lost alone, so as before), late heartbeats (end as replaced). admission leaves held tasks out.

--- a/src/savoryshelf/dispatch/crash_log.py
+++ b/src/savoryshelf/dispatch/crash_log.py
@@ -39,6 +39,7 @@
                 "sole": crash.is_sole,
                 "certain": crash.is_certain,
                 "proven": crash.is_proven,
+                "replaced": crash.is_replaced,
                 "lost_with": worker.record.lost_with if worker else None,
             }
         )
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -43,6 +43,7 @@
     NoteWeights,
     QueueSpec,
     RejectionKind,
+    ReplacedLives,
     RunEnd,
     RunIntent,
     RunOutcome,
@@ -165,6 +166,9 @@
         self._have_states_changed = True
         """Whether agents have reported states since that was last looked for."""
 
+        self._may_find_replacements = True
+        """Whether states or ends of incarnations were reported since that was last looked for."""
+
         self._retention = Retention(settings.keep_ended_seconds)
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
@@ -260,6 +264,7 @@
 
     def _run_pass(self) -> None:
         self._withdraw_crashes()
+        self._note_replaced_crashes()
         self._end_replaced_incarnations(self.now())
         self._give_up_tasks(self.now())
         self._assign_workers()
@@ -446,6 +451,7 @@
         self._note_lost_runs(due)
         ended = EndLives(due, [], crashed=True, evidence=EndEvidence.REPLACED)
         log_crash_notes(self.commit(end_lives=ended))
+        self._may_find_replacements = True
 
     def _withdraw_crashes(self) -> None:
         """Withdraw what silent incarnations were taken to have crashed under once they answer.
@@ -471,6 +477,37 @@
             log_event("worker:crash_withdrawn", workers=[life.worker_id for life in answering])
             self.commit(withdraw_crashes=WithdrawCrashes(answering))
 
+    def _note_replaced_crashes(self) -> None:
+        """Note which silent incarnations never answer again, since a later one has.
+
+        While it has not, they may: a heartbeat of the later one is no evidence.
+        """
+        if not self._may_find_replacements:
+            return
+        self._may_find_replacements = False
+        silent = {
+            crash.incarnation
+            for task in self.ledger.crashed_task_by_name.values()
+            for crash in task.crashes
+            if not (crash.is_proven or crash.is_replaced)
+        }
+        if not silent:
+            return
+        newest_by_place: dict[tuple[str, str], int] = {}
+        for worker in self._live_workers():
+            if self._fleet.answers(worker):
+                place, born_ms = _place(worker), worker.record.life.born_ms
+                newest_by_place[place] = max(born_ms, newest_by_place.get(place, born_ms))
+        replaced = [
+            WorkerLife(*key)
+            for key in sorted(silent)
+            if (worker := self.ledger.worker_by_incarnation.get(key)) is not None
+            and newest_by_place.get(_place(worker), key[1]) > key[1]
+        ]
+        if replaced:
+            log_event("worker:crash_final", workers=[life.worker_id for life in replaced])
+            self.commit(note_replaced=ReplacedLives(replaced))
+
     def _give_up_tasks(self, now: float) -> None:
         """Fail the jobs of tasks that are known to crash their workers."""
         names = self._held_tasks.look(self.ledger, self._count_silent_workers, now)
@@ -530,6 +567,7 @@
         elif report.states:
             self.wake()
         self._have_states_changed |= bool(report.states)
+        self._may_find_replacements |= bool(report.states)
         return AgentReply(self._term, self.ledger.newest_token, wants_full)
 
     def _record_rejection(self, rejection: StartRejection, now: float) -> None:
@@ -554,6 +592,7 @@
                 for ended in _merged(ended_incarnations):
                     self._note_lost_runs(ended.lives)
                     log_crash_notes(self.commit(end_lives=ended))
+                    self._may_find_replacements = True
             self.wake()
 
     def _record_outcomes(self, settlement: SettleRuns) -> None:
@@ -626,12 +665,16 @@
             log_event("term:command_lost", term=self._term, why=str(error))
 
 
+def _place(worker: Worker) -> tuple[str, str]:
+    """Return what two incarnations of a worker never have at the same time."""
+    return worker.record.life.worker_id, worker.record.address
+
+
 def _sharing_an_address(workers: Iterable[Worker]) -> list[list[Worker]]:
     """Return the incarnations of each worker of which there are several at one address."""
     by_place: dict[tuple[str, str], list[Worker]] = {}
     for worker in workers:
-        place = worker.record.life.worker_id, worker.record.address
-        by_place.setdefault(place, []).append(worker)
+        by_place.setdefault(_place(worker), []).append(worker)
     return [sharing for sharing in by_place.values() if len(sharing) > 1]
 
 
--- a/src/savoryshelf/tasks/crashes.py
+++ b/src/savoryshelf/tasks/crashes.py
@@ -9,7 +9,7 @@
 until the worker answers again.  Workers that were lost at the same time have a common cause.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -81,6 +81,19 @@
     """How many crashes count for the task, or for its gang, and of how many workers."""
 
 
+def _is_any(crash: Crash) -> bool:
+    return True
+
+
+def _is_proven(crash: Crash) -> bool:
+    return bool(crash.is_proven)
+
+
+def _is_final(crash: Crash) -> bool:
+    """Return whether a crash can't be withdrawn any more."""
+    return bool(crash.is_proven) or crash.is_replaced
+
+
 def record_loss(worker: Worker, loss: ContactLoss, at_ms: int, workers: Iterable[Worker]) -> None:
     """Record when contact with an incarnation was lost, and which others were lost with it."""
     record = worker.record
@@ -165,6 +178,16 @@
     ]
 
 
+def note_replaced(task: Task, incarnation: IncarnationKey) -> None:
+    """Note that the unproven crash of an incarnation will never be withdrawn."""
+    task.crashes = [
+        attrs.evolve(crash, is_replaced=True)
+        if crash.incarnation == incarnation and not crash.is_proven
+        else crash
+        for crash in task.crashes
+    ]
+
+
 def is_suspect(task: Task) -> bool:
     """Return whether the task may have crashed a worker on starting there."""
     return any(crash.on_start for member in gang_members(task) for crash in member.crashes)
@@ -180,7 +203,17 @@
     # soon as that may be.
     counting = _counting(proven, worker_by_incarnation)
     has_crashed_workers = _worker_count(counting) >= MIN_CERTAIN_CRASHES
-    return _has_too_many(task, worker_by_incarnation, only_proven=not has_crashed_workers)
+    if _has_too_many(task, worker_by_incarnation, _is_any if has_crashed_workers else _is_proven):
+        return True
+    # Nor would anything be withdrawn any more.  Workers that were silent together may have been
+    # cut off together, and their runs lapsed before they were replaced.
+    counting += [
+        crash
+        for crash in _crashes_of_unit(task, _is_final)
+        if not crash.is_proven and _was_lost_alone(crash, worker_by_incarnation)
+    ]
+    has_crashed_workers = _worker_count(counting) >= MIN_CERTAIN_CRASHES
+    return has_crashed_workers and _has_too_many(task, worker_by_incarnation, _is_final)
 
 
 def must_hold(task: Task, worker_by_incarnation: Mapping[IncarnationKey, Worker]) -> bool:
@@ -200,18 +233,12 @@
 def _has_too_many(
     task: Task,
     worker_by_incarnation: Mapping[IncarnationKey, Worker],
-    only_proven: bool = False,
+    counts: Callable[[Crash], bool] = _is_any,
 ) -> bool:
     """Return whether no further start may follow what is held against a task."""
     return any(
-        _are_too_many(
-            [
-                crash
-                for crash in _counting(crashes, worker_by_incarnation)
-                if crash.is_proven or not only_proven
-            ]
-        )
-        for crashes in (_crashes_of_unit(task), *_crashes_by_member(task))
+        _are_too_many(_counting(crashes, worker_by_incarnation))
+        for crashes in (_crashes_of_unit(task, counts), *_crashes_by_member(task, counts))
     )
 
 
@@ -265,7 +292,7 @@
     return (*task.step.key, -1 if task.step.spec.gang else task.index)
 
 
-def _crashes_of_unit(task: Task) -> list[Crash]:
+def _crashes_of_unit(task: Task, counts: Callable[[Crash], bool] = _is_any) -> list[Crash]:
     """Return the crashes of a task or of its gang in the order of the runs.
 
     Several workers may crash at once under one run of a gang, which is no doing of the gang:
@@ -273,14 +300,14 @@
     """
     crash_by_run: dict[int, Crash] = {}
     for member in gang_members(task):
-        for crash in member.crashes:
+        for crash in filter(counts, member.crashes):
             known = crash_by_run.get(crash.run)
             if known is None or _weight(crash) > _weight(known):
                 crash_by_run[crash.run] = crash
     return [crash for _, crash in sorted(crash_by_run.items())]
 
 
-def _crashes_by_member(task: Task) -> list[list[Crash]]:
+def _crashes_by_member(task: Task, counts: Callable[[Crash], bool] = _is_any) -> list[list[Crash]]:
     """Return the crashes of each member of a gang, if the task is one; empty otherwise.
 
     Which crash counts for the gang may be of one worker in each run, and those of a member not.
@@ -289,7 +316,7 @@
     if not task.step.spec.gang:
         return []
     return [
-        [crash for crash in member.crashes if crash.is_proven is not None]
+        [crash for crash in filter(counts, member.crashes) if crash.is_proven is not None]
         for member in gang_members(task)
     ]
 
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -41,6 +41,9 @@
     None if an earlier version recorded the crash, which did not tell these apart.
     """
 
+    is_replaced: bool = False
+    """Whether a later incarnation has answered at its address, so that it never answers again."""
+
 
 @attrs.define(eq=False)
 class Task:
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -30,6 +30,7 @@
     must_give_up,
     must_give_up_without_evidence,
     must_hold,
+    note_replaced,
     record_crash,
     record_loss,
     withdraw_crash,
@@ -329,6 +330,12 @@
                 withdraw_crash(task, incarnation_key(incarnation))
         self._release_held_tasks()
 
+    def note_replaced(self, incarnations: list[WorkerLife]) -> None:
+        """Note that incarnations never answer again: a later one has, at the same address."""
+        for task in self.crashed_task_by_name.values():
+            for incarnation in incarnations:
+                note_replaced(task, incarnation_key(incarnation))
+
     def give_up(self, names: list[str]) -> list[str]:
         """Fail the jobs of those tasks under which enough workers are known to have crashed.
 
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -83,6 +83,7 @@
             crash.is_sole,
             crash.is_certain,
             crash.is_proven,
+            crash.is_replaced,
         )
         for crash in task.crashes
     ]
@@ -118,8 +119,11 @@
     for crash in task_record.crashes or []:
         key = incarnation_key(crash.life)
         task.crashes.append(
-            Crash(crash.run, key, crash.on_start, crash.sole, crash.certain, crash.proven)
-        )
+            Crash(
+                crash.run, key, crash.on_start, crash.sole, crash.certain, crash.proven,
+                bool(crash.replaced),
+            )
+        )  # fmt: skip
     if task.crashes:
         ledger.crashed_task_by_name[task.name] = task
     for placed in task_record.placed:
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -111,6 +111,12 @@
     return Accepted()
 
 
+@_handles_command("note_replaced")
+def _note_replaced(ledger: TaskLedger, command):
+    ledger.note_replaced(command.lives)
+    return Accepted()
+
+
 @_handles_command("give_up_tasks")
 def _give_up_tasks(ledger: TaskLedger, command):
     return ledger.give_up(command.tasks)
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -344,6 +344,12 @@
 /** Tasks whose jobs fail if enough workers have crashed under them. */
 struct GiveUpTasks { 1: list<string> tasks }
 
+/**
+ * Incarnations that were recorded as ended for their silence; a later one has answered at the address
+ * of each since, so none of them answers any more.
+ */
+struct ReplacedLives { 1: list<WorkerLife> lives }
+
 struct AgentAssignment { 1: WorkerLife life, 2: string agent_id }
 
 /**
@@ -369,7 +375,8 @@
   4: NoteWorkers note_workers, 5: IntendRuns intend_runs, 6: SettleRuns settle_runs,
   7: EndLives end_lives, 8: ForgetJobs forget_jobs, 9: NoteWeights note_weights,
   10: SettleBatch settle_batch, 11: AssignAgents assign_agents,
-  12: WithdrawCrashes withdraw_crashes, 13: GiveUpTasks give_up_tasks
+  12: WithdrawCrashes withdraw_crashes, 13: GiveUpTasks give_up_tasks,
+  14: ReplacedLives note_replaced
 }
 
 struct TaskCommand { 1: i64 at_ms, 2: TaskCommandBody body }
@@ -381,10 +388,11 @@
  * A crash of a worker under a run.  `on_start`: the worker is not known to have outlived the start
  * of the run; `sole`: and no other task's run was like that there.  `certain`: the run had started.
  * `proven`: the worker is known to have ended; absent in snapshots of earlier versions.
+ * `replaced`: a later incarnation has answered at its address.
  */
 struct CrashRecord {
   1: i32 run, 2: WorkerLife life, 3: bool on_start, 4: bool sole, 5: bool certain,
-  6: optional bool proven
+  6: optional bool proven, 7: optional bool replaced
 }
 
 /** `failed_on` is the id of the worker on which the task failed last, or crashed it; `checkpoint_run`
--- a/tests/dispatch/test_silent_workers.py
+++ b/tests/dispatch/test_silent_workers.py
@@ -59,12 +59,12 @@
             raise WorkerUnresponsive("no answer")
         return result
 
-    def crash(self, is_back=True):
+    def crash(self, is_back=True, down_seconds=DOWN_SECONDS):
         """Crash; the next incarnation is there after a while, or never."""
         self.is_down = True
         self.running.clear()
         if is_back:
-            eventlet.sleep(DOWN_SECONDS)
+            eventlet.sleep(down_seconds)
             born_ms, is_cut = self.born_ms + 1, self.is_cut
             FakeWorker.__init__(self)
             self.born_ms, self.sequence, self.is_down, self.is_cut = born_ms, 0, False, is_cut
@@ -187,6 +187,55 @@
     assert group.state() != "failed"
 
 
+# Guards against LOST: a task was held for good whose workers come back after their leases, since
+# nothing proved that they had crashed, and none of them could answer any more.
+@pytest.mark.parametrize("lasting", [False, True])
+@pytest.mark.parametrize("change", ["none", "leader", "snapshot"])
+def test_a_task_whose_workers_come_back_after_their_leases_is_given_up(group, change, lasting):
+    group.after_start = lambda each: each.crash(down_seconds=CUT_SECONDS)
+    group.submit(step(lasting=lasting))
+    wait_until(lambda: len(group.started_on) == 3, 60)
+    if change == "leader":
+        group.change_leader("c1")
+    elif change == "snapshot":
+        state_machine = group.state_machine_by_host["c1"]
+        state_machine.restore(state_machine.snapshot())
+        group.change_leader("c1")
+    wait_until(lambda: group.state() == "failed", 60)
+    assert len(group.started_on) == 5
+
+
+# Guards against LOST: a heartbeat of a later incarnation, which anybody may have sent, is no
+# evidence that the earlier one never answers again.
+def test_a_heartbeat_of_a_later_incarnation_gives_up_no_task(group):
+    group.after_start = lambda each: each.crash(is_back=False)
+    group.submit(step())
+    wait_until(lambda: TASK in group.ledger.held_task_by_name, 60)
+    for worker_id in {worker_id for _, _, worker_id in group.started_on}:
+        group.error_by_incarnation[worker_id, 2] = WorkerUnresponsive("no answer")
+        group.note_incarnation(worker_id, 2)
+    later = group.ledger.worker_by_incarnation[worker_id, 2]
+    wait_until(lambda: group.term._fleet.is_silent(later))
+    assert not later.has_ended
+    eventlet.sleep(20.0)
+    assert group.state() != "failed"
+    assert not any(crash.is_replaced for crash in group.ledger.find_task(TASK).crashes)
+
+
+# Guards against LOST: while one worker is away its crash may be withdrawn, and the task go on.
+def test_a_task_one_of_whose_workers_never_comes_back_stays_held(group):
+    acts = [lambda each: each.crash(is_back=False)]
+    group.after_start = lambda each: (
+        acts.pop()(each) if acts else each.crash(down_seconds=CUT_SECONDS)
+    )
+    group.submit(step())
+    wait_until(lambda: TASK in group.ledger.held_task_by_name, 60)
+    eventlet.sleep(20.0)
+    assert sum(crash.is_replaced for crash in group.ledger.find_task(TASK).crashes) == 4
+    assert group.state() != "failed"
+    assert len(group.started_on) == 5
+
+
 # Guards against BUDGET by a leader that is lost while a task waits to be given up.
 @pytest.mark.parametrize("has_new_leader", [False, True])
 def test_a_task_that_crashes_its_workers_is_given_up_a_while_after_the_second(
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -113,6 +113,8 @@
     # Orders without an answer are carried out by the next incarnation, while their tasks run
     # elsewhere.
     (55113, 14.0),
+    # Workers are away beyond their leases after crashes under a task: it was held for good.
+    (55103, 20.0),
 ]
 """Jobs that fail for crashes that none of their tasks caused, and runs twice that callers could
 have prevented, would be found in these."""
--- a/tests/tasks/test_crashes.py
+++ b/tests/tasks/test_crashes.py
@@ -547,3 +547,75 @@
     assert state(task_ledger) != "failed"
     task_ledger.withdraw_crashes([WorkerLife("w5", 5)])
     assert not task_ledger.held_task_by_name
+
+
+def hold_silent_crashes(job_step=None, after_ms=None):
+    """Return a ledger with a task held after crashes of five workers that were silent."""
+    task_ledger = make_ledger(SILENT)
+    accept(task_ledger, job_step or step(), job_id=OTHER_JOB)
+    members = [task.name for task in task_ledger.job_by_id[OTHER_JOB].tasks()]
+    for number in range(5):
+        for member in members:
+            start(task_ledger, member, f"w{number}")
+        crash(task_ledger, f"w{number}")
+        for other in () if after_ms is None else (5, 6, 7):
+            task_ledger.upsert_worker(worker(f"w{other}", number + 1))
+            crash(task_ledger, f"w{other}", born_ms=number + 1, after_ms=after_ms)
+    assert set(task_ledger.held_task_by_name) == set(members)
+    return task_ledger
+
+
+def replaced(*numbers):
+    return [WorkerLife(f"w{number}", 1) for number in numbers]
+
+
+# Guards against LOST: a task was held for good, since none of the silent workers could answer any
+# more once a later incarnation had, and none of their crashes was ever proven.
+@pytest.mark.parametrize("is_restored", [False, True], ids=["log", "snapshot"])
+@pytest.mark.parametrize("fields", [{}, {"lasting": True}, {"count": 2, "gang": True}], ids=str)
+def test_a_held_task_is_given_up_once_all_its_silent_workers_were_replaced(fields, is_restored):
+    task_ledger = hold_silent_crashes(step(**fields))
+    for number in range(5):
+        assert give_up(task_ledger) == []
+        task_ledger.note_replaced(replaced(number))
+        if is_restored:
+            saved = snapshot.save(task_ledger)
+            task_ledger = snapshot.load(saved)
+            assert snapshot.save(task_ledger) == saved
+    assert give_up(task_ledger)
+    assert task_ledger.job_by_id[OTHER_JOB].state.value == "failed"
+
+
+# Guards against LOST: of the crashes that are left after one was withdrawn too few count.
+def test_a_held_task_is_released_if_one_of_its_silent_workers_answers():
+    task_ledger = hold_silent_crashes()
+    task_ledger.note_replaced(replaced(0, 1, 2, 3))
+    task_ledger.withdraw_crashes(replaced(4))
+    assert not task_ledger.held_task_by_name
+    assert record_intent(task_ledger, f"{OTHER_JOB}.0.0.0", 6, ("w5", 1))
+
+
+# Guards against LOST: workers that were cut off together fail no job, whatever follows them.
+def test_silence_of_workers_that_were_lost_with_others_gives_up_no_task_once_they_are_replaced():
+    task_ledger = hold_silent_crashes(after_ms=1)
+    task_ledger.note_replaced(replaced(*range(5)))
+    assert give_up(task_ledger) == []
+    assert task_ledger.held_task_by_name
+
+
+def test_a_job_that_is_cancelled_while_its_task_is_held_stays_cancelled():
+    task_ledger = hold_silent_crashes()
+    task_ledger.cancel(OTHER_JOB)
+    task_ledger.note_replaced(replaced(*range(5)))
+    assert task_ledger.give_up([f"{OTHER_JOB}.0.0.0"]) == []
+    assert task_ledger.job_by_id[OTHER_JOB].state.value == "cancelled"
+
+
+def test_replaced_workers_hold_no_task_that_too_few_crashes_count_for():
+    task_ledger = make_ledger(SILENT)
+    for number in range(4):
+        start(task_ledger, DEADLY, f"w{number}")
+        crash(task_ledger, f"w{number}")
+    task_ledger.note_replaced(replaced(*range(4)))
+    assert not task_ledger.held_task_by_name
+    assert state(task_ledger) == "running"
--- a/tests/tasks/test_crashes_stateful.py
+++ b/tests/tasks/test_crashes_stateful.py
@@ -19,6 +19,7 @@
     IntendRuns,
     JobSpec,
     NoteWorkers,
+    ReplacedLives,
     RunAge,
     RunEnd,
     RunIntent,
@@ -73,6 +74,9 @@
         self.gone_worker_ids = set()
         """Workers that have crashed and never come back, which nobody can tell from these."""
 
+        self.histories_by_cut_worker = {}
+        """What the runs belong to that worked on workers when these were cut off."""
+
         self.born_ms_by_worker = dict.fromkeys(WORKER_IDS, 1)
         self.history_by_unit = {}
         self.apply(put_manifest=manifest())
@@ -218,8 +222,46 @@
         """A worker is cut off until its lease is over, or is lost for good."""
         if self.is_up(worker_id):
             self.now_ms += BETWEEN_EVENTS_MS
-            self.record_end(worker_id, EndEvidence.SILENT, set(), not is_known, has_crashed=is_gone)
-            (self.gone_worker_ids if is_gone else self.cut_worker_ids).add(worker_id)
+            self.lose_contact(worker_id, is_known, is_gone, alone=True)
+
+    @rule(is_known=st.booleans(), is_gone=st.booleans())
+    def fall_silent_together(self, is_known, is_gone):
+        """All workers are cut off at the same moment, or are lost for good."""
+        self.now_ms += BETWEEN_EVENTS_MS
+        for worker_id in filter(self.is_up, WORKER_IDS):
+            self.lose_contact(worker_id, is_known, is_gone, alone=False)
+
+    def lose_contact(self, worker_id, is_known, is_gone, alone):
+        if not is_gone:
+            tasks = self.worker(worker_id).task_by_run.values()
+            histories = {id(h): h for h in map(self.history, tasks)}.values()
+            self.histories_by_cut_worker[worker_id] = list(histories) if alone else []
+        self.record_end(
+            worker_id, EndEvidence.SILENT, set(), not is_known, alone, has_crashed=is_gone
+        )
+        (self.gone_worker_ids if is_gone else self.cut_worker_ids).add(worker_id)
+
+    @rule(data=st.data())
+    def come_back(self, data):
+        """A later incarnation answers of a worker that was lost, or restarted while cut off.
+
+        Nobody can tell whether the worker ended before its runs lapsed, so it may count as a crash.
+        """
+        away = sorted(self.cut_worker_ids | self.gone_worker_ids)
+        if not away:
+            return
+        worker_id = data.draw(st.sampled_from(away))
+        life = self.life(worker_id)
+        if worker_id in self.cut_worker_ids:
+            for history in self.histories_by_cut_worker.pop(worker_id):
+                history.worker_ids.add(worker_id)
+                history.crashes_by_itself += 1
+        self.cut_worker_ids.discard(worker_id)
+        self.gone_worker_ids.discard(worker_id)
+        self.born_ms_by_worker[worker_id] += 1
+        self.apply(note_workers=NoteWorkers([worker(worker_id, life.born_ms + 1)]))
+        self.apply(note_replaced=ReplacedLives([life]))
+        self.give_up_tasks()
 
     @rule(data=st.data())
     def answer_again(self, data):
