The start of a control host logs its time, and how much of it the processor and the disk took

Class of fault: a wait with several possible causes and one line.

Change: control:started has seconds, processor_s and disk_s (writes and syncs, measured in the native thread, so that waiting for the thread is not taken for the disk). The rest of seconds is waiting for a processor.

--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -59,6 +59,8 @@
         os.makedirs(folder, exist_ok=True)
         self._open_name: str | None = None
         self._open_fd = -1
+        self.seconds = 0.0
+        """Time that writes and syncs took in the native thread."""
 
     def list_files(self) -> list[str]:
         """Return the names of the files in the folder."""
@@ -93,7 +95,7 @@
         refused_since = None
         while True:
             try:
-                tpool.execute(function, *arguments)
+                tpool.execute(self._timed, function, *arguments)
                 break
             except _Refused as error:
                 if refused_since is None:
@@ -107,6 +109,13 @@
             seconds = round(time.monotonic() - refused_since, 2)
             log_event("disk:accepts", operation=operation, seconds=seconds)
 
+    def _timed(self, function, *arguments) -> None:
+        began_at = time.monotonic()
+        try:
+            function(*arguments)
+        finally:
+            self.seconds += time.monotonic() - began_at
+
     def _path(self, name: str) -> str:
         return os.path.join(self._folder, name)
 
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import time
 
 import attrs
 import eventlet
@@ -103,12 +104,14 @@
         self._leader_client: PeerClient | None = None
         self._clock = SystemClock()
         self._started_at = self._clock.monotonic()
+        self._processor_seconds_before = time.process_time()
         self._is_stopping = False
         self._known_addresses = KnownAddresses()
         self._address_by_ip = _AddressByIp(settings.peer_port)
         self._peers: PeerServer | None = None
         self.update_seeds(settings.seed_ips)
-        storage = ReplicaStorage(LocalDisk(settings.data_folder))
+        self._disk = LocalDisk(settings.data_folder)
+        storage = ReplicaStorage(self._disk)
         self.identity = bootstrap_identity(
             storage, settings.ip, settings.seed_ips, settings.peer_port, settings.is_first_start
         )
@@ -158,7 +161,13 @@
             lambda: TaskControlHandler(self._settings.cluster_key, self),
         )
         self.replica.start()
-        log_event("control:started", replica=self.identity.replica_id)
+        log_event(
+            "control:started",
+            replica=self.identity.replica_id,
+            seconds=round(self._clock.monotonic() - self._started_at, 3),
+            processor_s=round(time.process_time() - self._processor_seconds_before, 3),
+            disk_s=round(self._disk.seconds, 3),
+        )
         for activity in (self._maintain_membership, self._repair_group, self._lead):
             eventlet.spawn(self._run_activity, activity)
         self.agent.start(self._run_activity)
