A control host starts one native thread for its disk instead of twenty

Cause: eventlet starts its pool of twenty native threads at the first write, one after the other, and the whole process waits until each has had a processor once. A replica writes one record at a time, so nineteen never work. Class of fault: a start that waits for turns of a busy processor, many times in a row, for something it does not use.

Change: use_one_thread, called by the control host of the platform and by that of the daemon before the first write.

Evidence: the test counts the threads of a started process (21 before, 2 now); a mutant removes the call.

Looked for elsewhere: entry hosts write no files and start no threads; tests and benchmarks that run several disks in one process keep eventlet's pool.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1321,6 +1321,13 @@
         "pass",
         "tests/platform/test_start.py",
     ),
+    Mutant(
+        "a control host starts one thread for its disk",
+        "../../platform/savoryshelf_platform/core_process.py",
+        "    use_one_thread()\n",
+        "",
+        "tests/platform/test_start.py",
+    ),
     Mutant(
         "a process listens on IP addresses only",
         "../../platform/savoryshelf_platform/settings.py",
--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -20,6 +20,15 @@
 """Pause between attempts to write to a disk that refuses bytes."""
 
 
+def use_one_thread() -> None:
+    """Let all disks of this process share one native thread; call this before the first write.
+
+    The first write starts the threads, and the process stands still until each has run once:
+    eventlet's twenty take many turns of a busy processor.  A replica writes one record at a time.
+    """
+    tpool.set_num_threads(1)
+
+
 class Disk(Protocol):
     """A flat folder of files."""
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -42,6 +42,20 @@
         process.wait(10)
 
 
+# Guards against a start that is held up, with its process, until each of twenty threads that it
+# does not need has had a processor once.
+def test_a_control_host_starts_one_thread_beside_its_own(tmp_path):
+    deployment = Deployment(tmp_path)
+    deployment.start(SEEDS[0])
+    process = deployment.process_by_ip[SEEDS[0]]
+    try:
+        wait_until(lambda: deployment.logged("control:started", [SEEDS[0]]))
+        assert len(os.listdir(f"/proc/{process.pid}/task")) == 2
+    finally:
+        process.kill()
+        process.wait(10)
+
+
 def modules_of_a_start(role):
     """Return the modules that a process of a role imports before it reads its settings."""
     program = (
