A new disk of a control host gets its identity by one write

Cause: one interface for a group whose members have to be asked first, and for one whose members are known at once. Class of fault: a step that is repeated since two callers need its parts at different times.

Change: load_or_create_identity stores the initial membership with a new identity if it is known.

Looked for elsewhere: recover syncs the folder once more, which it must for a disk that a killed process left.

--- a/src/savoryshelf/replication/seed_bootstrap.py
+++ b/src/savoryshelf/replication/seed_bootstrap.py
@@ -22,13 +22,13 @@
     The membership is empty if this disk is not one of the initial members.
     """
     is_first_member = is_first_start and own_ip in seed_ips
+    initial_membership = (
+        _seed_membership(seed_ips, peer_port) if is_first_member else Membership([])
+    )
     identity = storage.load_or_create_identity(
-        own_ip, INITIAL_DISK_SUFFIX if is_first_member else ""
+        own_ip, INITIAL_DISK_SUFFIX if is_first_member else "", initial_membership
     )
     if identity.genesis is None:
-        initial_membership = (
-            _seed_membership(seed_ips, peer_port) if is_first_member else Membership([])
-        )
         storage.save_initial_membership(identity, initial_membership)
     return identity
 
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -69,9 +69,14 @@
         self._segment_number = 0
         self.bytes_written = 0
 
-    def load_or_create_identity(self, host_name: str, suffix: str = "") -> DiskIdentity:
+    def load_or_create_identity(
+        self, host_name: str, suffix: str = "", initial_membership: Membership | None = None
+    ) -> DiskIdentity:
         """Return the identity of this disk; an empty disk gets a new one.
 
+        ``initial_membership`` is that of the group, if it is decided already; it is stored with
+        a new identity.
+
         The replica id is the host name and a random suffix.  ``suffix``
         replaces the random one where other hosts must be able to derive the id.
 
@@ -81,7 +86,7 @@
         if _IDENTITY_FILE in self._disk.list_files():
             return self._read_file(_IDENTITY_FILE, DiskIdentity)
         suffix = suffix or secrets.token_hex(_IDENTITY_SUFFIX_BYTES)
-        identity = DiskIdentity(f"{host_name}.{suffix}", None)
+        identity = DiskIdentity(f"{host_name}.{suffix}", initial_membership)
         self._replace_file(_IDENTITY_FILE, identity)
         return identity
 
