--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -4,6 +4,10 @@
 treated alike by all replicas.
 """
 
+import contextlib
+import gc
+from collections.abc import Iterator
+
 from ..wire import codec
 from ..wire.generated.ttypes import (
     CrashRecord,
@@ -19,6 +23,23 @@
 from .worker import Worker, incarnation_key
 
 
+@contextlib.contextmanager
+def _without_collections() -> Iterator[None]:
+    """Keep the garbage collector from running in the block, which must not wait.
+
+    It runs again and again while many objects are made, goes through the whole ledger at times
+    and finds nothing, while the replica sends no heartbeat.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
+@_without_collections()
 def save(ledger: TaskLedger) -> bytes:
     """Return the encoded ledger."""
     tracked = [
@@ -42,6 +63,7 @@
     )
 
 
+@_without_collections()
 def load(data: bytes) -> TaskLedger:
     """Return the ledger decoded from what ``save`` returned."""
     snapshot = codec.decode(TaskSnapshot, data)
