No collection goes through what a control host read from its disk

Evidence: the two new tests fail before: the objects that were there at the start are tracked, and a forgotten job is not freed.

Now a control host spares these objects before it starts. They are still freed once nothing refers to them, but the parts of a job refer to each other, so that is undone when a job is forgotten.

Not mended: a collection over what came since the start, and in the processes of the daemon.

--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -369,6 +369,10 @@
         deletable = list(self._deletable_jobs(ended_before_ms))
         for job in deletable:
             del self.job_by_id[job.job_id]
+            # Its parts refer to each other, and the collector may have been told to spare them.
+            for group in job.groups.values():
+                group.tasks.clear()
+            job.groups.clear()
         return len(deletable)
 
     def has_jobs_ended_before(self, ended_before_ms: int) -> bool:
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -1,6 +1,8 @@
+import gc
 import json
 import subprocess
 import sys
+import types
 
 import eventlet
 import pytest
@@ -70,3 +72,29 @@
     eventlet.sleep(0.05)
     watching.kill()
     assert applied == [SEEDS[:1], SEEDS]
+
+
+# Guards against a leader that sends no heartbeat while the garbage collector goes through all that
+# was read from the disk.
+def test_no_collection_goes_through_what_was_there_when_a_control_host_starts(
+    monkeypatch, tmp_path
+):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(platform_settings("core", SEEDS[0], PORTS, SEEDS, str(tmp_path))))
+    read_state, tracked_at_start = [[]], []
+
+    def start():
+        tracked_at_start.extend(
+            each for each in gc.get_objects() if each is read_state or each is vars(module)
+        )
+
+    host = types.SimpleNamespace(task_service=None, start=start, wait=lambda: None)
+    monkeypatch.setattr(module, "TaskControlHost", lambda settings, worker_api: host)
+    monkeypatch.setattr(module, "serve", lambda address, answer: None)
+    monkeypatch.setattr(module, "on_first_signal", lambda number, action: None)
+    monkeypatch.setattr(module, "_watch_settings", lambda current, apply: None)
+    try:
+        module.run_core(read_settings(str(path)))
+    finally:
+        gc.unfreeze()
+    assert tracked_at_start == []
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -1,3 +1,6 @@
+import gc
+import weakref
+
 import pytest
 
 from savoryshelf.outcomes import Accepted, Refusal
@@ -555,3 +558,20 @@
     task_ledger = snapshot.load(snapshot.save(task_ledger))
     task_ledger.upsert_worker(worker())
     assert task_ledger.worker_by_incarnation["w1", 1].has_ended
+
+
+# Guards against a process that grows without end: the collector spares the objects that were there
+# when it started, and the parts of a job refer to each other.
+def test_a_job_that_is_forgotten_is_freed_without_the_garbage_collector():
+    task_ledger = ledger()
+    accept(task_ledger, step(2), step(after=[0]))
+    task = task_ledger.find_task(f"{JOB}.0.0.0")
+    freed = [weakref.ref(each) for each in (task, task.step, task.step.job)]
+    del task
+    task_ledger.cancel(JOB)
+    gc.disable()
+    try:
+        assert task_ledger.delete_ended_jobs(task_ledger.at_ms + 1) == 1
+        assert [each() for each in freed] == [None, None, None]
+    finally:
+        gc.enable()
