The soak changes the manifest beside each cut, and records links that stand still

Each cut now has a change that is sent until it is acknowledged, and a test of the series shows it.

The process of relays records when it did not run itself, as the soak does, since nothing passes between hosts meanwhile; both are in the report of a finding.

--- a/standins/links.py
+++ b/standins/links.py
@@ -38,6 +38,9 @@
 """An idle connection ends after this time without the other host: 2 s, and two probes."""
 
 PROBE_SECONDS = 0.25
+MIN_STANDSTILL_SECONDS = 0.3
+"""A longer time in which the process of relays did not run is on record: nothing passed."""
+
 BACKLOG = 128
 MAX_COMMAND_BYTES = 1 << 20
 HOOK_FOLDER = pathlib.Path(__file__).resolve().parent / "hooks"
@@ -134,6 +137,11 @@
         ways = set(ways_between([ip], others))
         return [(at, until) for way, at, until in [*self.cuts, *lasting] if way in ways]
 
+    def standstills(self) -> list[tuple[float, float]]:
+        """Return when nothing passed any link since their process did not run: from, until."""
+        with self._lock:
+            return [(since, until) for since, until in self._command(ways=[])]
+
     def close(self) -> None:
         """End all connections."""
         with contextlib.suppress(OSError):
@@ -385,6 +393,7 @@
         self.table: dict[str, dict[str, int]] = collections.defaultdict(dict)
         """The port of the relay, by caller and address called."""
 
+        self.standstills: list[tuple[float, float]] = []
         for (source, target), port in itertools.product(pairs, ports):
             self._relays.append(_Relay(source, target, port, self._ways))
             self.table[source][f"{target}:{port}"] = self._relays[-1].address[1]
@@ -401,9 +410,13 @@
     async def probe(self) -> None:
         """End connections whose other end is not reached."""
         while True:
+            due_at = time.monotonic() + PROBE_SECONDS
             await asyncio.sleep(PROBE_SECONDS)
+            now = time.monotonic()
+            if now - due_at > MIN_STANDSTILL_SECONDS:
+                self.standstills.append((due_at, now))
             for connection in itertools.chain(*(relay.connections for relay in self._relays)):
-                connection.end_if_unreached(time.monotonic())
+                connection.end_if_unreached(now)
 
 
 async def _main() -> None:
@@ -416,7 +429,7 @@
     probing = asyncio.create_task(relays.probe())
     while line := await reader.readline():
         relays.change(**json.loads(line))
-        print("{}", flush=True)
+        print(json.dumps(relays.standstills), flush=True)
     probing.cancel()
 
 
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -85,6 +85,7 @@
 CATCH_UP_SECONDS = 8.0
 """Time in which no link is cut after hosts came back with empty disks."""
 
+RETRY_SECONDS = 0.2
 AWAY_SECONDS = 4.0
 """How long a control host counts as unavailable after it was stopped, killed or reached again."""
 
@@ -118,6 +119,9 @@
 _DISK_KINDS: dict[str, Callable] = {}
 """The same for those of which a series has one at most, as they take disks."""
 
+_BESIDE_KINDS: dict[str, Callable] = {}
+"""The same for what is done beside each of these."""
+
 _kind = registry_decorator(_KINDS)
 _worker_kind = registry_decorator(_WORKER_KINDS)
 _closing_kind = registry_decorator(_CLOSING_KINDS)
@@ -127,6 +131,7 @@
 _link_kind = registry_decorator(_LINK_KINDS)
 _power_kind = registry_decorator(_POWER_KINDS)
 _disk_kind = registry_decorator(_DISK_KINDS)
+_beside_kind = registry_decorator(_BESIDE_KINDS)
 
 _CONTROLS_AWAY = {
     "control_stopped": 1, "control_killed": 1, "control_paused": 1,
@@ -234,10 +239,13 @@
 def draw_cuts(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
     """Return the series with links that are cut and power that is lost, one after the other.
 
-    Other faults of control hosts are left out where too many would be unavailable at once.
+    The manifest changes meanwhile.  Other faults of control hosts are left out where too many
+    would be unavailable at once.
     """
     rng = random.Random(f"cuts of {seed}")
+    changes_rng = random.Random(f"changes beside cuts of {seed}")
     kept: list[Fault] = []
+    changes: list[Fault] = []
     may_lose_disks = all(fault.kind not in _RARE_CLOSING_KINDS for fault in faults)
     at, away_until = QUIET_SECONDS + rng.uniform(0, NEXT_CUT_SECONDS[0]), 0.0
     while at < seconds - QUIET_SECONDS:
@@ -246,6 +254,10 @@
         if kept and _CONTROLS_AWAY[kept[-1].kind] + _CONTROLS_AWAY[kind] > MAX_CONTROLS_AWAY:
             at = max(at, away_until)
         kept.append(Fault(round(at, 2), kind, rng.randrange(100), round(lasts, 2)))
+        # What is in force meanwhile is what hosts that are cut off must not contradict.
+        changed_at = at + changes_rng.uniform(0, lasts / 2)
+        change = Fault(round(changed_at, 2), "manifest_changed_beside_cut", 0, round(lasts, 2))
+        changes.append(change)
         away_until = at + lasts + AWAY_SECONDS
         at += lasts + rng.uniform(*NEXT_CUT_SECONDS)
         if kind in _DISK_KINDS:
@@ -256,7 +268,7 @@
         away = sum(_CONTROLS_AWAY.get(each.kind, 0) for each in near)
         if fault.kind not in _CONTROLS_AWAY or away < MAX_CONTROLS_AWAY:
             kept.append(fault)
-    return sorted(kept, key=lambda fault: fault.at)
+    return sorted([*kept, *changes], key=lambda fault: fault.at)
 
 
 def _may_be_away_at_once(one: Fault, other: Fault) -> bool:
@@ -268,6 +280,7 @@
     """Carry out a fault and wait until it is over."""
     kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
     kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS | _LINK_KINDS | _POWER_KINDS | _DISK_KINDS
+    kinds |= _BESIDE_KINDS
     kinds[fault.kind](deployment, fault)
 
 
@@ -521,6 +534,14 @@
     worker.late_orders.share = 0.0
 
 
+@_beside_kind("manifest_changed_beside_cut")
+def _change_until_acknowledged(deployment, fault) -> None:
+    """Send changes until one is acknowledged, also by the next leader."""
+    until = time.monotonic() + fault.seconds
+    while time.monotonic() < until and not deployment.change_manifest():
+        time.sleep(RETRY_SECONDS)
+
+
 @_link_kind("core_cut_in_two")
 def _cut_core_in_two(deployment, fault) -> None:
     """Cut two control hosts off from the others, half of the time from some entry hosts too."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -74,6 +74,9 @@
     lags: list[Span]
     """When the soak itself stood still, for want of a processor."""
 
+    standstills: list[Span]
+    """The same of the process of links: nothing passed between hosts."""
+
     late_pairs: list[LatePair]
 
     def summary(self) -> str:
@@ -124,8 +127,11 @@
             times = " ".join(f"{name} {at - self.began_at:.2f}" for at, name in host.signals)
             ends = " ".join(f"{end.at - self.began_at:.2f}" for end in host.exits)
             lines.append(f"  {host.role} {host.ip}: {times}; ended at {ends}")
-        lags = " ".join(f"{a - self.began_at:.2f} to {b - self.began_at:.2f}" for a, b in self.lags)
-        lines.append(f"  the soak itself stood still: {lags or 'never'}")
+        for name, spans in (("soak itself", self.lags), ("links", self.standstills)):
+            times = ", ".join(
+                f"{a - self.began_at:.2f} to {b - self.began_at:.2f}" for a, b in spans
+            )
+            lines.append(f"  the {name} stood still: {times or 'never'}")
         for pair in self.late_pairs:
             if not pair.reason:
                 at = max(pair.late.started_at, pair.other.started_at) - self.began_at
@@ -238,8 +244,9 @@
                 _read_states(deployment, seen, seen.long_running_jobs())
             seen.ended_at = time.monotonic()
             # Before the workers end, since the end of a worker is a crash for its runs.
+            standstills = deployment.links.standstills() if links else []
             return SoakResult(
-                seed, began_at, faults, seen, judge(seen), lags, list(late_pairs(seen))
+                seed, began_at, faults, seen, judge(seen), lags, standstills, list(late_pairs(seen))
             )
 
 
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -69,6 +69,9 @@
         series = draw_cuts(seed, 30.0, without)
         assert series == draw_cuts(seed, 30.0, without)
         added = [fault for fault in series if fault not in without]
+        changes = [fault.at for fault in added if "changed" in fault.kind]
+        added = [fault for fault in added if "changed" not in fault.kind]
+        assert all(a.at <= at <= a.at + a.seconds for a, at in zip(added, changes, strict=True))
         assert added and all(a.at + a.seconds < b.at for a, b in itertools.pairwise(added))
         left_out = [fault for fault in without if fault not in series]
         assert all("control" in fault.kind or "leader" in fault.kind for fault in left_out)
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -216,6 +217,17 @@
         assert wait_for_end(pair.connect(), SLACK_SECONDS) < SLACK_SECONDS
 
 
+def test_a_process_of_relays_that_does_not_run_is_on_record(pair):
+    assert pair.links.standstills() == []
+    process = pair.links._process
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(SLACK_SECONDS)
+    process.send_signal(signal.SIGCONT)
+    time.sleep(SHORT_SECONDS)
+    ((since, until),) = pair.links.standstills()
+    assert SLACK_SECONDS / 2 < until - since < 2 * SLACK_SECONDS
+
+
 CALL = """
 import {module}
 {prepare}
