--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -153,6 +154,8 @@
         with pytest.raises(TimeoutError):
             pair.connect()
     pair.connect().close()
+    with pair.links.are_cut([(pair.a, "127.0.0.1")]):
+        pair.connect().close()
     assert len(pair.links.cuts) == 2 == len(pair.links.cuts_between(pair.a, [pair.b]))
     assert all(until - since >= SHORT_SECONDS for _, since, until in pair.links.cuts)
 
@@ -216,6 +219,17 @@
         assert wait_for_end(pair.connect(), SLACK_SECONDS) < SLACK_SECONDS
 
 
+def test_a_process_of_relays_that_does_not_run_is_on_record(pair):
+    assert pair.links.standstills() == []
+    process = pair.links._process
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(SLACK_SECONDS)
+    process.send_signal(signal.SIGCONT)
+    time.sleep(SHORT_SECONDS)
+    ((since, until),) = pair.links.standstills()
+    assert SLACK_SECONDS / 2 < until - since < 2 * SLACK_SECONDS
+
+
 CALL = """
 import {module}
 {prepare}
