--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -2,10 +2,12 @@
 import json
 import subprocess
 import sys
+import time
 import types
 
 import eventlet
 import pytest
+from savoryshelf_platform import core_process
 from savoryshelf_platform import process as module
 from savoryshelf_platform.settings import read_settings
 
@@ -85,16 +87,16 @@
 
     def start():
         tracked_at_start.extend(
-            each for each in gc.get_objects() if each is read_state or each is vars(module)
+            each for each in gc.get_objects() if each is read_state or each is vars(core_process)
         )
 
     host = types.SimpleNamespace(task_service=None, start=start, wait=lambda: None)
-    monkeypatch.setattr(module, "TaskControlHost", lambda settings, worker_api: host)
-    monkeypatch.setattr(module, "serve", lambda address, answer: None)
-    monkeypatch.setattr(module, "on_first_signal", lambda number, action: None)
-    monkeypatch.setattr(module, "_watch_settings", lambda current, apply: None)
+    monkeypatch.setattr(core_process, "TaskControlHost", lambda *settings, **started: host)
+    monkeypatch.setattr(core_process, "serve", lambda address, answer: None)
+    monkeypatch.setattr(core_process, "on_first_signal", lambda number, action: None)
+    monkeypatch.setattr(core_process, "watch_settings", lambda current, apply: None)
     try:
-        module.run_core(read_settings(str(path)))
+        core_process.run(read_settings(str(path)), time.monotonic())
     finally:
         gc.unfreeze()
     assert tracked_at_start == []
