A new leader applies first, and tells the others of commits once it can serve

Cause: the leader announced the commit while it applied, so that all five hosts applied the same thousands of entries side by side. Before, its own went first, since it did nothing else meanwhile.

Evidence: the new test, five hosts on one virtual processor, each with 0.8 s of work.

Until a leader has applied the first entry of its term, its messages carry commit index 0, which tells nothing and is always safe; it ends by itself, as that entry's index is fixed. The commit is announced with the first turn after.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -309,13 +309,15 @@
         """
         if self.role is not Role.LEADER or not self._unannounced_commit:
             return
+        if not self._announces_commits:
+            return
         self._unannounced_commit = False
         for replica_id, progress in self.leader_state.progress_by_id.items():
             previous = progress.next_index - 1
             if progress.snapshot or previous < self.log.base_index:
                 continue
             request = AppendRequest(
-                previous, self.log.term_at(previous), [], self.commit_index, NO_ROUND
+                previous, self.log.term_at(previous), [], self._announced_commit_index, NO_ROUND
             )
             self._send_before_sync(replica_id, append_request=request)
 
@@ -383,6 +385,19 @@
         # state is never ahead of what a restart would recover.
         return min(self.commit_index, self._synced_index)
 
+    @property
+    def _announces_commits(self) -> bool:
+        """Return whether this leader tells the members what is committed.
+
+        A new one first applies what it needs to serve: after a restart of all hosts the others
+        have as much to apply, perhaps on the same processors.
+        """
+        return self._applied_index >= self.leader_state.term_start_index
+
+    @property
+    def _announced_commit_index(self) -> int:
+        return self.commit_index if self._announces_commits else 0
+
     # --------------------------------------------------------------- elections
 
     def _is_voter(self) -> bool:
@@ -554,7 +569,7 @@
     def _broadcast(self) -> None:
         self._deadline = self._now + self.timing.heartbeat_interval
         self.leader_state.start_round(self._now, self.commit_index)
-        self._unannounced_commit = False
+        self._unannounced_commit = not self._announces_commits
         for replica_id, progress in self.leader_state.progress_by_id.items():
             self._replicate_to(replica_id, progress)
         if not self.leader_state.progress_by_id:
@@ -571,7 +586,7 @@
             previous,
             self.log.term_at(previous),
             entries,
-            self.commit_index,
+            self._announced_commit_index,
             self.leader_state.round,
         )
         if entries:
--- a/tests/replication/test_long_backlog.py
+++ b/tests/replication/test_long_backlog.py
@@ -70,6 +70,25 @@
         assert max(map(longest_pause, times_by_name.values())) < TIMING.heartbeat_interval
 
 
+# Guards against a leader that serves late, since the others apply the same beside it on the
+# processors that they share.
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_leader_applies_first_and_the_others_follow(seed):
+    with running_services(count=5, seed=seed) as group:
+        committed_group(group)
+        group.restart()
+        group.apply_seconds = APPLY_SECONDS
+        services = group.service_by_name.values()
+        while not any(each.is_leader for each in services):
+            group.clock.sleep(0.01)
+        began_at = group.clock.monotonic()
+        while all(each.state_machine.count < COMMANDS for each in services):
+            group.clock.sleep(0.01)
+        assert group.clock.monotonic() - began_at < 1.5 * COMMANDS * APPLY_SECONDS
+        group.clock.sleep(2 * TIMING.heartbeat_interval + 5 * COMMANDS * APPLY_SECONDS)
+        assert all(each.state_machine.count == COMMANDS for each in services)
+
+
 # Guards against a read that is answered from a state which lacks what was committed before it.
 def test_a_read_waits_until_all_that_was_committed_before_is_applied():
     with running_services(count=3) as group:
