Test: three of five voters on busy processors have a leader in time

Bounds from the constants: 3.0 s as without, seven late steps of 0.1 s, and four repetitions of 0.2 s.

--- a/tests/replication/test_elections.py
+++ b/tests/replication/test_elections.py
@@ -282,3 +282,27 @@
     others = {host.replica_id for host in group.host_by_name.values()} - {candidate.replica_id}
     assert set(asked[:4]) == others
     assert sorted(asked[4:]) == sorted([silent.replica_id, leader.replica_id])
+
+
+HELD_SECONDS = 0.1
+"""A process gets no processor for this long, after as long a time with one."""
+
+HELD_ELECTION_SECONDS = 7 * HELD_SECONDS
+"""The end of the last wait, two rounds of votes and a commit, each message read late, at worst."""
+
+
+# Guards against seconds without a leader while three of five run on: the leader and one more end,
+# on processors that are held for half of the time.
+@pytest.mark.parametrize("lost", ["none", "first"])
+def test_three_of_five_voters_on_busy_processors_have_a_leader_in_time(lost):
+    limit = MAX_LEADERLESS_SECONDS + HELD_ELECTION_SECONDS
+    for seed in SEEDS:
+        group, rng = busy_group(seed), random.Random(seed)
+        for host in group.host_by_name.values():
+            host.held_seconds, host.held_phase = HELD_SECONDS, rng.random()
+        group.run_for(0.5)
+        lose_leader_and_another(group, rng)
+        group.loses_first_votes = lost == "first"
+        seconds = seconds_until_led(group)
+        repeats = LONGEST_REPEATS_SECONDS if lost == "first" else 0.0
+        assert seconds < limit + repeats, f"seed {seed}"
