Test: a process that is held for longer than an attempt to connect lasts connects

The fear was that the timeout fires before the answer, which is there, is read. It does not: the hub polls the sockets between two rounds of timers.

--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import time
 import types
 
 import attrs
@@ -143,6 +144,51 @@
             assert host.terms == [2]
 
 
+HELD_SECONDS = 0.3
+"""A process gets no processor for this long, again and again: longer than an attempt to connect."""
+
+
+def hold_the_processor():
+    while True:
+        time.sleep(HELD_SECONDS)
+        eventlet.sleep(0.01)
+
+
+@pytest.fixture
+def connects_later(monkeypatch):
+    """Let each attempt to connect wait for its answer, as one over a link does."""
+    connect, waiting, attempts = eventlet.greenio.base.socket_connect, set(), []
+
+    def begin(descriptor, address):
+        if descriptor in waiting:
+            waiting.discard(descriptor)
+            return connect(descriptor, address)
+        attempts.append(address)
+        connect(descriptor, address)
+        waiting.add(descriptor)
+        return None
+
+    monkeypatch.setattr("eventlet.greenio.base.socket_connect", begin)
+    return attempts
+
+
+# Guards against a host on a busy processor that never connects: its attempts would time out while
+# their answers are there and unread.
+def test_a_process_that_is_held_for_longer_than_an_attempt_lasts_connects(connects_later):
+    with running_host("127.0.0.1:0") as host, running_transport() as transport:
+        holder = eventlet.spawn(hold_the_processor)
+        try:
+            for number in range(40):
+                transport.send(host.address, message(number))
+                eventlet.sleep(0.01)
+                if host.terms:
+                    break
+        finally:
+            holder.kill()
+        assert connects_later
+        assert host.terms
+
+
 # Guards against a vote request that is dropped in favour of what was queued before it.
 def test_a_full_queue_drops_its_oldest_messages():
     with running_host("127.0.0.1:0") as host, running_transport() as transport:
