--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2170,6 +2170,22 @@
         "        if connection.is_closed:",
         _CALLED_INCARNATION_TESTS,
     ),
+    Mutant(
+        "an end is acknowledged to its worker only once it is committed",
+        _WORKER_SESSION,
+        "        if ends:\n            self._agent.settle_ends(self, seen_end, ends)\n",
+        "        if ends:\n"
+        "            self.worker.record.seen_end = max(seen_end, self.worker.record.seen_end)\n"
+        "            self._agent.settle_ends(self, seen_end, ends)\n",
+        "tests/dispatch/test_order_of_commits.py",
+    ),
+    Mutant(
+        "a caller is answered only once its command is committed",
+        _TASK_SERVICE,
+        "            raise ttypes.Unavailable(str(error), True) from None\n",
+        "            return None\n",
+        "tests/dispatch/test_order_of_commits.py",
+    ),
     Mutant(
         "the question which incarnation answers acknowledges no end",
         _PLATFORM_WORKERS,
