Long-running work that is held after crashes counts for the room of others

A task held back after crashes may start again once a silent worker answers, but the room that it needs was offered to other long-running jobs meanwhile, which never release it. Cause: what waits was taken for what is startable. The new case of test_admission.py fails on the code before.

--- a/src/savoryshelf/dispatch/admission.py
+++ b/src/savoryshelf/dispatch/admission.py
@@ -5,11 +5,8 @@
 tasks need, so a job that would take it is not accepted in the first place.
 """
 
-from collections.abc import Iterable
-
 import attrs
 
-from ..tasks.job import StepGroup
 from ..tasks.ledger import TaskLedger
 from ..wire.generated.ttypes import JobSpec, QueueSpec, StepSpec
 from .finite_demand import FiniteDemand
@@ -84,7 +81,7 @@
     occupancy = Occupancy(
         total=total,
         long_running=sum(worker.long_running.millicores for worker in workers)
-        + _waiting_millicores(ledger.startable_group_by_key.values(), service_name, labels),
+        + _waiting_millicores(ledger, service_name, labels),
         kept=min(MAX_FINITE_SHARE * total, share_of_service * needed_by_finite_work),
     )
     needed = sum(step.count * step.millicores for step in steps)
@@ -103,11 +100,18 @@
     )
 
 
-def _waiting_millicores(groups: Iterable[StepGroup], service_name: str, labels: set[str]) -> int:
-    """Return what the long-running tasks that wait for a run will reserve on such workers."""
+def _waiting_millicores(ledger: TaskLedger, service_name: str, labels: set[str]) -> int:
+    """Return what the long-running tasks that wait for a run will reserve on such workers.
+
+    Those that are held back after crashes may start again once a silent worker answers.
+    """
+    waiting = [
+        (group, len(group.startable_indexes)) for group in ledger.startable_group_by_key.values()
+    ]
+    waiting += [(task.step, 1) for task in ledger.held_task_by_name.values()]
     return sum(
-        group.spec.millicores * len(group.startable_indexes)
-        for group in groups
+        group.spec.millicores * count
+        for group, count in waiting
         if group.spec.lasting
         and not group.spec.filling
         and group.job.queue.service_name == service_name
--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -7,9 +7,25 @@
 
 from savoryshelf.dispatch.admission import MAX_FINITE_SHARE, occupancy_without_room
 from savoryshelf.dispatch.finite_demand import RECENT_HALF_LIFE_SECONDS, FiniteDemand
-from savoryshelf.wire.generated.ttypes import JobSpec, RunOutcome
+from savoryshelf.wire.generated.ttypes import (
+    ContactLoss,
+    EndEvidence,
+    JobSpec,
+    RunAge,
+    RunOutcome,
+    WorkerLife,
+)
 
-from ..tasks.builders import accept, ledger, manifest, queue, settle_run, step, worker
+from ..tasks.builders import (
+    accept,
+    ledger,
+    manifest,
+    queue,
+    record_intent,
+    settle_run,
+    step,
+    worker,
+)
 from .test_large_tasks import PASS_SECONDS, LargeSite
 
 LONG_RUNNING = {"lasting": True, "target_ms": 50, "millicores": 4_000}
@@ -72,6 +88,25 @@
     assert not service.has_room_for(step(9, **LONG_RUNNING))
 
 
+# Guards against LOST: a task that is held after crashes finds its room taken for good when a silent
+# worker answers again.
+def test_long_running_work_counts_while_it_is_held_after_crashes(service):
+    service.accept(step(4, **LARGE))
+    service.accept(step(20, **LONG_RUNNING), prefix="/long/")
+    task = f"{service.accepted_count:016x}.0.0.0"
+    for number in range(5):
+        assert record_intent(service.ledger, task, number + 1, (f"w{number}", 1))
+        service.ledger.at_ms += 10_000
+        service.ledger.end_incarnations(
+            [WorkerLife(f"w{number}", 1)], [], None, True, [RunAge(task, number + 1, 0)],
+            EndEvidence.SILENT, [ContactLoss(5, 0)],
+        )  # fmt: skip
+        service.ledger.upsert_worker(worker(f"w{number}", 2, millicores=16_000, memory_mb=64_000))
+    assert task in service.ledger.held_task_by_name
+    assert service.has_room_for(step(8, **LONG_RUNNING))
+    assert not service.has_room_for(step(9, **LONG_RUNNING))
+
+
 def test_no_room_is_kept_before_there_was_finite_work(service):
     assert service.has_room_for(step(40, **LONG_RUNNING))
 
