An answer that is read late no longer tells that its worker outlived others

When a contact was lost was reckoned from when the last answer was read. On a busy host that may be after the worker had gone, and after others that were lost at the same moment had been found out: the worker then counts as lost alone, and of two such crashes its jobs fail.

Cause, as a class: the time at which something is read taken for the time at which it was true. Change: contact was there when the call was sent that was answered; survival of runs has gone by that already. The times between which a worker was lost get wider by the length of a call, a start by milliseconds; they stay capped as before.

The new test fails on the code before.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2170,6 +2170,13 @@
         "        if connection.is_closed:",
         _CALLED_INCARNATION_TESTS,
     ),
+    Mutant(
+        "a crash: an answer that is read late does not tell how long its worker went on",
+        _WORKER_SESSION,
+        "self._heard_at, self._unanswered_since = max(self._heard_at, sent_at), None",
+        "self._heard_at, self._unanswered_since = self._agent.now(), None",
+        "tests/dispatch/test_evidence_of_incarnations.py",
+    ),
     Mutant(
         "an end is acknowledged to its worker only once it is committed",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -895,16 +895,16 @@
 
         It may come from what the worker, or another writer in its place, has said of itself.
         """
-        token = self.call_token
+        token, sent_at = self.call_token, self._agent.now()
         try:
             answer = getattr(self._agent.worker_api, method)(self.incarnation, *arguments)
         except Fenced as error:
-            self._note_answer()
+            self._note_answer(sent_at)
             if token < self.call_token:
                 raise Overtaken(str(error)) from error
             raise
         except CallRejected:
-            self._note_answer()
+            self._note_answer(sent_at)
             raise
         except IncarnationReplaced as error:
             self._note_no_answer()
@@ -922,11 +922,12 @@
             )  # fmt: skip
             self._note_no_answer()
             raise WorkerUnresponsive(repr(error)) from error
-        self._note_answer()
+        self._note_answer(sent_at)
         return answer
 
-    def _note_answer(self) -> None:
-        self._heard_at, self._unanswered_since = self._agent.now(), None
+    def _note_answer(self, sent_at: float) -> None:
+        # An answer may be read long after it was given, and its worker be gone by then.
+        self._heard_at, self._unanswered_since = max(self._heard_at, sent_at), None
 
     def _note_no_answer(self) -> None:
         if self._unanswered_since is None:
--- a/tests/dispatch/test_evidence_of_incarnations.py
+++ b/tests/dispatch/test_evidence_of_incarnations.py
@@ -18,6 +18,7 @@
 TASK = f"{JOB}.0.0.0"
 EARLIER, LATER = ("w1", 1), ("w1", 2)
 OTHER_ADDRESS = "10.0.0.9:80"
+READ_LATE_SECONDS = 0.3
 SETTLING_SECONDS = 2 * REPLACEMENT_REPORT_SECONDS
 """Time after which the leader would have ended an incarnation for which it has evidence."""
 
@@ -179,6 +180,27 @@
     assert worked == [{(TASK, 1): -1}]
 
 
+# Guards against jobs that fail for restarts of all workers at once: an answer that a busy host read
+# late seemed to tell that its worker had outlived the others, and been lost alone.
+def test_an_answer_that_is_read_late_tells_no_more_than_that_the_call_was_answered(
+    on_virtual_time, running_session
+):
+    session, worker, agent = running_session
+    answered = []
+
+    def start(*arguments):
+        answer = FakeWorker.start(worker, *arguments)
+        worker.has_crashed = True
+        eventlet.sleep(READ_LATE_SECONDS)
+        answered.append(answer)
+        return answer
+
+    worker.start = start
+    session.start(TASK, 1)
+    wait_until(lambda: answered)
+    assert session.contact_loss().heard_ms >= 1000 * READ_LATE_SECONDS - 1
+
+
 # Guards against TWICE: until the report is committed, the ledger still has runs on an incarnation
 # whose end was reported, and a start would be carried out after they were released.
 def test_a_session_that_has_reported_the_end_of_its_incarnation_makes_no_call(running_session):
