The times of losses count from when a worker was lost, not from when its end is committed

Each had been started on workers that were lost with four others at the same moment, twice; the ledger took both for workers lost alone.

Cause: a report tells for how long a worker had been silent when it was sent, and the leader read that as of its proposal. Between the two the report waits for the commits before it, on busy hosts for seconds and each for another time, so losses of one moment looked like losses one after the other. Class of fault: an age that is read at a later time.

The new test fails on the code before.

The leader now adds the time that a report has waited in it, as the agent did already; both use one function. The way from the agent to the leader still counts. Elsewhere: lease times are measured on the agent's own clock, and the ages of runs do not depend on the time.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -338,6 +338,20 @@
         "if True:",
         REPLICATION,
     ),
+    Mutant(
+        "the ends of incarnations tell the times of losses as of when they are proposed",
+        _LEADER_TERM,
+        "return aged(self.message, now - self.received_at)",
+        "return self.message",
+        "tests/dispatch/test_leader_term.py",
+    ),
+    Mutant(
+        "the ends of incarnations that wait for other commits tell that time",
+        _LEADER_TERM,
+        "self.commit(end_lives=aged(ended, self.now() - merged_at))",
+        "self.commit(end_lives=ended)",
+        "tests/dispatch/test_leader_term.py",
+    ),
     Mutant(
         "a leader whose voters answer late stays",
         _CORE,
@@ -1396,7 +1410,7 @@
     Mutant(
         "a full collection passes over the modules of a process",
         "../../platform/savoryshelf_platform/main.py",
-        "    gc.freeze()\n",
+        "    spare_present_objects()\n",
         "",
         "tests/platform/test_start.py",
     ),
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -6,7 +6,6 @@
 answers renews the agent's permission to call workers.
 """
 
-import copy
 import math
 
 import attrs
@@ -28,7 +27,6 @@
 from ..wire.generated.ttypes import (
     AgentReply,
     AgentReport,
-    ContactLoss,
     EndLives,
     IdleRun,
     RejectionKind,
@@ -46,6 +44,7 @@
 from .interference import InterferenceModel
 from .lag import measure_lag
 from .late_starts import LateStarts
+from .loss_times import aged
 from .permission import PERMISSION_SECONDS, Permission
 from .placement import WorkerView
 from .throttling import (
@@ -153,15 +152,7 @@
 
     def message(self) -> EndLives:
         """Return the message as of when it is sent: what it tells of time is relative to that."""
-        waited_ms = int(1000 * (self.sent_at - self.ended_at))
-        message = copy.copy(self.ended_message)
-        message.losses = [
-            ContactLoss(loss.heard_ms + waited_ms, loss.unanswered_ms + waited_ms)
-            if loss.heard_ms >= 0
-            else loss
-            for loss in message.losses
-        ]
-        return message
+        return aged(self.ended_message, self.sent_at - self.ended_at)
 
 
 class Agent:
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -64,6 +64,7 @@
 from .held_tasks import HeldTasks
 from .interference import InterferenceModel
 from .lag import measure_lag
+from .loss_times import aged
 from .not_startable import NotStartable
 from .placement import Placement, is_limited
 from .retention import Retention
@@ -136,6 +137,18 @@
     """Region of each failure domain."""
 
 
+@attrs.frozen
+class _ReceivedEnds:
+    """The ends of incarnations that an agent has reported, until they are proposed."""
+
+    message: EndLives
+    received_at: float
+
+    def as_of(self, now: float) -> EndLives:
+        """Return the message as of now: what it tells of time is relative to that."""
+        return aged(self.message, now - self.received_at)
+
+
 class LeaderTerm:
     """The leader's work during one term."""
 
@@ -178,7 +191,7 @@
         self._held_tasks = HeldTasks()
         self._start_rate = StartRate()
         self._settlements: list[SettleRuns] = []
-        self._ended_incarnations: list[EndLives] = []
+        self._ended_incarnations: list[_ReceivedEnds] = []
         self._wake = Event()
         self._wake_commit = Event()
         self._has_ended = False
@@ -562,7 +575,7 @@
             self._record_rejection(rejection, now)
         if report.settlements or report.ended_lives:
             self._settlements += report.settlements
-            self._ended_incarnations += report.ended_lives
+            self._ended_incarnations += [_ReceivedEnds(each, now) for each in report.ended_lives]
             self._wake_up_commit()
         elif report.states:
             self.wake()
@@ -589,9 +602,11 @@
                     self._record_outcomes(settlement)
                 if settlements:
                     self.commit(settle_batch=SettleBatch(settlements))
-                for ended in _merged(ended_incarnations):
+                merged_at = self.now()
+                for ended in _merged([each.as_of(merged_at) for each in ended_incarnations]):
                     self._note_lost_runs(ended.lives)
-                    log_crash_notes(self.commit(end_lives=ended))
+                    # The commits before it take time.
+                    log_crash_notes(self.commit(end_lives=aged(ended, self.now() - merged_at)))
                     self._may_find_replacements = True
             self.wake()
 
--- a/tests/dispatch/test_leader_term.py
+++ b/tests/dispatch/test_leader_term.py
@@ -40,11 +40,17 @@
         self.ended = []
         self.worked = []
         self.evidence = {}
+        self.losses = {}
+        self.commit_seconds = COMMIT_SECONDS
         self.core = types.SimpleNamespace(term=1, seconds_since_quorum_contact=lambda now: 0.0)
 
     def propose(self, payload):
-        eventlet.sleep(COMMIT_SECONDS)
         name, body = codec.sole_field(codec.decode(TaskCommand, payload).body)
+        if name == "end_lives" and body.losses:
+            proposed_at = SystemClock().monotonic()
+            for life, loss in zip(body.lives, body.losses, strict=True):
+                self.losses[life.worker_id] = (proposed_at, loss)
+        eventlet.sleep(self.commit_seconds)
         self.names.append(name)
         if name == "end_lives":
             tokens = body.fencing_tokens or [None] * len(body.lives)
@@ -123,3 +129,35 @@
     eventlet.sleep(10 * COMMIT_SECONDS)
     expected = [*reported[:3], EndEvidence.SILENT, None]
     assert replica.evidence == {f"w{number}": each for number, each in enumerate(expected)}
+
+
+# Guards against LOST jobs: of workers lost together each counted as lost alone, since the reports
+# of their ends had waited in the leader, behind commits that took seconds.
+def test_the_time_that_a_report_waits_for_commits_is_no_later_loss(committing_term):
+    replica, term = committing_term
+    replica.commit_seconds = 0.3
+    received_at = {}
+    for number in range(4):
+        ended = EndLives(
+            [WorkerLife(f"w{number}", 1)], [], [7], crashed=bool(number % 2),
+            evidence=EndEvidence.REPLACED, losses=[ContactLoss(500, 400)],
+        )  # fmt: skip
+        ends = [RunEnd("t", 1, RunOutcome.DONE, "", 1)]
+        settlement = SettleRuns(WorkerLife("v", 1), 1, ends, 3)
+        term.receive_report(report(number + 1, [ended], [settlement]))
+        received_at[f"w{number}"] = SystemClock().monotonic()
+        eventlet.sleep(0.1)
+    eventlet.sleep(3.0)
+    for worker_id, (proposed_at, loss) in replica.losses.items():
+        lost_before = proposed_at - loss.unanswered_ms / 1000
+        assert abs(received_at[worker_id] - 0.4 - lost_before) < 0.05
+        assert loss.heard_ms - loss.unanswered_ms == 100
+    assert replica.losses.keys() == received_at.keys()
+
+
+def test_an_unknown_time_of_loss_stays_unknown(committing_term):
+    replica, term = committing_term
+    ended = EndLives([WorkerLife("w", 1)], [], [7], crashed=True, losses=[ContactLoss(-1, -1)])
+    term.receive_report(report(1, [ended]))
+    eventlet.sleep(5 * COMMIT_SECONDS)
+    assert replica.losses["w"][1] == ContactLoss(-1, -1)
