--- a/tests/platform/test_manifests_in_force.py
+++ b/tests/platform/test_manifests_in_force.py
@@ -203,7 +203,9 @@
     wait_until(lambda: all(deployment.is_ready(ip) for ip in FRONTS))
     operators = [
         threading.Thread(
-            target=change_in_series, args=(operator, random.Random(f"{seed}-{number}"), stopping)
+            target=change_in_series,
+            args=(operator, random.Random(f"{seed}-{number}"), stopping),
+            daemon=True,
         )
         for number in range(2)
     ]
