--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1831,8 +1831,8 @@
     Mutant(
         "a crash: a late report tells when contact was lost",
         "dispatch/agent.py",
-        "waited_ms = int(1000 * (self.sent_at - self.ended_at))",
-        "waited_ms = 0",
+        "return aged(self.ended_message, self.sent_at - self.ended_at)",
+        "return self.ended_message",
         "tests/dispatch/test_silent_workers.py",
     ),
     Mutant(
@@ -1915,8 +1915,8 @@
     Mutant(
         "a crash: the times of a loss are those of when it is told",
         "dispatch/agent.py",
-        "waited_ms = int(1000 * (self.sent_at - self.ended_at))",
-        "waited_ms = 0",
+        "return aged(self.ended_message, self.sent_at - self.ended_at)",
+        "return self.ended_message",
         "tests/dispatch/test_silent_workers.py",
     ),
     Mutant(
@@ -2217,8 +2217,8 @@
     Mutant(
         "the ends of lost workers share a command",
         "dispatch/leader_term.py",
-        "for ended in _merged(ended_incarnations):",
-        "for ended in ended_incarnations:",
+        "for ended in _merged([each.as_of(merged_at) for each in ended_incarnations]):",
+        "for ended in [each.as_of(merged_at) for each in ended_incarnations]:",
         "tests/dispatch/test_leader_term.py",
     ),
     Mutant(
