A new leader neither answers nor begins its term before its last entries are applied

What callers would see: right after an election a job that the former leader had accepted is answered as gone, or its queue as unknown, and a term begins on a ledger that lacks entries.

Cause: entries counted as applied when take_ready returned them, and the driver then syncs what was proposed meanwhile, while other green threads run. A new leader takes proposals at once, so this is the usual case, for as long as that sync takes. Class of fault: progress that is recorded before the step is done. Reads with a barrier (manifest) waited for the entries themselves and were not concerned.

Now the index moves in advance(), after the sync; from there to the last entry nothing else runs.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -49,6 +49,14 @@
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
+    Mutant(
+        "an entry counts as applied only once the sync before it is done",
+        _CORE,
+        "        self._returned_index += len(committed)\n",
+        "        self._returned_index += len(committed)\n"
+        "        self._applied_index = self._returned_index\n",
+        "tests/replication/test_long_backlog.py",
+    ),
     Mutant(
         "a call without an answer raises the token above those of unanswered starts",
         _WORKER_SESSION,
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -160,7 +160,12 @@
         self._unannounced_commit = False
         self._incoming_snapshot = IncomingSnapshot()
         self._synced_index = self.log.last_index
+        self._returned_index = self.log.base_index
+        """The last committed entry that was returned by ``take_ready``."""
+
         self._applied_index = self.log.base_index
+        """Behind the former while the driver syncs: others run meanwhile."""
+
         self._snapshot_to_install: SnapshotFile | None = None
         self._messages_before_sync: list[RaftMessage] = []
         self._messages: list[RaftMessage] = []
@@ -303,7 +308,11 @@
         return ready
 
     def advance(self, ready: Ready) -> None:
-        """Record that ``ready`` was processed, so its entries are synced."""
+        """Record that ``ready`` was processed, so its entries are synced.
+
+        Until all of ``ready.committed`` is applied, the driver lets nothing else run.
+        """
+        self._applied_index = self._returned_index
         if ready.record and ready.record.entries:
             self._synced_index = max(self._synced_index, ready.record.entries[-1].index)
             self._synced_index = min(self._synced_index, self.log.last_index)
@@ -403,13 +412,13 @@
 
     @property
     def applied_index(self) -> int:
-        """Return the index of the last entry that was returned as committed."""
+        """Return the index of the last entry that is applied."""
         return self._applied_index
 
     @property
     def has_more_committed(self) -> bool:
         """Return whether committed entries have not been returned yet."""
-        return self._applied_index < self._last_appliable_index
+        return self._returned_index < self._last_appliable_index
 
     @property
     def _last_appliable_index(self) -> int:
@@ -773,7 +782,7 @@
         self.snapshot = self._snapshot_to_install = snapshot
         self.log.reset(snapshot.last_index, snapshot.last_term, snapshot.membership)
         self._unsynced = []
-        self._synced_index = self.commit_index = self._applied_index = snapshot.last_index
+        self._synced_index = self.commit_index = self._returned_index = snapshot.last_index
 
     def _reply_snapshot(self, message, chunk, next_offset: int, installed: bool) -> None:
         reply = SnapshotReply(chunk.last_index, next_offset, installed, chunk.round)
@@ -874,17 +883,17 @@
         return record
 
     def _take_committed(self) -> list[LogEntry]:
-        first = self._applied_index + 1
+        first = self._returned_index + 1
         last = min(self._last_appliable_index, first + MAX_READY_ENTRIES - 1)
         committed = _leading_entries(self.log.entries(first, last), MAX_READY_BYTES)
-        self._applied_index += len(committed)
+        self._returned_index += len(committed)
         return committed
 
     def _take_confirmed_reads(self) -> list[int]:
         """Return the reads that may be served once what was committed for them is applied."""
         reads = self._confirmed_reads
-        self._confirmed_reads = [read for read in reads if read.commit_index > self._applied_index]
-        return [read.read_id for read in reads if read.commit_index <= self._applied_index]
+        self._confirmed_reads = [read for read in reads if read.commit_index > self._returned_index]
+        return [read.read_id for read in reads if read.commit_index <= self._returned_index]
 
     def _message(self, recipient: str, term: int, payload: dict) -> RaftMessage:
         return RaftMessage(self.replica_id, recipient, term, RaftPayload(**payload), self.shard)
--- a/tests/replication/test_long_backlog.py
+++ b/tests/replication/test_long_backlog.py
@@ -106,3 +106,44 @@
         eventlet.spawn(read)
         group.clock.sleep(10.0)
         assert counts == [COMMANDS]
+
+
+SYNC_SECONDS = 0.05
+"""A new leader takes proposals at once, and syncs them while its last entries wait."""
+
+
+# Guards against answers by contact, and terms that begin, from a state that lacks what another
+# leader had committed: entries counted as applied while the disk was synced before they were.
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_leader_does_not_answer_by_contact_before_it_has_applied(seed):
+    with running_services(count=3, seed=seed) as group:
+        leader = group.leader_name()
+        for _ in range(10):
+            group.propose(leader)
+        group.clock.sleep(2.0)
+        group.restart()
+        for disk in group.disk_by_name.values():
+            disk.sync_seconds = SYNC_SECONDS
+        counts = []
+        while not counts:
+            for name, each in group.service_by_name.items():
+                if each.is_leader:
+                    group.propose(name)
+                if each.core.seconds_since_quorum_contact(group.clock.monotonic()) < float("inf"):
+                    counts.append(each.state_machine.count)
+            group.clock.sleep(0.002)
+        assert min(counts) >= 10
+
+
+# Guards against an agent that is said to have applied entries which are not applied yet.
+def test_an_entry_does_not_count_as_applied_before_it_is():
+    with running_services(count=3) as group:
+        leader = group.leader_name()
+        for disk in group.disk_by_name.values():
+            disk.sync_seconds = SYNC_SECONDS
+        first = group.service_by_name[leader].core.applied_index
+        for _ in range(500):
+            group.propose(leader)
+            group.clock.sleep(0.002)
+            for each in group.service_by_name.values():
+                assert each.core.applied_index - first <= each.state_machine.count
