A new leader lets others run every 30 ms of applying, not after every few entries

Cause: after every 64 entries all other green threads of the process had their turn, and workers and callers keep these busy. Class of fault: a yield gives way to everything, not only to what it is for.

Now the replica looks at messages and ticks after 0.03 s of processor time. The new test fails on the code before (62 pauses instead of 27); those of the ticks, the reads and the leader that stays pass.

--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -8,6 +8,7 @@
 import contextlib
 import math
 import random
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -43,6 +44,13 @@
 
 MAX_MAILBOX_BATCH = 256
 
+MAX_APPLY_SECONDS = 0.03
+"""Processor time of committed entries that are applied before messages and ticks are looked at.
+
+Five hosts that share a processor stay below a heartbeat interval together.  Each pause lets all
+other green threads run, and a new leader serves nobody before it has applied the last entry.
+"""
+
 
 class StateMachine(Protocol):
     """The replicated state machine; it must be deterministic."""
@@ -97,7 +105,8 @@
 class ReplicaService:
     """Runs one replica of a control group in this process.
 
-    ``began_at`` is when this program began on the clock, if that is known.
+    ``began_at`` is when this program began on the clock, if that is known; ``processor_time``
+    returns the seconds that this thread has had a processor.
     """
 
     def __init__(
@@ -114,6 +123,7 @@
         snapshot_every: int = SNAPSHOT_INTERVAL_ENTRIES,
         announces_commits: bool = False,
         began_at: float | None = None,
+        processor_time: Callable[[], float] = time.thread_time,
     ):
         recovered = storage.recover()
         self.core = Replica(
@@ -134,6 +144,7 @@
         self._clock = clock
         self._snapshot_every = snapshot_every
         self._announces_commits = announces_commits
+        self._processor_time = processor_time
         self._mailbox: Queue = Queue()
         self._pending_proposal_by_index: dict[int, _PendingProposal] = {}
         self._pending_read_by_id: dict[int, Event] = {}
@@ -309,10 +320,12 @@
         self._syncs.record(self._last_sync)
 
     def _process_all_ready(self) -> None:
-        """Do what is due; messages and ticks go before entries that are left to be applied."""
+        """Do what is due; now and then messages and ticks go before entries left to be applied."""
+        began_at = self._processor_time()
         while not (ready := self.core.take_ready()).is_empty():
             self._process_ready(ready)
-            if self.core.has_more_committed:
+            used_seconds = self._processor_time() - began_at
+            if self.core.has_more_committed and used_seconds >= MAX_APPLY_SECONDS:
                 return
 
     def _take_mailbox_batch(self) -> list:
--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -94,6 +94,7 @@
                 clock=self.clock,
                 timing=TIMING,
                 rng=random.Random(f"{self._seed}-{name}"),
+                processor_time=self.clock.monotonic,
             )
             for name, storage in storages.items()
         }
--- a/tests/replication/test_long_backlog.py
+++ b/tests/replication/test_long_backlog.py
@@ -147,3 +147,26 @@
             group.clock.sleep(0.002)
             for each in group.service_by_name.values():
                 assert each.core.applied_index - first <= each.state_machine.count
+
+
+# Guards against a new leader that serves late: it let all other green threads run, which callers
+# and workers keep busy, after every few entries that it applied.
+@pytest.mark.parametrize("seed", range(4))
+def test_a_new_leader_lets_others_run_seldom_while_it_has_entries_to_apply(monkeypatch, seed):
+    with running_services(count=3, seed=seed) as group:
+        committed_group(group)
+        group.restart()
+        group.apply_seconds = APPLY_SECONDS
+        pauses = []
+        for each in group.service_by_name.values():
+
+            def take(each=each, original=each._take_mailbox_batch):
+                if each.is_leader and each.core.has_more_committed:
+                    pauses.append(each.core.applied_index)
+                return original()
+
+            monkeypatch.setattr(each, "_take_mailbox_batch", take)
+        leader = group.service_by_name[group.wait_for_leader()]
+        while leader.state_machine.count < COMMANDS:
+            group.clock.sleep(0.01)
+        assert 1 < len(pauses) <= COMMANDS * APPLY_SECONDS / service.MAX_APPLY_SECONDS + 3
