A leader that may answer no caller makes room within two election timeouts

What callers would see: a leader whose links get slow, 0.6 s one way, answers none of them, nor reports of agents, and stays in office for as long as the links are slow, though all others are well connected.

Cause: since a leader whose voters reply, late, stays while its contact is less than two timeouts old; that age does not grow when each reply is as late as the one before. Class of fault: a grace that is renewed by what it is granted for. The same held for a leader that stands still again and again.

Now both graces end two election timeouts after the leader was last in contact, which is what the next one may take to come. A single pause is treated as before.

Two mutants, seen; the text of the older one follows the code.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -49,6 +49,13 @@
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
+    Mutant(
+        "a leader that is followed, but may answer no caller, makes room in time",
+        _CORE,
+        "if max(silence, unserved) <= MAX_UNSERVED_FACTOR * timeout:",
+        "if silence <= MAX_UNSERVED_FACTOR * timeout:",
+        "tests/replication/test_slow_links.py",
+    ),
     Mutant(
         "an entry counts as applied only once the sync before it is done",
         _CORE,
@@ -193,7 +200,7 @@
     Mutant(
         "a leader that stood still for long steps down at once",
         _CORE,
-        "if silence <= LONGEST_CAMPAIGN_DELAY_FACTOR * timeout:",
+        "if max(silence, unserved) <= MAX_UNSERVED_FACTOR * timeout:",
         "if True:",
         "tests/replication/test_core.py",
     ),
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -89,6 +89,12 @@
 LONGEST_CAMPAIGN_DELAY_FACTOR = 2.0
 """A voter that hears of no leader campaigns within this many election timeouts."""
 
+MAX_UNSERVED_FACTOR = LONGEST_CAMPAIGN_DELAY_FACTOR
+"""A leader that may answer no caller stays in office for this many election timeouts at most.
+
+That is what the next one would take to come; its host or links may be better.
+"""
+
 
 class Replica:
     """One Raft replica: a member of a control group, or a host that is waiting to be added.
@@ -609,8 +615,10 @@
         contact_at = self.leader_state.quorum_contact_at(self.replica_id, self._now, membership)
         silence = self._now - contact_at
         if silence <= timeout:
+            self.leader_state.serving_at = self._now
             return
-        if silence <= LONGEST_CAMPAIGN_DELAY_FACTOR * timeout:
+        unserved = self._now - self.leader_state.serving_at
+        if max(silence, unserved) <= MAX_UNSERVED_FACTOR * timeout:
             reply_seconds = MAX_MISSED_HEARTBEATS * self.timing.heartbeat_interval
             if self._now - self._resumed_at <= reply_seconds:
                 # The voters may have heard nothing either, and elected nobody.
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -88,9 +88,15 @@
     round: int = 0
     """Number of the latest heartbeat round: requests carry it and replies return it."""
 
+    serving_at: float = attrs.field(init=False)
+    """When a majority was last found to be in contact, so that callers may be answered."""
+
     pending_reads: list[PendingRead] = attrs.field(factory=list)
     _sent_by_round: dict[int, _Round] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self):
+        self.serving_at = self.elected_at
+
     def start_round(self, now: float, commit_index: int) -> None:
         """Begin the next heartbeat round."""
         self.round += 1
