--- a/tests/replication/test_elections.py
+++ b/tests/replication/test_elections.py
@@ -306,3 +306,22 @@
         seconds = seconds_until_led(group)
         repeats = LONGEST_REPEATS_SECONDS if lost == "first" else 0.0
         assert seconds < limit + repeats, f"seed {seed}"
+
+
+LONG_HELD_SECONDS = 2 * HELD_SECONDS
+"""A round of votes then takes longer than a candidate waits before it asks again."""
+
+
+# Guards against a candidate that no answer reaches and that asks again and again: each voter that
+# campaigned meanwhile yielded to it each time, and three that could elect a leader had none.
+def test_a_candidate_that_no_answer_reaches_does_not_keep_the_others_without_a_leader():
+    for seed in SEEDS:
+        group, rng = busy_group(seed), random.Random(seed)
+        for host in group.host_by_name.values():
+            host.held_seconds, host.held_phase = LONG_HELD_SECONDS, rng.random()
+        group.run_for(0.5)
+        group.lose(group.leader().name)
+        deaf = max(group.host_by_name)
+        group.blocked_links |= {(other, deaf) for other in group.host_by_name}
+        seconds = seconds_until_led(group)
+        assert seconds < MAX_LEADERLESS_SECONDS + 7 * LONG_HELD_SECONDS, f"seed {seed}"
