Tests stop the replicas that they start: their watches slowed all later tests of a process

Cause: running_services left the services of each group behind. Since each has a watch of long turns, which runs on every switch of green threads in the process. A process of the product has one replica, so it was never slowed.

No check was changed.

--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -147,6 +147,11 @@
     """Run a group in the block, on virtual time; yield it once it has a leader."""
     with virtual_time(seed) as clock:
         group = ServiceGroup(clock, count, seed)
-        group.wait_for_leader()
-        clock.sleep(1.0)
-        yield group
+        try:
+            group.wait_for_leader()
+            clock.sleep(1.0)
+            yield group
+        finally:
+            # The watch of each would go on in this process, on every switch of green threads.
+            for service in group.service_by_name.values():
+                service.stop()
