--- a/review/lib2/links.py
+++ b/review/lib2/links.py
@@ -60,16 +60,12 @@
             each.close()
             self._sockets.discard(each)
 
-    def reset(self) -> None:
-        """Close all connections."""
-        for each in list(self._sockets):
-            with contextlib.suppress(OSError):
-                each.shutdown(socket.SHUT_RDWR)
-
     def close(self) -> None:
         """Stop listening, and close all connections."""
         self._is_closed = True
         self._listener.close()
         self.forth.set()
         self.back.set()
-        self.reset()
+        for each in list(self._sockets):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
--- a/review/lib2/site.py
+++ b/review/lib2/site.py
@@ -128,10 +128,6 @@
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
-    def send(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self.process.send_signal(number)
-
     def kill(self) -> None:
         """Kill the process."""
         self.process.kill()
@@ -293,12 +289,12 @@
 
     def __init__(self, site: Site):
         self._site = site
-        self._next_front = 0
+        self.next_front = 0
 
     def call(self, method: str, path: str, body=None) -> tuple[int, dict]:
         """Make one call at the next front; the requester waits for 3 s."""
-        front = self._site.fronts[self._next_front % len(self._site.fronts)]
-        self._next_front += 1
+        front = self._site.fronts[self.next_front % len(self._site.fronts)]
+        self.next_front += 1
         headers = {"Host": "q.example", "X-Deadline-Ms": "3000"}
         return call(method, f"{front.ip}:{self._site.ports['front']}", path, body, headers, 3.2)
 
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -298,11 +298,6 @@
         """Return the newest life."""
         return self.boots[-1]
 
-    @property
-    def is_up(self) -> bool:
-        """Return whether the worker is up."""
-        return not self.boot.is_over
-
     def start(self) -> None:
         """Begin a life."""
         self.state, self._beat_to = "ready", ""
