A run gets the speed last requested of it, whatever becomes of an order

Cause: the session dropped its entry of a run when an order failed, also one that a newer order had set, and a run without an entry counts as at full speed. A refused order and one without permission did the same. An order that was carried out late, after a newer one, was not refused.

Why it works: no failure changes what was requested; one thread a run orders the newest speed until the worker confirms just that; after an order without an answer a higher token overtakes it; a run counts as paused until an order to go on is confirmed.

test_a_best_effort_run_that_was_taken_over_may_be_paused had a run that its worker did not list, so nothing could be ordered of it; it lists the run now, and the test asks for the speed in force, not for a call.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -46,6 +46,7 @@
 _LATE_STARTS = "dispatch/late_starts.py"
 _LATE_STARTS_TESTS = "tests/dispatch/test_late_starts.py"
 _EVIDENCE_TESTS = "tests/dispatch/test_evidence_of_incarnations.py"
+_SPEEDS_TESTS = "tests/dispatch/test_run_speeds.py"
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
 MUTANTS = [
@@ -2427,14 +2428,58 @@
     Mutant(
         "a speed call that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
-        "        except IncarnationReplaced as error:\n"
-        "            self._end_incarnation(str(error))\n"
-        "        except (WorkerUnresponsive, CallRejected) as error:\n"
-        "            self.speed",
-        "        except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:\n"
-        "            self.speed",
+        "            except IncarnationReplaced as error:\n"
+        "                self._end_incarnation(str(error))\n"
+        "            except (WorkerUnresponsive, CallRejected) as error:\n"
+        '                metrics.RETRIES.labels("speed',
+        "            except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:\n"
+        '                metrics.RETRIES.labels("speed',
         _INCARNATIONS_TESTS,
     ),
+    Mutant(
+        "an order of a speed is repeated until it is confirmed",
+        _WORKER_SESSION,
+        "                    self._raise_token()\n                self._wait_before_retry()\n\n"
+        "    def _is_throttled",
+        "                    self._raise_token()\n                return\n\n    def _is_throttled",
+        _SPEEDS_TESTS,
+    ),
+    Mutant(
+        "an order of a speed without an answer is overtaken by the next one",
+        _WORKER_SESSION,
+        "                    self._raise_token()\n                self._wait_before_retry()",
+        "                    pass\n                self._wait_before_retry()",
+        _SPEEDS_TESTS,
+    ),
+    Mutant(
+        "the orders of a run's speeds follow one another",
+        "dispatch/run_speeds.py",
+        "        if run in self._runs_in_order:\n            return False\n",
+        "",
+        _SPEEDS_TESTS,
+    ),
+    Mutant(
+        "only the speed last requested ends the orders",
+        "dispatch/run_speeds.py",
+        "            return False\n        if speed_percent != PAUSED:",
+        "            return True\n        if speed_percent != PAUSED:",
+        _SPEEDS_TESTS,
+    ),
+    Mutant(
+        "a run may be paused until an order to go on is confirmed",
+        "dispatch/run_speeds.py",
+        "        if speed_percent == PAUSED:\n            self._maybe_paused_runs.add(run)\n",
+        "        if speed_percent == PAUSED:\n            self._maybe_paused_runs.add(run)\n"
+        "        else:\n            self._maybe_paused_runs.discard(run)\n",
+        _SPEEDS_TESTS,
+    ),
+    Mutant(
+        "no speed is ordered of a run that is being stopped",
+        _WORKER_SESSION,
+        "        return key in self.worker.task_by_run and not self.is_stopping(*key)",
+        "        return key in self.worker.task_by_run",
+        _SPEEDS_TESTS,
+    ),
     Mutant(
         "a stop that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/agent.py
+++ b/src/savoryshelf/dispatch/agent.py
@@ -467,7 +467,7 @@
         self, session: WorkerSession, view: WorkerView, history: ColocationHistory
     ) -> None:
         now = self.now()
-        history.record_speeds(session.speed_percent_by_run, now)
+        history.record_pauses(session.maybe_paused_runs(), now)
         for change in speed_changes(
             self.interference, view, session.speed_percent_by_run, history, now
         ):
--- a/src/savoryshelf/dispatch/throttling.py
+++ b/src/savoryshelf/dispatch/throttling.py
@@ -189,18 +189,14 @@
             del self._averages_by_run[key]
         return deviations
 
-    def record_speeds(
-        self, speed_percent_by_run: dict[tuple[str, int], int | None], now: float
-    ) -> None:
-        """Record the speeds that were requested last of the best-effort runs."""
+    def record_pauses(self, maybe_paused_runs: set[tuple[str, int]], now: float) -> None:
+        """Record which best-effort runs may be paused now."""
         self._paused_since_by_run = {
-            key: self._paused_since_by_run.get(key, now)
-            for key, speed_percent in speed_percent_by_run.items()
-            if speed_percent == PAUSED
+            key: self._paused_since_by_run.get(key, now) for key in maybe_paused_runs
         }
 
     def paused_seconds(self, key: tuple[str, int], now: float) -> float:
-        """Return for how long a run has been paused; 0 if it is not."""
+        """Return for how long a run may have been paused; 0 if it is not."""
         return now - self._paused_since_by_run.get(key, now)
 
     def slow_seconds(self, now: float) -> float:
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -30,7 +30,8 @@
 from ..wire.generated.ttypes import ContactLoss, EndEvidence, RunEnd, RunOutcome
 from .late_starts import CALL_TOKENS, call_token, look_pause
 from .placement import WorkerView
-from .throttling import PAUSED, ColocationHistory
+from .run_speeds import RunSpeeds
+from .throttling import FULL_SPEED_PERCENT, ColocationHistory
 from .unsettled_runs import UnsettledState
 from .worker_api import (
     CallRejected,
@@ -164,14 +165,9 @@
         )
         self.clock = WorkerClock() if previous is None else previous.clock
         self.status_by_run: dict[tuple[str, int], RunStatus] = {}
-        self.speed_percent_by_run: dict[tuple[str, int], int | None] = {
-            run: None for run, task in worker.task_by_run.items() if task.step.spec.filling
-        }
-        """Speed last requested of each run, in percent of full speed.
-
-        None if it is not known: an earlier agent may have throttled or paused the run.
-        """
-
+        self._speeds = RunSpeeds(
+            {run: None for run, task in worker.task_by_run.items() if task.step.spec.filling}
+        )
         self.baseline_by_image: dict[str, float] = {}
         """Utilisation of serving runs without interference, by image, as of the last poll."""
 
@@ -322,9 +318,8 @@
         now = self._agent.now()
         runs = self.worker.task_by_run.keys()
         idle = dict.fromkeys(self._stops_in_flight & runs, 0.0)
-        for run, speed_percent in self.speed_percent_by_run.items():
-            if speed_percent == PAUSED and run in runs:
-                idle[run] = self._history.paused_seconds(run, now)
+        for run in self.maybe_paused_runs():
+            idle[run] = self._history.paused_seconds(run, now)
         return idle | dict.fromkeys(self._in_doubt_since_by_run.keys() & runs, math.inf)
 
     def exclude_image(self, image: str) -> None:
@@ -368,11 +363,21 @@
     def set_speed(self, task: str, run: int, speed_percent: int) -> None:
         """Throttle a run or restore its speed.
 
-        A call that fails is not retried; the speed is decided anew after the next poll.
+        Its newest speed is ordered until the worker confirms it, or the run is being stopped.
         """
-        if self.speed_percent_by_run.get((task, run), 100) != speed_percent:
-            self.speed_percent_by_run[task, run] = speed_percent
-            eventlet.spawn_n(self._send_speed, task, run, speed_percent)
+        if self.speed_percent_by_run.get((task, run), FULL_SPEED_PERCENT) == speed_percent:
+            return
+        if self._speeds.request((task, run), speed_percent):
+            eventlet.spawn_n(self._send_speeds, task, run)
+
+    @property
+    def speed_percent_by_run(self) -> dict[tuple[str, int], int | None]:
+        """Return the speed last requested of each run, in percent; None if it is not known."""
+        return self._speeds.requested_percent_by_run
+
+    def maybe_paused_runs(self) -> set[tuple[str, int]]:
+        """Return the runs that exist and may be paused."""
+        return self._speeds.maybe_paused(self.worker.task_by_run.keys())
 
     def worked_ms_by_run(self) -> dict[tuple[str, int], int]:
         """Return how long the worker is known to have outlived the start of its runs, in ms.
@@ -870,7 +875,7 @@
         for key in self._confirmed_at_by_run.keys() - self.worker.task_by_run.keys():
             self._confirmed_at_by_run.pop(key, None)
             self._stopped_at_by_run.pop(key, None)
-            self.speed_percent_by_run.pop(key, None)
+            self._speeds.forget(key)
 
     def _mark_unresponsive(self, error: Exception) -> None:
         if not self.is_unresponsive:
@@ -1155,16 +1160,43 @@
             return False
         return True
 
-    def _send_speed(self, task: str, run: int, speed_percent: int) -> None:
-        if not self._may_call():
-            self.speed_percent_by_run.pop((task, run), None)
-            return
+    def _send_speeds(self, task: str, run: int) -> None:
         try:
-            self._call("set_speed", task, run, speed_percent, self.call_token)
-        except IncarnationReplaced as error:
-            self._end_incarnation(str(error))
-        except (WorkerUnresponsive, CallRejected) as error:
-            self.speed_percent_by_run.pop((task, run), None)
-            log_event(
-                "run:set_speed_failed", task=task, worker=self.incarnation.worker_id, why=str(error)
-            )
+            self._order_newest_speed(task, run)
+        finally:
+            self._speeds.end_order((task, run))
+
+    def _order_newest_speed(self, task: str, run: int) -> None:
+        """Order the newest speed of a run until the worker confirms it."""
+        key, is_logged = (task, run), False
+        while self._is_throttled(key):
+            if not self._may_call():
+                eventlet.sleep(PERMISSION_CHECK_SECONDS)
+                continue
+            speed_percent = self.speed_percent_by_run[key]
+            try:
+                self._call("set_speed", task, run, speed_percent, self.call_token)
+                if self._speeds.confirm(key, speed_percent):
+                    return
+            except Fenced as error:
+                self._mark_fenced(error)
+            except IncarnationReplaced as error:
+                self._end_incarnation(str(error))
+            except (WorkerUnresponsive, CallRejected) as error:
+                metrics.RETRIES.labels("speed unconfirmed").inc()
+                if not is_logged:
+                    is_logged = True
+                    log_event(
+                        "run:speed_unconfirmed", task=task, run=run, speed_percent=speed_percent,
+                        worker=self.incarnation.worker_id, why=str(error),
+                    )  # fmt: skip
+                if not isinstance(error, (NotDelivered, CallRejected)):
+                    # The worker would carry it out late, after a newer one, under the same token.
+                    self._raise_token()
+                self._wait_before_retry()
+
+    def _is_throttled(self, key: tuple[str, int]) -> bool:
+        """Return whether the speed of a run still matters here."""
+        if self.is_closed or self.has_ended or self.is_fenced:
+            return False
+        return key in self.worker.task_by_run and not self.is_stopping(*key)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -41,6 +41,9 @@
         self.unanswered_calls = set()
         self.delayed_starts = []
         self.running = {}
+        self.speed_by_run = {}
+        """The speeds that were ordered, in percent; runs without an order work at full speed."""
+
         self.stopped = {}
         self.ends = []
         self.deadlines = []
@@ -150,6 +153,9 @@
 
     def set_speed(self, incarnation, task, run, speed_percent, fencing_token):
         self._record_call("set_speed")
+        if self.is_fenced(fencing_token):
+            raise Fenced("set_speed")
+        self.speed_by_run[task, run] = speed_percent
 
     def disconnect(self, incarnation):
         pass
--- a/tests/dispatch/test_throttling.py
+++ b/tests/dispatch/test_throttling.py
@@ -46,7 +46,8 @@
     """
     now, speeds = 100.0, speed_percent_by_run or {}
     history = ColocationHistory()
-    history.record_speeds(speeds, now - paused_seconds)
+    paused = {run for run, speed_percent in speeds.items() if speed_percent == PAUSED}
+    history.record_pauses(paused, now - paused_seconds)
     history.add_report(view, now - slow_seconds)
     history.add_report(view, now)
     return speed_changes(model, view, speeds, history, now)
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -449,9 +449,10 @@
     task_ledger, worker = ledger(), FakeWorker()
     accept(task_ledger, step(filling=True))
     record_intent(task_ledger, TASK)
+    worker.running[TASK, 1] = RunStatus(TASK, 1, "", 0, 0)
     session, _ = make_session(task_ledger, worker)
     session.set_speed(TASK, 1, 100)
-    wait_until(lambda: "set_speed" in worker.calls)
+    wait_until(lambda: worker.speed_by_run.get((TASK, 1)) == 100)
     session.close()
 
 
