A job whose cancel overtakes its hand-in is refused

Cause: a cancel of a job that the ledger does not know changed nothing, so a hand-in that an entry host had still under way was accepted after it.

Cancels of older logs have their old effect.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -46,6 +46,7 @@
 _LATE_STARTS = "dispatch/late_starts.py"
 _LATE_STARTS_TESTS = "tests/dispatch/test_late_starts.py"
 _EVIDENCE_TESTS = "tests/dispatch/test_evidence_of_incarnations.py"
+_EARLY_CANCELS_TESTS = "tests/tasks/test_early_cancels.py"
 _SPEEDS_TESTS = "tests/dispatch/test_run_speeds.py"
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
 
@@ -2480,6 +2481,62 @@
         "        return key in self.worker.task_by_run",
         _SPEEDS_TESTS,
     ),
+    Mutant(
+        "a job that was cancelled before it came is refused",
+        _TASKS,
+        "        if command.job_id in self.early_cancels:\n",
+        "        if False:\n",
+        _EARLY_CANCELS_TESTS,
+    ),
+    Mutant(
+        "a snapshot holds the jobs that were cancelled before they came",
+        "tasks/snapshot.py",
+        "            ledger.early_cancels.at_ms_by_job_id,\n",
+        "",
+        _EARLY_CANCELS_TESTS,
+    ),
+    Mutant(
+        "an early cancel is deleted once it is old",
+        _TASKS,
+        "        self.early_cancels.delete_before(ended_before_ms)\n",
+        "",
+        _EARLY_CANCELS_TESTS,
+    ),
+    Mutant(
+        "the early cancels that are kept are bounded",
+        "tasks/early_cancels.py",
+        " and len(self.at_ms_by_job_id) >= MAX_EARLY_CANCELS",
+        " and False",
+        _EARLY_CANCELS_TESTS,
+    ),
+    Mutant(
+        "a log of an earlier version keeps no early cancels",
+        _TASKS,
+        "            if is_kept and not",
+        "            if not",
+        _EARLY_CANCELS_TESTS,
+    ),
+    Mutant(
+        "a cancel that is not kept is not acknowledged",
+        _TASK_SERVICE,
+        '        if refused and outcome.reason == "too_many_cancels":',
+        "        if False:",
+        "tests/dispatch/test_task_service.py",
+    ),
+    Mutant(
+        "the leader keeps the cancel of an unknown job",
+        _TASK_SERVICE,
+        "CancelTasks(job_id, is_kept=True)",
+        "CancelTasks(job_id)",
+        "tests/dispatch/test_task_service.py",
+    ),
+    Mutant(
+        "a submission is handed in for less time than its cancel is kept",
+        "../../platform/savoryshelf_platform/front.py",
+        "            seconds = min(seconds, MAX_HAND_IN_SECONDS)\n",
+        "            pass\n",
+        "tests/platform/test_front.py",
+    ),
     Mutant(
         "a stop that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -66,6 +66,12 @@
 Room comes with the ends of other long-running jobs, or when finite work needs less.
 """
 
+TOO_MANY_CANCELS_RETRY_AFTER_MS = 10_000
+"""When a caller may come back whose cancel of an unknown job was refused, in ms.
+
+The early cancels that are too old are deleted about as often.
+"""
+
 MAX_LOGGED_AS_IGNORED = 1000
 """Number of ignored heartbeats that are remembered as logged."""
 
@@ -129,6 +135,8 @@
             if find_queue(ledger.manifest, call.host, call.path) is None:
                 return self._no_queue(call)
             return JobAnswer(JobAnswerKind.ACCEPTED, reason="resend")
+        if job_id in ledger.early_cancels:
+            return self._cancelled_before(call)
         refusal = self._refuse_without_room(call, job_id)
         if refusal is not None:
             return refusal
@@ -137,6 +145,8 @@
         self._proposed_job_ids.discard(job_id)
         if isinstance(outcome, Refusal):
             metrics.REFUSALS.labels(outcome.reason).inc()
+            if outcome.reason == "cancelled":
+                return self._cancelled_before(call)
             return self._no_queue(call)
         tasks = sum(step.count for step in call.spec.steps)
         log_event(
@@ -146,6 +156,14 @@
         self.on_change()
         return JobAnswer(JobAnswerKind.ACCEPTED)
 
+    @staticmethod
+    def _cancelled_before(call: JobCall) -> JobAnswer:
+        job_id = job_id_from_path(call.path)
+        log_event("job:cancelled_before", job=job_id, trace=call.trace_id)
+        return JobAnswer(
+            JobAnswerKind.CANCELLED, reason="not run: it was cancelled before it was handed in"
+        )
+
     def _refuse_without_room(self, call: JobCall, job_id: str) -> JobAnswer | None:
         """Refuse a job that has no room, unless it is or may have been accepted already."""
         ledger = self._state_machine.ledger
@@ -183,15 +201,21 @@
         return JobAnswer(JobAnswerKind.STATE, state=job.state.value)
 
     def cancel(self, call: JobCall) -> JobAnswer:
-        """Cancel a job durably."""
+        """Cancel a job durably, also one that is not known yet: it is refused if it comes."""
         self._require_recent_quorum_contact()
         ledger = self._state_machine.ledger
         if find_queue(ledger.manifest, call.host, call.path) is None:
             return self._no_queue(call)
         job_id = job_id_from_path(call.path)
-        outcome = self._commit(cancel_tasks=CancelTasks(job_id))
+        outcome = self._commit(cancel_tasks=CancelTasks(job_id, is_kept=True))
         refused = isinstance(outcome, Refusal)
         log_event("job:cancelled", job=job_id, trace=call.trace_id, known=not refused)
+        if refused and outcome.reason == "too_many_cancels":
+            metrics.REFUSALS.labels(outcome.reason).inc()
+            return JobAnswer(
+                JobAnswerKind.REFUSED, retry_after_ms=TOO_MANY_CANCELS_RETRY_AFTER_MS,
+                reason="too many unknown submissions were cancelled",
+            )  # fmt: skip
         self.on_change()
         if refused:
             return JobAnswer(JobAnswerKind.GONE)
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -36,6 +36,7 @@
     withdraw_crash,
     withdraw_unclassified_crash,
 )
+from .early_cancels import MAX_EARLY_CANCELS, EarlyCancels
 from .job import IncarnationKey, Job, StepGroup, Task, gang_members, new_job
 from .manifest import find_queue
 from .names import MalformedTaskName, parse_task_name
@@ -116,6 +117,9 @@
     newest_token: int = 0
     """The newest fencing token that an agent was given."""
 
+    early_cancels: EarlyCancels = attrs.field(factory=EarlyCancels)
+    """The jobs that were cancelled before they were handed in."""
+
     behind_ms: int = 0
     """How far the clock of the newest command is behind ``at_ms``; no part of the state."""
 
@@ -132,6 +136,8 @@
         """Accept a job; one with an id that exists is a duplicate and changes nothing."""
         if command.job_id in self.job_by_id:
             return Accepted(duplicate=True)
+        if command.job_id in self.early_cancels:
+            return Refusal("cancelled", f"job {command.job_id} was cancelled before it came")
         queue = find_queue(self.manifest, command.host, command.path)
         if queue is None:
             return Refusal(
@@ -147,10 +153,16 @@
         for group in job.groups.values():
             self._unblock_if_ready(group)
 
-    def cancel(self, job_id: str) -> Accepted | Refusal:
-        """Cancel a job; a job that has ended keeps its state."""
+    def cancel(self, job_id: str, is_kept: bool = False) -> Accepted | Refusal:
+        """Cancel a job; a job that has ended keeps its state.
+
+        With ``is_kept``, one that is not known is refused if it is handed in later, until
+        ``delete_ended_jobs`` deletes what ended at this time.
+        """
         job = self.job_by_id.get(job_id)
         if job is None:
+            if is_kept and not self.early_cancels.add(job_id, self.at_ms):
+                return Refusal("too_many_cancels", f"{MAX_EARLY_CANCELS} unknown jobs are kept")
             return Refusal(
                 "no_such_job", f"job {job_id} does not exist, or its record has been deleted"
             )
@@ -372,7 +384,11 @@
                 self._make_startable_if_idle(task)
 
     def delete_ended_jobs(self, ended_before_ms: int) -> int:
-        """Delete jobs that ended before that time and have no run left; return how many."""
+        """Delete jobs that ended before that time and have no run left; return how many.
+
+        Deletes the early cancels before that time as well.
+        """
+        self.early_cancels.delete_before(ended_before_ms)
         deletable = list(self._deletable_jobs(ended_before_ms))
         for job in deletable:
             del self.job_by_id[job.job_id]
@@ -383,7 +399,9 @@
         return len(deletable)
 
     def has_jobs_ended_before(self, ended_before_ms: int) -> bool:
-        """Return whether ``delete_ended_jobs`` would delete any job."""
+        """Return whether ``delete_ended_jobs`` would delete anything."""
+        if self.early_cancels.has_before(ended_before_ms):
+            return True
         return any(True for _ in self._deletable_jobs(ended_before_ms))
 
     def _deletable_jobs(self, ended_before_ms: int):
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -59,6 +59,7 @@
             weights,
             ledger.newest_token,
             ended_workers,
+            ledger.early_cancels.at_ms_by_job_id,
         )  # fmt: skip
     )
 
@@ -77,6 +78,9 @@
         worker.has_ended = True
     for record in snapshot.jobs:
         _load_job(ledger, record)
+    early_cancels = snapshot.early_cancels or {}
+    for job_id, at_ms in sorted(early_cancels.items(), key=lambda item: item[1]):
+        ledger.early_cancels.add(job_id, at_ms)
     return ledger
 
 
--- a/src/savoryshelf/tasks/state_machine.py
+++ b/src/savoryshelf/tasks/state_machine.py
@@ -69,7 +69,7 @@
 
 @_handles_command("cancel_tasks")
 def _cancel_tasks(ledger: TaskLedger, command):
-    return ledger.cancel(command.job_id)
+    return ledger.cancel(command.job_id, bool(command.is_kept))
 
 
 @_handles_command("note_workers")
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -257,7 +257,8 @@
 
 struct AcceptTasks { 1: string job_id, 2: string host, 3: string path, 4: JobSpec spec }
 
-struct CancelTasks { 1: string job_id }
+/** `is_kept`: a job that is not known is refused if it is handed in later; older logs lack it. */
+struct CancelTasks { 1: string job_id, 2: optional bool is_kept }
 
 /** One incarnation of a worker: its id and the wall-clock time of its start in milliseconds. */
 struct WorkerLife { 1: string worker_id, 2: i64 born_ms }
@@ -413,7 +414,9 @@
   1: i64 at_ms, 2: Manifest manifest, 3: list<WorkerRecord> workers, 4: list<JobRecord> jobs,
   5: list<PairWeight> weights, 6: i64 newest_token,
   /** The incarnations that have ended: what is heard of them later counts by their records. */
-  7: optional list<WorkerRecord> ended_workers
+  7: optional list<WorkerRecord> ended_workers,
+  /** The jobs that were cancelled before they were handed in, and when, in ms. */
+  8: optional map<string, i64> early_cancels
 }
 
 // ------------------------------------------------------ agents <-> the leader
@@ -466,7 +469,11 @@
   1: JobVerb verb, 2: string host, 3: string path, 4: optional JobSpec spec, 5: string trace_id
 }
 
-enum JobAnswerKind { ACCEPTED = 1, STATE = 2, GONE = 3, NO_QUEUE = 4, COUNTED = 5, REFUSED = 6 }
+enum JobAnswerKind {
+  ACCEPTED = 1, STATE = 2, GONE = 3, NO_QUEUE = 4, COUNTED = 5, REFUSED = 6,
+  /** The job was cancelled before it was handed in: it was never accepted, and never runs. */
+  CANCELLED = 7
+}
 
 /**
  * `waiting` is the number of queued jobs, set with COUNTED.  `retry_after_ms` is set with REFUSED:
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -15,6 +15,7 @@
 )
 from savoryshelf.replication.service import OutcomeUnknown
 from savoryshelf.replication.types import NotLeading
+from savoryshelf.tasks import early_cancels
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated import ttypes
@@ -933,3 +934,58 @@
     service.put_manifest(Manifest(2, [], [ServiceSpec("svc", False, False)], "{}"))
     assert service.job_call(submission()).kind == JobAnswerKind.NO_QUEUE
     assert list(state_machine.ledger.job_by_id) == [JOB]
+
+
+def cancel_of(job_id=JOB):
+    return JobCall(JobVerb.CANCEL, HOST, f"/quotes/{job_id}", trace_id="trace")
+
+
+def read_of(job_id=JOB):
+    return JobCall(JobVerb.READ, HOST, f"/quotes/{job_id}", trace_id="trace")
+
+
+# Guards against a task that runs for good though its cancel was acknowledged, whoever leads when
+# its hand-in arrives (rule UNASKED, issue 64).
+@pytest.mark.parametrize("is_same_leader", [True, False])
+def test_a_hand_in_that_its_cancel_has_overtaken_is_refused(state_machine, logged, is_same_leader):
+    _, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    assert leader.job_call(cancel_of()).kind == JobAnswerKind.GONE
+    if not is_same_leader:
+        state_machine.restore(state_machine.snapshot())
+        _, leader = host(state_machine)
+    for _ in range(2):
+        answer = leader.job_call(submission())
+        assert answer.kind == JobAnswerKind.CANCELLED
+        assert answer.reason.startswith("not run")
+    assert leader.job_call(read_of()).kind == JobAnswerKind.GONE
+    assert leader.job_call(cancel_of()).kind == JobAnswerKind.GONE
+    assert state_machine.ledger.job_by_id == {}
+    assert "job:cancelled_before" in [name for name, _ in logged]
+
+
+# Guards against the same where the hand-in is already proposed when the cancel comes.
+def test_a_hand_in_that_is_committed_after_its_cancel_is_refused(state_machine):
+    replica, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    propose = replica.propose
+
+    def cancel_first(payload):
+        replica.propose = propose
+        assert leader.job_call(cancel_of()).kind == JobAnswerKind.GONE
+        return propose(payload)
+
+    replica.propose = cancel_first
+    assert leader.job_call(submission()).kind == JobAnswerKind.CANCELLED
+    assert state_machine.ledger.job_by_id == {}
+
+
+# Guards against an acknowledged cancel that was not kept.
+def test_a_cancel_that_cannot_be_kept_is_not_acknowledged(state_machine, monkeypatch):
+    monkeypatch.setattr(early_cancels, "MAX_EARLY_CANCELS", 0)
+    _, leader = host(state_machine)
+    state_machine.ledger.put_manifest(manifest())
+    answer = leader.job_call(cancel_of())
+    assert answer.kind == JobAnswerKind.REFUSED and answer.retry_after_ms > 0
+    assert leader.job_call(submission()).kind == JobAnswerKind.ACCEPTED
+    assert leader.job_call(cancel_of()).state == "cancelled"
--- a/tests/gateway/test_leader.py
+++ b/tests/gateway/test_leader.py
@@ -107,6 +107,16 @@
     assert caught.value.outcome_unknown
 
 
+# The group knows of the cancel, so no attempt before it was accepted, and none after it is.
+def test_a_job_that_was_cancelled_before_it_came_has_not_run_whatever_attempts_were_lost(
+    client, monkeypatch
+):
+    cancelled = JobAnswer(JobAnswerKind.CANCELLED, reason="not run: cancelled")
+    outcomes = iter([PeerUnreachable("a", "reset", sent=True)])
+    script_answers(client, monkeypatch, dict.fromkeys("ab", lambda: next(outcomes, cancelled)))
+    assert client.call(CALL, 1.0) == cancelled
+
+
 # Guards against a "no such queue" for work that runs: its first attempt was accepted before the
 # queue was dropped.  Reads change nothing, so what they are told is certain.
 @pytest.mark.parametrize(
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -7,6 +7,7 @@
 import pytest
 from savoryshelf_platform.front import (
     DEFAULT_WAIT_SECONDS,
+    MAX_HAND_IN_SECONDS,
     MAX_WAIT_SECONDS,
     Front,
     _remaining_seconds,
@@ -46,6 +47,45 @@
     assert orjson.loads(reply.body) == {"error": "not run: no room"}
 
 
+# Guards against a hand-in that is still under way when its cancel has been forgotten.
+@pytest.mark.parametrize(
+    ("method", "longest"), [("POST", MAX_HAND_IN_SECONDS), ("GET", MAX_WAIT_SECONDS)]
+)
+def test_a_submission_is_handed_in_for_a_bounded_time(method, longest):
+    seconds = answer(method, "/q/00000000000000a1", HTTP_X_DEADLINE_MS="9" * 12).seconds
+    assert longest - 1.0 <= seconds <= longest
+
+
+def test_a_submission_that_was_cancelled_before_is_told_that_it_has_not_run():
+    cancelled = JobAnswer(JobAnswerKind.CANCELLED, reason="not run: cancelled before")
+    reply = answer("POST", "/q/00000000000000a1", cancelled).reply
+    assert (reply.status, reply.headers) == (503, ())
+    assert orjson.loads(reply.body) == {"error": "not run: cancelled before"}
+
+
+# Guards against memory for ids that no submission can have.
+def test_a_cancel_of_what_cannot_be_a_submission_reaches_no_control_host():
+    for path in ("/q/nonsense", "/q/" + "0" * 5000, "/q/00000000000000g1"):
+        asked = answer("DELETE", path)
+        assert asked.reply.status == 410 and asked.seconds is None
+    assert answer("DELETE", "/q/00000000000000a1").seconds is not None
+
+
+def answer(method, path, answer=None, **headers):
+    """Return the front's reply to a request, and for how long it asked the leader, if it did."""
+    asked = types.SimpleNamespace(seconds=None)
+
+    def call(call, seconds):
+        asked.seconds = seconds
+        return answer or JobAnswer(JobAnswerKind.GONE)
+
+    body = orjson.dumps({"taskSpec": "work", "steps": [{"count": 1, "cpu": 1000}]})
+    environ = {"REQUEST_METHOD": method, "PATH_INFO": path, "CONTENT_LENGTH": str(len(body))}
+    front = Front(types.SimpleNamespace(call=call))
+    asked.reply = front.answer(environ | {"wsgi.input": io.BytesIO(body)} | headers)
+    return asked
+
+
 # Guards against a route that is there and not found: HTTP lets a request name its host with a port,
 # in any case, and in the request line (rule CONFIG, issue 52).
 @pytest.mark.parametrize(
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -33,6 +33,9 @@
 }
 """What does not change within one incarnation: most heartbeats' value, and another writer's."""
 
+EARLY = 4
+"""The number of a job that may be cancelled before it is accepted."""
+
 LONG = 12
 """Heartbeats, 3 s apart, after which a sender that was ignored is believed."""
 
@@ -60,6 +63,9 @@
         self.clock = FakeClock()
         self.done = set()
         self.completed = set()
+        self.was_cancelled_early = False
+        """Whether the job ``EARLY`` was cancelled before it came."""
+
         self.may_exist = set()
         """The runs that were started, until evidence of their own life has ended them."""
 
@@ -93,7 +99,7 @@
         startable = {key: sorted(group.startable_indexes) for key, group in groups.items()}
         return startable, sorted(self.ledger.runs_to_stop.items()), sorted(self.placed_runs())
 
-    @rule(number=st.integers(0, 3), shape=st.sampled_from(JOB_SHAPES))
+    @rule(number=st.integers(0, EARLY), shape=st.sampled_from(JOB_SHAPES))
     def accept(self, number, shape):
         accept(self.ledger, *shape, job_id=f"{number:016x}")
 
@@ -149,6 +155,16 @@
     def cancel(self, number):
         self.ledger.cancel(f"{number:016x}")
 
+    @rule()
+    def cancel_maybe_early(self):
+        job_id = f"{EARLY:016x}"
+        self.was_cancelled_early |= job_id not in self.ledger.job_by_id
+        self.ledger.cancel(job_id, is_kept=True)
+
+    @invariant()
+    def a_job_that_was_cancelled_before_it_came_does_not_exist(self):
+        assert not self.was_cancelled_early or f"{EARLY:016x}" not in self.ledger.job_by_id
+
     @rule(incarnation=st.sampled_from(INCARNATIONS))
     def end_incarnation(self, incarnation):
         self.ledger.end_incarnations([WorkerLife(*incarnation)], [])
