A voter does not yield again and again to a candidate that hears no answer

Where one host of four could send and not receive, and processors were held, three that could elect a leader had none for over 6 s.

Cause: a voter that campaigns yielded to each repeated request.

Why it works: a candidate that hears an answer does not ask that voter again, so one that asks more than twice in a campaign, which requests tell now, hears none; a voter that had yielded to it in vain goes on in its next campaign.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2537,6 +2537,13 @@
         "            pass\n",
         "tests/platform/test_front.py",
     ),
+    Mutant(
+        "a voter yields once to a candidate that hears no answer",
+        _CORE,
+        " and self._hears_no_answer(message.sender):",
+        " and False:",
+        "tests/replication/test_elections.py",
+    ),
     Mutant(
         "a stop that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from collections import Counter
 
 from ..errors import InvariantBroken
 from ..wire import codec
@@ -89,6 +90,15 @@
 LONGEST_CAMPAIGN_DELAY_FACTOR = 2.0
 """A voter that hears of no leader campaigns within this many election timeouts."""
 
+MAX_ANSWERED_REQUESTS = 2
+"""A candidate that asks a voter more often than this in one campaign hears none of its answers.
+
+One that hears an answer does not ask that voter again; a single answer may be lost, or late.
+"""
+
+COUNTED_CAMPAIGNS = 2
+"""Campaigns of a candidate of which the requests are counted: this one and the one before."""
+
 MAX_UNSERVED_FACTOR = LONGEST_CAMPAIGN_DELAY_FACTOR
 """A leader that may answer no caller stays in office for this many election timeouts at most.
 
@@ -155,6 +165,12 @@
         """Campaigns since the last contact with a leader."""
 
         self._campaign_began_at = float("-inf")
+        self._requests_by_candidate: dict[str, Counter[int]] = {}
+        """The pre-votes that each candidate has asked for, in each of its latest campaigns."""
+
+        self._last_yielded_to = ""
+        """The candidate to which this replica yielded in its campaign before this one."""
+
         self._ask_again_at = float("inf")
         self.previous_leader_id: str | None = None
         """The leader that this replica heard of last, other than itself."""
@@ -453,6 +469,7 @@
 
     def _campaign(self, pre_vote: bool) -> None:
         if pre_vote:
+            self._last_yielded_to = self._election.yielded_to if self._election else ""
             self.failed_election = self._election
             self.role = Role.PRE_CANDIDATE
             self._campaign_began_at = self._now
@@ -475,7 +492,8 @@
         """Ask the voters that have not answered; a request or its answer may have been lost."""
         self._ask_again_at = self._now + self.timing.heartbeat_interval
         election = self._election
-        request = VoteRequest(self.log.last_index, self.log.last_term, election.pre_vote)
+        campaign = int(1000 * self._campaign_began_at)
+        request = VoteRequest(self.log.last_index, self.log.last_term, election.pre_vote, campaign)
         for voter in sorted(election.unanswered):
             self._send(voter, election.term, vote_request=request)
 
@@ -499,6 +517,8 @@
     def _on_vote_request(self, message: RaftMessage, request: VoteRequest) -> None:
         if request.pre_vote and self._now < self._votes_from:
             self._deferred_pre_vote_by_sender[message.sender] = message
+        else:
+            self._count_request(message.sender, request)
         why = self._reason_to_ignore(message, request)
         if not why and message.term > self.term and not request.pre_vote:
             self._become_follower(message.term, None, heard=f"vote_request of {message.sender}")
@@ -506,6 +526,8 @@
         if not why and request.pre_vote and self.role is Role.PRE_CANDIDATE:
             if self._has_precedence_over(message, request):
                 why = "campaigns itself"
+            elif message.sender == self._last_yielded_to and self._hears_no_answer(message.sender):
+                why = "campaigns itself again"
             else:
                 # Keeps its deadline, so it campaigns again soon if the other one fails.
                 self.role = Role.FOLLOWER
@@ -563,6 +585,19 @@
             and lasted < FIRST_RETRY_FACTOR * self.timing.election_timeout
         )
 
+    def _count_request(self, candidate: str, request: VoteRequest) -> None:
+        if request.campaign is None or not request.pre_vote:
+            return
+        requests = self._requests_by_candidate.setdefault(candidate, Counter())
+        requests[request.campaign] += 1
+        while len(requests) > COUNTED_CAMPAIGNS:
+            del requests[next(iter(requests))]
+
+    def _hears_no_answer(self, candidate: str) -> bool:
+        """Return whether a candidate went on to ask this replica, which had answered it."""
+        requests = self._requests_by_candidate.get(candidate, Counter())
+        return max(requests.values(), default=0) > MAX_ANSWERED_REQUESTS
+
     def _record_refusal(self, voter: str, reply: VoteReply) -> None:
         election = self._election
         if election is not None and election.pre_vote == reply.pre_vote and voter in election.asked:
@@ -860,6 +895,7 @@
         self._become_follower(message.term, message.sender)
         self.previous_leader_id = message.sender
         self._campaigns = 0
+        self._requests_by_candidate.clear()
         self._election = self.failed_election = None
         self._last_leader_contact_at = self._now
         self._reset_election_deadline()
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -22,8 +22,11 @@
 
 struct Membership { 1: list<Member> members }
 
-/** Requests a vote; a pre-vote (`pre_vote`) changes no member's term. */
-struct VoteRequest { 1: i64 last_index, 2: i64 last_term, 3: bool pre_vote }
+/**
+ * Requests a vote; a pre-vote (`pre_vote`) changes no member's term.  `campaign` tells the campaigns
+ * of a candidate apart, since it repeats its requests; hosts of earlier versions do not set it.
+ */
+struct VoteRequest { 1: i64 last_index, 2: i64 last_term, 3: bool pre_vote, 4: optional i64 campaign }
 
 /** `why` tells why a vote was refused; hosts of earlier versions do not set it. */
 struct VoteReply { 1: bool granted, 2: bool pre_vote, 3: optional string why }
