A job whose starts were all refused counts as waiting

Cause: a planned start made its job begun for good.

Why it works: a job has begun once a run of it has ended that had begun, and counts as begun while a run may exist.

Two mutants, seen.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2544,6 +2544,20 @@
         " and False:",
         "tests/replication/test_elections.py",
     ),
+    Mutant(
+        "a start that never ran does not make its job begun",
+        _TASKS,
+        "        if end.outcome != RunOutcome.NEVER_RAN:\n            task.step.job.has_begun",
+        "        if True:\n            task.step.job.has_begun",
+        "tests/tasks/test_ledger.py",
+    ),
+    Mutant(
+        "a snapshot tells which jobs have begun",
+        "tasks/snapshot.py",
+        "        begun=job.has_begun,\n",
+        "",
+        "tests/tasks/test_ledger.py",
+    ),
     Mutant(
         "a stop that finds another incarnation ends the earlier one",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/leader_term.py
+++ b/src/savoryshelf/dispatch/leader_term.py
@@ -183,6 +183,9 @@
         """Whether states or ends of incarnations were reported since that was last looked for."""
 
         self._retention = Retention(settings.keep_ended_seconds)
+        self._jobs_with_first_start: set[str] = set()
+        """The jobs of which a first start was logged; it may be refused, and another follow."""
+
         self._placement = Placement(
             self.interference, settings.home_region, settings.region_by_domain
         )
@@ -337,8 +340,9 @@
         tasks_by_job_id = Counter(parse_task_name(intent.task).job_id for intent in intents)
         for job_id, tasks in tasks_by_job_id.items():
             job = ledger.job_by_id[job_id]
-            if job.started:
+            if job.started or job_id in self._jobs_with_first_start:
                 continue
+            self._jobs_with_first_start.add(job_id)
             delay = max(0, wall_ms - max(job.accepted_ms, job.due_ms(0))) / 1000
             metrics.START_DELAY_SECONDS.record(str(job.queue.priority), delay)
             log_event(
@@ -359,6 +363,7 @@
         if cutoff_ms is None or not self.ledger.has_jobs_ended_before(cutoff_ms):
             return
         forgotten = self.commit(forget_jobs=ForgetJobs(cutoff_ms))
+        self._jobs_with_first_start &= self.ledger.job_by_id.keys()
         log_event("jobs:forgotten", count=forgotten, ended_before_ms=cutoff_ms)
 
     # ------------------------------------------------------------------- assignments
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -109,7 +109,12 @@
     unfinished: int = 0
     """Number of tasks that are not done, over all occurrences."""
 
-    started: bool = False
+    has_begun: bool = False
+    """Whether a run of it that has ended had begun."""
+
+    existing_runs: int = 0
+    """Number of its runs that may exist."""
+
     cancelled: bool = False
     failed: bool = False
     ended_ms: int = 0
@@ -125,6 +130,14 @@
             return JobState.COMPLETED
         return JobState.RUNNING if self.started else JobState.QUEUED
 
+    @property
+    def started(self) -> bool:
+        """Return whether a run of it has begun, or may have.
+
+        A start that a worker refused counts only until that is known.
+        """
+        return self.has_begun or self.existing_runs > 0
+
     @property
     def is_ended(self) -> bool:
         """Return whether the job has ended, so that no more runs are started."""
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -457,7 +457,7 @@
         task.runs = intent.run
         task.incarnation_by_run[intent.run] = worker.key
         worker.add_run(task, intent.run)
-        group.job.started = True
+        group.job.existing_runs += 1
         group.startable_indexes.discard(task.index)
         self._update_startable_groups(group)
 
@@ -468,6 +468,8 @@
         if end.run > task.runs:
             return
         self._release_run(task, end.run, key)
+        if end.outcome != RunOutcome.NEVER_RAN:
+            task.step.job.has_begun = True
         self._note_checkpoint(task, end)
         _HANDLER_BY_OUTCOME[end.outcome](self, task, key)
         self._make_startable_if_idle(task)
@@ -490,6 +492,7 @@
         if task.incarnation_by_run.get(run) != key:
             return
         del task.incarnation_by_run[run]
+        task.step.job.existing_runs -= 1
         self.runs_to_stop.pop((task.name, run), None)
         worker = self.worker_by_incarnation.get(key)
         if worker is not None:
--- a/src/savoryshelf/tasks/snapshot.py
+++ b/src/savoryshelf/tasks/snapshot.py
@@ -96,6 +96,7 @@
         # The members of a gang that is done need not all have had a run.
         tasks=[_task_record(task) for task in job.tasks() if task.runs or task.done],
         started=job.started,
+        begun=job.has_begun,
     )
 
 
@@ -121,7 +122,8 @@
 
 def _load_job(ledger: TaskLedger, record: JobRecord) -> None:
     job = new_job(record.job_id, record.queue, record.spec, record.accepted_ms)
-    job.started = record.started
+    # Snapshots of earlier versions count planned starts.
+    job.has_begun = record.started if record.begun is None else record.begun
     ledger.job_by_id[job.job_id] = job
     for task_record in record.tasks:
         _load_task(ledger, task_record)
@@ -158,6 +160,7 @@
         if worker is None:
             continue
         task.incarnation_by_run[placed.run] = key
+        task.step.job.existing_runs += 1
         worker.add_run(task, placed.run)
     if task_record.done:
         task.step.unfinished -= 1
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -410,7 +410,9 @@
 
 struct JobRecord {
   1: string job_id, 2: QueueSpec queue, 3: JobSpec spec, 4: i64 accepted_ms, 5: i64 ended_ms,
-  6: bool cancelled, 7: bool failed, 8: list<TaskRecord> tasks, 9: bool started
+  6: bool cancelled, 7: bool failed, 8: list<TaskRecord> tasks, 9: bool started,
+  /** Whether a run that has ended had begun; absent in snapshots of earlier versions. */
+  10: optional bool begun
 }
 
 struct TaskSnapshot {
--- a/tests/tasks/test_ledger.py
+++ b/tests/tasks/test_ledger.py
@@ -575,3 +575,38 @@
         assert [each() for each in freed] == [None, None, None]
     finally:
         gc.enable()
+
+
+# Guards against MIXED: a job that waits was counted as begun once a start was planned, though every
+# worker refused it.
+@pytest.mark.parametrize("is_restored", [False, True])
+def test_a_job_whose_starts_were_refused_has_not_begun(is_restored):
+    task_ledger = ledger()
+    accept(task_ledger, step(2))
+    for run in (1, 2):
+        for task in (f"{JOB}.0.0.0", f"{JOB}.0.0.1"):
+            record_intent(task_ledger, task, run)
+        assert task_ledger.queued_job_count("quotes") == 0
+        if is_restored:
+            task_ledger = snapshot.load(snapshot.save(task_ledger))
+        settle_run(task_ledger, f"{JOB}.0.0.0", RunOutcome.NEVER_RAN, run)
+        assert task_ledger.queued_job_count("quotes") == 0
+        settle_run(task_ledger, f"{JOB}.0.0.1", RunOutcome.NEVER_RAN, run)
+        if is_restored:
+            task_ledger = snapshot.load(snapshot.save(task_ledger))
+        assert task_ledger.queued_job_count("quotes") == 1
+        assert task_ledger.job_by_id[JOB].state is JobState.QUEUED
+
+
+@pytest.mark.parametrize("is_restored", [False, True])
+@pytest.mark.parametrize("outcome", [o for o in RunOutcome if o is not RunOutcome.NEVER_RAN])
+def test_a_job_of_which_a_run_has_ended_has_begun(outcome, is_restored):
+    task_ledger = ledger()
+    accept(task_ledger, step(2))
+    record_intent(task_ledger, f"{JOB}.0.0.0")
+    settle_run(task_ledger, f"{JOB}.0.0.0", outcome)
+    record_intent(task_ledger, f"{JOB}.0.0.1")
+    settle_run(task_ledger, f"{JOB}.0.0.1", RunOutcome.NEVER_RAN)
+    if is_restored:
+        task_ledger = snapshot.load(snapshot.save(task_ledger))
+    assert task_ledger.queued_job_count("quotes") == 0
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -161,6 +161,12 @@
         self.was_cancelled_early |= job_id not in self.ledger.job_by_id
         self.ledger.cancel(job_id, is_kept=True)
 
+    @invariant()
+    def a_job_counts_the_runs_of_its_tasks(self):
+        for job in self.ledger.job_by_id.values():
+            runs = sum(len(task.incarnation_by_run) for task in job.tasks())
+            assert job.existing_runs == runs
+
     @invariant()
     def a_job_that_was_cancelled_before_it_came_does_not_exist(self):
         assert not self.was_cancelled_early or f"{EARLY:016x}" not in self.ledger.job_by_id
