A control host logs that it has lost and regained another one

The record of the users has a candidate that three of four voters did not answer, and nothing tells whether it had connections to them: each lost or regained peer has one line now, at its first failed call and at its next answered one.

--- a/src/savoryshelf/replication/transport.py
+++ b/src/savoryshelf/replication/transport.py
@@ -75,6 +75,7 @@
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
         )
         unsent: deque[_QueuedMessage] = deque()
+        lost_at: float | None = None
         while True:
             if not unsent:
                 unsent.append(queue.get())
@@ -83,13 +84,23 @@
             try:
                 client.call("deliver", [queued.message for queued in unsent])
                 unsent.clear()
+                if lost_at is not None:
+                    seconds = round(self._clock.monotonic() - lost_at, 2)
+                    log_event("peer:regained", address=address, seconds=seconds)
+                    lost_at = None
             except Exception as error:
                 if not isinstance(error, PeerUnreachable):
                     # Without this thread no message would reach the peer again.
                     log_event("peer:send_failed", address=address, why=repr(error))
                     unsent.clear()
-                elif error.sent:
-                    unsent.clear()
+                else:
+                    if lost_at is None:
+                        lost_at = self._clock.monotonic()
+                        log_event(
+                            "peer:lost", address=address, had_connection=error.sent, why=str(error)
+                        )
+                    if error.sent:
+                        unsent.clear()
                 eventlet.sleep(RETRY_DELAY_SECONDS * random.uniform(0.5, 1.5))
                 self._drop_old(unsent, queue)
 
--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -10,6 +10,7 @@
 import eventlet.green.socket
 import pytest
 
+from savoryshelf.replication import transport as transport_module
 from savoryshelf.replication.transport import MAX_QUEUED_MESSAGES, PeerTransport
 from savoryshelf.wire.generated import ControlService
 from savoryshelf.wire.generated.ttypes import RaftMessage, RaftPayload, VoteReply
@@ -197,3 +198,26 @@
             transport.send(host.address, message(number))
         wait_until(lambda: count - 1 in host.terms, 3.0)
         assert host.terms == list(range(count - MAX_QUEUED_MESSAGES, count))
+
+
+# Guards against an election of which nobody can tell whether a silent voter was reached.
+def test_the_loss_of_a_host_and_its_return_are_logged_once_each(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        transport_module, "log_event", lambda name, **values: lines.append((name, values))
+    )
+    silent = SilentHost()
+    with running_transport() as transport:
+        for number in range(6):
+            transport.send(silent.address, message(number))
+            eventlet.sleep(0.25)
+        silent.close()
+        ((name, lost),) = lines
+        assert (name, lost["address"]) == ("peer:lost", silent.address)
+        assert not lost["had_connection"]
+        with running_host(silent.address) as host:
+            transport.send(silent.address, message(7))
+            wait_until(lambda: 7 in host.terms, 2.0)
+            wait_until(lambda: len(lines) > 1, 1.0)
+    assert [name for name, _ in lines] == ["peer:lost", "peer:regained"]
+    assert lines[1][1]["seconds"] >= 1.0
