--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -162,6 +162,9 @@
 
 def share_newest_checkpoint(group: StepGroup) -> None:
     """Give all members of a gang the newest checkpoint that one of them has."""
+    if not group.tasks:
+        # Earlier versions accepted steps without tasks.
+        return
     newest = max(group.tasks, key=lambda task: (task.checkpoint_run, bool(task.checkpoint)))
     for member in group.tasks:
         member.checkpoint, member.checkpoint_run = newest.checkpoint, newest.checkpoint_run
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -10,9 +10,17 @@
 from savoryshelf_platform.workers import _decode_poll_result, decode_heartbeat
 
 from savoryshelf.dispatch.worker_api import WorkerUnresponsive
+from savoryshelf.tasks import snapshot
 from savoryshelf.wire import codec
-from savoryshelf.wire.generated.ttypes import RunEnd, RunOutcome, SettleRuns, WorkerLife
+from savoryshelf.wire.generated.ttypes import (
+    AcceptTasks,
+    RunEnd,
+    RunOutcome,
+    SettleRuns,
+    WorkerLife,
+)
 
+from ..tasks.builders import HOST, JOB, ledger
 from .test_decoding import HEARTBEAT, MANIFEST
 
 SUBMISSION = {
@@ -84,6 +92,22 @@
     assert_refused_or_encodable(decode_submission, body)
 
 
+# Guards against control hosts that cannot start any more: what was accepted raised an error each
+# time that a snapshot with it was read.
+@settings(max_examples=200)
+@given(st.sampled_from([{}, {"gang": True}, {"longRunning": True}]), st.integers(-1, 2))
+def test_a_submission_that_is_accepted_can_be_read_from_a_snapshot(fields, count):
+    body = {"steps": [{"count": 1}, {"count": count, "after": [0]} | fields]}
+    try:
+        spec = decode_submission(orjson.dumps(body))
+    except Malformed:
+        assert count < 1
+        return
+    task_ledger = ledger()
+    task_ledger.accept(AcceptTasks(JOB, HOST, f"/quotes/{JOB}", spec))
+    assert snapshot.load(snapshot.save(task_ledger)).job_by_id.keys() == {JOB}
+
+
 @settings(max_examples=400)
 @given(variants(MANIFEST))
 def test_any_manifest_is_refused_or_decoded(body):
--- a/tests/tasks/test_snapshot.py
+++ b/tests/tasks/test_snapshot.py
@@ -7,7 +7,7 @@
 
 from savoryshelf.tasks import snapshot
 
-from .builders import accept, ledger, step
+from .builders import JOB, accept, ledger, step
 
 JOBS = 2000
 
@@ -52,3 +52,11 @@
     with pytest.raises(Exception):  # noqa: B017 - whatever the decoder raises
         snapshot.load(b"no snapshot")
     assert gc.isenabled()
+
+
+# Guards against control hosts that cannot start any more: an accepted gang without tasks is in each
+# snapshot from then on.
+def test_a_snapshot_with_a_gang_without_tasks_can_be_read():
+    task_ledger = ledger()
+    accept(task_ledger, step(1), step(0, gang=True))
+    assert snapshot.load(snapshot.save(task_ledger)).job_by_id.keys() == {JOB}
