--- a/tests/dispatch/test_agent.py
+++ b/tests/dispatch/test_agent.py
@@ -268,9 +268,10 @@
 # Guards against a worker that gets no runs until its state changes, which may be never: a call of a
 # dropped session that failed late had that session's state reported, under its earlier token.
 def test_a_call_that_fails_after_its_session_was_dropped_hides_the_worker_from_no_one(group):
-    agent, earlier = next(
-        (a, s) for a in group.agent_by_host.values() for s in a.session_by_incarnation.values()
-    )
+    # The agent opens the session some time after its assignment is in the ledger.
+    agent = group.agent_by_host[group.agent_host()]
+    wait_until(lambda: agent.session_by_incarnation)
+    (earlier,) = agent.session_by_incarnation.values()
     given = AgentAssignment(earlier.worker.record.life, agent.agent_id)
     group.append_command(assign_agents=AssignAgents([given], 1))
     wait_until(lambda: earlier.is_closed and agent.session_by_incarnation)
