Refused calls leave a line for each reason and route, and are counted

The 503 "no leader is known" and the answers to peers that name no leader left no line at all.

Change: at most one line for each reason and route in 5 s; the next one tells how many were left out (not_logged) and since when. Counters savoryshelf_unavailable_calls{reason} and savoryshelf_leader_unknown_answers{call}. No answer changes.

--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -13,6 +13,7 @@
 from ..control.repair import TARGET_VOTERS, GroupRepair
 from ..disk import LocalDisk
 from ..errors import PeerUnreachable
+from ..observability.bounded import BoundedLog
 from ..observability.logs import log_event
 from ..replication.bootstrap import host_name
 from ..replication.membership import MembershipChangeRefused, find_member, voter_ids
@@ -111,6 +112,7 @@
         self._started_at = self._clock.monotonic()
         self._processor_seconds_before = time.process_time()
         self._is_stopping = False
+        self._leader_unknown = BoundedLog("call:leader_unknown", self._clock)
         self._known_addresses = KnownAddresses()
         self._address_by_ip = _AddressByIp(settings.peer_port)
         self._peers: PeerServer | None = None
@@ -164,7 +166,7 @@
         self._peers = PeerServer(
             ControlService,
             self.own_address,
-            lambda: TaskControlHandler(self._settings.cluster_key, self),
+            lambda: TaskControlHandler(self._settings.cluster_key, self, self._leader_unknown),
         )
         self.replica.start()
         log_event(
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -11,6 +11,18 @@
 REFUSALS = Counter(
     "savoryshelf_refusals", "Requests refused, by reason code.", ["reason"], registry=REGISTRY
 )
+UNAVAILABLE_CALLS = Counter(
+    "savoryshelf_unavailable_calls",
+    "Calls of workers and operators that this control host could not answer, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+LEADER_UNKNOWN_ANSWERS = Counter(
+    "savoryshelf_leader_unknown_answers",
+    "Peers that were told that this host does not lead and knows no leader, by what they called.",
+    ["call"],
+    registry=REGISTRY,
+)
 RETRIES = Counter(
     "savoryshelf_retries", "Attempts repeated, by reason.", ["reason"], registry=REGISTRY
 )
--- /dev/null
+++ b/tests/dispatch/test_handler.py
@@ -0,0 +1,65 @@
+"""Calls of peers to a control host that knows no leader."""
+
+import types
+
+import pytest
+
+from savoryshelf.dispatch.handler import TaskControlHandler
+from savoryshelf.observability import bounded, metrics
+from savoryshelf.observability.bounded import BoundedLog
+from savoryshelf.replication.types import NotLeading
+from savoryshelf.wire.generated import ttypes
+
+
+def refuse(*arguments):
+    raise NotLeading(None)
+
+
+def not_leader(address):
+    def answer(*arguments):
+        raise ttypes.NotLeader(address, "")
+
+    return answer
+
+
+def make_handler(leader_address):
+    host = types.SimpleNamespace(
+        replica=types.SimpleNamespace(leader_address=leader_address, leader_name=""),
+        repair=types.SimpleNamespace(request_join=refuse, request_leave=refuse),
+        task_service=types.SimpleNamespace(job_call=not_leader(leader_address)),
+        receive_report=not_leader(leader_address),
+    )
+    clock = types.SimpleNamespace(monotonic=lambda: 0.0)
+    handler = TaskControlHandler("key", host, BoundedLog("call:leader_unknown", clock))
+    handler.authenticated = True
+    return handler
+
+
+def call_each(handler, times):
+    for name in ("join", "remove_replica", "job_call", "report"):
+        for _ in range(times):
+            with pytest.raises(ttypes.NotLeader):
+                getattr(handler, name)(None)
+
+
+@pytest.fixture(name="lines")
+def logged_lines(monkeypatch):
+    lines = []
+    monkeypatch.setattr(bounded, "log_event", lambda name, **fields: lines.append((name, fields)))
+    return lines
+
+
+# Guards against an outage without a line at the hosts that could not name a leader.
+def test_answers_that_name_no_leader_leave_one_line_for_each_call(lines):
+    answers = metrics.LEADER_UNKNOWN_ANSWERS.labels("job_call")._value
+    before = answers.get()
+    call_each(make_handler(""), 5)
+    assert [(name, fields["call"]) for name, fields in lines] == [
+        ("call:leader_unknown", each) for each in ("join", "remove_replica", "job_call", "report")
+    ]
+    assert answers.get() - before == 5
+
+
+def test_answers_that_name_the_leader_leave_none(lines):
+    call_each(make_handler("10.0.0.8:7720"), 2)
+    assert lines == []
