A host without a leader, or whose replica's thread is stuck, says why

Change: a watch in another green thread than the replica's (on the timer of the standstill watch, so it wakes nothing more) looks at the replica twice a second. replica:without_leader after 2 s and then every 5 s, replica:has_leader_again; replica:stuck, with the stack of that thread and how long its write has lasted, by its own account and by the disk's (write_in_progress_seconds(), if the disk has it), and replica:goes_on. Gauges savoryshelf_leader_contact_seconds, savoryshelf_replica_turn_seconds. No decision changes.

--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -53,6 +53,16 @@
     "savoryshelf_run_ends", "Ends of runs of tasks, by outcome.", ["outcome"], registry=REGISTRY
 )
 LEADER = Gauge("savoryshelf_leader", "1 where this replica leads.", registry=REGISTRY)
+LEADER_CONTACT_SECONDS = Gauge(
+    "savoryshelf_leader_contact_seconds",
+    "Time since this replica heard a leader; 0 where it leads, infinite if it never has.",
+    registry=REGISTRY,
+)
+REPLICA_TURN_SECONDS = Gauge(
+    "savoryshelf_replica_turn_seconds",
+    "Time since the thread of this replica completed a turn.",
+    registry=REGISTRY,
+)
 CONFIGURATION_VERSION = Gauge(
     "savoryshelf_configuration_version", "Version in force here.", registry=REGISTRY
 )
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -432,6 +432,26 @@
         """Return whether this replica campaigns for the first time since a leader's message."""
         return self.role is Role.PRE_CANDIDATE and self._campaigns == 1
 
+    @property
+    def campaigns(self) -> int:
+        """Return the number of campaigns since the last contact with a leader."""
+        return self._campaigns
+
+    @property
+    def election(self) -> Election | None:
+        """Return the latest election in which this replica stood since it heard a leader."""
+        return self._election
+
+    @property
+    def campaign_due_at(self) -> float:
+        """Return when a voter that hears nothing campaigns next."""
+        return self._deadline
+
+    @property
+    def votes_from(self) -> float:
+        """Return when this replica may vote, for what it heard before its start."""
+        return self._votes_from
+
     @property
     def applied_index(self) -> int:
         """Return the index of the last entry that is applied."""
--- a/src/savoryshelf/replication/delays.py
+++ b/src/savoryshelf/replication/delays.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 
@@ -65,10 +66,14 @@
 
 
 class StandstillWatch:
-    """Measures how long this process stands still: none of its green threads runs meanwhile."""
+    """Measures how long this process stands still: none of its green threads runs meanwhile.
 
-    def __init__(self, clock: Clock):
+    ``on_check`` is called whenever its timer ends; it must not raise.
+    """
+
+    def __init__(self, clock: Clock, on_check: Callable[[], None] | None = None):
         self._clock = clock
+        self._on_check = on_check
         self._recent = RecentDelays()
         self._turns = LongTurns(clock)
         self._unlogged = NO_DELAY
@@ -86,6 +91,8 @@
                 delay = self._current(self._clock.monotonic())
                 self._recent.record(delay)
                 self._log_if_long(delay)
+                if self._on_check is not None:
+                    self._on_check()
 
     def _log_if_long(self, delay: Delay) -> None:
         if delay.seconds >= LOGGED_STANDSTILL_SECONDS and delay.seconds > self._unlogged.seconds:
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -14,6 +14,7 @@
 
 import attrs
 import eventlet
+import greenlet
 from eventlet.event import Event
 from eventlet.queue import Empty, Queue
 
@@ -35,6 +36,7 @@
 from .membership import MembershipChangeRefused, find_member
 from .storage import ReplicaStorage
 from .types import EndedLeadership, NotLeading, Ready, Role, Timing
+from .watch import ReplicaWatch
 
 TICK_SECONDS = 0.05
 SNAPSHOT_INTERVAL_ENTRIES = 5000
@@ -149,9 +151,12 @@
         self._pending_proposal_by_index: dict[int, _PendingProposal] = {}
         self._pending_read_by_id: dict[int, Event] = {}
         self._apply_events: list[Event] = []
-        self._standstills = StandstillWatch(clock)
+        self._watch = ReplicaWatch(self, clock)
+        self._standstills = StandstillWatch(clock, self._watch.check)
         self._syncs = RecentDelays()
         self._last_sync: Delay | None = None
+        self._write_began_at: float | None = None
+        self._turn_completed_at = clock.monotonic()
         self._logged_leadership: EndedLeadership | None = None
         self._was_first_campaign = False
         self._logged_refusals: dict | None = None
@@ -164,6 +169,7 @@
 
     def start(self) -> None:
         """Start the green threads that run the replica and watch for standstills."""
+        self._turn_completed_at = self._clock.monotonic()
         self._watch_thread = eventlet.spawn(self._standstills.run)
         self._thread = eventlet.spawn(self._run)
 
@@ -178,6 +184,7 @@
 
     def deliver(self, messages: list[RaftMessage]) -> None:
         """Queue messages from other replicas for processing."""
+        self._watch.record_senders({message.sender for message in messages})
         for message in messages:
             self._mailbox.put(_MessageReceived(message))
 
@@ -240,6 +247,44 @@
         """Return the host name of the leader, or an empty string if it is not known."""
         return host_name(self.core.leader_id) if self.core.leader_id else ""
 
+    # -------------------------------------------------------- read by the watch
+
+    @property
+    def thread(self) -> greenlet.greenlet | None:
+        """Return the green thread that runs the replica, once it is started."""
+        return self._thread
+
+    @property
+    def turn_completed_at(self) -> float:
+        """Return when that thread last completed a turn, or was started."""
+        return self._turn_completed_at
+
+    @property
+    def waiting_messages(self) -> int:
+        """Return how many messages and requests wait for that thread."""
+        return self._mailbox.qsize()
+
+    def write_delays(self, now: float) -> dict[str, float]:
+        """Return for how long the present write has been in progress, if there is one.
+
+        ``write_s`` is as the replica's thread has it, ``disk_write_s`` as the disk does: a write
+        that has ended there while the thread still waits was not reported back.
+        """
+        delays = {}
+        if self._write_began_at is not None:
+            delays["write_s"] = now - self._write_began_at
+            disk_seconds = self._storage.write_in_progress_seconds()
+            if disk_seconds is not None:
+                delays["disk_write_s"] = disk_seconds
+        return delays
+
+    def sender_state(self, replica_id: str) -> dict:
+        """Return the state of the sender to another replica, as far as the transport tells it."""
+        address = self._address_of(replica_id)
+        # Transports of tests may not tell.
+        describe = getattr(self._transport, "sender_state", None)
+        return describe(address) if describe is not None and address else {}
+
     # ---------------------------------------------- run by the replica's thread
 
     def _run(self) -> None:
@@ -254,6 +299,7 @@
                 self.core.announce_commit()
                 self._process_all_ready()
             self._fail_pending_unless_leader()
+            self._turn_completed_at = self._clock.monotonic()
 
     def _log_lost_contact(self) -> None:
         """Log that this leadership has ended, or that a leader is missed, and what may be why."""
@@ -313,8 +359,11 @@
 
     @contextlib.contextmanager
     def _measured_sync(self):
-        began_at = self._clock.monotonic()
-        yield
+        began_at = self._write_began_at = self._clock.monotonic()
+        try:
+            yield
+        finally:
+            self._write_began_at = None
         now = self._clock.monotonic()
         self._last_sync = Delay(now, now - began_at)
         self._syncs.record(self._last_sync)
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -69,6 +69,11 @@
         self._segment_number = 0
         self.bytes_written = 0
 
+    def write_in_progress_seconds(self) -> float | None:
+        """Return for how long the disk has been at a write, 0 if at none; None if it can't tell."""
+        measure = getattr(self._disk, "write_in_progress_seconds", None)
+        return None if measure is None else measure()
+
     def load_or_create_identity(
         self, host_name: str, suffix: str = "", initial_membership: Membership | None = None
     ) -> DiskIdentity:
--- a/src/savoryshelf/replication/transport.py
+++ b/src/savoryshelf/replication/transport.py
@@ -38,6 +38,29 @@
     message: RaftMessage
 
 
+@attrs.define(eq=False)
+class _Sender:
+    """The queue of one address, and what its green thread is at; times are monotonic."""
+
+    client: PeerClient
+    queue: Queue = attrs.field(factory=Queue)
+    unsent: deque[_QueuedMessage] = attrs.field(factory=deque)
+    call_began_at: float | None = None
+    sent_at: float | None = None
+    lost_at: float | None = None
+
+    def describe(self, now: float) -> dict:
+        """Return the state for a log line; ages are in seconds."""
+        ages = {
+            "calling_s": self.call_began_at,
+            "sent_s": self.sent_at,
+            "lost_s": self.lost_at,
+        }
+        state = {key: round(now - at, 2) for key, at in ages.items() if at is not None}
+        queued = self.queue.qsize() + len(self.unsent)
+        return {"connected": self.client.is_open, "queued": queued, **state}
+
+
 class PeerTransport:
     """Outgoing message queues by peer address.
 
@@ -48,54 +71,69 @@
     def __init__(self, cluster_key: str):
         self._cluster_key = cluster_key
         self._clock = SystemClock()
-        self._queue_by_address: dict[str, Queue] = {}
-        self._senders: list = []
+        self._sender_by_address: dict[str, _Sender] = {}
+        self._threads: list = []
 
     def send(self, address: str, message: RaftMessage) -> None:
         """Queue a message for best-effort delivery."""
-        queue = self._queue_by_address.get(address)
-        if queue is None:
-            queue = self._queue_by_address[address] = Queue()
-            self._senders.append(eventlet.spawn(self._send_loop, address, queue))
+        sender = self._sender_by_address.get(address)
+        if sender is None:
+            sender = self._sender_by_address[address] = _Sender(self._make_client(address))
+            self._threads.append(eventlet.spawn(self._send_loop, address, sender))
+        queue = sender.queue
         if queue.qsize() >= MAX_QUEUED_MESSAGES:
             queue.get_nowait()
         queue.put_nowait(_QueuedMessage(self._clock.monotonic(), message))
 
     def close(self) -> None:
         """Stop all sender threads; messages that are still queued are not sent."""
-        for sender in self._senders:
-            sender.kill()
+        for thread in self._threads:
+            thread.kill()
+
+    def sender_state(self, address: str) -> dict:
+        """Return what the sender to an address is at, for a log line.
 
-    def _send_loop(self, address: str, queue: Queue) -> None:
-        client = PeerClient(
+        ``calling_s`` is how long its present call, with the connection, has been in progress,
+        ``sent_s`` the time since the last one that was sent, which is not answered, and
+        ``lost_s`` the time since the first one that failed after it.
+        """
+        sender = self._sender_by_address.get(address)
+        return {} if sender is None else sender.describe(self._clock.monotonic())
+
+    def _make_client(self, address: str) -> PeerClient:
+        return PeerClient(
             ControlService,
             address,
             self._cluster_key,
             "replication",
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
         )
-        unsent: deque[_QueuedMessage] = deque()
-        lost_at: float | None = None
+
+    def _send_loop(self, address: str, sender: _Sender) -> None:
+        client, queue, unsent = sender.client, sender.queue, sender.unsent
         while True:
             if not unsent:
                 unsent.append(queue.get())
             while len(unsent) < MAX_MESSAGES_PER_CALL and not queue.empty():
                 unsent.append(queue.get_nowait())
+            sender.call_began_at = self._clock.monotonic()
             try:
                 client.call("deliver", [queued.message for queued in unsent])
                 unsent.clear()
-                if lost_at is not None:
-                    seconds = round(self._clock.monotonic() - lost_at, 2)
+                sender.call_began_at, sender.sent_at = None, self._clock.monotonic()
+                if sender.lost_at is not None:
+                    seconds = round(sender.sent_at - sender.lost_at, 2)
                     log_event("peer:regained", address=address, seconds=seconds)
-                    lost_at = None
+                    sender.lost_at = None
             except Exception as error:
+                sender.call_began_at = None
                 if not isinstance(error, PeerUnreachable):
                     # Without this thread no message would reach the peer again.
                     log_event("peer:send_failed", address=address, why=repr(error))
                     unsent.clear()
                 else:
-                    if lost_at is None:
-                        lost_at = self._clock.monotonic()
+                    if sender.lost_at is None:
+                        sender.lost_at = self._clock.monotonic()
                         log_event(
                             "peer:lost", address=address, had_connection=error.sent, why=str(error)
                         )
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -144,6 +144,11 @@
         self._clock = SystemClock()
         self._is_open = False
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is made and authenticated, as far as is known."""
+        return self._is_open
+
     def call(
         self,
         method: str,
--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -221,3 +221,50 @@
             wait_until(lambda: len(lines) > 1, 1.0)
     assert [name for name, _ in lines] == ["peer:lost", "peer:regained"]
     assert lines[1][1]["seconds"] >= 1.0
+
+
+# Guards against an outage of which nobody can tell at which of its peers a host waits.
+def test_the_state_of_a_sender_tells_whether_its_peer_answers():
+    silent = SilentHost()
+    with running_transport() as transport:
+        assert transport.sender_state(silent.address) == {}
+        for number in range(3):
+            transport.send(silent.address, message(number))
+        wait_until(lambda: "calling_s" in transport.sender_state(silent.address), 1.0)
+        state = transport.sender_state(silent.address)
+        assert not state["connected"]
+        assert state["queued"] == 3
+        assert wait_until(lambda: "lost_s" in transport.sender_state(silent.address), 2.0) < 1.0
+        silent.close()
+        with running_host(silent.address) as host:
+            transport.send(silent.address, message(7))
+            wait_until(lambda: 7 in host.terms, 2.0)
+            wait_until(lambda: "sent_s" in transport.sender_state(silent.address), 1.0)
+            state = transport.sender_state(silent.address)
+            assert state["connected"]
+            assert state["queued"] == 0
+            assert "lost_s" not in state
+            assert "calling_s" not in state
+
+
+# Guards against a call that lasts for seconds, behind which all else to that peer waits, unseen.
+def test_the_state_of_a_sender_tells_how_long_its_call_has_lasted(monkeypatch):
+    call = transport_module.PeerClient.call
+
+    def call_slowly(self, *arguments):
+        call(self, *arguments)
+        eventlet.sleep(1.0)
+
+    monkeypatch.setattr(transport_module.PeerClient, "call", call_slowly)
+    with running_host("127.0.0.1:0") as host, running_transport() as transport:
+
+        def state():
+            return transport.sender_state(host.address)
+
+        transport.send(host.address, message(1))
+        assert wait_until(lambda: state().get("calling_s", 0) > 0.5, 2.0) < 1.0
+        transport.send(host.address, message(2))
+        assert state()["connected"]
+        assert state()["queued"] == 2
+        assert "lost_s" not in state()
+        assert wait_until(lambda: "sent_s" in state(), 2.0) < 1.0
--- /dev/null
+++ b/tests/replication/test_watch.py
@@ -0,0 +1,229 @@
+"""Lines on a replica that has no leader, or whose thread is stuck."""
+
+import orjson
+import pytest
+from eventlet.event import Event
+
+from savoryshelf.replication import watch as watch_module
+from savoryshelf.replication.watch import LOG_INTERVAL_SECONDS
+from savoryshelf.wire.generated.ttypes import Member, Membership
+
+from .service_group import running_services
+
+MAX_LINE_BYTES = 4096
+
+
+@pytest.fixture(name="lines")
+def logged_lines(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        watch_module, "log_event", lambda event, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
+def named(lines, event):
+    return [fields for name, fields in lines if name == event]
+
+
+def follower_and_leader(group):
+    leader = group.leader_name()
+    first, second = sorted(set(group.service_by_name) - {leader})
+    return first, second, leader
+
+
+def replica_id(group, name):
+    return group.service_by_name[name].core.replica_id
+
+
+# Guards against lines of a group that is well, which would push others out of a record.
+def test_a_group_with_a_leader_and_one_that_elects_another_log_nothing(lines):
+    with running_services() as group:
+        group.clock.sleep(5.0)
+        group.service_by_name.pop(group.leader_name()).stop()
+        group.wait_for_leader()
+        group.clock.sleep(5.0)
+    assert lines == []
+
+
+# Guards against an outage of which nobody can tell why a voter has no leader.
+def test_a_voter_without_a_leader_tells_what_it_knows(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        group.cut_off.add(first)
+        core = group.service_by_name[first].core
+        group.clock.sleep(13.0)
+        own = named(lines, "replica:without_leader")
+        assert len(own) == 3, "after 2 s, and then every 5 s"
+        assert 2.0 < own[0]["seconds"] < 2.7
+        assert own[1]["seconds"] == pytest.approx(own[0]["seconds"] + LOG_INTERVAL_SECONDS, abs=0.6)
+        last = own[-1]
+        assert last["membership"] == "voter"
+        assert sorted(last["voters"]) == sorted(
+            replica_id(group, n) for n in (first, second, leader)
+        )
+        assert last["learners"] == []
+        assert (last["term"], last["voted_for"]) == (core.term, core.voted_for)
+        assert (last["last_index"], last["last_term"]) == (core.log.last_index, core.log.last_term)
+        assert (last["commit_index"], last["applied_index"]) == (
+            core.commit_index,
+            core.applied_index,
+        )
+        assert last["campaigns"] >= 3
+        assert last["campaign_before"]["unanswered"] == sorted([second, leader])
+        assert last["campaign"]["vote"] == "pre-vote"
+        heard = {
+            name: last["peers"][replica_id(group, name)]["heard_s"] for name in (second, leader)
+        }
+        assert heard[leader] == pytest.approx(last["seconds"], abs=0.1)
+        assert heard[second] >= heard[leader], "it had sent nothing since the election"
+        assert last["turn_s"] < 0.1
+        assert "write_s" not in last
+        assert len(orjson.dumps(last)) < MAX_LINE_BYTES
+
+
+def test_the_return_of_a_leader_is_logged(lines):
+    with running_services() as group:
+        first, _, _ = follower_and_leader(group)
+        group.cut_off.add(first)
+        group.clock.sleep(4.0)
+        group.cut_off.clear()
+        group.clock.sleep(3.0)
+        leader = group.leader_name()
+        leader_id = replica_id(group, leader)
+    (again,) = named(lines, "replica:has_leader_again")
+    assert again["leader"] == leader_id
+    assert 4.0 < again["without_s"] < 7.0
+
+
+# Guards against voters that hear each other and yield to each other without a line that says so.
+def test_the_latest_campaign_and_whom_it_yielded_to_are_told(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        group.service_by_name.pop(leader).stop()
+        group.cut_links |= {(first, second), (second, first)}
+        group.clock.sleep(2.5)
+        core = group.service_by_name[second].core
+        core.election.yielded_to = replica_id(group, first)
+        core.role = watch_module.Role.FOLLOWER
+        lines.clear()
+        group.service_by_name[second]._watch._without_leader = None
+        group.service_by_name[second]._watch._check(group.clock.monotonic())
+    (line,) = named(lines, "replica:without_leader")
+    assert line["campaign"]["yielded_to"] == first
+    assert line["campaign"]["state"] == "yielded"
+
+
+# Guards against a learner that waits for good and says nothing of what it is.
+def test_a_learner_and_a_host_without_a_log_say_what_they_are(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        group.cut_off |= {first, second}
+        learner, stranger = group.service_by_name[first].core, group.service_by_name[second].core
+        members = [
+            Member(each.replica_id, each.address, "", each.replica_id != learner.replica_id)
+            for each in learner.log.membership.members
+        ]
+        learner.log._memberships = [(0, Membership(members))]
+        stranger.log._memberships = [(0, Membership([]))]
+        group.clock.sleep(5.0)
+        kinds = {fields["membership"]: fields for fields in named(lines, "replica:without_leader")}
+        assert set(kinds) == {"learner", "none", "voter"}
+        assert kinds["voter"]["led_s"] < 3.0, "the leader that has lost its majority"
+        assert kinds["learner"]["led_s"] is None
+        assert kinds["learner"]["learners"] == [learner.replica_id]
+        assert len(kinds["learner"]["voters"]) == 2
+        assert kinds["none"]["voters"] == []
+        # Members are unknown to it, and what they sent is told all the same.
+        assert replica_id(group, leader) in kinds["none"]["peers"]
+
+
+def stuck_disk(group, name):
+    """Let no write of this host end from now on, and return what ends them."""
+    release = Event()
+    disk = group.disk_by_name[name]
+    append = disk.append
+
+    def wait_and_append(*arguments):
+        release.wait()
+        append(*arguments)
+
+    disk.append = wait_and_append
+    return release
+
+
+# Guards against a replica that waits for its disk for good while its process answers calls.
+def test_a_thread_that_waits_for_its_disk_is_shown_with_its_stack(lines):
+    with running_services() as group:
+        first, _, leader = follower_and_leader(group)
+        release = stuck_disk(group, first)
+        group.disk_by_name[first].write_in_progress_seconds = lambda: 0.0
+        group.propose(leader)
+        group.clock.sleep(14.0)
+        stuck = named(lines, "replica:stuck")
+        assert len(stuck) == 3
+        for each in stuck:
+            assert each["write_s"] == pytest.approx(each["seconds"], abs=0.2)
+            assert each["disk_write_s"] == 0.0, "the disk says that it writes nothing"
+            assert not each["has_ended"]
+            functions = [name.rpartition(":")[0] for name in each["stack"]]
+            assert any(name.endswith("ReplicaStorage.write") for name in functions)
+            assert functions[-1].endswith("main") or len(functions) == 16
+            assert not any("/" in name for name in each["stack"])
+            assert len(orjson.dumps(each)) < MAX_LINE_BYTES
+        (without, *_) = named(lines, "replica:without_leader")
+        assert without["write_s"] > 1.0
+        assert without["turn_s"] > 1.0
+        assert without["mailbox"] > 0
+        heard = without["peers"][replica_id(group, leader)]["heard_s"]
+        assert heard < 0.5, "the leader's messages arrive, and nothing reads them"
+        release.send(None)
+        group.clock.sleep(2.0)
+        (goes_on,) = named(lines, "replica:goes_on")
+        assert goes_on["stuck_s"] == pytest.approx(14.0, abs=0.7)
+
+
+def test_a_disk_that_cannot_tell_leaves_its_time_out(lines):
+    with running_services() as group:
+        first, _, leader = follower_and_leader(group)
+        release = stuck_disk(group, first)
+        group.propose(leader)
+        group.clock.sleep(3.0)
+        (stuck,) = named(lines, "replica:stuck")
+        assert "disk_write_s" not in stuck
+        release.send(None)
+
+
+# Guards against a line for each host after a standstill of the whole process.
+def test_a_standstill_of_the_process_is_no_stuck_thread(lines):
+    with running_services() as group:
+        group.stand_still(3.0)
+        group.clock.sleep(2.0)
+    assert named(lines, "replica:stuck") == []
+
+
+# Guards against a replica that ends for a fault of its watch.
+def test_a_fault_of_the_watch_is_logged_once_and_ends_nothing(lines, monkeypatch):
+    def fail(replica_id):
+        raise RuntimeError("cannot tell")
+
+    with running_services() as group:
+        first, _, _ = follower_and_leader(group)
+        service = group.service_by_name[first]
+        monkeypatch.setattr(service, "sender_state", fail)
+        group.cut_off.add(first)
+        group.clock.sleep(8.0)
+        group.cut_off.clear()
+        group.clock.sleep(3.0)
+        assert service.core.seconds_since_leader_contact(group.clock.monotonic()) < 1.0
+        assert not service._watch_thread.dead
+    assert named(lines, "replica:watch_failed") == [{"error": "RuntimeError('cannot tell')"}]
+
+
+def test_the_senders_that_are_remembered_are_bounded(lines):
+    with running_services() as group:
+        service = group.service_by_name[group.leader_name()]
+        for number in range(1000):
+            service._watch.record_senders({f"host{number}.disk"})
+        assert len(service._watch._heard_at_by_sender) == watch_module.MAX_SENDERS
+        assert f"host{999}.disk" in service._watch._heard_at_by_sender
