A native thread tells in which call a process hangs

Cause: a process whose hub does not turn (a look-up of a name, a lock, a full pipe, a loop without a yield) is silent to all others, and its own lines come only once it goes on, if it does.

--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -8,6 +8,7 @@
 import eventlet
 import pytest
 from savoryshelf_platform import core_process
+from savoryshelf_platform import main as main_module
 from savoryshelf_platform import process as module
 from savoryshelf_platform.settings import read_settings
 
@@ -100,3 +101,20 @@
     finally:
         gc.unfreeze()
     assert tracked_at_start == []
+
+
+# Guards against a process of either role that hangs and leaves nothing to tell where.
+@pytest.mark.parametrize("role", ["front", "core"])
+def test_each_role_is_watched_before_it_runs(role, monkeypatch, settings_file):
+    settings_file(SEEDS[:1])
+    begun = []
+    watchdog = types.SimpleNamespace(start=lambda: begun.append("watchdog"))
+    process = types.SimpleNamespace(run=lambda settings, program_began_at: begun.append("role"))
+    monkeypatch.setattr(main_module, "HubWatchdog", lambda process_name: watchdog)
+    monkeypatch.setattr(main_module, "start_logging", lambda process_name: None)
+    monkeypatch.setattr(main_module.importlib, "import_module", lambda *names: process)
+    try:
+        main_module.main.main([role], obj=time.monotonic(), standalone_mode=False)
+    finally:
+        gc.unfreeze()
+    assert begun == ["watchdog", "role"]
