Attempts to connect that fail write nothing to standard error

Cause: thrift logs each failed attempt to connect; with no handler set, Python's logging writes the line to standard error. A control host whose two peers are gone and refuse connections wrote 121 such lines in about 9 s. They are no JSON, push other lines out where both outputs are one, and a process waits with all its green threads once a pipe that nobody reads is full. peer:lost, group:join_asked and leader:lost say the same, once.

Change: start_logging takes thrift's lines away.

--- a/src/savoryshelf/observability/logs.py
+++ b/src/savoryshelf/observability/logs.py
@@ -4,13 +4,21 @@
 """
 
 import contextlib
+import logging
 import sys
 
 import eliot
 
 
 def start_logging(process_name: str) -> None:
-    """Log to standard output; each line holds ``process_name``."""
+    """Log to standard output; each line holds ``process_name``.
+
+    Nothing of thrift's own lines is kept: it writes one to standard error for each attempt to
+    connect that fails, and a process waits there, with all its green threads, once a pipe is full.
+    What fails is logged where it is handled, as ``peer:lost``.
+    """
+    logging.getLogger("thrift").propagate = False
+    logging.getLogger("thrift").addHandler(logging.NullHandler())
     eliot.add_global_fields(process=process_name)
     eliot.to_file(sys.stdout)
 
