A host that asks to join says why, and what its log makes of it

Cause: group:join_asked did not tell whether the host was a voter, a learner or no member by its own log, nor under which disk it asked, so a record could not tell a member without a leader from a host that lost its disk.

Change: group:join_begins once, with the reason, the kind of membership, the replica id and the time since a leader was heard; group:join_over once; membership and replica in group:join_asked. Who asks, whom and when is as before.

Result: four new cases of tests/dispatch/test_joining.py.

--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -3,6 +3,7 @@
 The platform's adapter starts it and routes its own HTTP calls to ``task_service``.
 """
 
+import math
 import random
 import time
 
@@ -16,7 +17,12 @@
 from ..observability.bounded import BoundedLog
 from ..observability.logs import log_event
 from ..replication.bootstrap import host_name
-from ..replication.membership import MembershipChangeRefused, find_member, voter_ids
+from ..replication.membership import (
+    MembershipChangeRefused,
+    find_member,
+    membership_kind,
+    voter_ids,
+)
 from ..replication.seed_bootstrap import bootstrap_identity
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.storage import ReplicaStorage
@@ -112,6 +118,10 @@
         self._started_at = self._clock.monotonic()
         self._processor_seconds_before = time.process_time()
         self._is_stopping = False
+        self._reason_logged = ""
+        """Why this host asks to be added, as it was logged last; empty if it does not ask."""
+
+        self._asks_since = self._started_at
         self._leader_unknown = BoundedLog("call:leader_unknown", self._clock)
         self._known_addresses = KnownAddresses()
         self._address_by_ip = _AddressByIp(settings.peer_port)
@@ -298,15 +308,39 @@
 
     def _maintain_membership(self) -> None:
         while True:
-            if self._may_have_been_removed():
-                membership = self.replica.core.log.membership
+            membership = self.replica.core.log.membership
+            contact_age = self._leader_contact_age()
+            why = self._reason_to_join(contact_age)
+            self._joiner.membership = membership_kind(membership, self.identity.replica_id)
+            self._log_reason_to_join(why, contact_age)
+            if why:
                 self._joiner.ask_all(self._known_addresses.take_to_ask(membership))
             eventlet.sleep(JOIN_RETRY_SECONDS * random.uniform(0.75, 1.25))
 
-    def _may_have_been_removed(self) -> bool:
+    def _leader_contact_age(self) -> float:
+        return self.replica.core.seconds_since_leader_contact(self._clock.monotonic())
+
+    def _log_reason_to_join(self, why: str, contact_age: float) -> None:
+        """Log once that asking begins, and why, and once that it is over."""
+        if why == self._reason_logged:
+            return
+        now = self._clock.monotonic()
+        what = {"membership": self._joiner.membership, "replica": self.identity.replica_id}
+        if why:
+            if not self._reason_logged:
+                self._asks_since = now
+            contact = {} if math.isinf(contact_age) else {"contact_s": round(contact_age, 2)}
+            log_event("group:join_begins", why=why, **what, **contact)
+        else:
+            log_event("group:join_over", seconds=round(now - self._asks_since, 2), **what)
+        self._reason_logged = why
+
+    def _reason_to_join(self, contact_age: float) -> str:
+        """Return why this host asks to be added; empty if it has no reason to."""
         if self._is_stopping:
-            return False
-        core = self.replica.core
-        if find_member(core.log.membership, self.identity.replica_id) is None:
-            return True
-        return core.seconds_since_leader_contact(self._clock.monotonic()) > LEADER_TIMEOUT_SECONDS
+            return ""
+        if find_member(self.replica.core.log.membership, self.identity.replica_id) is None:
+            return "not in the membership of its log"
+        if contact_age > LEADER_TIMEOUT_SECONDS:
+            return "no message from a leader"
+        return ""
--- a/src/savoryshelf/dispatch/joining.py
+++ b/src/savoryshelf/dispatch/joining.py
@@ -72,6 +72,9 @@
 
     def __init__(self, member: Member, cluster_key: str, clock: Clock):
         self._member = member
+        self.membership = ""
+        """What this host's replica is by its log, for the log lines: voter, learner or none."""
+
         self._cluster_key = cluster_key
         self._clock = clock
         self._addresses_in_progress: set[str] = set()
@@ -124,4 +127,7 @@
         if len(self._outcome_by_address) > MAX_LOGGED_ADDRESSES:
             self._outcome_by_address.clear()
         self._outcome_by_address[address] = outcome
-        log_event("group:join_asked", address=address, outcome=outcome, seconds=round(seconds, 2))
+        log_event(
+            "group:join_asked", address=address, outcome=outcome, seconds=round(seconds, 2),
+            membership=self.membership, replica=self._member.replica_id,
+        )  # fmt: skip
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -23,6 +23,14 @@
     return next((m for m in membership.members if m.replica_id == replica_id), None)
 
 
+def membership_kind(membership: Membership, replica_id: str) -> str:
+    """Return what a replica is in a membership: ``voter``, ``learner`` or ``none``."""
+    member = find_member(membership, replica_id)
+    if member is None:
+        return "none"
+    return "voter" if member.voter else "learner"
+
+
 def quorum_value(membership: Membership, value_by_id: dict) -> int | float:
     """Return the highest value that a majority of the voters has reached.
 
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -13,7 +13,7 @@
 from ..observability.stacks import frame_names
 from .bootstrap import host_name
 from .core import Replica
-from .membership import find_member
+from .membership import membership_kind
 from .types import Election, Role
 
 CHECK_INTERVAL_SECONDS = 0.5
@@ -154,7 +154,7 @@
             why="no message from a leader" if has_had_one else "no leader since the start",
             led_s=_rounded(now - self._led_at),
             seconds=round(seconds, 2), role=core.role.value, term=core.term,
-            voted_for=core.voted_for, membership=self._own_membership(),
+            voted_for=core.voted_for, membership=membership_kind(log.membership, core.replica_id),
             voters=[each.replica_id for each in members if each.voter],
             learners=[each.replica_id for each in members if not each.voter],
             membership_index=log.membership_index, last_index=log.last_index,
@@ -172,13 +172,6 @@
             without_s=round(seconds, 2),
         )  # fmt: skip
 
-    def _own_membership(self) -> str:
-        core = self._replica.core
-        member = find_member(core.log.membership, core.replica_id)
-        if member is None:
-            return "none"
-        return "voter" if member.voter else "learner"
-
     def _campaigns(self) -> dict:
         core = self._replica.core
         described = {}
--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -6,6 +6,7 @@
 import pytest
 
 from savoryshelf.disk import LocalDisk
+from savoryshelf.dispatch import host as host_module
 from savoryshelf.dispatch import joining
 from savoryshelf.dispatch.handler import TaskControlHandler
 from savoryshelf.dispatch.host import TaskControlHost, TaskControlSettings
@@ -165,3 +166,57 @@
     outcomes = [fields["outcome"] for fields in lines if fields["address"].startswith(FOLLOWER_IP)]
     assert len(outcomes) == 2
     assert peers.asked_ips.count(FOLLOWER_IP) >= 3
+
+
+def all_lines(monkeypatch):
+    lines = []
+    for module in (joining, host_module):
+        monkeypatch.setattr(
+            module, "log_event", lambda name, **fields: lines.append((name, fields))
+        )
+    return lines
+
+
+def named(lines, event):
+    return [fields for name, fields in lines if name == event]
+
+
+# Guards against a host of which no line tells whether it is still a member, and why it asks.
+@pytest.mark.parametrize("kind", ["voter", "learner", "none"])
+def test_a_host_logs_once_why_it_asks_and_what_it_is(make_host, peers, monkeypatch, kind):
+    lines = all_lines(monkeypatch)
+    host = make_host([FOLLOWER_IP])
+    peers.leader_address = ""
+    members = [Member(f"{FOLLOWER_IP}.disk", f"{FOLLOWER_IP}:{PORT}", "", True)]
+    if kind != "none":
+        members.append(Member(host.identity.replica_id, host.own_address, "", kind == "voter"))
+    host.replica.core.log = RaftLog(Membership(members))
+    host.replica.core._last_leader_contact_at = host._clock.monotonic() - 3.0
+    thread = eventlet.spawn(host._maintain_membership)
+    eventlet.sleep(1.5)
+    thread.kill()
+    logged_why = (
+        "not in the membership of its log" if kind == "none" else "no message from a leader"
+    )
+    (begun,) = named(lines, "group:join_begins")
+    assert (begun["why"], begun["membership"]) == (logged_why, kind)
+    assert begun["contact_s"] == pytest.approx(3.0, abs=0.5)
+    assert begun["replica"] == host.identity.replica_id
+    (outcome,) = named(lines, "group:join_asked")
+    assert (outcome["membership"], outcome["replica"]) == (kind, host.identity.replica_id)
+
+
+def test_the_end_of_asking_is_logged_once(make_host, peers, monkeypatch):
+    lines = all_lines(monkeypatch)
+    host = make_host([FOLLOWER_IP])
+    members = [Member(host.identity.replica_id, host.own_address, "", True)]
+    thread = eventlet.spawn(host._maintain_membership)
+    eventlet.sleep(0.7)
+    assert named(lines, "group:join_over") == []
+    host.replica.core.log = RaftLog(Membership(members))
+    host.replica.core._last_leader_contact_at = host._clock.monotonic()
+    eventlet.sleep(1.3)
+    thread.kill()
+    (line,) = named(lines, "group:join_over")
+    assert line["membership"] == "voter"
+    assert 0.5 < line["seconds"] < 2.0
