A control host's disk writes do not depend on a TCP connection

What callers saw: CONFIG (no manifest read back) and LOST (lapsed tasks that last are never started again): after two of five control hosts had lost their disks, the group had no leader again.

Cause: disk calls ran in eventlet's tpool, which tells the hub of a result by a byte on a TCP connection of the process to itself. When all connections of a host are reset, its green thread that reads this one ends with an AssertionError, and so does the native thread. The replica waits for its write for good, while the process goes on to answer calls: a voter that never votes, which nobody misses until two others are lost.

Why it works: a pipe belongs to the process alone. The native thread is the disk's own and survives errors of any kind; a green thread that waits looks at whether its call has ended, not only at a wake-up.

That this is what the users saw is not shown: their record does not tell whether connections had been reset.

--- a/src/savoryshelf/daemon/main.py
+++ b/src/savoryshelf/daemon/main.py
@@ -33,9 +33,7 @@
 
 def _run_control(settings) -> None:
     from ..control.process import ControlHostProcess
-    from ..disk import use_one_thread
 
-    use_one_thread()
     ControlHostProcess(settings).run()
 
 
--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -7,9 +7,9 @@
 from typing import Protocol
 
 import eventlet
-from eventlet import tpool
 
 from .errors import DiskFailed
+from .native_thread import NativeThread
 from .observability import metrics
 from .observability.logs import log_event
 
@@ -20,15 +20,6 @@
 """Pause between attempts to write to a disk that refuses bytes."""
 
 
-def use_one_thread() -> None:
-    """Let all disks of this process share one native thread; call this before the first write.
-
-    The first write starts the threads, and the process stands still until each has run once:
-    eventlet's twenty take many turns of a busy processor.  A replica writes one record at a time.
-    """
-    tpool.set_num_threads(1)
-
-
 class Disk(Protocol):
     """A flat folder of files."""
 
@@ -68,9 +59,14 @@
         os.makedirs(folder, exist_ok=True)
         self._open_name: str | None = None
         self._open_fd = -1
+        self._thread = NativeThread("disk")
         self.seconds = 0.0
         """Time that writes and syncs took in the native thread."""
 
+    def write_in_progress_seconds(self) -> float:
+        """Return for how long the native thread has been at a write or sync; 0 if it is at none."""
+        return self._thread.running_seconds()
+
     def list_files(self) -> list[str]:
         """Return the names of the files in the folder."""
         return sorted(os.listdir(self._folder))
@@ -104,7 +100,7 @@
         refused_since = None
         while True:
             try:
-                tpool.execute(self._timed, function, *arguments)
+                self._thread.run(self._timed, function, *arguments)
                 break
             except _Refused as error:
                 if refused_since is None:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,5 +1,7 @@
 import errno
 import os
+import subprocess
+import sys
 import time
 
 import eventlet
@@ -97,3 +99,31 @@
     monkeypatch.setattr(os, "write", fail)
     with pytest.raises(DiskFailed, match="append"):
         LocalDisk(str(tmp_path)).append("a", b"record")
+
+
+# Guards against a control host that never votes again once its TCP connections were reset: its
+# replica waited for good for a write that had ended.
+def test_writes_return_after_all_connections_of_the_process_were_reset(tmp_path):
+    program = (
+        "import os, socket, sys\n"
+        "import eventlet\n"
+        "eventlet.monkey_patch()\n"
+        "from savoryshelf.disk import LocalDisk\n"
+        "disk = LocalDisk(sys.argv[1])\n"
+        "disk.append('log', b'before')\n"
+        "for descriptor in os.listdir('/proc/self/fd'):\n"
+        "    try:\n"
+        "        connection = socket.socket(fileno=os.dup(int(descriptor)))\n"
+        "        if connection.family == socket.AF_INET:\n"
+        "            connection.shutdown(socket.SHUT_RDWR)\n"
+        "    except OSError:\n"
+        "        continue\n"
+        "with eventlet.Timeout(10.0):\n"
+        "    disk.append('log', b' after')\n"
+        "print(disk.read('log').decode())\n"
+    )
+    result = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", program, str(tmp_path)],
+        capture_output=True, text=True, timeout=30,
+    )  # fmt: skip
+    assert result.stdout.strip() == "before after", result.stderr
