A connection between replicas that has gone silent is given up

Callers see nothing of it until a leader is lost: a replica whose messages reach a voter no more cannot win its vote, and neither side notices.

Cause: `deliver` is a one-way method, so a sender waits for no answer, and CALL_TIMEOUT_SECONDS never applies to it. TCP_USER_TIMEOUT and the keepalive find a connection out whose bytes are not acknowledged. Where they are, by something in between or by a process that no longer reads, the sender went on for good on a connection that carried nothing.

Change: with some of the messages goes a question, the `hello` that every version answers. Its answer is read when the next messages are sent, never waited for. If it is missing after two election timeouts, the connection is closed and the messages go over a new one.

The stand-in client of the error tests has `send` in place of `call`, since the sender calls that; the test is the same.

--- a/src/savoryshelf/replication/transport.py
+++ b/src/savoryshelf/replication/transport.py
@@ -32,6 +32,13 @@
 """
 
 
+MAX_SILENCE_SECONDS = 2.0
+"""Two election timeouts: a connection on which a host leaves a question unanswered is given up.
+
+It may have gone silent for good while new ones work.  A host on a busy processor answers sooner.
+"""
+
+
 @attrs.frozen
 class _QueuedMessage:
     queued_at: float
@@ -82,7 +89,8 @@
             while len(unsent) < MAX_MESSAGES_PER_CALL and not queue.empty():
                 unsent.append(queue.get_nowait())
             try:
-                client.call("deliver", [queued.message for queued in unsent])
+                messages = [queued.message for queued in unsent]
+                client.send("deliver", messages, max_silence=MAX_SILENCE_SECONDS)
                 unsent.clear()
                 if lost_at is not None:
                     seconds = round(self._clock.monotonic() - lost_at, 2)
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -16,6 +16,7 @@
 
 import attrs
 import eventlet
+from eventlet import patcher
 from eventlet.greenio import GreenSocket, shutdown_safe
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.protocol.TProtocol import TProtocolException
@@ -30,6 +31,9 @@
 from ..observability.metrics import LINK_BYTES
 from .generated import ttypes
 
+_select = patcher.original("select")
+"""The unpatched module: eventlet's version has no ``poll``."""
+
 CONNECT_TIMEOUT_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 10.0
 TCP_USER_TIMEOUT_MS = 1500
@@ -50,6 +54,9 @@
 DRAIN_POLL_SECONDS = 0.02
 """Interval at which a draining server looks for calls in progress."""
 
+QUESTION_INTERVAL_SECONDS = 0.4
+"""Shortest time between two questions on a connection of one-way calls."""
+
 NONCE_BYTES = 16
 IDLE_CLIENTS_PER_POOL = 8
 
@@ -143,6 +150,10 @@
         self._cluster_key = cluster_key
         self._clock = SystemClock()
         self._is_open = False
+        self._asked_at: float | None = None
+        """When the question was sent that is not answered yet."""
+
+        self._next_question_at = float("-inf")
 
     def call(
         self,
@@ -189,6 +200,40 @@
             self.close()
             raise
 
+    def send(self, method: str, *arguments, max_silence: float) -> None:
+        """Call a one-way method; a client that sends is used for nothing else.
+
+        Nobody answers such a call, and the bytes on a connection that has gone silent may still be
+        acknowledged.  So a question goes with some of the calls, whose answer is not waited for.
+        Raises PeerUnreachable also if one has had no answer for ``max_silence`` seconds.
+        """
+        self._read_answer(max_silence)
+        self.call(method, *arguments, timeout=max_silence)
+        now = self._clock.monotonic()
+        if self._asked_at is not None or now < self._next_question_at:
+            return
+        try:
+            self._client.send_hello()
+        except (TTransportException, OSError) as error:
+            self.close()
+            raise PeerUnreachable(self.address, error, sent=True) from error
+        self._asked_at, self._next_question_at = now, now + QUESTION_INTERVAL_SECONDS
+
+    def _read_answer(self, max_silence: float) -> None:
+        if self._asked_at is None:
+            return
+        if _is_readable(self._socket.handle):
+            try:
+                self._client.recv_hello()
+                self._asked_at = None
+            except (TException, OSError, EOFError, *_DECODER_ERRORS):
+                # The call that follows opens a new connection.
+                self.close()
+        elif self._clock.monotonic() - self._asked_at > max_silence:
+            self.close()
+            error = TimeoutError(f"no answer for {max_silence} s")
+            raise PeerUnreachable(self.address, error, sent=False) from error
+
     def _set_timeout(self, seconds: float, deadline: float) -> None:
         remaining = deadline - self._clock.monotonic()
         if remaining <= 0:
@@ -212,10 +257,17 @@
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
-        self._is_open = False
+        self._is_open, self._asked_at = False, None
         self._transport.close()
 
 
+def _is_readable(connection) -> bool:
+    """Return whether a read would return at once."""
+    poll = _select.poll()
+    poll.register(connection.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
+
+
 @attrs.frozen
 class _IdleClient:
     """A connection of a pool, and when it was answered last."""
--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -1,6 +1,7 @@
 """Delivery to a host that was gone, over sockets on loopback."""
 
 import contextlib
+import itertools
 import socket
 import time
 import types
@@ -12,9 +13,10 @@
 
 from savoryshelf.replication import transport as transport_module
 from savoryshelf.replication.transport import MAX_QUEUED_MESSAGES, PeerTransport
+from savoryshelf.replication.types import Timing
 from savoryshelf.wire.generated import ControlService
 from savoryshelf.wire.generated.ttypes import RaftMessage, RaftPayload, VoteReply
-from savoryshelf.wire.peers import PeerHandler, PeerServer
+from savoryshelf.wire.peers import PeerHandler, PeerServer, split_address
 
 from ..loop_time import counting_loop_time
 
@@ -22,6 +24,9 @@
 DELIVERY_LIMIT_SECONDS = 0.8
 """From the return of a host until it gets a message: less than an election timeout."""
 
+SILENCE_LIMIT_SECONDS = 3 * Timing().election_timeout
+"""From the silence of a connection until a message arrives on another: a few campaigns at most."""
+
 
 def message(number):
     payload = RaftPayload(vote_reply=VoteReply(True, False))
@@ -51,6 +56,45 @@
         self._listener.close()
 
 
+class Relay:
+    """Passes the bytes of its connections on to a host, and can make those that are open mute.
+
+    Their bytes are acknowledged from then on, and answered by nobody; new connections work.
+    """
+
+    def __init__(self, host_address):
+        self._host_address = split_address(host_address)
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._mute = set()
+        self._open = set()
+        self._threads = [eventlet.spawn(self._accept)]
+
+    def mute_open_connections(self):
+        self._mute |= self._open
+
+    def close(self):
+        for thread in self._threads:
+            thread.kill()
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            near, _ = self._listener.accept()
+            far = eventlet.connect(self._host_address)
+            self._open.add(near)
+            for source, sink in ((near, far), (far, near)):
+                self._threads.append(eventlet.spawn(self._pass_on, near, source, sink))
+
+    def _pass_on(self, connection, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if connection not in self._mute:
+                    sink.sendall(data)
+        if connection not in self._mute:
+            sink.close()
+
+
 @pytest.fixture(autouse=True)
 def green_sockets(monkeypatch):
     """Let the thrift sockets of this module yield to other green threads."""
@@ -221,3 +265,21 @@
             wait_until(lambda: len(lines) > 1, 1.0)
     assert [name for name, _ in lines] == ["peer:lost", "peer:regained"]
     assert lines[1][1]["seconds"] >= 1.0
+
+
+# Guards against a replica that never hears from this one again, though both processes go on: their
+# connection had gone silent, its bytes were acknowledged, and nobody answers what is delivered.
+def test_messages_arrive_again_after_a_connection_has_gone_silent():
+    with running_host("127.0.0.1:0") as host, running_transport() as transport:
+        relay = Relay(host.address)
+        transport.send(relay.address, message(1))
+        assert wait_until(lambda: 1 in host.terms, 2.0) < DELIVERY_LIMIT_SECONDS
+        relay.mute_open_connections()
+        numbers = itertools.count(2)
+
+        def is_reached():
+            transport.send(relay.address, message(next(numbers)))
+            return len(host.terms) > 1
+
+        assert wait_until(is_reached, 6.0) < SILENCE_LIMIT_SECONDS
+        relay.close()
--- a/tests/replication/test_transport_errors.py
+++ b/tests/replication/test_transport_errors.py
@@ -16,7 +16,7 @@
     def __init__(self, service, address, cluster_key, kind, connect_timeout):
         pass
 
-    def call(self, method, batch):
+    def send(self, method, batch, max_silence):
         error, FailingOnceClient.error = FailingOnceClient.error, None
         if error is not None:
             raise error
