A log that nobody reads stops no process

A host that logs to a pipe stands still as a whole once the pipe is full: it sends no heartbeat, votes for nobody and answers no caller until somebody reads its log.

Cause: eliot writes to sys.stdout with a blocking write in the thread of all green threads; thrift's errors go to standard error in the same way.

Change: lines are kept, up to 1 MB, and written as far as they find room. Further ones are dropped in whole lines and counted in `log:lines_dropped`. thrift's own errors are no longer logged: they come as PeerUnreachable, too, and are logged by who handles them.

Not covered: tracebacks of the interpreter and of eventlet, which are still written to standard error.

--- a/src/savoryshelf/observability/logs.py
+++ b/src/savoryshelf/observability/logs.py
@@ -3,16 +3,68 @@
 The actions of one request form one tree, also across processes.
 """
 
+import atexit
 import contextlib
+import logging
+import select
 import sys
 
 import eliot
+from eventlet import patcher
+
+_os = patcher.original("os")
+_select = patcher.original("select")
+"""The unpatched modules: a write of eventlet may switch green threads."""
+
+MAX_KEPT_BYTES = 1024 * 1024
+"""Bytes of lines that are kept while nobody reads the log; further lines are dropped."""
+
+
+class PatientOutput:
+    """A file for lines that never waits until somebody reads them.
+
+    What finds no room is written after later lines, or dropped in whole lines, and counted.
+    """
+
+    def __init__(self, descriptor: int):
+        self._descriptor = descriptor
+        self._kept = bytearray()
+        self._dropped_lines = 0
+
+    def write(self, line: bytes) -> None:
+        """Keep a line to be written by ``flush``."""
+        if len(self._kept) + len(line) > MAX_KEPT_BYTES:
+            self._dropped_lines += 1
+        else:
+            self._kept += line
+
+    def flush(self) -> None:
+        """Write what finds room now."""
+        # A pipe that is writable takes this much without a wait.
+        while self._kept and _is_writable(self._descriptor):
+            written = _os.write(self._descriptor, self._kept[: select.PIPE_BUF])
+            del self._kept[:written]
+        if self._dropped_lines and not self._kept:
+            lines, self._dropped_lines = self._dropped_lines, 0
+            log_event("log:lines_dropped", lines=lines)
+
+
+def _is_writable(descriptor: int) -> bool:
+    poll = _select.poll()
+    poll.register(descriptor, _select.POLLOUT)
+    return bool(poll.poll(0))
 
 
 def start_logging(process_name: str) -> None:
     """Log to standard output; each line holds ``process_name``."""
     eliot.add_global_fields(process=process_name)
-    eliot.to_file(sys.stdout)
+    output = PatientOutput(sys.stdout.fileno())
+    eliot.to_file(output)
+    atexit.register(output.flush)
+    # Its errors come as PeerUnreachable, too; a write of them to standard error may wait.
+    thrift_logger = logging.getLogger("thrift")
+    thrift_logger.addHandler(logging.NullHandler())
+    thrift_logger.propagate = False
 
 
 def log_event(event: str, **fields) -> None:
--- /dev/null
+++ b/tests/observability/test_logs.py
@@ -0,0 +1,71 @@
+"""What a process logs while nobody reads it; its standard output is a pipe."""
+
+import json
+import select
+import subprocess
+import sys
+
+import pytest
+
+LINES = 20_000
+"""More than a pipe holds and a process keeps."""
+
+LATER_LINES = 50
+WAIT_SECONDS = 20.0
+
+SCRIPT = f"""
+import sys, time
+from savoryshelf.observability.logs import log_event, start_logging
+
+start_logging("test")
+for number in range({LINES}):
+    log_event("numbered", number=number, filling="x" * 200)
+print("went on", file=sys.stderr, flush=True)
+sys.stdin.readline()
+for number in range({LINES}, {LINES} + {LATER_LINES}):
+    time.sleep(0.05)
+    log_event("numbered", number=number)
+"""
+
+
+@pytest.fixture
+def unread_process():
+    """Yield a process that logs much, waits for a line on its standard input, and logs more."""
+    process = subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-c", SCRIPT],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    yield process
+    process.kill()
+    process.communicate()
+
+
+def has_gone_on(process):
+    readable, _, _ = select.select([process.stderr], [], [], WAIT_SECONDS)
+    return bool(readable) and process.stderr.readline() == "went on\n"
+
+
+# Guards against a host that stands still, and votes no more, because nobody reads its log.
+def test_a_process_whose_log_nobody_reads_goes_on(unread_process):
+    assert has_gone_on(unread_process)
+
+
+def test_a_log_that_is_read_again_goes_on_with_whole_lines(unread_process):
+    assert has_gone_on(unread_process)
+    numbers, dropped = [], 0
+    for text in unread_process.stdout:
+        if not numbers:
+            unread_process.stdin.write("\n")
+            unread_process.stdin.flush()
+        line = json.loads(text)
+        if line["message_type"] == "numbered":
+            numbers.append(line["number"])
+        elif line["message_type"] == "log:lines_dropped":
+            dropped += line["lines"]
+    assert dropped
+    assert numbers == sorted(numbers)
+    assert numbers[-1] == LINES + LATER_LINES - 1
+    assert len(numbers) + dropped == LINES + LATER_LINES
