--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -283,3 +283,15 @@
 
         assert wait_until(is_reached, 6.0) < SILENCE_LIMIT_SECONDS
         relay.close()
+
+
+def test_a_connection_that_was_idle_for_longer_than_a_silence_is_kept(monkeypatch):
+    monkeypatch.setattr(transport_module, "MAX_SILENCE_SECONDS", 0.2)
+    lines = []
+    monkeypatch.setattr(transport_module, "log_event", lambda name, **values: lines.append(name))
+    with running_host("127.0.0.1:0") as host, running_transport() as transport:
+        for number in range(1, 4):
+            transport.send(host.address, message(number))
+            assert wait_until(lambda n=number: n in host.terms, 2.0) < DELIVERY_LIMIT_SECONDS
+            eventlet.sleep(0.6)
+    assert not lines
