--- a/src/savoryshelf/replication/transport.py
+++ b/src/savoryshelf/replication/transport.py
@@ -32,6 +32,13 @@
 """
 
 
+MAX_SILENCE_SECONDS = 2.0
+"""Two election timeouts: a connection on which a host leaves a question unanswered is given up.
+
+It may have gone silent for good while new ones work.  A host on a busy processor answers sooner.
+"""
+
+
 @attrs.frozen
 class _QueuedMessage:
     queued_at: float
@@ -118,7 +125,8 @@
                 unsent.append(queue.get_nowait())
             sender.call_began_at = self._clock.monotonic()
             try:
-                client.call("deliver", [queued.message for queued in unsent])
+                messages = [queued.message for queued in unsent]
+                client.send("deliver", messages, max_silence=MAX_SILENCE_SECONDS)
                 unsent.clear()
                 sender.call_began_at, sender.sent_at = None, self._clock.monotonic()
                 if sender.lost_at is not None:
