A leader whose removal is committed by a reply sends nothing more

Cause: Replica._on_append_reply commits, and the commit of its own removal makes the leader a follower without leader_state. If entries follow the removal that the replying member was not sent yet, it went on to send them and read leader_state: AttributeError, which ends the replica and with it the process. It happens to a leader that is stopped as a sixth voter (Replica.remove via GroupRepair.request_leave) while commands are proposed, so in the middle of its drain.

Where else it could act: the other caller of _advance_commit, advance(), does nothing after it, and _on_snapshot_reply does not commit.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -797,6 +797,9 @@
         if reply.success:
             self.leader_state.record_match(progress, reply.match_index)
             self._advance_commit()
+            if self.role is not Role.LEADER:
+                # That has committed the removal of this leader.
+                return
         elif reply.round < progress.min_rejection_round:
             # Rejects a request sent before next_index last moved back; a newer
             # request is already in flight.
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -133,6 +133,23 @@
     return RaftMessage(sender, recipient, term, RaftPayload(**payload), 0)
 
 
+# Guards against an error that ended the process of a leader on the reply that commits its removal.
+def test_a_leader_whose_removal_is_committed_while_commands_wait_to_be_sent_follows():
+    group = group_with_leader()
+    leader = group.leader()
+    core, term = leader.core, leader.core.term
+    removal = core.remove(leader.replica_id)
+    leader.process_ready()
+    core.propose([b"waits"])
+    followers = [host for host in group.host_by_name.values() if host is not leader]
+    for host in followers:
+        reply = AppendReply(True, removal, core.leader_state.round)
+        sent = message(host.replica_id, leader.replica_id, term, append_reply=reply)
+        core.receive(sent, group.now)
+    assert core.commit_index == removal
+    assert core.role is Role.FOLLOWER
+
+
 def leader_with_entries_of_an_earlier_term():
     """Return a leader of term 3 whose log starts with two uncommitted entries of term 1."""
     members = [Member(f"{n}.disk", n, "", True) for n in "abc"]
