A job whose starts have just been planned counts as waiting

Cause: a job counted as begun from the commit of its first start on, and as waiting again once that was refused.

Change: the count may be 2 s old, so a job is counted as well while all its runs were planned less than 1.5 s ago and no run that had begun has ended. Every replica keeps the times of the commands that planned them. A time that does not fit the newest command and the leader's clock counts as begun, so a clock that steps makes no count older.

--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -228,7 +228,8 @@
         queue = find_queue(ledger.manifest, call.host, call.path)
         if queue is None:
             return self._no_queue(call)
-        return JobAnswer(JobAnswerKind.COUNTED, waiting=ledger.queued_job_count(queue.name))
+        waiting = ledger.queued_job_count(queue.name, self._clock.wall_ms())
+        return JobAnswer(JobAnswerKind.COUNTED, waiting=waiting)
 
     def _no_queue(self, call: JobCall) -> JobAnswer:
         version = self._state_machine.ledger.manifest.version
--- a/src/savoryshelf/tasks/job.py
+++ b/src/savoryshelf/tasks/job.py
@@ -10,6 +10,10 @@
 """Worker id and start time (wall clock, ms): identifies one incarnation of a worker."""
 
 
+MAX_WAITING_AGE_MS = 1500
+"""How old a count of waiting jobs may be, in ms: 2 s, less the time that its answer takes."""
+
+
 class JobState(enum.Enum):
     """State of a job as reported to callers."""
 
@@ -115,6 +119,12 @@
     existing_runs: int = 0
     """Number of its runs that may exist."""
 
+    planned_ms_by_run: dict[tuple[str, int], int] = attrs.field(factory=dict)
+    """When those runs were planned, by task name and run number; no part of the state.
+
+    Wall-clock times (ms) of the commands.  Snapshots do not have them.
+    """
+
     cancelled: bool = False
     failed: bool = False
     ended_ms: int = 0
@@ -138,6 +148,20 @@
         """
         return self.has_begun or self.existing_runs > 0
 
+    def was_waiting(self, now_ms: int, command_ms: int) -> bool:
+        """Return whether no run of it had begun ``MAX_WAITING_AGE_MS`` ago, as far as is known.
+
+        ``command_ms`` is the time of the newest command.  A run that was planned by a leader
+        whose clock differs from it, or from ``now_ms``, may have begun before.
+        """
+        if self.has_begun or len(self.planned_ms_by_run) < self.existing_runs:
+            return False
+        return all(
+            0 <= command_ms - planned_ms < MAX_WAITING_AGE_MS
+            and 0 <= now_ms - planned_ms < MAX_WAITING_AGE_MS
+            for planned_ms in self.planned_ms_by_run.values()
+        )
+
     @property
     def is_ended(self) -> bool:
         """Return whether the job has ended, so that no more runs are started."""
--- a/src/savoryshelf/tasks/ledger.py
+++ b/src/savoryshelf/tasks/ledger.py
@@ -430,14 +430,23 @@
             return None
         return group.tasks[parts.index]
 
-    def queued_job_count(self, queue_name: str) -> int:
-        """Return how many jobs of a queue have not ended and have had no task started."""
+    def queued_job_count(self, queue_name: str, now_ms: int | None = None) -> int:
+        """Return how many jobs of a queue have not ended and have had no task started.
+
+        With ``now_ms``, the wall-clock time, a job counts as well whose runs have all just been
+        planned: the workers may refuse them, and the count may be as old as that.
+        """
         return sum(
             1
             for job in self.job_by_id.values()
-            if job.queue.name == queue_name and not job.started and not job.is_ended
+            if job.queue.name == queue_name and not job.is_ended and self._is_queued(job, now_ms)
         )
 
+    def _is_queued(self, job: Job, now_ms: int | None) -> bool:
+        if not job.started:
+            return True
+        return now_ms is not None and job.was_waiting(now_ms, self.at_ms - self.behind_ms)
+
     # -------------------------------------------------------------------- helpers
 
     def _is_valid(self, intent: RunIntent, task: Task | None) -> bool:
@@ -458,6 +467,7 @@
         task.incarnation_by_run[intent.run] = worker.key
         worker.add_run(task, intent.run)
         group.job.existing_runs += 1
+        group.job.planned_ms_by_run[task.name, intent.run] = self.at_ms - self.behind_ms
         group.startable_indexes.discard(task.index)
         self._update_startable_groups(group)
 
@@ -493,6 +503,7 @@
             return
         del task.incarnation_by_run[run]
         task.step.job.existing_runs -= 1
+        task.step.job.planned_ms_by_run.pop((task.name, run), None)
         self.runs_to_stop.pop((task.name, run), None)
         worker = self.worker_by_incarnation.get(key)
         if worker is not None:
--- a/tests/dispatch/test_task_service.py
+++ b/tests/dispatch/test_task_service.py
@@ -16,17 +16,25 @@
 from savoryshelf.replication.service import OutcomeUnknown
 from savoryshelf.replication.types import NotLeading
 from savoryshelf.tasks import early_cancels
+from savoryshelf.tasks.job import MAX_WAITING_AGE_MS
 from savoryshelf.tasks.state_machine import TaskStateMachine
 from savoryshelf.wire import codec
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import (
     AgentAssignment,
+    IntendRuns,
     JobAnswerKind,
     JobCall,
     JobSpec,
     JobVerb,
     Manifest,
+    RunEnd,
+    RunIntent,
+    RunOutcome,
     ServiceSpec,
+    SettleRuns,
+    TaskCommand,
+    TaskCommandBody,
     WorkerLife,
 )
 
@@ -989,3 +997,113 @@
     assert answer.kind == JobAnswerKind.REFUSED and answer.retry_after_ms > 0
     assert leader.job_call(submission()).kind == JobAnswerKind.ACCEPTED
     assert leader.job_call(cancel_of()).state == "cancelled"
+
+
+class WallClock(FakeClock):
+    """A clock whose wall-clock time a test sets as well."""
+
+    ms = 1_700_000_000_000
+
+    def wall_ms(self):
+        return self.ms
+
+
+class QueueWithOneJob:
+    """A leader whose job consists of two tasks."""
+
+    def __init__(self):
+        self.clock = WallClock()
+        self.state_machine = TaskStateMachine()
+        self.state_machine.ledger.put_manifest(manifest())
+        self.state_machine.ledger.upsert_worker(worker())
+        accept(self.state_machine.ledger, step(2))
+        self.change_leader()
+
+    def change_leader(self):
+        _, self.leader = host(self.state_machine, clock=self.clock)
+
+    def commit(self, **body):
+        command = TaskCommand(self.clock.wall_ms(), TaskCommandBody(**body))
+        return self.state_machine.apply(codec.encode(command))
+
+    def plan_start(self, index=0, run=1):
+        intent = RunIntent(f"{JOB}.0.0.{index}", run, WorkerLife("w1", 1))
+        assert self.commit(intend_runs=IntendRuns([intent]))
+
+    def settle(self, outcome, index=0, run=1):
+        end = RunEnd(f"{JOB}.0.0.{index}", run, outcome, "", 0)
+        self.commit(settle_runs=SettleRuns(WorkerLife("w1", 1), 0, [end]))
+
+    def count(self):
+        answer = self.leader.job_call(JobCall(JobVerb.COUNT, HOST, "/quotes/", trace_id="trace"))
+        assert answer.kind == JobAnswerKind.COUNTED
+        return answer.waiting
+
+
+# Guards against MIXED: a job that waits was not counted while its starts were on their way to
+# workers that refuse them all.
+@pytest.mark.parametrize("has_new_leader", [False, True])
+def test_a_job_whose_starts_are_refused_again_and_again_is_counted_as_waiting(has_new_leader):
+    site = QueueWithOneJob()
+    assert site.count() == 1
+    for run in range(1, 30):
+        for index in (0, 1):
+            site.plan_start(index, run)
+        if has_new_leader:
+            site.change_leader()
+        for _ in range(3):
+            assert site.count() == 1
+            site.clock.ms += 100
+        for index in (0, 1):
+            site.settle(RunOutcome.NEVER_RAN, index, run)
+        assert site.count() == 1
+
+
+# Guards against a count that is older than the 2 s that the protocol allows.
+@pytest.mark.parametrize("has_new_leader", [False, True])
+def test_a_job_that_has_begun_is_not_counted_for_longer_than_a_count_may_be_old(has_new_leader):
+    site = QueueWithOneJob()
+    site.plan_start()
+    if has_new_leader:
+        site.change_leader()
+    site.clock.ms += MAX_WAITING_AGE_MS - 1
+    site.plan_start(index=1)
+    assert site.count() == 1
+    site.clock.ms += 1
+    assert site.count() == 0
+    # The newer start does not make the job wait again.
+    site.settle(RunOutcome.NEVER_RAN, index=1)
+    site.plan_start(index=1, run=2)
+    assert site.count() == 0
+
+
+@pytest.mark.parametrize("outcome", [o for o in RunOutcome if o is not RunOutcome.NEVER_RAN])
+def test_a_job_of_which_a_run_has_ended_is_not_counted_at_its_next_start(outcome):
+    site = QueueWithOneJob()
+    site.plan_start()
+    site.settle(outcome)
+    assert site.count() == 0
+    site.plan_start(index=1)
+    assert site.count() == 0
+
+
+# Guards against a job that counts as waiting long after it has begun, on a host whose clock is
+# behind that of the leader before it, or whose own clock has stepped back.
+@pytest.mark.parametrize("has_command", [False, True])
+@pytest.mark.parametrize("step_ms", [-3_600_000, -1, 3_600_000])
+def test_a_start_that_was_planned_on_another_clock_counts_as_begun(step_ms, has_command):
+    site = QueueWithOneJob()
+    site.plan_start()
+    site.clock.ms += step_ms
+    if has_command:
+        site.settle(RunOutcome.DONE, index=1, run=7)
+        # The time of a command counts, whether or not the clock is right again.
+        site.clock.ms -= step_ms
+    assert site.count() == 0
+
+
+def test_a_start_in_a_snapshot_counts_as_begun():
+    site = QueueWithOneJob()
+    site.plan_start()
+    site.state_machine.restore(site.state_machine.snapshot())
+    assert site.count() == 0
--- a/tests/tasks/test_ledger_stateful.py
+++ b/tests/tasks/test_ledger_stateful.py
@@ -166,6 +166,8 @@
         for job in self.ledger.job_by_id.values():
             runs = sum(len(task.incarnation_by_run) for task in job.tasks())
             assert job.existing_runs == runs
+            existing = {(t.name, run) for t in job.tasks() for run in t.incarnation_by_run}
+            assert job.planned_ms_by_run.keys() <= existing
 
     @invariant()
     def a_job_that_was_cancelled_before_it_came_does_not_exist(self):
