--- a/standins/links.py
+++ b/standins/links.py
@@ -14,7 +14,6 @@
 import contextlib
 import itertools
 import json
-import os
 import pathlib
 import random
 import socket
@@ -27,6 +26,8 @@
 
 import attrs
 
+from .resets import hook_environment
+
 CHUNK_BYTES = 65536
 QUEUED_CHUNKS = 64
 """So many chunks are under way on a connection before its sender has to wait."""
@@ -43,8 +44,7 @@
 
 BACKLOG = 128
 MAX_COMMAND_BYTES = 1 << 20
-HOOK_FOLDER = pathlib.Path(__file__).resolve().parent / "hooks"
-ROOT = HOOK_FOLDER.parents[1]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 Way = tuple[str, str]
@@ -95,11 +95,7 @@
 
     def environment(self, ip: str) -> dict[str, str]:
         """Return the variables with which a process of this host calls others over its links."""
-        paths = [str(HOOK_FOLDER), os.environ.get("PYTHONPATH", "")]
-        return {
-            "STANDIN_LINKS": str(self._path(ip)),
-            "PYTHONPATH": os.pathsep.join(filter(None, paths)),
-        }
+        return hook_environment() | {"STANDIN_LINKS": str(self._path(ip))}
 
     def ways_of(self, ips: Iterable[str]) -> list[Way]:
         """Return the ways from and to these hosts."""
