Test: control hosts whose connections were reset still vote (fails)

Guards a group against a control host that goes on without voting: all TCP connections of a follower or of the leader are reset, or those of all three that are left as the fault comes; then the leader and another host lose their disks.

Eventlet's pool of native threads reports finished writes by a TCP connection within the process, and is deaf once that is reset.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -17,6 +17,7 @@
 
 from standins.links import Links
 from standins.platform import Gangs, PlatformWorker, platform_settings
+from standins.resets import hook_environment, reset_connections
 from standins.site import loopback_address
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -67,7 +68,7 @@
         path = self.folder / f"{ip}.json"
         settings = platform_settings(role, ip, PORTS, self.seeds, str(data))
         path.write_text(json.dumps(settings | {"bootstrap": self.is_first_start}))
-        environment = os.environ | {"SAVORYSHELF_CONFIG": str(path)}
+        environment = os.environ | hook_environment() | {"SAVORYSHELF_CONFIG": str(path)}
         if self.links:
             environment |= self.links.environment(ip)
         command = [sys.executable, "platform/run.py", role]
@@ -100,6 +101,11 @@
         process.send_signal(signal_number)
         process.wait(10)
 
+    def reset_connections(self, ips):
+        """Reset all TCP connections of these hosts; their processes go on."""
+        for ip in ips:
+            assert reset_connections(self.process_by_ip[ip])
+
     def add_worker(self, name):
         addresses = [f"{ip}:{PORTS['control']}" for ip in self.control_ips]
         worker = PlatformWorker(name, addresses, f"{WORKER_IP}:0", gangs=self.gangs)
