Links pass resets on to the other host

A reset by one host closed the relay's end, which then took it for a connection that TCP had given up: the other host kept its end open until it sent something.

Two tests, both failing before: the reset did not arrive within 2.5 s, and OSError 9.

--- a/standins/links.py
+++ b/standins/links.py
@@ -235,7 +235,9 @@
         self._acknowledgements: set[asyncio.Task] = set()
         for end in self.ends:
             connection = end.writer.get_extra_info("socket")
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # It may have been reset since; that is found by reading from it.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def run(self) -> None:
         """Forward both ways until both ends are closed."""
@@ -276,7 +278,10 @@
                 await asyncio.sleep(sent_at + sender.way.delay_s - time.monotonic())
                 if not await sender.way.pass_cut():
                     self._give_up(sender)
-                if sender.is_dark or sender.writer.transport.is_closing():
+                    return
+                # A reset by its host closes the sender, too, and has to reach the receiver.
+                is_given_up = data is not None and sender.writer.transport.is_closing()
+                if sender.is_dark or is_given_up:
                     return
                 if receiver.is_dark:
                     await asyncio.sleep(USER_TIMEOUT_SECONDS)
--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -1,10 +1,12 @@
 """Links between hosts delay, cut in one or both directions, go half-open, and heal."""
 
+import asyncio
 import contextlib
 import json
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -17,6 +19,9 @@
     ROOT,
     USER_TIMEOUT_SECONDS,
     Links,
+    _Connection,
+    _End,
+    _Way,
     ways_between,
 )
 from standins.site import loopback_address
@@ -35,7 +40,7 @@
 
     def __init__(self, ip):
         self.listener = socket.create_server((ip, PORT))
-        self.received, self.connections = [], []
+        self.received, self.connections, self.ended_count = [], [], 0
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -49,6 +54,7 @@
             while data := connection.recv(100):
                 self.received.append(data)
                 connection.sendall(data)
+        self.ended_count += 1
 
     def kill(self):
         with contextlib.suppress(OSError):
@@ -219,6 +225,50 @@
         assert wait_for_end(pair.connect(), SLACK_SECONDS) < SLACK_SECONDS
 
 
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    # Ends a blocked read, which would hold up the reset.
+    connection.shutdown(socket.SHUT_RD)
+    connection.close()
+
+
+def wait_for_echo_to_end(pair):
+    deadline = time.monotonic() + USER_TIMEOUT_SECONDS + SLACK_SECONDS
+    while pair.echo.ended_count < len(pair.echo.connections):
+        assert time.monotonic() < deadline
+        time.sleep(0.02)
+
+
+# Guards against a host that takes connections for open that the other host has reset.
+def test_a_reset_reaches_the_other_host(pair):
+    connection = pair.connect()
+    ask(connection)
+    reset(connection)
+    wait_for_echo_to_end(pair)
+    with pair.connect() as connection:
+        ask(connection)
+        reset(pair.echo.connections[-1])
+        assert wait_for_end(connection, SLACK_SECONDS) < SLACK_SECONDS
+
+
+# Guards against relays that fail when a connection was reset before they had passed it on.
+def test_a_connection_that_was_reset_before_it_is_relayed_ends():
+    async def relay():
+        ends, others = [], []
+        for ip in ("a", "b"):
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                others.append(socket.create_connection(listener.getsockname()))
+                streams = await asyncio.open_connection(sock=listener.accept()[0])
+            ends.append(_End(ip, _Way(0.0), *streams))
+        reset(others[0])
+        await asyncio.sleep(DELAY_SECONDS)
+        async with asyncio.timeout(SLACK_SECONDS):
+            await _Connection(*ends).run()
+        return wait_for_end(others[1], SLACK_SECONDS)
+
+    assert asyncio.run(relay()) < SLACK_SECONDS
+
+
 def test_a_process_of_relays_that_does_not_run_is_on_record(pair):
     assert pair.links.standstills() == []
     process = pair.links._process
