Stand-in hosts and workers can be silent while they are off

On loopback a host that is off refuses connections at once; a machine of its own is silent. Control hosts, entry hosts and workers can now be played so: a listener whose queue is full drops requests to connect, and connections that were open to a worker get no answer until it is back.

The final fault is played with them: the leader, another control host (disks lost), an entry host and 33 workers are off for 1.4 s; callers wait for up to 60 s.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -23,6 +23,7 @@
 
 from .interference import WINDOW_SECONDS, added_per_core, load, tail_ms
 from .late_orders import HeldOrder, LateOrders
+from .silence import silent
 
 HEARTBEAT_SECONDS = 0.3
 MAX_HOLD_MS = 3000
@@ -300,17 +301,23 @@
         heartbeat_after_seconds: float = 0.0,
         workers_down: int = 1,
         incarnation: int = 0,
+        is_silent: bool = False,
     ) -> None:
         """Crash and start again; the new incarnation listens so long before its first heartbeat.
 
         ``workers_down`` is the number of workers that go down at this moment.  If ``incarnation``
-        is given, nothing happens unless that one is up.
+        is given, nothing happens unless that one is up.  If it ``is_silent`` while it is down,
+        calls get neither an answer nor a refusal, on connections that were open too.
         """
         with self._restarting:
             if incarnation and not self.incarnations[incarnation - 1].is_up:
                 return
-            self.crash(workers_down)
-            time.sleep(down_seconds)
+            last = self.incarnations[-1]
+            last.end(workers_down, is_silent)
+            host, _, port = self._listen_address.rpartition(":")
+            with silent([(host, int(port))] if is_silent else []):
+                time.sleep(down_seconds)
+            last.reset_connections()
             if self._is_closed:
                 return
             self.draining = False
@@ -354,6 +361,7 @@
         host, _, port = address.rpartition(":")
         self.connections: set[socket.socket] = set()
         self.is_closing = False
+        self.is_resetting = threading.Event()
         super().__init__((host, int(port)), BaseHTTPRequestHandler)
 
     def serve(self) -> None:
@@ -367,6 +375,7 @@
 
     def shutdown_request(self, request):
         if self.is_closing:
+            self.is_resetting.wait()
             # Ends with a reset, not with an orderly end of the stream.
             with contextlib.suppress(OSError):
                 request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
@@ -378,13 +387,17 @@
     def handle_error(self, request, client_address):
         """Do nothing: a connection that was cut is no error of the worker."""
 
-    def reset_all(self, accepting: threading.Thread) -> None:
-        """Stop listening, and reset all connections; returns when that is done."""
+    def stop_listening(self, accepting: threading.Thread) -> None:
+        """Accept no more connections; returns when the address is free."""
         self.is_closing = True
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_RDWR)
         accepting.join()
         self.server_close()
+
+    def reset_all(self) -> None:
+        """Reset all connections; returns when that is done."""
+        self.is_resetting.set()
         while self.connections:
             for each in list(self.connections):
                 # Ends a blocked read; the thread that reads then closes the connection.
@@ -440,10 +453,11 @@
         """Wait for the end of this incarnation, so long at most; return whether it came."""
         return self._is_over.wait(seconds)
 
-    def end(self, workers_down: int = 1) -> None:
+    def end(self, workers_down: int = 1, is_silent: bool = False) -> None:
         """Crash: what runs ends now, and is listed nowhere.
 
-        ``workers_down`` is the number of workers that go down in the same event.
+        ``workers_down`` is the number of workers that go down in the same event.  If it
+        ``is_silent``, connections stay open, and nothing is answered, until they are reset.
         """
         with self._lock:
             if self._is_over.is_set():
@@ -460,7 +474,13 @@
             self._running.clear()
             for record in unread:
                 record.is_lost, record.lost_at, record.workers_down = True, now, workers_down
-        self._server.reset_all(self._accepting)
+        self._server.stop_listening(self._accepting)
+        if not is_silent:
+            self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset what is open after the end."""
+        self._server.reset_all()
 
     def settled_records(self) -> list[RunRecord]:
         """Return every run, after those have been ended whose time or lease is over."""
--- a/tests/platform/test_connection_resets.py
+++ b/tests/platform/test_connection_resets.py
@@ -5,12 +5,15 @@
 
 import pytest
 
-from .test_power_loss import CONTROL_IPS, RECOVERY_SECONDS, check_service_is_back, running
+from .test_power_loss import (
+    CONTROL_IPS,
+    DOWN_SECONDS,
+    RECOVERY_SECONDS,
+    check_service_is_back,
+    running,
+)
 from .test_whole_path import MANIFEST, Deployment, paused, wait_until
 
-DOWN_SECONDS = 1.4
-"""How long hosts are down that lose their disks."""
-
 REST_SECONDS = 4.0
 """Time between a fault and the next one."""
 
--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -4,6 +4,7 @@
 import shutil
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor, wait
 
 import orjson
 import pytest
@@ -37,6 +38,11 @@
 MAX_WAIT_SECONDS = 3.0
 """Time after that within which callers have to be served."""
 
+DOWN_SECONDS = 1.4
+"""How long hosts are down that lose their disks, and workers beside them."""
+
+WORKERS = 33
+JOB = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
 LAST_ANSWERS = 4
 LAST_LINES = 6
 """What a failure shows of the answers to one entry host, and of each log."""
@@ -166,16 +172,51 @@
     check_service_is_back(linked_deployment, path, CONTACT_SECONDS + MAX_WAIT_SECONDS)
 
 
+# Guards against calls to hosts and workers that are off, and silent as machines of their own are,
+# which hold up the election of the next leader, or the answers to callers that wait for long.
+@pytest.mark.parametrize("other", [CONTROL_IPS[1], CONTROL_IPS[4]], ids=["near", "far"])
+def test_waiting_callers_are_served_after_silent_hosts_lost_their_disks(linked_deployment, other):
+    deployment = linked_deployment
+    for number in range(2, WORKERS + 1):
+        deployment.add_worker(f"w{number}")
+    path = deployment.submit(1, "50 ms")
+    leader = deployment.leader_ip()
+    lost = [leader, other if other != leader else CONTROL_IPS[0]]
+    with ThreadPoolExecutor(2 * WORKERS) as pool:
+        with deployment.silent([*lost, FRONTS[1]]):
+            restarts = [
+                pool.submit(worker.restart, DOWN_SECONDS, is_silent=True)
+                for worker in deployment.workers
+            ]
+            for ip in lost:
+                shutil.rmtree(deployment.folder / ip)
+            waiting = [
+                pool.submit(deployment.call, "POST", f"/q/{number:016x}", JOB, seconds=60.0)
+                for number in range(32, 40)
+            ]
+            wait(restarts)
+        deployment.is_first_start = False
+        for ip in [*lost, FRONTS[1]]:
+            deployment.start(ip)
+        began_at = time.monotonic()
+        wait_until(lambda: deployment.call_operator("GET", "get") == (200, MANIFEST))
+        assert time.monotonic() - began_at < RECOVERY_SECONDS
+        answers = [each.result()[0] for each in waiting]
+        assert time.monotonic() - began_at < RECOVERY_SECONDS
+    assert answers == [200] * len(waiting)
+    check_service_is_back(deployment, path, began_at + RECOVERY_SECONDS - time.monotonic())
+    wait_until(lambda: deployment.state(f"/q/{32:016x}") == "completed")
+
+
 def check_service_is_back(deployment, path, seconds=RECOVERY_SECONDS):
     """Check that each entry host accepts a job in time, and knows the one of this path."""
     began_at = time.monotonic()
-    body = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
     for number, front in enumerate(FRONTS):
         new_path = f"/q/{number + 16:016x}"
         answers = []
 
         def is_accepted(path=new_path, ip=front, answers=answers):
-            answers.append(deployment.call("POST", path, body, ip=ip))
+            answers.append(deployment.call("POST", path, JOB, ip=ip))
             return answers[-1][0] == 200
 
         with explained(deployment, answers):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -18,6 +18,7 @@
 from standins.links import Links
 from standins.platform import Gangs, PlatformWorker, platform_settings
 from standins.resets import hook_environment, reset_connections
+from standins.silence import silent
 from standins.site import loopback_address
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -96,6 +97,16 @@
             self.stop(ip)
         return dark
 
+    @contextlib.contextmanager
+    def silent(self, ips):
+        """End hosts without a last word; calls are neither answered nor refused in the block."""
+        dark = self.lose_power(ips)
+        core, front = ("control", "peers"), ("front", "ready")
+        names = {ip: core if ip in self.control_ips else front for ip in ips}
+        with silent((ip, PORTS[name]) for ip in ips for name in names[ip]):
+            yield
+        self.links.heal(dark)
+
     def stop(self, ip, signal_number=signal.SIGKILL):
         process = self.process_by_ip.pop(ip)
         process.send_signal(signal_number)
--- a/tests/standins/test_platform.py
+++ b/tests/standins/test_platform.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import socket
 import threading
 import time
 import types
@@ -104,6 +105,26 @@
         connect(worker).call("hold", fencingToken=1, lastSeen=0)
 
 
+def test_a_worker_that_is_silent_while_it_is_down_neither_answers_nor_refuses(worker):
+    idle, calling = connect(worker), connect(worker)
+    for connection in (idle, calling):
+        connection.call("hold", fencingToken=1, lastSeen=0)
+        connection.sock.settimeout(0.4)
+    restarting = threading.Thread(target=worker.restart, args=(2.0,), kwargs={"is_silent": True})
+    restarting.start()
+    assert worker.incarnations[0].wait_for_end(3.0)
+    with pytest.raises(TimeoutError):
+        calling.call("hold", fencingToken=1, lastSeen=0)
+    with pytest.raises(TimeoutError):
+        idle.sock.recv(1)
+    with pytest.raises(TimeoutError):
+        socket.create_connection((idle.host, idle.port), 0.4)
+    restarting.join()
+    with pytest.raises(ConnectionResetError):
+        idle.sock.recv(1)
+    assert connect(worker).call("hold", fencingToken=1, lastSeen=0)[0] == 200
+
+
 def test_an_acknowledgement_forgets_the_ends_that_there_are(worker):
     connection = connect(worker)
     connection.call("hold", fencingToken=1, lastSeen=5)
