--- a/standins/links.py
+++ b/standins/links.py
@@ -14,7 +14,6 @@
 import contextlib
 import itertools
 import json
-import os
 import pathlib
 import random
 import socket
@@ -27,6 +26,8 @@
 
 import attrs
 
+from .resets import hook_environment
+
 CHUNK_BYTES = 65536
 QUEUED_CHUNKS = 64
 """So many chunks are under way on a connection before its sender has to wait."""
@@ -43,8 +44,7 @@
 
 BACKLOG = 128
 MAX_COMMAND_BYTES = 1 << 20
-HOOK_FOLDER = pathlib.Path(__file__).resolve().parent / "hooks"
-ROOT = HOOK_FOLDER.parents[1]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 Way = tuple[str, str]
@@ -95,11 +95,7 @@
 
     def environment(self, ip: str) -> dict[str, str]:
         """Return the variables with which a process of this host calls others over its links."""
-        paths = [str(HOOK_FOLDER), os.environ.get("PYTHONPATH", "")]
-        return {
-            "STANDIN_LINKS": str(self._path(ip)),
-            "PYTHONPATH": os.pathsep.join(filter(None, paths)),
-        }
+        return hook_environment() | {"STANDIN_LINKS": str(self._path(ip))}
 
     def ways_of(self, ips: Iterable[str]) -> list[Way]:
         """Return the ways from and to these hosts."""
@@ -239,7 +235,9 @@
         self._acknowledgements: set[asyncio.Task] = set()
         for end in self.ends:
             connection = end.writer.get_extra_info("socket")
-            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # It may have been reset since; that is found by reading from it.
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     async def run(self) -> None:
         """Forward both ways until both ends are closed."""
@@ -280,7 +278,10 @@
                 await asyncio.sleep(sent_at + sender.way.delay_s - time.monotonic())
                 if not await sender.way.pass_cut():
                     self._give_up(sender)
-                if sender.is_dark or sender.writer.transport.is_closing():
+                    return
+                # A reset by its host closes the sender, too, and has to reach the receiver.
+                is_given_up = data is not None and sender.writer.transport.is_closing()
+                if sender.is_dark or is_given_up:
                     return
                 if receiver.is_dark:
                     await asyncio.sleep(USER_TIMEOUT_SECONDS)
