A worker that leaves and is silent is waited for until its lease ends

Cause: an unanswered call after a worker's leave counted as the end of its incarnation. By the protocol a worker whose leave is not confirmed ends some seconds later; behind a cut its leave may arrive and the confirmation not.

Change: such an incarnation is over once its host refuses a connection, or once it has closed the connection of a poll in order, has answered nothing since, and no connection can be made; otherwise as any other, by its ends, another incarnation or its lease. Two errors of calls tell these cases (ConnectionRefused, ConnectionClosed). The test that asked for an end at the first unanswered poll required the fault; tests of both sides replace it.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2037,10 +2037,24 @@
     Mutant(
         "a worker that refuses polls has not shut down yet",
         _WORKER_SESSION,
-        "self.worker.record.leaving and not isinstance(error, CallRejected)",
+        "self.worker.record.leaving and self._shows_exit(error)",
         "self.worker.record.leaving",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a worker that announced its shutdown may be silent behind a cut",
+        _WORKER_SESSION,
+        "self.worker.record.leaving and self._shows_exit(error)",
+        "self.worker.record.leaving and not isinstance(error, CallRejected)",
+        "tests/dispatch/test_worker_session.py",
+    ),
+    Mutant(
+        "an answer after a closed poll tells that the worker has not exited",
+        _WORKER_SESSION,
+        "        self._has_closed_poll = False\n",
+        "",
+        "tests/dispatch/test_worker_session.py",
+    ),
     Mutant(
         "a long-running best-effort task starts however busy the service is",
         "dispatch/placement.py",
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -44,6 +44,14 @@
     """No connection to the worker could be made, so the call has not reached it."""
 
 
+class ConnectionClosed(WorkerUnresponsive):
+    """The worker closed the connection of a call in order, before it answered."""
+
+
+class ConnectionRefused(NotDelivered):
+    """The worker's host refused the connection: no process listens at its address."""
+
+
 @attrs.frozen
 class WorkerIncarnation:
     """One incarnation of a worker and its address; ``born_ms`` is its start on the wall clock."""
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -9,7 +9,8 @@
   or stop was confirmed; no listed end that cannot be read may be its end.  If a row of the runs
   cannot be read, a stop has to have been confirmed a while before.
 - Another incarnation answers at the worker's address.
-- The worker does not answer after it announced its shutdown.
+- The worker announced its shutdown, and its host refuses a connection, or the worker closed that
+  of an open poll and none can be made any more.
 - Every lease of the worker has expired.
 
 Each call is preceded by a check of the agent's permission, without a pause in between.
@@ -35,6 +36,8 @@
 from .unsettled_runs import UnsettledState
 from .worker_api import (
     CallRejected,
+    ConnectionClosed,
+    ConnectionRefused,
     Fenced,
     IncarnationReplaced,
     NotDelivered,
@@ -183,6 +186,9 @@
         self._unanswered_since = None if previous is None else previous._unanswered_since
         """When the first call since then went unanswered."""
 
+        self._has_closed_poll = previous is not None and previous._has_closed_poll
+        """Whether it closed the connection of a poll since then, without an answer."""
+
         self.is_unresponsive = previous is not None and previous.is_unresponsive
         self._silent_since = agent.now()
         """Since when the worker has been unresponsive, if it is, in monotonic seconds."""
@@ -494,14 +500,24 @@
         Return whether it ended.
         """
         self._mark_unresponsive(error)
-        # A worker that refuses a call has announced its shutdown and not exited yet.
-        has_shut_down = self.worker.record.leaving and not isinstance(error, CallRejected)
+        # A worker that announced its shutdown works on for a while if nobody confirms that, and
+        # may be cut off meanwhile: its silence does not tell that it has exited.
+        has_shut_down = self.worker.record.leaving and self._shows_exit(error)
         if not has_shut_down and not self.lease_has_expired():
             return False
         why = "worker shut down" if has_shut_down else "lease expired"
         self._end_incarnation(why, EndEvidence.SILENT)
         return True
 
+    def _shows_exit(self, error: Exception) -> bool:
+        """Return whether a call failed as calls to a process do that has exited.
+
+        A cut lets neither the end of a connection through nor a refusal.
+        """
+        if self._has_closed_poll and isinstance(error, NotDelivered):
+            return True
+        return isinstance(error, ConnectionRefused)
+
     def _end_incarnation(self, why: str, evidence: EndEvidence = EndEvidence.REPLACED) -> None:
         if self.has_ended:
             return
@@ -628,10 +644,15 @@
         eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def _wait_for_answer(self) -> None:
-        """Wait before the next look at a silent worker: shorter if late starts may reach it."""
+        """Wait before the next look at a silent worker.
+
+        It is shorter if late starts may reach it, or if it may just have exited as announced:
+        its connections end before new ones fail.
+        """
         seconds = RETRY_SECONDS * random.uniform(0.5, 1.5)
         now = self._agent.now()
-        if self._may_have_late_starts() and self._agent.late_starts.may_look(now):
+        is_urgent = self.worker.record.leaving or self._may_have_late_starts()
+        if is_urgent and self._agent.late_starts.may_look(now):
             seconds = min(seconds, look_pause(now - self._silent_since))
         eventlet.sleep(seconds)
 
@@ -915,8 +936,10 @@
             self._note_no_answer()
             self._successor = error.successor
             raise
-        except WorkerUnresponsive:
+        except WorkerUnresponsive as error:
             self._note_no_answer()
+            if method == "poll" and isinstance(error, ConnectionClosed):
+                self._has_closed_poll = True
             self._overtake_starts()
             raise
         except Exception as error:
@@ -933,6 +956,7 @@
     def _note_answer(self, sent_at: float) -> None:
         # An answer may be read long after it was given, and its worker be gone by then.
         self._heard_at, self._unanswered_since = max(self._heard_at, sent_at), None
+        self._has_closed_poll = False
 
     def _note_no_answer(self) -> None:
         if self._unanswered_since is None:
--- a/tests/dispatch/test_worker_session.py
+++ b/tests/dispatch/test_worker_session.py
@@ -6,6 +6,8 @@
 from savoryshelf.dispatch import worker_session
 from savoryshelf.dispatch.worker_api import (
     CallRejected,
+    ConnectionClosed,
+    ConnectionRefused,
     IncarnationReplaced,
     NotDelivered,
     RunStatus,
@@ -18,6 +20,7 @@
     MAX_DOUBT_SECONDS,
     RETRY_SECONDS,
     STOP_LAG_SECONDS,
+    WorkerSession,
 )
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.tasks.job import Crash
@@ -339,18 +342,101 @@
     assert task_ledger.find_task(second_task).incarnation_by_run == {1: ("w1", 1)}
 
 
-def test_a_worker_that_announced_its_shutdown_ends_at_its_first_unanswered_poll(running_session):
+def fail_polls(worker, *errors):
+    """Have the open poll and those after it fail; the last error goes on."""
+    left = list(errors)
+
+    def poll(*arguments):
+        worker.calls.append("poll")
+        error = left.pop(0) if len(left) > 1 else left[0]
+        if error is not None:
+            raise error
+        return type(worker).poll(worker, *arguments)
+
+    worker.poll = poll
+    # Completes the long poll that is open.
+    worker.end("another.0.0.0", 1, RunOutcome.DONE)
+
+
+TIMED_OUT = WorkerUnresponsive("timed out")
+NO_CONNECTION = NotDelivered("timed out")
+RESET = WorkerUnresponsive("connection reset")
+CLOSED = ConnectionClosed("closed without an answer")
+REFUSED = ConnectionRefused("connection refused")
+
+
+# Guards against two runs of a task at once: the announcement arrives, its confirmation does not,
+# and the worker works on beyond a cut.
+@pytest.mark.parametrize(
+    "errors",
+    [
+        (TIMED_OUT,), (NO_CONNECTION,), (RESET, NO_CONNECTION), (CLOSED, TIMED_OUT),
+        (CLOSED, None, TIMED_OUT, NO_CONNECTION),
+    ],
+)  # fmt: skip
+def test_a_worker_that_announced_its_shutdown_and_is_silent_ends_with_its_lease(
+    running_session, errors
+):
     task_ledger, worker, session, agent = running_session
     session.start(TASK, 1)
     wait_until(lambda: worker.running and worker.deadlines)
     session.worker.record.leaving = True
-    worker.unanswered_calls = {"poll", "start", "stop"}
+    fail_polls(worker, *errors)
+    wait_until(lambda: agent.end_reasons)
+    assert agent.end_reasons == ["lease expired"]
+    assert worker.clock_ms() > max(worker.deadlines)
+    assert not task_ledger.find_task(TASK).incarnation_by_run
+
+
+# Guards against tasks that wait for a lease though their worker has exited as announced.
+@pytest.mark.parametrize(
+    "errors", [(REFUSED,), (RESET, REFUSED), (TIMED_OUT, REFUSED), (CLOSED, NO_CONNECTION)]
+)
+@pytest.mark.parametrize("is_announced_first", [False, True])
+def test_a_worker_that_announced_its_shutdown_ends_once_its_connections_show_that_it_exited(
+    running_session, errors, is_announced_first
+):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    session.worker.record.leaving = is_announced_first
+    exited_at = CLOCK.monotonic()
+    fail_polls(worker, *errors)
+    wait_until(lambda: session.is_unresponsive)
+    # The announcement is committed while the polls already fail.
+    session.worker.record.leaving = True
     wait_until(lambda: agent.end_reasons == ["worker shut down"])
+    # One retry at most; a poll that fails is followed by another within 0.375 s.
+    assert CLOCK.monotonic() - exited_at < (0.1 if is_announced_first else 0.45)
     # Too early for an expired lease, which counts only EXPIRY_SLACK_MS after its deadline.
     assert worker.clock_ms() < max(worker.deadlines) + 200
     assert not task_ledger.find_task(TASK).incarnation_by_run
 
 
+def test_a_poll_that_a_worker_closed_counts_for_the_next_session_of_its_agent(running_session):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    fail_polls(worker, CLOSED, NO_CONNECTION)
+    wait_until(lambda: session.is_unresponsive)
+    session.close()
+    session.worker.record.leaving = True
+    following = WorkerSession(agent, session.worker, LEASE_MS, previous=session)
+    wait_until(lambda: agent.end_reasons)
+    following.close()
+    assert agent.end_reasons == ["worker shut down"]
+
+
+@pytest.mark.parametrize("errors", [(REFUSED,), (CLOSED, NO_CONNECTION)])
+def test_connections_alone_do_not_end_an_incarnation(running_session, errors):
+    task_ledger, worker, session, agent = running_session
+    session.start(TASK, 1)
+    wait_until(lambda: worker.running and worker.deadlines)
+    fail_polls(worker, *errors)
+    wait_until(lambda: agent.end_reasons)
+    assert agent.end_reasons == ["lease expired"]
+
+
 # Guards against two runs of a task at once: a worker that refuses polls is alive, and its runs
 # were started elsewhere as soon as it had announced its shutdown.
 def test_a_worker_that_announced_its_shutdown_and_refuses_polls_has_not_ended(
--- a/tests/platform/test_call_delivery.py
+++ b/tests/platform/test_call_delivery.py
@@ -1,12 +1,16 @@
 """Calls to workers over HTTP, as far as their failure says whether the call arrived."""
 
 import socket
+import struct
 import threading
 
 import pytest
+from savoryshelf_platform import workers
 from savoryshelf_platform.workers import HttpWorkerApi
 
 from savoryshelf.dispatch.worker_api import (
+    ConnectionClosed,
+    ConnectionRefused,
     NotDelivered,
     StartRequest,
     WorkerIncarnation,
@@ -40,6 +44,29 @@
         HttpWorkerApi().start(worker, REQUEST)
 
 
+# Guards against TWICE: a worker behind a cut was taken for one that has exited.
+def test_only_a_host_that_refuses_a_connection_tells_that_no_process_is_there(
+    listener, monkeypatch
+):
+    monkeypatch.setattr(workers, "CONNECT_TIMEOUT_SECONDS", 0.05)
+    monkeypatch.setattr(workers, "IDENTIFY_TIMEOUT_SECONDS", 0.05)
+    worker, api = incarnation(listener), HttpWorkerApi()
+    listener.listen(0)
+    # Once the queue is full, the opening packet is dropped, as behind a cut.
+    queued = [socket.socket() for _ in range(3)]
+    for each in queued:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    with pytest.raises(NotDelivered, match="timed out") as caught:
+        api.start(worker, REQUEST)
+    assert not isinstance(caught.value, ConnectionRefused)
+    listener.close()
+    for each in queued:
+        each.close()
+    with pytest.raises(ConnectionRefused):
+        api.start(worker, REQUEST)
+
+
 def close_before_the_answer(listener, requests_answered):
     connection, _ = listener.accept()
     for _ in range(requests_answered):
@@ -52,12 +79,38 @@
 def test_a_connection_that_closes_before_it_is_identified_does_not_carry_the_call(listener):
     """Guards against a worker that is asked to stop a run that it was never told to start."""
     threading.Thread(target=close_before_the_answer, args=(listener, 0)).start()
-    with pytest.raises(NotDelivered):
+    with pytest.raises(NotDelivered) as caught:
         HttpWorkerApi().start(incarnation(listener), REQUEST)
+    assert not isinstance(caught.value, ConnectionRefused)
 
 
 def test_a_connection_that_closes_before_the_answer_leaves_the_call_in_doubt(listener):
     threading.Thread(target=close_before_the_answer, args=(listener, 1)).start()
     with pytest.raises(WorkerUnresponsive) as caught:
         HttpWorkerApi().start(incarnation(listener), REQUEST)
+    assert isinstance(caught.value, ConnectionClosed)
     assert not isinstance(caught.value, NotDelivered)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_a_connection_that_is_reset_or_silent_is_not_closed_by_its_worker(
+    listener, monkeypatch, is_reset
+):
+    monkeypatch.setattr(workers, "CALL_TIMEOUT_SECONDS", 0.2)
+    held = []
+
+    def serve():
+        connection, _ = listener.accept()
+        held.append(connection)
+        read_request(connection)
+        connection.sendall(IDENTITY)
+        read_request(connection)
+        if is_reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            connection.close()
+
+    threading.Thread(target=serve).start()
+    with pytest.raises(WorkerUnresponsive) as caught:
+        HttpWorkerApi().start(incarnation(listener), REQUEST)
+    assert not isinstance(caught.value, (ConnectionClosed, NotDelivered))
+    held[0].close()
