A leader skips a term that a member does not hold, instead of one entry

Cause: a member that rejects a request because it holds another entry at that index hints at the index before. The leader went back by this one entry for each round trip, and sent all later entries each time. A host that was on the leader's side of a split holds as many entries that were never committed as the old leader took up in its last second or two, so after the split it caught up in as many round trips, and what was sent for it grew with their square. Until then it is no voter on which a commit can count; one that was removed meanwhile is not promoted.

Change: a rejection of the request that followed the latest rejection shows that the member holds another entry at its index; the leader goes on before its own first entry of that term. In the rare case that the member's entry is of the later term of the two, this repeats entries that it holds.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -805,13 +805,22 @@
             # request is already in flight.
             return
         else:
-            progress.record_rejection(reply.match_index)
+            progress.record_rejection(self._last_possible_match(progress, reply.match_index))
             progress.min_rejection_round = self.leader_state.round + 1
             self._broadcast_pending = True
             return
         if progress.next_index <= self.log.last_index and not progress.snapshot:
             self._replicate_to(message.sender, progress)
 
+    def _last_possible_match(self, progress: Progress, hint: int) -> int:
+        """Return the last index up to which a member that rejected a request may hold this log."""
+        rejected = hint + 1
+        if rejected != progress.probed_index or rejected <= self.log.base_index:
+            return hint
+        # It holds an entry of another term there.  To try this term entry by entry would take a
+        # round trip for each, and would send all later entries each time.
+        return self.log.first_index_of_term_at(rejected) - 1
+
     def _on_snapshot_chunk(self, message: RaftMessage, chunk: SnapshotChunk) -> None:
         self._record_leader_contact(message)
         if chunk.last_index <= self.commit_index:
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -31,6 +31,9 @@
     min_rejection_round: int = 0
     """Rejections of requests sent before this round are stale and ignored."""
 
+    probed_index: int = -1
+    """The index before the entries that were sent after the latest rejection."""
+
     caught_up_at: float = float("-inf")
     """When the latest round was sent that the member has replied to while it held all entries
     that were committed at that time."""
@@ -45,6 +48,7 @@
     def record_rejection(self, hint: int) -> None:
         """Move ``next_index`` back to the member's hint, but never to or below its match index."""
         self.next_index = max(self.match_index + 1, min(self.next_index - 1, hint + 1))
+        self.probed_index = self.next_index - 1
 
     def record_match(self, match_index: int) -> None:
         """Record that the member has synced its log up to ``match_index``."""
--- a/src/savoryshelf/replication/log.py
+++ b/src/savoryshelf/replication/log.py
@@ -1,5 +1,7 @@
 """The in-memory log of a replica: the entries after the last snapshot."""
 
+import bisect
+
 from ..errors import InvariantBroken
 from ..wire import codec
 from ..wire.generated.ttypes import EntryKind, LogEntry, Membership
@@ -55,6 +57,12 @@
             return self._entries[index - self.base_index - 1].term
         return None
 
+    def first_index_of_term_at(self, index: int) -> int:
+        """Return the index of the first held entry with the term of the one at ``index``."""
+        term = self.term_at(index)
+        # Terms never decrease along a log.
+        return self.base_index + 1 + bisect.bisect_left(self._entries, term, key=lambda e: e.term)
+
     def entries(self, first: int, last: int) -> list[LogEntry]:
         """Return the entries from ``first`` to ``last``, inclusive."""
         return self._entries[first - self.base_index - 1 : last - self.base_index]
--- a/tests/replication/test_flow_control.py
+++ b/tests/replication/test_flow_control.py
@@ -4,11 +4,14 @@
 the log to the same member again.
 """
 
+import pytest
+
 from savoryshelf.replication import core
+from savoryshelf.replication.log import RaftLog
 from savoryshelf.replication.snapshot_transfer import SNAPSHOT_CHUNK_BYTES
-from savoryshelf.wire.generated.ttypes import Member
+from savoryshelf.wire.generated.ttypes import EntryKind, LogEntry, Member, Membership
 
-from .group import Group, Host
+from .group import FAR_DELAY_SECONDS, TICK_SECONDS, Group, Host
 
 
 def is_to(message, name):
@@ -139,3 +142,59 @@
     assert leader.core.leader_state.progress_by_id[host.replica_id].snapshot is not None
     leader.compact()
     assert leader.core.applied_index - leader.core.log.base_index == 50
+
+
+def healed_group_with_conflicting_entries(count):
+    """Return a busy group of five after a split, and the two hosts that were with the old leader.
+
+    Each of the two holds ``count`` entries that were never committed.
+    """
+    group = Group(5, tick_seconds=0.002)
+    group.run_for(3.0)
+    group.far_names = set(group.host_by_name)
+    group.commands_per_s = 100.0
+    group.run_for(0.3)
+    old_leader = group.leader()
+    companion = next(h for h in group.host_by_name.values() if h is not old_leader)
+    cut_off = [old_leader, companion]
+    for host in cut_off:
+        for name in group.host_by_name.keys() - {each.name for each in cut_off}:
+            group.blocked_links |= {(host.name, name), (name, host.name)}
+    for number in range(count):
+        old_leader.core.propose([f"conflicting {number}".encode()])
+    old_leader.process_ready()
+    group.run_for(4.0)
+    for host in cut_off:
+        assert host.core.log.last_index - host.core.commit_index >= count
+    group.heal_partitions()
+    return group, cut_off
+
+
+# Guards against a leader that steps back by one entry per round trip, and sends all later entries
+# each time: the members were behind for seconds and the links full.
+@pytest.mark.parametrize("count", [10, 100, 400])
+def test_a_member_with_many_conflicting_entries_catches_up_within_some_round_trips(count):
+    group, cut_off = healed_group_with_conflicting_entries(count)
+    sent, enqueue = dict.fromkeys((host.name for host in cut_off), 0), group.enqueue
+
+    def enqueue_and_count(messages):
+        for message in messages:
+            name = message.recipient.rpartition(".")[0]
+            if name in sent:
+                sent[name] += entries_in(message)
+        enqueue(messages)
+
+    group.enqueue = enqueue_and_count
+    missing = group.leader().core.log.last_index - cut_off[0].core.commit_index
+    group.run_for(TICK_SECONDS + 20 * FAR_DELAY_SECONDS)
+    core = group.leader().core
+    assert all(core.is_caught_up(host.replica_id) for host in cut_off)
+    assert max(sent.values()) < 5 * missing
+
+
+def test_the_first_entry_of_a_term_is_found_as_far_as_the_log_goes_back():
+    log = RaftLog(Membership([]), base_index=10, base_term=2)
+    for index, term in enumerate([2, 2, 3, 3, 5], start=11):
+        log.append(LogEntry(index, term, EntryKind.COMMAND, b""))
+    first_by_index = {index: log.first_index_of_term_at(index) for index in range(11, 16)}
+    assert first_by_index == {11: 11, 12: 11, 13: 13, 14: 13, 15: 15}
