--- a/src/savoryshelf/observability/logs.py
+++ b/src/savoryshelf/observability/logs.py
@@ -56,12 +56,16 @@
 
 
 def start_logging(process_name: str) -> None:
-    """Log to standard output; each line holds ``process_name``."""
+    """Log to standard output; each line holds ``process_name``.
+
+    Nothing of thrift's own lines is kept: it writes one to standard error for each attempt to
+    connect that fails, and a process waits there, with all its green threads, once a pipe is full.
+    What fails is raised as PeerUnreachable, and logged where that is handled.
+    """
     eliot.add_global_fields(process=process_name)
     output = PatientOutput(sys.stdout.fileno())
     eliot.to_file(output)
     atexit.register(output.flush)
-    # Its errors come as PeerUnreachable, too; a write of them to standard error may wait.
     thrift_logger = logging.getLogger("thrift")
     thrift_logger.addHandler(logging.NullHandler())
     thrift_logger.propagate = False
--- a/src/savoryshelf/observability/metrics.py
+++ b/src/savoryshelf/observability/metrics.py
@@ -11,6 +11,18 @@
 REFUSALS = Counter(
     "savoryshelf_refusals", "Requests refused, by reason code.", ["reason"], registry=REGISTRY
 )
+UNAVAILABLE_CALLS = Counter(
+    "savoryshelf_unavailable_calls",
+    "Calls of workers and operators that this control host could not answer, by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
+LEADER_UNKNOWN_ANSWERS = Counter(
+    "savoryshelf_leader_unknown_answers",
+    "Peers that were told that this host does not lead and knows no leader, by what they called.",
+    ["call"],
+    registry=REGISTRY,
+)
 RETRIES = Counter(
     "savoryshelf_retries", "Attempts repeated, by reason.", ["reason"], registry=REGISTRY
 )
@@ -41,6 +53,16 @@
     "savoryshelf_run_ends", "Ends of runs of tasks, by outcome.", ["outcome"], registry=REGISTRY
 )
 LEADER = Gauge("savoryshelf_leader", "1 where this replica leads.", registry=REGISTRY)
+LEADER_CONTACT_SECONDS = Gauge(
+    "savoryshelf_leader_contact_seconds",
+    "Time since this replica heard a leader; 0 where it leads, infinite if it never has.",
+    registry=REGISTRY,
+)
+REPLICA_TURN_SECONDS = Gauge(
+    "savoryshelf_replica_turn_seconds",
+    "Time since the thread of this replica completed a turn.",
+    registry=REGISTRY,
+)
 CONFIGURATION_VERSION = Gauge(
     "savoryshelf_configuration_version", "Version in force here.", registry=REGISTRY
 )
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -155,6 +155,11 @@
 
         self._next_question_at = float("-inf")
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is made and authenticated, as far as is known."""
+        return self._is_open
+
     def call(
         self,
         method: str,
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -1,12 +1,15 @@
-"""What a process logs while nobody reads it; its standard output is a pipe."""
+"""What a process logs while nobody reads it, and what it writes beside its own lines."""
 
 import json
+import pathlib
 import select
 import subprocess
 import sys
 
 import pytest
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
 LINES = 20_000
 """More than a pipe holds and a process keeps."""
 
@@ -69,3 +72,35 @@
     assert numbers == sorted(numbers)
     assert numbers[-1] == LINES + LATER_LINES - 1
     assert len(numbers) + dropped == LINES + LATER_LINES
+
+
+CONNECTING_PROGRAM = """
+import eventlet
+eventlet.monkey_patch()
+import socket, sys
+sys.path.insert(0, "src")
+from savoryshelf.errors import PeerUnreachable
+from savoryshelf.observability.logs import start_logging
+from savoryshelf.wire.generated import ControlService
+from savoryshelf.wire.peers import PeerClient
+
+start_logging("core:test")
+with socket.socket() as unused:
+    unused.bind(("127.0.0.1", 0))
+    address = "127.0.0.1:%d" % unused.getsockname()[1]
+    for _ in range(20):
+        try:
+            PeerClient(ControlService, address, "key").call("hello")
+        except PeerUnreachable:
+            pass
+"""
+
+
+# Guards against a process that waits, with all its green threads, for a reader of its standard
+# error: each attempt to connect to a host that is gone wrote a line there, 13 a second.
+def test_attempts_to_connect_that_fail_write_nothing_to_standard_error():
+    result = subprocess.run(
+        [sys.executable, "-W", "ignore", "-c", CONNECTING_PROGRAM],
+        cwd=ROOT, capture_output=True, text=True, timeout=30, check=True,
+    )  # fmt: skip
+    assert (result.stdout, result.stderr) == ("", "")
