A replica whose thread is stuck is stopped, unless its disk is at a write

A voter that never votes counted as there, for as long as its process answered calls, and only the loss of two others showed it.

Cause: a part of a process that has died was not missed while the rest of it answers.

Change: the watch of the replica, a green thread of its own, stops it once its thread has completed no turn for 2 s and for 3 s more without a write in progress; the process ends and the platform starts it again, with its disk. A disk that is slow, or refuses a write, is waited for as before, and a standstill of the whole process starts the time anew.

Where else: agents and the leader's work end their process on an error (control:duty_failed); a standstill of them is not watched.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1424,6 +1424,20 @@
         "if True:",
         "tests/platform/test_start.py",
     ),
+    Mutant(
+        "a replica that is stuck is stopped",
+        "replication/watch.py",
+        "now - self._unexplained_since > MAX_UNEXPLAINED_SECONDS",
+        "False",
+        "tests/replication/test_watch.py",
+    ),
+    Mutant(
+        "a replica whose disk is slow is not stopped",
+        "replication/watch.py",
+        "seconds <= STUCK_SECONDS or self._replica.waits_for_disk",
+        "seconds <= STUCK_SECONDS",
+        "tests/replication/test_watch.py",
+    ),
     Mutant(
         "a write of the disk does not depend on a connection",
         "disk.py",
--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -60,11 +60,14 @@
         self._open_name: str | None = None
         self._open_fd = -1
         self._thread = NativeThread("disk")
+        self._refused_since: float | None = None
         self.seconds = 0.0
         """Time that writes and syncs took in the native thread."""
 
     def write_in_progress_seconds(self) -> float:
-        """Return for how long the native thread has been at a write or sync; 0 if it is at none."""
+        """Return for how long the disk has been at a write, or refuses it; 0 if it is at none."""
+        if self._refused_since is not None:
+            return time.monotonic() - self._refused_since
         return self._thread.running_seconds()
 
     def list_files(self) -> list[str]:
@@ -97,22 +100,24 @@
         self._run_in_native_thread("sync", self._sync, names)
 
     def _run_in_native_thread(self, operation: str, function, *arguments) -> None:
-        refused_since = None
-        while True:
-            try:
-                self._thread.run(self._timed, function, *arguments)
-                break
-            except _Refused as error:
-                if refused_since is None:
-                    refused_since = time.monotonic()
-                    log_event("disk:refuses", operation=operation, why=str(error))
-            except OSError as error:
-                raise DiskFailed(operation, error) from error
-            metrics.DISK_REFUSALS.inc()
-            eventlet.sleep(REFUSAL_RETRY_SECONDS)
-        if refused_since is not None:
-            seconds = round(time.monotonic() - refused_since, 2)
-            log_event("disk:accepts", operation=operation, seconds=seconds)
+        try:
+            while True:
+                try:
+                    self._thread.run(self._timed, function, *arguments)
+                    break
+                except _Refused as error:
+                    if self._refused_since is None:
+                        self._refused_since = time.monotonic()
+                        log_event("disk:refuses", operation=operation, why=str(error))
+                except OSError as error:
+                    raise DiskFailed(operation, error) from error
+                metrics.DISK_REFUSALS.inc()
+                eventlet.sleep(REFUSAL_RETRY_SECONDS)
+            if self._refused_since is not None:
+                seconds = round(time.monotonic() - self._refused_since, 2)
+                log_event("disk:accepts", operation=operation, seconds=seconds)
+        finally:
+            self._refused_since = None
 
     def _timed(self, function, *arguments) -> None:
         began_at = time.monotonic()
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -278,6 +278,13 @@
                 delays["disk_write_s"] = disk_seconds
         return delays
 
+    @property
+    def waits_for_disk(self) -> bool:
+        """Return whether the replica's thread waits for a write which the disk is still at."""
+        return self._write_began_at is not None and (
+            self._storage.write_in_progress_seconds() != 0.0
+        )
+
     def sender_state(self, replica_id: str) -> dict:
         """Return the state of the sender to another replica, as far as the transport tells it."""
         address = self._address_of(replica_id)
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -1,13 +1,19 @@
-"""Tells why a replica has no leader, or that its thread is stuck, from another green thread."""
+"""Tells why a replica has no leader, or that its thread is stuck, from another green thread.
+
+A replica that is stuck for another reason than its disk is stopped, and its process with it: while
+the rest of that answers calls, nobody else can tell that this voter never votes.
+"""
 
 import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
+import eventlet
 import greenlet
 
 from ..clock import Clock
+from ..errors import SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..observability.stacks import frame_names
@@ -25,6 +31,12 @@
 STUCK_SECONDS = 2.0
 """Time without a completed turn of the replica's thread after which that is logged."""
 
+MAX_UNEXPLAINED_SECONDS = 3.0
+"""How long a thread may be stuck without a write in progress until its replica is stopped.
+
+Many times the longest turn, and a restart takes a second or two.
+"""
+
 LOG_INTERVAL_SECONDS = 5.0
 """Time between two lines while either lasts."""
 
@@ -38,6 +50,13 @@
 """Bound on the replica ids whose last message is remembered."""
 
 
+class ReplicaStuck(SavoryshelfError):
+    """The replica's thread has completed no turn for long, and waits for no write."""
+
+    def __init__(self, seconds: float):
+        super().__init__(f"the replica's thread has completed no turn for {seconds:.1f} s")
+
+
 class WatchedReplica(Protocol):
     """What the watch reads of a ``ReplicaService``."""
 
@@ -58,9 +77,16 @@
     def write_delays(self, now: float) -> dict[str, float]:
         """Return for how long the present write has been in progress, if there is one."""
 
+    @property
+    def waits_for_disk(self) -> bool:
+        """Return whether that thread waits for a write which the disk is still at."""
+
     def sender_state(self, replica_id: str) -> dict[str, Any]:
         """Return the state of the sender to another replica."""
 
+    def stop(self, error: Exception | None = None) -> None:
+        """Stop the replica."""
+
 
 @attrs.define
 class _Episode:
@@ -84,6 +110,7 @@
         self._heard_at_by_sender: dict[str, float] = {}
         self._without_leader: _Episode | None = None
         self._stuck: _Episode | None = None
+        self._unexplained_since: float | None = None
         self._has_failed = False
 
     def record_senders(self, sender_ids: set[str]) -> None:
@@ -119,6 +146,7 @@
         if self._replica.core.role is Role.LEADER:
             self._led_at = now
         if now - self._resumed_at < CHECK_INTERVAL_SECONDS:
+            self._unexplained_since = None
             return
         self._without_leader = self._follow(
             self._without_leader, now, now - max(now - contact_age, self._led_at, self._started_at),
@@ -127,6 +155,7 @@
         self._stuck = self._follow(
             self._stuck, now, turn_age, STUCK_SECONDS, self._log_stuck, self._log_goes_on
         )
+        self._stop_if_unexplained(now, turn_age)
 
     @staticmethod
     def _follow(
@@ -222,6 +251,19 @@
             **self._own_thread(now),
         )  # fmt: skip
 
+    def _stop_if_unexplained(self, now: float, seconds: float) -> None:
+        """Stop a replica whose thread is stuck, unless its disk is slow or refuses a write."""
+        if seconds <= STUCK_SECONDS or self._replica.waits_for_disk:
+            self._unexplained_since = None
+            return
+        if self._unexplained_since is None:
+            self._unexplained_since = now
+        if now - self._unexplained_since > MAX_UNEXPLAINED_SECONDS:
+            self._unexplained_since = now
+            log_event("replica:stopped", why="its thread is stuck", seconds=round(seconds, 2))
+            # This runs in a green thread that is stopped as well.
+            eventlet.spawn_n(self._replica.stop, ReplicaStuck(seconds))
+
     def _log_goes_on(self, seconds: float) -> None:
         log_event("replica:goes_on", stuck_s=round(seconds, 2))
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -55,6 +55,16 @@
     assert metrics.DISK_REFUSALS._value.get() > before
 
 
+def test_a_disk_that_refuses_a_write_is_at_it_until_it_accepts(tmp_path, refusing):
+    disk = LocalDisk(str(tmp_path))
+    writing = eventlet.spawn(disk.append, "a", b"record")
+    eventlet.sleep(0.25)
+    assert disk.write_in_progress_seconds() > 0.1
+    refusing()
+    writing.wait()
+    assert disk.write_in_progress_seconds() == 0.0
+
+
 def test_a_record_that_was_torn_by_a_refusal_is_taken_back(tmp_path, refusing):
     disk = LocalDisk(str(tmp_path))
     with eventlet.Timeout(0.25, False):
