Soak: all connections of control and entry hosts are reset

Nothing in the soak reset the connections within a process, so no series could find a control host that no longer votes. A series now has resets of one control host, the leader, several control hosts or several entry hosts, and ends with a fault that leaves a majority of control hosts, each of them reset before: the others lose power, or their disks if no other fault of the series takes one. --no-resets plays the series as they were; the draws of the other faults are unchanged. Without a leader the soak gives up reading the states of jobs at its deadline, and counts them unknown.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -21,6 +21,7 @@
 @click.option("--large/--no-large", default=True, help="Tasks of over half of a worker.")
 @click.option("--crashes/--no-crashes", default=True, help="Workers lost together, late orders.")
 @click.option("--links/--no-links", default=True, help="Links cut between hosts, power lost.")
+@click.option("--resets/--no-resets", default=True, help="Connections of hosts reset, or never.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(
     seed: int,
@@ -32,6 +33,7 @@
     large: bool,
     crashes: bool,
     links: bool,
+    resets: bool,
     logs: str,
 ) -> None:
     """Run a series of faults for each seed, and print what was broken."""
@@ -41,7 +43,7 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        kinds = closings, best_effort, large, crashes, links
+        kinds = closings, best_effort, large, crashes, links, resets
         result = run_soak(pathlib.Path(folder), number, seconds, size, *kinds)
         click.echo(result.summary())
         if not result.findings:
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -21,6 +21,7 @@
 from ..links import Links
 from ..platform import MAX_HOLD_MS, PlatformWorker, platform_settings, send_heartbeat, send_leave
 from ..relay import Relay
+from ..resets import RESET_SIGNAL, hook_environment, reset_connections
 from ..site import loopback_address
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -84,7 +85,7 @@
     dark_until: float = 0.0
     """The process is not started again before this time."""
 
-    environment: dict[str, str] = attrs.field(factory=dict)
+    environment: dict[str, str] = attrs.field(factory=hook_environment)
 
     lock: threading.Lock = attrs.field(factory=threading.Lock)
 
@@ -124,6 +125,13 @@
             self.signals.append((time.monotonic(), number.name))
             self.process.send_signal(number)
 
+    def reset_connections(self) -> None:
+        """Reset all TCP connections, unless the process has ended or just started."""
+        with self.lock:
+            self.signals.append((time.monotonic(), RESET_SIGNAL.name))
+            if not reset_connections(self.process):
+                self.signals.pop()
+
     def lose_disk(self) -> None:
         """Empty the data folder of a process that is dark."""
         self.process.wait()
@@ -370,17 +378,21 @@
             host.send(signal.SIGKILL)
 
     def lose_power_of(self, hosts: list[Host], seconds: float, are_disks_lost: bool) -> None:
-        """End hosts without a last word to the others, and start them again after a while."""
+        """End hosts, and start them again after a while.
+
+        Over links there is no last word to the others.
+        """
         until = time.monotonic() + seconds
         for host in hosts:
             host.dark_until = max(until, host.dark_until)
-        dark = self.links.lose_power([host.ip for host in hosts])
+        dark = self.links.lose_power([host.ip for host in hosts]) if self.links else []
         for host in hosts:
             host.send(signal.SIGKILL)
             if are_disks_lost:
                 host.lose_disk()
         time.sleep(max(0.0, until - time.monotonic()))
-        self.links.heal(dark)
+        if dark:
+            self.links.heal(dark)
 
     def cuts_of(self, host: Host) -> list[tuple[float, float]]:
         """Return when a host was cut off from a control host: from, until."""
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -85,6 +85,7 @@
 CATCH_UP_SECONDS = 8.0
 """Time in which no link is cut after hosts came back with empty disks."""
 
+RESET_INTERVAL_SECONDS = (1.0, 6.0)
 RETRY_SECONDS = 0.2
 AWAY_SECONDS = 4.0
 """How long a control host counts as unavailable after it was stopped, killed or reached again."""
@@ -119,6 +120,15 @@
 _DISK_KINDS: dict[str, Callable] = {}
 """The same for those of which a series has one at most, as they take disks."""
 
+_RESET_KINDS: dict[str, Callable] = {}
+"""The same for hosts whose connections are reset."""
+
+_LAST_KINDS: dict[str, Callable] = {}
+"""The same for the last fault of such a series, after all others."""
+
+_LAST_DISK_KINDS: dict[str, Callable] = {}
+"""The same for those that take disks, as long as no other fault of the series does."""
+
 _BESIDE_KINDS: dict[str, Callable] = {}
 """The same for what is done beside each of these."""
 
@@ -131,6 +141,9 @@
 _link_kind = registry_decorator(_LINK_KINDS)
 _power_kind = registry_decorator(_POWER_KINDS)
 _disk_kind = registry_decorator(_DISK_KINDS)
+_reset_kind = registry_decorator(_RESET_KINDS)
+_last_kind = registry_decorator(_LAST_KINDS)
+_last_disk_kind = registry_decorator(_LAST_DISK_KINDS)
 _beside_kind = registry_decorator(_BESIDE_KINDS)
 
 _CONTROLS_AWAY = {
@@ -271,6 +284,21 @@
     return sorted([*kept, *changes], key=lambda fault: fault.at)
 
 
+def draw_resets(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+    """Return the series with hosts whose connections are reset, and a last fault after its end.
+
+    That one takes as many control hosts as there may be without, and leaves those that were reset.
+    """
+    rng = random.Random(f"resets of {seed}")
+    added = _draw_each(rng, _RESET_KINDS, RESET_INTERVAL_SECONDS, seconds)
+    at = max([seconds, *(fault.at + fault.seconds for fault in faults)]) + AWAY_SECONDS
+    are_disks_lost = any("disk" in fault.kind for fault in faults)
+    kind = rng.choice([*_LAST_KINDS, *(() if are_disks_lost else _LAST_DISK_KINDS)])
+    lasts = round(rng.uniform(*POWER_LOST_SECONDS), 2)
+    last = Fault(round(at, 2), kind, rng.randrange(100), lasts)
+    return [*sorted([*faults, *added], key=lambda fault: fault.at), last]
+
+
 def _may_be_away_at_once(one: Fault, other: Fault) -> bool:
     first, second = sorted((one, other), key=lambda fault: fault.at)
     return second.at < first.at + first.seconds + AWAY_SECONDS
@@ -280,7 +308,7 @@
     """Carry out a fault and wait until it is over."""
     kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
     kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS | _LINK_KINDS | _POWER_KINDS | _DISK_KINDS
-    kinds |= _BESIDE_KINDS
+    kinds |= _BESIDE_KINDS | _RESET_KINDS | _LAST_KINDS | _LAST_DISK_KINDS
     kinds[fault.kind](deployment, fault)
 
 
@@ -602,6 +630,51 @@
     _lose_power(deployment, fault, are_disks_lost=True)
 
 
+@_reset_kind("control_reset")
+def _reset_control(deployment, fault) -> None:
+    deployment.control(fault.target).reset_connections()
+
+
+@_reset_kind("leader_reset")
+def _reset_leader(deployment, fault) -> None:
+    deployment.leader().reset_connections()
+
+
+@_reset_kind("controls_reset")
+def _reset_controls(deployment, fault) -> None:
+    """Reset the connections of several control hosts, at times of all."""
+    _reset_some(deployment.controls, fault)
+
+
+@_reset_kind("entries_reset")
+def _reset_entries(deployment, fault) -> None:
+    _reset_some(deployment.entries, fault)
+
+
+def _reset_some(hosts: list, fault: Fault) -> None:
+    rng = _details(fault)
+    for host in rng.sample(hosts, rng.randint(min(2, len(hosts)), len(hosts))):
+        host.reset_connections()
+
+
+@_last_kind("others_lost_after_resets")
+def _lose_others_after_resets(deployment, fault, are_disks_lost: bool = False) -> None:
+    """Reset the connections of a majority of the control hosts; then the others lose power."""
+    leader, count = deployment.leader(), (len(deployment.controls) - 1) // 2
+    others = [host for host in deployment.controls if host is not leader]
+    lost = [leader, *_details(fault).sample(others, count - 1)]
+    for host in others:
+        if host not in lost:
+            host.reset_connections()
+    time.sleep(fault.seconds)
+    deployment.lose_power_of(lost, fault.seconds, are_disks_lost)
+
+
+@_last_disk_kind("other_disks_lost_after_resets")
+def _lose_other_disks_after_resets(deployment, fault) -> None:
+    _lose_others_after_resets(deployment, fault, are_disks_lost=True)
+
+
 @_closing_kind("all_ended")
 def _end_all(deployment, fault) -> None:
     """End all hosts at the same moment, while workers go on, crash, are cut or silent."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -28,7 +28,7 @@
     SharingCaller,
 )
 from .deployment import PORTS, Deployment
-from .faults import Fault, draw_closings, draw_crashes, draw_cuts, draw_faults, inject
+from .faults import Fault, draw_closings, draw_crashes, draw_cuts, draw_faults, draw_resets, inject
 from .judge import Finding, Observations, judge
 from .lives import LatePair, late_pairs
 from .waits import MAX_WAIT_SECONDS, Span
@@ -172,6 +172,7 @@
     large: bool = False,
     crashes: bool = False,
     links: bool = False,
+    resets: bool = False,
 ) -> SoakResult:
     """Run the series of a seed and return the verdict; logs are written to the folder.
 
@@ -182,6 +183,7 @@
     or of all but large ones.  With ``crashes``, workers are lost together, orders outlive the life
     of the worker that they were meant for, and there are tasks that crash their workers.  With
     ``links``, the hosts reach five control hosts over links that are cut, and some lose power.
+    With ``resets``, all connections of some hosts are reset.
     """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
@@ -193,6 +195,8 @@
     if links:
         faults = draw_cuts(seed, seconds, faults)
         shape["controls"] = LINKED_CONTROLS
+    if resets:
+        faults = draw_resets(seed, seconds, faults)
     with Deployment(folder, **shape, are_linked=links).running() as deployment:
         balancer = Balancer(deployment)
         callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
@@ -325,8 +329,12 @@
 
 def _read_states(deployment: Deployment, seen: Observations, waiting: list[str]) -> None:
     deadline = time.monotonic() + RECOVERY_SECONDS + FINISH_SECONDS
+    seen.state_by_job = dict.fromkeys(waiting, "") | seen.state_by_job
     while waiting and time.monotonic() < deadline:
         for number, job_id in enumerate(waiting):
+            # Without a leader, each read takes as long as its caller waits.
+            if not seen.manifest_version and time.monotonic() > deadline:
+                break
             # Each round reads at another host, so that all hosts are asked.
             ip = deployment.entry(number + len(waiting)).ip
             seen.state_by_job[job_id] = _read(ip, job_id) or seen.state_by_job.get(job_id, "")
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -5,7 +5,13 @@
 
 import pytest
 
-from standins.soak.faults import draw_closings, draw_crashes, draw_cuts, draw_faults
+from standins.soak.faults import (
+    draw_closings,
+    draw_crashes,
+    draw_cuts,
+    draw_faults,
+    draw_resets,
+)
 from standins.soak.run import run_soak
 
 SEEDS = [
@@ -83,6 +89,21 @@
     assert len(kinds) == 7 and min(kinds.values()) > 50
 
 
+def test_each_series_with_resets_keeps_the_other_faults_and_ends_with_lost_hosts():
+    kinds = collections.Counter()
+    for seed in range(1, 100):
+        without = draw_cuts(seed, 20.0, draw_closings(seed, 20.0, draw_faults(seed, 20.0)))
+        series = draw_resets(seed, 20.0, without)
+        assert series == draw_resets(seed, 20.0, without)
+        added = [fault for fault in series if fault not in without]
+        assert [fault for fault in series if fault not in added] == without
+        assert added[-1] is series[-1] and added[-1].kind.endswith("lost_after_resets")
+        assert all(fault.at + fault.seconds + 2.0 < added[-1].at for fault in without)
+        assert sum("disk" in fault.kind for fault in series) <= 1
+        kinds.update(fault.kind for fault in added)
+    assert len(kinds) == 6 and min(kinds.values()) > 20
+
+
 def controls_away(fault, moment):
     """Return how many control hosts a fault of a series takes at a moment, with some time more."""
     if not fault.at <= moment < fault.at + fault.seconds + 2.0:
@@ -173,3 +194,21 @@
     result = run_soak(tmp_path, seed, seconds, "small", closings=True, links=True)
     assert result.seen.deployment.links.cuts
     assert not result.findings, result.report(histories_per_kind=1)
+
+
+SEEDS_WITH_RESETS = [
+    # The leader and another of five control hosts lose power after the other three were reset.
+    (67011, 10.0, True),
+    # The leader of three control hosts loses its disk after the other two were reset.
+    (67002, 6.0, False),
+]
+"""Control hosts that go on without voting, since their writes do not end, would be found in these:
+there was no leader again in either."""
+
+
+@pytest.mark.parametrize(("seed", "seconds", "links"), SEEDS_WITH_RESETS)
+def test_no_promise_is_broken_when_connections_are_reset(tmp_path, seed, seconds, links):
+    result = run_soak(tmp_path, seed, seconds, "small", closings=links, links=links, resets=True)
+    names = [name for host in result.seen.deployment.controls for _, name in host.signals]
+    assert "SIGUSR2" in names
+    assert not result.findings, result.report(histories_per_kind=1)
