--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -173,9 +173,13 @@
 
 
 # Guards against calls to hosts and workers that are off, and silent as machines of their own are,
-# which hold up the election of the next leader, or the answers to callers that wait for long.
+# which hold up the election of the next leader, or the answers to callers that wait for long; also
+# where the hosts that are left have to connect anew.
+@pytest.mark.parametrize("are_reset", [False, True], ids=["others-run", "others-reset"])
 @pytest.mark.parametrize("other", [CONTROL_IPS[1], CONTROL_IPS[4]], ids=["near", "far"])
-def test_waiting_callers_are_served_after_silent_hosts_lost_their_disks(linked_deployment, other):
+def test_waiting_callers_are_served_after_silent_hosts_lost_their_disks(
+    linked_deployment, other, are_reset
+):
     deployment = linked_deployment
     for number in range(2, WORKERS + 1):
         deployment.add_worker(f"w{number}")
@@ -190,6 +194,8 @@
             ]
             for ip in lost:
                 shutil.rmtree(deployment.folder / ip)
+            if are_reset:
+                deployment.reset_connections(deployment.process_by_ip)
             waiting = [
                 pool.submit(deployment.call, "POST", f"/q/{number:016x}", JOB, seconds=60.0)
                 for number in range(32, 40)
