--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -72,6 +72,9 @@
         # Unplanned.
         (cut(10.0, 11.0), [(9.5, "SIGTERM"), (10.9, "SIGKILL")], []),
         (cut(10.0, 11.0), [(9.5, "SIGTERM"), (6.1, "SIGCONT")], []),
+        # Its connection was reset.
+        (cut(10.0, 11.0), [(10.9, "SIGUSR2")], []),
+        (cut(10.0, 11.0), [(11.1, "SIGUSR2")], ["LOST request"]),
     ],
 )
 def test_a_request_cut_by_a_planned_stop_is_lost(call, signals, found):
