--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -173,9 +173,13 @@
 
 
 # Guards against calls to hosts and workers that are off, and silent as machines of their own are,
-# which hold up the election of the next leader, or the answers to callers that wait for long.
+# which hold up the election of the next leader, or the answers to callers that wait for long; also
+# where the hosts that are left have to connect anew.
+@pytest.mark.parametrize("are_reset", [False, True], ids=["others-run", "others-reset"])
 @pytest.mark.parametrize("other", [CONTROL_IPS[1], CONTROL_IPS[4]], ids=["near", "far"])
-def test_waiting_callers_are_served_after_silent_hosts_lost_their_disks(linked_deployment, other):
+def test_waiting_callers_are_served_after_silent_hosts_lost_their_disks(
+    linked_deployment, other, are_reset
+):
     deployment = linked_deployment
     for number in range(2, WORKERS + 1):
         deployment.add_worker(f"w{number}")
@@ -190,6 +194,8 @@
             ]
             for ip in lost:
                 shutil.rmtree(deployment.folder / ip)
+            if are_reset:
+                deployment.reset_connections(deployment.process_by_ip)
             waiting = [
                 pool.submit(deployment.call, "POST", f"/q/{number:016x}", JOB, seconds=60.0)
                 for number in range(32, 40)
@@ -208,6 +214,40 @@
     wait_until(lambda: deployment.state(f"/q/{32:016x}") == "completed")
 
 
+# Guards against a group that counts the vote of a disk that is gone, or misses that of a host that
+# had just come back, when this host and the leader lose their disks.
+@pytest.mark.parametrize("is_disk_kept", [True, False], ids=["kept", "lost"])
+@pytest.mark.parametrize("was_leader", [True, False], ids=["leader", "another"])
+def test_a_host_that_has_just_come_back_and_the_leader_lose_their_disks(
+    linked_deployment, was_leader, is_disk_kept
+):
+    deployment = linked_deployment
+    path = deployment.submit(1, "50 ms")
+    leader = deployment.leader_ip()
+    first = leader if was_leader else next(ip for ip in CONTROL_IPS if ip != leader)
+    deployment.is_first_start = False
+    deployment.stop(first)
+    if not is_disk_kept:
+        shutil.rmtree(deployment.folder / first)
+    time.sleep(DOWN_SECONDS)
+    deployment.start(first)
+    wait_until(lambda: len(deployment.logged("control:started", [first])) == 2)
+    # Until it has a vote again, two lost disks may be too many.
+    wait_until(lambda: is_disk_kept or len(promoted_ids(deployment)) == 3)
+    time.sleep(CONTACT_SECONDS)
+    leader = deployment.leader_ip()
+    lost = [first, leader if leader != first else next(ip for ip in CONTROL_IPS if ip != first)]
+    with deployment.silent(lost):
+        for ip in lost:
+            shutil.rmtree(deployment.folder / ip)
+        time.sleep(DOWN_SECONDS)
+    for ip in lost:
+        deployment.start(ip)
+    began_at = time.monotonic()
+    wait_until(lambda: deployment.call_operator("GET", "get") == (200, MANIFEST))
+    check_service_is_back(deployment, path, began_at + RECOVERY_SECONDS - time.monotonic())
+
+
 def check_service_is_back(deployment, path, seconds=RECOVERY_SECONDS):
     """Check that each entry host accepts a job in time, and knows the one of this path."""
     began_at = time.monotonic()
