--- a/tests/dispatch/control_hosts.py
+++ b/tests/dispatch/control_hosts.py
@@ -140,6 +140,7 @@
         )
         self._clock = _ProcessClock(self, network.clock)
         self._is_stopping = False
+        self._reason_logged, self._asks_since = "", network.now
         self._known_addresses = KnownAddresses()
         self._address_by_ip = _AddressByIp(PORT)
         self.update_seeds(seed_ips)
@@ -385,9 +386,18 @@
         self._peer = None
         self._generations = (0, 0)
 
+    @property
+    def is_open(self):
+        """Return whether there is a connection."""
+        return self._peer is not None
+
     def close(self):
         self._peer = None
 
+    def send(self, method, *arguments, max_silence):
+        """Call a one-way method; stricter than the real one, since its answer is waited for."""
+        self.call(method, *arguments, timeout=max_silence)
+
     def call(
         self, method, *arguments, timeout=peers.CALL_TIMEOUT_SECONDS, total_timeout=float("inf")
     ):
