A voter without a leader goes on to campaign after its 1024th campaign

Cause: the time until the next campaign was computed from 2 to the number of campaigns, an OverflowError from the 1024th on, after some 26 minutes without a leader; it ended the process, and those of all others about then.

The new test failed before. Where else: no other exponent grows without a bound.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -48,6 +48,9 @@
 Votes take a round trip and a disk sync.  The time doubles with each failure, up to the usual.
 """
 
+MAX_RETRY_DOUBLINGS = 8
+"""Beyond the usual time; campaigns without a leader are counted without a bound."""
+
 MAX_APPEND_BYTES = 256 * 1024
 """Limit on the payload bytes of one append request; a single larger entry is sent alone."""
 
@@ -501,7 +504,8 @@
         self.leader_id = None
         others = [each for each in voter_ids(self.log.membership) if each != self.replica_id]
         self._election = Election(term, pre_vote, {self.replica_id}, set(others))
-        self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**self._campaigns))
+        doublings = min(self._campaigns, MAX_RETRY_DOUBLINGS)
+        self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**doublings))
         self._campaigns += pre_vote
         if is_quorum(self.log.membership, self._election.granted):
             self._handle_won_vote()
--- a/tests/replication/test_core.py
+++ b/tests/replication/test_core.py
@@ -17,7 +17,7 @@
     VoteRequest,
 )
 
-from .group import TIMING, Group, Host, empty_replica
+from .group import TICK_SECONDS, TIMING, Group, Host, empty_replica
 
 
 def group_with_leader(count=3):
@@ -133,6 +133,19 @@
     return RaftMessage(sender, recipient, term, RaftPayload(**payload), 0)
 
 
+# Guards against hosts that end, all at once, after some 26 minutes without a leader.
+def test_a_voter_goes_on_to_campaign_after_thousands_of_campaigns():
+    group = group_with_leader()
+    group.leader().core._become_follower(group.leader().core.term, None, "test")
+    core = next(iter(group.host_by_name.values())).core
+    core._campaigns = 5000
+    now = core.now + 10.0
+    while core.campaigns == 5000:
+        now += TICK_SECONDS
+        core.tick(now)
+    assert 0.0 < core.campaign_due_at - core.now <= 2.0 * core.timing.election_timeout
+
+
 # Guards against an error that ended the process of a leader on the reply that commits its removal.
 def test_a_leader_whose_removal_is_committed_while_commands_wait_to_be_sent_follows():
     group = group_with_leader()
