The stop of a stuck replica tells writes that follow one another from one that never ends

Cause: a turn of many short writes in a slow process had each just ended when the watch looked, and was taken for stuck; and after a refusal the disk counted as at a write for good, so a stuck write was not told. Found by the review.

Both new tests failed before. Not seen in the product: a turn has four writes at most.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1434,8 +1434,8 @@
     Mutant(
         "a replica whose disk is slow is not stopped",
         "replication/watch.py",
-        "seconds <= STUCK_SECONDS or self._replica.waits_for_disk",
-        "seconds <= STUCK_SECONDS",
+        "seconds <= STUCK_SECONDS or goes_on or self._replica.waits_for_disk",
+        "seconds <= STUCK_SECONDS or goes_on",
         "tests/replication/test_watch.py",
     ),
     Mutant(
--- a/src/savoryshelf/disk.py
+++ b/src/savoryshelf/disk.py
@@ -61,12 +61,15 @@
         self._open_fd = -1
         self._thread = NativeThread("disk")
         self._refused_since: float | None = None
+        self._is_pausing = False
+        """Whether the next attempt at a write that was refused is waited for."""
+
         self.seconds = 0.0
         """Time that writes and syncs took in the native thread."""
 
     def write_in_progress_seconds(self) -> float:
         """Return for how long the disk has been at a write, or refuses it; 0 if it is at none."""
-        if self._refused_since is not None:
+        if self._is_pausing:
             return time.monotonic() - self._refused_since
         return self._thread.running_seconds()
 
@@ -112,12 +115,14 @@
                 except OSError as error:
                     raise DiskFailed(operation, error) from error
                 metrics.DISK_REFUSALS.inc()
+                self._is_pausing = True
                 eventlet.sleep(REFUSAL_RETRY_SECONDS)
+                self._is_pausing = False
             if self._refused_since is not None:
                 seconds = round(time.monotonic() - self._refused_since, 2)
                 log_event("disk:accepts", operation=operation, seconds=seconds)
         finally:
-            self._refused_since = None
+            self._refused_since, self._is_pausing = None, False
 
     def _timed(self, function, *arguments) -> None:
         began_at = time.monotonic()
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -278,6 +278,11 @@
                 delays["disk_write_s"] = disk_seconds
         return delays
 
+    @property
+    def write_began_at(self) -> float | None:
+        """Return when the write began that the replica's thread waits for, if it does."""
+        return self._write_began_at
+
     @property
     def waits_for_disk(self) -> bool:
         """Return whether the replica's thread waits for a write which the disk is still at."""
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -77,6 +77,10 @@
     def write_delays(self, now: float) -> dict[str, float]:
         """Return for how long the present write has been in progress, if there is one."""
 
+    @property
+    def write_began_at(self) -> float | None:
+        """Return when the write began that the thread waits for, if it does."""
+
     @property
     def waits_for_disk(self) -> bool:
         """Return whether that thread waits for a write which the disk is still at."""
@@ -111,6 +115,9 @@
         self._without_leader: _Episode | None = None
         self._stuck: _Episode | None = None
         self._unexplained_since: float | None = None
+        self._write_seen: float | None = None
+        """When the write began that the thread waited for at the latest check."""
+
         self._has_failed = False
 
     def record_senders(self, sender_ids: set[str]) -> None:
@@ -253,7 +260,10 @@
 
     def _stop_if_unexplained(self, now: float, seconds: float) -> None:
         """Stop a replica whose thread is stuck, unless its disk is slow or refuses a write."""
-        if seconds <= STUCK_SECONDS or self._replica.waits_for_disk:
+        write_before, self._write_seen = self._write_seen, self._replica.write_began_at
+        # One write after another is slow, and not stuck, even if each has just ended.
+        goes_on = self._write_seen != write_before
+        if seconds <= STUCK_SECONDS or goes_on or self._replica.waits_for_disk:
             self._unexplained_since = None
             return
         if self._unexplained_since is None:
--- a/tests/replication/test_watch.py
+++ b/tests/replication/test_watch.py
@@ -242,6 +242,23 @@
     assert named(lines, "replica:stopped") == []
 
 
+# Guards against an end of a replica that does one short write after another in a slow process:
+# each has just ended when the watch looks.
+def test_a_replica_that_is_at_one_write_after_another_is_not_stopped(lines):
+    with running_services() as group:
+        first, _, leader = follower_and_leader(group)
+        service = group.service_by_name[first]
+        release = stuck_disk(group, first)
+        group.disk_by_name[first].write_in_progress_seconds = lambda: 0.0
+        group.propose(leader)
+        for _ in range(20):
+            group.clock.sleep(0.7)
+            service._write_began_at = group.clock.monotonic()
+        assert not service.thread.dead
+        release.send(None)
+    assert named(lines, "replica:stopped") == []
+
+
 # Guards against a line for each host after a standstill of the whole process.
 def test_a_standstill_of_the_process_is_no_stuck_thread(lines):
     with running_services() as group:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -65,6 +65,13 @@
     assert disk.write_in_progress_seconds() == 0.0
 
 
+# Guards against a stuck write that counts as a slow one for good, since it was refused before.
+def test_a_call_whose_end_is_not_told_after_a_refusal_is_at_no_write(tmp_path):
+    disk = LocalDisk(str(tmp_path))
+    disk._refused_since = time.monotonic() - 1.0
+    assert disk.write_in_progress_seconds() == 0.0
+
+
 def test_a_record_that_was_torn_by_a_refusal_is_taken_back(tmp_path, refusing):
     disk = LocalDisk(str(tmp_path))
     with eventlet.Timeout(0.25, False):
