--- a/src/savoryshelf/native_thread.py
+++ b/src/savoryshelf/native_thread.py
@@ -87,16 +87,18 @@
         return time.monotonic() - call.began_at
 
     def _start(self) -> None:
-        self._requests = _queue.SimpleQueue()
-        self._reader, writer = os.pipe()
-        os.set_blocking(self._reader, False)
+        requests = _queue.SimpleQueue()
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
         os.set_blocking(writer, False)
         thread = _threading.Thread(
-            target=_serve, args=(self._requests, writer), name=self._name, daemon=True
+            target=_serve, args=(requests, writer), name=self._name, daemon=True
         )
         thread.start()
-        finalizer = weakref.finalize(self, _stop, self._requests, self._reader)
+        finalizer = weakref.finalize(self, _stop, requests, reader)
         finalizer.atexit = False
+        # Last, so that the next call tries again after an error.
+        self._requests, self._reader = requests, reader
 
 
 def _serve(requests, writer: int) -> None:
