--- a/src/savoryshelf/observability/logs.py
+++ b/src/savoryshelf/observability/logs.py
@@ -20,8 +20,8 @@
 """Bytes of lines that are kept while nobody reads the log; further lines are dropped."""
 
 
-class PatientOutput:
-    """A file for lines that never waits until somebody reads them.
+class NonBlockingOutput:
+    """A file for log lines whose writes never wait for a reader.
 
     What finds no room is written after later lines, or dropped in whole lines, and counted.
     """
@@ -63,7 +63,7 @@
     What fails is raised as PeerUnreachable, and logged where that is handled.
     """
     eliot.add_global_fields(process=process_name)
-    output = PatientOutput(sys.stdout.fileno())
+    output = NonBlockingOutput(sys.stdout.fileno())
     eliot.to_file(output)
     atexit.register(output.flush)
     thrift_logger = logging.getLogger("thrift")
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -49,7 +49,7 @@
 """
 
 MAX_RETRY_DOUBLINGS = 8
-"""Beyond the usual time; campaigns without a leader are counted without a bound."""
+"""Of the time until a campaign is repeated; enough to reach the usual time."""
 
 MAX_APPEND_BYTES = 256 * 1024
 """Limit on the payload bytes of one append request; a single larger entry is sent alone."""
@@ -829,15 +829,18 @@
             # request is already in flight.
             return
         else:
-            progress.record_rejection(self._last_possible_match(progress, reply.match_index))
+            progress.record_rejection(self._index_to_resend_after(progress, reply.match_index))
             progress.min_rejection_round = self.leader_state.round + 1
             self._broadcast_pending = True
             return
         if progress.next_index <= self.log.last_index and not progress.snapshot:
             self._replicate_to(message.sender, progress)
 
-    def _last_possible_match(self, progress: Progress, hint: int) -> int:
-        """Return the last index up to which a member that rejected a request may hold this log."""
+    def _index_to_resend_after(self, progress: Progress, hint: int) -> int:
+        """Return the index after which to go on with a member that rejected a request.
+
+        It may hold entries beyond that, which are then sent again.
+        """
         rejected = hint + 1
         if rejected != progress.probed_index or rejected <= self.log.base_index:
             return hint
