Tests of joining end the attempts that are still in progress

Cause: attempts at addresses of hosts that are gone take 1 s and outlive their test. They logged their outcomes during the next test of the same process, whose list of lines is that of the module. Which test comes next depends on how xdist deals the tests out, so it failed only now and then. Time has no part in it.

--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -40,9 +40,11 @@
         self.asked_ips = []
         self.leader_address = f"{LEADER_IP}:{PORT}"
         self.is_accepted = False
+        self._callers = set()
 
     def client(self, service, address, cluster_key, kind="control"):
         def call(method, member, timeout, total_timeout=10.0):
+            self._callers.add(eventlet.getcurrent())
             ip = address.rpartition(":")[0]
             self.asked_ips.append(ip)
             if ip in GONE_IPS:
@@ -55,12 +57,18 @@
 
         return types.SimpleNamespace(address=address, call=call, close=lambda: None)
 
+    def end_calls(self):
+        """End the attempts in progress: they would log their outcomes during a later test."""
+        for caller in self._callers:
+            eventlet.kill(caller)
+
 
 @pytest.fixture
 def peers(monkeypatch):
     fake = FakePeers()
     monkeypatch.setattr(joining, "PeerClient", fake.client)
-    return fake
+    yield fake
+    fake.end_calls()
 
 
 @pytest.fixture
