A closed poll and no connection after it do not tell that a worker has exited

Callers saw: a leaving worker's connections end, in order or by a reset, just before a cut; its task is started elsewhere while the first run works on (TWICE).

Cause: since a worker that had closed an open poll and to which no connection could be made counted as exited. (1) PROTOCOL.md does not say that a worker answers each poll until it ends ("If it receives no confirmation, it ends anyway, some seconds later"), so it may close one, work on, and be cut off then. (2) NotDelivered is any call that was not sent: also a time-out behind a cut, and a question on a new connection that is not answered or reset. (3) Resets counted as orderly ends: eventlet's recv returns no bytes for ECONNRESET, so http.client raises RemoteDisconnected. The test of resets ran without eventlet.

Change: closed polls count for nothing; ConnectionClosed is gone. A refusal of the connection still ends a leaving worker; all else waits for the lease.

Tests: test_connection_ends.py runs the platform's calls and a session under eventlet against a loopback worker. Its table of 21 ends of connections passed before too: a start counts as not delivered only if the worker read no byte of it.

Cost: exits whose machine vanishes wait for the lease again.

Where else: starts, speeds and their retries use NotDelivered only for "was not sent", which the table shows to be true.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2072,23 +2072,23 @@
     Mutant(
         "a worker that refuses polls has not shut down yet",
         _WORKER_SESSION,
-        "self.worker.record.leaving and self._shows_exit(error)",
+        "self.worker.record.leaving and isinstance(error, ConnectionRefused)",
         "self.worker.record.leaving",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
         "a worker that announced its shutdown may be silent behind a cut",
         _WORKER_SESSION,
-        "self.worker.record.leaving and self._shows_exit(error)",
+        "self.worker.record.leaving and isinstance(error, ConnectionRefused)",
         "self.worker.record.leaving and not isinstance(error, CallRejected)",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "an answer after a closed poll tells that the worker has not exited",
+        "a worker that announced its shutdown and cannot be connected to may be cut off",
         _WORKER_SESSION,
-        "        self._has_closed_poll = False\n",
-        "",
-        "tests/dispatch/test_worker_session.py",
+        "self.worker.record.leaving and isinstance(error, ConnectionRefused)",
+        "self.worker.record.leaving and isinstance(error, NotDelivered)",
+        "tests/dispatch/test_worker_session.py tests/platform/test_connection_ends.py",
     ),
     Mutant(
         "a long-running best-effort task starts however busy the service is",
@@ -2437,6 +2437,13 @@
         'raise WorkerUnresponsive(f"{HOLD_PATH}: {shorten(error)}") from error',
         _CALLED_INCARNATION_TESTS,
     ),
+    Mutant(
+        "a call that has been sent may have reached the worker, however its connection ends",
+        _PLATFORM_WORKERS,
+        'raise WorkerUnresponsive(f"{path}: {shorten(error)}") from error',
+        'raise NotDelivered(f"{path}: {shorten(error)}") from error',
+        "tests/platform/test_connection_ends.py",
+    ),
     Mutant(
         "a new connection is asked which incarnation answers",
         _HTTP_POOL,
--- a/src/savoryshelf/dispatch/worker_api.py
+++ b/src/savoryshelf/dispatch/worker_api.py
@@ -44,10 +44,6 @@
     """No connection to the worker could be made, so the call has not reached it."""
 
 
-class ConnectionClosed(WorkerUnresponsive):
-    """The worker closed the connection of a call in order, before it answered."""
-
-
 class ConnectionRefused(NotDelivered):
     """The worker's host refused the connection: no process listens at its address."""
 
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -9,8 +9,7 @@
   or stop was confirmed; no listed end that cannot be read may be its end.  If a row of the runs
   cannot be read, a stop has to have been confirmed a while before.
 - Another incarnation answers at the worker's address.
-- The worker announced its shutdown, and its host refuses a connection, or the worker closed that
-  of an open poll and none can be made any more.
+- The worker announced its shutdown, and its host refuses a connection.
 - Every lease of the worker has expired.
 
 Each call is preceded by a check of the agent's permission, without a pause in between.
@@ -36,7 +35,6 @@
 from .unsettled_runs import UnsettledState
 from .worker_api import (
     CallRejected,
-    ConnectionClosed,
     ConnectionRefused,
     Fenced,
     IncarnationReplaced,
@@ -186,9 +184,6 @@
         self._unanswered_since = None if previous is None else previous._unanswered_since
         """When the first call since then went unanswered."""
 
-        self._has_closed_poll = previous is not None and previous._has_closed_poll
-        """Whether it closed the connection of a poll since then, without an answer."""
-
         self.is_unresponsive = previous is not None and previous.is_unresponsive
         self._silent_since = agent.now()
         """Since when the worker has been unresponsive, if it is, in monotonic seconds."""
@@ -502,22 +497,13 @@
         self._mark_unresponsive(error)
         # A worker that announced its shutdown works on for a while if nobody confirms that, and
         # may be cut off meanwhile: its silence does not tell that it has exited.
-        has_shut_down = self.worker.record.leaving and self._shows_exit(error)
+        has_shut_down = self.worker.record.leaving and isinstance(error, ConnectionRefused)
         if not has_shut_down and not self.lease_has_expired():
             return False
         why = "worker shut down" if has_shut_down else "lease expired"
         self._end_incarnation(why, EndEvidence.SILENT)
         return True
 
-    def _shows_exit(self, error: Exception) -> bool:
-        """Return whether a call failed as calls to a process do that has exited.
-
-        A cut lets neither the end of a connection through nor a refusal.
-        """
-        if self._has_closed_poll and isinstance(error, NotDelivered):
-            return True
-        return isinstance(error, ConnectionRefused)
-
     def _end_incarnation(self, why: str, evidence: EndEvidence = EndEvidence.REPLACED) -> None:
         if self.has_ended:
             return
@@ -646,8 +632,7 @@
     def _wait_for_answer(self) -> None:
         """Wait before the next look at a silent worker.
 
-        It is shorter if late starts may reach it, or if it may just have exited as announced:
-        its connections end before new ones fail.
+        It is shorter if late starts may reach it, or if it may just have exited as announced.
         """
         seconds = RETRY_SECONDS * random.uniform(0.5, 1.5)
         now = self._agent.now()
@@ -936,10 +921,8 @@
             self._note_no_answer()
             self._successor = error.successor
             raise
-        except WorkerUnresponsive as error:
+        except WorkerUnresponsive:
             self._note_no_answer()
-            if method == "poll" and isinstance(error, ConnectionClosed):
-                self._has_closed_poll = True
             self._overtake_starts()
             raise
         except Exception as error:
@@ -956,7 +939,6 @@
     def _note_answer(self, sent_at: float) -> None:
         # An answer may be read long after it was given, and its worker be gone by then.
         self._heard_at, self._unanswered_since = max(self._heard_at, sent_at), None
-        self._has_closed_poll = False
 
     def _note_no_answer(self) -> None:
         if self._unanswered_since is None:
