--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2070,25 +2070,27 @@
         DISPATCH + "/test_placement.py",
     ),
     Mutant(
-        "a worker that refuses polls has not shut down yet",
+        "a worker that announced its shutdown and answers no call may still work",
         _WORKER_SESSION,
-        "self.worker.record.leaving and self._shows_exit(error)",
-        "self.worker.record.leaving",
+        "        if not self.lease_has_expired():\n",
+        "        if not (self.worker.record.leaving or self.lease_has_expired()):\n",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "a worker that announced its shutdown may be silent behind a cut",
+        "a worker that announced its shutdown and refuses polls may still work",
         _WORKER_SESSION,
-        "self.worker.record.leaving and self._shows_exit(error)",
-        "self.worker.record.leaving and not isinstance(error, CallRejected)",
+        "        if not self.lease_has_expired():\n",
+        "        has_shut_down = self.worker.record.leaving and isinstance(error, CallRejected)\n"
+        "        if not has_shut_down and not self.lease_has_expired():\n",
         "tests/dispatch/test_worker_session.py",
     ),
     Mutant(
-        "an answer after a closed poll tells that the worker has not exited",
+        "a worker that announced its shutdown and cannot be connected to may still work",
         _WORKER_SESSION,
-        "        self._has_closed_poll = False\n",
-        "",
-        "tests/dispatch/test_worker_session.py",
+        "        if not self.lease_has_expired():\n",
+        "        has_shut_down = self.worker.record.leaving and isinstance(error, NotDelivered)\n"
+        "        if not has_shut_down and not self.lease_has_expired():\n",
+        "tests/dispatch/test_worker_session.py tests/platform/test_connection_ends.py",
     ),
     Mutant(
         "a long-running best-effort task starts however busy the service is",
@@ -2437,6 +2439,13 @@
         'raise WorkerUnresponsive(f"{HOLD_PATH}: {shorten(error)}") from error',
         _CALLED_INCARNATION_TESTS,
     ),
+    Mutant(
+        "a call that has been sent may have reached the worker, however its connection ends",
+        _PLATFORM_WORKERS,
+        'raise WorkerUnresponsive(f"{path}: {shorten(error)}") from error',
+        'raise NotDelivered(f"{path}: {shorten(error)}") from error',
+        "tests/platform/test_connection_ends.py",
+    ),
     Mutant(
         "a new connection is asked which incarnation answers",
         _HTTP_POOL,
