A worker that drains gets leases of 2.5 s

Callers see: a task whose worker leaves and vanishes has no run for 5 to 8 s, as only the end of the lease proves that the worker has exited.

Change: the leases of a worker that drains last 2.5 s instead of 6, and its polls are held open for 0.4 s; whoever waits for a lease looks again as it ends. No proof of an exit is added: the lease remains the only one, and deadlines that were sent are kept. A lease outlives one poll without an answer (1.4 s), the retry and the poll that renews it. A lease granted before the worker drained still counts.

Cost: about 2 polls a second more for each worker that drains and has runs; runs on such a worker lapse if nobody polls it for 2.5 s, for example beside an election.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2076,6 +2076,27 @@
         "        if not (self.worker.record.leaving or self.lease_has_expired()):\n",
         "tests/dispatch/test_worker_session.py",
     ),
+    Mutant(
+        "a worker that drains gets short leases",
+        _WORKER_SESSION,
+        "            return min(self._lease_ms, DRAINING_LEASE_MS)\n",
+        "            pass\n",
+        "tests/dispatch/test_draining_leases.py",
+    ),
+    Mutant(
+        "short leases of a worker that drains are renewed often",
+        _WORKER_SESSION,
+        "is_short = self.worker.is_shared or self.worker.record.draining",
+        "is_short = self.worker.is_shared",
+        "tests/dispatch/test_draining_leases.py",
+    ),
+    Mutant(
+        "a worker that does not drain gets long leases",
+        _WORKER_SESSION,
+        "        if self.worker.record.draining:\n            return min",
+        "        if True:\n            return min",
+        "tests/dispatch/test_draining_leases.py",
+    ),
     Mutant(
         "a worker that announced its shutdown and refuses polls may still work",
         _WORKER_SESSION,
--- a/src/savoryshelf/dispatch/worker_session.py
+++ b/src/savoryshelf/dispatch/worker_session.py
@@ -56,6 +56,13 @@
 A serving run that misses its latency target has to be noticed within a second.
 """
 
+DRAINING_LEASE_MS = 2500
+"""Length of a lease of a worker that drains, in ms, unless all are shorter.
+
+Only the end of its lease tells that it has exited, and tasks should have a run again within 3 s.
+It holds beyond a poll without an answer (1.4 s), a retry and the poll that renews it.
+"""
+
 RETRY_SECONDS = 0.25
 """Pause before a call is retried, in seconds; jittered by up to half of it either way."""
 
@@ -601,7 +608,13 @@
     def _poll_wait_ms(self) -> int:
         if not self.is_state_known or self.is_unresponsive or self._hidden_runs():
             return 0
-        return SHARED_POLL_WAIT_MS if self.worker.is_shared else POLL_WAIT_MS
+        is_short = self.worker.is_shared or self.worker.record.draining
+        return SHARED_POLL_WAIT_MS if is_short else POLL_WAIT_MS
+
+    def _granted_lease_ms(self) -> int:
+        if self.worker.record.draining:
+            return min(self._lease_ms, DRAINING_LEASE_MS)
+        return self._lease_ms
 
     def _is_idle(self) -> bool:
         """Return whether no poll is needed until the next run is placed here.
@@ -626,8 +639,12 @@
         eventlet.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
 
     def _wait_for_answer(self) -> None:
-        """Wait before the next look at a silent worker: shorter if late starts may reach it."""
+        """Wait before the next look at a silent worker: shorter if late starts may reach it.
+
+        The look that finds the lease expired comes as soon as that may be so.
+        """
         seconds = RETRY_SECONDS * random.uniform(0.5, 1.5)
+        seconds = min(seconds, max(REPORT_CHECK_SECONDS, self.lease_seconds_left()))
         now = self._agent.now()
         if self._may_have_late_starts() and self._agent.late_starts.may_look(now):
             seconds = min(seconds, look_pause(now - self._silent_since))
@@ -640,7 +657,8 @@
         renews_lease = self.clock.has_recent_reading(sent_at) and not self.is_unresponsive
         # Checked after the clock was read: a process may be stopped between the two.
         renews_lease = renews_lease and self._may_call()
-        deadline_ms = self.clock.extend_deadline(sent_at, self._lease_ms) if renews_lease else 0
+        lease_ms = self._granted_lease_ms()
+        deadline_ms = self.clock.extend_deadline(sent_at, lease_ms) if renews_lease else 0
         seen_end = self.worker.record.seen_end
         result = self._call("poll", self.call_token, seen_end, deadline_ms, wait_ms)
         if deadline_ms:
@@ -673,7 +691,7 @@
         now = self._agent.now()
         if not self._may_call():
             return
-        deadline_ms = self.clock.extend_deadline(now, self._lease_ms)
+        deadline_ms = self.clock.extend_deadline(now, self._granted_lease_ms())
         seen_end = self.worker.record.seen_end
         self._call("poll", self.call_token, seen_end, deadline_ms, 0)
         self.clock.confirm_deadline(deadline_ms, now)
@@ -1047,7 +1065,7 @@
             task=task,
             run=run,
             body=assigned_task.step.job.spec.body,
-            deadline_ms=self.clock.extend_deadline(now, self._lease_ms),
+            deadline_ms=self.clock.extend_deadline(now, self._granted_lease_ms()),
             fencing_token=self.call_token,
             checkpoint=checkpoint,
         )
