A leader tells of a voter that acknowledges nothing

Cause: the leader knows when each voter replied last, and used that for the quorum alone.

Change: the watch of a replica, each 0.5 s, compares these times while the replica leads. After five election timeouts without a reply `replica:voter_silent` with the voter (host and disk), its address, the seconds, when a message of it arrived last and the state of the sender to it (`connected`, `queued` and so on); `replica:voter_back` once it replies. One line each in a term. Ages are on the time of the core's latest event, so that replies that a leader's own stuck thread has not read are not taken for silence. No decision depends on it.

Shown: the four new tests that expect a line fail with the watch of (with the constant added, so that they can be imported), and pass now; the two on a leader whose own thread stands expect none and pass in both. The three mutants are seen. Only the tests' transport tells `connected` here; no run with real processes of a deaf voter.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1438,6 +1438,27 @@
         "seconds <= STUCK_SECONDS or goes_on",
         "tests/replication/test_watch.py",
     ),
+    Mutant(
+        "a leader tells of a voter that acknowledges nothing",
+        "replication/watch.py",
+        "if silent_since is None:\n",
+        "if False:\n",
+        "tests/replication/test_watch.py",
+    ),
+    Mutant(
+        "a leader whose own thread stands blames no voter for it",
+        "replication/watch.py",
+        "seconds = core.now - acked_at",
+        "seconds = now - acked_at",
+        "tests/replication/test_watch.py",
+    ),
+    Mutant(
+        "a leader follows its voters anew in each term",
+        "replication/watch.py",
+        "if core.term != self._followed_term:",
+        "if False:",
+        "tests/replication/test_watch.py",
+    ),
     Mutant(
         "a write of the disk does not depend on a connection",
         "disk.py",
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -240,7 +240,7 @@
     @property
     def leader_address(self) -> str:
         """Return the address of the leader, or an empty string if it is not known."""
-        return self._address_of(self.core.leader_id) if self.core.leader_id else ""
+        return self.address_of(self.core.leader_id) if self.core.leader_id else ""
 
     @property
     def leader_name(self) -> str:
@@ -290,9 +290,19 @@
             self._storage.write_in_progress_seconds() != 0.0
         )
 
+    def address_of(self, replica_id: str) -> str:
+        """Return the address of a replica's host, or an empty string if it is not known."""
+        # This host's settings take precedence: it may reach other hosts by
+        # other addresses than those in the initial membership.
+        configured = self._address_by_host.get(host_name(replica_id))
+        if configured:
+            return configured
+        member: Member | None = find_member(self.core.log.membership, replica_id)
+        return member.address if member is not None else ""
+
     def sender_state(self, replica_id: str) -> dict:
         """Return the state of the sender to another replica, as far as the transport tells it."""
-        address = self._address_of(replica_id)
+        address = self.address_of(replica_id)
         # Transports of tests may not tell.
         describe = getattr(self._transport, "sender_state", None)
         return describe(address) if describe is not None and address else {}
@@ -490,19 +500,10 @@
 
     def _send_all(self, messages: list[RaftMessage]) -> None:
         for message in messages:
-            address = self._address_of(message.recipient)
+            address = self.address_of(message.recipient)
             if address:
                 self._transport.send(address, message)
 
-    def _address_of(self, replica_id: str) -> str:
-        # This host's settings take precedence: it may reach other hosts by
-        # other addresses than those in the initial membership.
-        configured = self._address_by_host.get(host_name(replica_id))
-        if configured:
-            return configured
-        member: Member | None = find_member(self.core.log.membership, replica_id)
-        return member.address if member is not None else ""
-
 
 def _rounded_by_host(seconds_by_id: dict[str, float]) -> dict[str, float]:
     return {host_name(key): round(seconds, 2) for key, seconds in seconds_by_id.items()}
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -1,5 +1,7 @@
 """Tells why a replica has no leader, or that its thread is stuck, from another green thread.
 
+A leader also tells which voters acknowledge nothing.
+
 A replica that is stuck for another reason than its disk is stopped, and its process with it: while
 the rest of that answers calls, nobody else can tell that this voter never votes.
 """
@@ -19,7 +21,7 @@
 from ..observability.stacks import frame_names
 from .bootstrap import host_name
 from .core import Replica
-from .membership import membership_kind
+from .membership import membership_kind, voter_ids
 from .types import Election, Role
 
 CHECK_INTERVAL_SECONDS = 0.5
@@ -40,6 +42,12 @@
 LOG_INTERVAL_SECONDS = 5.0
 """Time between two lines while either lasts."""
 
+VOTER_SILENT_TIMEOUTS = 5
+"""Time without a reply of a voter, in election timeouts, after which its leader logs that, once.
+
+A host that is started again replies sooner, and a leader without a majority leads no longer.
+"""
+
 STANDSTILL_SECONDS = 1.0
 """After a check that comes later than this, the replica gets a moment to read what has arrived."""
 
@@ -85,6 +93,9 @@
     def waits_for_disk(self) -> bool:
         """Return whether that thread waits for a write which the disk is still at."""
 
+    def address_of(self, replica_id: str) -> str:
+        """Return the address of a replica's host, or an empty string if it is not known."""
+
     def sender_state(self, replica_id: str) -> dict[str, Any]:
         """Return the state of the sender to another replica."""
 
@@ -119,6 +130,11 @@
         """When the write began that the thread waited for at the latest check."""
 
         self._has_failed = False
+        self._silent_since_by_voter: dict[str, float] = {}
+        """The voters that were logged as silent in the term that this replica leads, and since
+        when."""
+
+        self._followed_term = 0
 
     def record_senders(self, sender_ids: set[str]) -> None:
         """Note that messages of these replicas have arrived just now."""
@@ -163,6 +179,7 @@
             self._stuck, now, turn_age, STUCK_SECONDS, self._log_stuck, self._log_goes_on
         )
         self._stop_if_unexplained(now, turn_age)
+        self._follow_voters(now)
 
     @staticmethod
     def _follow(
@@ -246,6 +263,44 @@
             **{key: round(seconds, 2) for key, seconds in delays.items()},
         }
 
+    # -------------------------------------------------------- voters of a leader
+
+    def _follow_voters(self, now: float) -> None:
+        """Log voters that acknowledge nothing, and those that do so again, once each."""
+        core = self._replica.core
+        if core.role is not Role.LEADER:
+            return
+        if core.term != self._followed_term:
+            self._followed_term, self._silent_since_by_voter = core.term, {}
+        silent_before, self._silent_since_by_voter = self._silent_since_by_voter, {}
+        progress_by_id = core.leader_state.progress_by_id
+        for voter_id in voter_ids(core.log.membership):
+            if voter_id not in progress_by_id:
+                continue
+            acked_at = progress_by_id[voter_id].acked_at
+            silent_since = silent_before.get(voter_id)
+            # While this replica's thread stands, replies that have arrived are not read.
+            seconds = core.now - acked_at
+            if seconds > VOTER_SILENT_TIMEOUTS * core.timing.election_timeout:
+                if silent_since is None:
+                    silent_since = acked_at
+                    self._log_voter_silent(now, voter_id, seconds)
+                self._silent_since_by_voter[voter_id] = silent_since
+            elif silent_since is not None:
+                log_event(
+                    "replica:voter_back", voter=voter_id,
+                    address=self._replica.address_of(voter_id),
+                    silent_s=round(acked_at - silent_since, 2),
+                )  # fmt: skip
+
+    def _log_voter_silent(self, now: float, voter_id: str, seconds: float) -> None:
+        heard_at = self._heard_at_by_sender.get(voter_id, -math.inf)
+        log_event(
+            "replica:voter_silent", why="it has acknowledged nothing",
+            voter=voter_id, address=self._replica.address_of(voter_id), seconds=round(seconds, 2),
+            heard_s=_rounded(now - heard_at), **self._replica.sender_state(voter_id),
+        )  # fmt: skip
+
     # ------------------------------------------------------------ a stuck thread
 
     def _log_stuck(self, now: float, seconds: float) -> None:
--- a/tests/replication/test_watch.py
+++ b/tests/replication/test_watch.py
@@ -9,13 +9,16 @@
     LOG_INTERVAL_SECONDS,
     MAX_UNEXPLAINED_SECONDS,
     STUCK_SECONDS,
+    VOTER_SILENT_TIMEOUTS,
     ReplicaStuck,
 )
 from savoryshelf.wire.generated.ttypes import Member, Membership
 
+from .group import TIMING
 from .service_group import running_services
 
 MAX_LINE_BYTES = 4096
+VOTER_SILENT_SECONDS = VOTER_SILENT_TIMEOUTS * TIMING.election_timeout
 
 
 @pytest.fixture(name="lines")
@@ -292,3 +295,88 @@
             service._watch.record_senders({f"host{number}.disk"})
         assert len(service._watch._heard_at_by_sender) == watch_module.MAX_SENDERS
         assert f"host{999}.disk" in service._watch._heard_at_by_sender
+
+
+def silence_disk(group, voter, leader):
+    release = stuck_disk(group, voter)
+    group.propose(leader)
+    return lambda: release.send(None)
+
+
+def silence_replies(group, voter, leader):
+    group.cut_links.add((voter, leader))
+    return group.cut_links.clear
+
+
+def silence_leader(group, voter, leader):
+    group.cut_links.add((leader, voter))
+    return group.cut_links.clear
+
+
+# Guards against a voter that is deaf, or whose disk or link is, and that nobody misses until its
+# vote is needed.
+@pytest.mark.parametrize("silence", [silence_disk, silence_replies, silence_leader])
+def test_a_leader_tells_once_of_a_voter_that_acknowledges_nothing(lines, monkeypatch, silence):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        state = {"connected": True, "queued": 3}
+        monkeypatch.setattr(group.service_by_name[leader], "sender_state", lambda _: state)
+        end_silence = silence(group, first, leader)
+        group.clock.sleep(VOTER_SILENT_SECONDS - 0.5)
+        assert named(lines, "replica:voter_silent") == []
+        group.clock.sleep(20.0)
+        (silent,) = named(lines, "replica:voter_silent")
+        assert silent["voter"] == replica_id(group, first)
+        assert silent["address"] == first
+        assert VOTER_SILENT_SECONDS < silent["seconds"] < VOTER_SILENT_SECONDS + 0.7
+        assert (silent["connected"], silent["queued"]) == (True, 3)
+        if silence is silence_leader:
+            assert silent["heard_s"] < 2.5, "it campaigns"
+        else:
+            assert silent["heard_s"] == pytest.approx(silent["seconds"], abs=0.1)
+        assert named(lines, "replica:voter_back") == []
+        end_silence()
+        group.clock.sleep(3.0)
+        assert group.leader_name() == leader
+    (back,) = named(lines, "replica:voter_back")
+    assert back["voter"] == replica_id(group, first)
+    assert back["address"] == first
+    assert 19.0 < back["silent_s"] < 26.0
+    assert len(named(lines, "replica:voter_silent")) == 1
+
+
+# Guards against a line that blames the voters for what the leader's own thread has not read.
+@pytest.mark.parametrize("seconds", [3.0, VOTER_SILENT_SECONDS + 3.0])
+def test_a_leader_whose_own_thread_stands_blames_no_voter(lines, seconds):
+    with running_services() as group:
+        leader = group.leader_name()
+        release = stuck_disk(group, leader)
+        group.propose(leader)
+        group.clock.sleep(0.1)
+        for service in group.service_by_name.values():
+            # No other one is elected meanwhile.
+            service.core._deadline += 2 * seconds
+        group.clock.sleep(seconds)
+        assert group.service_by_name[leader].is_leader
+        release.send(None)
+        group.clock.sleep(3.0)
+    assert len(named(lines, "replica:stuck")) == 1 + (seconds > LOG_INTERVAL_SECONDS + 2.0)
+    assert named(lines, "replica:voter_silent") == []
+
+
+# Guards against a voter that is said to be back since a new term has begun to count its silence.
+def test_a_new_term_tells_again_of_a_voter_that_is_still_silent(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        group.cut_off.add(first)
+        group.clock.sleep(VOTER_SILENT_SECONDS + 1.0)
+        assert len(named(lines, "replica:voter_silent")) == 1
+        core = group.service_by_name[leader].core
+        core._become_follower(core.term + 1, None)
+        group.service_by_name[second].core._deadline += 5.0
+        group.clock.sleep(4.0)
+        assert group.leader_name() == leader
+        assert len(named(lines, "replica:voter_silent")) == 1
+        group.clock.sleep(4.0)
+    assert len(named(lines, "replica:voter_silent")) == 2
+    assert named(lines, "replica:voter_back") == []
