Activities that nobody would miss go on after an unforeseen error, or end the process

The green threads that accept connections of peers and of HTTP callers, that watch the settings, that poll the control group at an entry host, and that watch for standstills and for a stuck replica, ended with any error other than the ones foreseen. The process went on without them, and the traceback went to standard error alone.

Cause: `control:duty_failed` covers the activities that the control host spawns itself; these are spawned by the parts.

Change: rounds that are independent go on: the four former, and the measuring of standstills, log `activity:round_failed` (once for each kind and place, four an activity at most, with the names of the functions) and take their next turn. A connection that cannot be served is closed and gives its slot back. A watch of a replica that ends all the same stops the replica, and so the process (`replica:stopped`). `control:duty_failed` and `replica:watch_failed` have the stack, too; the test of the latter compares all other fields exactly as before, and the stack's ends in addition.

Not changed, of the same class: errors of `greenlet`'s trace function in `replication/activities.py`, the green thread that acts on signals (`signals.py`), `_join_until_member` of the earlier daemon (`control/process.py`), `SIGHUP`'s pipe that cannot be made.

--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -16,6 +16,7 @@
 from ..errors import PeerUnreachable
 from ..observability.bounded import BoundedLog
 from ..observability.logs import log_event
+from ..observability.stacks import error_frame_names
 from ..replication.bootstrap import host_name
 from ..replication.membership import (
     MembershipChangeRefused,
@@ -281,7 +282,10 @@
             activity()
         except Exception as error:
             # Without this activity the host would remain a member and do nothing useful.
-            log_event("control:duty_failed", duty=activity.__name__, error=repr(error))
+            log_event(
+                "control:duty_failed", duty=activity.__name__, error=repr(error),
+                stack=error_frame_names(error),
+            )  # fmt: skip
             self.replica.stop(error)
 
     # ------------------------------------------------------------- periodic activities
--- a/src/savoryshelf/gateway/leader.py
+++ b/src/savoryshelf/gateway/leader.py
@@ -15,6 +15,7 @@
 from ..errors import PeerUnreachable, SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
+from ..observability.unforeseen import UnforeseenErrors
 from ..wire.generated import ControlService, ttypes
 from ..wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall, JobVerb
 from ..wire.peers import PeerPool
@@ -67,6 +68,7 @@
         self._stop_at = float("inf")
         self._probed_addresses: set[str] = set()
         self._wake = Event()
+        self._errors = UnforeseenErrors("poll the control group")
 
     def start(self) -> None:
         """Start polling the members of the group in the background."""
@@ -185,17 +187,11 @@
     def _maintain_group(self) -> None:
         """Poll a member of the group, or every known host while no leader is known."""
         while True:
-            if self._leader and self.is_ready:
-                addresses, interval = (
-                    [random.choice(self._addresses.current() or [self._leader])],
-                    GROUP_REFRESH_SECONDS,
-                )
-            else:
-                addresses = self._addresses.to_search(has_contact=self.is_ready)
-                interval = SEARCH_INTERVAL_SECONDS
-            began_at = self._clock.monotonic()
-            for address in addresses:
-                self._begin_probe(address)
+            began_at, interval = self._clock.monotonic(), SEARCH_INTERVAL_SECONDS
+            try:
+                interval = self._begin_probes()
+            except Exception as error:
+                self._errors.log(error)
             with eventlet.Timeout(interval * random.uniform(0.5, 1.5), False):
                 self._wake.wait()
             if self._wake.ready():
@@ -204,6 +200,18 @@
                 elapsed = self._clock.monotonic() - began_at
                 eventlet.sleep(max(RETRY_DELAY_SECONDS, pause - elapsed))
 
+    def _begin_probes(self) -> float:
+        """Ask those that are due; return the interval until the next time, in seconds."""
+        if self._leader and self.is_ready:
+            addresses = [random.choice(self._addresses.current() or [self._leader])]
+            interval = GROUP_REFRESH_SECONDS
+        else:
+            addresses = self._addresses.to_search(has_contact=self.is_ready)
+            interval = SEARCH_INTERVAL_SECONDS
+        for address in addresses:
+            self._begin_probe(address)
+        return interval
+
     def _begin_probe(self, address: str) -> None:
         if address not in self._probed_addresses:
             self._probed_addresses.add(address)
@@ -211,13 +219,13 @@
 
     def _probe(self, address: str) -> None:
         try:
-            view = self._ask(address, "group", GROUP_TIMEOUT_SECONDS)
+            self._adopt_view(address, self._ask(address, "group", GROUP_TIMEOUT_SECONDS))
         except (PeerUnreachable, TException):
             metrics.RETRIES.labels("group").inc()
-            return
+        except Exception as error:
+            self._errors.log(error)
         finally:
             self._probed_addresses.discard(address)
-        self._adopt_view(address, view)
 
     def _adopt_view(self, address: str, view: ttypes.GroupView) -> None:
         leader_address = view.leader_address
--- a/src/savoryshelf/http_server.py
+++ b/src/savoryshelf/http_server.py
@@ -15,6 +15,7 @@
 from .clock import SystemClock
 from .listener import ACCEPT_RETRY_SECONDS, close_listener
 from .observability.logs import log_event
+from .observability.unforeseen import UnforeseenErrors
 
 _select = patcher.original("select")
 """The unpatched module: eventlet's version has no ``poll``."""
@@ -120,6 +121,7 @@
             log_output=False,
             socket_timeout=idle_seconds,
         )
+        self._errors = UnforeseenErrors("accept connections", address=self.address)
         self._acceptor = eventlet.spawn(self._accept_connections)
 
     @property
@@ -172,16 +174,25 @@
             self._free_slots.acquire()
             try:
                 accepted, peer = self._listener.accept()
-            except OSError as error:
+            except Exception as error:
                 self._free_slots.release()
-                log_event("server:accept_failed", address=self.address, why=str(error))
+                if isinstance(error, OSError):
+                    log_event("server:accept_failed", address=self.address, why=str(error))
+                else:
+                    self._errors.log(error)
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             self._start_serving(accepted, peer)
 
     def _start_serving(self, accepted, peer) -> None:
-        accepted.settimeout(self._idle_seconds)
-        connection = _Connection(accepted, self.clock.monotonic())
+        try:
+            accepted.settimeout(self._idle_seconds)
+            connection = _Connection(accepted, self.clock.monotonic())
+        except Exception as error:
+            self._free_slots.release()
+            accepted.close()
+            self._errors.log(error)
+            return
         self._connections.add(connection)
         eventlet.spawn_n(self._serve, connection, peer)
 
--- a/src/savoryshelf/replication/delays.py
+++ b/src/savoryshelf/replication/delays.py
@@ -8,6 +8,7 @@
 
 from ..clock import Clock
 from ..observability.logs import log_event
+from ..observability.unforeseen import UnforeseenErrors
 from .activities import LongTurns
 
 CHECK_SECONDS = 0.05
@@ -83,14 +84,18 @@
 
     def run(self) -> None:
         """Look for standstills, without end; to be called in a green thread of its own."""
+        errors = UnforeseenErrors("watch for standstills")
         with self._turns.watched():
             while True:
                 self._due_at = self._clock.monotonic() + CHECK_SECONDS
                 self._processor_at = time.thread_time()
                 self._clock.sleep(CHECK_SECONDS)
-                delay = self._current(self._clock.monotonic())
-                self._recent.record(delay)
-                self._log_if_long(delay)
+                try:
+                    delay = self._current(self._clock.monotonic())
+                    self._recent.record(delay)
+                    self._log_if_long(delay)
+                except Exception as error:
+                    errors.log(error)
                 if self._on_check is not None:
                     self._on_check()
 
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -22,6 +22,7 @@
 from ..errors import SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
+from ..observability.stacks import error_frame_names
 from ..wire.generated.ttypes import (
     EntryKind,
     LogEntry,
@@ -170,7 +171,7 @@
     def start(self) -> None:
         """Start the green threads that run the replica and watch for standstills."""
         self._turn_completed_at = self._clock.monotonic()
-        self._watch_thread = eventlet.spawn(self._standstills.run)
+        self._watch_thread = eventlet.spawn(self._watch_without_end)
         self._thread = eventlet.spawn(self._run)
 
     def wait(self) -> None:
@@ -307,6 +308,18 @@
         describe = getattr(self._transport, "sender_state", None)
         return describe(address) if describe is not None and address else {}
 
+    def _watch_without_end(self) -> None:
+        try:
+            self._standstills.run()
+        except Exception as error:
+            # Nobody else would miss a replica that is stuck.
+            log_event(
+                "replica:stopped", why="its watch has ended", error=repr(error),
+                stack=error_frame_names(error),
+            )  # fmt: skip
+            # This green thread is stopped as well.
+            eventlet.spawn_n(self.stop, error)
+
     # ---------------------------------------------- run by the replica's thread
 
     def _run(self) -> None:
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -18,7 +18,7 @@
 from ..errors import SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
-from ..observability.stacks import frame_names
+from ..observability.stacks import error_frame_names, frame_names
 from .bootstrap import host_name
 from .core import Replica
 from .membership import membership_kind, voter_ids
@@ -159,7 +159,7 @@
         except Exception as error:
             if not self._has_failed:
                 self._has_failed = True
-                log_event("replica:watch_failed", error=repr(error))
+                log_event("replica:watch_failed", error=repr(error), stack=error_frame_names(error))
 
     def _check(self, now: float) -> None:
         contact_age = self._replica.core.seconds_since_leader_contact(now)
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -29,6 +29,7 @@
 from ..listener import ACCEPT_RETRY_SECONDS, close_listener
 from ..observability.logs import log_event
 from ..observability.metrics import LINK_BYTES
+from ..observability.unforeseen import UnforeseenErrors
 from .generated import ttypes
 
 _select = patcher.original("select")
@@ -386,14 +387,18 @@
         self._make_handler = make_handler
         self._clock = SystemClock()
         self._connections: set[_ServedConnection] = set()
+        self._errors = UnforeseenErrors("accept connections of peers", address=self.address)
         self._acceptor = eventlet.spawn(self._accept_connections)
 
     def _accept_connections(self) -> None:
         while True:
             try:
                 connection, _ = self._listener.accept()
-            except OSError as error:
-                log_event("peer:accept_failed", address=self.address, why=str(error))
+            except Exception as error:
+                if isinstance(error, OSError):
+                    log_event("peer:accept_failed", address=self.address, why=str(error))
+                else:
+                    self._errors.log(error)
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
             self._start_serving(connection)
@@ -401,11 +406,13 @@
     def _start_serving(self, connection) -> None:
         try:
             set_socket_options(connection)
-        except OSError:
-            # The peer has reset the connection already.
+            served = _ServedConnection(connection, self._make_handler())
+        except Exception as error:
             connection.close()
+            # A peer may have reset the connection already.
+            if not isinstance(error, OSError):
+                self._errors.log(error)
             return
-        served = _ServedConnection(connection, self._make_handler())
         self._connections.add(served)
         eventlet.spawn_n(self._serve_connection, served)
 
--- a/tests/gateway/test_search.py
+++ b/tests/gateway/test_search.py
@@ -11,6 +11,7 @@
     LeaderClient,
     LeaderUnavailable,
 )
+from savoryshelf.observability import unforeseen
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall, JobVerb
 
@@ -218,3 +219,28 @@
     assert not thread.dead
     assert client._addresses.current() == MEMBERS
     thread.kill()
+
+
+# Guards against an entry host that follows the group no more after one odd round or answer.
+@pytest.mark.parametrize("place", ["to_search", "update_members"])
+def test_the_group_is_polled_after_an_unforeseen_error(group, monkeypatch, place):
+    lines, failures = [], [RuntimeError("unforeseen")]
+    monkeypatch.setattr(unforeseen, "log_event", lambda event, **fields: lines.append(fields))
+    client = LeaderClient(MEMBERS, "key", SystemClock())
+    original = getattr(client._addresses, place)
+
+    def fail_once(*arguments, **options):
+        if failures:
+            raise failures.pop()
+        return original(*arguments, **options)
+
+    monkeypatch.setattr(client._addresses, place, fail_once)
+    thread = eventlet.spawn(client._maintain_group)
+    eventlet.sleep(1.5)
+    assert not failures
+    assert client.is_ready
+    assert client._leader == "c1"
+    thread.kill()
+    (line,) = lines
+    assert line["activity"] == "poll the control group"
+    assert "fail_once:" in line["stack"][0]
--- a/tests/observability/test_stacks.py
+++ b/tests/observability/test_stacks.py
@@ -1,6 +1,11 @@
 import sys
 
-from savoryshelf.observability.stacks import MAX_FRAMES, MAX_NAME_LENGTH, frame_names
+from savoryshelf.observability.stacks import (
+    MAX_FRAMES,
+    MAX_NAME_LENGTH,
+    error_frame_names,
+    frame_names,
+)
 
 
 def deep(depth):
@@ -20,3 +25,21 @@
 
 def test_no_stack_has_no_names():
     assert frame_names(None) == []
+
+
+def fail_deep(depth):
+    if depth == 0:
+        raise ValueError("deep")
+    fail_deep(depth - 1)
+
+
+def test_the_place_of_an_error_is_bounded_and_begins_innermost():
+    try:
+        fail_deep(100)
+    except ValueError as caught:
+        names, again = error_frame_names(caught), caught
+    assert len(names) == MAX_FRAMES
+    assert {each.rpartition(":")[0] for each in names} == {f"{__name__}.fail_deep"}
+    assert names[0] != names[1], "the line that raised, then those that called"
+    assert names[1] == names[2]
+    assert error_frame_names(again.with_traceback(None)) == []
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -12,6 +12,7 @@
 from savoryshelf_platform import process as module
 from savoryshelf_platform.settings import read_settings
 
+from savoryshelf.observability import unforeseen
 from standins.platform import platform_settings
 
 from .test_whole_path import PORTS, ROOT, SEEDS
@@ -77,6 +78,29 @@
     assert applied == [SEEDS[:1], SEEDS]
 
 
+# Guards against a process that follows no change of its settings any more after one odd read.
+def test_settings_are_followed_after_an_unforeseen_error(settings_file, monkeypatch):
+    initial = settings_file(SEEDS[:2])
+    applied, lines, failures = [], [], [RuntimeError("unforeseen")]
+    monkeypatch.setattr(unforeseen, "log_event", lambda event, **fields: lines.append(fields))
+
+    def read(path):
+        if failures:
+            raise failures.pop()
+        return read_settings(path)
+
+    monkeypatch.setattr(module, "read_settings", read)
+    watching = eventlet.spawn(module.watch_settings, initial, applied.append)
+    eventlet.sleep(0.05)
+    assert not failures
+    settings_file(SEEDS)
+    eventlet.sleep(0.05)
+    watching.kill()
+    assert [settings.seed_ips for settings in applied] == [SEEDS]
+    (line,) = lines
+    assert (line["activity"], line["error"]) == ("watch settings", "RuntimeError('unforeseen')")
+
+
 # Guards against a leader that sends no heartbeat while the garbage collector goes through all that
 # was read from the disk.
 def test_no_collection_goes_through_what_was_there_when_a_control_host_starts(
--- a/tests/replication/test_watch.py
+++ b/tests/replication/test_watch.py
@@ -1,9 +1,12 @@
 """Lines on a replica that has no leader, or whose thread is stuck."""
 
+import eventlet
 import orjson
 import pytest
 from eventlet.event import Event
 
+from savoryshelf.observability import unforeseen
+from savoryshelf.replication import service as service_module
 from savoryshelf.replication import watch as watch_module
 from savoryshelf.replication.watch import (
     LOG_INTERVAL_SECONDS,
@@ -285,7 +288,11 @@
         group.clock.sleep(3.0)
         assert service.core.seconds_since_leader_contact(group.clock.monotonic()) < 1.0
         assert not service._watch_thread.dead
-    assert named(lines, "replica:watch_failed") == [{"error": "RuntimeError('cannot tell')"}]
+    (failed,) = named(lines, "replica:watch_failed")
+    stack = failed.pop("stack")
+    assert failed == {"error": "RuntimeError('cannot tell')"}
+    assert ".fail:" in stack[0]
+    assert "ReplicaWatch.check:" in stack[-1]
 
 
 def test_the_senders_that_are_remembered_are_bounded(lines):
@@ -380,3 +387,62 @@
         group.clock.sleep(4.0)
     assert len(named(lines, "replica:voter_silent")) == 2
     assert named(lines, "replica:voter_back") == []
+
+
+# Guards against a replica that is not watched any more after one odd standstill: it would not be
+# stopped when it is stuck.
+def test_a_watch_goes_on_after_an_unforeseen_error(lines, monkeypatch):
+    unforeseen_lines, failures = [], [RuntimeError("unforeseen")]
+    monkeypatch.setattr(
+        unforeseen, "log_event", lambda event, **fields: unforeseen_lines.append(fields)
+    )
+
+    def fail_once(delay):
+        if failures:
+            raise failures.pop()
+
+    with running_services() as group:
+        first, _, leader = follower_and_leader(group)
+        service = group.service_by_name[first]
+        monkeypatch.setattr(service._standstills, "_log_if_long", fail_once)
+        stuck_disk(group, first)
+        group.disk_by_name[first].write_in_progress_seconds = lambda: 0.0
+        group.propose(leader)
+        group.clock.sleep(STUCK_SECONDS + MAX_UNEXPLAINED_SECONDS + 1.5)
+        assert service.thread.dead
+        with pytest.raises(ReplicaStuck):
+            service.wait()
+    assert not failures
+    (line,) = unforeseen_lines
+    assert (line["activity"], line["error"]) == (
+        "watch for standstills",
+        "RuntimeError('unforeseen')",
+    )
+    assert ".fail_once:" in line["stack"][0]
+
+
+# Guards against a replica whose watch has ended for good, and that goes on unwatched.
+def test_a_replica_whose_watch_has_ended_is_stopped(monkeypatch):
+    service_lines = []
+    monkeypatch.setattr(
+        service_module, "log_event", lambda event, **fields: service_lines.append((event, fields))
+    )
+
+    def fail(_):
+        raise RuntimeError("unforeseen")
+
+    with running_services() as group:
+        service = group.service_by_name[group.leader_name()]
+        service_lines.clear()
+        monkeypatch.setattr(service._standstills._clock, "sleep", fail)
+        eventlet.sleep(0.2)
+        monkeypatch.undo()
+        assert service.thread.dead
+        with pytest.raises(RuntimeError, match="unforeseen"):
+            service.wait()
+    stopped = [fields for event, fields in service_lines if event == "replica:stopped"]
+    assert len(stopped) == len(group.service_by_name), "they share a clock"
+    for each in stopped:
+        assert each["why"] == "its watch has ended"
+        assert each["error"] == "RuntimeError('unforeseen')"
+        assert ".fail:" in each["stack"][0]
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 
 from savoryshelf import http_server
 from savoryshelf.http_server import HttpServer
+from savoryshelf.observability import unforeseen
 
 from .virtual_time import own_hub
 
@@ -257,3 +258,39 @@
         return real(*arguments)
 
     monkeypatch.setattr(owner, name, call)
+
+
+# Guards against a process that goes on and that no caller can reach any more: its thread that
+# accepts ended, or used up its slots, by an error that nobody has foreseen.
+@pytest.mark.parametrize("place", ["accept", "connection"])
+def test_a_server_goes_on_after_unforeseen_errors(application, monkeypatch, place):
+    lines = []
+    monkeypatch.setattr(unforeseen, "log_event", lambda event, **fields: lines.append(fields))
+    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=2)
+    failures = [RuntimeError("unforeseen") for _ in range(3)]
+    owner, name = {
+        "accept": (server._listener, "accept"),
+        "connection": (http_server, "_Connection"),
+    }[place]
+    original = getattr(owner, name)
+
+    def fail_first(*arguments):
+        if failures:
+            raise failures.pop()
+        return original(*arguments)
+
+    monkeypatch.setattr(owner, name, fail_first)
+    for _ in range(3):
+        # The first two may be closed without an answer.
+        client = connect(server)
+        client.sendall(REQUEST)
+        eventlet.sleep(0.3)
+        client.close()
+    with connect(server) as client:
+        client.sendall(REQUEST)
+        eventlet.sleep(0.3)
+        assert client.recv(4096).startswith(b"HTTP/1.1 200")
+    assert not failures
+    (line,) = lines
+    assert line["activity"] == "accept connections"
+    assert "fail_first:" in line["stack"][0]
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -10,6 +10,7 @@
 from thrift.protocol.TProtocol import TProtocolException
 
 from savoryshelf.errors import PeerUnreachable
+from savoryshelf.observability import unforeseen
 from savoryshelf.wire import peers
 from savoryshelf.wire.generated import ControlService, ttypes
 from savoryshelf.wire.peers import (
@@ -111,6 +112,38 @@
     client.close()
 
 
+# Guards against the same after an error that nobody has foreseen, also while a connection begins.
+@pytest.mark.parametrize("place", ["accept", "handler"])
+def test_a_server_goes_on_after_an_unforeseen_error(server, monkeypatch, place):
+    lines, failures = [], [RuntimeError("unforeseen")]
+    monkeypatch.setattr(unforeseen, "log_event", lambda event, **fields: lines.append(fields))
+    owner, name = {
+        "accept": (server._listener, "accept"),
+        "handler": (server, "_make_handler"),
+    }[place]
+    original = getattr(owner, name)
+
+    def fail_once():
+        if failures:
+            raise failures.pop()
+        return original()
+
+    monkeypatch.setattr(owner, name, fail_once)
+    for _ in range(3):
+        client = PeerClient(ControlService, server.address, KEY)
+        with contextlib.suppress(PeerUnreachable):
+            client.call("probe", timeout=1.0, total_timeout=2.0)
+        client.close()
+    client = PeerClient(ControlService, server.address, KEY)
+    assert client.call("probe", timeout=1.0, total_timeout=2.0).replica_id == "c0.disk"
+    client.close()
+    assert not failures
+    (line,) = lines
+    assert line["activity"] == "accept connections of peers"
+    assert line["error"] == "RuntimeError('unforeseen')"
+    assert "fail_once:" in line["stack"][0]
+
+
 def test_a_peer_with_another_cluster_key_is_rejected(server):
     client = PeerClient(ControlService, server.address, "another-key-of-16-chars")
     with pytest.raises(PeerUnreachable) as caught:
