The line on a hung process begins on a line of its own

Cause: the logger, once a reader is back, wrote what it had kept in parts of 4,096 bytes that end anywhere; a native thread wrote `process:hung` after such a part.

Change: parts end with a line where one ends within 4,096 bytes, which a pipe takes as a whole; so only a longer line is ever written in part. After such a part the native thread begins a new line. It still writes past the logger, which the hub's thread may be in.

The rest of a line that was written in part follows on a line of its own and is lost, as before.

Not changed: a native thread that writes between the logger's look at the pipe and its write may fill it, and that write then waits.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1487,6 +1487,20 @@
         "",
         "tests/observability/test_unforeseen.py",
     ),
+    Mutant(
+        "the line on a hung process begins on a line of its own",
+        "observability/watchdog.py",
+        'beginning = b"\\n" if is_within_line() else b""',
+        'beginning = b""',
+        "tests/observability/test_logs.py",
+    ),
+    Mutant(
+        "lines that fit a write are written whole",
+        "observability/logs.py",
+        "end_of_lines or select.PIPE_BUF",
+        "select.PIPE_BUF",
+        "tests/observability/test_logs.py",
+    ),
     Mutant(
         "a write of the disk does not depend on a connection",
         "disk.py",
--- a/src/savoryshelf/observability/logs.py
+++ b/src/savoryshelf/observability/logs.py
@@ -26,6 +26,9 @@
     What finds no room is written after later lines, or dropped in whole lines, and counted.
     """
 
+    is_within_line = False
+    """Whether a line was written in part, so that another writer has to begin a line of its own."""
+
     def __init__(self, descriptor: int):
         self._descriptor = descriptor
         self._kept = bytearray()
@@ -40,15 +43,27 @@
 
     def flush(self) -> None:
         """Write what finds room now."""
-        # A pipe that is writable takes this much without a wait.
         while self._kept and _is_writable(self._descriptor):
-            written = _os.write(self._descriptor, self._kept[: select.PIPE_BUF])
+            # A pipe that is writable takes this much without a wait, and as a whole.
+            end_of_lines = self._kept.rfind(b"\n", 0, select.PIPE_BUF) + 1
+            part = self._kept[: end_of_lines or select.PIPE_BUF]
+            written = _os.write(self._descriptor, part)
+            self.is_within_line = part[:written][-1:] != b"\n"
             del self._kept[:written]
         if self._dropped_lines and not self._kept:
             lines, self._dropped_lines = self._dropped_lines, 0
             log_event("log:lines_dropped", lines=lines)
 
 
+_output: NonBlockingOutput | None = None
+"""Where this process logs, once that has begun."""
+
+
+def is_within_line() -> bool:
+    """Return whether a line of the log of this process is written in part."""
+    return _output is not None and _output.is_within_line
+
+
 def _is_writable(descriptor: int) -> bool:
     poll = _select.poll()
     poll.register(descriptor, _select.POLLOUT)
@@ -63,9 +78,10 @@
     What fails is raised as PeerUnreachable, and logged where that is handled.
     """
     eliot.add_global_fields(process=process_name)
-    output = NonBlockingOutput(sys.stdout.fileno())
-    eliot.to_file(output)
-    atexit.register(output.flush)
+    global _output
+    _output = NonBlockingOutput(sys.stdout.fileno())
+    eliot.to_file(_output)
+    atexit.register(_output.flush)
     thrift_logger = logging.getLogger("thrift")
     thrift_logger.addHandler(logging.NullHandler())
     thrift_logger.propagate = False
--- a/src/savoryshelf/observability/watchdog.py
+++ b/src/savoryshelf/observability/watchdog.py
@@ -11,6 +11,7 @@
 import orjson
 from eventlet import patcher
 
+from .logs import is_within_line
 from .stacks import frame_names
 
 HUNG_SECONDS = 2.0
@@ -36,8 +37,10 @@
 
 
 def _write_line(line: bytes) -> None:
+    # A line that the logger has written in part is lost anyway.
+    beginning = b"\n" if is_within_line() else b""
     # Eventlet replaces ``os.write``.
-    posix.write(STANDARD_OUTPUT, line)
+    posix.write(STANDARD_OUTPUT, beginning + line)
 
 
 @attrs.define(eq=False)
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -1,6 +1,7 @@
 """What a process logs while nobody reads it, and what it writes beside its own lines."""
 
 import json
+import os
 import pathlib
 import select
 import subprocess
@@ -74,6 +75,64 @@
     assert len(numbers) + dropped == LINES + LATER_LINES
 
 
+FIRST_READ_BYTES = 40_000
+"""Less than a pipe holds, and no whole number of lines."""
+
+HUNG_PROGRAM = """
+import sys, time
+from savoryshelf.observability import watchdog
+from savoryshelf.observability.logs import log_event, start_logging
+
+start_logging("test")
+for number in range(2000):
+    log_event("numbered", number=number, filling="x" * LENGTH)
+print("went on", file=sys.stderr, flush=True)
+sys.stdin.readline()
+log_event("numbered", number=2000)
+print("went on", file=sys.stderr, flush=True)
+watchdog.HubWatchdog("test").log(2.0)
+for number in range(2001, 2061):
+    time.sleep(0.02)
+    log_event("numbered", number=number)
+"""
+
+
+# Guards against the line on a hung process that lands within another one, which waits in part for
+# a reader: it could not be read, and it is the only one of that process that tells anything.
+@pytest.mark.parametrize("length", [200, 9000], ids=["short", "longer than a pipe takes at once"])
+def test_the_line_on_a_hung_process_begins_on_a_line_of_its_own(length):
+    process = subprocess.Popen(
+        [sys.executable, "-W", "ignore", "-c", HUNG_PROGRAM.replace("LENGTH", str(length))],
+        stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        assert has_gone_on(process)
+        descriptor = process.stdout.fileno()
+        written = os.read(descriptor, FIRST_READ_BYTES)
+        process.stdin.write("\n")
+        process.stdin.flush()
+        assert has_gone_on(process)
+        while part := os.read(descriptor, FIRST_READ_BYTES):
+            written += part
+        assert process.wait(WAIT_SECONDS) == 0
+    finally:
+        process.kill()
+        process.communicate()
+    lines = written.decode().splitlines()
+    line_by_place, broken = {}, []
+    for place, text in enumerate(lines):
+        try:
+            line_by_place[place] = json.loads(text)
+        except ValueError:
+            broken.append(place)
+    (hung_at,) = [n for n, line in line_by_place.items() if line["message_type"] == "process:hung"]
+    # A line that is longer may have been written in part; the rest of it follows.
+    assert broken == ([] if length < select.PIPE_BUF else [hung_at - 1, hung_at + 1])
+    numbers = [line["number"] for line in line_by_place.values() if "number" in line]
+    assert numbers == sorted(numbers)
+    assert numbers[-1] == 2060
+
+
 CONNECTING_PROGRAM = """
 import eventlet
 eventlet.monkey_patch()
