--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -22,6 +22,7 @@
 from ..errors import SavoryshelfError
 from ..observability import metrics
 from ..observability.logs import log_event
+from ..observability.stacks import error_frame_names
 from ..wire.generated.ttypes import (
     EntryKind,
     LogEntry,
@@ -170,7 +171,7 @@
     def start(self) -> None:
         """Start the green threads that run the replica and watch for standstills."""
         self._turn_completed_at = self._clock.monotonic()
-        self._watch_thread = eventlet.spawn(self._standstills.run)
+        self._watch_thread = eventlet.spawn(self._watch_without_end)
         self._thread = eventlet.spawn(self._run)
 
     def wait(self) -> None:
@@ -240,7 +241,7 @@
     @property
     def leader_address(self) -> str:
         """Return the address of the leader, or an empty string if it is not known."""
-        return self._address_of(self.core.leader_id) if self.core.leader_id else ""
+        return self.address_of(self.core.leader_id) if self.core.leader_id else ""
 
     @property
     def leader_name(self) -> str:
@@ -290,13 +291,35 @@
             self._storage.write_in_progress_seconds() != 0.0
         )
 
+    def address_of(self, replica_id: str) -> str:
+        """Return the address of a replica's host, or an empty string if it is not known."""
+        # This host's settings take precedence: it may reach other hosts by
+        # other addresses than those in the initial membership.
+        configured = self._address_by_host.get(host_name(replica_id))
+        if configured:
+            return configured
+        member: Member | None = find_member(self.core.log.membership, replica_id)
+        return member.address if member is not None else ""
+
     def sender_state(self, replica_id: str) -> dict:
         """Return the state of the sender to another replica, as far as the transport tells it."""
-        address = self._address_of(replica_id)
+        address = self.address_of(replica_id)
         # Transports of tests may not tell.
         describe = getattr(self._transport, "sender_state", None)
         return describe(address) if describe is not None and address else {}
 
+    def _watch_without_end(self) -> None:
+        try:
+            self._standstills.run()
+        except Exception as error:
+            # Nobody else would miss a replica that is stuck.
+            log_event(
+                "replica:stopped", why="its watch has ended", error=repr(error),
+                stack=error_frame_names(error),
+            )  # fmt: skip
+            # This green thread is stopped as well.
+            eventlet.spawn_n(self.stop, error)
+
     # ---------------------------------------------- run by the replica's thread
 
     def _run(self) -> None:
@@ -490,19 +513,10 @@
 
     def _send_all(self, messages: list[RaftMessage]) -> None:
         for message in messages:
-            address = self._address_of(message.recipient)
+            address = self.address_of(message.recipient)
             if address:
                 self._transport.send(address, message)
 
-    def _address_of(self, replica_id: str) -> str:
-        # This host's settings take precedence: it may reach other hosts by
-        # other addresses than those in the initial membership.
-        configured = self._address_by_host.get(host_name(replica_id))
-        if configured:
-            return configured
-        member: Member | None = find_member(self.core.log.membership, replica_id)
-        return member.address if member is not None else ""
-
 
 def _rounded_by_host(seconds_by_id: dict[str, float]) -> dict[str, float]:
     return {host_name(key): round(seconds, 2) for key, seconds in seconds_by_id.items()}
