A member that holds entries of a later term is sent only what it lacks

Callers see nothing but the link: the member caught up, but was sent the whole term of the leader in whose place it held a few entries.

Cause: since a leader skips its own term at an index that a member rejects. That is right if the member's entry there is of an earlier term. If it is of a later one, the member may hold most of the leader's term.

Change: the reply has no term, so the hint tells it. A member hints at its last entry that isn't of a later term than the leader's at the rejected index, since up to there the leader holds none of later terms. If it holds one of those at that index, the hint is two below it at most, as one below makes the leader skip its term.

Why it is safe: hints only choose where the leader goes on. What the member takes is checked as before; what it has committed it never replaces; and no hint moves the leader below what the member has acknowledged.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2308,6 +2308,27 @@
         "            if False:\n",
         "tests/replication/test_transport.py",
     ),
+    Mutant(
+        "a member is not sent again the term of the leader in whose place it holds a later one",
+        _CORE,
+        "min(rejected - 1, self.log.last_index_of_terms_up_to(term))",
+        "min(rejected - 1, self.log.last_index)",
+        "tests/replication/test_flow_control.py",
+    ),
+    Mutant(
+        "a leader does not skip its own term for one entry of a later one",
+        _CORE,
+        "hint = max(0, min(hint, rejected - 2))",
+        "pass",
+        "tests/replication/test_flow_control.py",
+    ),
+    Mutant(
+        "a leader tries the start of its log before it sends a snapshot",
+        _CORE,
+        "            return self.log.base_index\n",
+        "            return hint\n",
+        "tests/replication/test_flow_control.py",
+    ),
     Mutant(
         "a replica's messages are sent again after any error",
         "replication/transport.py",
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -788,8 +788,7 @@
         self._record_leader_contact(message)
         local_term = self.log.term_at(request.previous_index)
         if request.previous_index > self.commit_index and local_term != request.previous_term:
-            hint = min(request.previous_index - 1, self.log.last_index)
-            self._reply_append(message, request, False, max(hint, self.commit_index))
+            self._reply_append(message, request, False, self._possible_match(request))
             return
         last_new = request.previous_index
         for entry in request.entries:
@@ -798,6 +797,20 @@
         self._commit_up_to(min(request.commit_index, last_new))
         self._reply_append(message, request, True, last_new)
 
+    def _possible_match(self, request: AppendRequest) -> int:
+        """Return the hint of a rejection: the last index up to which the logs may agree.
+
+        Up to the rejected index the leader holds no entry of a later term than there, so none of
+        later terms here can match.  If one of those is at the rejected index, the hint is two
+        below that at most: one below would tell the leader to skip its own term.
+        """
+        rejected, term = request.previous_index, request.previous_term
+        hint = min(rejected - 1, self.log.last_index_of_terms_up_to(term))
+        hint = max(hint, self.commit_index)
+        if (self.log.term_at(rejected) or 0) > term:
+            hint = max(0, min(hint, rejected - 2))
+        return hint
+
     def _append_from_leader(self, entry: LogEntry) -> None:
         if entry.index <= self.commit_index or self.log.term_at(entry.index) == entry.term:
             return
@@ -842,6 +855,9 @@
         It may hold entries beyond that, which are then sent again.
         """
         rejected = hint + 1
+        if hint == self.log.base_index - 1 and progress.probed_index != self.log.base_index:
+            # The hint may be one too low, and the member needs no snapshot then.
+            return self.log.base_index
         if rejected != progress.probed_index or rejected <= self.log.base_index:
             return hint
         # It holds an entry of another term there.  To try this term entry by entry would take a
--- a/src/savoryshelf/replication/log.py
+++ b/src/savoryshelf/replication/log.py
@@ -63,6 +63,10 @@
         # Terms never decrease along a log.
         return self.base_index + 1 + bisect.bisect_left(self._entries, term, key=lambda e: e.term)
 
+    def last_index_of_terms_up_to(self, term: int) -> int:
+        """Return the index of the last entry whose term is not later; at least the base index."""
+        return self.base_index + bisect.bisect_right(self._entries, term, key=lambda e: e.term)
+
     def entries(self, first: int, last: int) -> list[LogEntry]:
         """Return the entries from ``first`` to ``last``, inclusive."""
         return self._entries[first - self.base_index - 1 : last - self.base_index]
--- a/tests/replication/test_flow_control.py
+++ b/tests/replication/test_flow_control.py
@@ -192,9 +192,113 @@
     assert max(sent.values()) < 5 * missing
 
 
+def group_with_entries_of_a_later_term(
+    held, uncommitted, conflicting, compacts=False, leaderships=1
+):
+    """Return a group and a host that holds ``conflicting`` entries that the leader lacks.
+
+    Their term is later than that of the ``held`` entries before them, which the leader holds too,
+    and of the ``uncommitted`` ones that the leader has in their place.  If it ``compacts``, the
+    logs begin with the first entry that differs.  The leader is that of so many ``leaderships``
+    after that of the host, so that its latest entries may be of a later term than all of those.
+    """
+    group = Group(5)
+    group.run_for(3.0)
+    for number in range(held):
+        group.propose(str(number))
+        if number % 100 == 0:
+            group.run_for(TICK_SECONDS)
+    group.run_for(1.0)
+    for host in group.host_by_name.values():
+        if compacts:
+            host.compact()
+    companions = {group.leader().name, *list(group.host_by_name.keys() - {group.leader().name})[:1]}
+    others = group.host_by_name.keys() - companions
+    between = {(a, b) for a in companions for b in others}
+    group.blocked_links = between | {(b, a) for a, b in between}
+    for number in range(uncommitted):
+        group.propose(f"uncommitted {number}")
+    is_blocked = group.is_blocked
+    group.is_blocked = lambda m: (
+        is_blocked(m)
+        or (m.payload.append_request is not None and m.sender.rpartition(".")[0] in others)
+    )
+    while not any(group.host_by_name[name].is_leader for name in others):
+        group.run_for(TICK_SECONDS)
+    host = next(each for name in others if (each := group.host_by_name[name]).is_leader)
+    host.core.propose([f"conflicting {number}".encode() for number in range(conflicting - 1)])
+    host.process_ready()
+    group.is_blocked = is_blocked
+    group.heal_partitions()
+    group.isolate(host.name)
+    group.run_for(6.0)
+    assert group.leader().name in companions
+    for _ in range(leaderships - 1):
+        group.isolate(group.leader().name)
+        group.run_for(6.0)
+    leader = group.leader()
+    assert host.core.log.last_index == host.core.commit_index + conflicting
+    first = host.core.commit_index + 1
+    assert leader.core.log.term_at(first) < host.core.log.term_at(first)
+    assert leader.core.log.base_index == (first - 1 if compacts else 0)
+    return group, host
+
+
+# Guards against a leader that sends a member a whole term again: its entries in place of those
+# that the member holds are of an earlier term, most of which the member holds.
+@pytest.mark.parametrize("leaderships", [1, 2])
+@pytest.mark.parametrize("conflicting", [1, 2, 20, 30, 31, 100])
+def test_a_member_with_entries_of_a_later_term_is_sent_only_what_it_lacks(conflicting, leaderships):
+    group, host = group_with_entries_of_a_later_term(2000, 30, conflicting, leaderships=leaderships)
+    leader = group.leader()
+    missing = leader.core.log.last_index - host.core.commit_index
+    group.heal_partitions()
+    rejections, deliver = [], group.deliver
+
+    def deliver_and_keep_rejections(message):
+        reply = message.payload.append_reply
+        if reply and not reply.success and message.sender == host.replica_id:
+            rejections.append(reply)
+        deliver(message)
+
+    group.deliver = deliver_and_keep_rejections
+    sent = run_and_count_entries(group, host.name, 3.0)
+    assert group.leader() is leader
+    # One for each term in which the logs differ.
+    assert len(rejections) <= leaderships + 1
+    assert leader.core.is_caught_up(host.replica_id)
+    assert host.applied == leader.applied
+    assert sent < 2 * missing
+
+
+@pytest.mark.parametrize("leaderships", [1, 2])
+@pytest.mark.parametrize("uncommitted", [1, 2, 30])
+@pytest.mark.parametrize("conflicting", [1, 2, 30])
+def test_a_member_that_holds_all_up_to_the_start_of_the_log_needs_no_snapshot(
+    uncommitted, conflicting, leaderships
+):
+    group, host = group_with_entries_of_a_later_term(
+        10, uncommitted, conflicting, compacts=True, leaderships=leaderships
+    )
+    leader, chunks, enqueue = group.leader(), [], group.enqueue
+
+    def enqueue_and_keep(messages):
+        chunks.extend(m for m in messages if m.payload.snapshot_chunk is not None)
+        enqueue(messages)
+
+    group.enqueue = enqueue_and_keep
+    group.heal_partitions()
+    group.run_for(3.0)
+    assert leader.core.is_caught_up(host.replica_id)
+    assert host.applied == leader.applied
+    assert not chunks
+
+
 def test_the_first_entry_of_a_term_is_found_as_far_as_the_log_goes_back():
     log = RaftLog(Membership([]), base_index=10, base_term=2)
     for index, term in enumerate([2, 2, 3, 3, 5], start=11):
         log.append(LogEntry(index, term, EntryKind.COMMAND, b""))
     first_by_index = {index: log.first_index_of_term_at(index) for index in range(11, 16)}
     assert first_by_index == {11: 11, 12: 11, 13: 13, 14: 13, 15: 15}
+    last_by_term = {term: log.last_index_of_terms_up_to(term) for term in range(1, 7)}
+    assert last_by_term == {1: 10, 2: 12, 3: 14, 4: 14, 5: 15, 6: 15}
