Test of a call that lasts: it is held until the test has looked at it

test_the_state_of_a_sender_tells_how_long_its_call_has_lasted slept 1 s of real time in the call, and waited for half of that in the time of the loop, in which pauses of the process do not count. After some pauses the call had ended before its state was read.

The bounds are as they were; the call ends when the test lets it.

--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -10,6 +10,7 @@
 import eventlet
 import eventlet.green.socket
 import pytest
+from eventlet.event import Event
 
 from savoryshelf.replication import transport as transport_module
 from savoryshelf.replication.transport import MAX_QUEUED_MESSAGES, PeerTransport
@@ -293,11 +294,11 @@
 
 # Guards against a call that lasts for seconds, behind which all else to that peer waits, unseen.
 def test_the_state_of_a_sender_tells_how_long_its_call_has_lasted(monkeypatch):
-    call = transport_module.PeerClient.call
+    call, release = transport_module.PeerClient.call, Event()
 
     def call_slowly(self, *arguments, **timeouts):
         call(self, *arguments, **timeouts)
-        eventlet.sleep(1.0)
+        release.wait()
 
     monkeypatch.setattr(transport_module.PeerClient, "call", call_slowly)
     with running_host("127.0.0.1:0") as host, running_transport() as transport:
@@ -311,6 +312,7 @@
         assert state()["connected"]
         assert state()["queued"] == 2
         assert "lost_s" not in state()
+        release.send(None)
         assert wait_until(lambda: "sent_s" in state(), 2.0) < 1.0
 
 
