Test of a refusing disk waits for the state between two attempts

test_a_disk_that_refuses_a_write_is_at_it_until_it_accepts looked once, after 0.25 s. While an attempt is made the disk tells that attempt's time only, and after a pause of the process the look and the attempt come due together.

Evidence: with its process stopped for 0.35 s in each 0.45 s it failed on (0.00005 s, more than 0.1 expected) and passes now. What has to be told is more: the whole time since the first refusal was seen, and over two pauses between attempts.

--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -7,7 +7,7 @@
 import eventlet
 import pytest
 
-from savoryshelf.disk import LocalDisk
+from savoryshelf.disk import REFUSAL_RETRY_SECONDS, LocalDisk
 from savoryshelf.errors import DiskFailed
 from savoryshelf.observability import metrics
 
@@ -57,9 +57,18 @@
 
 def test_a_disk_that_refuses_a_write_is_at_it_until_it_accepts(tmp_path, refusing):
     disk = LocalDisk(str(tmp_path))
+    refusals = metrics.DISK_REFUSALS._value.get()
     writing = eventlet.spawn(disk.append, "a", b"record")
-    eventlet.sleep(0.25)
-    assert disk.write_in_progress_seconds() > 0.1
+    with eventlet.Timeout(5.0):
+        while metrics.DISK_REFUSALS._value.get() == refusals:
+            eventlet.sleep(0.01)
+        refused_at = time.monotonic()
+        # Each attempt in between tells only its own time.
+        least = told = 0.0
+        while told <= 2 * REFUSAL_RETRY_SECONDS or told < least:
+            eventlet.sleep(0.01)
+            least = time.monotonic() - refused_at
+            told = disk.write_in_progress_seconds()
     refusing()
     writing.wait()
     assert disk.write_in_progress_seconds() == 0.0
