Test of a link that is cut one way waits until the other host has read

test_one_way_bytes_pass_in_the_other_direction_only gave the thread that reads at the other host, which is one of the test's own process, the 0.4 s of a read that times out. After a pause of the process that read had timed out before the thread had a turn.

The read that has to time out begins after the bytes have arrived and were answered, which is stricter.

--- a/tests/standins/test_links.py
+++ b/tests/standins/test_links.py
@@ -110,6 +110,14 @@
     return time.monotonic() - began_at
 
 
+def wait_for_echo_to_get(pair, data):
+    """Wait until a thread of this process, which may have no turn for a while, has read it."""
+    deadline = time.monotonic() + 2 * SLACK_SECONDS
+    while data not in pair.echo.received:
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
 def test_each_direction_has_its_delay(pair):
     with pair.connect() as connection:
         ask(connection)
@@ -181,10 +189,10 @@
         ask(connection)
         with pair.links.are_cut([(pair.b, pair.a)]):
             connection.sendall(b"heard")
+            wait_for_echo_to_get(pair, b"heard")
             with pytest.raises(TimeoutError):
                 connection.settimeout(SHORT_SECONDS)
                 connection.recv(100)
-            assert b"heard" in pair.echo.received
             # Nothing acknowledges what arrived.
             seconds = wait_for_end(connection, USER_TIMEOUT_SECONDS + SLACK_SECONDS)
             assert seconds >= USER_TIMEOUT_SECONDS - 2 * SHORT_SECONDS
