Tests of waits that were moved to virtual time bound them in virtual time

Two tests of test_worker_incarnations.py still bounded the end of an incarnation by the time of the loop, which is real time: on virtual time that is what the processor needs, and the bound held however long the wait was.

--- a/tests/dispatch/test_worker_incarnations.py
+++ b/tests/dispatch/test_worker_incarnations.py
@@ -20,10 +20,9 @@
 from savoryshelf.tasks.crashes import SURVIVAL_MS
 from savoryshelf.wire.generated.ttypes import RunOutcome
 
-from ..loop_time import counting_loop_time
 from ..tasks.builders import JOB, step
 from . import group as group_module
-from .fakes import wait_until
+from .fakes import CLOCK, wait_until
 from .group import LEASE_MS, FakeGroup
 
 pytestmark = pytest.mark.usefixtures("on_virtual_time")
@@ -119,12 +118,12 @@
 @pytest.mark.parametrize("is_noted", [True, False], ids=["noted", "not noted"])
 def test_an_incarnation_whose_worker_has_restarted_ends_at_once(group, is_noted):
     start_a_run(group)
-    with counting_loop_time() as loop_time:
-        group.restart_worker("w1", 2)
-        if is_noted:
-            group.note_incarnation(*LATER)
-        wait_until(lambda: has_ended(group, EARLIER))
-        assert loop_time.seconds < REPLACEMENT_REPORT_SECONDS
+    began_at = CLOCK.monotonic()
+    group.restart_worker("w1", 2)
+    if is_noted:
+        group.note_incarnation(*LATER)
+    wait_until(lambda: has_ended(group, EARLIER))
+    assert CLOCK.monotonic() - began_at < REPLACEMENT_REPORT_SECONDS
     wait_until(lambda: bool(group.worker_by_id["w1"].starts) is is_noted)
 
 
@@ -153,12 +152,12 @@
     start_a_run(group)
     group.restart_worker("w1", 2)
     group.error_by_incarnation[EARLIER] = error
-    with counting_loop_time() as loop_time:
-        group.note_incarnation(*LATER)
-        event(group)
-        wait_until(lambda: has_ended(group, EARLIER))
-        if event is do_nothing:
-            assert loop_time.seconds < REPLACEMENT_REPORT_SECONDS + PASS_SECONDS
+    began_at = CLOCK.monotonic()
+    group.note_incarnation(*LATER)
+    event(group)
+    wait_until(lambda: has_ended(group, EARLIER))
+    if event is do_nothing:
+        assert CLOCK.monotonic() - began_at < REPLACEMENT_REPORT_SECONDS + PASS_SECONDS
     wait_until(lambda: group.worker_by_id["w1"].running)
     assert not has_ended(group, LATER)
 
