Tests of the search for a leader run on virtual time

They bounded an answer to 0.2 s in the time of the loop, on the hub that all tests of a process share. Green threads that earlier tests left there took part of each turn: the agents of a FakeGroup never end, and test_search.py itself left up to 80 attempts at hosts that are gone.

--- a/tests/gateway/test_search.py
+++ b/tests/gateway/test_search.py
@@ -14,8 +14,8 @@
 from savoryshelf.wire.generated import ttypes
 from savoryshelf.wire.generated.ttypes import JobAnswer, JobAnswerKind, JobCall, JobVerb
 
-from ..loop_time import counting_loop_time
-
+pytestmark = pytest.mark.parametrize("on_virtual_time", range(4), indirect=True)
+CLOCK = SystemClock()
 CALL = JobCall(JobVerb.SUBMIT, "h.example", "/q/00000000000000a1", trace_id="t")
 ACCEPTED = JobAnswer(JobAnswerKind.ACCEPTED)
 GONE = ["gone1", "gone2", "gone3", "gone4"]
@@ -67,36 +67,29 @@
 
 
 @pytest.fixture
-def group(monkeypatch):
+def group(on_virtual_time, monkeypatch):
     FakePool.group = FakeGroup()
     monkeypatch.setattr("savoryshelf.gateway.leader.PeerPool", FakePool)
     return FakePool.group
 
 
 @pytest.fixture
-def clients(group, monkeypatch):
+def clients(group):
     """Entry hosts that know the members and as many hosts that are gone."""
-    threads, spawn = [], eventlet.spawn
-    monkeypatch.setattr(eventlet, "spawn", lambda *args: threads.append(spawn(*args)))
     made = [LeaderClient([*GONE, *MEMBERS], "key", SystemClock()) for _ in range(ENTRY_HOSTS)]
     for client in made:
         client.start()
-    monkeypatch.undo()
-    # GreenPool spawns as well; the pools stay fake.
-    monkeypatch.setattr("savoryshelf.gateway.leader.PeerPool", FakePool)
-    yield made
-    for thread in threads:
-        thread.kill()
+    return made
 
 
 def seconds_until_answered(client, limit_seconds):
     """Return how long one request took; infinite if it was refused."""
-    with counting_loop_time() as counted:
-        try:
-            assert client.call(CALL, limit_seconds) == ACCEPTED
-        except LeaderUnavailable:
-            return float("inf")
-    return counted.seconds
+    began_at = CLOCK.monotonic()
+    try:
+        assert client.call(CALL, limit_seconds) == ACCEPTED
+    except LeaderUnavailable:
+        return float("inf")
+    return CLOCK.monotonic() - began_at
 
 
 def all_seconds(clients, limit_seconds=2.8):
