Tests of the leader's commits of reports run on virtual time

They looked after 0.4 or 0.5 s of real time at what commits of 0.04 s had done; a pause of the process let that time pass without a turn.

Evidence: with the test process stopped for 0.35 s in each 0.45 s, on, test_ends_of_runs_do_not_wait_for_each_of_many_lost_workers failed in one run of two, test_ended_incarnations_keep_... and test_ends_are_committed_with_what_they_rest_on in both (entries not committed yet). All 5 pass so now; no bound changed.

--- a/tests/dispatch/test_leader_term.py
+++ b/tests/dispatch/test_leader_term.py
@@ -65,7 +65,7 @@
 
 
 @pytest.fixture
-def committing_term():
+def committing_term(on_virtual_time):
     replica = SlowReplica()
     term = LeaderTerm(replica, TaskStateMachine(), SystemClock(), DispatchSettings(600))
     thread = eventlet.spawn(term._commit_reports)
