Tests of the log of waits with a real leader run on virtual time

They wait for 6 or 8 s of real time for a line that comes 4 s after a task became due, and compare its seconds with the real time since a run; 5 green threads of each test went on in the process.

--- a/tests/dispatch/test_waiting_log.py
+++ b/tests/dispatch/test_waiting_log.py
@@ -1,7 +1,5 @@
 """Lines on startable work that waits too long: what they name, and how many there are."""
 
-import time
-
 import eventlet
 import pytest
 
@@ -30,7 +28,7 @@
 )
 
 from ..tasks.builders import JOB, accept, ledger, record_intent, settle_run, step, worker
-from .fakes import wait_until
+from .fakes import CLOCK, wait_until
 from .group import FakeGroup
 
 AGENT = "c1.disk/1"
@@ -240,7 +238,7 @@
 
 
 @pytest.fixture
-def group():
+def group(on_virtual_time):
     started = FakeGroup(["c0"], ["w1", "w2"])
     try:
         wait_until(lambda: started.agent_host("w1") and started.agent_host("w2"))
@@ -276,7 +274,7 @@
     for fake in group.worker_by_id.values():
         del fake.apply_start
     wait_until(lambda: any(fake.running for fake in group.worker_by_id.values()))
-    ran_from = time.monotonic()
+    ran_from = CLOCK.monotonic()
     name, running = next((n, fake) for n, fake in group.worker_by_id.items() if fake.running)
     for fake in group.worker_by_id.values():
         fake.apply_start = refuse
@@ -288,7 +286,7 @@
         group.worker_by_id[name].apply_start = refuse
     lines.clear()
     wait_until(lambda: lines, 8.0)
-    assert last_line(lines)["seconds"] < time.monotonic() - ran_from
+    assert last_line(lines)["seconds"] < CLOCK.monotonic() - ran_from
 
 
 def test_a_leader_counts_planned_starts_that_were_invalid_when_committed(lines, group):
