Tests of tasks that crash their workers run on virtual time

Their workers crash, restart and end runs by timers, beside leases and reports that the system's clock measures; 13 green threads of each test went on in the process.

Evidence: with the test process stopped for 0.35 s in each 0.45 s, test_a_task_that_crashes_its_workers_while_it_works_is_given_up failed in one run of two on.

--- a/tests/dispatch/test_crashing_tasks.py
+++ b/tests/dispatch/test_crashing_tasks.py
@@ -113,7 +113,7 @@
 
 
 @pytest.fixture
-def group(monkeypatch):
+def group(on_virtual_time, monkeypatch):
     monkeypatch.setattr(assignment, "MAX_WORKERS_OF_LEADER", 0)
     started = CrashingGroup()
     try:
