--- a/tests/dispatch/test_evidence_of_incarnations.py
+++ b/tests/dispatch/test_evidence_of_incarnations.py
@@ -15,6 +15,7 @@
 from .group import FakeGroup
 from .test_agent_fleet import report, state, worker_with_token
 
+pytestmark = pytest.mark.usefixtures("on_virtual_time")
 TASK = f"{JOB}.0.0.0"
 EARLIER, LATER = ("w1", 1), ("w1", 2)
 OTHER_ADDRESS = "10.0.0.9:80"
@@ -183,7 +184,7 @@
 # Guards against jobs that fail for restarts of all workers at once: an answer that a busy host read
 # late seemed to tell that its worker had outlived the others, and been lost alone.
 def test_an_answer_that_is_read_late_tells_no_more_than_that_the_call_was_answered(
-    on_virtual_time, running_session
+    running_session,
 ):
     session, worker, agent = running_session
     answered = []
