--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2762,9 +2762,9 @@
         "            except IncarnationReplaced as error:\n"
         "                self._end_incarnation(str(error))\n"
         "            except (WorkerUnresponsive, CallRejected) as error:\n"
-        "                metrics",
+        '                metrics.RETRIES.labels("stop',
         "            except (WorkerUnresponsive, CallRejected, IncarnationReplaced) as error:\n"
-        "                metrics",
+        '                metrics.RETRIES.labels("stop',
         _INCARNATIONS_TESTS,
     ),
     Mutant(
