--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -1427,7 +1427,7 @@
     Mutant(
         "a replica that is stuck is stopped",
         "replication/watch.py",
-        "now - self._unexplained_since > MAX_UNEXPLAINED_SECONDS",
+        "now - self._hung_since > MAX_HUNG_SECONDS",
         "False",
         "tests/replication/test_watch.py",
     ),
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -33,7 +33,7 @@
 STUCK_SECONDS = 2.0
 """Time without a completed turn of the replica's thread after which that is logged."""
 
-MAX_UNEXPLAINED_SECONDS = 3.0
+MAX_HUNG_SECONDS = 3.0
 """How long a thread may be stuck without a write in progress until its replica is stopped.
 
 Many times the longest turn, and a restart takes a second or two.
@@ -125,7 +125,7 @@
         self._heard_at_by_sender: dict[str, float] = {}
         self._without_leader: _Episode | None = None
         self._stuck: _Episode | None = None
-        self._unexplained_since: float | None = None
+        self._hung_since: float | None = None
         self._write_seen: float | None = None
         """When the write began that the thread waited for at the latest check."""
 
@@ -169,7 +169,7 @@
         if self._replica.core.role is Role.LEADER:
             self._led_at = now
         if now - self._resumed_at < CHECK_INTERVAL_SECONDS:
-            self._unexplained_since = None
+            self._hung_since = None
             return
         self._without_leader = self._follow(
             self._without_leader, now, now - max(now - contact_age, self._led_at, self._started_at),
@@ -178,7 +178,7 @@
         self._stuck = self._follow(
             self._stuck, now, turn_age, STUCK_SECONDS, self._log_stuck, self._log_goes_on
         )
-        self._stop_if_unexplained(now, turn_age)
+        self._stop_if_hung(now, turn_age)
         self._follow_voters(now)
 
     @staticmethod
@@ -313,18 +313,18 @@
             **self._own_thread(now),
         )  # fmt: skip
 
-    def _stop_if_unexplained(self, now: float, seconds: float) -> None:
+    def _stop_if_hung(self, now: float, seconds: float) -> None:
         """Stop a replica whose thread is stuck, unless its disk is slow or refuses a write."""
         write_before, self._write_seen = self._write_seen, self._replica.write_began_at
         # One write after another is slow, and not stuck, even if each has just ended.
         goes_on = self._write_seen != write_before
         if seconds <= STUCK_SECONDS or goes_on or self._replica.waits_for_disk:
-            self._unexplained_since = None
+            self._hung_since = None
             return
-        if self._unexplained_since is None:
-            self._unexplained_since = now
-        if now - self._unexplained_since > MAX_UNEXPLAINED_SECONDS:
-            self._unexplained_since = now
+        if self._hung_since is None:
+            self._hung_since = now
+        if now - self._hung_since > MAX_HUNG_SECONDS:
+            self._hung_since = now
             log_event("replica:stopped", why="its thread is stuck", seconds=round(seconds, 2))
             # This runs in a green thread that is stopped as well.
             eventlet.spawn_n(self._replica.stop, ReplicaStuck(seconds))
--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -59,8 +59,8 @@
 DRAIN_POLL_SECONDS = 0.02
 """Interval at which a draining server looks for calls in progress."""
 
-QUESTION_INTERVAL_SECONDS = 0.4
-"""Shortest time between two questions on a connection of one-way calls."""
+PROBE_INTERVAL_SECONDS = 0.4
+"""Shortest time between two probes on a connection of one-way calls."""
 
 LOOKS_PER_SILENCE = 10
 """How often in the longest silence a call that waits to be sent looks whether bytes move."""
@@ -200,13 +200,13 @@
         self._cluster_key = cluster_key
         self._clock = SystemClock()
         self._is_open = False
-        self._question_end: int | None = None
-        """Where among the written bytes the question ends that is not answered yet."""
+        self._probe_end: int | None = None
+        """Where among the written bytes the probe ends that is not answered yet."""
 
-        self._next_question_at = float("-inf")
+        self._next_probe_at = float("-inf")
         self._acknowledged = 0
         self._moved_at = float("-inf")
-        """When the connection was last seen to carry bytes, up to the end of the question."""
+        """When the connection was last seen to carry bytes, up to the end of the probe."""
 
     @property
     def is_open(self) -> bool:
@@ -262,9 +262,9 @@
         """Call a one-way method; a client that sends is used for nothing else.
 
         Nobody answers such a call, and the bytes on a connection that has gone silent may still be
-        acknowledged.  So a question goes with some of the calls, whose answer is not waited for.
+        acknowledged.  So a probe goes with some of the calls, whose answer is not waited for.
         Raises PeerUnreachable, and closes the connection, once it has been silent for
-        ``max_silence`` seconds.  A slow one is not: as long as bytes up to the end of the question
+        ``max_silence`` seconds.  A slow one is not: as long as bytes up to the end of the probe
         are acknowledged, its answer can't be there.  After that only the answer counts, as
         acknowledged bytes may be read by nobody.
         """
@@ -272,28 +272,28 @@
             self.close()
             error = TimeoutError(f"no answer for {max_silence} s")
             raise PeerUnreachable(self.address, error, sent=False) from error
-        if self._question_end is None:
+        if self._probe_end is None:
             self._moved_at = self._clock.monotonic()
         self._socket.on_wait = lambda: self._look(max_silence)
         self.call(method, *arguments, timeout=max_silence / LOOKS_PER_SILENCE)
         now = self._clock.monotonic()
-        if self._question_end is not None or now < self._next_question_at:
+        if self._probe_end is not None or now < self._next_probe_at:
             return
         try:
             self._client.send_hello()
         except (TTransportException, OSError) as error:
             self.close()
             raise PeerUnreachable(self.address, error, sent=True) from error
-        self._question_end = self._socket.written
+        self._probe_end = self._socket.written
         self._moved_at = self._clock.monotonic()
-        self._next_question_at = now + QUESTION_INTERVAL_SECONDS
+        self._next_probe_at = now + PROBE_INTERVAL_SECONDS
 
     def _take_answer(self) -> bool:
         """Return whether no answer is missing, after the one was read that is there, if any.
 
         If it is none the connection is closed, and the call that follows opens a new one.
         """
-        if self._question_end is None:
+        if self._probe_end is None:
             return True
         if not _is_readable(self._socket.handle):
             return False
@@ -301,12 +301,12 @@
             self._client.recv_hello()
         except (TException, OSError, EOFError, *_DECODER_ERRORS):
             self.close()
-        self._question_end, self._moved_at = None, self._clock.monotonic()
+        self._probe_end, self._moved_at = None, self._clock.monotonic()
         return True
 
     def _is_silent(self, max_silence: float) -> bool:
         now, acknowledged = self._clock.monotonic(), self._socket.acknowledged
-        may_be_answered = self._question_end is not None and acknowledged >= self._question_end
+        may_be_answered = self._probe_end is not None and acknowledged >= self._probe_end
         if acknowledged > self._acknowledged and not may_be_answered:
             self._moved_at = now
         self._acknowledged = acknowledged
@@ -346,7 +346,7 @@
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
-        self._is_open, self._question_end = False, None
+        self._is_open, self._probe_end = False, None
         self._transport.close()
 
 
--- a/tests/replication/test_watch.py
+++ b/tests/replication/test_watch.py
@@ -10,7 +10,7 @@
 from savoryshelf.replication import watch as watch_module
 from savoryshelf.replication.watch import (
     LOG_INTERVAL_SECONDS,
-    MAX_UNEXPLAINED_SECONDS,
+    MAX_HUNG_SECONDS,
     STUCK_SECONDS,
     VOTER_SILENT_TIMEOUTS,
     ReplicaStuck,
@@ -222,13 +222,13 @@
         else:
             monkeypatch.setattr(service.core, "tick", lambda now: Event().wait())
         group.propose(leader)
-        group.clock.sleep(STUCK_SECONDS + MAX_UNEXPLAINED_SECONDS + 1.5)
+        group.clock.sleep(STUCK_SECONDS + MAX_HUNG_SECONDS + 1.5)
         with pytest.raises(ReplicaStuck):
             service.wait()
     (stuck,) = named(lines, "replica:stuck")
     assert stuck["seconds"] < STUCK_SECONDS + 1.0
     (stopped,) = named(lines, "replica:stopped")
-    assert stopped["seconds"] > STUCK_SECONDS + MAX_UNEXPLAINED_SECONDS
+    assert stopped["seconds"] > STUCK_SECONDS + MAX_HUNG_SECONDS
 
 
 # Guards against an end just as a slow disk is done, before its replica's thread has had a turn.
@@ -241,7 +241,7 @@
         group.propose(leader)
         group.clock.sleep(20.0)
         is_writing = False
-        group.clock.sleep(MAX_UNEXPLAINED_SECONDS - 1.0)
+        group.clock.sleep(MAX_HUNG_SECONDS - 1.0)
         release.send(None)
         group.clock.sleep(5.0)
         assert not group.service_by_name[first].thread.dead
@@ -408,7 +408,7 @@
         stuck_disk(group, first)
         group.disk_by_name[first].write_in_progress_seconds = lambda: 0.0
         group.propose(leader)
-        group.clock.sleep(STUCK_SECONDS + MAX_UNEXPLAINED_SECONDS + 1.5)
+        group.clock.sleep(STUCK_SECONDS + MAX_HUNG_SECONDS + 1.5)
         assert service.thread.dead
         with pytest.raises(ReplicaStuck):
             service.wait()
