Tests of native threads wait for turns and beginnings instead of tenths of a second

test_a_call_returns_its_result_and_lets_green_threads_run counted turns during a call of 0.2 s, and test_the_time_at_a_call_is_told_while_it_runs took a call to have begun 0.05 s after its spawn. Both depend on how soon the process gets its turns.

As strict: the call lasts until the green threads have had six turns, and is given up after 5 s; the time told is at least the whole time since the call was seen to run.

--- a/tests/test_native_thread.py
+++ b/tests/test_native_thread.py
@@ -13,6 +13,8 @@
 from savoryshelf.native_thread import NativeThread
 
 native_sleep = patcher.original("time").sleep
+NativeEvent = patcher.original("threading").Event
+LIMIT_SECONDS = 5.0
 
 
 @pytest.fixture
@@ -21,17 +23,15 @@
 
 
 def test_a_call_returns_its_result_and_lets_green_threads_run(thread):
-    turns = []
+    have_run = NativeEvent()
 
     def take_turns():
-        while True:
-            turns.append(time.monotonic())
+        for _ in range(6):
             eventlet.sleep(0.01)
+        have_run.set()
 
-    ticker = eventlet.spawn(take_turns)
-    assert thread.run(lambda seconds: native_sleep(seconds) or "done", 0.2) == "done"
-    ticker.kill()
-    assert len(turns) > 5
+    eventlet.spawn(take_turns)
+    assert thread.run(lambda limit: have_run.wait(limit) and "done", LIMIT_SECONDS) == "done"
 
 
 @pytest.mark.parametrize("error", [OSError(5, "I/O error"), SystemExit(1), eventlet.Timeout()])
@@ -67,10 +67,16 @@
 
 def test_the_time_at_a_call_is_told_while_it_runs(thread):
     assert thread.running_seconds() == 0.0
-    release = patcher.original("threading").Event()
-    waiting = eventlet.spawn(thread.run, release.wait)
+    has_begun, release = NativeEvent(), NativeEvent()
+    began_at = time.monotonic()
+    waiting = eventlet.spawn(thread.run, lambda: has_begun.set() or release.wait())
+    with eventlet.Timeout(LIMIT_SECONDS):
+        while not has_begun.is_set():
+            eventlet.sleep(0.01)
+    least = time.monotonic()
     eventlet.sleep(0.1)
-    assert 0.05 < thread.running_seconds() < 5.0
+    least = time.monotonic() - least
+    assert least <= thread.running_seconds() <= time.monotonic() - began_at
     release.set()
     waiting.wait()
     assert thread.running_seconds() == 0.0
