--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -4,13 +4,16 @@
 import select
 import socket
 import time
+import types
 
 import eventlet
 import pytest
+from eventlet.event import Event
 
 from savoryshelf import http_server
 from savoryshelf.http_server import HttpServer
 
+from .loop_time import counting_loop_time
 from .virtual_time import own_hub
 
 REQUEST = b"POST /path HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi"
@@ -18,20 +21,33 @@
 
 
 class Application:
-    """Answers each request with its body after ``seconds``."""
+    """Answers each request with its body after ``seconds``, and once ``hold`` has returned.
+
+    ``hold`` is called with the number of the request.
+    """
 
     def __init__(self):
         self.seconds = 0.0
+        self.hold = lambda number: None
         self.started = 0
 
     def __call__(self, environ, start_response):
         self.started += 1
+        number = self.started
         body = environ["wsgi.input"].read(2)
         eventlet.sleep(self.seconds)
+        self.hold(number)
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
 
+@pytest.fixture(autouse=True)
+def hub():
+    """Run each test without the green threads that others have left in the process."""
+    with own_hub() as hub:
+        yield hub
+
+
 @pytest.fixture
 def application():
     return Application()
@@ -57,7 +73,10 @@
 
 
 def let_server_run():
+    """Give the server enough turns for all that has arrived, however long they take."""
     eventlet.sleep(0.05)
+    for _ in range(20):
+        eventlet.sleep(0)
 
 
 def received(client):
@@ -74,11 +93,13 @@
 
 
 def test_a_request_in_progress_is_answered_before_the_server_ends(server, application):
-    application.seconds = 0.3
+    release = Event()
+    application.hold = lambda number: release.wait()
     client = connect(server)
     client.sendall(REQUEST)
     let_server_run()
     assert server.in_progress == 1
+    eventlet.spawn_after(0.3, release.send, None)
     assert server.drain(0.0, LIMIT_SECONDS) == 0
     assert is_complete_final_response(received(client))
 
@@ -137,9 +158,11 @@
 
 # Guards against a caller that has connected just before, and whose request is on its way.
 def test_the_first_request_of_a_new_connection_may_follow_its_opening(server):
-    client = connect(server)
-    eventlet.spawn_after(0.1, client.sendall, REQUEST)
-    assert server.drain(0.0, LIMIT_SECONDS) == 0
+    with counting_loop_time() as loop_time:
+        server.clock = types.SimpleNamespace(monotonic=lambda: loop_time.seconds)
+        client = connect(server)
+        eventlet.spawn_after(0.1, client.sendall, REQUEST)
+        assert server.drain(0.0, LIMIT_SECONDS) == 0
     assert is_complete_final_response(received(client))
 
 
@@ -201,18 +224,27 @@
 def test_waiting_until_answered_covers_what_has_arrived_and_serves_later_requests(
     server, application
 ):
-    application.seconds = 0.3
     unaccepted, later = connect(server), []
     unaccepted.sendall(REQUEST)
-
-    def send_later_request():
-        later.append(connect(server))
-        later[0].sendall(REQUEST)
-
-    eventlet.spawn_after(0.2, send_later_request)
-    server.wait_until_answered(LIMIT_SECONDS)
+    is_later_served, release = Event(), Event()
+
+    def hold(number):
+        if number == 1:
+            # By then the server waits for what had arrived.
+            eventlet.sleep(0.2)
+            later.append(connect(server))
+            later[0].sendall(REQUEST)
+            is_later_served.wait()
+        else:
+            is_later_served.send(None)
+            release.wait()
+
+    application.hold = hold
+    with eventlet.Timeout(LIMIT_SECONDS):
+        server.wait_until_answered(2 * LIMIT_SECONDS)
     assert unaccepted.recv(4096).endswith(b"hi")
     assert server.in_progress == 1
+    release.send(None)
     server.drain(0.0, LIMIT_SECONDS)
     assert is_complete_final_response(received(later[0]))
 
@@ -228,19 +260,17 @@
 
 # Guards against a server that looks without a pause for callers that it cannot accept.
 def test_waiting_until_answered_leaves_the_processor_idle_at_the_maximum_of_connections(
-    application, monkeypatch
+    application, hub, monkeypatch
 ):
     looks, waits = [], []
-    # Green threads that earlier tests have left would use processor time as well.
-    with own_hub() as hub:
-        server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
-        clients = [connect(server) for _ in range(3)]
-        let_server_run()
-        count_calls(monkeypatch, http_server, "_is_readable", looks)
-        count_calls(monkeypatch, hub, "wait", waits)
-        used_before = time.thread_time()
-        server.wait_until_answered(1.0)
-        assert time.thread_time() - used_before < 0.3
+    server = HttpServer("127.0.0.1:0", application, idle_seconds=30.0, max_connections=1)
+    clients = [connect(server) for _ in range(3)]
+    let_server_run()
+    count_calls(monkeypatch, http_server, "_is_readable", looks)
+    count_calls(monkeypatch, hub, "wait", waits)
+    used_before = time.thread_time()
+    server.wait_until_answered(1.0)
+    assert time.thread_time() - used_before < 0.3
     # A busy machine leaves little processor time even to a loop without a pause.
     looks_at_callers = [each for each in looks if each == (server._listener,)]
     assert 0 < len(looks_at_callers) <= 1.0 / http_server.DRAIN_POLL_SECONDS + 1
