Tests of joining run on virtual time

They counted attempts and lines within spans of real time, and ended the attempts that were still in progress by hand. On virtual time these end with the hub of their test, and the disk is in memory, since its native thread has no place there.

--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -24,7 +24,7 @@
     WalRecord,
 )
 
-from ..loop_time import counting_loop_time
+from ..replication.group import MemoryDisk
 
 OWN_IP, LEADER_IP, FOLLOWER_IP = "127.0.0.9", "127.0.0.1", "127.0.0.2"
 GONE_IPS = [f"127.0.1.{number}" for number in range(1, 7)]
@@ -40,11 +40,9 @@
         self.asked_ips = []
         self.leader_address = f"{LEADER_IP}:{PORT}"
         self.is_accepted = False
-        self._callers = set()
 
     def client(self, service, address, cluster_key, kind="control"):
         def call(method, member, timeout, total_timeout=10.0):
-            self._callers.add(eventlet.getcurrent())
             ip = address.rpartition(":")[0]
             self.asked_ips.append(ip)
             if ip in GONE_IPS:
@@ -57,18 +55,17 @@
 
         return types.SimpleNamespace(address=address, call=call, close=lambda: None)
 
-    def end_calls(self):
-        """End the attempts in progress: they would log their outcomes during a later test."""
-        for caller in self._callers:
-            eventlet.kill(caller)
-
 
 @pytest.fixture
-def peers(monkeypatch):
+def peers(on_virtual_time, monkeypatch):
+    """Yield the peers of a host on virtual time, whose disk is in memory.
+
+    Attempts that are in progress at the end of a test end with its hub.
+    """
     fake = FakePeers()
     monkeypatch.setattr(joining, "PeerClient", fake.client)
-    yield fake
-    fake.end_calls()
+    monkeypatch.setattr(host_module, "LocalDisk", lambda folder: MemoryDisk())
+    return fake
 
 
 @pytest.fixture
@@ -96,13 +93,13 @@
 
 
 def seconds_until_accepted(host, peers, limit_seconds):
-    with counting_loop_time() as counted:
-        thread = eventlet.spawn(host._maintain_membership)
-        while not peers.is_accepted and counted.seconds < limit_seconds:
-            eventlet.sleep(0.01)
+    began_at = host._clock.monotonic()
+    thread = eventlet.spawn(host._maintain_membership)
+    while not peers.is_accepted and host._clock.monotonic() < began_at + limit_seconds:
+        eventlet.sleep(0.01)
     thread.kill()
     assert peers.is_accepted, f"not added; asked {peers.asked_ips}"
-    return counted.seconds
+    return host._clock.monotonic() - began_at
 
 
 # Guards against a replacement that waits for one host that is gone after another.
