Test of the start of a control host ends the activities of its host

test_the_time_of_a_start_is_logged_with_that_of_its_disk left a whole host running, which goes on to look for its group and logs that for whichever test comes next in the process. No failure of another test by it is shown (test_joining.py passed right after it).

Evidence: green threads left on the hub after it: 8 on, and none now.

--- a/tests/dispatch/test_host_start.py
+++ b/tests/dispatch/test_host_start.py
@@ -10,6 +10,7 @@
 from savoryshelf.dispatch.leader_term import DispatchSettings
 
 from ..platform.test_whole_path import NETWORK
+from ..virtual_time import own_hub
 from .fakes import LEASE_MS
 
 IP = f"{NETWORK}.210"
@@ -36,9 +37,11 @@
         ip=IP, peer_port=0, failure_domain="z1", seed_ips=[IP], is_first_start=True,
         data_folder=str(tmp_path), cluster_key="key", dispatch=DispatchSettings(LEASE_MS),
     )  # fmt: skip
-    host = TaskControlHost(settings, None)
-    host.start()
-    host.replica.stop()
+    # The activities of the host end with their hub.
+    with own_hub():
+        host = TaskControlHost(settings, None)
+        host.start()
+        host.replica.stop()
     started = lines["control:started"]
     assert syncs
     assert started["disk_s"] >= len(syncs) * SYNC_SECONDS
