One call to a replica carries no more than 256 KiB of bulk

Callers see a voter behind a slow link that hears of no leader for many seconds.

Cause: a call carries up to 64 queued messages of any size, and since it goes on for as long as its bytes are taken. The other host reads a call as a whole, and the heartbeats after it wait. Old bulk was dropped only behind a call of more than 0.6 s, so that what waited behind several shorter ones stayed.

Change: a call takes messages up to 256 KiB of payload, or a larger one alone; the rest stays, also if the call fails. Before a call, if the first message has waited for over 0.6 s, old bulk behind it is dropped, whatever it waited for; that replaces the check after a slow call.

Where else it could act: a single entry may have 1 MiB, which is still one call.

--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -2383,7 +2383,14 @@
     Mutant(
         "entries and snapshots that became old in a slow call hold up no vote",
         "replication/transport.py",
-        "if sender.sent_at - began_at > MAX_RETRIED_AGE_SECONDS:",
+        "if sender.call_began_at - unsent[0].queued_at > MAX_RETRIED_AGE_SECONDS:",
+        "if False:",
+        "tests/replication/test_transport.py",
+    ),
+    Mutant(
+        "one call to a replica takes no longer than its largest message",
+        "replication/transport.py",
+        "if leading and size > MAX_BULK_BYTES_PER_CALL:",
         "if False:",
         "tests/replication/test_transport.py",
     ),
--- a/src/savoryshelf/replication/transport.py
+++ b/src/savoryshelf/replication/transport.py
@@ -16,6 +16,12 @@
 
 MAX_QUEUED_MESSAGES = 1024
 MAX_MESSAGES_PER_CALL = 64
+MAX_BULK_BYTES_PER_CALL = 256 * 1024
+"""Limit on the payload bytes of one call; a single larger message is sent alone.
+
+The other host reads a call as a whole, and nothing else is sent until it is written.
+"""
+
 RETRY_DELAY_SECONDS = 0.2
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -74,11 +80,32 @@
         return {"connected": self.client.is_open, "queued": queued, **state}
 
 
-def _is_bulk(payload: RaftPayload) -> bool:
+def _is_bulk(payload: RaftPayload | None) -> bool:
+    if payload is None:
+        return False
     request = payload.append_request
     return payload.snapshot_chunk is not None or bool(request and request.entries)
 
 
+def _bulk_bytes(payload: RaftPayload | None) -> int:
+    if not _is_bulk(payload):
+        return 0
+    if payload.snapshot_chunk is not None:
+        return len(payload.snapshot_chunk.data)
+    return sum(len(entry.payload) for entry in payload.append_request.entries)
+
+
+def _leading_messages(unsent: deque[_QueuedMessage]) -> list[RaftMessage]:
+    """Return the first messages with no more payload than one call may have, or the first alone."""
+    leading, size = [], 0
+    for queued in unsent:
+        size += _bulk_bytes(queued.message.payload)
+        if leading and size > MAX_BULK_BYTES_PER_CALL:
+            break
+        leading.append(queued.message)
+    return leading
+
+
 class PeerTransport:
     """Outgoing message queues by peer address.
 
@@ -132,17 +159,18 @@
         while True:
             if not unsent:
                 unsent.append(queue.get())
-            while len(unsent) < MAX_MESSAGES_PER_CALL and not queue.empty():
-                unsent.append(queue.get_nowait())
             sender.call_began_at = self._clock.monotonic()
             try:
-                messages = [queued.message for queued in unsent]
+                if sender.call_began_at - unsent[0].queued_at > MAX_RETRIED_AGE_SECONDS:
+                    # It waited behind a slow call, or several shorter ones.
+                    self._drop_old_bulk(unsent, queue)
+                while len(unsent) < MAX_MESSAGES_PER_CALL and not queue.empty():
+                    unsent.append(queue.get_nowait())
+                messages = _leading_messages(unsent)
                 client.send("deliver", messages, max_silence=MAX_SILENCE_SECONDS)
-                unsent.clear()
-                began_at, sender.call_began_at = sender.call_began_at, None
-                sender.sent_at = self._clock.monotonic()
-                if sender.sent_at - began_at > MAX_RETRIED_AGE_SECONDS:
-                    self._drop_old_bulk(queue)
+                for _ in messages:
+                    unsent.popleft()
+                sender.call_began_at, sender.sent_at = None, self._clock.monotonic()
                 if sender.lost_at is not None:
                     seconds = round(sender.sent_at - sender.lost_at, 2)
                     log_event("peer:regained", address=address, seconds=seconds)
@@ -160,18 +188,22 @@
                             "peer:lost", address=address, had_connection=error.sent, why=str(error)
                         )
                     if error.sent:
-                        unsent.clear()
+                        for _ in messages:
+                            unsent.popleft()
                 eventlet.sleep(RETRY_DELAY_SECONDS * random.uniform(0.5, 1.5))
                 self._drop_old(unsent, queue)
 
-    def _drop_old_bulk(self, queue: Queue) -> None:
-        """Drop queued entries and parts of snapshots that became old during a slow call.
+    def _drop_old_bulk(self, unsent: deque, queue: Queue) -> None:
+        """Drop entries and parts of snapshots that became old behind slow calls, but the first.
 
         The leader repeats what is still missing; votes and heartbeats would wait behind it.
         """
         oldest = self._clock.monotonic() - MAX_BULK_AGE_SECONDS
-        for _ in range(queue.qsize()):
-            queued = queue.get_nowait()
+        first, *others = unsent
+        unsent.clear()
+        unsent.append(first)
+        others += [queue.get_nowait() for _ in range(queue.qsize())]
+        for queued in others:
             if queued.queued_at >= oldest or not _is_bulk(queued.message.payload):
                 queue.put_nowait(queued)
 
--- a/tests/replication/test_transport.py
+++ b/tests/replication/test_transport.py
@@ -415,10 +415,10 @@
 
 
 @contextlib.contextmanager
-def slow_link():
+def slow_link(bytes_per_s=LINK_BYTES_PER_S):
     """Yield a host, the slow relay before it, and a transport that has reached it."""
     with running_host("127.0.0.1:0") as host, running_transport() as transport:
-        relay = SlowRelay(host.address, LINK_BYTES_PER_S)
+        relay = SlowRelay(host.address, bytes_per_s)
         transport.send(relay.address, message(1))
         assert wait_until(lambda: 1 in host.terms, 2.0) < DELIVERY_LIMIT_SECONDS
         yield host, relay, transport
@@ -478,3 +478,27 @@
         assert host.terms.count(0) > 5
     # As when each call that takes longer was given up.
     assert worst < CALL_TIMEOUT_SECONDS * LINK_BYTES_PER_S
+
+
+# Guards against a voter behind a slow link that hears of no leader while it is sent at one go what
+# was proposed at once, in one call or in calls none of which is slow.
+@pytest.mark.parametrize(
+    ("bytes_per_s", "size"), [(LINK_BYTES_PER_S, 256 * 1024), (2 * LINK_BYTES_PER_S, 140 * 1024)]
+)
+def test_a_burst_of_bulk_holds_up_no_later_message_for_long(bytes_per_s, size):
+    with slow_link(bytes_per_s) as (host, relay, transport):
+        for _ in range(60):
+            transport.send(relay.address, bulk(0, size))
+        taken_before, worst, is_reached = {1: relay.taken}, 0, False
+        limit = CALL_TIMEOUT_SECONDS * bytes_per_s
+        for number in itertools.count(2):
+            taken_before[number] = relay.taken
+            transport.send(relay.address, message(number))
+            eventlet.sleep(Timing().heartbeat_interval)
+            worst = max(worst, relay.taken - taken_before[max(host.terms)])
+            is_reached = max(host.terms) > 10
+            if is_reached or worst >= limit:
+                break
+        assert worst < limit
+        assert is_reached
+        assert 0 in host.terms
