--- a/src/savoryshelf/wire/peers.py
+++ b/src/savoryshelf/wire/peers.py
@@ -62,8 +62,8 @@
 PROBE_INTERVAL_SECONDS = 0.4
 """Shortest time between two probes on a connection of one-way calls."""
 
-LOOKS_PER_SILENCE = 10
-"""How often in the longest silence a call that waits to be sent looks whether bytes move."""
+CHECKS_PER_SILENCE = 10
+"""How often within the longest silence a call that waits to be sent checks whether bytes move."""
 
 MAX_UNSENT_BYTES = 128 * 1024
 """Bytes of one-way calls that the kernel takes before it has sent them.
@@ -274,8 +274,8 @@
             raise PeerUnreachable(self.address, error, sent=False) from error
         if self._probe_end is None:
             self._moved_at = self._clock.monotonic()
-        self._socket.on_wait = lambda: self._look(max_silence)
-        self.call(method, *arguments, timeout=max_silence / LOOKS_PER_SILENCE)
+        self._socket.on_wait = lambda: self._check_silence(max_silence)
+        self.call(method, *arguments, timeout=max_silence / CHECKS_PER_SILENCE)
         now = self._clock.monotonic()
         if self._probe_end is not None or now < self._next_probe_at:
             return
@@ -312,7 +312,7 @@
         self._acknowledged = acknowledged
         return now - self._moved_at > max_silence
 
-    def _look(self, max_silence: float) -> None:
+    def _check_silence(self, max_silence: float) -> None:
         """Raise TTransportException if the connection is silent while a call waits to be sent."""
         self._take_answer()
         if not self._is_open or self._is_silent(max_silence):
