A disk that is known to be gone counts no longer; the others recover without it

Cause: a lost disk stayed in the list of voters until its successor had caught up: join, add, transfer, remove, promote. Where that took longer than catchUpS, three of five voters were disks that no longer existed once two more were lost, and no election could succeed.

Change: - A replica that gets a message for another disk of its host answers that this disk is gone (DiskLost). A host has one disk at a time, so the disk that was addressed is the earlier one; nothing can make that untrue later. - The leader removes such a member in one commit, without a learner that has caught up, once a quorum has confirmed it since. - Fewer voters are left then, but not fewer copies: the membership carries min_copies, and quorums are that large at least (three of four, three of three for a group of five). - All voters whose disks are not lost are a quorum as well, if they meet every quorum of the others (n - q + 1 or more): with three copies each, two of four survivors, or one of three, hold all that is committed, and elect. - Since such a quorum may be small, a change of voters needs one of before and of after until it is committed; what is known to be committed is in the write-ahead log, so that a restart doesn't ask voters of before.

All control hosts have to be updated together.

--- a/src/savoryshelf/control/process.py
+++ b/src/savoryshelf/control/process.py
@@ -16,8 +16,8 @@
 from ..http_server import HttpServer
 from ..observability.http import serve_operations
 from ..observability.logs import log_event
-from ..replication.bootstrap import ControlHost, bootstrap_membership, host_name
-from ..replication.membership import find_member
+from ..replication.bootstrap import ControlHost, bootstrap_membership
+from ..replication.membership import find_member, host_name
 from ..replication.service import ReplicaService
 from ..replication.storage import ReplicaStorage
 from ..replication.transport import PeerTransport
--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -25,9 +25,8 @@
 """
 
 from ..observability.logs import log_event
-from ..replication.bootstrap import host_name
 from ..replication.core import Replica
-from ..replication.membership import MembershipChangeRefused, find_member, voter_ids
+from ..replication.membership import MembershipChangeRefused, find_member, host_name, voter_ids
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
 from ..wire.generated.ttypes import Member
@@ -88,7 +87,9 @@
             raise MembershipChangeRefused(
                 f"{name!r} matches {len(matching_ids)} members; it must match exactly one"
             )
-        self._replica.change_membership(lambda core: core.remove(matching_ids[0]))
+        self._replica.change_membership(
+            lambda core: core.remove(matching_ids[0], shrinks_group=True)
+        )
 
     def request_leave(self, replica_id: str) -> None:
         """Remove a voter whose process stops if the group has more voters than its target.
@@ -113,6 +114,9 @@
         if not self._replica.is_leader or not core.has_committed_in_term:
             return
         self._waiting.keep_current(core)
+        for lost_id in core.removable_lost_ids:
+            if not self._remove_lost(lost_id):
+                return
         for learner in core.log.membership.members:
             if learner.voter:
                 continue
@@ -160,6 +164,9 @@
     def _remove(self, replica_id: str, learner_id: str = "") -> bool:
         return self._change("remove", replica_id, lambda core: core.remove(replica_id), learner_id)
 
+    def _remove_lost(self, replica_id: str) -> bool:
+        return self._change("remove_lost", replica_id, lambda core: core.remove_lost(replica_id))
+
     def _change(self, kind: str, replica_id: str, change, learner_id: str = "") -> bool:
         """Commit a change that ``learner_id``, if any, has waited for; return whether it did."""
         core = self._replica.core
--- a/src/savoryshelf/dispatch/host.py
+++ b/src/savoryshelf/dispatch/host.py
@@ -17,10 +17,10 @@
 from ..observability.bounded import BoundedLog
 from ..observability.logs import log_event
 from ..observability.stacks import error_frame_names
-from ..replication.bootstrap import host_name
 from ..replication.membership import (
     MembershipChangeRefused,
     find_member,
+    host_name,
     membership_kind,
     voter_ids,
 )
--- a/src/savoryshelf/dispatch/task_service.py
+++ b/src/savoryshelf/dispatch/task_service.py
@@ -13,7 +13,7 @@
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..outcomes import Refusal
-from ..replication.bootstrap import host_name
+from ..replication.membership import host_name
 from ..replication.service import OutcomeUnknown, ReplicaService
 from ..replication.types import NotLeading
 from ..tasks.ledger import contradicted_fields
--- a/src/savoryshelf/replication/bootstrap.py
+++ b/src/savoryshelf/replication/bootstrap.py
@@ -15,6 +15,7 @@
 from ..wire.generated import ControlService
 from ..wire.generated.ttypes import DiskIdentity, Member, Membership, ProbeReply
 from ..wire.peers import PeerClient
+from .membership import host_name
 from .storage import ReplicaStorage
 
 PROBE_INTERVAL_SECONDS = 0.3
@@ -30,11 +31,6 @@
     failure_domain: str = ""
 
 
-def host_name(replica_id: str) -> str:
-    """Return the host name of a replica id, which has the form ``<host name>.<disk id>``."""
-    return replica_id.rpartition(".")[0]
-
-
 def bootstrap_membership(
     identity: DiskIdentity, hosts: list[ControlHost], storage: ReplicaStorage, cluster_key: str
 ) -> Membership:
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -15,6 +15,7 @@
 from ..wire.generated.ttypes import (
     AppendReply,
     AppendRequest,
+    DiskLost,
     EntryKind,
     LogEntry,
     Membership,
@@ -31,12 +32,15 @@
 from .log import RaftLog
 from .membership import (
     MembershipChangeRefused,
+    QuorumRule,
     find_member,
-    is_quorum,
+    host_name,
     is_single_step,
     voter_ids,
     with_learner,
+    with_lower_min_copies,
     with_promoted_learner,
+    without_lost_member,
     without_member,
 )
 from .snapshot_transfer import IncomingSnapshot, next_chunk
@@ -102,6 +106,12 @@
 COUNTED_CAMPAIGNS = 2
 """Campaigns of a candidate of which the requests are counted: this one and the one before."""
 
+MAX_LOST_IDS = 64
+"""Bound on the replica ids that are remembered as lost; those of members are told again."""
+
+REQUESTS = ("vote_request", "append_request", "snapshot_chunk")
+"""Messages that a replica sends to a member whose disk may be lost."""
+
 MAX_UNSERVED_FACTOR = LONGEST_CAMPAIGN_DELAY_FACTOR
 """A leader that may answer no caller stays in office for this many election timeouts at most.
 
@@ -137,6 +147,14 @@
         self.snapshot = recovered.snapshot
         self.log = self._recovered_log(initial_membership, recovered)
         self.commit_index = self.log.base_index
+        self._known_commit_index = min(
+            max(recovered.commit_index, self.log.base_index), self.log.last_index
+        )
+        """What was known to be committed before a restart too; entries are applied anew."""
+
+        self._lost_ids: dict[str, None] = {}
+        """The replicas of which a message of their host told that the disk is gone."""
+
         self.leader_state: LeaderState | None = None
         self.ended_leadership: EndedLeadership | None = None
         """The latest leadership of this replica that has ended."""
@@ -251,14 +269,20 @@
 
     def receive(self, message: RaftMessage, now: float) -> None:
         """Handle one message from another replica."""
-        if message.recipient != self.replica_id or message.shard != self.shard:
-            # Addressed to another shard, or to the replica id of a disk that this host lost.
+        if message.shard != self.shard:
             return
-        self._now = now
         kind, payload = codec.sole_field(message.payload)
+        if message.recipient != self.replica_id:
+            self._tell_of_lost_disk(message, kind)
+            return
+        self._now = now
         if kind == "vote_request":
             self._on_vote_request(message, payload)
             return
+        if kind == "disk_lost":
+            # A fact of whatever term its sender is in.
+            self._on_disk_lost(message, payload)
+            return
         # A granted pre-vote carries the term of the proposed election, which
         # this replica has not entered; ``_on_vote_reply`` handles a rejected one.
         if kind == "vote_reply" and not payload.granted:
@@ -292,9 +316,28 @@
             raise MembershipChangeRefused(f"{replica_id} has not caught up yet")
         return self._change_membership(with_promoted_learner(self.log.membership, replica_id))
 
-    def remove(self, replica_id: str) -> int:
-        """Propose to remove a member; return the index of the log entry."""
-        return self._change_membership(without_member(self.log.membership, replica_id))
+    def remove(self, replica_id: str, shrinks_group: bool = False) -> int:
+        """Propose to remove a member; return the index of the log entry.
+
+        With ``shrinks_group`` nothing will replace it, so that entries need fewer copies.
+        """
+        membership = without_member(self.log.membership, replica_id)
+        if shrinks_group:
+            membership = with_lower_min_copies(membership)
+        return self._change_membership(membership)
+
+    def remove_lost(self, replica_id: str) -> int:
+        """Propose to remove a member whose disk is lost; return the index of the log entry.
+
+        Raises MembershipChangeRefused until it is known to be lost, and a quorum has confirmed this
+        leader since.
+        """
+        self._require_leader()
+        if replica_id not in self._lost_ids:
+            raise MembershipChangeRefused(f"the disk of {replica_id} is not known to be lost")
+        if replica_id not in self.removable_lost_ids:
+            raise MembershipChangeRefused("no quorum has confirmed this leader since the loss")
+        return self._change_membership(without_lost_member(self.log.membership, replica_id))
 
     def request_read(self) -> int:
         """Start a linearizable read; its id is returned later in ``Ready.confirmed_reads``.
@@ -416,7 +459,7 @@
         return 0.0 if self.role is Role.LEADER else now - self._last_leader_contact_at
 
     def seconds_since_quorum_contact(self, now: float) -> float:
-        """Return the seconds since a majority last answered this leader.
+        """Return the seconds since a quorum last answered this leader.
 
         Infinite unless this replica is a leader that has applied an entry of
         its own term.  If the value is finite, the applied state is stale by at
@@ -428,7 +471,25 @@
             or self._applied_index < self.leader_state.term_start_index
         ):
             return float("inf")
-        return now - self.leader_state.quorum_contact_at(self.replica_id, now, self.log.membership)
+        return now - self.leader_state.quorum_contact_at(self.replica_id, now, self._quorum_rule())
+
+    @property
+    def lost_member_ids(self) -> list[str]:
+        """Return the members whose disks are known to be lost, in the order of the members."""
+        members = self.log.membership.members
+        return [each.replica_id for each in members if each.replica_id in self._lost_ids]
+
+    @property
+    def removable_lost_ids(self) -> list[str]:
+        """Return those of them that this leader may remove; raises NotLeading."""
+        self._require_leader()
+        # A later leader might have been elected before the disk was lost.  What it had committed
+        # with this voter could be missing from each quorum of the others.
+        state = self.leader_state
+        confirmed = state.quorum_acked_round(self.replica_id, self._quorum_rule())
+        return [
+            each for each in self.lost_member_ids if confirmed > state.round_by_lost_id.get(each, 0)
+        ]
 
     @property
     def is_first_campaign(self) -> bool:
@@ -484,6 +545,44 @@
     def _announced_commit_index(self) -> int:
         return self.commit_index if self._announces_commits else 0
 
+    # -------------------------------------------------------------- lost disks
+
+    def _tell_of_lost_disk(self, message: RaftMessage, kind: str) -> None:
+        """Answer a message for another replica of this host: its disk is gone.
+
+        A host has one disk at a time.  Whoever sent the message knew that replica, so its disk
+        was there before this one.
+        """
+        if kind in REQUESTS and host_name(message.recipient) == host_name(self.replica_id):
+            self._send(message.sender, self.term, disk_lost=DiskLost(message.recipient))
+
+    def _on_disk_lost(self, message: RaftMessage, payload: DiskLost) -> None:
+        lost_id = payload.replica_id
+        if host_name(lost_id) != host_name(message.sender) or lost_id in self._lost_ids:
+            return
+        self._lost_ids[lost_id] = None
+        if len(self._lost_ids) > MAX_LOST_IDS:
+            del self._lost_ids[next(iter(self._lost_ids))]
+        if self.role is Role.LEADER:
+            self.leader_state.round_by_lost_id[lost_id] = self.leader_state.round
+            self._advance_commit()
+            self._confirm_reads()
+        elif self._election is not None:
+            self._election.lost.add(lost_id)
+            self._check_election()
+
+    def _quorum_rule(self) -> QuorumRule:
+        """Return what a quorum is: of the voters before a change, too, until it is committed.
+
+        That a lost disk is removed needs no quorum of before: this voter was in none since.
+        """
+        log, memberships = self.log, [self.log.membership]
+        if log.membership_index > max(self.commit_index, self._known_commit_index):
+            before = log.membership_at(log.membership_index - 1)
+            if voter_ids(before) and not log.membership.removes_lost:
+                memberships.append(before)
+        return QuorumRule(tuple(memberships), frozenset(self._lost_ids))
+
     # --------------------------------------------------------------- elections
 
     def _is_voter(self) -> bool:
@@ -503,14 +602,22 @@
             term = self.term
         self.leader_id = None
         others = [each for each in voter_ids(self.log.membership) if each != self.replica_id]
-        self._election = Election(term, pre_vote, {self.replica_id}, set(others))
+        lost = set(others) & self._lost_ids.keys()
+        self._election = Election(term, pre_vote, {self.replica_id}, set(others), lost)
         doublings = min(self._campaigns, MAX_RETRY_DOUBLINGS)
         self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**doublings))
         self._campaigns += pre_vote
-        if is_quorum(self.log.membership, self._election.granted):
+        if not self._check_election():
+            self._ask_for_votes()
+
+    def _check_election(self) -> bool:
+        """Go on if a quorum has granted its votes; return whether it has."""
+        if self.role not in (Role.PRE_CANDIDATE, Role.CANDIDATE):
+            return False
+        has_won = self._quorum_rule().is_met_by(self._election.granted)
+        if has_won:
             self._handle_won_vote()
-            return
-        self._ask_for_votes()
+        return has_won
 
     def _ask_for_votes(self) -> None:
         """Ask the voters that have not answered; a request or its answer may have been lost."""
@@ -640,8 +747,7 @@
         if self.role is not expected_role or not is_expected_term or not reply.granted:
             return
         self._election.granted.add(message.sender)
-        if is_quorum(self.log.membership, self._election.granted):
-            self._handle_won_vote()
+        self._check_election()
 
     def _become_follower(
         self, term: int, leader_id: str | None, why: str = "", heard: str = ""
@@ -670,8 +776,8 @@
 
     def _check_quorum(self) -> None:
         """Step down if a majority may be following another leader, or none."""
-        membership, timeout = self.log.membership, self.timing.election_timeout
-        contact_at = self.leader_state.quorum_contact_at(self.replica_id, self._now, membership)
+        rule, timeout = self._quorum_rule(), self.timing.election_timeout
+        contact_at = self.leader_state.quorum_contact_at(self.replica_id, self._now, rule)
         silence = self._now - contact_at
         if silence <= timeout:
             self.leader_state.serving_at = self._now
@@ -682,7 +788,7 @@
             if self._now - self._resumed_at <= reply_seconds:
                 # The voters may have heard nothing either, and elected nobody.
                 return
-            reply_at = self.leader_state.quorum_reply_at(self.replica_id, self._now, membership)
+            reply_at = self.leader_state.quorum_reply_at(self.replica_id, self._now, rule)
             if self._now - reply_at <= timeout:
                 # A majority follows this leader, but its hosts or links are slow.
                 return
@@ -915,13 +1021,13 @@
             self._confirmed_reads += [
                 ConfirmedRead(read_id, self.commit_index)
                 for read_id in self.leader_state.take_confirmed_reads(
-                    self.replica_id, self.log.membership
+                    self.replica_id, self._quorum_rule()
                 )
             ]
 
     def _advance_commit(self) -> None:
         index = self.leader_state.quorum_match_index(
-            self.replica_id, self._synced_index, self.log.membership
+            self.replica_id, self._synced_index, self._quorum_rule()
         )
         # A later leader may overwrite an entry of an earlier term even if a
         # majority holds it.  Committing an entry of this term commits all
@@ -938,6 +1044,9 @@
             raise InvariantBroken(
                 f"commit index {index} is beyond the last log index {self.log.last_index}"
             )
+        if self.commit_index < self.log.membership_index <= index:
+            # A restart must not forget which voters a quorum is of.
+            self._hard_state_changed = True
         self.commit_index = max(self.commit_index, index)
 
     # ------------------------------------------------------------------ helpers
@@ -977,7 +1086,7 @@
     def _take_record(self) -> WalRecord | None:
         if not self._unsynced and not self._hard_state_changed:
             return None
-        record = WalRecord(self.term, self.voted_for, self._unsynced)
+        record = WalRecord(self.term, self.voted_for, self._unsynced, self.commit_index)
         self._unsynced, self._hard_state_changed = [], False
         return record
 
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..wire.generated.ttypes import Membership, SnapshotFile
-from .membership import quorum_value, voter_ids
+from .membership import QuorumRule, voter_ids
 from .types import EndedLeadership
 
 MAX_KEPT_ROUNDS = 4096
@@ -95,6 +95,9 @@
     serving_at: float = attrs.field(init=False)
     """When a majority was last found to be in contact, so that callers may be answered."""
 
+    round_by_lost_id: dict[str, int] = attrs.field(factory=dict)
+    """The latest round when this leader learned that a disk is lost, unless it knew before."""
+
     pending_reads: list[PendingRead] = attrs.field(factory=list)
     _sent_by_round: dict[int, _Round] = attrs.field(factory=dict)
 
@@ -126,22 +129,20 @@
         if sent and progress.match_index >= sent.commit_index:
             progress.caught_up_at = max(progress.caught_up_at, sent.sent_at)
 
-    def quorum_match_index(
-        self, replica_id: str, own_synced_index: int, membership: Membership
-    ) -> int:
-        """Return the highest log index that a majority has synced."""
+    def quorum_match_index(self, replica_id: str, own_synced_index: int, rule: QuorumRule) -> int:
+        """Return the highest log index that a quorum has synced."""
         match_by_id = {key: p.match_index for key, p in self.progress_by_id.items()}
         match_by_id[replica_id] = own_synced_index
-        return quorum_value(membership, match_by_id)
+        return rule.value(match_by_id)
 
-    def quorum_acked_round(self, replica_id: str, membership: Membership) -> int:
-        """Return the latest heartbeat round that a majority has acknowledged."""
+    def quorum_acked_round(self, replica_id: str, rule: QuorumRule) -> int:
+        """Return the latest heartbeat round that a quorum has acknowledged."""
         round_by_id = {key: p.acked_round for key, p in self.progress_by_id.items()}
         round_by_id[replica_id] = self.round
-        return quorum_value(membership, round_by_id)
+        return rule.value(round_by_id)
 
-    def quorum_contact_at(self, replica_id: str, now: float, membership: Membership) -> float:
-        """Return the latest time at which the leader sent what a majority has replied to.
+    def quorum_contact_at(self, replica_id: str, now: float, rule: QuorumRule) -> float:
+        """Return the latest time at which the leader sent what a quorum has replied to.
 
         A leader that was paused may find replies that arrived long ago; they prove nothing
         about the time of the pause.
@@ -150,13 +151,13 @@
             key: max(p.contact_at, self.elected_at) for key, p in self.progress_by_id.items()
         }
         contact_at_by_id[replica_id] = now
-        return quorum_value(membership, contact_at_by_id)
+        return rule.value(contact_at_by_id)
 
-    def quorum_reply_at(self, replica_id: str, now: float, membership: Membership) -> float:
-        """Return the latest time by which a majority has replied, to whatever was sent."""
+    def quorum_reply_at(self, replica_id: str, now: float, rule: QuorumRule) -> float:
+        """Return the latest time by which a quorum has replied, to whatever was sent."""
         reply_at_by_id = {key: p.acked_at for key, p in self.progress_by_id.items()}
         reply_at_by_id[replica_id] = now
-        return quorum_value(membership, reply_at_by_id)
+        return rule.value(reply_at_by_id)
 
     def ended(
         self, term: int, why: str, heard: str, now: float, membership: Membership
@@ -175,9 +176,9 @@
             heard,
         )
 
-    def take_confirmed_reads(self, replica_id: str, membership: Membership) -> list[int]:
+    def take_confirmed_reads(self, replica_id: str, rule: QuorumRule) -> list[int]:
         """Remove and return the ids of the reads confirmed by a round that began after them."""
-        confirmed = self.quorum_acked_round(replica_id, membership)
+        confirmed = self.quorum_acked_round(replica_id, rule)
         read_ids = [read.read_id for read in self.pending_reads if confirmed > read.after_round]
         self.pending_reads = [read for read in self.pending_reads if confirmed <= read.after_round]
         return read_ids
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -1,5 +1,9 @@
 """Quorums of a control group and the single-step changes of its membership."""
 
+from collections.abc import Iterable, Mapping, Set
+
+import attrs
+
 from ..errors import SavoryshelfError
 from ..wire.generated.ttypes import Member, Membership
 
@@ -8,14 +12,20 @@
     """The membership change is invalid or not allowed in the current state."""
 
 
+def host_name(replica_id: str) -> str:
+    """Return the host name of a replica id, which has the form ``<host name>.<disk id>``."""
+    return replica_id.rpartition(".")[0]
+
+
 def voter_ids(membership: Membership) -> list[str]:
     """Return the replica ids of the voters, in the order of the members."""
     return [member.replica_id for member in membership.members if member.voter]
 
 
 def quorum_size(membership: Membership) -> int:
-    """Return the number of voters in a majority."""
-    return len(voter_ids(membership)) // 2 + 1
+    """Return the number of voters in a quorum: a majority, or more to have enough copies."""
+    count = len(voter_ids(membership))
+    return max(count // 2 + 1, min(count, membership.min_copies or 0))
 
 
 def find_member(membership: Membership, replica_id: str) -> Member | None:
@@ -31,18 +41,53 @@
     return "voter" if member.voter else "learner"
 
 
-def quorum_value(membership: Membership, value_by_id: dict) -> int | float:
-    """Return the highest value that a majority of the voters has reached.
+def surviving_quorum(membership: Membership, lost_ids: Set[str]) -> set[str]:
+    """Return the voters whose disks are not lost if they meet every quorum, else an empty set.
+
+    A voter with a lost disk never votes or acknowledges anything again.  All others together
+    are a quorum then, since no later quorum can do without one of them.
+    """
+    voters = set(voter_ids(membership))
+    survivors = voters - lost_ids
+    fewest = len(voters) - quorum_size(membership) + 1
+    return survivors if len(survivors) >= fewest else set()
+
+
+@attrs.frozen
+class QuorumRule:
+    """Which replicas are a quorum: one in each of ``memberships``, given the lost disks.
 
-    A voter without a value counts as 0.
+    There are two memberships while the change from the first to the second may not be committed.
     """
-    reached = sorted((value_by_id.get(voter, 0) for voter in voter_ids(membership)), reverse=True)
-    return reached[quorum_size(membership) - 1]
 
+    memberships: tuple[Membership, ...]
+    lost_ids: frozenset[str] = frozenset()
+
+    def is_met_by(self, replica_ids: Iterable[str]) -> bool:
+        """Return whether the given replicas include a quorum."""
+        present = set(replica_ids)
+        return all(self._includes_quorum(each, present) for each in self.memberships)
+
+    def value(self, value_by_id: Mapping[str, float]) -> float:
+        """Return the highest value that a quorum has reached; a missing value counts as 0."""
+        return min(self._value(each, value_by_id) for each in self.memberships)
 
-def is_quorum(membership: Membership, replica_ids) -> bool:
-    """Return whether the given replicas include a majority of the voters."""
-    return len(set(voter_ids(membership)) & set(replica_ids)) >= quorum_size(membership)
+    def _includes_quorum(self, membership: Membership, present: set[str]) -> bool:
+        if len(set(voter_ids(membership)) & present) >= quorum_size(membership):
+            return True
+        survivors = surviving_quorum(membership, self.lost_ids)
+        return bool(survivors) and survivors <= present
+
+    def _value(self, membership: Membership, value_by_id: Mapping[str, float]) -> float:
+        voters = voter_ids(membership)
+        reached = sorted((value_by_id.get(voter, 0) for voter in voters), reverse=True)
+        by_size = reached[quorum_size(membership) - 1]
+        survivors = surviving_quorum(membership, self.lost_ids)
+        return max([by_size, *_lowest(survivors, value_by_id)])
+
+
+def _lowest(replica_ids: set[str], value_by_id: Mapping[str, float]) -> list[float]:
+    return [min(value_by_id.get(each, 0) for each in replica_ids)] if replica_ids else []
 
 
 def with_learner(membership: Membership, learner: Member) -> Membership:
@@ -50,7 +95,7 @@
     if find_member(membership, learner.replica_id):
         raise MembershipChangeRefused(f"{learner.replica_id} is already a member")
     new_member = Member(learner.replica_id, learner.address, learner.failure_domain, False)
-    return Membership([*membership.members, new_member])
+    return Membership([*membership.members, new_member], membership.min_copies)
 
 
 def with_promoted_learner(membership: Membership, replica_id: str) -> Membership:
@@ -59,19 +104,42 @@
     if member is None or member.voter:
         raise MembershipChangeRefused(f"{replica_id} is not a learner")
     promoted = Member(member.replica_id, member.address, member.failure_domain, True)
-    return Membership([promoted if m is member else m for m in membership.members])
+    members = [promoted if m is member else m for m in membership.members]
+    return Membership(members, membership.min_copies)
 
 
 def without_member(membership: Membership, replica_id: str) -> Membership:
     """Return the membership without the given replica; the last voter cannot be removed."""
     if find_member(membership, replica_id) is None:
         raise MembershipChangeRefused(f"{replica_id} is not a member")
-    remaining = Membership([m for m in membership.members if m.replica_id != replica_id])
+    remaining = Membership(
+        [m for m in membership.members if m.replica_id != replica_id], membership.min_copies
+    )
     if not voter_ids(remaining):
         raise MembershipChangeRefused(f"{replica_id} is the last voter")
     return remaining
 
 
+def without_lost_member(membership: Membership, replica_id: str) -> Membership:
+    """Return the membership without a replica whose disk is lost.
+
+    The group goes on to bear the loss of as many further disks as with all voters: what is
+    committed is held by more than that, although fewer voters are left.
+    """
+    remaining = without_member(membership, replica_id)
+    borne = len(voter_ids(membership)) - quorum_size(membership)
+    remaining.min_copies = max(membership.min_copies or 0, borne + 1)
+    remaining.removes_lost = True
+    return remaining
+
+
+def with_lower_min_copies(membership: Membership) -> Membership:
+    """Return the membership with no more copies than this number of voters ordinarily keeps."""
+    count = len(voter_ids(membership))
+    ordinary = count - count // 2
+    return Membership(membership.members, min(membership.min_copies or 0, ordinary) or None)
+
+
 def is_single_step(before: Membership, after: Membership) -> bool:
     """Return whether at most one voter differs, so that majorities of both overlap."""
     return len(set(voter_ids(before)) ^ set(voter_ids(after))) <= 1
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -31,10 +31,9 @@
     RaftMessage,
     SnapshotFile,
 )
-from .bootstrap import host_name
 from .core import Replica
 from .delays import Delay, RecentDelays, StandstillWatch
-from .membership import MembershipChangeRefused, find_member
+from .membership import MembershipChangeRefused, find_member, host_name
 from .storage import ReplicaStorage
 from .types import EndedLeadership, NotLeading, Ready, Role, Timing
 from .watch import ReplicaWatch
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -167,6 +167,7 @@
     @staticmethod
     def _replay_record(record: WalRecord, recovered: RecoveredState, entry_by_index: dict) -> None:
         recovered.term, recovered.voted_for = record.term, record.voted_for
+        recovered.commit_index = max(recovered.commit_index, record.commit_index or 0)
         for entry in record.entries:
             if entry.index in entry_by_index:
                 # A later leader overwrote this entry and removed all entries after it.
--- a/src/savoryshelf/replication/types.py
+++ b/src/savoryshelf/replication/types.py
@@ -58,6 +58,9 @@
     pre_vote: bool
     granted: set[str]
     asked: set[str]
+    lost: set[str] = attrs.field(factory=set)
+    """Those of them whose disks are known to be lost."""
+
     why_by_refuser: dict[str, str] = attrs.field(factory=dict)
     yielded_to: str = ""
     """The other candidate that this replica has granted a pre-vote meanwhile."""
@@ -70,7 +73,7 @@
     @property
     def unanswered(self) -> set[str]:
         """Return the voters that have not answered."""
-        return self.asked - self.granted - self.why_by_refuser.keys()
+        return self.asked - self.granted - self.why_by_refuser.keys() - self.lost
 
 
 @attrs.define
@@ -80,6 +83,9 @@
     term: int = 0
     voted_for: str = ""
     snapshot: SnapshotFile | None = None
+    commit_index: int = 0
+    """What was known to be committed, as of the last write."""
+
     entries: list[LogEntry] = attrs.field(factory=list)
 
 
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -19,9 +19,8 @@
 from ..observability import metrics
 from ..observability.logs import log_event
 from ..observability.stacks import error_frame_names, frame_names
-from .bootstrap import host_name
 from .core import Replica
-from .membership import membership_kind, voter_ids
+from .membership import host_name, membership_kind, voter_ids
 from .types import Election, Role
 
 CHECK_INTERVAL_SECONDS = 0.5
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -20,7 +20,12 @@
  */
 struct Member { 1: string replica_id, 2: string address, 3: string failure_domain, 4: bool voter }
 
-struct Membership { 1: list<Member> members }
+/**
+ * The members of a group.  A quorum is a majority of the voters, and `min_copies` of them at least, or
+ * all where there are fewer.  `removes_lost` tells that the voter which this membership
+ * lacks, compared with the one before, has lost its disk.
+ */
+struct Membership { 1: list<Member> members, 2: optional i32 min_copies, 3: optional bool removes_lost }
 
 /**
  * Requests a vote; a pre-vote (`pre_vote`) changes no member's term.  `campaign` tells the campaigns
@@ -49,17 +54,29 @@
 /** `next_offset` is the offset of the chunk to send next, unless the snapshot is `installed`. */
 struct SnapshotReply { 1: i64 last_index, 2: i64 next_offset, 3: bool installed, 4: i64 round }
 
+/**
+ * Tells that the disk of `replica_id` is gone: the sender has another disk on the same host, and has
+ * received a message for that replica.
+ */
+struct DiskLost { 1: string replica_id }
+
 union RaftPayload {
   1: VoteRequest vote_request, 2: VoteReply vote_reply,
   3: AppendRequest append_request, 4: AppendReply append_reply,
-  5: SnapshotChunk snapshot_chunk, 6: SnapshotReply snapshot_reply
+  5: SnapshotChunk snapshot_chunk, 6: SnapshotReply snapshot_reply, 7: DiskLost disk_lost
 }
 
 /** `shard` is the number of the control group; a replica ignores messages of other groups. */
 struct RaftMessage { 1: string sender, 2: string recipient, 3: i64 term, 4: RaftPayload payload, 5: i32 shard }
 
-/** One synced write to the log: hard state, entries, or both, covered by one checksum. */
-struct WalRecord { 1: optional i64 term, 2: optional string voted_for, 3: list<LogEntry> entries }
+/**
+ * One synced write to the log: hard state, entries, or both, covered by one checksum.
+ *
+ * `commit_index` is what was known to be committed; records of earlier versions lack it.
+ */
+struct WalRecord {
+  1: optional i64 term, 2: optional string voted_for, 3: list<LogEntry> entries, 4: optional i64 commit_index
+}
 
 struct SnapshotFile { 1: i64 last_index, 2: i64 last_term, 3: Membership membership, 4: binary state }
 
--- a/tests/replication/test_replication_stateful.py
+++ b/tests/replication/test_replication_stateful.py
@@ -8,8 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from savoryshelf.replication.bootstrap import host_name
-from savoryshelf.replication.membership import MembershipChangeRefused, voter_ids
+from savoryshelf.replication.membership import MembershipChangeRefused, host_name, voter_ids
 from savoryshelf.replication.types import NotLeading
 from savoryshelf.wire.generated.ttypes import Member
 
