--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -82,12 +82,10 @@
         voters = voter_ids(membership)
         reached = sorted((value_by_id.get(voter, 0) for voter in voters), reverse=True)
         by_size = reached[quorum_size(membership) - 1]
-        survivors = surviving_quorum(membership, self.lost_ids)
-        return max([by_size, *_lowest(survivors, value_by_id)])
-
-
-def _lowest(replica_ids: set[str], value_by_id: Mapping[str, float]) -> list[float]:
-    return [min(value_by_id.get(each, 0) for each in replica_ids)] if replica_ids else []
+        survivors = surviving_quorum(membership, self.lost_ids) if self.lost_ids else set()
+        if not survivors:
+            return by_size
+        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))
 
 
 def with_learner(membership: Membership, learner: Member) -> Membership:
--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -202,7 +202,7 @@
             assert len(host.core._quorum_rule().memberships) == 1
 
 
-# Guards against a survivor that goes on alone without what was committed by those that were promoted.
+# Guards against a survivor that goes on alone, without what was committed with a promoted one.
 def test_a_promotion_is_committed_only_by_a_quorum_of_the_voters_before_too():
     group = group_of()
     lost_names = followers(group)[:2]
