Soak: disks of two more hosts are lost once the first ones count as available again

Change: disks of one or two control hosts are lost, the leader among them or not, and 4 s after they are back those of two others; once in the series, apart from the times at which all hosts end, and in half of the seeds as its last fault. Ways between the regions take 20 or 80 ms. All of it is drawn from the seed; --no-losses plays seeds as before, with its 8 s. A new check, RECOVER: a manifest has to be read back within recoveryS after the last fault. Its tests get manifest reads by default, since a run without any now has a finding.

--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -22,6 +22,7 @@
 @click.option("--crashes/--no-crashes", default=True, help="Workers lost together, late orders.")
 @click.option("--links/--no-links", default=True, help="Links cut between hosts, power lost.")
 @click.option("--resets/--no-resets", default=True, help="Connections of hosts reset, or never.")
+@click.option("--losses/--no-losses", default=True, help="Disks lost in turn, near and far.")
 @click.option("--logs", default="", help="Folder that keeps the logs of seeds with findings.")
 def main(
     seed: int,
@@ -34,6 +35,7 @@
     crashes: bool,
     links: bool,
     resets: bool,
+    losses: bool,
     logs: str,
 ) -> None:
     """Run a series of faults for each seed, and print what was broken."""
@@ -43,7 +45,7 @@
     failed = []
     for number in range(int(first), int(last) + 1):
         folder = tempfile.mkdtemp(prefix=f"soak-{number}-", dir=logs or None)
-        kinds = closings, best_effort, large, crashes, links, resets
+        kinds = closings, best_effort, large, crashes, links, resets, losses
         result = run_soak(pathlib.Path(folder), number, seconds, size, *kinds)
         click.echo(result.summary())
         if not result.findings:
--- a/standins/soak/deployment.py
+++ b/standins/soak/deployment.py
@@ -33,7 +33,7 @@
 RESTART_SECONDS = 0.5
 START_TIMEOUT_SECONDS = 30.0
 FAR_SECONDS = 0.02
-"""The delay of each way between the two regions."""
+"""The delay of each way between the two regions, unless another one is given."""
 
 READ_PAUSE_SECONDS = 0.2
 DOWN_SPANS_SECONDS = ((0.1, 2.0), (MAX_HOLD_MS / 1000, 6.0), (math.inf, math.inf))
@@ -185,6 +185,7 @@
         controls: int,
         workers: int,
         are_linked: bool = False,
+        far_seconds: float = FAR_SECONDS,
     ):
         self._folder = folder
         self._ip = loopback_address()
@@ -193,6 +194,7 @@
         self.hosts = [*self.controls, *self.entries]
         self.links: Links | None = None
         self._are_linked = are_linked
+        self._far_seconds = far_seconds
         self.relays: list[Relay] = []
         self.workers: list[PlatformWorker] = []
         self.acknowledged_version = 0
@@ -263,7 +265,7 @@
             [host.ip for host in self.hosts],
             [host.ip for host in self.controls],
             [PORTS["control"], PORTS["peers"]],
-            lambda *way: FAR_SECONDS if len(far.intersection(way)) == 1 else 0.0,
+            lambda *way: self._far_seconds if len(far.intersection(way)) == 1 else 0.0,
         )
         for host in self.hosts:
             host.environment = self.links.environment(host.ip)
--- a/standins/soak/faults.py
+++ b/standins/soak/faults.py
@@ -82,8 +82,29 @@
 NEXT_CUT_SECONDS = (1.0, 5.0)
 """When the next links are cut after the last ones were healed."""
 
-CATCH_UP_SECONDS = 8.0
-"""Time in which no link is cut after hosts came back with empty disks."""
+CATCH_UP_SECONDS = 4.0
+"""How long a host counts as lost after it is back; from then on others may be lost (catchUpS)."""
+
+CATCH_UP_SECONDS_WITHOUT_LOSSES = 8.0
+"""Time in which no link is cut after hosts came back with empty disks, in series without losses."""
+
+CLOSING_RECOVERY_SECONDS = 12.0
+"""Time after all hosts ended at once in which no disks are lost (recoveryS)."""
+
+LOSS_DRAWS = 50
+"""Times that are drawn for a loss in the series, until one is apart from the closings."""
+
+FINAL_LOSSES_SHARE = 0.5
+"""Share of the series that end with losses of disks in place of their last fault."""
+
+LEADER_SHARE = 0.5
+"""Share of the losses that take the leader's disk."""
+
+LEADER_ASKED_SECONDS = 0.5
+"""How long before a loss the leader is asked for."""
+
+FAR_SECONDS = (0.02, 0.08)
+"""Delays of each way between the two regions, one of which a seed draws."""
 
 RESET_INTERVAL_SECONDS = (1.0, 6.0)
 RETRY_SECONDS = 0.2
@@ -129,6 +150,9 @@
 _LAST_DISK_KINDS: dict[str, Callable] = {}
 """The same for those that take disks, as long as no other fault of the series does."""
 
+_LOSS_KINDS: dict[str, Callable] = {}
+"""The same for disks that are lost while the successors of others catch up."""
+
 _BESIDE_KINDS: dict[str, Callable] = {}
 """The same for what is done beside each of these."""
 
@@ -144,6 +168,7 @@
 _reset_kind = registry_decorator(_RESET_KINDS)
 _last_kind = registry_decorator(_LAST_KINDS)
 _last_disk_kind = registry_decorator(_LAST_DISK_KINDS)
+_loss_kind = registry_decorator(_LOSS_KINDS)
 _beside_kind = registry_decorator(_BESIDE_KINDS)
 
 _CONTROLS_AWAY = {
@@ -151,6 +176,7 @@
     "leader_stopped": 1, "leader_killed": 1, "leader_paused": 1,
     "core_cut_in_two": 2, "core_cut_alone": 1, "core_cut_leader": 1, "core_cut_one_way": 1,
     "entries_cut_from_core": 1, "power_lost": 2, "power_and_disks_lost": 2,
+    "disks_lost_in_turn": 2,
 }  # fmt: skip
 """How many control hosts a fault makes unavailable; a cut of entry hosts counts as one."""
 
@@ -249,7 +275,12 @@
     return faults
 
 
-def draw_cuts(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+def draw_cuts(
+    seed: int,
+    seconds: float,
+    faults: list[Fault],
+    catch_up_seconds: float = CATCH_UP_SECONDS_WITHOUT_LOSSES,
+) -> list[Fault]:
     """Return the series with links that are cut and power that is lost, one after the other.
 
     The manifest changes meanwhile.  Other faults of control hosts are left out where too many
@@ -275,7 +306,7 @@
         at += lasts + rng.uniform(*NEXT_CUT_SECONDS)
         if kind in _DISK_KINDS:
             may_lose_disks = False
-            at += CATCH_UP_SECONDS
+            at += catch_up_seconds
     for fault in faults:
         near = (each for each in kept if _may_be_away_at_once(each, fault))
         away = sum(_CONTROLS_AWAY.get(each.kind, 0) for each in near)
@@ -299,6 +330,64 @@
     return [*sorted([*faults, *added], key=lambda fault: fault.at), last]
 
 
+def draw_losses(seed: int, seconds: float, faults: list[Fault]) -> list[Fault]:
+    """Return the series with disks that are lost in turn: once in it, and once as its last fault.
+
+    The one in the series is left out where all hosts end at once.  The last one takes the place of
+    the former last fault, or that one stays.  Faults that make control hosts unavailable are left
+    out beside them.
+    """
+    rng = random.Random(f"losses of {seed}")
+    is_final = rng.random() < FINAL_LOSSES_SHARE
+    final = _draw_loss(rng, seconds)
+    drawn = [_draw_loss(rng, rng.uniform(QUIET_SECONDS, seconds)) for _ in range(LOSS_DRAWS)]
+    added = [
+        each
+        for each in drawn
+        if each.at + each.seconds < seconds and _is_apart_from_closings(each, faults)
+    ][:1]
+    rest = [fault for fault in faults if fault.kind not in _LAST_KINDS | _LAST_DISK_KINDS]
+    last = [fault for fault in faults if fault not in rest]
+    kept = [
+        fault
+        for fault in rest
+        if fault.kind not in _CONTROLS_AWAY
+        or not any(_may_be_away_at_once(each, fault) for each in added)
+    ]
+    series = sorted([*kept, *added], key=lambda fault: fault.at)
+    if last and not is_final:
+        return [*series, *last]
+    at = max([seconds, *(fault.at + fault.seconds for fault in series)]) + AWAY_SECONDS
+    closed_until = (each.at + each.seconds for each in series if _is_closing(each))
+    at = max([at, *(until + CLOSING_RECOVERY_SECONDS for until in closed_until)])
+    return [*series, attrs.evolve(final, at=round(at, 2))]
+
+
+def _draw_loss(rng: random.Random, at: float) -> Fault:
+    downs = 2 * rng.uniform(*POWER_LOST_SECONDS)
+    lasts = round(downs + CATCH_UP_SECONDS, 2)
+    return Fault(round(at, 2), rng.choice(list(_LOSS_KINDS)), rng.randrange(100), lasts)
+
+
+def _is_closing(fault: Fault) -> bool:
+    return fault.kind in _CLOSING_KINDS | _RARE_CLOSING_KINDS
+
+
+def _is_apart_from_closings(loss: Fault, faults: list[Fault]) -> bool:
+    """Return whether no closing is beside a loss, and the group has recovered from any before."""
+    return not any(
+        loss.at - CLOSING_RECOVERY_SECONDS - fault.seconds < fault.at
+        and fault.at < loss.at + loss.seconds + AWAY_SECONDS
+        for fault in faults
+        if _is_closing(fault)
+    )
+
+
+def draw_far_seconds(seed: int) -> float:
+    """Return the delay of each way between the two regions, in a series with losses."""
+    return random.Random(f"links of {seed}").choice(FAR_SECONDS)
+
+
 def _may_be_away_at_once(one: Fault, other: Fault) -> bool:
     first, second = sorted((one, other), key=lambda fault: fault.at)
     return second.at < first.at + first.seconds + AWAY_SECONDS
@@ -308,7 +397,7 @@
     """Carry out a fault and wait until it is over."""
     kinds = _KINDS | _WORKER_KINDS | _CLOSING_KINDS | _RARE_CLOSING_KINDS
     kinds |= _TOGETHER_KINDS | _UNANSWERED_KINDS | _LINK_KINDS | _POWER_KINDS | _DISK_KINDS
-    kinds |= _BESIDE_KINDS | _RESET_KINDS | _LAST_KINDS | _LAST_DISK_KINDS
+    kinds |= _BESIDE_KINDS | _RESET_KINDS | _LAST_KINDS | _LAST_DISK_KINDS | _LOSS_KINDS
     kinds[fault.kind](deployment, fault)
 
 
@@ -675,6 +764,33 @@
     _lose_others_after_resets(deployment, fault, are_disks_lost=True)
 
 
+@_loss_kind("disks_lost_in_turn")
+def _lose_disks_in_turn(deployment, fault) -> None:
+    """Let hosts lose their disks, one or as many as may; then as many others, once those count.
+
+    The leader is among the first, or the second, for half of them each.
+    """
+    rng, most = _details(fault), (len(deployment.controls) - 1) // 2
+    down_seconds = (fault.seconds - CATCH_UP_SECONDS) / 2
+    first = _hosts_to_lose(deployment, rng, rng.randint(1, most), [])
+    deployment.lose_power_of(first, down_seconds, are_disks_lost=True)
+    second_at = time.monotonic() + CATCH_UP_SECONDS
+    time.sleep(CATCH_UP_SECONDS - LEADER_ASKED_SECONDS)
+    second = _hosts_to_lose(deployment, rng, most, first)
+    time.sleep(max(0.0, second_at - time.monotonic()))
+    deployment.lose_power_of(second, down_seconds, are_disks_lost=True)
+
+
+def _hosts_to_lose(deployment, rng: random.Random, count: int, spared: list) -> list:
+    """Return control hosts that are not spared, the leader among them by chance, or not at all."""
+    takes_leader, leader = rng.random() < LEADER_SHARE, deployment.leader()
+    hosts = [host for host in deployment.controls if host not in spared]
+    others = [host for host in hosts if host is not leader]
+    rng.shuffle(others)
+    some = [leader] if takes_leader and leader in hosts else []
+    return [*some, *others][:count]
+
+
 @_closing_kind("all_ended")
 def _end_all(deployment, fault) -> None:
     """End all hosts at the same moment, while workers go on, crash, are cut or silent."""
--- a/standins/soak/judge.py
+++ b/standins/soak/judge.py
@@ -461,6 +461,17 @@
             yield Finding("CONFIG", read.sent_at, text)
 
 
+@_check("no manifest that is read back in time after the last fault")
+def _late_manifests(seen: Observations) -> Iterator[Finding]:
+    over_at = max((until for _, until in seen.disturbed), default=math.inf)
+    times = (read.sent_at for read in seen.deployment.manifest_reads)
+    is_judged = over_at < seen.recovered_at < math.inf
+    if is_judged and not any(over_at <= at <= seen.recovered_at for at in times):
+        seconds = seen.recovered_at - over_at
+        text = f"no manifest is read back for {seconds:.1f} s after the last fault"
+        yield Finding("RECOVER", seen.recovered_at, text)
+
+
 @_check("manifests that were acknowledged and are gone")
 def _lost_manifests(seen: Observations) -> Iterator[Finding]:
     acknowledged = seen.deployment.acknowledged_version
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -27,8 +27,20 @@
     LongTasksCaller,
     SharingCaller,
 )
-from .deployment import PORTS, Deployment
-from .faults import Fault, draw_closings, draw_crashes, draw_cuts, draw_faults, draw_resets, inject
+from .deployment import FAR_SECONDS, PORTS, Deployment
+from .faults import (
+    CATCH_UP_SECONDS,
+    CATCH_UP_SECONDS_WITHOUT_LOSSES,
+    Fault,
+    draw_closings,
+    draw_crashes,
+    draw_cuts,
+    draw_far_seconds,
+    draw_faults,
+    draw_losses,
+    draw_resets,
+    inject,
+)
 from .judge import Finding, Observations, judge
 from .lives import LatePair, late_pairs
 from .waits import MAX_WAIT_SECONDS, Span
@@ -173,6 +185,7 @@
     crashes: bool = False,
     links: bool = False,
     resets: bool = False,
+    losses: bool = False,
 ) -> SoakResult:
     """Run the series of a seed and return the verdict; logs are written to the folder.
 
@@ -183,7 +196,9 @@
     or of all but large ones.  With ``crashes``, workers are lost together, orders outlive the life
     of the worker that they were meant for, and there are tasks that crash their workers.  With
     ``links``, the hosts reach five control hosts over links that are cut, and some lose power.
-    With ``resets``, all connections of some hosts are reset.
+    With ``resets``, all connections of some hosts are reset.  With ``losses``, control hosts lose
+    their disks, and others theirs as soon as the first ones count as available again; the regions
+    are near or far.
     """
     shape = dict(SIZES[size])
     caller_count = shape.pop("callers")
@@ -193,11 +208,17 @@
     if crashes:
         faults = draw_crashes(seed, seconds, faults)
     if links:
-        faults = draw_cuts(seed, seconds, faults)
+        catch_up_seconds = CATCH_UP_SECONDS if losses else CATCH_UP_SECONDS_WITHOUT_LOSSES
+        faults = draw_cuts(seed, seconds, faults, catch_up_seconds)
         shape["controls"] = LINKED_CONTROLS
     if resets:
         faults = draw_resets(seed, seconds, faults)
-    with Deployment(folder, **shape, are_linked=links).running() as deployment:
+    if losses:
+        faults = draw_losses(seed, seconds, faults)
+    far_seconds = draw_far_seconds(seed) if losses else FAR_SECONDS
+    with Deployment(folder, **shape, are_linked=links, far_seconds=far_seconds).running() as (
+        deployment
+    ):
         balancer = Balancer(deployment)
         callers = [Caller(n, seed, deployment, balancer) for n in range(caller_count)]
         if closings:
--- a/tests/process/test_soak.py
+++ b/tests/process/test_soak.py
@@ -9,7 +9,9 @@
     draw_closings,
     draw_crashes,
     draw_cuts,
+    draw_far_seconds,
     draw_faults,
+    draw_losses,
     draw_resets,
 )
 from standins.soak.run import run_soak
@@ -104,12 +106,47 @@
     assert len(kinds) == 6 and min(kinds.values()) > 20
 
 
+def test_each_series_with_losses_has_two_disks_lost_at_once_at_most_and_later_ones_in_time():
+    kinds, delays, within = collections.Counter(), collections.Counter(), 0
+    for seed in range(1, 200):
+        closed = draw_closings(seed, 30.0, draw_faults(seed, 30.0))
+        without = draw_resets(seed, 30.0, draw_cuts(seed, 30.0, closed, 4.0))
+        series = draw_losses(seed, 30.0, without)
+        assert series == draw_losses(seed, 30.0, without)
+        losses = [fault for fault in series if fault.kind == "disks_lost_in_turn"]
+        assert all(4.0 < fault.seconds <= 10.0 for fault in losses)
+        last = series[-1]
+        assert last in losses or last == without[-1]
+        # A host whose connections are reset is there all the time.
+        others = [fault for fault in series if not fault.kind.endswith("_reset")]
+        assert all(fault.at + fault.seconds + 4.0 < last.at + 0.1 for fault in others[:-1])
+        left_out = [fault for fault in without[:-1] if fault not in series]
+        assert all(controls_away(fault, fault.at) for fault in left_out)
+        closings = [fault for fault in series if fault.kind.startswith("all_ended")]
+        for loss, closing in itertools.product(losses, closings):
+            is_after = closing.at + closing.seconds + 11.9 < loss.at
+            assert is_after or loss.at + loss.seconds + 4.0 <= closing.at
+        for moment in (fault.at for fault in series):
+            assert sum(controls_away(fault, moment) for fault in others) <= 2, (seed, moment)
+        # Hosts with new disks count as lost for 4 s after they are back.
+        disks = [fault for fault in series if "disk" in fault.kind and fault not in closings]
+        for one, other in itertools.combinations(disks, 2):
+            assert other.at >= one.at + one.seconds + 4.0
+        within += len([fault for fault in losses if fault is not last])
+        kinds[last.kind] += 1
+        delays[draw_far_seconds(seed)] += 1
+    assert kinds["disks_lost_in_turn"] > 70 and within > 50
+    assert set(delays) == {0.02, 0.08} and min(delays.values()) > 70
+
+
 def controls_away(fault, moment):
     """Return how many control hosts a fault of a series takes at a moment, with some time more."""
     if not fault.at <= moment < fault.at + fault.seconds + 2.0:
         return 0
     if fault.kind in ("core_cut_in_two", "power_lost", "power_and_disks_lost"):
         return 2
+    if fault.kind == "disks_lost_in_turn":
+        return 2
     return fault.kind.startswith(("core", "control", "leader", "entries_cut"))
 
 
--- a/tests/standins/test_soak_judge.py
+++ b/tests/standins/test_soak_judge.py
@@ -16,6 +16,10 @@
 OTHER_JOB = "00000000000000ab"
 
 
+READS = [ManifestRead("ip", float(second), 3) for second in range(100)]
+"""The newest manifest is read back each second."""
+
+
 def kinds(
     calls=(),
     records=(),
@@ -28,7 +32,7 @@
     spec=None,
     unused_workers=(),
     first_outcome="done",
-    reads=(),
+    reads=READS,
     **times,
 ):
     """Return the kinds of findings in a run with one accepted job, whose task ran once."""
@@ -416,6 +420,15 @@
     assert kinds(reads=[ManifestRead("ip", sent_at, version)]) == found
 
 
+# Guards against a group that has no leader in time after the last fault (recoveryS).
+@pytest.mark.parametrize(
+    ("sent_at", "found"), [(9.9, ["RECOVER"]), (10.0, []), (22.0, []), (22.1, ["RECOVER"])]
+)
+def test_a_manifest_that_is_not_read_back_in_time_is_found(sent_at, found):
+    reads = [ManifestRead("ip", sent_at, 3)]
+    assert kinds(reads=reads, disturbed=[(5.0, 10.0)], recovered_at=22.0) == found
+
+
 def observed(calls, records, spec_by_job):
     """Return what was seen of one worker that was always up."""
     worker = types.SimpleNamespace(worker_id="w1", records=records, up=[(0.0, 99.0)])
