--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -483,13 +483,14 @@
     def removable_lost_ids(self) -> list[str]:
         """Return those of them that this leader may remove; raises NotLeading."""
         self._require_leader()
+        lost_ids = self.lost_member_ids
+        if not lost_ids:
+            return []
         # A later leader might have been elected before the disk was lost.  What it had committed
         # with this voter could be missing from each quorum of the others.
         state = self.leader_state
         confirmed = state.quorum_acked_round(self.replica_id, self._quorum_rule())
-        return [
-            each for each in self.lost_member_ids if confirmed > state.round_by_lost_id.get(each, 0)
-        ]
+        return [each for each in lost_ids if confirmed > state.round_by_lost_id.get(each, 0)]
 
     @property
     def is_first_campaign(self) -> bool:
@@ -553,12 +554,14 @@
         A host has one disk at a time.  Whoever sent the message knew that replica, so its disk
         was there before this one.
         """
-        if kind in REQUESTS and host_name(message.recipient) == host_name(self.replica_id):
+        own_host = host_name(self.replica_id)
+        if kind in REQUESTS and own_host and host_name(message.recipient) == own_host:
             self._send(message.sender, self.term, disk_lost=DiskLost(message.recipient))
 
     def _on_disk_lost(self, message: RaftMessage, payload: DiskLost) -> None:
         lost_id = payload.replica_id
-        if host_name(lost_id) != host_name(message.sender) or lost_id in self._lost_ids:
+        is_of_its_host = host_name(lost_id) == host_name(message.sender)
+        if not is_of_its_host or lost_id == message.sender or lost_id in self._lost_ids:
             return
         self._lost_ids[lost_id] = None
         if len(self._lost_ids) > MAX_LOST_IDS:
@@ -577,7 +580,7 @@
         That a lost disk is removed needs no quorum of before: this voter was in none since.
         """
         log, memberships = self.log, [self.log.membership]
-        if log.membership_index > max(self.commit_index, self._known_commit_index):
+        if log.membership_index > self._known_commit_index:
             before = log.membership_at(log.membership_index - 1)
             if voter_ids(before) and not log.membership.removes_lost:
                 memberships.append(before)
@@ -987,6 +990,7 @@
         self.log.reset(snapshot.last_index, snapshot.last_term, snapshot.membership)
         self._unsynced = []
         self._synced_index = self.commit_index = self._returned_index = snapshot.last_index
+        self._known_commit_index = max(self._known_commit_index, snapshot.last_index)
 
     def _reply_snapshot(self, message, chunk, next_offset: int, installed: bool) -> None:
         reply = SnapshotReply(chunk.last_index, next_offset, installed, chunk.round)
@@ -1044,10 +1048,11 @@
             raise InvariantBroken(
                 f"commit index {index} is beyond the last log index {self.log.last_index}"
             )
-        if self.commit_index < self.log.membership_index <= index:
+        if self._known_commit_index < self.log.membership_index <= index:
             # A restart must not forget which voters a quorum is of.
             self._hard_state_changed = True
         self.commit_index = max(self.commit_index, index)
+        self._known_commit_index = max(self._known_commit_index, index)
 
     # ------------------------------------------------------------------ helpers
 
@@ -1086,7 +1091,7 @@
     def _take_record(self) -> WalRecord | None:
         if not self._unsynced and not self._hard_state_changed:
             return None
-        record = WalRecord(self.term, self.voted_for, self._unsynced, self.commit_index)
+        record = WalRecord(self.term, self.voted_for, self._unsynced, self._known_commit_index)
         self._unsynced, self._hard_state_changed = [], False
         return record
 
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -162,6 +162,7 @@
         self._logged_refusals: dict | None = None
         """What was logged last of a failed election, since a leader was heard."""
 
+        self._logged_lost_ids: set[str] = set()
         self._thread = None
         self._watch_thread = None
 
@@ -352,6 +353,7 @@
             log_event("replica:campaigns", term=core.term + 1, **contact, **self._recent_delays())
         self._was_first_campaign = core.is_first_campaign
         self._log_failed_election()
+        self._log_lost_disks()
 
     def _log_failed_election(self) -> None:
         """Log who did not vote for this replica, once for each change while no leader is heard."""
@@ -366,12 +368,23 @@
             "refused": dict(sorted(refusals.items())),
             "unanswered": sorted(host_name(each) for each in election.unanswered),
         }
+        if election.lost:
+            outcome["lost"] = sorted(election.lost)
         if election.yielded_to:
             outcome["yielded_to"] = host_name(election.yielded_to)
         if outcome != self._logged_refusals:
             self._logged_refusals = outcome
             log_event("replica:election_failed", term=election.term, **outcome)
 
+    def _log_lost_disks(self) -> None:
+        """Log each member of which this replica learns that its disk is gone, once."""
+        lost_ids = set(self.core.lost_member_ids)
+        for lost_id in sorted(lost_ids - self._logged_lost_ids):
+            log_event(
+                "replica:disk_lost", replica=lost_id, role=self.core.role.value, term=self.core.term
+            )
+        self._logged_lost_ids = lost_ids
+
     def _recent_delays(self) -> dict:
         """Return what this host was kept waiting by in the last seconds, for a log line."""
         now = self._clock.monotonic()
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -209,6 +209,7 @@
             voted_for=core.voted_for, membership=membership_kind(log.membership, core.replica_id),
             voters=[each.replica_id for each in members if each.voter],
             learners=[each.replica_id for each in members if not each.voter],
+            lost=core.lost_member_ids, min_copies=log.membership.min_copies,
             membership_index=log.membership_index, last_index=log.last_index,
             last_term=log.last_term, commit_index=core.commit_index,
             applied_index=core.applied_index, campaigns=core.campaigns,
@@ -340,6 +341,8 @@
         "refused": {host_name(k): why for k, why in sorted(election.refusals.items())},
         "unanswered": sorted(host_name(each) for each in election.unanswered),
     }
+    if election.lost:
+        described["lost"] = sorted(election.lost)
     if election.yielded_to:
         described["yielded_to"] = host_name(election.yielded_to)
     return described
