--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -15,7 +15,7 @@
 
 A voter whose disk is known to be lost, since its host is back with another one, is removed at
 once: nothing is gained by its vote, and the group bears the loss of two more disks from then on
-(``QuorumRule``), however long its successor takes.  The table is of hosts that say nothing any more.
+(``QuorumRule``), however long its successor takes.  The table is of hosts that say nothing.
 
 Either order bears one loss at any moment, also of the leader and with a change that only the
 lost leader had: the next leader continues from the voters in its log.  Only the removal first
