--- a/tests/replication/test_failed_elections.py
+++ b/tests/replication/test_failed_elections.py
@@ -8,6 +8,7 @@
 from savoryshelf.replication.core import Replica
 from savoryshelf.replication.types import RecoveredState
 from savoryshelf.wire.generated.ttypes import (
+    DiskLost,
     EntryKind,
     LogEntry,
     Member,
@@ -160,3 +161,26 @@
         core.tick(now)
     assert core.failed_election.refusals == {"b.disk": "in contact with the leader c.disk"}
     assert core.term == 5
+
+
+def test_a_candidate_logs_whose_disk_is_lost_and_that_it_heard_so_once(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        leader_id = group.service_by_name[leader].core.replica_id
+        lines.clear()
+        group.cut_off |= {second, leader}
+        group.clock.sleep(3.0)
+        told = RaftMessage(
+            f"{leader}.new",
+            group.service_by_name[first].core.replica_id,
+            0,
+            RaftPayload(disk_lost=DiskLost(leader_id)),
+            0,
+        )
+        for _ in range(2):
+            group.deliver(first, told)
+        group.clock.sleep(6.0)
+    heard = [fields for name, fields in lines if name == "replica:disk_lost"]
+    assert [each["replica"] for each in heard] == [leader_id]
+    assert failed_elections(lines)[-1]["lost"] == [leader_id]
+    assert failed_elections(lines)[-1]["unanswered"] == [second]
