--- a/tests/control/test_lost_disks.py
+++ b/tests/control/test_lost_disks.py
@@ -5,6 +5,7 @@
 import pytest
 
 from savoryshelf.control.repair import GroupRepair
+from savoryshelf.replication.membership import find_member
 from savoryshelf.wire.generated.ttypes import Member
 
 from ..replication.group import Group
@@ -104,3 +105,50 @@
         if not set(first) & set(second):
             site = lose_twice(first, second)
             assert site.run_for(RECOVERY_SECONDS, site.serves_all), second
+
+
+class ServiceBusyMeanwhile(ReplicaServiceAdapter):
+    """Does something else right after a change is committed, before its caller goes on."""
+
+    def __init__(self, host, act):
+        super().__init__(host)
+        self._act = act
+
+    def change_membership(self, change):
+        super().change_membership(change)
+        act, self._act = self._act, lambda: None
+        act()
+
+
+def lose_a_disk_known_to_the_leader():
+    """Return a site, its leader, and a host with a new disk of which the leader has heard."""
+    site = Site()
+    leader = site.group.leader()
+    lost = next(name for name in site.group.host_by_name if name != leader.name)
+    site.group.lose(lost)
+    host = add_host_with_empty_disk(site.group, lost)
+    site.group.run_for(1.0)
+    assert leader.core.removable_lost_ids
+    return site, leader, host
+
+
+# Guards against a leader whose process ends: a host had joined while a lost disk was removed.
+def test_a_host_may_join_while_a_lost_disk_is_removed():
+    site, leader, host = lose_a_disk_known_to_the_leader()
+    learner = Member(host.replica_id, host.name, "", False)
+    service = ServiceBusyMeanwhile(leader, lambda: leader.core.add_learner(learner))
+    GroupRepair(service, replaces_unresponsive=True).step()
+    assert not leader.core.lost_member_ids
+    assert find_member(leader.core.log.membership, host.replica_id)
+
+
+# Guards against a process that ends: it had lost its office while a lost disk was removed.
+def test_a_leader_may_lose_its_office_while_a_lost_disk_is_removed():
+    site, leader, _ = lose_a_disk_known_to_the_leader()
+
+    def lose_office():
+        site.group.isolate(leader.name)
+        site.group.run_for(10.0)
+        assert not leader.is_leader
+
+    GroupRepair(ServiceBusyMeanwhile(leader, lose_office), replaces_unresponsive=True).step()
