A step of the repair commits one change, and ends

Cause: the step went on after it had removed a lost disk, which waits for a commit; by then a host had joined that the step did not know, or another host led.

--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -118,9 +118,10 @@
         if not self._replica.is_leader or not core.has_committed_in_term:
             return
         self._waiting.keep_current(core)
-        for lost_id in core.removable_lost_ids:
-            if not self._remove_lost(lost_id):
-                return
+        if lost_ids := core.removable_lost_ids:
+            # The members, and who leads, may have changed once this is committed.
+            self._remove_lost(lost_ids[0])
+            return
         for learner in core.log.membership.members:
             if learner.voter:
                 continue
@@ -168,8 +169,8 @@
     def _remove(self, replica_id: str, learner_id: str = "") -> bool:
         return self._change("remove", replica_id, lambda core: core.remove(replica_id), learner_id)
 
-    def _remove_lost(self, replica_id: str) -> bool:
-        return self._change("remove_lost", replica_id, lambda core: core.remove_lost(replica_id))
+    def _remove_lost(self, replica_id: str) -> None:
+        self._change("remove_lost", replica_id, lambda core: core.remove_lost(replica_id))
 
     def _change(self, kind: str, replica_id: str, change, learner_id: str = "") -> bool:
         """Commit a change that ``learner_id``, if any, has waited for; return whether it did."""
