A lost voter is removed only once an entry since the loss is committed

Cause: the lost disk had voted for a candidate of a later term before it was lost; the vote and a request to another voter were still on their way when a quorum confirmed the earlier leader, which then removed the lost voter and committed with one survivor. A heartbeat binds a voter at its answer only.

Now the leader appends an entry when it learns of the loss (an entry of its term, if it knew before) and removes the voter once that is committed. A candidate that has the vote of the lost disk asked for it before the loss, so it does not hold this entry, and each of its holders refuses it.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -329,14 +329,14 @@
     def remove_lost(self, replica_id: str) -> int:
         """Propose to remove a member whose disk is lost; return the index of the log entry.
 
-        Raises MembershipChangeRefused until it is known to be lost, and a quorum has confirmed this
-        leader since.
+        Raises MembershipChangeRefused until it is known to be lost, and this leader has committed
+        an entry since.
         """
         self._require_leader()
         if replica_id not in self._lost_ids:
             raise MembershipChangeRefused(f"the disk of {replica_id} is not known to be lost")
         if replica_id not in self.removable_lost_ids:
-            raise MembershipChangeRefused("no quorum has confirmed this leader since the loss")
+            raise MembershipChangeRefused("no entry is committed yet since the loss was known")
         return self._change_membership(without_lost_member(self.log.membership, replica_id))
 
     def request_read(self) -> int:
@@ -486,11 +486,14 @@
         lost_ids = self.lost_member_ids
         if not lost_ids:
             return []
-        # A later leader might have been elected before the disk was lost.  What it had committed
-        # with this voter could be missing from each quorum of the others.
+        # The lost disk may have voted for a candidate whose other votes are still to come.  Whoever
+        # holds an entry from after the loss refuses that candidate, which cannot hold it.
         state = self.leader_state
-        confirmed = state.quorum_acked_round(self.replica_id, self._quorum_rule())
-        return [each for each in lost_ids if confirmed > state.round_by_lost_id.get(each, 0)]
+        return [
+            each
+            for each in lost_ids
+            if self.commit_index >= state.known_from_by_lost_id.get(each, state.term_start_index)
+        ]
 
     @property
     def is_first_campaign(self) -> bool:
@@ -567,7 +570,8 @@
         if len(self._lost_ids) > MAX_LOST_IDS:
             del self._lost_ids[next(iter(self._lost_ids))]
         if self.role is Role.LEADER:
-            self.leader_state.round_by_lost_id[lost_id] = self.leader_state.round
+            if lost_id in self.lost_member_ids:
+                self.leader_state.known_from_by_lost_id[lost_id] = self._append(EntryKind.NOOP, b"")
             self._advance_commit()
             self._confirm_reads()
         elif self._election is not None:
--- a/src/savoryshelf/replication/leader_state.py
+++ b/src/savoryshelf/replication/leader_state.py
@@ -95,8 +95,8 @@
     serving_at: float = attrs.field(init=False)
     """When a majority was last found to be in contact, so that callers may be answered."""
 
-    round_by_lost_id: dict[str, int] = attrs.field(factory=dict)
-    """The latest round when this leader learned that a disk is lost, unless it knew before."""
+    known_from_by_lost_id: dict[str, int] = attrs.field(factory=dict)
+    """The first entry after this leader learned that a disk is lost, unless it knew before."""
 
     pending_reads: list[PendingRead] = attrs.field(factory=list)
     _sent_by_round: dict[int, _Round] = attrs.field(factory=dict)
--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -143,7 +143,7 @@
 
 # Guards against a leader that was deposed before the disk was lost, with commits of the next one
 # on the lost disk.
-def test_a_leader_removes_a_lost_voter_only_once_a_quorum_has_confirmed_it_since():
+def test_a_leader_removes_a_lost_voter_only_once_it_has_committed_an_entry_since():
     group = group_of()
     leader = group.leader()
     name = followers(group)[0]
