A change of voters asks those of before, too, until it is committed

A removed voter got no entries and no vote requests, and its answers did not count, though a quorum of the voters before the change is needed until that is committed: one of two voters could never be removed, and one of four not while another was silent.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -608,9 +608,10 @@
             self._set_hard_state(self.term + 1, self.replica_id)
             term = self.term
         self.leader_id = None
-        others = [each for each in voter_ids(self.log.membership) if each != self.replica_id]
-        lost = set(others) & self._lost_ids.keys()
-        self._election = Election(term, pre_vote, {self.replica_id}, set(others), lost)
+        voters = {each for m in self._quorum_rule().memberships for each in voter_ids(m)}
+        others = voters - {self.replica_id}
+        lost = others & self._lost_ids.keys()
+        self._election = Election(term, pre_vote, {self.replica_id}, others, lost)
         doublings = min(self._campaigns, MAX_RETRY_DOUBLINGS)
         self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**doublings))
         self._campaigns += pre_vote
@@ -830,7 +831,11 @@
 
     def _update_progress(self) -> None:
         existing = self.leader_state.progress_by_id
-        member_ids = [m.replica_id for m in self.log.membership.members]
+        member_ids = dict.fromkeys(
+            member.replica_id
+            for membership in self._quorum_rule().memberships
+            for member in membership.members
+        )
         self.leader_state.progress_by_id = {
             replica_id: existing.get(replica_id)
             or Progress(next_index=self.log.last_index + 1, acked_at=self._now)
@@ -1041,8 +1046,11 @@
         # majority holds it.  Committing an entry of this term commits all
         # entries before it.
         if index > self.commit_index and self.log.term_at(index) == self.term:
+            ends_change = self.commit_index < self.log.membership_index <= index
             self._commit_up_to(index)
             self._unannounced_commit = True
+            if ends_change:
+                self._update_progress()
             self._confirm_reads()
             if find_member(self.log.membership_at(index), self.replica_id) is None:
                 self._become_follower(self.term, None, "removed from the group")
--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -225,3 +225,44 @@
     group.heal_partitions()
     group.run_for(3.0)
     assert group.leader().core.commit_index >= index
+
+
+# Guards against a change that waits for the removed voter, which gets no entries and is not asked.
+def test_one_of_two_voters_is_removed():
+    group = group_of(2)
+    removed = group.host_by_name[followers(group)[0]].replica_id
+    group.change_membership(lambda core: core.remove(removed))
+    group.run_for(2.0)
+    core = group.leader().core
+    assert core.commit_index >= core.log.membership_index
+    assert set(core.leader_state.progress_by_id) == set()
+
+
+def test_a_live_voter_is_removed_though_another_one_is_silent():
+    group = group_of(4)
+    silent, name, _ = followers(group)
+    removed = group.host_by_name[name].replica_id
+    group.isolate(silent)
+    group.change_membership(lambda core: core.remove(removed))
+    group.run_for(3.0)
+    core = group.leader().core
+    assert removed not in voter_ids(core.log.membership)
+    assert core.commit_index >= core.log.membership_index
+    assert removed not in core.leader_state.progress_by_id
+
+
+def test_the_next_leader_completes_a_removal_with_the_vote_of_the_removed_one():
+    group = group_of(4)
+    name, other, _ = followers(group)
+    leader, removed = group.leader(), group.host_by_name[name].replica_id
+    leader.core.remove(removed)
+    leader.process_ready()
+    group.run_for(0.2)
+    group.lose(leader.name)
+    group.isolate(other)
+    group.run_for(6.0)
+    group.heal_partitions()
+    group.run_for(3.0)
+    core = group.leader().core
+    assert removed not in voter_ids(core.log.membership)
+    assert core.commit_index >= core.log.membership_index
