--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -119,8 +119,8 @@
             return
         self._waiting.keep_current(core)
         if lost_ids := core.removable_lost_ids:
-            # The members, and who leads, may have changed once this is committed.
-            self._remove_lost(lost_ids[0])
+            self._change("remove_lost", ", ".join(lost_ids), lambda core: core.remove_lost())
+            # The members, and who leads, may have changed by now.
             return
         for learner in core.log.membership.members:
             if learner.voter:
@@ -169,9 +169,6 @@
     def _remove(self, replica_id: str, learner_id: str = "") -> bool:
         return self._change("remove", replica_id, lambda core: core.remove(replica_id), learner_id)
 
-    def _remove_lost(self, replica_id: str) -> None:
-        self._change("remove_lost", replica_id, lambda core: core.remove_lost(replica_id))
-
     def _change(self, kind: str, replica_id: str, change, learner_id: str = "") -> bool:
         """Commit a change that ``learner_id``, if any, has waited for; return whether it did."""
         core = self._replica.core
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -300,8 +300,12 @@
         return [self._append(EntryKind.COMMAND, payload) for payload in payloads]
 
     def add_learner(self, learner) -> int:
-        """Propose to add a non-voting member; return the index of the log entry."""
-        return self._change_membership(with_learner(self.log.membership, learner))
+        """Propose to add a non-voting member; return the index of the log entry.
+
+        The same entry removes lost members, which must not wait for a commit of its own.
+        """
+        self._require_leader()
+        return self._change_membership(with_learner(self._without_lost_members(), learner))
 
     def promote(self, replica_id: str) -> int:
         """Propose to make a learner a voter; return the index of the log entry.
@@ -326,18 +330,21 @@
             membership = with_lower_min_copies(membership)
         return self._change_membership(membership)
 
-    def remove_lost(self, replica_id: str) -> int:
-        """Propose to remove a member whose disk is lost; return the index of the log entry.
+    def remove_lost(self) -> int:
+        """Propose to remove all ``removable_lost_ids`` at once; return the index of the log entry.
 
-        Raises MembershipChangeRefused until it is known to be lost, and this leader has committed
-        an entry since.
+        Raises MembershipChangeRefused if there are none.
         """
         self._require_leader()
-        if replica_id not in self._lost_ids:
-            raise MembershipChangeRefused(f"the disk of {replica_id} is not known to be lost")
-        if replica_id not in self.removable_lost_ids:
-            raise MembershipChangeRefused("no entry is committed yet since the loss was known")
-        return self._change_membership(without_lost_member(self.log.membership, replica_id))
+        if not self.removable_lost_ids:
+            raise MembershipChangeRefused("no member is known to be lost since the latest commit")
+        return self._change_membership(self._without_lost_members())
+
+    def _without_lost_members(self) -> Membership:
+        membership = self.log.membership
+        for replica_id in self.removable_lost_ids:
+            membership = without_lost_member(membership, replica_id)
+        return membership
 
     def request_read(self) -> int:
         """Start a linearizable read; its id is returned later in ``Ready.confirmed_reads``.
@@ -481,7 +488,10 @@
 
     @property
     def removable_lost_ids(self) -> list[str]:
-        """Return those of them that this leader may remove; raises NotLeading."""
+        """Return those of them that this leader may remove; raises NotLeading.
+
+        It has committed an entry since it learned that their disks are lost.
+        """
         self._require_leader()
         lost_ids = self.lost_member_ids
         if not lost_ids:
@@ -823,7 +833,7 @@
             raise MembershipChangeRefused(
                 f"the membership change at index {self.log.membership_index} is not committed yet"
             )
-        if not is_single_step(self.log.membership, membership):
+        if not is_single_step(self.log.membership, membership, self._lost_ids.keys()):
             raise MembershipChangeRefused("a membership change may affect at most one voter")
         index = self._append(EntryKind.MEMBERSHIP, codec.encode(membership))
         self._update_progress()
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -93,7 +93,8 @@
     if find_member(membership, learner.replica_id):
         raise MembershipChangeRefused(f"{learner.replica_id} is already a member")
     new_member = Member(learner.replica_id, learner.address, learner.failure_domain, False)
-    return Membership([*membership.members, new_member], membership.min_copies)
+    members = [*membership.members, new_member]
+    return Membership(members, membership.min_copies, membership.removes_lost)
 
 
 def with_promoted_learner(membership: Membership, replica_id: str) -> Membership:
@@ -138,6 +139,12 @@
     return Membership(membership.members, min(membership.min_copies or 0, ordinary) or None)
 
 
-def is_single_step(before: Membership, after: Membership) -> bool:
-    """Return whether at most one voter differs, so that majorities of both overlap."""
-    return len(set(voter_ids(before)) ^ set(voter_ids(after))) <= 1
+def is_single_step(before: Membership, after: Membership, lost_ids: Set[str] = frozenset()) -> bool:
+    """Return whether at most one voter differs, so that majorities of both overlap.
+
+    Any number of lost voters may be removed instead: they are in no majority any more.
+    """
+    voters_before, voters_after = set(voter_ids(before)), set(voter_ids(after))
+    if voters_after <= voters_before and voters_before - voters_after <= lost_ids:
+        return True
+    return len(voters_before ^ voters_after) <= 1
--- a/src/savoryshelf/wire/messages.thrift
+++ b/src/savoryshelf/wire/messages.thrift
@@ -22,8 +22,8 @@
 
 /**
  * The members of a group.  A quorum is a majority of the voters, and `min_copies` of them at least, or
- * all where there are fewer.  `removes_lost` tells that the voter which this membership
- * lacks, compared with the one before, has lost its disk.
+ * all where there are fewer.  `removes_lost` tells that the voters which this membership
+ * lacks, compared with the one before, have lost their disks.
  */
 struct Membership { 1: list<Member> members, 2: optional i32 min_copies, 3: optional bool removes_lost }
 
