A majority after a change of voters elects without those of before, as it did

tests/dispatch/test_host_losses.py::test_a_host_that_stops_while_another_one_joins_leaves_the_group[leader] failed on: a leader leaves a group of six, its followers have the change and do not know that it is committed, two more are lost, and three of five did not elect, as four of six were asked for too.

A quorum of the voters before is needed only where survivors come in: a quorum by survivors of one membership need not meet a majority of the other one. And survivors are enough only while no more disks are lost than there are copies of each entry less one (four of six, no longer three). tests/replication/test_lost_disks.py walks all pairs of quorums, changes and losses up to seven voters.

--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -589,16 +589,15 @@
             self._check_election()
 
     def _quorum_rule(self) -> QuorumRule:
-        """Return what a quorum is: of the voters before a change, too, until it is committed.
+        """Return what a quorum is, for votes, commits and contact.
 
-        That a lost disk is removed needs no quorum of before: this voter was in none since.
+        That lost disks are removed needs no quorum of before: they have been in none since.
         """
-        log, memberships = self.log, [self.log.membership]
-        if log.membership_index > self._known_commit_index:
+        log, before = self.log, None
+        if log.membership_index > self._known_commit_index and not log.membership.removes_lost:
             before = log.membership_at(log.membership_index - 1)
-            if voter_ids(before) and not log.membership.removes_lost:
-                memberships.append(before)
-        return QuorumRule(tuple(memberships), frozenset(self._lost_ids))
+        has_voters = before is not None and bool(voter_ids(before))
+        return QuorumRule(log.membership, before if has_voters else None, frozenset(self._lost_ids))
 
     # --------------------------------------------------------------- elections
 
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -41,51 +41,82 @@
     return "voter" if member.voter else "learner"
 
 
+def copies(membership: Membership) -> int:
+    """Return how many voters hold what is committed at least, by the loss of how many it is lost.
+
+    Half of the voters, or ``min_copies``.  A quorum is no smaller.
+    """
+    count = len(voter_ids(membership))
+    return min(count, max(count - count // 2, membership.min_copies or 0))
+
+
+def fewest_survivors(membership: Membership) -> int:
+    """Return how many voters must be left to go on once the disks of all others are lost."""
+    return len(voter_ids(membership)) - copies(membership) + 1
+
+
 def surviving_quorum(membership: Membership, lost_ids: Set[str]) -> set[str]:
-    """Return the voters whose disks are not lost if they meet every quorum, else an empty set.
+    """Return the voters whose disks are not lost if they are enough, else an empty set.
 
-    A voter with a lost disk never votes or acknowledges anything again.  All others together
-    are a quorum then, since no later quorum can do without one of them.
+    A voter with a lost disk never votes or acknowledges anything again.  All others together meet
+    every quorum then, and no later quorum can do without one of them.
     """
-    voters = set(voter_ids(membership))
-    survivors = voters - lost_ids
-    fewest = len(voters) - quorum_size(membership) + 1
-    return survivors if len(survivors) >= fewest else set()
+    survivors = set(voter_ids(membership)) - lost_ids
+    return survivors if len(survivors) >= fewest_survivors(membership) else set()
+
+
+def meets_survivors(after: Membership, before: Membership) -> bool:
+    """Return whether each quorum by size of ``after`` meets all survivors of ``before``."""
+    added = set(voter_ids(after)) - set(voter_ids(before))
+    common = quorum_size(after) - len(added)
+    return common + fewest_survivors(before) > len(voter_ids(before))
 
 
 @attrs.frozen
 class QuorumRule:
-    """Which replicas are a quorum: one in each of ``memberships``, given the lost disks.
+    """Which replicas are a quorum of ``membership``, given the lost disks.
 
-    There are two memberships while the change from the first to the second may not be committed.
+    ``before`` is the membership before that one, while the change may not be committed.
     """
 
-    memberships: tuple[Membership, ...]
+    membership: Membership
+    before: Membership | None = None
     lost_ids: frozenset[str] = frozenset()
 
+    @property
+    def memberships(self) -> list[Membership]:
+        """Return the memberships whose voters are asked, the present one first."""
+        return [self.membership] if self.before is None else [self.membership, self.before]
+
     def is_met_by(self, replica_ids: Iterable[str]) -> bool:
         """Return whether the given replicas include a quorum."""
-        present = set(replica_ids)
-        return all(self._includes_quorum(each, present) for each in self.memberships)
+        return self.value(dict.fromkeys(replica_ids, 1)) > 0
 
     def value(self, value_by_id: Mapping[str, float]) -> float:
         """Return the highest value that a quorum has reached; a missing value counts as 0."""
-        return min(self._value(each, value_by_id) for each in self.memberships)
-
-    def _includes_quorum(self, membership: Membership, present: set[str]) -> bool:
-        if len(set(voter_ids(membership)) & present) >= quorum_size(membership):
-            return True
-        survivors = surviving_quorum(membership, self.lost_ids)
-        return bool(survivors) and survivors <= present
-
-    def _value(self, membership: Membership, value_by_id: Mapping[str, float]) -> float:
-        voters = voter_ids(membership)
-        reached = sorted((value_by_id.get(voter, 0) for voter in voters), reverse=True)
-        by_size = reached[quorum_size(membership) - 1]
+        by_size = _value_by_size(self.membership, value_by_id)
+        with_survivors = max(by_size, self._value_of_survivors(self.membership, value_by_id))
+        if self.before is None:
+            return with_survivors
+        # Survivors may be few, so those of one membership need not meet a quorum of the other.
+        before = max(
+            _value_by_size(self.before, value_by_id),
+            self._value_of_survivors(self.before, value_by_id),
+        )
+        of_both = min(with_survivors, before)
+        return max(of_both, by_size) if meets_survivors(self.membership, self.before) else of_both
+
+    def _value_of_survivors(
+        self, membership: Membership, value_by_id: Mapping[str, float]
+    ) -> float:
         survivors = surviving_quorum(membership, self.lost_ids) if self.lost_ids else set()
-        if not survivors:
-            return by_size
-        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))
+        return min((value_by_id.get(each, 0) for each in survivors), default=float("-inf"))
+
+
+def _value_by_size(membership: Membership, value_by_id: Mapping[str, float]) -> float:
+    voters = voter_ids(membership)
+    reached = sorted((value_by_id.get(voter, 0) for voter in voters), reverse=True)
+    return reached[quorum_size(membership) - 1]
 
 
 def with_learner(membership: Membership, learner: Member) -> Membership:
@@ -126,8 +157,7 @@
     committed is held by more than that, although fewer voters are left.
     """
     remaining = without_member(membership, replica_id)
-    borne = len(voter_ids(membership)) - quorum_size(membership)
-    remaining.min_copies = max(membership.min_copies or 0, borne + 1)
+    remaining.min_copies = max(membership.min_copies or 0, copies(membership))
     remaining.removes_lost = True
     return remaining
 
