--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -5,12 +5,21 @@
 
 import click
 
-from . import agents, attempts, configuration, election, incarnations, ownership, repair  # noqa: F401
+from . import (  # noqa: F401
+    agents,
+    attempts,
+    configuration,
+    election,
+    incarnations,
+    lost_disks,
+    ownership,
+    repair,
+)
 from .model import MODELS, MUTANT_MAX_STATES, Specification, check, is_small
 
 SMALL_BOUNDS = (
     "small bounds: election to term 3 of 4, repair logs of 2 entries of 3, "
-    "membership logs of 1 entry of 2"
+    "membership logs of 1 entry of 2, lost-disks 4 voters of 5, lost-disks-changes to term 2 of 3"
 )
 
 
