--- a/specification/__main__.py
+++ b/specification/__main__.py
@@ -19,7 +19,8 @@
 
 SMALL_BOUNDS = (
     "small bounds: election to term 3 of 4, repair logs of 2 entries of 3, "
-    "membership logs of 1 entry of 2, lost-disks 4 voters of 5, lost-disks-changes to term 2 of 3"
+    "membership logs of 1 entry of 2, lost-disks 4 voters of 5, lost-disks-changes to term 2 of 3, "
+    "lost-disks-removals logs of 2 entries of 3 and 2 disks of 3"
 )
 
 
--- a/specification/lost_disks.py
+++ b/specification/lost_disks.py
@@ -434,6 +434,14 @@
     return _make(guards | {THRESHOLD, ONE_CHANGE, ENTRY, CONFIRMED}, bounds)
 
 
+@specification("lost-disks-removals", (ONE_CHANGE,), refuted_only_at_full_bounds=(ONE_CHANGE,))
+def make_removals(guards: frozenset[str]) -> Protocol:
+    """Return the model of four voters of which live ones are removed, too."""
+    bounds = Bounds(4, 4, 3, 2, bound(3, small=2), bound(3, small=2), ordinary_changes=True)
+    others = {THRESHOLD, JOINT_ELECTIONS, JOINT_COMMITS, ENTRY, CONFIRMED}
+    return _make(guards | others, bounds)
+
+
 def _make(guards: frozenset[str], bounds: Bounds) -> Protocol:
     rules = _Rules(guards, bounds)
     return Protocol(
