--- a/specification/lost_disks.py
+++ b/specification/lost_disks.py
@@ -44,6 +44,17 @@
         count = self.voters.bit_count()
         return max(count // 2 + 1, min(count, self.min_copies))
 
+    @property
+    def copies(self) -> int:
+        """Return how many voters hold what is committed, by the loss of how many it is lost."""
+        count = self.voters.bit_count()
+        return min(count, max(count - count // 2, self.min_copies))
+
+    @property
+    def fewest_survivors(self) -> int:
+        """Return how many voters must be left to go on once the disks of the others are lost."""
+        return self.voters.bit_count() - self.copies + 1
+
 
 class Replica(NamedTuple):
     """One replica; of one whose disk is lost only ``role`` and ``lost_at`` are kept.
@@ -247,13 +258,25 @@
         return index < len(state.committed) and state.committed[index][0] == log[index]
 
     def _is_quorum(self, state: State, membership: Membership, present: int) -> bool:
-        voters, size = membership.voters, membership.quorum
+        voters = membership.voters
         count = (voters & present).bit_count()
-        if count >= size:
+        if count >= membership.quorum:
             return True
-        fewest = voters.bit_count() - size + 1 if THRESHOLD in self.guards else 1
+        fewest = membership.fewest_survivors if THRESHOLD in self.guards else 1
         return count >= fewest and not voters & ~present & ~_lost(state.replicas)
 
+    def _is_quorum_of_change(self, state: State, memberships: list, present: int) -> bool:
+        """Return whether the replicas are a quorum after a change that may not be committed.
+
+        A quorum by size needs none of the voters before if it meets all their survivors anyway.
+        """
+        after, before = memberships[0], memberships[-1]
+        added = (after.voters & ~before.voters).bit_count()
+        meets = after.quorum - added + before.fewest_survivors > before.voters.bit_count()
+        if meets and (after.voters & present).bit_count() >= after.quorum:
+            return True
+        return all(self._is_quorum(state, each, present) for each in memberships)
+
     def _campaign(self, state: State, i: int):
         replica = state.replicas[i]
         memberships = self._memberships(state, replica.log, JOINT_ELECTIONS)
@@ -285,7 +308,7 @@
     def _lead(self, state: State, i: int):
         candidate = state.replicas[i]
         memberships = self._memberships(state, candidate.log, JOINT_ELECTIONS)
-        if not all(self._is_quorum(state, each, candidate.granted) for each in memberships):
+        if not self._is_quorum_of_change(state, memberships, candidate.granted):
             return
         log = (*candidate.log, (candidate.term, None))
         acked = tuple(len(log) if j == i else 0 for j in range(len(state.replicas)))
@@ -316,11 +339,17 @@
         index = _index_of_change(log)
         if ONE_CHANGE in self.guards and index >= 0 and not self._is_committed(state, log, index):
             return
-        borne = now.voters.bit_count() - now.quorum
-        copies = max(now.min_copies, borne + 1)
-        for j in _members(now.voters & _lost(state.replicas)):
-            if now.voters != 1 << j and self._may_remove_lost(state, leader, now, j):
-                yield f"the removal of lost {j}", Membership(now.voters & ~(1 << j), copies, True)
+        copies = max(now.min_copies, now.copies)
+        removable = sum(
+            1 << j
+            for j in _members(now.voters & _lost(state.replicas))
+            if self._may_remove_lost(state, leader, now, j)
+        )
+        for removed in {removable, *(1 << j for j in _members(removable))} - {0, now.voters}:
+            yield (
+                f"the removal of lost {_members(removed)}",
+                Membership(now.voters & ~removed, copies, True),
+            )
         if not self.bounds.ordinary_changes or not self._has_committed_since(state, leader, 0):
             return
         for j, replica in enumerate(state.replicas):
@@ -371,7 +400,7 @@
             if self._is_committed(state, leader.log, length - 1):
                 return
             holding = sum(1 << j for j, acked in enumerate(leader.acked) if acked >= length)
-            if all(self._is_quorum(state, each, holding) for each in memberships):
+            if self._is_quorum_of_change(state, memberships, holding):
                 yield f"{i} commits {length}", self._with_committed(state, leader, length)
                 return
 
--- a/tests/replication/test_lost_disks_stateful.py
+++ b/tests/replication/test_lost_disks_stateful.py
@@ -11,8 +11,8 @@
 
 from savoryshelf.replication.membership import (
     MembershipChangeRefused,
+    copies,
     find_member,
-    quorum_size,
     voter_ids,
 )
 from savoryshelf.replication.types import NotLeading
@@ -128,15 +128,9 @@
         kept = {host.replica_id for host in self.group.host_by_name.values()}
         kept.discard(self.host(name).replica_id)
         voters = {voter for each in memberships for voter in voter_ids(each)}
-        borne = min(self.borne(each) for each in memberships if voter_ids(each))
+        borne = min(copies(each) - 1 for each in memberships if voter_ids(each))
         return len(voters - kept) <= borne
 
-    @staticmethod
-    def borne(membership):
-        """Return how many losses leave a quorum of survivors."""
-        count, size = len(voter_ids(membership)), quorum_size(membership)
-        return count - min(size, count - size + 1)
-
     @rule(name=names, starts=st.booleans())
     def lose_a_disk(self, name, starts):
         if not self.may_lose(name):
@@ -153,7 +147,7 @@
     def remove_a_lost_voter(self, name):
         host = self.host(name)
         if host.is_leader and host.core.lost_member_ids:
-            self.change(host, lambda core: core.remove_lost(core.lost_member_ids[-1]))
+            self.change(host, lambda core: core.remove_lost())
 
     @rule(name=names, removed=names)
     def remove_a_voter(self, name, removed):
@@ -173,7 +167,7 @@
                 core.promote(learner.replica_id)
                 return
             if learner.replica_id in core.lost_member_ids:
-                core.remove_lost(learner.replica_id)
+                core.remove_lost()
                 return
         for host in self.running:
             if find_member(core.log.membership, host.replica_id) is None:
