--- a/src/savoryshelf/control/waiting_learners.py
+++ b/src/savoryshelf/control/waiting_learners.py
@@ -55,7 +55,14 @@
         progress = core.leader_state and core.leader_state.progress_by_id.get(learner_id)
         if not wait or not progress:
             return {}
+        sent = {}
+        if progress.snapshot is not None:
+            sent = {
+                "snapshot_offset": progress.snapshot_offset,
+                "snapshot_bytes": len(progress.snapshot.state),
+            }
         return {
+            **sent,
             "lag_entries": core.commit_index - progress.match_index,
             "contact_s": round(core.now - progress.acked_at, 3),
             "waits_s": round(core.now - wait.began_at, 3),
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -43,6 +43,7 @@
     without_lost_member,
     without_member,
 )
+from .reception import Reception
 from .snapshot_transfer import IncomingSnapshot, next_chunk
 from .types import Election, EndedLeadership, NotLeading, Ready, RecoveredState, Role, Timing
 
@@ -202,6 +203,9 @@
         self._broadcast_pending = False
         self._unannounced_commit = False
         self._incoming_snapshot = IncomingSnapshot()
+        self.reception = Reception()
+        """What the latest leader has sent of its log."""
+
         self._synced_index = self.log.last_index
         self._returned_index = self.log.base_index
         """The last committed entry that was returned by ``take_ready``."""
@@ -895,14 +899,18 @@
 
     def _on_append_request(self, message: RaftMessage, request: AppendRequest) -> None:
         self._record_leader_contact(message)
+        reception = self._reception_of(message)
+        reception.leader_commit_index = max(reception.leader_commit_index, request.commit_index)
         local_term = self.log.term_at(request.previous_index)
         if request.previous_index > self.commit_index and local_term != request.previous_term:
+            reception.rejected += 1
             self._reply_append(message, request, False, self._possible_match(request))
             return
-        last_new = request.previous_index
+        last_new, missing = request.previous_index, 0
         for entry in request.entries:
             last_new = entry.index
-            self._append_from_leader(entry)
+            missing += self._append_from_leader(entry)
+        reception.record_progress(self._now, entries=missing)
         self._commit_up_to(min(request.commit_index, last_new))
         self._reply_append(message, request, True, last_new)
 
@@ -920,15 +928,17 @@
             hint = max(0, min(hint, rejected - 2))
         return hint
 
-    def _append_from_leader(self, entry: LogEntry) -> None:
+    def _append_from_leader(self, entry: LogEntry) -> bool:
+        """Append an entry, in place of conflicting ones; return whether it was missing."""
         if entry.index <= self.commit_index or self.log.term_at(entry.index) == entry.term:
-            return
+            return False
         if entry.index <= self.log.last_index:
             self.log.truncate_from(entry.index)
             self._synced_index = min(self._synced_index, entry.index - 1)
             self._unsynced = [pending for pending in self._unsynced if pending.index < entry.index]
         self.log.append(entry)
         self._unsynced.append(entry)
+        return True
 
     def _reply_append(self, message, request, success: bool, match_index: int) -> None:
         if request.round == NO_ROUND:
@@ -975,16 +985,28 @@
 
     def _on_snapshot_chunk(self, message: RaftMessage, chunk: SnapshotChunk) -> None:
         self._record_leader_contact(message)
+        reception = self._reception_of(message)
         if chunk.last_index <= self.commit_index:
             self._reply_snapshot(message, chunk, 0, installed=True)
             return
+        held_before = self._incoming_snapshot.next_offset
         snapshot = self._incoming_snapshot.add(chunk)
+        held = len(snapshot.state) if snapshot else self._incoming_snapshot.next_offset
+        reception.record_progress(self._now, snapshot_bytes=max(0, held - held_before))
         if snapshot is not None:
+            reception.snapshots += 1
             self._install(snapshot)
             self._reply_snapshot(message, chunk, 0, installed=True)
             return
         self._reply_snapshot(message, chunk, self._incoming_snapshot.next_offset, installed=False)
 
+    def _reception_of(self, message: RaftMessage) -> Reception:
+        """Return what the leader that sent this message has sent in its term."""
+        if (self.reception.sender, self.reception.term) != (message.sender, message.term):
+            self.reception = Reception(message.sender, message.term, self._now)
+        self.reception.heard_at = self._now
+        return self.reception
+
     def _install(self, snapshot: SnapshotFile) -> None:
         self.snapshot = self._snapshot_to_install = snapshot
         self.log.reset(snapshot.last_index, snapshot.last_term, snapshot.membership)
--- a/src/savoryshelf/replication/watch.py
+++ b/src/savoryshelf/replication/watch.py
@@ -47,6 +47,18 @@
 A host that is started again replies sooner, and a leader without a majority leads no longer.
 """
 
+RECEPTION_LOG_SECONDS = 1.0
+"""Time between two lines of a replica that is no voter on what it receives of the log."""
+
+RECEPTION_SECONDS = 10.0
+"""A replica that is no voter for longer logs that as seldom as other things that last.
+
+A replacement takes less than half of this time.
+"""
+
+RECEPTION_SILENT_SECONDS = 0.6
+"""Time without progress after which a line tells why: three heartbeat intervals."""
+
 STANDSTILL_SECONDS = 1.0
 """After a check that comes later than this, the replica gets a moment to read what has arrived."""
 
@@ -134,6 +146,8 @@
         when."""
 
         self._followed_term = 0
+        self._receiving: _Episode | None = None
+        """The time in which this replica is no voter by its own log."""
 
     def record_senders(self, sender_ids: set[str]) -> None:
         """Note that messages of these replicas have arrived just now."""
@@ -179,6 +193,7 @@
         )
         self._stop_if_hung(now, turn_age)
         self._follow_voters(now)
+        self._follow_reception(now)
 
     @staticmethod
     def _follow(
@@ -263,6 +278,42 @@
             **{key: round(seconds, 2) for key, seconds in delays.items()},
         }
 
+    # ----------------------------------------------- a replica that is no voter
+
+    def _follow_reception(self, now: float) -> None:
+        """Log from time to time what a replica that is no voter receives, and that it is one."""
+        core = self._replica.core
+        if membership_kind(core.log.membership, core.replica_id) == "voter":
+            if self._receiving is not None:
+                self._log_reception(now)
+            self._receiving = None
+            return
+        if self._receiving is None:
+            self._receiving = _Episode(now, float("-inf"))
+        is_new = now - self._receiving.began_at <= RECEPTION_SECONDS
+        interval = RECEPTION_LOG_SECONDS if is_new else LOG_INTERVAL_SECONDS
+        # Checks come a little late, and not each by as much.
+        if now - self._receiving.logged_at >= interval - CHECK_INTERVAL_SECONDS / 2:
+            self._receiving.logged_at = now
+            self._log_reception(now)
+
+    def _log_reception(self, now: float) -> None:
+        core = self._replica.core
+        received = core.reception
+        why = received.stalls_by(core.log.last_index, now, RECEPTION_SILENT_SECONDS)
+        log_event(
+            "replica:receives_log",
+            membership=membership_kind(core.log.membership, core.replica_id),
+            replica=core.replica_id, leader=received.sender, term=core.term,
+            since_s=_rounded(now - received.began_at), heard_s=_rounded(now - received.heard_at),
+            progress_s=_rounded(now - received.progressed_at),
+            entries=received.entries, snapshot_bytes=received.snapshot_bytes,
+            snapshots=received.snapshots, rejected=received.rejected,
+            last_index=core.log.last_index, last_term=core.log.last_term,
+            leader_commit_index=received.leader_commit_index,
+            **({"why": why} if why else {}), **self._own_thread(now),
+        )  # fmt: skip
+
     # -------------------------------------------------------- voters of a leader
 
     def _follow_voters(self, now: float) -> None:
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -13,7 +13,7 @@
 from savoryshelf.replication.seed_bootstrap import INITIAL_DISK_SUFFIX
 from savoryshelf.replication.service import OutcomeUnknown
 from savoryshelf.replication.types import Role
-from savoryshelf.wire.generated.ttypes import Member
+from savoryshelf.wire.generated.ttypes import Member, Membership, SnapshotFile
 
 from ..replication.group import Group, Host
 
@@ -248,6 +248,16 @@
     assert lines[0]["contact_s"] > 0
 
 
+def test_a_learner_that_waits_for_a_snapshot_is_logged_with_what_it_has_of_it(logged):
+    group, group_repair = group_with_silent_learner()
+    progress = group.leader().core.leader_state.progress_by_id["d0.new"]
+    progress.snapshot = SnapshotFile(1, 1, Membership([]), bytes(1000))
+    progress.snapshot_offset = 600
+    group_repair.step()
+    (line,) = [e for e in logged if e["event"] == "group:learner_waits"]
+    assert (line["snapshot_offset"], line["snapshot_bytes"]) == (600, 1000)
+
+
 def test_a_reason_that_keeps_changing_is_logged_at_most_once_a_second(logged):
     group, group_repair = group_with_silent_learner()
     group_repair.step()
--- a/tests/replication/service_group.py
+++ b/tests/replication/service_group.py
@@ -101,6 +101,26 @@
         for service in self.service_by_name.values():
             service.start()
 
+    def add_host(self, name):
+        """Start a host with an empty disk, which is no member yet; return its service."""
+        disk = self.disk_by_name[name] = SlowDisk(self.clock)
+        storage = ReplicaStorage(disk)
+        service = self.service_by_name[name] = ReplicaService(
+            replica_id=storage.load_or_create_identity(name).replica_id,
+            initial_membership=Membership([]),
+            storage=storage,
+            state_machine=_Counter(self),
+            transport=_Transport(self, name),
+            # It has to answer before it knows the members.
+            address_by_host={each: each for each in self.disk_by_name},
+            clock=self.clock,
+            timing=TIMING,
+            rng=random.Random(f"{self._seed}-{name}"),
+            processor_time=self.clock.monotonic,
+        )
+        service.start()
+        return service
+
     def restart(self):
         """End all hosts at once, and start them with their disks."""
         for service in self.service_by_name.values():
--- a/tests/replication/test_watch.py
+++ b/tests/replication/test_watch.py
@@ -446,3 +446,85 @@
         assert each["why"] == "its watch has ended"
         assert each["error"] == "RuntimeError('unforeseen')"
         assert ".fail:" in each["stack"][0]
+
+
+def add_learner(group, name):
+    """Start a host with an empty disk that the leader adds; return its service."""
+    added = group.add_host(name)
+    member = Member(added.core.replica_id, name, "", False)
+    leader = group.service_by_name[group.leader_name()]
+    leader.change_membership(lambda core: core.add_learner(member))
+    return added
+
+
+# Guards against a host without a vote of which no line tells from whom it receives the log, and how
+# much: whether a transfer goes on, stands still or was never begun could not be told afterwards.
+def test_a_replica_that_is_no_voter_tells_what_it_receives(lines):
+    with running_services() as group:
+        leader = group.leader_name()
+        leader_id = replica_id(group, leader)
+        for _ in range(50):
+            group.propose(leader)
+        group.clock.sleep(1.0)
+        added = group.add_host("d0")
+        group.clock.sleep(3.0)
+        before = named(lines, "replica:receives_log")
+        assert 2 <= len(before) <= 4, "about one a second"
+        assert {each["why"] for each in before} == {"no leader has sent anything"}
+        assert {each["membership"] for each in before} == {"none"}
+        lines.clear()
+        member = Member(added.core.replica_id, "d0", "", False)
+        group.service_by_name[leader].change_membership(lambda core: core.add_learner(member))
+        group.clock.sleep(3.0)
+        last = named(lines, "replica:receives_log")[-1]
+        assert (last["membership"], last["leader"]) == ("learner", leader_id)
+        assert last["entries"] == last["last_index"] == added.core.log.last_index
+        assert last["last_term"] == added.core.log.last_term
+        assert 1.5 < last["since_s"] < 3.5
+        assert "why" not in last, "nothing is missing"
+        group.propose(leader)
+        group.clock.sleep(0.5)
+        group.cut_links.add((leader, "d0"))
+        group.clock.sleep(3.0)
+        stalled = named(lines, "replica:receives_log")[-1]
+        assert stalled["why"] == "no message from the leader"
+        assert 1.5 < stalled["heard_s"] < 3.5
+        assert 1.5 < stalled["progress_s"] < 4.0
+        assert len(orjson.dumps(stalled)) < MAX_LINE_BYTES
+
+
+def test_a_learner_that_lacks_what_its_entries_follow_says_so(lines, monkeypatch):
+    with running_services() as group:
+        leader = group.service_by_name[group.leader_name()]
+        for _ in range(50):
+            group.propose(group.leader_name())
+        group.clock.sleep(1.0)
+        deliver = group.deliver
+
+        def lose_entries(name, message):
+            request = message.payload.append_request
+            if name != "d0" or not (request and request.entries):
+                deliver(name, message)
+
+        monkeypatch.setattr(group, "deliver", lose_entries)
+        added = add_learner(group, "d0")
+        group.clock.sleep(3.0)
+        line = named(lines, "replica:receives_log")[-1]
+        assert line["why"] == "what arrives follows entries that are missing"
+        assert line["rejected"] > 0
+        assert (line["entries"], line["last_index"]) == (0, added.core.log.last_index) == (0, 0)
+        assert line["leader"] == leader.core.replica_id
+
+
+def test_lines_on_what_is_received_are_bounded_and_end_with_the_vote(lines):
+    with running_services() as group:
+        added = add_learner(group, "d0")
+        group.clock.sleep(60.0)
+        assert len(named(lines, "replica:receives_log")) <= 11 + 50 / LOG_INTERVAL_SECONDS + 1
+        lines.clear()
+        leader = group.service_by_name[group.leader_name()]
+        leader.change_membership(lambda core: core.promote(added.core.replica_id))
+        group.clock.sleep(20.0)
+        last = named(lines, "replica:receives_log")[-1]
+        assert last["membership"] == "voter"
+        assert len(named(lines, "replica:receives_log")) <= 2
