A host that asks to join waits for the change in progress

Cause: its `add` was refused while the change for the first one was not committed, and was answered as done all the same; the host asked again 0.4 s later. The same at the beginning of a term, until the leader's first entry is committed, and for a change whose outcome is unknown.

Change: GroupRepair.request_join waits for a change in progress, at most for as long as the host waits for its answer (1 s), in the green thread of the call. It returns once the host is a member and that is committed; otherwise the answer is Unavailable. The same in both control handlers. The stand-in of the handler in tests/dispatch/control_hosts.py answers as the handler does.

--- a/src/savoryshelf/control/handler.py
+++ b/src/savoryshelf/control/handler.py
@@ -1,6 +1,7 @@
 """Thrift handler of a control host: checks authentication and delegates each call."""
 
 from ..replication.membership import MembershipChangeRefused
+from ..replication.service import OutcomeUnknown
 from ..replication.types import NotLeading
 from ..wire.generated import ttypes
 from ..wire.peers import PeerHandler
@@ -33,6 +34,10 @@
             self._host.running_repair().request_join(member)
         except NotLeading:
             raise self._host.running_site_service().not_leader() from None
+        except OutcomeUnknown as error:
+            raise ttypes.Unavailable(str(error), True) from None
+        except MembershipChangeRefused as error:
+            raise ttypes.Unavailable(str(error), False) from None
 
     def sync(self, request):
         """Record an entry host's report; return its lease and its start and stop orders."""
--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -50,6 +50,9 @@
 A full wait with each leader would make a replacement late when the leader is lost in the middle.
 """
 
+MAX_JOIN_WAIT_SECONDS = 1.0
+"""How long a host that joins waits for a change in progress: as long as it waits for an answer."""
+
 UNRESPONSIVE_LEARNER_SECONDS = 10.0
 """A learner without contact for this long is removed; it joins again when it returns."""
 
@@ -75,11 +78,27 @@
         self._waiting = WaitingLearners()
 
     def request_join(self, member: Member) -> None:
-        """Add a replica as a learner unless it is a member; raises NotLeading."""
-        if not self._replica.is_leader:
-            raise NotLeading(self._replica.core.leader_id)
-        if find_member(self._replica.core.log.membership, member.replica_id) is None:
-            self._change("add", member.replica_id, lambda core: core.add_learner(member))
+        """Add a replica as a learner unless it is a member; return once that is committed.
+
+        Waits for a change in progress: a host that joins has little time, and another one may
+        have lost its disk with it.  Raises NotLeading, MembershipChangeRefused or OutcomeUnknown.
+        """
+        core = self._replica.core
+        began_at = core.now
+        while True:
+            if not self._replica.is_leader:
+                raise NotLeading(core.leader_id)
+            if not core.changes_membership and _is_member(core, member):
+                return
+            left = MAX_JOIN_WAIT_SECONDS - (core.now - began_at)
+            if core.changes_membership and left > 0:
+                self._replica.await_membership_change(left)
+                continue
+            try:
+                self._commit("add", member.replica_id, lambda core: core.add_learner(member))
+            except MembershipChangeRefused:
+                if left <= 0 or not core.changes_membership:
+                    raise
 
     def remove(self, name: str) -> None:
         """Remove the replica with this host name or replica id; raises MembershipChangeRefused."""
@@ -173,15 +192,22 @@
 
     def _change(self, kind: str, replica_id: str, change, learner_id: str = "") -> bool:
         """Commit a change that ``learner_id``, if any, has waited for; return whether it did."""
+        try:
+            self._commit(kind, replica_id, change, learner_id)
+        except (MembershipChangeRefused, OutcomeUnknown, NotLeading):
+            # Not retried here: the next step starts from the membership at that time.
+            return False
+        return True
+
+    def _commit(self, kind: str, replica_id: str, change, learner_id: str = "") -> None:
         core = self._replica.core
         learner_state = self._waiting.state(core, learner_id)
         began_at = core.now
         try:
             self._replica.change_membership(change)
         except (MembershipChangeRefused, OutcomeUnknown, NotLeading) as error:
-            # Not retried here: the next step starts from the membership at that time.
             log_event("group:change_refused", change=kind, replica=replica_id, why=str(error))
-            return False
+            raise
         log_event(
             "group:changed",
             change=kind,
@@ -189,7 +215,10 @@
             took_s=round(core.now - began_at, 3),
             **learner_state,
         )
-        return True
+
+
+def _is_member(core: Replica, member: Member) -> bool:
+    return find_member(core.log.membership, member.replica_id) is not None
 
 
 def _unresponsive_members(core: Replica, seconds: float, voting: bool) -> list[str]:
--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -53,6 +53,10 @@
             self._host.repair.request_join(member)
         except NotLeading:
             raise self._not_leader() from None
+        except OutcomeUnknown as error:
+            raise ttypes.Unavailable(str(error), True) from None
+        except MembershipChangeRefused as error:
+            raise ttypes.Unavailable(str(error), False) from None
 
     @_records_unknown_leader
     def remove_replica(self, name):
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -462,6 +462,11 @@
         """Return whether this leader has committed an entry of its term and may serve reads."""
         return self.role is Role.LEADER and self.commit_index >= self.leader_state.term_start_index
 
+    @property
+    def changes_membership(self) -> bool:
+        """Return whether a leader has to commit something before it may change the membership."""
+        return not self.has_committed_in_term or self.log.membership_index > self.commit_index
+
     @property
     def now(self) -> float:
         """Return the time of the latest event, in seconds of the driver's clock."""
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -218,6 +218,12 @@
         self._mailbox.put(_MembershipChangeRequested(change, completion))
         completion.wait()
 
+    def await_membership_change(self, limit_seconds: float) -> None:
+        """Block until this leader may change the membership, it leads no longer, or the limit."""
+        with eventlet.Timeout(limit_seconds, False):
+            while self.is_leader and self.core.changes_membership:
+                self.next_apply_event().wait()
+
     def next_apply_event(self) -> Event:
         """Return an event that is sent after entries are applied or a snapshot is installed."""
         event = Event()
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -41,6 +41,13 @@
         if core.commit_index < index:
             raise OutcomeUnknown()
 
+    def await_membership_change(self, limit_seconds):
+        """Block until no change is in progress, as the service does, while the group runs."""
+        group = self._host.group
+        end = group.now + limit_seconds
+        while self.is_leader and self.core.changes_membership and group.now < end:
+            group.run_for(group.tick_seconds)
+
 
 def add_host_with_empty_disk(group, name):
     host = group.host_by_name[name] = Host(group, name)
--- a/tests/dispatch/control_hosts.py
+++ b/tests/dispatch/control_hosts.py
@@ -202,7 +202,10 @@
     def on_join(self, member):
         """Answer a call of a peer."""
         with self._leader_calls():
-            self.repair.request_join(member)
+            try:
+                self.repair.request_join(member)
+            except MembershipChangeRefused as error:
+                raise ttypes.Unavailable(str(error), False) from None
 
     def on_remove_replica(self, name):
         """Answer a call of a peer."""
--- a/tests/dispatch/test_handler.py
+++ b/tests/dispatch/test_handler.py
@@ -7,6 +7,8 @@
 from savoryshelf.dispatch.handler import TaskControlHandler
 from savoryshelf.observability import bounded, metrics
 from savoryshelf.observability.bounded import BoundedLog
+from savoryshelf.replication.membership import MembershipChangeRefused
+from savoryshelf.replication.service import OutcomeUnknown
 from savoryshelf.replication.types import NotLeading
 from savoryshelf.wire.generated import ttypes
 
@@ -63,3 +65,20 @@
 def test_answers_that_name_the_leader_leave_none(lines):
     call_each(make_handler("10.0.0.8:7720"), 2)
     assert lines == []
+
+
+# Guards against a host with a new disk that is told that it was added, and was not.
+@pytest.mark.parametrize(
+    ("error", "is_unknown"),
+    [(MembershipChangeRefused("a change is in progress"), False), (OutcomeUnknown(), True)],
+)
+def test_a_join_that_was_not_committed_is_not_accepted(error, is_unknown):
+    def fail(member):
+        raise error
+
+    handler = make_handler("10.0.0.1:7700")
+    handler._host.repair.request_join = fail
+    with pytest.raises(ttypes.Unavailable) as raised:
+        handler.join(None)
+    assert raised.value.outcome_unknown is is_unknown
+    assert raised.value.reason == str(error)
