--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -200,17 +200,20 @@
     def _commit(self, kind: str, replica_id: str, change, learner_id: str = "") -> None:
         core = self._replica.core
         learner_state = self._waiting.state(core, learner_id)
+        lost_ids = core.lost_member_ids
         began_at = core.now
         try:
             self._replica.change_membership(change)
         except (MembershipChangeRefused, OutcomeUnknown, NotLeading) as error:
             log_event("group:change_refused", change=kind, replica=replica_id, why=str(error))
             raise
+        gone = [each for each in lost_ids if not find_member(core.log.membership, each)]
         log_event(
             "group:changed",
             change=kind,
             replica=replica_id,
             took_s=round(core.now - began_at, 3),
+            **({"without_lost": gone} if gone else {}),
             **learner_state,
         )
 
--- a/src/savoryshelf/dispatch/joining.py
+++ b/src/savoryshelf/dispatch/joining.py
@@ -37,14 +37,16 @@
     asked for good.
 
     Members go on to send to the disk that this host lost, and their addresses may be in none of
-    its settings: each sender is asked in the attempt after its message.
+    its settings: each sender is asked in the attempt after its message.  While this host knows no
+    membership, it is asked in later ones too, since the leader soon removes that disk and then
+    nobody sends any more.
     """
 
     def __init__(self):
         self._seeds: list[str] = []
         self._earlier_seeds: list[str] = []
         self._senders: dict[str, None] = {}
-        """Whose messages arrived since the last attempt, in the order of their first one."""
+        """Whose messages arrived since the last attempt, or since the membership was unknown."""
 
     def update_seeds(self, seeds: list[str]) -> None:
         """Replace the seeds by those of newer settings."""
@@ -55,6 +57,8 @@
 
     def record_sender(self, address: str) -> None:
         """Note that another replica has sent a message from this address."""
+        # Moved to the end, so that the first one is the one heard longest ago.
+        self._senders.pop(address, None)
         self._senders[address] = None
         if len(self._senders) > MAX_SENDERS:
             del self._senders[next(iter(self._senders))]
@@ -63,8 +67,10 @@
         """Return the addresses to ask now, given the membership in this host's log."""
         members = [member.address for member in membership.members]
         known = [*members, *self._seeds, *([] if members else self._earlier_seeds)]
-        senders, self._senders = self._senders, {}
-        return list(dict.fromkeys([*known, *senders]))
+        asked = list(dict.fromkeys([*known, *self._senders]))
+        if members:
+            self._senders = {}
+        return asked
 
 
 class GroupJoiner:
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -284,6 +284,9 @@
         """Handle one message from another replica."""
         if message.shard != self.shard:
             return
+        if not codec.has_field(message.payload):
+            # Of a kind that a later version has added.
+            return
         kind, payload = codec.sole_field(message.payload)
         if message.recipient != self.replica_id:
             self._tell_of_lost_disk(message, kind)
@@ -498,6 +501,11 @@
             return float("inf")
         return now - self.leader_state.quorum_contact_at(self.replica_id, now, self._quorum_rule())
 
+    @property
+    def known_commit_index(self) -> int:
+        """Return what is known to be committed, also if it is not applied again yet."""
+        return self._known_commit_index
+
     @property
     def lost_member_ids(self) -> list[str]:
         """Return the members whose disks are known to be lost, in the order of the members."""
@@ -1150,6 +1158,8 @@
             self._unannounced_commit = True
             if ends_change:
                 self._update_progress()
+                # Fewer replicas may be needed from now on.
+                self._advance_commit()
             self._confirm_reads()
             if find_member(self.log.membership_at(index), self.replica_id) is None:
                 self._become_follower(self.term, None, "removed from the group")
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -515,7 +515,9 @@
         later_entries = log.entries(applied + 1, log.last_index)
         term, voted_for = self.core.term, self.core.voted_for
         with self._measured_sync():
-            self._storage.write_snapshot(snapshot, term, voted_for, later_entries)
+            self._storage.write_snapshot(
+                snapshot, term, voted_for, later_entries, self.core.known_commit_index
+            )
         self.core.compact(snapshot, min(TRAILING_ENTRIES, self._snapshot_every))
 
     def _fail_pending_unless_leader(self) -> None:
--- a/src/savoryshelf/replication/storage.py
+++ b/src/savoryshelf/replication/storage.py
@@ -131,8 +131,9 @@
         self.bytes_written += len(data)
 
     def write_snapshot(
-        self, snapshot: SnapshotFile, term: int, voted_for: str, later_entries: list[LogEntry]
-    ) -> None:
+        self, snapshot: SnapshotFile, term: int, voted_for: str, later_entries: list[LogEntry],
+        commit_index: int = 0,
+    ) -> None:  # fmt: skip
         """Replace the snapshot, then the segments by one with ``later_entries``.
 
         The old segments are removed last: until the new segment is synced,
@@ -141,7 +142,7 @@
         self._replace_file(_SNAPSHOT_FILE, snapshot)
         old_segments = [n for n in self._disk.list_files() if n.startswith(_SEGMENT_PREFIX)]
         self._segment_number += 1
-        record = WalRecord(term, voted_for, later_entries)
+        record = WalRecord(term, voted_for, later_entries, commit_index)
         self._disk.replace(self._segment_name(), encode_frame(codec.encode(record)))
         for name in old_segments:
             self._disk.remove(name)
--- a/src/savoryshelf/wire/codec.py
+++ b/src/savoryshelf/wire/codec.py
@@ -26,6 +26,11 @@
     return message
 
 
+def has_field(union) -> bool:
+    """Return whether a field is set in a thrift union; none is if a later version added it."""
+    return any(getattr(union, name) is not None for name in union.__slots__)
+
+
 def sole_field(union) -> tuple[str, object]:
     """Return the name and the value of the field that is set in a thrift union.
 
--- a/tests/dispatch/test_joining.py
+++ b/tests/dispatch/test_joining.py
@@ -10,6 +10,7 @@
 from savoryshelf.dispatch import joining
 from savoryshelf.dispatch.handler import TaskControlHandler
 from savoryshelf.dispatch.host import TaskControlHost, TaskControlSettings
+from savoryshelf.dispatch.joining import MAX_SENDERS, KnownAddresses
 from savoryshelf.dispatch.leader_term import DispatchSettings
 from savoryshelf.errors import PeerUnreachable
 from savoryshelf.replication.log import RaftLog
@@ -225,3 +226,25 @@
     (line,) = named(lines, "group:join_over")
     assert line["membership"] == "voter"
     assert 0.5 < line["seconds"] < 2.0
+
+
+# Guards against an empty disk that never finds the group again: nobody sends to the lost one once
+# that is removed, and the only attempt was refused.
+def test_senders_are_asked_again_until_the_membership_is_known():
+    known = KnownAddresses()
+    known.record_sender("10.0.0.1:1")
+    for _ in range(3):
+        assert known.take_to_ask(Membership([])) == ["10.0.0.1:1"]
+    membership = Membership([Member("10.0.0.2.a", "10.0.0.2:1", "", True)])
+    assert known.take_to_ask(membership) == ["10.0.0.2:1", "10.0.0.1:1"]
+    assert known.take_to_ask(membership) == ["10.0.0.2:1"]
+
+
+def test_of_many_senders_the_latest_ones_are_asked():
+    known = KnownAddresses()
+    for number in [*range(MAX_SENDERS + 1), 1]:
+        known.record_sender(str(number))
+    asked = known.take_to_ask(Membership([]))
+    assert len(asked) == MAX_SENDERS
+    assert asked[-1] == "1"
+    assert "0" not in asked
--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -14,16 +14,20 @@
     with_lower_min_copies,
     without_lost_member,
 )
+from savoryshelf.replication.storage import ReplicaStorage
 from savoryshelf.wire.generated.ttypes import (
     AppendRequest,
     DiskLost,
+    EntryKind,
+    LogEntry,
     Member,
     Membership,
     RaftMessage,
     RaftPayload,
+    SnapshotFile,
 )
 
-from .group import Group, Host, empty_replica
+from .group import Group, Host, MemoryDisk, empty_replica
 
 
 def members(names, min_copies=None):
@@ -351,3 +355,18 @@
     core = group.leader().core
     core.promote(successor.replica_id)
     assert len(core._quorum_rule().memberships) == 2
+
+
+# Guards against a process that ends on a message of a kind that a later version has added.
+def test_a_message_without_a_known_payload_is_ignored():
+    replica = empty_replica("x.new")
+    replica.receive(message_to("x.new"), 1.0)
+    assert replica.take_ready().is_empty()
+
+
+def test_what_is_known_to_be_committed_outlasts_a_snapshot():
+    disk = MemoryDisk()
+    storage = ReplicaStorage(disk)
+    entries = [LogEntry(2, 1, EntryKind.COMMAND, b"")]
+    storage.write_snapshot(SnapshotFile(1, 1, Membership([]), b""), 1, "", entries, 2)
+    assert ReplicaStorage(disk).recover().commit_index == 2
