Test on real processes: disks of two more hosts are lost while the successors of two still catch up

Change: five control hosts, each in a region of its own, 80 ms one way. The leader and another host lose their disks; catchUpS after both are back the next leader and another one do. The last manifest and the jobs have to be there within recoveryS. `linked` takes regions and their distance.

--- a/tests/platform/test_power_loss.py
+++ b/tests/platform/test_power_loss.py
@@ -1,6 +1,8 @@
 """All hosts lose power at once, and two of the control hosts their disks."""
 
 import contextlib
+import functools
+import random
 import shutil
 import signal
 import time
@@ -20,7 +22,7 @@
     run_repair,
 )
 from ..replication.group import Group
-from .test_whole_path import FRONTS, MANIFEST, NETWORK, SEEDS, Deployment, wait_until
+from .test_whole_path import FRONTS, MANIFEST, NETWORK, ROUTE, SEEDS, Deployment, wait_until
 
 CONTROL_IPS = [*SEEDS, f"{NETWORK}.206", f"{NETWORK}.207"]
 GONE_IP = f"{NETWORK}.208"
@@ -41,6 +43,22 @@
 DOWN_SECONDS = 1.4
 """How long hosts are down that lose their disks, and workers beside them."""
 
+CATCH_UP_SECONDS = 4.0
+"""How long after it is back a host counts as available again, and others may be lost (catchUpS)."""
+
+WAN_SECONDS = 0.08
+"""The delay of each way between hosts that are each in a region of their own."""
+
+LARGE_MANIFESTS = 32
+LARGE_ROUTES = 50
+PREFIX_BYTES = 1000
+JOBS_OF_LARGE_MANIFESTS = 8
+"""32 manifests of 100 KB are 7 MB of log, a third of a snapshot of docs/CAPACITY.md.
+
+Two of their entries are more than one call to another host takes (256 KiB), so a host with an
+empty disk needs 32 round trips of 0.16 s for them: 5.1 s, more than ``CATCH_UP_SECONDS``.
+"""
+
 WORKERS = 33
 JOB = {"taskSpec": "50 ms", "steps": [{"count": 1, "cpu": 500}]}
 LAST_ANSWERS = 4
@@ -248,6 +266,66 @@
     check_service_is_back(deployment, path, began_at + RECOVERY_SECONDS - time.monotonic())
 
 
+# Guards against disks that are known to be gone but count as voters until their successors have
+# caught up: the disks of two others are lost before that, and there is no leader again.
+def test_two_more_disks_are_lost_while_the_successors_of_two_still_catch_up(tmp_path):
+    deployment = Deployment(tmp_path, CONTROL_IPS)
+    linked = deployment.linked(*([ip] for ip in CONTROL_IPS), far_seconds=WAN_SECONDS)
+    with linked, running(deployment):
+        manifests = list(large_manifests(seed=70))
+        paths = []
+        for number, manifest in enumerate(manifests):
+            if number % (LARGE_MANIFESTS // JOBS_OF_LARGE_MANIFESTS) == 0:
+                paths.append(deployment.submit(number, "50 ms"))
+            wait_until(functools.partial(is_acknowledged, deployment, manifest))
+        leader = deployment.leader_ip()
+        first = [leader, next(ip for ip in CONTROL_IPS if ip != leader)]
+        lose_disks(deployment, first)
+        time.sleep(CATCH_UP_SECONDS)
+        leader = deployment.leader_ip()
+        assert leader not in first
+        others = [ip for ip in CONTROL_IPS if ip not in [*first, leader]]
+        lose_disks(deployment, [leader, others[0]])
+        began_at = time.monotonic()
+        answers = []
+
+        def is_last_manifest_read():
+            status, body = deployment.call_operator("GET", "get")
+            answers.append((status, body.get("version")))
+            return (status, body) == (200, manifests[-1])
+
+        with explained(deployment, answers):
+            wait_until(is_last_manifest_read)
+            assert time.monotonic() - began_at < RECOVERY_SECONDS
+        check_service_is_back(deployment, paths[0], began_at + RECOVERY_SECONDS - time.monotonic())
+        states = {path: deployment.state(path) for path in paths}
+        assert set(states.values()) <= {"queued", "running", "completed"}, states
+
+
+def is_acknowledged(deployment, manifest):
+    return deployment.call_operator("POST", "put", manifest)[0] == 200
+
+
+def lose_disks(deployment, ips):
+    """Let hosts lose power and disks; they are silent for a while, and start again."""
+    deployment.is_first_start = False
+    with deployment.silent(ips):
+        for ip in ips:
+            shutil.rmtree(deployment.folder / ip)
+        time.sleep(DOWN_SECONDS)
+    for ip in ips:
+        deployment.start(ip)
+
+
+def large_manifests(seed):
+    """Return manifests, each with many routes whose long prefixes are its own."""
+    rng = random.Random(seed)
+    for version in range(2, 2 + LARGE_MANIFESTS):
+        prefixes = [f"/{rng.randbytes(PREFIX_BYTES).hex()}/" for _ in range(LARGE_ROUTES)]
+        routes = [ROUTE | {"name": f"r{n}", "pathPrefix": p} for n, p in enumerate(prefixes)]
+        yield MANIFEST | {"version": version, "routes": [ROUTE, *routes]}
+
+
 def check_service_is_back(deployment, path, seconds=RECOVERY_SECONDS):
     """Check that each entry host accepts a job in time, and knows the one of this path."""
     began_at = time.monotonic()
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -79,13 +79,16 @@
             )
 
     @contextlib.contextmanager
-    def linked(self, far_ips):
-        """Let hosts reach control hosts over links during the block; some are in a far region."""
-        far = set(far_ips)
+    def linked(self, *regions, far_seconds=FAR_SECONDS):
+        """Let hosts reach control hosts over links during the block.
+
+        ``regions`` holds the addresses in each one; all others are in a region together.
+        """
+        region_by_ip = {ip: number for number, ips in enumerate(regions) for ip in ips}
         self.links = Links(
             self.folder, [*self.control_ips, *FRONTS], self.control_ips,
             [PORTS["control"], PORTS["peers"]],
-            lambda *way: FAR_SECONDS if len(far.intersection(way)) == 1 else 0.0,
+            lambda *way: far_seconds if len({region_by_ip.get(ip) for ip in way}) == 2 else 0.0,
         )  # fmt: skip
         with contextlib.closing(self.links):
             yield self
