--- a/specification/lost_disks.py
+++ b/specification/lost_disks.py
@@ -354,7 +354,7 @@
             return
         for j, replica in enumerate(state.replicas):
             if now.voters >> j & 1 and now.voters != 1 << j:
-                yield f"the removal of {j}", Membership(now.voters & ~(1 << j), now.min_copies)
+                yield f"the removal of {j}", Membership(now.voters & ~(1 << j), copies)
             if not now.voters >> j & 1 and replica.role != LOST and not replica.term:
                 yield f"the promotion of {j}", Membership(now.voters | 1 << j, now.min_copies)
 
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -139,11 +139,16 @@
 
 
 def without_member(membership: Membership, replica_id: str) -> Membership:
-    """Return the membership without the given replica; the last voter cannot be removed."""
+    """Return the membership without the given replica; the last voter cannot be removed.
+
+    The group goes on to bear the loss of as many disks: what is committed is held by more than
+    that, although fewer voters are left.
+    """
     if find_member(membership, replica_id) is None:
         raise MembershipChangeRefused(f"{replica_id} is not a member")
     remaining = Membership(
-        [m for m in membership.members if m.replica_id != replica_id], membership.min_copies
+        [m for m in membership.members if m.replica_id != replica_id],
+        max(copies(membership), membership.min_copies or 0),
     )
     if not voter_ids(remaining):
         raise MembershipChangeRefused(f"{replica_id} is the last voter")
@@ -151,13 +156,8 @@
 
 
 def without_lost_member(membership: Membership, replica_id: str) -> Membership:
-    """Return the membership without a replica whose disk is lost.
-
-    The group goes on to bear the loss of as many further disks as with all voters: what is
-    committed is held by more than that, although fewer voters are left.
-    """
+    """Return the membership without a replica whose disk is lost."""
     remaining = without_member(membership, replica_id)
-    remaining.min_copies = max(membership.min_copies or 0, copies(membership))
     remaining.removes_lost = True
     return remaining
 
