--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -21,6 +21,7 @@
 
 
 _CORE = "replication/core.py"
+_MEMBERSHIP = "replication/membership.py"
 _STORAGE = "replication/storage.py"
 _LEDGER = "ledger/state.py"
 _FLEET = "targets/state.py"
@@ -49,8 +50,72 @@
 _EARLY_CANCELS_TESTS = "tests/tasks/test_early_cancels.py"
 _SPEEDS_TESTS = "tests/dispatch/test_run_speeds.py"
 _AGENT_TESTS = "tests/dispatch/test_agent.py tests/dispatch/test_permission.py"
+_LOST_DISKS_TESTS = "tests/replication/test_lost_disks.py"
 
 MUTANTS = [
+    Mutant(
+        "survivors are a quorum only if they meet every other quorum",
+        _MEMBERSHIP,
+        "return survivors if len(survivors) >= fewest else set()",
+        "return survivors",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "the removal of a lost voter keeps the number of copies",
+        _MEMBERSHIP,
+        "    remaining.min_copies = max(membership.min_copies or 0, borne + 1)\n",
+        "",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "an uncommitted change of voters needs a quorum of those before it, too",
+        _CORE,
+        "                memberships.append(before)",
+        "                pass",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "a lost voter is removed only once an entry since the loss is committed",
+        _CORE,
+        "if self.commit_index >= state.known_from_by_lost_id.get(each, state.term_start_index)",
+        "if self.commit_index >= state.term_start_index",
+        f"{_LOST_DISKS_TESTS} tests/replication/test_late_votes_of_lost_disks.py",
+    ),
+    Mutant(
+        "only a host tells that its own former disk is lost",
+        _CORE,
+        "        if not is_of_its_host or lost_id == message.sender",
+        "        if lost_id == message.sender",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "what is known to be committed is in the write-ahead log",
+        _CORE,
+        "self._unsynced, self._known_commit_index)",
+        "self._unsynced, 0)",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "a candidate asks the voters before an uncommitted change, too",
+        _CORE,
+        "voters = {each for m in self._quorum_rule().memberships for each in voter_ids(m)}",
+        "voters = set(voter_ids(self.log.membership))",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "a message for a lost disk is answered by the next one of the host",
+        _CORE,
+        "            self._tell_of_lost_disk(message, kind)\n            return\n",
+        "            return\n",
+        "tests/replication/test_lost_disks_stateful.py",
+    ),
+    Mutant(
+        "a commit needs no voter that is lost once the others meet every quorum",
+        _MEMBERSHIP,
+        "        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))",
+        "        return by_size",
+        "tests/replication/test_lost_disks_stateful.py",
+    ),
     Mutant(
         "a leader that is followed, but may answer no caller, makes room in time",
         _CORE,
--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -266,3 +266,23 @@
     core = group.leader().core
     assert removed not in voter_ids(core.log.membership)
     assert core.commit_index >= core.log.membership_index
+
+
+# Guards against a group without a leader: the only candidate with the latest log needs this vote.
+def test_a_candidate_asks_a_voter_that_its_uncommitted_change_removes():
+    group = group_of(4)
+    name, other, candidate = followers(group)
+    leader, removed = group.leader(), group.host_by_name[name].replica_id
+    group.blocked_links |= {(leader.name, name), (leader.name, other)}
+    index = leader.core.remove(removed)
+    leader.process_ready()
+    group.run_for(0.2)
+    assert group.host_by_name[candidate].core.log.membership_index == index
+    assert leader.core.commit_index < index
+    group.lose(leader.name)
+    group.heal_partitions()
+    group.run_for(8.0)
+    core = group.leader().core
+    assert group.leader().name == candidate
+    assert removed not in voter_ids(core.log.membership)
+    assert core.commit_index >= index
--- a/tests/replication/test_lost_disks_stateful.py
+++ b/tests/replication/test_lost_disks_stateful.py
@@ -153,6 +153,7 @@
 
     @rule(lost=st.lists(names, min_size=1, max_size=2, unique=True))
     def lose_disks_and_remove_them(self, lost):
+        self.start_all()
         for name in lost:
             self.lose_a_disk(name, starts=True)
         for _ in range(5):
@@ -202,12 +203,15 @@
         finally:
             host.process_ready()
 
-    def repair(self):
-        """Start all hosts, and replace the lost disks as a leader does."""
+    def start_all(self):
         self.group.heal_partitions()
         for host in self.group.host_by_name.values():
             if host.core is None:
                 host.start()
+
+    def repair(self):
+        """Replace the lost disks as a leader does, with all hosts there."""
+        self.start_all()
         for _ in range(40):
             self.group.run_for(1.0)
             self.check()
@@ -291,5 +295,5 @@
             assert len(host.applied) == len(set(host.applied)), "a command was applied twice"
 
 
-LostDisksMachine.TestCase.settings = settings(max_examples=60, stateful_step_count=40)
+LostDisksMachine.TestCase.settings = settings(max_examples=100, stateful_step_count=40)
 TestLostDisksMachine = LostDisksMachine.TestCase
