--- a/tests/replication/test_lost_disks.py
+++ b/tests/replication/test_lost_disks.py
@@ -286,3 +286,37 @@
     assert group.leader().name == candidate
     assert removed not in voter_ids(core.log.membership)
     assert core.commit_index >= index
+
+
+# Guards against a group without a leader: a removed voter has more of the log than others, and
+# neither stands itself nor gives the vote that they need while they know of no commit.
+def test_the_others_elect_once_a_leader_with_a_longer_log_has_removed_itself():
+    group = group_of(2)
+    leader, [name] = group.leader(), followers(group)
+    leader.core.remove(leader.replica_id)
+    leader.process_ready()
+    sent = list(group.messages)
+    leader.core.propose([b"lost on its way"])
+    leader.process_ready()
+    group.messages = sent
+    group.run_for(8.0)
+    assert leader.core.commit_index >= leader.core.log.membership_index
+    assert group.leader() is group.host_by_name[name]
+
+
+def test_the_others_elect_though_the_voter_that_is_being_removed_has_the_longest_log():
+    group = group_of(4)
+    leader, (name, *others) = group.leader(), followers(group)
+    removed = group.host_by_name[name]
+    group.blocked_links |= {(each, leader.name) for each in (name, *others)}
+    leader.core.remove(removed.replica_id)
+    leader.process_ready()
+    group.run_for(0.1)
+    group.blocked_links |= {(leader.name, each) for each in others}
+    group.propose("held by the leader and the removed one")
+    group.run_for(0.1)
+    assert removed.core.log.last_index > group.host_by_name[others[0]].core.log.last_index
+    group.lose(leader.name)
+    group.heal_partitions()
+    group.run_for(10.0)
+    assert group.leader() is not None
