--- a/specification/lost_disks.py
+++ b/specification/lost_disks.py
@@ -13,6 +13,7 @@
 number of losses that the group bears; without it a group stops sooner, and agrees all the same.
 """
 
+import random
 from functools import lru_cache
 from typing import NamedTuple
 
@@ -29,6 +30,7 @@
 ONE_CHANGE = "a change of voters waits for the one before it to commit"
 ENTRY = "a lost voter is removed once an entry since the loss is committed, not a heartbeat"
 CONFIRMED = "a lost voter is removed once something since the loss is confirmed"
+GUARDS = frozenset({THRESHOLD, JOINT_ELECTIONS, JOINT_COMMITS, ONE_CHANGE, ENTRY, CONFIRMED})
 
 
 class Membership(NamedTuple):
@@ -419,6 +421,13 @@
     )
 
 
+_INVARIANTS = {
+    "at most one leader per term": _one_leader_per_term,
+    "no two leaders commit different entries at one index": _no_conflict,
+    "a later leader holds every committed entry": _later_leaders_hold_what_is_committed,
+}
+
+
 @specification("lost-disks", (THRESHOLD, CONFIRMED, ENTRY), refuted_only_at_full_bounds=(ENTRY,))
 def make_lost_disks(guards: frozenset[str]) -> Protocol:
     """Return the model of five voters; at small bounds, of the four that one removal leaves."""
@@ -442,6 +451,50 @@
     return _make(guards | others, bounds)
 
 
+WALKED = Bounds(5, 6, 0, 3, 5, 4, ordinary_changes=True)
+"""Too large to be exhausted: five voters and a successor, with all kinds of steps."""
+
+_WEIGHT_BY_WORD = {
+    "campaigns": 1,
+    "votes": 4,
+    "leads": 3,
+    "command": 1,
+    "removal": 4,
+    "promotion": 2,
+    "replicates": 4,
+    "commits": 6,
+    "disk": 1,
+}
+"""How often a walk takes a step with this word in its name, if there is one."""
+
+
+def walk(guards: frozenset[str], seed: int, steps: int) -> list[str] | None:
+    """Walk at random from the first state of ``WALKED``; return the steps to a fault, if any.
+
+    With an odd seed a candidate is in flight first, with the vote of a disk that is lost since.
+    """
+    rng = random.Random(seed)
+    rules, state, taken = _Rules(guards, WALKED), WALKED.initial, []
+    if seed % 2:
+        taken = ["1 campaigns in 2", "4 votes for 1", "the disk of 4 is lost"]
+        for name in taken:
+            state = dict(rules.transitions(state))[name]
+    for _ in range(steps):
+        found_by_word = {}
+        for name, after in rules.transitions(state):
+            word = next(word for word in _WEIGHT_BY_WORD if word in name)
+            found_by_word.setdefault(word, []).append((name, after))
+        if not found_by_word:
+            return None
+        weights = [_WEIGHT_BY_WORD[word] for word in found_by_word]
+        [found] = rng.choices(list(found_by_word.values()), weights)
+        name, state = rng.choice(found)
+        taken.append(name)
+        if not all(holds(state._asdict()) for holds in _INVARIANTS.values()):
+            return taken
+    return None
+
+
 def _make(guards: frozenset[str], bounds: Bounds) -> Protocol:
     rules = _Rules(guards, bounds)
     return Protocol(
@@ -452,9 +505,5 @@
         transitions=lambda state: [
             (name, _canonical(after)) for name, after in rules.transitions(state)
         ],
-        invariants={
-            "at most one leader per term": _one_leader_per_term,
-            "no two leaders commit different entries at one index": _no_conflict,
-            "a later leader holds every committed entry": _later_leaders_hold_what_is_committed,
-        },
+        invariants=_INVARIANTS,
     )
