--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -4,6 +4,7 @@
 whole site of real processes, idle and under two loads of each kind.
 """
 
+import functools
 import gc
 import hashlib
 import json
@@ -139,13 +140,18 @@
     commands = _job_commands(1)
     log_bytes = sum(len(c) + 40 for c in commands)
     click.echo(f"log entries of one job: {log_bytes} B in 3 entries, framing of an entry included")
-    snapshots, times = [], []
+    snapshots, times, restore_times = [], [], []
     for count in counts:
         state_machine = ended_jobs(count)
-        snapshots.append((count, len(state_machine.snapshot())))
+        snapshot = state_machine.snapshot()
+        snapshots.append((count, len(snapshot)))
+        restored = _state_machine_with(830)
+        restore = functools.partial(restored.restore, snapshot)
+        restore_times.append((count, _seconds_of(restore, 3) * 1e3))
         times.append((count, _seconds_of(state_machine.snapshot, 3) * 1e3))
     _report("snapshot of an ended job", "B", snapshots)
     _report("encoding a snapshot", "ms", times)
+    _report("restoring a snapshot", "ms", restore_times)
     apply_times = [(n, _seconds_of(lambda: ended_jobs(n), 1) * 1e6) for n in counts]
     _report("applying the commands of one job", "us", apply_times)
     _placement_slopes()
