A window with little room left waits for more

Cause: with the window full, each answer to a small message left room for one that is as small: 20,000 entries went in 462 messages of a few entries (window limited to 256 KiB). The same for any member that is behind while its window has stopped growing.

Change: nothing is sent with room for less than 16 KiB.

--- a/src/savoryshelf/replication/send_window.py
+++ b/src/savoryshelf/replication/send_window.py
@@ -11,6 +11,9 @@
 It doubles with each round trip for as long as the link carries it: a state of 1 MB takes four.
 """
 
+MIN_ROOM_BYTES = 16 * 1024
+"""With less room nothing is sent: each small message would leave room for one as small."""
+
 MAX_WINDOW_BYTES = 4 * 1024 * 1024
 """What a link of 200 Mbit/s carries in a round trip of 0.16 s.
 
@@ -79,8 +82,9 @@
 
     @property
     def room(self) -> int:
-        """Return how many more bytes may be sent."""
-        return max(0, self.size - self.in_flight)
+        """Return how many more bytes may be sent, if that is worth a message."""
+        room = self.size - self.in_flight
+        return room if room >= MIN_ROOM_BYTES else 0
 
     def record_sent(self, end: Position, size: int, now: float) -> None:
         """Record that what ends at a position was sent for the first time."""
--- a/tests/replication/test_log_transfer.py
+++ b/tests/replication/test_log_transfer.py
@@ -304,3 +304,14 @@
     host = add_host(group, bytes_per_s=10 * FAST_LINK_BYTES_PER_S)
     assert seconds_until_caught_up(group, host, 20.0) < CATCH_UP_SECONDS
     assert MAX_WINDOW_BYTES / 2 < largest <= MAX_WINDOW_BYTES + SNAPSHOT_CHUNK_BYTES
+
+
+# Guards against a leader that sends entries one by one: each answer to a small message leaves room
+# for one that is as small.
+def test_entries_are_sent_in_few_messages(monkeypatch):
+    monkeypatch.setattr(send_window, "MAX_WINDOW_BYTES", 2 * MIN_WINDOW_BYTES)
+    group = group_of_a_day(4096, 4 * ENTRIES)
+    host = add_host(group)
+    seconds_until_caught_up(group, host, 20.0)
+    sizes = [size for _, message in group.sent if (size := bulk_bytes(message))]
+    assert len(sizes) <= sum(sizes) / send_window.MIN_ROOM_BYTES + 10
