A request to join tells that the earlier disks of its host are lost

The group then had three lost disks of five.

The handler notes the members when it sends the nonce of the connection. Whoever returns its proof is later than these, so other disks of its host are gone.

--- a/src/savoryshelf/control/handler.py
+++ b/src/savoryshelf/control/handler.py
@@ -4,16 +4,12 @@
 from ..replication.service import OutcomeUnknown
 from ..replication.types import NotLeading
 from ..wire.generated import ttypes
-from ..wire.peers import PeerHandler
+from .join_handler import JoinHandler
 
 
-class ControlHandler(PeerHandler):
+class ControlHandler(JoinHandler):
     """Handles the calls of one connection; ``host`` is the ``ControlHostProcess``."""
 
-    def __init__(self, cluster_key: str, host):
-        super().__init__(cluster_key)
-        self._host = host
-
     def deliver(self, messages):
         """Deliver messages from other replicas."""
         self.require_authenticated()
@@ -30,6 +26,7 @@
     def join(self, member):
         """Add a replica with an empty disk as a learner."""
         self.require_authenticated()
+        self.record_lost_disks(member)
         try:
             self._host.running_repair().request_join(member)
         except NotLeading:
--- a/src/savoryshelf/dispatch/handler.py
+++ b/src/savoryshelf/dispatch/handler.py
@@ -2,13 +2,13 @@
 
 import functools
 
+from ..control.join_handler import JoinHandler
 from ..observability import metrics
 from ..observability.bounded import BoundedLog
 from ..replication.membership import MembershipChangeRefused
 from ..replication.service import OutcomeUnknown
 from ..replication.types import NotLeading
 from ..wire.generated import ttypes
-from ..wire.peers import PeerHandler
 
 
 def _records_unknown_leader(method):
@@ -28,15 +28,14 @@
     return call
 
 
-class TaskControlHandler(PeerHandler):
+class TaskControlHandler(JoinHandler):
     """Serves one connection; ``host`` is the process's ``TaskControlHost``.
 
     ``leader_unknown`` logs the answers that name no leader, for all connections.
     """
 
     def __init__(self, cluster_key: str, host, leader_unknown: BoundedLog | None = None):
-        super().__init__(cluster_key)
-        self._host = host
+        super().__init__(cluster_key, host)
         self._leader_unknown = leader_unknown
 
     def deliver(self, messages):
@@ -49,6 +48,7 @@
     def join(self, member):
         """Add a replica to the group as a learner, unless it is a member already."""
         self.require_authenticated()
+        self.record_lost_disks(member)
         try:
             self._host.repair.request_join(member)
         except NotLeading:
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -24,11 +24,13 @@
 from ..observability.logs import log_event
 from ..observability.stacks import error_frame_names
 from ..wire.generated.ttypes import (
+    DiskLost,
     EntryKind,
     LogEntry,
     Member,
     Membership,
     RaftMessage,
+    RaftPayload,
     SnapshotFile,
 )
 from .core import Replica
@@ -189,6 +191,23 @@
         for message in messages:
             self._mailbox.put(_MessageReceived(message))
 
+    def member_ids(self) -> list[str]:
+        """Return the replica ids of the members in this replica's log."""
+        return [member.replica_id for member in self.core.log.membership.members]
+
+    def record_successor(self, replica_id: str, earlier_ids: list[str]) -> None:
+        """Take note that a replica runs on its host, where earlier ones have lost their disks.
+
+        Its message must be later than the knowledge of ``earlier_ids``; those of other hosts are
+        ignored.
+        """
+        own_id = self.core.replica_id
+        for earlier_id in earlier_ids:
+            if earlier_id != replica_id and host_name(earlier_id) == host_name(replica_id):
+                payload = RaftPayload(disk_lost=DiskLost(earlier_id))
+                message = RaftMessage(replica_id, own_id, 0, payload, self.core.shard)
+                self._mailbox.put(_MessageReceived(message))
+
     def propose(self, payload: bytes):
         """Block until a command is committed and applied; return its outcome.
 
--- a/tests/dispatch/test_handler.py
+++ b/tests/dispatch/test_handler.py
@@ -82,3 +82,34 @@
         handler.join(None)
     assert raised.value.outcome_unknown is is_unknown
     assert raised.value.reason == str(error)
+
+
+def handler_with_members(member_ids):
+    recorded = []
+    replica = types.SimpleNamespace(
+        member_ids=lambda: list(member_ids),
+        record_successor=lambda *successor: recorded.append(successor),
+    )
+    repair = types.SimpleNamespace(request_join=lambda member: None)
+    handler = TaskControlHandler("key", types.SimpleNamespace(replica=replica, repair=repair))
+    handler.authenticated = True
+    return handler, recorded
+
+
+# Guards against a leader that hears of a lost disk only once a connection that has gone silent is
+# given up, while the host has long asked to join.
+def test_a_host_that_asks_to_join_tells_that_its_earlier_disks_are_lost():
+    handler, recorded = handler_with_members(["x.1", "y.1"])
+    handler.hello()
+    handler.join(ttypes.Member("x.2", "x:1", "", False))
+    assert recorded == [("x.2", ["x.1", "y.1"])]
+
+
+# Guards against a request that waited unread while its host lost another disk.
+def test_a_request_to_join_tells_nothing_of_members_that_came_after_its_connection():
+    member_ids = ["y.1"]
+    handler, recorded = handler_with_members(member_ids)
+    handler.hello()
+    member_ids.append("x.3")
+    handler.join(ttypes.Member("x.2", "x:1", "", False))
+    assert recorded == [("x.2", ["y.1"])]
--- a/tests/replication/test_failed_elections.py
+++ b/tests/replication/test_failed_elections.py
@@ -185,3 +185,14 @@
     failed = [each for each in failed_elections(lines) if first in each["granted"]][-1]
     assert failed["lost"] == [leader_id]
     assert failed["unanswered"] == [second]
+
+
+def test_the_successor_of_a_disk_on_the_same_host_tells_that_it_is_lost(lines):
+    with running_services() as group:
+        first, second, leader = follower_and_leader(group)
+        service = group.service_by_name[leader]
+        lost_id = group.service_by_name[first].core.replica_id
+        service.record_successor(f"{first}.new", service.member_ids())
+        group.clock.sleep(1.0)
+        assert service.core.lost_member_ids == [lost_id]
+        assert service.core.removable_lost_ids == [lost_id]
