--- a/specification/lost_disks.py
+++ b/specification/lost_disks.py
@@ -10,7 +10,8 @@
 
 Two rules of the product are no guards here.  That a leader has committed an entry of its term
 before it removes a lost voter follows from the entry since the loss.  ``min_copies`` keeps the
-number of losses that the group bears; without it a group stops sooner, and agrees all the same.
+number of losses that the group bears; it matters from the second removal of five on, which
+the bounds don't reach.
 """
 
 import random
