--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -56,22 +56,22 @@
     Mutant(
         "survivors are a quorum only if they meet every other quorum",
         _MEMBERSHIP,
-        "return survivors if len(survivors) >= fewest else set()",
+        "return survivors if len(survivors) >= fewest_survivors(membership) else set()",
         "return survivors",
         _LOST_DISKS_TESTS,
     ),
     Mutant(
         "the removal of a lost voter keeps the number of copies",
         _MEMBERSHIP,
-        "    remaining.min_copies = max(membership.min_copies or 0, borne + 1)\n",
-        "",
+        "        max(copies(membership), membership.min_copies or 0),\n",
+        "        membership.min_copies,\n",
         _LOST_DISKS_TESTS,
     ),
     Mutant(
         "an uncommitted change of voters needs a quorum of those before it, too",
         _CORE,
-        "                memberships.append(before)",
-        "                pass",
+        "before if has_voters else None, frozenset",
+        "None, frozenset",
         _LOST_DISKS_TESTS,
     ),
     Mutant(
@@ -102,6 +102,29 @@
         "voters = set(voter_ids(self.log.membership))",
         _LOST_DISKS_TESTS,
     ),
+    Mutant(
+        "a majority after a change needs one of before unless it meets all survivors of before",
+        _MEMBERSHIP,
+        "max(of_both, by_size) if meets_survivors(self.membership, self.before) else of_both",
+        "max(of_both, by_size)",
+        _LOST_DISKS_TESTS,
+    ),
+    Mutant(
+        "a request to join tells only of members that were known when its connection began",
+        "control/join_handler.py",
+        "if self._known_ids:\n            self._host.replica.record_successor("
+        "successor.replica_id, self._known_ids)",
+        "if self._known_ids:\n            self._host.replica.record_successor("
+        "successor.replica_id, self._host.replica.member_ids())",
+        "tests/dispatch/test_handler.py",
+    ),
+    Mutant(
+        "senders are asked again until the membership is known",
+        "dispatch/joining.py",
+        "        if members:\n            self._senders = {}",
+        "        self._senders = {}",
+        "tests/dispatch/test_joining.py",
+    ),
     Mutant(
         "a message for a lost disk is answered by the next one of the host",
         _CORE,
@@ -112,8 +135,8 @@
     Mutant(
         "a commit needs no voter that is lost once the others meet every quorum",
         _MEMBERSHIP,
-        "        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))",
-        "        return by_size",
+        "max(by_size, self._value_of_survivors(self.membership, value_by_id))",
+        "by_size",
         "tests/replication/test_lost_disks_stateful.py",
     ),
     Mutant(
@@ -451,8 +474,9 @@
     Mutant(
         "a message addressed to the identity of a lost disk is ignored",
         _CORE,
-        "if message.recipient != self.replica_id or message.shard != self.shard:",
-        "if False:",
+        "        if message.recipient != self.replica_id:\n"
+        "            self._tell_of_lost_disk(message, kind)\n            return\n",
+        "",
         REPLICATION,
     ),
     Mutant(
@@ -486,8 +510,8 @@
     Mutant(
         "a chunk on its way to a member is not sent again with each commit",
         _CORE,
-        "            if not self._is_chunk_in_flight(progress):\n",
-        "            if True:\n",
+        "        if window.has_stalled(self._now):\n            go_back(progress)\n",
+        "        go_back(progress)\n",
         "tests/replication/test_flow_control.py",
     ),
     Mutant(
@@ -1132,8 +1156,8 @@
     Mutant(
         "unresponsive members are sent no entries",
         _CORE,
-        "if self._can_send_entries(progress) else []",
-        "",
+        "            not is_unresponsive\n            and progress.window.room",
+        "            progress.window.room",
         REPLICATION,
     ),
     Mutant(
