--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -329,14 +329,14 @@
     def remove_lost(self, replica_id: str) -> int:
         """Propose to remove a member whose disk is lost; return the index of the log entry.
 
-        Raises MembershipChangeRefused until it is known to be lost, and a quorum has confirmed this
-        leader since.
+        Raises MembershipChangeRefused until it is known to be lost, and this leader has committed
+        an entry since.
         """
         self._require_leader()
         if replica_id not in self._lost_ids:
             raise MembershipChangeRefused(f"the disk of {replica_id} is not known to be lost")
         if replica_id not in self.removable_lost_ids:
-            raise MembershipChangeRefused("no quorum has confirmed this leader since the loss")
+            raise MembershipChangeRefused("no entry is committed yet since the loss was known")
         return self._change_membership(without_lost_member(self.log.membership, replica_id))
 
     def request_read(self) -> int:
@@ -486,11 +486,14 @@
         lost_ids = self.lost_member_ids
         if not lost_ids:
             return []
-        # A later leader might have been elected before the disk was lost.  What it had committed
-        # with this voter could be missing from each quorum of the others.
+        # The lost disk may have voted for a candidate whose other votes are still to come.  Whoever
+        # holds an entry from after the loss refuses that candidate, which cannot hold it.
         state = self.leader_state
-        confirmed = state.quorum_acked_round(self.replica_id, self._quorum_rule())
-        return [each for each in lost_ids if confirmed > state.round_by_lost_id.get(each, 0)]
+        return [
+            each
+            for each in lost_ids
+            if self.commit_index >= state.known_from_by_lost_id.get(each, state.term_start_index)
+        ]
 
     @property
     def is_first_campaign(self) -> bool:
@@ -567,7 +570,8 @@
         if len(self._lost_ids) > MAX_LOST_IDS:
             del self._lost_ids[next(iter(self._lost_ids))]
         if self.role is Role.LEADER:
-            self.leader_state.round_by_lost_id[lost_id] = self.leader_state.round
+            if lost_id in self.lost_member_ids:
+                self.leader_state.known_from_by_lost_id[lost_id] = self._append(EntryKind.NOOP, b"")
             self._advance_commit()
             self._confirm_reads()
         elif self._election is not None:
@@ -604,9 +608,10 @@
             self._set_hard_state(self.term + 1, self.replica_id)
             term = self.term
         self.leader_id = None
-        others = [each for each in voter_ids(self.log.membership) if each != self.replica_id]
-        lost = set(others) & self._lost_ids.keys()
-        self._election = Election(term, pre_vote, {self.replica_id}, set(others), lost)
+        voters = {each for m in self._quorum_rule().memberships for each in voter_ids(m)}
+        others = voters - {self.replica_id}
+        lost = others & self._lost_ids.keys()
+        self._election = Election(term, pre_vote, {self.replica_id}, others, lost)
         doublings = min(self._campaigns, MAX_RETRY_DOUBLINGS)
         self._reset_election_deadline(min(1.0, FIRST_RETRY_FACTOR * 2**doublings))
         self._campaigns += pre_vote
@@ -826,7 +831,11 @@
 
     def _update_progress(self) -> None:
         existing = self.leader_state.progress_by_id
-        member_ids = [m.replica_id for m in self.log.membership.members]
+        member_ids = dict.fromkeys(
+            member.replica_id
+            for membership in self._quorum_rule().memberships
+            for member in membership.members
+        )
         self.leader_state.progress_by_id = {
             replica_id: existing.get(replica_id)
             or Progress(next_index=self.log.last_index + 1, acked_at=self._now)
@@ -1037,8 +1046,11 @@
         # majority holds it.  Committing an entry of this term commits all
         # entries before it.
         if index > self.commit_index and self.log.term_at(index) == self.term:
+            ends_change = self.commit_index < self.log.membership_index <= index
             self._commit_up_to(index)
             self._unannounced_commit = True
+            if ends_change:
+                self._update_progress()
             self._confirm_reads()
             if find_member(self.log.membership_at(index), self.replica_id) is None:
                 self._become_follower(self.term, None, "removed from the group")
