--- a/proofs/mutants.py
+++ b/proofs/mutants.py
@@ -105,8 +105,8 @@
     Mutant(
         "a majority after a change needs one of before unless it meets all survivors of before",
         _MEMBERSHIP,
-        "max(of_both, by_size) if meets_survivors(self.membership, self.before) else of_both",
-        "max(of_both, by_size)",
+        "if not meets_survivors(self.membership, self.before):",
+        "if False:",
         _LOST_DISKS_TESTS,
     ),
     Mutant(
@@ -135,8 +135,8 @@
     Mutant(
         "a commit needs no voter that is lost once the others meet every quorum",
         _MEMBERSHIP,
-        "max(by_size, self._value_of_survivors(self.membership, value_by_id))",
-        "by_size",
+        "        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))",
+        "        return by_size",
         "tests/replication/test_lost_disks_stateful.py",
     ),
     Mutant(
--- a/src/savoryshelf/control/repair.py
+++ b/src/savoryshelf/control/repair.py
@@ -88,16 +88,16 @@
         while True:
             if not self._replica.is_leader:
                 raise NotLeading(core.leader_id)
-            if not core.changes_membership and _is_member(core, member):
+            if not core.must_commit_before_change and _is_member(core, member):
                 return
             left = MAX_JOIN_WAIT_SECONDS - (core.now - began_at)
-            if core.changes_membership and left > 0:
+            if core.must_commit_before_change and left > 0:
                 self._replica.await_membership_change(left)
                 continue
             try:
                 self._commit("add", member.replica_id, lambda core: core.add_learner(member))
             except MembershipChangeRefused:
-                if left <= 0 or not core.changes_membership:
+                if left <= 0 or not core.must_commit_before_change:
                     raise
 
     def remove(self, name: str) -> None:
--- a/src/savoryshelf/replication/core.py
+++ b/src/savoryshelf/replication/core.py
@@ -473,8 +473,8 @@
         return self.role is Role.LEADER and self.commit_index >= self.leader_state.term_start_index
 
     @property
-    def changes_membership(self) -> bool:
-        """Return whether a leader has to commit something before it may change the membership."""
+    def must_commit_before_change(self) -> bool:
+        """Return whether this replica may change the membership only after a commit."""
         return not self.has_committed_in_term or self.log.membership_index > self.commit_index
 
     @property
--- a/src/savoryshelf/replication/membership.py
+++ b/src/savoryshelf/replication/membership.py
@@ -94,23 +94,21 @@
 
     def value(self, value_by_id: Mapping[str, float]) -> float:
         """Return the highest value that a quorum has reached; a missing value counts as 0."""
-        by_size = _value_by_size(self.membership, value_by_id)
-        with_survivors = max(by_size, self._value_of_survivors(self.membership, value_by_id))
+        value = self._value_in(self.membership, value_by_id)
         if self.before is None:
-            return with_survivors
+            return value
         # Survivors may be few, so those of one membership need not meet a quorum of the other.
-        before = max(
-            _value_by_size(self.before, value_by_id),
-            self._value_of_survivors(self.before, value_by_id),
-        )
-        of_both = min(with_survivors, before)
-        return max(of_both, by_size) if meets_survivors(self.membership, self.before) else of_both
-
-    def _value_of_survivors(
-        self, membership: Membership, value_by_id: Mapping[str, float]
-    ) -> float:
+        of_both = min(value, self._value_in(self.before, value_by_id))
+        if not meets_survivors(self.membership, self.before):
+            return of_both
+        return max(of_both, _value_by_size(self.membership, value_by_id))
+
+    def _value_in(self, membership: Membership, value_by_id: Mapping[str, float]) -> float:
+        by_size = _value_by_size(membership, value_by_id)
         survivors = surviving_quorum(membership, self.lost_ids) if self.lost_ids else set()
-        return min((value_by_id.get(each, 0) for each in survivors), default=float("-inf"))
+        if not survivors:
+            return by_size
+        return max(by_size, min(value_by_id.get(each, 0) for each in survivors))
 
 
 def _value_by_size(membership: Membership, value_by_id: Mapping[str, float]) -> float:
--- a/src/savoryshelf/replication/service.py
+++ b/src/savoryshelf/replication/service.py
@@ -240,7 +240,7 @@
     def await_membership_change(self, limit_seconds: float) -> None:
         """Block until this leader may change the membership, it leads no longer, or the limit."""
         with eventlet.Timeout(limit_seconds, False):
-            while self.is_leader and self.core.changes_membership:
+            while self.is_leader and self.core.must_commit_before_change:
                 self.next_apply_event().wait()
 
     def next_apply_event(self) -> Event:
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -45,7 +45,7 @@
         """Block until no change is in progress, as the service does, while the group runs."""
         group = self._host.group
         end = group.now + limit_seconds
-        while self.is_leader and self.core.changes_membership and group.now < end:
+        while self.is_leader and self.core.must_commit_before_change and group.now < end:
             group.run_for(group.tick_seconds)
 
 
